--- /dev/null
+++ b/crates/sedgepath-core/src/lib.rs
@@ -0,0 +1,2 @@
+//! The steering node of sedgepath as a state machine without input or output.
+pub mod table;
--- /dev/null
+++ b/crates/sedgepath/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/sedgepathd/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon that runs on every entry VM.
+
+fn main() {}
