--- /dev/null
+++ b/crates/sedgepath-core/src/catalogue.rs
@@ -0,0 +1,324 @@
+//! The configuration in force, read from its records into tables.
+
+use std::net::{IpAddr, SocketAddr};
+
+use crate::blocks::{BlockTable, Cidr};
+use crate::hash::{Digest, Map, Set};
+use crate::key::{DomainKey, OrganisationKey, OriginKey, RegionKey, ServiceKey, UpstreamKey};
+use crate::record::{self, Cap, DrainTarget, Plan, RawRecord, RecordBody, RecordError};
+
+/// The origin group whose shares hold for callers of all groups that have none of their own.
+pub const ANY_ORIGIN: &str = "any";
+
+/// A failure domain as configured.
+#[derive(Debug, Clone)]
+pub struct DomainEntry {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its region.
+    pub region: RegionKey,
+    /// Whether a drain takes it out of service.
+    pub draining: bool,
+}
+
+/// An upstream as configured.
+#[derive(Debug, Clone)]
+pub struct UpstreamEntry {
+    /// Its name.
+    pub name: Box<str>,
+    /// The service it belongs to.
+    pub service: ServiceKey,
+    /// Its failure domain.
+    pub domain: DomainKey,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The most requests it runs at once.
+    pub slots: u32,
+    /// The most connections it takes.
+    pub connections: u32,
+    /// The most new connections it takes in a second.
+    pub new_connections_per_s: u32,
+    /// The slots it may use when cold.
+    pub cold_slots: u32,
+    /// The time in milliseconds over which it warms up.
+    pub warm_up_ms: u64,
+    /// Whether a drain takes it out of service.
+    pub draining: bool,
+}
+
+/// The shares and caps of a service.
+#[derive(Debug, Clone)]
+pub struct SteeringEntry {
+    /// The schema of the record.
+    pub schema: u32,
+    /// The weights by origin group, adding up to one, in the order of the domains' keys.
+    pub shares: Map<OriginKey, Vec<(DomainKey, f64)>>,
+    /// The most that a shift may move.
+    pub cap: Cap,
+    /// The most that a failover may move.
+    pub failover_cap: Cap,
+    /// After which time in milliseconds an idempotent request is hedged.
+    pub hedge_after_ms: Option<u64>,
+}
+
+/// A service as configured.
+#[derive(Debug, Clone)]
+pub struct ServiceEntry {
+    /// Its name.
+    pub name: Box<str>,
+    /// The longest deadline that a request may carry, in milliseconds.
+    pub longest_deadline_ms: u64,
+    /// Whether requests must carry an idempotency key or a ticket.
+    pub once_only: bool,
+    /// Its upstreams in the order of their keys.
+    pub upstreams: Vec<UpstreamKey>,
+    /// Its shares and caps; none until a steering record names it.
+    pub steering: Option<SteeringEntry>,
+}
+
+/// An organisation as configured.
+#[derive(Debug, Clone)]
+pub struct OrganisationEntry {
+    /// Its name.
+    pub name: Box<str>,
+    /// Whether it pays.
+    pub plan: Plan,
+}
+
+/// A record that this version can't read.
+#[derive(Debug)]
+pub struct Unread {
+    /// The record's kind.
+    pub kind: Box<str>,
+    /// The record's name.
+    pub name: Box<str>,
+    /// Why it could not be read.
+    pub error: RecordError,
+}
+
+/// All records of one revision, read into tables.
+#[derive(Debug, Default)]
+pub struct Catalogue {
+    /// The regions' names.
+    pub regions: Map<RegionKey, Box<str>>,
+    /// The failure domains.
+    pub domains: Map<DomainKey, DomainEntry>,
+    /// The services.
+    pub services: Map<ServiceKey, ServiceEntry>,
+    /// The upstreams of all services.
+    pub upstreams: Map<UpstreamKey, UpstreamEntry>,
+    /// The organisations.
+    pub organisations: Map<OrganisationKey, OrganisationEntry>,
+    /// The origin groups' names.
+    pub origins: Map<OriginKey, Box<str>>,
+    /// Services that a record of an unknown schema concerns; they are refused on this node.
+    pub refused: Set<ServiceKey>,
+    /// The records that could not be read.
+    pub unread: Vec<Unread>,
+    keys: Map<Digest, OrganisationKey>,
+    blocks: BlockTable,
+}
+
+impl Catalogue {
+    /// Reads the records of a revision.
+    ///
+    /// Records that can't be read are listed in [`Self::unread`]; they take nothing else down.
+    pub fn new<'a>(records: impl IntoIterator<Item = &'a RawRecord>) -> Self {
+        let mut catalogue = Self::default();
+        let mut steering = Vec::new();
+        let mut drains = Vec::new();
+        let mut blocks = Vec::new();
+        for raw in records {
+            match raw.parse() {
+                Ok(RecordBody::Places(places)) => catalogue.add_places(&places),
+                Ok(RecordBody::Service(service)) => catalogue.add_service(&raw.name, &service),
+                Ok(RecordBody::Organisations(record)) => catalogue.add_organisations(&record),
+                Ok(RecordBody::Clients(clients)) => catalogue.add_blocks(&clients, &mut blocks),
+                Ok(RecordBody::Steering(body)) => steering.push((raw, body)),
+                Ok(RecordBody::Drain(drain)) => drains.push((raw, drain)),
+                Err(error) => catalogue.add_unread(raw, error),
+            }
+        }
+        for (raw, body) in &steering {
+            catalogue.add_steering(raw, body);
+        }
+        for (raw, drain) in drains.iter().filter(|(_, drain)| drain.active) {
+            catalogue.add_drain(&raw.name, drain.target);
+        }
+        for service in catalogue.services.values_mut() {
+            service.upstreams.sort_unstable();
+        }
+        catalogue.blocks = BlockTable::new(blocks);
+        catalogue
+    }
+
+    /// Returns the origin group of a caller's address.
+    pub fn origin(&self, address: IpAddr) -> OriginKey {
+        self.blocks
+            .origin(address)
+            .unwrap_or_else(|| OriginKey::of(ANY_ORIGIN))
+    }
+
+    /// Returns the organisation that a key belongs to, given the key's digest.
+    pub fn organisation(&self, key_digest: Digest) -> Option<OrganisationKey> {
+        self.keys.get(&key_digest).copied()
+    }
+
+    /// Returns the shares of a service for callers of an origin group.
+    pub fn shares(&self, service: ServiceKey, origin: OriginKey) -> Option<&[(DomainKey, f64)]> {
+        let steering = self.services.get(&service)?.steering.as_ref()?;
+        let shares = steering.shares.get(&origin);
+        shares
+            .or_else(|| steering.shares.get(&OriginKey::of(ANY_ORIGIN)))
+            .map(Vec::as_slice)
+    }
+
+    /// Whether an upstream is taken out of service by a drain of its own or of its domain.
+    pub fn is_draining(&self, upstream: UpstreamKey) -> bool {
+        self.upstreams.get(&upstream).is_none_or(|entry| {
+            entry.draining
+                || self
+                    .domains
+                    .get(&entry.domain)
+                    .is_some_and(|domain| domain.draining)
+        })
+    }
+
+    fn add_places(&mut self, places: &record::Places) {
+        for region in &places.regions {
+            let region_key = RegionKey::of(&region.name);
+            self.regions.insert(region_key, region.name.clone());
+            for name in &region.domains {
+                let entry = DomainEntry {
+                    name: name.clone(),
+                    region: region_key,
+                    draining: false,
+                };
+                self.domains.insert(DomainKey::of(name), entry);
+            }
+        }
+    }
+
+    fn add_service(&mut self, name: &str, record: &record::Service) {
+        let service = ServiceKey::of(name);
+        let mut upstreams = Vec::with_capacity(record.upstreams.len());
+        for upstream in &record.upstreams {
+            let key = UpstreamKey::of(&upstream.name);
+            upstreams.push(key);
+            let entry = UpstreamEntry {
+                name: upstream.name.clone(),
+                service,
+                domain: DomainKey::of(&upstream.domain),
+                address: upstream.address,
+                slots: upstream.slots,
+                connections: upstream.connections,
+                new_connections_per_s: upstream.new_connections_per_s,
+                cold_slots: upstream.cold_slots.unwrap_or(upstream.slots),
+                warm_up_ms: upstream.warm_up_ms,
+                draining: false,
+            };
+            self.upstreams.insert(key, entry);
+        }
+        let entry = ServiceEntry {
+            name: name.into(),
+            longest_deadline_ms: record.longest_deadline_ms,
+            once_only: record.once_only,
+            upstreams,
+            steering: None,
+        };
+        self.services.insert(service, entry);
+    }
+
+    fn add_steering(&mut self, raw: &RawRecord, record: &record::Steering) {
+        let mut shares = Map::default();
+        for group in &record.groups {
+            let origin = OriginKey::of(&group.origin);
+            self.origins.insert(origin, group.origin.clone());
+            shares.insert(origin, normalised(&group.shares));
+        }
+        if let Some(service) = self.services.get_mut(&ServiceKey::of(&raw.name)) {
+            service.steering = Some(SteeringEntry {
+                schema: raw.schema,
+                shares,
+                cap: record.cap,
+                failover_cap: record.failover_cap.unwrap_or(record.cap),
+                hedge_after_ms: record.hedge_after_ms,
+            });
+        }
+    }
+
+    fn add_organisations(&mut self, record: &record::Organisations) {
+        for organisation in &record.organisations {
+            let key = OrganisationKey::of(&organisation.name);
+            let entry = OrganisationEntry {
+                name: organisation.name.clone(),
+                plan: organisation.plan,
+            };
+            self.organisations.insert(key, entry);
+            for digest in organisation
+                .key_digests
+                .iter()
+                .filter_map(|hex| Digest::from_hex(hex))
+            {
+                self.keys.insert(digest, key);
+            }
+        }
+    }
+
+    fn add_blocks(&mut self, clients: &record::Clients, blocks: &mut Vec<(Cidr, OriginKey)>) {
+        for block in &clients.blocks {
+            let origin = OriginKey::of(&block.origin);
+            self.origins
+                .entry(origin)
+                .or_insert_with(|| block.origin.clone());
+            if let Ok(cidr) = Cidr::parse(&block.block) {
+                blocks.push((cidr, origin));
+            }
+        }
+    }
+
+    fn add_drain(&mut self, name: &str, target: DrainTarget) {
+        match target {
+            DrainTarget::Upstream => {
+                if let Some(upstream) = self.upstreams.get_mut(&UpstreamKey::of(name)) {
+                    upstream.draining = true;
+                }
+            }
+            DrainTarget::Domain => {
+                if let Some(domain) = self.domains.get_mut(&DomainKey::of(name)) {
+                    domain.draining = true;
+                }
+            }
+        }
+    }
+
+    /// Refuses the service that an unreadable record concerns.
+    ///
+    /// Without this a node that can't read a newer steering record would go on steering by nothing
+    /// or by an older one, and callers would be sent against the record in force.
+    fn add_unread(&mut self, raw: &RawRecord, error: RecordError) {
+        if matches!(&*raw.kind, "service" | "steering") {
+            self.refused.insert(ServiceKey::of(&raw.name));
+        }
+        self.unread.push(Unread {
+            kind: raw.kind.clone(),
+            name: raw.name.clone(),
+            error,
+        });
+    }
+}
+
+fn normalised(shares: &[record::Share]) -> Vec<(DomainKey, f64)> {
+    let sum = shares.iter().map(|share| share.weight).sum::<f64>();
+    let mut weights: Vec<_> = shares
+        .iter()
+        .map(|share| {
+            (
+                DomainKey::of(&share.domain),
+                if sum > 0.0 { share.weight / sum } else { 0.0 },
+            )
+        })
+        .collect();
+    weights.sort_unstable_by_key(|weight| weight.0);
+    weights
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/egress.rs
@@ -0,0 +1,139 @@
+//! The owner's side: which upstream runs a request that a peer has handed over.
+
+use crate::catalogue::Catalogue;
+use crate::event::{Action, UpstreamReport};
+use crate::hash::Map;
+use crate::key::{ExchangeKey, UpstreamKey, VmKey};
+use crate::message::ServiceLoad;
+use crate::outbox::Outbox;
+use crate::request::{CallEnd, Dispatch, Reason, Refusal};
+
+/// When a caller that found no upstream should come back, in milliseconds.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// A dispatch that runs at an upstream.
+#[derive(Debug)]
+struct Call {
+    upstream: UpstreamKey,
+}
+
+/// What the owner knows of an upstream.
+#[derive(Debug, Default)]
+struct UpstreamState {
+    in_flight: u32,
+}
+
+/// The upstreams that this node may use and what runs there.
+#[derive(Debug, Default)]
+pub struct Egress {
+    calls: Map<ExchangeKey, Call>,
+    upstreams: Map<UpstreamKey, UpstreamState>,
+}
+
+impl Egress {
+    /// Takes over a dispatched request.
+    pub fn dispatch(
+        &mut self,
+        exchange: ExchangeKey,
+        dispatch: &Dispatch,
+        owned: &[UpstreamKey],
+        catalogue: &Catalogue,
+        out: &mut Outbox,
+    ) {
+        let Some(upstream) = self.choose(dispatch, owned, catalogue) else {
+            let refusal = Refusal {
+                reason: Reason::NoUpstream,
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+            out.push(Action::Refuse { exchange, refusal });
+            return;
+        };
+        let entry = &catalogue.upstreams[&upstream];
+        self.upstreams.entry(upstream).or_default().in_flight += 1;
+        self.calls.insert(exchange, Call { upstream });
+        let deadline_at_ms = out.now_ms() + dispatch.remaining_ms;
+        out.push(Action::CallUpstream {
+            exchange,
+            upstream,
+            domain: entry.domain,
+            address: entry.address,
+            may_open: true,
+            send_by_ms: deadline_at_ms,
+            deadline_at_ms,
+        });
+    }
+
+    /// Takes in the end of a call.
+    pub fn call_ended(&mut self, exchange: ExchangeKey, _end: CallEnd) {
+        let Some(call) = self.calls.remove(&exchange) else {
+            return;
+        };
+        if let Some(state) = self.upstreams.get_mut(&call.upstream) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes in an upstream's word on its load.
+    pub fn take_report(&mut self, _upstream: UpstreamKey, _report: UpstreamReport) {}
+
+    /// Returns the load of the upstreams that this node owns, by service.
+    pub fn loads(&self, owned: &[UpstreamKey], catalogue: &Catalogue) -> Vec<ServiceLoad> {
+        let mut loads: Vec<ServiceLoad> = Vec::new();
+        for upstream in owned {
+            let entry = &catalogue.upstreams[upstream];
+            let in_flight = self
+                .upstreams
+                .get(upstream)
+                .map_or(0, |state| state.in_flight);
+            match loads.iter_mut().find(|load| load.service == entry.service) {
+                Some(load) => {
+                    load.slots += entry.slots;
+                    load.in_flight += in_flight;
+                }
+                None => loads.push(ServiceLoad {
+                    service: entry.service,
+                    slots: entry.slots,
+                    in_flight,
+                }),
+            }
+        }
+        loads
+    }
+
+    fn choose(
+        &self,
+        dispatch: &Dispatch,
+        owned: &[UpstreamKey],
+        catalogue: &Catalogue,
+    ) -> Option<UpstreamKey> {
+        let in_flight = |upstream: &UpstreamKey| {
+            self.upstreams
+                .get(upstream)
+                .map_or(0, |state| state.in_flight)
+        };
+        owned
+            .iter()
+            .copied()
+            .filter(|upstream| catalogue.upstreams[upstream].service == dispatch.service)
+            .filter(|upstream| Some(*upstream) != dispatch.avoid)
+            .min_by_key(|upstream| (in_flight(upstream), *upstream))
+    }
+}
+
+/// Returns the upstreams of a failure domain whose owner is `vm`, given the VMs that serve there.
+pub fn owned_by(
+    vm: VmKey,
+    serving: &[VmKey],
+    catalogue: &Catalogue,
+    domain: crate::key::DomainKey,
+) -> Vec<UpstreamKey> {
+    let mut owned: Vec<_> = catalogue
+        .upstreams
+        .iter()
+        .filter(|(_, entry)| entry.domain == domain)
+        .map(|(upstream, _)| *upstream)
+        .filter(|upstream| crate::ownership::owner(u64::from(upstream.0), serving) == Some(vm))
+        .collect();
+    owned.sort_unstable();
+    owned
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/identity.rs
@@ -0,0 +1,57 @@
+//! Who a node is, and the times by which it works.
+
+use crate::key::{BootId, VmKey};
+use crate::message::MemberCard;
+
+/// Who a node is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// The VM.
+    pub vm: VmKey,
+    /// This run of the process.
+    pub boot: BootId,
+    /// Name, failure domain and addresses.
+    pub card: MemberCard,
+}
+
+impl Identity {
+    /// Creates the identity of one run of a process.
+    pub fn new(card: MemberCard, boot: BootId) -> Self {
+        Self {
+            vm: VmKey::of(&card.name),
+            boot,
+            card,
+        }
+    }
+}
+
+/// The times and bounds by which a node works; all nodes of a system have the same.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// The time between two heartbeats, in milliseconds.
+    pub heartbeat_every_ms: u64,
+    /// After which silence a member is suspected, in milliseconds. The owner's right ends this
+    /// long after the heartbeat that was acknowledged (T in docs/DESIGN.md).
+    pub suspect_after_ms: u64,
+    /// After which silence a member that the VM list no longer names is forgotten, in milliseconds.
+    pub forget_after_ms: u64,
+    /// The time between two readings of the platform's head revision, in milliseconds.
+    pub head_every_ms: u64,
+    /// How long a look-up's answer may be used, in milliseconds.
+    pub look_up_valid_ms: u64,
+    /// The seed of the node's random choices.
+    pub seed: u64,
+}
+
+impl Default for NodeSettings {
+    fn default() -> Self {
+        Self {
+            heartbeat_every_ms: 250,
+            suspect_after_ms: 1_500,
+            forget_after_ms: 60_000,
+            head_every_ms: 1_000,
+            look_up_valid_ms: 5_000,
+            seed: 0,
+        }
+    }
+}
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -1,2 +1,26 @@
 //! The steering node of sedgepath as a state machine without input or output.
+//!
+//! [`node::Node`] decides everything: membership, configuration, routing, shift caps, admission,
+//! claims, tickets, retries and drains. It is told what happened by [`event::Event`] and answers
+//! with [`event::Action`]; time and seeds come in from outside.
+
+pub mod blocks;
+pub mod catalogue;
+pub mod clock;
+pub mod configuration;
+pub mod egress;
+pub mod event;
+pub mod hash;
+pub mod identity;
+pub mod ingress;
+pub mod key;
+pub mod membership;
+pub mod message;
+pub mod node;
+pub mod outbox;
+pub mod ownership;
+pub mod record;
+pub mod request;
+pub mod steering;
 pub mod table;
+pub mod timeline;
--- /dev/null
+++ b/crates/sedgepath-core/src/message.rs
@@ -0,0 +1,69 @@
+//! Datagrams between nodes.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Stamp;
+use crate::key::{BootId, DomainKey, ServiceKey, VmKey};
+
+/// A datagram: who sent it, in which order, and what it says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The sender.
+    pub from: VmKey,
+    /// The sender's boot.
+    pub boot: BootId,
+    /// The number of the datagram within the boot, to drop repeated ones.
+    pub sequence: u64,
+    /// The sender's place in the time line.
+    pub stamp: Stamp,
+    /// What it says.
+    pub message: Message,
+}
+
+/// What a datagram says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A sign of life with the sender's addresses and load.
+    Heartbeat(Heartbeat),
+}
+
+/// A sign of life.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender's name and addresses.
+    pub member: MemberCard,
+    /// The configuration revision that the sender has in force.
+    pub revision: u64,
+    /// The sender's load by service.
+    pub loads: Vec<ServiceLoad>,
+}
+
+/// What others need to know to reach a node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberCard {
+    /// The VM's name.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: DomainKey,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
+    /// Where it takes frames and datagrams of peers.
+    pub peers: SocketAddr,
+    /// Where it takes remote calls of operators and peers.
+    pub operators: SocketAddr,
+    /// Whether it is about to stop and takes no new work.
+    pub leaving: bool,
+}
+
+/// What an owner has left of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: ServiceKey,
+    /// The slots of the upstreams that the node may use.
+    pub slots: u32,
+    /// Those taken.
+    pub in_flight: u32,
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/outbox.rs
@@ -0,0 +1,125 @@
+//! Where the systems of a node leave their actions, log entries and datagrams.
+
+use std::net::SocketAddr;
+
+use crate::clock::HybridClock;
+use crate::event::Action;
+use crate::identity::Identity;
+use crate::key::OperationKey;
+use crate::message::{Envelope, Message};
+use crate::table::TableRequest;
+use crate::timeline::{Entry, Timeline, Topic};
+
+/// Collects what the node asks its shell to do.
+#[derive(Debug)]
+pub struct Outbox {
+    identity: Identity,
+    now_ms: u64,
+    sequence: u64,
+    operations: u64,
+    clock: HybridClock,
+    timeline: Timeline,
+    actions: Vec<Action>,
+}
+
+impl Outbox {
+    /// Creates an empty outbox of a node.
+    pub fn new(identity: Identity) -> Self {
+        Self {
+            identity,
+            now_ms: 0,
+            sequence: 0,
+            operations: 0,
+            clock: HybridClock::default(),
+            timeline: Timeline::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns who the node is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Returns who the node is, to change what it says of itself.
+    pub fn identity_mut(&mut self) -> &mut Identity {
+        &mut self.identity
+    }
+
+    /// Returns the time of the event being handled, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Sets the time of the event being handled; time never runs backwards.
+    pub fn set_now_ms(&mut self, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+    }
+
+    /// Adds an action.
+    pub fn push(&mut self, action: Action) {
+        self.actions.push(action);
+    }
+
+    /// Sends a datagram.
+    pub fn send(&mut self, to: SocketAddr, message: Message) {
+        self.sequence += 1;
+        let envelope = Envelope {
+            from: self.identity.vm,
+            boot: self.identity.boot,
+            sequence: self.sequence,
+            stamp: self.clock.tick(self.now_ms),
+            message,
+        };
+        self.actions.push(Action::Send { to, envelope });
+    }
+
+    /// Sends a request to the table and returns its key.
+    pub fn table(&mut self, request: TableRequest) -> OperationKey {
+        let operation = self.next_operation();
+        self.actions.push(Action::Table { operation, request });
+        operation
+    }
+
+    /// Fetches the records of a peer and returns the request's key.
+    pub fn fetch(&mut self, from: SocketAddr) -> OperationKey {
+        let operation = self.next_operation();
+        self.actions.push(Action::Fetch { operation, from });
+        operation
+    }
+
+    /// Logs an event and keeps it in the time line.
+    pub fn log(&mut self, topic: Topic, event: &str, fields: &[(&str, &dyn std::fmt::Display)]) {
+        let entry = Entry {
+            stamp: self.clock.tick(self.now_ms),
+            topic,
+            event: event.into(),
+            fields: fields
+                .iter()
+                .map(|(key, value)| ((*key).into(), value.to_string().into_boxed_str()))
+                .collect(),
+        };
+        self.timeline.push(entry.clone());
+        self.actions.push(Action::Log(entry));
+    }
+
+    /// Merges the stamp of a datagram received.
+    pub fn merge_stamp(&mut self, stamp: crate::clock::Stamp) {
+        self.clock.merge(self.now_ms, stamp);
+    }
+
+    /// Returns the node's part of the time line.
+    pub fn timeline(&self) -> &Timeline {
+        &self.timeline
+    }
+
+    /// Takes the actions collected since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    fn next_operation(&mut self) -> OperationKey {
+        self.operations += 1;
+        OperationKey(self.operations)
+    }
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/timeline.rs
@@ -0,0 +1,86 @@
+//! The node's part of the time line: what it decided, when and why.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Stamp;
+
+/// The most entries that a node keeps; the oldest are dropped first.
+pub const KEPT_ENTRIES: usize = 4096;
+
+/// What an entry of the time line is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Topic {
+    /// The node's own start, stop and readiness.
+    Node,
+    /// Members heard of, suspected, gone.
+    Membership,
+    /// Revisions accepted and applied.
+    Configuration,
+    /// Where traffic goes and why it moves.
+    Steering,
+    /// Slots, rights, queues.
+    Admission,
+    /// Claims and tickets.
+    Once,
+    /// Drains and leaving upstreams.
+    Drain,
+    /// Datagrams and frames that were dropped.
+    Transport,
+    /// The platform's table and VM list.
+    Platform,
+}
+
+impl Topic {
+    /// Returns the topic's name as logged.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Node => "node",
+            Self::Membership => "membership",
+            Self::Configuration => "configuration",
+            Self::Steering => "steering",
+            Self::Admission => "admission",
+            Self::Once => "once",
+            Self::Drain => "drain",
+            Self::Transport => "transport",
+            Self::Platform => "platform",
+        }
+    }
+}
+
+/// One entry of the time line.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// When, in the order of all nodes.
+    pub stamp: Stamp,
+    /// What it is about.
+    pub topic: Topic,
+    /// The name of the event, in the form `member_joined`.
+    pub event: Box<str>,
+    /// The event's fields as `key=value` pairs.
+    pub fields: Vec<(Box<str>, Box<str>)>,
+}
+
+/// The latest entries of a node.
+#[derive(Debug, Default)]
+pub struct Timeline {
+    entries: VecDeque<Entry>,
+}
+
+impl Timeline {
+    /// Adds an entry.
+    pub fn push(&mut self, entry: Entry) {
+        if self.entries.len() == KEPT_ENTRIES {
+            self.entries.pop_front();
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Returns the entries after a stamp, oldest first.
+    pub fn since(&self, after: Stamp) -> Vec<Entry> {
+        let start = self.entries.partition_point(|entry| entry.stamp <= after);
+        self.entries.range(start..).cloned().collect()
+    }
+}
