Add the platform's traits, HTTP client and stand-in

Ruled out: judging "not sent" by the kind of the I/O error, since attohttpc gives a connect that timed out and a read that timed out by the same kinds. The request body notes instead when its first byte may have left. attohttpc also takes a connection that closes early for the end of a body, so the client compares the declared length.

12 tests pass: 6 of the client against canned answers, 6 of the table's version rules and of what a caller sees of each fault.

--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Stand-ins for what surrounds the system, for its tests and the demo.
+//!
+//! Each stand-in listens on loopback, can be made to fail at run time, counts what it saw, and stops
+//! when it is dropped. Tests judge by these counts.
+
+pub mod memory;
+pub mod platform;
+
+mod clock;
