Add the daemon: a shell of threads and tasks around the node

Callers and upstreams are served by hyper, peers by authenticated frames, operators by jsonrpsee, metrics by tiny_http.

--- /dev/null
+++ b/crates/sedgepathd/src/command.rs
@@ -0,0 +1,78 @@
+//! The command line of the daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use getopts::Options;
+
+use crate::daemon;
+use crate::settings::Settings;
+
+/// The exit code of a wrong command line or wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+/// The exit code of a daemon that could not start.
+const EXIT_FAILED: u8 = 1;
+
+/// Runs the daemon as the arguments ask and returns its exit code.
+pub fn main(arguments: Vec<String>) -> ExitCode {
+    let options = options();
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("sedgepathd: {error}\n{}", usage(&options));
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if matches.opt_present("help") {
+        println!("{}", usage(&options));
+        return ExitCode::SUCCESS;
+    }
+    if matches.opt_present("version") {
+        println!("sedgepathd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = matches.opt_str("settings").map(PathBuf::from) else {
+        eprintln!(
+            "sedgepathd: the settings file is missing\n{}",
+            usage(&options)
+        );
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = match Settings::read(&path) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if matches.opt_present("check") {
+        println!("{}: settings are in order", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match daemon::run(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{:?}", miette::Report::new(error));
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt(
+        "s",
+        "settings",
+        "read the settings from this YAML file",
+        "FILE",
+    );
+    options.optflag("c", "check", "check the settings and end");
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+fn usage(options: &Options) -> String {
+    options.usage("Usage: sedgepathd --settings FILE [--check]\n\nRuns an entry VM of sedgepath.")
+}
--- /dev/null
+++ b/crates/sedgepathd/src/daemon.rs
@@ -0,0 +1,174 @@
+//! Starts the parts of the daemon and waits for its stop.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use crossbeam::channel::unbounded;
+use jsonrpsee::server::Server;
+use sedgepath_core::event::Event;
+use sedgepath_core::identity::{Identity, NodeSettings};
+use sedgepath_core::key::{BootId, DomainKey};
+use sedgepath_core::message::MemberCard;
+use sedgepath_core::node::Node;
+use sedgepath_platform::{HttpPlatform, TableService, VmList};
+use sedgepath_wire::key::SharedKey;
+use sedgepath_wire::rpc::OperatorsServer;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use crate::callers::Callers;
+use crate::datagrams;
+use crate::driver::{self, Clock, Outlets};
+use crate::exchange::Exchanges;
+use crate::hop::Hops;
+use crate::logging;
+use crate::metrics::{self, Metrics, MetricsError};
+use crate::operators::{self, Operators};
+use crate::peers::Peers;
+use crate::platform;
+use crate::settings::Settings;
+use crate::upstreams::Upstreams;
+
+/// Why the daemon could not start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum DaemonError {
+    /// An address can't be listened on.
+    #[error("can't listen for {what} on {address}")]
+    Listen {
+        /// What was to be listened for.
+        what: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        #[source]
+        source: io::Error,
+    },
+    /// The metrics can't be set up.
+    #[error("can't set up the metrics")]
+    Metrics(#[from] prometheus::Error),
+    /// The metrics can't be served.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    ServeMetrics(#[from] MetricsError),
+    /// The log can't be started.
+    #[error("can't start the log")]
+    Log(#[from] log::SetLoggerError),
+    /// The runtime or the signal handler can't be started.
+    #[error("can't start the runtime")]
+    Runtime(#[source] io::Error),
+}
+
+/// Runs the daemon until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails if an address can't be listened on or a part can't be started.
+pub fn run(settings: &Settings) -> Result<(), DaemonError> {
+    logging::start(&settings.log_level)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(DaemonError::Runtime)?;
+    let metrics = Arc::new(Metrics::new()?);
+    metrics::serve(settings.metrics, Arc::clone(&metrics))?;
+    let socket =
+        UdpSocket::bind(settings.peers).map_err(listen("datagrams of peers", settings.peers))?;
+
+    let boot = BootId(fastrand::u64(..));
+    let clock = Clock::new();
+    let node = Node::new(identity(settings, boot), node_settings());
+    let (platform_sender, platform_jobs) = unbounded();
+    let (fetch_sender, fetch_jobs) = mpsc::unbounded_channel();
+    let datagram_key = SharedKey::new(&settings.secret, "datagrams");
+    let outlets = Outlets {
+        socket: socket
+            .try_clone()
+            .map_err(listen("datagrams of peers", settings.peers))?,
+        datagram_key: datagram_key.clone(),
+        platform: platform_sender,
+        fetches: fetch_sender,
+        metrics: Arc::clone(&metrics),
+    };
+    let (handle, node_thread) = driver::start(node, clock, outlets);
+
+    let platform = Arc::new(HttpPlatform::new(&*settings.platform));
+    let table: Arc<dyn TableService> = Arc::clone(&platform) as Arc<dyn TableService>;
+    platform::start_workers(&table, &platform_jobs, &handle);
+    let stopping = Arc::new(AtomicBool::new(false));
+    platform::start_list(
+        platform as Arc<dyn VmList>,
+        handle.clone(),
+        Arc::clone(&stopping),
+    );
+    datagrams::start(socket, datagram_key, handle.clone(), Arc::clone(&metrics));
+
+    let frame_key = SharedKey::new(&settings.secret, "frames");
+    let exchanges = Exchanges::new(handle.clone(), Upstreams::new(handle.clone()));
+    let peers = Peers::new(frame_key.clone(), exchanges.clone(), Arc::clone(&metrics));
+    let vm = sedgepath_core::key::VmKey::of(&settings.name);
+    let hops = Hops::new(vm, frame_key, clock, exchanges, Arc::clone(&metrics));
+    let callers = Callers::new(settings.name.clone(), boot, handle.clone(), hops, metrics);
+
+    runtime.block_on(async {
+        let callers_listener = TcpListener::bind(settings.callers)
+            .await
+            .map_err(listen("callers", settings.callers))?;
+        let peers_listener = TcpListener::bind(settings.peers)
+            .await
+            .map_err(listen("peers", settings.peers))?;
+        let server = Server::builder()
+            .build(settings.operators)
+            .await
+            .map_err(listen("operators", settings.operators))?;
+        let serving = server.start(Operators::new(handle.clone()).into_rpc());
+        tokio::spawn(callers.serve(callers_listener));
+        tokio::spawn(peers.serve(peers_listener));
+        tokio::spawn(operators::run_fetches(fetch_jobs, handle.clone()));
+        tokio::spawn(serving.stopped());
+        Ok::<_, DaemonError>(())
+    })?;
+
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(DaemonError::Runtime)?;
+    std::thread::spawn(move || {
+        for _signal in signals.forever() {
+            handle.event(Event::Stop);
+        }
+    });
+    if node_thread.join().is_err() {
+        log::error!("event=node_thread_panicked");
+    }
+    stopping.store(true, Ordering::Relaxed);
+    Ok(())
+}
+
+fn listen(what: &'static str, address: SocketAddr) -> impl FnOnce(io::Error) -> DaemonError {
+    move |source| DaemonError::Listen {
+        what,
+        address,
+        source,
+    }
+}
+
+fn identity(settings: &Settings, boot: BootId) -> Identity {
+    let card = MemberCard {
+        name: settings.name.clone(),
+        domain: DomainKey::of(&settings.domain),
+        callers: settings.callers,
+        peers: settings.peers,
+        operators: settings.operators,
+        leaving: false,
+    };
+    Identity::new(card, boot)
+}
+
+fn node_settings() -> NodeSettings {
+    NodeSettings {
+        seed: fastrand::u64(..),
+        ..NodeSettings::default()
+    }
+}
--- /dev/null
+++ b/crates/sedgepathd/src/driver.rs
@@ -0,0 +1,322 @@
+//! The thread that owns the node.
+//!
+//! Events come in over a channel; the node's actions go out to the sockets, the platform workers
+//! and the tasks of the requests that they concern. Nothing here decides anything.
+
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use sedgepath_core::event::{Action, Event, LookUp, LookUpAnswer, LookUpError};
+use sedgepath_core::hash::Map;
+use sedgepath_core::key::{ExchangeKey, ReplyKey, RequestKey, VmKey};
+use sedgepath_core::node::Node;
+use sedgepath_core::request::{Dispatch, RequestHead};
+use sedgepath_wire::datagram;
+use sedgepath_wire::key::SharedKey;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::logging;
+use crate::metrics::Metrics;
+use crate::platform::PlatformJob;
+
+/// The time between two ticks of the node.
+const TICK_EVERY: Duration = Duration::from_millis(20);
+
+/// The process's clock in milliseconds since the Unix epoch; it never runs backwards.
+///
+/// The wall clock is read once. Deadlines and rights are kept on the monotonic clock, so that a
+/// wall clock set back while the process runs can't prolong a right.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    started: Instant,
+    started_at_ms: u64,
+}
+
+impl Clock {
+    /// Starts the clock from the wall clock.
+    pub fn new() -> Self {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Self {
+            started: Instant::now(),
+            started_at_ms: since_epoch.as_millis() as u64,
+        }
+    }
+
+    /// Returns the time in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.started_at_ms + self.started.elapsed().as_millis() as u64
+    }
+
+    /// Returns the instant of a time in milliseconds.
+    pub fn instant(&self, at_ms: u64) -> tokio::time::Instant {
+        let since_start_ms = at_ms.saturating_sub(self.started_at_ms);
+        tokio::time::Instant::from_std(self.started + Duration::from_millis(since_start_ms))
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// A question to the node, answered on its thread.
+type Question = Box<dyn FnOnce(&Node) + Send>;
+
+/// What the driver is told.
+enum Input {
+    Event(Event),
+    LookUp(LookUp, oneshot::Sender<Result<LookUpAnswer, LookUpError>>),
+    Request(RequestKey, RequestHead, mpsc::UnboundedSender<Action>),
+    Dispatch(ExchangeKey, VmKey, Dispatch, mpsc::UnboundedSender<Action>),
+    Ask(Question),
+}
+
+/// Hands events to the node and takes its actions.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    inputs: Sender<Input>,
+    numbers: Arc<AtomicU64>,
+    clock: Clock,
+}
+
+impl Handle {
+    /// Returns the process's clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Hands over an event that awaits nothing.
+    pub fn event(&self, event: Event) {
+        self.send(Input::Event(event));
+    }
+
+    /// Asks which entry VMs to use; none if the process is about to end.
+    pub async fn look_up(&self, look_up: LookUp) -> Option<Result<LookUpAnswer, LookUpError>> {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Input::LookUp(look_up, sender));
+        receiver.await.ok()
+    }
+
+    /// Hands over a caller's request; the actions that concern it arrive on the channel.
+    pub fn request(&self, head: RequestHead) -> (RequestKey, mpsc::UnboundedReceiver<Action>) {
+        let request = RequestKey(self.next_number());
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.send(Input::Request(request, head, sender));
+        (request, receiver)
+    }
+
+    /// Hands over a dispatched request; the actions that concern it arrive on the channel.
+    pub fn dispatch(
+        &self,
+        from: VmKey,
+        dispatch: Dispatch,
+    ) -> (ExchangeKey, mpsc::UnboundedReceiver<Action>) {
+        let exchange = ExchangeKey(self.next_number());
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.send(Input::Dispatch(exchange, from, dispatch, sender));
+        (exchange, receiver)
+    }
+
+    /// Asks the node something on its own thread; none if the process is about to end.
+    pub async fn ask<T: Send + 'static>(
+        &self,
+        question: impl FnOnce(&Node) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Input::Ask(Box::new(move |node| {
+            // The asker may have gone away; then nobody needs the answer.
+            let _unread = sender.send(question(node));
+        })));
+        receiver.await.ok()
+    }
+
+    fn next_number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn send(&self, input: Input) {
+        // The driver ends only with the process; what comes after that concerns nobody.
+        let _ended = self.inputs.send(input);
+    }
+}
+
+/// What the driver needs to carry out actions.
+#[derive(Debug)]
+pub struct Outlets {
+    /// The socket that datagrams leave by.
+    pub socket: UdpSocket,
+    /// The key of datagrams.
+    pub datagram_key: SharedKey,
+    /// The queue of the platform workers.
+    pub platform: Sender<PlatformJob>,
+    /// The queue of fetches from peers.
+    pub fetches: mpsc::UnboundedSender<crate::operators::FetchJob>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+}
+
+/// Starts the thread that owns the node. It ends when the node has stopped.
+pub fn start(node: Node, clock: Clock, outlets: Outlets) -> (Handle, JoinHandle<()>) {
+    let (inputs, received) = unbounded();
+    let handle = Handle {
+        inputs,
+        numbers: Arc::new(AtomicU64::new(1)),
+        clock,
+    };
+    let driver = Driver {
+        node,
+        clock,
+        outlets,
+        requests: Map::default(),
+        exchanges: Map::default(),
+        look_ups: Map::default(),
+        next_reply: 0,
+        stopped: false,
+    };
+    let thread = std::thread::spawn(move || driver.run(&received));
+    (handle, thread)
+}
+
+struct Driver {
+    node: Node,
+    clock: Clock,
+    outlets: Outlets,
+    requests: Map<RequestKey, mpsc::UnboundedSender<Action>>,
+    exchanges: Map<ExchangeKey, mpsc::UnboundedSender<Action>>,
+    look_ups: Map<ReplyKey, oneshot::Sender<Result<LookUpAnswer, LookUpError>>>,
+    next_reply: u64,
+    stopped: bool,
+}
+
+impl Driver {
+    fn run(mut self, inputs: &Receiver<Input>) {
+        let mut next_tick = Instant::now();
+        while !self.stopped {
+            let now = Instant::now();
+            if now >= next_tick {
+                next_tick = now + TICK_EVERY;
+                let actions = self.node.tick(self.clock.now_ms());
+                self.carry_out(actions);
+                self.outlets.metrics.observe(&self.node);
+            }
+            match inputs.recv_deadline(next_tick) {
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let event = match input {
+            Input::Event(event) => event,
+            Input::LookUp(look_up, sender) => {
+                self.next_reply += 1;
+                let reply = ReplyKey(self.next_reply);
+                self.look_ups.insert(reply, sender);
+                Event::LookUp { reply, look_up }
+            }
+            Input::Request(request, head, sender) => {
+                self.requests.insert(request, sender);
+                Event::Request { request, head }
+            }
+            Input::Dispatch(exchange, from, dispatch, sender) => {
+                self.exchanges.insert(exchange, sender);
+                Event::Dispatched {
+                    exchange,
+                    from,
+                    dispatch,
+                }
+            }
+            Input::Ask(question) => {
+                question(&self.node);
+                return;
+            }
+        };
+        match &event {
+            Event::RelayEnded { request, .. } | Event::CallerGone { request } => {
+                self.requests.remove(request);
+            }
+            Event::CallEnded { exchange, .. } => {
+                self.exchanges.remove(exchange);
+            }
+            _ => {}
+        }
+        let actions = self.node.handle(self.clock.now_ms(), event);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            self.outlets.metrics.count(&action);
+            match action {
+                Action::AnswerLookUp { reply, answer } => {
+                    if let Some(sender) = self.look_ups.remove(&reply) {
+                        // The caller may have gone away.
+                        let _unread = sender.send(answer);
+                    }
+                }
+                Action::Forward { request, .. }
+                | Action::ForwardHome { request, .. }
+                | Action::Relay { request, .. }
+                | Action::Abandon { request, .. } => {
+                    tell(self.requests.get(&request), action);
+                }
+                Action::Conclude { request, .. } => {
+                    tell(self.requests.remove(&request).as_ref(), action);
+                }
+                Action::CallUpstream { exchange, .. } | Action::Cancel { exchange } => {
+                    tell(self.exchanges.get(&exchange), action);
+                }
+                Action::Refuse { exchange, .. } => {
+                    tell(self.exchanges.remove(&exchange).as_ref(), action);
+                }
+                Action::Send { to, envelope } => self.send_datagram(to, &envelope),
+                Action::Table { operation, request } => {
+                    let _ended = self
+                        .outlets
+                        .platform
+                        .send(PlatformJob { operation, request });
+                }
+                Action::Fetch { operation, from } => {
+                    let job = crate::operators::FetchJob { operation, from };
+                    let _ended = self.outlets.fetches.send(job);
+                }
+                Action::Log(entry) => {
+                    logging::entry(&self.node.outbox().identity().card.name, &entry);
+                }
+                Action::Stopped => self.stopped = true,
+            }
+        }
+    }
+
+    fn send_datagram(
+        &self,
+        to: std::net::SocketAddr,
+        envelope: &sedgepath_core::message::Envelope,
+    ) {
+        match datagram::seal(&self.outlets.datagram_key, envelope) {
+            Ok(bytes) => {
+                self.outlets.metrics.sent_datagram(bytes.len());
+                // A datagram may be lost at any point; the protocols repeat what matters.
+                let _lost = self.outlets.socket.send_to(&bytes, to);
+            }
+            Err(error) => log::error!("event=datagram_unsent reason={}", error.name()),
+        }
+    }
+}
+
+/// Hands an action to the task that it concerns.
+fn tell(task: Option<&mpsc::UnboundedSender<Action>>, action: Action) {
+    if let Some(task) = task {
+        // A task that has ended reports that by an event of its own.
+        let _ended = task.send(action);
+    }
+}
--- /dev/null
+++ b/crates/sedgepathd/src/hop.rs
@@ -0,0 +1,235 @@
+//! Carries a request from the ingress to the owner of an upstream and the answer back.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use sedgepath_core::hash::Map;
+use sedgepath_core::key::VmKey;
+use sedgepath_wire::frame::{
+    CHUNK_BYTES, ExchangeId, Frame, FrameError, FrameStream, HttpRequestHead, Purpose,
+};
+use sedgepath_wire::key::SharedKey;
+use tokio::net::TcpStream;
+use tokio::time::timeout_at;
+
+use crate::driver::Clock;
+use crate::exchange::Exchanges;
+use crate::metrics::Metrics;
+use crate::reply::{Answer, BodyBroken, BodySender, Reply, body};
+
+/// The idle connections that are kept to one peer.
+const MAX_IDLE: usize = 32;
+
+/// The most time in milliseconds that the opening of a connection may take; a peer in another
+/// region answers in a tenth of it.
+const CONNECT_MS: u64 = 500;
+
+type PeerStream = FrameStream<TcpStream>;
+
+/// Where a hop goes.
+#[derive(Debug, Clone)]
+pub struct HopTarget {
+    /// The peer.
+    pub vm: VmKey,
+    /// Where it takes frames.
+    pub address: SocketAddr,
+    /// When the hop is given up, in milliseconds.
+    pub deadline_at_ms: u64,
+}
+
+/// A request as it goes over the hop.
+#[derive(Debug, Clone)]
+pub struct HopRequest {
+    /// Names the exchange.
+    pub id: ExchangeId,
+    /// What is asked of the peer.
+    pub purpose: Purpose,
+    /// The request's head.
+    pub head: HttpRequestHead,
+    /// The request's body.
+    pub body: Bytes,
+}
+
+/// Connections to peers, kept open between requests.
+#[derive(Debug)]
+pub struct Hops {
+    own: VmKey,
+    key: SharedKey,
+    clock: Clock,
+    exchanges: Exchanges,
+    metrics: Arc<Metrics>,
+    idle: Mutex<Map<SocketAddr, Vec<PeerStream>>>,
+}
+
+impl Hops {
+    /// Creates the pool of a node.
+    pub fn new(
+        own: VmKey,
+        key: SharedKey,
+        clock: Clock,
+        exchanges: Exchanges,
+        metrics: Arc<Metrics>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            own,
+            key,
+            clock,
+            exchanges,
+            metrics,
+            idle: Mutex::default(),
+        })
+    }
+
+    /// Sends a request over the hop and returns its reply. Dropping the future, or the body of the
+    /// answer, tells the peer that nobody waits any more.
+    pub async fn send(self: &Arc<Self>, target: HopTarget, request: HopRequest) -> Reply {
+        if target.vm == self.own {
+            return self.send_to_self(request).await;
+        }
+        let deadline = self.clock.instant(target.deadline_at_ms);
+        let Some(stream) = self.connect(target.address, target.deadline_at_ms).await else {
+            return Reply::NotSent;
+        };
+        match timeout_at(deadline, self.talk(target.address, stream, request)).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(error)) => {
+                self.metrics.dropped("frame", error.name());
+                Reply::Lost
+            }
+            Err(_elapsed) => Reply::Lost,
+        }
+    }
+
+    async fn send_to_self(&self, request: HopRequest) -> Reply {
+        let Purpose::Run(dispatch) = request.purpose else {
+            return Reply::NotSent;
+        };
+        let reply = self
+            .exchanges
+            .start(self.own, dispatch, request.head, request.body);
+        reply.await.unwrap_or(Reply::Lost)
+    }
+
+    async fn connect(&self, address: SocketAddr, deadline_at_ms: u64) -> Option<PeerStream> {
+        if let Some(stream) = self.take_idle(address) {
+            return Some(stream);
+        }
+        let by_ms = deadline_at_ms.min(self.clock.now_ms() + CONNECT_MS);
+        let opening = async {
+            let stream = TcpStream::connect(address).await.ok()?;
+            // Small frames must not wait for the acknowledgement of earlier ones.
+            let _slower = stream.set_nodelay(true);
+            FrameStream::open(stream, &self.key, fastrand::u64(..))
+                .await
+                .ok()
+        };
+        timeout_at(self.clock.instant(by_ms), opening)
+            .await
+            .ok()
+            .flatten()
+    }
+
+    async fn talk(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        mut stream: PeerStream,
+        request: HopRequest,
+    ) -> Result<Reply, FrameError> {
+        let id = request.id;
+        let start = Frame::Request {
+            id,
+            purpose: request.purpose,
+            head: request.head,
+        };
+        stream.send(&start).await?;
+        for chunk in request.body.chunks(CHUNK_BYTES) {
+            stream.send(&Frame::Chunk(chunk.to_vec())).await?;
+        }
+        stream.send(&Frame::End).await?;
+        let frame = stream.receive().await?;
+        // An answer to another request, late or misdirected, ends the connection: the caller must
+        // never get another caller's answer.
+        if answered_id(&frame) != Some(id) {
+            return Err(FrameError::OutOfPlace);
+        }
+        match frame {
+            Frame::Answer { head, http, .. } => {
+                let (sender, receiver) = body();
+                let hops = Arc::clone(self);
+                tokio::spawn(async move { hops.pump(address, stream, sender).await });
+                Ok(Reply::Answer(Box::new(Answer {
+                    head,
+                    http,
+                    body: receiver,
+                })))
+            }
+            Frame::Refused { refusal, .. } => {
+                self.give_back(address, stream);
+                Ok(Reply::Refused(refusal))
+            }
+            Frame::Concluded {
+                status,
+                fields,
+                body,
+                ..
+            } => {
+                self.give_back(address, stream);
+                Ok(Reply::Concluded {
+                    status,
+                    fields,
+                    body: body.into(),
+                })
+            }
+            Frame::Lost { .. } => {
+                self.give_back(address, stream);
+                Ok(Reply::Lost)
+            }
+            _ => Err(FrameError::OutOfPlace),
+        }
+    }
+
+    async fn pump(&self, address: SocketAddr, mut stream: PeerStream, sender: BodySender) {
+        loop {
+            let received = tokio::select! {
+                received = stream.receive() => received,
+                () = sender.closed() => return,
+            };
+            let part = match received {
+                Ok(Frame::Chunk(bytes)) => Ok(bytes.into()),
+                Ok(Frame::End) => {
+                    self.give_back(address, stream);
+                    return;
+                }
+                _ => Err(BodyBroken),
+            };
+            let broken = part.is_err();
+            if sender.send(part).await.is_err() || broken {
+                return;
+            }
+        }
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<PeerStream> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.get_mut(&address)?.pop()
+    }
+
+    fn give_back(&self, address: SocketAddr, stream: PeerStream) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let streams = idle.entry(address).or_default();
+        if streams.len() < MAX_IDLE {
+            streams.push(stream);
+        }
+    }
+}
+
+fn answered_id(frame: &Frame) -> Option<ExchangeId> {
+    match frame {
+        Frame::Answer { id, .. }
+        | Frame::Refused { id, .. }
+        | Frame::Lost { id }
+        | Frame::Concluded { id, .. } => Some(*id),
+        _ => None,
+    }
+}
--- a/crates/sedgepathd/src/main.rs
+++ b/crates/sedgepathd/src/main.rs
@@ -1,3 +1,7 @@
 //! The daemon that runs on every entry VM.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sedgepathd::command::main(std::env::args().skip(1).collect())
+}
--- /dev/null
+++ b/crates/sedgepathd/src/peers.rs
@@ -0,0 +1,179 @@
+//! Takes the connections of peers and runs what they hand over.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use sedgepath_wire::frame::{
+    CHUNK_BYTES, ExchangeId, Frame, FrameError, FrameStream, HttpRequestHead, Purpose,
+};
+use sedgepath_wire::key::SharedKey;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+use crate::exchange::Exchanges;
+use crate::metrics::Metrics;
+use crate::reply::{Answer, Reply};
+
+/// The most connections of peers at once.
+const MAX_CONNECTIONS: usize = 1_024;
+
+/// The longest that a peer may take for its greeting or for the rest of a request it has begun.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The largest request body in bytes that a peer may hand over.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// What the tasks of peers' connections need.
+#[derive(Debug)]
+pub struct Peers {
+    key: SharedKey,
+    exchanges: Exchanges,
+    metrics: Arc<Metrics>,
+}
+
+impl Peers {
+    /// Creates the server of peers' connections.
+    pub fn new(key: SharedKey, exchanges: Exchanges, metrics: Arc<Metrics>) -> Arc<Self> {
+        Arc::new(Self {
+            key,
+            exchanges,
+            metrics,
+        })
+    }
+
+    /// Takes connections until the process ends.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        loop {
+            let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+                return;
+            };
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let peers = Arc::clone(&self);
+            tokio::spawn(async move {
+                if let Err(error) = peers.connection(stream).await {
+                    peers.metrics.dropped("frame", error.name());
+                    log::debug!("event=peer_connection_ended reason={}", error.name());
+                }
+                drop(place);
+            });
+        }
+    }
+
+    async fn connection(&self, stream: TcpStream) -> Result<(), FrameError> {
+        // Small frames must not wait for the acknowledgement of earlier ones.
+        let _slower = stream.set_nodelay(true);
+        let greeting = FrameStream::accept(stream, &self.key, fastrand::u64(..));
+        let mut stream = in_time(greeting).await?;
+        loop {
+            let Frame::Request { id, purpose, head } = stream.receive().await? else {
+                return Err(FrameError::OutOfPlace);
+            };
+            let body = in_time(receive_body(&mut stream, &head)).await?;
+            self.exchange(&mut stream, id, purpose, head, body).await?;
+        }
+    }
+
+    async fn exchange(
+        &self,
+        stream: &mut FrameStream<TcpStream>,
+        id: ExchangeId,
+        purpose: Purpose,
+        head: HttpRequestHead,
+        body: Bytes,
+    ) -> Result<(), FrameError> {
+        let Purpose::Run(dispatch) = purpose else {
+            return Err(FrameError::OutOfPlace);
+        };
+        let reply = self.exchanges.start(id.from, dispatch, head, body);
+        let reply = tokio::select! {
+            reply = reply => reply.unwrap_or(Reply::Lost),
+            // The ingress sends nothing while it waits, so this tells that it has gone.
+            _ = stream.closed() => return Err(FrameError::OutOfPlace),
+        };
+        match reply {
+            Reply::Answer(answer) => relay(stream, id, *answer).await,
+            Reply::Refused(refusal) => stream.send(&Frame::Refused { id, refusal }).await,
+            Reply::NotSent => {
+                let refusal = not_sent();
+                stream.send(&Frame::Refused { id, refusal }).await
+            }
+            Reply::Lost => stream.send(&Frame::Lost { id }).await,
+            Reply::Concluded {
+                status,
+                fields,
+                body,
+            } => {
+                let body = body.to_vec();
+                stream
+                    .send(&Frame::Concluded {
+                        id,
+                        status,
+                        fields,
+                        body,
+                    })
+                    .await
+            }
+        }
+    }
+}
+
+/// A refusal by an owner that could not send a request to the upstream: it was not run.
+fn not_sent() -> sedgepath_core::request::Refusal {
+    sedgepath_core::request::Refusal {
+        reason: sedgepath_core::request::Reason::NoUpstream,
+        retry_after_ms: 200,
+    }
+}
+
+async fn relay(
+    stream: &mut FrameStream<TcpStream>,
+    id: ExchangeId,
+    mut answer: Answer,
+) -> Result<(), FrameError> {
+    stream
+        .send(&Frame::Answer {
+            id,
+            head: answer.head,
+            http: answer.http,
+        })
+        .await?;
+    while let Some(part) = answer.body.recv().await {
+        let Ok(bytes) = part else {
+            return stream.send(&Frame::Broken).await;
+        };
+        for chunk in bytes.chunks(CHUNK_BYTES) {
+            stream.send(&Frame::Chunk(chunk.to_vec())).await?;
+        }
+    }
+    stream.send(&Frame::End).await
+}
+
+async fn receive_body(
+    stream: &mut FrameStream<TcpStream>,
+    head: &HttpRequestHead,
+) -> Result<Bytes, FrameError> {
+    let mut body = BytesMut::new();
+    loop {
+        match stream.receive().await? {
+            Frame::Chunk(bytes) if body.len() + bytes.len() <= MAX_BODY_BYTES => {
+                body.extend_from_slice(&bytes);
+            }
+            Frame::Chunk(_) => return Err(FrameError::Oversize),
+            // A body that is shorter than declared would be run as another request.
+            Frame::End if body.len() as u64 == head.body_bytes => return Ok(body.freeze()),
+            _ => return Err(FrameError::OutOfPlace),
+        }
+    }
+}
+
+async fn in_time<T>(step: impl Future<Output = Result<T, FrameError>>) -> Result<T, FrameError> {
+    match timeout(RECEIVE_TIMEOUT, step).await {
+        Ok(result) => result,
+        Err(_elapsed) => Err(FrameError::Io(std::io::ErrorKind::TimedOut.into())),
+    }
+}
