Add the upstream stand-in

Tests of the system judge by what the upstreams saw: peak in flight, peak connections, runs per key and per request id. The stand-in counts these, fails on demand (late, truncated, refused, hanging or no answer), reports its load falsely or not at all, confirms cancellations, and streams generated bodies with entity tags and ranges.

Ruled out: tiny_http, which hides its connections and cannot send an answer shorter than it declares. A server with one thread for each connection is written on std instead; it joins all its threads when it is dropped.

A slot is freed before the last byte of the answer is written; freed after it, a caller's next request could be counted beside the one before.

--- /dev/null
+++ b/crates/sedgepath-test-support/src/http1.rs
@@ -0,0 +1,138 @@
+//! The little of HTTP/1.1 that the stand-ins need on both sides of a connection.
+//!
+//! The libraries cannot be used here: they hide connections, repair or refuse malformed messages,
+//! and cannot send an answer that is shorter than it declares.
+
+use std::io::{self, BufRead, Read};
+
+const MAX_LINE_BYTES: u64 = 64 * 1024;
+const MAX_HEADERS: usize = 256;
+
+/// The first line and the headers of a message.
+#[derive(Debug, Default)]
+pub(crate) struct Head {
+    pub(crate) start: Box<str>,
+    /// Names in lower case, in the order in which they came.
+    pub(crate) headers: Vec<(Box<str>, Box<str>)>,
+}
+
+/// Where the body of a message ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    Empty,
+    Length(u64),
+    Chunked,
+}
+
+impl Head {
+    /// Reads a head, or `None` if the connection was closed before its first byte.
+    pub(crate) fn read(reader: &mut impl BufRead) -> io::Result<Option<Self>> {
+        if reader.fill_buf()?.is_empty() {
+            return Ok(None);
+        }
+        let mut head = Self {
+            start: read_line(reader)?.into(),
+            headers: Vec::new(),
+        };
+        loop {
+            let line = read_line(reader)?;
+            if line.is_empty() {
+                return Ok(Some(head));
+            }
+            let (name, value) = line.split_once(':').ok_or_else(malformed)?;
+            let name = name.trim().to_ascii_lowercase();
+            head.headers.push((name.into(), value.trim().into()));
+            if head.headers.len() > MAX_HEADERS {
+                return Err(malformed());
+            }
+        }
+    }
+
+    /// Returns the first header of this name, which must be given in lower case.
+    pub(crate) fn get(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        headers
+            .find(|(known, _)| &**known == name)
+            .map(|(_, value)| &**value)
+    }
+
+    pub(crate) fn wants_close(&self) -> bool {
+        self.get("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+
+    /// Returns the framing that the headers declare, or `default` if they declare none.
+    pub(crate) fn framing(&self, default: Framing) -> io::Result<Framing> {
+        match (self.get("transfer-encoding"), self.get("content-length")) {
+            (Some(_), _) => Ok(Framing::Chunked),
+            (None, Some(length)) => length.parse().map(Framing::Length).or(Err(malformed())),
+            (None, None) => Ok(default),
+        }
+    }
+}
+
+/// Hands a body to `sink` piece by piece and returns its length.
+///
+/// # Errors
+///
+/// Returns an error of kind `UnexpectedEof` if the body ends before its declared end.
+pub(crate) fn read_body(
+    reader: &mut impl BufRead,
+    framing: Framing,
+    sink: &mut dyn FnMut(&[u8]),
+) -> io::Result<u64> {
+    match framing {
+        Framing::Empty => Ok(0),
+        Framing::Length(length) => read_exact(reader, length, sink),
+        Framing::Chunked => read_chunks(reader, sink),
+    }
+}
+
+fn read_chunks(reader: &mut impl BufRead, sink: &mut dyn FnMut(&[u8])) -> io::Result<u64> {
+    let mut total = 0;
+    loop {
+        let line = read_line(reader)?;
+        let size = line.split(';').next().unwrap_or_default().trim();
+        let size = u64::from_str_radix(size, 16).or(Err(malformed()))?;
+        if size == 0 {
+            while !read_line(reader)?.is_empty() {}
+            return Ok(total);
+        }
+        total += read_exact(reader, size, sink)?;
+        if !read_line(reader)?.is_empty() {
+            return Err(malformed());
+        }
+    }
+}
+
+fn read_exact(
+    reader: &mut impl BufRead,
+    length: u64,
+    sink: &mut dyn FnMut(&[u8]),
+) -> io::Result<u64> {
+    let mut left = length;
+    while left > 0 {
+        let available = reader.fill_buf()?;
+        if available.is_empty() {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let count = left.min(available.len() as u64);
+        sink(&available[..count as usize]);
+        reader.consume(count as usize);
+        left -= count;
+    }
+    Ok(length)
+}
+
+fn read_line(reader: &mut impl BufRead) -> io::Result<String> {
+    let mut line = String::new();
+    reader.take(MAX_LINE_BYTES).read_line(&mut line)?;
+    match line.strip_suffix('\n') {
+        Some(text) => Ok(text.trim_end_matches('\r').to_owned()),
+        None => Err(io::ErrorKind::UnexpectedEof.into()),
+    }
+}
+
+fn malformed() -> io::Error {
+    io::ErrorKind::InvalidData.into()
+}
--- /dev/null
+++ b/crates/sedgepath-test-support/src/upstream/state.rs
@@ -0,0 +1,387 @@
+//! What an upstream's connections share: its settings, its faults and its counts.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::io;
+use std::net::TcpStream;
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+use super::connection;
+use crate::clock::{now_ms, sleep_ms};
+use crate::memory::lock;
+use crate::server::Service;
+
+/// The time after which a wait without a limit looks again.
+const MAX_WAIT: Duration = Duration::from_mins(1);
+
+/// What an upstream declares and how long it takes.
+#[derive(Debug, Clone, Copy)]
+pub struct UpstreamFigures {
+    pub(super) slots: u32,
+    pub(super) sheds: bool,
+    pub(super) max_connections: u32,
+    pub(super) connect_ms: u64,
+    pub(super) service_ms: u64,
+    pub(super) cold_requests: u32,
+    pub(super) cold_service_ms: u64,
+}
+
+impl UpstreamFigures {
+    /// Creates the figures of an upstream that reports `slots`, takes 350 connections and 1 ms for
+    /// each new one, and answers at once.
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            sheds: false,
+            max_connections: 350,
+            connect_ms: 1,
+            service_ms: 0,
+            cold_requests: 0,
+            cold_service_ms: 0,
+        }
+    }
+
+    /// Refuses before the start what is above the slots.
+    pub fn with_shedding(mut self) -> Self {
+        self.sheds = true;
+        self
+    }
+
+    /// Sets the number of connections above which new ones are closed at once.
+    pub fn with_max_connections(mut self, max_connections: u32) -> Self {
+        self.max_connections = max_connections;
+        self
+    }
+
+    /// Sets the time that a new connection takes.
+    pub fn with_connect_ms(mut self, connect_ms: u64) -> Self {
+        self.connect_ms = connect_ms;
+        self
+    }
+
+    /// Sets the time that a request takes.
+    pub fn with_service_ms(mut self, service_ms: u64) -> Self {
+        self.service_ms = service_ms;
+        self
+    }
+
+    /// Sets the time that each of the first `requests` takes.
+    pub fn with_cold_start(mut self, requests: u32, service_ms: u64) -> Self {
+        self.cold_requests = requests;
+        self.cold_service_ms = service_ms;
+        self
+    }
+}
+
+/// What an upstream does with a request.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    /// It runs the request and answers.
+    #[default]
+    Normal,
+    /// It starts the request only after this time.
+    DelayStart {
+        /// The time before the start.
+        delay_ms: u64,
+    },
+    /// It runs the request and answers after this time.
+    DelayAnswer {
+        /// The time between the run and the answer.
+        delay_ms: u64,
+    },
+    /// It runs the request, declares the whole answer, sends half of its body and closes.
+    Truncate,
+    /// It answers that it did not start the request.
+    Refuse,
+    /// It runs the request and does not answer until told to.
+    Hang,
+    /// It runs the request and closes the connection without an answer.
+    Close,
+}
+
+/// How an upstream reports its load, at `/load` and on its answers.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum LoadReports {
+    /// Each report is true.
+    #[default]
+    Fresh,
+    /// A report is repeated until it is this old.
+    Lagging {
+        /// The age at which a report is renewed.
+        lag_ms: u64,
+    },
+    /// Reports claim this number in flight, whatever it is.
+    Misleading {
+        /// The number claimed.
+        in_flight: u32,
+    },
+    /// There are no reports.
+    Missing,
+}
+
+/// What an upstream has counted.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct UpstreamCounts {
+    /// Requests received, those that were not started included.
+    pub requests: u64,
+    /// Requests in flight now.
+    pub in_flight: u32,
+    /// The most requests in flight at once.
+    pub peak_in_flight: u32,
+    /// Connections open now.
+    pub connections: u32,
+    /// The most connections open at once.
+    pub peak_connections: u32,
+    /// Connections opened.
+    pub connections_opened: u64,
+    /// The most connections opened within one second.
+    pub peak_opened_per_s: u32,
+    /// Connections closed at once because there were too many.
+    pub connections_refused: u64,
+}
+
+/// One start of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// When it started, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// The request's id, if it carried one.
+    pub request_id: Option<Box<str>>,
+    /// The idempotency key, or else the ticket, if it carried one.
+    pub key: Option<Box<str>>,
+    /// The method and the target, for example `GET /calendar?week=3`.
+    pub request: Box<str>,
+}
+
+/// The load that an upstream reports.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(super) struct LoadReport {
+    pub(super) in_flight: u32,
+    pub(super) slots: u32,
+    pub(super) state: &'static str,
+    pub(super) as_of_ms: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) figures: UpstreamFigures,
+    pub(super) behaviour: Behaviour,
+    pub(super) next: VecDeque<Behaviour>,
+    pub(super) leaving: bool,
+    pub(super) reports: LoadReports,
+    pub(super) large_revision: u64,
+    pub(super) cold_left: u32,
+    pub(super) counts: UpstreamCounts,
+    pub(super) runs: Vec<Run>,
+    pub(super) stopping: bool,
+    last_report: Option<LoadReport>,
+    started: BTreeSet<Box<str>>,
+    cancelled: BTreeSet<Box<str>>,
+    hang_epoch: u64,
+    opened: VecDeque<Instant>,
+}
+
+/// The state and the signal that the upstream stops or releases what hangs.
+#[derive(Debug)]
+pub(super) struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+impl Shared {
+    pub(super) fn new(figures: UpstreamFigures) -> Self {
+        let state = State {
+            figures,
+            behaviour: Behaviour::Normal,
+            next: VecDeque::new(),
+            leaving: false,
+            reports: LoadReports::Fresh,
+            large_revision: 1,
+            cold_left: figures.cold_requests,
+            counts: UpstreamCounts::default(),
+            runs: Vec::new(),
+            stopping: false,
+            last_report: None,
+            started: BTreeSet::new(),
+            cancelled: BTreeSet::new(),
+            hang_epoch: 0,
+            opened: VecDeque::new(),
+        };
+        Self {
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    pub(super) fn release_hung(&self) {
+        self.lock().hang_epoch += 1;
+        self.changed.notify_all();
+    }
+
+    /// Cancels a request, also one still on its way, unless it has started.
+    pub(super) fn cancel(&self, request_id: &str) -> bool {
+        let mut state = self.lock();
+        let cancelled = !state.started.contains(request_id);
+        if cancelled {
+            state.cancelled.insert(request_id.into());
+        }
+        drop(state);
+        self.changed.notify_all();
+        cancelled
+    }
+
+    /// Waits for `delay_ms`, or less if the request is cancelled or the upstream stops.
+    pub(super) fn wait_to_start(&self, delay_ms: u64, request_id: Option<&str>) {
+        self.wait_while(Some(delay_ms), |state| {
+            !request_id.is_some_and(|id| state.cancelled.contains(id))
+        });
+    }
+
+    /// Waits for `delay_ms`, or less if the upstream stops.
+    pub(super) fn wait_ms(&self, delay_ms: u64) {
+        self.wait_while(Some(delay_ms), |_| true);
+    }
+
+    /// Waits until [`Self::release_hung`], or until the upstream stops.
+    pub(super) fn wait_released(&self) {
+        let epoch = self.lock().hang_epoch;
+        self.wait_while(None, |state| state.hang_epoch == epoch);
+    }
+
+    fn wait_while(&self, limit_ms: Option<u64>, go_on: impl Fn(&State) -> bool) {
+        let deadline = limit_ms.map(|limit_ms| Instant::now() + Duration::from_millis(limit_ms));
+        let mut state = self.lock();
+        while !state.stopping && go_on(&state) {
+            let left = deadline.map_or(MAX_WAIT, |deadline| {
+                deadline.saturating_duration_since(Instant::now())
+            });
+            if left.is_zero() {
+                break;
+            }
+            let woken = self.changed.wait_timeout(state, left);
+            state = woken.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Counts a request in flight until the returned value is dropped.
+    pub(super) fn enter(&self) -> InFlight<'_> {
+        let counts = &mut self.lock().counts;
+        counts.requests += 1;
+        counts.in_flight += 1;
+        counts.peak_in_flight = counts.peak_in_flight.max(counts.in_flight);
+        InFlight { shared: self }
+    }
+}
+
+impl Service for Shared {
+    fn admit(&self) -> bool {
+        sleep_ms(self.lock().figures.connect_ms);
+        let mut state = self.lock();
+        let max_connections = state.figures.max_connections;
+        if state.counts.connections >= max_connections {
+            state.counts.connections_refused += 1;
+            return false;
+        }
+        let counts = &mut state.counts;
+        counts.connections += 1;
+        counts.peak_connections = counts.peak_connections.max(counts.connections);
+        counts.connections_opened += 1;
+        state.count_opened(Instant::now());
+        true
+    }
+
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        connection::serve(self, stream)
+    }
+
+    fn closed(&self) {
+        self.lock().counts.connections -= 1;
+    }
+
+    fn stop(&self) {
+        self.lock().stopping = true;
+        self.changed.notify_all();
+    }
+}
+
+impl State {
+    pub(super) fn next_behaviour(&mut self) -> Behaviour {
+        self.next.pop_front().unwrap_or(self.behaviour)
+    }
+
+    /// Notes the start of a request and returns the time it takes, or `None` if it must not start.
+    pub(super) fn start(&mut self, run: Run, deadline_ms: Option<u64>) -> Option<u64> {
+        let cancelled = run
+            .request_id
+            .as_ref()
+            .is_some_and(|id| self.cancelled.contains(id));
+        let expired = deadline_ms.is_some_and(|deadline_ms| deadline_ms <= run.at_ms);
+        let shed = self.figures.sheds && self.counts.in_flight > self.figures.slots;
+        if cancelled || expired || shed {
+            return None;
+        }
+        self.started.extend(run.request_id.clone());
+        self.runs.push(run);
+        let cold = self.cold_left > 0;
+        self.cold_left = self.cold_left.saturating_sub(1);
+        Some(if cold {
+            self.figures.cold_service_ms
+        } else {
+            self.figures.service_ms
+        })
+    }
+
+    pub(super) fn report(&mut self) -> Option<LoadReport> {
+        let now_ms = now_ms();
+        let mut report = LoadReport {
+            in_flight: self.counts.in_flight,
+            slots: self.figures.slots,
+            state: if self.leaving { "leaving" } else { "live" },
+            as_of_ms: now_ms,
+        };
+        match self.reports {
+            LoadReports::Fresh => {}
+            LoadReports::Lagging { lag_ms } => {
+                let last = self.last_report;
+                report = last
+                    .filter(|last| last.as_of_ms + lag_ms > now_ms)
+                    .unwrap_or(report);
+            }
+            LoadReports::Misleading { in_flight } => report.in_flight = in_flight,
+            LoadReports::Missing => return None,
+        }
+        self.last_report = Some(report);
+        Some(report)
+    }
+
+    fn count_opened(&mut self, now: Instant) {
+        self.opened.push_back(now);
+        while self
+            .opened
+            .front()
+            .is_some_and(|first| now - *first >= Duration::from_secs(1))
+        {
+            self.opened.pop_front();
+        }
+        let peak = &mut self.counts.peak_opened_per_s;
+        *peak = (*peak).max(self.opened.len() as u32);
+    }
+}
+
+/// A request in flight.
+#[derive(Debug)]
+pub(super) struct InFlight<'a> {
+    shared: &'a Shared,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.shared.lock().counts.in_flight -= 1;
+    }
+}
