--- a/crates/sedgepath-core/src/blocks.rs
+++ b/crates/sedgepath-core/src/blocks.rs
@@ -46,10 +46,7 @@
         let (address, prefix) = text.split_once('/').ok_or(CidrError::NoPrefix)?;
         let address = address.parse::<IpAddr>().ok().ok_or(CidrError::Address)?;
         let prefix_bits = prefix.parse::<u8>().ok().ok_or(CidrError::Prefix)?;
-        let cidr = Self {
-            address,
-            prefix_bits,
-        };
+        let cidr = Self { address, prefix_bits };
         if prefix_bits > cidr.width_bits() {
             return Err(CidrError::Prefix);
         }
@@ -121,17 +118,10 @@
         for (cidr, origin) in blocks {
             let index = *index_of.entry(origin).or_insert_with(|| {
                 groups.push(origin);
-                assert!(
-                    groups.len() < usize::from(NO_GROUP),
-                    "too many origin groups"
-                );
+                assert!(groups.len() < usize::from(NO_GROUP), "too many origin groups");
                 (groups.len() - 1) as GroupIndex
             });
-            let range = Range {
-                first: cidr.first(),
-                end: cidr.first() + cidr.span(),
-                index,
-            };
+            let range = Range { first: cidr.first(), end: cidr.first() + cidr.span(), index };
             match cidr.address {
                 IpAddr::V4(_) => v4.push(range),
                 IpAddr::V6(_) => v6.push(range),
--- a/crates/sedgepath-core/src/catalogue.rs
+++ b/crates/sedgepath-core/src/catalogue.rs
@@ -154,9 +154,7 @@
 
     /// Returns the origin group of a caller's address.
     pub fn origin(&self, address: IpAddr) -> OriginKey {
-        self.blocks
-            .origin(address)
-            .unwrap_or_else(|| OriginKey::of(ANY_ORIGIN))
+        self.blocks.origin(address).unwrap_or_else(|| OriginKey::of(ANY_ORIGIN))
     }
 
     /// Returns the organisation that a key belongs to, given the key's digest.
@@ -168,19 +166,13 @@
     pub fn shares(&self, service: ServiceKey, origin: OriginKey) -> Option<&[(DomainKey, f64)]> {
         let steering = self.services.get(&service)?.steering.as_ref()?;
         let shares = steering.shares.get(&origin);
-        shares
-            .or_else(|| steering.shares.get(&OriginKey::of(ANY_ORIGIN)))
-            .map(Vec::as_slice)
+        shares.or_else(|| steering.shares.get(&OriginKey::of(ANY_ORIGIN))).map(Vec::as_slice)
     }
 
     /// Whether an upstream is taken out of service by a drain of its own or of its domain.
     pub fn is_draining(&self, upstream: UpstreamKey) -> bool {
         self.upstreams.get(&upstream).is_none_or(|entry| {
-            entry.draining
-                || self
-                    .domains
-                    .get(&entry.domain)
-                    .is_some_and(|domain| domain.draining)
+            entry.draining || self.domains.get(&entry.domain).is_some_and(|domain| domain.draining)
         })
     }
 
@@ -189,11 +181,7 @@
             let region_key = RegionKey::of(&region.name);
             self.regions.insert(region_key, region.name.clone());
             for name in &region.domains {
-                let entry = DomainEntry {
-                    name: name.clone(),
-                    region: region_key,
-                    draining: false,
-                };
+                let entry = DomainEntry { name: name.clone(), region: region_key, draining: false };
                 self.domains.insert(DomainKey::of(name), entry);
             }
         }
@@ -250,16 +238,10 @@
     fn add_organisations(&mut self, record: &record::Organisations) {
         for organisation in &record.organisations {
             let key = OrganisationKey::of(&organisation.name);
-            let entry = OrganisationEntry {
-                name: organisation.name.clone(),
-                plan: organisation.plan,
-            };
+            let entry =
+                OrganisationEntry { name: organisation.name.clone(), plan: organisation.plan };
             self.organisations.insert(key, entry);
-            for digest in organisation
-                .key_digests
-                .iter()
-                .filter_map(|hex| Digest::from_hex(hex))
-            {
+            for digest in organisation.key_digests.iter().filter_map(|hex| Digest::from_hex(hex)) {
                 self.keys.insert(digest, key);
             }
         }
@@ -268,9 +250,7 @@
     fn add_blocks(&mut self, clients: &record::Clients, blocks: &mut Vec<(Cidr, OriginKey)>) {
         for block in &clients.blocks {
             let origin = OriginKey::of(&block.origin);
-            self.origins
-                .entry(origin)
-                .or_insert_with(|| block.origin.clone());
+            self.origins.entry(origin).or_insert_with(|| block.origin.clone());
             if let Ok(cidr) = Cidr::parse(&block.block) {
                 blocks.push((cidr, origin));
             }
@@ -300,11 +280,7 @@
         if matches!(&*raw.kind, "service" | "steering") {
             self.refused.insert(ServiceKey::of(&raw.name));
         }
-        self.unread.push(Unread {
-            kind: raw.kind.clone(),
-            name: raw.name.clone(),
-            error,
-        });
+        self.unread.push(Unread { kind: raw.kind.clone(), name: raw.name.clone(), error });
     }
 }
 
@@ -313,10 +289,7 @@
     let mut weights: Vec<_> = shares
         .iter()
         .map(|share| {
-            (
-                DomainKey::of(&share.domain),
-                if sum > 0.0 { share.weight / sum } else { 0.0 },
-            )
+            (DomainKey::of(&share.domain), if sum > 0.0 { share.weight / sum } else { 0.0 })
         })
         .collect();
     weights.sort_unstable_by_key(|weight| weight.0);
--- a/crates/sedgepath-core/src/clock.rs
+++ b/crates/sedgepath-core/src/clock.rs
@@ -32,15 +32,9 @@
     /// Returns the stamp of a local event or of a message about to be sent.
     pub fn tick(&mut self, now_ms: u64) -> Stamp {
         self.last = if now_ms > self.last.time_ms {
-            Stamp {
-                time_ms: now_ms,
-                count: 0,
-            }
+            Stamp { time_ms: now_ms, count: 0 }
         } else {
-            Stamp {
-                time_ms: self.last.time_ms,
-                count: self.last.count + 1,
-            }
+            Stamp { time_ms: self.last.time_ms, count: self.last.count + 1 }
         };
         self.last
     }
--- a/crates/sedgepath-core/src/configuration.rs
+++ b/crates/sedgepath-core/src/configuration.rs
@@ -63,10 +63,7 @@
     pub fn snapshot(&self) -> Snapshot {
         let mut records: Vec<_> = self.records.values().cloned().collect();
         records.sort_by(|a, b| (&a.kind, &a.name).cmp(&(&b.kind, &b.name)));
-        Snapshot {
-            revision: self.revision,
-            records,
-        }
+        Snapshot { revision: self.revision, records }
     }
 
     /// Reads the head revision when it is due.
@@ -94,18 +91,12 @@
         };
         match reading {
             Reading::Head => {
-                let head = rows
-                    .first()
-                    .and_then(|row| row.value.parse().ok())
-                    .unwrap_or(0);
+                let head = rows.first().and_then(|row| row.value.parse().ok()).unwrap_or(0);
                 if head > self.revision {
                     self.read_page(head, Vec::new(), out);
                 }
             }
-            Reading::Records {
-                head,
-                rows: mut known,
-            } => {
+            Reading::Records { head, rows: mut known } => {
                 known.extend_from_slice(rows);
                 if rows.len() < PAGE_ROWS as usize {
                     self.apply_rows(head, &known, out);
@@ -119,11 +110,7 @@
 
     fn read_page(&mut self, head: u64, rows: Vec<Row>, out: &mut Outbox) {
         let after = rows.last().map(|row| row.key.clone()).unwrap_or_default();
-        let request = TableRequest::Scan {
-            prefix: RECORD_PREFIX.into(),
-            after,
-            limit: PAGE_ROWS,
-        };
+        let request = TableRequest::Scan { prefix: RECORD_PREFIX.into(), after, limit: PAGE_ROWS };
         let operation = out.table(request);
         self.reading = Some((operation, Reading::Records { head, rows }));
     }
@@ -134,13 +121,7 @@
             .filter_map(|row| serde_json::from_str::<RecordRow>(&row.value).ok())
             .map(|row| row.record)
             .collect();
-        self.apply(
-            Snapshot {
-                revision: head,
-                records,
-            },
-            out,
-        );
+        self.apply(Snapshot { revision: head, records }, out);
     }
 
     /// Puts a snapshot in force unless it is older than what is in force.
@@ -155,17 +136,10 @@
             .map(|record| ((record.kind.clone(), record.name.clone()), record))
             .collect();
         self.catalogue = Arc::new(Catalogue::new(self.records.values()));
-        out.log(
-            Topic::Configuration,
-            "revision_applied",
-            &[("revision", &self.revision)],
-        );
+        out.log(Topic::Configuration, "revision_applied", &[("revision", &self.revision)]);
         for unread in &self.catalogue.unread {
-            let fields: [(&str, &dyn std::fmt::Display); 3] = [
-                ("kind", &unread.kind),
-                ("name", &unread.name),
-                ("error", &unread.error),
-            ];
+            let fields: [(&str, &dyn std::fmt::Display); 3] =
+                [("kind", &unread.kind), ("name", &unread.name), ("error", &unread.error)];
             out.log(Topic::Configuration, "record_unread", &fields);
         }
     }
--- a/crates/sedgepath-core/src/egress.rs
+++ b/crates/sedgepath-core/src/egress.rs
@@ -41,10 +41,7 @@
         out: &mut Outbox,
     ) {
         let Some(upstream) = self.choose(dispatch, owned, catalogue) else {
-            let refusal = Refusal {
-                reason: Reason::NoUpstream,
-                retry_after_ms: RETRY_AFTER_MS,
-            };
+            let refusal = Refusal { reason: Reason::NoUpstream, retry_after_ms: RETRY_AFTER_MS };
             out.push(Action::Refuse { exchange, refusal });
             return;
         };
@@ -81,10 +78,7 @@
         let mut loads: Vec<ServiceLoad> = Vec::new();
         for upstream in owned {
             let entry = &catalogue.upstreams[upstream];
-            let in_flight = self
-                .upstreams
-                .get(upstream)
-                .map_or(0, |state| state.in_flight);
+            let in_flight = self.upstreams.get(upstream).map_or(0, |state| state.in_flight);
             match loads.iter_mut().find(|load| load.service == entry.service) {
                 Some(load) => {
                     load.slots += entry.slots;
@@ -107,9 +101,7 @@
         catalogue: &Catalogue,
     ) -> Option<UpstreamKey> {
         let in_flight = |upstream: &UpstreamKey| {
-            self.upstreams
-                .get(upstream)
-                .map_or(0, |state| state.in_flight)
+            self.upstreams.get(upstream).map_or(0, |state| state.in_flight)
         };
         owned
             .iter()
--- a/crates/sedgepath-core/src/hash.rs
+++ b/crates/sedgepath-core/src/hash.rs
@@ -40,12 +40,10 @@
     /// Writes the digest as 32 hexadecimal digits.
     pub fn to_hex(self) -> String {
         use std::fmt::Write;
-        self.0
-            .iter()
-            .fold(String::with_capacity(32), |mut hex, byte| {
-                let _infallible = write!(hex, "{byte:02x}");
-                hex
-            })
+        self.0.iter().fold(String::with_capacity(32), |mut hex, byte| {
+            let _infallible = write!(hex, "{byte:02x}");
+            hex
+        })
     }
 
     /// Reads 32 hexadecimal digits.
--- a/crates/sedgepath-core/src/identity.rs
+++ b/crates/sedgepath-core/src/identity.rs
@@ -17,11 +17,7 @@
 impl Identity {
     /// Creates the identity of one run of a process.
     pub fn new(card: MemberCard, boot: BootId) -> Self {
-        Self {
-            vm: VmKey::of(&card.name),
-            boot,
-            card,
-        }
+        Self { vm: VmKey::of(&card.name), boot, card }
     }
 }
 
--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -60,11 +60,7 @@
 
     /// Relays the answer that an attempt has brought.
     pub fn hop_answered(&mut self, request: RequestKey, attempt: u32, out: &mut Outbox) {
-        if self
-            .pending
-            .get(&request)
-            .is_some_and(|pending| pending.attempt == attempt)
-        {
+        if self.pending.get(&request).is_some_and(|pending| pending.attempt == attempt) {
             out.push(Action::Relay { request, attempt });
         }
     }
@@ -76,13 +72,7 @@
                 HopEnd::Refused(refusal) => conclude(request, not_run(refusal), out),
                 HopEnd::NotSent => conclude_not_run(request, Reason::PeerUnreachable, out),
                 HopEnd::Lost => {
-                    conclude(
-                        request,
-                        Outcome::Unknown {
-                            retry_after_ms: RETRY_AFTER_MS,
-                        },
-                        out,
-                    );
+                    conclude(request, Outcome::Unknown { retry_after_ms: RETRY_AFTER_MS }, out);
                 }
             }
         }
@@ -100,29 +90,17 @@
 
 impl RemoveIfAttempt for Map<RequestKey, Pending> {
     fn remove_if_attempt(&mut self, request: RequestKey, attempt: u32) -> bool {
-        let current = self
-            .get(&request)
-            .is_some_and(|pending| pending.attempt == attempt);
+        let current = self.get(&request).is_some_and(|pending| pending.attempt == attempt);
         current && self.remove(&request).is_some()
     }
 }
 
 fn not_run(refusal: Refusal) -> Outcome {
-    Outcome::NotRun {
-        refusal,
-        others: Vec::new(),
-    }
+    Outcome::NotRun { refusal, others: Vec::new() }
 }
 
 fn conclude_not_run(request: RequestKey, reason: Reason, out: &mut Outbox) {
-    conclude(
-        request,
-        not_run(Refusal {
-            reason,
-            retry_after_ms: RETRY_AFTER_MS,
-        }),
-        out,
-    );
+    conclude(request, not_run(Refusal { reason, retry_after_ms: RETRY_AFTER_MS }), out);
 }
 
 /// Gives a request its final outcome.
--- a/crates/sedgepath-core/src/membership.rs
+++ b/crates/sedgepath-core/src/membership.rs
@@ -46,12 +46,7 @@
 impl Membership {
     /// Creates an empty table.
     pub fn new(settings: NodeSettings) -> Self {
-        Self {
-            settings,
-            members: Map::default(),
-            listed: Vec::new(),
-            next_heartbeat_at_ms: 0,
-        }
+        Self { settings, members: Map::default(), listed: Vec::new(), next_heartbeat_at_ms: 0 }
     }
 
     /// Returns a member.
@@ -61,11 +56,7 @@
 
     /// Returns all members in the order of their keys.
     pub fn members(&self) -> Vec<(VmKey, &Member)> {
-        let mut members: Vec<_> = self
-            .members
-            .iter()
-            .map(|(vm, member)| (*vm, member))
-            .collect();
+        let mut members: Vec<_> = self.members.iter().map(|(vm, member)| (*vm, member)).collect();
         members.sort_unstable_by_key(|(vm, _)| *vm);
         members
     }
@@ -89,15 +80,10 @@
 
     /// Takes in a heartbeat.
     pub fn take_heartbeat(&mut self, envelope: &Envelope, heartbeat: &Heartbeat, out: &mut Outbox) {
-        let known = self
-            .members
-            .get(&envelope.from)
-            .map(|member| (member.boot, member.suspect));
+        let known = self.members.get(&envelope.from).map(|member| (member.boot, member.suspect));
         if known != Some((envelope.boot, false)) {
-            let fields: [(&str, &dyn std::fmt::Display); 2] = [
-                ("member", &heartbeat.member.name),
-                ("boot", &envelope.boot.0),
-            ];
+            let fields: [(&str, &dyn std::fmt::Display); 2] =
+                [("member", &heartbeat.member.name), ("boot", &envelope.boot.0)];
             out.log(Topic::Membership, "member_alive", &fields);
         }
         let member = Member {
@@ -120,11 +106,7 @@
         self.next_heartbeat_at_ms = out.now_ms() + self.settings.heartbeat_every_ms;
         for address in self.addresses(out.identity().card.peers) {
             let member = out.identity().card.clone();
-            let heartbeat = Heartbeat {
-                member,
-                revision,
-                loads: loads.to_vec(),
-            };
+            let heartbeat = Heartbeat { member, revision, loads: loads.to_vec() };
             out.send(address, Message::Heartbeat(heartbeat));
         }
     }
@@ -134,20 +116,15 @@
             let silent_since_ms = member.heard_at_ms + self.settings.suspect_after_ms;
             if !member.suspect && silent_since_ms <= out.now_ms() {
                 member.suspect = true;
-                out.log(
-                    Topic::Membership,
-                    "member_suspect",
-                    &[("member", &member.card.name)],
-                );
+                out.log(Topic::Membership, "member_suspect", &[("member", &member.card.name)]);
             }
         }
     }
 
     fn addresses(&self, own: SocketAddr) -> Vec<SocketAddr> {
         let listed = self.listed.iter().map(|vm| vm.peers);
-        let mut addresses: Vec<_> = listed
-            .chain(self.members.values().map(|member| member.card.peers))
-            .collect();
+        let mut addresses: Vec<_> =
+            listed.chain(self.members.values().map(|member| member.card.peers)).collect();
         addresses.sort_unstable();
         addresses.dedup();
         addresses.retain(|address| *address != own);
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -80,28 +80,19 @@
                 self.out.push(Action::AnswerLookUp { reply, answer });
             }
             Event::Request { request, head } => self.request(request, &head),
-            Event::HopAnswered {
-                request, attempt, ..
-            } => {
+            Event::HopAnswered { request, attempt, .. } => {
                 self.ingress.hop_answered(request, attempt, &mut self.out);
             }
-            Event::HopEnded {
-                request,
-                attempt,
-                end,
-            } => {
+            Event::HopEnded { request, attempt, end } => {
                 self.ingress.hop_ended(request, attempt, end, &mut self.out);
             }
             Event::RelayEnded { request, .. } | Event::CallerGone { request } => {
                 self.ingress.forget(request);
             }
-            Event::Dispatched {
-                exchange, dispatch, ..
-            } => {
+            Event::Dispatched { exchange, dispatch, .. } => {
                 let owned = self.owned();
                 let catalogue = self.configuration.catalogue();
-                self.egress
-                    .dispatch(exchange, &dispatch, &owned, catalogue, &mut self.out);
+                self.egress.dispatch(exchange, &dispatch, &owned, catalogue, &mut self.out);
             }
             Event::CallEnded { exchange, end, .. } => self.egress.call_ended(exchange, end),
             Event::DispatchGone { exchange } => self.out.push(Action::Cancel { exchange }),
@@ -111,8 +102,7 @@
             Event::Connections { .. } => {}
             Event::Datagram(envelope) => self.datagram(&envelope),
             Event::Table { operation, result } => {
-                self.configuration
-                    .take_result(operation, &result, &mut self.out);
+                self.configuration.take_result(operation, &result, &mut self.out);
             }
             Event::VmList(listed) => self.membership.take_list(listed),
             Event::Fetched { snapshot, .. } => {
@@ -128,12 +118,10 @@
     /// Runs the systems that work by time; to be called every few tens of milliseconds.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
-        self.configuration
-            .tick(self.settings.head_every_ms, &mut self.out);
+        self.configuration.tick(self.settings.head_every_ms, &mut self.out);
         let owned = self.owned();
         let loads = self.egress.loads(&owned, self.configuration.catalogue());
-        self.membership
-            .tick(self.configuration.revision(), &loads, &mut self.out);
+        self.membership.tick(self.configuration.revision(), &loads, &mut self.out);
         self.out.take_actions()
     }
 
@@ -162,15 +150,8 @@
 
     fn entry_vms(&self) -> Vec<EntryVm> {
         let card = &self.out.identity().card;
-        let own = EntryVm {
-            name: card.name.clone(),
-            address: card.callers,
-        };
-        let others = self
-            .membership
-            .members()
-            .into_iter()
-            .filter(|(_, member)| member.serves());
+        let own = EntryVm { name: card.name.clone(), address: card.callers };
+        let others = self.membership.members().into_iter().filter(|(_, member)| member.serves());
         let others = others.map(|(_, member)| EntryVm {
             name: member.card.name.clone(),
             address: member.card.callers,
@@ -206,9 +187,7 @@
             .iter()
             .map(|(domain, share)| self.candidate(service, *domain, *share, catalogue))
             .collect();
-        let order = self
-            .policy
-            .rank(Choice { service, origin }, &candidates, &mut self.random);
+        let order = self.policy.rank(Choice { service, origin }, &candidates, &mut self.random);
         let (vm, address) = order
             .into_iter()
             .find_map(|index| self.owner_in(candidates[index].domain, service, catalogue))?;
@@ -221,11 +200,7 @@
             avoid: None,
             revision: self.configuration.revision(),
         };
-        Some(Target {
-            vm,
-            address,
-            dispatch,
-        })
+        Some(Target { vm, address, dispatch })
     }
 
     fn candidate(
@@ -308,8 +283,7 @@
         self.out.merge_stamp(envelope.stamp);
         match &envelope.message {
             Message::Heartbeat(heartbeat) => {
-                self.membership
-                    .take_heartbeat(envelope, heartbeat, &mut self.out);
+                self.membership.take_heartbeat(envelope, heartbeat, &mut self.out);
             }
         }
     }
--- a/crates/sedgepath-core/src/ownership.rs
+++ b/crates/sedgepath-core/src/ownership.rs
@@ -8,10 +8,7 @@
 
 /// Returns the candidate that ranks first for an item, such as an upstream.
 pub fn owner(item: u64, candidates: &[VmKey]) -> Option<VmKey> {
-    candidates
-        .iter()
-        .copied()
-        .max_by_key(|vm| (rank(item, vm.0), vm.0))
+    candidates.iter().copied().max_by_key(|vm| (rank(item, vm.0), vm.0))
 }
 
 /// Mixes two numbers as the finaliser of `SplitMix64` does (Steele et al., 2014).
--- a/crates/sedgepath-core/src/record.rs
+++ b/crates/sedgepath-core/src/record.rs
@@ -90,15 +90,10 @@
             "clients" => serde_json::from_str(&self.body).map(RecordBody::Clients),
             "drain" => serde_json::from_str(&self.body).map(RecordBody::Drain),
             _ => {
-                return Err(RecordError::UnknownKind {
-                    kind: self.kind.clone(),
-                });
+                return Err(RecordError::UnknownKind { kind: self.kind.clone() });
             }
         };
-        body.map_err(|source| RecordError::Malformed {
-            kind: self.kind.clone(),
-            source,
-        })
+        body.map_err(|source| RecordError::Malformed { kind: self.kind.clone(), source })
     }
 }
 
--- a/crates/sedgepath-core/src/steering.rs
+++ b/crates/sedgepath-core/src/steering.rs
@@ -60,10 +60,7 @@
         candidates: &[Candidate],
         random: &mut fastrand::Rng,
     ) -> Vec<usize> {
-        draw_order(
-            candidates.iter().map(|candidate| candidate.share).collect(),
-            random,
-        )
+        draw_order(candidates.iter().map(|candidate| candidate.share).collect(), random)
     }
 }
 
--- /dev/null
+++ b/crates/sedgepath-core/tests/path.rs
@@ -0,0 +1,64 @@
+//! The path of a request through several node cores.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use sedgepath_core::hash::Digest;
+use sedgepath_core::request::{Once, RequestHead};
+use sedgepath_test_support::bed::upstreams::FakeUpstream;
+use sedgepath_test_support::bed::{Bed, Seen};
+use sedgepath_test_support::records::{self, UpstreamSpec};
+
+fn bed() -> Bed {
+    let mut bed = Bed::new(1);
+    let upstream = |name: &str, domain: &str| UpstreamSpec {
+        name: name.into(),
+        domain: domain.into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
+        slots: 4,
+    };
+    bed.write_records(&[
+        records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
+        records::service("browse", 5_000, &[upstream("b1", "north-a"), upstream("b2", "south-a")]),
+        records::steering("browse", &[("north-a", 1.0), ("south-a", 1.0)], 100.0, 10_000),
+    ]);
+    bed.upstreams.add("b1", FakeUpstream::new(4, 10));
+    bed.upstreams.add("b2", FakeUpstream::new(4, 10));
+    bed.add_node("n1", "north-a");
+    bed.add_node("n2", "north-a");
+    bed.add_node("s1", "south-a");
+    bed.run_for(5_000);
+    bed
+}
+
+fn head(bed: &Bed) -> RequestHead {
+    RequestHead {
+        service: "browse".into(),
+        source: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        key_digest: None,
+        deadline_at_ms: bed.now_ms() + 2_000,
+        once: Once::Repeatable,
+        idempotent: true,
+        digest: Digest::of(&[b"GET /"]),
+        revision_seen: 0,
+        forwarded_by: None,
+    }
+}
+
+/// Callers ask each of three nodes in two failure domains; every one sees a whole answer, and the
+/// upstreams of both domains ran each request exactly once, since nothing failed on the way.
+#[test]
+fn requests_reach_upstreams_of_both_domains() {
+    let mut bed = bed();
+    for number in 0..60 {
+        let head = head(&bed);
+        bed.call(number % 3, head);
+        bed.run_for(20);
+    }
+    bed.run_for(3_000);
+    let answered =
+        bed.calls().iter().filter(|call| matches!(call.seen, Seen::Answered { .. })).count();
+    assert_eq!(answered, 60, "{:?}", bed.calls().last());
+    let runs: Vec<usize> = bed.upstreams.iter().map(|(_, upstream)| upstream.runs.len()).collect();
+    assert_eq!(runs.iter().sum::<usize>(), 60);
+    assert!(runs.iter().all(|runs| *runs > 10), "{runs:?}");
+}
--- a/crates/sedgepath-platform/src/http.rs
+++ b/crates/sedgepath-platform/src/http.rs
@@ -25,10 +25,7 @@
     /// Creates a client for the platform at `base_url`, for example `http://192.0.2.1:8080`.
     pub fn new(base_url: impl Into<Box<str>>) -> Self {
         let base_url: Box<str> = base_url.into();
-        Self {
-            base_url: base_url.trim_end_matches('/').into(),
-            timeout_ms: DEFAULT_TIMEOUT_MS,
-        }
+        Self { base_url: base_url.trim_end_matches('/').into(), timeout_ms: DEFAULT_TIMEOUT_MS }
     }
 
     /// Sets the longest time that one request may take from connecting to the end of its answer.
@@ -39,16 +36,9 @@
 
     fn send(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Answer, Failure> {
         let sent = Arc::new(AtomicBool::new(false));
-        let body = TrackedBody {
-            bytes: body,
-            sent: Arc::clone(&sent),
-        };
+        let body = TrackedBody { bytes: body, sent: Arc::clone(&sent) };
         self.exchange(method, path, body).map_err(|_lost| {
-            if sent.load(Ordering::Acquire) {
-                Failure::AfterSend
-            } else {
-                Failure::BeforeSend
-            }
+            if sent.load(Ordering::Acquire) { Failure::AfterSend } else { Failure::BeforeSend }
         })
     }
 
@@ -219,8 +209,6 @@
     if status == StatusCode::SERVICE_UNAVAILABLE {
         PlatformError::Unavailable
     } else {
-        PlatformError::Refused {
-            status: status.as_u16(),
-        }
+        PlatformError::Refused { status: status.as_u16() }
     }
 }
--- a/crates/sedgepath-platform/tests/http.rs
+++ b/crates/sedgepath-platform/tests/http.rs
@@ -46,10 +46,7 @@
         let text = String::from_utf8_lossy(&request).into_owned();
         if let Some((head, body)) = text.split_once("\r\n\r\n") {
             let length = head.lines().find_map(|line| {
-                line.to_ascii_lowercase()
-                    .strip_prefix("content-length: ")?
-                    .parse()
-                    .ok()
+                line.to_ascii_lowercase().strip_prefix("content-length: ")?.parse().ok()
             });
             if body.len() >= length.unwrap_or(0) {
                 return text;
@@ -84,10 +81,9 @@
             Step::Answer(""),
         ]
     };
-    for (request, expected) in [
-        (commit(), TableResult::Unknown),
-        (read(), TableResult::Unavailable),
-    ] {
+    for (request, expected) in
+        [(commit(), TableResult::Unknown), (read(), TableResult::Unavailable)]
+    {
         let count = failures().len();
         let (platform, server) = serve(failures());
         for step in 0..count {
@@ -101,9 +97,8 @@
 fn a_refused_commit_was_not_carried_out() {
     // The platform answers 503, then nobody listens at its address any more.
     // The caller hears "unavailable" both times and may safely say that nothing was written.
-    let (platform, server) = serve(vec![Step::Answer(
-        "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n",
-    )]);
+    let (platform, server) =
+        serve(vec![Step::Answer("HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")]);
     assert_eq!(platform.execute(&commit()), TableResult::Unavailable);
     server.join().expect("served");
     assert_eq!(platform.execute(&commit()), TableResult::Unavailable);
@@ -145,10 +140,7 @@
         assert!(matches!(lost, Err(PlatformError::Unknown)), "{lost:?}");
     }
     let refused = platform.put("a", b"bytes");
-    assert!(matches!(
-        refused,
-        Err(PlatformError::Refused { status: 403 })
-    ));
+    assert!(matches!(refused, Err(PlatformError::Refused { status: 403 })));
     platform.delete("a").expect("removed");
     let requests = server.join().expect("served");
     assert!(requests[0].ends_with("\r\n\r\nbytes"));
@@ -159,14 +151,9 @@
 fn a_name_that_would_change_the_path_is_refused_without_a_request() {
     // Nobody listens: a request would give "unavailable" rather than the name's own error.
     let nobody = client("127.0.0.1:9".parse().expect("an address"));
-    for name in [
-        "", "../table", "a/./b", "a//b", "a?b", "a#b", "a%2e", "a b", "é",
-    ] {
+    for name in ["", "../table", "a/./b", "a//b", "a?b", "a#b", "a%2e", "a b", "é"] {
         let refused = nobody.get(name);
-        assert!(
-            matches!(refused, Err(PlatformError::InvalidName { .. })),
-            "{name}"
-        );
+        assert!(matches!(refused, Err(PlatformError::InvalidName { .. })), "{name}");
     }
 }
 
--- /dev/null
+++ b/crates/sedgepath-test-support/src/bed/upstreams.rs
@@ -0,0 +1,177 @@
+//! Fake upstreams of a bed, and what they count.
+
+use std::collections::BTreeMap;
+
+use sedgepath_core::event::UpstreamReport;
+use sedgepath_core::key::{ExchangeKey, UpstreamKey};
+use sedgepath_core::request::{CallEnd, Once, Reason, Refusal, RequestHead};
+
+use super::{CallIndex, NodeIndex};
+
+/// What an upstream's refusal before the start of a request says.
+pub const REFUSAL: Refusal = Refusal { reason: Reason::UpstreamRefused, retry_after_ms: 100 };
+
+/// One run of a request at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Run {
+    /// The caller's request; none if its owner died while it was on its way.
+    pub call: Option<CallIndex>,
+    /// How the request is kept from running twice.
+    pub once: Option<Once>,
+    /// When it started, in milliseconds of the bed's clock.
+    pub started_at_ms: u64,
+}
+
+/// A request that runs at an upstream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Started {
+    pub(super) owner: NodeIndex,
+    pub(super) boot: u64,
+    pub(super) exchange: ExchangeKey,
+    pub(super) upstream: UpstreamKey,
+    pub(super) call: Option<CallIndex>,
+    pub(super) at_ms: u64,
+}
+
+/// How an upstream behaves; all fields may be changed at any time.
+#[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a fault of its own")]
+pub struct FakeUpstream {
+    /// The requests that it is meant to run at once; it runs more, but counts them.
+    pub slots: u32,
+    /// The time that a request takes, in milliseconds, give or take a fifth.
+    pub service_ms: u64,
+    /// Whether no connection can be made to it.
+    pub dead: bool,
+    /// Whether it refuses requests before it starts them.
+    pub refuses: bool,
+    /// Whether it says that it is about to leave.
+    pub leaving: bool,
+    /// Whether its answers are lost on their way, although it runs the requests.
+    pub loses_answers: bool,
+    /// Whether it reports its load with its answers.
+    pub reports: bool,
+    /// The requests that it runs now.
+    pub in_flight: u32,
+    /// The most requests that it ran at once.
+    pub peak_in_flight: u32,
+    /// All runs so far.
+    pub runs: Vec<Run>,
+}
+
+impl FakeUpstream {
+    /// Creates an upstream with its figures.
+    pub fn new(slots: u32, service_ms: u64) -> Self {
+        Self {
+            slots,
+            service_ms,
+            dead: false,
+            refuses: false,
+            leaving: false,
+            loses_answers: false,
+            reports: true,
+            in_flight: 0,
+            peak_in_flight: 0,
+            runs: Vec::new(),
+        }
+    }
+}
+
+/// All upstreams of a bed.
+#[derive(Debug, Default)]
+pub struct FakeUpstreams {
+    upstreams: BTreeMap<UpstreamKey, FakeUpstream>,
+    answers: BTreeMap<CallIndex, UpstreamKey>,
+}
+
+impl FakeUpstreams {
+    /// Adds an upstream.
+    pub fn add(&mut self, name: &str, upstream: FakeUpstream) {
+        self.upstreams.insert(UpstreamKey::of(name), upstream);
+    }
+
+    /// Returns an upstream.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none of this name.
+    pub fn get(&mut self, name: &str) -> &mut FakeUpstream {
+        self.upstreams.get_mut(&UpstreamKey::of(name)).expect("the bed has no such upstream")
+    }
+
+    /// Returns all upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &FakeUpstream)> {
+        self.upstreams.iter().map(|(key, upstream)| (*key, upstream))
+    }
+
+    /// Returns the runs by key or ticket, over all upstreams.
+    pub fn runs_by_key(&self) -> BTreeMap<String, u32> {
+        let mut runs = BTreeMap::new();
+        for run in self.upstreams.values().flat_map(|upstream| &upstream.runs) {
+            if let Some(once @ (Once::Key(_) | Once::Ticket(_))) = run.once {
+                *runs.entry(format!("{once:?}")).or_insert(0) += 1;
+            }
+        }
+        runs
+    }
+
+    /// Returns the number of runs of a caller's request.
+    pub fn runs_of(&self, call: CallIndex) -> usize {
+        let runs = self.upstreams.values().flat_map(|upstream| &upstream.runs);
+        runs.filter(|run| run.call == Some(call)).count()
+    }
+
+    /// Returns the upstream that answered a caller's request.
+    pub(super) fn answered(&self, call: CallIndex) -> Option<UpstreamKey> {
+        self.answers.get(&call).copied()
+    }
+
+    /// Starts a request and returns the time that it takes, in milliseconds.
+    pub(super) fn start(
+        &mut self,
+        started: Started,
+        head: Option<&RequestHead>,
+        random: &mut fastrand::Rng,
+    ) -> Result<u64, CallEnd> {
+        let upstream = self.upstreams.get_mut(&started.upstream).filter(|upstream| !upstream.dead);
+        let upstream = upstream.ok_or(CallEnd::NotSent)?;
+        if upstream.refuses {
+            return Err(CallEnd::Refused);
+        }
+        upstream.in_flight += 1;
+        upstream.peak_in_flight = upstream.peak_in_flight.max(upstream.in_flight);
+        upstream.runs.push(Run {
+            call: started.call,
+            once: head.map(|head| head.once),
+            started_at_ms: started.at_ms,
+        });
+        let spread_ms = upstream.service_ms / 5;
+        Ok(upstream.service_ms - spread_ms + random.u64(0..=2 * spread_ms))
+    }
+
+    /// Ends a request and returns how the call ended.
+    pub(super) fn finish(&mut self, started: &Started) -> CallEnd {
+        let Some(upstream) = self.upstreams.get_mut(&started.upstream) else {
+            return CallEnd::Lost;
+        };
+        upstream.in_flight -= 1;
+        if upstream.dead || upstream.loses_answers {
+            return CallEnd::Lost;
+        }
+        if let Some(call) = started.call {
+            self.answers.insert(call, started.upstream);
+        }
+        CallEnd::Whole
+    }
+
+    /// Returns an upstream's word on its load, if it gives one.
+    pub(super) fn report(&self, upstream: UpstreamKey, made_at_ms: u64) -> Option<UpstreamReport> {
+        let upstream = self.upstreams.get(&upstream).filter(|upstream| upstream.reports)?;
+        Some(UpstreamReport {
+            in_flight: Some(upstream.in_flight),
+            slots: Some(upstream.slots),
+            leaving: upstream.leaving,
+            made_at_ms,
+        })
+    }
+}
--- a/crates/sedgepath-test-support/src/clock.rs
+++ b/crates/sedgepath-test-support/src/clock.rs
@@ -5,9 +5,7 @@
 
 /// Returns the milliseconds since the Unix epoch.
 pub(crate) fn now_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |age| age.as_millis() as u64)
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
 }
 
 /// Sleeps unless `delay_ms` is zero.
--- a/crates/sedgepath-test-support/src/content.rs
+++ b/crates/sedgepath-test-support/src/content.rs
@@ -63,9 +63,7 @@
 
 /// The finaliser of splitmix64 over the word's number.
 fn word(revision: u64, index: u64) -> u64 {
-    let seed = index
-        .wrapping_add(revision.rotate_left(32))
-        .wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let seed = index.wrapping_add(revision.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let mixed = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed ^ (mixed >> 27)
 }
--- a/crates/sedgepath-test-support/src/http1.rs
+++ b/crates/sedgepath-test-support/src/http1.rs
@@ -30,10 +30,7 @@
         if reader.fill_buf()?.is_empty() {
             return Ok(None);
         }
-        let mut head = Self {
-            start: read_line(reader)?.into(),
-            headers: Vec::new(),
-        };
+        let mut head = Self { start: read_line(reader)?.into(), headers: Vec::new() };
         loop {
             let line = read_line(reader)?;
             if line.is_empty() {
@@ -51,14 +48,11 @@
     /// Returns the first header of this name, which must be given in lower case.
     pub(crate) fn get(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers
-            .find(|(known, _)| &**known == name)
-            .map(|(_, value)| &**value)
+        headers.find(|(known, _)| &**known == name).map(|(_, value)| &**value)
     }
 
     pub(crate) fn wants_close(&self) -> bool {
-        self.get("connection")
-            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+        self.get("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
 
     /// Returns the framing that the headers declare, or `default` if they declare none.
--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -3,9 +3,11 @@
 //! Each stand-in listens on loopback, can be made to fail at run time, counts what it saw, and stops
 //! when it is dropped. Tests judge by these counts.
 
+pub mod bed;
 pub mod content;
 pub mod memory;
 pub mod platform;
+pub mod records;
 pub mod upstream;
 
 mod clock;
--- a/crates/sedgepath-test-support/src/memory.rs
+++ b/crates/sedgepath-test-support/src/memory.rs
@@ -50,11 +50,9 @@
         match request {
             TableRequest::Commit(transaction) => rows.commit(transaction),
             TableRequest::Read(keys) => TableResult::Rows(rows.read(keys)),
-            TableRequest::Scan {
-                prefix,
-                after,
-                limit,
-            } => TableResult::Rows(rows.scan(prefix, after, *limit)),
+            TableRequest::Scan { prefix, after, limit } => {
+                TableResult::Rows(rows.scan(prefix, after, *limit))
+            }
         }
     }
 }
@@ -87,11 +85,8 @@
         match &write.change {
             Change::Check => {}
             Change::Put(value) => {
-                let row = Row {
-                    key: write.key.clone(),
-                    version: self.version,
-                    value: value.clone(),
-                };
+                let row =
+                    Row { key: write.key.clone(), version: self.version, value: value.clone() };
                 self.by_key.insert(write.key.clone(), row);
             }
             Change::Delete => {
@@ -101,9 +96,7 @@
     }
 
     fn read(&self, keys: &[Box<str>]) -> Vec<Row> {
-        keys.iter()
-            .filter_map(|key| self.by_key.get(key).cloned())
-            .collect()
+        keys.iter().filter_map(|key| self.by_key.get(key).cloned()).collect()
     }
 
     fn scan(&self, prefix: &str, after: &str, limit: u32) -> Vec<Row> {
@@ -278,11 +271,7 @@
             counts.table_reads += u64::from(!commit);
             counts.table_commits += u64::from(commit);
         });
-        self.serve(
-            commit,
-            || self.table.execute(request),
-            || self.hold_back(request),
-        )
+        self.serve(commit, || self.table.execute(request), || self.hold_back(request))
     }
 
     pub(crate) fn serve_put(&self, name: &str, bytes: &[u8]) -> Served<()> {
@@ -372,15 +361,8 @@
     }
 
     fn as_of(&self, as_of_ms: u64) -> VmSnapshot {
-        let in_force = self
-            .history
-            .iter()
-            .rev()
-            .find(|list| list.as_of_ms <= as_of_ms);
-        VmSnapshot {
-            as_of_ms,
-            vms: in_force.map(|list| list.vms.clone()).unwrap_or_default(),
-        }
+        let in_force = self.history.iter().rev().find(|list| list.as_of_ms <= as_of_ms);
+        VmSnapshot { as_of_ms, vms: in_force.map(|list| list.vms.clone()).unwrap_or_default() }
     }
 }
 
--- a/crates/sedgepath-test-support/src/platform.rs
+++ b/crates/sedgepath-test-support/src/platform.rs
@@ -54,15 +54,8 @@
         let addr = server.server_addr().to_ip().ok_or_else(no_address)?;
         let server = Arc::new(server);
         let state = Arc::new(MemoryPlatform::new());
-        let workers = (0..WORKERS)
-            .map(|_| spawn_worker(&server, &state))
-            .collect();
-        Ok(Self {
-            state,
-            server,
-            addr,
-            workers,
-        })
+        let workers = (0..WORKERS).map(|_| spawn_worker(&server, &state)).collect();
+        Ok(Self { state, server, addr, workers })
     }
 
     /// Returns the URL for [`sedgepath_platform::HttpPlatform::new`].
@@ -144,9 +137,9 @@
             Err(_) => Reply::Status(400),
         },
         (Method::Get, "/vms", _) => reply(state.serve_vms(), json),
-        (Method::Get, _, Some(name)) => reply(state.serve_get(name), |found| {
-            found.map_or(Reply::Status(404), Reply::Bytes)
-        }),
+        (Method::Get, _, Some(name)) => {
+            reply(state.serve_get(name), |found| found.map_or(Reply::Status(404), Reply::Bytes))
+        }
         (Method::Put, _, Some(name)) => reply(state.serve_put(name, body), |()| Reply::Status(204)),
         (Method::Delete, _, Some(name)) => reply(state.serve_delete(name), |()| Reply::Status(204)),
         _ => Reply::Status(404),
--- /dev/null
+++ b/crates/sedgepath-test-support/src/records.rs
@@ -0,0 +1,77 @@
+//! Records of a small system, for tests and the demo.
+
+use std::net::SocketAddr;
+
+use sedgepath_core::record::RawRecord;
+use serde_json::{Value, json};
+
+/// Creates a record.
+pub fn record(schema: u32, kind: &str, name: &str, body: &Value) -> RawRecord {
+    RawRecord { schema, kind: kind.into(), name: name.into(), body: body.to_string().into() }
+}
+
+/// Creates the record of the places, from regions and their failure domains.
+pub fn places(regions: &[(&str, &[&str])]) -> RawRecord {
+    let regions: Vec<_> =
+        regions.iter().map(|(name, domains)| json!({ "name": name, "domains": domains })).collect();
+    record(1, "places", "places", &json!({ "regions": regions }))
+}
+
+/// An upstream of a service.
+#[derive(Debug, Clone)]
+pub struct UpstreamSpec {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its failure domain's name.
+    pub domain: Box<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its slots.
+    pub slots: u32,
+}
+
+/// Creates the record of a service.
+pub fn service(name: &str, longest_deadline_ms: u64, upstreams: &[UpstreamSpec]) -> RawRecord {
+    let upstreams: Vec<_> = upstreams
+        .iter()
+        .map(|upstream| {
+            json!({
+                "name": upstream.name,
+                "domain": upstream.domain,
+                "address": upstream.address,
+                "slots": upstream.slots,
+            })
+        })
+        .collect();
+    let body = json!({ "longest_deadline_ms": longest_deadline_ms, "upstreams": upstreams });
+    record(1, "service", name, &body)
+}
+
+/// Creates a steering record in which callers of all origin groups follow the same shares.
+pub fn steering(name: &str, shares: &[(&str, f64)], percent: f64, window_ms: u64) -> RawRecord {
+    let shares: Vec<_> = shares
+        .iter()
+        .map(|(domain, weight)| json!({ "domain": domain, "weight": weight }))
+        .collect();
+    let body = json!({
+        "groups": [{ "origin": "any", "shares": shares }],
+        "cap": { "percent": percent, "window_ms": window_ms },
+    });
+    record(1, "steering", name, &body)
+}
+
+/// Creates the record of organisations, from their names, plans and keys.
+pub fn organisations(organisations: &[(&str, &str, &str)]) -> RawRecord {
+    let organisations: Vec<_> = organisations
+        .iter()
+        .map(|(name, plan, key)| {
+            json!({ "name": name, "plan": plan, "key_digests": [key_digest(key).to_hex()] })
+        })
+        .collect();
+    record(1, "organisations", "organisations", &json!({ "organisations": organisations }))
+}
+
+/// Returns the digest of an organisation's key, as the records hold it.
+pub fn key_digest(key: &str) -> sedgepath_core::hash::Digest {
+    sedgepath_core::hash::Digest::of(&[b"organisation key", key.as_bytes()])
+}
--- a/crates/sedgepath-test-support/src/server.rs
+++ b/crates/sedgepath-test-support/src/server.rs
@@ -57,12 +57,7 @@
         let open = Arc::default();
         let (accepting, shared) = (Arc::clone(&service), Arc::clone(&open));
         let acceptor = thread::spawn(move || accept(&listener, &accepting, &shared));
-        Ok(Self {
-            service,
-            open,
-            addr,
-            acceptor: Some(acceptor),
-        })
+        Ok(Self { service, open, addr, acceptor: Some(acceptor) })
     }
 
     /// Returns the address at which it listens.
--- a/crates/sedgepath-test-support/src/upstream/connection.rs
+++ b/crates/sedgepath-test-support/src/upstream/connection.rs
@@ -66,14 +66,7 @@
         let mut words = head.start.split(' ');
         let mut word = || words.next().unwrap_or_default().into();
         let (method, target) = (word(), word());
-        Ok(Self {
-            head,
-            method,
-            target,
-            body,
-            length,
-            digest,
-        })
+        Ok(Self { head, method, target, body, length, digest })
     }
 
     fn run(&self) -> Run {
@@ -195,11 +188,7 @@
         }
         ("POST", "/cancel") => {
             let id = request.head.get(REQUEST_ID).unwrap_or_default();
-            let status = if shared.cancel(id) {
-                "200 OK"
-            } else {
-                "409 Conflict"
-            };
+            let status = if shared.cancel(id) { "200 OK" } else { "409 Conflict" };
             Some(Answer::new(status, Vec::new()))
         }
         _ => None,
@@ -229,47 +218,28 @@
 fn large(revision: u64, length: u64, head: &Head) -> Answer {
     let etag = format!("\"large-{length}-{revision}\"");
     let same = head.get("if-range").is_none_or(|known| known == etag);
-    let asked = head
-        .get("range")
-        .filter(|_| same)
-        .and_then(|range| parse_range(range, length));
+    let asked = head.get("range").filter(|_| same).and_then(|range| parse_range(range, length));
     let partial = asked.is_some();
     let range = asked.unwrap_or(0..length);
     if range.is_empty() && length > 0 {
         return Answer::new("416 Range Not Satisfiable", Vec::new())
             .with_header("content-range", format!("bytes */{length}"));
     }
-    let bounds = format!(
-        "bytes {}-{}/{length}",
-        range.start,
-        range.end.saturating_sub(1)
-    );
+    let bounds = format!("bytes {}-{}/{length}", range.start, range.end.saturating_sub(1));
     let answer = Answer {
-        status: if partial {
-            "206 Partial Content"
-        } else {
-            "200 OK"
-        },
+        status: if partial { "206 Partial Content" } else { "200 OK" },
         headers: vec![("accept-ranges", "bytes".into())],
         body: Body::Generated { revision, range },
     };
     let answer = answer.with_header("etag", etag);
-    if partial {
-        answer.with_header("content-range", bounds)
-    } else {
-        answer
-    }
+    if partial { answer.with_header("content-range", bounds) } else { answer }
 }
 
 /// Reads `bytes=FROM-TO` or `bytes=FROM-`; other forms are ignored, as HTTP lets a server do.
 fn parse_range(range: &str, length: u64) -> Option<Range<u64>> {
     let (from, to) = range.strip_prefix("bytes=")?.split_once('-')?;
     let from: u64 = from.parse().ok()?;
-    let end = if to.is_empty() {
-        length
-    } else {
-        to.parse::<u64>().ok()?.saturating_add(1)
-    };
+    let end = if to.is_empty() { length } else { to.parse::<u64>().ok()?.saturating_add(1) };
     Some(from.min(length)..end.min(length))
 }
 
@@ -285,11 +255,7 @@
     mut in_flight: Option<InFlight<'_>>,
     part: f64,
 ) -> io::Result<Next> {
-    let length = if &*request.method == "HEAD" {
-        0
-    } else {
-        answer.body.len()
-    };
+    let length = if &*request.method == "HEAD" { 0 } else { answer.body.len() };
     let end = (length as f64 * part) as u64;
     if end <= PIECE_BYTES {
         drop(in_flight.take());
@@ -316,12 +282,7 @@
         format!("HTTP/1.1 {}", answer.status),
         format!("content-length: {}", answer.body.len()),
     ];
-    lines.extend(
-        answer
-            .headers
-            .iter()
-            .map(|(name, value)| format!("{name}: {value}")),
-    );
+    lines.extend(answer.headers.iter().map(|(name, value)| format!("{name}: {value}")));
     let id = request.head.get(REQUEST_ID);
     lines.extend(id.map(|id| format!("{REQUEST_ID}: {id}")));
     let mut state = shared.lock();
--- a/crates/sedgepath-test-support/src/upstream/state.rs
+++ b/crates/sedgepath-test-support/src/upstream/state.rs
@@ -209,10 +209,7 @@
             hang_epoch: 0,
             opened: VecDeque::new(),
         };
-        Self {
-            state: Mutex::new(state),
-            changed: Condvar::new(),
-        }
+        Self { state: Mutex::new(state), changed: Condvar::new() }
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
@@ -258,9 +255,8 @@
         let deadline = limit_ms.map(|limit_ms| Instant::now() + Duration::from_millis(limit_ms));
         let mut state = self.lock();
         while !state.stopping && go_on(&state) {
-            let left = deadline.map_or(MAX_WAIT, |deadline| {
-                deadline.saturating_duration_since(Instant::now())
-            });
+            let left = deadline
+                .map_or(MAX_WAIT, |deadline| deadline.saturating_duration_since(Instant::now()));
             if left.is_zero() {
                 break;
             }
@@ -317,10 +313,7 @@
 
     /// Notes the start of a request and returns the time it takes, or `None` if it must not start.
     pub(super) fn start(&mut self, run: Run, deadline_ms: Option<u64>) -> Option<u64> {
-        let cancelled = run
-            .request_id
-            .as_ref()
-            .is_some_and(|id| self.cancelled.contains(id));
+        let cancelled = run.request_id.as_ref().is_some_and(|id| self.cancelled.contains(id));
         let expired = deadline_ms.is_some_and(|deadline_ms| deadline_ms <= run.at_ms);
         let shed = self.figures.sheds && self.counts.in_flight > self.figures.slots;
         if cancelled || expired || shed {
@@ -330,11 +323,7 @@
         self.runs.push(run);
         let cold = self.cold_left > 0;
         self.cold_left = self.cold_left.saturating_sub(1);
-        Some(if cold {
-            self.figures.cold_service_ms
-        } else {
-            self.figures.service_ms
-        })
+        Some(if cold { self.figures.cold_service_ms } else { self.figures.service_ms })
     }
 
     pub(super) fn report(&mut self) -> Option<LoadReport> {
@@ -349,9 +338,7 @@
             LoadReports::Fresh => {}
             LoadReports::Lagging { lag_ms } => {
                 let last = self.last_report;
-                report = last
-                    .filter(|last| last.as_of_ms + lag_ms > now_ms)
-                    .unwrap_or(report);
+                report = last.filter(|last| last.as_of_ms + lag_ms > now_ms).unwrap_or(report);
             }
             LoadReports::Misleading { in_flight } => report.in_flight = in_flight,
             LoadReports::Missing => return None,
@@ -362,11 +349,7 @@
 
     fn count_opened(&mut self, now: Instant) {
         self.opened.push_back(now);
-        while self
-            .opened
-            .front()
-            .is_some_and(|first| now - *first >= Duration::from_secs(1))
-        {
+        while self.opened.front().is_some_and(|first| now - *first >= Duration::from_secs(1)) {
             self.opened.pop_front();
         }
         let peak = &mut self.counts.peak_opened_per_s;
--- a/crates/sedgepath-test-support/tests/table.rs
+++ b/crates/sedgepath-test-support/tests/table.rs
@@ -8,25 +8,15 @@
 use sedgepath_test_support::platform::PlatformStandIn;
 
 fn put(key: &str, condition: Condition, value: &str) -> RowWrite {
-    RowWrite {
-        key: key.into(),
-        condition,
-        change: Change::Put(value.into()),
-    }
+    RowWrite { key: key.into(), condition, change: Change::Put(value.into()) }
 }
 
 fn commit(writes: impl Into<Vec<RowWrite>>) -> TableRequest {
-    TableRequest::Commit(Transaction {
-        writes: writes.into(),
-    })
+    TableRequest::Commit(Transaction { writes: writes.into() })
 }
 
 fn scan(prefix: &str, after: &str, limit: u32) -> TableRequest {
-    TableRequest::Scan {
-        prefix: prefix.into(),
-        after: after.into(),
-        limit,
-    }
+    TableRequest::Scan { prefix: prefix.into(), after: after.into(), limit }
 }
 
 fn read(table: &dyn TableService, key: &str) -> Option<Row> {
@@ -50,10 +40,7 @@
         put("head", Condition::Version(current.version + 1), "2"),
         head(),
     ]);
-    let expected = TableResult::Conflict {
-        key: "head".into(),
-        current: Some(current.clone()),
-    };
+    let expected = TableResult::Conflict { key: "head".into(), current: Some(current.clone()) };
     assert_eq!(table.execute(&racing), expected);
     assert_eq!(table.rows(), [current]);
 }
@@ -110,10 +97,7 @@
     assert_eq!(client.execute(&insert), TableResult::Unknown);
     let row = read(&client, "claim/1");
     assert_eq!(row.as_ref().map(|row| &*row.value), Some("mine"));
-    let expected = TableResult::Conflict {
-        key: "claim/1".into(),
-        current: row,
-    };
+    let expected = TableResult::Conflict { key: "claim/1".into(), current: row };
     assert_eq!(client.execute(&insert), expected);
     let counts = platform.state().counts();
     assert_eq!((counts.table_commits, counts.table_reads), (2, 1));
--- a/crates/sedgepath-test-support/tests/upstream.rs
+++ b/crates/sedgepath-test-support/tests/upstream.rs
@@ -90,15 +90,9 @@
         receive(&mut callers[0], "GET /a\n");
     }
     let counts = upstream.counts();
-    assert_eq!(
-        (counts.requests, counts.in_flight, counts.peak_in_flight),
-        (55, 0, 5)
-    );
+    assert_eq!((counts.requests, counts.in_flight, counts.peak_in_flight), (55, 0, 5));
     assert_eq!((counts.connections, counts.peak_connections), (5, 5));
-    assert_eq!(
-        (counts.connections_opened, counts.connections_refused),
-        (5, 0)
-    );
+    assert_eq!((counts.connections_opened, counts.connections_refused), (5, 0));
     assert_eq!(upstream.runs().len(), 55);
     assert!(upstream.runs_by_request_id().values().eq(&[1; 5]));
 }
@@ -107,9 +101,7 @@
 fn connections_above_the_limit_are_closed_and_counted() {
     // An upstream that takes two connections gets a third, which is closed without an answer; one of
     // the first two ends and a fourth is served. The peak is two.
-    let figures = UpstreamFigures::new(1)
-        .with_max_connections(2)
-        .with_connect_ms(0);
+    let figures = UpstreamFigures::new(1).with_max_connections(2).with_connect_ms(0);
     let upstream = upstream(figures);
     let mut first = connect(upstream.addr());
     let mut second = connect(upstream.addr());
@@ -193,15 +185,10 @@
     // A caller has the first 70,001 bytes and asks for the rest under the entity tag it knows.
     // It gets just the rest; after the body was replaced it gets the whole new one instead.
     let upstream = upstream(UpstreamFigures::new(1));
-    let first = get(&upstream, "/large/150000")
-        .header("range", "bytes=0-70000")
-        .send();
+    let first = get(&upstream, "/large/150000").header("range", "bytes=0-70000").send();
     let first = first.expect("an answer");
     assert_eq!(first.status().as_u16(), 206);
-    assert_eq!(
-        header(&first, "content-range"),
-        Some("bytes 0-70000/150000")
-    );
+    assert_eq!(header(&first, "content-range"), Some("bytes 0-70000/150000"));
     let etag = header(&first, "etag").expect("a tag").to_owned();
     assert!(content::matches(1, 0, &first.bytes().expect("a body")));
     let resume = || {
@@ -226,10 +213,7 @@
     let upstream = upstream(UpstreamFigures::new(3));
     let body = vec![7_u8; 100_000];
     let url = format!("http://{}/echo", upstream.addr());
-    let echo = attohttpc::put(url)
-        .header(REQUEST_ID, "r1")
-        .bytes(&body)
-        .send();
+    let echo = attohttpc::put(url).header(REQUEST_ID, "r1").bytes(&body).send();
     let echo = echo.expect("an answer");
     assert_eq!(header(&echo, REQUEST_ID), Some("r1"));
     assert_eq!(header(&echo, DIGEST), Some(&*Digest::of(&body).to_string()));
@@ -237,23 +221,12 @@
     assert_eq!(echo.bytes().expect("a body"), body);
     upstream.set_leaving(true);
     upstream.set_load_reports(LoadReports::Misleading { in_flight: 9 });
-    let load: Value = get(&upstream, "/load")
-        .send()
-        .expect("a report")
-        .json()
-        .expect("JSON");
+    let load: Value = get(&upstream, "/load").send().expect("a report").json().expect("JSON");
     assert_eq!((&load["in_flight"], &load["slots"]), (&9.into(), &3.into()));
     assert_eq!(load["state"], "leaving");
     assert!(load["as_of_ms"].is_u64());
     upstream.set_load_reports(LoadReports::Missing);
-    assert_eq!(
-        get(&upstream, "/load")
-            .send()
-            .expect("none")
-            .status()
-            .as_u16(),
-        404
-    );
+    assert_eq!(get(&upstream, "/load").send().expect("none").status().as_u16(), 404);
     let answer = get(&upstream, "/a").send().expect("an answer");
     assert_eq!(header(&answer, UPSTREAM_STATE), Some("leaving"));
     assert_eq!(header(&answer, IN_FLIGHT), None);
--- a/crates/sedgepath-wire/src/datagram.rs
+++ b/crates/sedgepath-wire/src/datagram.rs
@@ -56,9 +56,7 @@
 ///
 /// Fails with [`DatagramError::Oversize`] if it does not fit one datagram.
 pub fn seal(key: &SharedKey, envelope: &Envelope) -> Result<Vec<u8>, DatagramError> {
-    let mut bytes = postcard::to_stdvec(envelope)
-        .ok()
-        .ok_or(DatagramError::Malformed)?;
+    let mut bytes = postcard::to_stdvec(envelope).ok().ok_or(DatagramError::Malformed)?;
     let code = key.code(&[&bytes]);
     bytes.extend_from_slice(&code);
     if bytes.len() > MAX_DATAGRAM_BYTES {
@@ -83,10 +81,7 @@
 impl Opener {
     /// Creates an opener that has seen nothing yet.
     pub fn new(key: SharedKey) -> Self {
-        Self {
-            key,
-            windows: HashMap::new(),
-        }
+        Self { key, windows: HashMap::new() }
     }
 
     /// Reads a datagram.
@@ -98,31 +93,19 @@
         if bytes.len() > MAX_DATAGRAM_BYTES {
             return Err(DatagramError::Oversize);
         }
-        let body_bytes = bytes
-            .len()
-            .checked_sub(CODE_BYTES)
-            .ok_or(DatagramError::Malformed)?;
+        let body_bytes = bytes.len().checked_sub(CODE_BYTES).ok_or(DatagramError::Malformed)?;
         let (body, code) = bytes.split_at(body_bytes);
         if !self.key.verify(&[body], code) {
             return Err(DatagramError::Forged);
         }
-        let envelope: Envelope = postcard::from_bytes(body)
-            .ok()
-            .ok_or(DatagramError::Malformed)?;
+        let envelope: Envelope = postcard::from_bytes(body).ok().ok_or(DatagramError::Malformed)?;
         // Authenticated senders alone add windows, so a bound that drops all of them is never
         // reached by a stranger; after it, repeats are told apart again from the next datagram on.
         if self.windows.len() >= MAX_WINDOWS {
             self.windows.clear();
         }
-        let window = self
-            .windows
-            .entry((envelope.from, envelope.boot))
-            .or_default();
-        if window.admit(envelope.sequence) {
-            Ok(envelope)
-        } else {
-            Err(DatagramError::Replayed)
-        }
+        let window = self.windows.entry((envelope.from, envelope.boot)).or_default();
+        if window.admit(envelope.sequence) { Ok(envelope) } else { Err(DatagramError::Replayed) }
     }
 }
 
@@ -130,11 +113,7 @@
     fn admit(&mut self, sequence: u64) -> bool {
         if sequence > self.highest {
             let ahead = sequence - self.highest;
-            self.seen = if ahead < WINDOW {
-                (self.seen << ahead) | 1
-            } else {
-                1
-            };
+            self.seen = if ahead < WINDOW { (self.seen << ahead) | 1 } else { 1 };
             self.highest = sequence;
             return true;
         }
--- a/crates/sedgepath-wire/src/frame.rs
+++ b/crates/sedgepath-wire/src/frame.rs
@@ -200,13 +200,7 @@
     pub async fn open(mut stream: S, key: &SharedKey, number: u64) -> Result<Self, FrameError> {
         let accepter = exchange_numbers(&mut stream, number).await?;
         let key = key.for_connection(number, accepter);
-        Ok(Self {
-            stream,
-            key,
-            is_opener: true,
-            sent: 0,
-            received: 0,
-        })
+        Ok(Self { stream, key, is_opener: true, sent: 0, received: 0 })
     }
 
     /// Greets as the accepter; `number` is drawn at random.
@@ -217,13 +211,7 @@
     pub async fn accept(mut stream: S, key: &SharedKey, number: u64) -> Result<Self, FrameError> {
         let opener = exchange_numbers(&mut stream, number).await?;
         let key = key.for_connection(opener, number);
-        Ok(Self {
-            stream,
-            key,
-            is_opener: false,
-            sent: 0,
-            received: 0,
-        })
+        Ok(Self { stream, key, is_opener: false, sent: 0, received: 0 })
     }
 
     /// Sends a frame.
@@ -237,9 +225,7 @@
             return Err(FrameError::Oversize);
         }
         let length = (body.len() as u32).to_le_bytes();
-        let code = self
-            .key
-            .code(&[&tag(self.is_opener, self.sent), &length, &body]);
+        let code = self.key.code(&[&tag(self.is_opener, self.sent), &length, &body]);
         self.sent += 1;
         let mut bytes = Vec::with_capacity(length.len() + body.len() + CODE_BYTES);
         bytes.extend_from_slice(&length);
@@ -264,10 +250,7 @@
         let mut bytes = vec![0; body_bytes + CODE_BYTES];
         self.stream.read_exact(&mut bytes).await?;
         let (body, code) = bytes.split_at(body_bytes);
-        if !self
-            .key
-            .verify(&[&tag(!self.is_opener, self.received), &length, body], code)
-        {
+        if !self.key.verify(&[&tag(!self.is_opener, self.received), &length, body], code) {
             return Err(FrameError::Forged);
         }
         self.received += 1;
--- a/crates/sedgepath-wire/src/key.rs
+++ b/crates/sedgepath-wire/src/key.rs
@@ -45,10 +45,7 @@
     /// Whether a code is that of the parts; takes the same time wherever they differ.
     pub fn verify(&self, parts: &[&[u8]], code: &[u8]) -> bool {
         let expected = self.code(parts);
-        let difference = expected
-            .iter()
-            .zip(code)
-            .fold(0, |sum, (a, b)| sum | (a ^ b));
+        let difference = expected.iter().zip(code).fold(0, |sum, (a, b)| sum | (a ^ b));
         code.len() == CODE_BYTES && difference == 0
     }
 }
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -82,14 +82,7 @@
         hops: Arc<Hops>,
         metrics: Arc<Metrics>,
     ) -> Arc<Self> {
-        Arc::new(Self {
-            vm: VmKey::of(&name),
-            name,
-            boot,
-            handle,
-            hops,
-            metrics,
-        })
+        Arc::new(Self { vm: VmKey::of(&name), name, boot, handle, hops, metrics })
     }
 
     /// Takes connections until the process ends.
@@ -124,10 +117,7 @@
             .serve_connection(TokioIo::new(stream), service)
             .await;
         if let Err(error) = served {
-            log::debug!(
-                "event=caller_connection_ended error={:?}",
-                error.to_string()
-            );
+            log::debug!("event=caller_connection_ended error={:?}", error.to_string());
         }
     }
 
@@ -146,8 +136,7 @@
         } else {
             (refused(StatusCode::NOT_FOUND, "no_such_path"), "invalid")
         };
-        self.metrics
-            .request(outcome, started.elapsed().as_secs_f64());
+        self.metrics.request(outcome, started.elapsed().as_secs_f64());
         response
     }
 
@@ -159,11 +148,7 @@
             return refused(StatusCode::BAD_REQUEST, "service_missing");
         };
         let revision_seen = number(request.headers(), "sedgepath-revision").unwrap_or(0);
-        let look_up = LookUp {
-            service: service.into(),
-            source,
-            revision_seen,
-        };
+        let look_up = LookUp { service: service.into(), source, revision_seen };
         match self.handle.look_up(look_up).await {
             Some(Ok(answer)) => {
                 let body = json!({
@@ -185,11 +170,7 @@
         let (parts, incoming) = request.into_parts();
         let path = &parts.uri.path()[CALL_PREFIX.len()..];
         let (service, rest) = path.split_once('/').unwrap_or((path, ""));
-        let query = parts
-            .uri
-            .query()
-            .map(|query| format!("?{query}"))
-            .unwrap_or_default();
+        let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
         let target = format!("/{rest}{query}");
         let body = match read_body(incoming).await {
             Ok(body) => body,
@@ -259,9 +240,7 @@
             task.abort();
         }
         if !self.concluded {
-            self.callers.handle.event(Event::CallerGone {
-                request: self.request,
-            });
+            self.callers.handle.event(Event::CallerGone { request: self.request });
         }
     }
 }
@@ -290,19 +269,8 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Forward {
-                attempt,
-                to,
-                address,
-                dispatch,
-                deadline_at_ms,
-                ..
-            } => {
-                let target = HopTarget {
-                    vm: to,
-                    address,
-                    deadline_at_ms,
-                };
+            Action::Forward { attempt, to, address, dispatch, deadline_at_ms, .. } => {
+                let target = HopTarget { vm: to, address, deadline_at_ms };
                 self.attempt(attempt, target, Purpose::Run(dispatch));
             }
             Action::Abandon { attempt, .. } => {
@@ -317,18 +285,9 @@
 
     fn attempt(&mut self, attempt: u32, target: HopTarget, purpose: Purpose) {
         let callers = self.callers;
-        let id = ExchangeId {
-            from: callers.vm,
-            boot: callers.boot,
-            request: self.request,
-            attempt,
-        };
-        let request = HopRequest {
-            id,
-            purpose,
-            head: self.http.clone(),
-            body: self.body.clone(),
-        };
+        let id =
+            ExchangeId { from: callers.vm, boot: callers.boot, request: self.request, attempt };
+        let request = HopRequest { id, purpose, head: self.http.clone(), body: self.body.clone() };
         let hops = Arc::clone(&callers.hops);
         let sender = self.attempt_sender.clone();
         let task = tokio::spawn(async move {
@@ -345,22 +304,14 @@
             Reply::Answer(answer) => {
                 let head = answer.head.clone();
                 self.replies.insert(attempt, answer);
-                self.callers.handle.event(Event::HopAnswered {
-                    request,
-                    attempt,
-                    head,
-                });
+                self.callers.handle.event(Event::HopAnswered { request, attempt, head });
                 return;
             }
             Reply::Refused(refusal) => HopEnd::Refused(refusal),
             Reply::NotSent => HopEnd::NotSent,
             Reply::Lost | Reply::Concluded { .. } => HopEnd::Lost,
         };
-        self.callers.handle.event(Event::HopEnded {
-            request,
-            attempt,
-            end,
-        });
+        self.callers.handle.event(Event::HopEnded { request, attempt, end });
     }
 
     fn relay(mut self, answer: Answer) -> Response<ResponseBody> {
@@ -402,11 +353,7 @@
 impl RelayBody {
     fn end(&mut self, whole: bool) {
         if !std::mem::replace(&mut self.ended, true) {
-            let event = Event::RelayEnded {
-                request: self.request,
-                whole,
-                stored: None,
-            };
+            let event = Event::RelayEnded { request: self.request, whole, stored: None };
             self.handle.event(event);
         }
     }
@@ -432,9 +379,8 @@
         let part = std::task::ready!(self.parts.poll_recv(cx));
         Poll::Ready(match part {
             Some(Ok(bytes)) => {
-                self.left_bytes = self
-                    .left_bytes
-                    .map(|left| left.saturating_sub(bytes.len() as u64));
+                self.left_bytes =
+                    self.left_bytes.map(|left| left.saturating_sub(bytes.len() as u64));
                 Some(Ok(Frame::data(bytes)))
             }
             Some(Err(broken)) => {
@@ -454,8 +400,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.left_bytes
-            .map_or_else(SizeHint::default, SizeHint::with_exact)
+        self.left_bytes.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
 
@@ -468,21 +413,11 @@
                 "retry_after_ms": refusal.retry_after_ms,
                 "entry_vms": others,
             });
-            given_up(
-                "not_run",
-                refusal.retry_after_ms,
-                StatusCode::SERVICE_UNAVAILABLE,
-                &body,
-            )
+            given_up("not_run", refusal.retry_after_ms, StatusCode::SERVICE_UNAVAILABLE, &body)
         }
         Outcome::Unknown { retry_after_ms } => {
             let body = json!({ "outcome": "unknown", "retry_after_ms": retry_after_ms });
-            given_up(
-                "unknown",
-                *retry_after_ms,
-                StatusCode::GATEWAY_TIMEOUT,
-                &body,
-            )
+            given_up("unknown", *retry_after_ms, StatusCode::GATEWAY_TIMEOUT, &body)
         }
         Outcome::Repeated(stored) => {
             let body = Bytes::copy_from_slice(stored.body.as_bytes());
@@ -507,15 +442,9 @@
 ) -> Response<ResponseBody> {
     let mut response = json_response(status, body);
     set(&mut response, "sedgepath-outcome", outcome);
-    set(
-        &mut response,
-        "sedgepath-retry-after-ms",
-        &retry_after_ms.to_string(),
-    );
-    let retry_after_s = retry_after_ms.div_ceil(1_000);
-    response
-        .headers_mut()
-        .insert(RETRY_AFTER, HeaderValue::from(retry_after_s));
+    set(&mut response, "sedgepath-retry-after-ms", &retry_after_ms.to_string());
+    let seconds = retry_after_ms.div_ceil(1_000);
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
     response
 }
 
@@ -528,9 +457,7 @@
 
 fn json_response(status: StatusCode, body: &serde_json::Value) -> Response<ResponseBody> {
     let mut response = whole_response(status, body.to_string().into());
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
@@ -548,11 +475,7 @@
 }
 
 fn outcome_of(response: &Response<ResponseBody>) -> &'static str {
-    match response
-        .headers()
-        .get("sedgepath-outcome")
-        .map(HeaderValue::as_bytes)
-    {
+    match response.headers().get("sedgepath-outcome").map(HeaderValue::as_bytes) {
         Some(b"answered") => "answered",
         Some(b"unknown") => "unknown",
         _ => "not_run",
--- a/crates/sedgepathd/src/command.rs
+++ b/crates/sedgepathd/src/command.rs
@@ -33,10 +33,7 @@
         return ExitCode::SUCCESS;
     }
     let Some(path) = matches.opt_str("settings").map(PathBuf::from) else {
-        eprintln!(
-            "sedgepathd: the settings file is missing\n{}",
-            usage(&options)
-        );
+        eprintln!("sedgepathd: the settings file is missing\n{}", usage(&options));
         return ExitCode::from(EXIT_USAGE);
     };
     let settings = match Settings::read(&path) {
@@ -61,12 +58,7 @@
 
 fn options() -> Options {
     let mut options = Options::new();
-    options.optopt(
-        "s",
-        "settings",
-        "read the settings from this YAML file",
-        "FILE",
-    );
+    options.optopt("s", "settings", "read the settings from this YAML file", "FILE");
     options.optflag("c", "check", "check the settings and end");
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -86,9 +86,7 @@
     let (fetch_sender, fetch_jobs) = mpsc::unbounded_channel();
     let datagram_key = SharedKey::new(&settings.secret, "datagrams");
     let outlets = Outlets {
-        socket: socket
-            .try_clone()
-            .map_err(listen("datagrams of peers", settings.peers))?,
+        socket: socket.try_clone().map_err(listen("datagrams of peers", settings.peers))?,
         datagram_key: datagram_key.clone(),
         platform: platform_sender,
         fetches: fetch_sender,
@@ -100,11 +98,7 @@
     let table: Arc<dyn TableService> = Arc::clone(&platform) as Arc<dyn TableService>;
     platform::start_workers(&table, &platform_jobs, &handle);
     let stopping = Arc::new(AtomicBool::new(false));
-    platform::start_list(
-        platform as Arc<dyn VmList>,
-        handle.clone(),
-        Arc::clone(&stopping),
-    );
+    platform::start_list(platform as Arc<dyn VmList>, handle.clone(), Arc::clone(&stopping));
     datagrams::start(socket, datagram_key, handle.clone(), Arc::clone(&metrics));
 
     let frame_key = SharedKey::new(&settings.secret, "frames");
@@ -118,9 +112,8 @@
         let callers_listener = TcpListener::bind(settings.callers)
             .await
             .map_err(listen("callers", settings.callers))?;
-        let peers_listener = TcpListener::bind(settings.peers)
-            .await
-            .map_err(listen("peers", settings.peers))?;
+        let peers_listener =
+            TcpListener::bind(settings.peers).await.map_err(listen("peers", settings.peers))?;
         let server = Server::builder()
             .build(settings.operators)
             .await
@@ -147,11 +140,7 @@
 }
 
 fn listen(what: &'static str, address: SocketAddr) -> impl FnOnce(io::Error) -> DaemonError {
-    move |source| DaemonError::Listen {
-        what,
-        address,
-        source,
-    }
+    move |source| DaemonError::Listen { what, address, source }
 }
 
 fn identity(settings: &Settings, boot: BootId) -> Identity {
@@ -167,8 +156,5 @@
 }
 
 fn node_settings() -> NodeSettings {
-    NodeSettings {
-        seed: fastrand::u64(..),
-        ..NodeSettings::default()
-    }
+    NodeSettings { seed: fastrand::u64(..), ..NodeSettings::default() }
 }
--- a/crates/sedgepathd/src/driver.rs
+++ b/crates/sedgepathd/src/driver.rs
@@ -39,13 +39,8 @@
 impl Clock {
     /// Starts the clock from the wall clock.
     pub fn new() -> Self {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Self {
-            started: Instant::now(),
-            started_at_ms: since_epoch.as_millis() as u64,
-        }
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started: Instant::now(), started_at_ms: since_epoch.as_millis() as u64 }
     }
 
     /// Returns the time in milliseconds.
@@ -165,11 +160,7 @@
 /// Starts the thread that owns the node. It ends when the node has stopped.
 pub fn start(node: Node, clock: Clock, outlets: Outlets) -> (Handle, JoinHandle<()>) {
     let (inputs, received) = unbounded();
-    let handle = Handle {
-        inputs,
-        numbers: Arc::new(AtomicU64::new(1)),
-        clock,
-    };
+    let handle = Handle { inputs, numbers: Arc::new(AtomicU64::new(1)), clock };
     let driver = Driver {
         node,
         clock,
@@ -229,11 +220,7 @@
             }
             Input::Dispatch(exchange, from, dispatch, sender) => {
                 self.exchanges.insert(exchange, sender);
-                Event::Dispatched {
-                    exchange,
-                    from,
-                    dispatch,
-                }
+                Event::Dispatched { exchange, from, dispatch }
             }
             Input::Ask(question) => {
                 question(&self.node);
@@ -280,10 +267,7 @@
                 }
                 Action::Send { to, envelope } => self.send_datagram(to, &envelope),
                 Action::Table { operation, request } => {
-                    let _ended = self
-                        .outlets
-                        .platform
-                        .send(PlatformJob { operation, request });
+                    let _ended = self.outlets.platform.send(PlatformJob { operation, request });
                 }
                 Action::Fetch { operation, from } => {
                     let job = crate::operators::FetchJob { operation, from };
--- a/crates/sedgepathd/src/exchange.rs
+++ b/crates/sedgepathd/src/exchange.rs
@@ -97,13 +97,7 @@
                     deadline_at_ms,
                     ..
                 }) => {
-                    let call = Call {
-                        upstream,
-                        address,
-                        may_open,
-                        send_by_ms,
-                        deadline_at_ms,
-                    };
+                    let call = Call { upstream, address, may_open, send_by_ms, deadline_at_ms };
                     self.call(call, domain, head, body, reply).await;
                     return;
                 }
@@ -125,9 +119,7 @@
         body: Bytes,
         reply: oneshot::Sender<Reply>,
     ) {
-        let remaining_ms = call
-            .deadline_at_ms
-            .saturating_sub(self.handle.clock().now_ms());
+        let remaining_ms = call.deadline_at_ms.saturating_sub(self.handle.clock().now_ms());
         let Some(request) = request(&head, body, &call, remaining_ms) else {
             let _gone = reply.send(Reply::NotSent);
             self.ended(CallEnd::NotSent);
@@ -158,16 +150,11 @@
     ) {
         let (parts, incoming) = response.into_parts();
         if let Some(report) = report(&parts.headers, self.handle.clock().now_ms()) {
-            self.handle.event(Event::UpstreamReport {
-                upstream: call.upstream,
-                report,
-            });
+            self.handle.event(Event::UpstreamReport { upstream: call.upstream, report });
         }
         if is_not_started(parts.status, &parts.headers) {
-            let refusal = Refusal {
-                reason: Reason::UpstreamRefused,
-                retry_after_ms: RETRY_AFTER_MS,
-            };
+            let refusal =
+                Refusal { reason: Reason::UpstreamRefused, retry_after_ms: RETRY_AFTER_MS };
             let _gone = reply.send(Reply::Refused(refusal));
             self.drain(call, incoming, connection).await;
             self.ended(CallEnd::Refused);
@@ -180,11 +167,7 @@
         }
         let (sender, receiver) = body();
         let answer = Answer {
-            head: AnswerHead {
-                status: parts.status.as_u16(),
-                upstream: call.upstream,
-                domain,
-            },
+            head: AnswerHead { status: parts.status.as_u16(), upstream: call.upstream, domain },
             http: HttpAnswerHead {
                 fields: passed_on(&parts.headers),
                 body_bytes: incoming.size_hint().exact(),
@@ -192,12 +175,7 @@
             body: receiver,
         };
         let _gone = reply.send(Reply::Answer(Box::new(answer)));
-        let whole = pump(
-            incoming,
-            &sender,
-            self.handle.clock().instant(call.deadline_at_ms),
-        )
-        .await;
+        let whole = pump(incoming, &sender, self.handle.clock().instant(call.deadline_at_ms)).await;
         if whole {
             self.upstreams.give_back(call.upstream, connection);
         }
@@ -216,11 +194,7 @@
 
     fn ended(&self, end: CallEnd) {
         let took_ms = self.started.elapsed().as_millis() as u64;
-        self.handle.event(Event::CallEnded {
-            exchange: self.exchange,
-            end,
-            took_ms,
-        });
+        self.handle.event(Event::CallEnded { exchange: self.exchange, end, took_ms });
     }
 }
 
@@ -291,9 +265,7 @@
 
 fn is_not_started(status: StatusCode, headers: &HeaderMap) -> bool {
     status == StatusCode::SERVICE_UNAVAILABLE
-        && headers
-            .get(NOT_STARTED)
-            .is_some_and(|value| value == "true")
+        && headers.get(NOT_STARTED).is_some_and(|value| value == "true")
 }
 
 /// Whether the end of a body can be told from a connection that broke.
@@ -311,14 +283,7 @@
     let number = |name: &str| headers.get(name)?.to_str().ok()?.parse().ok();
     let in_flight = number("sedgepath-in-flight");
     let slots = number("sedgepath-slots");
-    let leaving = headers
-        .get("sedgepath-upstream-state")
-        .is_some_and(|value| value == "leaving");
+    let leaving = headers.get("sedgepath-upstream-state").is_some_and(|value| value == "leaving");
     let says_something = in_flight.is_some() || slots.is_some() || leaving;
-    says_something.then_some(UpstreamReport {
-        in_flight,
-        slots,
-        leaving,
-        made_at_ms,
-    })
+    says_something.then_some(UpstreamReport { in_flight, slots, leaving, made_at_ms })
 }
--- a/crates/sedgepathd/src/hop.rs
+++ b/crates/sedgepathd/src/hop.rs
@@ -71,14 +71,7 @@
         exchanges: Exchanges,
         metrics: Arc<Metrics>,
     ) -> Arc<Self> {
-        Arc::new(Self {
-            own,
-            key,
-            clock,
-            exchanges,
-            metrics,
-            idle: Mutex::default(),
-        })
+        Arc::new(Self { own, key, clock, exchanges, metrics, idle: Mutex::default() })
     }
 
     /// Sends a request over the hop and returns its reply. Dropping the future, or the body of the
@@ -105,9 +98,7 @@
         let Purpose::Run(dispatch) = request.purpose else {
             return Reply::NotSent;
         };
-        let reply = self
-            .exchanges
-            .start(self.own, dispatch, request.head, request.body);
+        let reply = self.exchanges.start(self.own, dispatch, request.head, request.body);
         reply.await.unwrap_or(Reply::Lost)
     }
 
@@ -120,14 +111,9 @@
             let stream = TcpStream::connect(address).await.ok()?;
             // Small frames must not wait for the acknowledgement of earlier ones.
             let _slower = stream.set_nodelay(true);
-            FrameStream::open(stream, &self.key, fastrand::u64(..))
-                .await
-                .ok()
+            FrameStream::open(stream, &self.key, fastrand::u64(..)).await.ok()
         };
-        timeout_at(self.clock.instant(by_ms), opening)
-            .await
-            .ok()
-            .flatten()
+        timeout_at(self.clock.instant(by_ms), opening).await.ok().flatten()
     }
 
     async fn talk(
@@ -137,11 +123,7 @@
         request: HopRequest,
     ) -> Result<Reply, FrameError> {
         let id = request.id;
-        let start = Frame::Request {
-            id,
-            purpose: request.purpose,
-            head: request.head,
-        };
+        let start = Frame::Request { id, purpose: request.purpose, head: request.head };
         stream.send(&start).await?;
         for chunk in request.body.chunks(CHUNK_BYTES) {
             stream.send(&Frame::Chunk(chunk.to_vec())).await?;
@@ -158,28 +140,15 @@
                 let (sender, receiver) = body();
                 let hops = Arc::clone(self);
                 tokio::spawn(async move { hops.pump(address, stream, sender).await });
-                Ok(Reply::Answer(Box::new(Answer {
-                    head,
-                    http,
-                    body: receiver,
-                })))
+                Ok(Reply::Answer(Box::new(Answer { head, http, body: receiver })))
             }
             Frame::Refused { refusal, .. } => {
                 self.give_back(address, stream);
                 Ok(Reply::Refused(refusal))
             }
-            Frame::Concluded {
-                status,
-                fields,
-                body,
-                ..
-            } => {
+            Frame::Concluded { status, fields, body, .. } => {
                 self.give_back(address, stream);
-                Ok(Reply::Concluded {
-                    status,
-                    fields,
-                    body: body.into(),
-                })
+                Ok(Reply::Concluded { status, fields, body: body.into() })
             }
             Frame::Lost { .. } => {
                 self.give_back(address, stream);
--- a/crates/sedgepathd/src/metrics.rs
+++ b/crates/sedgepathd/src/metrics.rs
@@ -10,9 +10,8 @@
 use sedgepath_core::node::Node;
 
 /// The upper bounds in seconds of the buckets of latencies.
-const LATENCY_BUCKETS_S: [f64; 12] = [
-    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
-];
+const LATENCY_BUCKETS_S: [f64; 12] =
+    [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
 
 /// The counts, gauges and histograms of one daemon.
 #[derive(Debug)]
@@ -45,11 +44,7 @@
         .buckets(LATENCY_BUCKETS_S.to_vec());
         let metrics = Self {
             registry: Registry::new(),
-            outcomes: counter(
-                "sedgepath_requests_total",
-                "Requests by outcome.",
-                &["outcome"],
-            )?,
+            outcomes: counter("sedgepath_requests_total", "Requests by outcome.", &["outcome"])?,
             latency: HistogramVec::new(latency, &["outcome"])?,
             dropped: counter(
                 "sedgepath_dropped_total",
@@ -62,11 +57,7 @@
                 "Bytes of datagrams.",
                 &["direction"],
             )?,
-            actions: counter(
-                "sedgepath_actions_total",
-                "Actions of the node.",
-                &["action"],
-            )?,
+            actions: counter("sedgepath_actions_total", "Actions of the node.", &["action"])?,
             revision: IntGauge::new("sedgepath_revision", "Configuration revision in force.")?,
             members: IntGauge::new("sedgepath_members", "Members that serve.")?,
         };
@@ -75,13 +66,8 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let counters = [
-            &self.outcomes,
-            &self.dropped,
-            &self.datagrams,
-            &self.datagram_bytes,
-            &self.actions,
-        ];
+        let counters =
+            [&self.outcomes, &self.dropped, &self.datagrams, &self.datagram_bytes, &self.actions];
         for counter in counters {
             self.registry.register(Box::new(counter.clone()))?;
         }
@@ -104,17 +90,13 @@
     /// Counts a datagram sent.
     pub fn sent_datagram(&self, bytes: usize) {
         self.datagrams.with_label_values(&["out"]).inc();
-        self.datagram_bytes
-            .with_label_values(&["out"])
-            .inc_by(bytes as u64);
+        self.datagram_bytes.with_label_values(&["out"]).inc_by(bytes as u64);
     }
 
     /// Counts a datagram received.
     pub fn received_datagram(&self, bytes: usize) {
         self.datagrams.with_label_values(&["in"]).inc();
-        self.datagram_bytes
-            .with_label_values(&["in"])
-            .inc_by(bytes as u64);
+        self.datagram_bytes.with_label_values(&["in"]).inc_by(bytes as u64);
     }
 
     /// Counts an action of the node.
@@ -134,14 +116,9 @@
 
     /// Takes the gauges from the node.
     pub fn observe(&self, node: &Node) {
-        self.revision
-            .set(node.configuration().revision().cast_signed());
-        let serving = node
-            .membership()
-            .members()
-            .iter()
-            .filter(|(_, member)| member.serves())
-            .count();
+        self.revision.set(node.configuration().revision().cast_signed());
+        let serving =
+            node.membership().members().iter().filter(|(_, member)| member.serves()).count();
         self.members.set((serving as u64).cast_signed());
     }
 
--- a/crates/sedgepathd/src/operators.rs
+++ b/crates/sedgepathd/src/operators.rs
@@ -74,18 +74,14 @@
 }
 
 fn status(node: &Node, now_ms: u64) -> Status {
-    let members = node
-        .membership()
-        .members()
-        .into_iter()
-        .map(|(_, member)| MemberStatus {
-            name: member.card.name.clone(),
-            operators: member.card.operators,
-            revision: member.revision,
-            silent_ms: now_ms.saturating_sub(member.heard_at_ms),
-            suspect: member.suspect,
-            leaving: member.card.leaving,
-        });
+    let members = node.membership().members().into_iter().map(|(_, member)| MemberStatus {
+        name: member.card.name.clone(),
+        operators: member.card.operators,
+        revision: member.revision,
+        silent_ms: now_ms.saturating_sub(member.heard_at_ms),
+        suspect: member.suspect,
+        leaving: member.card.leaving,
+    });
     Status {
         node: node.outbox().identity().card.name.clone(),
         revision: node.configuration().revision(),
@@ -99,10 +95,7 @@
         let handle = handle.clone();
         tokio::spawn(async move {
             let snapshot = fetch(job.from).await;
-            handle.event(Event::Fetched {
-                operation: job.operation,
-                snapshot,
-            });
+            handle.event(Event::Fetched { operation: job.operation, snapshot });
         });
     }
 }
--- a/crates/sedgepathd/src/peers.rs
+++ b/crates/sedgepathd/src/peers.rs
@@ -36,11 +36,7 @@
 impl Peers {
     /// Creates the server of peers' connections.
     pub fn new(key: SharedKey, exchanges: Exchanges, metrics: Arc<Metrics>) -> Arc<Self> {
-        Arc::new(Self {
-            key,
-            exchanges,
-            metrics,
-        })
+        Arc::new(Self { key, exchanges, metrics })
     }
 
     /// Takes connections until the process ends.
@@ -103,20 +99,9 @@
                 stream.send(&Frame::Refused { id, refusal }).await
             }
             Reply::Lost => stream.send(&Frame::Lost { id }).await,
-            Reply::Concluded {
-                status,
-                fields,
-                body,
-            } => {
+            Reply::Concluded { status, fields, body } => {
                 let body = body.to_vec();
-                stream
-                    .send(&Frame::Concluded {
-                        id,
-                        status,
-                        fields,
-                        body,
-                    })
-                    .await
+                stream.send(&Frame::Concluded { id, status, fields, body }).await
             }
         }
     }
@@ -135,13 +120,7 @@
     id: ExchangeId,
     mut answer: Answer,
 ) -> Result<(), FrameError> {
-    stream
-        .send(&Frame::Answer {
-            id,
-            head: answer.head,
-            http: answer.http,
-        })
-        .await?;
+    stream.send(&Frame::Answer { id, head: answer.head, http: answer.http }).await?;
     while let Some(part) = answer.body.recv().await {
         let Ok(bytes) = part else {
             return stream.send(&Frame::Broken).await;
--- a/crates/sedgepathd/src/platform.rs
+++ b/crates/sedgepathd/src/platform.rs
@@ -36,10 +36,7 @@
         std::thread::spawn(move || {
             for job in jobs {
                 let result = table.execute(&job.request);
-                handle.event(Event::Table {
-                    operation: job.operation,
-                    result,
-                });
+                handle.event(Event::Table { operation: job.operation, result });
             }
         });
     }
--- a/crates/sedgepathd/src/upstreams.rs
+++ b/crates/sedgepathd/src/upstreams.rs
@@ -66,10 +66,7 @@
 impl Upstreams {
     /// Creates an empty pool.
     pub fn new(handle: Handle) -> Arc<Self> {
-        Arc::new(Self {
-            handle,
-            connections: Mutex::default(),
-        })
+        Arc::new(Self { handle, connections: Mutex::default() })
     }
 
     /// Sends a request and returns the head of its answer with the connection it came over.
@@ -111,11 +108,7 @@
     /// Keeps a connection for the next request once its answer has been read to the end.
     pub fn give_back(&self, upstream: UpstreamKey, connection: Connection) {
         if !connection.is_closed() {
-            self.lock()
-                .entry(upstream)
-                .or_default()
-                .idle
-                .push(connection);
+            self.lock().entry(upstream).or_default().idle.push(connection);
         }
     }
 
@@ -142,10 +135,7 @@
         let pool = Arc::clone(self);
         tokio::spawn(async move {
             if let Err(error) = task.await {
-                log::debug!(
-                    "event=upstream_connection_failed error={:?}",
-                    error.to_string()
-                );
+                log::debug!("event=upstream_connection_failed error={:?}", error.to_string());
             }
             pool.count(call.upstream, -1);
         });
@@ -164,8 +154,6 @@
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Map<UpstreamKey, Connections>> {
         // No code panics while it holds the lock, and the table is whole between any two steps.
-        self.connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
