--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -22,7 +22,7 @@
 use sedgepath_core::request::{
     AnswerHead, CallEnd, Dispatch, HopEnd, Outcome, RequestHead, StoredAnswer,
 };
-use sedgepath_core::table::{Change, Condition, RowWrite, TableRequest, TableResult, Transaction};
+use sedgepath_core::table::{TableRequest, TableResult};
 use sedgepath_platform::TableService;
 
 use crate::memory::MemoryTable;
@@ -214,18 +214,7 @@
     ///
     /// Panics if a row can't be written, which only a conflict within the bed could cause.
     pub fn write_records(&mut self, records: &[RawRecord]) -> u64 {
-        let rows = self.table.rows();
-        let head = rows.iter().find(|row| &*row.key == "head");
-        let revision = head.map_or(0, |row| row.value.parse().unwrap_or(0)) + 1;
-        let mut writes = vec![put("head".into(), revision.to_string())];
-        for record in records {
-            let key = format!("record/{}/{}", record.kind, record.name);
-            let value = serde_json::json!({ "revision": revision, "record": record });
-            writes.push(put(key, value.to_string()));
-        }
-        let result = self.table.execute(&TableRequest::Commit(Transaction { writes }));
-        assert_eq!(result, TableResult::Committed, "the bed's own change conflicts");
-        revision
+        crate::system::write_records(&self.table, records).expect("the bed's own change conflicts")
     }
 
     /// Returns the time in milliseconds.
@@ -816,7 +805,3 @@
     Answered(AnswerHead),
     Ended(HopEnd),
 }
-
-fn put(key: String, value: String) -> RowWrite {
-    RowWrite { key: key.into(), condition: Condition::Any, change: Change::Put(value.into()) }
-}
--- /dev/null
+++ b/crates/sedgepath-test-support/src/system.rs
@@ -0,0 +1,183 @@
+//! A whole system on loopback: a platform, upstreams and daemons as processes of their own.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+
+use sedgepath_core::record::RawRecord;
+use sedgepath_core::table::{
+    Change, Condition, RowWrite, TableRequest, TableResult, Transaction,
+};
+use sedgepath_platform::{TableService, VmEntry, VmState};
+use thiserror::Error;
+
+use crate::StartError;
+use crate::daemon::{DaemonError, DaemonProcess};
+use crate::platform::PlatformStandIn;
+use crate::port::free_ports;
+
+/// The secret that the daemons share.
+pub const SECRET: &str = "a secret for tests only";
+
+/// Why a system could not be started.
+#[derive(Debug, Error)]
+pub enum SystemError {
+    /// A stand-in could not be started.
+    #[error(transparent)]
+    StandIn(#[from] StartError),
+    /// No ports are free.
+    #[error("no ports are free")]
+    Ports(#[from] io::Error),
+    /// A daemon could not be started.
+    #[error(transparent)]
+    Daemon(#[from] DaemonError),
+    /// The table did not take the records.
+    #[error("the table did not take the records: {0:?}")]
+    Records(TableResult),
+}
+
+/// Where a daemon listens.
+#[derive(Debug, Clone)]
+pub struct Addresses {
+    /// The VM's name.
+    pub name: Box<str>,
+    /// Its failure domain's name.
+    pub domain: Box<str>,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Where it takes peers.
+    pub peers: SocketAddr,
+    /// Where it takes operators.
+    pub operators: SocketAddr,
+    /// Where it serves metrics.
+    pub metrics: SocketAddr,
+}
+
+/// A platform and the daemons on it. All of them end when it is dropped.
+#[derive(Debug)]
+pub struct System {
+    binary: PathBuf,
+    /// The platform.
+    pub platform: PlatformStandIn,
+    /// Where the daemons listen, in the order in which they were added.
+    pub addresses: Vec<Addresses>,
+    /// The daemons; none where one has been taken away.
+    pub daemons: Vec<Option<DaemonProcess>>,
+    extra_settings: String,
+}
+
+impl System {
+    /// Starts the platform; `binary` is a built `sedgepathd`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform can't be started.
+    pub fn new(binary: &Path) -> Result<Self, SystemError> {
+        Ok(Self {
+            binary: binary.into(),
+            platform: PlatformStandIn::new()?,
+            addresses: Vec::new(),
+            daemons: Vec::new(),
+            extra_settings: String::new(),
+        })
+    }
+
+    /// Adds lines to the settings of daemons that are started from now on.
+    pub fn with_settings(mut self, lines: &str) -> Self {
+        self.extra_settings = lines.into();
+        self
+    }
+
+    /// Writes records and the next head revision to the table and returns that revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table does not take them.
+    pub fn write_records(&self, records: &[RawRecord]) -> Result<u64, SystemError> {
+        write_records(self.platform.state().table(), records)
+    }
+
+    /// Lists a VM and starts a daemon on it; returns its number.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no ports are free or the daemon does not start.
+    pub fn add_daemon(&mut self, name: &str, domain: &str) -> Result<usize, SystemError> {
+        let ports = free_ports(4)?;
+        let address = |index: usize| SocketAddr::from((Ipv4Addr::LOCALHOST, ports[index]));
+        self.addresses.push(Addresses {
+            name: name.into(),
+            domain: domain.into(),
+            callers: address(0),
+            peers: address(1),
+            operators: address(2),
+            metrics: address(3),
+        });
+        self.daemons.push(None);
+        self.platform.state().put_vm(VmEntry {
+            name: name.into(),
+            domain: domain.into(),
+            peers: address(1),
+            state: VmState::Live,
+        });
+        let index = self.daemons.len() - 1;
+        self.start_daemon(index)?;
+        Ok(index)
+    }
+
+    /// Starts a daemon that is not running, on the addresses that it had.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not start.
+    pub fn start_daemon(&mut self, index: usize) -> Result<(), SystemError> {
+        let addresses = &self.addresses[index];
+        let settings = self.settings(addresses);
+        let daemon = DaemonProcess::new(&self.binary, &settings, addresses.callers)?;
+        self.daemons[index] = Some(daemon);
+        Ok(())
+    }
+
+    /// Returns the settings of a daemon as YAML.
+    pub fn settings(&self, addresses: &Addresses) -> String {
+        let Addresses { name, domain, callers, peers, operators, metrics } = addresses;
+        let platform = self.platform.base_url();
+        let extra = &self.extra_settings;
+        format!(
+            "name: {name}\ndomain: {domain}\ncallers: {callers}\npeers: {peers}\n\
+             operators: {operators}\nmetrics: {metrics}\nplatform: {platform}\n\
+             secret: {SECRET}\n{extra}"
+        )
+    }
+}
+
+/// Writes records and the next head revision to a table, as an operator's change does.
+///
+/// # Errors
+///
+/// Fails if the table does not take them.
+pub fn write_records(
+    table: &dyn TableService,
+    records: &[RawRecord],
+) -> Result<u64, SystemError> {
+    let head = match table.execute(&TableRequest::Read(vec!["head".into()])) {
+        TableResult::Rows(rows) => rows.first().map_or(0, |row| row.value.parse().unwrap_or(0)),
+        other => return Err(SystemError::Records(other)),
+    };
+    let revision = head + 1;
+    let put = |key: String, value: String| RowWrite {
+        key: key.into(),
+        condition: Condition::Any,
+        change: Change::Put(value.into()),
+    };
+    let mut writes = vec![put("head".into(), revision.to_string())];
+    for record in records {
+        let value = serde_json::json!({ "revision": revision, "record": record });
+        let key = format!("record/{}/{}", record.kind, record.name);
+        writes.push(put(key, value.to_string()));
+    }
+    match table.execute(&TableRequest::Commit(Transaction { writes })) {
+        TableResult::Committed => Ok(revision),
+        other => Err(SystemError::Records(other)),
+    }
+}
