Add a link that can be cut

Tests of cut domains need members that cannot hear each other, both ways and one way, and a cut that heals. One forwarder carries TCP and UDP on the same port. A cut holds TCP back and carries it after healing, as retransmission does, and drops datagrams. Ruled out: closing TCP connections on a cut, since a partition gives its ends no sign.

--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -4,8 +4,10 @@
 //! when it is dropped. Tests judge by these counts.
 
 pub mod content;
+pub mod link;
 pub mod memory;
 pub mod platform;
+pub mod port;
 pub mod upstream;
 
 mod clock;
--- a/crates/sedgepath-test-support/src/platform.rs
+++ b/crates/sedgepath-test-support/src/platform.rs
@@ -27,6 +27,9 @@
 }
 
 /// The platform's HTTP service; it stops when it is dropped.
+///
+/// The drop waits for the workers. The library's own threads, one for each connection, end by
+/// themselves within five seconds after their connections have closed.
 pub struct PlatformStandIn {
     state: Arc<MemoryPlatform>,
     server: Arc<Server>,
