Add the caller of the tests

It looks up, sends over kept connections, and takes for an answer only what is whole, carries its own request's id and fits its digest or its generated content. Each attempt has an id of its own and is kept with what the caller was told, so that a test can compare "not run" with the upstreams' runs.

Ruled out: attohttpc, which opens a connection for each request and takes an early close for the end of a body; the caller would not see half an answer.

--- a/crates/sedgepath-test-support/src/http1.rs
+++ b/crates/sedgepath-test-support/src/http1.rs
@@ -22,6 +22,8 @@
     Empty,
     Length(u64),
     Chunked,
+    /// The message does not say, so that its end cannot be told from a lost connection.
+    Unknown,
 }
 
 impl Head {
@@ -85,6 +87,7 @@
         Framing::Empty => Ok(0),
         Framing::Length(length) => read_exact(reader, length, sink),
         Framing::Chunked => read_chunks(reader, sink),
+        Framing::Unknown => Err(malformed()),
     }
 }
 
--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in listens on loopback, can be made to fail at run time, counts what it saw, and stops
 //! when it is dropped. Tests judge by these counts.
 
+pub mod caller;
 pub mod content;
 pub mod link;
 pub mod memory;
