--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod content;
+pub mod daemon;
 pub mod link;
 pub mod memory;
 pub mod platform;
