--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -4,10 +4,15 @@
 //! when it is dropped. Tests judge by these counts.
 
 pub mod bed;
+pub mod caller;
 pub mod content;
+pub mod daemon;
+pub mod link;
 pub mod memory;
 pub mod platform;
+pub mod port;
 pub mod records;
+pub mod system;
 pub mod upstream;
 
 mod clock;
--- a/crates/sedgepath-test-support/src/system.rs
+++ b/crates/sedgepath-test-support/src/system.rs
@@ -5,15 +5,12 @@
 use std::path::{Path, PathBuf};
 
 use sedgepath_core::record::RawRecord;
-use sedgepath_core::table::{
-    Change, Condition, RowWrite, TableRequest, TableResult, Transaction,
-};
+use sedgepath_core::table::{Change, Condition, RowWrite, TableRequest, TableResult, Transaction};
 use sedgepath_platform::{TableService, VmEntry, VmState};
 use thiserror::Error;
 
-use crate::StartError;
 use crate::daemon::{DaemonError, DaemonProcess};
-use crate::platform::PlatformStandIn;
+use crate::platform::{PlatformStandIn, StartError};
 use crate::port::free_ports;
 
 /// The secret that the daemons share.
@@ -156,10 +153,7 @@
 /// # Errors
 ///
 /// Fails if the table does not take them.
-pub fn write_records(
-    table: &dyn TableService,
-    records: &[RawRecord],
-) -> Result<u64, SystemError> {
+pub fn write_records(table: &dyn TableService, records: &[RawRecord]) -> Result<u64, SystemError> {
     let head = match table.execute(&TableRequest::Read(vec!["head".into()])) {
         TableResult::Rows(rows) => rows.first().map_or(0, |row| row.value.parse().unwrap_or(0)),
         other => return Err(SystemError::Records(other)),
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -183,8 +183,7 @@
                 .headers
                 .get("sedgepath-key")
                 .map(|key| Digest::of(&[b"organisation key", key.as_bytes()])),
-            deadline_at_ms: self.handle.clock().now_ms()
-                + number(&parts.headers, "sedgepath-timeout-ms").unwrap_or(DEFAULT_TIMEOUT_MS),
+            deadline_at_ms: deadline_at_ms(&parts.headers, self.handle.clock().now_ms()),
             once: Once::Repeatable,
             idempotent: parts.method.is_idempotent(),
             digest: Digest::of(&[
@@ -257,7 +256,7 @@
                     }
                     Some(Action::Conclude { outcome, .. }) => {
                         self.concluded = true;
-                        return conclude(&outcome);
+                        return conclude(&outcome, self.callers.handle.clock().now_ms());
                     }
                     Some(action) => self.act(action),
                     None => return refused(StatusCode::SERVICE_UNAVAILABLE, "not_ready"),
@@ -404,7 +403,7 @@
     }
 }
 
-fn conclude(outcome: &Outcome) -> Response<ResponseBody> {
+fn conclude(outcome: &Outcome, now_ms: u64) -> Response<ResponseBody> {
     match outcome {
         Outcome::NotRun { refusal, others } => {
             let body = json!({
@@ -413,11 +412,12 @@
                 "retry_after_ms": refusal.retry_after_ms,
                 "entry_vms": others,
             });
-            given_up("not_run", refusal.retry_after_ms, StatusCode::SERVICE_UNAVAILABLE, &body)
+            let retry = (refusal.retry_after_ms, now_ms);
+            given_up("not_run", retry, StatusCode::SERVICE_UNAVAILABLE, &body)
         }
         Outcome::Unknown { retry_after_ms } => {
             let body = json!({ "outcome": "unknown", "retry_after_ms": retry_after_ms });
-            given_up("unknown", *retry_after_ms, StatusCode::GATEWAY_TIMEOUT, &body)
+            given_up("unknown", (*retry_after_ms, now_ms), StatusCode::GATEWAY_TIMEOUT, &body)
         }
         Outcome::Repeated(stored) => {
             let body = Bytes::copy_from_slice(stored.body.as_bytes());
@@ -436,13 +436,14 @@
 
 fn given_up(
     outcome: &'static str,
-    retry_after_ms: u64,
+    (retry_after_ms, now_ms): (u64, u64),
     status: StatusCode,
     body: &serde_json::Value,
 ) -> Response<ResponseBody> {
     let mut response = json_response(status, body);
     set(&mut response, "sedgepath-outcome", outcome);
     set(&mut response, "sedgepath-retry-after-ms", &retry_after_ms.to_string());
+    set(&mut response, "sedgepath-retry-at-ms", &(now_ms + retry_after_ms).to_string());
     let seconds = retry_after_ms.div_ceil(1_000);
     response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
     response
@@ -494,6 +495,14 @@
     }
 }
 
+/// Returns the caller's deadline: a time from now if it sends one, else a point in time.
+fn deadline_at_ms(headers: &HeaderMap, now_ms: u64) -> u64 {
+    if let Some(timeout_ms) = number(headers, "sedgepath-timeout-ms") {
+        return now_ms.saturating_add(timeout_ms);
+    }
+    number(headers, "sedgepath-deadline-ms").unwrap_or(now_ms + DEFAULT_TIMEOUT_MS)
+}
+
 fn query_value<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
     query?
         .split('&')
--- a/crates/sedgepathd/src/exchange.rs
+++ b/crates/sedgepathd/src/exchange.rs
@@ -21,8 +21,11 @@
 /// The header field by which an upstream proves that it did not start a request.
 pub const NOT_STARTED: &str = "sedgepath-not-started";
 
-/// The header field with the time left, in milliseconds.
-pub const DEADLINE: &str = "sedgepath-timeout-ms";
+/// The header field with the time left until the deadline, in milliseconds.
+pub const TIMEOUT_MS: &str = "sedgepath-timeout-ms";
+
+/// The header field with the deadline, in milliseconds since the Unix epoch.
+pub const DEADLINE_MS: &str = "sedgepath-deadline-ms";
 
 /// When to come back after a refusal by an upstream, in milliseconds.
 const RETRY_AFTER_MS: u64 = 200;
@@ -222,12 +225,14 @@
     remaining_ms: u64,
 ) -> Option<Request<Full<Bytes>>> {
     let mut builder = Request::builder().method(&*head.method).uri(&*head.target);
-    for (name, value) in &head.fields {
+    let own = |name: &str| matches!(name, TIMEOUT_MS | DEADLINE_MS);
+    for (name, value) in head.fields.iter().filter(|(name, _)| !own(name)) {
         builder = builder.header(&**name, value.as_slice());
     }
     builder
         .header(hyper::header::HOST, call.address.to_string())
-        .header(DEADLINE, remaining_ms)
+        .header(TIMEOUT_MS, remaining_ms)
+        .header(DEADLINE_MS, call.deadline_at_ms)
         .body(Full::new(body))
         .ok()
 }
