Put a border between the right to upstreams and their admission

An allowance says how much of an upstream the node may use and until when; egress takes allowances in place of owned upstreams. Behaviour unchanged.

--- a/crates/sedgepath-core/src/egress.rs
+++ b/crates/sedgepath-core/src/egress.rs
@@ -1,5 +1,6 @@
 //! The owner's side: which upstream runs a request that a peer has handed over.
 
+use crate::allowance::Allowance;
 use crate::catalogue::Catalogue;
 use crate::event::{Action, UpstreamReport};
 use crate::hash::Map;
@@ -36,11 +37,11 @@
         &mut self,
         exchange: ExchangeKey,
         dispatch: &Dispatch,
-        owned: &[UpstreamKey],
+        allowances: &[Allowance],
         catalogue: &Catalogue,
         out: &mut Outbox,
     ) {
-        let Some(upstream) = self.choose(dispatch, owned, catalogue) else {
+        let Some(upstream) = self.choose(dispatch, allowances, catalogue) else {
             let refusal = Refusal { reason: Reason::NoUpstream, retry_after_ms: RETRY_AFTER_MS };
             out.push(Action::Refuse { exchange, refusal });
             return;
@@ -73,20 +74,21 @@
     /// Takes in an upstream's word on its load.
     pub fn take_report(&mut self, _upstream: UpstreamKey, _report: UpstreamReport) {}
 
-    /// Returns the load of the upstreams that this node owns, by service.
-    pub fn loads(&self, owned: &[UpstreamKey], catalogue: &Catalogue) -> Vec<ServiceLoad> {
+    /// Returns the load of the upstreams that this node may use, by service.
+    pub fn loads(&self, allowances: &[Allowance], catalogue: &Catalogue) -> Vec<ServiceLoad> {
         let mut loads: Vec<ServiceLoad> = Vec::new();
-        for upstream in owned {
-            let entry = &catalogue.upstreams[upstream];
-            let in_flight = self.upstreams.get(upstream).map_or(0, |state| state.in_flight);
+        for allowance in allowances {
+            let Some(entry) = catalogue.upstreams.get(&allowance.upstream) else { continue };
+            let in_flight =
+                self.upstreams.get(&allowance.upstream).map_or(0, |state| state.in_flight);
             match loads.iter_mut().find(|load| load.service == entry.service) {
                 Some(load) => {
-                    load.slots += entry.slots;
+                    load.slots += allowance.slots;
                     load.in_flight += in_flight;
                 }
                 None => loads.push(ServiceLoad {
                     service: entry.service,
-                    slots: entry.slots,
+                    slots: allowance.slots,
                     in_flight,
                 }),
             }
@@ -97,35 +99,17 @@
     fn choose(
         &self,
         dispatch: &Dispatch,
-        owned: &[UpstreamKey],
+        allowances: &[Allowance],
         catalogue: &Catalogue,
     ) -> Option<UpstreamKey> {
         let in_flight = |upstream: &UpstreamKey| {
             self.upstreams.get(upstream).map_or(0, |state| state.in_flight)
         };
-        owned
+        allowances
             .iter()
-            .copied()
+            .map(|allowance| allowance.upstream)
             .filter(|upstream| catalogue.upstreams[upstream].service == dispatch.service)
             .filter(|upstream| Some(*upstream) != dispatch.avoid)
             .min_by_key(|upstream| (in_flight(upstream), *upstream))
     }
 }
-
-/// Returns the upstreams of a failure domain whose owner is `vm`, given the VMs that serve there.
-pub fn owned_by(
-    vm: VmKey,
-    serving: &[VmKey],
-    catalogue: &Catalogue,
-    domain: crate::key::DomainKey,
-) -> Vec<UpstreamKey> {
-    let mut owned: Vec<_> = catalogue
-        .upstreams
-        .iter()
-        .filter(|(_, entry)| entry.domain == domain)
-        .map(|(upstream, _)| *upstream)
-        .filter(|upstream| crate::ownership::owner(u64::from(upstream.0), serving) == Some(vm))
-        .collect();
-    owned.sort_unstable();
-    owned
-}
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! claims, tickets, retries and drains. It is told what happened by [`event::Event`] and answers
 //! with [`event::Action`]; time and seeds come in from outside.
 
+pub mod allowance;
 pub mod blocks;
 pub mod catalogue;
 pub mod clock;
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -7,9 +7,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::allowance::{self, Allowance};
 use crate::catalogue::Catalogue;
 use crate::configuration::Configuration;
-use crate::egress::{self, Egress};
+use crate::egress::Egress;
 use crate::event::{Action, Event, LookUp, LookUpAnswer, LookUpError};
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{self, Ingress, Target};
@@ -90,9 +91,9 @@
                 self.ingress.forget(request);
             }
             Event::Dispatched { exchange, dispatch, .. } => {
-                let owned = self.owned();
+                let allowances = self.allowances();
                 let catalogue = self.configuration.catalogue();
-                self.egress.dispatch(exchange, &dispatch, &owned, catalogue, &mut self.out);
+                self.egress.dispatch(exchange, &dispatch, &allowances, catalogue, &mut self.out);
             }
             Event::CallEnded { exchange, end, .. } => self.egress.call_ended(exchange, end),
             Event::DispatchGone { exchange } => self.out.push(Action::Cancel { exchange }),
@@ -119,8 +120,8 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
         self.configuration.tick(self.settings.head_every_ms, &mut self.out);
-        let owned = self.owned();
-        let loads = self.egress.loads(&owned, self.configuration.catalogue());
+        let allowances = self.allowances();
+        let loads = self.egress.loads(&allowances, self.configuration.catalogue());
         self.membership.tick(self.configuration.revision(), &loads, &mut self.out);
         self.out.take_actions()
     }
@@ -269,11 +270,11 @@
         serving
     }
 
-    fn owned(&self) -> Vec<UpstreamKey> {
+    fn allowances(&self) -> Vec<Allowance> {
         let identity = self.out.identity();
         let serving = self.serving_in(identity.card.domain);
         let catalogue = self.configuration.catalogue();
-        egress::owned_by(identity.vm, &serving, catalogue, identity.card.domain)
+        allowance::whole(identity.vm, identity.card.domain, &serving, catalogue)
     }
 
     fn datagram(&mut self, envelope: &Envelope) {
