--- a/crates/sedgepath-core/src/egress.rs
+++ b/crates/sedgepath-core/src/egress.rs
@@ -4,7 +4,7 @@
 use crate::catalogue::Catalogue;
 use crate::event::{Action, UpstreamReport};
 use crate::hash::Map;
-use crate::key::{ExchangeKey, UpstreamKey, VmKey};
+use crate::key::{ExchangeKey, UpstreamKey};
 use crate::message::ServiceLoad;
 use crate::outbox::Outbox;
 use crate::request::{CallEnd, Dispatch, Reason, Refusal};
