--- a/crates/sedgepathd/src/driver.rs
+++ b/crates/sedgepathd/src/driver.rs
@@ -78,10 +78,16 @@
 pub struct Handle {
     inputs: Sender<Input>,
     numbers: Arc<AtomicU64>,
+    revision: Arc<AtomicU64>,
     clock: Clock,
 }
 
 impl Handle {
+    /// Returns the configuration revision in force.
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Relaxed)
+    }
+
     /// Returns the process's clock.
     pub fn clock(&self) -> Clock {
         self.clock
@@ -160,10 +166,17 @@
 /// Starts the thread that owns the node. It ends when the node has stopped.
 pub fn start(node: Node, clock: Clock, outlets: Outlets) -> (Handle, JoinHandle<()>) {
     let (inputs, received) = unbounded();
-    let handle = Handle { inputs, numbers: Arc::new(AtomicU64::new(1)), clock };
+    let revision = Arc::new(AtomicU64::new(0));
+    let handle = Handle {
+        inputs,
+        numbers: Arc::new(AtomicU64::new(1)),
+        revision: Arc::clone(&revision),
+        clock,
+    };
     let driver = Driver {
         node,
         clock,
+        revision,
         outlets,
         requests: Map::default(),
         exchanges: Map::default(),
@@ -178,6 +191,7 @@
 struct Driver {
     node: Node,
     clock: Clock,
+    revision: Arc<AtomicU64>,
     outlets: Outlets,
     requests: Map<RequestKey, mpsc::UnboundedSender<Action>>,
     exchanges: Map<ExchangeKey, mpsc::UnboundedSender<Action>>,
@@ -241,6 +255,7 @@
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
+        self.revision.store(self.node.configuration().revision(), Ordering::Relaxed);
         for action in actions {
             self.outlets.metrics.count(&action);
             match action {
