Split the stand-ins' larger files and bound the link's waits

The link now counts connections that wait for a cut to heal: it counted only those that had reached the target, so a caller that tried again through a long cut would have left a thread each time.

--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod memory;
 pub mod platform;
 pub mod port;
+pub mod table;
 pub mod upstream;
 
 mod clock;
 mod http1;
 mod server;
+mod sync;
--- a/crates/sedgepath-test-support/src/link.rs
+++ b/crates/sedgepath-test-support/src/link.rs
@@ -8,9 +8,9 @@
 use std::time::{Duration, Instant};
 
 use crate::clock::sleep_ms;
-use crate::memory::lock;
 use crate::port::free_port;
 use crate::server::{Service, TcpServer};
+use crate::sync::lock;
 
 const POLL: Duration = Duration::from_millis(10);
 const MAX_CONNECTIONS: usize = 512;
@@ -138,6 +138,7 @@
     delay_ms: u64,
     counts: LinkCounts,
     stopping: bool,
+    connections: usize,
     last_sender: Option<SocketAddr>,
     next: u64,
     /// The connections to the target, kept to be shut down.
@@ -221,7 +222,12 @@
 
 impl Service for Control {
     fn admit(&self) -> bool {
-        lock(&self.state).targets.len() < MAX_CONNECTIONS
+        // Those that wait for a cut to heal count too: a caller that tries again and again would
+        // otherwise leave a thread here each time.
+        let mut state = lock(&self.state);
+        let room = state.connections < MAX_CONNECTIONS;
+        state.connections += usize::from(room);
+        room
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
@@ -238,7 +244,9 @@
         Ok(())
     }
 
-    fn closed(&self) {}
+    fn closed(&self) {
+        lock(&self.state).connections -= 1;
+    }
 
     fn stop(&self) {
         let mut state = lock(&self.state);
--- a/crates/sedgepath-test-support/src/server.rs
+++ b/crates/sedgepath-test-support/src/server.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 
-use crate::memory::lock;
+use crate::sync::lock;
 
 /// What is done with the connections.
 pub(crate) trait Service: Debug + Send + Sync + 'static {
--- /dev/null
+++ b/crates/sedgepath-test-support/src/table.rs
@@ -0,0 +1,112 @@
+//! The platform's table in memory, with its version rules.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use sedgepath_core::table::{
+    Change, Condition, Row, RowVersion, RowWrite, TableRequest, TableResult, Transaction,
+};
+use sedgepath_platform::TableService;
+
+use crate::sync::lock;
+
+/// A transactional table in memory.
+#[derive(Debug, Default)]
+pub struct MemoryTable {
+    rows: Mutex<Rows>,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    /// The version of the last commit; a row's version is that of the commit that wrote it, so a
+    /// row that is removed and created again never has an old version.
+    version: RowVersion,
+    by_key: BTreeMap<Box<str>, Row>,
+}
+
+impl MemoryTable {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns all rows in the order of their keys.
+    pub fn rows(&self) -> Vec<Row> {
+        lock(&self.rows).by_key.values().cloned().collect()
+    }
+}
+
+impl TableService for MemoryTable {
+    fn execute(&self, request: &TableRequest) -> TableResult {
+        let mut rows = lock(&self.rows);
+        match request {
+            TableRequest::Commit(transaction) => rows.commit(transaction),
+            TableRequest::Read(keys) => TableResult::Rows(rows.read(keys)),
+            TableRequest::Scan {
+                prefix,
+                after,
+                limit,
+            } => TableResult::Rows(rows.scan(prefix, after, *limit)),
+        }
+    }
+}
+
+impl Rows {
+    fn commit(&mut self, transaction: &Transaction) -> TableResult {
+        if let Some(failed) = transaction.writes.iter().find(|write| !self.holds(write)) {
+            return TableResult::Conflict {
+                key: failed.key.clone(),
+                current: self.by_key.get(&failed.key).cloned(),
+            };
+        }
+        self.version += 1;
+        for write in &transaction.writes {
+            self.apply(write);
+        }
+        TableResult::Committed
+    }
+
+    fn holds(&self, write: &RowWrite) -> bool {
+        let current = self.by_key.get(&write.key).map(|row| row.version);
+        match write.condition {
+            Condition::Any => true,
+            Condition::Absent => current.is_none(),
+            Condition::Version(version) => current == Some(version),
+        }
+    }
+
+    fn apply(&mut self, write: &RowWrite) {
+        match &write.change {
+            Change::Check => {}
+            Change::Put(value) => {
+                let row = Row {
+                    key: write.key.clone(),
+                    version: self.version,
+                    value: value.clone(),
+                };
+                self.by_key.insert(write.key.clone(), row);
+            }
+            Change::Delete => {
+                self.by_key.remove(&write.key);
+            }
+        }
+    }
+
+    fn read(&self, keys: &[Box<str>]) -> Vec<Row> {
+        keys.iter()
+            .filter_map(|key| self.by_key.get(key).cloned())
+            .collect()
+    }
+
+    fn scan(&self, prefix: &str, after: &str, limit: u32) -> Vec<Row> {
+        let start: Box<str> = prefix.max(after).into();
+        self.by_key
+            .range(start..)
+            .map(|(_, row)| row)
+            .take_while(|row| row.key.starts_with(prefix))
+            .filter(|row| &*row.key > after)
+            .take(limit as usize)
+            .cloned()
+            .collect()
+    }
+}
--- a/crates/sedgepath-test-support/src/upstream.rs
+++ b/crates/sedgepath-test-support/src/upstream.rs
@@ -16,10 +16,12 @@
 use crate::server::TcpServer;
 
 mod connection;
+mod settings;
 mod state;
 
+pub use settings::{Behaviour, LoadReports, UpstreamCounts, UpstreamFigures};
+pub use state::Run;
 use state::Shared;
-pub use state::{Behaviour, LoadReports, Run, UpstreamCounts, UpstreamFigures};
 
 /// The header that names a request; it is repeated on the answer.
 pub const REQUEST_ID: &str = "sedgepath-request-id";
--- a/crates/sedgepath-test-support/src/upstream/connection.rs
+++ b/crates/sedgepath-test-support/src/upstream/connection.rs
@@ -4,7 +4,8 @@
 use std::net::TcpStream;
 use std::ops::Range;
 
-use super::state::{Behaviour, InFlight, Run, Shared};
+use super::settings::Behaviour;
+use super::state::{InFlight, Run, Shared};
 use super::{
     DEADLINE_MS, DIGEST, IDEMPOTENCY_KEY, IN_FLIGHT, NOT_STARTED, RECEIVED_DIGEST, REQUEST_ID,
     SLOTS, TICKET, UPSTREAM_STATE,
--- a/crates/sedgepath-test-support/tests/table.rs
+++ b/crates/sedgepath-test-support/tests/table.rs
@@ -4,8 +4,9 @@
     Change, Condition, Row, RowWrite, TableRequest, TableResult, Transaction,
 };
 use sedgepath_platform::{HttpPlatform, TableService};
-use sedgepath_test_support::memory::{MemoryTable, Outage};
+use sedgepath_test_support::memory::Outage;
 use sedgepath_test_support::platform::PlatformStandIn;
+use sedgepath_test_support::table::MemoryTable;
 
 fn put(key: &str, condition: Condition, value: &str) -> RowWrite {
     RowWrite {
