Take chunked results from the platform and refuse objects without a length

Ruled out: telling a chunked body from one that ends with the connection; the library offers no way. JSON text proves by parsing that it is whole, also without a length. An object cannot, so it is refused with an error of its own (NoLength), and the stand-in declares its length.

The test of half an object expected "unavailable" for a body without a length; it now expects the exact error, for a chunked body as well.

--- a/crates/sedgepath-platform/src/http.rs
+++ b/crates/sedgepath-platform/src/http.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use attohttpc::body::{Body, BodyKind};
-use attohttpc::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use attohttpc::header::CONTENT_LENGTH;
 use attohttpc::{Method, ProxySettings, RequestBuilder, Response, StatusCode};
 use sedgepath_core::table::{TableRequest, TableResult};
 
@@ -15,6 +15,9 @@
 const DEFAULT_TIMEOUT_MS: u64 = 2_000;
 
 /// A client of the platform that opens a connection for each request.
+///
+/// The platform must declare the length of the objects that it returns; its JSON answers may be
+/// chunked.
 #[derive(Debug)]
 pub struct HttpPlatform {
     base_url: Box<str>,
@@ -99,7 +102,8 @@
         let answer = self.send(Method::GET, &object_path(name)?, Vec::new());
         let answer = answer.or(Err(PlatformError::Unavailable))?;
         match answer.status {
-            StatusCode::OK => Ok(Some(answer.body)),
+            StatusCode::OK if answer.has_length => Ok(Some(answer.body)),
+            StatusCode::OK => Err(PlatformError::NoLength),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(refused(status)),
         }
@@ -143,10 +147,11 @@
     }
 }
 
-/// A whole answer.
+/// An answer that is whole if it declared its length; if not, its text must prove it.
 #[derive(Debug)]
 struct Answer {
     status: StatusCode,
+    has_length: bool,
     body: Vec<u8>,
 }
 
@@ -154,21 +159,23 @@
     /// Reads an answer to its end.
     ///
     /// The library takes a connection that closes early for the end of the body, so that half an
-    /// object would be returned as the object. The declared length is compared for that reason; a
-    /// chunked body carries its own end, and a body with neither is refused.
+    /// object would be returned as the object. The declared length is compared for that reason. The
+    /// library also removes the header that tells a chunked body from one that ends with the
+    /// connection, so that a body without a length may be cut short: JSON text that parses is whole,
+    /// and an object is refused.
     fn read(response: Response) -> attohttpc::Result<Self> {
-        let headers = response.headers();
-        let length = headers
-            .get(CONTENT_LENGTH)
-            .and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-        let chunked = headers.contains_key(TRANSFER_ENCODING);
+        let length = response.headers().get(CONTENT_LENGTH);
+        let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
         let status = response.status();
         let body = response.bytes()?;
-        if chunked || length == Some(body.len()) {
-            Ok(Self { status, body })
-        } else {
-            Err(io::Error::from(io::ErrorKind::UnexpectedEof).into())
+        if length.is_some_and(|length| length != body.len()) {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
         }
+        Ok(Self {
+            status,
+            has_length: length.is_some(),
+            body,
+        })
     }
 }
 
--- a/crates/sedgepath-platform/src/service.rs
+++ b/crates/sedgepath-platform/src/service.rs
@@ -22,6 +22,9 @@
         /// The HTTP status code.
         status: u16,
     },
+    /// The answer with the object declares no length, so that it cannot be told from half of it.
+    #[error("the platform declared no length of the object")]
+    NoLength,
     /// The object's name holds a character that has a meaning in a URL, or a relative segment.
     #[error("object name `{name}` may only hold ASCII letters, digits, `-`, `_`, `.` and `/`")]
     InvalidName {
--- a/crates/sedgepath-platform/tests/http.rs
+++ b/crates/sedgepath-platform/tests/http.rs
@@ -109,19 +109,50 @@
     assert_eq!(platform.execute(&commit()), TableResult::Unavailable);
 }
 
+#[test]
+fn a_chunked_result_is_taken_when_it_is_whole_and_only_then() {
+    // The platform's results come in chunks, as a long scan's do: the first one whole, the second
+    // one cut off inside its last chunk, the third without the chunk that ends it.
+    // The caller sees rows, then "unavailable" twice, never fewer rows than there are.
+    let (platform, server) = serve(vec![
+        Step::Answer(concat!(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            "8\r\n{\"Rows\":\r\n3\r\n[]}\r\n0\r\n\r\n"
+        )),
+        Step::Answer(concat!(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            "8\r\n{\"Rows\":\r\n3\r\n[]"
+        )),
+        Step::Answer(concat!(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            "8\r\n{\"Rows\":\r\n3\r\n[]}\r\n"
+        )),
+    ]);
+    assert_eq!(platform.execute(&read()), TableResult::Rows(Vec::new()));
+    for _ in 0..2 {
+        assert_eq!(platform.execute(&read()), TableResult::Unavailable);
+    }
+    server.join().expect("served");
+}
+
 #[test]
 fn half_an_object_is_never_taken_for_the_object() {
-    // The platform declares ten bytes, sends four and closes; then it sends a body without a length.
-    // The caller sees a failure both times: the library alone takes an early close for the end.
+    // The platform declares ten bytes, sends four and closes; then it sends a body that ends with
+    // the connection, and a chunked one.
+    // The caller sees a failure each time: the library takes an early close for the end, and does
+    // not tell the last two apart.
     let (platform, server) = serve(vec![
         Step::Answer("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf"),
         Step::Answer("HTTP/1.1 200 OK\r\n\r\nhalf"),
+        Step::Answer("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n"),
         Step::Answer("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfull"),
         Step::Answer("HTTP/1.1 404 Gone\r\ncontent-length: 0\r\n\r\n"),
     ]);
+    let cut = platform.get("guides/a.pdf");
+    assert!(matches!(cut, Err(PlatformError::Unavailable)), "{cut:?}");
     for _ in 0..2 {
-        let cut = platform.get("guides/a.pdf");
-        assert!(matches!(cut, Err(PlatformError::Unavailable)), "{cut:?}");
+        let unsure = platform.get("guides/a.pdf");
+        assert!(matches!(unsure, Err(PlatformError::NoLength)), "{unsure:?}");
     }
     let whole = platform.get("guides/a.pdf").expect("whole");
     assert_eq!(whole.as_deref(), Some(&b"full"[..]));
--- a/crates/sedgepath-test-support/src/platform.rs
+++ b/crates/sedgepath-test-support/src/platform.rs
@@ -119,7 +119,11 @@
     };
     // A caller that has gone away is no failure of the platform.
     let _: io::Result<()> = match reply {
-        Reply::Json(body) | Reply::Bytes(body) => request.respond(Response::from_data(body)),
+        Reply::Json(body) => request.respond(Response::from_data(body)),
+        // A chunked answer would not declare the object's length, which its reader compares.
+        Reply::Bytes(body) => {
+            request.respond(Response::from_data(body).with_chunked_threshold(usize::MAX))
+        }
         Reply::Status(status) => request.respond(Response::empty(status)),
         Reply::Close => {
             drop(request.into_writer());
--- a/crates/sedgepath-test-support/tests/table.rs
+++ b/crates/sedgepath-test-support/tests/table.rs
@@ -100,6 +100,29 @@
     assert_eq!(page("log/3"), []);
 }
 
+#[test]
+fn a_long_scan_comes_whole_over_http() {
+    // A node that boots reads 2,000 rows in one scan, an answer of more than 100 KB.
+    // It sees each of them: an answer of this size comes in chunks and declares no length.
+    let platform = PlatformStandIn::new().expect("the stand-in starts");
+    let client = HttpPlatform::new(platform.base_url());
+    let all: Vec<_> = (0..2_000)
+        .map(|number| {
+            put(
+                &format!("log/{number:04}"),
+                Condition::Absent,
+                "a change of a record",
+            )
+        })
+        .collect();
+    assert_eq!(client.execute(&commit(all)), TableResult::Committed);
+    match client.execute(&scan("log/", "", 5_000)) {
+        TableResult::Rows(rows) => assert_eq!(rows, platform.state().table().rows()),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(platform.state().table().rows().len(), 2_000);
+}
+
 #[test]
 fn a_lost_answer_is_unknown_and_the_write_stands() {
     // The platform carries a commit out and closes the connection without an answer.
