Wait until the platform stand-in's port is closed

One run in 25 of the table's tests failed: a commit after the drop of the stand-in was "unknown" where it must be "unavailable". The client was right: tiny_http closes its socket in a thread of its own after the server is dropped, so the request was accepted and then lost. Ruled out: a fault of the client, and easing the test. The drop now returns only when a connection is refused.

400 runs of the same tests after the change had no failure.

--- a/crates/sedgepath-test-support/src/platform.rs
+++ b/crates/sedgepath-test-support/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform in memory, served over HTTP on loopback.
 
 use std::io::{self, Read};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 
@@ -9,9 +9,11 @@
 use thiserror::Error;
 use tiny_http::{Method, Request, Response, Server};
 
+use crate::clock::sleep_ms;
 use crate::memory::{MemoryPlatform, Served};
 
 const WORKERS: usize = 16;
+const CLOSE_ATTEMPTS: usize = 1_000;
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 const OBJECTS: &str = "/objects/";
 
@@ -32,7 +34,8 @@
 /// themselves within five seconds after their connections have closed.
 pub struct PlatformStandIn {
     state: Arc<MemoryPlatform>,
-    server: Arc<Server>,
+    /// Present until the drop.
+    server: Option<Arc<Server>>,
     addr: SocketAddr,
     workers: Vec<JoinHandle<()>>,
 }
@@ -62,7 +65,7 @@
             .collect();
         Ok(Self {
             state,
-            server,
+            server: Some(server),
             addr,
             workers,
         })
@@ -82,11 +85,22 @@
 impl Drop for PlatformStandIn {
     fn drop(&mut self) {
         for _ in &self.workers {
-            self.server.unblock();
+            if let Some(server) = &self.server {
+                server.unblock();
+            }
         }
         for worker in self.workers.drain(..) {
             let _: thread::Result<()> = worker.join();
         }
+        self.server = None;
+        // The library closes the socket in a thread of its own. A caller that connected meanwhile
+        // would see its request lost, where a platform that is gone refuses the connection.
+        for _ in 0..CLOSE_ATTEMPTS {
+            if TcpStream::connect(self.addr).is_err() {
+                break;
+            }
+            sleep_ms(1);
+        }
     }
 }
 
