--- a/crates/sedgepath-test-support/src/platform.rs
+++ b/crates/sedgepath-test-support/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform in memory, served over HTTP on loopback.
 
 use std::io::{self, Read};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 
@@ -9,9 +9,11 @@
 use thiserror::Error;
 use tiny_http::{Method, Request, Response, Server};
 
+use crate::clock::sleep_ms;
 use crate::memory::{MemoryPlatform, Served};
 
 const WORKERS: usize = 16;
+const CLOSE_ATTEMPTS: usize = 1_000;
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 const OBJECTS: &str = "/objects/";
 
@@ -32,7 +34,8 @@
 /// themselves within five seconds after their connections have closed.
 pub struct PlatformStandIn {
     state: Arc<MemoryPlatform>,
-    server: Arc<Server>,
+    /// Present until the drop.
+    server: Option<Arc<Server>>,
     addr: SocketAddr,
     workers: Vec<JoinHandle<()>>,
 }
@@ -58,7 +61,7 @@
         let server = Arc::new(server);
         let state = Arc::new(MemoryPlatform::new());
         let workers = (0..WORKERS).map(|_| spawn_worker(&server, &state)).collect();
-        Ok(Self { state, server, addr, workers })
+        Ok(Self { state, server: Some(server), addr, workers })
     }
 
     /// Returns the URL for [`sedgepath_platform::HttpPlatform::new`].
@@ -75,11 +78,22 @@
 impl Drop for PlatformStandIn {
     fn drop(&mut self) {
         for _ in &self.workers {
-            self.server.unblock();
+            if let Some(server) = &self.server {
+                server.unblock();
+            }
         }
         for worker in self.workers.drain(..) {
             let _: thread::Result<()> = worker.join();
         }
+        self.server = None;
+        // The library closes the socket in a thread of its own. A caller that connected meanwhile
+        // would see its request lost, where a platform that is gone refuses the connection.
+        for _ in 0..CLOSE_ATTEMPTS {
+            if TcpStream::connect(self.addr).is_err() {
+                break;
+            }
+            sleep_ms(1);
+        }
     }
 }
 
@@ -112,7 +126,11 @@
     };
     // A caller that has gone away is no failure of the platform.
     let _: io::Result<()> = match reply {
-        Reply::Json(body) | Reply::Bytes(body) => request.respond(Response::from_data(body)),
+        Reply::Json(body) => request.respond(Response::from_data(body)),
+        // A chunked answer would not declare the object's length, which its reader compares.
+        Reply::Bytes(body) => {
+            request.respond(Response::from_data(body).with_chunked_threshold(usize::MAX))
+        }
         Reply::Status(status) => request.respond(Response::empty(status)),
         Reply::Close => {
             drop(request.into_writer());
