Cancel a call that is given up, and bound bodies that stand still

A call given up at its deadline ended unknown although the upstream can say whether it has started. It is now given up 100 ms earlier and cancelled by a call id of its own; a confirmed cancellation ends as not run. A body that stands still for 20 s frees its slot.

--- a/crates/sedgepath-test-support/src/upstream.rs
+++ b/crates/sedgepath-test-support/src/upstream.rs
@@ -25,6 +25,8 @@
 
 /// The header that names a request; it is repeated on the answer.
 pub const REQUEST_ID: &str = "sedgepath-request-id";
+/// The header that names one sending of a request, by which it can be cancelled.
+pub const CALL_ID: &str = "sedgepath-call-id";
 /// The header with the caller's key of a once-only request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// The header with the system's key of a once-only request.
--- a/crates/sedgepath-test-support/src/upstream/connection.rs
+++ b/crates/sedgepath-test-support/src/upstream/connection.rs
@@ -7,8 +7,8 @@
 use super::settings::Behaviour;
 use super::state::{InFlight, Run, Shared};
 use super::{
-    DEADLINE_MS, DIGEST, IDEMPOTENCY_KEY, IN_FLIGHT, NOT_STARTED, RECEIVED_DIGEST, REQUEST_ID,
-    SLOTS, TICKET, UPSTREAM_STATE,
+    CALL_ID, DEADLINE_MS, DIGEST, IDEMPOTENCY_KEY, IN_FLIGHT, NOT_STARTED, RECEIVED_DIGEST,
+    REQUEST_ID, SLOTS, TICKET, UPSTREAM_STATE,
 };
 use crate::clock::now_ms;
 use crate::content::{self, Digest};
@@ -139,7 +139,7 @@
     let in_flight = shared.enter();
     let behaviour = shared.lock().next_behaviour();
     if let Behaviour::DelayStart { delay_ms } = behaviour {
-        shared.wait_to_start(delay_ms, request.head.get(REQUEST_ID));
+        shared.wait_to_start(delay_ms, call_id(&request.head));
     }
     let Some(service_ms) = start(shared, request, behaviour) else {
         let refusal = Answer::new("503 Service Unavailable", b"not started\n".to_vec())
@@ -173,7 +173,7 @@
     if state.stopping {
         return None;
     }
-    state.start(request.run(), request.deadline_ms())
+    state.start(request.run(), call_id(&request.head), request.deadline_ms())
 }
 
 /// Answers what takes no slot.
@@ -188,7 +188,7 @@
             ))
         }
         ("POST", "/cancel") => {
-            let id = request.head.get(REQUEST_ID).unwrap_or_default();
+            let id = call_id(&request.head).unwrap_or_default();
             let status = if shared.cancel(id) { "200 OK" } else { "409 Conflict" };
             Some(Answer::new(status, Vec::new()))
         }
@@ -196,6 +196,11 @@
     }
 }
 
+/// Returns what a cancellation names a request by; callers that send no call id use the request's.
+fn call_id(head: &Head) -> Option<&str> {
+    head.get(CALL_ID).or_else(|| head.get(REQUEST_ID))
+}
+
 fn route(shared: &Shared, request: &Request) -> Answer {
     let path = request.target.split('?').next().unwrap_or_default();
     if let Some(bytes) = path.strip_prefix("/large/") {
--- a/crates/sedgepath-test-support/src/upstream/state.rs
+++ b/crates/sedgepath-test-support/src/upstream/state.rs
@@ -97,11 +97,11 @@
     }
 
     /// Cancels a request, also one still on its way, unless it has started.
-    pub(super) fn cancel(&self, request_id: &str) -> bool {
+    pub(super) fn cancel(&self, call_id: &str) -> bool {
         let mut state = self.lock();
-        let cancelled = !state.started.contains(request_id);
+        let cancelled = !state.started.contains(call_id);
         if cancelled {
-            state.cancelled.insert(request_id.into());
+            state.cancelled.insert(call_id.into());
         }
         drop(state);
         self.changed.notify_all();
@@ -109,9 +109,9 @@
     }
 
     /// Waits for `delay_ms`, or less if the request is cancelled or the upstream stops.
-    pub(super) fn wait_to_start(&self, delay_ms: u64, request_id: Option<&str>) {
+    pub(super) fn wait_to_start(&self, delay_ms: u64, call_id: Option<&str>) {
         self.wait_while(Some(delay_ms), |state| {
-            !request_id.is_some_and(|id| state.cancelled.contains(id))
+            !call_id.is_some_and(|id| state.cancelled.contains(id))
         });
     }
 
@@ -187,14 +187,19 @@
     }
 
     /// Notes the start of a request and returns the time it takes, or `None` if it must not start.
-    pub(super) fn start(&mut self, run: Run, deadline_ms: Option<u64>) -> Option<u64> {
-        let cancelled = run.request_id.as_ref().is_some_and(|id| self.cancelled.contains(id));
+    pub(super) fn start(
+        &mut self,
+        run: Run,
+        call_id: Option<&str>,
+        deadline_ms: Option<u64>,
+    ) -> Option<u64> {
+        let cancelled = call_id.is_some_and(|id| self.cancelled.contains(id));
         let expired = deadline_ms.is_some_and(|deadline_ms| deadline_ms <= run.at_ms);
         let shed = self.figures.sheds && self.counts.in_flight > self.figures.slots;
         if cancelled || expired || shed {
             return None;
         }
-        self.started.extend(run.request_id.clone());
+        self.started.extend(call_id.map(Box::from));
         self.runs.push(run);
         let cold = self.cold_left > 0;
         self.cold_left = self.cold_left.saturating_sub(1);
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -102,7 +102,7 @@
     datagrams::start(socket, datagram_key, handle.clone(), Arc::clone(&metrics));
 
     let frame_key = SharedKey::new(&settings.secret, "frames");
-    let exchanges = Exchanges::new(handle.clone(), Upstreams::new(handle.clone()));
+    let exchanges = Exchanges::new(handle.clone(), Upstreams::new(handle.clone()), boot);
     let peers = Peers::new(frame_key.clone(), exchanges.clone(), Arc::clone(&metrics));
     let vm = sedgepath_core::key::VmKey::of(&settings.name);
     let hops = Hops::new(vm, frame_key, clock, exchanges, Arc::clone(&metrics));
--- a/crates/sedgepathd/src/exchange.rs
+++ b/crates/sedgepathd/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Runs a dispatched request at an upstream that this node owns.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -9,10 +9,11 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use sedgepath_core::event::{Action, Event, UpstreamReport};
-use sedgepath_core::key::{DomainKey, ExchangeKey, VmKey};
+use sedgepath_core::key::{BootId, DomainKey, ExchangeKey, VmKey};
 use sedgepath_core::request::{AnswerHead, CallEnd, Dispatch, Reason, Refusal};
 use sedgepath_wire::frame::{Field, HttpAnswerHead, HttpRequestHead};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
 use crate::driver::Handle;
 use crate::reply::{Answer, BodyBroken, BodySender, Reply, body};
@@ -27,6 +28,24 @@
 /// The header field with the deadline, in milliseconds since the Unix epoch.
 pub const DEADLINE_MS: &str = "sedgepath-deadline-ms";
 
+/// The header field that names one sending of a request, by which the upstream can cancel it.
+pub const CALL_ID: &str = "sedgepath-call-id";
+
+/// Where upstreams take cancellations; they answer 200 only if the request will never run.
+const CANCEL_PATH: &str = "/cancel";
+
+/// The part of a call's time that is kept for its cancellation, in milliseconds.
+///
+/// A call that is given up at its deadline ends unknown. Given up this much earlier and cancelled
+/// with the upstream's confirmation, it ends as not run, which the caller may act on.
+const CANCEL_WITHIN_MS: u64 = 100;
+
+/// The longest that a body may stand still.
+///
+/// An upstream that stops in the middle, or a caller that stops reading, would otherwise hold one of
+/// the upstream's few slots for good.
+const STALL_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// When to come back after a refusal by an upstream, in milliseconds.
 const RETRY_AFTER_MS: u64 = 200;
 
@@ -35,12 +54,13 @@
 pub struct Exchanges {
     handle: Handle,
     upstreams: Arc<Upstreams>,
+    boot: BootId,
 }
 
 impl Exchanges {
-    /// Creates the runner.
-    pub fn new(handle: Handle, upstreams: Arc<Upstreams>) -> Self {
-        Self { handle, upstreams }
+    /// Creates the runner of one run of the process.
+    pub fn new(handle: Handle, upstreams: Arc<Upstreams>, boot: BootId) -> Self {
+        Self { handle, upstreams, boot }
     }
 
     /// Starts a dispatch. Dropping the receiver tells that nobody waits for the reply any more.
@@ -57,6 +77,7 @@
             handle: self.handle.clone(),
             upstreams: Arc::clone(&self.upstreams),
             exchange,
+            call_id: format!("{:016x}-{:x}", self.boot.0, exchange.0).into(),
             started: Instant::now(),
         };
         tokio::spawn(run.run(head, body, actions, sender));
@@ -69,6 +90,7 @@
     handle: Handle,
     upstreams: Arc<Upstreams>,
     exchange: ExchangeKey,
+    call_id: Box<str>,
     started: Instant,
 }
 
@@ -122,19 +144,22 @@
         body: Bytes,
         reply: oneshot::Sender<Reply>,
     ) {
-        let remaining_ms = call.deadline_at_ms.saturating_sub(self.handle.clock().now_ms());
-        let Some(request) = request(&head, body, &call, remaining_ms) else {
-            let _gone = reply.send(Reply::NotSent);
-            self.ended(CallEnd::NotSent);
+        let now_ms = self.handle.clock().now_ms();
+        let Some(request) = self.request(&head, body, &call, now_ms) else {
+            self.not_sent(reply);
             return;
         };
-        match self.upstreams.call(call, request).await {
+        let give_up_at_ms = call.deadline_at_ms.saturating_sub(CANCEL_WITHIN_MS).max(now_ms);
+        let early = Call { deadline_at_ms: give_up_at_ms, ..call };
+        match self.upstreams.call(early, request).await {
             Ok((response, connection)) => {
                 self.answer(call, domain, response, connection, reply).await;
             }
-            Err(CallError::NotSent) => {
-                let _gone = reply.send(Reply::NotSent);
-                self.ended(CallEnd::NotSent);
+            Err(CallError::NotSent) => self.not_sent(reply),
+            Err(CallError::Lost) if self.cancel(call).await => {
+                let refusal = Refusal { reason: Reason::Cancelled, retry_after_ms: RETRY_AFTER_MS };
+                let _gone = reply.send(Reply::Refused(refusal));
+                self.ended(CallEnd::Cancelled);
             }
             Err(CallError::Lost) => {
                 let _gone = reply.send(Reply::Lost);
@@ -143,6 +168,49 @@
         }
     }
 
+    fn not_sent(&self, reply: oneshot::Sender<Reply>) {
+        let _gone = reply.send(Reply::NotSent);
+        self.ended(CallEnd::NotSent);
+    }
+
+    /// Asks the upstream to cancel the call; true only if it confirms that it will never run.
+    async fn cancel(&self, call: Call) -> bool {
+        let request = Request::post(CANCEL_PATH)
+            .header(hyper::header::HOST, call.address.to_string())
+            .header(CALL_ID, &*self.call_id)
+            .body(Full::default());
+        let Ok(request) = request else { return false };
+        match self.upstreams.call(call, request).await {
+            Ok((response, connection)) => {
+                let confirmed = response.status() == StatusCode::OK;
+                self.drain(call, response.into_body(), connection).await;
+                confirmed
+            }
+            Err(_) => false,
+        }
+    }
+
+    fn request(
+        &self,
+        head: &HttpRequestHead,
+        body: Bytes,
+        call: &Call,
+        now_ms: u64,
+    ) -> Option<Request<Full<Bytes>>> {
+        let own = |name: &str| matches!(name, TIMEOUT_MS | DEADLINE_MS | CALL_ID);
+        let mut builder = Request::builder().method(&*head.method).uri(&*head.target);
+        for (name, value) in head.fields.iter().filter(|(name, _)| !own(name)) {
+            builder = builder.header(&**name, value.as_slice());
+        }
+        builder
+            .header(hyper::header::HOST, call.address.to_string())
+            .header(TIMEOUT_MS, call.deadline_at_ms.saturating_sub(now_ms))
+            .header(DEADLINE_MS, call.deadline_at_ms)
+            .header(CALL_ID, &*self.call_id)
+            .body(Full::new(body))
+            .ok()
+    }
+
     async fn answer(
         &self,
         call: Call,
@@ -178,7 +246,7 @@
             body: receiver,
         };
         let _gone = reply.send(Reply::Answer(Box::new(answer)));
-        let whole = pump(incoming, &sender, self.handle.clock().instant(call.deadline_at_ms)).await;
+        let whole = pump(incoming, &sender).await;
         if whole {
             self.upstreams.give_back(call.upstream, connection);
         }
@@ -202,39 +270,16 @@
 }
 
 /// Moves a body on; returns whether it reached its end while somebody read it.
-async fn pump(
-    mut incoming: Incoming,
-    sender: &BodySender,
-    _deadline: tokio::time::Instant,
-) -> bool {
-    while let Some(frame) = incoming.frame().await {
+async fn pump(mut incoming: Incoming, sender: &BodySender) -> bool {
+    loop {
+        let Ok(frame) = timeout(STALL_TIMEOUT, incoming.frame()).await else { return false };
+        let Some(frame) = frame else { return true };
         let Ok(frame) = frame else { return false };
-        if let Ok(data) = frame.into_data()
-            && sender.send(Ok(data)).await.is_err()
-        {
+        let Ok(data) = frame.into_data() else { continue };
+        if !matches!(timeout(STALL_TIMEOUT, sender.send(Ok(data))).await, Ok(Ok(()))) {
             return false;
         }
     }
-    true
-}
-
-fn request(
-    head: &HttpRequestHead,
-    body: Bytes,
-    call: &Call,
-    remaining_ms: u64,
-) -> Option<Request<Full<Bytes>>> {
-    let mut builder = Request::builder().method(&*head.method).uri(&*head.target);
-    let own = |name: &str| matches!(name, TIMEOUT_MS | DEADLINE_MS);
-    for (name, value) in head.fields.iter().filter(|(name, _)| !own(name)) {
-        builder = builder.header(&**name, value.as_slice());
-    }
-    builder
-        .header(hyper::header::HOST, call.address.to_string())
-        .header(TIMEOUT_MS, remaining_ms)
-        .header(DEADLINE_MS, call.deadline_at_ms)
-        .body(Full::new(body))
-        .ok()
 }
 
 /// Header fields that concern one connection only (RFC 9110, 7.6.1).
