Stop as planned: leave, serve cached look-ups, finish, then end

On SIGTERM the node ended at once and cut what was in flight. It now says that it leaves, serves callers until cached look-ups lapse, waits for its requests and dispatches, and the daemon then lets open connections finish their last answer. Limits on callers come from the settings.

--- a/crates/sedgepath-core/src/egress.rs
+++ b/crates/sedgepath-core/src/egress.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Returns the number of dispatches that run at upstreams.
+    pub fn calls_in_flight(&self) -> usize {
+        self.calls.len()
+    }
+
     /// Takes in an upstream's word on its load.
     pub fn take_report(&mut self, _upstream: UpstreamKey, _report: UpstreamReport) {}
 
--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns the number of requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Forgets a request whose answer has been relayed or whose caller has gone.
     pub fn forget(&mut self, request: RequestKey) {
         self.pending.remove(&request);
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod record;
 pub mod request;
 pub mod steering;
+pub mod stop;
 pub mod table;
 pub mod timeline;
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -22,6 +22,8 @@
 use crate::record::Plan;
 use crate::request::{Class, Dispatch, EntryVm, Once, Outcome, RequestHead};
 use crate::steering::{Candidate, Choice, RandomByShare, SteeringPolicy};
+use crate::stop::PlannedStop;
+use crate::timeline::Topic;
 
 /// One node of the system.
 #[derive(Debug)]
@@ -34,6 +36,7 @@
     policy: Box<dyn SteeringPolicy>,
     ingress: Ingress,
     egress: Egress,
+    stop: PlannedStop,
 }
 
 impl Node {
@@ -47,6 +50,7 @@
             policy: Box::new(RandomByShare),
             ingress: Ingress::default(),
             egress: Egress::default(),
+            stop: PlannedStop::default(),
             settings,
         }
     }
@@ -111,7 +115,7 @@
                     self.configuration.apply(snapshot, &mut self.out);
                 }
             }
-            Event::Stop => self.out.push(Action::Stopped),
+            Event::Stop => self.begin_stop(),
         }
         self.out.take_actions()
     }
@@ -123,9 +127,30 @@
         let allowances = self.allowances();
         let loads = self.egress.loads(&allowances, self.configuration.catalogue());
         self.membership.tick(self.configuration.revision(), &loads, &mut self.out);
+        self.end_stop();
         self.out.take_actions()
     }
 
+    fn begin_stop(&mut self) {
+        // A lost heartbeat is repeated well within the time after which silence is suspected, and
+        // what relays pass on takes as long again.
+        let heard_by_ms = self.out.now_ms() + 2 * self.settings.suspect_after_ms;
+        if self.stop.begin(heard_by_ms, self.settings.look_up_valid_ms) {
+            self.out.identity_mut().card.leaving = true;
+            self.out.log(Topic::Node, "stop_begun", &[]);
+        } else {
+            self.out.push(Action::Stopped);
+        }
+    }
+
+    fn end_stop(&mut self) {
+        let in_flight = self.ingress.in_flight() + self.egress.calls_in_flight();
+        if self.stop.may_end(self.out.now_ms(), in_flight) {
+            self.out.log(Topic::Node, "stop_ended", &[]);
+            self.out.push(Action::Stopped);
+        }
+    }
+
     /// Answers a look-up from memory.
     ///
     /// # Errors
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -8,7 +8,7 @@
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -22,11 +22,12 @@
 use sedgepath_wire::frame::HttpRequestHead;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Semaphore, mpsc, watch};
 
 use crate::driver::Handle;
 use crate::exchange::passed_on;
 use crate::hop::Hops;
+use crate::limits::Limits;
 use crate::metrics::Metrics;
 
 mod answers;
@@ -38,15 +39,6 @@
 use reading::{deadline_at_ms, number, query_value, read_body};
 use serving::Serving;
 
-/// The most connections of callers at once.
-const MAX_CONNECTIONS: usize = 4_096;
-
-/// The most bytes of a request's head.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-
-/// The longest that a request's head may take to arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The header field that names a request; it is passed on to the upstream and stands on the answer.
 const REQUEST_ID: &str = "sedgepath-request-id";
 
@@ -65,6 +57,7 @@
     handle: Handle,
     hops: Arc<Hops>,
     metrics: Arc<Metrics>,
+    limits: Limits,
 }
 
 impl Callers {
@@ -75,41 +68,63 @@
         handle: Handle,
         hops: Arc<Hops>,
         metrics: Arc<Metrics>,
+        limits: Limits,
     ) -> Arc<Self> {
-        Arc::new(Self { vm: VmKey::of(&name), name, boot, handle, hops, metrics })
+        Arc::new(Self { vm: VmKey::of(&name), name, boot, handle, hops, metrics, limits })
     }
 
-    /// Takes connections until the process ends.
-    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
-        let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    /// Takes connections until `stop` says so, then lets those that are open finish their requests.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+        let connections = self.limits.connections;
+        let places = Arc::new(Semaphore::new(connections));
         loop {
-            let Ok(place) = Arc::clone(&places).acquire_owned().await else {
-                return;
+            let accepted = async {
+                let place = Arc::clone(&places).acquire_owned().await.ok()?;
+                Some((place, listener.accept().await.ok()?))
             };
-            let Ok((stream, from)) = listener.accept().await else {
-                continue;
+            let accepted = tokio::select! {
+                accepted = accepted => accepted,
+                () = told_to_stop(&mut stop) => break,
             };
+            let Some((place, (stream, from))) = accepted else { continue };
             let callers = Arc::clone(&self);
+            let stop = stop.clone();
             tokio::spawn(async move {
-                callers.connection(stream, from).await;
+                callers.connection(stream, from, stop).await;
                 drop(place);
             });
         }
+        drop(listener);
+        // All places are free once the last connection has ended.
+        let _closed = places.acquire_many(u32::try_from(connections).unwrap_or(u32::MAX)).await;
     }
 
-    async fn connection(self: Arc<Self>, stream: TcpStream, from: SocketAddr) {
+    async fn connection(
+        self: Arc<Self>,
+        stream: TcpStream,
+        from: SocketAddr,
+        mut stop: watch::Receiver<bool>,
+    ) {
         // Small answers must not wait for the acknowledgement of earlier ones.
         let _slower = stream.set_nodelay(true);
+        let limits = self.limits;
         let service = service_fn(move |request| {
             let callers = Arc::clone(&self);
             async move { Ok::<_, Infallible>(callers.answer(request, from.ip()).await) }
         });
-        let served = hyper::server::conn::http1::Builder::new()
+        let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
+            .header_read_timeout(limits.head_timeout())
+            .max_buf_size(limits.head_bytes)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let served = tokio::select! {
+            served = connection.as_mut() => served,
+            () = told_to_stop(&mut stop) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
         if let Err(error) = served {
             log::debug!("event=caller_connection_ended error={:?}", error.to_string());
         }
@@ -173,7 +188,7 @@
         let (service, rest) = path.split_once('/').unwrap_or((path, ""));
         let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
         let target = format!("/{rest}{query}");
-        let body = match read_body(incoming).await {
+        let body = match read_body(incoming, &self.limits).await {
             Ok(body) => body,
             Err(status) => return refused(status, "body"),
         };
@@ -184,7 +199,11 @@
                 .headers
                 .get("sedgepath-key")
                 .map(|key| Digest::of(&[b"organisation key", key.as_bytes()])),
-            deadline_at_ms: deadline_at_ms(&parts.headers, self.handle.clock().now_ms()),
+            deadline_at_ms: deadline_at_ms(
+                &parts.headers,
+                self.handle.clock().now_ms(),
+                &self.limits,
+            ),
             once: Once::Repeatable,
             idempotent: parts.method.is_idempotent(),
             digest: Digest::of(&[
@@ -219,3 +238,9 @@
         serving.run().await
     }
 }
+
+/// Waits until the daemon stops.
+async fn told_to_stop(stop: &mut watch::Receiver<bool>) {
+    // An error says that the sender is gone, and the daemon with it.
+    let _told = stop.wait_for(|stop| *stop).await.is_ok();
+}
--- a/crates/sedgepathd/src/callers/reading.rs
+++ b/crates/sedgepathd/src/callers/reading.rs
@@ -1,24 +1,15 @@
 //! Reads what callers send.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, StatusCode};
 
-/// The longest that a request's body may take to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// The most bytes of a request's body; it is kept until the answer, to be sent again if allowed.
-const MAX_BODY_BYTES: usize = 1024 * 1024;
-
-/// The deadline of a request that names none, in milliseconds.
-const DEFAULT_TIMEOUT_MS: u64 = 10_000;
+use crate::limits::Limits;
 
-pub(super) async fn read_body(incoming: Incoming) -> Result<Bytes, StatusCode> {
-    let limited = Limited::new(incoming, MAX_BODY_BYTES);
-    match tokio::time::timeout(BODY_TIMEOUT, limited.collect()).await {
+pub(super) async fn read_body(incoming: Incoming, limits: &Limits) -> Result<Bytes, StatusCode> {
+    let limited = Limited::new(incoming, limits.body_bytes);
+    match tokio::time::timeout(limits.body_timeout(), limited.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             Err(StatusCode::PAYLOAD_TOO_LARGE)
@@ -29,11 +20,11 @@
 }
 
 /// Returns the caller's deadline: a time from now if it sends one, else a point in time.
-pub(super) fn deadline_at_ms(headers: &HeaderMap, now_ms: u64) -> u64 {
+pub(super) fn deadline_at_ms(headers: &HeaderMap, now_ms: u64, limits: &Limits) -> u64 {
     if let Some(timeout_ms) = number(headers, "sedgepath-timeout-ms") {
         return now_ms.saturating_add(timeout_ms);
     }
-    number(headers, "sedgepath-deadline-ms").unwrap_or(now_ms + DEFAULT_TIMEOUT_MS)
+    number(headers, "sedgepath-deadline-ms").unwrap_or(now_ms + limits.default_timeout_ms)
 }
 
 pub(super) fn query_value<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use crossbeam::channel::unbounded;
 use jsonrpsee::server::Server;
@@ -18,7 +19,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::callers::Callers;
 use crate::datagrams;
@@ -62,6 +63,9 @@
     Runtime(#[source] io::Error),
 }
 
+/// The longest that callers may take to read the last bytes of their answers at a planned stop.
+const LAST_BYTES_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Runs the daemon until it is asked to stop.
 ///
 /// # Errors
@@ -106,9 +110,11 @@
     let peers = Peers::new(frame_key.clone(), exchanges.clone(), Arc::clone(&metrics));
     let vm = sedgepath_core::key::VmKey::of(&settings.name);
     let hops = Hops::new(vm, frame_key, clock, exchanges, Arc::clone(&metrics));
-    let callers = Callers::new(settings.name.clone(), boot, handle.clone(), hops, metrics);
+    let callers =
+        Callers::new(settings.name.clone(), boot, handle.clone(), hops, metrics, settings.limits);
 
-    runtime.block_on(async {
+    let (stop_callers, callers_stop) = watch::channel(false);
+    let serving_callers = runtime.block_on(async {
         let callers_listener = TcpListener::bind(settings.callers)
             .await
             .map_err(listen("callers", settings.callers))?;
@@ -119,11 +125,11 @@
             .await
             .map_err(listen("operators", settings.operators))?;
         let serving = server.start(Operators::new(handle.clone()).into_rpc());
-        tokio::spawn(callers.serve(callers_listener));
+        let serving_callers = tokio::spawn(callers.serve(callers_listener, callers_stop));
         tokio::spawn(peers.serve(peers_listener));
         tokio::spawn(operators::run_fetches(fetch_jobs, handle.clone()));
         tokio::spawn(serving.stopped());
-        Ok::<_, DaemonError>(())
+        Ok::<_, DaemonError>(serving_callers)
     })?;
 
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(DaemonError::Runtime)?;
@@ -136,6 +142,13 @@
         log::error!("event=node_thread_panicked");
     }
     stopping.store(true, Ordering::Relaxed);
+    // The node is done with all requests; their last bytes may still be on their way to callers.
+    let _nobody_waits = stop_callers.send(true);
+    runtime.block_on(async {
+        if tokio::time::timeout(LAST_BYTES_TIMEOUT, serving_callers).await.is_err() {
+            log::warn!("event=caller_connections_cut");
+        }
+    });
     Ok(())
 }
 
--- a/crates/sedgepathd/src/lib.rs
+++ b/crates/sedgepathd/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod driver;
 pub mod exchange;
 pub mod hop;
+pub mod limits;
 pub mod logging;
 pub mod metrics;
 pub mod operators;
--- a/crates/sedgepathd/src/settings.rs
+++ b/crates/sedgepathd/src/settings.rs
@@ -5,6 +5,8 @@
 
 use serde::Deserialize;
 
+use crate::limits::Limits;
+
 /// The settings of one daemon, as written in its YAML file.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -28,6 +30,9 @@
     /// The least level that is logged: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log_level")]
     pub log_level: Box<str>,
+    /// Bounds on what callers may take.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 fn default_log_level() -> Box<str> {
