--- a/crates/sedgepath-core/src/membership.rs
+++ b/crates/sedgepath-core/src/membership.rs
@@ -61,16 +61,17 @@
         members
     }
 
-    /// Returns the members of a failure domain that serve, in the order of their keys.
-    pub fn serving_in(&self, domain: DomainKey) -> Vec<VmKey> {
-        let mut serving: Vec<_> = self
+    /// Returns the members of a failure domain that are not suspected, in the order of their keys,
+    /// each with whether it is leaving.
+    pub fn alive_in(&self, domain: DomainKey) -> Vec<(VmKey, bool)> {
+        let mut alive: Vec<_> = self
             .members
             .iter()
-            .filter(|(_, member)| member.card.domain == domain && member.serves())
-            .map(|(vm, _)| *vm)
+            .filter(|(_, member)| member.card.domain == domain && !member.suspect)
+            .map(|(vm, member)| (*vm, member.card.leaving))
             .collect();
-        serving.sort_unstable();
-        serving
+        alive.sort_unstable();
+        alive
     }
 
     /// Takes in the platform's list of VMs.
@@ -131,3 +132,12 @@
         addresses
     }
 }
+
+/// Returns those that serve among the live VMs of a failure domain, given whether each is leaving.
+///
+/// Where all are leaving they go on serving until they end: without that, requests of callers who
+/// may still use a cached look-up would find no owner.
+pub fn serving_among(alive: &[(VmKey, bool)]) -> Vec<VmKey> {
+    let all_leaving = alive.iter().all(|(_, leaving)| *leaving);
+    alive.iter().filter(|(_, leaving)| all_leaving || !leaving).map(|(vm, _)| *vm).collect()
+}
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -15,7 +15,7 @@
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{self, Ingress, Target};
 use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
-use crate::membership::Membership;
+use crate::membership::{self, Membership};
 use crate::message::{Envelope, Message};
 use crate::outbox::Outbox;
 use crate::ownership;
@@ -245,7 +245,7 @@
             report_age_ms: 0,
             same_region: region(&domain) == region(&self.out.identity().card.domain),
         };
-        for vm in self.membership.serving_in(domain) {
+        for vm in membership::serving_among(&self.membership.alive_in(domain)) {
             let Some(member) = self.membership.member(vm) else {
                 continue;
             };
@@ -288,11 +288,11 @@
     /// Returns the VMs that serve in a failure domain, this node among them.
     fn serving_in(&self, domain: DomainKey) -> Vec<VmKey> {
         let identity = self.out.identity();
-        let mut serving = self.membership.serving_in(domain);
-        if identity.card.domain == domain && !identity.card.leaving {
-            serving.push(identity.vm);
+        let mut alive = self.membership.alive_in(domain);
+        if identity.card.domain == domain {
+            alive.push((identity.vm, identity.card.leaving));
         }
-        serving
+        membership::serving_among(&alive)
     }
 
     fn allowances(&self) -> Vec<Allowance> {
--- a/crates/sedgepathd/src/exchange.rs
+++ b/crates/sedgepathd/src/exchange.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use sedgepath_core::event::{Action, Event, UpstreamReport};
 use sedgepath_core::key::{BootId, DomainKey, ExchangeKey, VmKey};
 use sedgepath_core::request::{AnswerHead, CallEnd, Dispatch, Reason, Refusal};
@@ -85,6 +85,13 @@
     }
 }
 
+/// An answer whose head has arrived.
+struct Arrived {
+    response: Response<Incoming>,
+    connection: Connection,
+    is_head: bool,
+}
+
 /// One dispatch.
 struct Run {
     handle: Handle,
@@ -145,6 +152,7 @@
         reply: oneshot::Sender<Reply>,
     ) {
         let now_ms = self.handle.clock().now_ms();
+        let is_head = &*head.method == Method::HEAD.as_str();
         let Some(request) = self.request(&head, body, &call, now_ms) else {
             self.not_sent(reply);
             return;
@@ -153,7 +161,8 @@
         let early = Call { deadline_at_ms: give_up_at_ms, ..call };
         match self.upstreams.call(early, request).await {
             Ok((response, connection)) => {
-                self.answer(call, domain, response, connection, reply).await;
+                let arrived = Arrived { response, connection, is_head };
+                self.answer(call, domain, arrived, reply).await;
             }
             Err(CallError::NotSent) => self.not_sent(reply),
             Err(CallError::Lost) if self.cancel(call).await => {
@@ -215,10 +224,10 @@
         &self,
         call: Call,
         domain: DomainKey,
-        response: Response<Incoming>,
-        connection: Connection,
+        arrived: Arrived,
         reply: oneshot::Sender<Reply>,
     ) {
+        let Arrived { response, connection, is_head } = arrived;
         let (parts, incoming) = response.into_parts();
         if let Some(report) = report(&parts.headers, self.handle.clock().now_ms()) {
             self.handle.event(Event::UpstreamReport { upstream: call.upstream, report });
@@ -236,13 +245,15 @@
             self.ended(CallEnd::Lost);
             return;
         }
+        let mut fields = passed_on(&parts.headers);
+        if is_head && let Some(length) = parts.headers.get(CONTENT_LENGTH) {
+            // The length of what a GET would bring; the body that follows has none.
+            fields.push((CONTENT_LENGTH.as_str().into(), length.as_bytes().to_vec()));
+        }
         let (sender, receiver) = body();
         let answer = Answer {
             head: AnswerHead { status: parts.status.as_u16(), upstream: call.upstream, domain },
-            http: HttpAnswerHead {
-                fields: passed_on(&parts.headers),
-                body_bytes: incoming.size_hint().exact(),
-            },
+            http: HttpAnswerHead { fields, body_bytes: incoming.size_hint().exact() },
             body: receiver,
         };
         let _gone = reply.send(Reply::Answer(Box::new(answer)));
