Add the demo: the main job with real daemons of two regions

The callers' latencies were clamped by saturating_record, which does not grow a histogram; they are recorded now.

--- a/crates/sedgepath-test-support/src/caller.rs
+++ b/crates/sedgepath-test-support/src/caller.rs
@@ -170,7 +170,8 @@
                 }
                 Outcome::Answered { .. } => {
                     let latency_us = start.elapsed().as_micros() as u64;
-                    self.stats.of_class(&call.class).saturating_record(latency_us);
+                    // Unlike `saturating_record`, which clamps to the size so far, this one resizes.
+                    let _in_range = self.stats.of_class(&call.class).record(latency_us).is_ok();
                     return reply;
                 }
                 _ => return reply,
--- /dev/null
+++ b/crates/sedgepathd/examples/demo.rs
@@ -0,0 +1,303 @@
+//! The main job in one command: two regions, real daemons, paying and trial traffic.
+//!
+//! Starts the platform and upstreams as stand-ins and four daemons as processes of their own (this
+//! example itself, started again with a settings file). While paying and trial callers send
+//! requests, a record is applied, an upstream is drained and an entry VM is stopped. At the end the
+//! outcomes, the latency by class and the merged time line are printed. The exit code is 0 only if
+//! nothing was lost: no answer broken, no outcome unknown, no key run twice, nothing run that was
+//! said not to have run, no paying request left without its answer.
+
+use std::collections::BTreeSet;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use jsonrpsee::http_client::HttpClientBuilder;
+use sedgepath_core::clock::Stamp;
+use sedgepath_test_support::caller::{Call, Caller, CallerStats, Outcome};
+use sedgepath_test_support::daemon::Signal;
+use sedgepath_test_support::records::{self, UpstreamSpec};
+use sedgepath_test_support::system::System;
+use sedgepath_test_support::upstream::{UpstreamFigures, UpstreamStandIn};
+use sedgepath_wire::rpc::{OperatorsClient, TimelinePart};
+use serde_json::json;
+
+/// How long callers send requests after the start.
+const TRAFFIC_FOR: Duration = Duration::from_secs(24);
+
+/// The callers of each class.
+const CALLERS: usize = 6;
+
+/// How often a caller comes back when it is told to.
+const RETRIES: u32 = 40;
+
+/// The entries of the time line that are printed.
+const PRINTED_ENTRIES: usize = 40;
+
+const DOMAINS: [&str; 4] = ["lowcountry-a", "lowcountry-b", "gulfside-a", "gulfside-b"];
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if arguments.iter().any(|argument| argument == "--settings") {
+        return sedgepathd::command::main(arguments);
+    }
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("the demo could not run: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<bool, Box<dyn Error>> {
+    let upstreams = start_upstreams()?;
+    let mut system = System::new(&std::env::current_exe()?)?;
+    system.write_records(&first_records(&upstreams))?;
+    for domain in DOMAINS {
+        system.add_daemon(&format!("{domain}-1"), domain)?;
+    }
+    let entries: Vec<_> = system.addresses.iter().map(|address| address.callers).collect();
+    wait_until_served(&entries)?;
+
+    println!("traffic begins: {CALLERS} paying and {CALLERS} trial callers");
+    let started = Instant::now();
+    let stop = Arc::new(AtomicBool::new(false));
+    let paying = start_callers("paying", "porch-key", &entries, &stop);
+    let trial = start_callers("trial", "sampler-key", &entries, &stop);
+
+    thread::sleep(Duration::from_secs(4));
+    println!("{:>5.1} s: a record is applied that moves shares", started.elapsed().as_secs_f64());
+    system.write_records(&[steering(&[3.0, 1.0, 1.0, 3.0])])?;
+    thread::sleep(Duration::from_secs(4));
+    println!("{:>5.1} s: upstream {} is drained", started.elapsed().as_secs_f64(), name(0, 0));
+    let drain = json!({ "target": "upstream", "active": true });
+    system.write_records(&[records::record(1, "drain", &name(0, 0), &drain)])?;
+    thread::sleep(Duration::from_secs(4));
+    println!("{:>5.1} s: entry VM {}-1 is stopped", started.elapsed().as_secs_f64(), DOMAINS[3]);
+    let leaving = system.daemons[3].as_mut().ok_or("no daemon")?;
+    leaving.signal(Signal::Term)?;
+    thread::sleep(TRAFFIC_FOR.saturating_sub(started.elapsed()));
+    stop.store(true, Ordering::Relaxed);
+
+    let paying = join(paying)?;
+    let trial = join(trial)?;
+    let timeline = merged_timeline(&system);
+    print_timeline(&timeline);
+    Ok(report(&paying, &trial, &upstreams))
+}
+
+fn start_upstreams() -> Result<Vec<Vec<UpstreamStandIn>>, Box<dyn Error>> {
+    let mut upstreams = Vec::new();
+    for _ in DOMAINS {
+        let figures = UpstreamFigures::new(4).with_service_ms(8);
+        upstreams.push(vec![UpstreamStandIn::new(figures)?, UpstreamStandIn::new(figures)?]);
+    }
+    Ok(upstreams)
+}
+
+fn name(domain: usize, number: usize) -> String {
+    format!("{}-up-{number}", DOMAINS[domain])
+}
+
+fn first_records(upstreams: &[Vec<UpstreamStandIn>]) -> Vec<sedgepath_core::record::RawRecord> {
+    let mut specs = Vec::new();
+    for (domain, group) in upstreams.iter().enumerate() {
+        for (number, upstream) in group.iter().enumerate() {
+            specs.push(UpstreamSpec {
+                name: name(domain, number).into(),
+                domain: DOMAINS[domain].into(),
+                address: upstream.addr(),
+                slots: 4,
+            });
+        }
+    }
+    vec![
+        records::places(&[("lowcountry", &DOMAINS[..2]), ("gulfside", &DOMAINS[2..])]),
+        records::service("deposits", 4_000, &specs),
+        steering(&[1.0, 1.0, 1.0, 1.0]),
+        records::organisations(&[
+            ("porch", "paying", "porch-key"),
+            ("sampler", "trial", "sampler-key"),
+        ]),
+    ]
+}
+
+fn steering(weights: &[f64; 4]) -> sedgepath_core::record::RawRecord {
+    let shares: Vec<_> = DOMAINS.iter().copied().zip(weights.iter().copied()).collect();
+    records::steering("deposits", &shares, 30.0, 2_000)
+}
+
+fn call(class: &str, key: &str, once: &str) -> Call {
+    Call::new(class, "deposits", "/v1/call/deposits/confirm")
+        .with_method("POST")
+        .with_header("sedgepath-key", key)
+        .with_header("idempotency-key", once)
+        .with_body(once)
+        .with_retries(RETRIES)
+}
+
+fn wait_until_served(entries: &[SocketAddr]) -> Result<(), Box<dyn Error>> {
+    let deadline = Instant::now() + Duration::from_secs(20);
+    for entry in entries {
+        let mut caller = Caller::new([*entry]);
+        let ready = call("paying", "porch-key", &format!("ready {entry}")).with_retries(0);
+        while !matches!(caller.call(&ready).outcome, Outcome::Answered { .. }) {
+            if Instant::now() > deadline {
+                return Err(format!("{entry} serves nothing").into());
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+    Ok(())
+}
+
+/// What one caller did: its figures and the keys that were never answered.
+struct Told {
+    stats: CallerStats,
+    unanswered: u64,
+}
+
+fn start_callers(
+    class: &'static str,
+    key: &'static str,
+    entries: &[SocketAddr],
+    stop: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<Told>> {
+    (0..CALLERS)
+        .map(|number| {
+            let mut entries = entries.to_vec();
+            entries.rotate_left(number % DOMAINS.len());
+            let stop = Arc::clone(stop);
+            thread::spawn(move || send_until(class, key, number, entries, &stop))
+        })
+        .collect()
+}
+
+fn send_until(
+    class: &str,
+    key: &str,
+    number: usize,
+    entries: Vec<SocketAddr>,
+    stop: &AtomicBool,
+) -> Told {
+    let mut caller = Caller::new(entries);
+    let mut unanswered = 0;
+    let mut sent = 0;
+    while !stop.load(Ordering::Relaxed) {
+        sent += 1;
+        let reply = caller.call(&call(class, key, &format!("{class} {number} {sent}")));
+        if !matches!(reply.outcome, Outcome::Answered { status: 200 }) {
+            unanswered += 1;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    Told { stats: caller.into_stats(), unanswered }
+}
+
+fn join(callers: Vec<JoinHandle<Told>>) -> Result<Told, Box<dyn Error>> {
+    let mut all = Told { stats: CallerStats::default(), unanswered: 0 };
+    for caller in callers {
+        let told = caller.join().ok().ok_or("a caller panicked")?;
+        all.stats.merge(told.stats);
+        all.unanswered += told.unanswered;
+    }
+    Ok(all)
+}
+
+/// Asks every daemon for its part of the time line and merges them by their stamps.
+fn merged_timeline(system: &System) -> Vec<(Stamp, String)> {
+    let mut entries = Vec::new();
+    for addresses in &system.addresses {
+        match part(addresses.operators) {
+            Some(part) => {
+                let node = part.node.clone();
+                entries.extend(
+                    part.entries
+                        .iter()
+                        .map(|entry| (entry.stamp, sedgepathd::logging::line(&node, entry))),
+                );
+            }
+            None => println!("{} did not answer (it was stopped)", addresses.name),
+        }
+    }
+    entries.sort();
+    entries
+}
+
+fn part(operators: SocketAddr) -> Option<TimelinePart> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().ok()?;
+    runtime.block_on(async {
+        let client = HttpClientBuilder::default()
+            .request_timeout(Duration::from_secs(2))
+            .build(format!("http://{operators}"))
+            .ok()?;
+        client.timeline(Stamp::default()).await.ok()
+    })
+}
+
+fn print_timeline(entries: &[(Stamp, String)]) {
+    println!(
+        "\nthe time line over all daemons, {} entries, the last {PRINTED_ENTRIES} at most:",
+        entries.len()
+    );
+    for (_, line) in entries.iter().skip(entries.len().saturating_sub(PRINTED_ENTRIES)) {
+        println!("  {line}");
+    }
+}
+
+/// Prints the figures and returns whether nothing was lost.
+fn report(paying: &Told, trial: &Told, upstreams: &[Vec<UpstreamStandIn>]) -> bool {
+    println!("\nclass   answered  not run  unknown  failed   p50 ms   p99 ms  never answered");
+    for (class, told) in [("paying", paying), ("trial", trial)] {
+        let counts = told.stats.counts();
+        let latency = |quantile| {
+            let histogram = told.stats.latencies_us.get(class);
+            histogram.map_or(0.0, |all| all.value_at_quantile(quantile) as f64 / 1_000.0)
+        };
+        println!(
+            "{class:<7} {:>8} {:>8} {:>8} {:>7} {:>8.1} {:>8.1} {:>15}",
+            counts.answered,
+            counts.not_run,
+            counts.unknown,
+            counts.failed,
+            latency(0.5),
+            latency(0.99),
+            told.unanswered
+        );
+    }
+    let all: Vec<&UpstreamStandIn> = upstreams.iter().flatten().collect();
+    let twice = runs_above_one(&all);
+    let ran: BTreeSet<Box<str>> =
+        all.iter().flat_map(|upstream| upstream.runs_by_request_id().into_keys()).collect();
+    let attempts = paying.stats.attempts.iter().chain(&trial.stats.attempts);
+    let said_not_run: Vec<_> =
+        attempts.filter(|attempt| matches!(attempt.outcome, Outcome::NotRun { .. })).collect();
+    let run_all_the_same =
+        said_not_run.iter().filter(|attempt| ran.contains(&attempt.request_id)).count();
+    let over = all.iter().filter(|upstream| upstream.counts().peak_in_flight > 4).count();
+    println!(
+        "keys run twice: {twice}; said not run but ran: {run_all_the_same}; upstreams over their \
+         slots: {over}"
+    );
+    let broken = paying.stats.counts().failed + trial.stats.counts().failed;
+    let unknown = paying.stats.counts().unknown + trial.stats.counts().unknown;
+    let lost = twice as u64 + run_all_the_same as u64 + over as u64 + broken + unknown;
+    println!("{}", if lost + paying.unanswered == 0 { "nothing was lost" } else { "LOST" });
+    lost + paying.unanswered == 0
+}
+
+fn runs_above_one(upstreams: &[&UpstreamStandIn]) -> usize {
+    let mut runs = std::collections::BTreeMap::new();
+    for upstream in upstreams {
+        for (key, count) in upstream.runs_by_key() {
+            *runs.entry(key).or_insert(0) += count;
+        }
+    }
+    runs.values().filter(|count| **count > 1).count()
+}
