Model the acceptance and spread of configuration changes

Cause: racing operators, lost answers, late pushes and restarts with empty memory must neither undo an accepted revision nor tell two operators that they made the same one.

Ruled out: one search over three operators and two nodes with lost answers (did not end within 180 s in a debug build). Acceptance does not depend on nodes, so the sizes are split: three operators alone, two operators with two nodes, and two larger sizes in which operators always get their answers.

Change: configuration.rs with eight safeguards, each of which can be left out; the list of steps and the choice of a variant moved to where both models share them (search::Steps, variant.rs).

A new boot that reaches only a lagging peer may still serve less than an earlier boot of that VM did; only the revision that callers carry protects them then. Several records and time are left out.

--- a/crates/sedgepath-model/examples/explore.rs
+++ b/crates/sedgepath-model/examples/explore.rs
@@ -4,6 +4,7 @@
 //! followed by its shortest counterexample.
 
 use sedgepath_model::claim::{self, ClaimModel};
+use sedgepath_model::configuration::{self, ConfigurationModel};
 use sedgepath_model::search::{Model, Verdict, explore};
 
 /// The flag that asks for counterexamples.
@@ -40,6 +41,28 @@
     }
 }
 
+/// Prints the rows of the model of configuration changes.
+fn report_configurations(trace_wanted: bool) {
+    let name = "configuration";
+    let two_by_two = || ConfigurationModel::new(2, 2);
+    report(
+        name,
+        "3 operators",
+        &ConfigurationModel::new(3, 0),
+        trace_wanted,
+    );
+    report(name, "2 operators, 2 nodes", &two_by_two(), trace_wanted);
+    for (operators, nodes) in [(3, 1), (2, 3)] {
+        let variant = format!("{operators} and {nodes}, answers kept");
+        let model = ConfigurationModel::new(operators, nodes).with_answers_kept();
+        report(name, &variant, &model, trace_wanted);
+    }
+    for safeguard in configuration::Safeguard::ALL {
+        let model = two_by_two().with_removed(safeguard);
+        report(name, &format!("no {safeguard:?}"), &model, trace_wanted);
+    }
+}
+
 fn main() {
     let trace_wanted = std::env::args().any(|argument| argument == TRACE_FLAG);
     println!(
@@ -47,4 +70,5 @@
         "model", "variant", "states", "verdict", "trace"
     );
     report_claims(trace_wanted);
+    report_configurations(trace_wanted);
 }
--- a/crates/sedgepath-model/src/claim.rs
+++ b/crates/sedgepath-model/src/claim.rs
@@ -50,7 +50,10 @@
 //! answer at all is not a property here. A holder that crashes leaves its claim *unknown* for good;
 //! property 4 allows for it, as such a holder said nothing.
 
-use crate::search::{Model, Step};
+use crate::search::{Model, Step, Steps};
+use crate::variant::Variant;
+
+type ModelSteps = Steps<Action, State>;
 
 /// Nodes in the model.
 const NODES: usize = 2;
@@ -408,8 +411,7 @@
 /// The model of claims and tickets.
 #[derive(Debug, Clone)]
 pub struct ClaimModel {
-    removed: Option<Safeguard>,
-    searched: Option<Violation>,
+    variant: Variant<Safeguard, Violation>,
     kind: Option<KeyKind>,
 }
 
@@ -417,8 +419,7 @@
     /// Creates the model with all safeguards, searched for every violation.
     pub fn new() -> Self {
         Self {
-            removed: None,
-            searched: None,
+            variant: Variant::new(),
             kind: None,
         }
     }
@@ -434,7 +435,7 @@
     /// Leaves out one safeguard.
     pub fn with_removed(self, removed: Safeguard) -> Self {
         Self {
-            removed: Some(removed),
+            variant: self.variant.with_removed(removed),
             ..self
         }
     }
@@ -442,13 +443,13 @@
     /// Searches for this violation only, also past states that show another.
     pub fn with_searched(self, searched: Violation) -> Self {
         Self {
-            searched: Some(searched),
+            variant: self.variant.with_searched(searched),
             ..self
         }
     }
 
     fn keeps(&self, safeguard: Safeguard) -> bool {
-        self.removed != Some(safeguard)
+        self.variant.keeps(safeguard)
     }
 
     /// Applies a write if its condition holds.
@@ -484,16 +485,16 @@
     }
 
     /// Lists what can happen to a request on its way to a node.
-    fn arrivals(&self, state: &State, request: Request, node: Node, steps: &mut Steps) {
+    fn arrivals(&self, state: &State, request: Request, node: Node, steps: &mut ModelSteps) {
         match state.kind {
-            KeyKind::Chosen => self.chosen_arrives(state, request, node, steps),
+            KeyKind::Chosen => self.chosen_arrives(request, node, steps),
             KeyKind::Ticket if node == HOME => self.ticket_arrives(state, request, steps),
             KeyKind::Ticket => {
-                steps.add(state, Action::Forward(request), |s| {
+                steps.add(Action::Forward(request), |s| {
                     s.move_to(request, Place::ToHome);
                 });
                 if !self.keeps(Safeguard::PathsKeptApart) {
-                    steps.add(state, Action::ChangePath(request), |s| {
+                    steps.add(Action::ChangePath(request), |s| {
                         s.path_changed = true;
                         claim(s, request, node);
                     });
@@ -502,13 +503,13 @@
         }
     }
 
-    fn chosen_arrives(&self, state: &State, request: Request, node: Node, steps: &mut Steps) {
-        steps.add(state, Action::TakeUp(request), |s| claim(s, request, node));
-        steps.add(state, Action::Refuse(request), |s| {
+    fn chosen_arrives(&self, request: Request, node: Node, steps: &mut ModelSteps) {
+        steps.add(Action::TakeUp(request), |s| claim(s, request, node));
+        steps.add(Action::Refuse(request), |s| {
             self.refuse_chosen(s, request, node);
         });
         if !self.keeps(Safeguard::PathsKeptApart) {
-            steps.add(state, Action::ChangePath(request), |s| {
+            steps.add(Action::ChangePath(request), |s| {
                 s.path_changed = true;
                 self.run_as_ticket(s, request, node);
             });
@@ -538,21 +539,21 @@
         }
     }
 
-    fn ticket_arrives(&self, state: &State, request: Request, steps: &mut Steps) {
+    fn ticket_arrives(&self, state: &State, request: Request, steps: &mut ModelSteps) {
         // A new boot does not know which tickets the last one used. It says *unknown* of all of
         // them; were it to run them, a used ticket would run twice.
         let alive = state.boots[HOME] == HOME_BOOT || !self.keeps(Safeguard::TicketBoundToBoot);
         if !alive {
-            steps.add(state, Action::TakeUp(request), |s| {
+            steps.add(Action::TakeUp(request), |s| {
                 s.end(request, Told::Unknown);
             });
             return;
         }
-        steps.add(state, Action::TakeUp(request), |s| {
+        steps.add(Action::TakeUp(request), |s| {
             self.run_as_ticket(s, request, HOME);
         });
         if self.claimable(state.memories[HOME], request) {
-            steps.add(state, Action::Refuse(request), |s| {
+            steps.add(Action::Refuse(request), |s| {
                 s.memories[HOME] = Record::NotRun(request);
                 s.end(request, Told::NotRun);
             });
@@ -579,30 +580,37 @@
     }
 
     /// Lists what a node can do with a request that it works on.
-    fn work(&self, state: &State, request: Request, node: Node, work: Work, steps: &mut Steps) {
+    fn work(
+        &self,
+        state: &State,
+        request: Request,
+        node: Node,
+        work: Work,
+        steps: &mut ModelSteps,
+    ) {
         match work {
             Work::Claiming => {
-                steps.add(state, Action::TableAnswers(request), |s| {
+                steps.add(Action::TableAnswers(request), |s| {
                     self.claim_answered(s, request, node);
                 });
-                steps.add(state, Action::TableTimeout(request), |s| {
+                steps.add(Action::TableTimeout(request), |s| {
                     s.move_to(request, Place::At(node, Work::Uncertain));
                 });
             }
-            Work::Uncertain => self.uncertain(state, request, node, steps),
+            Work::Uncertain => self.uncertain(request, node, steps),
             Work::Tombstoning => {
-                steps.add(state, Action::TableAnswers(request), |s| {
+                steps.add(Action::TableAnswers(request), |s| {
                     s.row = self.apply(s.row, Write::Tombstone(request));
                     let told = told_by_row(s.row);
                     s.end(request, told);
                 });
-                steps.add(state, Action::TableTimeout(request), |s| {
+                steps.add(Action::TableTimeout(request), |s| {
                     self.end_without_table(s, request);
                 });
             }
             Work::Holding => {
-                steps.add(state, Action::Send(request), |s| send(s, request, node));
-                steps.add(state, Action::GiveUp(request), |s| {
+                steps.add(Action::Send(request), |s| send(s, request, node));
+                steps.add(Action::GiveUp(request), |s| {
                     not_run(s, request, node);
                 });
             }
@@ -627,18 +635,18 @@
     }
 
     /// Lists what a node does that got no answer to its claim.
-    fn uncertain(&self, state: &State, request: Request, node: Node, steps: &mut Steps) {
+    fn uncertain(&self, request: Request, node: Node, steps: &mut ModelSteps) {
         // The claim may have lost against another one. Sending without a look at the row would run
         // the action next to the holder's run.
         if !self.keeps(Safeguard::ReadBack) {
-            steps.add(state, Action::AssumeClaimed(request), |s| {
+            steps.add(Action::AssumeClaimed(request), |s| {
                 s.move_to(request, Place::At(node, Work::Holding));
             });
         }
-        steps.add(state, Action::ReadBack(request), |s| {
+        steps.add(Action::ReadBack(request), |s| {
             self.read_back(s, request, node);
         });
-        steps.add(state, Action::ReadFails(request), |s| {
+        steps.add(Action::ReadFails(request), |s| {
             // Nothing was sent, so nothing ran; but the insert may still land and would hold the
             // key for good. The tombstone collides with it, or turns the claim to not run.
             if self.keeps(Safeguard::TombstoneAfterOwnInsert) {
@@ -678,13 +686,20 @@
     }
 
     /// Lists what happens to a request that was sent to the upstream.
-    fn sent(&self, state: &State, request: Request, node: Node, work: Work, steps: &mut Steps) {
+    fn sent(
+        &self,
+        state: &State,
+        request: Request,
+        node: Node,
+        work: Work,
+        steps: &mut ModelSteps,
+    ) {
         let current = &state.requests[request];
         if matches!(
             current.at_upstream,
             AtUpstream::Started | AtUpstream::NotStarted
         ) {
-            steps.add(state, Action::UpstreamAnswers(request), |s| {
+            steps.add(Action::UpstreamAnswers(request), |s| {
                 if s.ran(request) {
                     finish(s, request, node);
                 } else {
@@ -693,7 +708,7 @@
             });
         }
         if work == Work::Sent {
-            steps.add(state, Action::Cancel(request), |s| {
+            steps.add(Action::Cancel(request), |s| {
                 // The request may have started before the cancellation reached the upstream.
                 if !self.keeps(Safeguard::CancellationConfirmed) {
                     s.tell(request, Told::NotRun);
@@ -702,7 +717,7 @@
             });
         }
         if current.told == Told::Nothing {
-            steps.add(state, Action::UpstreamTimeout(request), |s| {
+            steps.add(Action::UpstreamTimeout(request), |s| {
                 s.tell(request, self.timeout());
             });
         }
@@ -720,14 +735,14 @@
         }
     }
 
-    fn request_steps(&self, state: &State, request: Request, steps: &mut Steps) {
+    fn request_steps(&self, state: &State, request: Request, steps: &mut ModelSteps) {
         match state.requests[request].place {
             Place::NotIssued | Place::Gone => {}
             Place::ToNode(node) => self.arrivals(state, request, node, steps),
             Place::ToHome => {
                 self.ticket_arrives(state, request, steps);
                 if state.requests[request].told == Told::Nothing {
-                    steps.add(state, Action::ForwardTimeout(request), |s| {
+                    steps.add(Action::ForwardTimeout(request), |s| {
                         s.tell(request, self.timeout());
                     });
                 }
@@ -739,12 +754,12 @@
                 (Action::Start(request), AtUpstream::Started),
                 (Action::Drop(request), AtUpstream::NotStarted),
             ] {
-                steps.add(state, action, |s| s.requests[request].at_upstream = outcome);
+                steps.add(action, |s| s.requests[request].at_upstream = outcome);
             }
         }
     }
 
-    fn table_steps(&self, state: &State, steps: &mut Steps) {
+    fn table_steps(&self, state: &State, steps: &mut ModelSteps) {
         for request in 0..state.issued {
             for write in [
                 Write::Claim(request),
@@ -753,7 +768,7 @@
                 Write::Finish(request),
             ] {
                 if state.is_issued(write) {
-                    steps.add(state, Action::ApplyLate(write), |s| {
+                    steps.add(Action::ApplyLate(write), |s| {
                         s.row = self.apply(s.row, write);
                     });
                 }
@@ -768,18 +783,6 @@
     }
 }
 
-/// The steps out of a state, as they are collected.
-struct Steps(Vec<Step<Action, State>>);
-
-impl Steps {
-    /// Adds the step that `change` makes of `state`.
-    fn add(&mut self, state: &State, action: Action, change: impl FnOnce(&mut State)) {
-        let mut next = *state;
-        change(&mut next);
-        self.0.push(Step::new(action, next));
-    }
-}
-
 fn tombstone_fits(row: Record, request: Request) -> bool {
     match row {
         Record::Absent => true,
@@ -831,7 +834,7 @@
     }
 }
 
-fn caller_steps(state: &State, steps: &mut Steps) {
+fn caller_steps(state: &State, steps: &mut ModelSteps) {
     let newest = state
         .issued
         .checked_sub(1)
@@ -840,7 +843,7 @@
         return;
     }
     for node in 0..NODES {
-        steps.add(state, Action::Issue(node), |s| {
+        steps.add(Action::Issue(node), |s| {
             let request = &mut s.requests[s.issued];
             request.place = Place::ToNode(node);
             request.repeat = s.settled < s.issued;
@@ -849,12 +852,12 @@
     }
 }
 
-fn crash_steps(state: &State, steps: &mut Steps) {
+fn crash_steps(state: &State, steps: &mut ModelSteps) {
     if state.boots.iter().sum::<u8>() == CRASHES {
         return;
     }
     for node in 0..NODES {
-        steps.add(state, Action::Crash(node), |s| {
+        steps.add(Action::Crash(node), |s| {
             s.boots[node] += 1;
             s.memories[node] = Record::Absent;
             for request in &mut s.requests {
@@ -880,20 +883,18 @@
     }
 
     fn steps(&self, state: &State) -> Vec<Step<Action, State>> {
-        let mut steps = Steps(Vec::new());
+        let mut steps = Steps::new(state);
         caller_steps(state, &mut steps);
         for request in 0..state.issued {
             self.request_steps(state, request, &mut steps);
         }
         self.table_steps(state, &mut steps);
         crash_steps(state, &mut steps);
-        steps.0
+        steps.into_vec()
     }
 
     fn violation(&self, state: &State) -> Option<Violation> {
-        Violation::ALL
-            .into_iter()
-            .filter(|violation| self.searched.is_none_or(|searched| searched == *violation))
-            .find(|violation| violation.is_in(state))
+        self.variant
+            .first_violation(Violation::ALL, |violation| violation.is_in(state))
     }
 }
--- a/crates/sedgepath-model/src/lib.rs
+++ b/crates/sedgepath-model/src/lib.rs
@@ -21,4 +21,6 @@
 //! with `--trace` the counterexamples.
 
 pub mod claim;
+pub mod configuration;
 pub mod search;
+mod variant;
--- a/crates/sedgepath-model/src/search.rs
+++ b/crates/sedgepath-model/src/search.rs
@@ -42,6 +42,35 @@
     }
 }
 
+/// The steps out of one state, as a model collects them.
+#[derive(Debug)]
+pub struct Steps<A, S> {
+    from: S,
+    steps: Vec<Step<A, S>>,
+}
+
+impl<A, S: Clone> Steps<A, S> {
+    /// Creates an empty list of steps out of `from`.
+    pub fn new(from: &S) -> Self {
+        Self {
+            from: from.clone(),
+            steps: Vec::new(),
+        }
+    }
+
+    /// Adds the step that `change` makes.
+    pub fn add(&mut self, action: A, change: impl FnOnce(&mut S)) {
+        let mut next = self.from.clone();
+        change(&mut next);
+        self.steps.push(Step::new(action, next));
+    }
+
+    /// Returns the steps in the order in which they were added.
+    pub fn into_vec(self) -> Vec<Step<A, S>> {
+        self.steps
+    }
+}
+
 /// A protocol small enough to be explored exhaustively.
 pub trait Model {
     /// Everything that decides how the protocol can go on.
