Keep membership by pairs in a domain and by relays between domains

Cause: every node sent a heartbeat to every other node, so datagrams per node grew with all nodes; a cut link between two members made each suspect the other although the rest of the domain heard both; a member that was gone was never forgotten; and a planned leave was told with the next heartbeat only.

Change: heartbeats go to all members of the own failure domain alone, and each acknowledges the peer's last one (the owner's right will need that of every member). A silent member is asked about before it is suspected. Two relays for each other domain send summaries, which the receiver passes on inside its domain with the age of each sign of life. A leave is told at once, inside the domain and to each other one. The card is left out of a heartbeat once acknowledged. The VM list adds addresses to ping and lets a silent, unlisted member be forgotten.

Ruled out, as the module says: random pings alone (the right needs each member's answer in each period) and a collector per domain (the right would hang on its life and three hops).

The bed counts each node's datagrams and their bytes as encoded.

--- a/crates/sedgepath-core/src/identity.rs
+++ b/crates/sedgepath-core/src/identity.rs
@@ -31,6 +31,8 @@
     pub suspect_after_ms: u64,
     /// After which silence a member that the VM list no longer names is forgotten, in milliseconds.
     pub forget_after_ms: u64,
+    /// The time between two summaries from one failure domain to another, in milliseconds.
+    pub relay_every_ms: u64,
     /// The time between two readings of the platform's head revision, in milliseconds.
     pub head_every_ms: u64,
     /// How long a look-up's answer may be used, in milliseconds.
@@ -45,6 +47,7 @@
             heartbeat_every_ms: 250,
             suspect_after_ms: 1_500,
             forget_after_ms: 60_000,
+            relay_every_ms: 500,
             head_every_ms: 1_000,
             look_up_valid_ms: 5_000,
             seed: 0,
--- a/crates/sedgepath-core/src/membership.rs
+++ b/crates/sedgepath-core/src/membership.rs
@@ -1,15 +1,69 @@
 //! The members that this node has heard of, and which of them serve.
-
-use std::net::SocketAddr;
+//!
+//! # Problem
+//!
+//! Every node needs to know who serves where, soon after a change, while datagrams are lost, links
+//! are cut and processes pause; and the owner's right (the `right` to upstreams) needs each member of the
+//! own failure domain to acknowledge this node's heartbeats. What a node sends may not grow with the
+//! number of all nodes.
+//!
+//! # What was weighed
+//!
+//! - *SWIM alone* (Das et al., 2002): each node pings a few random peers a second, whatever the size
+//!   of the domain. It finds dead members cheaply, but the owner's right needs an answer of every
+//!   member within each period, which random pings don't bring.
+//! - *A collector per domain* that gathers heartbeats and broadcasts who was heard: constant cost at
+//!   members, but the right would hang on the collector's life and three hops instead of one.
+//! - *Heartbeats between all pairs of a domain, each of which acknowledges the peer's last one*
+//!   (chosen): one datagram per pair and direction and period serves as ping and acknowledgement.
+//!   A domain is bounded (about 42 entry VMs in the largest system planned), so the cost is too.
+//!
+//! SWIM's indirect probes are kept: a member that falls silent is suspected only if the peers asked
+//! have not heard of it directly either (module `probe`).
+//!
+//! Between domains two relays exchange summaries and pass them on inside their domains (module `relay`).
+//!
+//! # Cost
+//!
+//! With `n` members in a domain, a period `h` between heartbeats and datagrams of `b` bytes, a node
+//! sends and receives `(n - 1) * b / h` bytes a second each. A heartbeat in a steady state takes
+//! about 105 bytes with its headers and code, since the card is left out once the peer has
+//! acknowledged it and only owners have loads to tell. For 42 members and `h` of 1 s that is 4.3 KB
+//! a second each way; at the default of 250 ms, meant for domains of a few members, it would be four
+//! times that. The right lasts `suspect_after_ms` from the heartbeat's sending and the
+//! acknowledgement rides on the peer's next one, so `suspect_after_ms` should be at least three
+//! periods: 3 s at that size. The example `control_slopes` measures both.
+//!
+//! # Invariants
+//!
+//! - What is heard directly counts more than what is heard from others, and a live heartbeat more
+//!   than the platform's list: the list adds addresses to ping and allows that a silent member is
+//!   forgotten, nothing else.
+//! - [`Member::heard_at_ms`] is never later than the member's last sign of life by more than the
+//!   transit of the datagrams that carried it: an age is measured where the sign arrived and carried
+//!   along. Hearsay of hearsay can't keep a dead member alive, since ages only grow.
+//! - A boot that was replaced by a later one is never taken back, so a late datagram of the earlier
+//!   process changes nothing.
 
 use crate::event::ListedVm;
 use crate::hash::Map;
 use crate::identity::NodeSettings;
 use crate::key::{BootId, DomainKey, VmKey};
-use crate::message::{Envelope, Heartbeat, MemberCard, Message, ServiceLoad};
+use crate::message::{Envelope, Heartbeat, MemberCard, Probe, ProbeAnswer, ServiceLoad, Summary};
 use crate::outbox::Outbox;
+use crate::ownership;
 use crate::timeline::Topic;
 
+mod heartbeat;
+mod probe;
+mod relay;
+
+use heartbeat::Heartbeats;
+use relay::Relay;
+
+/// The rounds of summaries that may be lost before a member of another failure domain is suspected.
+const LOST_ROUNDS: u64 = 4;
+
 /// A member as last heard of.
 #[derive(Debug, Clone)]
 pub struct Member {
@@ -21,7 +75,8 @@
     pub revision: u64,
     /// Its load by service.
     pub loads: Vec<ServiceLoad>,
-    /// When its last sign of life arrived, in milliseconds by this node's clock.
+    /// When it gave its last sign of life, in milliseconds by this node's clock. For a member that
+    /// a relay told of, this is the arrival of the summary less the age that it gave.
     pub heard_at_ms: u64,
     /// Whether it has been silent for too long.
     pub suspect: bool,
@@ -34,19 +89,49 @@
     }
 }
 
+/// What a node tells the members about itself.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnState<'a> {
+    /// The configuration revision in force.
+    pub revision: u64,
+    /// The load by service.
+    pub loads: &'a [ServiceLoad],
+}
+
+/// A sign of life of a member, heard directly or from others.
+#[derive(Debug)]
+struct Sighting {
+    vm: VmKey,
+    boot: BootId,
+    heard_at_ms: u64,
+    revision: u64,
+    leaving: bool,
+    loads: Vec<ServiceLoad>,
+    card: Option<MemberCard>,
+}
+
 /// The members of the whole system, this node not among them.
 #[derive(Debug)]
 pub struct Membership {
     settings: NodeSettings,
     members: Map<VmKey, Member>,
+    replaced: Map<VmKey, BootId>,
     listed: Vec<ListedVm>,
-    next_heartbeat_at_ms: u64,
+    heartbeats: Heartbeats,
+    relay: Relay,
 }
 
 impl Membership {
     /// Creates an empty table.
     pub fn new(settings: NodeSettings) -> Self {
-        Self { settings, members: Map::default(), listed: Vec::new(), next_heartbeat_at_ms: 0 }
+        Self {
+            settings,
+            members: Map::default(),
+            replaced: Map::default(),
+            listed: Vec::new(),
+            heartbeats: Heartbeats::default(),
+            relay: Relay::default(),
+        }
     }
 
     /// Returns a member.
@@ -63,14 +148,20 @@
 
     /// Returns the members of a failure domain that serve, in the order of their keys.
     pub fn serving_in(&self, domain: DomainKey) -> Vec<VmKey> {
-        let mut serving: Vec<_> = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.card.domain == domain && member.serves())
-            .map(|(vm, _)| *vm)
-            .collect();
-        serving.sort_unstable();
-        serving
+        let members = self.members_in(domain).into_iter();
+        members.filter(|(_, member)| member.serves()).map(|(vm, _)| vm).collect()
+    }
+
+    /// Returns the members of a failure domain in the order of their keys.
+    pub fn members_in(&self, domain: DomainKey) -> Vec<(VmKey, &Member)> {
+        let mut members = self.members();
+        members.retain(|(_, member)| member.card.domain == domain);
+        members
+    }
+
+    /// Returns the platform's list of VMs as last read.
+    pub fn listed(&self) -> &[ListedVm] {
+        &self.listed
     }
 
     /// Takes in the platform's list of VMs.
@@ -78,56 +169,203 @@
         self.listed = listed;
     }
 
-    /// Takes in a heartbeat.
+    /// Takes in a heartbeat of a member of the own failure domain.
     pub fn take_heartbeat(&mut self, envelope: &Envelope, heartbeat: &Heartbeat, out: &mut Outbox) {
-        let known = self.members.get(&envelope.from).map(|member| (member.boot, member.suspect));
-        if known != Some((envelope.boot, false)) {
-            let fields: [(&str, &dyn std::fmt::Display); 2] =
-                [("member", &heartbeat.member.name), ("boot", &envelope.boot.0)];
-            out.log(Topic::Membership, "member_alive", &fields);
+        if self.is_replaced(envelope.from, envelope.boot) {
+            return;
         }
-        let member = Member {
+        if !self.heartbeats.take(envelope, heartbeat, out) {
+            return;
+        }
+        let known = self.members.get(&envelope.from).map(|member| member.boot);
+        let known_leaving =
+            self.members.get(&envelope.from).is_some_and(|member| member.card.leaving);
+        let sighting = Sighting {
+            vm: envelope.from,
             boot: envelope.boot,
-            card: heartbeat.member.clone(),
+            heard_at_ms: out.now_ms(),
             revision: heartbeat.revision,
+            leaving: heartbeat.card.as_ref().map_or(known_leaving, |card| card.leaving),
             loads: heartbeat.loads.clone(),
-            heard_at_ms: out.now_ms(),
-            suspect: false,
+            card: heartbeat.card.clone(),
         };
-        self.members.insert(envelope.from, member);
+        self.learn(sighting, out);
+        let joined = known != Some(envelope.boot)
+            && self.members.get(&envelope.from).is_some_and(|member| member.boot == envelope.boot);
+        if joined && self.introduces(envelope.from, out) {
+            self.introduce(envelope.from, out);
+        }
+    }
+
+    /// Answers a probe if the member asked about was heard of.
+    pub fn take_probe(&self, envelope: &Envelope, probe: &Probe, out: &mut Outbox) {
+        if let Some(asker) = self.members.get(&envelope.from) {
+            let direct = self.heartbeats.heard(probe.about);
+            probe::answer(asker.card.peers, probe.about, direct, out);
+        }
     }
 
-    /// Suspects silent members and sends this node's heartbeat when it is due.
-    pub fn tick(&mut self, revision: u64, loads: &[ServiceLoad], out: &mut Outbox) {
+    /// Takes in the answer to a probe.
+    pub fn take_probe_answer(&mut self, answer: &ProbeAnswer, out: &mut Outbox) {
+        let Some(member) = self.members.get(&answer.about) else {
+            return;
+        };
+        let sighting = Sighting {
+            vm: answer.about,
+            boot: answer.boot,
+            heard_at_ms: out.now_ms().saturating_sub(answer.age_ms),
+            revision: member.revision,
+            leaving: member.card.leaving,
+            loads: member.loads.clone(),
+            card: None,
+        };
+        self.learn(sighting, out);
+    }
+
+    /// Takes in a summary, and passes it on if it came from another failure domain.
+    pub fn take_summary(&mut self, summary: &Summary, out: &mut Outbox) {
+        for line in &summary.lines {
+            let sighting = Sighting {
+                vm: line.vm,
+                boot: line.boot,
+                heard_at_ms: out.now_ms().saturating_sub(line.age_ms),
+                revision: line.revision,
+                leaving: line.leaving,
+                loads: line.loads.clone(),
+                card: line.card.clone(),
+            };
+            self.learn(sighting, out);
+        }
+        if summary.pass_on {
+            let own_domain = out.identity().card.domain;
+            for (_, member) in self.members_in(own_domain) {
+                if !member.suspect {
+                    relay::pass_on(member.card.peers, summary, out);
+                }
+            }
+        }
+    }
+
+    /// Suspects silent members and sends the heartbeats, probes and summaries that are due.
+    pub fn tick(&mut self, own: OwnState<'_>, out: &mut Outbox) {
         self.suspect_silent(out);
-        if out.now_ms() < self.next_heartbeat_at_ms {
+        self.forget_gone(out);
+        self.send_heartbeats(own, out);
+        self.send_summaries(own, out);
+    }
+
+    /// Takes in a sign of life unless a later one is known.
+    fn learn(&mut self, sighting: Sighting, out: &mut Outbox) {
+        let own = sighting.vm == out.identity().vm;
+        if own || self.is_replaced(sighting.vm, sighting.boot) {
             return;
         }
-        self.next_heartbeat_at_ms = out.now_ms() + self.settings.heartbeat_every_ms;
-        for address in self.addresses(out.identity().card.peers) {
-            let member = out.identity().card.clone();
-            let heartbeat = Heartbeat { member, revision, loads: loads.to_vec() };
-            out.send(address, Message::Heartbeat(heartbeat));
+        match self.members.get_mut(&sighting.vm) {
+            Some(member) if member.boot == sighting.boot => {
+                // A boot that has begun to leave never takes it back, so the word may be old.
+                member.card.leaving |= sighting.leaving;
+                if sighting.heard_at_ms >= member.heard_at_ms {
+                    member.heard_at_ms = sighting.heard_at_ms;
+                    member.revision = member.revision.max(sighting.revision);
+                    member.loads = sighting.loads;
+                }
+                let silent_ms = out.now_ms().saturating_sub(member.heard_at_ms);
+                if member.suspect && silent_ms < self.settings.suspect_after_ms {
+                    member.suspect = false;
+                    log_alive(member, out);
+                }
+            }
+            Some(member) if sighting.heard_at_ms < member.heard_at_ms => {}
+            known => {
+                let Some(mut card) = sighting.card else {
+                    return;
+                };
+                if let Some(known) = known {
+                    self.replaced.insert(sighting.vm, known.boot);
+                }
+                card.leaving |= sighting.leaving;
+                let member = Member {
+                    boot: sighting.boot,
+                    card,
+                    revision: sighting.revision,
+                    loads: sighting.loads,
+                    heard_at_ms: sighting.heard_at_ms,
+                    suspect: false,
+                };
+                log_alive(&member, out);
+                self.members.insert(sighting.vm, member);
+            }
+        }
+    }
+
+    fn is_replaced(&self, vm: VmKey, boot: BootId) -> bool {
+        self.replaced.get(&vm) == Some(&boot)
+    }
+
+    /// Returns the silence after which a member is suspected, in milliseconds.
+    fn suspect_after_ms(&self, member: &Member, own_domain: DomainKey) -> u64 {
+        if member.card.domain == own_domain {
+            return self.settings.suspect_after_ms;
         }
+        self.settings.suspect_after_ms + LOST_ROUNDS * self.settings.relay_every_ms
     }
 
     fn suspect_silent(&mut self, out: &mut Outbox) {
-        for member in self.members.values_mut() {
-            let silent_since_ms = member.heard_at_ms + self.settings.suspect_after_ms;
-            if !member.suspect && silent_since_ms <= out.now_ms() {
+        let own_domain = out.identity().card.domain;
+        let silent: Vec<VmKey> = self
+            .members()
+            .into_iter()
+            .filter(|(_, member)| {
+                let after_ms = self.suspect_after_ms(member, own_domain);
+                !member.suspect && member.heard_at_ms + after_ms <= out.now_ms()
+            })
+            .map(|(vm, _)| vm)
+            .collect();
+        for vm in silent {
+            if let Some(member) = self.members.get_mut(&vm) {
                 member.suspect = true;
                 out.log(Topic::Membership, "member_suspect", &[("member", &member.card.name)]);
             }
         }
     }
 
-    fn addresses(&self, own: SocketAddr) -> Vec<SocketAddr> {
-        let listed = self.listed.iter().map(|vm| vm.peers);
-        let mut addresses: Vec<_> =
-            listed.chain(self.members.values().map(|member| member.card.peers)).collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses.retain(|address| *address != own);
-        addresses
+    /// Forgets members that have been silent for long and that the platform no longer lists.
+    fn forget_gone(&mut self, out: &mut Outbox) {
+        if self.listed.is_empty() {
+            return;
+        }
+        let silent_since_ms = out.now_ms().saturating_sub(self.settings.forget_after_ms);
+        let gone: Vec<VmKey> = self
+            .members()
+            .into_iter()
+            .filter(|(vm, member)| member.heard_at_ms <= silent_since_ms && !self.is_listed(*vm))
+            .map(|(vm, _)| vm)
+            .collect();
+        for vm in gone {
+            if let Some(member) = self.members.remove(&vm) {
+                self.replaced.remove(&vm);
+                self.heartbeats.forget(vm);
+                out.log(Topic::Membership, "member_gone", &[("member", &member.card.name)]);
+            }
+        }
+    }
+
+    fn is_listed(&self, vm: VmKey) -> bool {
+        self.listed.iter().any(|listed| VmKey::of(&listed.name) == vm)
     }
+
+    /// Whether this node is the one that tells a new member of all others.
+    fn introduces(&self, newcomer: VmKey, out: &Outbox) -> bool {
+        let identity = out.identity();
+        let mut candidates = self.serving_in(identity.card.domain);
+        candidates.retain(|vm| *vm != newcomer);
+        candidates.push(identity.vm);
+        ownership::owner(newcomer.0, &candidates) == Some(identity.vm)
+    }
+}
+
+fn log_alive(member: &Member, out: &mut Outbox) {
+    let fields: [(&str, &dyn std::fmt::Display); 2] =
+        [("member", &member.card.name), ("boot", &member.boot.0)];
+    out.log(Topic::Membership, "member_alive", &fields);
 }
--- /dev/null
+++ b/crates/sedgepath-core/src/membership/heartbeat.rs
@@ -0,0 +1,189 @@
+//! Heartbeats between all pairs of members of a failure domain.
+//!
+//! Each heartbeat acknowledges the peer's last one. The card goes along until the peer has
+//! acknowledged it, since it is the largest part and changes once in a member's life.
+
+use std::net::SocketAddr;
+
+use super::{Membership, OwnState, probe};
+use crate::hash::Map;
+use crate::key::{BootId, DomainKey, VmKey};
+use crate::message::{Acknowledgement, Envelope, Heartbeat, Message, ServiceLoad};
+use crate::outbox::Outbox;
+
+/// The most services whose load a heartbeat tells, so that it fits a datagram; those with the
+/// fewest slots are left out.
+pub(super) const MAX_LOADS: usize = 48;
+
+/// What is known of a peer from its own heartbeats.
+#[derive(Debug)]
+struct Contact {
+    boot: BootId,
+    sequence: u64,
+    heard_at_ms: u64,
+    sent_at_ms: u64,
+    /// What the peer's last acknowledgement says of this node's card, and when it came.
+    card_leaving: Option<bool>,
+    acknowledged_at_ms: u64,
+}
+
+/// A member as heard of directly.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Heard {
+    /// Its boot.
+    pub boot: BootId,
+    /// When, in milliseconds by this node's clock.
+    pub at_ms: u64,
+}
+
+/// The exchange of heartbeats with the members of the own failure domain.
+#[derive(Debug, Default)]
+pub(super) struct Heartbeats {
+    contacts: Map<VmKey, Contact>,
+    next_at_ms: u64,
+    told_leaving: bool,
+}
+
+impl Heartbeats {
+    /// Takes in a heartbeat; returns false if a later one of the same boot has arrived before.
+    pub fn take(&mut self, envelope: &Envelope, heartbeat: &Heartbeat, out: &Outbox) -> bool {
+        let contact = self.contacts.entry(envelope.from).or_insert(Contact {
+            boot: envelope.boot,
+            sequence: 0,
+            heard_at_ms: 0,
+            sent_at_ms: 0,
+            card_leaving: None,
+            acknowledged_at_ms: 0,
+        });
+        if contact.boot != envelope.boot {
+            contact.boot = envelope.boot;
+            contact.sequence = 0;
+            contact.card_leaving = None;
+        }
+        if envelope.sequence <= contact.sequence {
+            return false;
+        }
+        contact.sequence = envelope.sequence;
+        contact.heard_at_ms = out.now_ms();
+        contact.sent_at_ms = heartbeat.sent_at_ms;
+        let acknowledgement = heartbeat.acknowledgement.as_ref();
+        if let Some(acknowledgement) =
+            acknowledgement.filter(|entry| entry.boot == out.identity().boot)
+        {
+            contact.card_leaving = acknowledgement.card_leaving;
+            contact.acknowledged_at_ms = out.now_ms();
+        }
+        true
+    }
+
+    /// Returns when a member was last heard of directly.
+    pub fn heard(&self, vm: VmKey) -> Option<Heard> {
+        let contact = self.contacts.get(&vm)?;
+        Some(Heard { boot: contact.boot, at_ms: contact.heard_at_ms })
+    }
+
+    /// Forgets a member.
+    pub fn forget(&mut self, vm: VmKey) {
+        self.contacts.remove(&vm);
+    }
+
+    /// Whether a peer still needs this node's card: it has not acknowledged it as it stands, or not
+    /// for so long that it may have been restarted since.
+    fn needs_card(&self, vm: VmKey, valid_ms: u64, out: &Outbox) -> bool {
+        let Some(contact) = self.contacts.get(&vm) else {
+            return true;
+        };
+        let stale = contact.acknowledged_at_ms + valid_ms < out.now_ms();
+        stale || contact.card_leaving != Some(out.identity().card.leaving)
+    }
+}
+
+impl Membership {
+    /// Sends the heartbeats that are due; at once to all if this node has begun to leave.
+    pub(super) fn send_heartbeats(&mut self, own: OwnState<'_>, out: &mut Outbox) {
+        let leaving = out.identity().card.leaving;
+        let news = leaving != self.heartbeats.told_leaving;
+        if out.now_ms() < self.heartbeats.next_at_ms && !news {
+            return;
+        }
+        self.heartbeats.told_leaving = leaving;
+        self.heartbeats.next_at_ms = out.now_ms() + self.settings.heartbeat_every_ms;
+        let domain = out.identity().card.domain;
+        let peers: Vec<(VmKey, SocketAddr)> = self
+            .members_in(domain)
+            .into_iter()
+            .map(|(vm, member)| (vm, member.card.peers))
+            .collect();
+        for (vm, address) in &peers {
+            let heartbeat = self.heartbeat(Some(*vm), own, out);
+            out.send(*address, Message::Heartbeat(heartbeat));
+        }
+        for address in self.unheard_addresses(domain, &peers, out) {
+            let heartbeat = self.heartbeat(None, own, out);
+            out.send(address, Message::Heartbeat(heartbeat));
+        }
+        self.probe_silent(out);
+    }
+
+    fn heartbeat(&self, to: Option<VmKey>, own: OwnState<'_>, out: &Outbox) -> Heartbeat {
+        let valid_ms = self.settings.suspect_after_ms;
+        let needs_card = to.is_none_or(|vm| self.heartbeats.needs_card(vm, valid_ms, out));
+        Heartbeat {
+            sent_at_ms: out.now_ms(),
+            card: needs_card.then(|| out.identity().card.clone()),
+            revision: own.revision,
+            loads: largest_loads(own.loads),
+            acknowledgement: to.and_then(|vm| self.acknowledgement(vm)),
+        }
+    }
+
+    fn acknowledgement(&self, vm: VmKey) -> Option<Acknowledgement> {
+        let contact = self.heartbeats.contacts.get(&vm)?;
+        let member = self.members.get(&vm).filter(|member| member.boot == contact.boot);
+        Some(Acknowledgement {
+            boot: contact.boot,
+            sent_at_ms: contact.sent_at_ms,
+            card_leaving: member.map(|member| member.card.leaving),
+        })
+    }
+
+    /// Returns the addresses of the failure domain that only the platform's list names.
+    fn unheard_addresses(
+        &self,
+        domain: DomainKey,
+        peers: &[(VmKey, SocketAddr)],
+        out: &Outbox,
+    ) -> Vec<SocketAddr> {
+        let own = out.identity().card.peers;
+        let listed = self.listed.iter().filter(|vm| DomainKey::of(&vm.domain) == domain);
+        let mut addresses: Vec<_> = listed.map(|vm| vm.peers).collect();
+        addresses.retain(|address| *address != own && peers.iter().all(|peer| peer.1 != *address));
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Asks others about members that are silent but not yet suspected.
+    fn probe_silent(&self, out: &mut Outbox) {
+        let domain = out.identity().card.domain;
+        let silent_after_ms = self.settings.suspect_after_ms / 2;
+        let members = self.members_in(domain);
+        for (vm, member) in &members {
+            let silent = member.heard_at_ms + silent_after_ms <= out.now_ms();
+            if silent && !member.suspect {
+                let others = members.iter().filter(|(other, entry)| other != vm && entry.serves());
+                let others = others.map(|(other, entry)| (*other, entry.card.peers)).collect();
+                probe::ask(*vm, others, out);
+            }
+        }
+    }
+}
+
+/// Returns the loads with the most slots, in the order of their services.
+pub(super) fn largest_loads(loads: &[ServiceLoad]) -> Vec<ServiceLoad> {
+    let mut largest = loads.to_vec();
+    largest.sort_unstable_by_key(|load| (std::cmp::Reverse(load.slots), load.service));
+    largest.truncate(MAX_LOADS);
+    largest.sort_unstable_by_key(|load| load.service);
+    largest
+}
--- a/crates/sedgepath-core/src/message.rs
+++ b/crates/sedgepath-core/src/message.rs
@@ -25,19 +25,89 @@
 /// What a datagram says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// A sign of life with the sender's addresses and load.
+    /// A sign of life to a member of the same failure domain.
     Heartbeat(Heartbeat),
+    /// Asks a member when it last heard directly of another.
+    Probe(Probe),
+    /// Answers a probe.
+    ProbeAnswer(ProbeAnswer),
+    /// What a relay knows of the members of a failure domain.
+    Summary(Summary),
 }
 
 /// A sign of life.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// The sender's name and addresses.
-    pub member: MemberCard,
+    /// When it was sent, in milliseconds by the sender's clock; comes back in the acknowledgement.
+    pub sent_at_ms: u64,
+    /// The sender's name and addresses, until the receiver has acknowledged them.
+    pub card: Option<MemberCard>,
     /// The configuration revision that the sender has in force.
     pub revision: u64,
     /// The sender's load by service.
     pub loads: Vec<ServiceLoad>,
+    /// Acknowledges the last heartbeat of the receiver that the sender has.
+    pub acknowledgement: Option<Acknowledgement>,
+}
+
+/// Says which heartbeat of the receiver was the last to arrive.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acknowledgement {
+    /// The boot that sent the heartbeat.
+    pub boot: BootId,
+    /// When that boot sent it, by its own clock.
+    pub sent_at_ms: u64,
+    /// Whether the card that is known says that its member is leaving; none if no card is known.
+    pub card_leaving: Option<bool>,
+}
+
+/// Asks a member when it last heard directly of another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Probe {
+    /// The member that the sender has not heard of for a while.
+    pub about: VmKey,
+}
+
+/// Answers a probe.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeAnswer {
+    /// The member that was asked about.
+    pub about: VmKey,
+    /// Its boot.
+    pub boot: BootId,
+    /// How long ago it was heard of directly, in milliseconds; a time on the wire, since clocks
+    /// differ.
+    pub age_ms: u64,
+}
+
+/// What a relay knows of the members of a failure domain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The failure domain.
+    pub domain: DomainKey,
+    /// Whether the receiver is to pass it on inside its own failure domain.
+    pub pass_on: bool,
+    /// The members.
+    pub lines: Vec<SummaryLine>,
+}
+
+/// What a relay knows of one member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SummaryLine {
+    /// The member.
+    pub vm: VmKey,
+    /// Its boot.
+    pub boot: BootId,
+    /// How long ago it was heard of, in milliseconds; a time on the wire, since clocks differ.
+    pub age_ms: u64,
+    /// The configuration revision that it has in force.
+    pub revision: u64,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Its load by service.
+    pub loads: Vec<ServiceLoad>,
+    /// Its name and addresses; not in every summary.
+    pub card: Option<MemberCard>,
 }
 
 /// What others need to know to reach a node.
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -15,7 +15,7 @@
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{self, Ingress, Target};
 use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
-use crate::membership::Membership;
+use crate::membership::{Membership, OwnState};
 use crate::message::{Envelope, Message};
 use crate::outbox::Outbox;
 use crate::ownership;
@@ -126,7 +126,8 @@
         self.configuration.tick(self.settings.head_every_ms, &mut self.out);
         let allowances = self.allowances();
         let loads = self.egress.loads(&allowances, self.configuration.catalogue());
-        self.membership.tick(self.configuration.revision(), &loads, &mut self.out);
+        let own = OwnState { revision: self.configuration.revision(), loads: &loads };
+        self.membership.tick(own, &mut self.out);
         self.end_stop();
         self.out.take_actions()
     }
@@ -311,6 +312,11 @@
             Message::Heartbeat(heartbeat) => {
                 self.membership.take_heartbeat(envelope, heartbeat, &mut self.out);
             }
+            Message::Probe(probe) => self.membership.take_probe(envelope, probe, &mut self.out),
+            Message::ProbeAnswer(answer) => {
+                self.membership.take_probe_answer(answer, &mut self.out);
+            }
+            Message::Summary(summary) => self.membership.take_summary(summary, &mut self.out),
         }
     }
 }
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -61,6 +61,22 @@
     Broken,
 }
 
+/// The datagrams that a node sent and received.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// The datagrams sent, lost ones among them.
+    pub sent: u64,
+    /// Their bytes, with the code and the headers of IP and UDP.
+    pub sent_bytes: u64,
+    /// The datagrams received.
+    pub received: u64,
+    /// Their bytes, counted like those sent.
+    pub received_bytes: u64,
+}
+
+/// The bytes of a datagram besides its envelope: a code of 16, and 28 of IPv4 and UDP headers.
+const DATAGRAM_EXTRA_BYTES: u64 = 16 + 28;
+
 /// A caller's request.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -89,6 +105,7 @@
     requests: BTreeMap<RequestKey, CallIndex>,
     exchanges: BTreeMap<ExchangeKey, Exchange>,
     stopped: bool,
+    traffic: Traffic,
 }
 
 /// A dispatch at its owner, and whom its reply goes to.
@@ -203,6 +220,7 @@
             requests: BTreeMap::new(),
             exchanges: BTreeMap::new(),
             stopped: false,
+            traffic: Traffic::default(),
         });
         self.start(index);
         index
@@ -247,6 +265,11 @@
         self.nodes[node].stopped
     }
 
+    /// Returns the datagrams that a node has sent and received since it was added.
+    pub fn traffic(&self, node: NodeIndex) -> Traffic {
+        self.nodes[node].traffic
+    }
+
     /// Returns all calls made so far.
     pub fn calls(&self) -> &[Call] {
         &self.calls
@@ -520,6 +543,10 @@
         to: SocketAddr,
         envelope: &sedgepath_core::message::Envelope,
     ) {
+        let size = postcard::experimental::serialized_size(envelope);
+        let bytes = size.map_or(0, |size| size as u64 + DATAGRAM_EXTRA_BYTES);
+        self.nodes[from].traffic.sent += 1;
+        self.nodes[from].traffic.sent_bytes += bytes;
         let Some(target) = self.nodes.iter().position(|slot| slot.card.peers == to) else {
             return;
         };
@@ -528,6 +555,8 @@
         }
         let copies = self.faults.datagram_copies(&mut self.random);
         for _ in 0..copies {
+            self.nodes[target].traffic.received += 1;
+            self.nodes[target].traffic.received_bytes += bytes;
             let delay_ms = self.delay_ms(from, target);
             let event = Box::new(BedEvent::Datagram(envelope.clone()));
             self.schedule(delay_ms, Item::Deliver { node: target, boot: None, event });
