--- a/crates/sedgepath-model/examples/explore.rs
+++ b/crates/sedgepath-model/examples/explore.rs
@@ -16,15 +16,11 @@
     let (verdict, length) = match &exploration.verdict {
         Verdict::Holds => ("holds".to_owned(), String::from("-")),
         Verdict::LimitReached => ("limit reached".to_owned(), String::from("-")),
-        Verdict::Violated(found) => (
-            format!("{:?}", found.violation),
-            found.trace.len().to_string(),
-        ),
+        Verdict::Violated(found) => {
+            (format!("{:?}", found.violation), found.trace.len().to_string())
+        }
     };
-    println!(
-        "{name:<14} {variant:<26} {:>9} {verdict:<18} {length:>5}",
-        exploration.explored
-    );
+    println!("{name:<14} {variant:<26} {:>9} {verdict:<18} {length:>5}", exploration.explored);
     if let (true, Some(found)) = (trace_wanted, exploration.counterexample()) {
         for step in &found.trace {
             println!("    {:?}", step.action);
@@ -45,12 +41,7 @@
 fn report_configurations(trace_wanted: bool) {
     let name = "configuration";
     let two_by_two = || ConfigurationModel::new(2, 2);
-    report(
-        name,
-        "3 operators",
-        &ConfigurationModel::new(3, 0),
-        trace_wanted,
-    );
+    report(name, "3 operators", &ConfigurationModel::new(3, 0), trace_wanted);
     report(name, "2 operators, 2 nodes", &two_by_two(), trace_wanted);
     for (operators, nodes) in [(3, 1), (2, 3)] {
         let variant = format!("{operators} and {nodes}, answers kept");
@@ -65,10 +56,7 @@
 
 fn main() {
     let trace_wanted = std::env::args().any(|argument| argument == TRACE_FLAG);
-    println!(
-        "{:<14} {:<26} {:>9} {:<18} {:>5}",
-        "model", "variant", "states", "verdict", "trace"
-    );
+    println!("{:<14} {:<26} {:>9} {:<18} {:>5}", "model", "variant", "states", "verdict", "trace");
     report_claims(trace_wanted);
     report_configurations(trace_wanted);
 }
--- a/crates/sedgepath-model/src/configuration.rs
+++ b/crates/sedgepath-model/src/configuration.rs
@@ -195,10 +195,7 @@
 }
 
 impl Held {
-    const NOTHING: Self = Self {
-        revision: 0,
-        change: None,
-    };
+    const NOTHING: Self = Self { revision: 0, change: None };
 
     /// The bit of this message in [`State::messages`].
     fn bit(self) -> u32 {
@@ -283,11 +280,7 @@
 
 impl State {
     const INITIAL: Self = Self {
-        table: Table {
-            head: 0,
-            log: [None; LAST_REVISION + 1],
-            record: Held::NOTHING,
-        },
+        table: Table { head: 0, log: [None; LAST_REVISION + 1], record: Held::NOTHING },
         operators: [OperatorState::Idle; OPERATORS],
         writes: 0,
         nodes: [NodeState::BOOTED; NODES],
@@ -298,11 +291,7 @@
     };
 
     fn log_rows(&self, operator: Operator) -> usize {
-        self.table
-            .log
-            .iter()
-            .filter(|change| **change == Some(operator))
-            .count()
+        self.table.log.iter().filter(|change| **change == Some(operator)).count()
     }
 
     fn accepted(&self, operator: Operator) -> Option<Revision> {
@@ -315,10 +304,7 @@
     fn has_rival(&self, operator: Operator) -> bool {
         let revision = self.accepted(operator);
         let rivals = operator + 1..OPERATORS;
-        revision.is_some()
-            && rivals
-                .into_iter()
-                .any(|rival| self.accepted(rival) == revision)
+        revision.is_some() && rivals.into_iter().any(|rival| self.accepted(rival) == revision)
     }
 
     fn is_lost(&self, operator: Operator) -> bool {
@@ -341,14 +327,9 @@
     fn messages(&self) -> impl Iterator<Item = Held> {
         let messages = self.messages;
         let changes = move |revision| {
-            (0..OPERATORS)
-                .map(Some)
-                .chain([None])
-                .map(move |change| Held { revision, change })
+            (0..OPERATORS).map(Some).chain([None]).map(move |change| Held { revision, change })
         };
-        (1..=LAST_REVISION)
-            .flat_map(changes)
-            .filter(move |held| messages & held.bit() != 0)
+        (1..=LAST_REVISION).flat_map(changes).filter(move |held| messages & held.bit() != 0)
     }
 }
 
@@ -415,26 +396,17 @@
 
     /// Lets no answer to an operator be lost, so that more revisions and nodes can be explored.
     pub fn with_answers_kept(self) -> Self {
-        Self {
-            answers_kept: true,
-            ..self
-        }
+        Self { answers_kept: true, ..self }
     }
 
     /// Leaves out one safeguard.
     pub fn with_removed(self, removed: Safeguard) -> Self {
-        Self {
-            variant: self.variant.with_removed(removed),
-            ..self
-        }
+        Self { variant: self.variant.with_removed(removed), ..self }
     }
 
     /// Searches for this violation only, also past states that show another.
     pub fn with_searched(self, searched: Violation) -> Self {
-        Self {
-            variant: self.variant.with_searched(searched),
-            ..self
-        }
+        Self { variant: self.variant.with_searched(searched), ..self }
     }
 
     fn keeps(&self, safeguard: Safeguard) -> bool {
@@ -453,10 +425,7 @@
         state.table.head = revision;
         state.table.log[revision] = Some(operator);
         if self.keeps(Safeguard::OneTransaction) {
-            state.table.record = Held {
-                revision,
-                change: Some(operator),
-            };
+            state.table.record = Held { revision, change: Some(operator) };
         }
         true
     }
@@ -482,10 +451,7 @@
             }
             OperatorState::RecordDue(revision) => {
                 steps.add(Action::WriteRecord(operator), |s| {
-                    s.table.record = Held {
-                        revision,
-                        change: Some(operator),
-                    };
+                    s.table.record = Held { revision, change: Some(operator) };
                     s.operators[operator] = OperatorState::Told(Outcome::Accepted(revision));
                 });
             }
@@ -498,8 +464,7 @@
         if self.apply(state, operator, expected) {
             return Outcome::Accepted(expected + 1);
         }
-        self.settle(state, operator, expected)
-            .unwrap_or(Outcome::Unknown)
+        self.settle(state, operator, expected).unwrap_or(Outcome::Unknown)
     }
 
     /// The state of an operator whose transaction came to `outcome`.
@@ -551,11 +516,7 @@
         });
         // With the change id the same transaction is sent again, which is a late answer to it. Without,
         // the only way on is a new one.
-        let again = if self.keeps(Safeguard::ChangeId) {
-            expected
-        } else {
-            state.table.head
-        };
+        let again = if self.keeps(Safeguard::ChangeId) { expected } else { state.table.head };
         if again < LAST_REVISION {
             steps.add(Action::Resubmit(operator), |s| {
                 s.send(operator, again);
@@ -609,11 +570,7 @@
         if let Some(revision) = state.nodes[node].head_read {
             steps.add(Action::ReadRecord(node), |s| {
                 s.nodes[node].head_read = None;
-                s.messages |= Held {
-                    revision,
-                    change: s.table.record.change,
-                }
-                .bit();
+                s.messages |= Held { revision, change: s.table.record.change }.bit();
             });
         }
     }
@@ -692,7 +649,6 @@
     }
 
     fn violation(&self, state: &State) -> Option<Violation> {
-        self.variant
-            .first_violation(Violation::ALL, |violation| violation.is_in(state))
+        self.variant.first_violation(Violation::ALL, |violation| violation.is_in(state))
     }
 }
--- a/crates/sedgepath-model/src/search.rs
+++ b/crates/sedgepath-model/src/search.rs
@@ -52,10 +52,7 @@
 impl<A, S: Clone> Steps<A, S> {
     /// Creates an empty list of steps out of `from`.
     pub fn new(from: &S) -> Self {
-        Self {
-            from: from.clone(),
-            steps: Vec::new(),
-        }
+        Self { from: from.clone(), steps: Vec::new() }
     }
 
     /// Adds the step that `change` makes.
@@ -146,12 +143,7 @@
             Verdict::LimitReached => return write!(f, "limit reached, nothing proved"),
             Verdict::Violated(found) => found,
         };
-        write!(
-            f,
-            "violated: {:?} after {} steps",
-            found.violation,
-            found.trace.len()
-        )?;
+        write!(f, "violated: {:?} after {} steps", found.violation, found.trace.len())?;
         if f.alternate() {
             for step in &found.trace {
                 write!(f, "\n{:?}", step.action)?;
@@ -203,11 +195,7 @@
                 return Vec::new();
             }
             explored += 1;
-            model
-                .steps(state)
-                .into_iter()
-                .map(|step| step.next)
-                .collect()
+            model.steps(state).into_iter().map(|step| step.next).collect()
         },
         |state| violation(state).is_some(),
     );
@@ -231,15 +219,8 @@
     let mut trace: Vec<Step<M::Action, M::State>> = Vec::new();
     for next in states {
         let before = trace.last().map_or(&initial, |step| &step.next);
-        let step = model
-            .steps(before)
-            .into_iter()
-            .find(|step| step.next == next)?;
+        let step = model.steps(before).into_iter().find(|step| step.next == next)?;
         trace.push(step);
     }
-    Some(Counterexample {
-        violation,
-        initial,
-        trace,
-    })
+    Some(Counterexample { violation, initial, trace })
 }
--- a/crates/sedgepath-model/tests/claim.rs
+++ b/crates/sedgepath-model/tests/claim.rs
@@ -35,14 +35,8 @@
 #[test]
 fn refused_key_can_run_later() {
     for kind in [KeyKind::Chosen, KeyKind::Ticket] {
-        let exploration = reach(
-            &ClaimModel::new().with_kind(kind),
-            is_answered_after_not_run,
-        );
-        assert!(
-            exploration.counterexample().is_some(),
-            "{kind:?}: {exploration}"
-        );
+        let exploration = reach(&ClaimModel::new().with_kind(kind), is_answered_after_not_run);
+        assert!(exploration.counterexample().is_some(), "{kind:?}: {exploration}");
     }
 }
 
