Give every request one true outcome, with retries from a budget

Cause: the ingress made one attempt, whatever ended it. A refusal or an owner that could not be reached became the caller's answer although other owners could serve; a lost answer of an idempotent request ended unknown; a service whose record could not be read was refused as without upstreams, and a request past its deadline was sent. Ruled out: retrying everything that failed. A hop that broke proves nothing, so what is not idempotent may be sent again only after a refusal or when nothing was sent; and without a budget three failure domains triple the load of an outage. Change: the request's life moves into its own module with a list of attempts and of what each proved; a budget of a tenth of the fresh requests per service, starting with five; look-ups and candidates move out of the node; look-ups are answered from lists that are made anew when the members or the configuration change.

--- a/crates/sedgepath-core/src/event.rs
+++ b/crates/sedgepath-core/src/event.rs
@@ -1,6 +1,7 @@
 //! What the node is told, and what it asks its shell to do.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -30,7 +31,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LookUpAnswer {
     /// The entry VMs, the best first.
-    pub entry_vms: Vec<EntryVm>,
+    pub entry_vms: Arc<[EntryVm]>,
     /// Until when the answer may be used, in milliseconds of the answering node's clock.
     pub expires_at_ms: u64,
     /// The same as a time from now, for callers whose clock differs.
--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -1,109 +1,291 @@
 //! The caller's side: from a request's arrival to its one outcome.
+//!
+//! A request gets exactly one outcome, at the moment it is decided. That it was *not run* is said
+//! only with proof for each of its attempts: never sent, or refused before its start. A hop that
+//! broke or timed out proves nothing, since the request may run although nobody hears of it: such a
+//! request is sent again only if a second run does no harm, and otherwise ends *unknown*.
+//!
+//! [`Ingress::begin`] is the entry for every request that may run; each method returns the
+//! [`Conclusion`] that it came to, so that the system that keeps once-only requests from running
+//! twice sees every outcome before the caller does.
 
-use std::net::SocketAddr;
-
+use crate::candidates::{Owner, View};
+use crate::catalogue::{Catalogue, ServiceEntry};
 use crate::event::Action;
 use crate::hash::Map;
-use crate::key::{RequestKey, VmKey};
+use crate::key::{DomainKey, RequestKey, ServiceKey};
+use crate::look_up::LookUps;
 use crate::outbox::Outbox;
-use crate::request::{Dispatch, HopEnd, Outcome, Reason, Refusal, RequestHead};
+use crate::record::Plan;
+use crate::request::{Class, Dispatch, HopEnd, Once, Outcome, Reason, Refusal, RequestHead};
+use crate::retry::RetryBudgets;
+use crate::steering::{Choice, SteeringPolicy};
+
+mod pending;
 
-/// When a caller whose request could not be placed should come back, in milliseconds.
+use pending::Pending;
+
+/// When a caller whose request could not be placed should come back, in milliseconds: by then a
+/// silent member has been suspected or heard of again.
 const RETRY_AFTER_MS: u64 = 500;
 
-/// Where an attempt goes.
-#[derive(Debug, Clone)]
-pub struct Target {
-    /// The owner.
-    pub vm: VmKey,
-    /// Where the owner takes frames.
-    pub address: SocketAddr,
-    /// What to tell the owner.
-    pub dispatch: Dispatch,
+/// The least time that must be left for a further attempt, in milliseconds.
+const LEAST_REMAINING_MS: u64 = 5;
+
+/// The final outcome of a request that no answer is relayed for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Conclusion {
+    /// The request.
+    pub request: RequestKey,
+    /// Its outcome.
+    pub outcome: Outcome,
 }
 
-/// A request in flight.
-#[derive(Debug)]
-struct Pending {
-    attempt: u32,
+/// What the ingress decides by.
+#[derive(Debug, Clone, Copy)]
+pub struct Means<'a> {
+    /// What the node knows.
+    pub view: View<'a>,
+    /// The policy that ranks failure domains.
+    pub policy: &'a dyn SteeringPolicy,
 }
 
 /// The requests that this node serves as ingress.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Ingress {
     pending: Map<RequestKey, Pending>,
+    budgets: RetryBudgets,
+    look_ups: LookUps,
+    random: fastrand::Rng,
 }
 
 impl Ingress {
-    /// Sends a request to its first target, or gives it up at once if there is none.
+    /// Creates an ingress without requests, whose random choices follow a seed.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            pending: Map::default(),
+            budgets: RetryBudgets::default(),
+            look_ups: LookUps::default(),
+            random: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Returns the lists of entry VMs that look-ups are answered from.
+    pub fn look_ups_mut(&mut self) -> &mut LookUps {
+        &mut self.look_ups
+    }
+
+    /// Sends a request to its first target, or concludes it at once.
     pub fn begin(
         &mut self,
         request: RequestKey,
         head: &RequestHead,
-        target: Option<Target>,
+        means: Means<'_>,
         out: &mut Outbox,
-    ) {
-        let Some(target) = target else {
-            conclude_not_run(request, Reason::NoUpstream, out);
-            return;
+    ) -> Option<Conclusion> {
+        let service = ServiceKey::of(&head.service);
+        let (entry, class) = match admit(service, head, &means.view) {
+            Ok(admitted) => admitted,
+            Err(Denied::Outcome(outcome)) => return Some(Conclusion { request, outcome }),
+            Err(Denied::NotRun(reason)) => {
+                let refusal = Refusal { reason, retry_after_ms: RETRY_AFTER_MS };
+                return Some(self.not_run(request, service, head, refusal, &means));
+            }
         };
-        self.pending.insert(request, Pending { attempt: 1 });
-        out.push(Action::Forward {
-            request,
-            attempt: 1,
-            to: target.vm,
-            address: target.address,
-            dispatch: target.dispatch,
-            deadline_at_ms: head.deadline_at_ms,
-        });
+        self.budgets.earn(service);
+        let mut pending = Pending::new(head, service, class, &means.view, entry);
+        match self.place(&pending, &means) {
+            Ok((domain, owner)) => {
+                pending.send(request, domain, owner, means.view.revision, out);
+                self.pending.insert(request, pending);
+                None
+            }
+            Err(refusal) => Some(self.not_run(request, service, head, refusal, &means)),
+        }
     }
 
-    /// Relays the answer that an attempt has brought.
+    /// Relays the answer that an attempt has brought; the other attempts are abandoned.
     pub fn hop_answered(&mut self, request: RequestKey, attempt: u32, out: &mut Outbox) {
-        if self.pending.get(&request).is_some_and(|pending| pending.attempt == attempt) {
-            out.push(Action::Relay { request, attempt });
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        if pending.take_attempt(attempt).is_none() {
+            return;
         }
+        pending.abandon_all(request, out);
+        out.push(Action::Relay { request, attempt });
     }
 
-    /// Gives a request its outcome when its attempt has ended without an answer.
-    pub fn hop_ended(&mut self, request: RequestKey, attempt: u32, end: HopEnd, out: &mut Outbox) {
-        if self.pending.remove_if_attempt(request, attempt) {
-            match end {
-                HopEnd::Refused(refusal) => conclude(request, not_run(refusal), out),
-                HopEnd::NotSent => conclude_not_run(request, Reason::PeerUnreachable, out),
-                HopEnd::Lost => {
-                    conclude(request, Outcome::Unknown { retry_after_ms: RETRY_AFTER_MS }, out);
-                }
+    /// Takes in an attempt that ended without an answer: tries again where that is safe, else
+    /// concludes the request.
+    pub fn hop_ended(
+        &mut self,
+        request: RequestKey,
+        attempt: u32,
+        end: HopEnd,
+        means: Means<'_>,
+        out: &mut Outbox,
+    ) -> Option<Conclusion> {
+        let pending = self.pending.get_mut(&request)?;
+        let ended = pending.take_attempt(attempt)?;
+        pending.note_end(ended, end);
+        if pending.in_flight() > 0 {
+            return None;
+        }
+        self.try_again(request, means, out)
+    }
+
+    /// Gives up attempts whose owner has gone silent and requests whose deadline has passed.
+    pub fn tick(&mut self, means: Means<'_>, out: &mut Outbox) -> Vec<Conclusion> {
+        self.look_ups.refresh(&means.view);
+        let now_ms = means.view.now_ms;
+        let mut due: Vec<_> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| pending.is_due(&means.view))
+            .map(|(request, _)| *request)
+            .collect();
+        due.sort_unstable();
+        let mut concluded = Vec::new();
+        for request in due {
+            let Some(pending) = self.pending.get_mut(&request) else { continue };
+            if pending.deadline_at_ms() <= now_ms {
+                pending.give_up_all(request, out);
+            } else {
+                pending.give_up_silent(request, &means.view, out);
+            }
+            if pending.in_flight() == 0 {
+                concluded.extend(self.try_again(request, means, out));
             }
         }
+        concluded
     }
 
     /// Forgets a request whose answer has been relayed or whose caller has gone.
     pub fn forget(&mut self, request: RequestKey) {
         self.pending.remove(&request);
     }
-}
 
-trait RemoveIfAttempt {
-    fn remove_if_attempt(&mut self, request: RequestKey, attempt: u32) -> bool;
-}
+    /// Sends a request whose attempts have all ended once more, or concludes it.
+    fn try_again(
+        &mut self,
+        request: RequestKey,
+        means: Means<'_>,
+        out: &mut Outbox,
+    ) -> Option<Conclusion> {
+        let mut pending = self.pending.remove(&request)?;
+        let left_ms = pending.deadline_at_ms().saturating_sub(means.view.now_ms);
+        let mut refusal = None;
+        if pending.may_repeat() && left_ms >= LEAST_REMAINING_MS {
+            match self.place(&pending, &means) {
+                Ok(_) if !self.budgets.spend(pending.service()) => {
+                    let reason = Reason::RetryBudget;
+                    refusal = Some(Refusal { reason, retry_after_ms: RETRY_AFTER_MS });
+                }
+                Ok((domain, owner)) => {
+                    pending.send(request, domain, owner, means.view.revision, out);
+                    self.pending.insert(request, pending);
+                    return None;
+                }
+                Err(found) => refusal = Some(found),
+            }
+        }
+        if pending.is_lost() {
+            let outcome = Outcome::Unknown { retry_after_ms: RETRY_AFTER_MS };
+            return Some(Conclusion { request, outcome });
+        }
+        let refusal = pending
+            .refusal()
+            .or(refusal)
+            .unwrap_or(Refusal { reason: Reason::Deadline, retry_after_ms: RETRY_AFTER_MS });
+        let outcome = Outcome::NotRun {
+            refusal,
+            others: self.look_ups.others(pending.service(), pending.source(), &means.view),
+        };
+        Some(Conclusion { request, outcome })
+    }
 
-impl RemoveIfAttempt for Map<RequestKey, Pending> {
-    fn remove_if_attempt(&mut self, request: RequestKey, attempt: u32) -> bool {
-        let current = self.get(&request).is_some_and(|pending| pending.attempt == attempt);
-        current && self.remove(&request).is_some()
+    /// Finds the owner for the next attempt.
+    ///
+    /// After a failure the other owners of the same failure domain come first, since that moves no
+    /// traffic; then the other domains in the order of the policy.
+    fn place(
+        &mut self,
+        pending: &Pending,
+        means: &Means<'_>,
+    ) -> Result<(DomainKey, Owner), Refusal> {
+        let view = &means.view;
+        let service = pending.service();
+        let owner_in = |domain: DomainKey, random: &mut fastrand::Rng| {
+            let owner = view.owner_in(domain, service, pending.failed(), random)?;
+            Some((domain, owner))
+        };
+        if let Some(last) = pending.last_domain()
+            && let Some(found) = owner_in(last, &mut self.random)
+        {
+            return Ok(found);
+        }
+        let candidates = view.candidates(service, pending.origin());
+        let choice = Choice { service, origin: pending.origin() };
+        let order = means.policy.rank(choice, &candidates, &mut self.random);
+        order
+            .into_iter()
+            .find_map(|index| owner_in(candidates[index].domain, &mut self.random))
+            .ok_or(Refusal { reason: Reason::NoUpstream, retry_after_ms: RETRY_AFTER_MS })
+    }
+
+    fn not_run(
+        &mut self,
+        request: RequestKey,
+        service: ServiceKey,
+        head: &RequestHead,
+        refusal: Refusal,
+        means: &Means<'_>,
+    ) -> Conclusion {
+        let others = self.look_ups.others(service, head.source, &means.view);
+        Conclusion { request, outcome: Outcome::NotRun { refusal, others } }
     }
 }
 
-fn not_run(refusal: Refusal) -> Outcome {
-    Outcome::NotRun { refusal, others: Vec::new() }
+/// Why a request is not let in.
+enum Denied {
+    /// With an outcome that says all.
+    Outcome(Outcome),
+    /// As not run, for a reason that may pass.
+    NotRun(Reason),
 }
 
-fn conclude_not_run(request: RequestKey, reason: Reason, out: &mut Outbox) {
-    conclude(request, not_run(Refusal { reason, retry_after_ms: RETRY_AFTER_MS }), out);
+fn admit<'a>(
+    service: ServiceKey,
+    head: &RequestHead,
+    view: &View<'a>,
+) -> Result<(&'a ServiceEntry, Class), Denied> {
+    if view.revision == 0 || view.identity.card.leaving {
+        return Err(Denied::NotRun(Reason::NotReady));
+    }
+    if view.catalogue.refused.contains(&service) || head.revision_seen > view.revision {
+        return Err(Denied::NotRun(Reason::Configuration));
+    }
+    let Some(entry) = view.catalogue.services.get(&service) else {
+        return Err(Denied::Outcome(Outcome::NoService));
+    };
+    let Some(class) = classify(head, view.catalogue) else {
+        return Err(Denied::Outcome(Outcome::UnknownOrganisation));
+    };
+    if head.deadline_at_ms <= view.now_ms {
+        return Err(Denied::NotRun(Reason::Deadline));
+    }
+    Ok((entry, class))
 }
 
-/// Gives a request its final outcome.
-pub fn conclude(request: RequestKey, outcome: Outcome, out: &mut Outbox) {
-    out.push(Action::Conclude { request, outcome });
+/// Returns the class of a request, or none if its organisation's key is unknown.
+fn classify(head: &RequestHead, catalogue: &Catalogue) -> Option<Class> {
+    let Some(key_digest) = head.key_digest else {
+        return Some(Class::Guest);
+    };
+    let organisation = catalogue.organisation(key_digest)?;
+    match catalogue.organisations.get(&organisation)?.plan {
+        Plan::Paying => Some(Class::Paying),
+        Plan::Trial => Some(Class::Trial),
+    }
 }
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod allowance;
 pub mod blocks;
+pub mod candidates;
 pub mod catalogue;
 pub mod clock;
 pub mod configuration;
@@ -15,6 +16,7 @@
 pub mod identity;
 pub mod ingress;
 pub mod key;
+pub mod look_up;
 pub mod membership;
 pub mod message;
 pub mod node;
@@ -22,6 +24,7 @@
 pub mod ownership;
 pub mod record;
 pub mod request;
+pub mod retry;
 pub mod steering;
 pub mod table;
 pub mod timeline;
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -4,49 +4,60 @@
 //! their own. The shell passes the time in and carries the returned actions out, so the daemon, the
 //! fuzz tests, the experiments and the benchmarks run the same code.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-
 use crate::allowance::{self, Allowance};
-use crate::catalogue::Catalogue;
+use crate::candidates::View;
 use crate::configuration::Configuration;
 use crate::egress::Egress;
 use crate::event::{Action, Event, LookUp, LookUpAnswer, LookUpError};
 use crate::identity::{Identity, NodeSettings};
-use crate::ingress::{self, Ingress, Target};
-use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
+use crate::ingress::{Conclusion, Ingress, Means};
+use crate::key::{DomainKey, VmKey};
 use crate::membership::Membership;
-use crate::message::{Envelope, Message};
+use crate::message::{Envelope, Message, ServiceLoad};
 use crate::outbox::Outbox;
-use crate::ownership;
-use crate::record::Plan;
-use crate::request::{Class, Dispatch, EntryVm, Once, Outcome, RequestHead};
-use crate::steering::{Candidate, Choice, RandomByShare, SteeringPolicy};
+use crate::steering::{RandomByShare, SteeringPolicy};
+
+/// What the ingress decides by: a macro, so that the ingress and the outbox can be borrowed beside.
+macro_rules! means {
+    ($node:ident, $identity:ident) => {
+        Means {
+            view: View {
+                now_ms: $node.out.now_ms(),
+                identity: &$identity,
+                catalogue: $node.configuration.catalogue(),
+                revision: $node.configuration.revision(),
+                membership: &$node.membership,
+                own_loads: &$node.own_loads,
+            },
+            policy: $node.policy.as_ref(),
+        }
+    };
+}
 
 /// One node of the system.
 #[derive(Debug)]
 pub struct Node {
     settings: NodeSettings,
-    random: fastrand::Rng,
     out: Outbox,
     configuration: Configuration,
     membership: Membership,
     policy: Box<dyn SteeringPolicy>,
     ingress: Ingress,
     egress: Egress,
+    own_loads: Vec<ServiceLoad>,
 }
 
 impl Node {
     /// Creates a node that knows nothing yet.
     pub fn new(identity: Identity, settings: NodeSettings) -> Self {
         Self {
-            random: fastrand::Rng::with_seed(settings.seed),
             out: Outbox::new(identity),
             configuration: Configuration::default(),
             membership: Membership::new(settings.clone()),
             policy: Box::new(RandomByShare),
-            ingress: Ingress::default(),
+            ingress: Ingress::new(settings.seed),
             egress: Egress::default(),
+            own_loads: Vec::new(),
             settings,
         }
     }
@@ -80,12 +91,21 @@
                 let answer = self.look_up(&look_up);
                 self.out.push(Action::AnswerLookUp { reply, answer });
             }
-            Event::Request { request, head } => self.request(request, &head),
+            Event::Request { request, head } => {
+                let identity = self.out.shared_identity();
+                let means = means!(self, identity);
+                let conclusion = self.ingress.begin(request, &head, means, &mut self.out);
+                self.conclude(conclusion);
+            }
             Event::HopAnswered { request, attempt, .. } => {
                 self.ingress.hop_answered(request, attempt, &mut self.out);
             }
             Event::HopEnded { request, attempt, end } => {
-                self.ingress.hop_ended(request, attempt, end, &mut self.out);
+                let identity = self.out.shared_identity();
+                let means = means!(self, identity);
+                let out = &mut self.out;
+                let conclusion = self.ingress.hop_ended(request, attempt, end, means, out);
+                self.conclude(conclusion);
             }
             Event::RelayEnded { request, .. } | Event::CallerGone { request } => {
                 self.ingress.forget(request);
@@ -121,8 +141,12 @@
         self.out.set_now_ms(now_ms);
         self.configuration.tick(self.settings.head_every_ms, &mut self.out);
         let allowances = self.allowances();
-        let loads = self.egress.loads(&allowances, self.configuration.catalogue());
-        self.membership.tick(self.configuration.revision(), &loads, &mut self.out);
+        self.own_loads = self.egress.loads(&allowances, self.configuration.catalogue());
+        self.membership.tick(self.configuration.revision(), &self.own_loads, &mut self.out);
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        let concluded = self.ingress.tick(means, &mut self.out);
+        self.conclude(concluded);
         self.out.take_actions()
     }
 
@@ -130,134 +154,19 @@
     ///
     /// # Errors
     ///
-    /// Fails if the service is unknown or the node can't read its records.
-    pub fn look_up(&self, look_up: &LookUp) -> Result<LookUpAnswer, LookUpError> {
-        let catalogue = self.configuration.catalogue();
-        let service = ServiceKey::of(&look_up.service);
-        if catalogue.refused.contains(&service) {
-            return Err(LookUpError::Configuration);
-        }
-        if !catalogue.services.contains_key(&service) {
-            return Err(LookUpError::NoService);
-        }
+    /// Fails if the service is unknown or the node can't answer for it.
+    pub fn look_up(&mut self, look_up: &LookUp) -> Result<LookUpAnswer, LookUpError> {
         let valid_ms = self.settings.look_up_valid_ms;
-        Ok(LookUpAnswer {
-            entry_vms: self.entry_vms(),
-            expires_at_ms: self.out.now_ms() + valid_ms,
-            expires_after_ms: valid_ms,
-            revision: self.configuration.revision(),
-        })
-    }
-
-    fn entry_vms(&self) -> Vec<EntryVm> {
-        let card = &self.out.identity().card;
-        let own = EntryVm { name: card.name.clone(), address: card.callers };
-        let others = self.membership.members().into_iter().filter(|(_, member)| member.serves());
-        let others = others.map(|(_, member)| EntryVm {
-            name: member.card.name.clone(),
-            address: member.card.callers,
-        });
-        std::iter::once(own).chain(others).collect()
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        self.ingress.look_ups_mut().answer(look_up, valid_ms, &means.view)
     }
 
-    fn request(&mut self, request: RequestKey, head: &RequestHead) {
-        let catalogue = Arc::clone(self.configuration.catalogue());
-        let service = ServiceKey::of(&head.service);
-        if !catalogue.services.contains_key(&service) {
-            ingress::conclude(request, Outcome::NoService, &mut self.out);
-            return;
+    /// Gives requests their final outcomes.
+    fn conclude(&mut self, concluded: impl IntoIterator<Item = Conclusion>) {
+        for Conclusion { request, outcome } in concluded {
+            self.out.push(Action::Conclude { request, outcome });
         }
-        let Some(class) = classify(head, &catalogue) else {
-            ingress::conclude(request, Outcome::UnknownOrganisation, &mut self.out);
-            return;
-        };
-        let target = self.target(service, class, head, &catalogue);
-        self.ingress.begin(request, head, target, &mut self.out);
-    }
-
-    fn target(
-        &mut self,
-        service: ServiceKey,
-        class: Class,
-        head: &RequestHead,
-        catalogue: &Catalogue,
-    ) -> Option<Target> {
-        let origin = catalogue.origin(head.source);
-        let candidates: Vec<_> = catalogue
-            .shares(service, origin)?
-            .iter()
-            .map(|(domain, share)| self.candidate(service, *domain, *share, catalogue))
-            .collect();
-        let order = self.policy.rank(Choice { service, origin }, &candidates, &mut self.random);
-        let (vm, address) = order
-            .into_iter()
-            .find_map(|index| self.owner_in(candidates[index].domain, service, catalogue))?;
-        let dispatch = Dispatch {
-            service,
-            class,
-            origin,
-            remaining_ms: head.deadline_at_ms.saturating_sub(self.out.now_ms()),
-            once_only: head.once != Once::Repeatable,
-            avoid: None,
-            revision: self.configuration.revision(),
-        };
-        Some(Target { vm, address, dispatch })
-    }
-
-    fn candidate(
-        &self,
-        service: ServiceKey,
-        domain: DomainKey,
-        share: f64,
-        catalogue: &Catalogue,
-    ) -> Candidate {
-        let region = |domain: &DomainKey| catalogue.domains.get(domain).map(|entry| entry.region);
-        let mut candidate = Candidate {
-            domain,
-            share,
-            slots: 0,
-            in_flight: 0,
-            report_age_ms: 0,
-            same_region: region(&domain) == region(&self.out.identity().card.domain),
-        };
-        for vm in self.membership.serving_in(domain) {
-            let Some(member) = self.membership.member(vm) else {
-                continue;
-            };
-            for load in member.loads.iter().filter(|load| load.service == service) {
-                candidate.slots += load.slots;
-                candidate.in_flight += load.in_flight;
-            }
-            let age_ms = self.out.now_ms().saturating_sub(member.heard_at_ms);
-            candidate.report_age_ms = candidate.report_age_ms.max(age_ms);
-        }
-        candidate
-    }
-
-    /// Returns an owner in a failure domain, drawn by the number of the service's upstreams it owns.
-    fn owner_in(
-        &mut self,
-        domain: DomainKey,
-        service: ServiceKey,
-        catalogue: &Catalogue,
-    ) -> Option<(VmKey, SocketAddr)> {
-        let serving = self.serving_in(domain);
-        let upstreams = &catalogue.services.get(&service)?.upstreams;
-        let here: Vec<UpstreamKey> = upstreams
-            .iter()
-            .copied()
-            .filter(|upstream| catalogue.upstreams[upstream].domain == domain)
-            .collect();
-        let upstream = *self.random.choice(&here)?;
-        let vm = ownership::owner(u64::from(upstream.0), &serving)?;
-        Some((vm, self.peer_address(vm)?))
-    }
-
-    fn peer_address(&self, vm: VmKey) -> Option<SocketAddr> {
-        if vm == self.out.identity().vm {
-            return Some(self.out.identity().card.peers);
-        }
-        self.membership.member(vm).map(|member| member.card.peers)
     }
 
     /// Returns the VMs that serve in a failure domain, this node among them.
@@ -289,15 +198,3 @@
         }
     }
 }
-
-/// Returns the class of a request, or none if its organisation's key is unknown.
-fn classify(head: &RequestHead, catalogue: &Catalogue) -> Option<Class> {
-    let Some(key_digest) = head.key_digest else {
-        return Some(Class::Guest);
-    };
-    let organisation = catalogue.organisation(key_digest)?;
-    match catalogue.organisations.get(&organisation)?.plan {
-        Plan::Paying => Some(Class::Paying),
-        Plan::Trial => Some(Class::Trial),
-    }
-}
--- a/crates/sedgepath-core/src/outbox.rs
+++ b/crates/sedgepath-core/src/outbox.rs
@@ -1,6 +1,7 @@
 //! Where the systems of a node leave their actions, log entries and datagrams.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::clock::HybridClock;
 use crate::event::Action;
@@ -13,7 +14,7 @@
 /// Collects what the node asks its shell to do.
 #[derive(Debug)]
 pub struct Outbox {
-    identity: Identity,
+    identity: Arc<Identity>,
     now_ms: u64,
     sequence: u64,
     operations: u64,
@@ -26,7 +27,7 @@
     /// Creates an empty outbox of a node.
     pub fn new(identity: Identity) -> Self {
         Self {
-            identity,
+            identity: Arc::new(identity),
             now_ms: 0,
             sequence: 0,
             operations: 0,
@@ -41,9 +42,14 @@
         &self.identity
     }
 
+    /// Returns who the node is, to be kept while the outbox is written to.
+    pub fn shared_identity(&self) -> Arc<Identity> {
+        Arc::clone(&self.identity)
+    }
+
     /// Returns who the node is, to change what it says of itself.
     pub fn identity_mut(&mut self) -> &mut Identity {
-        &mut self.identity
+        Arc::make_mut(&mut self.identity)
     }
 
     /// Returns the time of the event being handled, in milliseconds.
--- /dev/null
+++ b/crates/sedgepath-core/src/retry.rs
@@ -0,0 +1,38 @@
+//! The retry budget: how many attempts beyond the first a service's requests may make.
+//!
+//! Without a budget an outage multiplies its own load: each request that fails is sent again, to
+//! upstreams that are full because of the requests that failed. A budget that is a share of the
+//! fresh requests bounds the load at that share above the callers' own, whatever fails.
+
+use crate::hash::Map;
+use crate::key::ServiceKey;
+
+/// What a fresh request adds to the budget, in retries.
+const PER_FRESH_REQUEST: f64 = 0.1;
+
+/// The most retries that can be saved up, and what a service starts with.
+const MOST_SAVED: f64 = 5.0;
+
+/// The budgets of all services.
+#[derive(Debug, Default)]
+pub struct RetryBudgets {
+    saved: Map<ServiceKey, f64>,
+}
+
+impl RetryBudgets {
+    /// Counts a fresh request.
+    pub fn earn(&mut self, service: ServiceKey) {
+        let saved = self.saved.entry(service).or_insert(MOST_SAVED);
+        *saved = (*saved + PER_FRESH_REQUEST).min(MOST_SAVED);
+    }
+
+    /// Takes one retry out of the budget; false if there is none left.
+    pub fn spend(&mut self, service: ServiceKey) -> bool {
+        let saved = self.saved.entry(service).or_insert(MOST_SAVED);
+        if *saved < 1.0 {
+            return false;
+        }
+        *saved -= 1.0;
+        true
+    }
+}
--- a/crates/sedgepath-core/src/steering.rs
+++ b/crates/sedgepath-core/src/steering.rs
@@ -15,8 +15,14 @@
     pub in_flight: u32,
     /// The age of that report in milliseconds.
     pub report_age_ms: u64,
+    /// The slots that its upstreams have by their records, drained ones left out.
+    pub declared_slots: u32,
+    /// Whether an entry VM of it takes work.
+    pub serves: bool,
     /// Whether it is in the region of this node.
     pub same_region: bool,
+    /// Whether it is the failure domain of this node.
+    pub same_domain: bool,
 }
 
 /// What a choice is for.
--- a/crates/sedgepath-core/tests/path.rs
+++ b/crates/sedgepath-core/tests/path.rs
@@ -1,24 +1,15 @@
 //! The path of a request through several node cores.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-
-use sedgepath_core::hash::Digest;
-use sedgepath_core::request::{Once, RequestHead};
 use sedgepath_test_support::bed::upstreams::FakeUpstream;
 use sedgepath_test_support::bed::{Bed, Seen};
 use sedgepath_test_support::records::{self, UpstreamSpec};
 
 fn bed() -> Bed {
     let mut bed = Bed::new(1);
-    let upstream = |name: &str, domain: &str| UpstreamSpec {
-        name: name.into(),
-        domain: domain.into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
-        slots: 4,
-    };
+    let upstreams = [UpstreamSpec::new("b1", "north-a", 4), UpstreamSpec::new("b2", "south-a", 4)];
     bed.write_records(&[
         records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
-        records::service("browse", 5_000, &[upstream("b1", "north-a"), upstream("b2", "south-a")]),
+        records::service("browse", 5_000, &upstreams),
         records::steering("browse", &[("north-a", 1.0), ("south-a", 1.0)], 100.0, 10_000),
     ]);
     bed.upstreams.add("b1", FakeUpstream::new(4, 10));
@@ -30,27 +21,13 @@
     bed
 }
 
-fn head(bed: &Bed) -> RequestHead {
-    RequestHead {
-        service: "browse".into(),
-        source: IpAddr::V4(Ipv4Addr::LOCALHOST),
-        key_digest: None,
-        deadline_at_ms: bed.now_ms() + 2_000,
-        once: Once::Repeatable,
-        idempotent: true,
-        digest: Digest::of(&[b"GET /"]),
-        revision_seen: 0,
-        forwarded_by: None,
-    }
-}
-
 /// Callers ask each of three nodes in two failure domains; every one sees a whole answer, and the
 /// upstreams of both domains ran each request exactly once, since nothing failed on the way.
 #[test]
 fn requests_reach_upstreams_of_both_domains() {
     let mut bed = bed();
     for number in 0..60 {
-        let head = head(&bed);
+        let head = bed.head("browse");
         bed.call(number % 3, head);
         bed.run_for(20);
     }
--- /dev/null
+++ b/crates/sedgepath-core/tests/retry.rs
@@ -0,0 +1,175 @@
+//! The life of a request at the ingress: retries, their budget, and true outcomes.
+
+use sedgepath_core::request::{Outcome, Reason, RequestHead};
+use sedgepath_test_support::bed::upstreams::FakeUpstream;
+use sedgepath_test_support::bed::{Bed, CallIndex, Seen};
+use sedgepath_test_support::records::{self, UpstreamSpec};
+
+const DOMAINS: [&str; 3] = ["north-a", "north-b", "south-a"];
+
+/// Three failure domains with one upstream and two nodes each.
+fn bed(seed: u64) -> Bed {
+    let mut bed = Bed::new(seed);
+    let upstreams: Vec<_> = DOMAINS
+        .iter()
+        .map(|domain| UpstreamSpec::new(&format!("up-{domain}"), domain, 8))
+        .collect();
+    let shares: Vec<_> = DOMAINS.iter().map(|domain| (*domain, 1.0)).collect();
+    bed.write_records(&[
+        records::places(&[("north", &["north-a", "north-b"]), ("south", &["south-a"])]),
+        records::service("browse", 5_000, &upstreams),
+        records::steering("browse", &shares, 100.0, 10_000),
+    ]);
+    for upstream in &upstreams {
+        bed.upstreams.add(&upstream.name, FakeUpstream::new(8, 10));
+    }
+    for domain in DOMAINS {
+        bed.add_node(&format!("{domain}-1"), domain);
+        bed.add_node(&format!("{domain}-2"), domain);
+    }
+    bed.run_for(5_000);
+    bed
+}
+
+fn head(bed: &Bed, idempotent: bool) -> RequestHead {
+    RequestHead { idempotent, ..bed.head("browse") }
+}
+
+/// Sends requests one after another and lets each end.
+fn send(bed: &mut Bed, count: usize, idempotent: bool) -> Vec<CallIndex> {
+    let calls = (0..count)
+        .map(|number| {
+            let head = head(bed, idempotent);
+            let call = bed.call(number % 6, head);
+            bed.run_for(20);
+            call
+        })
+        .collect();
+    bed.run_for(3_000);
+    calls
+}
+
+fn count(bed: &Bed, calls: &[CallIndex], wanted: impl Fn(&Seen) -> bool) -> usize {
+    calls.iter().filter(|call| wanted(&bed.calls()[**call].seen)).count()
+}
+
+fn is_answered(seen: &Seen) -> bool {
+    matches!(seen, Seen::Answered { .. })
+}
+
+fn is_not_run(seen: &Seen) -> bool {
+    matches!(seen, Seen::Concluded(Outcome::NotRun { .. }))
+}
+
+/// One of three upstreams refuses every request before it starts it. The refusal proves that the
+/// request was not run, so the ingress tries another failure domain: every caller sees an answer,
+/// also for requests that are not idempotent, and each request runs once.
+#[test]
+fn a_refused_request_is_served_elsewhere() {
+    let mut bed = bed(1);
+    send(&mut bed, 30, true);
+    bed.upstreams.get("up-north-b").refuses = true;
+    let calls = send(&mut bed, 12, false);
+    assert_eq!(count(&bed, &calls, is_answered), 12);
+    assert!(calls.iter().all(|call| bed.upstreams.runs_of(*call) == 1));
+}
+
+/// One of three upstreams runs requests and loses the answers. An idempotent request is sent again
+/// and answered; one that is not may have run, so it is never sent again and its caller is told
+/// that it is unknown. Nobody is told that a request was not run that did run.
+#[test]
+fn a_lost_answer_is_retried_only_where_a_second_run_does_no_harm() {
+    let mut bed = bed(2);
+    send(&mut bed, 60, true);
+    bed.upstreams.get("up-north-b").loses_answers = true;
+    let idempotent = send(&mut bed, 12, true);
+    let others = send(&mut bed, 30, false);
+    assert_eq!(count(&bed, &idempotent, is_answered), 12);
+    let unknown =
+        count(&bed, &others, |seen| matches!(seen, Seen::Concluded(Outcome::Unknown { .. })));
+    assert_eq!(count(&bed, &others, is_answered) + unknown, 30);
+    assert!(unknown > 3, "{unknown}");
+    assert!(others.iter().all(|call| bed.upstreams.runs_of(*call) == 1));
+}
+
+/// All upstreams run requests and lose the answers. Were every one retried at every upstream, the
+/// outage would triple the load; the budget keeps retries to a tenth of the fresh requests beyond
+/// the few that it starts with.
+#[test]
+fn retries_do_not_multiply_an_outage() {
+    let mut bed = bed(3);
+    for domain in DOMAINS {
+        bed.upstreams.get(&format!("up-{domain}")).loses_answers = true;
+    }
+    let calls = send(&mut bed, 300, true);
+    let runs: usize = bed.upstreams.iter().map(|(_, upstream)| upstream.runs.len()).sum();
+    assert!(runs >= 300, "{runs}");
+    // Six nodes, each with a start of five retries and a tenth of its fifty fresh requests.
+    assert!(runs <= 300 + 6 * (5 + 5), "{runs}");
+    assert_eq!(count(&bed, &calls, is_not_run), 0);
+}
+
+/// All upstreams refuse. The callers learn at once, well before their deadlines, that nothing was
+/// run, when to come back, and which other entry VMs there are.
+#[test]
+fn a_refusal_is_told_at_once() {
+    let mut bed = bed(4);
+    for domain in DOMAINS {
+        bed.upstreams.get(&format!("up-{domain}")).refuses = true;
+    }
+    let calls = send(&mut bed, 30, true);
+    for call in calls {
+        let seen = &bed.calls()[call];
+        assert!(seen.seen_at_ms - seen.asked_at_ms < 100, "{seen:?}");
+        let Seen::Concluded(Outcome::NotRun { refusal, others }) = &seen.seen else {
+            panic!("{seen:?}");
+        };
+        assert!(refusal.retry_after_ms > 0 && refusal.retry_after_ms <= 500, "{refusal:?}");
+        assert!(!others.is_empty());
+        assert_eq!(bed.upstreams.runs_of(call), 0);
+    }
+}
+
+/// A request whose deadline has passed when it arrives is never sent.
+#[test]
+fn a_request_past_its_deadline_is_not_sent() {
+    let mut bed = bed(5);
+    let late = RequestHead { deadline_at_ms: bed.now_ms() - 1, ..head(&bed, true) };
+    let call = bed.call(0, late);
+    bed.run_for(1_000);
+    let Seen::Concluded(Outcome::NotRun { refusal, .. }) = &bed.calls()[call].seen else {
+        panic!("{:?}", bed.calls()[call].seen);
+    };
+    assert_eq!(refusal.reason, Reason::Deadline);
+    assert_eq!(bed.upstreams.runs_of(call), 0);
+}
+
+/// An owner VM dies and its peers have not noticed yet. Requests to it were never sent, which is
+/// proof enough to go to another owner: all are answered, each run once.
+#[test]
+fn a_dead_owner_is_passed_over() {
+    let mut bed = bed(6);
+    send(&mut bed, 60, true);
+    bed.kill(1);
+    let heads: Vec<_> = (0..8).map(|_| head(&bed, false)).collect();
+    let calls: Vec<_> = heads.into_iter().map(|head| bed.call(2, head)).collect();
+    bed.run_for(3_000);
+    assert_eq!(count(&bed, &calls, is_answered), 8);
+    assert!(calls.iter().all(|call| bed.upstreams.runs_of(*call) == 1));
+}
+
+/// A record of a schema that this version can't read concerns the service. The node refuses its
+/// requests, since it can't know where they should go, and the caller is told to ask elsewhere.
+#[test]
+fn a_service_of_an_unknown_schema_is_refused() {
+    let mut bed = bed(7);
+    bed.write_records(&[records::record(9, "steering", "browse", &serde_json::json!({}))]);
+    bed.run_for(3_000);
+    let calls = send(&mut bed, 6, true);
+    for call in calls {
+        let Seen::Concluded(Outcome::NotRun { refusal, .. }) = &bed.calls()[call].seen else {
+            panic!("{:?}", bed.calls()[call].seen);
+        };
+        assert_eq!(refusal.reason, Reason::Configuration);
+    }
+}
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -9,9 +9,12 @@
 //! writes late; clocks of nodes are off.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use sedgepath_core::event::{Action, Event, ListedVm, UpstreamReport};
+use sedgepath_core::event::{
+    Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError, UpstreamReport,
+};
+use sedgepath_core::hash::Digest;
 use sedgepath_core::identity::{Identity, NodeSettings};
 use sedgepath_core::key::{
     BootId, DomainKey, ExchangeKey, OperationKey, RequestKey, UpstreamKey, VmKey,
@@ -20,7 +23,7 @@
 use sedgepath_core::node::Node;
 use sedgepath_core::record::RawRecord;
 use sedgepath_core::request::{
-    AnswerHead, CallEnd, Dispatch, HopEnd, Outcome, RequestHead, StoredAnswer,
+    AnswerHead, CallEnd, Dispatch, HopEnd, Once, Outcome, RequestHead, StoredAnswer,
 };
 use sedgepath_core::table::{TableRequest, TableResult};
 use sedgepath_platform::TableService;
@@ -327,6 +330,21 @@
         self.leaving_in_list.insert(index);
     }
 
+    /// Creates a guest's repeatable request that waits for two seconds.
+    pub fn head(&self, service: &str) -> RequestHead {
+        RequestHead {
+            service: service.into(),
+            source: IpAddr::V4(Ipv4Addr::LOCALHOST),
+            key_digest: None,
+            deadline_at_ms: self.now_ms + 2_000,
+            once: Once::Repeatable,
+            idempotent: true,
+            digest: Digest::of(&[b"GET /"]),
+            revision_seen: 0,
+            forwarded_by: None,
+        }
+    }
+
     /// Sends a caller's request to a node; `head.deadline_at_ms` is by the bed's clock.
     pub fn call(&mut self, node: NodeIndex, head: RequestHead) -> CallIndex {
         let call = self.calls.len();
@@ -350,6 +368,23 @@
         call
     }
 
+    /// Asks a node which entry VMs to use.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the node's look-up does.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the node is down.
+    pub fn look_up(
+        &mut self,
+        node: NodeIndex,
+        look_up: &LookUp,
+    ) -> Result<LookUpAnswer, LookUpError> {
+        self.nodes[node].node.as_mut().expect("the node is down").look_up(look_up)
+    }
+
     /// Hands an event to a node at once and carries its actions out.
     pub fn handle(&mut self, index: NodeIndex, event: Event) {
         let now_ms = self.local_ms(index);
@@ -586,7 +621,7 @@
         if let Some(upstream) = self.upstreams.answered(call) {
             self.see(call, Seen::Answered { upstream });
         }
-        let once = self.calls[call].head.once != sedgepath_core::request::Once::Repeatable;
+        let once = self.calls[call].head.once != Once::Repeatable;
         let stored = once.then(|| StoredAnswer {
             status: 200,
             content_type: None,
--- a/crates/sedgepath-test-support/src/records.rs
+++ b/crates/sedgepath-test-support/src/records.rs
@@ -1,6 +1,6 @@
 //! Records of a small system, for tests and the demo.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use sedgepath_core::record::RawRecord;
 use serde_json::{Value, json};
@@ -30,6 +30,14 @@
     pub slots: u32,
 }
 
+impl UpstreamSpec {
+    /// Creates an upstream whose address nobody connects to.
+    pub fn new(name: &str, domain: &str, slots: u32) -> Self {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+        Self { name: name.into(), domain: domain.into(), address, slots }
+    }
+}
+
 /// Creates the record of a service.
 pub fn service(name: &str, longest_deadline_ms: u64, upstreams: &[UpstreamSpec]) -> RawRecord {
     let upstreams: Vec<_> = upstreams
