--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -265,7 +265,7 @@
     head: &RequestHead,
     view: &View<'a>,
 ) -> Result<(&'a ServiceEntry, Class), Denied> {
-    if view.revision == 0 || view.identity.card.leaving {
+    if view.revision == 0 {
         return Err(Denied::NotRun(Reason::NotReady));
     }
     if view.catalogue.refused.contains(&service) || head.revision_seen > view.revision {
