Admit requests at the owner by slots, connections, classes and time left

Cause: the owner sent every request on at once to the upstream with the fewest in flight. Nothing bounded what ran there, and nothing told trial from paying.

Ruled out: counting a slot by running calls only (a lost call may run on); refusing by slots alone (a burst of paying callers is then refused though a slot is free 12 ms later); one bound on the queue for all classes (trial callers at the end of it were refused after 776 of 1000 ms).

Change: slots as the least of allowance, warm-up, reports and refusals; lost calls hold theirs to the deadline; permissions to open connections count from the decision; a pause that doubles for an upstream out of reach; a reserve for paying that follows its peaks; a queue by class and deadline that refuses at once what it can't serve in time. The node keeps its allowances between ticks and works them out anew after any event that may change them.

Not done: connections of upstreams that another member has taken over are not closed here; that is the shell's.

--- /dev/null
+++ b/crates/sedgepath-core/src/egress/upstreams.rs
@@ -0,0 +1,172 @@
+//! The upstreams that an owner may use, in a table, and the choice among them.
+
+use super::leaving::Leaving;
+use super::scope::Scope;
+use super::upstream::Upstream;
+use crate::allowance::Allowance;
+use crate::catalogue::UpstreamEntry;
+use crate::hash::Map;
+use crate::key::{ServiceKey, UpstreamKey};
+use crate::message::ServiceLoad;
+
+/// An upstream that a request can be sent to.
+#[derive(Debug, Clone, Copy)]
+pub struct Choice<'a> {
+    /// What the node may use of it.
+    pub allowance: &'a Allowance,
+    /// The upstream as configured.
+    pub entry: &'a UpstreamEntry,
+    /// Whether a connection may be opened.
+    pub may_open: bool,
+}
+
+/// What the upstreams of a service offer now.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Capacity {
+    /// Whether this node may use any of them.
+    pub owned: bool,
+    /// The slots that may be used.
+    pub slots: u32,
+    /// Those free.
+    pub free: u32,
+    /// Those that paying requests hold.
+    pub paying: u32,
+    /// When the first that is left alone may be tried again, in milliseconds.
+    pub retry_at_ms: Option<u64>,
+}
+
+/// The upstreams and what is in flight there.
+#[derive(Debug)]
+pub struct Upstreams {
+    table: Map<UpstreamKey, Upstream>,
+    /// Those that leave.
+    pub leaving: Leaving,
+    ramps: bool,
+}
+
+impl Upstreams {
+    /// Creates an empty table; `ramps` says whether cold upstreams warm up.
+    pub fn new(ramps: bool) -> Self {
+        Self { table: Map::default(), leaving: Leaving::default(), ramps }
+    }
+
+    /// Returns an upstream to change it.
+    pub fn entry(&mut self, upstream: UpstreamKey) -> &mut Upstream {
+        self.table.entry(upstream).or_default()
+    }
+
+    /// Returns the requests that may run at an upstream.
+    pub fn in_flight(&self, upstream: UpstreamKey) -> u32 {
+        self.table.get(&upstream).map_or(0, Upstream::in_flight)
+    }
+
+    /// Gives up what time has ended.
+    pub fn tick(&mut self, scope: Scope<'_>, now_ms: u64) {
+        self.leaving.expire(now_ms);
+        for upstream in self.table.values_mut() {
+            upstream.expire(now_ms);
+        }
+        // An upstream that is listed anew later starts from cold.
+        self.table.retain(|key, upstream| {
+            upstream.in_flight() > 0 || scope.catalogue.upstreams.contains_key(key)
+        });
+    }
+
+    /// Returns the load of the upstreams that this node may use, by service. Those that leave are left
+    /// out; a service of which all leave has no slots.
+    pub fn loads(&self, scope: Scope<'_>, now_ms: u64) -> Vec<ServiceLoad> {
+        let mut loads: Vec<ServiceLoad> = Vec::new();
+        for (allowance, entry) in scope.upstreams() {
+            let (slots, in_flight) = if self.leaves(allowance.upstream, scope) {
+                (0, 0)
+            } else {
+                (self.slots(allowance, entry, now_ms), self.in_flight(allowance.upstream))
+            };
+            match loads.iter_mut().find(|load| load.service == entry.service) {
+                Some(load) => {
+                    load.slots += slots;
+                    load.in_flight += in_flight;
+                }
+                None => loads.push(ServiceLoad { service: entry.service, slots, in_flight }),
+            }
+        }
+        loads
+    }
+
+    /// Whether a service has an upstream that may be used, other than one to avoid.
+    pub fn is_usable(
+        &self,
+        service: ServiceKey,
+        avoid: Option<UpstreamKey>,
+        scope: Scope<'_>,
+        now_ms: u64,
+    ) -> bool {
+        scope
+            .of(service)
+            .filter(|(allowance, _)| Some(allowance.upstream) != avoid)
+            .filter(|(allowance, _)| !self.leaves(allowance.upstream, scope))
+            .any(|(allowance, entry)| self.slots(allowance, entry, now_ms) > 0)
+    }
+
+    fn slots(&self, allowance: &Allowance, entry: &UpstreamEntry, now_ms: u64) -> u32 {
+        let ramps = self.ramps;
+        match self.table.get(&allowance.upstream) {
+            Some(upstream) => upstream.slots(allowance, entry, ramps, now_ms),
+            None => Upstream::default().slots(allowance, entry, ramps, now_ms),
+        }
+    }
+
+    /// Sums up what a service's upstreams offer.
+    pub fn capacity(&self, service: ServiceKey, scope: Scope<'_>, now_ms: u64) -> Capacity {
+        let mut capacity = Capacity::default();
+        for (allowance, entry) in scope.of(service) {
+            capacity.owned |= now_ms <= allowance.send_by_ms;
+            if self.leaves(allowance.upstream, scope) {
+                continue;
+            }
+            let slots = self.slots(allowance, entry, now_ms);
+            capacity.slots += slots;
+            capacity.free += slots.saturating_sub(self.in_flight(allowance.upstream));
+            if let Some(upstream) = self.table.get(&allowance.upstream) {
+                capacity.paying += upstream.running_paying();
+                let retry_at_ms = upstream.retry_at_ms();
+                capacity.retry_at_ms = retry_at_ms.into_iter().chain(capacity.retry_at_ms).min();
+            }
+        }
+        capacity
+    }
+
+    /// Returns the upstream with the largest share of free slots; of equals, that which was used the
+    /// longest ago, so that all keep warm.
+    pub fn choose<'a>(
+        &self,
+        service: ServiceKey,
+        avoid: Option<UpstreamKey>,
+        scope: Scope<'a>,
+        now_ms: u64,
+    ) -> Option<Choice<'a>> {
+        scope
+            .of(service)
+            .filter(|(allowance, _)| Some(allowance.upstream) != avoid)
+            .filter(|(allowance, _)| !self.leaves(allowance.upstream, scope))
+            .filter_map(|(allowance, entry)| {
+                let slots = self.slots(allowance, entry, now_ms);
+                let in_flight = self.in_flight(allowance.upstream);
+                let upstream = self.table.get(&allowance.upstream);
+                let may_open = match upstream {
+                    Some(upstream) => upstream.permit(allowance, now_ms)?,
+                    None => Upstream::default().permit(allowance, now_ms)?,
+                };
+                let sent_at_ms = upstream.map_or(0, Upstream::sent_at_ms);
+                let taken = u64::from(in_flight) * 1_000 / u64::from(slots.max(1));
+                let rank = (taken, sent_at_ms, allowance.upstream);
+                (in_flight < slots).then_some((rank, Choice { allowance, entry, may_open }))
+            })
+            .min_by_key(|(rank, _)| *rank)
+            .map(|(_, choice)| choice)
+    }
+
+    fn leaves(&self, upstream: UpstreamKey, scope: Scope<'_>) -> bool {
+        self.leaving.contains(upstream) || scope.catalogue.is_draining(upstream)
+    }
+}
--- a/crates/sedgepath-core/src/identity.rs
+++ b/crates/sedgepath-core/src/identity.rs
@@ -1,5 +1,6 @@
 //! Who a node is, and the times by which it works.
 
+use crate::egress::settings::AdmissionSettings;
 use crate::key::{BootId, VmKey};
 use crate::message::MemberCard;
 
@@ -35,6 +36,8 @@
     pub head_every_ms: u64,
     /// How long a look-up's answer may be used, in milliseconds.
     pub look_up_valid_ms: u64,
+    /// What an experiment switches off in the admission of requests.
+    pub admission: AdmissionSettings,
     /// The seed of the node's random choices.
     pub seed: u64,
 }
@@ -47,6 +50,7 @@
             forget_after_ms: 60_000,
             head_every_ms: 1_000,
             look_up_valid_ms: 5_000,
+            admission: AdmissionSettings::default(),
             seed: 0,
         }
     }
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -10,7 +10,7 @@
 use crate::allowance::{self, Allowance};
 use crate::catalogue::Catalogue;
 use crate::configuration::Configuration;
-use crate::egress::Egress;
+use crate::egress::{Egress, Scope};
 use crate::event::{Action, Event, LookUp, LookUpAnswer, LookUpError};
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{self, Ingress, Target};
@@ -34,6 +34,8 @@
     policy: Box<dyn SteeringPolicy>,
     ingress: Ingress,
     egress: Egress,
+    /// What the node may use; none when it has to be worked out anew.
+    allowances: Option<Vec<Allowance>>,
 }
 
 impl Node {
@@ -46,7 +48,8 @@
             membership: Membership::new(settings.clone()),
             policy: Box::new(RandomByShare),
             ingress: Ingress::default(),
-            egress: Egress::default(),
+            egress: Egress::new(settings.admission),
+            allowances: None,
             settings,
         }
     }
@@ -75,6 +78,7 @@
     /// Handles an event and returns what is to be done about it.
     pub fn handle(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
+        self.forget_allowances(&event);
         match event {
             Event::LookUp { reply, look_up } => {
                 let answer = self.look_up(&look_up);
@@ -91,16 +95,18 @@
                 self.ingress.forget(request);
             }
             Event::Dispatched { exchange, dispatch, .. } => {
-                let allowances = self.allowances();
-                let catalogue = self.configuration.catalogue();
-                self.egress.dispatch(exchange, &dispatch, &allowances, catalogue, &mut self.out);
+                self.admit(|egress, scope, out| egress.dispatch(exchange, &dispatch, scope, out));
             }
-            Event::CallEnded { exchange, end, .. } => self.egress.call_ended(exchange, end),
-            Event::DispatchGone { exchange } => self.out.push(Action::Cancel { exchange }),
+            Event::CallEnded { exchange, end, .. } => {
+                self.admit(|egress, scope, out| egress.call_ended(exchange, end, scope, out));
+            }
+            Event::DispatchGone { exchange } => self.egress.dispatch_gone(exchange, &mut self.out),
             Event::UpstreamReport { upstream, report } => {
-                self.egress.take_report(upstream, report);
+                self.admit(|egress, scope, out| egress.take_report(upstream, report, scope, out));
+            }
+            Event::Connections { upstream, open } => {
+                self.egress.take_connections(upstream, open, now_ms);
             }
-            Event::Connections { .. } => {}
             Event::Datagram(envelope) => self.datagram(&envelope),
             Event::Table { operation, result } => {
                 self.configuration.take_result(operation, &result, &mut self.out);
@@ -120,8 +126,9 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
         self.configuration.tick(self.settings.head_every_ms, &mut self.out);
-        let allowances = self.allowances();
-        let loads = self.egress.loads(&allowances, self.configuration.catalogue());
+        self.allowances = None;
+        self.admit(Egress::tick);
+        let loads = self.admit(|egress, scope, out| egress.loads(scope, out.now_ms()));
         self.membership.tick(self.configuration.revision(), &loads, &mut self.out);
         self.out.take_actions()
     }
@@ -270,6 +277,32 @@
         serving
     }
 
+    /// Runs a step of admission by the allowances in force.
+    fn admit<T>(&mut self, step: impl FnOnce(&mut Egress, Scope<'_>, &mut Outbox) -> T) -> T {
+        let allowances = match self.allowances.take() {
+            Some(allowances) => allowances,
+            None => self.allowances(),
+        };
+        let scope = Scope { allowances: &allowances, catalogue: self.configuration.catalogue() };
+        let result = step(&mut self.egress, scope, &mut self.out);
+        self.allowances = Some(allowances);
+        result
+    }
+
+    /// Has the allowances worked out anew after an event that may change them.
+    ///
+    /// Between two ticks a member may be granted what this node has used so far; kept allowances
+    /// would let both use it.
+    fn forget_allowances(&mut self, event: &Event) {
+        let may_change = matches!(
+            event,
+            Event::Datagram(_) | Event::Table { .. } | Event::VmList(_) | Event::Fetched { .. }
+        );
+        if may_change {
+            self.allowances = None;
+        }
+    }
+
     fn allowances(&self) -> Vec<Allowance> {
         let identity = self.out.identity();
         let serving = self.serving_in(identity.card.domain);
--- /dev/null
+++ b/crates/sedgepath-core/tests/admission.rs
@@ -0,0 +1,298 @@
+//! What an owner sends to an upstream stays within its slots, connections and openings.
+
+use sedgepath_core::key::{ExchangeKey, UpstreamKey};
+use sedgepath_core::record::RawRecord;
+use sedgepath_core::request::{CallEnd, Class, Reason};
+use sedgepath_test_support::bed::Seen;
+use sedgepath_test_support::load::{self, Load};
+use sedgepath_test_support::owner::{Decision, Owner};
+use sedgepath_test_support::records;
+use serde_json::json;
+
+/// One upstream `u` of service `s` in failure domain `a`; `more` overrides its fields.
+fn one_upstream(slots: u32, more: &serde_json::Value) -> Vec<RawRecord> {
+    let mut upstream = json!({
+        "name": "u", "domain": "a", "address": "127.0.0.1:9", "slots": slots,
+    });
+    let fields = upstream.as_object_mut().expect("an object was written");
+    fields.extend(more.as_object().expect("fields are given as an object").clone());
+    let body = json!({ "longest_deadline_ms": 5_000, "upstreams": [upstream] });
+    vec![records::places(&[("r", &["a"])]), records::record(1, "service", "s", &body)]
+}
+
+fn owner(slots: u32, more: &serde_json::Value) -> Owner {
+    Owner::new(&one_upstream(slots, more))
+}
+
+/// Callers ask for three times what two upstreams can run, through two owners. Slots fill at once,
+/// then the queue; the rest is refused at once. No upstream ever runs more than its slots, and the
+/// slots are kept busy all along.
+#[test]
+fn overload_stays_within_slots() {
+    for seed in 1..=3 {
+        let mut bed = load::bed(seed, 2, &[("u1", 4, 100), ("u2", 4, 100)]);
+        let load = Load { seed, paying_per_s: 240, trial_per_s: 0, deadline_ms: 2_000 };
+        let calls = load::run(&mut bed, load, 10_000);
+        let peaks: Vec<_> = bed.upstreams.iter().map(|(_, up)| up.peak_in_flight).collect();
+        assert!(peaks.iter().all(|peak| *peak <= 4), "seed {seed}: peaks {peaks:?} of 4 slots");
+        assert_eq!(calls.waiting, 0, "seed {seed}");
+        assert!(
+            calls.paying.answered >= 700,
+            "seed {seed}: {} of 800 that fit",
+            calls.paying.answered
+        );
+        // What the queue holds is answered; what it can't hold never waits in it.
+        assert!(calls.slowest_refusal_ms <= 500, "seed {seed}: {} ms", calls.slowest_refusal_ms);
+    }
+}
+
+/// An upstream runs requests and its answers are lost. Callers ask for three times what fits. Each
+/// lost call keeps its slot until its deadline, so the upstream never runs more than its slots, and
+/// callers are told of the loss or refused at once.
+#[test]
+fn lost_answers_stay_within_slots() {
+    let mut bed = load::bed(4, 1, &[("u1", 4, 50)]);
+    bed.upstreams.get("u1").loses_answers = true;
+    bed.upstreams.get("u1").reports = false;
+    let load = Load { seed: 1, paying_per_s: 240, trial_per_s: 0, deadline_ms: 1_000 };
+    let calls = load::run(&mut bed, load, 5_000);
+    assert!(bed.upstreams.get("u1").peak_in_flight <= 4);
+    assert_eq!(calls.waiting, 0);
+    // A request waits for at most half of its second, then holds its slot for the other half.
+    let runs = bed.upstreams.get("u1").runs.len();
+    assert!(runs <= 4 * 11, "{runs} runs");
+}
+
+/// Four calls break off ten milliseconds after they were sent; the upstream may still run them. The
+/// owner sends nothing more until their deadline, and fills the slots again then.
+#[test]
+fn lost_call_keeps_its_slot_until_its_deadline() {
+    let mut owner = owner(4, &json!({}));
+    let sent = owner.dispatch_many(4, Class::Paying, 2_000);
+    owner.pass_ms(10);
+    for exchange in &sent {
+        owner.end(*exchange, CallEnd::Lost);
+    }
+    assert_eq!(owner.egress().in_flight(UpstreamKey::of("u")), 4);
+    assert!(owner.dispatch_many(4, Class::Paying, 1_500).is_empty());
+    owner.pass_ms(1_980);
+    assert_eq!(owner.egress().in_flight(UpstreamKey::of("u")), 4);
+    owner.pass_ms(20);
+    assert_eq!(owner.egress().in_flight(UpstreamKey::of("u")), 0);
+    assert_eq!(owner.dispatch_many(4, Class::Paying, 2_000).len(), 4);
+}
+
+/// Three calls are lost. A report from before the loss says that none runs, which proves nothing; one
+/// from well after it says that one runs, and frees two slots.
+#[test]
+fn newer_report_frees_the_slots_of_lost_calls() {
+    let mut owner = owner(4, &json!({}));
+    let sent = owner.dispatch_many(3, Class::Paying, 4_000);
+    owner.pass_ms(10);
+    for exchange in &sent {
+        owner.end(*exchange, CallEnd::Lost);
+    }
+    owner.report("u", 0, 4, false);
+    assert_eq!(owner.egress().in_flight(UpstreamKey::of("u")), 3);
+    owner.pass_ms(1_000);
+    owner.report("u", 1, 4, false);
+    assert_eq!(owner.egress().in_flight(UpstreamKey::of("u")), 1);
+}
+
+/// A member takes half of an upstream over while six calls run. The owner sends nothing until its
+/// part is no longer exceeded.
+#[test]
+fn shrunk_allowance_admits_nothing_until_calls_have_ended() {
+    let mut owner = owner(6, &json!({}));
+    let sent = owner.dispatch_many(6, Class::Paying, 4_000);
+    owner.allowances[0].slots = 3;
+    for exchange in &sent[..3] {
+        assert!(owner.dispatch_many(1, Class::Paying, 4_000).is_empty());
+        owner.end(*exchange, CallEnd::Whole);
+    }
+    assert_eq!(owner.egress().in_flight(UpstreamKey::of("u")), 3);
+    owner.end(sent[3], CallEnd::Whole);
+    assert_eq!(owner.egress().in_flight(UpstreamKey::of("u")), 3);
+}
+
+/// The right to an upstream ends in the middle of a burst: the time is passed on with each call, and
+/// nothing is admitted after it, though slots are free.
+#[test]
+fn nothing_is_sent_after_the_right_has_ended() {
+    let mut owner = owner(4, &json!({}));
+    let send_by_ms = owner.now_ms() + 100;
+    owner.allowances[0].send_by_ms = send_by_ms;
+    let first = owner.dispatch("s", Class::Paying, 2_000);
+    let sent = Decision::Sent { upstream: UpstreamKey::of("u"), may_open: true, send_by_ms };
+    assert_eq!(owner.decision(first), sent);
+    owner.pass_ms(101);
+    let late = owner.dispatch("s", Class::Paying, 2_000);
+    assert_eq!(owner.refusal(late).map(|refusal| refusal.reason), Some(Reason::NotOwner));
+}
+
+/// An upstream of four slots says that it has ten, then two. The first changes nothing, the second
+/// lowers what it gets, and as the report ages the configured slots come back.
+#[test]
+fn reports_lower_the_slots_for_a_while_and_never_raise_them() {
+    let mut owner = owner(4, &json!({}));
+    owner.report("u", 0, 10, false);
+    assert_eq!(owner.fits(Class::Paying), 4);
+    owner.pass_ms(2_000);
+    owner.report("u", 0, 2, false);
+    assert_eq!(owner.fits(Class::Paying), 2);
+    owner.pass_ms(10_000);
+    assert_eq!(owner.fits(Class::Paying), 4);
+}
+
+/// An upstream refuses before it starts. Its allowance falls at once and comes back after a while.
+#[test]
+fn refusal_lowers_the_slots_for_a_while() {
+    let mut owner = owner(8, &json!({}));
+    let sent = owner.dispatch_many(8, Class::Paying, 1_000);
+    owner.end(sent[0], CallEnd::Refused);
+    for exchange in &sent[1..] {
+        owner.end(*exchange, CallEnd::Whole);
+    }
+    assert_eq!(owner.fits(Class::Paying), 4);
+    owner.pass_ms(10_000);
+    assert_eq!(owner.fits(Class::Paying), 8);
+}
+
+/// No connection to an upstream can be made for a minute. One request finds out at a time, after ever
+/// longer pauses; the others are told when to come back. When the upstream is back it is used again.
+#[test]
+fn unreachable_upstream_is_tried_by_one_request_after_growing_pauses() {
+    let mut owner = owner(4, &json!({}));
+    let mut tries = Vec::new();
+    while owner.now_ms() < 1_060_000 {
+        for exchange in owner.dispatch_and_take_sent(2, Class::Paying, 400) {
+            tries.push(owner.now_ms());
+            owner.end(exchange, CallEnd::NotSent);
+        }
+        owner.pass_ms(20);
+    }
+    assert!((5..=16).contains(&tries.len()), "{} tries", tries.len());
+    owner.pass_ms(30_000);
+    let probe = owner.dispatch_many(4, Class::Paying, 400);
+    assert_eq!(probe.len(), 1);
+    owner.end(probe[0], CallEnd::Whole);
+    owner.dispatch_many(4, Class::Paying, 400);
+    assert_eq!(owner.egress().in_flight(UpstreamKey::of("u")), 4);
+}
+
+/// One of two upstreams is dead from the start, under a steady load. Few requests are spent on it.
+#[test]
+fn dead_upstream_costs_few_requests() {
+    let mut bed = load::bed(5, 1, &[("u1", 4, 20), ("u2", 4, 20)]);
+    bed.upstreams.get("u1").dead = true;
+    let load = Load { seed: 1, paying_per_s: 100, trial_per_s: 0, deadline_ms: 2_000 };
+    let calls = load::run(&mut bed, load, 20_000);
+    assert!(calls.paying.answered >= calls.paying.asked - 16, "{} answered", calls.paying.answered);
+}
+
+/// A shell that keeps connections, and what the upstream counts of them.
+#[derive(Default)]
+struct Shell {
+    idle: u32,
+    open: u32,
+    opened_at_ms: Vec<u64>,
+    running: Vec<(ExchangeKey, u64)>,
+}
+
+impl Shell {
+    /// Plays the calls that were sent and ends those that are done.
+    fn step(&mut self, owner: &mut Owner, sent: Vec<ExchangeKey>, keep: bool) {
+        for exchange in sent {
+            let Decision::Sent { may_open, .. } = owner.decision(exchange) else { continue };
+            if self.idle > 0 {
+                self.idle -= 1;
+            } else if may_open {
+                self.open += 1;
+                self.opened_at_ms.push(owner.now_ms());
+                owner.connections("u", self.open);
+            } else {
+                owner.end(exchange, CallEnd::NotSent);
+                continue;
+            }
+            self.running.push((exchange, owner.now_ms() + 50));
+        }
+        let now_ms = owner.now_ms();
+        let (done, running) = self.running.iter().partition(|(_, end_at_ms)| *end_at_ms <= now_ms);
+        self.running = running;
+        for (exchange, _) in done {
+            if keep {
+                self.idle += 1;
+            } else {
+                self.open -= 1;
+                owner.connections("u", self.open);
+            }
+            owner.end(exchange, CallEnd::Whole);
+        }
+    }
+
+    fn most_opened_in_a_second(&self) -> usize {
+        let opened = &self.opened_at_ms;
+        let in_second =
+            |from: u64| opened.iter().filter(|at| (from..from + 1_000).contains(*at)).count();
+        opened.iter().map(|from| in_second(*from)).max().unwrap_or(0)
+    }
+}
+
+fn drive(owner: &mut Owner, keep: bool) -> (Shell, u32) {
+    let mut shell = Shell::default();
+    let mut peak_open = 0;
+    for _ in 0..500 {
+        let sent = owner.dispatch_and_take_sent(4, Class::Paying, 1_000);
+        shell.step(owner, sent, keep);
+        peak_open = peak_open.max(shell.open);
+        owner.pass_ms(20);
+    }
+    (shell, peak_open)
+}
+
+/// An upstream closes each connection after its answer and takes ten new ones in a second, under
+/// many times that load. No second sees more than ten; without the bound each request opened one.
+#[test]
+fn new_connections_stay_within_their_rate() {
+    let mut owner = owner(8, &json!({ "new_connections_per_s": 10 }));
+    let (shell, _) = drive(&mut owner, false);
+    assert!(shell.most_opened_in_a_second() <= 10, "{}", shell.most_opened_in_a_second());
+    assert!(shell.opened_at_ms.len() >= 80, "{} opened", shell.opened_at_ms.len());
+}
+
+/// An upstream of eight slots takes three connections. No more than three are ever open, and those
+/// that are open serve on.
+#[test]
+fn open_connections_stay_within_their_limit() {
+    let mut owner = owner(8, &json!({ "connections": 3 }));
+    let (shell, peak_open) = drive(&mut owner, true);
+    assert_eq!(peak_open, 3);
+    assert_eq!(shell.opened_at_ms.len(), 3);
+    assert!(owner.sent_count() > 300, "{} sent", owner.sent_count());
+}
+
+/// An upstream that starts cold declares two of eight slots and four seconds to warm up. It gets two at
+/// first, half way five, then all; after a long rest it starts over.
+#[test]
+fn cold_upstream_warms_up_from_its_first_use() {
+    let mut owner = owner(8, &json!({ "cold_slots": 2, "warm_up_ms": 4_000 }));
+    owner.pass_ms(10_000);
+    assert_eq!(owner.fits(Class::Paying), 2);
+    owner.pass_ms(2_000);
+    assert_eq!(owner.fits(Class::Paying), 5);
+    owner.pass_ms(2_000);
+    assert_eq!(owner.fits(Class::Paying), 8);
+    owner.pass_ms(120_000);
+    assert_eq!(owner.fits(Class::Paying), 2);
+}
+
+/// Sanity of the load itself: what fits is answered, so the tests above fail for the right reason.
+#[test]
+fn load_that_fits_is_answered() {
+    let mut bed = load::bed(6, 2, &[("u1", 4, 20), ("u2", 4, 20)]);
+    let load = Load { seed: 1, paying_per_s: 50, trial_per_s: 10, deadline_ms: 2_000 };
+    let calls = load::run(&mut bed, load, 5_000);
+    assert_eq!(calls.paying.answered, calls.paying.asked);
+    assert_eq!(calls.trial.answered, calls.trial.asked);
+    assert!(bed.calls().iter().all(|call| call.seen != Seen::Waiting));
+}
--- a/crates/sedgepath-test-support/src/bed/upstreams.rs
+++ b/crates/sedgepath-test-support/src/bed/upstreams.rs
@@ -51,6 +51,8 @@
     pub loses_answers: bool,
     /// Whether it reports its load with its answers.
     pub reports: bool,
+    /// Whether requests above its slots slow all down, as shared processors do.
+    pub slows_when_full: bool,
     /// The requests that it runs now.
     pub in_flight: u32,
     /// The most requests that it ran at once.
@@ -70,6 +72,7 @@
             leaving: false,
             loses_answers: false,
             reports: true,
+            slows_when_full: false,
             in_flight: 0,
             peak_in_flight: 0,
             runs: Vec::new(),
@@ -146,7 +149,9 @@
             started_at_ms: started.at_ms,
         });
         let spread_ms = upstream.service_ms / 5;
-        Ok(upstream.service_ms - spread_ms + random.u64(0..=2 * spread_ms))
+        let takes_ms = upstream.service_ms - spread_ms + random.u64(0..=2 * spread_ms);
+        let shares = if upstream.slows_when_full { upstream.in_flight } else { 1 };
+        Ok(takes_ms * u64::from(shares.max(upstream.slots)) / u64::from(upstream.slots))
     }
 
     /// Ends a request and returns how the call ended.
