--- a/crates/sedgepath-core/src/egress.rs
+++ b/crates/sedgepath-core/src/egress.rs
@@ -154,6 +154,12 @@
         }
     }
 
+    /// Returns the number of dispatches that run at upstreams or wait for one.
+    pub fn calls_in_flight(&self) -> usize {
+        let waiting = self.services.values().map(|service| service.queue.waiting().len());
+        self.calls.len() + waiting.sum::<usize>()
+    }
+
     /// Takes in an upstream's word on its load.
     pub fn take_report(
         &mut self,
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -15,13 +15,15 @@
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{self, Ingress, Target};
 use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
-use crate::membership::Membership;
+use crate::membership::{self, Membership, OwnState};
 use crate::message::{Envelope, Message};
 use crate::outbox::Outbox;
 use crate::ownership;
 use crate::record::Plan;
 use crate::request::{Class, Dispatch, EntryVm, Once, Outcome, RequestHead};
 use crate::steering::{Candidate, Choice, RandomByShare, SteeringPolicy};
+use crate::stop::PlannedStop;
+use crate::timeline::Topic;
 
 /// One node of the system.
 #[derive(Debug)]
@@ -36,6 +38,7 @@
     egress: Egress,
     /// What the node may use; none when it has to be worked out anew.
     allowances: Option<Vec<Allowance>>,
+    stop: PlannedStop,
 }
 
 impl Node {
@@ -50,6 +53,7 @@
             ingress: Ingress::default(),
             egress: Egress::new(settings.admission),
             allowances: None,
+            stop: PlannedStop::default(),
             settings,
         }
     }
@@ -117,7 +121,7 @@
                     self.configuration.apply(snapshot, &mut self.out);
                 }
             }
-            Event::Stop => self.out.push(Action::Stopped),
+            Event::Stop => self.begin_stop(),
         }
         self.out.take_actions()
     }
@@ -129,10 +133,32 @@
         self.allowances = None;
         self.admit(Egress::tick);
         let loads = self.admit(|egress, scope, out| egress.loads(scope, out.now_ms()));
-        self.membership.tick(self.configuration.revision(), &loads, &mut self.out);
+        let own = OwnState { revision: self.configuration.revision(), loads: &loads };
+        self.membership.tick(own, &mut self.out);
+        self.end_stop();
         self.out.take_actions()
     }
 
+    fn begin_stop(&mut self) {
+        // A lost heartbeat is repeated well within the time after which silence is suspected, and
+        // what relays pass on takes as long again.
+        let heard_by_ms = self.out.now_ms() + 2 * self.settings.suspect_after_ms;
+        if self.stop.begin(heard_by_ms, self.settings.look_up_valid_ms) {
+            self.out.identity_mut().card.leaving = true;
+            self.out.log(Topic::Node, "stop_begun", &[]);
+        } else {
+            self.out.push(Action::Stopped);
+        }
+    }
+
+    fn end_stop(&mut self) {
+        let in_flight = self.ingress.in_flight() + self.egress.calls_in_flight();
+        if self.stop.may_end(self.out.now_ms(), in_flight) {
+            self.out.log(Topic::Node, "stop_ended", &[]);
+            self.out.push(Action::Stopped);
+        }
+    }
+
     /// Answers a look-up from memory.
     ///
     /// # Errors
@@ -227,7 +253,7 @@
             report_age_ms: 0,
             same_region: region(&domain) == region(&self.out.identity().card.domain),
         };
-        for vm in self.membership.serving_in(domain) {
+        for vm in membership::serving_among(&self.membership.alive_in(domain)) {
             let Some(member) = self.membership.member(vm) else {
                 continue;
             };
@@ -270,11 +296,11 @@
     /// Returns the VMs that serve in a failure domain, this node among them.
     fn serving_in(&self, domain: DomainKey) -> Vec<VmKey> {
         let identity = self.out.identity();
-        let mut serving = self.membership.serving_in(domain);
-        if identity.card.domain == domain && !identity.card.leaving {
-            serving.push(identity.vm);
+        let mut alive = self.membership.alive_in(domain);
+        if identity.card.domain == domain {
+            alive.push((identity.vm, identity.card.leaving));
         }
-        serving
+        membership::serving_among(&alive)
     }
 
     /// Runs a step of admission by the allowances in force.
@@ -319,6 +345,11 @@
             Message::Heartbeat(heartbeat) => {
                 self.membership.take_heartbeat(envelope, heartbeat, &mut self.out);
             }
+            Message::Probe(probe) => self.membership.take_probe(envelope, probe, &mut self.out),
+            Message::ProbeAnswer(answer) => {
+                self.membership.take_probe_answer(answer, &mut self.out);
+            }
+            Message::Summary(summary) => self.membership.take_summary(summary, &mut self.out),
         }
     }
 }
