Send nothing new to an upstream that leaves, and plan drains

Cause: the owner took no notice of an upstream that leaves, and only the owner that got its answer could have known.

Change: signs are kept for a quarter of an hour from the last one heard first-hand; news goes to all peers of the domain three times, then to one a second in turn, and to each that joins. A list entry whose name is an upstream's says that it leaves. Loads leave it out; what waits for it alone is told at once; what runs is left alone. DrainPlan predicts a drain's end from the records, or says why it can't finish in time.

--- /dev/null
+++ b/crates/sedgepath-core/src/drain.rs
@@ -0,0 +1,312 @@
+//! Plans of drains: when a drain would end, and whether it can.
+//!
+//! A drain takes an upstream or a whole failure domain out of service. What callers ask of it has to
+//! go to other failure domains, no faster than the cap of each service's steering record lets it, and
+//! what is in flight has to end. A plan follows from the records alone, so any node and the
+//! operator's client reach the same one.
+//!
+//! The prediction is the slowest course that the caps allow for:
+//! - a window moves at most the cap, so a share `w` under a cap `c` takes `ceil(w / c)` windows;
+//! - the last request admitted may carry the service's longest deadline;
+//! - no other shift uses the cap meanwhile; if one does, the drain ends later.
+//!
+//! For one upstream of several in its domain, its part of the domain's slots counts as the share that
+//! has to leave the domain, as if the domain ran full. Where the others have slots free, less leaves.
+
+use crate::catalogue::{Catalogue, ServiceEntry};
+use crate::key::{DomainKey, OriginKey, ServiceKey, UpstreamKey};
+use crate::record::Cap;
+
+/// A share below which nothing is left to move; shares are sums of floating-point numbers.
+const NO_SHARE: f64 = 1e-9;
+
+/// What a drain takes out of service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Target {
+    /// One upstream.
+    Upstream(UpstreamKey),
+    /// All upstreams of a failure domain.
+    Domain(DomainKey),
+}
+
+/// The share that is still at the target from a time on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct DrainStep {
+    /// The time, in milliseconds.
+    pub at_ms: u64,
+    /// The share of the origin group's traffic of the service, from 0 to 1.
+    pub share: f64,
+}
+
+/// The drain of one service for callers of one origin group.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GroupDrain {
+    /// The service.
+    pub service: ServiceKey,
+    /// The origin group.
+    pub origin: OriginKey,
+    /// The shares in the order of time; the first is that of now, the last is zero.
+    pub steps: Vec<DrainStep>,
+    /// When the last request in flight has ended, in milliseconds.
+    pub predicted_end_ms: u64,
+}
+
+/// A drain that can finish in time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DrainPlan {
+    /// What is drained.
+    pub target: Target,
+    /// The services and origin groups in the order of their keys.
+    pub groups: Vec<GroupDrain>,
+    /// When the last request in flight has ended, in milliseconds.
+    pub predicted_end_ms: u64,
+}
+
+/// Why a drain can't be carried out.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum Obstacle {
+    /// No other upstream may take the callers.
+    #[error("service {service}: no other upstream may take callers of group {origin}")]
+    NoCapacity {
+        /// The service's name.
+        service: Box<str>,
+        /// The origin group's name.
+        origin: Box<str>,
+    },
+    /// The cap lets too little move by the time asked for.
+    #[error(
+        "service {service}, group {origin}: moving {share_percent:.1}% under a cap of \
+         {cap_percent}% in {window_ms} ms would end in {needed_ms} ms, not in {given_ms} ms"
+    )]
+    CapTooSmall {
+        /// The service's name.
+        service: Box<str>,
+        /// The origin group's name.
+        origin: Box<str>,
+        /// The share that has to move, in percent.
+        share_percent: f64,
+        /// The cap, in percent.
+        cap_percent: f64,
+        /// The window of the cap, in milliseconds.
+        window_ms: u64,
+        /// The time that the drain would take, in milliseconds.
+        needed_ms: u64,
+        /// The time given, in milliseconds.
+        given_ms: u64,
+    },
+    /// The cap lets nothing move at all.
+    #[error("service {service}, group {origin}: the cap lets nothing move")]
+    NoCap {
+        /// The service's name.
+        service: Box<str>,
+        /// The origin group's name.
+        origin: Box<str>,
+    },
+    /// Requests may run for longer than the time asked for.
+    #[error("service {service}: requests may run for {longest_deadline_ms} ms, not {given_ms} ms")]
+    LongRequests {
+        /// The service's name.
+        service: Box<str>,
+        /// The longest deadline of its requests, in milliseconds.
+        longest_deadline_ms: u64,
+        /// The time given, in milliseconds.
+        given_ms: u64,
+    },
+}
+
+/// Why there is no plan.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum DrainError {
+    /// The records know no such upstream or failure domain.
+    #[error("the records know no such upstream or failure domain")]
+    UnknownTarget,
+    /// The drain can't be carried out by the time asked for; all reasons are given.
+    #[error("the drain cannot finish in time: {}", list(.0))]
+    Refused(Vec<Obstacle>),
+}
+
+fn list(obstacles: &[Obstacle]) -> String {
+    obstacles.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+}
+
+impl DrainPlan {
+    /// Plans a drain that starts now and has to end by a time, both in milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the records don't know the target, or with all reasons why it can't be drained by
+    /// then.
+    pub fn new(
+        catalogue: &Catalogue,
+        target: Target,
+        now_ms: u64,
+        finish_by_ms: u64,
+    ) -> Result<Self, DrainError> {
+        if !is_known(catalogue, target) {
+            return Err(DrainError::UnknownTarget);
+        }
+        let given_ms = finish_by_ms.saturating_sub(now_ms);
+        let mut groups = Vec::new();
+        let mut obstacles = Vec::new();
+        for (service, entry) in services_at(catalogue, target) {
+            for origin in origins(entry) {
+                let group = Group { catalogue, target, service, entry, origin };
+                match group.drain(now_ms, given_ms) {
+                    Ok(drain) => groups.push(drain),
+                    Err(obstacle) => obstacles.push(obstacle),
+                }
+            }
+        }
+        if !obstacles.is_empty() {
+            return Err(DrainError::Refused(obstacles));
+        }
+        let ends_ms = groups.iter().map(|group| group.predicted_end_ms);
+        let predicted_end_ms = ends_ms.max().unwrap_or(now_ms);
+        Ok(Self { target, groups, predicted_end_ms })
+    }
+}
+
+fn is_known(catalogue: &Catalogue, target: Target) -> bool {
+    match target {
+        Target::Upstream(upstream) => catalogue.upstreams.contains_key(&upstream),
+        Target::Domain(domain) => catalogue.domains.contains_key(&domain),
+    }
+}
+
+/// Returns the services with upstreams at the target, in the order of their keys.
+fn services_at(catalogue: &Catalogue, target: Target) -> Vec<(ServiceKey, &ServiceEntry)> {
+    let is_at = |entry: &ServiceEntry| {
+        entry.upstreams.iter().any(|upstream| is_part(catalogue, target, *upstream))
+    };
+    let services = catalogue.services.iter().filter(|(_, entry)| is_at(entry));
+    let mut services: Vec<_> = services.map(|(key, entry)| (*key, entry)).collect();
+    services.sort_unstable_by_key(|(key, _)| *key);
+    services
+}
+
+fn is_part(catalogue: &Catalogue, target: Target, upstream: UpstreamKey) -> bool {
+    match target {
+        Target::Upstream(drained) => upstream == drained,
+        Target::Domain(domain) => {
+            catalogue.upstreams.get(&upstream).is_some_and(|entry| entry.domain == domain)
+        }
+    }
+}
+
+fn origins(entry: &ServiceEntry) -> Vec<OriginKey> {
+    let steering = entry.steering.iter();
+    let mut origins: Vec<_> =
+        steering.flat_map(|steering| steering.shares.keys().copied()).collect();
+    origins.sort_unstable();
+    origins
+}
+
+/// The callers of one origin group of one service.
+#[derive(Debug, Clone, Copy)]
+struct Group<'a> {
+    catalogue: &'a Catalogue,
+    target: Target,
+    service: ServiceKey,
+    entry: &'a ServiceEntry,
+    origin: OriginKey,
+}
+
+impl Group<'_> {
+    fn drain(self, now_ms: u64, given_ms: u64) -> Result<GroupDrain, Obstacle> {
+        let longest_deadline_ms = self.entry.longest_deadline_ms;
+        let service = self.entry.name.clone();
+        let share = self.share()?;
+        let windows = self.windows(share)?;
+        if longest_deadline_ms > given_ms {
+            return Err(Obstacle::LongRequests { service, longest_deadline_ms, given_ms });
+        }
+        let cap = self.cap();
+        let needed_ms = windows * cap.window_ms + longest_deadline_ms;
+        if needed_ms > given_ms {
+            return Err(Obstacle::CapTooSmall {
+                service,
+                origin: self.origin_name(),
+                share_percent: share * 100.0,
+                cap_percent: cap.percent,
+                window_ms: cap.window_ms,
+                needed_ms,
+                given_ms,
+            });
+        }
+        let left = |window: u64| share - window as f64 * cap.percent / 100.0;
+        let steps = (0..=windows).map(|window| DrainStep {
+            at_ms: now_ms + window * cap.window_ms,
+            share: if window == windows { 0.0 } else { left(window) },
+        });
+        Ok(GroupDrain {
+            service: self.service,
+            origin: self.origin,
+            steps: steps.collect(),
+            predicted_end_ms: now_ms + needed_ms,
+        })
+    }
+
+    /// Returns the share that has to leave the failure domain.
+    fn share(self) -> Result<f64, Obstacle> {
+        let domain = match self.target {
+            Target::Domain(domain) => domain,
+            Target::Upstream(upstream) => self.catalogue.upstreams[&upstream].domain,
+        };
+        let shares = self.catalogue.shares(self.service, self.origin).unwrap_or_default();
+        let declared =
+            shares.iter().find(|(key, _)| *key == domain).map_or(0.0, |(_, share)| *share);
+        if declared <= NO_SHARE {
+            return Ok(0.0);
+        }
+        let drained: u32 = self.slots(domain, |upstream| self.is_part(upstream));
+        let stays: u32 = self.slots(domain, |upstream| !self.is_part(upstream));
+        let elsewhere = shares
+            .iter()
+            .any(|(key, share)| *key != domain && *share > 0.0 && self.slots(*key, |_| true) > 0);
+        if elsewhere {
+            return Ok(declared * f64::from(drained) / f64::from((drained + stays).max(1)));
+        }
+        if stays > 0 {
+            return Ok(0.0);
+        }
+        Err(Obstacle::NoCapacity { service: self.entry.name.clone(), origin: self.origin_name() })
+    }
+
+    /// Returns the windows that it takes to move a share.
+    fn windows(self, share: f64) -> Result<u64, Obstacle> {
+        if share <= NO_SHARE {
+            return Ok(0);
+        }
+        let cap = self.cap();
+        if cap.percent <= 0.0 {
+            let origin = self.origin_name();
+            return Err(Obstacle::NoCap { service: self.entry.name.clone(), origin });
+        }
+        Ok((share * 100.0 / cap.percent - NO_SHARE).ceil() as u64)
+    }
+
+    fn cap(self) -> Cap {
+        let none = Cap { percent: 0.0, window_ms: 0 };
+        self.entry.steering.as_ref().map_or(none, |steering| steering.cap)
+    }
+
+    /// Returns the slots of the service's upstreams in a failure domain that are in service.
+    fn slots(self, domain: DomainKey, counts: impl Fn(UpstreamKey) -> bool) -> u32 {
+        let upstreams = self.entry.upstreams.iter().copied();
+        upstreams
+            .filter(|upstream| counts(*upstream))
+            .filter(|upstream| !self.catalogue.is_draining(*upstream) || self.is_part(*upstream))
+            .map(|upstream| &self.catalogue.upstreams[&upstream])
+            .filter(|entry| entry.domain == domain)
+            .map(|entry| entry.slots)
+            .sum()
+    }
+
+    fn is_part(self, upstream: UpstreamKey) -> bool {
+        is_part(self.catalogue, self.target, upstream)
+    }
+
+    fn origin_name(self) -> Box<str> {
+        self.catalogue.origins.get(&self.origin).cloned().unwrap_or_default()
+    }
+}
--- a/crates/sedgepath-core/src/egress.rs
+++ b/crates/sedgepath-core/src/egress.rs
@@ -16,7 +16,7 @@
 use crate::event::{Action, UpstreamReport};
 use crate::hash::Map;
 use crate::key::{ExchangeKey, ServiceKey, UpstreamKey};
-use crate::message::ServiceLoad;
+use crate::message::{LeavingUpstreams, ServiceLoad};
 use crate::outbox::Outbox;
 use crate::request::{CallEnd, Dispatch, Reason, Refusal};
 use crate::timeline::Topic;
@@ -35,6 +35,7 @@
 mod upstream;
 mod upstreams;
 
+pub use leaving::Notice;
 use queue::Waiting;
 pub use scope::Scope;
 use service::{Outlook, Service};
@@ -182,13 +183,37 @@
         self.upstreams.entry(upstream).take_connections(open, now_ms);
     }
 
-    /// Takes in that an upstream leaves: it gets nothing new from now on.
+    /// Takes in first-hand that an upstream leaves: it gets nothing new from now on, and
+    /// [`Self::leaving_notice`] tells the peers.
     pub fn mark_leaving(&mut self, upstream: UpstreamKey, scope: Scope<'_>, out: &mut Outbox) {
+        // All nodes have the record; the answers of what is still in flight are no news.
+        if scope.catalogue.is_draining(upstream) {
+            return;
+        }
         if self.upstreams.leaving.mark(upstream, out.now_ms()) {
             log_upstream(Topic::Drain, "upstream_leaving", upstream, scope, out);
         }
     }
 
+    /// Takes in what a peer has heard of upstreams that leave.
+    pub fn take_leaving(&mut self, leaving: &LeavingUpstreams, scope: Scope<'_>, out: &mut Outbox) {
+        for told in &leaving.upstreams {
+            if self.upstreams.leaving.take(*told, out.now_ms()) {
+                log_upstream(Topic::Drain, "upstream_leaving_told", told.upstream, scope, out);
+            }
+        }
+    }
+
+    /// Returns what is due to be told to the peers of the failure domain.
+    pub fn leaving_notice(&mut self, now_ms: u64) -> Option<Notice> {
+        self.upstreams.leaving.notice(now_ms)
+    }
+
+    /// Returns what a peer that joins has to be told.
+    pub fn leaving(&self, now_ms: u64) -> LeavingUpstreams {
+        self.upstreams.leaving.told(now_ms)
+    }
+
     /// Gives up what time has ended, refuses what can no longer be served and sends what can.
     pub fn tick(&mut self, scope: Scope<'_>, out: &mut Outbox) {
         let now_ms = out.now_ms();
--- a/crates/sedgepath-core/src/egress/upstreams.rs
+++ b/crates/sedgepath-core/src/egress/upstreams.rs
@@ -62,7 +62,7 @@
 
     /// Gives up what time has ended.
     pub fn tick(&mut self, scope: Scope<'_>, now_ms: u64) {
-        self.leaving.expire(now_ms);
+        self.leaving.expire(scope.catalogue, now_ms);
         for upstream in self.table.values_mut() {
             upstream.expire(now_ms);
         }
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalogue;
 pub mod clock;
 pub mod configuration;
+pub mod drain;
 pub mod egress;
 pub mod event;
 pub mod hash;
--- a/crates/sedgepath-core/src/message.rs
+++ b/crates/sedgepath-core/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Stamp;
-use crate::key::{BootId, DomainKey, ServiceKey, VmKey};
+use crate::key::{BootId, DomainKey, ServiceKey, UpstreamKey, VmKey};
 
 /// A datagram: who sent it, in which order, and what it says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -33,6 +33,8 @@
     ProbeAnswer(ProbeAnswer),
     /// What a relay knows of the members of a failure domain.
     Summary(Summary),
+    /// Upstreams that the sender knows to leave.
+    LeavingUpstreams(LeavingUpstreams),
 }
 
 /// A sign of life.
@@ -137,3 +139,25 @@
     /// Those taken.
     pub in_flight: u32,
 }
+
+/// Upstreams that are about to leave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingUpstreams {
+    /// The upstreams, at most [`Self::MOST`].
+    pub upstreams: Vec<LeavingUpstream>,
+}
+
+impl LeavingUpstreams {
+    /// The most upstreams that one datagram names.
+    pub const MOST: usize = 100;
+}
+
+/// An upstream that is about to leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingUpstream {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// How long this is still to be remembered, in milliseconds; a time on the wire, since clocks
+    /// differ.
+    pub remaining_ms: u64,
+}
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -11,7 +11,7 @@
 use crate::catalogue::Catalogue;
 use crate::configuration::Configuration;
 use crate::egress::{Egress, Scope};
-use crate::event::{Action, Event, LookUp, LookUpAnswer, LookUpError};
+use crate::event::{Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError};
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{self, Ingress, Target};
 use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
@@ -115,7 +115,7 @@
             Event::Table { operation, result } => {
                 self.configuration.take_result(operation, &result, &mut self.out);
             }
-            Event::VmList(listed) => self.membership.take_list(listed),
+            Event::VmList(listed) => self.vm_list(listed),
             Event::Fetched { snapshot, .. } => {
                 if let Some(snapshot) = snapshot {
                     self.configuration.apply(snapshot, &mut self.out);
@@ -132,6 +132,7 @@
         self.configuration.tick(self.settings.head_every_ms, &mut self.out);
         self.allowances = None;
         self.admit(Egress::tick);
+        self.tell_leaving();
         let loads = self.admit(|egress, scope, out| egress.loads(scope, out.now_ms()));
         let own = OwnState { revision: self.configuration.revision(), loads: &loads };
         self.membership.tick(own, &mut self.out);
@@ -303,6 +304,45 @@
         membership::serving_among(&alive)
     }
 
+    /// Takes in the platform's list, which may name VMs of upstreams as well.
+    fn vm_list(&mut self, listed: Vec<ListedVm>) {
+        let catalogue = Arc::clone(self.configuration.catalogue());
+        let is_upstream =
+            |vm: &ListedVm| catalogue.upstreams.contains_key(&UpstreamKey::of(&vm.name));
+        let (upstreams, vms): (Vec<_>, Vec<_>) = listed.into_iter().partition(is_upstream);
+        self.membership.take_list(vms);
+        for vm in upstreams.into_iter().filter(|vm| vm.leaving) {
+            let upstream = UpstreamKey::of(&vm.name);
+            self.admit(|egress, scope, out| egress.mark_leaving(upstream, scope, out));
+        }
+    }
+
+    /// Tells peers of the failure domain of upstreams that leave.
+    fn tell_leaving(&mut self) {
+        let Some(notice) = self.egress.leaving_notice(self.out.now_ms()) else {
+            return;
+        };
+        let identity = self.out.identity();
+        let members = self.membership.members_in(identity.card.domain);
+        let peers: Vec<_> = members.into_iter().map(|(_, member)| member.card.peers).collect();
+        let turn = notice.number.wrapping_add(identity.vm.0) % peers.len().max(1) as u64;
+        for (place, peer) in peers.into_iter().enumerate() {
+            if notice.to_all || place as u64 == turn {
+                self.out.send(peer, Message::LeavingUpstreams(notice.leaving.clone()));
+            }
+        }
+    }
+
+    /// Tells a member that has just started of upstreams that leave.
+    ///
+    /// It becomes the owner of some at once, and would send work there until its turn came.
+    fn tell_newcomer(&mut self, vm: VmKey) {
+        let leaving = self.egress.leaving(self.out.now_ms());
+        if let Some(address) = self.peer_address(vm).filter(|_| !leaving.upstreams.is_empty()) {
+            self.out.send(address, Message::LeavingUpstreams(leaving));
+        }
+    }
+
     /// Runs a step of admission by the allowances in force.
     fn admit<T>(&mut self, step: impl FnOnce(&mut Egress, Scope<'_>, &mut Outbox) -> T) -> T {
         let allowances = match self.allowances.take() {
@@ -342,8 +382,17 @@
         }
         self.out.merge_stamp(envelope.stamp);
         match &envelope.message {
+            Message::LeavingUpstreams(leaving) => {
+                self.admit(|egress, scope, out| egress.take_leaving(leaving, scope, out));
+            }
             Message::Heartbeat(heartbeat) => {
+                let boot =
+                    |node: &Self| node.membership.member(envelope.from).map(|known| known.boot);
+                let known = boot(self);
                 self.membership.take_heartbeat(envelope, heartbeat, &mut self.out);
+                if boot(self) != known {
+                    self.tell_newcomer(envelope.from);
+                }
             }
             Message::Probe(probe) => self.membership.take_probe(envelope, probe, &mut self.out),
             Message::ProbeAnswer(answer) => {
--- /dev/null
+++ b/crates/sedgepath-core/tests/drain.rs
@@ -0,0 +1,179 @@
+//! Plans of drains: the predicted end under the caps, and why a drain is refused.
+
+use expect_test::{Expect, expect};
+use sedgepath_core::catalogue::Catalogue;
+use sedgepath_core::drain::{DrainPlan, Target};
+use sedgepath_core::key::{DomainKey, UpstreamKey};
+use sedgepath_core::record::RawRecord;
+use sedgepath_test_support::records;
+use serde_json::{Value, json};
+
+const NOW_MS: u64 = 1_000_000;
+
+fn upstream(name: &str, domain: &str, slots: u32) -> Value {
+    json!({ "name": name, "domain": domain, "address": "127.0.0.1:9", "slots": slots })
+}
+
+fn service(name: &str, deadline_ms: u64, upstreams: &[Value]) -> RawRecord {
+    let body = json!({ "longest_deadline_ms": deadline_ms, "upstreams": upstreams });
+    records::record(1, "service", name, &body)
+}
+
+/// Two failure domains; `browse` has upstreams in both, `guides` in one of them only.
+fn records(shares: &[(&str, f64)], percent: f64) -> Vec<RawRecord> {
+    let browse =
+        [upstream("b1", "north", 6), upstream("b2", "north", 2), upstream("b3", "south", 8)];
+    vec![
+        records::places(&[("r", &["north", "south"])]),
+        service("browse", 5_000, &browse),
+        records::steering("browse", shares, percent, 10_000),
+        service("guides", 60_000, &[upstream("g1", "south", 4)]),
+        records::steering("guides", &[("south", 1.0)], 10.0, 10_000),
+    ]
+}
+
+fn check(records: &[RawRecord], target: Target, given_ms: u64, expected: &Expect) {
+    let catalogue = Catalogue::new(records);
+    let text = match DrainPlan::new(&catalogue, target, NOW_MS, NOW_MS + given_ms) {
+        Ok(plan) => {
+            let steps = plan.groups.iter().flat_map(|group| &group.steps);
+            let steps = steps.map(|step| format!("{} ms {:.2}", step.at_ms - NOW_MS, step.share));
+            let end_ms = plan.predicted_end_ms - NOW_MS;
+            format!("{}; ends after {end_ms} ms", steps.collect::<Vec<_>>().join(", "))
+        }
+        Err(error) => error.to_string(),
+    };
+    expected.assert_eq(&text);
+}
+
+/// A domain with half of the traffic is drained under a cap of 20% in 10 s: three windows, then the
+/// longest deadline of what is in flight.
+#[test]
+fn domain_ends_after_its_windows_and_the_longest_deadline() {
+    let records = records(&[("north", 1.0), ("south", 1.0)], 20.0);
+    let north = Target::Domain(DomainKey::of("north"));
+    check(
+        &records,
+        north,
+        60_000,
+        &expect!["0 ms 0.50, 10000 ms 0.30, 20000 ms 0.10, 30000 ms 0.00; ends after 35000 ms"],
+    );
+    check(
+        &records,
+        north,
+        35_000,
+        &expect!["0 ms 0.50, 10000 ms 0.30, 20000 ms 0.10, 30000 ms 0.00; ends after 35000 ms"],
+    );
+}
+
+/// The same drain is asked to finish a millisecond too early, under no cap at all, and sooner than a
+/// request may run: each is refused with the reason.
+#[test]
+fn drain_that_cannot_finish_is_refused_with_the_reason() {
+    let halves = [("north", 1.0), ("south", 1.0)];
+    let north = Target::Domain(DomainKey::of("north"));
+    check(
+        &records(&halves, 20.0),
+        north,
+        34_999,
+        &expect![
+            "the drain cannot finish in time: service browse, group any: moving 50.0% under a cap of 20% in 10000 ms would end in 35000 ms, not in 34999 ms"
+        ],
+    );
+    check(
+        &records(&halves, 0.0),
+        north,
+        60_000,
+        &expect![
+            "the drain cannot finish in time: service browse, group any: the cap lets nothing move"
+        ],
+    );
+    check(
+        &records(&halves, 20.0),
+        north,
+        4_000,
+        &expect![
+            "the drain cannot finish in time: service browse: requests may run for 5000 ms, not 4000 ms"
+        ],
+    );
+}
+
+/// The other domain is the only one with upstreams of a service: nobody could take its callers. All
+/// reasons are given at once.
+#[test]
+fn drain_without_capacity_elsewhere_is_refused() {
+    let records = records(&[("north", 1.0), ("south", 1.0)], 20.0);
+    check(
+        &records,
+        Target::Domain(DomainKey::of("south")),
+        70_000,
+        &expect![
+            "the drain cannot finish in time: service guides: no other upstream may take callers of group any"
+        ],
+    );
+    check(
+        &records,
+        Target::Upstream(UpstreamKey::of("g1")),
+        30_000,
+        &expect![
+            "the drain cannot finish in time: service guides: no other upstream may take callers of group any"
+        ],
+    );
+}
+
+/// The other domain is drained already, or has no share: it can't take the callers either.
+#[test]
+fn drained_or_unlisted_domain_takes_nobody() {
+    let mut records = records(&[("north", 1.0), ("south", 1.0)], 20.0);
+    let body = json!({ "target": "domain", "active": true });
+    records.push(records::record(1, "drain", "south", &body));
+    let north = Target::Domain(DomainKey::of("north"));
+    check(
+        &records,
+        north,
+        60_000,
+        &expect![
+            "the drain cannot finish in time: service browse: no other upstream may take callers of group any"
+        ],
+    );
+    check(
+        &self::records(&[("north", 1.0), ("south", 0.0)], 20.0),
+        north,
+        60_000,
+        &expect![
+            "the drain cannot finish in time: service browse: no other upstream may take callers of group any"
+        ],
+    );
+}
+
+/// One upstream of a domain: its part of the domain's slots leaves the domain, three quarters of the
+/// half here. An upstream that is alone with its service's traffic elsewhere moves nothing.
+#[test]
+fn upstream_moves_its_part_of_the_domain() {
+    let halves = records(&[("north", 1.0), ("south", 1.0)], 20.0);
+    check(
+        &halves,
+        Target::Upstream(UpstreamKey::of("b1")),
+        60_000,
+        &expect!["0 ms 0.38, 10000 ms 0.17, 20000 ms 0.00; ends after 25000 ms"],
+    );
+    let north = records(&[("north", 1.0)], 20.0);
+    check(
+        &north,
+        Target::Upstream(UpstreamKey::of("b1")),
+        60_000,
+        &expect!["0 ms 0.00; ends after 5000 ms"],
+    );
+    check(
+        &north,
+        Target::Upstream(UpstreamKey::of("b3")),
+        60_000,
+        &expect!["0 ms 0.00; ends after 5000 ms"],
+    );
+    check(
+        &north,
+        Target::Upstream(UpstreamKey::of("b9")),
+        60_000,
+        &expect!["the records know no such upstream or failure domain"],
+    );
+}
--- /dev/null
+++ b/crates/sedgepath-core/tests/leaving.rs
@@ -0,0 +1,192 @@
+//! An upstream that is leaving gets no new work, and what runs there is left alone.
+
+use sedgepath_core::key::{UpstreamKey, VmKey};
+use sedgepath_core::ownership;
+use sedgepath_core::request::{CallEnd, Class, Reason};
+use sedgepath_test_support::bed::faults::Place;
+use sedgepath_test_support::bed::{Bed, NodeIndex, Seen};
+use sedgepath_test_support::load;
+use sedgepath_test_support::owner::Owner;
+use sedgepath_test_support::records;
+use serde_json::json;
+
+/// How long after the first sign new work may still come, in milliseconds.
+const GRACE_MS: u64 = 3_000;
+
+/// Three owners and two upstreams of one failure domain, under a steady load.
+fn bed(seed: u64) -> Bed {
+    load::bed(seed, 3, &[("u1", 4, 100), ("u2", 4, 100)])
+}
+
+/// Sends a request each 25 ms to the nodes that run.
+fn run_load(bed: &mut Bed, duration_ms: u64) {
+    for step in 0..duration_ms / 25 {
+        let node = (0..3).map(|turn| (step as usize + turn) % 3).find(|node| bed.runs(*node));
+        let head = load::head(bed, Class::Paying, 1_000);
+        bed.call(node.expect("a node runs"), head);
+        bed.run_for(25);
+    }
+}
+
+fn owner_of(name: &str) -> NodeIndex {
+    let vms = ["n0", "n1", "n2"].map(VmKey::of);
+    let owner = ownership::owner(u64::from(UpstreamKey::of(name).0), &vms);
+    vms.iter().position(|vm| Some(*vm) == owner).expect("one of them is the owner")
+}
+
+/// Returns the runs at `u1` that started later than allowed after a time.
+fn late_runs(bed: &mut Bed, sign_ms: u64) -> usize {
+    let runs = &bed.upstreams.get("u1").runs;
+    runs.iter().filter(|run| run.started_at_ms > sign_ms + GRACE_MS).count()
+}
+
+/// Returns the requests sent after a time, and those of them that were answered.
+fn asked_and_answered(bed: &Bed, from_ms: u64) -> (usize, usize) {
+    let calls = bed.calls().iter().filter(|call| call.asked_at_ms >= from_ms);
+    let answered = calls.clone().filter(|call| matches!(call.seen, Seen::Answered { .. })).count();
+    (calls.count(), answered)
+}
+
+/// Every run at an upstream that is leaving ended with its answer at the caller.
+fn assert_none_cut(bed: &mut Bed) {
+    let runs = bed.upstreams.get("u1").runs.clone();
+    for run in runs {
+        let call = run.call.expect("its owner lives");
+        let seen = &bed.calls()[call].seen;
+        assert!(matches!(seen, Seen::Answered { .. }), "{seen:?}");
+    }
+}
+
+/// The upstream says with its answers that it leaves, while the platform is down and the failure domain
+/// is cut off from all others. Its owner stops at once; the other upstream serves on.
+#[test]
+fn its_answers_say_so_while_all_links_are_cut() {
+    let mut bed = bed(1);
+    let far = bed.add_node("far", "b");
+    run_load(&mut bed, 2_000);
+    bed.faults.platform_down = true;
+    for node in 0..3 {
+        bed.faults.cut(Place::Node(node), Place::Node(far));
+    }
+    bed.upstreams.get("u1").leaving = true;
+    let sign_ms = bed.now_ms();
+    run_load(&mut bed, 8_000);
+    bed.run_for(2_000);
+    assert_eq!(late_runs(&mut bed, sign_ms), 0);
+    assert_none_cut(&mut bed);
+    let (asked, answered) = asked_and_answered(&bed, sign_ms + GRACE_MS);
+    // Ingress hears of it by the loads; until its choice follows them half is refused at once.
+    assert!(answered >= asked / 3, "{answered} of {asked}");
+}
+
+/// Gives a sign under a steady load; nothing comes later than allowed, and nothing is cut.
+fn assert_stays_away(seed: u64, give_sign: impl FnOnce(&mut Bed)) {
+    let mut bed = bed(seed);
+    run_load(&mut bed, 2_000);
+    give_sign(&mut bed);
+    let sign_ms = bed.now_ms();
+    run_load(&mut bed, 8_000);
+    bed.run_for(2_000);
+    assert_eq!(late_runs(&mut bed, sign_ms), 0);
+    assert_none_cut(&mut bed);
+}
+
+/// An operator's drain record takes the upstream out.
+#[test]
+fn drain_record_says_so() {
+    let body = json!({ "target": "upstream", "active": true });
+    let drain = records::record(1, "drain", "u1", &body);
+    assert_stays_away(2, |bed| {
+        bed.write_records(&[drain]);
+    });
+}
+
+/// The platform's list of VMs names the upstream's as leaving.
+#[test]
+fn list_of_vms_says_so() {
+    assert_stays_away(3, |bed| bed.list_upstream_leaving("u1", "a"));
+}
+
+/// One answer says that the upstream leaves, to its owner, which then dies. The platform is down, and
+/// the upstream gives no reports any more. The next owner has heard it from the first.
+#[test]
+fn peers_say_so_to_the_next_owner() {
+    for seed in 4..=6 {
+        let mut bed = bed(seed);
+        run_load(&mut bed, 2_000);
+        bed.faults.platform_down = true;
+        bed.faults.loss_percent = 20;
+        bed.upstreams.get("u1").leaving = true;
+        run_load(&mut bed, 300);
+        let sign_ms = bed.now_ms();
+        bed.upstreams.get("u1").reports = false;
+        run_load(&mut bed, 700);
+        bed.kill(owner_of("u1"));
+        run_load(&mut bed, 15_000);
+        bed.run_for(2_000);
+        assert_eq!(late_runs(&mut bed, sign_ms), 0, "seed {seed}");
+    }
+}
+
+/// A node that starts long after the sign owns the upstream at once, while the upstream is silent about
+/// its end. Its peers tell it with their first datagrams. What it sends before it has heard anyone is
+/// left to the owner's right, by which a new boot waits.
+#[test]
+fn peers_say_so_to_a_node_that_starts_later() {
+    for seed in 7..=9 {
+        let mut bed = bed(seed);
+        let owner = owner_of("u1");
+        bed.kill(owner);
+        run_load(&mut bed, 4_000);
+        bed.upstreams.get("u1").leaving = true;
+        run_load(&mut bed, 1_000);
+        let sign_ms = bed.now_ms();
+        bed.upstreams.get("u1").reports = false;
+        run_load(&mut bed, 10_000);
+        assert_eq!(late_runs(&mut bed, sign_ms), 0, "seed {seed}");
+        bed.start(owner);
+        let heard_ms = bed.now_ms() + 1_000 - GRACE_MS;
+        run_load(&mut bed, 15_000);
+        bed.run_for(2_000);
+        assert_eq!(late_runs(&mut bed, heard_ms), 0, "seed {seed}");
+    }
+}
+
+fn owner() -> Owner {
+    let upstream =
+        |name: &str| json!({ "name": name, "domain": "a", "address": "127.0.0.1:9", "slots": 4 });
+    let body =
+        json!({ "longest_deadline_ms": 5_000, "upstreams": [upstream("u1"), upstream("u2")] });
+    Owner::new(&[records::places(&[("r", &["a"])]), records::record(1, "service", "s", &body)])
+}
+
+/// One upstream leaves, then the other. Loads leave them out; with none left callers are told at once,
+/// those in the queue too, and what runs ends in peace.
+#[test]
+fn loads_leave_it_out_and_the_queue_is_told() {
+    let mut owner = owner();
+    let running = owner.dispatch_many(8, Class::Paying, 2_000);
+    assert_eq!(owner.load(), (8, 8));
+    owner.report("u1", 4, 4, true);
+    assert_eq!(owner.load(), (4, 4));
+    let waiting = owner.dispatch("s", Class::Paying, 2_000);
+    owner.report("u2", 4, 4, true);
+    assert_eq!(owner.load(), (0, 0));
+    assert_eq!(owner.refusal(waiting).map(|refusal| refusal.reason), Some(Reason::NoUpstream));
+    assert!(owner.cancelled().is_empty());
+    for exchange in running {
+        owner.end(exchange, CallEnd::Whole);
+    }
+    assert!(owner.dispatch_many(1, Class::Paying, 2_000).is_empty());
+}
+
+/// An upstream that left comes back under its name: after a quarter of an hour it is used again.
+#[test]
+fn sign_is_forgotten_after_a_while() {
+    let mut owner = owner();
+    owner.report("u1", 0, 4, true);
+    owner.pass_ms(14 * 60_000);
+    assert_eq!(owner.load().0, 4);
+    owner.pass_ms(2 * 60_000);
+    assert_eq!(owner.load().0, 8);
+}
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -162,6 +162,7 @@
     log: Vec<(NodeIndex, sedgepath_core::timeline::Entry)>,
     absent_from_list: BTreeSet<NodeIndex>,
     leaving_in_list: BTreeSet<NodeIndex>,
+    leaving_upstreams: Vec<ListedVm>,
 }
 
 /// The bed's clock starts well after zero, so that nothing depends on times before the start.
@@ -185,6 +186,7 @@
             log: Vec::new(),
             absent_from_list: BTreeSet::new(),
             leaving_in_list: BTreeSet::new(),
+            leaving_upstreams: Vec::new(),
         }
     }
 
@@ -350,6 +352,16 @@
         self.leaving_in_list.insert(index);
     }
 
+    /// Marks an upstream as leaving in the platform's VM list.
+    pub fn list_upstream_leaving(&mut self, name: &str, domain: &str) {
+        self.leaving_upstreams.push(ListedVm {
+            name: name.into(),
+            domain: domain.into(),
+            peers: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
+            leaving: true,
+        });
+    }
+
     /// Sends a caller's request to a node; `head.deadline_at_ms` is by the bed's clock.
     pub fn call(&mut self, node: NodeIndex, head: RequestHead) -> CallIndex {
         let call = self.calls.len();
@@ -464,7 +476,7 @@
             peers: slot.card.peers,
             leaving: self.leaving_in_list.contains(&index),
         });
-        listed.collect()
+        listed.chain(self.leaving_upstreams.iter().cloned()).collect()
     }
 
     fn deliver(&mut self, index: NodeIndex, boot: Option<u64>, event: BedEvent) {
