Give the test of the retry budget slots for its lost calls

Cause: retries_do_not_multiply_an_outage has all upstreams lose their answers and expects that all 300 requests run. Since a lost call keeps its slot to its deadline of two seconds, 24 slots let 138 run and the rest is refused as full, which is what admission is for, and not what the test is about.

Ruled out: a fault of the budget (it is not reached), and of admission (24 slots, 2 s each: about 12 a second for the 9 s of the test).

Change: the test's upstreams have 200 slots. No assertion is changed.

--- a/crates/sedgepath-core/tests/retry.rs
+++ b/crates/sedgepath-core/tests/retry.rs
@@ -9,10 +9,14 @@
 
 /// Three failure domains with one upstream and two nodes each.
 fn bed(seed: u64) -> Bed {
+    bed_with_slots(seed, 8)
+}
+
+fn bed_with_slots(seed: u64, slots: u32) -> Bed {
     let mut bed = Bed::new(seed);
     let upstreams: Vec<_> = DOMAINS
         .iter()
-        .map(|domain| UpstreamSpec::new(&format!("up-{domain}"), domain, 8))
+        .map(|domain| UpstreamSpec::new(&format!("up-{domain}"), domain, slots))
         .collect();
     let shares: Vec<_> = DOMAINS.iter().map(|domain| (*domain, 1.0)).collect();
     bed.write_records(&[
@@ -21,7 +25,7 @@
         records::steering("browse", &shares, 100.0, 10_000),
     ]);
     for upstream in &upstreams {
-        bed.upstreams.add(&upstream.name, FakeUpstream::new(8, 10));
+        bed.upstreams.add(&upstream.name, FakeUpstream::new(slots, 10));
     }
     for domain in DOMAINS {
         bed.add_node(&format!("{domain}-1"), domain);
@@ -94,10 +98,11 @@
 
 /// All upstreams run requests and lose the answers. Were every one retried at every upstream, the
 /// outage would triple the load; the budget keeps retries to a tenth of the fresh requests beyond
-/// the few that it starts with.
+/// the few that it starts with. A lost call keeps its slot to its deadline, so there are slots for all
+/// of them: no request is kept from the upstreams for want of one.
 #[test]
 fn retries_do_not_multiply_an_outage() {
-    let mut bed = bed(3);
+    let mut bed = bed_with_slots(3, 200);
     for domain in DOMAINS {
         bed.upstreams.get(&format!("up-{domain}")).loses_answers = true;
     }
