--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -165,6 +165,7 @@
     log: Vec<(NodeIndex, sedgepath_core::timeline::Entry)>,
     absent_from_list: BTreeSet<NodeIndex>,
     leaving_in_list: BTreeSet<NodeIndex>,
+    leaving_upstreams: Vec<ListedVm>,
 }
 
 /// The bed's clock starts well after zero, so that nothing depends on times before the start.
@@ -188,6 +189,7 @@
             log: Vec::new(),
             absent_from_list: BTreeSet::new(),
             leaving_in_list: BTreeSet::new(),
+            leaving_upstreams: Vec::new(),
         }
     }
 
@@ -353,6 +355,16 @@
         self.leaving_in_list.insert(index);
     }
 
+    /// Marks an upstream as leaving in the platform's VM list.
+    pub fn list_upstream_leaving(&mut self, name: &str, domain: &str) {
+        self.leaving_upstreams.push(ListedVm {
+            name: name.into(),
+            domain: domain.into(),
+            peers: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
+            leaving: true,
+        });
+    }
+
     /// Creates a guest's repeatable request that waits for two seconds.
     pub fn head(&self, service: &str) -> RequestHead {
         RequestHead {
@@ -499,7 +511,7 @@
             peers: slot.card.peers,
             leaving: self.leaving_in_list.contains(&index),
         });
-        listed.collect()
+        listed.chain(self.leaving_upstreams.iter().cloned()).collect()
     }
 
     fn deliver(&mut self, index: NodeIndex, boot: Option<u64>, event: BedEvent) {
