--- a/crates/sedgepath-core/src/catalogue.rs
+++ b/crates/sedgepath-core/src/catalogue.rs
@@ -1,6 +1,7 @@
 //! The configuration in force, read from its records into tables.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 
 use crate::blocks::{BlockTable, Cidr};
 use crate::hash::{Digest, Map, Set};
@@ -86,14 +87,14 @@
 }
 
 /// A record that this version can't read.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Unread {
     /// The record's kind.
     pub kind: Box<str>,
     /// The record's name.
     pub name: Box<str>,
     /// Why it could not be read.
-    pub error: RecordError,
+    pub error: Arc<RecordError>,
 }
 
 /// All records of one revision, read into tables.
@@ -116,7 +117,7 @@
     /// The records that could not be read.
     pub unread: Vec<Unread>,
     keys: Map<Digest, OrganisationKey>,
-    blocks: BlockTable,
+    blocks: Arc<BlockTable>,
 }
 
 impl Catalogue {
@@ -124,16 +125,46 @@
     ///
     /// Records that can't be read are listed in [`Self::unread`]; they take nothing else down.
     pub fn new<'a>(records: impl IntoIterator<Item = &'a RawRecord>) -> Self {
+        let mut blocks = Vec::new();
         let mut catalogue = Self::default();
+        catalogue.add_records(records, |catalogue, clients| {
+            catalogue.add_blocks(clients, &mut blocks);
+        });
+        catalogue.blocks = Arc::new(BlockTable::new(blocks));
+        catalogue
+    }
+
+    /// Reads the records of a revision whose records of clients are those of `previous`.
+    ///
+    /// At full size the blocks are nearly all of the records' text. Reading them again for every
+    /// change would hold the node's thread up for seconds, and look-ups with it.
+    pub fn with_blocks_of<'a>(
+        records: impl IntoIterator<Item = &'a RawRecord>,
+        previous: &Self,
+    ) -> Self {
+        let mut catalogue = Self { blocks: Arc::clone(&previous.blocks), ..Self::default() };
+        catalogue.origins.clone_from(&previous.origins);
+        let others = records.into_iter().filter(|raw| &*raw.kind != "clients");
+        catalogue.add_records(others, |_, _| {});
+        let unread = previous.unread.iter().filter(|unread| &*unread.kind == "clients");
+        catalogue.unread.extend(unread.cloned());
+        catalogue
+    }
+
+    fn add_records<'a>(
+        &mut self,
+        records: impl IntoIterator<Item = &'a RawRecord>,
+        mut add_blocks: impl FnMut(&mut Self, &record::Clients),
+    ) {
+        let catalogue = self;
         let mut steering = Vec::new();
         let mut drains = Vec::new();
-        let mut blocks = Vec::new();
         for raw in records {
             match raw.parse() {
                 Ok(RecordBody::Places(places)) => catalogue.add_places(&places),
                 Ok(RecordBody::Service(service)) => catalogue.add_service(&raw.name, &service),
                 Ok(RecordBody::Organisations(record)) => catalogue.add_organisations(&record),
-                Ok(RecordBody::Clients(clients)) => catalogue.add_blocks(&clients, &mut blocks),
+                Ok(RecordBody::Clients(clients)) => add_blocks(catalogue, &clients),
                 Ok(RecordBody::Steering(body)) => steering.push((raw, body)),
                 Ok(RecordBody::Drain(drain)) => drains.push((raw, drain)),
                 Err(error) => catalogue.add_unread(raw, error),
@@ -148,8 +179,6 @@
         for service in catalogue.services.values_mut() {
             service.upstreams.sort_unstable();
         }
-        catalogue.blocks = BlockTable::new(blocks);
-        catalogue
     }
 
     /// Returns the origin group of a caller's address.
@@ -280,7 +309,11 @@
         if matches!(&*raw.kind, "service" | "steering") {
             self.refused.insert(ServiceKey::of(&raw.name));
         }
-        self.unread.push(Unread { kind: raw.kind.clone(), name: raw.name.clone(), error });
+        self.unread.push(Unread {
+            kind: raw.kind.clone(),
+            name: raw.name.clone(),
+            error: Arc::new(error),
+        });
     }
 }
 
--- a/crates/sedgepath-core/src/configuration.rs
+++ b/crates/sedgepath-core/src/configuration.rs
@@ -1,146 +1,243 @@
 //! The configuration in force on this node, and how it learns of a newer one.
-
+//!
+//! The platform's table says which revision was accepted; every node works by a copy. The parts:
+//!
+//! - [`store`]: the copy, which only ever goes up.
+//! - `reader`: the few members of each failure domain that read the table.
+//! - `spread`: how a revision goes from node to node, also without the platform.
+//! - [`change`]: what operators ask for, as one transaction.
+//! - [`rows`]: how all of it stands in the table.
+//!
+//! A node serves once it is [`ready`](Configuration::ready). Until then it knows nothing or less
+//! than its peers, and would steer callers by records that were replaced before it started.
+
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
-
 use crate::catalogue::Catalogue;
-use crate::event::Snapshot;
-use crate::hash::Map;
-use crate::key::OperationKey;
+use crate::event::Action;
+use crate::identity::NodeSettings;
+use crate::key::{OperationKey, ReplyKey, VmKey};
+use crate::membership::Membership;
+use crate::message::ConfigurationNews;
 use crate::outbox::Outbox;
-use crate::record::RawRecord;
-use crate::table::{Row, TableRequest, TableResult};
+use crate::ownership;
+use crate::table::TableResult;
 use crate::timeline::Topic;
 
-/// The key of the row that holds the head revision.
-pub const HEAD_KEY: &str = "head";
-
-/// The start of the keys of records: `record/<kind>/<name>`.
-pub const RECORD_PREFIX: &str = "record/";
-
-/// The most rows read from the table at once.
-const PAGE_ROWS: u32 = 256;
-
-/// A record as it stands in its row of the table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RecordRow {
-    /// The revision that wrote it.
-    pub revision: u64,
-    /// The record.
-    pub record: RawRecord,
+pub mod change;
+mod reader;
+pub mod rows;
+mod spread;
+pub mod store;
+
+use change::{ChangeDesk, ChangeOutcome, ChangeRequest, Concluded};
+use reader::{ReadResult, Reader};
+use rows::RecordRow;
+use spread::{Fetched, Spread};
+use store::{Changes, Page, Position, Store};
+
+/// The time between two readings for a change that waits for this node to catch up, in
+/// milliseconds.
+const HURRY_EVERY_MS: u64 = 250;
+
+/// Where a revision came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    Table,
+    Peer,
+    Change,
 }
 
-/// What a reading of the table is for.
-#[derive(Debug)]
-enum Reading {
-    Head,
-    Records { head: u64, rows: Vec<Row> },
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Table => "table",
+            Self::Peer => "peer",
+            Self::Change => "change",
+        }
+    }
 }
 
 /// The configuration in force.
 #[derive(Debug, Default)]
 pub struct Configuration {
-    revision: u64,
-    records: Map<(Box<str>, Box<str>), RawRecord>,
-    catalogue: Arc<Catalogue>,
-    reading: Option<(OperationKey, Reading)>,
-    next_head_at_ms: u64,
+    store: Store,
+    reader: Reader,
+    spread: Spread,
+    desk: ChangeDesk,
+    started_at_ms: Option<u64>,
+    ready: bool,
+    hurry_at_ms: u64,
 }
 
 impl Configuration {
     /// Returns the revision in force; 0 before there is one.
     pub fn revision(&self) -> u64 {
-        self.revision
+        self.store.revision()
     }
 
     /// Returns the tables of the revision in force.
     pub fn catalogue(&self) -> &Arc<Catalogue> {
-        &self.catalogue
+        self.store.catalogue()
     }
 
     /// Returns the records in force, in the order of their kinds and names.
-    pub fn snapshot(&self) -> Snapshot {
-        let mut records: Vec<_> = self.records.values().cloned().collect();
-        records.sort_by(|a, b| (&a.kind, &a.name).cmp(&(&b.kind, &b.name)));
-        Snapshot { revision: self.revision, records }
+    pub fn records(&self) -> impl Iterator<Item = &RecordRow> {
+        self.store.records()
     }
 
-    /// Reads the head revision when it is due.
-    pub fn tick(&mut self, every_ms: u64, out: &mut Outbox) {
-        if self.reading.is_some() || out.now_ms() < self.next_head_at_ms {
-            return;
+    /// Returns the next page of the records that were written after a position.
+    pub fn page(&self, after: &Position) -> Page {
+        self.store.page(after)
+    }
+
+    /// Whether the node may serve: it has a revision that is no older than any it has heard of.
+    ///
+    /// A revision that came from a peer while the platform can't be reached counts only after
+    /// [`NodeSettings::boot_wait_ms`], when the other members have been heard too. Without this a
+    /// node that restarts and first hears of a member that was cut off would serve by an old
+    /// revision that it had served past before.
+    pub fn ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Returns what peers are told with every sign of life.
+    pub fn news(&self, now_ms: u64) -> ConfigurationNews {
+        ConfigurationNews {
+            revision: self.store.revision(),
+            head_age_ms: self.reader.head_age_ms(now_ms),
         }
-        self.next_head_at_ms = out.now_ms() + every_ms;
-        let operation = out.table(TableRequest::Read(vec![HEAD_KEY.into()]));
-        self.reading = Some((operation, Reading::Head));
     }
 
-    /// Takes in the result of a reading; returns false if it is not one of this module.
+    /// Takes in how old the newest reading of the head is that a member knows of.
+    pub fn hear_head_age(&mut self, age_ms: u64, out: &Outbox) {
+        self.reader.hear_head_age(age_ms, out.now_ms());
+    }
+
+    /// Takes in that a member has a revision in force.
+    pub fn hear_revision(&mut self, vm: VmKey, operators: SocketAddr, revision: u64) {
+        self.spread.hear(vm, operators, revision, self.store.revision());
+    }
+
+    /// Reads the head, fetches, tells and goes on with changes as they are due.
+    pub fn tick(
+        &mut self,
+        members: &Membership,
+        settings: &NodeSettings,
+        random: &mut fastrand::Rng,
+        out: &mut Outbox,
+    ) {
+        if self.started_at_ms.is_none() {
+            self.started_at_ms = Some(out.now_ms());
+            // Members that start together do not read in the same moment, and one that hears of a
+            // peer with records meanwhile fetches them there.
+            self.reader.wait(random.u64(0..=settings.head_every_ms / 2), out.now_ms());
+        }
+        if self.reader.is_due(out.now_ms()) {
+            self.reader.poll(rank(members, out), settings, out);
+        }
+        let news = self.news(out.now_ms());
+        self.spread.tick(news, members, settings, random, out);
+        if self.desk.waits_for_store() && self.hurry_at_ms <= out.now_ms() {
+            self.hurry_at_ms = out.now_ms() + HURRY_EVERY_MS;
+            self.reader.hurry(out);
+        }
+        let concluded = self.desk.tick(&self.store, out);
+        self.conclude(concluded, out);
+        self.become_ready(settings, out);
+    }
+
+    /// Takes in a result of the table; returns false if it is not one of this module.
     pub fn take_result(
         &mut self,
         operation: OperationKey,
         result: &TableResult,
         out: &mut Outbox,
     ) -> bool {
-        let Some((_, reading)) = self.reading.take_if(|(key, _)| *key == operation) else {
-            return false;
-        };
-        let TableResult::Rows(rows) = result else {
-            return true;
-        };
-        match reading {
-            Reading::Head => {
-                let head = rows.first().and_then(|row| row.value.parse().ok()).unwrap_or(0);
-                if head > self.revision {
-                    self.read_page(head, Vec::new(), out);
-                }
-            }
-            Reading::Records { head, rows: mut known } => {
-                known.extend_from_slice(rows);
-                if rows.len() < PAGE_ROWS as usize {
-                    self.apply_rows(head, &known, out);
-                } else {
-                    self.read_page(head, known, out);
-                }
+        let revision = self.store.revision();
+        match self.reader.take_result(operation, result, revision, out) {
+            ReadResult::NotMine => {}
+            ReadResult::Nothing => return true,
+            ReadResult::Changes(changes) => {
+                self.apply(changes, Source::Table, out);
+                return true;
             }
         }
+        let Some(concluded) = self.desk.take_result(operation, result, &self.store, out) else {
+            return false;
+        };
+        self.conclude(concluded, out);
         true
     }
 
-    fn read_page(&mut self, head: u64, rows: Vec<Row>, out: &mut Outbox) {
-        let after = rows.last().map(|row| row.key.clone()).unwrap_or_default();
-        let request = TableRequest::Scan { prefix: RECORD_PREFIX.into(), after, limit: PAGE_ROWS };
-        let operation = out.table(request);
-        self.reading = Some((operation, Reading::Records { head, rows }));
+    /// Takes in a page of a peer's records, or that the peer did not answer.
+    pub fn fetched(&mut self, operation: OperationKey, page: Option<Page>, out: &mut Outbox) {
+        match self.spread.take_page(operation, page, out) {
+            Fetched::Changes(changes) => self.apply(changes, Source::Peer, out),
+            Fetched::Pending => {}
+            Fetched::NoPeer => self.reader.hurry(out),
+        }
+    }
+
+    /// Takes in an operator's change.
+    pub fn begin_change(&mut self, reply: ReplyKey, request: ChangeRequest, out: &mut Outbox) {
+        let fields: [(&str, &dyn std::fmt::Display); 2] =
+            [("change", &request.change_id), ("note", &request.note)];
+        out.log(Topic::Configuration, "change_asked", &fields);
+        let concluded = self.desk.begin(reply, request, out.now_ms());
+        self.conclude(concluded, out);
     }
 
-    fn apply_rows(&mut self, head: u64, rows: &[Row], out: &mut Outbox) {
-        let records = rows
-            .iter()
-            .filter_map(|row| serde_json::from_str::<RecordRow>(&row.value).ok())
-            .map(|row| row.record)
-            .collect();
-        self.apply(Snapshot { revision: head, records }, out);
+    fn conclude(&mut self, concluded: impl IntoIterator<Item = Concluded>, out: &mut Outbox) {
+        for Concluded { reply, outcome, changes } in concluded {
+            if let Some(changes) = changes {
+                self.apply(changes, Source::Change, out);
+            } else if matches!(outcome, ChangeOutcome::Accepted { .. }) {
+                self.reader.hurry(out);
+            }
+            out.log(Topic::Configuration, "change_concluded", &[("outcome", &outcome.name())]);
+            out.push(Action::AnswerChange { reply, outcome });
+        }
     }
 
-    /// Puts a snapshot in force unless it is older than what is in force.
-    pub fn apply(&mut self, snapshot: Snapshot, out: &mut Outbox) {
-        if snapshot.revision <= self.revision {
+    fn apply(&mut self, changes: Changes, source: Source, out: &mut Outbox) {
+        if !self.store.apply(changes) {
             return;
         }
-        self.revision = snapshot.revision;
-        self.records = snapshot
-            .records
-            .into_iter()
-            .map(|record| ((record.kind.clone(), record.name.clone()), record))
-            .collect();
-        self.catalogue = Arc::new(Catalogue::new(self.records.values()));
-        out.log(Topic::Configuration, "revision_applied", &[("revision", &self.revision)]);
-        for unread in &self.catalogue.unread {
+        let revision = self.store.revision();
+        self.spread.applied(revision);
+        let fields: [(&str, &dyn std::fmt::Display); 2] =
+            [("revision", &revision), ("source", &source.name())];
+        out.log(Topic::Configuration, "revision_applied", &fields);
+        for unread in &self.store.catalogue().unread {
             let fields: [(&str, &dyn std::fmt::Display); 3] =
                 [("kind", &unread.kind), ("name", &unread.name), ("error", &unread.error)];
             out.log(Topic::Configuration, "record_unread", &fields);
         }
     }
+
+    fn become_ready(&mut self, settings: &NodeSettings, out: &mut Outbox) {
+        let revision = self.store.revision();
+        let head = self.reader.head();
+        let highest = self.spread.highest_heard().max(head.unwrap_or(0));
+        if self.ready || revision == 0 || revision < highest {
+            return;
+        }
+        let started_at_ms = self.started_at_ms.unwrap_or_else(|| out.now_ms());
+        let listened = out.now_ms() >= started_at_ms + settings.boot_wait_ms;
+        if listened || head.is_some() {
+            self.ready = true;
+            out.log(Topic::Node, "ready", &[("revision", &revision)]);
+        }
+    }
+}
+
+/// Returns how many members of the own failure domain come before this node as readers.
+fn rank(members: &Membership, out: &Outbox) -> u64 {
+    let identity = out.identity();
+    let domain = identity.card.domain;
+    let order = |vm: VmKey| (ownership::rank(u64::from(domain.0), vm.0), vm);
+    let own = order(identity.vm);
+    members.serving_in(domain).into_iter().filter(|vm| order(*vm) > own).count() as u64
 }
--- /dev/null
+++ b/crates/sedgepath-core/src/configuration/spread.rs
@@ -0,0 +1,182 @@
+//! Carries the configuration from node to node.
+//!
+//! A node that puts a revision in force tells a few random members, most of them in its own failure
+//! domain, and each of these does the same: a rumour reaches all members of a domain of n in about
+//! log n rounds (Demers et al., 1987), whatever nodes are lost. Rumours die out before they reach
+//! everyone, so every heartbeat also carries the sender's revision, and a node that hears a higher
+//! one than its own fetches the difference. Both ways work without the platform.
+//!
+//! A fetch is bounded: one at a time, in pages, after a short random wait, so that the members that
+//! hear of a change by the same heartbeat do not all ask the same peer in the same millisecond. If
+//! a peer does not answer, the next one that is known to have the revision is asked, then the table.
+
+use std::net::SocketAddr;
+
+use super::rows::RecordRow;
+use super::store::{Changes, Page, Position};
+use crate::hash::Map;
+use crate::identity::NodeSettings;
+use crate::key::{OperationKey, VmKey};
+use crate::membership::Membership;
+use crate::message::{ConfigurationNews, Message, RevisionNotice};
+use crate::outbox::Outbox;
+
+/// The members of the own failure domain that are told of a new revision.
+const TOLD_NEAR: usize = 4;
+
+/// The members of other failure domains that are told of a new revision.
+const TOLD_FAR: usize = 2;
+
+/// The most peers that are remembered as being ahead.
+const MAX_AHEAD: usize = 64;
+
+/// A peer that is ahead of this node.
+#[derive(Debug, Clone, Copy)]
+struct Ahead {
+    operators: SocketAddr,
+    revision: u64,
+}
+
+/// A fetch that is on its way.
+#[derive(Debug)]
+struct Fetching {
+    operation: OperationKey,
+    vm: VmKey,
+    from: SocketAddr,
+    after: u64,
+    records: Vec<RecordRow>,
+}
+
+/// What a fetch has brought.
+#[derive(Debug)]
+pub enum Fetched {
+    /// The whole difference.
+    Changes(Changes),
+    /// A page, and the next one is asked for; or nothing that helps, and another peer is next.
+    Pending,
+    /// No peer is left to ask.
+    NoPeer,
+}
+
+/// Hears of revisions and fetches them from peers.
+#[derive(Debug, Default)]
+pub struct Spread {
+    highest_heard: u64,
+    ahead: Map<VmKey, Ahead>,
+    fetching: Option<Fetching>,
+    fetch_at_ms: Option<u64>,
+    tell: bool,
+}
+
+impl Spread {
+    /// Returns the highest revision that any member was heard to have.
+    pub fn highest_heard(&self) -> u64 {
+        self.highest_heard
+    }
+
+    /// Takes in that a member has a revision in force.
+    pub fn hear(&mut self, vm: VmKey, operators: SocketAddr, revision: u64, own: u64) {
+        self.highest_heard = self.highest_heard.max(revision);
+        if revision > own && (self.ahead.len() < MAX_AHEAD || self.ahead.contains_key(&vm)) {
+            self.ahead.insert(vm, Ahead { operators, revision });
+        }
+    }
+
+    /// Takes in that a new revision is in force here; it is told at the next tick.
+    pub fn applied(&mut self, revision: u64) {
+        self.highest_heard = self.highest_heard.max(revision);
+        self.ahead.retain(|_, peer| peer.revision > revision);
+        self.tell = true;
+    }
+
+    /// Tells of a new revision and starts a fetch when it is due.
+    pub fn tick(
+        &mut self,
+        news: ConfigurationNews,
+        members: &Membership,
+        settings: &NodeSettings,
+        random: &mut fastrand::Rng,
+        out: &mut Outbox,
+    ) {
+        if std::mem::take(&mut self.tell) {
+            tell(news, members, random, out);
+        }
+        if self.fetching.is_some() || self.ahead.is_empty() {
+            return;
+        }
+        match self.fetch_at_ms {
+            None => {
+                self.fetch_at_ms = Some(out.now_ms() + random.u64(0..=settings.fetch_jitter_ms));
+            }
+            Some(at_ms) if at_ms <= out.now_ms() => {
+                self.fetch_at_ms = None;
+                self.fetch(news.revision, random, out);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Asks one of the peers that are the furthest ahead.
+    fn fetch(&mut self, revision: u64, random: &mut fastrand::Rng, out: &mut Outbox) {
+        let highest = self.ahead.values().map(|peer| peer.revision).max();
+        let mut peers: Vec<_> = self
+            .ahead
+            .iter()
+            .filter(|(_, peer)| Some(peer.revision) == highest)
+            .map(|(vm, peer)| (*vm, peer.operators))
+            .collect();
+        peers.sort_unstable();
+        let Some((vm, from)) = random.choice(peers) else { return };
+        let operation = out.fetch(from, Position::after_revision(revision));
+        self.fetching =
+            Some(Fetching { operation, vm, from, after: revision, records: Vec::new() });
+    }
+
+    /// Takes in a fetched page, or that the peer did not answer.
+    pub fn take_page(
+        &mut self,
+        operation: OperationKey,
+        page: Option<Page>,
+        out: &mut Outbox,
+    ) -> Fetched {
+        let Some(mut fetching) = self.fetching.take_if(|known| known.operation == operation) else {
+            return Fetched::Pending;
+        };
+        let Some(page) = page.filter(|page| page.revision > fetching.after) else {
+            self.ahead.remove(&fetching.vm);
+            return if self.ahead.is_empty() { Fetched::NoPeer } else { Fetched::Pending };
+        };
+        fetching.records.extend(page.records);
+        if page.complete {
+            return Fetched::Changes(Changes {
+                revision: page.revision,
+                after: fetching.after,
+                records: fetching.records,
+            });
+        }
+        let Some(last) = fetching.records.last() else { return Fetched::NoPeer };
+        fetching.operation = out.fetch(fetching.from, Position::of(last));
+        self.fetching = Some(fetching);
+        Fetched::Pending
+    }
+}
+
+fn tell(
+    news: ConfigurationNews,
+    members: &Membership,
+    random: &mut fastrand::Rng,
+    out: &mut Outbox,
+) {
+    let domain = out.identity().card.domain;
+    let serving = members.members().into_iter().filter(|(_, member)| member.serves());
+    let (mut near, mut far): (Vec<_>, Vec<_>) = serving
+        .map(|(_, member)| (member.card.domain == domain, member.card.peers))
+        .partition(|(near, _)| *near);
+    random.shuffle(&mut near);
+    random.shuffle(&mut far);
+    let notice = RevisionNotice { news, operators: out.identity().card.operators };
+    let told = near.into_iter().take(TOLD_NEAR).chain(far.into_iter().take(TOLD_FAR));
+    for (_, address) in told {
+        out.send(address, Message::Revision(notice));
+    }
+}
--- a/crates/sedgepath-core/src/event.rs
+++ b/crates/sedgepath-core/src/event.rs
@@ -4,11 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::configuration::change::{ChangeOutcome, ChangeRequest};
+use crate::configuration::store::{Page, Position};
 use crate::key::{
     BootId, DomainKey, ExchangeKey, OperationKey, ReplyKey, RequestKey, UpstreamKey, VmKey,
 };
 use crate::message::Envelope;
-use crate::record::RawRecord;
 use crate::request::{
     AnswerHead, CallEnd, Dispatch, EntryVm, HopEnd, Outcome, RequestHead, StoredAnswer,
 };
@@ -51,7 +52,7 @@
 }
 
 /// One VM of the platform's list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedVm {
     /// The VM's name.
     pub name: Box<str>,
@@ -63,15 +64,6 @@
     pub leaving: bool,
 }
 
-/// Records in force at a peer or in the table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// The revision.
-    pub revision: u64,
-    /// All records of that revision.
-    pub records: Vec<RawRecord>,
-}
-
 /// What the node is told.
 #[derive(Debug)]
 pub enum Event {
@@ -169,12 +161,19 @@
     },
     /// The platform's list of VMs was read.
     VmList(Vec<ListedVm>),
-    /// A peer's records were fetched, or could not be.
+    /// A page of a peer's records was fetched, or could not be.
     Fetched {
         /// The request's key.
         operation: OperationKey,
-        /// The records, unless the peer did not answer.
-        snapshot: Option<Snapshot>,
+        /// The page, unless the peer did not answer.
+        page: Option<Page>,
+    },
+    /// An operator asks for a change of the configuration.
+    Change {
+        /// Names the question in the answer.
+        reply: ReplyKey,
+        /// The change.
+        request: ChangeRequest,
     },
     /// The process was asked to stop.
     Stop,
@@ -298,12 +297,21 @@
         /// The request.
         request: TableRequest,
     },
-    /// Fetches the records of a peer.
+    /// Fetches a page of a peer's records.
     Fetch {
         /// Names the request in its result.
         operation: OperationKey,
         /// Where the peer takes remote calls.
         from: SocketAddr,
+        /// The place behind which the page begins.
+        after: Position,
+    },
+    /// Tells an operator what became of a change.
+    AnswerChange {
+        /// The question.
+        reply: ReplyKey,
+        /// The outcome.
+        outcome: ChangeOutcome,
     },
     /// Logs an entry of the time line.
     Log(Entry),
--- a/crates/sedgepath-core/src/identity.rs
+++ b/crates/sedgepath-core/src/identity.rs
@@ -35,6 +35,14 @@
     pub relay_every_ms: u64,
     /// The time between two readings of the platform's head revision, in milliseconds.
     pub head_every_ms: u64,
+    /// The age of the newest reading of the head after which members that are no readers step in,
+    /// in milliseconds.
+    pub head_stale_ms: u64,
+    /// The longest random wait before records are fetched from a peer, in milliseconds.
+    pub fetch_jitter_ms: u64,
+    /// How long a node that can't reach the platform listens for members after its start before it
+    /// serves by what a peer gave it, in milliseconds.
+    pub boot_wait_ms: u64,
     /// How long a look-up's answer may be used, in milliseconds.
     pub look_up_valid_ms: u64,
     /// The seed of the node's random choices.
@@ -49,6 +57,9 @@
             forget_after_ms: 60_000,
             relay_every_ms: 500,
             head_every_ms: 1_000,
+            head_stale_ms: 3_000,
+            fetch_jitter_ms: 100,
+            boot_wait_ms: 1_000,
             look_up_valid_ms: 5_000,
             seed: 0,
         }
--- a/crates/sedgepath-core/src/membership.rs
+++ b/crates/sedgepath-core/src/membership.rs
@@ -49,7 +49,9 @@
 use crate::hash::Map;
 use crate::identity::NodeSettings;
 use crate::key::{BootId, DomainKey, VmKey};
-use crate::message::{Envelope, Heartbeat, MemberCard, Probe, ProbeAnswer, ServiceLoad, Summary};
+use crate::message::{
+    ConfigurationNews, Envelope, Heartbeat, MemberCard, Probe, ProbeAnswer, ServiceLoad, Summary,
+};
 use crate::outbox::Outbox;
 use crate::ownership;
 use crate::timeline::Topic;
@@ -92,8 +94,8 @@
 /// What a node tells the members about itself.
 #[derive(Debug, Clone, Copy)]
 pub struct OwnState<'a> {
-    /// The configuration revision in force.
-    pub revision: u64,
+    /// What the node knows of the configuration.
+    pub news: ConfigurationNews,
     /// The load by service.
     pub loads: &'a [ServiceLoad],
 }
@@ -175,6 +177,13 @@
         self.listed = listed;
     }
 
+    /// Takes in a peer's copy of the platform's list, if this node has not read the list itself.
+    pub fn take_list_of_peer(&mut self, listed: &[ListedVm]) {
+        if self.listed.is_empty() {
+            self.listed = listed.to_vec();
+        }
+    }
+
     /// Takes in a heartbeat of a member of the own failure domain.
     pub fn take_heartbeat(&mut self, envelope: &Envelope, heartbeat: &Heartbeat, out: &mut Outbox) {
         if self.is_replaced(envelope.from, envelope.boot) {
@@ -190,7 +199,7 @@
             vm: envelope.from,
             boot: envelope.boot,
             heard_at_ms: out.now_ms(),
-            revision: heartbeat.revision,
+            revision: heartbeat.news.revision,
             leaving: heartbeat.card.as_ref().map_or(known_leaving, |card| card.leaving),
             loads: heartbeat.loads.clone(),
             card: heartbeat.card.clone(),
--- a/crates/sedgepath-core/src/membership/heartbeat.rs
+++ b/crates/sedgepath-core/src/membership/heartbeat.rs
@@ -131,7 +131,7 @@
         Heartbeat {
             sent_at_ms: out.now_ms(),
             card: needs_card.then(|| out.identity().card.clone()),
-            revision: own.revision,
+            news: own.news,
             loads: largest_loads(own.loads),
             acknowledgement: to.and_then(|vm| self.acknowledgement(vm)),
         }
--- a/crates/sedgepath-core/src/membership/relay.rs
+++ b/crates/sedgepath-core/src/membership/relay.rs
@@ -191,7 +191,7 @@
         vm: identity.vm,
         boot: identity.boot,
         age_ms: 0,
-        revision: own.revision,
+        revision: own.news.revision,
         leaving: identity.card.leaving,
         loads: largest_loads(own.loads),
         card: with_card.then(|| identity.card.clone()),
--- a/crates/sedgepath-core/src/message.rs
+++ b/crates/sedgepath-core/src/message.rs
@@ -27,6 +27,8 @@
 pub enum Message {
     /// A sign of life to a member of the same failure domain.
     Heartbeat(Heartbeat),
+    /// A new configuration revision.
+    Revision(RevisionNotice),
     /// Asks a member when it last heard directly of another.
     Probe(Probe),
     /// Answers a probe.
@@ -35,6 +37,25 @@
     Summary(Summary),
 }
 
+/// What a node knows of the configuration, passed on with every sign of life.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationNews {
+    /// The revision that the node has in force.
+    pub revision: u64,
+    /// The time since the newest successful reading of the platform's head that the node knows of,
+    /// in milliseconds; a time on the wire, since clocks differ between nodes.
+    pub head_age_ms: u64,
+}
+
+/// Tells of a revision that the sender has just put in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionNotice {
+    /// What the sender knows of the configuration.
+    pub news: ConfigurationNews,
+    /// Where the sender takes remote calls, to fetch the records from.
+    pub operators: SocketAddr,
+}
+
 /// A sign of life.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -42,8 +63,8 @@
     pub sent_at_ms: u64,
     /// The sender's name and addresses, until the receiver has acknowledged them.
     pub card: Option<MemberCard>,
-    /// The configuration revision that the sender has in force.
-    pub revision: u64,
+    /// What the sender knows of the configuration.
+    pub news: ConfigurationNews,
     /// The sender's load by service.
     pub loads: Vec<ServiceLoad>,
     /// Acknowledges the last heartbeat of the receiver that the sender has.
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -10,6 +10,7 @@
 use crate::allowance::{self, Allowance};
 use crate::catalogue::Catalogue;
 use crate::configuration::Configuration;
+use crate::configuration::store::{Page, Position};
 use crate::egress::Egress;
 use crate::event::{Action, Event, LookUp, LookUpAnswer, LookUpError};
 use crate::identity::{Identity, NodeSettings};
@@ -20,11 +21,14 @@
 use crate::outbox::Outbox;
 use crate::ownership;
 use crate::record::Plan;
-use crate::request::{Class, Dispatch, EntryVm, Once, Outcome, RequestHead};
+use crate::request::{Class, Dispatch, EntryVm, Once, Outcome, Reason, Refusal, RequestHead};
 use crate::steering::{Candidate, Choice, RandomByShare, SteeringPolicy};
 use crate::stop::PlannedStop;
 use crate::timeline::Topic;
 
+/// When a caller may come back to a node that has no configuration yet, in milliseconds.
+const NOT_READY_RETRY_MS: u64 = 500;
+
 /// One node of the system.
 #[derive(Debug)]
 pub struct Node {
@@ -66,6 +70,15 @@
         &self.configuration
     }
 
+    /// Returns the next page of the records that were written after a position, for a peer.
+    pub fn page(&self, after: &Position) -> Page {
+        let mut page = self.configuration.page(after);
+        if after.is_first() {
+            page.listed = self.membership.listed().to_vec();
+        }
+        page
+    }
+
     /// Returns the members heard of.
     pub fn membership(&self) -> &Membership {
         &self.membership
@@ -110,10 +123,14 @@
                 self.configuration.take_result(operation, &result, &mut self.out);
             }
             Event::VmList(listed) => self.membership.take_list(listed),
-            Event::Fetched { snapshot, .. } => {
-                if let Some(snapshot) = snapshot {
-                    self.configuration.apply(snapshot, &mut self.out);
+            Event::Fetched { operation, page } => {
+                if let Some(page) = page.as_ref().filter(|page| !page.listed.is_empty()) {
+                    self.membership.take_list_of_peer(&page.listed);
                 }
+                self.configuration.fetched(operation, page, &mut self.out);
+            }
+            Event::Change { reply, request } => {
+                self.configuration.begin_change(reply, request, &mut self.out);
             }
             Event::Stop => self.begin_stop(),
         }
@@ -123,10 +140,10 @@
     /// Runs the systems that work by time; to be called every few tens of milliseconds.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
-        self.configuration.tick(self.settings.head_every_ms, &mut self.out);
+        self.configuration.tick(&self.membership, &self.settings, &mut self.random, &mut self.out);
         let allowances = self.allowances();
         let loads = self.egress.loads(&allowances, self.configuration.catalogue());
-        let own = OwnState { revision: self.configuration.revision(), loads: &loads };
+        let own = OwnState { news: self.configuration.news(now_ms), loads: &loads };
         self.membership.tick(own, &mut self.out);
         self.end_stop();
         self.out.take_actions()
@@ -156,8 +173,12 @@
     ///
     /// # Errors
     ///
-    /// Fails if the service is unknown or the node can't read its records.
+    /// Fails if the service is unknown, or the node has no configuration yet or can't read the
+    /// service's records.
     pub fn look_up(&self, look_up: &LookUp) -> Result<LookUpAnswer, LookUpError> {
+        if !self.configuration.ready() {
+            return Err(LookUpError::Configuration);
+        }
         let catalogue = self.configuration.catalogue();
         let service = ServiceKey::of(&look_up.service);
         if catalogue.refused.contains(&service) {
@@ -187,6 +208,13 @@
     }
 
     fn request(&mut self, request: RequestKey, head: &RequestHead) {
+        if !self.configuration.ready() {
+            let refusal = Refusal { reason: Reason::NotReady, retry_after_ms: NOT_READY_RETRY_MS };
+            let others = self.entry_vms().split_off(1);
+            let outcome = Outcome::NotRun { refusal, others };
+            ingress::conclude(request, outcome, &mut self.out);
+            return;
+        }
         let catalogue = Arc::clone(self.configuration.catalogue());
         let service = ServiceKey::of(&head.service);
         if !catalogue.services.contains_key(&service) {
@@ -303,6 +331,13 @@
         allowance::whole(identity.vm, identity.card.domain, &serving, catalogue)
     }
 
+    /// Takes in that a member has a revision in force, if it is known where to fetch it.
+    fn hear_revision(&mut self, vm: VmKey, revision: u64) {
+        if let Some(member) = self.membership.member(vm) {
+            self.configuration.hear_revision(vm, member.card.operators, revision);
+        }
+    }
+
     fn datagram(&mut self, envelope: &Envelope) {
         if envelope.from == self.out.identity().vm {
             return;
@@ -311,12 +346,24 @@
         match &envelope.message {
             Message::Heartbeat(heartbeat) => {
                 self.membership.take_heartbeat(envelope, heartbeat, &mut self.out);
+                self.configuration.hear_head_age(heartbeat.news.head_age_ms, &self.out);
+                self.hear_revision(envelope.from, heartbeat.news.revision);
+            }
+            Message::Revision(notice) => {
+                self.configuration.hear_head_age(notice.news.head_age_ms, &self.out);
+                let revision = notice.news.revision;
+                self.configuration.hear_revision(envelope.from, notice.operators, revision);
             }
             Message::Probe(probe) => self.membership.take_probe(envelope, probe, &mut self.out),
             Message::ProbeAnswer(answer) => {
                 self.membership.take_probe_answer(answer, &mut self.out);
             }
-            Message::Summary(summary) => self.membership.take_summary(summary, &mut self.out),
+            Message::Summary(summary) => {
+                self.membership.take_summary(summary, &mut self.out);
+                for line in &summary.lines {
+                    self.hear_revision(line.vm, line.revision);
+                }
+            }
         }
     }
 }
--- a/crates/sedgepath-core/src/outbox.rs
+++ b/crates/sedgepath-core/src/outbox.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::HybridClock;
+use crate::configuration::store::Position;
 use crate::event::Action;
 use crate::identity::Identity;
 use crate::key::OperationKey;
@@ -81,10 +82,10 @@
         operation
     }
 
-    /// Fetches the records of a peer and returns the request's key.
-    pub fn fetch(&mut self, from: SocketAddr) -> OperationKey {
+    /// Fetches a page of a peer's records and returns the request's key.
+    pub fn fetch(&mut self, from: SocketAddr, after: Position) -> OperationKey {
         let operation = self.next_operation();
-        self.actions.push(Action::Fetch { operation, from });
+        self.actions.push(Action::Fetch { operation, from, after });
         operation
     }
 
--- a/crates/sedgepath-core/src/record.rs
+++ b/crates/sedgepath-core/src/record.rs
@@ -8,6 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
+pub mod check;
+pub mod fields;
+
 /// The newest schema that this version reads.
 pub const NEWEST_SCHEMA: u32 = 2;
 
--- /dev/null
+++ b/crates/sedgepath-core/src/record/fields.rs
@@ -0,0 +1,220 @@
+//! The fields of each kind of record.
+
+use crate::schema::{Field, Shape};
+
+/// The longest time that a record may name, in milliseconds: one day.
+const MAX_TIME_MS: u64 = 86_400_000;
+
+/// The most slots or connections of an upstream.
+const MAX_COUNT: u64 = 1_000_000;
+
+/// A kind of record and its fields.
+#[derive(Debug, Clone, Copy)]
+pub struct Kind {
+    /// The kind.
+    pub name: &'static str,
+    /// What records of it are for.
+    pub meaning: &'static str,
+    /// The fields of its body, by all schemas.
+    pub fields: &'static [Field],
+}
+
+/// All kinds that this version reads.
+pub const KINDS: &[Kind] = &[
+    Kind { name: "places", meaning: "The regions and their failure domains.", fields: PLACES },
+    Kind {
+        name: "service",
+        meaning: "A service and its upstreams; the record's name is the service's.",
+        fields: SERVICE,
+    },
+    Kind {
+        name: "steering",
+        meaning: "Which callers of a service go where, and how much any shift may move; the record's name is the service's.",
+        fields: STEERING,
+    },
+    Kind {
+        name: "organisations",
+        meaning: "The organisations that are admitted.",
+        fields: ORGANISATIONS,
+    },
+    Kind {
+        name: "clients",
+        meaning: "The blocks of clients of each origin group.",
+        fields: CLIENTS,
+    },
+    Kind {
+        name: "drain",
+        meaning: "A planned drain; the record's name is that of the upstream or failure domain.",
+        fields: DRAIN,
+    },
+];
+
+/// Returns the fields of a kind, unless this version does not know it.
+pub fn of_kind(kind: &str) -> Option<&'static [Field]> {
+    KINDS.iter().find(|known| known.name == kind).map(|known| known.fields)
+}
+
+const fn required(name: &'static str, shape: Shape, meaning: &'static str) -> Field {
+    Field { name, shape, default: None, since: 1, meaning }
+}
+
+const fn optional(
+    name: &'static str,
+    shape: Shape,
+    default: &'static str,
+    meaning: &'static str,
+) -> Field {
+    Field { name, shape, default: Some(default), since: 1, meaning }
+}
+
+const fn since_2(
+    name: &'static str,
+    shape: Shape,
+    default: &'static str,
+    meaning: &'static str,
+) -> Field {
+    Field { name, shape, default: Some(default), since: 2, meaning }
+}
+
+const PLACES: &[Field] =
+    &[required("regions", Shape::List { of: &Shape::Object(REGION), least: 1 }, "the regions")];
+
+const REGION: &[Field] = &[
+    required("name", Shape::Name, "the region's name"),
+    required(
+        "domains",
+        Shape::List { of: &Shape::Name, least: 1 },
+        "the names of its failure domains",
+    ),
+];
+
+const SERVICE: &[Field] = &[
+    required(
+        "longest_deadline_ms",
+        Shape::Integer { least: 1, most: 600_000 },
+        "the longest deadline that a request may carry, in milliseconds",
+    ),
+    optional(
+        "once_only",
+        Shape::Flag,
+        "false",
+        "whether requests must carry an idempotency key or a ticket",
+    ),
+    required("upstreams", Shape::List { of: &Shape::Object(UPSTREAM), least: 0 }, "the upstreams"),
+];
+
+const UPSTREAM: &[Field] = &[
+    required("name", Shape::Name, "the upstream's name, unique over all services"),
+    required("domain", Shape::Name, "the name of its failure domain"),
+    required("address", Shape::Address, "its IP address and port"),
+    required(
+        "slots",
+        Shape::Integer { least: 1, most: MAX_COUNT },
+        "the most requests that it runs at once",
+    ),
+    optional(
+        "connections",
+        Shape::Integer { least: 1, most: MAX_COUNT },
+        "350",
+        "the most connections that it takes",
+    ),
+    optional(
+        "new_connections_per_s",
+        Shape::Integer { least: 1, most: MAX_COUNT },
+        "100",
+        "the most new connections that it takes in a second",
+    ),
+    optional(
+        "cold_slots",
+        Shape::Integer { least: 1, most: MAX_COUNT },
+        "as `slots`",
+        "the requests that it may run at once when cold; they rise to `slots` over `warm_up_ms`",
+    ),
+    optional(
+        "warm_up_ms",
+        Shape::Integer { least: 0, most: MAX_TIME_MS },
+        "0",
+        "the time in milliseconds over which a cold upstream warms up",
+    ),
+];
+
+const CAP: &[Field] = &[
+    required(
+        "percent",
+        Shape::Number { least: 0.0, most: 100.0 },
+        "the most traffic that moves in a window, in percent",
+    ),
+    required(
+        "window_ms",
+        Shape::Integer { least: 1, most: MAX_TIME_MS },
+        "the length of the window, in milliseconds",
+    ),
+];
+
+const STEERING: &[Field] = &[
+    required(
+        "groups",
+        Shape::List { of: &Shape::Object(GROUP), least: 1 },
+        "the shares by origin group; callers of other groups follow the group `any`",
+    ),
+    required("cap", Shape::Object(CAP), "the most traffic that a shift may move"),
+    since_2(
+        "failover_cap",
+        Shape::Object(CAP),
+        "as `cap`",
+        "the most traffic that a failover may move",
+    ),
+    since_2(
+        "hedge_after_ms",
+        Shape::Integer { least: 1, most: MAX_TIME_MS },
+        "no hedging",
+        "after which time in milliseconds an idempotent request is also sent to a second upstream",
+    ),
+];
+
+const GROUP: &[Field] = &[
+    required("origin", Shape::Name, "the origin group's name"),
+    required(
+        "shares",
+        Shape::List { of: &Shape::Object(SHARE), least: 1 },
+        "the weight of each failure domain",
+    ),
+];
+
+const SHARE: &[Field] = &[
+    required("domain", Shape::Name, "the failure domain's name"),
+    required(
+        "weight",
+        Shape::Number { least: 0.0, most: 1e9 },
+        "its weight against the others of the group",
+    ),
+];
+
+const ORGANISATIONS: &[Field] = &[required(
+    "organisations",
+    Shape::List { of: &Shape::Object(ORGANISATION), least: 0 },
+    "the organisations",
+)];
+
+const ORGANISATION: &[Field] = &[
+    required("name", Shape::Name, "the organisation's name"),
+    required("plan", Shape::OneOf(&["paying", "trial"]), "what it pays"),
+    required(
+        "key_digests",
+        Shape::List { of: &Shape::Digest, least: 1 },
+        "the digests of its keys, as `sedgepath key` prints them",
+    ),
+];
+
+const CLIENTS: &[Field] =
+    &[required("blocks", Shape::List { of: &Shape::Object(BLOCK), least: 0 }, "the blocks")];
+
+const BLOCK: &[Field] = &[
+    required("block", Shape::Block, "the block, like 192.0.2.0/24"),
+    required("origin", Shape::Name, "the name of its origin group"),
+];
+
+const DRAIN: &[Field] = &[
+    required("target", Shape::OneOf(&["upstream", "domain"]), "what the record's name names"),
+    required("active", Shape::Flag, "whether the drain is in force; `false` ends it"),
+];
--- /dev/null
+++ b/crates/sedgepath-core/tests/configuration.rs
@@ -0,0 +1,159 @@
+//! A configuration that was accepted is in force at all nodes within seconds and never lower again.
+//!
+//! What is in force is read from the look-ups that each node answers, as a caller sees it.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use sedgepath_core::configuration::rows::RecordRow;
+use sedgepath_core::configuration::store::{Changes, Position, Store};
+use sedgepath_core::event::LookUp;
+use sedgepath_test_support::bed::Bed;
+use sedgepath_test_support::bed::faults::Place;
+use sedgepath_test_support::records;
+
+const DOMAINS: [&str; 3] = ["north-a", "north-b", "south-a"];
+
+/// Writes the records of a service that all three failure domains serve.
+fn write_first(bed: &mut Bed) {
+    let upstreams = [records::upstream("b1", "north-a"), records::upstream("b2", "south-a")];
+    bed.write_records(&[
+        records::places(&[("north", &["north-a", "north-b"]), ("south", &["south-a"])]),
+        records::service("browse", 5_000, &upstreams),
+    ]);
+    write_share(bed, 1.0);
+}
+
+fn write_share(bed: &mut Bed, weight: f64) -> u64 {
+    let shares = [("north-a", weight), ("south-a", 1.0)];
+    bed.write_records(&[records::steering("browse", &shares, 100.0, 10_000)])
+}
+
+/// Adds as many nodes to each of the first failure domains.
+fn add_nodes(bed: &mut Bed, domains: usize, each: usize) {
+    for domain in &DOMAINS[..domains] {
+        for number in 0..each {
+            bed.add_node(&format!("{domain}-{number}"), domain);
+        }
+    }
+}
+
+/// Returns the revision by which a node answers look-ups; 0 if it answers none.
+fn in_force(bed: &Bed, node: usize) -> u64 {
+    let look_up = LookUp {
+        service: "browse".into(),
+        source: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        revision_seen: 0,
+    };
+    let answer = bed.node(node).and_then(|node| node.look_up(&look_up).ok());
+    answer.map_or(0, |answer| answer.revision)
+}
+
+fn all_in_force(bed: &Bed) -> Vec<u64> {
+    (0..bed.node_count()).map(|node| in_force(bed, node)).collect()
+}
+
+fn table_reads(bed: &Bed) -> u64 {
+    (0..bed.node_count()).map(|node| bed.traffic(node).table_reads).sum()
+}
+
+/// Thirty nodes of three failure domains run for ten seconds without a change. The platform is
+/// asked for its head by two readers in each domain, not by every node, since the rest hear from
+/// them; so its reads grow with the domains and stay within its means at any number of nodes.
+#[test]
+fn reads_at_the_platform_grow_with_domains_and_not_with_nodes() {
+    let mut bed = Bed::new(1);
+    write_first(&mut bed);
+    add_nodes(&mut bed, 3, 10);
+    bed.run_for(5_000);
+    let before = table_reads(&bed);
+    bed.run_for(10_000);
+    let reads = table_reads(&bed) - before;
+    assert!((50..=70).contains(&reads), "{reads} reads in 10 s by 30 nodes of 3 domains");
+}
+
+/// One failure domain can't reach the platform while a change is accepted, but its links to the
+/// other domains work. Its nodes have the change in force within seconds, since they fetch it from
+/// peers; callers that come by them are steered as everywhere else.
+#[test]
+fn nodes_cut_off_from_the_platform_learn_a_change_from_peers() {
+    let mut bed = Bed::new(2);
+    write_first(&mut bed);
+    add_nodes(&mut bed, 3, 4);
+    bed.run_for(5_000);
+    for node in 0..4 {
+        bed.faults.cut(Place::Node(node), Place::Platform);
+    }
+    let revision = write_share(&mut bed, 3.0);
+    bed.run_for(5_000);
+    assert_eq!(all_in_force(&bed), vec![revision; 12]);
+}
+
+/// The platform is down, and all nodes but one die and come back with empty memories. Callers are
+/// answered by all of them again within seconds, by the revision that had been accepted, since the
+/// one that is left hands it on.
+#[test]
+fn all_nodes_but_one_restart_while_the_platform_is_down() {
+    let mut bed = Bed::new(3);
+    write_first(&mut bed);
+    add_nodes(&mut bed, 3, 4);
+    bed.run_for(5_000);
+    let revision = write_share(&mut bed, 3.0);
+    bed.run_for(5_000);
+    bed.faults.platform_down = true;
+    for node in 1..12 {
+        bed.kill(node);
+    }
+    bed.run_for(500);
+    for node in 1..12 {
+        bed.start(node);
+    }
+    bed.run_for(5_000);
+    assert_eq!(all_in_force(&bed), vec![revision; 12]);
+}
+
+/// A node is cut off from everything while changes are accepted, and answers callers by what it
+/// has. Within seconds of its return it answers by the newest one, and no caller of any node ever
+/// sees a revision lower than one that the same node has answered by before.
+#[test]
+fn a_node_cut_off_catches_up_within_seconds_of_its_return() {
+    let mut bed = Bed::new(4);
+    write_first(&mut bed);
+    add_nodes(&mut bed, 3, 4);
+    bed.run_for(5_000);
+    bed.faults.cut(Place::Node(0), Place::Platform);
+    for node in 1..12 {
+        bed.faults.cut(Place::Node(0), Place::Node(node));
+    }
+    let mut seen = vec![0; 12];
+    let mut newest = 0;
+    for change in 0..100 {
+        newest = write_share(&mut bed, 1.0 + f64::from(change));
+        bed.run_for(100);
+        let now = all_in_force(&bed);
+        assert!(now.iter().zip(&seen).all(|(now, seen)| now >= seen), "{seen:?} then {now:?}");
+        seen = now;
+    }
+    assert_eq!(seen[0], 2, "the node that was cut off");
+    bed.faults.heal_all();
+    bed.run_for(4_000);
+    assert_eq!(all_in_force(&bed), vec![newest; 12]);
+}
+
+/// A page that a peer sent before a newer revision came from elsewhere arrives after it, and so does
+/// a difference that builds on a revision which this node has not. Neither changes what is in force.
+#[test]
+fn a_late_or_unconnected_difference_changes_nothing() {
+    let row = |revision, weight| RecordRow {
+        revision,
+        record: records::steering("browse", &[("north-a", weight)], 100.0, 10_000),
+    };
+    let mut store = Store::default();
+    let newest = Changes { revision: 7, after: 0, records: vec![row(7, 7.0)] };
+    assert!(store.apply(newest));
+    let before = store.page(&Position::default());
+    let late = Changes { revision: 5, after: 0, records: vec![row(5, 5.0)] };
+    assert!(!store.apply(late));
+    let unconnected = Changes { revision: 10, after: 9, records: vec![row(10, 10.0)] };
+    assert!(!store.apply(unconnected));
+    assert_eq!(store.page(&Position::default()), before);
+}
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -9,18 +9,21 @@
 //! writes late; clocks of nodes are off.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRequest};
+use sedgepath_core::configuration::store::{Page, Position};
 use sedgepath_core::event::{Action, Event, ListedVm, UpstreamReport};
+use sedgepath_core::hash::Digest;
 use sedgepath_core::identity::{Identity, NodeSettings};
 use sedgepath_core::key::{
-    BootId, DomainKey, ExchangeKey, OperationKey, RequestKey, UpstreamKey, VmKey,
+    BootId, DomainKey, ExchangeKey, OperationKey, ReplyKey, RequestKey, UpstreamKey, VmKey,
 };
 use sedgepath_core::message::MemberCard;
 use sedgepath_core::node::Node;
 use sedgepath_core::record::RawRecord;
 use sedgepath_core::request::{
-    AnswerHead, CallEnd, Dispatch, HopEnd, Outcome, RequestHead, StoredAnswer,
+    AnswerHead, CallEnd, Dispatch, HopEnd, Once, Outcome, RequestHead, StoredAnswer,
 };
 use sedgepath_core::table::{TableRequest, TableResult};
 use sedgepath_platform::TableService;
@@ -61,7 +64,7 @@
     Broken,
 }
 
-/// The datagrams that a node sent and received.
+/// What a node sent and received.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Traffic {
     /// The datagrams sent, lost ones among them.
@@ -72,6 +75,14 @@
     pub received: u64,
     /// Their bytes, counted like those sent.
     pub received_bytes: u64,
+    /// Reads and scans of the table, whether or not they were answered.
+    pub table_reads: u64,
+    /// Commits to the table, whether or not they were answered.
+    pub table_commits: u64,
+    /// Pages of records asked of peers.
+    pub fetches: u64,
+    /// The bytes of the pages that came, as JSON text.
+    pub fetched_bytes: u64,
 }
 
 /// The bytes of a datagram besides its envelope: a code of 16, and 28 of IPv4 and UDP headers.
@@ -140,7 +151,7 @@
     HopEnded(RequestKey, u32, HopEnd),
     CallEnded(ExchangeKey, CallEnd, u64),
     Report(UpstreamKey, UpstreamReport),
-    Fetched(OperationKey, Option<sedgepath_core::event::Snapshot>),
+    Fetched(OperationKey, Option<Page>),
 }
 
 /// Nodes, upstreams and a table under one clock.
@@ -158,6 +169,7 @@
     /// The upstreams and what they counted.
     pub upstreams: FakeUpstreams,
     calls: Vec<Call>,
+    changes: BTreeMap<ReplyKey, ChangeOutcome>,
     next_number: u64,
     log: Vec<(NodeIndex, sedgepath_core::timeline::Entry)>,
     absent_from_list: BTreeSet<NodeIndex>,
@@ -167,6 +179,21 @@
 /// The bed's clock starts well after zero, so that nothing depends on times before the start.
 pub const START_MS: u64 = 1_000_000;
 
+/// Creates a guest's repeatable request from loopback.
+pub fn guest_request(service: &str, deadline_at_ms: u64) -> RequestHead {
+    RequestHead {
+        service: service.into(),
+        source: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        key_digest: None,
+        deadline_at_ms,
+        once: Once::Repeatable,
+        idempotent: true,
+        digest: Digest::of(&[b"GET /"]),
+        revision_seen: 0,
+        forwarded_by: None,
+    }
+}
+
 impl Bed {
     /// Creates an empty bed whose delays are drawn from a seed.
     pub fn new(seed: u64) -> Self {
@@ -181,6 +208,7 @@
             faults: Faults::default(),
             upstreams: FakeUpstreams::default(),
             calls: Vec::new(),
+            changes: BTreeMap::new(),
             next_number: 1,
             log: Vec::new(),
             absent_from_list: BTreeSet::new(),
@@ -373,6 +401,18 @@
         call
     }
 
+    /// Asks a node for a change of the configuration, as an operator's command does.
+    pub fn change(&mut self, node: NodeIndex, request: ChangeRequest) -> ReplyKey {
+        let reply = ReplyKey(self.number());
+        self.handle(node, Event::Change { reply, request });
+        reply
+    }
+
+    /// Returns what became of a change; none until the node has told.
+    pub fn change_outcome(&self, reply: ReplyKey) -> Option<&ChangeOutcome> {
+        self.changes.get(&reply)
+    }
+
     /// Hands an event to a node at once and carries its actions out.
     pub fn handle(&mut self, index: NodeIndex, event: Event) {
         let now_ms = self.local_ms(index);
@@ -486,7 +526,7 @@
                 Event::CallEnded { exchange, end, took_ms }
             }
             BedEvent::Report(upstream, report) => Event::UpstreamReport { upstream, report },
-            BedEvent::Fetched(operation, snapshot) => Event::Fetched { operation, snapshot },
+            BedEvent::Fetched(operation, page) => Event::Fetched { operation, page },
             BedEvent::Dispatch(dispatch, exchange) => {
                 let key = ExchangeKey(self.number());
                 let from = VmKey::of(&self.nodes[exchange.ingress].name);
@@ -528,7 +568,12 @@
                 }
             }
             Action::Table { operation, request } => self.table_request(index, operation, request),
-            Action::Fetch { operation, from } => self.fetch(index, operation, from),
+            Action::Fetch { operation, from, after } => {
+                self.fetch(index, operation, from, &after);
+            }
+            Action::AnswerChange { reply, outcome } => {
+                self.changes.insert(reply, outcome);
+            }
             Action::Log(entry) => self.log.push((index, entry)),
             Action::Stopped => {
                 self.nodes[index].stopped = true;
@@ -724,6 +769,12 @@
     }
 
     fn table_request(&mut self, index: NodeIndex, operation: OperationKey, request: TableRequest) {
+        match request {
+            TableRequest::Commit(_) => self.nodes[index].traffic.table_commits += 1,
+            TableRequest::Read(_) | TableRequest::Scan { .. } => {
+                self.nodes[index].traffic.table_reads += 1;
+            }
+        }
         let boot = self.nodes[index].boots;
         let down = self.faults.platform_down;
         if down || !self.faults.reaches(Place::Node(index), Place::Platform) {
@@ -768,14 +819,21 @@
         self.schedule(delay_ms, Item::Deliver { node: index, boot: Some(boot), event });
     }
 
-    fn fetch(&mut self, index: NodeIndex, operation: OperationKey, from: SocketAddr) {
+    fn fetch(
+        &mut self,
+        index: NodeIndex,
+        operation: OperationKey,
+        from: SocketAddr,
+        after: &Position,
+    ) {
         let target = self.nodes.iter().position(|slot| slot.card.operators == from);
         let reached = target.filter(|target| self.connects(index, *target) && self.runs(*target));
-        let snapshot = reached
-            .and_then(|target| self.node(target))
-            .map(|node| node.configuration().snapshot());
+        let page = reached.and_then(|target| self.node(target)).map(|node| node.page(after));
+        let bytes = page.as_ref().map_or(0, |page| serde_json::json!(page).to_string().len());
+        self.nodes[index].traffic.fetches += 1;
+        self.nodes[index].traffic.fetched_bytes += bytes as u64;
         let delay_ms = target.map_or(0, |target| 2 * self.delay_ms(index, target));
-        self.deliver_later(index, delay_ms, BedEvent::Fetched(operation, snapshot));
+        self.deliver_later(index, delay_ms, BedEvent::Fetched(operation, page));
     }
 
     fn deliver_later(&mut self, index: NodeIndex, delay_ms: u64, event: BedEvent) {
--- a/crates/sedgepath-test-support/src/records.rs
+++ b/crates/sedgepath-test-support/src/records.rs
@@ -1,6 +1,6 @@
 //! Records of a small system, for tests and the demo.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use sedgepath_core::record::RawRecord;
 use serde_json::{Value, json};
@@ -30,6 +30,12 @@
     pub slots: u32,
 }
 
+/// Creates an upstream with four slots, for beds, where addresses lead nowhere.
+pub fn upstream(name: &str, domain: &str) -> UpstreamSpec {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+    UpstreamSpec { name: name.into(), domain: domain.into(), address, slots: 4 }
+}
+
 /// Creates the record of a service.
 pub fn service(name: &str, longest_deadline_ms: u64, upstreams: &[UpstreamSpec]) -> RawRecord {
     let upstreams: Vec<_> = upstreams
--- a/crates/sedgepath-test-support/src/system.rs
+++ b/crates/sedgepath-test-support/src/system.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 
+use sedgepath_core::configuration::rows::{LoggedChange, log_key};
 use sedgepath_core::record::RawRecord;
 use sedgepath_core::table::{Change, Condition, RowWrite, TableRequest, TableResult, Transaction};
 use sedgepath_platform::{TableService, VmEntry, VmState};
@@ -165,6 +166,15 @@
         change: Change::Put(value.into()),
     };
     let mut writes = vec![put("head".into(), revision.to_string())];
+    let logged = LoggedChange {
+        revision,
+        change_id: format!("test-{revision}").into(),
+        note: "written by a test".into(),
+        node: "test".into(),
+        written_at_ms: 0,
+        records: records.to_vec(),
+    };
+    writes.push(put(log_key(revision).into(), serde_json::json!(logged).to_string()));
     for record in records {
         let value = serde_json::json!({ "revision": revision, "record": record });
         let key = format!("record/{}/{}", record.kind, record.name);
--- a/crates/sedgepath-wire/src/rpc.rs
+++ b/crates/sedgepath-wire/src/rpc.rs
@@ -3,7 +3,10 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use sedgepath_core::clock::Stamp;
-use sedgepath_core::event::Snapshot;
+use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRequest};
+use sedgepath_core::configuration::rows::LoggedChange;
+use sedgepath_core::configuration::store::{Page, Position};
+use sedgepath_core::key::DomainKey;
 use sedgepath_core::timeline::Entry;
 use serde::{Deserialize, Serialize};
 
@@ -21,12 +24,31 @@
 pub struct Status {
     /// The node's name.
     pub node: Box<str>,
+    /// Its failure domain, by key.
+    pub domain: DomainKey,
     /// The configuration revision in force.
     pub revision: u64,
+    /// The time since the newest reading of the platform's head that it knows of, in milliseconds.
+    pub head_age_ms: u64,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// The records that it keeps but can't read.
+    pub unread: Vec<UnreadStatus>,
     /// The members that it knows.
     pub members: Vec<MemberStatus>,
 }
 
+/// A record that a node keeps and passes on but can't read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnreadStatus {
+    /// The record's kind.
+    pub kind: Box<str>,
+    /// The record's name.
+    pub name: Box<str>,
+    /// Why it can't be read.
+    pub reason: Box<str>,
+}
+
 /// What a node says of a member.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
@@ -47,9 +69,17 @@
 /// The remote calls of a node.
 #[rpc(client, server, namespace = "sedgepath")]
 pub trait Operators {
-    /// Returns the records in force.
-    #[method(name = "snapshot")]
-    async fn snapshot(&self) -> RpcResult<Snapshot>;
+    /// Returns the next page of the records that were written after a position.
+    #[method(name = "page")]
+    async fn page(&self, after: Position) -> RpcResult<Page>;
+
+    /// Changes the configuration in force everywhere.
+    #[method(name = "change")]
+    async fn change(&self, request: ChangeRequest) -> RpcResult<ChangeOutcome>;
+
+    /// Returns the newest accepted changes, the newest first.
+    #[method(name = "history")]
+    async fn history(&self, limit: u32) -> RpcResult<Vec<LoggedChange>>;
 
     /// Returns what the node says of itself and of the members that it knows.
     #[method(name = "status")]
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -124,7 +124,7 @@
             .build(settings.operators)
             .await
             .map_err(listen("operators", settings.operators))?;
-        let serving = server.start(Operators::new(handle.clone()).into_rpc());
+        let serving = server.start(Operators::new(handle.clone(), Arc::clone(&table)).into_rpc());
         let serving_callers = tokio::spawn(callers.serve(callers_listener, callers_stop));
         tokio::spawn(peers.serve(peers_listener));
         tokio::spawn(operators::run_fetches(fetch_jobs, handle.clone()));
--- a/crates/sedgepathd/src/driver.rs
+++ b/crates/sedgepathd/src/driver.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRequest};
 use sedgepath_core::event::{Action, Event, LookUp, LookUpAnswer, LookUpError};
 use sedgepath_core::hash::Map;
 use sedgepath_core::key::{ExchangeKey, ReplyKey, RequestKey, VmKey};
@@ -69,6 +70,7 @@
     Event(Event),
     LookUp(LookUp, oneshot::Sender<Result<LookUpAnswer, LookUpError>>),
     Request(RequestKey, RequestHead, mpsc::UnboundedSender<Action>),
+    Change(ChangeRequest, oneshot::Sender<ChangeOutcome>),
     Dispatch(ExchangeKey, VmKey, Dispatch, mpsc::UnboundedSender<Action>),
     Ask(Question),
 }
@@ -105,6 +107,13 @@
         receiver.await.ok()
     }
 
+    /// Asks for a change of the configuration; none if the process is about to end.
+    pub async fn change(&self, request: ChangeRequest) -> Option<ChangeOutcome> {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Input::Change(request, sender));
+        receiver.await.ok()
+    }
+
     /// Hands over a caller's request; the actions that concern it arrive on the channel.
     pub fn request(&self, head: RequestHead) -> (RequestKey, mpsc::UnboundedReceiver<Action>) {
         let request = RequestKey(self.next_number());
@@ -181,6 +190,7 @@
         requests: Map::default(),
         exchanges: Map::default(),
         look_ups: Map::default(),
+        changes: Map::default(),
         next_reply: 0,
         stopped: false,
     };
@@ -196,6 +206,7 @@
     requests: Map<RequestKey, mpsc::UnboundedSender<Action>>,
     exchanges: Map<ExchangeKey, mpsc::UnboundedSender<Action>>,
     look_ups: Map<ReplyKey, oneshot::Sender<Result<LookUpAnswer, LookUpError>>>,
+    changes: Map<ReplyKey, oneshot::Sender<ChangeOutcome>>,
     next_reply: u64,
     stopped: bool,
 }
@@ -228,6 +239,12 @@
                 self.look_ups.insert(reply, sender);
                 Event::LookUp { reply, look_up }
             }
+            Input::Change(request, sender) => {
+                self.next_reply += 1;
+                let reply = ReplyKey(self.next_reply);
+                self.changes.insert(reply, sender);
+                Event::Change { reply, request }
+            }
             Input::Request(request, head, sender) => {
                 self.requests.insert(request, sender);
                 Event::Request { request, head }
@@ -265,6 +282,12 @@
                         let _unread = sender.send(answer);
                     }
                 }
+                Action::AnswerChange { reply, outcome } => {
+                    if let Some(sender) = self.changes.remove(&reply) {
+                        // The operator may have gone away.
+                        let _unread = sender.send(outcome);
+                    }
+                }
                 Action::Forward { request, .. }
                 | Action::ForwardHome { request, .. }
                 | Action::Relay { request, .. }
@@ -284,8 +307,8 @@
                 Action::Table { operation, request } => {
                     let _ended = self.outlets.platform.send(PlatformJob { operation, request });
                 }
-                Action::Fetch { operation, from } => {
-                    let job = crate::operators::FetchJob { operation, from };
+                Action::Fetch { operation, from, after } => {
+                    let job = crate::operators::FetchJob { operation, from, after };
                     let _ended = self.outlets.fetches.send(job);
                 }
                 Action::Log(entry) => {
--- a/crates/sedgepathd/src/operators.rs
+++ b/crates/sedgepathd/src/operators.rs
@@ -1,16 +1,24 @@
 //! Remote calls: served to operators and peers, and made to peers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::types::ErrorObjectOwned;
 use sedgepath_core::clock::Stamp;
-use sedgepath_core::event::{Event, Snapshot};
+use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRequest};
+use sedgepath_core::configuration::rows::{LOG_PREFIX, LoggedChange, log_key};
+use sedgepath_core::configuration::store::{Page, Position};
+use sedgepath_core::event::Event;
 use sedgepath_core::key::OperationKey;
 use sedgepath_core::node::Node;
-use sedgepath_wire::rpc::{MemberStatus, OperatorsClient, OperatorsServer, Status, TimelinePart};
+use sedgepath_core::table::{TableRequest, TableResult};
+use sedgepath_platform::TableService;
+use sedgepath_wire::rpc::{
+    MemberStatus, OperatorsClient, OperatorsServer, Status, TimelinePart, UnreadStatus,
+};
 use tokio::sync::mpsc;
 
 use crate::driver::Handle;
@@ -21,25 +29,37 @@
 /// The code of the error of a process that is about to end.
 const STOPPING_CODE: i32 = -32_001;
 
-/// A fetch of a peer's records.
-#[derive(Debug, Clone, Copy)]
+/// The code of the error of a question that needs the platform while it can't be reached.
+const UNAVAILABLE_CODE: i32 = -32_002;
+
+/// The most changes that are returned at once.
+const MAX_HISTORY: u32 = 1_000;
+
+/// The changes beyond the node's own revision that are read along.
+const HISTORY_AHEAD: u32 = 64;
+
+/// A fetch of a page of a peer's records.
+#[derive(Debug, Clone)]
 pub struct FetchJob {
     /// Names the fetch in its result.
     pub operation: OperationKey,
     /// Where the peer takes remote calls.
     pub from: SocketAddr,
+    /// The place behind which the page begins.
+    pub after: Position,
 }
 
 /// Serves remote calls.
 #[derive(Debug)]
 pub struct Operators {
     handle: Handle,
+    table: Arc<dyn TableService>,
 }
 
 impl Operators {
     /// Creates the server's methods.
-    pub fn new(handle: Handle) -> Self {
-        Self { handle }
+    pub fn new(handle: Handle, table: Arc<dyn TableService>) -> Self {
+        Self { handle, table }
     }
 
     async fn ask<T: Send + 'static>(
@@ -47,16 +67,30 @@
         question: impl FnOnce(&Node) -> T + Send + 'static,
     ) -> RpcResult<T> {
         let answer = self.handle.ask(question).await;
-        answer.ok_or_else(|| {
-            ErrorObjectOwned::owned(STOPPING_CODE, "the process is about to end", None::<()>)
-        })
+        answer.ok_or_else(stopping)
     }
 }
 
 #[async_trait]
 impl OperatorsServer for Operators {
-    async fn snapshot(&self) -> RpcResult<Snapshot> {
-        self.ask(|node| node.configuration().snapshot()).await
+    async fn page(&self, after: Position) -> RpcResult<Page> {
+        self.ask(move |node| node.page(&after)).await
+    }
+
+    async fn change(&self, request: ChangeRequest) -> RpcResult<ChangeOutcome> {
+        self.handle.change(request).await.ok_or_else(stopping)
+    }
+
+    async fn history(&self, limit: u32) -> RpcResult<Vec<LoggedChange>> {
+        let limit = limit.min(MAX_HISTORY);
+        let revision = self.ask(|node| node.configuration().revision()).await?;
+        let table = Arc::clone(&self.table);
+        let read = move || read_history(&*table, revision, limit);
+        let history = tokio::task::spawn_blocking(read).await.ok().flatten();
+        history.ok_or_else(|| {
+            let text = "the platform's table can't be reached";
+            ErrorObjectOwned::owned(UNAVAILABLE_CODE, text, None::<()>)
+        })
     }
 
     async fn status(&self) -> RpcResult<Status> {
@@ -73,6 +107,24 @@
     }
 }
 
+fn stopping() -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(STOPPING_CODE, "the process is about to end", None::<()>)
+}
+
+/// Reads the newest changes up to a little beyond a revision, the newest first.
+fn read_history(table: &dyn TableService, revision: u64, limit: u32) -> Option<Vec<LoggedChange>> {
+    let request = TableRequest::Scan {
+        prefix: LOG_PREFIX.into(),
+        after: log_key(revision.saturating_sub(u64::from(limit))),
+        limit: limit + HISTORY_AHEAD,
+    };
+    let TableResult::Rows(rows) = table.execute(&request) else {
+        return None;
+    };
+    let changes = rows.iter().filter_map(|row| serde_json::from_str(&row.value).ok());
+    Some(changes.rev().take(limit as usize).collect())
+}
+
 fn status(node: &Node, now_ms: u64) -> Status {
     let members = node.membership().members().into_iter().map(|(_, member)| MemberStatus {
         name: member.card.name.clone(),
@@ -82,9 +134,18 @@
         suspect: member.suspect,
         leaving: member.card.leaving,
     });
+    let unread = node.configuration().catalogue().unread.iter().map(|unread| UnreadStatus {
+        kind: unread.kind.clone(),
+        name: unread.name.clone(),
+        reason: unread.error.to_string().into(),
+    });
     Status {
         node: node.outbox().identity().card.name.clone(),
+        domain: node.outbox().identity().card.domain,
         revision: node.configuration().revision(),
+        head_age_ms: node.configuration().news(now_ms).head_age_ms,
+        ready: node.configuration().ready(),
+        unread: unread.collect(),
         members: members.collect(),
     }
 }
@@ -94,16 +155,16 @@
     while let Some(job) = jobs.recv().await {
         let handle = handle.clone();
         tokio::spawn(async move {
-            let snapshot = fetch(job.from).await;
-            handle.event(Event::Fetched { operation: job.operation, snapshot });
+            let page = fetch(job.from, job.after).await;
+            handle.event(Event::Fetched { operation: job.operation, page });
         });
     }
 }
 
-async fn fetch(from: SocketAddr) -> Option<Snapshot> {
+async fn fetch(from: SocketAddr, after: Position) -> Option<Page> {
     let client = HttpClientBuilder::default()
         .request_timeout(CALL_TIMEOUT)
         .build(format!("http://{from}"))
         .ok()?;
-    client.snapshot().await.ok()
+    client.page(after).await.ok()
 }
