--- a/crates/sedgepath-core/src/configuration.rs
+++ b/crates/sedgepath-core/src/configuration.rs
@@ -60,8 +60,10 @@
 }
 
 /// The configuration in force.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Configuration {
+    settings: NodeSettings,
+    random: fastrand::Rng,
     store: Store,
     reader: Reader,
     spread: Spread,
@@ -72,6 +74,21 @@
 }
 
 impl Configuration {
+    /// Creates the configuration of a node that knows no record.
+    pub fn new(settings: NodeSettings) -> Self {
+        Self {
+            random: fastrand::Rng::with_seed(settings.seed),
+            settings,
+            store: Store::default(),
+            reader: Reader::default(),
+            spread: Spread::default(),
+            desk: ChangeDesk::default(),
+            started_at_ms: None,
+            ready: false,
+            hurry_at_ms: 0,
+        }
+    }
+
     /// Returns the revision in force; 0 before there is one.
     pub fn revision(&self) -> u64 {
         self.store.revision()
@@ -121,31 +138,26 @@
     }
 
     /// Reads the head, fetches, tells and goes on with changes as they are due.
-    pub fn tick(
-        &mut self,
-        members: &Membership,
-        settings: &NodeSettings,
-        random: &mut fastrand::Rng,
-        out: &mut Outbox,
-    ) {
+    pub fn tick(&mut self, members: &Membership, out: &mut Outbox) {
         if self.started_at_ms.is_none() {
             self.started_at_ms = Some(out.now_ms());
             // Members that start together do not read in the same moment, and one that hears of a
             // peer with records meanwhile fetches them there.
-            self.reader.wait(random.u64(0..=settings.head_every_ms / 2), out.now_ms());
+            let wait_ms = self.random.u64(0..=self.settings.head_every_ms / 2);
+            self.reader.wait(wait_ms, out.now_ms());
         }
         if self.reader.is_due(out.now_ms()) {
-            self.reader.poll(rank(members, out), settings, out);
+            self.reader.poll(rank(members, out), &self.settings, out);
         }
         let news = self.news(out.now_ms());
-        self.spread.tick(news, members, settings, random, out);
+        self.spread.tick(news, members, &self.settings, &mut self.random, out);
         if self.desk.waits_for_store() && self.hurry_at_ms <= out.now_ms() {
             self.hurry_at_ms = out.now_ms() + HURRY_EVERY_MS;
             self.reader.hurry(out);
         }
         let concluded = self.desk.tick(&self.store, out);
         self.conclude(concluded, out);
-        self.become_ready(settings, out);
+        self.become_ready(out);
     }
 
     /// Takes in a result of the table; returns false if it is not one of this module.
@@ -217,7 +229,7 @@
         }
     }
 
-    fn become_ready(&mut self, settings: &NodeSettings, out: &mut Outbox) {
+    fn become_ready(&mut self, out: &mut Outbox) {
         let revision = self.store.revision();
         let head = self.reader.head();
         let highest = self.spread.highest_heard().max(head.unwrap_or(0));
@@ -225,7 +237,7 @@
             return;
         }
         let started_at_ms = self.started_at_ms.unwrap_or_else(|| out.now_ms());
-        let listened = out.now_ms() >= started_at_ms + settings.boot_wait_ms;
+        let listened = out.now_ms() >= started_at_ms + self.settings.boot_wait_ms;
         if listened || head.is_some() {
             self.ready = true;
             out.log(Topic::Node, "ready", &[("revision", &revision)]);
--- a/crates/sedgepath-core/tests/configuration.rs
+++ b/crates/sedgepath-core/tests/configuration.rs
@@ -9,13 +9,13 @@
 use sedgepath_core::event::LookUp;
 use sedgepath_test_support::bed::Bed;
 use sedgepath_test_support::bed::faults::Place;
-use sedgepath_test_support::records;
+use sedgepath_test_support::records::{self, UpstreamSpec};
 
 const DOMAINS: [&str; 3] = ["north-a", "north-b", "south-a"];
 
 /// Writes the records of a service that all three failure domains serve.
 fn write_first(bed: &mut Bed) {
-    let upstreams = [records::upstream("b1", "north-a"), records::upstream("b2", "south-a")];
+    let upstreams = [UpstreamSpec::new("b1", "north-a", 4), UpstreamSpec::new("b2", "south-a", 4)];
     bed.write_records(&[
         records::places(&[("north", &["north-a", "north-b"]), ("south", &["south-a"])]),
         records::service("browse", 5_000, &upstreams),
@@ -38,17 +38,17 @@
 }
 
 /// Returns the revision by which a node answers look-ups; 0 if it answers none.
-fn in_force(bed: &Bed, node: usize) -> u64 {
+fn in_force(bed: &mut Bed, node: usize) -> u64 {
     let look_up = LookUp {
         service: "browse".into(),
         source: IpAddr::V4(Ipv4Addr::LOCALHOST),
         revision_seen: 0,
     };
-    let answer = bed.node(node).and_then(|node| node.look_up(&look_up).ok());
+    let answer = bed.look_up(node, &look_up);
     answer.map_or(0, |answer| answer.revision)
 }
 
-fn all_in_force(bed: &Bed) -> Vec<u64> {
+fn all_in_force(bed: &mut Bed) -> Vec<u64> {
     (0..bed.node_count()).map(|node| in_force(bed, node)).collect()
 }
 
@@ -85,7 +85,7 @@
     }
     let revision = write_share(&mut bed, 3.0);
     bed.run_for(5_000);
-    assert_eq!(all_in_force(&bed), vec![revision; 12]);
+    assert_eq!(all_in_force(&mut bed), vec![revision; 12]);
 }
 
 /// The platform is down, and all nodes but one die and come back with empty memories. Callers are
@@ -108,7 +108,7 @@
         bed.start(node);
     }
     bed.run_for(5_000);
-    assert_eq!(all_in_force(&bed), vec![revision; 12]);
+    assert_eq!(all_in_force(&mut bed), vec![revision; 12]);
 }
 
 /// A node is cut off from everything while changes are accepted, and answers callers by what it
@@ -129,14 +129,14 @@
     for change in 0..100 {
         newest = write_share(&mut bed, 1.0 + f64::from(change));
         bed.run_for(100);
-        let now = all_in_force(&bed);
+        let now = all_in_force(&mut bed);
         assert!(now.iter().zip(&seen).all(|(now, seen)| now >= seen), "{seen:?} then {now:?}");
         seen = now;
     }
     assert_eq!(seen[0], 2, "the node that was cut off");
     bed.faults.heal_all();
     bed.run_for(4_000);
-    assert_eq!(all_in_force(&bed), vec![newest; 12]);
+    assert_eq!(all_in_force(&mut bed), vec![newest; 12]);
 }
 
 /// A page that a peer sent before a newer revision came from elsewhere arrives after it, and so does
--- a/crates/sedgepath-core/tests/configuration_change.rs
+++ b/crates/sedgepath-core/tests/configuration_change.rs
@@ -12,7 +12,7 @@
 use sedgepath_core::request::{Outcome, Reason};
 use sedgepath_test_support::bed::faults::Place;
 use sedgepath_test_support::bed::{Bed, Seen, guest_request};
-use sedgepath_test_support::records;
+use sedgepath_test_support::records::{self, UpstreamSpec};
 use serde_json::json;
 
 /// Starts six nodes of two failure domains with a first configuration of revision 1.
@@ -20,8 +20,8 @@
     let mut bed = Bed::new(seed);
     bed.write_records(&[
         records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
-        records::service("browse", 5_000, &[records::upstream("b1", "north-a")]),
-        records::service("guides", 5_000, &[records::upstream("g1", "south-a")]),
+        records::service("browse", 5_000, &[UpstreamSpec::new("b1", "north-a", 4)]),
+        records::service("guides", 5_000, &[UpstreamSpec::new("g1", "south-a", 4)]),
         steering(1.0),
     ]);
     for number in 0..6 {
@@ -44,18 +44,19 @@
     }
 }
 
-fn look_up(bed: &Bed, node: usize, service: &str) -> Result<LookUpAnswer, LookUpError> {
+fn look_up(bed: &mut Bed, node: usize, service: &str) -> Result<LookUpAnswer, LookUpError> {
     let look_up = LookUp {
         service: service.into(),
         source: IpAddr::V4(Ipv4Addr::LOCALHOST),
         revision_seen: 0,
     };
-    bed.node(node).map_or(Err(LookUpError::Configuration), |node| node.look_up(&look_up))
+    bed.look_up(node, &look_up)
 }
 
-fn in_force(bed: &Bed) -> Vec<u64> {
-    let revision = |node| look_up(bed, node, "browse").map_or(0, |answer| answer.revision);
-    (0..bed.node_count()).map(revision).collect()
+fn in_force(bed: &mut Bed) -> Vec<u64> {
+    (0..bed.node_count())
+        .map(|node| look_up(bed, node, "browse").map_or(0, |answer| answer.revision))
+        .collect()
 }
 
 fn outcome(bed: &Bed, reply: ReplyKey) -> ChangeOutcome {
@@ -93,7 +94,7 @@
         };
         assert_eq!(*other.change_id, format!("race-{winner}"));
     }
-    assert_eq!(in_force(&bed), [2; 6]);
+    assert_eq!(in_force(&mut bed), [2; 6]);
 }
 
 /// Every answer to a commit is lost, and half of the operators race. Each command still ends with
@@ -125,7 +126,7 @@
         }
     }
     assert!(accepted >= 20, "{accepted}");
-    assert_eq!(in_force(&bed), [1 + accepted; 6]);
+    assert_eq!(in_force(&mut bed), [1 + accepted; 6]);
 }
 
 /// A commit takes effect two seconds late and its answer is lost. Meanwhile the node finds nothing
@@ -141,7 +142,7 @@
     assert_eq!(outcome(&bed, reply), ChangeOutcome::Accepted { revision: 2 });
     bed.run_for(5_000);
     assert_eq!(logged(&bed, "late"), [2]);
-    assert_eq!(in_force(&bed), [2; 6]);
+    assert_eq!(in_force(&mut bed), [2; 6]);
 }
 
 /// The answer is lost and the platform goes down at once, so the command ends with "unknown". Once
@@ -169,7 +170,7 @@
         assert_eq!(outcome(&bed, reply), ChangeOutcome::Accepted { revision: 2 });
     }
     assert_eq!(logged(&bed, "again"), [2]);
-    assert_eq!(in_force(&bed), [3; 6]);
+    assert_eq!(in_force(&mut bed), [3; 6]);
 }
 
 /// The platform refuses everything. The command hears "not accepted", and that stays true: nothing
@@ -185,7 +186,7 @@
     bed.faults.platform_down = false;
     bed.run_for(10_000);
     assert_eq!(logged(&bed, "down"), [0; 0]);
-    assert_eq!(in_force(&bed), [1; 6]);
+    assert_eq!(in_force(&mut bed), [1; 6]);
 }
 
 /// An operator names a failure domain that is in no record. The node refuses the change before it
@@ -203,7 +204,7 @@
     };
     assert_eq!(problems.len(), 1, "{problems:?}");
     assert_eq!(problems[0].path.to_string(), "groups[0].shares[0].domain");
-    assert_eq!(in_force(&bed), [1; 6]);
+    assert_eq!(in_force(&mut bed), [1; 6]);
 }
 
 /// A newer node has accepted a record of schema 3 for one service. Older nodes refuse that service
@@ -226,8 +227,8 @@
     bed.start(0);
     bed.run_for(4_000);
     for node in 0..6 {
-        assert_eq!(look_up(&bed, node, "browse"), Err(LookUpError::Configuration));
-        assert_eq!(look_up(&bed, node, "guides").map(|answer| answer.revision), Ok(2));
+        assert_eq!(look_up(&mut bed, node, "browse"), Err(LookUpError::Configuration));
+        assert_eq!(look_up(&mut bed, node, "guides").map(|answer| answer.revision), Ok(2));
         let page = bed.node(node).map(|node| node.configuration().page(&Position::default()));
         let kept = page.expect("the node runs").records;
         assert!(kept.iter().any(|row| row.record == newer), "node {node}: {kept:?}");
@@ -260,12 +261,12 @@
         bed.start(1);
         for step in 0..300 {
             bed.run_for(10);
-            lower += usize::from(in_force(&bed)[1] == 1);
+            lower += usize::from(in_force(&mut bed)[1] == 1);
             if step == 50 {
                 bed.faults.heal_all();
             }
         }
-        assert_eq!(in_force(&bed), [2; 6], "seed {seed}");
+        assert_eq!(in_force(&mut bed), [2; 6], "seed {seed}");
     }
     assert_eq!(lower, 0, "look-ups answered by the older revision");
 }
@@ -280,7 +281,7 @@
     bed.start(0);
     let head = guest_request("browse", bed.now_ms() + 2_000);
     let call = bed.call(0, head);
-    assert_eq!(look_up(&bed, 0, "browse"), Err(LookUpError::Configuration));
+    assert_eq!(look_up(&mut bed, 0, "browse"), Err(LookUpError::Configuration));
     let Seen::Concluded(Outcome::NotRun { refusal, .. }) = &bed.calls()[call].seen else {
         panic!("{:?}", bed.calls()[call].seen);
     };
--- a/crates/sedgepath-test-support/src/records.rs
+++ b/crates/sedgepath-test-support/src/records.rs
@@ -30,10 +30,12 @@
     pub slots: u32,
 }
 
-/// Creates an upstream with four slots, for beds, where addresses lead nowhere.
-pub fn upstream(name: &str, domain: &str) -> UpstreamSpec {
-    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
-    UpstreamSpec { name: name.into(), domain: domain.into(), address, slots: 4 }
+impl UpstreamSpec {
+    /// Creates an upstream whose address nobody connects to.
+    pub fn new(name: &str, domain: &str, slots: u32) -> Self {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+        Self { name: name.into(), domain: domain.into(), address, slots }
+    }
 }
 
 /// Creates the record of a service.
