--- a/crates/sedgepath-core/src/candidates.rs
+++ b/crates/sedgepath-core/src/candidates.rs
@@ -30,6 +30,8 @@
     pub catalogue: &'a Catalogue,
     /// Its revision; 0 before there is one.
     pub revision: u64,
+    /// Whether the node may serve by it.
+    pub ready: bool,
     /// The other members.
     pub membership: &'a Membership,
     /// The load of the upstreams that this node owns.
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod record;
 pub mod request;
 pub mod retry;
+pub mod schema;
 pub mod steering;
 pub mod stop;
 pub mod table;
