Hold every move of traffic under the record's shift cap

Cause: the ingress drew a domain for each request from the record's shares over the domains that serve, so a new record, a drain, a lost domain or a restarted node moved all of its traffic at once, and the noise of the draw moved more. Change: one ledger keyed by service and origin group. Requests get a home by largest remainder from standing shares, which step towards the policy's target at the borders of a tenth of a window, within 85 % of the cap of every window before; single requests leave their home only for a token, 12 % of the cap. A refused request counts where its traffic stands. A node that starts asks its peers where traffic stands before it serves. Not proved: callers that move between nodes which a partition keeps from hearing each other add the difference of those nodes' shares.

--- a/crates/sedgepath-core/src/candidates.rs
+++ b/crates/sedgepath-core/src/candidates.rs
@@ -37,10 +37,18 @@
 }
 
 impl View<'_> {
-    /// Returns the failure domains that the record's shares name for callers of an origin group.
-    pub fn candidates(&self, service: ServiceKey, origin: OriginKey) -> Vec<Candidate> {
+    /// Returns what is known of failure domains, with the record's shares for an origin group.
+    pub fn candidates(
+        &self,
+        service: ServiceKey,
+        origin: OriginKey,
+        domains: &[DomainKey],
+    ) -> Vec<Candidate> {
         let shares = self.catalogue.shares(service, origin).unwrap_or_default();
-        shares.iter().map(|(domain, share)| self.candidate(service, *domain, *share)).collect()
+        let share_of = |domain: DomainKey| {
+            shares.iter().find(|share| share.0 == domain).map_or(0.0, |share| share.1)
+        };
+        domains.iter().map(|domain| self.candidate(service, *domain, share_of(*domain))).collect()
     }
 
     fn candidate(&self, service: ServiceKey, domain: DomainKey, share: f64) -> Candidate {
--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -9,17 +9,22 @@
 //! [`Conclusion`] that it came to, so that the system that keeps once-only requests from running
 //! twice sees every outcome before the caller does.
 
+use std::sync::Arc;
+
 use crate::candidates::{Owner, View};
 use crate::catalogue::{Catalogue, ServiceEntry};
 use crate::event::Action;
 use crate::hash::Map;
-use crate::key::{DomainKey, RequestKey, ServiceKey};
+use crate::key::{RequestKey, ServiceKey, VmKey};
 use crate::look_up::LookUps;
+use crate::message::Baseline;
 use crate::outbox::Outbox;
-use crate::record::Plan;
+use crate::record::{Cap, Plan};
 use crate::request::{Class, Dispatch, HopEnd, Once, Outcome, Reason, Refusal, RequestHead};
 use crate::retry::RetryBudgets;
-use crate::steering::{Choice, SteeringPolicy};
+use crate::shift::baseline::BaselineSearch;
+use crate::shift::{self, ShiftKey, ShiftLedger};
+use crate::steering::{Candidate, Choice, SteeringPolicy};
 
 mod pending;
 
@@ -29,6 +34,13 @@
 /// silent member has been suspected or heard of again.
 const RETRY_AFTER_MS: u64 = 500;
 
+/// The least time after which a caller whose traffic may not move yet is told to come back, in
+/// milliseconds.
+const LEAST_RETRY_AFTER_MS: u64 = 50;
+
+/// What a caller is told when no upstream of its service can be reached.
+const NO_UPSTREAM: Refusal = Refusal { reason: Reason::NoUpstream, retry_after_ms: RETRY_AFTER_MS };
+
 /// The least time that must be left for a further attempt, in milliseconds.
 const LEAST_REMAINING_MS: u64 = 5;
 
@@ -56,6 +68,9 @@
     pending: Map<RequestKey, Pending>,
     budgets: RetryBudgets,
     look_ups: LookUps,
+    ledger: ShiftLedger,
+    baseline: BaselineSearch,
+    candidates: Map<ShiftKey, Arc<[Candidate]>>,
     random: fastrand::Rng,
 }
 
@@ -66,6 +81,9 @@
             pending: Map::default(),
             budgets: RetryBudgets::default(),
             look_ups: LookUps::default(),
+            ledger: ShiftLedger::default(),
+            baseline: BaselineSearch::default(),
+            candidates: Map::default(),
             random: fastrand::Rng::with_seed(seed),
         }
     }
@@ -85,6 +103,10 @@
     ) -> Option<Conclusion> {
         let service = ServiceKey::of(&head.service);
         let (entry, class) = match admit(service, head, &means.view) {
+            Ok(_) if !self.baseline.is_ready() => {
+                let refusal = Refusal { reason: Reason::NotReady, retry_after_ms: RETRY_AFTER_MS };
+                return Some(self.not_run(request, service, head, refusal, &means));
+            }
             Ok(admitted) => admitted,
             Err(Denied::Outcome(outcome)) => return Some(Conclusion { request, outcome }),
             Err(Denied::NotRun(reason)) => {
@@ -94,9 +116,9 @@
         };
         self.budgets.earn(service);
         let mut pending = Pending::new(head, service, class, &means.view, entry);
-        match self.place(&pending, &means) {
-            Ok((domain, owner)) => {
-                pending.send(request, domain, owner, means.view.revision, out);
+        match self.place(&mut pending, &means) {
+            Ok(owner) => {
+                pending.send(request, owner, means.view.revision, out);
                 self.pending.insert(request, pending);
                 None
             }
@@ -137,8 +159,13 @@
 
     /// Gives up attempts whose owner has gone silent and requests whose deadline has passed.
     pub fn tick(&mut self, means: Means<'_>, out: &mut Outbox) -> Vec<Conclusion> {
-        self.look_ups.refresh(&means.view);
         let now_ms = means.view.now_ms;
+        self.look_ups.refresh(&means.view);
+        self.baseline.tick(&means.view, out);
+        self.candidates.clear();
+        for key in self.ledger.due(now_ms) {
+            self.begin_part(key, &means);
+        }
         let mut due: Vec<_> = self
             .pending
             .iter()
@@ -161,6 +188,20 @@
         concluded
     }
 
+    /// Takes in a peer's question or answer on where traffic stands.
+    pub fn take_baseline(
+        &mut self,
+        from: VmKey,
+        baseline: Option<&Baseline>,
+        means: &Means<'_>,
+        out: &mut Outbox,
+    ) {
+        match baseline {
+            Some(baseline) => self.baseline.take(baseline, &mut self.ledger, &means.view),
+            None => self.baseline.answer(from, &self.ledger, &means.view, out),
+        }
+    }
+
     /// Forgets a request whose answer has been relayed or whose caller has gone.
     pub fn forget(&mut self, request: RequestKey) {
         self.pending.remove(&request);
@@ -177,13 +218,13 @@
         let left_ms = pending.deadline_at_ms().saturating_sub(means.view.now_ms);
         let mut refusal = None;
         if pending.may_repeat() && left_ms >= LEAST_REMAINING_MS {
-            match self.place(&pending, &means) {
+            match self.place(&mut pending, &means) {
                 Ok(_) if !self.budgets.spend(pending.service()) => {
                     let reason = Reason::RetryBudget;
                     refusal = Some(Refusal { reason, retry_after_ms: RETRY_AFTER_MS });
                 }
-                Ok((domain, owner)) => {
-                    pending.send(request, domain, owner, means.view.revision, out);
+                Ok(owner) => {
+                    pending.send(request, owner, means.view.revision, out);
                     self.pending.insert(request, pending);
                     return None;
                 }
@@ -207,31 +248,67 @@
 
     /// Finds the owner for the next attempt.
     ///
-    /// After a failure the other owners of the same failure domain come first, since that moves no
-    /// traffic; then the other domains in the order of the policy.
-    fn place(
+    /// The request's home comes first after a failure, since its other owners move no traffic; then
+    /// the failure domains in the order of the policy, as far as the ledger lets a request move.
+    fn place(&mut self, pending: &mut Pending, means: &Means<'_>) -> Result<Owner, Refusal> {
+        let view = &means.view;
+        let service = pending.service();
+        let key = ShiftKey::of(service, pending.origin(), view.catalogue);
+        let (Some(cap), Some(candidates)) = self.begin_part(key, means) else {
+            return Err(NO_UPSTREAM);
+        };
+        let Some(standing) = self.ledger.standing(key, view.now_ms) else {
+            return Err(NO_UPSTREAM);
+        };
+        let Some(home) = pending.home().or_else(|| standing.home(cap)) else {
+            return Err(NO_UPSTREAM);
+        };
+        let choice = Choice { service, origin: pending.origin(), class: pending.class(), home };
+        let mut order = means.policy.rank(choice, &candidates, &mut self.random);
+        if pending.home().is_some() {
+            order.insert(0, home);
+        }
+        pending.set_home(home);
+        let mut refusal = NO_UPSTREAM;
+        for index in order {
+            let domain = candidates[index].domain;
+            let owner = view.owner_in(domain, service, pending.failed(), &mut self.random);
+            let Some(owner) = owner else { continue };
+            if standing.try_move(home, index) {
+                pending.set_home(index);
+                return Ok(owner);
+            }
+            let part_left_ms = standing.part_ends_at_ms().saturating_sub(view.now_ms);
+            let retry_after_ms = part_left_ms.max(LEAST_RETRY_AFTER_MS);
+            refusal = Refusal { reason: Reason::ShiftCap, retry_after_ms };
+        }
+        Err(refusal)
+    }
+
+    /// Lets the standing shares move if the next part of a window has begun; returns the cap and what
+    /// is known of the standing's failure domains.
+    fn begin_part(
         &mut self,
-        pending: &Pending,
+        key: ShiftKey,
         means: &Means<'_>,
-    ) -> Result<(DomainKey, Owner), Refusal> {
+    ) -> (Option<Cap>, Option<Arc<[Candidate]>>) {
         let view = &means.view;
-        let service = pending.service();
-        let owner_in = |domain: DomainKey, random: &mut fastrand::Rng| {
-            let owner = view.owner_in(domain, service, pending.failed(), random)?;
-            Some((domain, owner))
+        self.ledger.take_revision(view.revision, view.catalogue, view.now_ms);
+        let services = &view.catalogue.services;
+        let entry = services.get(&key.service).and_then(|entry| entry.steering.as_ref());
+        let standing = self.ledger.standing(key, view.now_ms);
+        let (Some(entry), Some(standing)) = (entry, standing) else {
+            return (None, None);
         };
-        if let Some(last) = pending.last_domain()
-            && let Some(found) = owner_in(last, &mut self.random)
-        {
-            return Ok(found);
+        let candidates = self
+            .candidates
+            .entry(key)
+            .or_insert_with(|| view.candidates(key.service, key.group, standing.domains()).into());
+        let cap = shift::cap(entry, candidates, &standing.shares());
+        if standing.is_due(view.now_ms) {
+            standing.begin_part(&means.policy.target(candidates), cap, view.now_ms);
         }
-        let candidates = view.candidates(service, pending.origin());
-        let choice = Choice { service, origin: pending.origin() };
-        let order = means.policy.rank(choice, &candidates, &mut self.random);
-        order
-            .into_iter()
-            .find_map(|index| owner_in(candidates[index].domain, &mut self.random))
-            .ok_or(Refusal { reason: Reason::NoUpstream, retry_after_ms: RETRY_AFTER_MS })
+        (Some(cap), Some(Arc::clone(candidates)))
     }
 
     fn not_run(
--- a/crates/sedgepath-core/src/ingress/pending.rs
+++ b/crates/sedgepath-core/src/ingress/pending.rs
@@ -6,7 +6,7 @@
     Class, Dispatch, HopEnd, Once, Owner, Reason, Refusal, RequestHead, ServiceEntry, View,
 };
 use crate::event::Action;
-use crate::key::{DomainKey, OriginKey, RequestKey, ServiceKey, VmKey};
+use crate::key::{OriginKey, RequestKey, ServiceKey, VmKey};
 use crate::outbox::Outbox;
 
 /// An attempt in flight.
@@ -29,7 +29,7 @@
     repeatable: bool,
     attempts: Vec<Attempt>,
     last_attempt: u32,
-    last_domain: Option<DomainKey>,
+    home: Option<usize>,
     failed: Vec<VmKey>,
     lost: bool,
     refusal: Option<Refusal>,
@@ -57,7 +57,7 @@
             repeatable: head.idempotent && !once_only,
             attempts: Vec::new(),
             last_attempt: 0,
-            last_domain: None,
+            home: None,
             failed: Vec::new(),
             lost: false,
             refusal: None,
@@ -81,8 +81,17 @@
         self.deadline_at_ms
     }
 
-    pub(super) fn last_domain(&self) -> Option<DomainKey> {
-        self.last_domain
+    pub(super) fn class(&self) -> Class {
+        self.class
+    }
+
+    /// The index of the failure domain where the request counts; none before its first attempt.
+    pub(super) fn home(&self) -> Option<usize> {
+        self.home
+    }
+
+    pub(super) fn set_home(&mut self, home: usize) {
+        self.home = Some(home);
     }
 
     /// The owners at which an attempt has failed.
@@ -114,13 +123,11 @@
     pub(super) fn send(
         &mut self,
         request: RequestKey,
-        domain: DomainKey,
         owner: Owner,
         revision: u64,
         out: &mut Outbox,
     ) {
         self.last_attempt += 1;
-        self.last_domain = Some(domain);
         self.attempts.push(Attempt { number: self.last_attempt, vm: owner.vm });
         out.push(Action::Forward {
             request,
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod record;
 pub mod request;
 pub mod retry;
+pub mod shift;
 pub mod steering;
 pub mod table;
 pub mod timeline;
--- a/crates/sedgepath-core/src/message.rs
+++ b/crates/sedgepath-core/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Stamp;
-use crate::key::{BootId, DomainKey, ServiceKey, VmKey};
+use crate::key::{BootId, DomainKey, OriginKey, ServiceKey, VmKey};
 
 /// A datagram: who sent it, in which order, and what it says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -27,6 +27,43 @@
 pub enum Message {
     /// A sign of life with the sender's addresses and load.
     Heartbeat(Heartbeat),
+    /// A node that has just started asks where traffic stands.
+    BaselineRequest,
+    /// The answer to it.
+    Baseline(Baseline),
+}
+
+/// Where traffic stands.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Baseline {
+    /// The configuration revision that the sender has in force.
+    pub revision: u64,
+    /// The shares that differ from the records'.
+    pub moved: Vec<StandingShares>,
+}
+
+/// Where the traffic of an origin group stands, while it differs from the record.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StandingShares {
+    /// The service.
+    pub service: ServiceKey,
+    /// The origin group of the record.
+    pub group: OriginKey,
+    /// The shares by failure domain.
+    pub shares: Vec<StandingShare>,
+}
+
+/// The share of a failure domain, and on which way it came there.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct StandingShare {
+    /// The failure domain.
+    pub domain: DomainKey,
+    /// The share now.
+    pub now: f64,
+    /// The share one window ago.
+    pub one_window_ago: f64,
+    /// The share two windows ago.
+    pub two_windows_ago: f64,
 }
 
 /// A sign of life.
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -13,9 +13,9 @@
 use crate::ingress::{Conclusion, Ingress, Means};
 use crate::key::{DomainKey, VmKey};
 use crate::membership::Membership;
-use crate::message::{Envelope, Message, ServiceLoad};
+use crate::message::{Baseline, Envelope, Message, ServiceLoad};
 use crate::outbox::Outbox;
-use crate::steering::{RandomByShare, SteeringPolicy};
+use crate::steering::{ByHeadroom, SteeringPolicy};
 
 /// What the ingress decides by: a macro, so that the ingress and the outbox can be borrowed beside.
 macro_rules! means {
@@ -54,7 +54,7 @@
             out: Outbox::new(identity),
             configuration: Configuration::default(),
             membership: Membership::new(settings.clone()),
-            policy: Box::new(RandomByShare),
+            policy: Box::new(ByHeadroom),
             ingress: Ingress::new(settings.seed),
             egress: Egress::default(),
             own_loads: Vec::new(),
@@ -186,6 +186,12 @@
         allowance::whole(identity.vm, identity.card.domain, &serving, catalogue)
     }
 
+    fn baseline(&mut self, from: VmKey, baseline: Option<&Baseline>) {
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        self.ingress.take_baseline(from, baseline, &means, &mut self.out);
+    }
+
     fn datagram(&mut self, envelope: &Envelope) {
         if envelope.from == self.out.identity().vm {
             return;
@@ -195,6 +201,8 @@
             Message::Heartbeat(heartbeat) => {
                 self.membership.take_heartbeat(envelope, heartbeat, &mut self.out);
             }
+            Message::BaselineRequest => self.baseline(envelope.from, None),
+            Message::Baseline(baseline) => self.baseline(envelope.from, Some(baseline)),
         }
     }
 }
--- /dev/null
+++ b/crates/sedgepath-core/src/shift.rs
@@ -0,0 +1,179 @@
+//! The shift ledger: one account through which every move of traffic goes.
+//!
+//! A record's cap says that in any window of W at most a share C of a service's traffic from an
+//! origin group moves. Traffic that moves is the share that a failure domain takes beyond what stood
+//! there in the window before; it equals half the sum of the absolute differences of the shares. A
+//! refused request has not moved: it counts where its traffic stands.
+//!
+//! For each service and origin group a node keeps *standing shares* and gives each request a home by
+//! them. Planned changes, drains, spill and failover move the standing shares, a little at a time;
+//! single requests that leave their home (retries, hedges, spill of the moment) are paid for from
+//! tokens. The cap is split between the two, see [`STANDING_PART`] and [`TOKEN_PART`].
+//!
+//! # Why the cap holds
+//!
+//! Standing shares change only at the borders of a tenth of a window, and only to values that lie
+//! within their part of C of the average of every window before that one of their requests' windows
+//! could be compared with. The average over a window is a mean of such values, so it lies within the
+//! same distance, whenever in the window the requests come ([`standing`] gives the details).
+//! Over all nodes, the change of the total is the mean of the nodes' changes, weighted by their
+//! traffic, as long as the weights stay. When callers change their entry VMs the difference between
+//! the nodes' standing shares adds to it; nodes therefore hand their shares on to each other, and a
+//! restarted node takes them from a peer before it serves.
+//!
+//! # Rounding
+//!
+//! A home is a whole request: by largest remainder a node's count for a domain stays within one
+//! request of its shares, so a window holds at most one request per node beyond the cap. Tokens are
+//! whole requests too: a node that earns less than one in a window may still move one.
+//!
+//! # Ways weighed
+//!
+//! - Counting requests and comparing windows at each dispatch: with few requests a window the noise
+//!   of the draw eats the cap, and a burst followed by silence breaks it after the fact.
+//! - A budget of movement per window, without regard to requests: half as fast for the same safety,
+//!   since requests may gather at the far ends of two windows.
+
+use crate::catalogue::{Catalogue, SteeringEntry};
+use crate::hash::Map;
+use crate::key::{DomainKey, OriginKey, ServiceKey};
+use crate::message::StandingShares;
+use crate::record::Cap;
+use crate::steering::Candidate;
+
+pub mod baseline;
+mod history;
+pub mod standing;
+
+use standing::Standing;
+
+/// The part of the cap that standing shares may use.
+pub const STANDING_PART: f64 = 0.85;
+
+/// The part of the cap that single requests may use which leave their home. What is left over covers
+/// the delay between a decision and its run, and small differences between nodes.
+pub const TOKEN_PART: f64 = 0.12;
+
+/// From this share on a cap is none.
+const NO_CAP: f64 = 1.0;
+
+/// What a standing is kept for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ShiftKey {
+    /// The service.
+    pub service: ServiceKey,
+    /// The origin group by which the record steers the callers: their own, or the one that stands
+    /// for all others.
+    pub group: OriginKey,
+}
+
+/// The standings of all services and origin groups.
+#[derive(Debug, Default)]
+pub struct ShiftLedger {
+    revision: u64,
+    declared: Map<ShiftKey, Vec<(DomainKey, f64)>>,
+    standings: Map<ShiftKey, Standing>,
+}
+
+impl ShiftLedger {
+    /// Takes in a new revision.
+    ///
+    /// Shares that the revision changes must start from the former ones, also for groups that have
+    /// had no request yet: this node's first request would otherwise jump to the new shares while its
+    /// peers' traffic still moves there.
+    pub fn take_revision(&mut self, revision: u64, catalogue: &Catalogue, now_ms: u64) {
+        if self.revision == revision {
+            return;
+        }
+        self.revision = revision;
+        let former = std::mem::replace(&mut self.declared, declared(catalogue));
+        for (key, shares) in &self.declared {
+            let known = former.get(key).or_else(|| former.get(&key.any()));
+            if let Some(standing) = self.standings.get_mut(key) {
+                standing.add_domains(shares.iter().map(|share| share.0));
+            } else if let Some(known) = known
+                && known != shares
+            {
+                let mut standing = Standing::new(known, now_ms);
+                standing.add_domains(shares.iter().map(|share| share.0));
+                self.standings.insert(*key, standing);
+            }
+        }
+        self.standings.retain(|key, _| self.declared.contains_key(key));
+    }
+
+    /// Returns the standing of a service and origin group; it starts from the record's shares.
+    pub fn standing(&mut self, key: ShiftKey, now_ms: u64) -> Option<&mut Standing> {
+        let declared = self.declared.get(&key)?;
+        Some(self.standings.entry(key).or_insert_with(|| Standing::new(declared, now_ms)))
+    }
+
+    /// Returns the keys of the standings whose next part of a window has begun, in order.
+    pub fn due(&self, now_ms: u64) -> Vec<ShiftKey> {
+        let due = self.standings.iter().filter(|(_, standing)| standing.is_due(now_ms));
+        let mut due: Vec<_> = due.map(|(key, _)| *key).collect();
+        due.sort_unstable();
+        due
+    }
+
+    /// Returns the shares that differ from the record's, for a peer.
+    pub fn moved(&self) -> Vec<StandingShares> {
+        let mut moved: Vec<_> = self
+            .standings
+            .iter()
+            .filter(|(key, standing)| standing.has_moved_from(&self.declared[key]))
+            .map(|(key, standing)| standing.for_peer(key.service, key.group))
+            .collect();
+        moved.sort_unstable_by_key(|moved| (moved.service, moved.group));
+        moved
+    }
+
+    /// Takes a peer's shares as the baseline of a node that has none of its own.
+    pub fn take_baseline(&mut self, moved: &[StandingShares], now_ms: u64) {
+        for peer in moved {
+            let key = ShiftKey { service: peer.service, group: peer.group };
+            if let Some(declared) = self.declared.get(&key) {
+                let mut standing = Standing::of_peer(peer, now_ms);
+                standing.add_domains(declared.iter().map(|share| share.0));
+                self.standings.insert(key, standing);
+            }
+        }
+    }
+}
+
+impl ShiftKey {
+    /// Returns the key of the group that steers callers of an origin group.
+    pub fn of(service: ServiceKey, origin: OriginKey, catalogue: &Catalogue) -> Self {
+        let own = Self { service, group: origin };
+        let steering = steering(catalogue, service);
+        if steering.is_some_and(|steering| steering.shares.contains_key(&origin)) {
+            return own;
+        }
+        own.any()
+    }
+
+    fn any(self) -> Self {
+        Self { group: OriginKey::of(crate::catalogue::ANY_ORIGIN), ..self }
+    }
+}
+
+/// Returns the cap in force: the one for failover while a domain that holds traffic can't serve.
+pub fn cap(entry: &SteeringEntry, candidates: &[Candidate], shares: &[(DomainKey, f64)]) -> Cap {
+    let holds = |domain| shares.iter().any(|share| share.0 == domain && share.1 > 0.0);
+    let failover = candidates.iter().any(|candidate| !candidate.serves && holds(candidate.domain));
+    if failover { entry.failover_cap } else { entry.cap }
+}
+
+fn steering(catalogue: &Catalogue, service: ServiceKey) -> Option<&SteeringEntry> {
+    catalogue.services.get(&service)?.steering.as_ref()
+}
+
+fn declared(catalogue: &Catalogue) -> Map<ShiftKey, Vec<(DomainKey, f64)>> {
+    let mut declared = Map::default();
+    for (service, entry) in &catalogue.services {
+        for (group, shares) in entry.steering.iter().flat_map(|steering| &steering.shares) {
+            declared.insert(ShiftKey { service: *service, group: *group }, shares.clone());
+        }
+    }
+    declared
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/shift/standing.rs
@@ -0,0 +1,195 @@
+//! The standing shares of one service and origin group.
+
+use super::history::{History, PARTS};
+use super::{NO_CAP, STANDING_PART, TOKEN_PART};
+use crate::key::{DomainKey, OriginKey, ServiceKey};
+use crate::message::{StandingShare, StandingShares};
+use crate::record::Cap;
+
+/// How far shares must be from the record's to be handed on to peers.
+const HANDED_ON_FROM: f64 = 0.001;
+
+/// The halvings by which the longest step under the cap is found.
+const HALVINGS: u32 = 16;
+
+/// Where the traffic of an origin group stands, and what of it has moved.
+#[derive(Debug)]
+pub struct Standing {
+    domains: Vec<DomainKey>,
+    shares: Vec<f64>,
+    remainders: Vec<f64>,
+    history: History,
+    tokens: f64,
+    part_ends_at_ms: u64,
+    capped: bool,
+}
+
+impl Standing {
+    /// Creates a standing that has always had these shares.
+    pub fn new(shares: &[(DomainKey, f64)], now_ms: u64) -> Self {
+        let values: Vec<_> = shares.iter().map(|share| share.1).collect();
+        Self {
+            domains: shares.iter().map(|share| share.0).collect(),
+            remainders: vec![0.0; values.len()],
+            history: History::new(&values),
+            shares: values,
+            tokens: 1.0,
+            part_ends_at_ms: now_ms,
+            capped: true,
+        }
+    }
+
+    /// Creates a standing that goes on where a peer's stands.
+    ///
+    /// The peer's way of the last two windows is taken over as well: with the shares of the moment
+    /// alone the node would take a shift on its way for one that is over, and begin another.
+    pub fn of_peer(peer: &StandingShares, now_ms: u64) -> Self {
+        let one_ago: Vec<_> = peer.shares.iter().map(|share| share.one_window_ago).collect();
+        let two_ago: Vec<_> = peer.shares.iter().map(|share| share.two_windows_ago).collect();
+        let shares: Vec<_> = peer.shares.iter().map(|share| (share.domain, share.now)).collect();
+        let mut standing = Self::new(&shares, now_ms);
+        standing.history = History::between(&standing.shares, &one_ago, &two_ago);
+        standing
+    }
+
+    /// Returns the standing for a peer.
+    pub fn for_peer(&self, service: ServiceKey, group: OriginKey) -> StandingShares {
+        let one_ago = self.history.part_ago(PARTS);
+        let two_ago = self.history.part_ago(2 * PARTS);
+        let shares = (0..self.domains.len()).map(|index| StandingShare {
+            domain: self.domains[index],
+            now: self.shares[index],
+            one_window_ago: one_ago[index],
+            two_windows_ago: two_ago[index],
+        });
+        StandingShares { service, group, shares: shares.collect() }
+    }
+
+    /// Whether the shares differ from the record's, or did within the last two windows.
+    pub fn has_moved_from(&self, declared: &[(DomainKey, f64)]) -> bool {
+        let ago = [0, PARTS, 2 * PARTS].map(|parts| self.history.part_ago(parts));
+        let declared = self.in_order(declared);
+        ago.iter().any(|shares| distance(shares, &declared) > HANDED_ON_FROM)
+            || distance(&self.shares, &declared) > HANDED_ON_FROM
+    }
+
+    /// Adds failure domains that traffic may move to.
+    pub fn add_domains(&mut self, domains: impl IntoIterator<Item = DomainKey>) {
+        for domain in domains {
+            if !self.domains.contains(&domain) {
+                self.domains.push(domain);
+                self.shares.push(0.0);
+                self.remainders.push(0.0);
+                self.history.add_domain();
+            }
+        }
+    }
+
+    /// Returns the failure domains, in the order in which targets give their shares.
+    pub fn domains(&self) -> &[DomainKey] {
+        &self.domains
+    }
+
+    /// Returns the standing shares.
+    pub fn shares(&self) -> Vec<(DomainKey, f64)> {
+        self.domains.iter().copied().zip(self.shares.iter().copied()).collect()
+    }
+
+    /// Returns shares in the order of this standing's failure domains.
+    fn in_order(&self, shares: &[(DomainKey, f64)]) -> Vec<f64> {
+        let share_of = |domain: &DomainKey| {
+            shares.iter().find(|share| share.0 == *domain).map_or(0.0, |share| share.1)
+        };
+        self.domains.iter().map(share_of).collect()
+    }
+
+    /// Whether the next part of a window has begun.
+    pub fn is_due(&self, now_ms: u64) -> bool {
+        self.part_ends_at_ms <= now_ms
+    }
+
+    /// Returns when the next part of a window begins, in milliseconds.
+    pub fn part_ends_at_ms(&self) -> u64 {
+        self.part_ends_at_ms
+    }
+
+    /// Begins the next part of a window, with shares as near to the target as the cap allows.
+    ///
+    /// The step is the longest on the straight way to the target whose end lies within
+    /// [`STANDING_PART`] of the cap of all windows before (see the history's `windows_before`); where
+    /// none does, because a wider cap for failover was in force before, the shares stay.
+    pub fn begin_part(&mut self, target: &[f64], cap: Cap, now_ms: u64) {
+        let part_ms = (cap.window_ms / PARTS as u64).max(1);
+        let begun = now_ms.saturating_sub(self.part_ends_at_ms) / part_ms;
+        for _ in 0..begun.min(3 * PARTS as u64) {
+            self.history.begin_part(&self.shares);
+        }
+        self.part_ends_at_ms = now_ms - (now_ms - self.part_ends_at_ms) % part_ms + part_ms;
+        let cap_share = cap.percent / 100.0;
+        self.capped = cap_share < NO_CAP;
+        self.step_to(target, cap_share * STANDING_PART);
+        self.history.begin_part(&self.shares);
+    }
+
+    fn step_to(&mut self, target: &[f64], limit: f64) {
+        let from = self.shares.clone();
+        let at = |part: f64| -> Vec<f64> {
+            from.iter().zip(target).map(|(from, to)| from + part * (to - from)).collect()
+        };
+        if !self.capped {
+            self.shares = at(1.0);
+            return;
+        }
+        let windows = self.history.windows_before();
+        let allowed =
+            |shares: &[f64]| windows.iter().all(|window| distance(shares, window) <= limit);
+        if allowed(target) {
+            self.shares = at(1.0);
+            return;
+        }
+        let (mut allowed_part, mut refused_part) = (0.0, 1.0);
+        for _ in 0..HALVINGS {
+            let middle = f64::midpoint(allowed_part, refused_part);
+            if allowed(&at(middle)) {
+                allowed_part = middle;
+            } else {
+                refused_part = middle;
+            }
+        }
+        self.shares = at(allowed_part);
+    }
+
+    /// Gives a request its home: the domain whose count lags its share the most.
+    pub fn home(&mut self, cap: Cap) -> Option<usize> {
+        self.history.add_request(&self.shares);
+        let earned = cap.percent / 100.0 * TOKEN_PART;
+        let most = 1.0_f64.max(2.0 * earned * self.history.last_requests());
+        self.tokens = (self.tokens + earned).min(most);
+        for (remainder, share) in self.remainders.iter_mut().zip(&self.shares) {
+            *remainder += share;
+        }
+        let home = (0..self.shares.len())
+            .filter(|index| self.shares[*index] > 0.0)
+            .max_by(|a, b| self.remainders[*a].total_cmp(&self.remainders[*b]))?;
+        self.remainders[home] -= 1.0;
+        Some(home)
+    }
+
+    /// Moves a request from one domain to another if a token pays for it.
+    pub fn try_move(&mut self, from: usize, to: usize) -> bool {
+        if from == to || !self.capped {
+            return true;
+        }
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        self.history.move_request(from, to);
+        true
+    }
+}
+
+/// Half the sum of the absolute differences.
+fn distance(a: &[f64], b: &[f64]) -> f64 {
+    a.iter().zip(b).map(|(a, b)| (a - b).abs()).sum::<f64>() / 2.0
+}
--- a/crates/sedgepath-core/src/steering.rs
+++ b/crates/sedgepath-core/src/steering.rs
@@ -1,6 +1,13 @@
 //! The choice of a failure domain for a request.
 
 use crate::key::{DomainKey, OriginKey, ServiceKey};
+use crate::request::Class;
+
+mod baselines;
+mod by_headroom;
+
+pub use baselines::{LeastLoadedByLastReport, RandomByShare};
+pub use by_headroom::ByHeadroom;
 
 /// A failure domain that a request could go to.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -25,6 +32,13 @@
     pub same_domain: bool,
 }
 
+impl Candidate {
+    /// Whether a request could be run there at all.
+    pub fn is_usable(&self) -> bool {
+        self.serves && self.declared_slots > 0
+    }
+}
+
 /// What a choice is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Choice {
@@ -32,9 +46,13 @@
     pub service: ServiceKey,
     /// The origin group of the caller.
     pub origin: OriginKey,
+    /// The class of the request.
+    pub class: Class,
+    /// The index of the candidate where the request's traffic stands.
+    pub home: usize,
 }
 
-/// Ranks the failure domains for a request.
+/// Says where traffic should stand, and ranks the failure domains for a request.
 ///
 /// The shift ledger and the owners still have to admit it, so a policy proposes and never decides
 /// over a cap.
@@ -42,7 +60,14 @@
     /// Returns the policy's name.
     fn name(&self) -> &'static str;
 
-    /// Returns the indexes of the candidates in the order in which to try them.
+    /// Returns the shares of the candidates that the traffic should have, adding up to one; the
+    /// ledger moves it there as fast as the cap allows.
+    fn target(&self, candidates: &[Candidate]) -> Vec<f64> {
+        declared_over_usable(candidates)
+    }
+
+    /// Returns the indexes of the candidates in the order in which to try them. All but the home
+    /// cost a token of the ledger.
     fn rank(
         &self,
         choice: Choice,
@@ -51,23 +76,15 @@
     ) -> Vec<usize>;
 }
 
-/// Draws at random by the record's shares; a baseline.
-#[derive(Debug)]
-pub struct RandomByShare;
-
-impl SteeringPolicy for RandomByShare {
-    fn name(&self) -> &'static str {
-        "random_by_share"
-    }
-
-    fn rank(
-        &self,
-        _choice: Choice,
-        candidates: &[Candidate],
-        random: &mut fastrand::Rng,
-    ) -> Vec<usize> {
-        draw_order(candidates.iter().map(|candidate| candidate.share).collect(), random)
+/// Returns the record's shares with those of unusable candidates spread over the usable ones.
+pub fn declared_over_usable(candidates: &[Candidate]) -> Vec<f64> {
+    let usable = |candidate: &Candidate| if candidate.is_usable() { candidate.share } else { 0.0 };
+    let weights: Vec<_> = candidates.iter().map(usable).collect();
+    let sum = weights.iter().sum::<f64>();
+    if sum > 0.0 {
+        return weights.iter().map(|weight| weight / sum).collect();
     }
+    candidates.iter().map(|candidate| candidate.share).collect()
 }
 
 /// Orders indexes by repeated draws without replacement, each with a chance by its weight; those of
--- /dev/null
+++ b/crates/sedgepath-core/tests/shift.rs
@@ -0,0 +1,349 @@
+//! Shift caps: in any window at most the cap's share of an origin group's traffic moves.
+//!
+//! The oracle reads the upstreams' own logs of runs and the callers' log of requests. It follows the
+//! shares by failure domain from window to window, at twenty offsets: a refused request has not
+//! moved and still counts where its traffic stood; what a domain runs beyond what stood there has
+//! moved. Rounding: one request per node and window.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr};
+
+use sedgepath_core::key::UpstreamKey;
+use sedgepath_test_support::bed::faults::Place;
+use sedgepath_test_support::bed::upstreams::FakeUpstream;
+use sedgepath_test_support::bed::{Bed, NodeIndex, Seen};
+use sedgepath_test_support::records::{self, UpstreamSpec};
+use serde_json::json;
+
+const DOMAINS: [&str; 6] = ["low-a", "low-b", "pied-a", "pied-b", "gulf-a", "gulf-b"];
+const ORIGINS: [&str; 2] = ["coast", "hills"];
+const SHARES: [[f64; 6]; 2] = [[0.3, 0.3, 0.1, 0.1, 0.1, 0.1], [0.05, 0.05, 0.4, 0.4, 0.05, 0.05]];
+const CAP_PERCENT: f64 = 10.0;
+const WINDOW_MS: u64 = 4_000;
+const CALL_EVERY_MS: u64 = 2;
+const UPSTREAMS_PER_DOMAIN: usize = 3;
+const NODES: usize = 10;
+
+fn steering(
+    shares: [[f64; 6]; 2],
+    failover_percent: Option<f64>,
+) -> sedgepath_core::record::RawRecord {
+    let groups: Vec<_> = ORIGINS
+        .iter()
+        .zip(shares)
+        .map(|(origin, shares)| {
+            let shares: Vec<_> = DOMAINS
+                .iter()
+                .zip(shares)
+                .map(|(domain, weight)| json!({ "domain": domain, "weight": weight }))
+                .collect();
+            json!({ "origin": origin, "shares": shares })
+        })
+        .collect();
+    let cap = |percent| json!({ "percent": percent, "window_ms": WINDOW_MS });
+    let mut body = json!({ "groups": groups, "cap": cap(CAP_PERCENT) });
+    if let Some(percent) = failover_percent {
+        body["failover_cap"] = cap(percent);
+    }
+    records::record(2, "steering", "browse", &body)
+}
+
+struct Scenario {
+    bed: Bed,
+    started_at_ms: u64,
+    sent: usize,
+}
+
+impl Scenario {
+    fn new(seed: u64) -> Self {
+        let mut bed = Bed::new(seed);
+        let mut upstreams = Vec::new();
+        for domain in DOMAINS {
+            for number in 0..UPSTREAMS_PER_DOMAIN {
+                let name = format!("{domain}-{number}");
+                upstreams.push(UpstreamSpec::new(&name, domain, 16));
+                bed.upstreams.add(&name, FakeUpstream::new(16, 10));
+            }
+        }
+        bed.write_records(&[
+            records::places(&[
+                ("lowcountry", &["low-a", "low-b"]),
+                ("piedmont", &["pied-a", "pied-b"]),
+                ("gulfside", &["gulf-a", "gulf-b"]),
+            ]),
+            records::service("browse", 5_000, &upstreams),
+            steering(SHARES, None),
+            records::record(
+                1,
+                "clients",
+                "clients",
+                &json!({ "blocks": [
+                    { "block": "10.0.0.0/16", "origin": "coast" },
+                    { "block": "10.1.0.0/16", "origin": "hills" },
+                ]}),
+            ),
+        ]);
+        for index in 0..NODES {
+            bed.add_node(&format!("n{index}"), DOMAINS[index % DOMAINS.len()]);
+        }
+        bed.run_for(5_000);
+        let started_at_ms = bed.now_ms();
+        let mut scenario = Self { bed, started_at_ms, sent: 0 };
+        scenario.run_windows(3, &[]);
+        scenario
+    }
+
+    /// Sends traffic for some windows, to the nodes named, or to all.
+    fn run_windows(&mut self, windows: u64, nodes: &[NodeIndex]) {
+        for _ in 0..windows * WINDOW_MS / CALL_EVERY_MS {
+            let source = Ipv4Addr::new(10, (self.sent % 2) as u8, 0, (self.sent % 251) as u8);
+            let step = self.sent / 2;
+            let node = match nodes {
+                [] => step * 7 % NODES,
+                nodes => nodes[step % nodes.len()],
+            };
+            let head = sedgepath_core::request::RequestHead {
+                source: IpAddr::V4(source),
+                ..self.bed.head("browse")
+            };
+            if self.bed.runs(node) {
+                self.bed.call(node, head);
+            }
+            self.sent += 1;
+            self.bed.run_for(CALL_EVERY_MS);
+        }
+    }
+
+    /// Kills the nodes and the upstreams of a failure domain.
+    fn lose_domain(&mut self, domain: usize) {
+        for index in (0..NODES).filter(|index| index % DOMAINS.len() == domain) {
+            self.bed.kill(index);
+        }
+        for number in 0..UPSTREAMS_PER_DOMAIN {
+            self.bed.upstreams.get(&format!("{}-{number}", DOMAINS[domain])).dead = true;
+        }
+    }
+
+    /// Returns the runs by failure domain, and the requests, of an origin group in a window.
+    fn window(&self, origin: usize, from_ms: u64) -> ([f64; 6], f64) {
+        let within = |at_ms: u64| (from_ms..from_ms + WINDOW_MS).contains(&at_ms);
+        let is_origin = |call: usize| match self.bed.calls()[call].head.source {
+            IpAddr::V4(source) => usize::from(source.octets()[1]) == origin,
+            IpAddr::V6(_) => false,
+        };
+        let calls = self.bed.calls().iter().enumerate();
+        let asked = calls.filter(|(index, call)| within(call.asked_at_ms) && is_origin(*index));
+        let domain_of: BTreeMap<UpstreamKey, usize> = (0..DOMAINS.len() * UPSTREAMS_PER_DOMAIN)
+            .map(|index| (index / UPSTREAMS_PER_DOMAIN, index % UPSTREAMS_PER_DOMAIN))
+            .map(|(domain, number)| {
+                (UpstreamKey::of(&format!("{}-{number}", DOMAINS[domain])), domain)
+            })
+            .collect();
+        let mut runs = [0.0; 6];
+        for (upstream, state) in self.bed.upstreams.iter() {
+            let started = state.runs.iter().filter(|run| within(run.started_at_ms));
+            let here = started.filter(|run| run.call.is_some_and(is_origin)).count();
+            runs[domain_of[&upstream]] += here as f64;
+        }
+        let total: f64 = runs.iter().sum();
+        (runs, total.max(asked.count() as f64))
+    }
+
+    /// Returns the greatest share, in percent, that moved between two windows beyond the rounding.
+    fn most_moved(&self) -> f64 {
+        let mut most: f64 = 0.0;
+        for (origin, shares) in SHARES.iter().enumerate() {
+            for offset in 0..20 {
+                let mut standing = *shares;
+                let mut from_ms = self.started_at_ms + offset * WINDOW_MS / 20;
+                while from_ms + WINDOW_MS <= self.bed.now_ms() {
+                    let (runs, requests) = self.window(origin, from_ms);
+                    let moved = follow(&mut standing, runs.map(|runs| runs / requests));
+                    most = most.max(100.0 * (moved - NODES as f64 / requests));
+                    from_ms += WINDOW_MS;
+                }
+            }
+        }
+        most
+    }
+
+    /// Returns the shares of the runs of the last window.
+    fn last_shares(&self, origin: usize) -> [f64; 6] {
+        let (runs, _) = self.window(origin, self.bed.now_ms() - WINDOW_MS);
+        let total: f64 = runs.iter().sum();
+        runs.map(|runs| runs / total)
+    }
+
+    /// Returns the share of all requests asked since a time that were answered.
+    fn answered_since(&self, from_ms: u64) -> f64 {
+        let asked: Vec<_> =
+            self.bed.calls().iter().filter(|call| call.asked_at_ms >= from_ms).collect();
+        let answered = asked.iter().filter(|call| matches!(call.seen, Seen::Answered { .. }));
+        answered.count() as f64 / asked.len() as f64
+    }
+
+    fn assert_within_cap(&self, cap_percent: f64) {
+        let most = self.most_moved();
+        assert!(most <= cap_percent, "{most:.1} % of the traffic moved in a window");
+    }
+}
+
+/// Moves the standing shares as little as makes room for what ran; returns what moved.
+fn follow(standing: &mut [f64; 6], ran: [f64; 6]) -> f64 {
+    let moved: f64 = standing.iter().zip(ran).map(|(stood, ran)| (ran - stood).max(0.0)).sum();
+    let slack: f64 = standing.iter().zip(ran).map(|(stood, ran)| (stood - ran).max(0.0)).sum();
+    for (stood, ran) in standing.iter_mut().zip(ran) {
+        let taken = if slack > 0.0 { (*stood - ran).max(0.0) / slack * moved } else { 0.0 };
+        *stood = stood.max(ran) - taken;
+    }
+    moved
+}
+
+/// The record's shares change: the first group's traffic is to leave the lowcountry. It moves over
+/// several windows, is never refused for it, and ends where the record says.
+#[test]
+fn a_planned_change_moves_under_the_cap() {
+    let mut scenario = Scenario::new(1);
+    let from_ms = scenario.bed.now_ms();
+    let to = [0.05, 0.05, 0.3, 0.3, 0.15, 0.15];
+    scenario.bed.write_records(&[steering([to, SHARES[1]], None)]);
+    scenario.run_windows(12, &[]);
+    scenario.assert_within_cap(CAP_PERCENT);
+    assert!(scenario.answered_since(from_ms) > 0.999, "{}", scenario.answered_since(from_ms));
+    let shares = scenario.last_shares(0);
+    assert!(shares.iter().zip(to).all(|(is, to)| (is - to).abs() < 0.03), "{shares:?}");
+}
+
+/// A drain record takes a failure domain with three tenths of a group's traffic out of service. What
+/// the cap does not let move yet is refused.
+#[test]
+fn a_drain_moves_under_the_cap() {
+    let mut scenario = Scenario::new(2);
+    let drain = json!({ "target": "domain", "active": true });
+    scenario.bed.write_records(&[records::record(1, "drain", "low-a", &drain)]);
+    scenario.run_windows(8, &[]);
+    scenario.assert_within_cap(CAP_PERCENT);
+    assert!(scenario.last_shares(0)[0] < 0.01);
+    assert!(scenario.answered_since(scenario.bed.now_ms() - WINDOW_MS) > 0.98);
+}
+
+/// One of three upstreams of a domain dies, then a second one, then the third.
+#[test]
+fn dead_upstreams_move_no_more_than_the_cap() {
+    let mut scenario = Scenario::new(3);
+    for number in 0..UPSTREAMS_PER_DOMAIN {
+        scenario.bed.upstreams.get(&format!("low-a-{number}")).dead = true;
+        scenario.run_windows(3, &[]);
+    }
+    scenario.assert_within_cap(CAP_PERCENT);
+}
+
+/// A failure domain is lost with its nodes: its traffic moves under the cap, the rest is refused at
+/// once, until all of it has found another place.
+#[test]
+fn a_lost_domain_moves_under_the_cap() {
+    let mut scenario = Scenario::new(4);
+    scenario.lose_domain(0);
+    scenario.run_windows(9, &[]);
+    scenario.assert_within_cap(CAP_PERCENT);
+    assert!(scenario.answered_since(scenario.bed.now_ms() - WINDOW_MS) > 0.98);
+}
+
+/// A whole region is lost, with six tenths of a group's traffic.
+#[test]
+fn a_lost_region_moves_under_the_cap() {
+    let mut scenario = Scenario::new(5);
+    scenario.lose_domain(0);
+    scenario.lose_domain(1);
+    scenario.run_windows(14, &[]);
+    scenario.assert_within_cap(CAP_PERCENT);
+    assert!(scenario.answered_since(scenario.bed.now_ms() - WINDOW_MS) > 0.98);
+}
+
+/// The upstreams of two domains refuse work in turn, as if full; their traffic spills to others and
+/// returns.
+#[test]
+fn spill_moves_no_more_than_the_cap() {
+    let mut scenario = Scenario::new(6);
+    for round in 0..4 {
+        for number in 0..UPSTREAMS_PER_DOMAIN {
+            scenario.bed.upstreams.get(&format!("low-a-{number}")).refuses = round % 2 == 0;
+            scenario.bed.upstreams.get(&format!("pied-b-{number}")).refuses = round % 2 == 1;
+        }
+        scenario.run_windows(2, &[]);
+    }
+    scenario.assert_within_cap(CAP_PERCENT);
+}
+
+/// Callers move from some entry VMs to others, and back, while a change of shares is on its way and
+/// a domain is lost. The nodes they come to must not start from shares of their own.
+#[test]
+fn callers_that_change_entry_vms_do_not_move_traffic() {
+    let mut scenario = Scenario::new(7);
+    let to = [0.05, 0.05, 0.3, 0.3, 0.15, 0.15];
+    scenario.bed.write_records(&[steering([to, SHARES[1]], None)]);
+    scenario.run_windows(3, &[1, 2, 3]);
+    scenario.lose_domain(5);
+    scenario.run_windows(3, &[4, 6, 7]);
+    scenario.run_windows(3, &[1, 8, 9]);
+    scenario.assert_within_cap(CAP_PERCENT);
+}
+
+/// A node is restarted in the middle of a change and then gets most of the callers: it has to go on
+/// where its peers stand, neither from the new shares nor from its first measurements.
+#[test]
+fn a_restarted_node_goes_on_where_its_peers_stand() {
+    let mut scenario = Scenario::new(8);
+    let to = [0.05, 0.05, 0.3, 0.3, 0.15, 0.15];
+    scenario.bed.write_records(&[steering([to, SHARES[1]], None)]);
+    scenario.run_windows(3, &[]);
+    for node in [2, 3] {
+        scenario.bed.kill(node);
+        scenario.bed.start(node);
+    }
+    scenario.bed.run_for(1_000);
+    scenario.run_windows(6, &[2, 3]);
+    scenario.assert_within_cap(CAP_PERCENT);
+}
+
+/// Heartbeats between some nodes are lost for a while, so that their measurements are stale, then
+/// missing, and the members are suspected; then the links heal.
+#[test]
+fn stale_and_missing_measurements_move_no_more_than_the_cap() {
+    let mut scenario = Scenario::new(9);
+    for round in 0..3 {
+        for other in 1..NODES {
+            scenario.bed.faults.cut_one_way(Place::Node(other), Place::Node(round));
+        }
+        scenario.run_windows(1, &[]);
+        scenario.bed.faults.heal_all();
+        scenario.run_windows(2, &[]);
+    }
+    scenario.assert_within_cap(CAP_PERCENT);
+}
+
+/// Half of all datagrams are lost, so that nodes suspect different members at different times, and
+/// a domain dies in the middle.
+#[test]
+fn nodes_that_disagree_move_no_more_than_the_cap() {
+    let mut scenario = Scenario::new(10);
+    scenario.bed.faults.loss_percent = 50;
+    scenario.run_windows(4, &[]);
+    scenario.lose_domain(3);
+    scenario.run_windows(6, &[]);
+    scenario.assert_within_cap(CAP_PERCENT);
+}
+
+/// A record of schema 2 names a wider cap for failover: a lost domain's traffic moves by it, faster
+/// than the cap for other moves would let it.
+#[test]
+fn a_failover_cap_holds_for_failover() {
+    let mut scenario = Scenario::new(11);
+    scenario.bed.write_records(&[steering(SHARES, Some(30.0))]);
+    scenario.run_windows(1, &[]);
+    scenario.lose_domain(0);
+    scenario.run_windows(4, &[]);
+    scenario.assert_within_cap(30.0);
+    assert!(scenario.most_moved() > CAP_PERCENT);
+    assert!(scenario.answered_since(scenario.bed.now_ms() - WINDOW_MS) > 0.98);
+}
