--- a/crates/sedgepath-core/src/candidates.rs
+++ b/crates/sedgepath-core/src/candidates.rs
@@ -5,7 +5,7 @@
 use crate::catalogue::Catalogue;
 use crate::identity::Identity;
 use crate::key::{DomainKey, OriginKey, ServiceKey, UpstreamKey, VmKey};
-use crate::membership::Membership;
+use crate::membership::{self, Membership};
 use crate::message::ServiceLoad;
 use crate::ownership;
 use crate::steering::Candidate;
@@ -98,11 +98,11 @@
 
     /// Returns the VMs that serve in a failure domain, this node among them.
     pub fn serving_in(&self, domain: DomainKey) -> Vec<VmKey> {
-        let mut serving = self.membership.serving_in(domain);
-        if self.identity.card.domain == domain && !self.identity.card.leaving {
-            serving.push(self.identity.vm);
+        let mut alive = self.membership.alive_in(domain);
+        if self.identity.card.domain == domain {
+            alive.push((self.identity.vm, self.identity.card.leaving));
         }
-        serving
+        membership::serving_among(&alive)
     }
 
     fn serves(&self, domain: DomainKey) -> bool {
--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// Returns the number of requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Forgets a request whose answer has been relayed or whose caller has gone.
     pub fn forget(&mut self, request: RequestKey) {
         self.pending.remove(&request);
@@ -337,7 +342,7 @@
     head: &RequestHead,
     view: &View<'a>,
 ) -> Result<(&'a ServiceEntry, Class), Denied> {
-    if view.revision == 0 || view.identity.card.leaving {
+    if view.revision == 0 {
         return Err(Denied::NotRun(Reason::NotReady));
     }
     if view.catalogue.refused.contains(&service) || head.revision_seen > view.revision {
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod retry;
 pub mod shift;
 pub mod steering;
+pub mod stop;
 pub mod table;
 pub mod timeline;
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -12,10 +12,12 @@
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{Conclusion, Ingress, Means};
 use crate::key::{DomainKey, VmKey};
-use crate::membership::Membership;
+use crate::membership::{self, Membership, OwnState};
 use crate::message::{Baseline, Envelope, Message, ServiceLoad};
 use crate::outbox::Outbox;
 use crate::steering::{ByHeadroom, SteeringPolicy};
+use crate::stop::PlannedStop;
+use crate::timeline::Topic;
 
 /// What the ingress decides by: a macro, so that the ingress and the outbox can be borrowed beside.
 macro_rules! means {
@@ -44,6 +46,7 @@
     policy: Box<dyn SteeringPolicy>,
     ingress: Ingress,
     egress: Egress,
+    stop: PlannedStop,
     own_loads: Vec<ServiceLoad>,
 }
 
@@ -57,6 +60,7 @@
             policy: Box::new(ByHeadroom),
             ingress: Ingress::new(settings.seed),
             egress: Egress::default(),
+            stop: PlannedStop::default(),
             own_loads: Vec::new(),
             settings,
         }
@@ -131,7 +135,7 @@
                     self.configuration.apply(snapshot, &mut self.out);
                 }
             }
-            Event::Stop => self.out.push(Action::Stopped),
+            Event::Stop => self.begin_stop(),
         }
         self.out.take_actions()
     }
@@ -142,14 +146,36 @@
         self.configuration.tick(self.settings.head_every_ms, &mut self.out);
         let allowances = self.allowances();
         self.own_loads = self.egress.loads(&allowances, self.configuration.catalogue());
-        self.membership.tick(self.configuration.revision(), &self.own_loads, &mut self.out);
+        let own = OwnState { revision: self.configuration.revision(), loads: &self.own_loads };
+        self.membership.tick(own, &mut self.out);
         let identity = self.out.shared_identity();
         let means = means!(self, identity);
         let concluded = self.ingress.tick(means, &mut self.out);
         self.conclude(concluded);
+        self.end_stop();
         self.out.take_actions()
     }
 
+    fn begin_stop(&mut self) {
+        // A lost heartbeat is repeated well within the time after which silence is suspected, and
+        // what relays pass on takes as long again.
+        let heard_by_ms = self.out.now_ms() + 2 * self.settings.suspect_after_ms;
+        if self.stop.begin(heard_by_ms, self.settings.look_up_valid_ms) {
+            self.out.identity_mut().card.leaving = true;
+            self.out.log(Topic::Node, "stop_begun", &[]);
+        } else {
+            self.out.push(Action::Stopped);
+        }
+    }
+
+    fn end_stop(&mut self) {
+        let in_flight = self.ingress.in_flight() + self.egress.calls_in_flight();
+        if self.stop.may_end(self.out.now_ms(), in_flight) {
+            self.out.log(Topic::Node, "stop_ended", &[]);
+            self.out.push(Action::Stopped);
+        }
+    }
+
     /// Answers a look-up from memory.
     ///
     /// # Errors
@@ -172,11 +198,11 @@
     /// Returns the VMs that serve in a failure domain, this node among them.
     fn serving_in(&self, domain: DomainKey) -> Vec<VmKey> {
         let identity = self.out.identity();
-        let mut serving = self.membership.serving_in(domain);
-        if identity.card.domain == domain && !identity.card.leaving {
-            serving.push(identity.vm);
+        let mut alive = self.membership.alive_in(domain);
+        if identity.card.domain == domain {
+            alive.push((identity.vm, identity.card.leaving));
         }
-        serving
+        membership::serving_among(&alive)
     }
 
     fn allowances(&self) -> Vec<Allowance> {
@@ -203,6 +229,11 @@
             }
             Message::BaselineRequest => self.baseline(envelope.from, None),
             Message::Baseline(baseline) => self.baseline(envelope.from, Some(baseline)),
+            Message::Probe(probe) => self.membership.take_probe(envelope, probe, &mut self.out),
+            Message::ProbeAnswer(answer) => {
+                self.membership.take_probe_answer(answer, &mut self.out);
+            }
+            Message::Summary(summary) => self.membership.take_summary(summary, &mut self.out),
         }
     }
 }
--- a/crates/sedgepath-test-support/tests/table.rs
+++ b/crates/sedgepath-test-support/tests/table.rs
@@ -4,8 +4,9 @@
     Change, Condition, Row, RowWrite, TableRequest, TableResult, Transaction,
 };
 use sedgepath_platform::{HttpPlatform, TableService};
-use sedgepath_test_support::memory::{MemoryTable, Outage};
+use sedgepath_test_support::memory::Outage;
 use sedgepath_test_support::platform::PlatformStandIn;
+use sedgepath_test_support::table::MemoryTable;
 
 fn put(key: &str, condition: Condition, value: &str) -> RowWrite {
     RowWrite { key: key.into(), condition, change: Change::Put(value.into()) }
@@ -86,6 +87,23 @@
     assert_eq!(page("log/3"), []);
 }
 
+#[test]
+fn a_long_scan_comes_whole_over_http() {
+    // A node that boots reads 2,000 rows in one scan, an answer of more than 100 KB.
+    // It sees each of them: an answer of this size comes in chunks and declares no length.
+    let platform = PlatformStandIn::new().expect("the stand-in starts");
+    let client = HttpPlatform::new(platform.base_url());
+    let all: Vec<_> = (0..2_000)
+        .map(|number| put(&format!("log/{number:04}"), Condition::Absent, "a change of a record"))
+        .collect();
+    assert_eq!(client.execute(&commit(all)), TableResult::Committed);
+    match client.execute(&scan("log/", "", 5_000)) {
+        TableResult::Rows(rows) => assert_eq!(rows, platform.state().table().rows()),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(platform.state().table().rows().len(), 2_000);
+}
+
 #[test]
 fn a_lost_answer_is_unknown_and_the_write_stands() {
     // The platform carries a commit out and closes the connection without an answer.
