Steer by headroom, draw the better of two owners, and hedge

Cause: the policy knew the record's shares and nothing of load: a full domain kept its share, a report counted whatever its age, and inside a domain an owner was drawn without regard to its load. Change: the policy says where traffic should stand (the ledger moves it there) and ranks the domains for one request. Owners are taken as the less loaded of two draws. Idempotent requests are hedged where a record of schema 2 asks for it, out of the retry budget and through the ledger.

--- a/crates/sedgepath-core/src/candidates.rs
+++ b/crates/sedgepath-core/src/candidates.rs
@@ -17,6 +17,10 @@
     pub vm: VmKey,
     /// Where it takes frames.
     pub address: SocketAddr,
+    /// The service's upstreams that it owns.
+    pub upstreams: u32,
+    /// Its last report on the service.
+    pub load: Option<ServiceLoad>,
 }
 
 /// What a node knows of the system at one moment.
@@ -52,48 +56,58 @@
     }
 
     fn candidate(&self, service: ServiceKey, domain: DomainKey, share: f64) -> Candidate {
+        let serving = self.serving_in(domain);
         let mut candidate = Candidate {
             domain,
             share,
             slots: 0,
             in_flight: 0,
+            reported: false,
             report_age_ms: 0,
-            declared_slots: self.declared_slots(service, domain),
-            serves: self.serves(domain),
-            same_region: self.region(domain) == self.region(self.identity.card.domain),
-            same_domain: domain == self.identity.card.domain,
+            declared_slots: self
+                .upstreams_in(domain, service)
+                .map(|upstream| self.catalogue.upstreams[&upstream].slots)
+                .sum(),
+            serves: !serving.is_empty(),
+            region: self.catalogue.domains.get(&domain).map(|entry| entry.region),
         };
-        if candidate.same_domain {
-            candidate.add_loads(service, self.own_loads);
-        }
-        for vm in self.membership.serving_in(domain) {
-            let Some(member) = self.membership.member(vm) else {
-                continue;
-            };
-            candidate.add_loads(service, &member.loads);
-            let age_ms = self.now_ms.saturating_sub(member.heard_at_ms);
-            candidate.report_age_ms = candidate.report_age_ms.max(age_ms);
+        for vm in serving {
+            if let Some((load, age_ms)) = self.load_of(vm, service) {
+                candidate.slots += load.slots;
+                candidate.in_flight += load.in_flight;
+                candidate.reported = true;
+                candidate.report_age_ms = candidate.report_age_ms.max(age_ms);
+            }
         }
         candidate
     }
 
-    /// Returns an owner in a failure domain, drawn by the number of the service's upstreams that it
-    /// owns and that no drain takes out of service; `failed` ones are left out.
-    pub fn owner_in(
-        &self,
-        domain: DomainKey,
-        service: ServiceKey,
-        failed: &[VmKey],
-        random: &mut fastrand::Rng,
-    ) -> Option<Owner> {
+    /// Returns the last report of an owner on a service, and its age in milliseconds.
+    fn load_of(&self, vm: VmKey, service: ServiceKey) -> Option<(ServiceLoad, u64)> {
+        let (loads, age_ms) = if vm == self.identity.vm {
+            (self.own_loads, 0)
+        } else {
+            let member = self.membership.member(vm)?;
+            (member.loads.as_slice(), self.now_ms.saturating_sub(member.heard_at_ms))
+        };
+        Some((*loads.iter().find(|load| load.service == service)?, age_ms))
+    }
+
+    /// Returns the owners of a service's upstreams in a failure domain; those that a drain takes out
+    /// of service don't count.
+    pub fn owners_in(&self, domain: DomainKey, service: ServiceKey) -> Vec<Owner> {
         let serving = self.serving_in(domain);
-        let owners: Vec<VmKey> = self
-            .upstreams_in(domain, service)
-            .filter_map(|upstream| ownership::owner(u64::from(upstream.0), &serving))
-            .filter(|vm| !failed.contains(vm))
-            .collect();
-        let vm = *random.choice(&owners)?;
-        Some(Owner { vm, address: self.peer_address(vm)? })
+        let mut owners: Vec<Owner> = Vec::new();
+        for upstream in self.upstreams_in(domain, service) {
+            let Some(vm) = ownership::owner(u64::from(upstream.0), &serving) else { continue };
+            if let Some(owner) = owners.iter_mut().find(|owner| owner.vm == vm) {
+                owner.upstreams += 1;
+            } else if let Some(address) = self.peer_address(vm) {
+                let load = self.load_of(vm, service).map(|(load, _)| load);
+                owners.push(Owner { vm, address, upstreams: 1, load });
+            }
+        }
+        owners
     }
 
     /// Returns the VMs that serve in a failure domain, this node among them.
@@ -105,16 +119,6 @@
         membership::serving_among(&alive)
     }
 
-    fn serves(&self, domain: DomainKey) -> bool {
-        !self.serving_in(domain).is_empty()
-    }
-
-    fn declared_slots(&self, service: ServiceKey, domain: DomainKey) -> u32 {
-        self.upstreams_in(domain, service)
-            .map(|upstream| self.catalogue.upstreams[&upstream].slots)
-            .sum()
-    }
-
     fn upstreams_in(
         &self,
         domain: DomainKey,
@@ -129,10 +133,6 @@
         })
     }
 
-    fn region(&self, domain: DomainKey) -> Option<crate::key::RegionKey> {
-        self.catalogue.domains.get(&domain).map(|entry| entry.region)
-    }
-
     fn peer_address(&self, vm: VmKey) -> Option<SocketAddr> {
         if vm == self.identity.vm {
             return Some(self.identity.card.peers);
@@ -140,12 +140,3 @@
         self.membership.member(vm).map(|member| member.card.peers)
     }
 }
-
-impl Candidate {
-    fn add_loads(&mut self, service: ServiceKey, loads: &[ServiceLoad]) {
-        for load in loads.iter().filter(|load| load.service == service) {
-            self.slots += load.slots;
-            self.in_flight += load.in_flight;
-        }
-    }
-}
--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -9,38 +9,28 @@
 //! [`Conclusion`] that it came to, so that the system that keeps once-only requests from running
 //! twice sees every outcome before the caller does.
 
-use std::sync::Arc;
-
 use crate::candidates::{Owner, View};
 use crate::catalogue::{Catalogue, ServiceEntry};
 use crate::event::Action;
 use crate::hash::Map;
-use crate::key::{RequestKey, ServiceKey, VmKey};
+use crate::key::{RequestKey, ServiceKey};
 use crate::look_up::LookUps;
-use crate::message::Baseline;
 use crate::outbox::Outbox;
-use crate::record::{Cap, Plan};
+use crate::record::Plan;
 use crate::request::{Class, Dispatch, HopEnd, Once, Outcome, Reason, Refusal, RequestHead};
 use crate::retry::RetryBudgets;
-use crate::shift::baseline::BaselineSearch;
-use crate::shift::{self, ShiftKey, ShiftLedger};
-use crate::steering::{Candidate, Choice, SteeringPolicy};
+use crate::steering::SteeringPolicy;
 
 mod pending;
+mod places;
 
 use pending::Pending;
+pub use places::Places;
 
 /// When a caller whose request could not be placed should come back, in milliseconds: by then a
 /// silent member has been suspected or heard of again.
 const RETRY_AFTER_MS: u64 = 500;
 
-/// The least time after which a caller whose traffic may not move yet is told to come back, in
-/// milliseconds.
-const LEAST_RETRY_AFTER_MS: u64 = 50;
-
-/// What a caller is told when no upstream of its service can be reached.
-const NO_UPSTREAM: Refusal = Refusal { reason: Reason::NoUpstream, retry_after_ms: RETRY_AFTER_MS };
-
 /// The least time that must be left for a further attempt, in milliseconds.
 const LEAST_REMAINING_MS: u64 = 5;
 
@@ -68,10 +58,7 @@
     pending: Map<RequestKey, Pending>,
     budgets: RetryBudgets,
     look_ups: LookUps,
-    ledger: ShiftLedger,
-    baseline: BaselineSearch,
-    candidates: Map<ShiftKey, Arc<[Candidate]>>,
-    random: fastrand::Rng,
+    places: Places,
 }
 
 impl Ingress {
@@ -81,10 +68,7 @@
             pending: Map::default(),
             budgets: RetryBudgets::default(),
             look_ups: LookUps::default(),
-            ledger: ShiftLedger::default(),
-            baseline: BaselineSearch::default(),
-            candidates: Map::default(),
-            random: fastrand::Rng::with_seed(seed),
+            places: Places::new(seed),
         }
     }
 
@@ -103,7 +87,7 @@
     ) -> Option<Conclusion> {
         let service = ServiceKey::of(&head.service);
         let (entry, class) = match admit(service, head, &means.view) {
-            Ok(_) if !self.baseline.is_ready() => {
+            Ok(_) if !self.places.is_ready() => {
                 let refusal = Refusal { reason: Reason::NotReady, retry_after_ms: RETRY_AFTER_MS };
                 return Some(self.not_run(request, service, head, refusal, &means));
             }
@@ -116,7 +100,7 @@
         };
         self.budgets.earn(service);
         let mut pending = Pending::new(head, service, class, &means.view, entry);
-        match self.place(&mut pending, &means) {
+        match self.places.place(&mut pending, &means) {
             Ok(owner) => {
                 pending.send(request, owner, means.view.revision, out);
                 self.pending.insert(request, pending);
@@ -161,11 +145,7 @@
     pub fn tick(&mut self, means: Means<'_>, out: &mut Outbox) -> Vec<Conclusion> {
         let now_ms = means.view.now_ms;
         self.look_ups.refresh(&means.view);
-        self.baseline.tick(&means.view, out);
-        self.candidates.clear();
-        for key in self.ledger.due(now_ms) {
-            self.begin_part(key, &means);
-        }
+        self.places.tick(&means, out);
         let mut due: Vec<_> = self
             .pending
             .iter()
@@ -183,23 +163,16 @@
             }
             if pending.in_flight() == 0 {
                 concluded.extend(self.try_again(request, means, out));
+            } else if pending.take_hedge(now_ms) {
+                self.hedge(request, &means, out);
             }
         }
         concluded
     }
 
-    /// Takes in a peer's question or answer on where traffic stands.
-    pub fn take_baseline(
-        &mut self,
-        from: VmKey,
-        baseline: Option<&Baseline>,
-        means: &Means<'_>,
-        out: &mut Outbox,
-    ) {
-        match baseline {
-            Some(baseline) => self.baseline.take(baseline, &mut self.ledger, &means.view),
-            None => self.baseline.answer(from, &self.ledger, &means.view, out),
-        }
+    /// Returns where the traffic stands.
+    pub fn places_mut(&mut self) -> &mut Places {
+        &mut self.places
     }
 
     /// Returns the number of requests in flight.
@@ -212,6 +185,29 @@
         self.pending.remove(&request);
     }
 
+    /// Sends a request that is slow to a second owner, within the budget of retries and the cap.
+    fn hedge(&mut self, request: RequestKey, means: &Means<'_>, out: &mut Outbox) {
+        let Some(mut pending) = self.pending.remove(&request) else {
+            return;
+        };
+        if let Ok(owner) = self.place_again(&mut pending, means) {
+            pending.send(request, owner, means.view.revision, out);
+        }
+        self.pending.insert(request, pending);
+    }
+
+    /// Finds the owner for a further attempt and pays for it out of the budget.
+    fn place_again(&mut self, pending: &mut Pending, means: &Means<'_>) -> Result<Owner, Refusal> {
+        let service = pending.service();
+        if !self.budgets.allow(service) {
+            let reason = Reason::RetryBudget;
+            return Err(Refusal { reason, retry_after_ms: RETRY_AFTER_MS });
+        }
+        let owner = self.places.place(pending, means)?;
+        self.budgets.spend(service);
+        Ok(owner)
+    }
+
     /// Sends a request whose attempts have all ended once more, or concludes it.
     fn try_again(
         &mut self,
@@ -223,11 +219,7 @@
         let left_ms = pending.deadline_at_ms().saturating_sub(means.view.now_ms);
         let mut refusal = None;
         if pending.may_repeat() && left_ms >= LEAST_REMAINING_MS {
-            match self.place(&mut pending, &means) {
-                Ok(_) if !self.budgets.spend(pending.service()) => {
-                    let reason = Reason::RetryBudget;
-                    refusal = Some(Refusal { reason, retry_after_ms: RETRY_AFTER_MS });
-                }
+            match self.place_again(&mut pending, &means) {
                 Ok(owner) => {
                     pending.send(request, owner, means.view.revision, out);
                     self.pending.insert(request, pending);
@@ -251,71 +243,6 @@
         Some(Conclusion { request, outcome })
     }
 
-    /// Finds the owner for the next attempt.
-    ///
-    /// The request's home comes first after a failure, since its other owners move no traffic; then
-    /// the failure domains in the order of the policy, as far as the ledger lets a request move.
-    fn place(&mut self, pending: &mut Pending, means: &Means<'_>) -> Result<Owner, Refusal> {
-        let view = &means.view;
-        let service = pending.service();
-        let key = ShiftKey::of(service, pending.origin(), view.catalogue);
-        let (Some(cap), Some(candidates)) = self.begin_part(key, means) else {
-            return Err(NO_UPSTREAM);
-        };
-        let Some(standing) = self.ledger.standing(key, view.now_ms) else {
-            return Err(NO_UPSTREAM);
-        };
-        let Some(home) = pending.home().or_else(|| standing.home(cap)) else {
-            return Err(NO_UPSTREAM);
-        };
-        let choice = Choice { service, origin: pending.origin(), class: pending.class(), home };
-        let mut order = means.policy.rank(choice, &candidates, &mut self.random);
-        if pending.home().is_some() {
-            order.insert(0, home);
-        }
-        pending.set_home(home);
-        let mut refusal = NO_UPSTREAM;
-        for index in order {
-            let domain = candidates[index].domain;
-            let owner = view.owner_in(domain, service, pending.failed(), &mut self.random);
-            let Some(owner) = owner else { continue };
-            if standing.try_move(home, index) {
-                pending.set_home(index);
-                return Ok(owner);
-            }
-            let part_left_ms = standing.part_ends_at_ms().saturating_sub(view.now_ms);
-            let retry_after_ms = part_left_ms.max(LEAST_RETRY_AFTER_MS);
-            refusal = Refusal { reason: Reason::ShiftCap, retry_after_ms };
-        }
-        Err(refusal)
-    }
-
-    /// Lets the standing shares move if the next part of a window has begun; returns the cap and what
-    /// is known of the standing's failure domains.
-    fn begin_part(
-        &mut self,
-        key: ShiftKey,
-        means: &Means<'_>,
-    ) -> (Option<Cap>, Option<Arc<[Candidate]>>) {
-        let view = &means.view;
-        self.ledger.take_revision(view.revision, view.catalogue, view.now_ms);
-        let services = &view.catalogue.services;
-        let entry = services.get(&key.service).and_then(|entry| entry.steering.as_ref());
-        let standing = self.ledger.standing(key, view.now_ms);
-        let (Some(entry), Some(standing)) = (entry, standing) else {
-            return (None, None);
-        };
-        let candidates = self
-            .candidates
-            .entry(key)
-            .or_insert_with(|| view.candidates(key.service, key.group, standing.domains()).into());
-        let cap = shift::cap(entry, candidates, &standing.shares());
-        if standing.is_due(view.now_ms) {
-            standing.begin_part(&means.policy.target(candidates), cap, view.now_ms);
-        }
-        (Some(cap), Some(Arc::clone(candidates)))
-    }
-
     fn not_run(
         &mut self,
         request: RequestKey,
--- a/crates/sedgepath-core/src/ingress/pending.rs
+++ b/crates/sedgepath-core/src/ingress/pending.rs
@@ -25,6 +25,7 @@
     class: Class,
     source: IpAddr,
     deadline_at_ms: u64,
+    hedge_at_ms: Option<u64>,
     once_only: bool,
     repeatable: bool,
     attempts: Vec<Attempt>,
@@ -47,14 +48,19 @@
         // The owner's right to an upstream counts on the longest deadline that the record allows.
         let latest_ms = view.now_ms + entry.longest_deadline_ms;
         let once_only = head.once != Once::Repeatable;
+        let repeatable = head.idempotent && !once_only;
+        let hedge_after_ms = entry.steering.as_ref().and_then(|steering| steering.hedge_after_ms);
         Self {
             service,
             origin: view.catalogue.origin(head.source),
             class,
             source: head.source,
             deadline_at_ms: head.deadline_at_ms.min(latest_ms),
+            hedge_at_ms: hedge_after_ms
+                .filter(|_| repeatable)
+                .map(|after_ms| view.now_ms + after_ms),
             once_only,
-            repeatable: head.idempotent && !once_only,
+            repeatable,
             attempts: Vec::new(),
             last_attempt: 0,
             home: None,
@@ -94,9 +100,9 @@
         self.home = Some(home);
     }
 
-    /// The owners at which an attempt has failed.
-    pub(super) fn failed(&self) -> &[VmKey] {
-        &self.failed
+    /// Whether an attempt has failed at an owner or is in flight there.
+    pub(super) fn has_tried(&self, vm: VmKey) -> bool {
+        self.failed.contains(&vm) || self.attempts.iter().any(|attempt| attempt.vm == vm)
     }
 
     /// Whether an attempt ended without proof that the request was not run.
@@ -119,6 +125,11 @@
         self.repeatable || !self.lost
     }
 
+    /// Returns true once, when the request is to be sent to a second owner as well.
+    pub(super) fn take_hedge(&mut self, now_ms: u64) -> bool {
+        self.hedge_at_ms.take_if(|at_ms| *at_ms <= now_ms).is_some() && self.attempts.len() == 1
+    }
+
     /// Sends the request to an owner.
     pub(super) fn send(
         &mut self,
@@ -211,10 +222,12 @@
         }
     }
 
-    /// Whether the request's deadline has passed or one of its owners has gone silent.
+    /// Whether the request's deadline has passed, it is to be hedged, or one of its owners has gone
+    /// silent.
     pub(super) fn is_due(&self, view: &View<'_>) -> bool {
         let silent = || self.attempts.iter().any(|attempt| is_silent(attempt.vm, view));
-        !self.answered && (self.deadline_at_ms <= view.now_ms || silent())
+        let hedged = self.hedge_at_ms.is_some_and(|at_ms| at_ms <= view.now_ms);
+        !self.answered && (self.deadline_at_ms <= view.now_ms || hedged || silent())
     }
 }
 
--- /dev/null
+++ b/crates/sedgepath-core/src/ingress/places.rs
@@ -0,0 +1,171 @@
+//! Where the next attempt of a request goes.
+
+use std::sync::Arc;
+
+use super::pending::Pending;
+use super::{Means, RETRY_AFTER_MS};
+use crate::candidates::Owner;
+use crate::hash::Map;
+use crate::key::{DomainKey, ServiceKey, VmKey};
+use crate::message::Baseline;
+use crate::outbox::Outbox;
+use crate::record::Cap;
+use crate::request::{Reason, Refusal};
+use crate::shift::baseline::BaselineSearch;
+use crate::shift::{self, ShiftKey, ShiftLedger};
+use crate::steering::{Candidate, Choice};
+
+/// The least time after which a caller whose traffic may not move yet is told to come back, in
+/// milliseconds.
+const LEAST_RETRY_AFTER_MS: u64 = 50;
+
+/// What a caller is told when no upstream of its service can be reached.
+const NO_UPSTREAM: Refusal = Refusal { reason: Reason::NoUpstream, retry_after_ms: RETRY_AFTER_MS };
+
+/// The shift ledger, and what is known of the places between two ticks.
+#[derive(Debug)]
+pub struct Places {
+    ledger: ShiftLedger,
+    baseline: BaselineSearch,
+    candidates: Map<ShiftKey, Arc<[Candidate]>>,
+    owners: Map<(DomainKey, ServiceKey), Arc<[Owner]>>,
+    random: fastrand::Rng,
+}
+
+impl Places {
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            ledger: ShiftLedger::default(),
+            baseline: BaselineSearch::default(),
+            candidates: Map::default(),
+            owners: Map::default(),
+            random: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Whether the node knows where traffic stands.
+    pub(super) fn is_ready(&self) -> bool {
+        self.baseline.is_ready()
+    }
+
+    /// Takes in a peer's question or answer on where traffic stands.
+    pub fn take_baseline(
+        &mut self,
+        from: VmKey,
+        baseline: Option<&Baseline>,
+        means: &Means<'_>,
+        out: &mut Outbox,
+    ) {
+        match baseline {
+            Some(baseline) => self.baseline.take(baseline, &mut self.ledger, &means.view),
+            None => self.baseline.answer(from, &self.ledger, &means.view, out),
+        }
+    }
+
+    /// Looks anew at the places and lets the standing shares move that are due.
+    pub(super) fn tick(&mut self, means: &Means<'_>, out: &mut Outbox) {
+        self.baseline.tick(&means.view, out);
+        self.candidates.clear();
+        self.owners.clear();
+        for key in self.ledger.due(means.view.now_ms) {
+            self.begin_part(key, means);
+        }
+    }
+
+    /// Finds the owner for the next attempt.
+    ///
+    /// The request's home comes first after a failure, since its other owners move no traffic; then
+    /// the failure domains in the order of the policy, as far as the ledger lets a request move.
+    pub(super) fn place(
+        &mut self,
+        pending: &mut Pending,
+        means: &Means<'_>,
+    ) -> Result<Owner, Refusal> {
+        let view = &means.view;
+        let service = pending.service();
+        let key = ShiftKey::of(service, pending.origin(), view.catalogue);
+        let Some((cap, candidates)) = self.begin_part(key, means) else {
+            return Err(NO_UPSTREAM);
+        };
+        let Some(home) = pending.home().or_else(|| self.ledger.home(key, cap, view.now_ms)) else {
+            return Err(NO_UPSTREAM);
+        };
+        let choice = Choice { service, origin: pending.origin(), class: pending.class(), home };
+        let mut order = means.policy.rank(choice, &candidates, &mut self.random);
+        if pending.home().is_some() {
+            order.insert(0, home);
+        }
+        pending.set_home(home);
+        let mut refusal = NO_UPSTREAM;
+        for index in order {
+            let Some(owner) = self.owner_in(candidates[index].domain, pending, means) else {
+                continue;
+            };
+            let Some(standing) = self.ledger.standing(key, view.now_ms) else { continue };
+            if standing.try_move(home, index) {
+                pending.set_home(index);
+                return Ok(owner);
+            }
+            let part_left_ms = standing.part_ends_at_ms().saturating_sub(view.now_ms);
+            let retry_after_ms = part_left_ms.max(LEAST_RETRY_AFTER_MS);
+            refusal = Refusal { reason: Reason::ShiftCap, retry_after_ms };
+        }
+        Err(refusal)
+    }
+
+    /// Draws an owner in a failure domain that the request has not tried: two by the number of their
+    /// upstreams, of which the less loaded one is taken.
+    ///
+    /// Two choices (Mitzenmacher, 2001) spread the load nearly as well as the least loaded of all,
+    /// without sending everybody to the one that was idle at the last report.
+    fn owner_in(
+        &mut self,
+        domain: DomainKey,
+        pending: &Pending,
+        means: &Means<'_>,
+    ) -> Option<Owner> {
+        let service = pending.service();
+        let owners = self.owners.entry((domain, service));
+        let owners = owners.or_insert_with(|| means.view.owners_in(domain, service).into());
+        let untried: Vec<_> =
+            owners.iter().filter(|owner| !pending.has_tried(owner.vm)).copied().collect();
+        let first = draw(&untried, &mut self.random)?;
+        let second = draw(&untried, &mut self.random)?;
+        Some(if load(&second) < load(&first) { second } else { first })
+    }
+
+    /// Lets the standing shares move if the next part of a window has begun; returns the cap and what
+    /// is known of the standing's failure domains.
+    fn begin_part(&mut self, key: ShiftKey, means: &Means<'_>) -> Option<(Cap, Arc<[Candidate]>)> {
+        let view = &means.view;
+        self.ledger.take_revision(view.revision, view.catalogue, view.now_ms);
+        let entry = view.catalogue.services.get(&key.service)?.steering.as_ref()?;
+        let standing = self.ledger.standing(key, view.now_ms)?;
+        let candidates = self
+            .candidates
+            .entry(key)
+            .or_insert_with(|| view.candidates(key.service, key.group, standing.domains()).into());
+        let cap = shift::cap(entry, candidates, &standing.shares());
+        if standing.is_due(view.now_ms) {
+            standing.begin_part(&means.policy.target(candidates), cap, view.now_ms);
+        }
+        Some((cap, Arc::clone(candidates)))
+    }
+}
+
+fn draw(owners: &[Owner], random: &mut fastrand::Rng) -> Option<Owner> {
+    let sum: u32 = owners.iter().map(|owner| owner.upstreams).sum();
+    let mut point = random.u32(0..sum.max(1));
+    owners
+        .iter()
+        .find(|owner| {
+            let found = point < owner.upstreams;
+            point = point.saturating_sub(owner.upstreams);
+            found
+        })
+        .copied()
+}
+
+fn load(owner: &Owner) -> f64 {
+    owner.load.map_or(0.0, |load| f64::from(load.in_flight) / f64::from(load.slots.max(1)))
+}
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -215,7 +215,7 @@
     fn baseline(&mut self, from: VmKey, baseline: Option<&Baseline>) {
         let identity = self.out.shared_identity();
         let means = means!(self, identity);
-        self.ingress.take_baseline(from, baseline, &means, &mut self.out);
+        self.ingress.places_mut().take_baseline(from, baseline, &means, &mut self.out);
     }
 
     fn datagram(&mut self, envelope: &Envelope) {
--- a/crates/sedgepath-core/src/retry.rs
+++ b/crates/sedgepath-core/src/retry.rs
@@ -26,13 +26,13 @@
         *saved = (*saved + PER_FRESH_REQUEST).min(MOST_SAVED);
     }
 
-    /// Takes one retry out of the budget; false if there is none left.
-    pub fn spend(&mut self, service: ServiceKey) -> bool {
-        let saved = self.saved.entry(service).or_insert(MOST_SAVED);
-        if *saved < 1.0 {
-            return false;
-        }
-        *saved -= 1.0;
-        true
+    /// Whether one more retry is within the budget.
+    pub fn allow(&self, service: ServiceKey) -> bool {
+        self.saved.get(&service).is_none_or(|saved| *saved >= 1.0)
+    }
+
+    /// Takes one retry out of the budget.
+    pub fn spend(&mut self, service: ServiceKey) {
+        *self.saved.entry(service).or_insert(MOST_SAVED) -= 1.0;
     }
 }
--- a/crates/sedgepath-core/src/shift.rs
+++ b/crates/sedgepath-core/src/shift.rs
@@ -108,6 +108,11 @@
         Some(self.standings.entry(key).or_insert_with(|| Standing::new(declared, now_ms)))
     }
 
+    /// Gives a request its home; see [`Standing::home`].
+    pub fn home(&mut self, key: ShiftKey, cap: Cap, now_ms: u64) -> Option<usize> {
+        self.standing(key, now_ms)?.home(cap)
+    }
+
     /// Returns the keys of the standings whose next part of a window has begun, in order.
     pub fn due(&self, now_ms: u64) -> Vec<ShiftKey> {
         let due = self.standings.iter().filter(|(_, standing)| standing.is_due(now_ms));
@@ -160,7 +165,8 @@
 /// Returns the cap in force: the one for failover while a domain that holds traffic can't serve.
 pub fn cap(entry: &SteeringEntry, candidates: &[Candidate], shares: &[(DomainKey, f64)]) -> Cap {
     let holds = |domain| shares.iter().any(|share| share.0 == domain && share.1 > 0.0);
-    let failover = candidates.iter().any(|candidate| !candidate.serves && holds(candidate.domain));
+    let failover =
+        candidates.iter().any(|candidate| candidate.is_lost() && holds(candidate.domain));
     if failover { entry.failover_cap } else { entry.cap }
 }
 
--- a/crates/sedgepath-core/src/steering.rs
+++ b/crates/sedgepath-core/src/steering.rs
@@ -1,6 +1,6 @@
 //! The choice of a failure domain for a request.
 
-use crate::key::{DomainKey, OriginKey, ServiceKey};
+use crate::key::{DomainKey, OriginKey, RegionKey, ServiceKey};
 use crate::request::Class;
 
 mod baselines;
@@ -20,16 +20,16 @@
     pub slots: u32,
     /// Those taken, as last reported.
     pub in_flight: u32,
-    /// The age of that report in milliseconds.
+    /// Whether any of its owners has reported on the service.
+    pub reported: bool,
+    /// The age of the oldest of those reports in milliseconds.
     pub report_age_ms: u64,
     /// The slots that its upstreams have by their records, drained ones left out.
     pub declared_slots: u32,
     /// Whether an entry VM of it takes work.
     pub serves: bool,
-    /// Whether it is in the region of this node.
-    pub same_region: bool,
-    /// Whether it is the failure domain of this node.
-    pub same_domain: bool,
+    /// Its region, if a record names it.
+    pub region: Option<RegionKey>,
 }
 
 impl Candidate {
@@ -37,6 +37,12 @@
     pub fn is_usable(&self) -> bool {
         self.serves && self.declared_slots > 0
     }
+
+    /// Whether it has failed although no record takes it out of service: none of its entry VMs can
+    /// be reached, or its owners can use none of its upstreams.
+    pub fn is_lost(&self) -> bool {
+        self.declared_slots > 0 && (!self.serves || (self.reported && self.slots == 0))
+    }
 }
 
 /// What a choice is for.
