--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -4,14 +4,16 @@
 //! their own. The shell passes the time in and carries the returned actions out, so the daemon, the
 //! fuzz tests, the experiments and the benchmarks run the same code.
 
+use std::sync::Arc;
+
 use crate::allowance::{self, Allowance};
 use crate::candidates::View;
 use crate::configuration::Configuration;
-use crate::egress::Egress;
-use crate::event::{Action, Event, LookUp, LookUpAnswer, LookUpError};
+use crate::egress::{Egress, Scope};
+use crate::event::{Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError};
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{Conclusion, Ingress, Means};
-use crate::key::{DomainKey, VmKey};
+use crate::key::{DomainKey, UpstreamKey, VmKey};
 use crate::membership::{self, Membership, OwnState};
 use crate::message::{Baseline, Envelope, Message, ServiceLoad};
 use crate::outbox::Outbox;
@@ -46,6 +48,8 @@
     policy: Box<dyn SteeringPolicy>,
     ingress: Ingress,
     egress: Egress,
+    /// What the node may use; none when it has to be worked out anew.
+    allowances: Option<Vec<Allowance>>,
     stop: PlannedStop,
     own_loads: Vec<ServiceLoad>,
 }
@@ -59,7 +63,8 @@
             membership: Membership::new(settings.clone()),
             policy: Box::new(ByHeadroom),
             ingress: Ingress::new(settings.seed),
-            egress: Egress::default(),
+            egress: Egress::new(settings.admission),
+            allowances: None,
             stop: PlannedStop::default(),
             own_loads: Vec::new(),
             settings,
@@ -90,6 +95,7 @@
     /// Handles an event and returns what is to be done about it.
     pub fn handle(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
+        self.forget_allowances(&event);
         match event {
             Event::LookUp { reply, look_up } => {
                 let answer = self.look_up(&look_up);
@@ -115,21 +121,23 @@
                 self.ingress.forget(request);
             }
             Event::Dispatched { exchange, dispatch, .. } => {
-                let allowances = self.allowances();
-                let catalogue = self.configuration.catalogue();
-                self.egress.dispatch(exchange, &dispatch, &allowances, catalogue, &mut self.out);
+                self.admit(|egress, scope, out| egress.dispatch(exchange, &dispatch, scope, out));
+            }
+            Event::CallEnded { exchange, end, .. } => {
+                self.admit(|egress, scope, out| egress.call_ended(exchange, end, scope, out));
             }
-            Event::CallEnded { exchange, end, .. } => self.egress.call_ended(exchange, end),
-            Event::DispatchGone { exchange } => self.out.push(Action::Cancel { exchange }),
+            Event::DispatchGone { exchange } => self.egress.dispatch_gone(exchange, &mut self.out),
             Event::UpstreamReport { upstream, report } => {
-                self.egress.take_report(upstream, report);
+                self.admit(|egress, scope, out| egress.take_report(upstream, report, scope, out));
+            }
+            Event::Connections { upstream, open } => {
+                self.egress.take_connections(upstream, open, now_ms);
             }
-            Event::Connections { .. } => {}
             Event::Datagram(envelope) => self.datagram(&envelope),
             Event::Table { operation, result } => {
                 self.configuration.take_result(operation, &result, &mut self.out);
             }
-            Event::VmList(listed) => self.membership.take_list(listed),
+            Event::VmList(listed) => self.vm_list(listed),
             Event::Fetched { snapshot, .. } => {
                 if let Some(snapshot) = snapshot {
                     self.configuration.apply(snapshot, &mut self.out);
@@ -144,8 +152,10 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
         self.configuration.tick(self.settings.head_every_ms, &mut self.out);
-        let allowances = self.allowances();
-        self.own_loads = self.egress.loads(&allowances, self.configuration.catalogue());
+        self.allowances = None;
+        self.admit(Egress::tick);
+        self.tell_leaving();
+        self.own_loads = self.admit(|egress, scope, out| egress.loads(scope, out.now_ms()));
         let own = OwnState { revision: self.configuration.revision(), loads: &self.own_loads };
         self.membership.tick(own, &mut self.out);
         let identity = self.out.shared_identity();
@@ -205,6 +215,74 @@
         membership::serving_among(&alive)
     }
 
+    /// Takes in the platform's list, which may name VMs of upstreams as well.
+    fn vm_list(&mut self, listed: Vec<ListedVm>) {
+        let catalogue = Arc::clone(self.configuration.catalogue());
+        let is_upstream =
+            |vm: &ListedVm| catalogue.upstreams.contains_key(&UpstreamKey::of(&vm.name));
+        let (upstreams, vms): (Vec<_>, Vec<_>) = listed.into_iter().partition(is_upstream);
+        self.membership.take_list(vms);
+        for vm in upstreams.into_iter().filter(|vm| vm.leaving) {
+            let upstream = UpstreamKey::of(&vm.name);
+            self.admit(|egress, scope, out| egress.mark_leaving(upstream, scope, out));
+        }
+    }
+
+    /// Tells peers of the failure domain of upstreams that leave.
+    fn tell_leaving(&mut self) {
+        let Some(notice) = self.egress.leaving_notice(self.out.now_ms()) else {
+            return;
+        };
+        let identity = self.out.identity();
+        let members = self.membership.members_in(identity.card.domain);
+        let peers: Vec<_> = members.into_iter().map(|(_, member)| member.card.peers).collect();
+        let turn = notice.number.wrapping_add(identity.vm.0) % peers.len().max(1) as u64;
+        for (place, peer) in peers.into_iter().enumerate() {
+            if notice.to_all || place as u64 == turn {
+                self.out.send(peer, Message::LeavingUpstreams(notice.leaving.clone()));
+            }
+        }
+    }
+
+    /// Tells a member that has just started of upstreams that leave.
+    ///
+    /// It becomes the owner of some at once, and would send work there until its turn came.
+    fn tell_newcomer(&mut self, vm: VmKey) {
+        let leaving = self.egress.leaving(self.out.now_ms());
+        let Some(member) = self.membership.member(vm) else {
+            return;
+        };
+        if !leaving.upstreams.is_empty() {
+            self.out.send(member.card.peers, Message::LeavingUpstreams(leaving));
+        }
+    }
+
+    /// Runs a step of admission by the allowances in force.
+    fn admit<T>(&mut self, step: impl FnOnce(&mut Egress, Scope<'_>, &mut Outbox) -> T) -> T {
+        let allowances = match self.allowances.take() {
+            Some(allowances) => allowances,
+            None => self.allowances(),
+        };
+        let scope = Scope { allowances: &allowances, catalogue: self.configuration.catalogue() };
+        let result = step(&mut self.egress, scope, &mut self.out);
+        self.allowances = Some(allowances);
+        result
+    }
+
+    /// Has the allowances worked out anew after an event that may change them.
+    ///
+    /// Between two ticks a member may be granted what this node has used so far; kept allowances
+    /// would let both use it.
+    fn forget_allowances(&mut self, event: &Event) {
+        let may_change = matches!(
+            event,
+            Event::Datagram(_) | Event::Table { .. } | Event::VmList(_) | Event::Fetched { .. }
+        );
+        if may_change {
+            self.allowances = None;
+        }
+    }
+
     fn allowances(&self) -> Vec<Allowance> {
         let identity = self.out.identity();
         let serving = self.serving_in(identity.card.domain);
@@ -224,8 +302,17 @@
         }
         self.out.merge_stamp(envelope.stamp);
         match &envelope.message {
+            Message::LeavingUpstreams(leaving) => {
+                self.admit(|egress, scope, out| egress.take_leaving(leaving, scope, out));
+            }
             Message::Heartbeat(heartbeat) => {
+                let boot =
+                    |node: &Self| node.membership.member(envelope.from).map(|known| known.boot);
+                let known = boot(self);
                 self.membership.take_heartbeat(envelope, heartbeat, &mut self.out);
+                if boot(self) != known {
+                    self.tell_newcomer(envelope.from);
+                }
             }
             Message::BaselineRequest => self.baseline(envelope.from, None),
             Message::Baseline(baseline) => self.baseline(envelope.from, Some(baseline)),
