Let the bed tell regions apart, delay loads and keep upstreams cold; share the oracle of moves

The experiment of policies needs what the shift tests have: who moved how much. The bed gets a second delay for pairs of failure domains in different regions, loads that lag or are missing in datagrams that arrive in time, upstreams whose caches are cold for callers they don't know, and the policy of its nodes as a setting.

--- a/crates/sedgepath-core/tests/shift.rs
+++ b/crates/sedgepath-core/tests/shift.rs
@@ -1,17 +1,15 @@
 //! Shift caps: in any window at most the cap's share of an origin group's traffic moves.
 //!
-//! The oracle reads the upstreams' own logs of runs and the callers' log of requests. It follows the
-//! shares by failure domain from window to window, at twenty offsets: a refused request has not
-//! moved and still counts where its traffic stood; what a domain runs beyond what stood there has
-//! moved. Rounding: one request per node and window.
+//! The oracle (`sedgepath_test_support::moves`) reads the upstreams' own logs of runs and the
+//! callers' log of requests. Rounding: one request per node and window.
 
-use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
 
 use sedgepath_core::key::UpstreamKey;
 use sedgepath_test_support::bed::faults::Place;
 use sedgepath_test_support::bed::upstreams::FakeUpstream;
 use sedgepath_test_support::bed::{Bed, NodeIndex, Seen};
+use sedgepath_test_support::moves::Followed;
 use sedgepath_test_support::records::{self, UpstreamSpec};
 use serde_json::json;
 
@@ -124,54 +122,33 @@
         }
     }
 
-    /// Returns the runs by failure domain, and the requests, of an origin group in a window.
-    fn window(&self, origin: usize, from_ms: u64) -> ([f64; 6], f64) {
-        let within = |at_ms: u64| (from_ms..from_ms + WINDOW_MS).contains(&at_ms);
-        let is_origin = |call: usize| match self.bed.calls()[call].head.source {
-            IpAddr::V4(source) => usize::from(source.octets()[1]) == origin,
-            IpAddr::V6(_) => false,
-        };
-        let calls = self.bed.calls().iter().enumerate();
-        let asked = calls.filter(|(index, call)| within(call.asked_at_ms) && is_origin(*index));
-        let domain_of: BTreeMap<UpstreamKey, usize> = (0..DOMAINS.len() * UPSTREAMS_PER_DOMAIN)
+    fn follow<T>(&self, origin: usize, read: impl Fn(&Followed<'_>) -> T) -> T {
+        let domains = (0..DOMAINS.len() * UPSTREAMS_PER_DOMAIN)
             .map(|index| (index / UPSTREAMS_PER_DOMAIN, index % UPSTREAMS_PER_DOMAIN))
             .map(|(domain, number)| {
                 (UpstreamKey::of(&format!("{}-{number}", DOMAINS[domain])), domain)
             })
             .collect();
-        let mut runs = [0.0; 6];
-        for (upstream, state) in self.bed.upstreams.iter() {
-            let started = state.runs.iter().filter(|run| within(run.started_at_ms));
-            let here = started.filter(|run| run.call.is_some_and(is_origin)).count();
-            runs[domain_of[&upstream]] += here as f64;
-        }
-        let total: f64 = runs.iter().sum();
-        (runs, total.max(asked.count() as f64))
+        read(&Followed {
+            service: "browse",
+            is_origin: |source, origin| matches!(source, IpAddr::V4(source) if usize::from(source.octets()[1]) == origin),
+            origin,
+            domains: &domains,
+            shares: &SHARES[origin],
+            window_ms: WINDOW_MS,
+            from_ms: self.started_at_ms,
+            rounding: NODES as f64,
+        })
     }
 
     /// Returns the greatest share, in percent, that moved between two windows beyond the rounding.
     fn most_moved(&self) -> f64 {
-        let mut most: f64 = 0.0;
-        for (origin, shares) in SHARES.iter().enumerate() {
-            for offset in 0..20 {
-                let mut standing = *shares;
-                let mut from_ms = self.started_at_ms + offset * WINDOW_MS / 20;
-                while from_ms + WINDOW_MS <= self.bed.now_ms() {
-                    let (runs, requests) = self.window(origin, from_ms);
-                    let moved = follow(&mut standing, runs.map(|runs| runs / requests));
-                    most = most.max(100.0 * (moved - NODES as f64 / requests));
-                    from_ms += WINDOW_MS;
-                }
-            }
-        }
-        most
+        let moved = |origin| self.follow(origin, |followed| followed.most_moved_percent(&self.bed));
+        (0..ORIGINS.len()).map(moved).fold(0.0, f64::max)
     }
 
-    /// Returns the shares of the runs of the last window.
-    fn last_shares(&self, origin: usize) -> [f64; 6] {
-        let (runs, _) = self.window(origin, self.bed.now_ms() - WINDOW_MS);
-        let total: f64 = runs.iter().sum();
-        runs.map(|runs| runs / total)
+    fn last_shares(&self, origin: usize) -> Vec<f64> {
+        self.follow(origin, |followed| followed.last_shares(&self.bed))
     }
 
     /// Returns the share of all requests asked since a time that were answered.
@@ -188,17 +165,6 @@
     }
 }
 
-/// Moves the standing shares as little as makes room for what ran; returns what moved.
-fn follow(standing: &mut [f64; 6], ran: [f64; 6]) -> f64 {
-    let moved: f64 = standing.iter().zip(ran).map(|(stood, ran)| (ran - stood).max(0.0)).sum();
-    let slack: f64 = standing.iter().zip(ran).map(|(stood, ran)| (stood - ran).max(0.0)).sum();
-    for (stood, ran) in standing.iter_mut().zip(ran) {
-        let taken = if slack > 0.0 { (*stood - ran).max(0.0) / slack * moved } else { 0.0 };
-        *stood = stood.max(ran) - taken;
-    }
-    moved
-}
-
 /// The record's shares change: the first group's traffic is to leave the lowcountry. It moves over
 /// several windows, is never refused for it, and ends where the record says.
 #[test]
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -25,15 +25,18 @@
 use sedgepath_core::request::{
     AnswerHead, CallEnd, Dispatch, HopEnd, Once, Outcome, RequestHead, StoredAnswer,
 };
+use sedgepath_core::steering::{ByHeadroom, SteeringPolicy};
 use sedgepath_core::table::{TableRequest, TableResult};
 use sedgepath_platform::TableService;
 
 use crate::table::MemoryTable;
 
 pub mod faults;
+mod loads;
 pub mod upstreams;
 
 use faults::{Faults, Place};
+use loads::LoadHistory;
 use upstreams::{FakeUpstreams, Started};
 
 /// The time between two ticks of a node, in milliseconds.
@@ -154,6 +157,8 @@
     due: BTreeMap<(u64, u64), Item>,
     random: fastrand::Rng,
     settings: NodeSettings,
+    policy: fn() -> Box<dyn SteeringPolicy>,
+    loads: LoadHistory,
     nodes: Vec<Slot>,
     table: MemoryTable,
     /// The faults in force.
@@ -180,6 +185,8 @@
             due: BTreeMap::new(),
             random: fastrand::Rng::with_seed(seed),
             settings: NodeSettings { seed, ..NodeSettings::default() },
+            policy: || Box::new(ByHeadroom),
+            loads: LoadHistory::default(),
             nodes: Vec::new(),
             table: MemoryTable::new(),
             faults: Faults::default(),
@@ -199,6 +206,12 @@
         self
     }
 
+    /// Sets the steering policy of the nodes that are added from now on.
+    pub fn with_policy(mut self, policy: fn() -> Box<dyn SteeringPolicy>) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Adds a node and starts it.
     pub fn add_node(&mut self, name: &str, domain: &str) -> NodeIndex {
         let index = self.nodes.len();
@@ -294,7 +307,8 @@
         let boot = BootId((index as u64) << 32 | slot.boots);
         let mut settings = self.settings.clone();
         settings.seed = self.random.u64(..);
-        slot.node = Some(Node::new(Identity::new(slot.card.clone(), boot), settings));
+        let node = Node::new(Identity::new(slot.card.clone(), boot), settings);
+        slot.node = Some(node.with_policy((self.policy)()));
         let boot = slot.boots;
         let first_tick_ms = self.random.u64(0..TICK_EVERY_MS);
         self.schedule(first_tick_ms, Item::Tick { node: index, boot });
@@ -605,7 +619,9 @@
             self.nodes[target].traffic.received += 1;
             self.nodes[target].traffic.received_bytes += bytes;
             let delay_ms = self.delay_ms(from, target);
-            let event = Box::new(BedEvent::Datagram(envelope.clone()));
+            let mut envelope = envelope.clone();
+            self.loads.replace(&mut envelope, &self.faults, self.now_ms);
+            let event = Box::new(BedEvent::Datagram(envelope));
             self.schedule(delay_ms, Item::Deliver { node: target, boot: None, event });
         }
     }
@@ -845,8 +861,7 @@
         if from == to {
             return 0;
         }
-        let near = self.nodes[from].domain == self.nodes[to].domain;
-        let base_ms = if near { 0 } else { self.faults.hop_ms };
+        let base_ms = self.faults.delay_ms(&self.nodes[from].domain, &self.nodes[to].domain);
         base_ms + self.random.u64(0..=self.faults.jitter_ms)
     }
 
--- a/crates/sedgepath-test-support/src/bed/faults.rs
+++ b/crates/sedgepath-test-support/src/bed/faults.rs
@@ -1,6 +1,6 @@
 //! The faults of a bed.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sedgepath_core::key::UpstreamKey;
 
@@ -20,6 +20,15 @@
 pub struct Faults {
     /// The delay between failure domains, in milliseconds.
     pub hop_ms: u64,
+    /// The delay between failure domains of different regions, in milliseconds, as far as
+    /// [`Faults::regions`] names them.
+    pub region_hop_ms: u64,
+    /// The regions of failure domains, by the domains' names.
+    pub regions: BTreeMap<Box<str>, Box<str>>,
+    /// How late the loads in datagrams are, in milliseconds, although the datagrams are not.
+    pub load_lag_ms: u64,
+    /// Whether datagrams carry no loads.
+    pub loads_missing: bool,
     /// The most that is added to a delay at random, in milliseconds.
     pub jitter_ms: u64,
     /// The share of datagrams that are lost, in percent.
@@ -45,6 +54,10 @@
     fn default() -> Self {
         Self {
             hop_ms: 1,
+            region_hop_ms: 1,
+            regions: BTreeMap::new(),
+            load_lag_ms: 0,
+            loads_missing: false,
             jitter_ms: 1,
             loss_percent: 0,
             repeat_percent: 0,
@@ -81,6 +94,15 @@
         !self.cut.contains(&(from, to))
     }
 
+    /// Returns the least delay between two failure domains, in milliseconds.
+    pub(super) fn delay_ms(&self, from: &str, to: &str) -> u64 {
+        if from == to {
+            return 0;
+        }
+        let far = self.regions.get(from) != self.regions.get(to);
+        if far { self.region_hop_ms } else { self.hop_ms }
+    }
+
     /// Draws how many copies of a datagram arrive.
     pub(super) fn datagram_copies(&self, random: &mut fastrand::Rng) -> u32 {
         if random.u32(0..100) < self.loss_percent {
--- a/crates/sedgepath-test-support/src/bed/upstreams.rs
+++ b/crates/sedgepath-test-support/src/bed/upstreams.rs
@@ -1,6 +1,7 @@
 //! Fake upstreams of a bed, and what they count.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 
 use sedgepath_core::event::UpstreamReport;
 use sedgepath_core::key::{ExchangeKey, UpstreamKey};
@@ -53,6 +54,12 @@
     pub reports: bool,
     /// Whether requests above its slots slow all down, as shared processors do.
     pub slows_when_full: bool,
+    /// The requests of a block of callers' addresses (/16) that find its caches cold.
+    pub cold_runs: u32,
+    /// The time that each of these takes longer, in milliseconds.
+    pub cold_extra_ms: u64,
+    /// The requests that it ran, by block of callers.
+    pub known: BTreeMap<[u8; 2], u32>,
     /// The requests that it runs now.
     pub in_flight: u32,
     /// The most requests that it ran at once.
@@ -73,6 +80,9 @@
             loses_answers: false,
             reports: true,
             slows_when_full: false,
+            cold_runs: 0,
+            cold_extra_ms: 0,
+            known: BTreeMap::new(),
             in_flight: 0,
             peak_in_flight: 0,
             runs: Vec::new(),
@@ -80,6 +90,17 @@
     }
 }
 
+impl FakeUpstream {
+    /// Returns the time that a request of a caller takes longer because its caches are cold.
+    fn cold_ms(&mut self, source: IpAddr) -> u64 {
+        let IpAddr::V4(source) = source else { return 0 };
+        let [first, second, ..] = source.octets();
+        let known = self.known.entry([first, second]).or_default();
+        *known += 1;
+        if *known <= self.cold_runs { self.cold_extra_ms } else { 0 }
+    }
+}
+
 /// All upstreams of a bed.
 #[derive(Debug, Default)]
 pub struct FakeUpstreams {
@@ -151,7 +172,8 @@
         let spread_ms = upstream.service_ms / 5;
         let takes_ms = upstream.service_ms - spread_ms + random.u64(0..=2 * spread_ms);
         let shares = if upstream.slows_when_full { upstream.in_flight } else { 1 };
-        Ok(takes_ms * u64::from(shares.max(upstream.slots)) / u64::from(upstream.slots))
+        let cold_ms = head.map_or(0, |head| upstream.cold_ms(head.source));
+        Ok(cold_ms + takes_ms * u64::from(shares.max(upstream.slots)) / u64::from(upstream.slots))
     }
 
     /// Ends a request and returns how the call ended.
--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod link;
 pub mod load;
 pub mod memory;
+pub mod moves;
 pub mod owner;
 pub mod platform;
 pub mod port;
