--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -13,17 +13,19 @@
 use crate::catalogue::{Catalogue, ServiceEntry};
 use crate::event::Action;
 use crate::hash::Map;
-use crate::key::{DomainKey, RequestKey, ServiceKey};
+use crate::key::{RequestKey, ServiceKey};
 use crate::look_up::LookUps;
 use crate::outbox::Outbox;
 use crate::record::Plan;
 use crate::request::{Class, Dispatch, HopEnd, Once, Outcome, Reason, Refusal, RequestHead};
 use crate::retry::RetryBudgets;
-use crate::steering::{Choice, SteeringPolicy};
+use crate::steering::SteeringPolicy;
 
 mod pending;
+mod places;
 
 use pending::Pending;
+pub use places::Places;
 
 /// When a caller whose request could not be placed should come back, in milliseconds: by then a
 /// silent member has been suspected or heard of again.
@@ -56,7 +58,7 @@
     pending: Map<RequestKey, Pending>,
     budgets: RetryBudgets,
     look_ups: LookUps,
-    random: fastrand::Rng,
+    places: Places,
 }
 
 impl Ingress {
@@ -66,7 +68,7 @@
             pending: Map::default(),
             budgets: RetryBudgets::default(),
             look_ups: LookUps::default(),
-            random: fastrand::Rng::with_seed(seed),
+            places: Places::new(seed),
         }
     }
 
@@ -85,6 +87,10 @@
     ) -> Option<Conclusion> {
         let service = ServiceKey::of(&head.service);
         let (entry, class) = match admit(service, head, &means.view) {
+            Ok(_) if !self.places.is_ready() => {
+                let refusal = Refusal { reason: Reason::NotReady, retry_after_ms: RETRY_AFTER_MS };
+                return Some(self.not_run(request, service, head, refusal, &means));
+            }
             Ok(admitted) => admitted,
             Err(Denied::Outcome(outcome)) => return Some(Conclusion { request, outcome }),
             Err(Denied::NotRun(reason)) => {
@@ -94,9 +100,9 @@
         };
         self.budgets.earn(service);
         let mut pending = Pending::new(head, service, class, &means.view, entry);
-        match self.place(&pending, &means) {
-            Ok((domain, owner)) => {
-                pending.send(request, domain, owner, means.view.revision, out);
+        match self.places.place(&mut pending, &means) {
+            Ok(owner) => {
+                pending.send(request, owner, means.view.revision, out);
                 self.pending.insert(request, pending);
                 None
             }
@@ -137,8 +143,9 @@
 
     /// Gives up attempts whose owner has gone silent and requests whose deadline has passed.
     pub fn tick(&mut self, means: Means<'_>, out: &mut Outbox) -> Vec<Conclusion> {
-        self.look_ups.refresh(&means.view);
         let now_ms = means.view.now_ms;
+        self.look_ups.refresh(&means.view);
+        self.places.tick(&means, out);
         let mut due: Vec<_> = self
             .pending
             .iter()
@@ -156,11 +163,18 @@
             }
             if pending.in_flight() == 0 {
                 concluded.extend(self.try_again(request, means, out));
+            } else if pending.take_hedge(now_ms) {
+                self.hedge(request, &means, out);
             }
         }
         concluded
     }
 
+    /// Returns where the traffic stands.
+    pub fn places_mut(&mut self) -> &mut Places {
+        &mut self.places
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.pending.len()
@@ -171,6 +185,29 @@
         self.pending.remove(&request);
     }
 
+    /// Sends a request that is slow to a second owner, within the budget of retries and the cap.
+    fn hedge(&mut self, request: RequestKey, means: &Means<'_>, out: &mut Outbox) {
+        let Some(mut pending) = self.pending.remove(&request) else {
+            return;
+        };
+        if let Ok(owner) = self.place_again(&mut pending, means) {
+            pending.send(request, owner, means.view.revision, out);
+        }
+        self.pending.insert(request, pending);
+    }
+
+    /// Finds the owner for a further attempt and pays for it out of the budget.
+    fn place_again(&mut self, pending: &mut Pending, means: &Means<'_>) -> Result<Owner, Refusal> {
+        let service = pending.service();
+        if !self.budgets.allow(service) {
+            let reason = Reason::RetryBudget;
+            return Err(Refusal { reason, retry_after_ms: RETRY_AFTER_MS });
+        }
+        let owner = self.places.place(pending, means)?;
+        self.budgets.spend(service);
+        Ok(owner)
+    }
+
     /// Sends a request whose attempts have all ended once more, or concludes it.
     fn try_again(
         &mut self,
@@ -182,13 +219,9 @@
         let left_ms = pending.deadline_at_ms().saturating_sub(means.view.now_ms);
         let mut refusal = None;
         if pending.may_repeat() && left_ms >= LEAST_REMAINING_MS {
-            match self.place(&pending, &means) {
-                Ok(_) if !self.budgets.spend(pending.service()) => {
-                    let reason = Reason::RetryBudget;
-                    refusal = Some(Refusal { reason, retry_after_ms: RETRY_AFTER_MS });
-                }
-                Ok((domain, owner)) => {
-                    pending.send(request, domain, owner, means.view.revision, out);
+            match self.place_again(&mut pending, &means) {
+                Ok(owner) => {
+                    pending.send(request, owner, means.view.revision, out);
                     self.pending.insert(request, pending);
                     return None;
                 }
@@ -210,35 +243,6 @@
         Some(Conclusion { request, outcome })
     }
 
-    /// Finds the owner for the next attempt.
-    ///
-    /// After a failure the other owners of the same failure domain come first, since that moves no
-    /// traffic; then the other domains in the order of the policy.
-    fn place(
-        &mut self,
-        pending: &Pending,
-        means: &Means<'_>,
-    ) -> Result<(DomainKey, Owner), Refusal> {
-        let view = &means.view;
-        let service = pending.service();
-        let owner_in = |domain: DomainKey, random: &mut fastrand::Rng| {
-            let owner = view.owner_in(domain, service, pending.failed(), random)?;
-            Some((domain, owner))
-        };
-        if let Some(last) = pending.last_domain()
-            && let Some(found) = owner_in(last, &mut self.random)
-        {
-            return Ok(found);
-        }
-        let candidates = view.candidates(service, pending.origin());
-        let choice = Choice { service, origin: pending.origin() };
-        let order = means.policy.rank(choice, &candidates, &mut self.random);
-        order
-            .into_iter()
-            .find_map(|index| owner_in(candidates[index].domain, &mut self.random))
-            .ok_or(Refusal { reason: Reason::NoUpstream, retry_after_ms: RETRY_AFTER_MS })
-    }
-
     fn not_run(
         &mut self,
         request: RequestKey,
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod request;
 pub mod retry;
 pub mod schema;
+pub mod shift;
 pub mod steering;
 pub mod stop;
 pub mod table;
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -16,9 +16,9 @@
 use crate::ingress::{Conclusion, Ingress, Means};
 use crate::key::{DomainKey, UpstreamKey, VmKey};
 use crate::membership::{self, Membership, OwnState};
-use crate::message::{Envelope, Message, ServiceLoad};
+use crate::message::{Baseline, Envelope, Message, ServiceLoad};
 use crate::outbox::Outbox;
-use crate::steering::{RandomByShare, SteeringPolicy};
+use crate::steering::{ByHeadroom, SteeringPolicy};
 use crate::stop::PlannedStop;
 use crate::timeline::Topic;
 
@@ -63,7 +63,7 @@
             out: Outbox::new(identity),
             configuration: Configuration::new(settings.clone()),
             membership: Membership::new(settings.clone()),
-            policy: Box::new(RandomByShare),
+            policy: Box::new(ByHeadroom),
             ingress: Ingress::new(settings.seed),
             egress: Egress::new(settings.admission),
             allowances: None,
@@ -312,6 +312,12 @@
         }
     }
 
+    fn baseline(&mut self, from: VmKey, baseline: Option<&Baseline>) {
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        self.ingress.places_mut().take_baseline(from, baseline, &means, &mut self.out);
+    }
+
     fn datagram(&mut self, envelope: &Envelope) {
         if envelope.from == self.out.identity().vm {
             return;
@@ -337,6 +343,8 @@
                 let revision = notice.news.revision;
                 self.configuration.hear_revision(envelope.from, notice.operators, revision);
             }
+            Message::BaselineRequest => self.baseline(envelope.from, None),
+            Message::Baseline(baseline) => self.baseline(envelope.from, Some(baseline)),
             Message::Probe(probe) => self.membership.take_probe(envelope, probe, &mut self.out),
             Message::ProbeAnswer(answer) => {
                 self.membership.take_probe_answer(answer, &mut self.out);
