Let nothing end unknown when the last VM of a failure domain stops

Now traffic moves away, under the cap, from a domain all of whose VMs are leaving; the node refuses new work for its last second, which is proof of not run; and an idle connection that the peer has closed is not used.

--- a/crates/sedgepath-core/src/candidates.rs
+++ b/crates/sedgepath-core/src/candidates.rs
@@ -71,6 +71,7 @@
                 .map(|upstream| self.catalogue.upstreams[&upstream].slots)
                 .sum(),
             serves: !serving.is_empty(),
+            leaves: serving.iter().all(|vm| self.is_leaving(*vm)),
             region: self.catalogue.domains.get(&domain).map(|entry| entry.region),
         };
         for vm in serving {
@@ -84,6 +85,13 @@
         candidate
     }
 
+    fn is_leaving(&self, vm: VmKey) -> bool {
+        if vm == self.identity.vm {
+            return self.identity.card.leaving;
+        }
+        self.membership.member(vm).is_some_and(|member| member.card.leaving)
+    }
+
     /// Returns the last report of an owner on a service, and its age in milliseconds.
     fn load_of(&self, vm: VmKey, service: ServiceKey) -> Option<(ServiceLoad, u64)> {
         let (loads, age_ms) = if vm == self.identity.vm {
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -19,7 +19,7 @@
 use crate::message::{Baseline, Envelope, Message, ServiceLoad};
 use crate::outbox::Outbox;
 use crate::steering::{ByHeadroom, SteeringPolicy};
-use crate::stop::PlannedStop;
+use crate::stop::{self, PlannedStop};
 use crate::timeline::Topic;
 
 /// What the ingress decides by: a macro, so that the ingress and the outbox can be borrowed beside.
@@ -31,7 +31,7 @@
                 identity: &$identity,
                 catalogue: $node.configuration.catalogue(),
                 revision: $node.configuration.revision(),
-                ready: $node.configuration.ready(),
+                ready: $node.configuration.ready() && !$node.stop.refuses($node.out.now_ms()),
                 membership: &$node.membership,
                 own_loads: &$node.own_loads,
             },
@@ -131,6 +131,9 @@
             Event::RelayEnded { request, .. } | Event::CallerGone { request } => {
                 self.ingress.forget(request);
             }
+            Event::Dispatched { exchange, .. } if self.stop.refuses(now_ms) => {
+                self.out.push(Action::Refuse { exchange, refusal: stop::REFUSAL });
+            }
             Event::Dispatched { exchange, dispatch, .. } => {
                 self.admit(|egress, scope, out| egress.dispatch(exchange, &dispatch, scope, out));
             }
--- a/crates/sedgepath-core/src/steering.rs
+++ b/crates/sedgepath-core/src/steering.rs
@@ -28,6 +28,8 @@
     pub declared_slots: u32,
     /// Whether an entry VM of it takes work.
     pub serves: bool,
+    /// Whether all entry VMs of it that still take work are about to stop.
+    pub leaves: bool,
     /// Its region, if a record names it.
     pub region: Option<RegionKey>,
 }
@@ -38,6 +40,11 @@
         self.serves && self.declared_slots > 0
     }
 
+    /// Whether traffic may move there.
+    pub fn takes_more(&self) -> bool {
+        self.is_usable() && !self.is_lost() && !self.leaves
+    }
+
     /// Whether it has failed although no record takes it out of service: none of its entry VMs can
     /// be reached, or its owners can use none of its upstreams.
     pub fn is_lost(&self) -> bool {
@@ -84,7 +91,9 @@
 
 /// Returns the record's shares with those of unusable candidates spread over the usable ones.
 pub fn declared_over_usable(candidates: &[Candidate]) -> Vec<f64> {
-    let usable = |candidate: &Candidate| if candidate.is_usable() { candidate.share } else { 0.0 };
+    let usable = |candidate: &Candidate| {
+        if candidate.is_usable() && !candidate.leaves { candidate.share } else { 0.0 }
+    };
     let weights: Vec<_> = candidates.iter().map(usable).collect();
     let sum = weights.iter().sum::<f64>();
     if sum > 0.0 {
--- a/crates/sedgepath-wire/src/frame.rs
+++ b/crates/sedgepath-wire/src/frame.rs
@@ -214,6 +214,11 @@
         Ok(Self { stream, key, is_opener: false, sent: 0, received: 0 })
     }
 
+    /// Returns the connection itself.
+    pub fn get_ref(&self) -> &S {
+        &self.stream
+    }
+
     /// Sends a frame.
     ///
     /// # Errors
--- a/crates/sedgepathd/src/hop.rs
+++ b/crates/sedgepathd/src/hop.rs
@@ -181,7 +181,14 @@
 
     fn take_idle(&self, address: SocketAddr) -> Option<PeerStream> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.get_mut(&address)?.pop()
+        let streams = idle.get_mut(&address)?;
+        while let Some(stream) = streams.pop() {
+            // A peer that has ended since closed it; a request sent there would end as lost.
+            if is_quiet(stream.get_ref()) {
+                return Some(stream);
+            }
+        }
+        None
     }
 
     fn give_back(&self, address: SocketAddr, stream: PeerStream) {
@@ -193,6 +200,12 @@
     }
 }
 
+/// Whether a connection between two exchanges is still open, with nothing received on it.
+fn is_quiet(stream: &TcpStream) -> bool {
+    let received = stream.try_read(&mut [0]);
+    received.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
 fn answered_id(frame: &Frame) -> Option<ExchangeId> {
     match frame {
         Frame::Answer { id, .. }
