Claim keys that callers choose before their requests are sent

Cause: a key was not looked at, so a repeat ran again.

Change: one conditional insert per key, many in one transaction, at most one in 20 ms and two on their way per node; a conflicting row falls out and the others go again. Outcomes pass through one place, where not run waits for the release (250 ms at most). An attempt number is new in a request's head (0: not said). A repeat that the table can't settle is unknown, not not run, for an earlier attempt may have run; so is one without a number.

The bed handed requests to paused nodes and lost the caller of a run whose owner had died; both hid runs from the oracle. It now counts requests to the table.

--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod membership;
 pub mod message;
 pub mod node;
+pub mod once;
 pub mod outbox;
 pub mod ownership;
 pub mod record;
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -17,6 +17,7 @@
 use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
 use crate::membership::Membership;
 use crate::message::{Envelope, Message};
+use crate::once::OnceSystem;
 use crate::outbox::Outbox;
 use crate::ownership;
 use crate::record::Plan;
@@ -34,6 +35,7 @@
     policy: Box<dyn SteeringPolicy>,
     ingress: Ingress,
     egress: Egress,
+    once: OnceSystem,
 }
 
 impl Node {
@@ -47,6 +49,7 @@
             policy: Box::new(RandomByShare),
             ingress: Ingress::default(),
             egress: Egress::default(),
+            once: OnceSystem::default(),
             settings,
         }
     }
@@ -87,7 +90,12 @@
             Event::HopEnded { request, attempt, end } => {
                 self.ingress.hop_ended(request, attempt, end, &mut self.out);
             }
-            Event::RelayEnded { request, .. } | Event::CallerGone { request } => {
+            Event::RelayEnded { request, stored, .. } => {
+                self.once.relay_ended(request, stored, &mut self.out);
+                self.ingress.forget(request);
+            }
+            Event::CallerGone { request } => {
+                self.once.caller_gone(request, &mut self.out);
                 self.ingress.forget(request);
             }
             Event::Dispatched { exchange, dispatch, .. } => {
@@ -103,7 +111,9 @@
             Event::Connections { .. } => {}
             Event::Datagram(envelope) => self.datagram(&envelope),
             Event::Table { operation, result } => {
-                self.configuration.take_result(operation, &result, &mut self.out);
+                if !self.once.take_result(operation, &result, &mut self.out) {
+                    self.configuration.take_result(operation, &result, &mut self.out);
+                }
             }
             Event::VmList(listed) => self.membership.take_list(listed),
             Event::Fetched { snapshot, .. } => {
@@ -113,7 +123,7 @@
             }
             Event::Stop => self.out.push(Action::Stopped),
         }
-        self.out.take_actions()
+        self.settle_once()
     }
 
     /// Runs the systems that work by time; to be called every few tens of milliseconds.
@@ -123,7 +133,17 @@
         let allowances = self.allowances();
         let loads = self.egress.loads(&allowances, self.configuration.catalogue());
         self.membership.tick(self.configuration.revision(), &loads, &mut self.out);
-        self.out.take_actions()
+        self.once.tick(&mut self.out);
+        self.settle_once()
+    }
+
+    /// Starts the once-only requests that may run and takes the actions, with the ends of once-only
+    /// requests accounted for.
+    fn settle_once(&mut self) -> Vec<Action> {
+        for (request, head) in self.once.take_granted() {
+            self.request(request, &head);
+        }
+        self.once.settle(&mut self.out)
     }
 
     /// Answers a look-up from memory.
@@ -171,6 +191,9 @@
             ingress::conclude(request, Outcome::UnknownOrganisation, &mut self.out);
             return;
         };
+        if head.once != Once::Repeatable && !self.once.admit(request, head, &mut self.out) {
+            return;
+        }
         let target = self.target(service, class, head, &catalogue);
         self.ingress.begin(request, head, target, &mut self.out);
     }
--- /dev/null
+++ b/crates/sedgepath-core/tests/claims.rs
@@ -0,0 +1,289 @@
+//! Actions under keys that callers choose: at most one run, and *not run* is true for ever.
+
+mod once_support;
+
+use once_support::{Action, Verdict, bed, head, judge, key};
+use sedgepath_core::hash::Digest;
+use sedgepath_core::request::Outcome;
+use sedgepath_test_support::bed::{Bed, Seen};
+
+/// Starts `count` actions, one every `gap_ms`, over all nodes, and lets the callers repeat.
+fn run_actions(bed: &mut Bed, count: usize, gap_ms: u64, mut fault: impl FnMut(&mut Bed, usize)) {
+    let mut actions = Vec::new();
+    for number in 0..count {
+        fault(bed, number);
+        let node = number % bed.node_count();
+        actions.push(Action::new(bed, node, key(number)));
+        bed.run_for(gap_ms);
+        poll_all(bed, &mut actions);
+    }
+    fault(bed, count);
+    for _ in 0..100 {
+        bed.run_for(100);
+        poll_all(bed, &mut actions);
+    }
+}
+
+fn poll_all(bed: &mut Bed, actions: &mut [Action]) {
+    for action in actions {
+        action.poll(bed);
+    }
+}
+
+/// Ends all faults, lets late writes land and repeats go on, and judges.
+fn settle(bed: &mut Bed) -> Verdict {
+    bed.faults.platform_down = false;
+    bed.faults.lost_answers_percent = 0;
+    bed.faults.heal_all();
+    for node in 0..bed.node_count() {
+        bed.wake(node);
+        if bed.node(node).is_none() {
+            bed.start(node);
+        }
+    }
+    bed.run_for(20_000);
+    judge(bed)
+}
+
+fn assert_holds(verdict: &Verdict) {
+    assert!(verdict.holds(), "{verdict:?}");
+}
+
+/// A caller whose answer got lost repeats its request through another node. It gets the answer of
+/// the first run, which the table keeps, and the action does not run again.
+#[test]
+fn a_repeat_through_another_node_gets_the_stored_answer() {
+    let mut bed = bed(1);
+    for number in 0..20 {
+        let first = head(&bed, key(number), 1);
+        bed.call(number % 4, first);
+        bed.run_for(200);
+        let second = head(&bed, key(number), 0);
+        let repeat = bed.call((number + 1) % 4, second);
+        bed.run_for(200);
+        let seen = &bed.calls()[repeat].seen;
+        assert!(matches!(seen, Seen::Concluded(Outcome::Repeated(_))), "{seen:?}");
+    }
+    let verdict = judge(&bed);
+    assert_eq!(verdict, Verdict { answered: 20, ..Verdict::default() });
+}
+
+/// A key comes back with another request: it is refused on every node, before and after the first
+/// request has ended, since its answer would belong to another action.
+#[test]
+fn a_key_with_another_request_is_refused() {
+    let mut bed = bed(2);
+    let first = head(&bed, key(0), 1);
+    bed.call(0, first.clone());
+    bed.run_for(10);
+    let mut calls = Vec::new();
+    for node in 0..4 {
+        let mut other = first.clone();
+        other.digest = Digest::of(&[b"another request"]);
+        calls.push(bed.call(node, other));
+        bed.run_for(200);
+    }
+    for call in calls {
+        assert_eq!(bed.calls()[call].seen, Seen::Concluded(Outcome::KeyReused));
+    }
+    assert_eq!(judge(&bed).ran_twice, 0);
+}
+
+/// The answers to four in ten writes are lost, so nodes can't tell whether they hold a claim; they
+/// read the row back. Callers repeat through other nodes until they have an answer.
+#[test]
+fn lost_write_answers() {
+    let mut bed = bed(3);
+    bed.faults.lost_answers_percent = 40;
+    run_actions(&mut bed, 200, 10, |_, _| {});
+    let verdict = settle(&mut bed);
+    assert_holds(&verdict);
+    assert_eq!(verdict.answered, 200, "{verdict:?}");
+}
+
+/// Every fifth write lands seconds later and its answer never comes, and one upstream's answers are
+/// lost. A node that took a lost answer for a claim would send, and so would the node that its
+/// caller turns to, since the table shows nothing yet.
+#[test]
+fn late_writes() {
+    let mut bed = bed(4);
+    bed.faults.late_by_ms = 3_000;
+    bed.upstreams.get("d1").loses_answers = true;
+    run_actions(&mut bed, 200, 10, |bed, number| {
+        bed.faults.late_writes = u32::from(number % 5 == 0);
+    });
+    let verdict = settle(&mut bed);
+    assert_holds(&verdict);
+    assert!(verdict.unknown > 0 && verdict.answered > 50, "{verdict:?}");
+}
+
+/// An insert's answer is lost and the platform goes down before the node can read the row: the
+/// caller hears *not run*. The insert lands while the platform still refuses all else. When it is
+/// back, the node puts a tombstone in place of its own claim, so the caller's repeat runs.
+#[test]
+fn a_late_claim_of_a_denied_request_is_released() {
+    let mut bed = bed(12);
+    bed.faults.late_writes = 1;
+    bed.faults.late_by_ms = 300;
+    let first = head(&bed, key(0), 1);
+    let first = bed.call(0, first);
+    bed.run_for(1);
+    bed.faults.platform_down = true;
+    bed.run_for(500);
+    let seen = &bed.calls()[first].seen;
+    assert!(matches!(seen, Seen::Concluded(Outcome::NotRun { .. })), "{seen:?}");
+    bed.faults.platform_down = false;
+    bed.run_for(1_000);
+    let second = head(&bed, key(0), 2);
+    bed.call(2, second);
+    bed.run_for(500);
+    let verdict = judge(&bed);
+    assert_eq!(verdict, Verdict { answered: 1, ..Verdict::default() });
+}
+
+/// Inserts land seconds after they were given up, and the platform is down on and off, so that
+/// nodes often can't read a row back. No action runs that was denied, and every caller that goes on
+/// gets its answer in the end.
+#[test]
+fn late_writes_while_the_table_cannot_be_read() {
+    let mut bed = bed(13);
+    bed.faults.late_by_ms = 3_000;
+    run_actions(&mut bed, 200, 10, |bed, number| {
+        bed.faults.platform_down = number % 20 >= 10;
+        if number % 20 == 9 {
+            bed.faults.late_writes = 4;
+        }
+    });
+    let verdict = settle(&mut bed);
+    assert_holds(&verdict);
+    assert_eq!(verdict.answered, 200, "{verdict:?}");
+}
+
+/// Nodes die while they hold claims. Nobody can tell whether these actions ran: repeats hear
+/// *unknown*, for a dead holder's claim is never taken over, and nothing runs twice.
+#[test]
+fn killed_holders() {
+    let mut bed = bed(5);
+    run_actions(&mut bed, 200, 10, |bed, number| match number % 40 {
+        20 => bed.kill(number / 40 % 4),
+        35 => bed.start(number / 40 % 4),
+        _ => {}
+    });
+    let verdict = settle(&mut bed);
+    assert_holds(&verdict);
+    assert!(verdict.answered > 150, "{verdict:?}");
+}
+
+/// Two nodes are paused with claims in hand and requests on their way to them. Their callers repeat
+/// through the other nodes after a second; then the paused ones wake, and what they had taken up or
+/// find waiting must not run once more, though its deadline has not passed.
+#[test]
+fn paused_holders() {
+    let mut bed = bed(6);
+    run_actions(&mut bed, 200, 10, |bed, number| match number {
+        20 | 40 => bed.pause(number / 20),
+        180 => {
+            bed.wake(1);
+            bed.wake(2);
+        }
+        _ => {}
+    });
+    let verdict = settle(&mut bed);
+    assert_holds(&verdict);
+    assert!(verdict.answered > 150, "{verdict:?}");
+}
+
+/// Upstreams refuse half of the requests before they start them. The claims are released, so that
+/// a repeat through another node claims anew, and every action runs once in the end.
+#[test]
+fn refused_requests_release_their_claims() {
+    let mut bed = bed(7);
+    run_actions(&mut bed, 100, 20, |bed, number| {
+        bed.upstreams.get("d1").refuses = number < 100 && number % 4 < 2;
+        bed.upstreams.get("d2").refuses = number < 100 && number % 4 < 2;
+    });
+    let verdict = settle(&mut bed);
+    assert_holds(&verdict);
+    assert_eq!(verdict.answered, 100, "{verdict:?}");
+}
+
+/// The first request is on its way to a paused node when its caller repeats it elsewhere, where the
+/// upstreams refuse it, and hears *not run*. The paused node wakes and finds the first request, and
+/// the upstreams are ready again; but the caller has been told, so it must not run any more.
+#[test]
+fn a_delayed_request_does_not_run_after_a_later_one_was_denied() {
+    let mut bed = bed(11);
+    bed.pause(0);
+    let first = head(&bed, key(0), 1);
+    bed.call(0, first);
+    bed.upstreams.get("d1").refuses = true;
+    bed.upstreams.get("d2").refuses = true;
+    let second = head(&bed, key(0), 2);
+    let second = bed.call(2, second);
+    bed.run_for(500);
+    let seen = &bed.calls()[second].seen;
+    assert!(matches!(seen, Seen::Concluded(Outcome::NotRun { .. })), "{seen:?}");
+    bed.upstreams.get("d1").refuses = false;
+    bed.upstreams.get("d2").refuses = false;
+    bed.wake(0);
+    bed.run_for(1_000);
+    assert!(bed.upstreams.runs_by_key().is_empty());
+    assert_holds(&judge(&bed));
+}
+
+/// Links to upstreams break under running requests: their ends are unknown, and stay so, since
+/// nothing proves that they did not run.
+#[test]
+fn lost_answers_of_upstreams() {
+    let mut bed = bed(8);
+    bed.upstreams.get("d1").loses_answers = true;
+    run_actions(&mut bed, 100, 20, |_, _| {});
+    let verdict = settle(&mut bed);
+    assert_holds(&verdict);
+    assert!(verdict.unknown > 0 && verdict.answered > 0, "{verdict:?}");
+}
+
+/// The platform is down from start to end. First attempts hear at once that they were not run;
+/// repeats hear *unknown*, because the table alone could tell; nothing runs.
+#[test]
+fn platform_down() {
+    let mut bed = bed(9);
+    bed.faults.platform_down = true;
+    for number in 0..40 {
+        let first = head(&bed, key(number), 1 + (number % 2) as u32);
+        bed.call(number % 4, first);
+        bed.run_for(10);
+    }
+    bed.run_for(100);
+    for (number, call) in bed.calls().iter().enumerate() {
+        let denied = matches!(call.seen, Seen::Concluded(Outcome::NotRun { .. }));
+        let unknown = matches!(call.seen, Seen::Concluded(Outcome::Unknown { .. }));
+        assert!(if number % 2 == 0 { denied } else { unknown }, "{:?}", call.seen);
+        assert!(call.seen_at_ms - call.asked_at_ms <= 50, "{call:?}");
+    }
+    assert_holds(&settle(&mut bed));
+    assert!(bed.upstreams.runs_by_key().is_empty());
+}
+
+/// A hundred actions come at once and ten of them are repeats of running ones. A repeat fails its
+/// whole transaction; the others must not be refused for it, and few transactions must do.
+#[test]
+fn a_conflict_does_not_fail_the_others_of_its_transaction() {
+    let mut bed = bed(10);
+    let before = bed.table_commits;
+    for number in 0..100 {
+        let first = head(&bed, key(number), 0);
+        bed.call(number % 4, first);
+    }
+    for number in 0..10 {
+        let repeat = head(&bed, key(number), 0);
+        bed.call((number + 1) % 4, repeat);
+    }
+    bed.run_for(3_000);
+    let verdict = judge(&bed);
+    assert_holds(&verdict);
+    let firsts = &bed.calls()[..100];
+    let ended = |seen: &Seen| !matches!(seen, Seen::Concluded(Outcome::NotRun { .. }));
+    assert!(firsts.iter().all(|call| ended(&call.seen)), "{verdict:?}");
+    assert!(bed.table_commits - before <= 60, "{}", bed.table_commits - before);
+}
--- a/crates/sedgepath-core/tests/path.rs
+++ b/crates/sedgepath-core/tests/path.rs
@@ -37,6 +37,7 @@
         key_digest: None,
         deadline_at_ms: bed.now_ms() + 2_000,
         once: Once::Repeatable,
+        attempt: 0,
         idempotent: true,
         digest: Digest::of(&[b"GET /"]),
         revision_seen: 0,
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -104,13 +104,44 @@
 /// What is due at a time.
 #[derive(Debug, Clone)]
 enum Item {
-    Tick { node: NodeIndex, boot: u64 },
-    List { node: NodeIndex, boot: u64 },
-    Deliver { node: NodeIndex, boot: Option<u64>, event: Box<BedEvent> },
-    TableArrives { node: NodeIndex, boot: u64, operation: OperationKey, request: TableRequest },
-    LateWrite { request: TableRequest },
-    UpstreamArrives { owner: NodeIndex, boot: u64, exchange: ExchangeKey, upstream: UpstreamKey },
-    UpstreamDone { started: Started },
+    Tick {
+        node: NodeIndex,
+        boot: u64,
+    },
+    List {
+        node: NodeIndex,
+        boot: u64,
+    },
+    Deliver {
+        node: NodeIndex,
+        boot: Option<u64>,
+        event: Box<BedEvent>,
+    },
+    Asked {
+        node: NodeIndex,
+        boot: u64,
+        request: RequestKey,
+        head: Box<RequestHead>,
+    },
+    TableArrives {
+        node: NodeIndex,
+        boot: u64,
+        operation: OperationKey,
+        request: TableRequest,
+    },
+    LateWrite {
+        request: TableRequest,
+    },
+    UpstreamArrives {
+        owner: NodeIndex,
+        boot: u64,
+        exchange: ExchangeKey,
+        upstream: UpstreamKey,
+        call: Option<CallIndex>,
+    },
+    UpstreamDone {
+        started: Started,
+    },
 }
 
 /// An event on its way to a node; cloneable, unlike [`Event`].
@@ -143,6 +174,10 @@
     calls: Vec<Call>,
     next_number: u64,
     log: Vec<(NodeIndex, sedgepath_core::timeline::Entry)>,
+    /// The transactions that have reached the table.
+    pub table_commits: u64,
+    /// The readings that have reached the table.
+    pub table_reads: u64,
     absent_from_list: BTreeSet<NodeIndex>,
     leaving_in_list: BTreeSet<NodeIndex>,
 }
@@ -166,6 +201,8 @@
             calls: Vec::new(),
             next_number: 1,
             log: Vec::new(),
+            table_commits: 0,
+            table_reads: 0,
             absent_from_list: BTreeSet::new(),
             leaving_in_list: BTreeSet::new(),
         }
@@ -346,10 +383,21 @@
         self.nodes[node].requests.insert(request, call);
         let mut head = head;
         head.deadline_at_ms = head.deadline_at_ms.saturating_add_signed(self.nodes[node].skew_ms);
-        self.handle(node, Event::Request { request, head });
+        self.ask(node, request, head);
         call
     }
 
+    /// Hands a request to a node; one that is paused finds it when it wakes.
+    fn ask(&mut self, node: NodeIndex, request: RequestKey, head: RequestHead) {
+        if self.nodes[node].paused {
+            let boot = self.nodes[node].boots;
+            let item = Item::Asked { node, boot, request, head: Box::new(head) };
+            self.nodes[node].held.push_back(item);
+        } else {
+            self.handle(node, Event::Request { request, head });
+        }
+    }
+
     /// Hands an event to a node at once and carries its actions out.
     pub fn handle(&mut self, index: NodeIndex, event: Event) {
         let now_ms = self.local_ms(index);
@@ -377,9 +425,10 @@
 
     fn take(&mut self, item: Item) {
         let node = match &item {
-            Item::Tick { node, .. } | Item::List { node, .. } | Item::Deliver { node, .. } => {
-                Some(*node)
-            }
+            Item::Tick { node, .. }
+            | Item::List { node, .. }
+            | Item::Deliver { node, .. }
+            | Item::Asked { node, .. } => Some(*node),
             _ => None,
         };
         if let Some(node) = node
@@ -399,8 +448,13 @@
                 // Its answer was lost when it was sent; what became of it shows in the table.
                 let _unseen = self.table.execute(&request);
             }
-            Item::UpstreamArrives { owner, boot, exchange, upstream } => {
-                self.upstream_arrives(owner, boot, exchange, upstream);
+            Item::UpstreamArrives { owner, boot, exchange, upstream, call } => {
+                self.upstream_arrives(owner, boot, exchange, upstream, call);
+            }
+            Item::Asked { node, boot, request, head } => {
+                if self.is_boot(node, boot) {
+                    self.handle(node, Event::Request { request, head: *head });
+                }
             }
             Item::UpstreamDone { started } => self.upstream_done(&started),
         }
@@ -576,7 +630,7 @@
         head.deadline_at_ms = head.deadline_at_ms.saturating_add_signed(self.nodes[target].skew_ms);
         let forwarded = RequestKey(self.number());
         self.nodes[target].requests.insert(forwarded, call);
-        self.handle(target, Event::Request { request: forwarded, head });
+        self.ask(target, forwarded, head);
     }
 
     fn relay(&mut self, index: NodeIndex, request: RequestKey, _attempt: u32) {
@@ -614,7 +668,8 @@
             return;
         }
         let boot = self.nodes[index].boots;
-        let item = Item::UpstreamArrives { owner: index, boot, exchange, upstream };
+        let call = self.nodes[index].exchanges.get(&exchange).map(|entry| entry.call);
+        let item = Item::UpstreamArrives { owner: index, boot, exchange, upstream, call };
         self.schedule(delay_ms + 1, item);
     }
 
@@ -624,9 +679,8 @@
         boot: u64,
         exchange: ExchangeKey,
         upstream: UpstreamKey,
+        call: Option<CallIndex>,
     ) {
-        let entry = self.nodes[owner].exchanges.get(&exchange).cloned();
-        let call = entry.as_ref().map(|entry| entry.call);
         let head = call.map(|call| self.calls[call].head.clone());
         let started = self.upstreams.start(
             Started { owner, boot, exchange, upstream, call, at_ms: self.now_ms },
@@ -715,6 +769,8 @@
         request: &TableRequest,
     ) {
         let commits = matches!(request, TableRequest::Commit(_));
+        self.table_commits += u64::from(commits);
+        self.table_reads += u64::from(!commits);
         if commits && self.faults.late_writes > 0 {
             self.faults.late_writes -= 1;
             let late_by_ms = self.faults.late_by_ms;
--- a/crates/sedgepath-test-support/src/bed/upstreams.rs
+++ b/crates/sedgepath-test-support/src/bed/upstreams.rs
@@ -14,7 +14,7 @@
 /// One run of a request at an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Run {
-    /// The caller's request; none if its owner died while it was on its way.
+    /// The caller's request.
     pub call: Option<CallIndex>,
     /// How the request is kept from running twice.
     pub once: Option<Once>,
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -185,6 +185,7 @@
                 .map(|key| Digest::of(&[b"organisation key", key.as_bytes()])),
             deadline_at_ms: deadline_at_ms(&parts.headers, self.handle.clock().now_ms()),
             once: Once::Repeatable,
+            attempt: 0,
             idempotent: parts.method.is_idempotent(),
             digest: Digest::of(&[
                 parts.method.as_str().as_bytes(),
