--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -15,7 +15,7 @@
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{self, Ingress, Target};
 use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
-use crate::membership::Membership;
+use crate::membership::{self, Membership};
 use crate::message::{Envelope, Message};
 use crate::once::OnceSystem;
 use crate::outbox::Outbox;
@@ -23,6 +23,8 @@
 use crate::record::Plan;
 use crate::request::{Class, Dispatch, EntryVm, Once, Outcome, RequestHead};
 use crate::steering::{Candidate, Choice, RandomByShare, SteeringPolicy};
+use crate::stop::PlannedStop;
+use crate::timeline::Topic;
 
 /// One node of the system.
 #[derive(Debug)]
@@ -36,6 +38,7 @@
     ingress: Ingress,
     egress: Egress,
     once: OnceSystem,
+    stop: PlannedStop,
 }
 
 impl Node {
@@ -50,6 +53,7 @@
             ingress: Ingress::default(),
             egress: Egress::default(),
             once: OnceSystem::default(),
+            stop: PlannedStop::default(),
             settings,
         }
     }
@@ -121,7 +125,7 @@
                     self.configuration.apply(snapshot, &mut self.out);
                 }
             }
-            Event::Stop => self.out.push(Action::Stopped),
+            Event::Stop => self.begin_stop(),
         }
         self.settle_once()
     }
@@ -134,6 +138,7 @@
         let loads = self.egress.loads(&allowances, self.configuration.catalogue());
         self.membership.tick(self.configuration.revision(), &loads, &mut self.out);
         self.once.tick(&mut self.out);
+        self.end_stop();
         self.settle_once()
     }
 
@@ -146,6 +151,26 @@
         self.once.settle(&mut self.out)
     }
 
+    fn begin_stop(&mut self) {
+        // A lost heartbeat is repeated well within the time after which silence is suspected, and
+        // what relays pass on takes as long again.
+        let heard_by_ms = self.out.now_ms() + 2 * self.settings.suspect_after_ms;
+        if self.stop.begin(heard_by_ms, self.settings.look_up_valid_ms) {
+            self.out.identity_mut().card.leaving = true;
+            self.out.log(Topic::Node, "stop_begun", &[]);
+        } else {
+            self.out.push(Action::Stopped);
+        }
+    }
+
+    fn end_stop(&mut self) {
+        let in_flight = self.ingress.in_flight() + self.egress.calls_in_flight();
+        if self.stop.may_end(self.out.now_ms(), in_flight) {
+            self.out.log(Topic::Node, "stop_ended", &[]);
+            self.out.push(Action::Stopped);
+        }
+    }
+
     /// Answers a look-up from memory.
     ///
     /// # Errors
@@ -243,7 +268,7 @@
             report_age_ms: 0,
             same_region: region(&domain) == region(&self.out.identity().card.domain),
         };
-        for vm in self.membership.serving_in(domain) {
+        for vm in membership::serving_among(&self.membership.alive_in(domain)) {
             let Some(member) = self.membership.member(vm) else {
                 continue;
             };
@@ -286,11 +311,11 @@
     /// Returns the VMs that serve in a failure domain, this node among them.
     fn serving_in(&self, domain: DomainKey) -> Vec<VmKey> {
         let identity = self.out.identity();
-        let mut serving = self.membership.serving_in(domain);
-        if identity.card.domain == domain && !identity.card.leaving {
-            serving.push(identity.vm);
+        let mut alive = self.membership.alive_in(domain);
+        if identity.card.domain == domain {
+            alive.push((identity.vm, identity.card.leaving));
         }
-        serving
+        membership::serving_among(&alive)
     }
 
     fn allowances(&self) -> Vec<Allowance> {
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -25,7 +25,7 @@
 use sedgepath_core::table::{TableRequest, TableResult};
 use sedgepath_platform::TableService;
 
-use crate::memory::MemoryTable;
+use crate::table::MemoryTable;
 
 pub mod faults;
 pub mod upstreams;
--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -13,8 +13,10 @@
 pub mod port;
 pub mod records;
 pub mod system;
+pub mod table;
 pub mod upstream;
 
 mod clock;
 mod http1;
 mod server;
+mod sync;
--- a/crates/sedgepath-test-support/src/upstream.rs
+++ b/crates/sedgepath-test-support/src/upstream.rs
@@ -16,13 +16,17 @@
 use crate::server::TcpServer;
 
 mod connection;
+mod settings;
 mod state;
 
+pub use settings::{Behaviour, LoadReports, UpstreamCounts, UpstreamFigures};
+pub use state::Run;
 use state::Shared;
-pub use state::{Behaviour, LoadReports, Run, UpstreamCounts, UpstreamFigures};
 
 /// The header that names a request; it is repeated on the answer.
 pub const REQUEST_ID: &str = "sedgepath-request-id";
+/// The header that names one sending of a request, by which it can be cancelled.
+pub const CALL_ID: &str = "sedgepath-call-id";
 /// The header with the caller's key of a once-only request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// The header with the system's key of a once-only request.
