--- a/crates/sedgepath-core/src/event.rs
+++ b/crates/sedgepath-core/src/event.rs
@@ -8,9 +8,11 @@
     BootId, DomainKey, ExchangeKey, OperationKey, ReplyKey, RequestKey, UpstreamKey, VmKey,
 };
 use crate::message::Envelope;
+use crate::once::row::HandedOver;
+use crate::once::tickets::MintError;
 use crate::record::RawRecord;
 use crate::request::{
-    AnswerHead, CallEnd, Dispatch, EntryVm, HopEnd, Outcome, RequestHead, StoredAnswer,
+    AnswerHead, CallEnd, Dispatch, EntryVm, HopEnd, Outcome, RequestHead, StoredAnswer, Ticket,
 };
 use crate::table::{TableRequest, TableResult};
 use crate::timeline::Entry;
@@ -82,6 +84,15 @@
         /// The question.
         look_up: LookUp,
     },
+    /// A caller asks for tickets.
+    MintTickets {
+        /// Names the question in the answer.
+        reply: ReplyKey,
+        /// The name of the service that they are for.
+        service: Box<str>,
+        /// How many.
+        count: u32,
+    },
     /// A caller's request has arrived whole.
     Request {
         /// Names the request from now on.
@@ -176,6 +187,15 @@
         /// The records, unless the peer did not answer.
         snapshot: Option<Snapshot>,
     },
+    /// A peer that stops has handed its tickets over.
+    HandedOver(HandedOver),
+    /// A peer has taken this node's tickets over, or could not be reached.
+    HandOverEnded {
+        /// The call's key.
+        operation: OperationKey,
+        /// Whether it has taken them.
+        taken: bool,
+    },
     /// The process was asked to stop.
     Stop,
 }
@@ -203,6 +223,13 @@
         /// The answer.
         answer: Result<LookUpAnswer, LookUpError>,
     },
+    /// Answers a caller who asked for tickets.
+    AnswerTickets {
+        /// The question.
+        reply: ReplyKey,
+        /// The tickets.
+        tickets: Result<Vec<Ticket>, MintError>,
+    },
     /// Sends a request over the hop to the owner of an upstream.
     Forward {
         /// The request.
@@ -305,6 +332,17 @@
         /// Where the peer takes remote calls.
         from: SocketAddr,
     },
+    /// Hands this node's tickets over to a peer.
+    HandOver {
+        /// Names the call in its result.
+        operation: OperationKey,
+        /// The peer.
+        to: VmKey,
+        /// Where it takes frames.
+        address: SocketAddr,
+        /// The tickets.
+        tickets: HandedOver,
+    },
     /// Logs an entry of the time line.
     Log(Entry),
     /// The node has handed over or finished all of its work; the process may end.
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -18,10 +18,11 @@
 use crate::membership::{self, Membership};
 use crate::message::{Envelope, Message};
 use crate::once::OnceSystem;
+use crate::once::tickets::MintError;
 use crate::outbox::Outbox;
 use crate::ownership;
 use crate::record::Plan;
-use crate::request::{Class, Dispatch, EntryVm, Once, Outcome, RequestHead};
+use crate::request::{Class, Dispatch, EntryVm, Once, Outcome, RequestHead, Ticket};
 use crate::steering::{Candidate, Choice, RandomByShare, SteeringPolicy};
 use crate::stop::PlannedStop;
 use crate::timeline::Topic;
@@ -87,12 +88,20 @@
                 let answer = self.look_up(&look_up);
                 self.out.push(Action::AnswerLookUp { reply, answer });
             }
+            Event::MintTickets { reply, service, count } => {
+                let tickets = self.mint(&service, count);
+                self.out.push(Action::AnswerTickets { reply, tickets });
+            }
             Event::Request { request, head } => self.request(request, &head),
             Event::HopAnswered { request, attempt, .. } => {
-                self.ingress.hop_answered(request, attempt, &mut self.out);
+                if !self.once.hop_answered(request, attempt, &mut self.out) {
+                    self.ingress.hop_answered(request, attempt, &mut self.out);
+                }
             }
             Event::HopEnded { request, attempt, end } => {
-                self.ingress.hop_ended(request, attempt, end, &mut self.out);
+                if !self.once.hop_ended(request, end, &self.membership, &mut self.out) {
+                    self.ingress.hop_ended(request, attempt, end, &mut self.out);
+                }
             }
             Event::RelayEnded { request, stored, .. } => {
                 self.once.relay_ended(request, stored, &mut self.out);
@@ -125,6 +134,8 @@
                     self.configuration.apply(snapshot, &mut self.out);
                 }
             }
+            Event::HandedOver(tickets) => self.once.keep(tickets),
+            Event::HandOverEnded { operation, taken } => self.once.copied(operation, taken),
             Event::Stop => self.begin_stop(),
         }
         self.settle_once()
@@ -151,6 +162,21 @@
         self.once.settle(&mut self.out)
     }
 
+    fn admit_once(&mut self, request: RequestKey, head: &RequestHead) -> bool {
+        self.once.admit(request, head, &self.membership, &mut self.out)
+    }
+
+    fn mint(&mut self, service: &str, count: u32) -> Result<Vec<Ticket>, MintError> {
+        let service = ServiceKey::of(service);
+        if !self.configuration.catalogue().services.contains_key(&service) {
+            return Err(MintError::NoService);
+        }
+        if self.stop.has_begun() {
+            return Err(MintError::Stopping);
+        }
+        self.once.mint(service, count, &self.out)
+    }
+
     fn begin_stop(&mut self) {
         // A lost heartbeat is repeated well within the time after which silence is suspected, and
         // what relays pass on takes as long again.
@@ -165,7 +191,9 @@
 
     fn end_stop(&mut self) {
         let in_flight = self.ingress.in_flight() + self.egress.calls_in_flight();
-        if self.stop.may_end(self.out.now_ms(), in_flight) {
+        if self.stop.may_end(self.out.now_ms(), in_flight)
+            && self.once.hand_over(&self.membership, &mut self.out)
+        {
             self.out.log(Topic::Node, "stop_ended", &[]);
             self.out.push(Action::Stopped);
         }
@@ -216,7 +244,7 @@
             ingress::conclude(request, Outcome::UnknownOrganisation, &mut self.out);
             return;
         };
-        if head.once != Once::Repeatable && !self.once.admit(request, head, &mut self.out) {
+        if head.once != Once::Repeatable && !self.admit_once(request, head) {
             return;
         }
         let target = self.target(service, class, head, &catalogue);
--- a/crates/sedgepath-core/src/once.rs
+++ b/crates/sedgepath-core/src/once.rs
@@ -2,24 +2,32 @@
 //!
 //! [`OnceSystem`] stands between the arrival of a request and its first attempt, and hears of its
 //! end. There are two paths, and a key never passes from one to the other: [`claims`] for keys that
-//! callers choose, over the platform's table; `tickets` for keys that a node mints, over the memory
+//! callers choose, over the platform's table; [`tickets`] for keys that a node mints, over the memory
 //! of its boot alone, so that they work while the platform is down.
 
 use crate::event::Action;
 use crate::hash::Digest;
-use crate::key::{OperationKey, RequestKey};
+use crate::key::{OperationKey, RequestKey, ServiceKey};
+use crate::membership::Membership;
 use crate::outbox::Outbox;
-use crate::request::{Once, Outcome, Reason, Refusal, RequestHead, StoredAnswer};
+use crate::request::{HopEnd, Once, Outcome, Reason, Refusal, RequestHead, StoredAnswer, Ticket};
 use crate::table::TableResult;
 
 pub mod batch;
 pub mod claim;
 pub mod claims;
+pub mod handover;
 pub mod row;
 mod sweep;
+pub mod tickets;
+pub mod visitors;
 
 use batch::{Batcher, Job, Reply};
 use claims::Claims;
+use handover::HandOver;
+use row::HandedOver;
+use tickets::{MintError, Tickets};
+use visitors::Visitors;
 
 /// When a caller should come back to learn more of its action, in milliseconds.
 const RETRY_AFTER_MS: u64 = 500;
@@ -29,14 +37,36 @@
 pub struct OnceSystem {
     batcher: Batcher,
     claims: Claims,
+    tickets: Tickets,
+    visitors: Visitors,
+    hand_over: Option<HandOver>,
 }
 
 impl OnceSystem {
     /// Takes a request; returns true if it may be started now. Otherwise it gets its outcome, or
     /// comes back from [`Self::take_granted`].
-    pub fn admit(&mut self, request: RequestKey, head: &RequestHead, out: &mut Outbox) -> bool {
+    pub fn admit(
+        &mut self,
+        request: RequestKey,
+        head: &RequestHead,
+        membership: &Membership,
+        out: &mut Outbox,
+    ) -> bool {
+        let identity = out.identity();
         let admitted = match head.once {
-            Once::Repeatable | Once::Ticket(_) => true,
+            Once::Repeatable => true,
+            Once::Ticket(ticket) if (ticket.home, ticket.boot) == (identity.vm, identity.boot) => {
+                self.tickets.admit(request, ticket, head, out)
+            }
+            Once::Ticket(ticket) => {
+                let batcher = &mut self.batcher;
+                self.visitors.take(request, ticket, head, membership, batcher, out);
+                false
+            }
+            Once::Key(_) if self.hand_over.is_some() => {
+                conclude(request, unsettled(head.attempt, Reason::NotReady), out);
+                false
+            }
             Once::Key(key) => self.claims.admit(request, key, head, &mut self.batcher, out),
         };
         self.batcher.flush(out);
@@ -55,12 +85,16 @@
         stored: Option<StoredAnswer>,
         out: &mut Outbox,
     ) {
+        self.visitors.forget(request);
+        self.tickets.answered(request, stored.clone());
         self.claims.answered(request, stored, &mut self.batcher);
         self.batcher.flush(out);
     }
 
     /// Takes in that a request's caller has gone.
     pub fn caller_gone(&mut self, request: RequestKey, out: &mut Outbox) {
+        self.visitors.forget(request);
+        self.tickets.caller_gone(request);
         self.claims.caller_gone(request, &mut self.batcher);
         self.batcher.flush(out);
     }
@@ -87,13 +121,84 @@
             Job::Claim(request) => {
                 self.claims.replied(request, reply, &mut self.batcher, out);
             }
-            Job::Ticket(_) | Job::HandOver(_) => {}
+            Job::Ticket(request) => self.visitors.replied(request, &reply, out),
+            Job::HandOver(index) => {
+                if let Some(hand_over) = &mut self.hand_over {
+                    hand_over.replied(index, &reply, &mut self.batcher, out);
+                }
+            }
+        }
+    }
+
+    /// Mints tickets for a service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the number is out of bounds, too many are valid, or the node is about to stop.
+    pub fn mint(
+        &mut self,
+        service: ServiceKey,
+        count: u32,
+        out: &Outbox,
+    ) -> Result<Vec<Ticket>, MintError> {
+        self.tickets.mint(service, count, out)
+    }
+
+    /// Takes in the answer of another home; returns false if the request was not sent to one.
+    pub fn hop_answered(&self, request: RequestKey, attempt: u32, out: &mut Outbox) -> bool {
+        self.visitors.hop_answered(request, attempt, out)
+    }
+
+    /// Takes in the end of a hop to another home; returns false if the request was not sent to one.
+    pub fn hop_ended(
+        &mut self,
+        request: RequestKey,
+        end: HopEnd,
+        membership: &Membership,
+        out: &mut Outbox,
+    ) -> bool {
+        let known = self.visitors.hop_ended(request, end, membership, &mut self.batcher, out);
+        self.batcher.flush(out);
+        known
+    }
+
+    /// Keeps the tickets that a peer has handed over.
+    pub fn keep(&mut self, tickets: HandedOver) {
+        self.visitors.keep(tickets);
+    }
+
+    /// Takes in whether a successor has taken this node's tickets over.
+    pub fn copied(&mut self, operation: OperationKey, taken: bool) {
+        if let Some(hand_over) = &mut self.hand_over {
+            hand_over.copied(operation, taken);
+        }
+    }
+
+    /// Stops running once-only requests and hands over what others need to answer for them; returns
+    /// true once that is done, or has failed for good. To be called at each tick from the moment at
+    /// which the node has nothing in flight.
+    pub fn hand_over(&mut self, membership: &Membership, out: &mut Outbox) -> bool {
+        self.tickets.close();
+        if !self.tickets.is_idle() {
+            return false;
         }
+        if self.hand_over.is_none() {
+            let tickets = self.tickets.handed_over(out);
+            self.hand_over = Some(HandOver::new(tickets, membership, &mut self.batcher, out));
+            self.batcher.flush(out);
+        }
+        let claims = self.claims.unsettled();
+        self.hand_over.as_ref().is_some_and(|hand_over| hand_over.is_done(claims, out))
     }
 
     /// Runs what works by time.
     pub fn tick(&mut self, out: &mut Outbox) {
         self.claims.tick(&mut self.batcher, out);
+        self.visitors.tick(out);
+        self.tickets.lapse(out.now_ms());
+        if let Some(hand_over) = &mut self.hand_over {
+            hand_over.tick(&mut self.batcher, out);
+        }
         self.batcher.flush(out);
     }
 
@@ -107,6 +212,7 @@
         for action in out.take_actions() {
             match action {
                 Action::Conclude { request, outcome } => {
+                    self.tickets.concluded(request, &outcome);
                     let outcome = self.claims.concluded(request, outcome, &mut self.batcher, out);
                     kept.extend(outcome.map(|outcome| Action::Conclude { request, outcome }));
                 }
--- a/crates/sedgepath-core/src/once/claims.rs
+++ b/crates/sedgepath-core/src/once/claims.rs
@@ -121,11 +121,6 @@
         std::mem::take(&mut self.granted)
     }
 
-    /// Whether every row says how its claim ended.
-    pub fn is_settled(&self) -> bool {
-        self.by_request.values().all(|claim| claim.step == Step::Ending(End::Swept))
-    }
-
     /// Returns the number of claims whose rows do not yet say how they ended.
     pub fn unsettled(&self) -> usize {
         self.by_request.values().filter(|claim| claim.step != Step::Ending(End::Swept)).count()
--- /dev/null
+++ b/crates/sedgepath-core/src/once/handover.rs
@@ -0,0 +1,148 @@
+//! The hand-over of a boot's tickets at its planned stop.
+//!
+//! Only this boot may run its tickets, and only its memory knows which were used. So that nothing
+//! stays *unknown*, it writes them to the table and gives a copy to two successors, which serve
+//! while the platform is down. It runs nothing any more by then.
+
+use crate::event::Action;
+use crate::key::OperationKey;
+use crate::membership::Membership;
+use crate::outbox::Outbox;
+use crate::table::RowWrite;
+use crate::timeline::Topic;
+
+use super::batch::{Batcher, Job, Reply};
+use super::row::{HandOverRow, HandedOver, TicketRow, put};
+use super::visitors::successors;
+
+/// The time until a part that failed is tried again, in milliseconds.
+const RETRY_MS: u64 = 500;
+
+/// The longest that the table is waited for once a successor has a copy, in milliseconds.
+const TABLE_WAIT_MS: u64 = 2_000;
+
+/// The longest that a hand-over takes, in milliseconds; what it has not placed by then is lost.
+const GIVE_UP_MS: u64 = 10_000;
+
+/// A copy on its way to a successor.
+#[derive(Debug)]
+struct Copy {
+    operation: OperationKey,
+    taken: bool,
+}
+
+/// A hand-over.
+#[derive(Debug)]
+pub struct HandOver {
+    tickets: Option<HandedOver>,
+    rows: Vec<RowWrite>,
+    unwritten: usize,
+    retries: Vec<usize>,
+    retry_at_ms: u64,
+    copies: Vec<Copy>,
+    begun_at_ms: u64,
+}
+
+impl HandOver {
+    /// Begins the hand-over of tickets; there may be none.
+    pub fn new(
+        tickets: Option<HandedOver>,
+        membership: &Membership,
+        batcher: &mut Batcher,
+        out: &mut Outbox,
+    ) -> Self {
+        let rows = tickets.as_ref().map(rows).unwrap_or_default();
+        let mut hand_over = Self {
+            unwritten: rows.len(),
+            rows,
+            tickets,
+            retries: Vec::new(),
+            retry_at_ms: 0,
+            copies: Vec::new(),
+            begun_at_ms: out.now_ms(),
+        };
+        hand_over.write_all(batcher);
+        hand_over.send_copies(membership, out);
+        hand_over
+    }
+
+    fn write_all(&self, batcher: &mut Batcher) {
+        // The last row says that the others are all there.
+        for index in 0..self.rows.len().saturating_sub(1) {
+            batcher.write(Job::HandOver(index), self.rows[index].clone());
+        }
+        if self.rows.len() == 1 {
+            batcher.write(Job::HandOver(0), self.rows[0].clone());
+        }
+    }
+
+    fn send_copies(&mut self, membership: &Membership, out: &mut Outbox) {
+        let Some(tickets) = self.tickets.clone() else {
+            return;
+        };
+        for vm in successors(tickets.vm, tickets.boot, membership, None) {
+            if let Some(member) = membership.member(vm) {
+                let operation = out.next_operation();
+                let (address, tickets) = (member.card.peers, tickets.clone());
+                out.push(Action::HandOver { operation, to: vm, address, tickets });
+                self.copies.push(Copy { operation, taken: false });
+            }
+        }
+    }
+
+    /// Takes in what became of a row.
+    pub fn replied(&mut self, index: usize, reply: &Reply, batcher: &mut Batcher, out: &Outbox) {
+        if !matches!(reply, Reply::Written) {
+            self.retries.push(index);
+            self.retry_at_ms = out.now_ms() + RETRY_MS;
+            return;
+        }
+        self.unwritten -= 1;
+        if self.unwritten == 1 && index + 1 != self.rows.len() {
+            let last = self.rows.len() - 1;
+            batcher.write(Job::HandOver(last), self.rows[last].clone());
+        }
+    }
+
+    /// Takes in whether a successor has taken its copy.
+    pub fn copied(&mut self, operation: OperationKey, taken: bool) {
+        for copy in self.copies.iter_mut().filter(|copy| copy.operation == operation) {
+            copy.taken = taken;
+        }
+    }
+
+    /// Writes again what was not written.
+    pub fn tick(&mut self, batcher: &mut Batcher, out: &Outbox) {
+        if self.retry_at_ms <= out.now_ms() {
+            for index in std::mem::take(&mut self.retries) {
+                batcher.write(Job::HandOver(index), self.rows[index].clone());
+            }
+        }
+    }
+
+    /// Whether the tickets are placed and the rows of all claims say how these ended, or can't.
+    pub fn is_done(&self, claims: usize, out: &mut Outbox) -> bool {
+        let took_ms = out.now_ms() - self.begun_at_ms;
+        let copied = self.copies.iter().any(|copy| copy.taken);
+        let placed = self.unwritten == 0 || (copied && took_ms >= TABLE_WAIT_MS);
+        if placed && claims == 0 {
+            return true;
+        }
+        let given_up = took_ms >= GIVE_UP_MS;
+        if given_up {
+            let tickets = if placed { 0 } else { self.unwritten };
+            out.log(Topic::Once, "hand_over_failed", &[("tickets", &tickets), ("claims", &claims)]);
+        }
+        given_up
+    }
+}
+
+fn rows(tickets: &HandedOver) -> Vec<RowWrite> {
+    let HandedOver { vm, boot, next_number, handed_over_at_ms, ref used } = *tickets;
+    let ticket = |ticket: &super::row::HandedTicket| {
+        put(TicketRow::key(vm, boot, ticket.number), &ticket.row)
+    };
+    let head = HandOverRow { next_number, handed_over_at_ms };
+    let head = put(HandOverRow::key(vm, boot), &head);
+    used.iter().map(ticket).chain(std::iter::once(head)).collect()
+}
--- a/crates/sedgepath-core/src/once/row.rs
+++ b/crates/sedgepath-core/src/once/row.rs
@@ -70,3 +70,67 @@
 pub fn delete(key: Digest, condition: Condition) -> RowWrite {
     RowWrite { key: ClaimRow::key(key), condition, change: Change::Delete }
 }
+
+/// What became of a used ticket; also the row `ticket/<vm>/<boot>/<number>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketRow {
+    /// The digest of the request, to tell a repeat from another request.
+    pub digest: Digest,
+    /// The highest attempt that came with it.
+    pub attempt: u32,
+    /// What became of it.
+    pub state: ClaimState,
+}
+
+/// A used ticket that is handed over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedTicket {
+    /// Its number.
+    pub number: u64,
+    /// What became of it.
+    pub row: TicketRow,
+}
+
+/// The tickets of a boot that has stopped as planned, in the order of their numbers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedOver {
+    /// The VM.
+    pub vm: VmKey,
+    /// Its boot.
+    pub boot: BootId,
+    /// The first number that it did not mint.
+    pub next_number: u64,
+    /// When it handed over, in milliseconds by its own clock.
+    pub handed_over_at_ms: u64,
+    /// The tickets that it has used and still remembers.
+    pub used: Vec<HandedTicket>,
+}
+
+/// The row `ticket/<vm>/<boot>`; written after the rows of all used tickets of the boot, so that a
+/// ticket without a row of its own was never used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandOverRow {
+    /// The first number that the boot did not mint.
+    pub next_number: u64,
+    /// When it handed over, in milliseconds by its own clock.
+    pub handed_over_at_ms: u64,
+}
+
+impl HandOverRow {
+    /// Returns the key of the row of a boot.
+    pub fn key(vm: VmKey, boot: BootId) -> Box<str> {
+        format!("ticket/{:016x}/{:016x}", vm.0, boot.0).into()
+    }
+}
+
+impl TicketRow {
+    /// Returns the key of the row of a ticket.
+    pub fn key(vm: VmKey, boot: BootId, number: u64) -> Box<str> {
+        format!("{}/{number}", HandOverRow::key(vm, boot)).into()
+    }
+}
+
+/// Writes a row whatever stands there; for rows that no other process ever writes.
+pub fn put(key: Box<str>, value: &impl Serialize) -> RowWrite {
+    RowWrite { key, condition: Condition::Any, change: Change::Put(to_json(value)) }
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/once/visitors.rs
@@ -0,0 +1,259 @@
+//! Requests with tickets of other homes.
+//!
+//! They are forwarded whole to the boot that minted the ticket. If that boot is gone, only what it
+//! left tells what became of the ticket: a copy at its successors, or its rows in the table. Without
+//! either the request ends *unknown*; it is never run here.
+
+use crate::event::Action;
+use crate::hash::{Digest, Map};
+use crate::key::{BootId, RequestKey, VmKey};
+use crate::membership::Membership;
+use crate::outbox::Outbox;
+use crate::ownership;
+use crate::request::{HopEnd, Outcome, Reason, RequestHead, Ticket};
+use crate::table::Row;
+
+use super::batch::{Batcher, Job, Reply};
+use super::row::{HandOverRow, HandedOver, TicketRow};
+use super::tickets::{Left, answer_for};
+use super::{RETRY_AFTER_MS, conclude, unsettled};
+
+/// The successors to which a node hands its tickets over.
+pub const SUCCESSORS: usize = 2;
+
+/// The most hand-overs that a node keeps for others; the oldest are dropped first.
+const MAX_KEPT: usize = 64;
+
+/// Where a request with another home's ticket is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// At its home, which alone may run it.
+    AtHome,
+    /// At a successor of its home, which never runs it.
+    AtSuccessor,
+    /// The rows that its home left are read.
+    Reading,
+}
+
+#[derive(Debug)]
+struct Visitor {
+    ticket: Ticket,
+    digest: Digest,
+    attempt: u32,
+    deadline_at_ms: u64,
+    step: Step,
+}
+
+/// The requests with tickets of other homes, and what other homes have handed over.
+#[derive(Debug, Default)]
+pub struct Visitors {
+    visitors: Map<RequestKey, Visitor>,
+    kept: Vec<HandedOver>,
+}
+
+impl Visitors {
+    /// Takes a request with a ticket that this boot did not mint.
+    pub fn take(
+        &mut self,
+        request: RequestKey,
+        ticket: Ticket,
+        head: &RequestHead,
+        membership: &Membership,
+        batcher: &mut Batcher,
+        out: &mut Outbox,
+    ) {
+        if let Some(outcome) = self.answer(ticket, head.digest) {
+            conclude(request, outcome, out);
+            return;
+        }
+        let visitor = Visitor {
+            ticket,
+            digest: head.digest,
+            attempt: head.attempt,
+            deadline_at_ms: head.deadline_at_ms,
+            step: Step::AtHome,
+        };
+        self.visitors.insert(request, visitor);
+        // A request is forwarded once at most, so that no two nodes pass it to and fro.
+        let forwarded = head.forwarded_by.is_some();
+        let home = membership.member(ticket.home).filter(|home| home.boot == ticket.boot);
+        match home {
+            Some(home) if !forwarded => {
+                self.forward(request, ticket.home, home.card.peers, 1, out);
+            }
+            None if !forwarded => self.ask_successor(request, membership, batcher, out),
+            _ => self.read(request, batcher),
+        }
+    }
+
+    /// Keeps what another home has handed over.
+    pub fn keep(&mut self, tickets: HandedOver) {
+        self.kept.retain(|kept| (kept.vm, kept.boot) != (tickets.vm, tickets.boot));
+        if self.kept.len() == MAX_KEPT {
+            self.kept.remove(0);
+        }
+        self.kept.push(tickets);
+    }
+
+    /// Relays the answer of a request's home; returns false if the request is none of these.
+    pub fn hop_answered(&self, request: RequestKey, attempt: u32, out: &mut Outbox) -> bool {
+        let known = self.visitors.contains_key(&request);
+        if known {
+            out.push(Action::Relay { request, attempt });
+        }
+        known
+    }
+
+    /// Takes in the end of a hop; returns false if the request is none of these.
+    pub fn hop_ended(
+        &mut self,
+        request: RequestKey,
+        end: HopEnd,
+        membership: &Membership,
+        batcher: &mut Batcher,
+        out: &mut Outbox,
+    ) -> bool {
+        let Some(visitor) = self.visitors.get(&request) else {
+            return false;
+        };
+        match (visitor.step, end) {
+            // The home has had it and may be running it.
+            (Step::AtHome, HopEnd::Lost) => {
+                self.conclude(request, Outcome::Unknown { retry_after_ms: RETRY_AFTER_MS }, out);
+            }
+            (Step::AtHome, HopEnd::Refused(refusal)) => {
+                self.conclude(request, Outcome::NotRun { refusal, others: Vec::new() }, out);
+            }
+            (Step::AtHome, HopEnd::NotSent) => {
+                self.ask_successor(request, membership, batcher, out);
+            }
+            (Step::AtSuccessor, _) => self.read(request, batcher),
+            (Step::Reading, _) => {}
+        }
+        true
+    }
+
+    /// Takes in the rows that a home left, or that they could not be read.
+    pub fn replied(&mut self, request: RequestKey, reply: &Reply, out: &mut Outbox) {
+        let Some(visitor) = self.visitors.get(&request) else {
+            return;
+        };
+        let left = match reply {
+            Reply::Rows(rows) => left_in(rows, visitor.ticket),
+            _ => None,
+        };
+        let outcome = match left {
+            Some(left) => answer_for(visitor.ticket, visitor.digest, &left),
+            None => unsettled(visitor.attempt, Reason::PeerUnreachable),
+        };
+        self.conclude(request, outcome, out);
+    }
+
+    /// Ends the wait for rows that do not come in time.
+    pub fn tick(&mut self, out: &mut Outbox) {
+        let mut late: Vec<_> = self
+            .visitors
+            .iter()
+            .filter(|(_, visitor)| visitor.step == Step::Reading)
+            .filter(|(_, visitor)| visitor.deadline_at_ms <= out.now_ms())
+            .map(|(request, _)| *request)
+            .collect();
+        late.sort_unstable();
+        for request in late {
+            self.conclude(request, Outcome::Unknown { retry_after_ms: RETRY_AFTER_MS }, out);
+        }
+    }
+
+    /// Forgets a request that has got its answer or whose caller has gone.
+    pub fn forget(&mut self, request: RequestKey) {
+        self.visitors.remove(&request);
+    }
+
+    fn answer(&self, ticket: Ticket, digest: Digest) -> Option<Outcome> {
+        let kept = self.kept.iter().find(|kept| (kept.vm, kept.boot) == (ticket.home, ticket.boot));
+        kept.map(|kept| answer_for(ticket, digest, &Left::of(kept, ticket.number)))
+    }
+
+    fn ask_successor(
+        &mut self,
+        request: RequestKey,
+        membership: &Membership,
+        batcher: &mut Batcher,
+        out: &mut Outbox,
+    ) {
+        let Some(visitor) = self.visitors.get_mut(&request) else {
+            return;
+        };
+        let own = out.identity().vm;
+        let ranked = successors(visitor.ticket.home, visitor.ticket.boot, membership, Some(own));
+        let other = ranked.into_iter().find(|vm| *vm != own);
+        let address = other.and_then(|vm| membership.member(vm)).map(|member| member.card.peers);
+        match (other, address) {
+            (Some(vm), Some(address)) => {
+                visitor.step = Step::AtSuccessor;
+                self.forward(request, vm, address, 2, out);
+            }
+            _ => self.read(request, batcher),
+        }
+    }
+
+    fn forward(
+        &self,
+        request: RequestKey,
+        to: VmKey,
+        address: std::net::SocketAddr,
+        attempt: u32,
+        out: &mut Outbox,
+    ) {
+        if let Some(visitor) = self.visitors.get(&request) {
+            out.push(Action::ForwardHome {
+                request,
+                attempt,
+                to,
+                boot: visitor.ticket.boot,
+                address,
+                deadline_at_ms: visitor.deadline_at_ms,
+            });
+        }
+    }
+
+    fn read(&mut self, request: RequestKey, batcher: &mut Batcher) {
+        if let Some(visitor) = self.visitors.get_mut(&request) {
+            visitor.step = Step::Reading;
+            let Ticket { home, boot, number, .. } = visitor.ticket;
+            let keys = vec![HandOverRow::key(home, boot), TicketRow::key(home, boot, number)];
+            batcher.read(Job::Ticket(request), keys);
+        }
+    }
+
+    fn conclude(&mut self, request: RequestKey, outcome: Outcome, out: &mut Outbox) {
+        self.visitors.remove(&request);
+        conclude(request, outcome, out);
+    }
+}
+
+/// Returns the VMs that keep the tickets of a boot that stops, the first first.
+pub fn successors(
+    home: VmKey,
+    boot: BootId,
+    membership: &Membership,
+    own: Option<VmKey>,
+) -> Vec<VmKey> {
+    let serving = membership.members().into_iter().filter(|(_, member)| member.serves());
+    let mut ranked: Vec<_> = serving.map(|(vm, _)| vm).chain(own).collect();
+    ranked.retain(|vm| *vm != home);
+    ranked.sort_unstable_by_key(|vm| std::cmp::Reverse((ownership::rank(boot.0, vm.0), vm.0)));
+    ranked.truncate(SUCCESSORS);
+    ranked
+}
+
+fn left_in(rows: &[Row], ticket: Ticket) -> Option<Left> {
+    let value = |key: Box<str>| rows.iter().find(|row| row.key == key).map(|row| &*row.value);
+    let head = value(HandOverRow::key(ticket.home, ticket.boot))?;
+    let HandOverRow { next_number, handed_over_at_ms } = serde_json::from_str(head).ok()?;
+    let row = match value(TicketRow::key(ticket.home, ticket.boot, ticket.number)) {
+        Some(row) => Some(serde_json::from_str(row).ok()?),
+        None => None,
+    };
+    Some(Left { next_number, handed_over_at_ms, row })
+}
--- a/crates/sedgepath-core/src/outbox.rs
+++ b/crates/sedgepath-core/src/outbox.rs
@@ -118,7 +118,8 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn next_operation(&mut self) -> OperationKey {
+    /// Numbers a call whose result comes back as an event.
+    pub fn next_operation(&mut self) -> OperationKey {
         self.operations += 1;
         OperationKey(self.operations)
     }
--- a/crates/sedgepath-core/src/request.rs
+++ b/crates/sedgepath-core/src/request.rs
@@ -124,8 +124,10 @@
     UpstreamRefused,
     /// The deadline had passed before the request was sent.
     Deadline,
-    /// The platform's table did not confirm the claim.
+    /// The platform's table did not confirm the claim; tickets do without it.
     Claim,
+    /// The ticket was never run and will not be: it has lapsed, or its home has stopped.
+    TicketVoid,
     /// The retry budget is spent.
     RetryBudget,
     /// The peer could not be reached, and nothing was sent.
@@ -147,6 +149,7 @@
             Self::UpstreamRefused => "upstream_refused",
             Self::Deadline => "deadline",
             Self::Claim => "claim",
+            Self::TicketVoid => "ticket_void",
             Self::RetryBudget => "retry_budget",
             Self::PeerUnreachable => "peer_unreachable",
             Self::Cancelled => "cancelled",
--- a/crates/sedgepath-core/tests/claims.rs
+++ b/crates/sedgepath-core/tests/claims.rs
@@ -2,51 +2,18 @@
 
 mod once_support;
 
-use once_support::{Action, Verdict, bed, head, judge, key};
+use once_support::{Verdict, assert_holds, bed, head, judge, run_actions, settle};
 use sedgepath_core::hash::Digest;
-use sedgepath_core::request::Outcome;
+use sedgepath_core::request::{Once, Outcome};
 use sedgepath_test_support::bed::{Bed, Seen};
 
-/// Starts `count` actions, one every `gap_ms`, over all nodes, and lets the callers repeat.
-fn run_actions(bed: &mut Bed, count: usize, gap_ms: u64, mut fault: impl FnMut(&mut Bed, usize)) {
-    let mut actions = Vec::new();
-    for number in 0..count {
-        fault(bed, number);
-        let node = number % bed.node_count();
-        actions.push(Action::new(bed, node, key(number)));
-        bed.run_for(gap_ms);
-        poll_all(bed, &mut actions);
-    }
-    fault(bed, count);
-    for _ in 0..100 {
-        bed.run_for(100);
-        poll_all(bed, &mut actions);
-    }
-}
-
-fn poll_all(bed: &mut Bed, actions: &mut [Action]) {
-    for action in actions {
-        action.poll(bed);
-    }
-}
-
-/// Ends all faults, lets late writes land and repeats go on, and judges.
-fn settle(bed: &mut Bed) -> Verdict {
-    bed.faults.platform_down = false;
-    bed.faults.lost_answers_percent = 0;
-    bed.faults.heal_all();
-    for node in 0..bed.node_count() {
-        bed.wake(node);
-        if bed.node(node).is_none() {
-            bed.start(node);
-        }
-    }
-    bed.run_for(20_000);
-    judge(bed)
+/// Returns a key that a caller chose.
+fn key(number: usize) -> Once {
+    Once::Key(Digest::of(&[b"key", &number.to_le_bytes()]))
 }
 
-fn assert_holds(verdict: &Verdict) {
-    assert!(verdict.holds(), "{verdict:?}");
+fn key_of(_bed: &mut Bed, number: usize) -> Once {
+    key(number)
 }
 
 /// A caller whose answer got lost repeats its request through another node. It gets the answer of
@@ -95,7 +62,7 @@
 fn lost_write_answers() {
     let mut bed = bed(3);
     bed.faults.lost_answers_percent = 40;
-    run_actions(&mut bed, 200, 10, |_, _| {});
+    run_actions(&mut bed, 200, 10, key_of, |_, _| {});
     let verdict = settle(&mut bed);
     assert_holds(&verdict);
     assert_eq!(verdict.answered, 200, "{verdict:?}");
@@ -109,7 +76,7 @@
     let mut bed = bed(4);
     bed.faults.late_by_ms = 3_000;
     bed.upstreams.get("d1").loses_answers = true;
-    run_actions(&mut bed, 200, 10, |bed, number| {
+    run_actions(&mut bed, 200, 10, key_of, |bed, number| {
         bed.faults.late_writes = u32::from(number % 5 == 0);
     });
     let verdict = settle(&mut bed);
@@ -148,7 +115,7 @@
 fn late_writes_while_the_table_cannot_be_read() {
     let mut bed = bed(13);
     bed.faults.late_by_ms = 3_000;
-    run_actions(&mut bed, 200, 10, |bed, number| {
+    run_actions(&mut bed, 200, 10, key_of, |bed, number| {
         bed.faults.platform_down = number % 20 >= 10;
         if number % 20 == 9 {
             bed.faults.late_writes = 4;
@@ -164,7 +131,7 @@
 #[test]
 fn killed_holders() {
     let mut bed = bed(5);
-    run_actions(&mut bed, 200, 10, |bed, number| match number % 40 {
+    run_actions(&mut bed, 200, 10, key_of, |bed, number| match number % 40 {
         20 => bed.kill(number / 40 % 4),
         35 => bed.start(number / 40 % 4),
         _ => {}
@@ -180,7 +147,7 @@
 #[test]
 fn paused_holders() {
     let mut bed = bed(6);
-    run_actions(&mut bed, 200, 10, |bed, number| match number {
+    run_actions(&mut bed, 200, 10, key_of, |bed, number| match number {
         20 | 40 => bed.pause(number / 20),
         180 => {
             bed.wake(1);
@@ -198,7 +165,7 @@
 #[test]
 fn refused_requests_release_their_claims() {
     let mut bed = bed(7);
-    run_actions(&mut bed, 100, 20, |bed, number| {
+    run_actions(&mut bed, 100, 20, key_of, |bed, number| {
         bed.upstreams.get("d1").refuses = number < 100 && number % 4 < 2;
         bed.upstreams.get("d2").refuses = number < 100 && number % 4 < 2;
     });
@@ -237,7 +204,7 @@
 fn lost_answers_of_upstreams() {
     let mut bed = bed(8);
     bed.upstreams.get("d1").loses_answers = true;
-    run_actions(&mut bed, 100, 20, |_, _| {});
+    run_actions(&mut bed, 100, 20, key_of, |_, _| {});
     let verdict = settle(&mut bed);
     assert_holds(&verdict);
     assert!(verdict.unknown > 0 && verdict.answered > 0, "{verdict:?}");
--- a/crates/sedgepath-core/tests/once_support/mod.rs
+++ b/crates/sedgepath-core/tests/once_support/mod.rs
@@ -34,11 +34,6 @@
     bed
 }
 
-/// Returns a key that a caller chose.
-pub fn key(number: usize) -> Once {
-    Once::Key(Digest::of(&[b"key", &number.to_le_bytes()]))
-}
-
 /// Returns a request; its digest is that of the action alone, as in a repeat.
 pub fn head(bed: &Bed, once: Once, attempt: u32) -> RequestHead {
     RequestHead {
@@ -150,3 +145,53 @@
         _ => verdict.unknown += 1,
     }
 }
+
+/// Starts `count` actions, one every `gap_ms`, over all nodes, and lets the callers repeat.
+pub fn run_actions(
+    bed: &mut Bed,
+    count: usize,
+    gap_ms: u64,
+    mut key: impl FnMut(&mut Bed, usize) -> Once,
+    mut fault: impl FnMut(&mut Bed, usize),
+) {
+    let mut actions = Vec::new();
+    for number in 0..count {
+        fault(bed, number);
+        let once = key(bed, number);
+        let node = number % bed.node_count();
+        actions.push(Action::new(bed, node, once));
+        bed.run_for(gap_ms);
+        poll_all(bed, &mut actions);
+    }
+    fault(bed, count);
+    for _ in 0..100 {
+        bed.run_for(100);
+        poll_all(bed, &mut actions);
+    }
+}
+
+fn poll_all(bed: &mut Bed, actions: &mut [Action]) {
+    for action in actions {
+        action.poll(bed);
+    }
+}
+
+/// Ends all faults, lets late writes land and repeats go on, and judges.
+pub fn settle(bed: &mut Bed) -> Verdict {
+    bed.faults.platform_down = false;
+    bed.faults.lost_answers_percent = 0;
+    bed.faults.heal_all();
+    for node in 0..bed.node_count() {
+        bed.wake(node);
+        if bed.node(node).is_none() {
+            bed.start(node);
+        }
+    }
+    bed.run_for(20_000);
+    judge(bed)
+}
+
+/// Asserts that every promise was kept.
+pub fn assert_holds(verdict: &Verdict) {
+    assert!(verdict.holds(), "{verdict:?}");
+}
--- /dev/null
+++ b/crates/sedgepath-core/tests/tickets.rs
@@ -0,0 +1,222 @@
+//! Actions under tickets: at most one run, with no table on the path.
+
+mod once_support;
+
+use once_support::{Verdict, assert_holds, bed, head, judge, run_actions, settle};
+use sedgepath_core::hash::Digest;
+use sedgepath_core::once::tickets::{MAX_LIVE, VALID_MS};
+use sedgepath_core::request::{Once, Outcome, Reason};
+use sedgepath_test_support::bed::{Bed, NodeIndex, Seen};
+
+fn ticket(bed: &mut Bed, node: NodeIndex) -> Once {
+    let tickets = bed.mint(node, "deposit", 1);
+    Once::Ticket(*tickets.first().expect("a ticket"))
+}
+
+/// Mints at the nodes in turn; one that is down or has just started gives none.
+fn ticket_of(bed: &mut Bed, number: usize) -> Once {
+    let nodes = bed.node_count();
+    let mut minted =
+        (1..=nodes).flat_map(|step| bed.mint((number / 2 + step) % nodes, "deposit", 1));
+    Once::Ticket(minted.next().expect("a node that mints"))
+}
+
+fn seen_of(bed: &mut Bed, node: NodeIndex, once: Once, attempt: u32) -> Seen {
+    let head = head(bed, once, attempt);
+    let call = bed.call(node, head);
+    bed.run_for(500);
+    bed.calls()[call].seen.clone()
+}
+
+fn is_refused(seen: &Seen, reason: Reason) -> bool {
+    matches!(seen, Seen::Concluded(Outcome::NotRun { refusal, .. }) if refusal.reason == reason)
+}
+
+/// The platform is down from start to end. Tickets are minted, forwarded to their homes, run and
+/// repeated all the same: every action is answered, and each runs once.
+#[test]
+fn platform_down_from_start_to_end() {
+    let mut bed = bed(1);
+    bed.faults.platform_down = true;
+    let commits = bed.table_commits;
+    run_actions(&mut bed, 200, 10, ticket_of, |_, _| {});
+    for number in 0..200 {
+        let once = bed.calls()[number].head.once;
+        let seen = seen_of(&mut bed, number % 4, once, 0);
+        assert!(matches!(seen, Seen::Concluded(Outcome::Repeated(_))), "{seen:?}");
+    }
+    assert_eq!(judge(&bed), Verdict { answered: 200, ..Verdict::default() });
+    assert_eq!(bed.table_commits, commits);
+}
+
+/// A ticket comes back with another request, at its home and elsewhere: it is refused, as its answer
+/// would belong to another action.
+#[test]
+fn a_ticket_with_another_request_is_refused() {
+    let mut bed = bed(2);
+    let once = ticket(&mut bed, 0);
+    assert!(matches!(seen_of(&mut bed, 2, once, 1), Seen::Answered { .. }));
+    for node in 0..4 {
+        let mut other = head(&bed, once, 2);
+        other.digest = Digest::of(&[b"another request"]);
+        let call = bed.call(node, other);
+        bed.run_for(100);
+        assert_eq!(bed.calls()[call].seen, Seen::Concluded(Outcome::KeyReused));
+    }
+    assert_eq!(judge(&bed).ran_twice, 0);
+}
+
+/// Homes die and start again with empty memories. What became of their tickets is unknown, at the
+/// new boot too, and no ticket runs a second time.
+#[test]
+fn killed_homes() {
+    let mut bed = bed(3);
+    run_actions(&mut bed, 200, 10, ticket_of, |bed, number| match number % 40 {
+        20 => bed.kill(number / 40 % 4),
+        35 => bed.start(number / 40 % 4),
+        _ => {}
+    });
+    let verdict = settle(&mut bed);
+    assert_holds(&verdict);
+    assert!(verdict.answered > 120, "{verdict:?}");
+}
+
+/// A ticket's run ends with its answer lost, and its home dies and starts again. The new boot mints
+/// tickets of the same numbers, but it does not know what the last one spent: the repeat ends
+/// unknown wherever it is sent, and does not run.
+#[test]
+fn a_restarted_home_does_not_run_the_tickets_of_its_last_boot() {
+    let mut bed = bed(10);
+    let once = ticket(&mut bed, 0);
+    bed.upstreams.get("d1").loses_answers = true;
+    bed.upstreams.get("d2").loses_answers = true;
+    let unknown = Seen::Concluded(Outcome::Unknown { retry_after_ms: 500 });
+    assert_eq!(seen_of(&mut bed, 0, once, 1), unknown);
+    bed.kill(0);
+    bed.start(0);
+    bed.run_for(5_000);
+    assert_eq!(bed.mint(0, "deposit", 5).len(), 5);
+    for node in 0..4 {
+        assert_eq!(seen_of(&mut bed, node, once, 2), unknown);
+    }
+    assert_holds(&judge(&bed));
+}
+
+/// Homes are paused with requests on their way to them, and wake after their callers have turned
+/// to other nodes, which can only forward.
+#[test]
+fn paused_homes() {
+    let mut bed = bed(4);
+    run_actions(&mut bed, 200, 10, ticket_of, |bed, number| match number {
+        20 | 40 => bed.pause(number / 20),
+        180 => {
+            bed.wake(1);
+            bed.wake(2);
+        }
+        _ => {}
+    });
+    let verdict = settle(&mut bed);
+    assert_holds(&verdict);
+    assert!(verdict.answered > 150, "{verdict:?}");
+}
+
+/// A home stops as planned with tickets used, refused and unused. Other nodes go on to answer for
+/// all of them, from what it left in the table: nothing is unknown, and what it had not run never is.
+fn planned_stop(mut bed: Bed, platform_down: bool) {
+    let tickets: Vec<_> = (0..60).map(|_| ticket(&mut bed, 1)).collect();
+    for once in &tickets[..20] {
+        assert!(matches!(seen_of(&mut bed, 2, *once, 1), Seen::Answered { .. }));
+    }
+    bed.upstreams.get("d1").refuses = true;
+    bed.upstreams.get("d2").refuses = true;
+    for once in &tickets[20..40] {
+        assert!(is_refused(&seen_of(&mut bed, 1, *once, 1), Reason::UpstreamRefused));
+    }
+    bed.upstreams.get("d1").refuses = false;
+    bed.upstreams.get("d2").refuses = false;
+    bed.faults.platform_down = platform_down;
+    bed.stop(1);
+    bed.run_for(30_000);
+    assert!(bed.has_stopped(1));
+    for restarted in [false, true] {
+        if restarted {
+            bed.start(1);
+            bed.run_for(2_000);
+        }
+        for (number, once) in tickets.iter().enumerate() {
+            // A node that starts while the platform is down has no configuration yet.
+            let own = restarted && !platform_down;
+            let node = if own { number % 4 } else { [0, 2, 3][number % 3] };
+            let seen = seen_of(&mut bed, node, *once, 2);
+            let holds = if number < 20 {
+                matches!(seen, Seen::Concluded(Outcome::Repeated(_)))
+            } else {
+                is_refused(&seen, Reason::TicketVoid)
+            };
+            assert!(holds, "ticket {number} through {node}: {seen:?}");
+        }
+    }
+    let verdict = judge(&bed);
+    assert_eq!(verdict, Verdict { answered: 20, not_run: 40, ..Verdict::default() });
+}
+
+/// See [`planned_stop`]; the rows in the table tell.
+#[test]
+fn a_planned_stop_leaves_nothing_unknown() {
+    planned_stop(bed(5), false);
+}
+
+/// See [`planned_stop`]; the platform is down, and the successors' copies tell.
+#[test]
+fn a_planned_stop_leaves_nothing_unknown_while_the_platform_is_down() {
+    planned_stop(bed(6), true);
+}
+
+/// A ticket lapses unused, and another one used. The home knows that the first was never run and
+/// refuses it for good; of the second it gives the answer.
+#[test]
+fn a_lapsed_ticket_is_not_run() {
+    let mut bed = bed(7);
+    let unused = ticket(&mut bed, 0);
+    let used = ticket(&mut bed, 0);
+    assert!(matches!(seen_of(&mut bed, 0, used, 1), Seen::Answered { .. }));
+    bed.run_for(VALID_MS);
+    assert!(is_refused(&seen_of(&mut bed, 3, unused, 1), Reason::TicketVoid));
+    let repeat = seen_of(&mut bed, 3, used, 2);
+    assert!(matches!(repeat, Seen::Concluded(Outcome::Repeated(_))), "{repeat:?}");
+    assert_holds(&judge(&bed));
+}
+
+/// Callers take tickets without end: a boot stops minting at its bound, for it has to remember each
+/// until it lapses, and goes on when the first have lapsed.
+#[test]
+fn minting_is_bounded() {
+    let mut bed = bed(8);
+    let minted: usize = (0..300).map(|_| bed.mint(0, "deposit", 100).len()).sum();
+    assert_eq!(minted, MAX_LIVE);
+    bed.run_for(VALID_MS);
+    assert_eq!(bed.mint(0, "deposit", 100).len(), 100);
+    assert!(bed.mint(0, "deposit", 101).is_empty());
+    assert!(bed.mint(0, "no such service", 1).is_empty());
+}
+
+/// The first request waits at a paused node when its caller repeats it at the ticket's home, where
+/// the upstreams refuse it, and hears *not run*. The paused node wakes and forwards the first; the
+/// caller has been told, so it must not run any more.
+#[test]
+fn a_delayed_request_does_not_run_after_a_later_one_was_denied() {
+    let mut bed = bed(9);
+    let once = ticket(&mut bed, 2);
+    bed.pause(0);
+    let first = head(&bed, once, 1);
+    bed.call(0, first);
+    bed.upstreams.get("d1").refuses = true;
+    bed.upstreams.get("d2").refuses = true;
+    assert!(is_refused(&seen_of(&mut bed, 2, once, 2), Reason::UpstreamRefused));
+    bed.upstreams.get("d1").refuses = false;
+    bed.upstreams.get("d2").refuses = false;
+    bed.wake(0);
+    bed.run_for(1_000);
+    assert!(bed.upstreams.runs_by_key().is_empty());
+    assert_holds(&judge(&bed));
+}
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -14,13 +14,14 @@
 use sedgepath_core::event::{Action, Event, ListedVm, UpstreamReport};
 use sedgepath_core::identity::{Identity, NodeSettings};
 use sedgepath_core::key::{
-    BootId, DomainKey, ExchangeKey, OperationKey, RequestKey, UpstreamKey, VmKey,
+    BootId, DomainKey, ExchangeKey, OperationKey, ReplyKey, RequestKey, UpstreamKey, VmKey,
 };
 use sedgepath_core::message::MemberCard;
 use sedgepath_core::node::Node;
+use sedgepath_core::once::row::HandedOver;
 use sedgepath_core::record::RawRecord;
 use sedgepath_core::request::{
-    AnswerHead, CallEnd, Dispatch, HopEnd, Outcome, RequestHead, StoredAnswer,
+    AnswerHead, CallEnd, Dispatch, HopEnd, Outcome, RequestHead, StoredAnswer, Ticket,
 };
 use sedgepath_core::table::{TableRequest, TableResult};
 use sedgepath_platform::TableService;
@@ -155,6 +156,7 @@
     CallEnded(ExchangeKey, CallEnd, u64),
     Report(UpstreamKey, UpstreamReport),
     Fetched(OperationKey, Option<sedgepath_core::event::Snapshot>),
+    HandOverEnded(OperationKey, bool),
 }
 
 /// Nodes, upstreams and a table under one clock.
@@ -174,6 +176,7 @@
     calls: Vec<Call>,
     next_number: u64,
     log: Vec<(NodeIndex, sedgepath_core::timeline::Entry)>,
+    minted: Vec<Ticket>,
     /// The transactions that have reached the table.
     pub table_commits: u64,
     /// The readings that have reached the table.
@@ -201,6 +204,7 @@
             calls: Vec::new(),
             next_number: 1,
             log: Vec::new(),
+            minted: Vec::new(),
             table_commits: 0,
             table_reads: 0,
             absent_from_list: BTreeSet::new(),
@@ -387,6 +391,16 @@
         call
     }
 
+    /// Asks a node for tickets; there are none if it refuses or does not run.
+    pub fn mint(&mut self, node: NodeIndex, service: &str, count: u32) -> Vec<Ticket> {
+        self.minted.clear();
+        if self.runs(node) {
+            let reply = ReplyKey(self.number());
+            self.handle(node, Event::MintTickets { reply, service: service.into(), count });
+        }
+        std::mem::take(&mut self.minted)
+    }
+
     /// Hands a request to a node; one that is paused finds it when it wakes.
     fn ask(&mut self, node: NodeIndex, request: RequestKey, head: RequestHead) {
         if self.nodes[node].paused {
@@ -518,6 +532,7 @@
             }
             BedEvent::Report(upstream, report) => Event::UpstreamReport { upstream, report },
             BedEvent::Fetched(operation, snapshot) => Event::Fetched { operation, snapshot },
+            BedEvent::HandOverEnded(operation, taken) => Event::HandOverEnded { operation, taken },
             BedEvent::Dispatch(dispatch, exchange) => {
                 let key = ExchangeKey(self.number());
                 let from = VmKey::of(&self.nodes[exchange.ingress].name);
@@ -544,6 +559,12 @@
                 self.forward_home(index, request, attempt, to);
             }
             Action::Relay { request, attempt } => self.relay(index, request, attempt),
+            Action::AnswerTickets { tickets, .. } => {
+                self.minted = tickets.unwrap_or_default();
+            }
+            Action::HandOver { operation, to, tickets, .. } => {
+                self.hand_over(index, operation, to, tickets);
+            }
             Action::Abandon { .. } | Action::AnswerLookUp { .. } | Action::Cancel { .. } => {}
             Action::Conclude { request, outcome } => {
                 if let Some(call) = self.nodes[index].requests.remove(&request) {
@@ -805,6 +826,21 @@
         self.deliver_later(index, delay_ms, BedEvent::Fetched(operation, snapshot));
     }
 
+    fn hand_over(
+        &mut self,
+        index: NodeIndex,
+        operation: OperationKey,
+        to: VmKey,
+        tickets: HandedOver,
+    ) {
+        let target = self.nodes.iter().position(|slot| VmKey::of(&slot.name) == to);
+        let target = target.filter(|target| self.connects(index, *target) && self.runs(*target));
+        if let Some(target) = target {
+            self.handle(target, Event::HandedOver(tickets));
+        }
+        self.deliver_later(index, 10, BedEvent::HandOverEnded(operation, target.is_some()));
+    }
+
     fn deliver_later(&mut self, index: NodeIndex, delay_ms: u64, event: BedEvent) {
         let boot = Some(self.nodes[index].boots);
         self.schedule(delay_ms, Item::Deliver { node: index, boot, event: Box::new(event) });
--- a/crates/sedgepath-wire/src/frame.rs
+++ b/crates/sedgepath-wire/src/frame.rs
@@ -71,6 +71,8 @@
     Run(Dispatch),
     /// To take the request over as the home of its ticket.
     TakeHome(HomeRequest),
+    /// To keep the tickets of the sender, which stops; they are the body, written by postcard.
+    KeepTickets,
 }
 
 /// What the home of a ticket is told of a request beyond its HTTP head.
@@ -88,6 +90,8 @@
     pub remaining_ms: u64,
     /// How the request is kept from running twice.
     pub once: sedgepath_core::request::Once,
+    /// The number of the attempt.
+    pub attempt: u32,
     /// The digest of the request.
     pub digest: sedgepath_core::hash::Digest,
 }
--- a/crates/sedgepath-wire/src/lib.rs
+++ b/crates/sedgepath-wire/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod frame;
 pub mod key;
 pub mod rpc;
+pub mod ticket;
--- a/crates/sedgepathd/src/driver.rs
+++ b/crates/sedgepathd/src/driver.rs
@@ -14,11 +14,13 @@
 use sedgepath_core::hash::Map;
 use sedgepath_core::key::{ExchangeKey, ReplyKey, RequestKey, VmKey};
 use sedgepath_core::node::Node;
-use sedgepath_core::request::{Dispatch, RequestHead};
+use sedgepath_core::once::tickets::MintError;
+use sedgepath_core::request::{Dispatch, RequestHead, Ticket};
 use sedgepath_wire::datagram;
 use sedgepath_wire::key::SharedKey;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::homes::HandOverJob;
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::platform::PlatformJob;
@@ -69,6 +71,7 @@
     Event(Event),
     LookUp(LookUp, oneshot::Sender<Result<LookUpAnswer, LookUpError>>),
     Request(RequestKey, RequestHead, mpsc::UnboundedSender<Action>),
+    Mint(Box<str>, u32, oneshot::Sender<Result<Vec<Ticket>, MintError>>),
     Dispatch(ExchangeKey, VmKey, Dispatch, mpsc::UnboundedSender<Action>),
     Ask(Question),
 }
@@ -105,6 +108,13 @@
         receiver.await.ok()
     }
 
+    /// Asks for tickets; none if the process is about to end.
+    pub async fn mint(&self, service: &str, count: u32) -> Option<Result<Vec<Ticket>, MintError>> {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Input::Mint(service.into(), count, sender));
+        receiver.await.ok()
+    }
+
     /// Hands over a caller's request; the actions that concern it arrive on the channel.
     pub fn request(&self, head: RequestHead) -> (RequestKey, mpsc::UnboundedReceiver<Action>) {
         let request = RequestKey(self.next_number());
@@ -159,6 +169,8 @@
     pub platform: Sender<PlatformJob>,
     /// The queue of fetches from peers.
     pub fetches: mpsc::UnboundedSender<crate::operators::FetchJob>,
+    /// The queue of hand-overs to peers.
+    pub hand_overs: mpsc::UnboundedSender<HandOverJob>,
     /// What is counted.
     pub metrics: Arc<Metrics>,
 }
@@ -181,6 +193,7 @@
         requests: Map::default(),
         exchanges: Map::default(),
         look_ups: Map::default(),
+        mints: Map::default(),
         next_reply: 0,
         stopped: false,
     };
@@ -196,6 +209,7 @@
     requests: Map<RequestKey, mpsc::UnboundedSender<Action>>,
     exchanges: Map<ExchangeKey, mpsc::UnboundedSender<Action>>,
     look_ups: Map<ReplyKey, oneshot::Sender<Result<LookUpAnswer, LookUpError>>>,
+    mints: Map<ReplyKey, oneshot::Sender<Result<Vec<Ticket>, MintError>>>,
     next_reply: u64,
     stopped: bool,
 }
@@ -223,11 +237,15 @@
         let event = match input {
             Input::Event(event) => event,
             Input::LookUp(look_up, sender) => {
-                self.next_reply += 1;
-                let reply = ReplyKey(self.next_reply);
+                let reply = self.next_reply();
                 self.look_ups.insert(reply, sender);
                 Event::LookUp { reply, look_up }
             }
+            Input::Mint(service, count, sender) => {
+                let reply = self.next_reply();
+                self.mints.insert(reply, sender);
+                Event::MintTickets { reply, service, count }
+            }
             Input::Request(request, head, sender) => {
                 self.requests.insert(request, sender);
                 Event::Request { request, head }
@@ -254,6 +272,11 @@
         self.carry_out(actions);
     }
 
+    fn next_reply(&mut self) -> ReplyKey {
+        self.next_reply += 1;
+        ReplyKey(self.next_reply)
+    }
+
     fn carry_out(&mut self, actions: Vec<Action>) {
         self.revision.store(self.node.configuration().revision(), Ordering::Relaxed);
         for action in actions {
@@ -265,6 +288,16 @@
                         let _unread = sender.send(answer);
                     }
                 }
+                Action::AnswerTickets { reply, tickets } => {
+                    if let Some(sender) = self.mints.remove(&reply) {
+                        // The caller may have gone away.
+                        let _unread = sender.send(tickets);
+                    }
+                }
+                Action::HandOver { operation, to, address, tickets } => {
+                    let job = HandOverJob { operation, to, address, tickets };
+                    let _ended = self.outlets.hand_overs.send(job);
+                }
                 Action::Forward { request, .. }
                 | Action::ForwardHome { request, .. }
                 | Action::Relay { request, .. }
