--- a/crates/sedgepath-core/src/once.rs
+++ b/crates/sedgepath-core/src/once.rs
@@ -179,7 +179,7 @@
     /// which the node has nothing in flight.
     pub fn hand_over(&mut self, membership: &Membership, out: &mut Outbox) -> bool {
         self.tickets.close();
-        if !self.tickets.is_idle() {
+        if !self.tickets.is_idle() || !self.visitors.is_idle() {
             return false;
         }
         if self.hand_over.is_none() {
@@ -240,6 +240,14 @@
     if attempt == 1 { not_run(reason) } else { Outcome::Unknown { retry_after_ms: RETRY_AFTER_MS } }
 }
 
+/// Turns *not run* into *unknown* for a request that was denied before its key was looked at, unless
+/// it is the first with that key.
+pub fn hedge(head: &RequestHead, outcome: &mut Outcome) {
+    if matches!(outcome, Outcome::NotRun { .. }) && head.attempt != 1 {
+        *outcome = Outcome::Unknown { retry_after_ms: RETRY_AFTER_MS };
+    }
+}
+
 fn conclude(request: RequestKey, outcome: Outcome, out: &mut Outbox) {
     out.push(Action::Conclude { request, outcome });
 }
--- a/crates/sedgepath-core/src/once/visitors.rs
+++ b/crates/sedgepath-core/src/once/visitors.rs
@@ -164,6 +164,11 @@
         }
     }
 
+    /// Whether no request waits.
+    pub fn is_idle(&self) -> bool {
+        self.visitors.is_empty()
+    }
+
     /// Forgets a request that has got its answer or whose caller has gone.
     pub fn forget(&mut self, request: RequestKey) {
         self.visitors.remove(&request);
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -9,9 +9,12 @@
 //! writes late; clocks of nodes are off.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use sedgepath_core::event::{Action, Event, ListedVm, UpstreamReport};
+use sedgepath_core::event::{
+    Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError, UpstreamReport,
+};
+use sedgepath_core::hash::Digest;
 use sedgepath_core::identity::{Identity, NodeSettings};
 use sedgepath_core::key::{
     BootId, DomainKey, ExchangeKey, OperationKey, ReplyKey, RequestKey, UpstreamKey, VmKey,
@@ -21,7 +24,7 @@
 use sedgepath_core::once::row::HandedOver;
 use sedgepath_core::record::RawRecord;
 use sedgepath_core::request::{
-    AnswerHead, CallEnd, Dispatch, HopEnd, Outcome, RequestHead, StoredAnswer, Ticket,
+    AnswerHead, CallEnd, Dispatch, HopEnd, Once, Outcome, RequestHead, StoredAnswer, Ticket,
 };
 use sedgepath_core::table::{TableRequest, TableResult};
 use sedgepath_platform::TableService;
@@ -62,6 +65,22 @@
     Broken,
 }
 
+/// The datagrams that a node sent and received.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// The datagrams sent, lost ones among them.
+    pub sent: u64,
+    /// Their bytes, with the code and the headers of IP and UDP.
+    pub sent_bytes: u64,
+    /// The datagrams received.
+    pub received: u64,
+    /// Their bytes, counted like those sent.
+    pub received_bytes: u64,
+}
+
+/// The bytes of a datagram besides its envelope: a code of 16, and 28 of IPv4 and UDP headers.
+const DATAGRAM_EXTRA_BYTES: u64 = 16 + 28;
+
 /// A caller's request.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -90,6 +109,7 @@
     requests: BTreeMap<RequestKey, CallIndex>,
     exchanges: BTreeMap<ExchangeKey, Exchange>,
     stopped: bool,
+    traffic: Traffic,
 }
 
 /// A dispatch at its owner, and whom its reply goes to.
@@ -244,6 +264,7 @@
             requests: BTreeMap::new(),
             exchanges: BTreeMap::new(),
             stopped: false,
+            traffic: Traffic::default(),
         });
         self.start(index);
         index
@@ -288,6 +309,11 @@
         self.nodes[node].stopped
     }
 
+    /// Returns the datagrams that a node has sent and received since it was added.
+    pub fn traffic(&self, node: NodeIndex) -> Traffic {
+        self.nodes[node].traffic
+    }
+
     /// Returns all calls made so far.
     pub fn calls(&self) -> &[Call] {
         &self.calls
@@ -368,6 +394,22 @@
         self.leaving_in_list.insert(index);
     }
 
+    /// Creates a guest's repeatable request that waits for two seconds.
+    pub fn head(&self, service: &str) -> RequestHead {
+        RequestHead {
+            service: service.into(),
+            source: IpAddr::V4(Ipv4Addr::LOCALHOST),
+            key_digest: None,
+            deadline_at_ms: self.now_ms + 2_000,
+            once: Once::Repeatable,
+            attempt: 0,
+            idempotent: true,
+            digest: Digest::of(&[b"GET /"]),
+            revision_seen: 0,
+            forwarded_by: None,
+        }
+    }
+
     /// Sends a caller's request to a node; `head.deadline_at_ms` is by the bed's clock.
     pub fn call(&mut self, node: NodeIndex, head: RequestHead) -> CallIndex {
         let call = self.calls.len();
@@ -412,6 +454,23 @@
         }
     }
 
+    /// Asks a node which entry VMs to use.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the node's look-up does.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the node is down.
+    pub fn look_up(
+        &mut self,
+        node: NodeIndex,
+        look_up: &LookUp,
+    ) -> Result<LookUpAnswer, LookUpError> {
+        self.nodes[node].node.as_mut().expect("the node is down").look_up(look_up)
+    }
+
     /// Hands an event to a node at once and carries its actions out.
     pub fn handle(&mut self, index: NodeIndex, event: Event) {
         let now_ms = self.local_ms(index);
@@ -595,6 +654,10 @@
         to: SocketAddr,
         envelope: &sedgepath_core::message::Envelope,
     ) {
+        let size = postcard::experimental::serialized_size(envelope);
+        let bytes = size.map_or(0, |size| size as u64 + DATAGRAM_EXTRA_BYTES);
+        self.nodes[from].traffic.sent += 1;
+        self.nodes[from].traffic.sent_bytes += bytes;
         let Some(target) = self.nodes.iter().position(|slot| slot.card.peers == to) else {
             return;
         };
@@ -603,6 +666,8 @@
         }
         let copies = self.faults.datagram_copies(&mut self.random);
         for _ in 0..copies {
+            self.nodes[target].traffic.received += 1;
+            self.nodes[target].traffic.received_bytes += bytes;
             let delay_ms = self.delay_ms(from, target);
             let event = Box::new(BedEvent::Datagram(envelope.clone()));
             self.schedule(delay_ms, Item::Deliver { node: target, boot: None, event });
@@ -661,7 +726,7 @@
         if let Some(upstream) = self.upstreams.answered(call) {
             self.see(call, Seen::Answered { upstream });
         }
-        let once = self.calls[call].head.once != sedgepath_core::request::Once::Repeatable;
+        let once = self.calls[call].head.once != Once::Repeatable;
         let stored = once.then(|| StoredAnswer {
             status: 200,
             content_type: None,
--- a/crates/sedgepathd/src/callers/answers.rs
+++ b/crates/sedgepathd/src/callers/answers.rs
@@ -3,12 +3,15 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use sedgepath_core::request::Outcome;
+use sedgepath_wire::frame::Field;
 use serde_json::json;
 
-use crate::reply::BodyBroken;
+use super::collect::body_of;
+use crate::exchange::passed_on;
+use crate::reply::{BodyBroken, Reply};
 
 /// The body of any answer to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, BodyBroken>;
@@ -30,8 +33,10 @@
             given_up("unknown", (*retry_after_ms, now_ms), StatusCode::GATEWAY_TIMEOUT, &body)
         }
         Outcome::Repeated(stored) => {
-            let body = Bytes::copy_from_slice(stored.body.as_bytes());
-            let mut response = whole_response(StatusCode::OK, body);
+            let mut response = whole_response(StatusCode::OK, body_of(stored));
+            if let Some(content_type) = &stored.content_type {
+                set(&mut response, "content-type", content_type);
+            }
             *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
             set(&mut response, "sedgepath-outcome", "answered");
             set(&mut response, "sedgepath-repeated", "true");
@@ -82,6 +87,28 @@
     response
 }
 
+/// Adds header fields to an answer.
+pub(super) fn append(response: &mut Response<ResponseBody>, fields: &[Field]) {
+    for (name, value) in fields {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+}
+
+/// Turns an answer that the daemon gives into the reply to a peer that passes it on.
+pub(super) async fn concluded(response: Response<ResponseBody>) -> Reply {
+    let (parts, body) = response.into_parts();
+    let fields = passed_on(&parts.headers);
+    match body.collect().await {
+        Ok(body) => {
+            Reply::Concluded { status: parts.status.as_u16(), fields, body: body.to_bytes() }
+        }
+        Err(BodyBroken) => Reply::Lost,
+    }
+}
+
 pub(super) fn set(response: &mut Response<ResponseBody>, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         response.headers_mut().insert(name, value);
