--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -277,6 +277,9 @@
     let Some(class) = classify(head, view.catalogue) else {
         return Err(Denied::Outcome(Outcome::UnknownOrganisation));
     };
+    if entry.once_only && head.once == Once::Repeatable {
+        return Err(Denied::Outcome(Outcome::KeyRequired));
+    }
     if head.deadline_at_ms <= view.now_ms {
         return Err(Denied::NotRun(Reason::Deadline));
     }
--- a/crates/sedgepath-core/tests/claims.rs
+++ b/crates/sedgepath-core/tests/claims.rs
@@ -35,6 +35,16 @@
     assert_eq!(verdict, Verdict { answered: 20, ..Verdict::default() });
 }
 
+/// A service's record says that its actions are once-only. A request without a key or ticket could
+/// not be told from its repeat, so it is refused.
+#[test]
+fn a_once_only_service_takes_no_request_without_a_key() {
+    let mut bed = bed(14);
+    let head = head(&bed, Once::Repeatable, 0);
+    let call = bed.call(0, head);
+    assert_eq!(bed.calls()[call].seen, Seen::Concluded(Outcome::KeyRequired));
+}
+
 /// A key comes back with another request: it is refused on every node, before and after the first
 /// request has ended, since its answer would belong to another action.
 #[test]
--- a/crates/sedgepath-core/tests/once_support/mod.rs
+++ b/crates/sedgepath-core/tests/once_support/mod.rs
@@ -19,9 +19,12 @@
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
         slots: 16,
     };
+    let upstreams = [upstream("d1", "north-a"), upstream("d2", "south-a")];
+    let mut service = records::service("deposit", 5_000, &upstreams);
+    service.body = service.body.replacen('{', "{\"once_only\":true,", 1).into();
     bed.write_records(&[
         records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
-        records::service("deposit", 5_000, &[upstream("d1", "north-a"), upstream("d2", "south-a")]),
+        service,
         records::steering("deposit", &[("north-a", 1.0), ("south-a", 1.0)], 100.0, 10_000),
     ]);
     bed.upstreams.add("d1", FakeUpstream::new(16, 30));
