--- a/crates/sedgepath-core/src/egress/leaving.rs
+++ b/crates/sedgepath-core/src/egress/leaving.rs
@@ -74,11 +74,16 @@
         self.until_ms.contains_key(&upstream)
     }
 
-    /// Forgets those whose time is over, those that are gone from the records and those that a drain
-    /// record names, since all nodes have that.
+    /// Forgets those whose time is over and those that a drain record names, since all nodes have
+    /// that.
+    ///
+    /// Upstreams that no record names are kept: a node that has just started is told of them before
+    /// it has any records, and would send them work once it has.
     pub fn expire(&mut self, catalogue: &Catalogue, now_ms: u64) {
-        self.until_ms
-            .retain(|upstream, until_ms| now_ms < *until_ms && !catalogue.is_draining(*upstream));
+        let drained = |upstream: &UpstreamKey| {
+            catalogue.upstreams.contains_key(upstream) && catalogue.is_draining(*upstream)
+        };
+        self.until_ms.retain(|upstream, until_ms| now_ms < *until_ms && !drained(upstream));
     }
 
     /// Returns the notice that is due, if there is one.
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -27,6 +27,8 @@
 pub mod record;
 pub mod request;
 pub mod retry;
+pub mod schema;
+pub mod shift;
 pub mod steering;
 pub mod stop;
 pub mod table;
--- a/crates/sedgepath-core/src/message.rs
+++ b/crates/sedgepath-core/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Stamp;
-use crate::key::{BootId, DomainKey, ServiceKey, UpstreamKey, VmKey};
+use crate::key::{BootId, DomainKey, OriginKey, ServiceKey, UpstreamKey, VmKey};
 
 /// A datagram: who sent it, in which order, and what it says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -27,6 +27,12 @@
 pub enum Message {
     /// A sign of life to a member of the same failure domain.
     Heartbeat(Heartbeat),
+    /// A new configuration revision.
+    Revision(RevisionNotice),
+    /// A node that has just started asks where traffic stands.
+    BaselineRequest,
+    /// The answer to it.
+    Baseline(Baseline),
     /// Asks a member when it last heard directly of another.
     Probe(Probe),
     /// Answers a probe.
@@ -37,6 +43,58 @@
     LeavingUpstreams(LeavingUpstreams),
 }
 
+/// What a node knows of the configuration, passed on with every sign of life.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationNews {
+    /// The revision that the node has in force.
+    pub revision: u64,
+    /// The time since the newest successful reading of the platform's head that the node knows of,
+    /// in milliseconds; a time on the wire, since clocks differ between nodes.
+    pub head_age_ms: u64,
+}
+
+/// Tells of a revision that the sender has just put in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionNotice {
+    /// What the sender knows of the configuration.
+    pub news: ConfigurationNews,
+    /// Where the sender takes remote calls, to fetch the records from.
+    pub operators: SocketAddr,
+}
+
+/// Where traffic stands.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Baseline {
+    /// The configuration revision that the sender has in force.
+    pub revision: u64,
+    /// The shares that differ from the records'.
+    pub moved: Vec<StandingShares>,
+}
+
+/// Where the traffic of an origin group stands, while it differs from the record.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StandingShares {
+    /// The service.
+    pub service: ServiceKey,
+    /// The origin group of the record.
+    pub group: OriginKey,
+    /// The shares by failure domain.
+    pub shares: Vec<StandingShare>,
+}
+
+/// The share of a failure domain, and on which way it came there.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct StandingShare {
+    /// The failure domain.
+    pub domain: DomainKey,
+    /// The share now.
+    pub now: f64,
+    /// The share one window ago.
+    pub one_window_ago: f64,
+    /// The share two windows ago.
+    pub two_windows_ago: f64,
+}
+
 /// A sign of life.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -44,8 +102,8 @@
     pub sent_at_ms: u64,
     /// The sender's name and addresses, until the receiver has acknowledged them.
     pub card: Option<MemberCard>,
-    /// The configuration revision that the sender has in force.
-    pub revision: u64,
+    /// What the sender knows of the configuration.
+    pub news: ConfigurationNews,
     /// The sender's load by service.
     pub loads: Vec<ServiceLoad>,
     /// Acknowledges the last heartbeat of the receiver that the sender has.
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -9,18 +9,19 @@
 use crate::allowance::{self, Allowance};
 use crate::candidates::View;
 use crate::configuration::Configuration;
+use crate::configuration::store::{Page, Position};
 use crate::egress::{Egress, Scope};
 use crate::event::{Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError};
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{self, Conclusion, Ingress, Means};
 use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
 use crate::membership::{self, Membership, OwnState};
-use crate::message::{Envelope, Message, ServiceLoad};
+use crate::message::{Baseline, Envelope, Message, ServiceLoad};
 use crate::once::tickets::MintError;
 use crate::once::{self, OnceSystem};
 use crate::outbox::Outbox;
 use crate::request::{HopEnd, Once, RequestHead, Ticket};
-use crate::steering::{RandomByShare, SteeringPolicy};
+use crate::steering::{ByHeadroom, SteeringPolicy};
 use crate::stop::PlannedStop;
 use crate::timeline::Topic;
 
@@ -33,6 +34,7 @@
                 identity: &$identity,
                 catalogue: $node.configuration.catalogue(),
                 revision: $node.configuration.revision(),
+                ready: $node.configuration.ready(),
                 membership: &$node.membership,
                 own_loads: &$node.own_loads,
             },
@@ -63,9 +65,9 @@
     pub fn new(identity: Identity, settings: NodeSettings) -> Self {
         Self {
             out: Outbox::new(identity),
-            configuration: Configuration::default(),
+            configuration: Configuration::new(settings.clone()),
             membership: Membership::new(settings.clone()),
-            policy: Box::new(RandomByShare),
+            policy: Box::new(ByHeadroom),
             ingress: Ingress::new(settings.seed),
             egress: Egress::new(settings.admission),
             once: OnceSystem::default(),
@@ -87,6 +89,15 @@
         &self.configuration
     }
 
+    /// Returns the next page of the records that were written after a position, for a peer.
+    pub fn page(&self, after: &Position) -> Page {
+        let mut page = self.configuration.page(after);
+        if after.is_first() {
+            page.listed = self.membership.listed().to_vec();
+        }
+        page
+    }
+
     /// Returns the members heard of.
     pub fn membership(&self) -> &Membership {
         &self.membership
@@ -145,10 +156,14 @@
                 }
             }
             Event::VmList(listed) => self.vm_list(listed),
-            Event::Fetched { snapshot, .. } => {
-                if let Some(snapshot) = snapshot {
-                    self.configuration.apply(snapshot, &mut self.out);
+            Event::Fetched { operation, page } => {
+                if let Some(page) = page.as_ref().filter(|page| !page.listed.is_empty()) {
+                    self.membership.take_list_of_peer(&page.listed);
                 }
+                self.configuration.fetched(operation, page, &mut self.out);
+            }
+            Event::Change { reply, request } => {
+                self.configuration.begin_change(reply, request, &mut self.out);
             }
             Event::HandedOver(tickets) => self.once.keep(tickets),
             Event::HandOverEnded { operation, taken } => self.once.copied(operation, taken),
@@ -160,12 +175,12 @@
     /// Runs the systems that work by time; to be called every few tens of milliseconds.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
-        self.configuration.tick(self.settings.head_every_ms, &mut self.out);
+        self.configuration.tick(&self.membership, &mut self.out);
         self.allowances = None;
         self.admit(Egress::tick);
         self.tell_leaving();
         self.own_loads = self.admit(|egress, scope, out| egress.loads(scope, out.now_ms()));
-        let own = OwnState { revision: self.configuration.revision(), loads: &self.own_loads };
+        let own = OwnState { news: self.configuration.news(now_ms), loads: &self.own_loads };
         self.membership.tick(own, &mut self.out);
         let identity = self.out.shared_identity();
         let means = means!(self, identity);
@@ -347,6 +362,19 @@
         allowance::whole(identity.vm, identity.card.domain, &serving, catalogue)
     }
 
+    /// Takes in that a member has a revision in force, if it is known where to fetch it.
+    fn hear_revision(&mut self, vm: VmKey, revision: u64) {
+        if let Some(member) = self.membership.member(vm) {
+            self.configuration.hear_revision(vm, member.card.operators, revision);
+        }
+    }
+
+    fn baseline(&mut self, from: VmKey, baseline: Option<&Baseline>) {
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        self.ingress.places_mut().take_baseline(from, baseline, &means, &mut self.out);
+    }
+
     fn datagram(&mut self, envelope: &Envelope) {
         if envelope.from == self.out.identity().vm {
             return;
@@ -364,12 +392,26 @@
                 if boot(self) != known {
                     self.tell_newcomer(envelope.from);
                 }
+                self.configuration.hear_head_age(heartbeat.news.head_age_ms, &self.out);
+                self.hear_revision(envelope.from, heartbeat.news.revision);
             }
+            Message::Revision(notice) => {
+                self.configuration.hear_head_age(notice.news.head_age_ms, &self.out);
+                let revision = notice.news.revision;
+                self.configuration.hear_revision(envelope.from, notice.operators, revision);
+            }
+            Message::BaselineRequest => self.baseline(envelope.from, None),
+            Message::Baseline(baseline) => self.baseline(envelope.from, Some(baseline)),
             Message::Probe(probe) => self.membership.take_probe(envelope, probe, &mut self.out),
             Message::ProbeAnswer(answer) => {
                 self.membership.take_probe_answer(answer, &mut self.out);
             }
-            Message::Summary(summary) => self.membership.take_summary(summary, &mut self.out),
+            Message::Summary(summary) => {
+                self.membership.take_summary(summary, &mut self.out);
+                for line in &summary.lines {
+                    self.hear_revision(line.vm, line.revision);
+                }
+            }
         }
     }
 }
--- a/crates/sedgepath-core/src/steering.rs
+++ b/crates/sedgepath-core/src/steering.rs
@@ -1,6 +1,13 @@
 //! The choice of a failure domain for a request.
 
-use crate::key::{DomainKey, OriginKey, ServiceKey};
+use crate::key::{DomainKey, OriginKey, RegionKey, ServiceKey};
+use crate::request::Class;
+
+mod baselines;
+mod by_headroom;
+
+pub use baselines::{LeastLoadedByLastReport, RandomByShare};
+pub use by_headroom::ByHeadroom;
 
 /// A failure domain that a request could go to.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -13,16 +20,29 @@
     pub slots: u32,
     /// Those taken, as last reported.
     pub in_flight: u32,
-    /// The age of that report in milliseconds.
+    /// Whether any of its owners has reported on the service.
+    pub reported: bool,
+    /// The age of the oldest of those reports in milliseconds.
     pub report_age_ms: u64,
     /// The slots that its upstreams have by their records, drained ones left out.
     pub declared_slots: u32,
     /// Whether an entry VM of it takes work.
     pub serves: bool,
-    /// Whether it is in the region of this node.
-    pub same_region: bool,
-    /// Whether it is the failure domain of this node.
-    pub same_domain: bool,
+    /// Its region, if a record names it.
+    pub region: Option<RegionKey>,
+}
+
+impl Candidate {
+    /// Whether a request could be run there at all.
+    pub fn is_usable(&self) -> bool {
+        self.serves && self.declared_slots > 0
+    }
+
+    /// Whether it has failed although no record takes it out of service: none of its entry VMs can
+    /// be reached, or its owners can use none of its upstreams.
+    pub fn is_lost(&self) -> bool {
+        self.declared_slots > 0 && (!self.serves || (self.reported && self.slots == 0))
+    }
 }
 
 /// What a choice is for.
@@ -32,9 +52,13 @@
     pub service: ServiceKey,
     /// The origin group of the caller.
     pub origin: OriginKey,
+    /// The class of the request.
+    pub class: Class,
+    /// The index of the candidate where the request's traffic stands.
+    pub home: usize,
 }
 
-/// Ranks the failure domains for a request.
+/// Says where traffic should stand, and ranks the failure domains for a request.
 ///
 /// The shift ledger and the owners still have to admit it, so a policy proposes and never decides
 /// over a cap.
@@ -42,7 +66,14 @@
     /// Returns the policy's name.
     fn name(&self) -> &'static str;
 
-    /// Returns the indexes of the candidates in the order in which to try them.
+    /// Returns the shares of the candidates that the traffic should have, adding up to one; the
+    /// ledger moves it there as fast as the cap allows.
+    fn target(&self, candidates: &[Candidate]) -> Vec<f64> {
+        declared_over_usable(candidates)
+    }
+
+    /// Returns the indexes of the candidates in the order in which to try them. All but the home
+    /// cost a token of the ledger.
     fn rank(
         &self,
         choice: Choice,
@@ -51,23 +82,15 @@
     ) -> Vec<usize>;
 }
 
-/// Draws at random by the record's shares; a baseline.
-#[derive(Debug)]
-pub struct RandomByShare;
-
-impl SteeringPolicy for RandomByShare {
-    fn name(&self) -> &'static str {
-        "random_by_share"
-    }
-
-    fn rank(
-        &self,
-        _choice: Choice,
-        candidates: &[Candidate],
-        random: &mut fastrand::Rng,
-    ) -> Vec<usize> {
-        draw_order(candidates.iter().map(|candidate| candidate.share).collect(), random)
+/// Returns the record's shares with those of unusable candidates spread over the usable ones.
+pub fn declared_over_usable(candidates: &[Candidate]) -> Vec<f64> {
+    let usable = |candidate: &Candidate| if candidate.is_usable() { candidate.share } else { 0.0 };
+    let weights: Vec<_> = candidates.iter().map(usable).collect();
+    let sum = weights.iter().sum::<f64>();
+    if sum > 0.0 {
+        return weights.iter().map(|weight| weight / sum).collect();
     }
+    candidates.iter().map(|candidate| candidate.share).collect()
 }
 
 /// Orders indexes by repeated draws without replacement, each with a chance by its weight; those of
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -11,6 +11,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRequest};
+use sedgepath_core::configuration::store::{Page, Position};
 use sedgepath_core::event::{
     Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError, UpstreamReport,
 };
@@ -26,15 +28,18 @@
 use sedgepath_core::request::{
     AnswerHead, CallEnd, Dispatch, HopEnd, Once, Outcome, RequestHead, StoredAnswer, Ticket,
 };
+use sedgepath_core::steering::{ByHeadroom, SteeringPolicy};
 use sedgepath_core::table::{TableRequest, TableResult};
 use sedgepath_platform::TableService;
 
 use crate::table::MemoryTable;
 
 pub mod faults;
+mod loads;
 pub mod upstreams;
 
 use faults::{Faults, Place};
+use loads::LoadHistory;
 use upstreams::{FakeUpstreams, Started};
 
 /// The time between two ticks of a node, in milliseconds.
@@ -65,7 +70,7 @@
     Broken,
 }
 
-/// The datagrams that a node sent and received.
+/// What a node sent and received.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Traffic {
     /// The datagrams sent, lost ones among them.
@@ -76,6 +81,14 @@
     pub received: u64,
     /// Their bytes, counted like those sent.
     pub received_bytes: u64,
+    /// Reads and scans of the table, whether or not they were answered.
+    pub table_reads: u64,
+    /// Commits to the table, whether or not they were answered.
+    pub table_commits: u64,
+    /// Pages of records asked of peers.
+    pub fetches: u64,
+    /// The bytes of the pages that came, as JSON text.
+    pub fetched_bytes: u64,
 }
 
 /// The bytes of a datagram besides its envelope: a code of 16, and 28 of IPv4 and UDP headers.
@@ -175,7 +188,7 @@
     HopEnded(RequestKey, u32, HopEnd),
     CallEnded(ExchangeKey, CallEnd, u64),
     Report(UpstreamKey, UpstreamReport),
-    Fetched(OperationKey, Option<sedgepath_core::event::Snapshot>),
+    Fetched(OperationKey, Option<Page>),
     HandOverEnded(OperationKey, bool),
 }
 
@@ -187,6 +200,8 @@
     due: BTreeMap<(u64, u64), Item>,
     random: fastrand::Rng,
     settings: NodeSettings,
+    policy: fn() -> Box<dyn SteeringPolicy>,
+    loads: LoadHistory,
     nodes: Vec<Slot>,
     table: MemoryTable,
     /// The faults in force.
@@ -194,6 +209,7 @@
     /// The upstreams and what they counted.
     pub upstreams: FakeUpstreams,
     calls: Vec<Call>,
+    changes: BTreeMap<ReplyKey, ChangeOutcome>,
     next_number: u64,
     log: Vec<(NodeIndex, sedgepath_core::timeline::Entry)>,
     minted: Vec<Ticket>,
@@ -209,6 +225,22 @@
 /// The bed's clock starts well after zero, so that nothing depends on times before the start.
 pub const START_MS: u64 = 1_000_000;
 
+/// Creates a guest's repeatable request from loopback.
+pub fn guest_request(service: &str, deadline_at_ms: u64) -> RequestHead {
+    RequestHead {
+        service: service.into(),
+        source: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        key_digest: None,
+        deadline_at_ms,
+        once: Once::Repeatable,
+        attempt: 0,
+        idempotent: true,
+        digest: Digest::of(&[b"GET /"]),
+        revision_seen: 0,
+        forwarded_by: None,
+    }
+}
+
 impl Bed {
     /// Creates an empty bed whose delays are drawn from a seed.
     pub fn new(seed: u64) -> Self {
@@ -218,11 +250,14 @@
             due: BTreeMap::new(),
             random: fastrand::Rng::with_seed(seed),
             settings: NodeSettings { seed, ..NodeSettings::default() },
+            policy: || Box::new(ByHeadroom),
+            loads: LoadHistory::default(),
             nodes: Vec::new(),
             table: MemoryTable::new(),
             faults: Faults::default(),
             upstreams: FakeUpstreams::default(),
             calls: Vec::new(),
+            changes: BTreeMap::new(),
             next_number: 1,
             log: Vec::new(),
             minted: Vec::new(),
@@ -240,6 +275,12 @@
         self
     }
 
+    /// Sets the steering policy of the nodes that are added from now on.
+    pub fn with_policy(mut self, policy: fn() -> Box<dyn SteeringPolicy>) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Adds a node and starts it.
     pub fn add_node(&mut self, name: &str, domain: &str) -> NodeIndex {
         let index = self.nodes.len();
@@ -335,7 +376,8 @@
         let boot = BootId((index as u64) << 32 | slot.boots);
         let mut settings = self.settings.clone();
         settings.seed = self.random.u64(..);
-        slot.node = Some(Node::new(Identity::new(slot.card.clone(), boot), settings));
+        let node = Node::new(Identity::new(slot.card.clone(), boot), settings);
+        slot.node = Some(node.with_policy((self.policy)()));
         let boot = slot.boots;
         let first_tick_ms = self.random.u64(0..TICK_EVERY_MS);
         self.schedule(first_tick_ms, Item::Tick { node: index, boot });
@@ -466,6 +508,18 @@
         }
     }
 
+    /// Asks a node for a change of the configuration, as an operator's command does.
+    pub fn change(&mut self, node: NodeIndex, request: ChangeRequest) -> ReplyKey {
+        let reply = ReplyKey(self.number());
+        self.handle(node, Event::Change { reply, request });
+        reply
+    }
+
+    /// Returns what became of a change; none until the node has told.
+    pub fn change_outcome(&self, reply: ReplyKey) -> Option<&ChangeOutcome> {
+        self.changes.get(&reply)
+    }
+
     /// Asks a node which entry VMs to use.
     ///
     /// # Errors
@@ -602,8 +656,8 @@
                 Event::CallEnded { exchange, end, took_ms }
             }
             BedEvent::Report(upstream, report) => Event::UpstreamReport { upstream, report },
-            BedEvent::Fetched(operation, snapshot) => Event::Fetched { operation, snapshot },
             BedEvent::HandOverEnded(operation, taken) => Event::HandOverEnded { operation, taken },
+            BedEvent::Fetched(operation, page) => Event::Fetched { operation, page },
             BedEvent::Dispatch(dispatch, exchange) => {
                 let key = ExchangeKey(self.number());
                 let from = VmKey::of(&self.nodes[exchange.ingress].name);
@@ -651,7 +705,12 @@
                 }
             }
             Action::Table { operation, request } => self.table_request(index, operation, request),
-            Action::Fetch { operation, from } => self.fetch(index, operation, from),
+            Action::Fetch { operation, from, after } => {
+                self.fetch(index, operation, from, &after);
+            }
+            Action::AnswerChange { reply, outcome } => {
+                self.changes.insert(reply, outcome);
+            }
             Action::Log(entry) => self.log.push((index, entry)),
             Action::Stopped => {
                 self.nodes[index].stopped = true;
@@ -681,7 +740,9 @@
             self.nodes[target].traffic.received += 1;
             self.nodes[target].traffic.received_bytes += bytes;
             let delay_ms = self.delay_ms(from, target);
-            let event = Box::new(BedEvent::Datagram(envelope.clone()));
+            let mut envelope = envelope.clone();
+            self.loads.replace(&mut envelope, &self.faults, self.now_ms);
+            let event = Box::new(BedEvent::Datagram(envelope));
             self.schedule(delay_ms, Item::Deliver { node: target, boot: None, event });
         }
     }
@@ -847,6 +908,12 @@
     }
 
     fn table_request(&mut self, index: NodeIndex, operation: OperationKey, request: TableRequest) {
+        match request {
+            TableRequest::Commit(_) => self.nodes[index].traffic.table_commits += 1,
+            TableRequest::Read(_) | TableRequest::Scan { .. } => {
+                self.nodes[index].traffic.table_reads += 1;
+            }
+        }
         let boot = self.nodes[index].boots;
         let down = self.faults.platform_down;
         if down || !self.faults.reaches(Place::Node(index), Place::Platform) {
@@ -893,14 +960,21 @@
         self.schedule(delay_ms, Item::Deliver { node: index, boot: Some(boot), event });
     }
 
-    fn fetch(&mut self, index: NodeIndex, operation: OperationKey, from: SocketAddr) {
+    fn fetch(
+        &mut self,
+        index: NodeIndex,
+        operation: OperationKey,
+        from: SocketAddr,
+        after: &Position,
+    ) {
         let target = self.nodes.iter().position(|slot| slot.card.operators == from);
         let reached = target.filter(|target| self.connects(index, *target) && self.runs(*target));
-        let snapshot = reached
-            .and_then(|target| self.node(target))
-            .map(|node| node.configuration().snapshot());
+        let page = reached.and_then(|target| self.node(target)).map(|node| node.page(after));
+        let bytes = page.as_ref().map_or(0, |page| serde_json::json!(page).to_string().len());
+        self.nodes[index].traffic.fetches += 1;
+        self.nodes[index].traffic.fetched_bytes += bytes as u64;
         let delay_ms = target.map_or(0, |target| 2 * self.delay_ms(index, target));
-        self.deliver_later(index, delay_ms, BedEvent::Fetched(operation, snapshot));
+        self.deliver_later(index, delay_ms, BedEvent::Fetched(operation, page));
     }
 
     fn hand_over(
@@ -938,8 +1012,7 @@
         if from == to {
             return 0;
         }
-        let near = self.nodes[from].domain == self.nodes[to].domain;
-        let base_ms = if near { 0 } else { self.faults.hop_ms };
+        let base_ms = self.faults.delay_ms(&self.nodes[from].domain, &self.nodes[to].domain);
         base_ms + self.random.u64(0..=self.faults.jitter_ms)
     }
 
--- a/crates/sedgepathd/src/driver.rs
+++ b/crates/sedgepathd/src/driver.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRequest};
 use sedgepath_core::event::{Action, Event, LookUp, LookUpAnswer, LookUpError};
 use sedgepath_core::hash::Map;
 use sedgepath_core::key::{ExchangeKey, ReplyKey, RequestKey, VmKey};
@@ -72,6 +73,7 @@
     LookUp(LookUp, oneshot::Sender<Result<LookUpAnswer, LookUpError>>),
     Request(RequestKey, RequestHead, mpsc::UnboundedSender<Action>),
     Mint(Box<str>, u32, oneshot::Sender<Result<Vec<Ticket>, MintError>>),
+    Change(ChangeRequest, oneshot::Sender<ChangeOutcome>),
     Dispatch(ExchangeKey, VmKey, Dispatch, mpsc::UnboundedSender<Action>),
     Ask(Question),
 }
@@ -115,6 +117,13 @@
         receiver.await.ok()
     }
 
+    /// Asks for a change of the configuration; none if the process is about to end.
+    pub async fn change(&self, request: ChangeRequest) -> Option<ChangeOutcome> {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Input::Change(request, sender));
+        receiver.await.ok()
+    }
+
     /// Hands over a caller's request; the actions that concern it arrive on the channel.
     pub fn request(&self, head: RequestHead) -> (RequestKey, mpsc::UnboundedReceiver<Action>) {
         let request = RequestKey(self.next_number());
@@ -194,6 +203,7 @@
         exchanges: Map::default(),
         look_ups: Map::default(),
         mints: Map::default(),
+        changes: Map::default(),
         next_reply: 0,
         stopped: false,
     };
@@ -210,6 +220,7 @@
     exchanges: Map<ExchangeKey, mpsc::UnboundedSender<Action>>,
     look_ups: Map<ReplyKey, oneshot::Sender<Result<LookUpAnswer, LookUpError>>>,
     mints: Map<ReplyKey, oneshot::Sender<Result<Vec<Ticket>, MintError>>>,
+    changes: Map<ReplyKey, oneshot::Sender<ChangeOutcome>>,
     next_reply: u64,
     stopped: bool,
 }
@@ -246,6 +257,11 @@
                 self.mints.insert(reply, sender);
                 Event::MintTickets { reply, service, count }
             }
+            Input::Change(request, sender) => {
+                let reply = self.next_reply();
+                self.changes.insert(reply, sender);
+                Event::Change { reply, request }
+            }
             Input::Request(request, head, sender) => {
                 self.requests.insert(request, sender);
                 Event::Request { request, head }
@@ -298,6 +314,12 @@
                     let job = HandOverJob { operation, to, address, tickets };
                     let _ended = self.outlets.hand_overs.send(job);
                 }
+                Action::AnswerChange { reply, outcome } => {
+                    if let Some(sender) = self.changes.remove(&reply) {
+                        // The operator may have gone away.
+                        let _unread = sender.send(outcome);
+                    }
+                }
                 Action::Forward { request, .. }
                 | Action::ForwardHome { request, .. }
                 | Action::Relay { request, .. }
@@ -317,8 +339,8 @@
                 Action::Table { operation, request } => {
                     let _ended = self.outlets.platform.send(PlatformJob { operation, request });
                 }
-                Action::Fetch { operation, from } => {
-                    let job = crate::operators::FetchJob { operation, from };
+                Action::Fetch { operation, from, after } => {
+                    let job = crate::operators::FetchJob { operation, from, after };
                     let _ended = self.outlets.fetches.send(job);
                 }
                 Action::Log(entry) => {
