--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -281,12 +281,21 @@
     let Some(class) = classify(head, view.catalogue) else {
         return Err(Denied::Outcome(Outcome::UnknownOrganisation));
     };
+    if entry.once_only && head.once == Once::Repeatable {
+        return Err(Denied::Outcome(Outcome::KeyRequired));
+    }
     if head.deadline_at_ms <= view.now_ms {
         return Err(Denied::NotRun(Reason::Deadline));
     }
     Ok((entry, class))
 }
 
+/// Whether a request's service and organisation are known, so that it may cost a write to the table.
+pub fn knows(head: &RequestHead, catalogue: &Catalogue) -> bool {
+    catalogue.services.contains_key(&ServiceKey::of(&head.service))
+        && classify(head, catalogue).is_some()
+}
+
 /// Returns the class of a request, or none if its organisation's key is unknown.
 fn classify(head: &RequestHead, catalogue: &Catalogue) -> Option<Class> {
     let Some(key_digest) = head.key_digest else {
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod membership;
 pub mod message;
 pub mod node;
+pub mod once;
 pub mod outbox;
 pub mod ownership;
 pub mod record;
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -13,11 +13,14 @@
 use crate::egress::{Egress, Scope};
 use crate::event::{Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError};
 use crate::identity::{Identity, NodeSettings};
-use crate::ingress::{Conclusion, Ingress, Means};
-use crate::key::{DomainKey, UpstreamKey, VmKey};
+use crate::ingress::{self, Conclusion, Ingress, Means};
+use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
 use crate::membership::{self, Membership, OwnState};
 use crate::message::{Baseline, Envelope, Message, ServiceLoad};
+use crate::once::tickets::MintError;
+use crate::once::{self, OnceSystem};
 use crate::outbox::Outbox;
+use crate::request::{HopEnd, Once, RequestHead, Ticket};
 use crate::steering::{ByHeadroom, SteeringPolicy};
 use crate::stop::{self, PlannedStop};
 use crate::timeline::Topic;
@@ -50,6 +53,7 @@
     policy: Box<dyn SteeringPolicy>,
     ingress: Ingress,
     egress: Egress,
+    once: OnceSystem,
     /// What the node may use; none when it has to be worked out anew.
     allowances: Option<Vec<Allowance>>,
     stop: PlannedStop,
@@ -66,6 +70,7 @@
             policy: Box::new(ByHeadroom),
             ingress: Ingress::new(settings.seed),
             egress: Egress::new(settings.admission),
+            once: OnceSystem::default(),
             allowances: None,
             stop: PlannedStop::default(),
             own_loads: Vec::new(),
@@ -112,23 +117,23 @@
                 let answer = self.look_up(&look_up);
                 self.out.push(Action::AnswerLookUp { reply, answer });
             }
-            Event::Request { request, head } => {
-                let identity = self.out.shared_identity();
-                let means = means!(self, identity);
-                let conclusion = self.ingress.begin(request, &head, means, &mut self.out);
-                self.conclude(conclusion);
+            Event::MintTickets { reply, service, count } => {
+                let tickets = self.mint(&service, count);
+                self.out.push(Action::AnswerTickets { reply, tickets });
             }
+            Event::Request { request, head } => self.request(request, &head),
             Event::HopAnswered { request, attempt, .. } => {
-                self.ingress.hop_answered(request, attempt, &mut self.out);
+                if !self.once.hop_answered(request, attempt, &mut self.out) {
+                    self.ingress.hop_answered(request, attempt, &mut self.out);
+                }
             }
-            Event::HopEnded { request, attempt, end } => {
-                let identity = self.out.shared_identity();
-                let means = means!(self, identity);
-                let out = &mut self.out;
-                let conclusion = self.ingress.hop_ended(request, attempt, end, means, out);
-                self.conclude(conclusion);
+            Event::HopEnded { request, attempt, end } => self.hop_ended(request, attempt, end),
+            Event::RelayEnded { request, stored, .. } => {
+                self.once.relay_ended(request, stored, &mut self.out);
+                self.ingress.forget(request);
             }
-            Event::RelayEnded { request, .. } | Event::CallerGone { request } => {
+            Event::CallerGone { request } => {
+                self.once.caller_gone(request, &mut self.out);
                 self.ingress.forget(request);
             }
             Event::Dispatched { exchange, .. } if self.stop.refuses(now_ms) => {
@@ -149,7 +154,9 @@
             }
             Event::Datagram(envelope) => self.datagram(&envelope),
             Event::Table { operation, result } => {
-                self.configuration.take_result(operation, &result, &mut self.out);
+                if !self.once.take_result(operation, &result, &mut self.out) {
+                    self.configuration.take_result(operation, &result, &mut self.out);
+                }
             }
             Event::VmList(listed) => self.vm_list(listed),
             Event::Fetched { operation, page } => {
@@ -161,9 +168,11 @@
             Event::Change { reply, request } => {
                 self.configuration.begin_change(reply, request, &mut self.out);
             }
+            Event::HandedOver(tickets) => self.once.keep(tickets),
+            Event::HandOverEnded { operation, taken } => self.once.copied(operation, taken),
             Event::Stop => self.begin_stop(),
         }
-        self.out.take_actions()
+        self.settle_once()
     }
 
     /// Runs the systems that work by time; to be called every few tens of milliseconds.
@@ -180,8 +189,54 @@
         let means = means!(self, identity);
         let concluded = self.ingress.tick(means, &mut self.out);
         self.conclude(concluded);
+        self.once.tick(&mut self.out);
         self.end_stop();
-        self.out.take_actions()
+        self.settle_once()
+    }
+
+    fn request(&mut self, request: RequestKey, head: &RequestHead) {
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        let is_once = head.once != Once::Repeatable;
+        let is_known = is_once && ingress::knows(head, means.view.catalogue);
+        if is_known && !self.once.admit(request, head, &self.membership, &mut self.out) {
+            return;
+        }
+        let mut conclusion = self.ingress.begin(request, head, means, &mut self.out);
+        if let Some(conclusion) = conclusion.as_mut().filter(|_| is_once && !is_known) {
+            once::hedge(head, &mut conclusion.outcome);
+        }
+        self.conclude(conclusion);
+    }
+
+    fn hop_ended(&mut self, request: RequestKey, attempt: u32, end: HopEnd) {
+        if self.once.hop_ended(request, end, &self.membership, &mut self.out) {
+            return;
+        }
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        let conclusion = self.ingress.hop_ended(request, attempt, end, means, &mut self.out);
+        self.conclude(conclusion);
+    }
+
+    /// Starts the once-only requests that may run and takes the actions, with the ends of once-only
+    /// requests accounted for.
+    fn settle_once(&mut self) -> Vec<Action> {
+        for (request, head) in self.once.take_granted() {
+            self.request(request, &head);
+        }
+        self.once.settle(&mut self.out)
+    }
+
+    fn mint(&mut self, service: &str, count: u32) -> Result<Vec<Ticket>, MintError> {
+        let service = ServiceKey::of(service);
+        if !self.configuration.catalogue().services.contains_key(&service) {
+            return Err(MintError::NoService);
+        }
+        if self.stop.has_begun() {
+            return Err(MintError::Stopping);
+        }
+        self.once.mint(service, count, &self.out)
     }
 
     fn begin_stop(&mut self) {
@@ -198,7 +253,9 @@
 
     fn end_stop(&mut self) {
         let in_flight = self.ingress.in_flight() + self.egress.calls_in_flight();
-        if self.stop.may_end(self.out.now_ms(), in_flight) {
+        if self.stop.may_end(self.out.now_ms(), in_flight)
+            && self.once.hand_over(&self.membership, &mut self.out)
+        {
             self.out.log(Topic::Node, "stop_ended", &[]);
             self.out.push(Action::Stopped);
         }
--- a/crates/sedgepathd/src/peers.rs
+++ b/crates/sedgepathd/src/peers.rs
@@ -12,7 +12,9 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
+use crate::callers::Callers;
 use crate::exchange::Exchanges;
+use crate::homes;
 use crate::metrics::Metrics;
 use crate::reply::{Answer, Reply};
 
@@ -30,13 +32,19 @@
 pub struct Peers {
     key: SharedKey,
     exchanges: Exchanges,
+    callers: Arc<Callers>,
     metrics: Arc<Metrics>,
 }
 
 impl Peers {
     /// Creates the server of peers' connections.
-    pub fn new(key: SharedKey, exchanges: Exchanges, metrics: Arc<Metrics>) -> Arc<Self> {
-        Arc::new(Self { key, exchanges, metrics })
+    pub fn new(
+        key: SharedKey,
+        exchanges: Exchanges,
+        callers: Arc<Callers>,
+        metrics: Arc<Metrics>,
+    ) -> Arc<Self> {
+        Arc::new(Self { key, exchanges, callers, metrics })
     }
 
     /// Takes connections until the process ends.
@@ -82,12 +90,20 @@
         head: HttpRequestHead,
         body: Bytes,
     ) -> Result<(), FrameError> {
-        let Purpose::Run(dispatch) = purpose else {
-            return Err(FrameError::OutOfPlace);
+        let reply = async {
+            match purpose {
+                Purpose::Run(dispatch) => {
+                    let reply = self.exchanges.start(id.from, dispatch, head, body);
+                    Ok(reply.await.unwrap_or(Reply::Lost))
+                }
+                Purpose::TakeHome(home) => {
+                    Ok(self.callers.take_home(id.from, home, head, body).await)
+                }
+                Purpose::KeepTickets => homes::keep(self.callers.handle(), &body),
+            }
         };
-        let reply = self.exchanges.start(id.from, dispatch, head, body);
         let reply = tokio::select! {
-            reply = reply => reply.unwrap_or(Reply::Lost),
+            reply = reply => reply?,
             // The ingress sends nothing while it waits, so this tells that it has gone.
             _ = stream.closed() => return Err(FrameError::OutOfPlace),
         };
