--- a/crates/sedgepath-test-support/src/port.rs
+++ b/crates/sedgepath-test-support/src/port.rs
@@ -1,9 +1,24 @@
 //! Free ports for processes that a test is about to start.
+//!
+//! Ports that the system hands out for outgoing connections are left alone: one that was free a
+//! moment ago would be taken by any connection before the process listens on it. Each call takes the
+//! next ports of a range that starts at a place of this process's own.
 
 use std::io;
 use std::net::{Ipv4Addr, TcpListener, UdpSocket};
+use std::process;
+use std::sync::atomic::{AtomicU32, Ordering};
 
-const ATTEMPTS: usize = 32;
+/// The first port, above those of well-known services.
+const FIRST: u32 = 12_000;
+
+/// The number of ports; all lie below the range of outgoing connections (32,768 on Linux).
+const RANGE: u32 = 20_000;
+
+/// The ports that one process is likely to take before it meets those of the next.
+const PER_PROCESS: u32 = 61;
+
+static TAKEN: AtomicU32 = AtomicU32::new(0);
 
 /// Returns a port of 127.0.0.1 that is free for TCP and for UDP.
 ///
@@ -14,29 +29,28 @@
 /// Returns an error if none is found.
 pub fn free_port() -> io::Result<u16> {
     let mut last = io::Error::from(io::ErrorKind::AddrInUse);
-    for _ in 0..ATTEMPTS {
-        let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let port = tcp.local_addr()?.port();
-        match UdpSocket::bind((Ipv4Addr::LOCALHOST, port)) {
-            Ok(_) => return Ok(port),
+    for _ in 0..RANGE {
+        let number = process::id().wrapping_mul(PER_PROCESS) % RANGE;
+        let offset = (number + TAKEN.fetch_add(1, Ordering::Relaxed)) % RANGE;
+        match is_free((FIRST + offset) as u16) {
+            Ok(port) => return Ok(port),
             Err(error) => last = error,
         }
     }
     Err(last)
 }
 
+fn is_free(port: u16) -> io::Result<u16> {
+    let _tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, port))?;
+    let _udp = UdpSocket::bind((Ipv4Addr::LOCALHOST, port))?;
+    Ok(port)
+}
+
 /// Returns `count` different ports that are free for TCP and for UDP.
 ///
 /// # Errors
 ///
 /// Returns an error if they are not found.
 pub fn free_ports(count: usize) -> io::Result<Vec<u16>> {
-    let mut ports = Vec::with_capacity(count);
-    while ports.len() < count {
-        let port = free_port()?;
-        if !ports.contains(&port) {
-            ports.push(port);
-        }
-    }
-    Ok(ports)
+    (0..count).map(|_| free_port()).collect()
 }
