--- /dev/null
+++ b/crates/sedgepath-yaml/src/mistakes.rs
@@ -0,0 +1,69 @@
+//! Shows the mistakes of a file at their places.
+
+use std::fmt;
+use std::sync::Arc;
+
+use miette::{Diagnostic, LabeledSpan, NamedSource, SourceCode};
+
+use crate::tree::{ReadError, Span};
+
+/// A mistake and its place in the file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mistake {
+    /// Where it is.
+    pub span: Span,
+    /// What is wrong, and what would be right.
+    pub message: Box<str>,
+}
+
+/// All mistakes of a file.
+#[derive(Debug)]
+pub struct Mistakes {
+    file: Box<str>,
+    source: NamedSource<Arc<str>>,
+    mistakes: Vec<Mistake>,
+}
+
+impl Mistakes {
+    /// Creates a report; the mistakes are shown in the order of their places.
+    pub fn new(file: &str, text: &str, mut mistakes: Vec<Mistake>) -> Self {
+        mistakes.sort_by_key(|mistake| mistake.span.offset);
+        let source = NamedSource::new(file, Arc::from(text)).with_language("yaml");
+        Self { file: file.into(), source, mistakes }
+    }
+
+    /// Creates the report of a file that is no YAML.
+    pub fn unreadable(file: &str, text: &str, error: &ReadError) -> Self {
+        let mistake = Mistake { span: error.span, message: error.message.clone() };
+        Self::new(file, text, vec![mistake])
+    }
+
+    /// Returns the mistakes in the order of their places.
+    pub fn mistakes(&self) -> &[Mistake] {
+        &self.mistakes
+    }
+}
+
+impl fmt::Display for Mistakes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.mistakes.len() {
+            1 => write!(f, "{} has a mistake", self.file),
+            count => write!(f, "{} has {count} mistakes", self.file),
+        }
+    }
+}
+
+impl std::error::Error for Mistakes {}
+
+impl Diagnostic for Mistakes {
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&self.source)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(self.mistakes.iter().map(|mistake| {
+            let Span { offset, bytes } = mistake.span;
+            LabeledSpan::new(Some(mistake.message.to_string()), offset, bytes)
+        })))
+    }
+}
--- /dev/null
+++ b/crates/sedgepath-yaml/src/tree.rs
@@ -0,0 +1,233 @@
+//! The parts of a document and their places.
+
+use std::fmt;
+
+use sedgepath_core::schema::{Path, Segment};
+use serde::de::{Deserialize, Deserializer, Error as _, MapAccess, SeqAccess, Visitor};
+use serde_json::{Number, Value};
+use serde_saphyr::{Location, Spanned};
+
+/// A place in a file.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Span {
+    /// The offset of its first byte.
+    pub offset: usize,
+    /// Its length in bytes.
+    pub bytes: usize,
+}
+
+impl From<Location> for Span {
+    fn from(location: Location) -> Self {
+        let span = location.span();
+        Self {
+            offset: span.byte_offset().unwrap_or_default() as usize,
+            bytes: span.byte_len().unwrap_or_default() as usize,
+        }
+    }
+}
+
+/// A part of a document.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tree {
+    /// What it holds.
+    pub content: Content,
+    /// Where it stands.
+    pub span: Span,
+}
+
+/// What a part of a document holds.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Content {
+    /// Nothing.
+    Null,
+    /// `true` or `false`.
+    Flag(bool),
+    /// A number.
+    Number(Number),
+    /// A text.
+    Text(Box<str>),
+    /// A list.
+    List(Vec<Tree>),
+    /// A mapping.
+    Mapping(Vec<Entry>),
+}
+
+/// An entry of a mapping.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    /// Its key.
+    pub key: Box<str>,
+    /// Where the key stands.
+    pub key_span: Span,
+    /// Its value.
+    pub value: Tree,
+}
+
+/// A file that is no YAML.
+#[derive(Debug, thiserror::Error)]
+#[error("{message}")]
+pub struct ReadError {
+    /// What the parser found.
+    pub message: Box<str>,
+    /// Where.
+    pub span: Span,
+}
+
+/// Reads all documents of a file; empty ones are left out.
+///
+/// # Errors
+///
+/// Fails if the text is no YAML, or a mapping has a key twice.
+pub fn read(text: &str) -> Result<Vec<Tree>, ReadError> {
+    let documents: Vec<Tree> = serde_saphyr::from_multiple(text).map_err(|error| {
+        let plain = error.without_snippet();
+        let span = plain.location().map(Span::from).unwrap_or_default();
+        ReadError { message: plain.to_string().into(), span }
+    })?;
+    Ok(documents.into_iter().filter(|document| document.content != Content::Null).collect())
+}
+
+impl Tree {
+    /// Returns the value of a field of a mapping.
+    pub fn field(&self, name: &str) -> Option<&Self> {
+        self.entry(name).map(|entry| &entry.value)
+    }
+
+    fn entry(&self, name: &str) -> Option<&Entry> {
+        match &self.content {
+            Content::Mapping(entries) => entries.iter().find(|entry| &*entry.key == name),
+            _ => None,
+        }
+    }
+
+    /// Returns the same as JSON.
+    pub fn to_json(&self) -> Value {
+        match &self.content {
+            Content::Null => Value::Null,
+            Content::Flag(flag) => Value::Bool(*flag),
+            Content::Number(number) => Value::Number(number.clone()),
+            Content::Text(text) => Value::String(text.to_string()),
+            Content::List(items) => items.iter().map(Self::to_json).collect(),
+            Content::Mapping(entries) => {
+                entries.iter().map(|entry| (entry.key.to_string(), entry.value.to_json())).collect()
+            }
+        }
+    }
+
+    /// Returns the place to show for a path: that of the value if it fits one line, else of the key
+    /// that leads to it. Of a path that ends nowhere, the last part that is there is shown.
+    pub fn place(&self, path: &Path) -> Span {
+        let mut tree = self;
+        let mut key_span = None;
+        for segment in &path.0 {
+            let next = match segment {
+                Segment::Field(name) => match tree.entry(name) {
+                    Some(entry) => {
+                        key_span = Some(entry.key_span);
+                        Some(&entry.value)
+                    }
+                    None => None,
+                },
+                Segment::Item(index) => match &tree.content {
+                    Content::List(items) => {
+                        key_span = None;
+                        items.get(*index)
+                    }
+                    _ => None,
+                },
+            };
+            let Some(next) = next else { break };
+            tree = next;
+        }
+        tree.line_span(key_span)
+    }
+
+    fn line_span(&self, key_span: Option<Span>) -> Span {
+        match &self.content {
+            Content::List(items) => {
+                key_span.or_else(|| items.first().map(|item| item.line_span(None)))
+            }
+            Content::Mapping(entries) => {
+                key_span.or_else(|| entries.first().map(|entry| entry.key_span))
+            }
+            Content::Null => key_span,
+            Content::Flag(_) | Content::Number(_) | Content::Text(_) => None,
+        }
+        .unwrap_or(self.span)
+    }
+}
+
+impl<'de> Deserialize<'de> for Tree {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let spanned = Spanned::<Content>::deserialize(deserializer)?;
+        Ok(Self { content: spanned.value, span: spanned.referenced.into() })
+    }
+}
+
+impl<'de> Deserialize<'de> for Content {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(ContentVisitor)
+    }
+}
+
+struct ContentVisitor;
+
+impl<'de> Visitor<'de> for ContentVisitor {
+    type Value = Content;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a YAML value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Content, E> {
+        Ok(Content::Null)
+    }
+
+    fn visit_none<E>(self) -> Result<Content, E> {
+        Ok(Content::Null)
+    }
+
+    fn visit_some<D: Deserializer<'de>>(self, deserializer: D) -> Result<Content, D::Error> {
+        deserializer.deserialize_any(self)
+    }
+
+    fn visit_bool<E>(self, flag: bool) -> Result<Content, E> {
+        Ok(Content::Flag(flag))
+    }
+
+    fn visit_u64<E>(self, number: u64) -> Result<Content, E> {
+        Ok(Content::Number(number.into()))
+    }
+
+    fn visit_i64<E>(self, number: i64) -> Result<Content, E> {
+        Ok(Content::Number(number.into()))
+    }
+
+    fn visit_f64<E: serde::de::Error>(self, number: f64) -> Result<Content, E> {
+        let finite = Number::from_f64(number);
+        finite.map(Content::Number).ok_or_else(|| E::custom("a number must be finite"))
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<Content, E> {
+        Ok(Content::Text(text.into()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut items: A) -> Result<Content, A::Error> {
+        let mut list = Vec::new();
+        while let Some(item) = items.next_element()? {
+            list.push(item);
+        }
+        Ok(Content::List(list))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Content, A::Error> {
+        let mut entries = Vec::new();
+        while let Some(key) = map.next_key::<Tree>()? {
+            let Content::Text(name) = key.content else {
+                return Err(A::Error::custom("a key must be text"));
+            };
+            entries.push(Entry { key: name, key_span: key.span, value: map.next_value()? });
+        }
+        Ok(Content::Mapping(entries))
+    }
+}
