--- a/crates/sedgepath-yaml/src/mistakes.rs
+++ b/crates/sedgepath-yaml/src/mistakes.rs
@@ -5,7 +5,9 @@
 
 use miette::{Diagnostic, LabeledSpan, NamedSource, SourceCode};
 
-use crate::tree::{ReadError, Span};
+use sedgepath_core::schema::{Fault, Path, Placed};
+
+use crate::tree::{ReadError, Span, Tree};
 
 /// A mistake and its place in the file.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,12 +18,28 @@
     pub message: Box<str>,
 }
 
+impl Mistake {
+    /// Creates the mistake of a fault that was found in a document.
+    pub fn of_fault(document: &Tree, placed: &Placed<Fault>) -> Self {
+        Self::of_field(document, &placed.path, &placed.fault)
+    }
+
+    /// Creates the mistake of a fault at a path; a field that should not be there is shown by its
+    /// key, all else by the value.
+    pub fn of_field(document: &Tree, path: &Path, fault: &Fault) -> Self {
+        let by_key = matches!(fault, Fault::UnknownField { .. } | Fault::TooNew { .. });
+        let key = by_key.then(|| document.key_place(path)).flatten();
+        let span = key.unwrap_or_else(|| document.place(path));
+        Self { span, message: fault.to_string().into() }
+    }
+}
+
 /// All mistakes of a file.
 #[derive(Debug)]
 pub struct Mistakes {
     file: Box<str>,
     source: NamedSource<Arc<str>>,
-    mistakes: Vec<Mistake>,
+    list: Vec<Mistake>,
 }
 
 impl Mistakes {
@@ -29,7 +47,7 @@
     pub fn new(file: &str, text: &str, mut mistakes: Vec<Mistake>) -> Self {
         mistakes.sort_by_key(|mistake| mistake.span.offset);
         let source = NamedSource::new(file, Arc::from(text)).with_language("yaml");
-        Self { file: file.into(), source, mistakes }
+        Self { file: file.into(), source, list: mistakes }
     }
 
     /// Creates the report of a file that is no YAML.
@@ -40,13 +58,13 @@
 
     /// Returns the mistakes in the order of their places.
     pub fn mistakes(&self) -> &[Mistake] {
-        &self.mistakes
+        &self.list
     }
 }
 
 impl fmt::Display for Mistakes {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.mistakes.len() {
+        match self.list.len() {
             1 => write!(f, "{} has a mistake", self.file),
             count => write!(f, "{} has {count} mistakes", self.file),
         }
@@ -61,7 +79,7 @@
     }
 
     fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
-        Some(Box::new(self.mistakes.iter().map(|mistake| {
+        Some(Box::new(self.list.iter().map(|mistake| {
             let Span { offset, bytes } = mistake.span;
             LabeledSpan::new(Some(mistake.message.to_string()), offset, bytes)
         })))
--- a/crates/sedgepath-yaml/src/tree.rs
+++ b/crates/sedgepath-yaml/src/tree.rs
@@ -81,12 +81,26 @@
 pub fn read(text: &str) -> Result<Vec<Tree>, ReadError> {
     let documents: Vec<Tree> = serde_saphyr::from_multiple(text).map_err(|error| {
         let plain = error.without_snippet();
-        let span = plain.location().map(Span::from).unwrap_or_default();
+        let span = plain.location().map(|location| place_of_error(text, location));
+        let span = span.unwrap_or_default();
         ReadError { message: plain.to_string().into(), span }
     })?;
     Ok(documents.into_iter().filter(|document| document.content != Content::Null).collect())
 }
 
+/// The places of some errors have a line and a column only.
+fn place_of_error(text: &str, location: Location) -> Span {
+    if location.span().byte_offset().is_some_and(|offset| offset > 0) {
+        return location.into();
+    }
+    let before = text.split_inclusive('\n').take(location.line().saturating_sub(1) as usize);
+    let line_offset: usize = before.map(str::len).sum();
+    let line = text.get(line_offset..).unwrap_or_default();
+    let column = location.column().saturating_sub(1) as usize;
+    let column_offset = line.char_indices().nth(column).map_or(0, |(offset, _)| offset);
+    Span { offset: line_offset + column_offset, bytes: 1 }
+}
+
 impl Tree {
     /// Returns the value of a field of a mapping.
     pub fn field(&self, name: &str) -> Option<&Self> {
@@ -114,29 +128,32 @@
         }
     }
 
+    /// Returns the place of the key that a path ends with, if it ends with one.
+    pub fn key_place(&self, path: &Path) -> Option<Span> {
+        let (Segment::Field(name), parent) = path.0.split_last()? else { return None };
+        let parent = parent.iter().try_fold(self, |tree, segment| tree.step(segment))?;
+        parent.entry(name).map(|entry| entry.key_span)
+    }
+
+    fn step(&self, segment: &Segment) -> Option<&Self> {
+        match (segment, &self.content) {
+            (Segment::Field(name), _) => self.field(name),
+            (Segment::Item(index), Content::List(items)) => items.get(*index),
+            (Segment::Item(_), _) => None,
+        }
+    }
+
     /// Returns the place to show for a path: that of the value if it fits one line, else of the key
     /// that leads to it. Of a path that ends nowhere, the last part that is there is shown.
     pub fn place(&self, path: &Path) -> Span {
         let mut tree = self;
         let mut key_span = None;
         for segment in &path.0 {
-            let next = match segment {
-                Segment::Field(name) => match tree.entry(name) {
-                    Some(entry) => {
-                        key_span = Some(entry.key_span);
-                        Some(&entry.value)
-                    }
-                    None => None,
-                },
-                Segment::Item(index) => match &tree.content {
-                    Content::List(items) => {
-                        key_span = None;
-                        items.get(*index)
-                    }
-                    _ => None,
-                },
+            let Some(next) = tree.step(segment) else { break };
+            key_span = match segment {
+                Segment::Field(name) => tree.entry(name).map(|entry| entry.key_span),
+                Segment::Item(_) => None,
             };
-            let Some(next) = next else { break };
             tree = next;
         }
         tree.line_span(key_span)
@@ -175,8 +192,8 @@
 impl<'de> Visitor<'de> for ContentVisitor {
     type Value = Content;
 
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a YAML value")
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a YAML value")
     }
 
     fn visit_unit<E>(self) -> Result<Content, E> {
@@ -191,30 +208,30 @@
         deserializer.deserialize_any(self)
     }
 
-    fn visit_bool<E>(self, flag: bool) -> Result<Content, E> {
-        Ok(Content::Flag(flag))
+    fn visit_bool<E>(self, v: bool) -> Result<Content, E> {
+        Ok(Content::Flag(v))
     }
 
-    fn visit_u64<E>(self, number: u64) -> Result<Content, E> {
-        Ok(Content::Number(number.into()))
+    fn visit_u64<E>(self, v: u64) -> Result<Content, E> {
+        Ok(Content::Number(v.into()))
     }
 
-    fn visit_i64<E>(self, number: i64) -> Result<Content, E> {
-        Ok(Content::Number(number.into()))
+    fn visit_i64<E>(self, v: i64) -> Result<Content, E> {
+        Ok(Content::Number(v.into()))
     }
 
-    fn visit_f64<E: serde::de::Error>(self, number: f64) -> Result<Content, E> {
-        let finite = Number::from_f64(number);
+    fn visit_f64<E: serde::de::Error>(self, v: f64) -> Result<Content, E> {
+        let finite = Number::from_f64(v);
         finite.map(Content::Number).ok_or_else(|| E::custom("a number must be finite"))
     }
 
-    fn visit_str<E>(self, text: &str) -> Result<Content, E> {
-        Ok(Content::Text(text.into()))
+    fn visit_str<E>(self, v: &str) -> Result<Content, E> {
+        Ok(Content::Text(v.into()))
     }
 
-    fn visit_seq<A: SeqAccess<'de>>(self, mut items: A) -> Result<Content, A::Error> {
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Content, A::Error> {
         let mut list = Vec::new();
-        while let Some(item) = items.next_element()? {
+        while let Some(item) = seq.next_element()? {
             list.push(item);
         }
         Ok(Content::List(list))
--- a/crates/sedgepathd/src/settings.rs
+++ b/crates/sedgepathd/src/settings.rs
@@ -1,15 +1,22 @@
-//! The daemon's settings.
+//! The daemon's settings: one YAML file, checked as a whole before anything starts.
 
+use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::Path as FilePath;
 
-use serde::Deserialize;
+use sedgepath_core::identity::NodeSettings;
+use sedgepath_core::schema::{self, Path};
+use sedgepath_yaml::{Mistake, Mistakes, Span, Tree};
+use serde::{Deserialize, Serialize};
 
 use crate::limits::Limits;
 
+mod fields;
+
+pub use fields::FIELDS;
+
 /// The settings of one daemon, as written in its YAML file.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Deserialize)]
 pub struct Settings {
     /// The VM's name, unique in the system.
     pub name: Box<str>,
@@ -33,25 +40,194 @@
     /// Bounds on what callers may take.
     #[serde(default)]
     pub limits: Limits,
+    /// The times by which the nodes work together.
+    #[serde(default)]
+    pub timing: Timing,
+}
+
+impl fmt::Debug for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The secret stays out of logs and panics.
+        f.debug_struct("Settings")
+            .field("name", &self.name)
+            .field("domain", &self.domain)
+            .field("callers", &self.callers)
+            .field("peers", &self.peers)
+            .field("operators", &self.operators)
+            .field("metrics", &self.metrics)
+            .field("platform", &self.platform)
+            .field("log_level", &self.log_level)
+            .field("limits", &self.limits)
+            .field("timing", &self.timing)
+            .finish_non_exhaustive()
+    }
 }
 
 fn default_log_level() -> Box<str> {
     "info".into()
 }
 
+/// The times by which the nodes work together, in milliseconds; the same on all VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Timing {
+    /// See [`NodeSettings::heartbeat_every_ms`].
+    pub heartbeat_every_ms: u64,
+    /// See [`NodeSettings::suspect_after_ms`].
+    pub suspect_after_ms: u64,
+    /// See [`NodeSettings::forget_after_ms`].
+    pub forget_after_ms: u64,
+    /// See [`NodeSettings::relay_every_ms`].
+    pub relay_every_ms: u64,
+    /// See [`NodeSettings::head_every_ms`].
+    pub head_every_ms: u64,
+    /// See [`NodeSettings::head_stale_ms`].
+    pub head_stale_ms: u64,
+    /// See [`NodeSettings::fetch_jitter_ms`].
+    pub fetch_jitter_ms: u64,
+    /// See [`NodeSettings::boot_wait_ms`].
+    pub boot_wait_ms: u64,
+    /// See [`NodeSettings::look_up_valid_ms`].
+    pub look_up_valid_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        let node = NodeSettings::default();
+        Self {
+            heartbeat_every_ms: node.heartbeat_every_ms,
+            suspect_after_ms: node.suspect_after_ms,
+            forget_after_ms: node.forget_after_ms,
+            relay_every_ms: node.relay_every_ms,
+            head_every_ms: node.head_every_ms,
+            head_stale_ms: node.head_stale_ms,
+            fetch_jitter_ms: node.fetch_jitter_ms,
+            boot_wait_ms: node.boot_wait_ms,
+            look_up_valid_ms: node.look_up_valid_ms,
+        }
+    }
+}
+
+impl Timing {
+    /// Returns the settings of a node whose random choices follow a seed.
+    pub fn node_settings(&self, seed: u64) -> NodeSettings {
+        NodeSettings {
+            heartbeat_every_ms: self.heartbeat_every_ms,
+            suspect_after_ms: self.suspect_after_ms,
+            forget_after_ms: self.forget_after_ms,
+            relay_every_ms: self.relay_every_ms,
+            head_every_ms: self.head_every_ms,
+            head_stale_ms: self.head_stale_ms,
+            fetch_jitter_ms: self.fetch_jitter_ms,
+            boot_wait_ms: self.boot_wait_ms,
+            look_up_valid_ms: self.look_up_valid_ms,
+            seed,
+            ..NodeSettings::default()
+        }
+    }
+}
+
+/// Why settings can't be used.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("can't read the settings file {file}")]
+    Unread {
+        /// The file.
+        file: Box<str>,
+        /// The system's error.
+        #[source]
+        source: std::io::Error,
+    },
+    /// The file has mistakes.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Mistakes(#[from] Mistakes),
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
     /// # Errors
     ///
-    /// Fails if the file can't be read or a field is wrong; the report shows the place.
-    pub fn read(path: &Path) -> miette::Result<Self> {
-        use miette::{Context, IntoDiagnostic};
+    /// Fails if the file can't be read or a field is wrong; all mistakes are shown at their places.
+    pub fn read(path: &FilePath) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
         let text = std::fs::read_to_string(path)
-            .into_diagnostic()
-            .wrap_err_with(|| format!("can't read the settings file {}", path.display()))?;
-        serde_saphyr::from_str(&text)
-            .into_diagnostic()
-            .wrap_err_with(|| format!("the settings in {} are not in order", path.display()))
+            .map_err(|source| SettingsError::Unread { file: file.as_str().into(), source })?;
+        Ok(Self::parse(&file, &text)?)
+    }
+
+    /// Reads and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a field is wrong; all mistakes are shown at their places.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Mistakes> {
+        let documents =
+            sedgepath_yaml::read(text).map_err(|error| Mistakes::unreadable(file, text, &error))?;
+        let whole = |message: &str| Mistake { span: Span::default(), message: message.into() };
+        let [document] = &*documents else {
+            let message = "a settings file holds one document";
+            return Err(Mistakes::new(file, text, vec![whole(message)]));
+        };
+        let json = document.to_json();
+        let mut mistakes: Vec<_> = schema::check(&json, FIELDS, 1)
+            .into_iter()
+            .map(|placed| Mistake::of_fault(document, &placed))
+            .collect();
+        if mistakes.is_empty() {
+            match serde_json::from_value::<Self>(json) {
+                Ok(settings) => {
+                    mistakes = settings.contradictions(document);
+                    if mistakes.is_empty() {
+                        return Ok(settings);
+                    }
+                }
+                Err(error) => mistakes.push(whole(&error.to_string())),
+            }
+        }
+        Err(Mistakes::new(file, text, mistakes))
+    }
+
+    /// Finds fields that are right by themselves but not together.
+    fn contradictions(&self, document: &Tree) -> Vec<Mistake> {
+        let mut mistakes = Vec::new();
+        let mut wrong = |path: Path, message: String| {
+            mistakes.push(mistake(document, &path, message));
+        };
+        let addresses = [
+            ("callers", self.callers),
+            ("peers", self.peers),
+            ("operators", self.operators),
+            ("metrics", self.metrics),
+        ];
+        for (index, (name, address)) in addresses.iter().enumerate() {
+            for (other, _) in addresses[..index].iter().filter(|(_, other)| other == address) {
+                wrong(Path::field(name), format!("`{name}` is the address of `{other}` too"));
+            }
+            if address.port() == 0 {
+                wrong(Path::field(name), format!("`{name}` needs a port that others can know"));
+            }
+        }
+        let timing = |name: &str| Path::field("timing").with_field(name);
+        let Timing { heartbeat_every_ms, suspect_after_ms, head_every_ms, head_stale_ms, .. } =
+            self.timing;
+        // Two heartbeats may be lost before a member is suspected.
+        if suspect_after_ms < 3 * heartbeat_every_ms {
+            let message = format!(
+                "should be at least three times `heartbeat_every_ms` ({heartbeat_every_ms})"
+            );
+            wrong(timing("suspect_after_ms"), message);
+        }
+        if head_stale_ms < 2 * head_every_ms {
+            let message = format!("should be at least twice `head_every_ms` ({head_every_ms})");
+            wrong(timing("head_stale_ms"), message);
+        }
+        mistakes
     }
 }
+
+fn mistake(document: &Tree, path: &Path, message: String) -> Mistake {
+    Mistake { span: document.place(path), message: message.into() }
+}
