--- a/crates/sedgepathd/tests/settings.rs
+++ b/crates/sedgepathd/tests/settings.rs
@@ -14,7 +14,7 @@
 fn check(text: &str, expected: &Expect) {
     let mistakes = Settings::parse("settings.yaml", text).expect_err("mistakes");
     let handler = GraphicalReportHandler::new_themed(GraphicalTheme::none()).with_width(100);
-    let mut shown = String::new();
+    let mut shown = String::from("report:\n");
     handler.render_report(&mut shown, &mistakes).expect("a report");
     expected.assert_eq(&shown);
 }
@@ -28,6 +28,7 @@
     check(
         &text,
         &expect![[r#"
+            report:
               x settings.yaml has 3 mistakes
                ,-[settings.yaml:4:8]
              3 | callers: 127.0.0.1:1
@@ -57,6 +58,7 @@
     check(
         &text,
         &expect![[r#"
+            report:
               x settings.yaml has 2 mistakes
                 ,-[settings.yaml:6:10]
               5 | operators: 127.0.0.1:3
@@ -81,6 +83,7 @@
     check(
         &(GOOD.to_owned() + "timing: {\n"),
         &expect![[r#"
+            report:
               x settings.yaml has a mistake
                ,-[settings.yaml:9:9]
              8 | secret: sixteen characters
