--- a/crates/sedgepathd/tests/settings.rs
+++ b/crates/sedgepathd/tests/settings.rs
@@ -1,5 +1,7 @@
 //! What an operator sees of mistakes in a settings file.
 
+#![expect(clippy::needless_raw_string_hashes, reason = "expect-test writes them")]
+
 use expect_test::{Expect, expect};
 use miette::{GraphicalReportHandler, GraphicalTheme};
 use sedgepath_core::schema::{Field, Shape};
