Add the operators' command line

Cause: the program was empty, and records could only be written by hand into the table.

Change: check, apply, get, history, drain (plan, start, end), status, explain, timeline and key, each in a file with its options beside what carries it out; the work is done by operations that know no command line. Nodes are tried in turn; a change carries a number by which asking again, at any node, never makes it twice. Mistakes in files of records are all shown at once, each at its place. What a node knows of a request's way is explained from the same view that steers it, and the class of a caller is found in one place for both. Exit codes: 0 done, 1 failed, 2 usage, 3 conflict, 4 no node reached, 5 outcome unknown, 6 refused by check or plan.

--- a/crates/sedgepath-core/src/catalogue.rs
+++ b/crates/sedgepath-core/src/catalogue.rs
@@ -7,6 +7,7 @@
 use crate::hash::{Digest, Map, Set};
 use crate::key::{DomainKey, OrganisationKey, OriginKey, RegionKey, ServiceKey, UpstreamKey};
 use crate::record::{self, Cap, DrainTarget, Plan, RawRecord, RecordBody, RecordError};
+use crate::request::Class;
 
 /// The origin group whose shares hold for callers of all groups that have none of their own.
 pub const ANY_ORIGIN: &str = "any";
@@ -191,6 +192,18 @@
         self.keys.get(&key_digest).copied()
     }
 
+    /// Returns the class of a caller, given the digest of its organisation's key, or none if the key
+    /// is unknown.
+    pub fn class(&self, key_digest: Option<Digest>) -> Option<Class> {
+        let Some(key_digest) = key_digest else {
+            return Some(Class::Guest);
+        };
+        match self.organisations.get(&self.organisation(key_digest)?)?.plan {
+            Plan::Paying => Some(Class::Paying),
+            Plan::Trial => Some(Class::Trial),
+        }
+    }
+
     /// Returns the shares of a service for callers of an origin group.
     pub fn shares(&self, service: ServiceKey, origin: OriginKey) -> Option<&[(DomainKey, f64)]> {
         let steering = self.services.get(&service)?.steering.as_ref()?;
--- /dev/null
+++ b/crates/sedgepath-core/src/explain.rs
@@ -0,0 +1,173 @@
+//! Why a request of a caller would go where it goes: the inputs, their age, and the rule.
+
+use std::net::IpAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::candidates::View;
+use crate::catalogue::ANY_ORIGIN;
+use crate::hash::Digest;
+use crate::key::{DomainKey, OriginKey, ServiceKey};
+use crate::record::Cap;
+use crate::request::Class;
+use crate::steering::{Candidate, SteeringPolicy};
+
+/// What is to be explained.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// The name of the service.
+    pub service: Box<str>,
+    /// The caller's address.
+    pub source: IpAddr,
+    /// The digest of the organisation's key, if the caller has one.
+    pub key_digest: Option<Digest>,
+}
+
+/// Whether the node would let the request in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Entrance {
+    /// It would.
+    Open,
+    /// It has no configuration to serve by yet.
+    NotReady,
+    /// It can't read the service's records.
+    Refused,
+    /// There is no such service.
+    NoService,
+    /// The organisation's key is unknown.
+    UnknownOrganisation,
+}
+
+/// A failure domain that the request could go to, with the figures that this node has of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ExplainedCandidate {
+    /// Its name.
+    pub domain: Box<str>,
+    /// Its region's name.
+    pub region: Box<str>,
+    /// Its share by the record, from 0 to 1.
+    pub share: f64,
+    /// The slots that its owners have, as last reported.
+    pub slots: u32,
+    /// Those taken.
+    pub in_flight: u32,
+    /// The slots that its upstreams have by their records, drained ones left out.
+    pub declared_slots: u32,
+    /// The age of the oldest report, in milliseconds.
+    pub report_age_ms: u64,
+    /// Whether an entry VM of it takes work.
+    pub serves: bool,
+    /// Whether a drain of the whole domain is in force.
+    pub draining: bool,
+    /// Its upstreams of the service that a drain takes out of service.
+    pub drained_upstreams: Vec<Box<str>>,
+}
+
+/// Why a request would go where it goes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Explanation {
+    /// The node that explains; another one may know other figures.
+    pub node: Box<str>,
+    /// The configuration revision that it decides by.
+    pub revision: u64,
+    /// Whether it would let the request in.
+    pub entrance: Entrance,
+    /// The origin group of the caller's address.
+    pub origin: Box<str>,
+    /// Whether a block of clients holds the address; else the group is `any`.
+    pub origin_by_block: bool,
+    /// The origin group whose shares hold for the caller; none without a steering record.
+    pub shares_of: Option<Box<str>>,
+    /// The organisation that the key belongs to.
+    pub organisation: Option<Box<str>>,
+    /// The caller's class, unless its key is unknown.
+    pub class: Option<Class>,
+    /// The schema of the steering record.
+    pub schema: Option<u32>,
+    /// The most that a shift may move.
+    pub cap: Option<Cap>,
+    /// The name of the policy that ranks the failure domains.
+    pub policy: Box<str>,
+    /// The failure domains that the shares name.
+    pub candidates: Vec<ExplainedCandidate>,
+}
+
+impl View<'_> {
+    /// Explains where a request would go.
+    pub fn explain(&self, question: &Question, policy: &dyn SteeringPolicy) -> Explanation {
+        let service = ServiceKey::of(&question.service);
+        let origin = self.catalogue.origin(question.source);
+        let steering = self.catalogue.services.get(&service).and_then(|it| it.steering.as_ref());
+        let own_shares = steering.is_some_and(|steering| steering.shares.contains_key(&origin));
+        let organisation = question.key_digest.and_then(|key| self.catalogue.organisation(key));
+        let organisation = organisation.and_then(|key| self.catalogue.organisations.get(&key));
+        let class = self.catalogue.class(question.key_digest);
+        let origin_name = self.origin_name(origin);
+        Explanation {
+            node: self.identity.card.name.clone(),
+            revision: self.revision,
+            entrance: self.entrance(service, class),
+            origin_by_block: origin != OriginKey::of(ANY_ORIGIN),
+            shares_of: steering
+                .map(|_| if own_shares { origin_name.clone() } else { ANY_ORIGIN.into() }),
+            origin: origin_name,
+            organisation: organisation.map(|entry| entry.name.clone()),
+            class,
+            schema: steering.map(|steering| steering.schema),
+            cap: steering.map(|steering| steering.cap),
+            policy: policy.name().into(),
+            candidates: self
+                .candidates(service, origin)
+                .iter()
+                .map(|candidate| self.explained(service, candidate))
+                .collect(),
+        }
+    }
+
+    fn entrance(&self, service: ServiceKey, class: Option<Class>) -> Entrance {
+        if !self.ready {
+            return Entrance::NotReady;
+        }
+        if self.catalogue.refused.contains(&service) {
+            return Entrance::Refused;
+        }
+        if !self.catalogue.services.contains_key(&service) {
+            return Entrance::NoService;
+        }
+        if class.is_none() { Entrance::UnknownOrganisation } else { Entrance::Open }
+    }
+
+    fn origin_name(&self, origin: OriginKey) -> Box<str> {
+        self.catalogue.origins.get(&origin).cloned().unwrap_or_else(|| ANY_ORIGIN.into())
+    }
+
+    fn explained(&self, service: ServiceKey, candidate: &Candidate) -> ExplainedCandidate {
+        let entry = self.catalogue.domains.get(&candidate.domain);
+        let region = entry.and_then(|entry| self.catalogue.regions.get(&entry.region));
+        ExplainedCandidate {
+            domain: entry.map(|entry| entry.name.clone()).unwrap_or_default(),
+            region: region.cloned().unwrap_or_default(),
+            share: candidate.share,
+            slots: candidate.slots,
+            in_flight: candidate.in_flight,
+            declared_slots: candidate.declared_slots,
+            report_age_ms: candidate.report_age_ms,
+            serves: candidate.serves,
+            draining: entry.is_some_and(|entry| entry.draining),
+            drained_upstreams: self.drained_upstreams(service, candidate.domain),
+        }
+    }
+
+    fn drained_upstreams(&self, service: ServiceKey, domain: DomainKey) -> Vec<Box<str>> {
+        let upstreams = self.catalogue.services.get(&service).map(|entry| &entry.upstreams);
+        upstreams
+            .into_iter()
+            .flatten()
+            .filter(|upstream| self.catalogue.is_draining(**upstream))
+            .filter_map(|upstream| self.catalogue.upstreams.get(upstream))
+            .filter(|entry| entry.domain == domain)
+            .map(|entry| entry.name.clone())
+            .collect()
+    }
+}
--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -10,13 +10,12 @@
 //! twice sees every outcome before the caller does.
 
 use crate::candidates::{Owner, View};
-use crate::catalogue::{Catalogue, ServiceEntry};
+use crate::catalogue::ServiceEntry;
 use crate::event::Action;
 use crate::hash::Map;
 use crate::key::{DomainKey, RequestKey, ServiceKey};
 use crate::look_up::LookUps;
 use crate::outbox::Outbox;
-use crate::record::Plan;
 use crate::request::{Class, Dispatch, HopEnd, Once, Outcome, Reason, Refusal, RequestHead};
 use crate::retry::RetryBudgets;
 use crate::steering::{Choice, SteeringPolicy};
@@ -274,7 +273,7 @@
     let Some(entry) = view.catalogue.services.get(&service) else {
         return Err(Denied::Outcome(Outcome::NoService));
     };
-    let Some(class) = classify(head, view.catalogue) else {
+    let Some(class) = view.catalogue.class(head.key_digest) else {
         return Err(Denied::Outcome(Outcome::UnknownOrganisation));
     };
     if head.deadline_at_ms <= view.now_ms {
@@ -282,15 +281,3 @@
     }
     Ok((entry, class))
 }
-
-/// Returns the class of a request, or none if its organisation's key is unknown.
-fn classify(head: &RequestHead, catalogue: &Catalogue) -> Option<Class> {
-    let Some(key_digest) = head.key_digest else {
-        return Some(Class::Guest);
-    };
-    let organisation = catalogue.organisation(key_digest)?;
-    match catalogue.organisations.get(&organisation)?.plan {
-        Plan::Paying => Some(Class::Paying),
-        Plan::Trial => Some(Class::Trial),
-    }
-}
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod drain;
 pub mod egress;
 pub mod event;
+pub mod explain;
 pub mod hash;
 pub mod identity;
 pub mod ingress;
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -12,6 +12,7 @@
 use crate::configuration::store::{Page, Position};
 use crate::egress::{Egress, Scope};
 use crate::event::{Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError};
+use crate::explain::{Explanation, Question};
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{Conclusion, Ingress, Means};
 use crate::key::{DomainKey, UpstreamKey, VmKey};
@@ -213,6 +214,13 @@
         self.ingress.look_ups_mut().answer(look_up, valid_ms, &means.view)
     }
 
+    /// Explains where a request would go.
+    pub fn explain(&self, question: &Question) -> Explanation {
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        means.view.explain(question, means.policy)
+    }
+
     /// Gives requests their final outcomes.
     fn conclude(&mut self, concluded: impl IntoIterator<Item = Conclusion>) {
         for Conclusion { request, outcome } in concluded {
--- a/crates/sedgepath-core/src/timeline.rs
+++ b/crates/sedgepath-core/src/timeline.rs
@@ -63,6 +63,36 @@
     pub fields: Vec<(Box<str>, Box<str>)>,
 }
 
+impl Entry {
+    /// Writes the entry as one line of `key=value` pairs.
+    pub fn line(&self, node: &str) -> String {
+        let mut line = format!(
+            "time_ms={} count={} node={} topic={} event={}",
+            self.stamp.time_ms,
+            self.stamp.count,
+            quoted(node),
+            self.topic.name(),
+            self.event
+        );
+        for (key, value) in &self.fields {
+            line.push(' ');
+            line.push_str(key);
+            line.push('=');
+            line.push_str(&quoted(value));
+        }
+        line
+    }
+}
+
+/// Quotes a value that holds blanks, quotes or line ends, so that one event stays one line.
+fn quoted(value: &str) -> String {
+    let plain = |c: char| !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=');
+    if !value.is_empty() && value.chars().all(plain) {
+        return value.to_owned();
+    }
+    format!("{value:?}")
+}
+
 /// The latest entries of a node.
 #[derive(Debug, Default)]
 pub struct Timeline {
--- a/crates/sedgepath-wire/src/rpc.rs
+++ b/crates/sedgepath-wire/src/rpc.rs
@@ -6,6 +6,7 @@
 use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRequest};
 use sedgepath_core::configuration::rows::LoggedChange;
 use sedgepath_core::configuration::store::{Page, Position};
+use sedgepath_core::explain::{Explanation, Question};
 use sedgepath_core::key::DomainKey;
 use sedgepath_core::timeline::Entry;
 use serde::{Deserialize, Serialize};
@@ -66,6 +67,12 @@
     pub leaving: bool,
 }
 
+/// The code of the error of a process that is about to end.
+pub const STOPPING_CODE: i32 = -32_001;
+
+/// The code of the error of a question that needs the platform while it can't be reached.
+pub const UNAVAILABLE_CODE: i32 = -32_002;
+
 /// The remote calls of a node.
 #[rpc(client, server, namespace = "sedgepath")]
 pub trait Operators {
@@ -85,6 +92,10 @@
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<Status>;
 
+    /// Explains where a request of a caller would go, by what the node knows.
+    #[method(name = "explain")]
+    async fn explain(&self, question: Question) -> RpcResult<Explanation>;
+
     /// Returns the entries of the node's time line after a stamp.
     #[method(name = "timeline")]
     async fn timeline(&self, after: Stamp) -> RpcResult<TimelinePart>;
--- /dev/null
+++ b/crates/sedgepath/src/commands/drain.rs
@@ -0,0 +1,111 @@
+use std::io::Write;
+
+use getopts::Options;
+use sedgepath_core::record::DrainTarget;
+
+use super::{Command, change_options, data_options};
+use crate::cli::Context;
+use crate::error::CliError;
+use crate::operations::ApplyOptions;
+use crate::operations::drain::{self, DrainOptions, DrainReport};
+use crate::time;
+
+/// `sedgepath drain`
+pub const COMMAND: Command = Command {
+    name: "drain",
+    arguments: "plan|start|end TARGET [OPTIONS]",
+    about: "Plan, start or end the drain of an upstream or a failure domain\n\n`plan` says when the \
+            drain would end under the caps of the steering records, or why it can't\nfinish in \
+            time. `start` plans again and puts the drain in force if the plan holds. `end` lets the\n\
+            target take work again.",
+    options,
+    exec,
+};
+
+fn options(options: &mut Options) {
+    data_options(options);
+    options.optopt(
+        "b",
+        "finish-by",
+        "refuse unless it ends within this time (90s, 15m, 2h) or by it (2026-12-02T22:00:00Z)",
+        "TIME",
+    );
+    options.optopt("k", "kind", "what TARGET names: upstream or domain", "KIND");
+    change_options(options);
+}
+
+fn exec(context: &mut Context<'_>) -> Result<(), CliError> {
+    let arguments = context.matches.free.clone();
+    let [step, target] = &*arguments else {
+        return Err(context.usage("`plan`, `start` or `end` and one target should be given"));
+    };
+    let now_ms = time::now_ms();
+    let options = DrainOptions {
+        target: target.as_str().into(),
+        kind: kind(context)?,
+        now_ms,
+        finish_by_ms: finish_by_ms(context, now_ms)?,
+    };
+    let client = context.client()?;
+    let in_force = client.in_force()?;
+    let apply = |options: ApplyOptions| {
+        options
+            .with_note(context.matches.opt_str("note"))
+            .with_change_id(context.matches.opt_str("change-id"))
+    };
+    let report = match step.as_str() {
+        "plan" => drain::plan(&in_force, &options)?,
+        "start" => drain::start(&client, &in_force, &options, apply)?,
+        "end" => drain::end(&client, &in_force, &options, apply)?,
+        other => {
+            return Err(
+                context.usage(format!("`{other}` is no step; it should be plan, start or end"))
+            );
+        }
+    };
+    if context.json() {
+        return context.write_json(&report);
+    }
+    write(context.out, &report, now_ms)?;
+    Ok(())
+}
+
+fn kind(context: &Context<'_>) -> Result<Option<DrainTarget>, CliError> {
+    match context.matches.opt_str("kind").as_deref() {
+        None => Ok(None),
+        Some("upstream") => Ok(Some(DrainTarget::Upstream)),
+        Some("domain") => Ok(Some(DrainTarget::Domain)),
+        Some(other) => {
+            let message = format!("`--kind {other}` should be `upstream` or `domain`");
+            Err(context.usage(message))
+        }
+    }
+}
+
+fn finish_by_ms(context: &Context<'_>, now_ms: u64) -> Result<u64, CliError> {
+    let Some(text) = context.matches.opt_str("finish-by") else { return Ok(u64::MAX) };
+    time::parse_length(&text)
+        .map(|length_ms| now_ms.saturating_add(length_ms))
+        .or_else(|| time::parse(&text))
+        .ok_or_else(|| context.usage(format!("`--finish-by {text}` is no time")))
+}
+
+fn write(out: &mut dyn Write, report: &DrainReport, now_ms: u64) -> std::io::Result<()> {
+    for group in &report.groups {
+        writeln!(out, "service {}, callers of group {}:", group.service, group.origin)?;
+        for step in &group.steps {
+            let after_s = step.at_ms.saturating_sub(now_ms) / 1_000;
+            let percent = step.share * 100.0;
+            writeln!(out, "  after {after_s:>6} s: {percent:>5.1}% of its traffic at the target")?;
+        }
+    }
+    if let Some(end_ms) = report.predicted_end_ms {
+        let after_s = end_ms.saturating_sub(now_ms).div_ceil(1_000);
+        let end = time::format(end_ms);
+        writeln!(out, "the drain of {} would end after {after_s} s, at {end}", report.target)?;
+    }
+    if let Some(revision) = report.revision {
+        writeln!(out, "revision {revision} is accepted")?;
+    }
+    Ok(())
+}
--- a/crates/sedgepathd/examples/demo.rs
+++ b/crates/sedgepathd/examples/demo.rs
@@ -217,11 +217,7 @@
         match part(addresses.operators) {
             Some(part) => {
                 let node = part.node.clone();
-                entries.extend(
-                    part.entries
-                        .iter()
-                        .map(|entry| (entry.stamp, sedgepathd::logging::line(&node, entry))),
-                );
+                entries.extend(part.entries.iter().map(|entry| (entry.stamp, entry.line(&node))));
             }
             None => println!("{} did not answer (it was stopped)", addresses.name),
         }
--- a/crates/sedgepathd/src/logging.rs
+++ b/crates/sedgepathd/src/logging.rs
@@ -22,33 +22,5 @@
 
 /// Logs an entry of the time line.
 pub fn entry(node: &str, entry: &Entry) {
-    log::info!("{}", line(node, entry));
-}
-
-/// Writes an entry of the time line as `key=value` pairs.
-pub fn line(node: &str, entry: &Entry) -> String {
-    let mut line = format!(
-        "time_ms={} count={} node={} topic={} event={}",
-        entry.stamp.time_ms,
-        entry.stamp.count,
-        quoted(node),
-        entry.topic.name(),
-        entry.event
-    );
-    for (key, value) in &entry.fields {
-        line.push(' ');
-        line.push_str(key);
-        line.push('=');
-        line.push_str(&quoted(value));
-    }
-    line
-}
-
-/// Quotes a value that holds blanks, quotes or line ends, so that one event stays one line.
-pub fn quoted(value: &str) -> String {
-    let plain = |c: char| !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=');
-    if !value.is_empty() && value.chars().all(plain) {
-        return value.to_owned();
-    }
-    format!("{value:?}")
+    log::info!("{}", entry.line(node));
 }
--- a/crates/sedgepathd/src/operators.rs
+++ b/crates/sedgepathd/src/operators.rs
@@ -12,12 +12,14 @@
 use sedgepath_core::configuration::rows::{LOG_PREFIX, LoggedChange, log_key};
 use sedgepath_core::configuration::store::{Page, Position};
 use sedgepath_core::event::Event;
+use sedgepath_core::explain::{Explanation, Question};
 use sedgepath_core::key::OperationKey;
 use sedgepath_core::node::Node;
 use sedgepath_core::table::{TableRequest, TableResult};
 use sedgepath_platform::TableService;
 use sedgepath_wire::rpc::{
-    MemberStatus, OperatorsClient, OperatorsServer, Status, TimelinePart, UnreadStatus,
+    MemberStatus, OperatorsClient, OperatorsServer, STOPPING_CODE, Status, TimelinePart,
+    UNAVAILABLE_CODE, UnreadStatus,
 };
 use tokio::sync::mpsc;
 
@@ -26,12 +28,6 @@
 /// The longest that a call to a peer may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The code of the error of a process that is about to end.
-const STOPPING_CODE: i32 = -32_001;
-
-/// The code of the error of a question that needs the platform while it can't be reached.
-const UNAVAILABLE_CODE: i32 = -32_002;
-
 /// The most changes that are returned at once.
 const MAX_HISTORY: u32 = 1_000;
 
@@ -98,6 +94,10 @@
         self.ask(move |node| status(node, now_ms)).await
     }
 
+    async fn explain(&self, question: Question) -> RpcResult<Explanation> {
+        self.ask(move |node| node.explain(&question)).await
+    }
+
     async fn timeline(&self, after: Stamp) -> RpcResult<TimelinePart> {
         self.ask(move |node| TimelinePart {
             node: node.outbox().identity().card.name.clone(),
