--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -16,7 +16,6 @@
 use crate::key::{RequestKey, ServiceKey};
 use crate::look_up::LookUps;
 use crate::outbox::Outbox;
-use crate::record::Plan;
 use crate::request::{Class, Dispatch, HopEnd, Once, Outcome, Reason, Refusal, RequestHead};
 use crate::retry::RetryBudgets;
 use crate::steering::SteeringPolicy;
@@ -278,7 +277,7 @@
     let Some(entry) = view.catalogue.services.get(&service) else {
         return Err(Denied::Outcome(Outcome::NoService));
     };
-    let Some(class) = classify(head, view.catalogue) else {
+    let Some(class) = view.catalogue.class(head.key_digest) else {
         return Err(Denied::Outcome(Outcome::UnknownOrganisation));
     };
     if entry.once_only && head.once == Once::Repeatable {
@@ -293,17 +292,5 @@
 /// Whether a request's service and organisation are known, so that it may cost a write to the table.
 pub fn knows(head: &RequestHead, catalogue: &Catalogue) -> bool {
     catalogue.services.contains_key(&ServiceKey::of(&head.service))
-        && classify(head, catalogue).is_some()
-}
-
-/// Returns the class of a request, or none if its organisation's key is unknown.
-fn classify(head: &RequestHead, catalogue: &Catalogue) -> Option<Class> {
-    let Some(key_digest) = head.key_digest else {
-        return Some(Class::Guest);
-    };
-    let organisation = catalogue.organisation(key_digest)?;
-    match catalogue.organisations.get(&organisation)?.plan {
-        Plan::Paying => Some(Class::Paying),
-        Plan::Trial => Some(Class::Trial),
-    }
+        && catalogue.class(head.key_digest).is_some()
 }
--- a/crates/sedgepathd/src/command.rs
+++ b/crates/sedgepathd/src/command.rs
@@ -38,8 +38,8 @@
     };
     let settings = match Settings::read(&path) {
         Ok(settings) => settings,
-        Err(report) => {
-            eprintln!("{report:?}");
+        Err(error) => {
+            eprintln!("{:?}", miette::Report::new(error));
             return ExitCode::from(EXIT_USAGE);
         }
     };
