Fuzz at most once over four node cores

Steps: calls and repeats with keys and tickets through any node, other requests under the same key, kill, start, pause, wake, planned stop, clocks that are off, cuts, platform down, lost answers, late writes, upstreams that refuse or lose answers. The oracle reads what callers and upstreams saw; of callers that number their attempts also that no attempt up to a denied one ever runs.

--- a/crates/sedgepath-core/tests/claims.rs
+++ b/crates/sedgepath-core/tests/claims.rs
@@ -1,8 +1,11 @@
 //! Actions under keys that callers choose: at most one run, and *not run* is true for ever.
 
+#[path = "once_support/callers.rs"]
+mod once_callers;
 mod once_support;
 
-use once_support::{Verdict, assert_holds, bed, head, judge, run_actions, settle};
+use once_callers::run_actions;
+use once_support::{Verdict, assert_holds, bed, head, judge, settle};
 use sedgepath_core::hash::Digest;
 use sedgepath_core::request::{Once, Outcome};
 use sedgepath_test_support::bed::{Bed, Seen};
--- /dev/null
+++ b/crates/sedgepath-core/tests/fuzz_once.rs
@@ -0,0 +1,215 @@
+//! Stateful fuzzing of at most once over four node cores.
+//!
+//! Callers use keys and tickets through any node, repeat them, and change the request under a key,
+//! while nodes die, start, pause, wake, stop as planned and have clocks that are off, links are cut,
+//! upstreams refuse or lose answers, and the table is down, loses answers or applies writes late. The
+//! oracle reads only what callers and upstreams saw.
+//!
+//! CI runs a fixed seed; `FUZZ_CASES` and `FUZZ_SEED` in the environment make long runs.
+
+mod once_support;
+
+use std::collections::BTreeMap;
+
+use once_support::{assert_holds, bed, head, judge, settle};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use sedgepath_core::hash::Digest;
+use sedgepath_core::key::UpstreamKey;
+use sedgepath_core::request::Once;
+use sedgepath_test_support::bed::Bed;
+use sedgepath_test_support::bed::faults::Place;
+
+const NODES: usize = 4;
+/// The actions; those with odd numbers use tickets.
+const ACTIONS: usize = 8;
+/// The actions whose callers number their attempts.
+const NUMBERED: usize = 6;
+const UPSTREAMS: [&str; 2] = ["d1", "d2"];
+
+/// One step of a run.
+#[derive(Debug, Clone)]
+enum Step {
+    /// A caller asks for an action, the first time or again; odd actions use tickets.
+    Call {
+        node: usize,
+        action: usize,
+    },
+    /// A caller sends another request under the key or ticket of an action.
+    Change {
+        node: usize,
+        action: usize,
+    },
+    Kill(usize),
+    Start(usize),
+    Pause(usize),
+    Wake(usize),
+    Stop(usize),
+    Skew(usize, i64),
+    CutNodes(usize, usize),
+    CutPlatform(usize),
+    CutUpstream(usize, usize),
+    Heal,
+    PlatformDown(bool),
+    LostAnswers(u32),
+    LateWrites {
+        count: u32,
+        late_by_ms: u64,
+    },
+    Refuse(usize, bool),
+    LoseAnswers(usize, bool),
+    Pass(u64),
+}
+
+/// What decides which steps make sense: nothing, as each is defined in every state.
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let node = || 0..NODES;
+        let upstream = || 0..UPSTREAMS.len();
+        prop_oneof![
+            30 => (node(), 0..ACTIONS).prop_map(|(node, action)| Step::Call { node, action }),
+            2 => (node(), 0..ACTIONS).prop_map(|(node, action)| Step::Change { node, action }),
+            3 => node().prop_map(Step::Kill),
+            4 => node().prop_map(Step::Start),
+            3 => node().prop_map(Step::Pause),
+            4 => node().prop_map(Step::Wake),
+            1 => node().prop_map(Step::Stop),
+            1 => (node(), -1_000..1_000_i64).prop_map(|(node, ms)| Step::Skew(node, ms)),
+            2 => (node(), node()).prop_map(|(a, b)| Step::CutNodes(a, b)),
+            2 => node().prop_map(Step::CutPlatform),
+            1 => (node(), upstream()).prop_map(|(node, up)| Step::CutUpstream(node, up)),
+            3 => Just(Step::Heal),
+            4 => any::<bool>().prop_map(Step::PlatformDown),
+            2 => prop_oneof![Just(0), Just(50), Just(100)].prop_map(Step::LostAnswers),
+            4 => (1..4_u32, 1..4_000_u64)
+                .prop_map(|(count, late_by_ms)| Step::LateWrites { count, late_by_ms }),
+            3 => (upstream(), any::<bool>()).prop_map(|(up, on)| Step::Refuse(up, on)),
+            2 => (upstream(), any::<bool>()).prop_map(|(up, on)| Step::LoseAnswers(up, on)),
+            12 => (1..40_u64).prop_map(Step::Pass),
+            12 => (100..3_000_u64).prop_map(Step::Pass),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _transition: &Step) {}
+}
+
+/// The nodes, and what their callers remember.
+struct Run {
+    bed: Bed,
+    keys: BTreeMap<usize, Once>,
+    attempts: BTreeMap<usize, u32>,
+}
+
+impl Run {
+    /// Returns the key or ticket of an action; none if no ticket can be had now.
+    fn once(&mut self, node: usize, action: usize) -> Option<Once> {
+        if let Some(once) = self.keys.get(&action) {
+            return Some(*once);
+        }
+        let once = if action.is_multiple_of(2) {
+            Once::Key(Digest::of(&[b"key", &action.to_le_bytes()]))
+        } else {
+            Once::Ticket(*self.bed.mint((node + action) % NODES, "deposit", 1).first()?)
+        };
+        self.keys.insert(action, once);
+        Some(once)
+    }
+
+    fn call(&mut self, node: usize, action: usize, changed: bool) {
+        let Some(once) = self.once(node, action) else {
+            return;
+        };
+        let attempt = self.attempts.entry(action).or_default();
+        *attempt += 1;
+        let mut head = head(&self.bed, once, if action < NUMBERED { *attempt } else { 0 });
+        if changed {
+            head.digest = Digest::of(&[b"another request"]);
+        }
+        self.bed.call(node, head);
+    }
+
+    fn take(&mut self, step: &Step) {
+        let bed = &mut self.bed;
+        let upstream = |index: usize| Place::Upstream(UpstreamKey::of(UPSTREAMS[index]));
+        match *step {
+            Step::Call { node, action } => self.call(node, action, false),
+            Step::Change { node, action } => self.call(node, action, true),
+            Step::Kill(node) => bed.kill(node),
+            Step::Start(node) if bed.node(node).is_none() => bed.start(node),
+            Step::Pause(node) => bed.pause(node),
+            Step::Wake(node) => bed.wake(node),
+            Step::Stop(node) if bed.runs(node) => bed.stop(node),
+            Step::Start(_) | Step::Stop(_) => {}
+            Step::Skew(node, skew_ms) => bed.set_skew_ms(node, skew_ms),
+            Step::CutNodes(a, b) => bed.faults.cut(Place::Node(a), Place::Node(b)),
+            Step::CutPlatform(node) => bed.faults.cut(Place::Node(node), Place::Platform),
+            Step::CutUpstream(node, up) => bed.faults.cut(Place::Node(node), upstream(up)),
+            Step::Heal => bed.faults.heal_all(),
+            Step::PlatformDown(down) => bed.faults.platform_down = down,
+            Step::LostAnswers(percent) => bed.faults.lost_answers_percent = percent,
+            Step::LateWrites { count, late_by_ms } => {
+                bed.faults.late_writes = count;
+                bed.faults.late_by_ms = late_by_ms;
+            }
+            Step::Refuse(up, on) => bed.upstreams.get(UPSTREAMS[up]).refuses = on,
+            Step::LoseAnswers(up, on) => bed.upstreams.get(UPSTREAMS[up]).loses_answers = on,
+            Step::Pass(duration_ms) => bed.run_for(duration_ms),
+        }
+    }
+}
+
+impl StateMachineTest for Run {
+    type SystemUnderTest = Self;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> Self {
+        Self { bed: bed(1), keys: BTreeMap::new(), attempts: BTreeMap::new() }
+    }
+
+    fn apply(mut state: Self, (): &(), transition: Step) -> Self {
+        state.take(&transition);
+        state
+    }
+
+    fn check_invariants(state: &Self, (): &()) {
+        assert_holds(&judge(&state.bed));
+    }
+
+    fn teardown(mut state: Self, (): ()) {
+        assert_holds(&settle(&mut state.bed));
+    }
+}
+
+fn from_environment(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn config() -> Config {
+    Config {
+        cases: from_environment("FUZZ_CASES", 48) as u32,
+        rng_seed: RngSeed::Fixed(from_environment("FUZZ_SEED", 1)),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    /// Whatever happens, no key or ticket runs twice, nothing runs that was denied, and no repeat
+    /// gets another action's answer.
+    #[test]
+    fn at_most_once(sequential 1..80 => Run);
+}
--- /dev/null
+++ b/crates/sedgepath-core/tests/once_support/callers.rs
@@ -0,0 +1,66 @@
+//! Callers that repeat their actions.
+
+use sedgepath_core::request::Once;
+use sedgepath_test_support::bed::{Bed, CallIndex, NodeIndex};
+
+use super::once_support::{head, is_answer};
+
+/// A caller that repeats an action through one node after the other until it knows its end.
+#[derive(Debug)]
+pub struct Action {
+    once: Once,
+    attempt: u32,
+    call: CallIndex,
+    repeat_at_ms: u64,
+}
+
+impl Action {
+    /// Asks for the action the first time.
+    pub fn new(bed: &mut Bed, node: NodeIndex, once: Once) -> Self {
+        let head = head(bed, once, 1);
+        let call = bed.call(node, head);
+        Self { once, attempt: 1, call, repeat_at_ms: bed.now_ms() + 1_000 }
+    }
+
+    /// Repeats the request if its end is not known; a caller that hears nothing repeats it too.
+    pub fn poll(&mut self, bed: &mut Bed) {
+        if bed.now_ms() < self.repeat_at_ms || is_answer(&bed.calls()[self.call].seen) {
+            return;
+        }
+        let node = (bed.calls()[self.call].node + 1) % bed.node_count();
+        self.attempt += 1;
+        self.repeat_at_ms = bed.now_ms() + 1_000;
+        let head = head(bed, self.once, self.attempt);
+        self.call = bed.call(node, head);
+    }
+}
+
+/// Starts `count` actions, one every `gap_ms`, over all nodes, and lets the callers repeat.
+pub fn run_actions(
+    bed: &mut Bed,
+    count: usize,
+    gap_ms: u64,
+    mut key: impl FnMut(&mut Bed, usize) -> Once,
+    mut fault: impl FnMut(&mut Bed, usize),
+) {
+    let mut actions = Vec::new();
+    for number in 0..count {
+        fault(bed, number);
+        let once = key(bed, number);
+        let node = number % bed.node_count();
+        actions.push(Action::new(bed, node, once));
+        bed.run_for(gap_ms);
+        poll_all(bed, &mut actions);
+    }
+    fault(bed, count);
+    for _ in 0..100 {
+        bed.run_for(100);
+        poll_all(bed, &mut actions);
+    }
+}
+
+fn poll_all(bed: &mut Bed, actions: &mut [Action]) {
+    for action in actions {
+        action.poll(bed);
+    }
+}
--- a/crates/sedgepath-core/tests/once_support/mod.rs
+++ b/crates/sedgepath-core/tests/once_support/mod.rs
@@ -2,12 +2,12 @@
 //! at most once. The oracle reads only what callers, upstreams and the table saw.
 
 use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr};
 
 use sedgepath_core::hash::Digest;
 use sedgepath_core::request::{Once, Outcome, RequestHead};
 use sedgepath_test_support::bed::upstreams::FakeUpstream;
-use sedgepath_test_support::bed::{Bed, CallIndex, NodeIndex, Seen};
+use sedgepath_test_support::bed::{Bed, CallIndex, Seen, guest_request};
 use sedgepath_test_support::records::{self, UpstreamSpec};
 
 /// Creates four nodes in two failure domains and a service with an upstream in each.
@@ -40,51 +40,22 @@
 /// Returns a request; its digest is that of the action alone, as in a repeat.
 pub fn head(bed: &Bed, once: Once, attempt: u32) -> RequestHead {
     RequestHead {
-        service: "deposit".into(),
-        source: IpAddr::V4(Ipv4Addr::LOCALHOST),
-        key_digest: None,
-        deadline_at_ms: bed.now_ms() + 2_000,
         once,
         attempt,
         idempotent: false,
         digest: Digest::of(&[format!("{once:?}").as_bytes()]),
-        revision_seen: 0,
-        forwarded_by: None,
+        ..guest_request("deposit", bed.now_ms() + 2_000)
     }
 }
 
-/// A caller that repeats an action through one node after the other until it knows its end.
-#[derive(Debug)]
-pub struct Action {
-    once: Once,
-    attempt: u32,
-    call: CallIndex,
-    repeat_at_ms: u64,
-}
-
-impl Action {
-    /// Asks for the action the first time.
-    pub fn new(bed: &mut Bed, node: NodeIndex, once: Once) -> Self {
-        let head = head(bed, once, 1);
-        let call = bed.call(node, head);
-        Self { once, attempt: 1, call, repeat_at_ms: bed.now_ms() + 1_000 }
-    }
-
-    /// Repeats the request if its end is not known; a caller that hears nothing repeats it too.
-    pub fn poll(&mut self, bed: &mut Bed) {
-        if bed.now_ms() < self.repeat_at_ms || is_answer(&bed.calls()[self.call].seen) {
-            return;
-        }
-        let node = (bed.calls()[self.call].node + 1) % bed.node_count();
-        self.attempt += 1;
-        self.repeat_at_ms = bed.now_ms() + 1_000;
-        let head = head(bed, self.once, self.attempt);
-        self.call = bed.call(node, head);
-    }
+/// Whether a caller has its answer.
+pub fn is_answer(seen: &Seen) -> bool {
+    matches!(seen, Seen::Answered { .. } | Seen::Concluded(Outcome::Repeated(_)))
 }
 
-fn is_answer(seen: &Seen) -> bool {
-    matches!(seen, Seen::Answered { .. } | Seen::Concluded(Outcome::Repeated(_)))
+/// Whether a caller was told that its request was not run.
+pub fn is_not_run(seen: &Seen) -> bool {
+    matches!(seen, Seen::Concluded(Outcome::NotRun { .. }))
 }
 
 /// What the oracle counted.
@@ -94,7 +65,7 @@
     pub ran_twice: usize,
     /// Requests that ran although their caller was told that they did not.
     pub ran_after_not_run: usize,
-    /// Keys of which the newest request was told *not run* although an earlier one ran.
+    /// Requests that were told *not run* although an earlier attempt ran, before or later.
     pub denied_after_run: usize,
     /// Repeats that got another action's answer.
     pub wrong_answers: usize,
@@ -120,7 +91,7 @@
     let mut by_key: BTreeMap<String, Vec<CallIndex>> = BTreeMap::new();
     for (index, call) in bed.calls().iter().enumerate() {
         by_key.entry(format!("{:?}", call.head.once)).or_default().push(index);
-        if matches!(call.seen, Seen::Concluded(Outcome::NotRun { .. })) {
+        if is_not_run(&call.seen) {
             verdict.ran_after_not_run += usize::from(bed.upstreams.runs_of(index) > 0);
         }
     }
@@ -138,47 +109,21 @@
             verdict.wrong_answers += usize::from(own.as_deref() != Some(&*stored.body));
         }
     }
+    // Only a caller that numbers its attempts is told of the action and not of its request alone.
+    let attempt = |call: &CallIndex| bed.calls()[*call].head.attempt;
+    let ran_from =
+        calls.iter().filter(|call| attempt(call) > 0 && bed.upstreams.runs_of(**call) > 0);
+    let ran_from = ran_from.map(attempt).min().unwrap_or(u32::MAX);
+    let denied = calls.iter().filter(|call| is_not_run(&bed.calls()[**call].seen));
+    verdict.denied_after_run += denied.filter(|call| attempt(call) >= ran_from).count();
     let newest = &bed.calls()[calls[calls.len() - 1]];
     match &newest.seen {
         seen if is_answer(seen) => verdict.answered += 1,
-        Seen::Concluded(Outcome::NotRun { .. }) => {
-            verdict.not_run += 1;
-            verdict.denied_after_run += usize::from(ran.is_some());
-        }
+        Seen::Concluded(Outcome::NotRun { .. }) => verdict.not_run += 1,
         _ => verdict.unknown += 1,
     }
 }
 
-/// Starts `count` actions, one every `gap_ms`, over all nodes, and lets the callers repeat.
-pub fn run_actions(
-    bed: &mut Bed,
-    count: usize,
-    gap_ms: u64,
-    mut key: impl FnMut(&mut Bed, usize) -> Once,
-    mut fault: impl FnMut(&mut Bed, usize),
-) {
-    let mut actions = Vec::new();
-    for number in 0..count {
-        fault(bed, number);
-        let once = key(bed, number);
-        let node = number % bed.node_count();
-        actions.push(Action::new(bed, node, once));
-        bed.run_for(gap_ms);
-        poll_all(bed, &mut actions);
-    }
-    fault(bed, count);
-    for _ in 0..100 {
-        bed.run_for(100);
-        poll_all(bed, &mut actions);
-    }
-}
-
-fn poll_all(bed: &mut Bed, actions: &mut [Action]) {
-    for action in actions {
-        action.poll(bed);
-    }
-}
-
 /// Ends all faults, lets late writes land and repeats go on, and judges.
 pub fn settle(bed: &mut Bed) -> Verdict {
     bed.faults.platform_down = false;
--- a/crates/sedgepath-core/tests/tickets.rs
+++ b/crates/sedgepath-core/tests/tickets.rs
@@ -1,8 +1,11 @@
 //! Actions under tickets: at most one run, with no table on the path.
 
+#[path = "once_support/callers.rs"]
+mod once_callers;
 mod once_support;
 
-use once_support::{Verdict, assert_holds, bed, head, judge, run_actions, settle};
+use once_callers::run_actions;
+use once_support::{Verdict, assert_holds, bed, head, is_not_run, judge, settle};
 use sedgepath_core::hash::Digest;
 use sedgepath_core::once::tickets::{MAX_LIVE, VALID_MS};
 use sedgepath_core::request::{Once, Outcome, Reason};
@@ -28,10 +31,6 @@
     bed.calls()[call].seen.clone()
 }
 
-fn is_not_run(seen: &Seen) -> bool {
-    matches!(seen, Seen::Concluded(Outcome::NotRun { .. }))
-}
-
 fn is_refused(seen: &Seen, reason: Reason) -> bool {
     matches!(seen, Seen::Concluded(Outcome::NotRun { refusal, .. }) if refusal.reason == reason)
 }
