Pass over owners that report no slots

Cause: the draw of two owners takes the less loaded one. An owner whose upstreams all leave reports no slots and nothing in flight, which counted as idle, so it drew every request, only to refuse it.

Ruled out: the owner (it refuses at once and is right), late loads (the counts are from 3 s on), the budget of retries (spent only because of the draws).

Change: owners without slots are left out where another has some. The test asks for nine tenths answered in place of a third. That of a node that starts later counts from the sign in place of a second after the start, which it passes since a new node keeps what it is told before it has records.

--- a/crates/sedgepath-core/src/ingress/places.rs
+++ b/crates/sedgepath-core/src/ingress/places.rs
@@ -127,8 +127,13 @@
         let service = pending.service();
         let owners = self.owners.entry((domain, service));
         let owners = owners.or_insert_with(|| means.view.owners_in(domain, service).into());
-        let untried: Vec<_> =
+        let mut untried: Vec<_> =
             owners.iter().filter(|owner| !pending.has_tried(owner.vm)).copied().collect();
+        // An owner whose upstreams all leave or fail reports no slots, and nothing in flight. Taken for
+        // idle it would draw every request, only to refuse it.
+        if untried.iter().any(has_slots) {
+            untried.retain(has_slots);
+        }
         let first = draw(&untried, &mut self.random)?;
         let second = draw(&untried, &mut self.random)?;
         Some(if load(&second) < load(&first) { second } else { first })
@@ -166,6 +171,10 @@
         .copied()
 }
 
+fn has_slots(owner: &Owner) -> bool {
+    owner.load.is_none_or(|load| load.slots > 0)
+}
+
 fn load(owner: &Owner) -> f64 {
     owner.load.map_or(0.0, |load| f64::from(load.in_flight) / f64::from(load.slots.max(1)))
 }
--- a/crates/sedgepath-core/tests/leaving.rs
+++ b/crates/sedgepath-core/tests/leaving.rs
@@ -75,8 +75,8 @@
     assert_eq!(late_runs(&mut bed, sign_ms), 0);
     assert_none_cut(&mut bed);
     let (asked, answered) = asked_and_answered(&bed, sign_ms + GRACE_MS);
-    // Ingress hears of it by the loads; until its choice follows them half is refused at once.
-    assert!(answered >= asked / 3, "{answered} of {asked}");
+    // The other upstream can just run all of the load; ingress turns to its owner by the loads.
+    assert!(answered >= asked * 9 / 10, "{answered} of {asked}");
 }
 
 /// Gives a sign under a steady load; nothing comes later than allowed, and nothing is cut.
@@ -129,11 +129,10 @@
 }
 
 /// A node that starts long after the sign owns the upstream at once, while the upstream is silent about
-/// its end. Its peers tell it with their first datagrams. What it sends before it has heard anyone is
-/// left to the owner's right, by which a new boot waits.
+/// its end. Its peers tell it with their first datagrams, before it has any records.
 #[test]
 fn peers_say_so_to_a_node_that_starts_later() {
-    for seed in 7..=9 {
+    for seed in 7..=12 {
         let mut bed = bed(seed);
         let owner = owner_of("u1");
         bed.kill(owner);
@@ -145,10 +144,9 @@
         run_load(&mut bed, 10_000);
         assert_eq!(late_runs(&mut bed, sign_ms), 0, "seed {seed}");
         bed.start(owner);
-        let heard_ms = bed.now_ms() + 1_000 - GRACE_MS;
         run_load(&mut bed, 15_000);
         bed.run_for(2_000);
-        assert_eq!(late_runs(&mut bed, heard_ms), 0, "seed {seed}");
+        assert_eq!(late_runs(&mut bed, sign_ms), 0, "seed {seed}");
     }
 }
 
