Measure the parts of admission, and set reserve and queue by it

Cause: the reserve as first built (the whole peak of paying, 0.9 left after a second) left trial traffic 78.8% of what it asked for under ordinary load, where paying needs no such reserve, and was forgotten too soon for long requests; a queue of eight a slot let paying requests in at the edge of their deadline and refused them after 750 ms.

Also: the test of reserve_follows_the_recent_peak_of_paying expects the new rule (never more than half beyond those held).

--- a/crates/sedgepath-core/src/egress.rs
+++ b/crates/sedgepath-core/src/egress.rs
@@ -238,7 +238,8 @@
     }
 
     fn kept(&self, service: &Service, capacity: Capacity) -> u32 {
-        if self.settings.reserve { service.reserve.slots(capacity.slots) } else { 0 }
+        let Capacity { slots, paying, .. } = capacity;
+        if self.settings.reserve { service.reserve.slots(slots, paying) } else { 0 }
     }
 
     /// Sends what waits for a service and can be sent, and refuses what can no longer be served.
@@ -327,7 +328,10 @@
         let Some(service) = self.services.get_mut(&key) else {
             return;
         };
-        let outlook = Outlook { paying: capacity.slots, others: capacity.slots - kept };
+        let outlook = Outlook {
+            paying: capacity.slots,
+            others: capacity.slots.saturating_sub(kept.max(capacity.paying)),
+        };
         let mut refused = Vec::new();
         match settings.queueing {
             _ if capacity.slots == 0 => {
--- a/crates/sedgepath-core/src/egress/service.rs
+++ b/crates/sedgepath-core/src/egress/service.rs
@@ -11,9 +11,6 @@
 const MEAN_WEIGHT: f64 = 0.125;
 const DEVIATION_WEIGHT: f64 = 0.25;
 
-/// The mean deviations that are allowed for over the mean.
-const DEVIATIONS: f64 = 2.0;
-
 /// The least and the most time after which a refused caller is asked back, in milliseconds.
 const SOONEST_RETRY_MS: f64 = 50.0;
 const LATEST_RETRY_MS: f64 = 10_000.0;
@@ -43,9 +40,9 @@
         self.known.map_or(FIRST_GUESS_MS, |(mean, _)| mean.max(1.0))
     }
 
-    /// Returns a time that few requests exceed, in milliseconds.
+    /// Returns the mean and the mean deviation together, in milliseconds.
     pub fn long_ms(&self) -> f64 {
-        self.mean_ms() + self.known.map_or(0.0, |(_, deviation)| DEVIATIONS * deviation)
+        self.mean_ms() + self.known.map_or(0.0, |(_, deviation)| deviation)
     }
 }
 
@@ -130,6 +127,7 @@
 #[derive(Debug)]
 struct Pace {
     now_ms: u64,
+    mean_ms: f64,
     long_ms: f64,
     paying: Lane,
     others: Lane,
@@ -157,6 +155,7 @@
         let lane = |slots, pays| Lane::new(slots, mean_ms, service.stalled_ms(pays, now_ms));
         Self {
             now_ms,
+            mean_ms,
             long_ms: service.time.long_ms(),
             paying: lane(outlook.paying, true),
             others: lane(outlook.others, false),
@@ -175,8 +174,15 @@
         self.others.start_in_ms += if pays { self.paying.step_ms } else { self.others.step_ms };
     }
 
+    /// Whether a request can't be served in time. One that has just come needs a margin over the mean:
+    /// one let in at the edge would be refused later, when the estimate has moved a little.
     fn is_late(&self, waiting: &Waiting) -> bool {
-        let needed_ms = self.start_in_ms(waiting.pays()) + self.long_ms;
+        let start_in_ms = self.start_in_ms(waiting.pays());
+        let needed_ms = if waiting.since_ms == self.now_ms {
+            start_in_ms + self.long_ms
+        } else {
+            start_in_ms + self.mean_ms
+        };
         self.now_ms as f64 + needed_ms > waiting.deadline_at_ms as f64
     }
 
--- a/crates/sedgepath-core/src/egress/settings.rs
+++ b/crates/sedgepath-core/src/egress/settings.rs
@@ -30,7 +30,7 @@
 impl Default for AdmissionSettings {
     fn default() -> Self {
         Self {
-            queueing: Queueing::Bounded { paying_per_slot: 8, others_per_slot: 2 },
+            queueing: Queueing::Bounded { paying_per_slot: 4, others_per_slot: 2 },
             reserve: true,
             ramp: true,
         }
--- a/crates/sedgepath-core/tests/admission.rs
+++ b/crates/sedgepath-core/tests/admission.rs
@@ -31,7 +31,8 @@
 fn overload_stays_within_slots() {
     for seed in 1..=3 {
         let mut bed = load::bed(seed, 2, &[("u1", 4, 100), ("u2", 4, 100)]);
-        let load = Load { seed, paying_per_s: 240, trial_per_s: 0, deadline_ms: 2_000 };
+        let load =
+            Load { seed, paying_per_s: 240, paying_at_once: 1, trial_per_s: 0, deadline_ms: 2_000 };
         let calls = load::run(&mut bed, load, 10_000);
         let peaks: Vec<_> = bed.upstreams.iter().map(|(_, up)| up.peak_in_flight).collect();
         assert!(peaks.iter().all(|peak| *peak <= 4), "seed {seed}: peaks {peaks:?} of 4 slots");
@@ -54,7 +55,8 @@
     let mut bed = load::bed(4, 1, &[("u1", 4, 50)]);
     bed.upstreams.get("u1").loses_answers = true;
     bed.upstreams.get("u1").reports = false;
-    let load = Load { seed: 1, paying_per_s: 240, trial_per_s: 0, deadline_ms: 1_000 };
+    let load =
+        Load { seed: 1, paying_per_s: 240, paying_at_once: 1, trial_per_s: 0, deadline_ms: 1_000 };
     let calls = load::run(&mut bed, load, 5_000);
     assert!(bed.upstreams.get("u1").peak_in_flight <= 4);
     assert_eq!(calls.waiting, 0);
@@ -123,7 +125,12 @@
     let send_by_ms = owner.now_ms() + 100;
     owner.allowances[0].send_by_ms = send_by_ms;
     let first = owner.dispatch("s", Class::Paying, 2_000);
-    let sent = Decision::Sent { upstream: UpstreamKey::of("u"), may_open: true, send_by_ms };
+    let sent = Decision::Sent {
+        upstream: UpstreamKey::of("u"),
+        may_open: true,
+        send_by_ms,
+        at_ms: send_by_ms - 100,
+    };
     assert_eq!(owner.decision(first), sent);
     owner.pass_ms(101);
     let late = owner.dispatch("s", Class::Paying, 2_000);
@@ -185,7 +192,8 @@
 fn dead_upstream_costs_few_requests() {
     let mut bed = load::bed(5, 1, &[("u1", 4, 20), ("u2", 4, 20)]);
     bed.upstreams.get("u1").dead = true;
-    let load = Load { seed: 1, paying_per_s: 100, trial_per_s: 0, deadline_ms: 2_000 };
+    let load =
+        Load { seed: 1, paying_per_s: 100, paying_at_once: 1, trial_per_s: 0, deadline_ms: 2_000 };
     let calls = load::run(&mut bed, load, 20_000);
     assert!(calls.paying.answered >= calls.paying.asked - 16, "{} answered", calls.paying.answered);
 }
@@ -290,9 +298,101 @@
 #[test]
 fn load_that_fits_is_answered() {
     let mut bed = load::bed(6, 2, &[("u1", 4, 20), ("u2", 4, 20)]);
-    let load = Load { seed: 1, paying_per_s: 50, trial_per_s: 10, deadline_ms: 2_000 };
+    let load =
+        Load { seed: 1, paying_per_s: 50, paying_at_once: 1, trial_per_s: 10, deadline_ms: 2_000 };
     let calls = load::run(&mut bed, load, 5_000);
     assert_eq!(calls.paying.answered, calls.paying.asked);
     assert_eq!(calls.trial.answered, calls.trial.asked);
     assert!(bed.calls().iter().all(|call| call.seen != Seen::Waiting));
 }
+
+/// A call as the upstream has it, whatever the owner knows.
+#[derive(Debug, Clone, Copy)]
+struct Truth {
+    exchange: ExchangeKey,
+    ends_at_ms: u64,
+    /// When the answer is lost, if it is.
+    lost_at_ms: Option<u64>,
+}
+
+/// Steps of chance: requests of all classes come, calls end, break off before their end and are refused,
+/// reports come, the allowance grows and shrinks and the right lapses. The upstream never runs more than
+/// the allowance of the moment when a request is sent, and each request gets one decision in time.
+#[test]
+fn no_step_of_chance_exceeds_the_slots() {
+    for seed in 1..=40 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut owner = owner(6, &json!({}));
+        let mut running: Vec<Truth> = Vec::new();
+        let mut asked = Vec::new();
+        for _ in 0..1_500 {
+            match random.u32(0..100) {
+                0..8 => owner.allowances[0].slots = random.u32(0..=6),
+                8..10 => owner.allowances[0].send_by_ms = owner.now_ms() + random.u64(0..20_000),
+                10..14 => report(&mut owner, &running, random.u32(3..9)),
+                14 => end_one(&mut owner, &mut running, CallEnd::Refused, &mut random),
+                _ => {
+                    let class = Class::ALL[random.usize(0..3)];
+                    asked.push(owner.dispatch("s", class, random.u64(0..3_000)));
+                }
+            }
+            start_sent(&mut owner, &mut running, &mut random, seed);
+            owner.pass_ms(random.u64(0..30));
+            start_sent(&mut owner, &mut running, &mut random, seed);
+            end_due(&mut owner, &mut running);
+            start_sent(&mut owner, &mut running, &mut random, seed);
+        }
+        owner.pass_ms(3_000);
+        let undecided = asked.iter().filter(|key| owner.decision(**key) == Decision::Queued);
+        assert_eq!(undecided.count(), 0, "seed {seed}");
+        assert!(owner.sent_count() > 50, "seed {seed}: {} sent", owner.sent_count());
+    }
+}
+
+fn report(owner: &mut Owner, running: &[Truth], slots: u32) {
+    let now_ms = owner.now_ms();
+    let run = running.iter().filter(|truth| now_ms < truth.ends_at_ms).count();
+    owner.report("u", run as u32, slots, false);
+}
+
+fn start_sent(owner: &mut Owner, running: &mut Vec<Truth>, random: &mut fastrand::Rng, seed: u64) {
+    for exchange in owner.take_sent() {
+        let Decision::Sent { send_by_ms, at_ms: now_ms, .. } = owner.decision(exchange) else {
+            continue;
+        };
+        assert!(now_ms <= send_by_ms, "seed {seed}: sent {} ms late", now_ms - send_by_ms);
+        // The upstream keeps the deadline, which the time to send by does not exceed here.
+        let takes_ms = random.u64(1..900).min(send_by_ms - now_ms);
+        let lost = random.u32(0..4) == 0;
+        let lost_at_ms = lost.then(|| now_ms + random.u64(0..=takes_ms));
+        running.push(Truth { exchange, ends_at_ms: now_ms + takes_ms, lost_at_ms });
+        let run = running.iter().filter(|truth| now_ms < truth.ends_at_ms).count();
+        let slots = owner.allowances[0].slots as usize;
+        assert!(run <= slots, "seed {seed}: {run} run of {slots} slots");
+    }
+}
+
+/// Tells the owner of losses and ends that are due; a lost call runs on unheard.
+fn end_due(owner: &mut Owner, running: &mut Vec<Truth>) {
+    let now_ms = owner.now_ms();
+    let is_over = |truth: &Truth| truth.ends_at_ms <= now_ms;
+    for truth in running.clone() {
+        match truth.lost_at_ms {
+            Some(lost_at_ms) if lost_at_ms <= now_ms => owner.end(truth.exchange, CallEnd::Lost),
+            None if is_over(&truth) => {
+                running.retain(|other| other.exchange != truth.exchange);
+                owner.end(truth.exchange, CallEnd::Whole);
+            }
+            _ => {}
+        }
+    }
+    running.retain(|truth| !is_over(truth));
+}
+
+fn end_one(owner: &mut Owner, running: &mut Vec<Truth>, end: CallEnd, random: &mut fastrand::Rng) {
+    let Some(place) = (!running.is_empty()).then(|| random.usize(0..running.len())) else { return };
+    if running[place].lost_at_ms.is_none() {
+        let truth = running.remove(place);
+        owner.end(truth.exchange, end);
+    }
+}
--- a/crates/sedgepath-core/tests/classes.rs
+++ b/crates/sedgepath-core/tests/classes.rs
@@ -1,7 +1,8 @@
 //! Trial and guest traffic never crowds out paying traffic, and nobody waits for nothing.
 
+use sedgepath_core::key::{OriginKey, ServiceKey, UpstreamKey};
 use sedgepath_core::record::RawRecord;
-use sedgepath_core::request::{CallEnd, Class, Reason};
+use sedgepath_core::request::{CallEnd, Class, Dispatch, Reason};
 use sedgepath_test_support::load::{self, Load, LoadSeen};
 use sedgepath_test_support::owner::{Decision, Owner};
 use sedgepath_test_support::records;
@@ -34,7 +35,7 @@
 /// 30.
 fn run(seed: u64, trial_per_s: u64) -> LoadSeen {
     let mut bed = load::bed(seed, 1, &[("u1", 4, 100), ("u2", 4, 100)]);
-    let load = Load { seed, paying_per_s: 30, trial_per_s, deadline_ms: 1_000 };
+    let load = Load { seed, paying_per_s: 30, paying_at_once: 1, trial_per_s, deadline_ms: 1_000 };
     load::run(&mut bed, load, 20_000)
 }
 
@@ -81,18 +82,20 @@
     assert_eq!(owner.dispatch_many(10, Class::Guest, 1_000).len(), 1);
 }
 
-/// Paying callers once held four of six slots. Trial traffic leaves these four free for a while, then
-/// gets them back step by step; never none, though paying once held all.
+/// Paying callers once held two of six slots, then four, then all. Trial traffic leaves as many free for
+/// a while, but no more than half of all beyond what paying callers hold; then it gets them back.
 #[test]
 fn reserve_follows_the_recent_peak_of_paying() {
     let mut owner = Owner::new(&one_upstream(6));
-    for (held, left) in [(4, 2), (6, 1)] {
+    for (held, left) in [(2, 4), (4, 3), (6, 3)] {
         let paying = owner.dispatch_many(held, Class::Paying, 1_000);
         for exchange in paying {
             owner.end(exchange, CallEnd::Whole);
         }
         assert_eq!(owner.fits(Class::Trial), left);
     }
+    owner.dispatch_many(3, Class::Paying, 1_000);
+    assert_eq!(owner.fits(Class::Trial), 1);
     owner.pass_ms(120_000);
     assert_eq!(owner.fits(Class::Trial), 5);
 }
@@ -151,3 +154,23 @@
     assert_eq!(owner.cancelled(), [running]);
     assert_eq!(owner.load().1, 1);
 }
+
+/// A request has failed at the only upstream and should avoid it, another's deadline has passed on its
+/// way. Both are refused at once, though slots are free.
+#[test]
+fn request_that_no_upstream_may_run_is_refused_at_once() {
+    let mut owner = Owner::new(&one_upstream(2));
+    let dispatch = Dispatch {
+        service: ServiceKey::of("s"),
+        class: Class::Paying,
+        origin: OriginKey::of("any"),
+        remaining_ms: 5_000,
+        once_only: false,
+        avoid: Some(UpstreamKey::of("u")),
+        revision: 1,
+    };
+    let avoiding = owner.hand_in(&dispatch);
+    assert_eq!(owner.refusal(avoiding).map(|refusal| refusal.reason), Some(Reason::NoUpstream));
+    let late = owner.hand_in(&Dispatch { remaining_ms: 0, avoid: None, ..dispatch });
+    assert_eq!(owner.refusal(late).map(|refusal| refusal.reason), Some(Reason::Deadline));
+}
--- a/crates/sedgepath-test-support/src/bed/upstreams.rs
+++ b/crates/sedgepath-test-support/src/bed/upstreams.rs
@@ -54,6 +54,8 @@
     pub reports: bool,
     /// Whether requests above its slots slow all down, as shared processors do.
     pub slows_when_full: bool,
+    /// How it warms up from its first request on; above its warm slots it slows down as well.
+    pub warm_up: Option<WarmUp>,
     /// The requests of a block of callers' addresses (/16) that find its caches cold.
     pub cold_runs: u32,
     /// The time that each of these takes longer, in milliseconds.
@@ -80,6 +82,7 @@
             loses_answers: false,
             reports: true,
             slows_when_full: false,
+            warm_up: None,
             cold_runs: 0,
             cold_extra_ms: 0,
             known: BTreeMap::new(),
@@ -90,7 +93,25 @@
     }
 }
 
+/// How an upstream warms up.
+#[derive(Debug, Clone, Copy)]
+pub struct WarmUp {
+    /// The requests that it runs at full speed when cold.
+    pub slots: u32,
+    /// The time in which these rise to all, in milliseconds.
+    pub over_ms: u64,
+}
+
 impl FakeUpstream {
+    /// Returns the requests that it runs at full speed now.
+    fn fast_slots(&self, now_ms: u64) -> u32 {
+        let Some(warm_up) = self.warm_up else { return self.slots };
+        let first_ms = self.runs.first().map_or(now_ms, |run| run.started_at_ms);
+        let elapsed_ms = (now_ms - first_ms).min(warm_up.over_ms);
+        let risen = u64::from(self.slots - warm_up.slots) * elapsed_ms / warm_up.over_ms;
+        warm_up.slots + risen as u32
+    }
+
     /// Returns the time that a request of a caller takes longer because its caches are cold.
     fn cold_ms(&mut self, source: IpAddr) -> u64 {
         let IpAddr::V4(source) = source else { return 0 };
@@ -171,9 +192,10 @@
         });
         let spread_ms = upstream.service_ms / 5;
         let takes_ms = upstream.service_ms - spread_ms + random.u64(0..=2 * spread_ms);
+        let fast = upstream.fast_slots(started.at_ms);
         let shares = if upstream.slows_when_full { upstream.in_flight } else { 1 };
         let cold_ms = head.map_or(0, |head| upstream.cold_ms(head.source));
-        Ok(cold_ms + takes_ms * u64::from(shares.max(upstream.slots)) / u64::from(upstream.slots))
+        Ok(cold_ms + takes_ms * u64::from(shares.max(fast)) / u64::from(fast))
     }
 
     /// Ends a request and returns how the call ended.
--- a/crates/sedgepath-test-support/src/load.rs
+++ b/crates/sedgepath-test-support/src/load.rs
@@ -17,6 +17,8 @@
     pub seed: u64,
     /// The paying requests in a second.
     pub paying_per_s: u64,
+    /// How many paying requests come at the same moment.
+    pub paying_at_once: u64,
     /// The trial requests in a second.
     pub trial_per_s: u64,
     /// The time that each caller waits, in milliseconds.
@@ -128,8 +130,9 @@
 pub fn run(bed: &mut Bed, load: Load, duration_ms: u64) -> LoadSeen {
     let first = bed.calls().len();
     // Each class has its own draws, so paying callers come at the same times whatever the trial load.
-    let mut paying = arrivals(fastrand::Rng::with_seed(load.seed), load.paying_per_s);
-    let mut trial = arrivals(fastrand::Rng::with_seed(!load.seed), load.trial_per_s);
+    let mut paying =
+        arrivals(fastrand::Rng::with_seed(load.seed), load.paying_per_s, load.paying_at_once);
+    let mut trial = arrivals(fastrand::Rng::with_seed(!load.seed), load.trial_per_s, 1);
     for _ in 0..duration_ms {
         for (class, count) in [(Class::Paying, paying()), (Class::Trial, trial())] {
             for _ in 0..count {
@@ -145,10 +148,11 @@
 }
 
 /// Returns how many requests come in each next millisecond.
-fn arrivals(mut random: fastrand::Rng, per_s: u64) -> impl FnMut() -> u64 {
+fn arrivals(mut random: fastrand::Rng, per_s: u64, at_once: u64) -> impl FnMut() -> u64 {
     move || {
         let whole = per_s / 1_000;
-        whole + u64::from(random.u64(0..1_000) < per_s % 1_000)
+        let comes = random.u64(0..1_000 * at_once) < per_s % 1_000;
+        whole + if comes { at_once } else { 0 }
     }
 }
 
--- a/crates/sedgepath-test-support/src/owner.rs
+++ b/crates/sedgepath-test-support/src/owner.rs
@@ -35,6 +35,8 @@
         may_open: bool,
         /// The moment after which it may not be sent any more, in milliseconds.
         send_by_ms: u64,
+        /// When that was decided, in milliseconds.
+        at_ms: u64,
     },
     /// It was refused.
     Refused(Refusal),
@@ -124,9 +126,7 @@
 
     /// Hands a request in and returns its key; see [`Self::decision`].
     pub fn dispatch(&mut self, service: &str, class: Class, remaining_ms: u64) -> ExchangeKey {
-        let exchange = ExchangeKey(self.decisions.len() as u64);
-        self.decisions.push(Decision::Queued);
-        let dispatch = Dispatch {
+        self.hand_in(&Dispatch {
             service: ServiceKey::of(service),
             class,
             origin: OriginKey::of("any"),
@@ -134,8 +134,14 @@
             once_only: false,
             avoid: None,
             revision: 1,
-        };
-        self.step(|egress, scope, out| egress.dispatch(exchange, &dispatch, scope, out));
+        })
+    }
+
+    /// Hands a request in and returns its key.
+    pub fn hand_in(&mut self, dispatch: &Dispatch) -> ExchangeKey {
+        let exchange = ExchangeKey(self.decisions.len() as u64);
+        self.decisions.push(Decision::Queued);
+        self.step(|egress, scope, out| egress.dispatch(exchange, dispatch, scope, out));
         exchange
     }
 
@@ -159,6 +165,11 @@
         remaining_ms: u64,
     ) -> Vec<ExchangeKey> {
         self.dispatch_many(count, class, remaining_ms);
+        self.take_sent()
+    }
+
+    /// Returns the requests that were sent since this was last asked.
+    pub fn take_sent(&mut self) -> Vec<ExchangeKey> {
         std::mem::take(&mut self.sent)
     }
 
@@ -166,7 +177,7 @@
     pub fn fits(&mut self, class: Class) -> usize {
         let fits = self.dispatch_many(20, class, 60).len();
         loop {
-            let sent = std::mem::take(&mut self.sent);
+            let sent = self.take_sent();
             if sent.is_empty() {
                 return fits;
             }
@@ -249,7 +260,8 @@
         for action in self.out.take_actions() {
             match action {
                 Action::CallUpstream { exchange, upstream, may_open, send_by_ms, .. } => {
-                    let sent = Decision::Sent { upstream, may_open, send_by_ms };
+                    let at_ms = self.now_ms;
+                    let sent = Decision::Sent { upstream, may_open, send_by_ms, at_ms };
                     self.decisions[exchange.0 as usize] = sent;
                     self.sent.push(exchange);
                 }
