Model the slot split under cuts, pauses and restarts

Cause: members of a failure domain share an upstream's slots without being able to tell a dead member from one that is cut off or paused.

Ruled out: first versions of the model, each by a counterexample of the search. A boot that takes its roster from whoever answers first (a restarted member and a newcomer that know only each other agree on a roster of two). A boot that names its part only while the roster changes. Boots that are not told apart in the roster. A newcomer that uses its part before all others named its roster, or sooner than D after that.

Change: slot_split.rs with fourteen safeguards, T = 1 and D = 2 ticks, a fixed roster or one that newcomers join; messages late up to T, pauses between check and send, restarts. Larger sizes exchange heartbeat and grant in one step. Steps that change nothing are no longer listed.

--- a/crates/sedgepath-model/examples/explore.rs
+++ b/crates/sedgepath-model/examples/explore.rs
@@ -1,14 +1,18 @@
 //! Prints what the search finds in every model and variant.
 //!
-//! `cargo run -p sedgepath-model --example explore [-- --trace]`; with `--trace` each violation is
-//! followed by its shortest counterexample.
+//! `cargo run -p sedgepath-model --example explore [-- --trace] [--large]`; with `--trace` each
+//! violation is followed by its shortest counterexample, and with `--large` sizes are added that are
+//! too large for a test (build with `--release`; about 3 GB of memory).
 
 use sedgepath_model::claim::{self, ClaimModel};
 use sedgepath_model::configuration::{self, ConfigurationModel};
 use sedgepath_model::search::{Model, Verdict, explore};
+use sedgepath_model::slot_split::{self, SlotSplitModel};
 
 /// The flag that asks for counterexamples.
 const TRACE_FLAG: &str = "--trace";
+/// The flag that asks for sizes that are too large for a test.
+const LARGE_FLAG: &str = "--large";
 
 /// Prints one row of the table.
 fn report<M: Model>(name: &str, variant: &str, model: &M, trace_wanted: bool) {
@@ -63,12 +67,88 @@
     }
 }
 
+/// Prints the rows of the model of the slot split.
+fn report_slot_splits(trace_wanted: bool, large_wanted: bool) {
+    let name = "slot split";
+    let fixed = |members, restarts| SlotSplitModel::new(members, 2).with_restarts(restarts);
+    let changing = |members, newcomers| SlotSplitModel::new(members, 2).with_newcomers(newcomers);
+    let sizes = [
+        ("2, 2 restarts, pauses", fixed(2, 2).with_pauses()),
+        ("3, 1 restart, pauses", fixed(3, 1).with_pauses()),
+        ("2+1, pauses", changing(2, 1).with_pauses()),
+        (
+            "1+1, 2 restarts, pauses",
+            changing(1, 1).with_restarts(2).with_pauses(),
+        ),
+        ("3+1, atomic", changing(3, 1).with_atomic_heartbeats()),
+        (
+            "2+1, 1 restart, atomic",
+            changing(2, 1).with_restarts(1).with_atomic_heartbeats(),
+        ),
+        ("1+2, atomic", changing(1, 2).with_atomic_heartbeats()),
+    ];
+    for (variant, model) in &sizes {
+        report(name, variant, model, trace_wanted);
+    }
+    if large_wanted {
+        report_large_slot_splits(trace_wanted);
+    }
+    for safeguard in slot_split::Safeguard::ALL {
+        let variant = format!("no {safeguard:?}");
+        report(
+            name,
+            &variant,
+            &SlotSplitModel::smallest_without(safeguard),
+            trace_wanted,
+        );
+    }
+}
+
+/// Prints the rows of sizes that are too large for a test.
+fn report_large_slot_splits(trace_wanted: bool) {
+    let sizes = [
+        (
+            "3, 3 slots, 1 r., pauses",
+            SlotSplitModel::new(3, 3).with_restarts(1).with_pauses(),
+        ),
+        (
+            "1+2, pauses",
+            SlotSplitModel::new(1, 2).with_newcomers(2).with_pauses(),
+        ),
+        (
+            "2+1, 1 restart, in a tick",
+            SlotSplitModel::new(2, 2)
+                .with_newcomers(1)
+                .with_restarts(1)
+                .with_message_ticks(0),
+        ),
+        (
+            "3+1, in a tick",
+            SlotSplitModel::new(3, 2)
+                .with_newcomers(1)
+                .with_message_ticks(0),
+        ),
+        (
+            "3+1, 1 restart, atomic",
+            SlotSplitModel::new(3, 2)
+                .with_newcomers(1)
+                .with_restarts(1)
+                .with_atomic_heartbeats(),
+        ),
+    ];
+    for (variant, model) in &sizes {
+        report("slot split", variant, model, trace_wanted);
+    }
+}
+
 fn main() {
-    let trace_wanted = std::env::args().any(|argument| argument == TRACE_FLAG);
+    let has_flag = |flag: &str| std::env::args().any(|argument| argument == flag);
+    let trace_wanted = has_flag(TRACE_FLAG);
     println!(
         "{:<14} {:<26} {:>9} {:<18} {:>5}",
         "model", "variant", "states", "verdict", "trace"
     );
     report_claims(trace_wanted);
     report_configurations(trace_wanted);
+    report_slot_splits(trace_wanted, has_flag(LARGE_FLAG));
 }
--- a/crates/sedgepath-model/src/lib.rs
+++ b/crates/sedgepath-model/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod claim;
 pub mod configuration;
 pub mod search;
+pub mod slot_split;
 mod variant;
--- a/crates/sedgepath-model/src/search.rs
+++ b/crates/sedgepath-model/src/search.rs
@@ -49,7 +49,7 @@
     steps: Vec<Step<A, S>>,
 }
 
-impl<A, S: Clone> Steps<A, S> {
+impl<A, S: Clone + PartialEq> Steps<A, S> {
     /// Creates an empty list of steps out of `from`.
     pub fn new(from: &S) -> Self {
         Self {
@@ -58,11 +58,13 @@
         }
     }
 
-    /// Adds the step that `change` makes.
+    /// Adds the step that `change` makes, unless it changes nothing.
     pub fn add(&mut self, action: A, change: impl FnOnce(&mut S)) {
         let mut next = self.from.clone();
         change(&mut next);
-        self.steps.push(Step::new(action, next));
+        if next != self.from {
+            self.steps.push(Step::new(action, next));
+        }
     }
 
     /// Returns the steps in the order in which they were added.
