Let a member leave the roster in the slot split's model

Cause: the model left out that a member which is gone for good is taken off the roster and its part shared out.

Ruled out by the search: letting any boot take a gone member off.

Change: a node can vanish; after 2T + D, boots whose roster was confirmed take it off, and others hear it from these. Two more safeguards: the wait, and who may.

Without the wait an overload after 5 steps (216 states), without the rule for who may after 12 (40979 states).

Conclusion: one member may leave next to joins and a restart. A list that wrongly calls a member gone, and several that leave, are not in the model.

--- a/crates/sedgepath-model/examples/explore.rs
+++ b/crates/sedgepath-model/examples/explore.rs
@@ -80,6 +80,15 @@
             "1+1, 2 restarts, pauses",
             changing(1, 1).with_restarts(2).with_pauses(),
         ),
+        (
+            "2, removal, 1 restart",
+            fixed(2, 1).with_removal().with_pauses(),
+        ),
+        ("3, removal", fixed(3, 0).with_removal()),
+        (
+            "1+2, removal, atomic",
+            changing(1, 2).with_removal().with_atomic_heartbeats(),
+        ),
         ("3+1, atomic", changing(3, 1).with_atomic_heartbeats()),
         (
             "2+1, 1 restart, atomic",
@@ -128,6 +137,21 @@
                 .with_newcomers(1)
                 .with_message_ticks(0),
         ),
+        (
+            "2+1, rem., 1 r., atomic",
+            SlotSplitModel::new(2, 2)
+                .with_newcomers(1)
+                .with_restarts(1)
+                .with_removal()
+                .with_atomic_heartbeats(),
+        ),
+        (
+            "2+2, removal, atomic",
+            SlotSplitModel::new(2, 2)
+                .with_newcomers(2)
+                .with_removal()
+                .with_atomic_heartbeats(),
+        ),
         (
             "3+1, 1 restart, atomic",
             SlotSplitModel::new(3, 2)
--- a/crates/sedgepath-model/src/slot_split.rs
+++ b/crates/sedgepath-model/src/slot_split.rs
@@ -28,6 +28,13 @@
 //!   has named the same roster to it, and D has passed since. A member that learns of a larger roster
 //!   goes down to its smaller part at once.
 //!
+//! - A member that the platform's list confirms gone is taken off the roster after another 2T + D, by
+//!   boots whose roster was confirmed; the others hear it from these.
+//!
+//! What the rules for the roster keep up: every node that uses a slot is on the roster of every other
+//! one that does, and no part is larger by a larger roster. So the parts in use never add up to more
+//! than the slots, even while rosters differ.
+//!
 //! # Ways weighed
 //!
 //! - *The right counted from the receipt of the grant*: a grant that is late on its way gives a right
@@ -41,6 +48,9 @@
 //! - *A roster without boots*: what the last boot of a member has confirmed would be held to bind the
 //!   next one, which may know an older roster ([`Safeguard::RosterNamesBoots`]).
 //!
+//! - *Anyone takes a gone member off*: two newcomers who had the roster from that member, each before
+//!   it knew of the other, would both go on alone ([`Safeguard::RemovalByConfirmed`]).
+//!
 //! # Property
 //!
 //! Requests in flight at the upstream, those of boots that have ended included, never exceed its slots
@@ -64,9 +74,10 @@
 //!
 //! Several upstreams (each is shared out on its own; heartbeats only couple their timing); clocks that
 //! run at different rates (the second T of the promise is for them: at equal rates T + D would do);
-//! members that leave the roster; an upstream that reports none in flight; statements of the roster
+//! more than one member that leaves; an upstream that reports none in flight; statements of the roster
 //! that come late other than in grants; a domain all of whose members restart at once, which has to
-//! take the roster from the platform's list. A restart takes no time, the worst case for what the last
+//! take the roster from the platform's list (of newcomers whose only source of the roster is gone, too);
+//! a list that calls a member gone which is not. A restart takes no time, the worst case for what the last
 //! boot left. The upstream is taken to end a request at its deadline, which was fixed before the check;
 //! a deadline that the upstream counts from its receipt would be [`Safeguard::DeadlineFixedAtCheck`]
 //! left out.
@@ -85,6 +96,10 @@
 /// How long a grant binds the member, and a boot all that its last one may have promised.
 const PROMISE_TICKS: u8 = 2 * RIGHT_TICKS + DEADLINE_TICKS;
 
+/// The boot number of a member that is gone for good. It is the highest, so that it prevails wherever
+/// rosters are joined.
+const GONE: u8 = u8::MAX;
+
 /// A node, by index.
 pub type Node = usize;
 
@@ -117,13 +132,17 @@
     WaitAfterConfirmed,
     /// A roster tells the boots of its members apart.
     RosterNamesBoots,
+    /// A member that is confirmed gone stays on the roster until what it left running is over.
+    WaitBeforeRemoval,
+    /// Only a boot whose roster was confirmed takes a member off it.
+    RemovalByConfirmed,
     /// The deadline is fixed before the check, so that a pause before the send shortens the request.
     DeadlineFixedAtCheck,
 }
 
 impl Safeguard {
     /// All safeguards, in the order in which they are reported.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 16] = [
         Self::DeadlineInPromise,
         Self::RightFromSent,
         Self::InFlightNamed,
@@ -137,6 +156,8 @@
         Self::RosterConfirmed,
         Self::WaitAfterConfirmed,
         Self::RosterNamesBoots,
+        Self::WaitBeforeRemoval,
+        Self::RemovalByConfirmed,
         Self::DeadlineFixedAtCheck,
     ];
 }
@@ -148,7 +169,8 @@
     Overload,
 }
 
-/// The members that a node knows, each with the number of its latest boot known; 0 if unknown.
+/// The members that a node knows, each with the number of its latest boot known; 0 if unknown. A
+/// member that is gone keeps its place with a number of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Roster([u8; NODES]);
 
@@ -162,7 +184,7 @@
     }
 
     fn contains(self, node: Node) -> bool {
-        self.0[node] > 0
+        self.0[node] > 0 && self.0[node] != GONE
     }
 
     fn members(self) -> impl Iterator<Item = Node> {
@@ -177,6 +199,11 @@
         self.members().count()
     }
 
+    fn without(mut self, gone: Node) -> Self {
+        self.0[gone] = GONE;
+        self
+    }
+
     fn joined(self, other: Self) -> Self {
         let mut boots = self.0;
         for (known, heard) in boots.iter_mut().zip(other.0) {
@@ -341,6 +368,8 @@
     pub left_behind: InFlight,
     /// The restarts that may still happen.
     pub restarts_left: u8,
+    /// The node that is gone for good, and the ticks since, up to the length of a promise.
+    pub gone: Option<(Node, u8)>,
 }
 
 impl State {
@@ -367,6 +396,9 @@
             link.tick(message_ticks);
         }
         self.left_behind.tick();
+        if let Some((_, age)) = &mut self.gone {
+            *age = (*age + 1).min(PROMISE_TICKS);
+        }
     }
 }
 
@@ -411,6 +443,10 @@
     Check(Node),
     /// The node wakes and sends what it has checked.
     Send(Node),
+    /// The node is gone for good.
+    Vanish(Node),
+    /// The first node is told that the second is gone, and takes it off its roster.
+    Remove(Node, Node),
     /// The node crashes and boots.
     Restart(Node),
 }
@@ -422,6 +458,7 @@
     newcomers: usize,
     slots: u8,
     restarts: u8,
+    removal: bool,
     pauses: bool,
     atomic_heartbeats: bool,
     message_ticks: u8,
@@ -437,6 +474,7 @@
             newcomers: 0,
             slots,
             restarts: 0,
+            removal: false,
             pauses: false,
             atomic_heartbeats: false,
             message_ticks: RIGHT_TICKS,
@@ -456,6 +494,14 @@
         Self { restarts, ..self }
     }
 
+    /// Lets one node be gone for good, which the platform's list confirms to the others at some time.
+    pub fn with_removal(self) -> Self {
+        Self {
+            removal: true,
+            ..self
+        }
+    }
+
     /// Lets nodes be paused between the check and the send.
     pub fn with_pauses(self) -> Self {
         Self {
@@ -506,6 +552,8 @@
             | Safeguard::RosterConfirmed
             | Safeguard::WaitAfterConfirmed => changing(2, 1, 0),
             Safeguard::RosterNamesBoots => changing(2, 1, 1),
+            Safeguard::RemovalByConfirmed => changing(1, 2, 0).with_removal(),
+            Safeguard::WaitBeforeRemoval => Self::new(2, 2).with_removal(),
             _ => {
                 let fixed = Self::new(2, 2).with_restarts(1).with_pauses();
                 fixed.with_message_ticks(2 * RIGHT_TICKS)
@@ -808,8 +856,9 @@
             if current.part_in.is_some() {
                 current.confirmed = 0;
             }
-            // Parts never grow, so a promise to leave alone what the node has no part of is idle.
-            if !owns && self.part(node, current.roster) == 0 {
+            // Parts never grow unless a member leaves, so a promise to leave alone what the node has no
+            // part of is idle.
+            if !owns && !self.removal && self.part(node, current.roster) == 0 {
                 current.promised = 0;
             }
             // A grant can no longer count; a lost heartbeat only spares the member a promise.
@@ -819,6 +868,34 @@
         }
     }
 
+    /// Lists how a node leaves for good, and how the others take it off their rosters.
+    fn removal_steps(&self, state: &State, node: Node, steps: &mut ModelSteps) {
+        let Some((gone, age)) = state.gone else {
+            if self.removal {
+                steps.add(Action::Vanish(node), |s| {
+                    s.left_behind.add_all(s.nodes[node].in_flight);
+                    s.nodes[node] = NodeState::booted(node, GONE);
+                    s.links[node] = [Link::Idle; NODES];
+                    s.gone = Some((node, 0));
+                });
+            }
+            return;
+        };
+        // Its requests hold their slots after it is gone. Taken off at once, it would no longer be asked
+        // what it has in flight, and the others would share out its part.
+        let waited = age == PROMISE_TICKS || !self.keeps(Safeguard::WaitBeforeRemoval);
+        let current = &state.nodes[node];
+        // A boot that has not been confirmed may hold an old roster. Without the gone member, the only
+        // one that could have told it of others, it would go on alone next to those others.
+        let entitled = current.part_in.is_some() || !self.keeps(Safeguard::RemovalByConfirmed);
+        if waited && entitled && current.roster.contains(gone) && !current.is_paused() {
+            steps.add(Action::Remove(node, gone), |s| {
+                let current = &mut s.nodes[node];
+                current.learn(current.roster.without(gone));
+            });
+        }
+    }
+
     /// Creates the boot that follows one with this roster.
     fn rebooted(&self, node: Node, last: Roster) -> NodeState {
         if self.roster_is_fixed() {
@@ -865,6 +942,7 @@
             links: [[Link::Idle; NODES]; NODES],
             left_behind: InFlight::NONE,
             restarts_left: self.restarts,
+            gone: None,
         }]
     }
 
@@ -872,13 +950,15 @@
         let mut steps = Steps::new(state);
         let deadline_fixed = self.keeps(Safeguard::DeadlineFixedAtCheck);
         steps.add(Action::Tick, |s| s.tick(deadline_fixed, self.message_ticks));
-        for node in 0..self.nodes() {
-            for other in (0..self.nodes()).filter(|&other| other != node) {
+        let is_gone = |node| state.gone.is_some_and(|(gone, _)| gone == node);
+        for node in (0..self.nodes()).filter(|&node| !is_gone(node)) {
+            for other in (0..self.nodes()).filter(|&other| other != node && !is_gone(other)) {
                 self.link_steps(state, node, other, &mut steps);
                 self.roster_steps(state, node, other, &mut steps);
             }
             self.request_steps(state, node, &mut steps);
             self.restart_step(state, node, &mut steps);
+            self.removal_steps(state, node, &mut steps);
         }
         let mut steps = steps.into_vec();
         for step in &mut steps {
--- a/crates/sedgepath-model/tests/slot_split.rs
+++ b/crates/sedgepath-model/tests/slot_split.rs
@@ -8,7 +8,7 @@
 mod common;
 
 use common::check;
-use expect_test::expect;
+use expect_test::{Expect, expect};
 use sedgepath_model::search::reach;
 use sedgepath_model::slot_split::{Safeguard, SlotSplitModel, State};
 
@@ -26,6 +26,11 @@
     SlotSplitModel::smallest_without(removed)
 }
 
+fn check_atomic_removal(members: usize, newcomers: usize, restarts: u8, expected: &Expect) {
+    let model = changing_roster(members, newcomers, restarts).with_removal();
+    check(&model.with_atomic_heartbeats(), expected);
+}
+
 fn assert_reached(model: &SlotSplitModel, wanted: impl Fn(&State) -> bool) {
     let exploration = reach(model, wanted);
     assert!(exploration.counterexample().is_some(), "{exploration}");
@@ -85,6 +90,28 @@
     );
 }
 
+// A member, which may be the owner, is gone for good; the platform's list says so late or never, and to
+// each node at its own time. The others share out its part only after what it left running is over.
+#[test]
+fn removal_with_all_safeguards() {
+    let fixed = fixed_roster(2, 2).with_restarts(1).with_removal();
+    check(&fixed, &expect!["16937 states, holds"]);
+    check(&SlotSplitModel::new(3, 2).with_removal(), &expect!["61945 states, holds"]);
+    check_atomic_removal(3, 0, 1, &expect!["27630 states, holds"]);
+    check_atomic_removal(2, 1, 0, &expect!["16442 states, holds"]);
+    check_atomic_removal(1, 2, 0, &expect!["57733 states, holds"]);
+    check_atomic_removal(3, 1, 0, &expect!["197916 states, holds"]);
+}
+
+// The owner is gone, and the member that is left fills the upstream in the end. The property would be
+// empty if its slots were lost for good.
+#[test]
+fn slots_of_a_removed_member_are_used() {
+    assert_reached(&SlotSplitModel::new(2, 2).with_removal(), |state| {
+        state.nodes[1].in_flight.count() == 2
+    });
+}
+
 // The owner fills the upstream by its right; a member uses its part when it hears nothing from the
 // owner; after a restart both use their parts again. Without such runs the property would be empty.
 #[test]
@@ -365,3 +392,36 @@
             CheckAndSend(0)"#]],
     );
 }
+
+// The owner has a request in flight when it vanishes. The member hears that it is gone, takes it off
+// the roster at once and uses all slots, one of which the upstream still works on.
+#[test]
+fn removal_without_waiting() {
+    check(&without(Safeguard::WaitBeforeRemoval), &expect![[r#"
+        216 states, violated: Overload after 5 steps
+        CheckAndSend(0)
+        Vanish(0)
+        CheckAndSend(1)
+        Remove(1, 0)
+        CheckAndSend(1)"#]]);
+}
+
+// Two newcomers have the roster from a member that does not know the other one yet, and the member is
+// gone. Each takes it off its roster, is alone on it and uses all slots.
+#[test]
+fn removal_by_an_unconfirmed_boot() {
+    check(&without(Safeguard::RemovalByConfirmed), &expect![[r#"
+        40979 states, violated: Overload after 12 steps
+        HearRoster(1, 0)
+        HearRoster(2, 0)
+        Vanish(0)
+        Tick
+        Tick
+        Tick
+        Tick
+        Remove(1, 0)
+        CheckAndSend(1)
+        CheckAndSend(1)
+        Remove(2, 0)
+        CheckAndSend(2)"#]]);
+}
