Add expiry and the hand-over of tickets to the model

Cause: the model of tickets left out that their home forgets used ones at their expiry, and hands them to a peer before a planned stop.

Ruled out by the search: a hand-over of used tickets only, with "not run" for all others. A ticket that was used and has expired at the home is not on the list; a peer whose clock is behind would call it not run (9 steps). The list therefore names the tickets that have not expired, used or not; others are unknown.

Each of the fifteen safeguards is violated when left out; violations and lengths of the earlier twelve are unchanged, their counts of states differ because the model has more steps.

Conclusion: tickets hold within the bounds of the module's head.

--- a/crates/sedgepath-model/src/claim.rs
+++ b/crates/sedgepath-model/src/claim.rs
@@ -23,6 +23,11 @@
 //!   a repeat asks about the action, and an earlier request may have run elsewhere. Without the table
 //!   a repeat is therefore told *unknown* ([`Safeguard::RepeatSettledByTable`]).
 //!
+//! - *A list of used tickets for the peer on a planned stop, and *not run* for all others*: a ticket that
+//!   was used and has expired is not on the list either. The list names the tickets that have not
+//!   expired, used or not, and is made when nothing more is run ([`Safeguard::UnlistedIsUnknown`],
+//!   [`Safeguard::HandOverIsFinal`]).
+//!
 //! # Properties
 //!
 //! 1. The key runs at most once ([`Violation::RanTwice`]).
@@ -44,9 +49,8 @@
 //!
 //! # Left out
 //!
-//! Several keys in one transaction, keys reused with another request (refused by digest), the
-//! hand-over of used tickets on a planned stop, the expiry of remembered tickets and finished rows,
-//! a request that the network delivers twice, and everything about time. That the caller gets an
+//! Several keys in one transaction, keys reused with another request (refused by digest), the expiry of
+//! finished rows, a request that the network delivers twice, and everything about time. That the caller gets an
 //! answer at all is not a property here. A holder that crashes leaves its claim *unknown* for good;
 //! property 4 allows for it, as such a holder said nothing.
 
@@ -96,13 +100,19 @@
     TicketBoundToBoot,
     /// The home of a ticket remembers that it was used.
     UsedTicketsRemembered,
+    /// The home runs no ticket that has expired, since it forgets those that were used.
+    ExpiredTicketsRefused,
+    /// Before a planned stop the home runs nothing more once it has listed its tickets for the peer.
+    HandOverIsFinal,
+    /// The peer says *not run* only of tickets on the list.
+    UnlistedIsUnknown,
     /// A key never passes from one path to the other.
     PathsKeptApart,
 }
 
 impl Safeguard {
     /// All safeguards, in the order in which they are reported.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 15] = [
         Self::ReadBack,
         Self::TombstoneBeforeNotRun,
         Self::TombstoneAfterOwnInsert,
@@ -114,6 +124,9 @@
         Self::CancellationConfirmed,
         Self::TicketBoundToBoot,
         Self::UsedTicketsRemembered,
+        Self::ExpiredTicketsRefused,
+        Self::HandOverIsFinal,
+        Self::UnlistedIsUnknown,
         Self::PathsKeptApart,
     ];
 }
@@ -233,6 +246,15 @@
     Done,
 }
 
+/// What the home of a ticket says of it before a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum HandOver {
+    /// The ticket is on the list of those that have not expired, with what became of it.
+    Listed(Record),
+    /// The ticket is not on the list.
+    Unlisted,
+}
+
 /// A write to the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Write {
@@ -287,6 +309,12 @@
     pub boots: [u8; NODES],
     /// What each node remembers of the key as a ticket.
     pub memories: [Record; NODES],
+    /// Whether the home holds the ticket for expired and has forgotten what became of it.
+    pub expired: bool,
+    /// What the home said of the ticket when it prepared its planned stop.
+    pub handover: Option<HandOver>,
+    /// What the peer has received of it.
+    pub received: Option<HandOver>,
     /// The row of the key in the table.
     pub row: Record,
     /// The writes issued so far, as bits; each may be applied at any time.
@@ -310,6 +338,9 @@
             settled: 0,
             boots: [HOME_BOOT; NODES],
             memories: [Record::Absent; NODES],
+            expired: false,
+            handover: None,
+            received: None,
             row: Record::Absent,
             writes: 0,
             path_changed: false,
@@ -404,6 +435,12 @@
     Drop(Request),
     /// The table applies a write whose answer nobody gets.
     ApplyLate(Write),
+    /// The ticket expires by the home's clock.
+    Expire,
+    /// The home lists its tickets for the peer.
+    HandOver,
+    /// The list reaches the peer.
+    ReceiveHandOver,
     /// The node loses its memory and boots anew.
     Crash(Node),
 }
@@ -490,6 +527,12 @@
             KeyKind::Chosen => self.chosen_arrives(request, node, steps),
             KeyKind::Ticket if node == HOME => self.ticket_arrives(state, request, steps),
             KeyKind::Ticket => {
+                if let Some(handover) = state.received {
+                    steps.add(Action::TakeUp(request), |s| {
+                        s.end(request, self.told_by_handover(handover));
+                    });
+                    return;
+                }
                 steps.add(Action::Forward(request), |s| {
                     s.move_to(request, Place::ToHome);
                 });
@@ -549,6 +592,20 @@
             });
             return;
         }
+        // After a run whose ticket was forgotten, the expired ticket looks unused.
+        if state.expired && self.keeps(Safeguard::ExpiredTicketsRefused) {
+            steps.add(Action::TakeUp(request), |s| s.end(request, Told::Unknown));
+            return;
+        }
+        // What runs after the list was made is missing from it, and the peer would call it not run.
+        if let Some(handover) = state.handover
+            && self.keeps(Safeguard::HandOverIsFinal)
+        {
+            steps.add(Action::TakeUp(request), |s| {
+                s.end(request, self.told_by_handover(handover));
+            });
+            return;
+        }
         steps.add(Action::TakeUp(request), |s| {
             self.run_as_ticket(s, request, HOME);
         });
@@ -560,6 +617,19 @@
         }
     }
 
+    /// What a caller is told of a ticket whose home has prepared its stop.
+    ///
+    /// A ticket that was never used is certainly not run, as its home runs nothing more. One that is
+    /// missing may have been used and forgotten, by a clock that is ahead of the peer's.
+    fn told_by_handover(&self, handover: HandOver) -> Told {
+        match handover {
+            HandOver::Listed(Record::Done) => Told::Answered,
+            HandOver::Listed(Record::Absent | Record::NotRun(_)) => Told::NotRun,
+            HandOver::Unlisted if !self.keeps(Safeguard::UnlistedIsUnknown) => Told::NotRun,
+            HandOver::Listed(Record::Claimed(_)) | HandOver::Unlisted => Told::Unknown,
+        }
+    }
+
     /// Runs a request whose key is kept in the node's memory, unless the memory forbids it.
     fn run_as_ticket(&self, state: &mut State, request: Request, node: Node) {
         let memory = state.memories[node];
@@ -852,6 +922,29 @@
     }
 }
 
+/// Lists what happens to the ticket's home apart from requests.
+fn home_steps(state: &State, steps: &mut ModelSteps) {
+    let memory = state.memories[HOME];
+    let busy = matches!(memory, Record::Claimed(_));
+    if state.kind != KeyKind::Ticket || state.boots[HOME] != HOME_BOOT || busy {
+        return;
+    }
+    if !state.expired {
+        steps.add(Action::Expire, |s| {
+            s.expired = true;
+            s.memories[HOME] = Record::Absent;
+        });
+    }
+    if state.handover.is_none() {
+        let handover = if state.expired {
+            HandOver::Unlisted
+        } else {
+            HandOver::Listed(memory)
+        };
+        steps.add(Action::HandOver, |s| s.handover = Some(handover));
+    }
+}
+
 fn crash_steps(state: &State, steps: &mut ModelSteps) {
     if state.boots.iter().sum::<u8>() == CRASHES {
         return;
@@ -860,6 +953,9 @@
         steps.add(Action::Crash(node), |s| {
             s.boots[node] += 1;
             s.memories[node] = Record::Absent;
+            if node != HOME {
+                s.received = None;
+            }
             for request in &mut s.requests {
                 if matches!(request.place, Place::At(at, _) if at == node) {
                     request.place = Place::Gone;
@@ -889,6 +985,10 @@
             self.request_steps(state, request, &mut steps);
         }
         self.table_steps(state, &mut steps);
+        home_steps(state, &mut steps);
+        if state.handover.is_some() {
+            steps.add(Action::ReceiveHandOver, |s| s.received = s.handover);
+        }
         crash_steps(state, &mut steps);
         steps.into_vec()
     }
--- a/crates/sedgepath-model/tests/claim.rs
+++ b/crates/sedgepath-model/tests/claim.rs
@@ -27,7 +27,7 @@
 // node sends without a row or a memory that only it can hold.
 #[test]
 fn all_safeguards() {
-    check(&ClaimModel::new(), &expect!["440436 states, holds"]);
+    check(&ClaimModel::new(), &expect!["511122 states, holds"]);
 }
 
 // The caller hears that its first request was not run, asks again with the same key and is answered.
@@ -59,6 +59,23 @@
     assert!(exploration.counterexample().is_some(), "{exploration}");
 }
 
+// The home of a ticket hands it over and its VM is replaced. The peer answers a repeat of a used ticket
+// and says *not run* of an unused one; without such runs the list would be of no use.
+#[test]
+fn peer_answers_for_a_stopped_home() {
+    for told in [Told::Answered, Told::NotRun] {
+        let model = ClaimModel::new().with_kind(KeyKind::Ticket);
+        let exploration = reach(&model, |state| {
+            let stopped = state.received.is_some() && state.boots[0] > 0;
+            stopped && state.issued == 2 && state.requests[1].told == told
+        });
+        assert!(
+            exploration.counterexample().is_some(),
+            "{told:?}: {exploration}"
+        );
+    }
+}
+
 // The answer to a claim is lost and the node sends all the same. Another node's claim stood in the
 // table first, or a tombstone did; the caller sees the action run twice, or after *not run*.
 #[test]
@@ -66,21 +83,21 @@
     check(
         &without(Safeguard::ReadBack),
         &expect![[r#"
-        16719 states, violated: RanAfterNotRun after 9 steps
-        Issue(0)
-        Issue(0)
-        TakeUp(0)
-        TableTimeout(0)
-        AssumeClaimed(0)
-        Send(0)
-        Start(0)
-        Refuse(1)
-        TableAnswers(1)"#]],
+            29403 states, violated: RanAfterNotRun after 9 steps
+            Issue(0)
+            Issue(0)
+            TakeUp(0)
+            TableTimeout(0)
+            AssumeClaimed(0)
+            Send(0)
+            Start(0)
+            Refuse(1)
+            TableAnswers(1)"#]],
     );
     check(
         &without(Safeguard::ReadBack).with_searched(Violation::RanTwice),
         &expect![[r#"
-            77035 states, violated: RanTwice after 11 steps
+            107683 states, violated: RanTwice after 11 steps
             Issue(0)
             Issue(0)
             TakeUp(0)
@@ -102,7 +119,7 @@
     check(
         &without(Safeguard::TombstoneBeforeNotRun),
         &expect![[r#"
-            1872 states, violated: RanAfterNotRun after 7 steps
+            4855 states, violated: RanAfterNotRun after 7 steps
             Issue(0)
             Issue(0)
             TakeUp(0)
@@ -121,7 +138,7 @@
     check(
         &without(Safeguard::TombstoneAfterOwnInsert),
         &expect![[r#"
-            227 states, violated: OrphanedClaim after 5 steps
+            586 states, violated: OrphanedClaim after 5 steps
             Issue(0)
             TakeUp(0)
             TableTimeout(0)
@@ -130,7 +147,7 @@
     );
     check(
         &without(Safeguard::TombstoneAfterOwnInsert).with_searched(Violation::RanTwice),
-        &expect!["266996 states, holds"],
+        &expect!["337682 states, holds"],
     );
 }
 
@@ -142,21 +159,21 @@
     check(
         &without(Safeguard::ClaimNeverTakenOver),
         &expect![[r#"
-        15830 states, violated: RanAfterNotRun after 9 steps
-        Issue(0)
-        Issue(0)
-        TakeUp(0)
-        TableAnswers(0)
-        Send(0)
-        Start(0)
-        TakeUp(1)
-        TableAnswers(1)
-        GiveUp(1)"#]],
+            28514 states, violated: RanAfterNotRun after 9 steps
+            Issue(0)
+            Issue(0)
+            TakeUp(0)
+            TableAnswers(0)
+            Send(0)
+            Start(0)
+            TakeUp(1)
+            TableAnswers(1)
+            GiveUp(1)"#]],
     );
     check(
         &without(Safeguard::ClaimNeverTakenOver).with_searched(Violation::RanTwice),
         &expect![[r#"
-            35049 states, violated: RanTwice after 10 steps
+            55888 states, violated: RanTwice after 10 steps
             Issue(0)
             Issue(0)
             TakeUp(0)
@@ -177,25 +194,25 @@
     check(
         &without(Safeguard::ReleaseNamesHolder),
         &expect![[r#"
-        150034 states, violated: OrphanedClaim after 13 steps
-        Issue(0)
-        Issue(0)
-        Issue(0)
-        TakeUp(0)
-        TableAnswers(0)
-        GiveUp(0)
-        TakeUp(1)
-        Refuse(2)
-        ApplyLate(Release(0))
-        TableAnswers(2)
-        TableAnswers(1)
-        ApplyLate(Release(0))
-        ApplyLate(Claim(1))"#]],
+            201163 states, violated: OrphanedClaim after 13 steps
+            Issue(0)
+            Issue(0)
+            Issue(0)
+            TakeUp(0)
+            TableAnswers(0)
+            GiveUp(0)
+            TakeUp(1)
+            Refuse(2)
+            ApplyLate(Release(0))
+            TableAnswers(2)
+            TableAnswers(1)
+            ApplyLate(Release(0))
+            ApplyLate(Claim(1))"#]],
     );
     check(
         &without(Safeguard::ReleaseNamesHolder).with_searched(Violation::RanTwice),
         &expect![[r#"
-            332278 states, violated: RanTwice after 16 steps
+            400015 states, violated: RanTwice after 16 steps
             Issue(0)
             Issue(0)
             Issue(0)
@@ -237,12 +254,12 @@
     check(
         &model.with_kind(KeyKind::Ticket),
         &expect![[r#"
-        103 states, violated: RanAfterNotRun after 5 steps
-        Issue(0)
-        Issue(0)
-        Refuse(1)
-        TakeUp(0)
-        Start(0)"#]],
+            164 states, violated: RanAfterNotRun after 5 steps
+            Issue(0)
+            Issue(0)
+            Refuse(1)
+            TakeUp(0)
+            Start(0)"#]],
     );
 }
 
@@ -254,14 +271,14 @@
     check(
         &without(Safeguard::RepeatSettledByTable),
         &expect![[r#"
-        1783 states, violated: RanAfterNotRun after 7 steps
-        Issue(0)
-        Issue(0)
-        TakeUp(0)
-        TableAnswers(0)
-        Send(0)
-        Start(0)
-        Refuse(1)"#]],
+            4766 states, violated: RanAfterNotRun after 7 steps
+            Issue(0)
+            Issue(0)
+            TakeUp(0)
+            TableAnswers(0)
+            Send(0)
+            Start(0)
+            Refuse(1)"#]],
     );
 }
 
@@ -284,11 +301,11 @@
     check(
         &model.with_kind(KeyKind::Ticket),
         &expect![[r#"
-        36 states, violated: RanAfterNotRun after 4 steps
-        Issue(0)
-        TakeUp(0)
-        UpstreamTimeout(0)
-        Start(0)"#]],
+            53 states, violated: RanAfterNotRun after 4 steps
+            Issue(0)
+            TakeUp(0)
+            UpstreamTimeout(0)
+            Start(0)"#]],
     );
 }
 
@@ -311,11 +328,11 @@
     check(
         &model.with_kind(KeyKind::Ticket),
         &expect![[r#"
-        35 states, violated: RanAfterNotRun after 4 steps
-        Issue(0)
-        TakeUp(0)
-        Cancel(0)
-        Start(0)"#]],
+            52 states, violated: RanAfterNotRun after 4 steps
+            Issue(0)
+            TakeUp(0)
+            Cancel(0)
+            Start(0)"#]],
     );
 }
 
@@ -326,18 +343,18 @@
     check(
         &without(Safeguard::TicketBoundToBoot),
         &expect![[r#"
-        1324 states, violated: RanAfterNotRun after 6 steps
-        Issue(0)
-        Issue(0)
-        TakeUp(0)
-        Start(0)
-        Crash(0)
-        Refuse(1)"#]],
+            838 states, violated: RanAfterNotRun after 6 steps
+            Issue(0)
+            Issue(0)
+            TakeUp(0)
+            Start(0)
+            Crash(0)
+            Refuse(1)"#]],
     );
     check(
         &without(Safeguard::TicketBoundToBoot).with_searched(Violation::RanTwice),
         &expect![[r#"
-            4303 states, violated: RanTwice after 7 steps
+            2899 states, violated: RanTwice after 7 steps
             Issue(0)
             Issue(0)
             TakeUp(0)
@@ -355,7 +372,7 @@
     check(
         &without(Safeguard::UsedTicketsRemembered),
         &expect![[r#"
-            375 states, violated: RanAfterNotRun after 5 steps
+            235 states, violated: RanAfterNotRun after 5 steps
             Issue(0)
             Issue(0)
             Refuse(1)
@@ -365,7 +382,7 @@
     check(
         &without(Safeguard::UsedTicketsRemembered).with_searched(Violation::RanTwice),
         &expect![[r#"
-            1310 states, violated: RanTwice after 6 steps
+            825 states, violated: RanTwice after 6 steps
             Issue(0)
             Issue(0)
             TakeUp(0)
@@ -375,6 +392,75 @@
     );
 }
 
+// A used ticket expires and its home forgets it. The caller repeats the request with it; the home does
+// not look at the expiry and takes the ticket for unused.
+#[test]
+fn expired_ticket_run() {
+    let model = without(Safeguard::ExpiredTicketsRefused);
+    check(
+        &model.clone(),
+        &expect![[r#"
+        910 states, violated: RanAfterNotRun after 6 steps
+        Issue(0)
+        Issue(0)
+        Refuse(1)
+        Expire
+        TakeUp(0)
+        Start(0)"#]],
+    );
+    check(
+        &model.with_searched(Violation::RanTwice),
+        &expect![[r#"
+        8447 states, violated: RanTwice after 8 steps
+        Issue(0)
+        Issue(0)
+        TakeUp(0)
+        Start(0)
+        UpstreamAnswers(0)
+        Expire
+        TakeUp(1)
+        Start(1)"#]],
+    );
+}
+
+// Before its stop the home lists the ticket as unused for its peer and then runs it all the same. The
+// repeat reaches the peer, which says *not run*.
+#[test]
+fn ticket_run_after_the_hand_over() {
+    check(
+        &without(Safeguard::HandOverIsFinal),
+        &expect![[r#"
+        3733 states, violated: RanAfterNotRun after 7 steps
+        Issue(0)
+        Issue(1)
+        HandOver
+        TakeUp(0)
+        Start(0)
+        ReceiveHandOver
+        TakeUp(1)"#]],
+    );
+}
+
+// A used ticket expires, its home forgets it and prepares its stop. The repeat reaches the peer, which
+// does not find the ticket on the list and says *not run* of an action that ran.
+#[test]
+fn unlisted_ticket_told_not_run() {
+    check(
+        &without(Safeguard::UnlistedIsUnknown),
+        &expect![[r#"
+        21186 states, violated: RanAfterNotRun after 9 steps
+        Issue(0)
+        Issue(1)
+        TakeUp(0)
+        Start(0)
+        UpstreamAnswers(0)
+        Expire
+        HandOver
+        ReceiveHandOver
+        TakeUp(1)"#]],
+    );
+}
+
 // A ticket reaches a node that cannot get through to its home and claims it in the table instead; or
 // a node that cannot reach the table runs a chosen key from its memory. The two paths do not see each
 // other, so each runs the action once.
@@ -383,9 +469,9 @@
     check(
         &without(Safeguard::PathsKeptApart),
         &expect![[r#"
-        3 states, violated: PathChanged after 2 steps
-        Issue(0)
-        ChangePath(0)"#]],
+            4 states, violated: PathChanged after 2 steps
+            Issue(1)
+            ChangePath(0)"#]],
     );
     let twice = without(Safeguard::PathsKeptApart).with_searched(Violation::RanTwice);
     check(
@@ -402,14 +488,14 @@
     check(
         &twice.with_kind(KeyKind::Ticket),
         &expect![[r#"
-        5285 states, violated: RanTwice after 8 steps
-        Issue(0)
-        Issue(1)
-        TakeUp(0)
-        Start(0)
-        ChangePath(1)
-        TableAnswers(1)
-        Send(1)
-        Start(1)"#]],
+            9789 states, violated: RanTwice after 8 steps
+            Issue(0)
+            Issue(1)
+            TakeUp(0)
+            Start(0)
+            ChangePath(1)
+            TableAnswers(1)
+            Send(1)
+            Start(1)"#]],
     );
 }
--- a/crates/sedgepath-model/tests/slot_split.rs
+++ b/crates/sedgepath-model/tests/slot_split.rs
@@ -96,7 +96,10 @@
 fn removal_with_all_safeguards() {
     let fixed = fixed_roster(2, 2).with_restarts(1).with_removal();
     check(&fixed, &expect!["16937 states, holds"]);
-    check(&SlotSplitModel::new(3, 2).with_removal(), &expect!["61945 states, holds"]);
+    check(
+        &SlotSplitModel::new(3, 2).with_removal(),
+        &expect!["61945 states, holds"],
+    );
     check_atomic_removal(3, 0, 1, &expect!["27630 states, holds"]);
     check_atomic_removal(2, 1, 0, &expect!["16442 states, holds"]);
     check_atomic_removal(1, 2, 0, &expect!["57733 states, holds"]);
@@ -397,20 +400,25 @@
 // the roster at once and uses all slots, one of which the upstream still works on.
 #[test]
 fn removal_without_waiting() {
-    check(&without(Safeguard::WaitBeforeRemoval), &expect![[r#"
+    check(
+        &without(Safeguard::WaitBeforeRemoval),
+        &expect![[r#"
         216 states, violated: Overload after 5 steps
         CheckAndSend(0)
         Vanish(0)
         CheckAndSend(1)
         Remove(1, 0)
-        CheckAndSend(1)"#]]);
+        CheckAndSend(1)"#]],
+    );
 }
 
 // Two newcomers have the roster from a member that does not know the other one yet, and the member is
 // gone. Each takes it off its roster, is alone on it and uses all slots.
 #[test]
 fn removal_by_an_unconfirmed_boot() {
-    check(&without(Safeguard::RemovalByConfirmed), &expect![[r#"
+    check(
+        &without(Safeguard::RemovalByConfirmed),
+        &expect![[r#"
         40979 states, violated: Overload after 12 steps
         HearRoster(1, 0)
         HearRoster(2, 0)
@@ -423,5 +431,6 @@
         CheckAndSend(1)
         CheckAndSend(1)
         Remove(2, 0)
-        CheckAndSend(2)"#]]);
+        CheckAndSend(2)"#]],
+    );
 }
