Drive the demo by the operators' command line

The demo applies a record of schema 2, drains an upstream and prints status, explanation and time line by the command line itself.

--- a/crates/sedgepathd/examples/demo.rs
+++ b/crates/sedgepathd/examples/demo.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeSet;
 use std::error::Error;
+use std::fs;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -16,15 +17,11 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use jsonrpsee::http_client::HttpClientBuilder;
-use sedgepath_core::clock::Stamp;
 use sedgepath_test_support::caller::{Call, Caller, CallerStats, Outcome};
 use sedgepath_test_support::daemon::Signal;
 use sedgepath_test_support::records::{self, UpstreamSpec};
 use sedgepath_test_support::system::System;
 use sedgepath_test_support::upstream::{UpstreamFigures, UpstreamStandIn};
-use sedgepath_wire::rpc::{OperatorsClient, TimelinePart};
-use serde_json::json;
 
 /// How long callers send requests after the start.
 const TRAFFIC_FOR: Duration = Duration::from_secs(24);
@@ -38,6 +35,22 @@
 /// The entries of the time line that are printed.
 const PRINTED_ENTRIES: usize = 40;
 
+/// A change of the record: more traffic to the first and the last failure domain.
+const MOVED_SHARES: &str = "\
+schema: 2
+kind: steering
+name: deposits
+groups:
+  - origin: any
+    shares:
+      - { domain: lowcountry-a, weight: 3 }
+      - { domain: lowcountry-b, weight: 1 }
+      - { domain: gulfside-a, weight: 1 }
+      - { domain: gulfside-b, weight: 3 }
+cap: { percent: 30, window_ms: 2000 }
+failover_cap: { percent: 60, window_ms: 2000 }
+";
+
 const DOMAINS: [&str; 4] = ["lowcountry-a", "lowcountry-b", "gulfside-a", "gulfside-b"];
 
 fn main() -> ExitCode {
@@ -73,11 +86,14 @@
 
     thread::sleep(Duration::from_secs(4));
     println!("{:>5.1} s: a record is applied that moves shares", started.elapsed().as_secs_f64());
-    system.write_records(&[steering(&[3.0, 1.0, 1.0, 3.0])])?;
+    let folder = tempfile::tempdir()?;
+    let file = folder.path().join("deposits.yaml");
+    fs::write(&file, MOVED_SHARES)?;
+    let file = file.to_str().ok_or("the path is no text")?;
+    print!("{}", operate(&system, &["apply", file, "--note", "evening"])?);
     thread::sleep(Duration::from_secs(4));
     println!("{:>5.1} s: upstream {} is drained", started.elapsed().as_secs_f64(), name(0, 0));
-    let drain = json!({ "target": "upstream", "active": true });
-    system.write_records(&[records::record(1, "drain", &name(0, 0), &drain)])?;
+    print!("{}", operate(&system, &["drain", "start", &name(0, 0)])?);
     thread::sleep(Duration::from_secs(4));
     println!("{:>5.1} s: entry VM {}-1 is stopped", started.elapsed().as_secs_f64(), DOMAINS[3]);
     let leaving = system.daemons[3].as_mut().ok_or("no daemon")?;
@@ -87,8 +103,9 @@
 
     let paying = join(paying)?;
     let trial = join(trial)?;
-    let timeline = merged_timeline(&system);
-    print_timeline(&timeline);
+    print!("{}", operate(&system, &["status"])?);
+    print!("{}", operate(&system, &["explain", "deposits", "--from", "127.0.0.1"])?);
+    print_timeline(&operate(&system, &["timeline"])?);
     Ok(report(&paying, &trial, &upstreams))
 }
 
@@ -210,39 +227,24 @@
     Ok(all)
 }
 
-/// Asks every daemon for its part of the time line and merges them by their stamps.
-fn merged_timeline(system: &System) -> Vec<(Stamp, String)> {
-    let mut entries = Vec::new();
-    for addresses in &system.addresses {
-        match part(addresses.operators) {
-            Some(part) => {
-                let node = part.node.clone();
-                entries.extend(part.entries.iter().map(|entry| (entry.stamp, entry.line(&node))));
-            }
-            None => println!("{} did not answer (it was stopped)", addresses.name),
-        }
+/// Runs the operators' command line against the first daemon and returns what it prints.
+fn operate(system: &System, arguments: &[&str]) -> Result<String, Box<dyn Error>> {
+    println!("  $ sedgepath {}", arguments.join(" "));
+    let arguments: Vec<String> = arguments.iter().map(ToString::to_string).collect();
+    let node = system.addresses[0].operators.to_string();
+    let mut printed = Vec::new();
+    let exit = sedgepath::cli::run(&arguments, Some(&node), &mut printed);
+    let printed = String::from_utf8(printed)?;
+    if exit.code() != 0 {
+        return Err(format!("exit code {}: {printed}", exit.code()).into());
     }
-    entries.sort();
-    entries
+    Ok(printed)
 }
 
-fn part(operators: SocketAddr) -> Option<TimelinePart> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().ok()?;
-    runtime.block_on(async {
-        let client = HttpClientBuilder::default()
-            .request_timeout(Duration::from_secs(2))
-            .build(format!("http://{operators}"))
-            .ok()?;
-        client.timeline(Stamp::default()).await.ok()
-    })
-}
-
-fn print_timeline(entries: &[(Stamp, String)]) {
-    println!(
-        "\nthe time line over all daemons, {} entries, the last {PRINTED_ENTRIES} at most:",
-        entries.len()
-    );
-    for (_, line) in entries.iter().skip(entries.len().saturating_sub(PRINTED_ENTRIES)) {
+fn print_timeline(text: &str) {
+    let lines: Vec<_> = text.lines().collect();
+    println!("\nthe time line over all daemons, the last {PRINTED_ENTRIES} of {}:", lines.len());
+    for line in lines.iter().skip(lines.len().saturating_sub(PRINTED_ENTRIES)) {
         println!("  {line}");
     }
 }
