--- /dev/null
+++ b/crates/sedgepathd/examples/slopes/daemon.rs
@@ -0,0 +1,176 @@
+//! What a daemon itself takes, and what the hop costs.
+
+use std::error::Error;
+use std::fs;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use sedgepath_test_support::caller::{Call, Caller, Outcome};
+use sedgepath_test_support::records::{self, UpstreamSpec};
+use sedgepath_test_support::system::System;
+use sedgepath_test_support::upstream::{UpstreamFigures, UpstreamStandIn};
+
+/// How long an idle daemon is watched.
+const IDLE_FOR: Duration = Duration::from_secs(10);
+
+/// The requests of each way that are timed.
+const REQUESTS: usize = 3_000;
+
+/// The clock ticks in a second by which Linux counts processor time.
+const TICKS_PER_S: f64 = 100.0;
+
+/// The path of a request through the system.
+const CALL: &str = "/v1/call/browse/echo";
+
+/// Prints a daemon's figures and the cost of the hop.
+pub fn measure() -> Result<(), Box<dyn Error>> {
+    let upstream = UpstreamStandIn::new(UpstreamFigures::new(64))?;
+    let mut system = System::new(&std::env::current_exe()?)?;
+    let spec = UpstreamSpec {
+        name: "b1".into(),
+        domain: "south-a".into(),
+        address: upstream.addr(),
+        slots: 64,
+    };
+    system.write_records(&[
+        records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
+        records::service("browse", 5_000, &[spec]),
+        records::steering("browse", &[("south-a", 1.0)], 100.0, 10_000),
+    ])?;
+    system.add_daemon("n1", "north-a")?;
+    system.add_daemon("s1", "south-a")?;
+    let entries = [system.addresses[0].callers, system.addresses[1].callers];
+    wait_until_served(&entries)?;
+
+    let id = system.daemons[0].as_ref().ok_or("no daemon")?.id();
+    let before_s = processor_s(id)?;
+    thread::sleep(IDLE_FOR);
+    let idle = (processor_s(id)? - before_s) / IDLE_FOR.as_secs_f64();
+    println!(
+        "\ndaemon idle: {:.2}% of a core, {} kB resident, {} threads",
+        idle * 100.0,
+        status_figure(id, "VmRSS")?,
+        status_figure(id, "Threads")?
+    );
+
+    println!("\nway                                   p50 us   p99 us");
+    print_way("straight to the upstream", &over(upstream.addr(), "/echo")?);
+    print_way("through the owner's own daemon", &over(entries[1], CALL)?);
+    let before_s = processor_s(id)?;
+    print_way("through the daemon of another domain", &over(entries[0], CALL)?);
+    let each_us = (processor_s(id)? - before_s) / REQUESTS as f64 * 1e6;
+    println!("processor time of the ingress: {each_us:.0} us a request");
+
+    let before_s = processor_s(id)?;
+    let started = Instant::now();
+    let answered = look_ups(entries[0])?;
+    let took_s = started.elapsed().as_secs_f64();
+    let used_s = processor_s(id)? - before_s;
+    println!(
+        "look-ups over HTTP: {:.0} a second by one caller, {:.0} us of processor time each",
+        answered as f64 / took_s,
+        used_s / answered as f64 * 1e6
+    );
+    Ok(())
+}
+
+fn wait_until_served(entries: &[SocketAddr]) -> Result<(), Box<dyn Error>> {
+    let deadline = Instant::now() + Duration::from_mins(1);
+    for entry in entries {
+        while through_once(&mut Caller::new([*entry])).is_none() {
+            if Instant::now() > deadline {
+                return Err("the daemons serve nothing".into());
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+    Ok(())
+}
+
+fn through_once(caller: &mut Caller) -> Option<()> {
+    let call = Call::new("guest", "browse", CALL);
+    matches!(caller.call(&call).outcome, Outcome::Answered { .. }).then_some(())
+}
+
+/// Sends requests over one kept connection: to an upstream, or to an entry VM whatever its look-ups
+/// prefer.
+fn over(address: SocketAddr, path: &str) -> Result<Histogram<u64>, Box<dyn Error>> {
+    let mut stream = std::net::TcpStream::connect(address)?;
+    stream.set_nodelay(true)?;
+    timed(|| http_get(&mut stream, path))
+}
+
+fn timed(
+    mut request: impl FnMut() -> Result<(), Box<dyn Error>>,
+) -> Result<Histogram<u64>, Box<dyn Error>> {
+    let mut latencies = Histogram::new(3)?;
+    for number in 0..REQUESTS + REQUESTS / 10 {
+        let started = Instant::now();
+        request()?;
+        // The first ones warm connections up.
+        if number >= REQUESTS / 10 {
+            latencies.record(started.elapsed().as_micros() as u64)?;
+        }
+    }
+    Ok(latencies)
+}
+
+fn look_ups(entry: SocketAddr) -> Result<usize, Box<dyn Error>> {
+    const LOOK_UPS: usize = 20_000;
+    let mut stream = std::net::TcpStream::connect(entry)?;
+    stream.set_nodelay(true)?;
+    for _ in 0..LOOK_UPS {
+        http_get(&mut stream, "/v1/lookup?service=browse")?;
+    }
+    Ok(LOOK_UPS)
+}
+
+/// Sends a request and reads its answer by the declared length.
+fn http_get(stream: &mut std::net::TcpStream, path: &str) -> Result<(), Box<dyn Error>> {
+    use std::io::{Read, Write};
+    stream.write_all(format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n").as_bytes())?;
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let read = stream.read(&mut buffer)?;
+        if read == 0 {
+            return Err("the connection was closed".into());
+        }
+        answer.extend_from_slice(&buffer[..read]);
+        let text = String::from_utf8_lossy(&answer);
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let length = head.lines().find_map(|line| {
+            let (name, value) = line.split_once(':')?;
+            name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse::<usize>())?.ok()
+        });
+        if body.len() >= length.unwrap_or(0) {
+            return Ok(());
+        }
+    }
+}
+
+fn print_way(name: &str, latencies: &Histogram<u64>) {
+    let quantile = |quantile| latencies.value_at_quantile(quantile);
+    println!("{name:<37} {:>7} {:>8}", quantile(0.5), quantile(0.99));
+}
+
+/// Returns the processor time that a process has used, in seconds (proc(5), fields 14 and 15).
+fn processor_s(id: u32) -> Result<f64, Box<dyn Error>> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+    let rest = stat.rsplit_once(')').ok_or("no process name")?.1;
+    let ticks: u64 = rest
+        .split_whitespace()
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse::<u64>().ok())
+        .sum();
+    Ok(ticks as f64 / TICKS_PER_S)
+}
+
+fn status_figure(id: u32, name: &str) -> Result<u64, Box<dyn Error>> {
+    let status = fs::read_to_string(format!("/proc/{id}/status"))?;
+    let line = status.lines().find(|line| line.starts_with(name)).ok_or("no such figure")?;
+    Ok(line.split_whitespace().nth(1).ok_or("no value")?.parse()?)
+}
