--- a/crates/sedgepath-core/src/explain.rs
+++ b/crates/sedgepath-core/src/explain.rs
@@ -103,6 +103,8 @@
         let organisation = question.key_digest.and_then(|key| self.catalogue.organisation(key));
         let organisation = organisation.and_then(|key| self.catalogue.organisations.get(&key));
         let class = self.catalogue.class(question.key_digest);
+        let shares = self.catalogue.shares(service, origin).unwrap_or_default();
+        let domains: Vec<_> = shares.iter().map(|(domain, _)| *domain).collect();
         let origin_name = self.origin_name(origin);
         Explanation {
             node: self.identity.card.name.clone(),
@@ -118,7 +120,7 @@
             cap: steering.map(|steering| steering.cap),
             policy: policy.name().into(),
             candidates: self
-                .candidates(service, origin)
+                .candidates(service, origin, &domains)
                 .iter()
                 .map(|candidate| self.explained(service, candidate))
                 .collect(),
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -23,19 +23,23 @@
 };
 use sedgepath_core::message::MemberCard;
 use sedgepath_core::node::Node;
+use sedgepath_core::once::row::HandedOver;
 use sedgepath_core::record::RawRecord;
 use sedgepath_core::request::{
-    AnswerHead, CallEnd, Dispatch, HopEnd, Once, Outcome, RequestHead, StoredAnswer,
+    AnswerHead, CallEnd, Dispatch, HopEnd, Once, Outcome, RequestHead, StoredAnswer, Ticket,
 };
+use sedgepath_core::steering::{ByHeadroom, SteeringPolicy};
 use sedgepath_core::table::{TableRequest, TableResult};
 use sedgepath_platform::TableService;
 
 use crate::table::MemoryTable;
 
 pub mod faults;
+mod loads;
 pub mod upstreams;
 
 use faults::{Faults, Place};
+use loads::LoadHistory;
 use upstreams::{FakeUpstreams, Started};
 
 /// The time between two ticks of a node, in milliseconds.
@@ -134,13 +138,44 @@
 /// What is due at a time.
 #[derive(Debug, Clone)]
 enum Item {
-    Tick { node: NodeIndex, boot: u64 },
-    List { node: NodeIndex, boot: u64 },
-    Deliver { node: NodeIndex, boot: Option<u64>, event: Box<BedEvent> },
-    TableArrives { node: NodeIndex, boot: u64, operation: OperationKey, request: TableRequest },
-    LateWrite { request: TableRequest },
-    UpstreamArrives { owner: NodeIndex, boot: u64, exchange: ExchangeKey, upstream: UpstreamKey },
-    UpstreamDone { started: Started },
+    Tick {
+        node: NodeIndex,
+        boot: u64,
+    },
+    List {
+        node: NodeIndex,
+        boot: u64,
+    },
+    Deliver {
+        node: NodeIndex,
+        boot: Option<u64>,
+        event: Box<BedEvent>,
+    },
+    Asked {
+        node: NodeIndex,
+        boot: u64,
+        request: RequestKey,
+        head: Box<RequestHead>,
+    },
+    TableArrives {
+        node: NodeIndex,
+        boot: u64,
+        operation: OperationKey,
+        request: TableRequest,
+    },
+    LateWrite {
+        request: TableRequest,
+    },
+    UpstreamArrives {
+        owner: NodeIndex,
+        boot: u64,
+        exchange: ExchangeKey,
+        upstream: UpstreamKey,
+        call: Option<CallIndex>,
+    },
+    UpstreamDone {
+        started: Started,
+    },
 }
 
 /// An event on its way to a node; cloneable, unlike [`Event`].
@@ -154,6 +189,7 @@
     CallEnded(ExchangeKey, CallEnd, u64),
     Report(UpstreamKey, UpstreamReport),
     Fetched(OperationKey, Option<Page>),
+    HandOverEnded(OperationKey, bool),
 }
 
 /// Nodes, upstreams and a table under one clock.
@@ -164,6 +200,8 @@
     due: BTreeMap<(u64, u64), Item>,
     random: fastrand::Rng,
     settings: NodeSettings,
+    policy: fn() -> Box<dyn SteeringPolicy>,
+    loads: LoadHistory,
     nodes: Vec<Slot>,
     table: MemoryTable,
     /// The faults in force.
@@ -174,6 +212,11 @@
     changes: BTreeMap<ReplyKey, ChangeOutcome>,
     next_number: u64,
     log: Vec<(NodeIndex, sedgepath_core::timeline::Entry)>,
+    minted: Vec<Ticket>,
+    /// The transactions that have reached the table.
+    pub table_commits: u64,
+    /// The readings that have reached the table.
+    pub table_reads: u64,
     absent_from_list: BTreeSet<NodeIndex>,
     leaving_in_list: BTreeSet<NodeIndex>,
     leaving_upstreams: Vec<ListedVm>,
@@ -190,6 +233,7 @@
         key_digest: None,
         deadline_at_ms,
         once: Once::Repeatable,
+        attempt: 0,
         idempotent: true,
         digest: Digest::of(&[b"GET /"]),
         revision_seen: 0,
@@ -206,6 +250,8 @@
             due: BTreeMap::new(),
             random: fastrand::Rng::with_seed(seed),
             settings: NodeSettings { seed, ..NodeSettings::default() },
+            policy: || Box::new(ByHeadroom),
+            loads: LoadHistory::default(),
             nodes: Vec::new(),
             table: MemoryTable::new(),
             faults: Faults::default(),
@@ -214,6 +260,9 @@
             changes: BTreeMap::new(),
             next_number: 1,
             log: Vec::new(),
+            minted: Vec::new(),
+            table_commits: 0,
+            table_reads: 0,
             absent_from_list: BTreeSet::new(),
             leaving_in_list: BTreeSet::new(),
             leaving_upstreams: Vec::new(),
@@ -226,6 +275,12 @@
         self
     }
 
+    /// Sets the steering policy of the nodes that are added from now on.
+    pub fn with_policy(mut self, policy: fn() -> Box<dyn SteeringPolicy>) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Adds a node and starts it.
     pub fn add_node(&mut self, name: &str, domain: &str) -> NodeIndex {
         let index = self.nodes.len();
@@ -321,7 +376,8 @@
         let boot = BootId((index as u64) << 32 | slot.boots);
         let mut settings = self.settings.clone();
         settings.seed = self.random.u64(..);
-        slot.node = Some(Node::new(Identity::new(slot.card.clone(), boot), settings));
+        let node = Node::new(Identity::new(slot.card.clone(), boot), settings);
+        slot.node = Some(node.with_policy((self.policy)()));
         let boot = slot.boots;
         let first_tick_ms = self.random.u64(0..TICK_EVERY_MS);
         self.schedule(first_tick_ms, Item::Tick { node: index, boot });
@@ -400,6 +456,7 @@
             key_digest: None,
             deadline_at_ms: self.now_ms + 2_000,
             once: Once::Repeatable,
+            attempt: 0,
             idempotent: true,
             digest: Digest::of(&[b"GET /"]),
             revision_seen: 0,
@@ -426,10 +483,31 @@
         self.nodes[node].requests.insert(request, call);
         let mut head = head;
         head.deadline_at_ms = head.deadline_at_ms.saturating_add_signed(self.nodes[node].skew_ms);
-        self.handle(node, Event::Request { request, head });
+        self.ask(node, request, head);
         call
     }
 
+    /// Asks a node for tickets; there are none if it refuses or does not run.
+    pub fn mint(&mut self, node: NodeIndex, service: &str, count: u32) -> Vec<Ticket> {
+        self.minted.clear();
+        if self.runs(node) {
+            let reply = ReplyKey(self.number());
+            self.handle(node, Event::MintTickets { reply, service: service.into(), count });
+        }
+        std::mem::take(&mut self.minted)
+    }
+
+    /// Hands a request to a node; one that is paused finds it when it wakes.
+    fn ask(&mut self, node: NodeIndex, request: RequestKey, head: RequestHead) {
+        if self.nodes[node].paused {
+            let boot = self.nodes[node].boots;
+            let item = Item::Asked { node, boot, request, head: Box::new(head) };
+            self.nodes[node].held.push_back(item);
+        } else {
+            self.handle(node, Event::Request { request, head });
+        }
+    }
+
     /// Asks a node for a change of the configuration, as an operator's command does.
     pub fn change(&mut self, node: NodeIndex, request: ChangeRequest) -> ReplyKey {
         let reply = ReplyKey(self.number());
@@ -486,9 +564,10 @@
 
     fn take(&mut self, item: Item) {
         let node = match &item {
-            Item::Tick { node, .. } | Item::List { node, .. } | Item::Deliver { node, .. } => {
-                Some(*node)
-            }
+            Item::Tick { node, .. }
+            | Item::List { node, .. }
+            | Item::Deliver { node, .. }
+            | Item::Asked { node, .. } => Some(*node),
             _ => None,
         };
         if let Some(node) = node
@@ -508,8 +587,13 @@
                 // Its answer was lost when it was sent; what became of it shows in the table.
                 let _unseen = self.table.execute(&request);
             }
-            Item::UpstreamArrives { owner, boot, exchange, upstream } => {
-                self.upstream_arrives(owner, boot, exchange, upstream);
+            Item::UpstreamArrives { owner, boot, exchange, upstream, call } => {
+                self.upstream_arrives(owner, boot, exchange, upstream, call);
+            }
+            Item::Asked { node, boot, request, head } => {
+                if self.is_boot(node, boot) {
+                    self.handle(node, Event::Request { request, head: *head });
+                }
             }
             Item::UpstreamDone { started } => self.upstream_done(&started),
         }
@@ -572,6 +656,7 @@
                 Event::CallEnded { exchange, end, took_ms }
             }
             BedEvent::Report(upstream, report) => Event::UpstreamReport { upstream, report },
+            BedEvent::HandOverEnded(operation, taken) => Event::HandOverEnded { operation, taken },
             BedEvent::Fetched(operation, page) => Event::Fetched { operation, page },
             BedEvent::Dispatch(dispatch, exchange) => {
                 let key = ExchangeKey(self.number());
@@ -599,6 +684,12 @@
                 self.forward_home(index, request, attempt, to);
             }
             Action::Relay { request, attempt } => self.relay(index, request, attempt),
+            Action::AnswerTickets { tickets, .. } => {
+                self.minted = tickets.unwrap_or_default();
+            }
+            Action::HandOver { operation, to, tickets, .. } => {
+                self.hand_over(index, operation, to, tickets);
+            }
             Action::Abandon { .. } | Action::AnswerLookUp { .. } | Action::Cancel { .. } => {}
             Action::Conclude { request, outcome } => {
                 if let Some(call) = self.nodes[index].requests.remove(&request) {
@@ -649,7 +740,9 @@
             self.nodes[target].traffic.received += 1;
             self.nodes[target].traffic.received_bytes += bytes;
             let delay_ms = self.delay_ms(from, target);
-            let event = Box::new(BedEvent::Datagram(envelope.clone()));
+            let mut envelope = envelope.clone();
+            self.loads.replace(&mut envelope, &self.faults, self.now_ms);
+            let event = Box::new(BedEvent::Datagram(envelope));
             self.schedule(delay_ms, Item::Deliver { node: target, boot: None, event });
         }
     }
@@ -696,7 +789,7 @@
         head.deadline_at_ms = head.deadline_at_ms.saturating_add_signed(self.nodes[target].skew_ms);
         let forwarded = RequestKey(self.number());
         self.nodes[target].requests.insert(forwarded, call);
-        self.handle(target, Event::Request { request: forwarded, head });
+        self.ask(target, forwarded, head);
     }
 
     fn relay(&mut self, index: NodeIndex, request: RequestKey, _attempt: u32) {
@@ -734,7 +827,8 @@
             return;
         }
         let boot = self.nodes[index].boots;
-        let item = Item::UpstreamArrives { owner: index, boot, exchange, upstream };
+        let call = self.nodes[index].exchanges.get(&exchange).map(|entry| entry.call);
+        let item = Item::UpstreamArrives { owner: index, boot, exchange, upstream, call };
         self.schedule(delay_ms + 1, item);
     }
 
@@ -744,9 +838,8 @@
         boot: u64,
         exchange: ExchangeKey,
         upstream: UpstreamKey,
+        call: Option<CallIndex>,
     ) {
-        let entry = self.nodes[owner].exchanges.get(&exchange).cloned();
-        let call = entry.as_ref().map(|entry| entry.call);
         let head = call.map(|call| self.calls[call].head.clone());
         let started = self.upstreams.start(
             Started { owner, boot, exchange, upstream, call, at_ms: self.now_ms },
@@ -841,6 +934,8 @@
         request: &TableRequest,
     ) {
         let commits = matches!(request, TableRequest::Commit(_));
+        self.table_commits += u64::from(commits);
+        self.table_reads += u64::from(!commits);
         if commits && self.faults.late_writes > 0 {
             self.faults.late_writes -= 1;
             let late_by_ms = self.faults.late_by_ms;
@@ -882,6 +977,21 @@
         self.deliver_later(index, delay_ms, BedEvent::Fetched(operation, page));
     }
 
+    fn hand_over(
+        &mut self,
+        index: NodeIndex,
+        operation: OperationKey,
+        to: VmKey,
+        tickets: HandedOver,
+    ) {
+        let target = self.nodes.iter().position(|slot| VmKey::of(&slot.name) == to);
+        let target = target.filter(|target| self.connects(index, *target) && self.runs(*target));
+        if let Some(target) = target {
+            self.handle(target, Event::HandedOver(tickets));
+        }
+        self.deliver_later(index, 10, BedEvent::HandOverEnded(operation, target.is_some()));
+    }
+
     fn deliver_later(&mut self, index: NodeIndex, delay_ms: u64, event: BedEvent) {
         let boot = Some(self.nodes[index].boots);
         self.schedule(delay_ms, Item::Deliver { node: index, boot, event: Box::new(event) });
@@ -902,8 +1012,7 @@
         if from == to {
             return 0;
         }
-        let near = self.nodes[from].domain == self.nodes[to].domain;
-        let base_ms = if near { 0 } else { self.faults.hop_ms };
+        let base_ms = self.faults.delay_ms(&self.nodes[from].domain, &self.nodes[to].domain);
         base_ms + self.random.u64(0..=self.faults.jitter_ms)
     }
 
