--- a/crates/sedgepath-core/src/shift.rs
+++ b/crates/sedgepath-core/src/shift.rs
@@ -102,6 +102,11 @@
         self.standings.retain(|key, _| self.declared.contains_key(key));
     }
 
+    /// Returns where traffic stands, if any has come yet.
+    pub fn shares(&self, key: ShiftKey) -> Option<Vec<(DomainKey, f64)>> {
+        self.standings.get(&key).map(Standing::shares)
+    }
+
     /// Returns the standing of a service and origin group; it starts from the record's shares.
     pub fn standing(&mut self, key: ShiftKey, now_ms: u64) -> Option<&mut Standing> {
         let declared = self.declared.get(&key)?;
