--- a/crates/sedgepath-core/src/explain.rs
+++ b/crates/sedgepath-core/src/explain.rs
@@ -106,6 +106,8 @@
         let shares = self.catalogue.shares(service, origin).unwrap_or_default();
         let domains: Vec<_> = shares.iter().map(|(domain, _)| *domain).collect();
         let origin_name = self.origin_name(origin);
+        let shares = self.catalogue.shares(service, origin).unwrap_or_default();
+        let domains: Vec<_> = shares.iter().map(|share| share.0).collect();
         Explanation {
             node: self.identity.card.name.clone(),
             revision: self.revision,
