--- a/crates/sedgepath-core/src/explain.rs
+++ b/crates/sedgepath-core/src/explain.rs
@@ -48,6 +48,9 @@
     pub region: Box<str>,
     /// Its share by the record, from 0 to 1.
     pub share: f64,
+    /// The share of the traffic that stands there now, from 0 to 1; none if no traffic has come to
+    /// this node. It follows the record as fast as the cap lets it.
+    pub standing: Option<f64>,
     /// The slots that its owners have, as last reported.
     pub slots: u32,
     /// Those taken.
@@ -95,7 +98,14 @@
 
 impl View<'_> {
     /// Explains where a request would go.
-    pub fn explain(&self, question: &Question, policy: &dyn SteeringPolicy) -> Explanation {
+    ///
+    /// `standing` is where the traffic of the caller's group stands, as far as known.
+    pub fn explain(
+        &self,
+        question: &Question,
+        policy: &dyn SteeringPolicy,
+        standing: Option<&[(DomainKey, f64)]>,
+    ) -> Explanation {
         let service = ServiceKey::of(&question.service);
         let origin = self.catalogue.origin(question.source);
         let steering = self.catalogue.services.get(&service).and_then(|it| it.steering.as_ref());
@@ -104,7 +114,10 @@
         let organisation = organisation.and_then(|key| self.catalogue.organisations.get(&key));
         let class = self.catalogue.class(question.key_digest);
         let shares = self.catalogue.shares(service, origin).unwrap_or_default();
-        let domains: Vec<_> = shares.iter().map(|(domain, _)| *domain).collect();
+        let stands = standing.into_iter().flatten();
+        let mut domains: Vec<_> = shares.iter().chain(stands).map(|(domain, _)| *domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
         let origin_name = self.origin_name(origin);
         let shares = self.catalogue.shares(service, origin).unwrap_or_default();
         let domains: Vec<_> = shares.iter().map(|share| share.0).collect();
@@ -124,7 +137,7 @@
             candidates: self
                 .candidates(service, origin, &domains)
                 .iter()
-                .map(|candidate| self.explained(service, candidate))
+                .map(|candidate| self.explained(service, candidate, standing))
                 .collect(),
         }
     }
@@ -146,13 +159,22 @@
         self.catalogue.origins.get(&origin).cloned().unwrap_or_else(|| ANY_ORIGIN.into())
     }
 
-    fn explained(&self, service: ServiceKey, candidate: &Candidate) -> ExplainedCandidate {
+    fn explained(
+        &self,
+        service: ServiceKey,
+        candidate: &Candidate,
+        standing: Option<&[(DomainKey, f64)]>,
+    ) -> ExplainedCandidate {
+        let stands = |shares: &[(DomainKey, f64)]| {
+            shares.iter().find(|(domain, _)| *domain == candidate.domain).map(|(_, share)| *share)
+        };
         let entry = self.catalogue.domains.get(&candidate.domain);
         let region = entry.and_then(|entry| self.catalogue.regions.get(&entry.region));
         ExplainedCandidate {
             domain: entry.map(|entry| entry.name.clone()).unwrap_or_default(),
             region: region.cloned().unwrap_or_default(),
             share: candidate.share,
+            standing: standing.map(|shares| stands(shares).unwrap_or_default()),
             slots: candidate.slots,
             in_flight: candidate.in_flight,
             declared_slots: candidate.declared_slots,
--- a/crates/sedgepath-core/src/ingress.rs
+++ b/crates/sedgepath-core/src/ingress.rs
@@ -13,11 +13,12 @@
 use crate::catalogue::{Catalogue, ServiceEntry};
 use crate::event::Action;
 use crate::hash::Map;
-use crate::key::{RequestKey, ServiceKey};
+use crate::key::{DomainKey, OriginKey, RequestKey, ServiceKey};
 use crate::look_up::LookUps;
 use crate::outbox::Outbox;
 use crate::request::{Class, Dispatch, HopEnd, Once, Outcome, Reason, Refusal, RequestHead};
 use crate::retry::RetryBudgets;
+use crate::shift::ShiftKey;
 use crate::steering::SteeringPolicy;
 
 mod pending;
@@ -174,6 +175,16 @@
         &mut self.places
     }
 
+    /// Returns where the traffic of an origin group stands, if any has come.
+    pub fn standing(
+        &self,
+        service: ServiceKey,
+        origin: OriginKey,
+        means: &Means<'_>,
+    ) -> Option<Vec<(DomainKey, f64)>> {
+        self.places.standing(ShiftKey::of(service, origin, means.view.catalogue))
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.pending.len()
--- a/crates/sedgepath-core/src/ingress/places.rs
+++ b/crates/sedgepath-core/src/ingress/places.rs
@@ -48,6 +48,11 @@
         self.baseline.is_ready()
     }
 
+    /// Returns where traffic stands, if any has come.
+    pub(super) fn standing(&self, key: ShiftKey) -> Option<Vec<(DomainKey, f64)>> {
+        self.ledger.shares(key)
+    }
+
     /// Takes in a peer's question or answer on where traffic stands.
     pub fn take_baseline(
         &mut self,
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -278,7 +278,9 @@
     pub fn explain(&self, question: &Question) -> Explanation {
         let identity = self.out.shared_identity();
         let means = means!(self, identity);
-        means.view.explain(question, means.policy)
+        let origin = means.view.catalogue.origin(question.source);
+        let standing = self.ingress.standing(ServiceKey::of(&question.service), origin, &means);
+        means.view.explain(question, means.policy, standing.as_deref())
     }
 
     /// Gives requests their final outcomes.
--- a/crates/sedgepath-wire/src/lib.rs
+++ b/crates/sedgepath-wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the processes of sedgepath say to each other: datagrams, frames and remote calls.
 //!
-//! All of it is authenticated by a keyed BLAKE3 hash whose key comes from the settings. Nothing is
+//! Datagrams and frames are authenticated by a keyed BLAKE3 hash whose key comes from the settings;
+//! remote calls are not, so their port is for the VMs and the operators alone. Nothing is
 //! encrypted: the links between the VMs are the users' own.
 
 pub mod datagram;
--- a/crates/sedgepath/src/commands/explain.rs
+++ b/crates/sedgepath/src/commands/explain.rs
@@ -85,9 +85,10 @@
             (true, true) => ", draining",
             (true, false) => "",
         };
+        let standing = candidate.standing.map_or("none".into(), |share| format!("{share:.3}"));
         writeln!(
             out,
-            "{:<16} in {:<12} share {:.3}, {} of {} slots taken ({} declared), heard {} ms ago{state}",
+            "{:<16} in {:<12} share {:.3}, stands at {standing}, {} of {} slots taken ({} declared), heard {} ms ago{state}",
             candidate.domain,
             candidate.region,
             candidate.share,
--- /dev/null
+++ b/crates/sedgepathd/tests/operating_page.rs
@@ -0,0 +1,62 @@
+//! The operators' page tells every setting and every field of a record as they are checked.
+
+use std::path::Path;
+
+use sedgepath_core::record::fields::KINDS;
+use sedgepath_core::schema::{Field, Shape};
+use sedgepathd::settings::FIELDS;
+
+/// Returns the rows of a table of fields, those of nested mappings with the path to them.
+fn rows(prefix: &str, fields: &[Field]) -> Vec<String> {
+    let mut rows = Vec::new();
+    for field in fields {
+        let name = format!("{prefix}{}", field.name);
+        let default = field.default.unwrap_or("required");
+        let since = if field.since > 1 { " Since schema 2." } else { "" };
+        let shape = shape(&field.shape);
+        rows.push(format!("| `{name}` | {shape} | {default} | {}.{since} |", field.meaning));
+        match field.shape {
+            Shape::Object(fields) => rows.extend(self::rows(&format!("{name}."), fields)),
+            Shape::List { of: Shape::Object(fields), .. } => {
+                rows.extend(self::rows(&format!("{name}[]."), fields));
+            }
+            _ => {}
+        }
+    }
+    rows
+}
+
+fn shape(shape: &Shape) -> String {
+    match shape {
+        Shape::Name => "name".into(),
+        Shape::Text { least_chars } => format!("text of at least {least_chars} characters"),
+        Shape::Integer { least, most } => format!("{least} to {most}"),
+        Shape::Number { least, most } => format!("number, {least} to {most}"),
+        Shape::Flag => "`true` or `false`".into(),
+        Shape::Address => "IP address and port".into(),
+        Shape::Digest => "32 hexadecimal digits".into(),
+        Shape::Block => "block in CIDR form".into(),
+        Shape::Url => "URL".into(),
+        Shape::OneOf(words) => {
+            words.iter().map(|word| format!("`{word}`")).collect::<Vec<_>>().join(", ")
+        }
+        Shape::List { of: Shape::Object(_), least } => format!("list, at least {least}"),
+        Shape::List { of, least } => format!("list of {}, at least {least}", self::shape(of)),
+        Shape::Object(_) => "mapping".into(),
+    }
+}
+
+/// Each row stands on the page word for word; the message of a failure gives the rows to put there.
+#[test]
+fn the_page_tells_every_field() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATING.md");
+    let page = std::fs::read_to_string(page).expect("the operators' page");
+    let mut expected = rows("", FIELDS);
+    for kind in KINDS {
+        expected.push(format!("### `{}`", kind.name));
+        expected.push(kind.meaning.into());
+        expected.extend(rows("", kind.fields));
+    }
+    let missing: Vec<_> = expected.into_iter().filter(|row| !page.contains(row)).collect();
+    assert!(missing.is_empty(), "the page lacks:\n{}", missing.join("\n"));
+}
