Model an owner that gives its right up

Ruled out by the search: a release by a boot before boot + D. The last boot may have filled the upstream, and the members' promises still guard its requests (9 steps).

Change: releases on a fixed roster, with four safeguards: no more in flight than the part, the wait after boot, grants of before void, an overtaken release ignored.

Without one: an overload after 8, 9, 8 and 8 steps (734, 4248, 1043 and 1001 states).

Conclusion: releases hold on a fixed roster; next to newcomers they are not in the model.

--- a/crates/sedgepath-model/examples/explore.rs
+++ b/crates/sedgepath-model/examples/explore.rs
@@ -70,6 +70,7 @@
         ("1+1, 2 restarts, pauses", changing(1, 1).with_restarts(2).with_pauses()),
         ("2, removal, 1 restart", fixed(2, 1).with_removal().with_pauses()),
         ("3, removal", fixed(3, 0).with_removal()),
+        ("3, releases, 1 restart", fixed(3, 1).with_releases()),
         ("1+2, removal, atomic", changing(1, 2).with_removal().with_atomic_heartbeats()),
         ("3+1, atomic", changing(3, 1).with_atomic_heartbeats()),
         ("2+1, 1 restart, atomic", changing(2, 1).with_restarts(1).with_atomic_heartbeats()),
--- a/crates/sedgepath-model/src/slot_split.rs
+++ b/crates/sedgepath-model/src/slot_split.rs
@@ -30,6 +30,9 @@
 //!   learns of a larger roster goes down to its smaller part at once.
 //! - A member that the platform's list confirms gone is taken off the roster after another 2T + D,
 //!   by boots whose roster was confirmed; the others hear it from these.
+//! - An owner that has no more in flight than its part, and has been up for D, may give its right
+//!   up, with all grants for heartbeats that it sent before. A member that hears of it is free of
+//!   its promise, unless it has received a later heartbeat since. (Explored on a fixed roster.)
 //!
 //! (On a changing roster the wait for 2T + D is implied by the confirmation: without it the search
 //! found no violation in four sizes. It is kept, and shown to be needed on a fixed roster.)
@@ -91,7 +94,7 @@
 use crate::search::{Model, Step, Steps};
 use crate::variant::Variant;
 
-pub use state::{Grant, InFlight, Link, NodeState, Roster, State};
+pub use state::{Grant, InFlight, Link, NodeState, Release, Roster, State};
 
 type ModelSteps = Steps<Action, State>;
 
@@ -144,6 +147,14 @@
     WaitBeforeRemoval,
     /// Only a boot whose roster was confirmed takes a member off it.
     RemovalByConfirmed,
+    /// An owner gives its right up only when it has no more in flight than its part.
+    DrainedBeforeRelease,
+    /// A boot gives no right up before what the last one left running is over.
+    WaitBeforeRelease,
+    /// Grants for heartbeats sent before a release do not count after it.
+    ReleaseVoidsGrants,
+    /// A release that a later heartbeat has overtaken is ignored.
+    OldReleaseIgnored,
     /// The deadline is fixed before the check, so that a pause before the send shortens the
     /// request.
     DeadlineFixedAtCheck,
@@ -151,7 +162,7 @@
 
 impl Safeguard {
     /// All safeguards, in the order in which they are reported.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 20] = [
         Self::DeadlineInPromise,
         Self::RightFromSent,
         Self::InFlightNamed,
@@ -167,6 +178,10 @@
         Self::RosterNamesBoots,
         Self::WaitBeforeRemoval,
         Self::RemovalByConfirmed,
+        Self::DrainedBeforeRelease,
+        Self::WaitBeforeRelease,
+        Self::ReleaseVoidsGrants,
+        Self::OldReleaseIgnored,
         Self::DeadlineFixedAtCheck,
     ];
 }
@@ -199,6 +214,10 @@
     Check(Node),
     /// The node wakes and sends what it has checked.
     Send(Node),
+    /// The owner gives its right up and tells the members.
+    GiveUpRight(Node),
+    /// The owner's release reaches the member.
+    GetRelease(Node, Node),
     /// The node is gone for good.
     Vanish(Node),
     /// The first node is told that the second is gone, and takes it off its roster.
@@ -207,6 +226,15 @@
     Restart(Node),
 }
 
+/// How heartbeats and grants arrive, if they do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Delivery {
+    /// Up to so many ticks after the heartbeat was sent.
+    Within(u8),
+    /// A heartbeat and its grant in one step.
+    Atomic,
+}
+
 /// The model of the slot split.
 #[derive(Debug, Clone)]
 pub struct SlotSplitModel {
@@ -215,9 +243,9 @@
     slots: u8,
     restarts: u8,
     removal: bool,
+    releases: bool,
     pauses: bool,
-    atomic_heartbeats: bool,
-    message_ticks: u8,
+    delivery: Delivery,
     variant: Variant<Safeguard, Violation>,
 }
 
@@ -231,9 +259,9 @@
             slots,
             restarts: 0,
             removal: false,
+            releases: false,
             pauses: false,
-            atomic_heartbeats: false,
-            message_ticks: RIGHT_TICKS,
+            delivery: Delivery::Within(RIGHT_TICKS),
             variant: Variant::new(),
         }
     }
@@ -256,6 +284,11 @@
         Self { removal: true, ..self }
     }
 
+    /// Lets the owner give its right up. Explored on a fixed roster only.
+    pub fn with_releases(self) -> Self {
+        Self { releases: true, ..self }
+    }
+
     /// Lets nodes be paused between the check and the send.
     pub fn with_pauses(self) -> Self {
         Self { pauses: true, ..self }
@@ -264,13 +297,13 @@
     /// Lets heartbeats and grants arrive up to so many ticks after the heartbeat was sent, not only
     /// up to T.
     pub fn with_message_ticks(self, message_ticks: u8) -> Self {
-        Self { message_ticks, ..self }
+        Self { delivery: Delivery::Within(message_ticks), ..self }
     }
 
     /// Lets a heartbeat and its grant be exchanged in one step or not at all, so that more nodes
     /// can be explored.
     pub fn with_atomic_heartbeats(self) -> Self {
-        Self { atomic_heartbeats: true, ..self }
+        Self { delivery: Delivery::Atomic, ..self }
     }
 
     /// Leaves out one safeguard.
@@ -292,6 +325,10 @@
             | Safeguard::RosterConfirmed
             | Safeguard::WaitAfterConfirmed => changing(2, 1, 0),
             Safeguard::RosterNamesBoots => changing(2, 1, 1),
+            Safeguard::DrainedBeforeRelease
+            | Safeguard::ReleaseVoidsGrants
+            | Safeguard::OldReleaseIgnored => Self::new(2, 2).with_releases(),
+            Safeguard::WaitBeforeRelease => Self::new(2, 2).with_releases().with_restarts(1),
             Safeguard::RemovalByConfirmed => changing(1, 2, 0).with_removal(),
             Safeguard::WaitBeforeRemoval => Self::new(2, 2).with_removal(),
             _ => {
@@ -422,7 +459,7 @@
         let holder = &state.nodes[owner];
         let owns = self.owner(holder.roster) == owner && holder.roster.contains(member);
         let sends = owns && self.trusts_roster(holder) && !holder.is_paused();
-        if self.atomic_heartbeats {
+        if self.delivery == Delivery::Atomic {
             if sends && !state.nodes[member].is_paused() {
                 steps.add(Action::ExchangeHeartbeat(owner, member), |s| {
                     self.exchange(s, owner, member);
@@ -434,6 +471,7 @@
             steps.add(Action::SendHeartbeat(owner, member), |s| {
                 let roster = s.nodes[owner].roster;
                 s.links[owner][member] = Link::Heartbeat { age: 0, roster };
+                mark_older(&mut s.releases[owner][member]);
             });
         }
         match state.links[owner][member] {
@@ -455,6 +493,7 @@
     /// Sends a heartbeat and its grant without delay.
     fn exchange(&self, state: &mut State, owner: Node, member: Node) {
         let roster = state.nodes[owner].roster;
+        mark_older(&mut state.releases[owner][member]);
         let answer = self.granted(state, owner, member, 0, roster);
         if let Link::Grant { age, roster, named } = answer {
             self.get_grant(&mut state.nodes[owner], (owner, member), age, roster, named);
@@ -470,6 +509,9 @@
         age: u8,
         roster: Roster,
     ) -> Link {
+        if state.releases[owner][member] == Release::Older {
+            state.releases[owner][member] = Release::Overtaken;
+        }
         let current = &mut state.nodes[member];
         current.rooted = true;
         current.learn(roster);
@@ -580,6 +622,14 @@
             if current.part_in.is_some() {
                 current.confirmed = 0;
             }
+            // The heartbeat that overtook a release has renewed the promise that it would void.
+            if self.keeps(Safeguard::OldReleaseIgnored) {
+                for release in &mut state.releases[node] {
+                    if *release == Release::Overtaken {
+                        *release = Release::Idle;
+                    }
+                }
+            }
             // Parts never grow unless a member leaves, so a promise to leave alone what the node
             // has no part of is idle.
             if !owns && !self.removal && self.part(node, current.roster) == 0 {
@@ -592,6 +642,47 @@
         }
     }
 
+    /// Lists how an owner gives its right up, and how the members take it in.
+    ///
+    /// While one member is dead, the others would otherwise keep their promises to an owner that
+    /// can't get the right back, and its slots but for its own part would lie idle.
+    fn release_steps(&self, state: &State, owner: Node, steps: &mut ModelSteps) {
+        let current = &state.nodes[owner];
+        if !self.releases || self.owner(current.roster) != owner {
+            return;
+        }
+        // Members use their parts as soon as they hear of the release. What the owner has in flight
+        // beyond its own part would come on top.
+        let drained = current.used() <= self.part(owner, current.roster)
+            || !self.keeps(Safeguard::DrainedBeforeRelease);
+        // The last boot may have filled the upstream, and the members' promises still guard that.
+        let waited = current.age >= DEADLINE_TICKS || !self.keeps(Safeguard::WaitBeforeRelease);
+        if drained && waited && !current.is_paused() {
+            steps.add(Action::GiveUpRight(owner), |s| self.give_up_right(s, owner));
+        }
+        for member in current.roster.others(owner) {
+            let release = state.releases[owner][member];
+            if release != Release::Idle && !state.nodes[member].is_paused() {
+                steps.add(Action::GetRelease(owner, member), |s| {
+                    s.releases[owner][member] = Release::Idle;
+                    s.nodes[member].promised = 0;
+                });
+            }
+        }
+    }
+
+    /// Gives the owner's right up. A grant that is still on its way was given by a member which is
+    /// about to forget its promise, so it must not bring the right back.
+    fn give_up_right(&self, state: &mut State, owner: Node) {
+        if self.keeps(Safeguard::ReleaseVoidsGrants) {
+            state.nodes[owner].grants = [None; NODES];
+            state.links[owner] = [Link::Idle; NODES];
+        }
+        for member in state.nodes[owner].roster.others(owner) {
+            state.releases[owner][member] = Release::UnderWay;
+        }
+    }
+
     /// Lists how a node leaves for good, and how the others take it off their rosters.
     fn removal_steps(&self, state: &State, node: Node, steps: &mut ModelSteps) {
         let Some((gone, age)) = state.gone else {
@@ -644,6 +735,13 @@
     }
 }
 
+/// Notes that a heartbeat was sent after a release.
+fn mark_older(release: &mut Release) {
+    if *release == Release::UnderWay {
+        *release = Release::Older;
+    }
+}
+
 impl Model for SlotSplitModel {
     type State = State;
     type Action = Action;
@@ -662,6 +760,7 @@
             nodes,
             links: [[Link::Idle; NODES]; NODES],
             left_behind: InFlight::NONE,
+            releases: [[Release::Idle; NODES]; NODES],
             restarts_left: self.restarts,
             gone: None,
         }]
@@ -670,7 +769,11 @@
     fn steps(&self, state: &State) -> Vec<Step<Action, State>> {
         let mut steps = Steps::new(state);
         let deadline_fixed = self.keeps(Safeguard::DeadlineFixedAtCheck);
-        steps.add(Action::Tick, |s| s.tick(deadline_fixed, self.message_ticks));
+        let message_ticks = match self.delivery {
+            Delivery::Within(ticks) => ticks,
+            Delivery::Atomic => 0,
+        };
+        steps.add(Action::Tick, |s| s.tick(deadline_fixed, message_ticks));
         let is_gone = |node| state.gone.is_some_and(|(gone, _)| gone == node);
         for node in (0..self.nodes()).filter(|&node| !is_gone(node)) {
             for other in (0..self.nodes()).filter(|&other| other != node && !is_gone(other)) {
@@ -679,6 +782,7 @@
             }
             self.request_steps(state, node, &mut steps);
             self.restart_step(state, node, &mut steps);
+            self.release_steps(state, node, &mut steps);
             self.removal_steps(state, node, &mut steps);
         }
         let mut steps = steps.into_vec();
--- a/crates/sedgepath-model/src/slot_split/state.rs
+++ b/crates/sedgepath-model/src/slot_split/state.rs
@@ -110,6 +110,19 @@
     },
 }
 
+/// The word of an owner that it has given its right up, on its way to a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Release {
+    /// None is under way.
+    Idle,
+    /// It is under way.
+    UnderWay,
+    /// The owner has sent a heartbeat since.
+    Older,
+    /// The member has received that heartbeat.
+    Overtaken,
+}
+
 /// One boot of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct NodeState {
@@ -200,6 +213,8 @@
     pub links: [[Link; NODES]; NODES],
     /// What boots that have ended left in flight.
     pub left_behind: InFlight,
+    /// The releases under way between each node, as owner, and each other one.
+    pub releases: [[Release; NODES]; NODES],
     /// The restarts that may still happen.
     pub restarts_left: u8,
     /// The node that is gone for good, and the ticks since, up to the length of a promise.
--- a/crates/sedgepath-model/tests/slot_split.rs
+++ b/crates/sedgepath-model/tests/slot_split.rs
@@ -405,3 +405,94 @@
         CheckAndSend(2)"#]],
     );
 }
+
+// The owner gives its right up and takes it back at any time, on a fixed roster, next to restarts
+// and a removal. A member uses its part as soon as it hears of a release, and never too early.
+#[test]
+fn release_with_all_safeguards() {
+    let two = fixed_roster(2, 2).with_releases();
+    check(&two.clone().with_restarts(2), &expect!["34309 states, holds"]);
+    check(&two.with_restarts(1).with_removal(), &expect!["23544 states, holds"]);
+    check(&SlotSplitModel::new(3, 3).with_releases(), &expect!["106789 states, holds"]);
+    check(
+        &SlotSplitModel::new(3, 2).with_releases().with_restarts(1),
+        &expect!["192167 states, holds"],
+    );
+}
+
+// The owner has filled the upstream and gives its right up. The member hears of it and adds its
+// part.
+#[test]
+fn release_before_the_requests_are_over() {
+    check(
+        &without(Safeguard::DrainedBeforeRelease),
+        &expect![[r#"
+        734 states, violated: Overload after 8 steps
+        SendHeartbeat(0, 1)
+        GetHeartbeat(0, 1)
+        GetGrant(0, 1)
+        CheckAndSend(0)
+        CheckAndSend(0)
+        GiveUpRight(0)
+        GetRelease(0, 1)
+        CheckAndSend(1)"#]],
+    );
+}
+
+// The owner has filled the upstream, restarts and gives up a right that it no longer knows. The
+// member forgets the promise that guards the requests of the last boot, and adds its part.
+#[test]
+fn release_right_after_boot() {
+    check(
+        &without(Safeguard::WaitBeforeRelease),
+        &expect![[r#"
+        4248 states, violated: Overload after 9 steps
+        SendHeartbeat(0, 1)
+        GetHeartbeat(0, 1)
+        GetGrant(0, 1)
+        CheckAndSend(0)
+        CheckAndSend(0)
+        Restart(0)
+        GiveUpRight(0)
+        GetRelease(0, 1)
+        CheckAndSend(1)"#]],
+    );
+}
+
+// The owner gives its right up and goes on by a grant that it had before. The member hears of the
+// release and adds its part.
+#[test]
+fn grant_counted_after_a_release() {
+    check(
+        &without(Safeguard::ReleaseVoidsGrants),
+        &expect![[r#"
+        1043 states, violated: Overload after 8 steps
+        SendHeartbeat(0, 1)
+        GetHeartbeat(0, 1)
+        GetGrant(0, 1)
+        CheckAndSend(0)
+        GiveUpRight(0)
+        CheckAndSend(0)
+        GetRelease(0, 1)
+        CheckAndSend(1)"#]],
+    );
+}
+
+// The owner gives its right up, sends a new heartbeat and is granted again. Then the release
+// reaches the member, which takes it for the end of its newer promise.
+#[test]
+fn overtaken_release_obeyed() {
+    check(
+        &without(Safeguard::OldReleaseIgnored),
+        &expect![[r#"
+        1001 states, violated: Overload after 8 steps
+        CheckAndSend(0)
+        GiveUpRight(0)
+        SendHeartbeat(0, 1)
+        GetHeartbeat(0, 1)
+        GetGrant(0, 1)
+        CheckAndSend(0)
+        GetRelease(0, 1)
+        CheckAndSend(1)"#]],
+    );
+}
