--- a/crates/sedgepath-model/examples/explore.rs
+++ b/crates/sedgepath-model/examples/explore.rs
@@ -1,8 +1,8 @@
 //! Prints what the search finds in every model and variant.
 //!
 //! `cargo run -p sedgepath-model --example explore [-- --trace] [--large]`; with `--trace` each
-//! violation is followed by its shortest counterexample, and with `--large` sizes are added that are
-//! too large for a test (build with `--release`; about 3 GB of memory).
+//! violation is followed by its shortest counterexample, and with `--large` sizes are added that
+//! are too large for a test (build with `--release`; a minute and about 0.7 GB of memory).
 
 use sedgepath_model::claim::{self, ClaimModel};
 use sedgepath_model::configuration::{self, ConfigurationModel};
@@ -70,6 +70,7 @@
         ("1+1, 2 restarts, pauses", changing(1, 1).with_restarts(2).with_pauses()),
         ("2, removal, 1 restart", fixed(2, 1).with_removal().with_pauses()),
         ("3, removal", fixed(3, 0).with_removal()),
+        ("3, releases, 1 restart", fixed(3, 1).with_releases()),
         ("1+2, removal, atomic", changing(1, 2).with_removal().with_atomic_heartbeats()),
         ("3+1, atomic", changing(3, 1).with_atomic_heartbeats()),
         ("2+1, 1 restart, atomic", changing(2, 1).with_restarts(1).with_atomic_heartbeats()),
