Let a drained failure domain serve on until its share has moved

Cause: a drain of a failure domain took all its upstreams out at once, while the cap lets its traffic move only bit by bit. The plan of the drain meanwhile promised a share that falls step by step, and ended 6 s too early, since the ledger uses 0.85 of the cap and compares averages of windows.

Ruled out: owners that stop at the planned end by their own clock (a node that restarts would count anew; nobody sends there by then); a rule of its own for the plan's steps.

Change: a drained domain counts as leaving: its share's target is nothing, no other traffic moves there, and what stands there is served. An upstream with a drain of its own, or that says that it leaves, still stops at once, also in a drained domain. The plan works the course out with the ledger's own code.

--- a/crates/sedgepath-core/src/candidates.rs
+++ b/crates/sedgepath-core/src/candidates.rs
@@ -71,7 +71,7 @@
                 .map(|upstream| self.catalogue.upstreams[&upstream].slots)
                 .sum(),
             serves: !serving.is_empty(),
-            leaves: serving.iter().all(|vm| self.is_leaving(*vm)),
+            leaves: self.is_drained(domain) || serving.iter().all(|vm| self.is_leaving(*vm)),
             region: self.catalogue.domains.get(&domain).map(|entry| entry.region),
         };
         for vm in serving {
@@ -85,6 +85,12 @@
         candidate
     }
 
+    /// Whether a drain takes a failure domain out of service. Its owners serve on what the cap does not
+    /// yet let move; taken for gone, its callers would be refused for as long.
+    fn is_drained(&self, domain: DomainKey) -> bool {
+        self.catalogue.domains.get(&domain).is_some_and(|entry| entry.draining)
+    }
+
     fn is_leaving(&self, vm: VmKey) -> bool {
         if vm == self.identity.vm {
             return self.identity.card.leaving;
@@ -103,8 +109,8 @@
         Some((*loads.iter().find(|load| load.service == service)?, age_ms))
     }
 
-    /// Returns the owners of a service's upstreams in a failure domain; those that a drain takes out
-    /// of service don't count.
+    /// Returns the owners of a service's upstreams in a failure domain; upstreams that have a drain of
+    /// their own don't count.
     pub fn owners_in(&self, domain: DomainKey, service: ServiceKey) -> Vec<Owner> {
         let serving = self.serving_in(domain);
         let mut owners: Vec<Owner> = Vec::new();
@@ -139,7 +145,7 @@
         here.filter(move |upstream| {
             let entry = self.catalogue.upstreams.get(upstream);
             entry.is_some_and(|entry| entry.domain == domain)
-                && !self.catalogue.is_draining(*upstream)
+                && !self.catalogue.has_own_drain(*upstream)
         })
     }
 
--- a/crates/sedgepath-core/src/catalogue.rs
+++ b/crates/sedgepath-core/src/catalogue.rs
@@ -205,6 +205,12 @@
         })
     }
 
+    /// Whether an upstream has a drain of its own. It gets nothing new from then on, while a drained
+    /// domain serves on what the cap does not yet let move.
+    pub fn has_own_drain(&self, upstream: UpstreamKey) -> bool {
+        self.upstreams.get(&upstream).is_some_and(|entry| entry.draining)
+    }
+
     fn add_places(&mut self, places: &record::Places) {
         for region in &places.regions {
             let region_key = RegionKey::of(&region.name);
--- a/crates/sedgepath-core/src/drain.rs
+++ b/crates/sedgepath-core/src/drain.rs
@@ -5,10 +5,12 @@
 //! what is in flight has to end. A plan follows from the records alone, so any node and the
 //! operator's client reach the same one.
 //!
-//! The prediction is the slowest course that the caps allow for:
-//! - a window moves at most the cap, so a share `w` under a cap `c` takes `ceil(w / c)` windows;
+//! The share's course is that of the shift ledger itself, worked out ahead by its own code; then
 //! - the last request admitted may carry the service's longest deadline;
-//! - no other shift uses the cap meanwhile; if one does, the drain ends later.
+//! - no other shift uses the cap meanwhile: if one does, the drain ends later.
+//!
+//! A domain serves on while its share falls, and no caller is refused for the drain. One upstream
+//! stops at once: what its domain can't take over is refused until it has moved.
 //!
 //! For one upstream of several in its domain, its part of the domain's slots counts as the share that
 //! has to leave the domain, as if the domain ran full. Where the others have slots free, less leaves.
@@ -16,10 +18,22 @@
 use crate::catalogue::{Catalogue, ServiceEntry};
 use crate::key::{DomainKey, OriginKey, ServiceKey, UpstreamKey};
 use crate::record::Cap;
+use crate::shift::standing::Standing;
 
 /// A share below which nothing is left to move; shares are sums of floating-point numbers.
 const NO_SHARE: f64 = 1e-9;
 
+/// The time until a record is in force everywhere and a node's next part of a window begins, in
+/// milliseconds.
+const IN_FORCE_MS: u64 = 3_000;
+
+/// The parts of windows after which a share that still moves counts as standing still.
+const MOST_PARTS: u32 = 20_000;
+
+/// The places of the predicted course; only how much moves between the two matters.
+const TARGET: DomainKey = DomainKey(0);
+const ELSEWHERE: DomainKey = DomainKey(1);
+
 /// What a drain takes out of service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Target {
@@ -216,13 +230,15 @@
         let longest_deadline_ms = self.entry.longest_deadline_ms;
         let service = self.entry.name.clone();
         let share = self.share()?;
-        let windows = self.windows(share)?;
+        let steps = self.steps(share, now_ms)?;
         if longest_deadline_ms > given_ms {
             return Err(Obstacle::LongRequests { service, longest_deadline_ms, given_ms });
         }
-        let cap = self.cap();
-        let needed_ms = windows * cap.window_ms + longest_deadline_ms;
+        let moved_at_ms = steps.last().map_or(now_ms, |step| step.at_ms);
+        let predicted_end_ms = moved_at_ms + longest_deadline_ms;
+        let needed_ms = predicted_end_ms - now_ms;
         if needed_ms > given_ms {
+            let cap = self.cap();
             return Err(Obstacle::CapTooSmall {
                 service,
                 origin: self.origin_name(),
@@ -233,17 +249,34 @@
                 given_ms,
             });
         }
-        let left = |window: u64| share - window as f64 * cap.percent / 100.0;
-        let steps = (0..=windows).map(|window| DrainStep {
-            at_ms: now_ms + window * cap.window_ms,
-            share: if window == windows { 0.0 } else { left(window) },
-        });
-        Ok(GroupDrain {
-            service: self.service,
-            origin: self.origin,
-            steps: steps.collect(),
-            predicted_end_ms: now_ms + needed_ms,
-        })
+        Ok(GroupDrain { service: self.service, origin: self.origin, steps, predicted_end_ms })
+    }
+
+    /// Returns how the share falls: once a window, and when it is gone.
+    fn steps(self, share: f64, now_ms: u64) -> Result<Vec<DrainStep>, Obstacle> {
+        let mut steps = vec![DrainStep { at_ms: now_ms, share }];
+        if share <= NO_SHARE {
+            return Ok(steps);
+        }
+        let cap = self.cap();
+        let from_ms = now_ms + IN_FORCE_MS;
+        let mut standing = Standing::new(&[(TARGET, share), (ELSEWHERE, 1.0 - share)], from_ms);
+        let mut next_step_ms = from_ms;
+        for _ in 0..MOST_PARTS {
+            let at_ms = standing.part_ends_at_ms();
+            standing.begin_part(&[0.0, 1.0], cap, at_ms);
+            let left = standing.shares()[0].1;
+            if left <= NO_SHARE {
+                steps.push(DrainStep { at_ms, share: 0.0 });
+                return Ok(steps);
+            }
+            if at_ms >= next_step_ms {
+                steps.push(DrainStep { at_ms, share: left });
+                next_step_ms += cap.window_ms;
+            }
+        }
+        let origin = self.origin_name();
+        Err(Obstacle::NoCap { service: self.entry.name.clone(), origin })
     }
 
     /// Returns the share that has to leave the failure domain.
@@ -272,19 +305,6 @@
         Err(Obstacle::NoCapacity { service: self.entry.name.clone(), origin: self.origin_name() })
     }
 
-    /// Returns the windows that it takes to move a share.
-    fn windows(self, share: f64) -> Result<u64, Obstacle> {
-        if share <= NO_SHARE {
-            return Ok(0);
-        }
-        let cap = self.cap();
-        if cap.percent <= 0.0 {
-            let origin = self.origin_name();
-            return Err(Obstacle::NoCap { service: self.entry.name.clone(), origin });
-        }
-        Ok((share * 100.0 / cap.percent - NO_SHARE).ceil() as u64)
-    }
-
     fn cap(self) -> Cap {
         let none = Cap { percent: 0.0, window_ms: 0 };
         self.entry.steering.as_ref().map_or(none, |steering| steering.cap)
--- a/crates/sedgepath-core/src/egress.rs
+++ b/crates/sedgepath-core/src/egress.rs
@@ -187,7 +187,7 @@
     /// [`Self::leaving_notice`] tells the peers.
     pub fn mark_leaving(&mut self, upstream: UpstreamKey, scope: Scope<'_>, out: &mut Outbox) {
         // All nodes have the record; the answers of what is still in flight are no news.
-        if scope.catalogue.is_draining(upstream) {
+        if scope.catalogue.has_own_drain(upstream) {
             return;
         }
         if self.upstreams.leaving.mark(upstream, out.now_ms()) {
--- a/crates/sedgepath-core/src/egress/leaving.rs
+++ b/crates/sedgepath-core/src/egress/leaving.rs
@@ -80,10 +80,8 @@
     /// Upstreams that no record names are kept: a node that has just started is told of them before
     /// it has any records, and would send them work once it has.
     pub fn expire(&mut self, catalogue: &Catalogue, now_ms: u64) {
-        let drained = |upstream: &UpstreamKey| {
-            catalogue.upstreams.contains_key(upstream) && catalogue.is_draining(*upstream)
-        };
-        self.until_ms.retain(|upstream, until_ms| now_ms < *until_ms && !drained(upstream));
+        self.until_ms
+            .retain(|upstream, until_ms| now_ms < *until_ms && !catalogue.has_own_drain(*upstream));
     }
 
     /// Returns the notice that is due, if there is one.
--- a/crates/sedgepath-core/src/egress/upstreams.rs
+++ b/crates/sedgepath-core/src/egress/upstreams.rs
@@ -167,6 +167,6 @@
     }
 
     fn leaves(&self, upstream: UpstreamKey, scope: Scope<'_>) -> bool {
-        self.leaving.contains(upstream) || scope.catalogue.is_draining(upstream)
+        self.leaving.contains(upstream) || scope.catalogue.has_own_drain(upstream)
     }
 }
--- a/crates/sedgepath-core/src/steering.rs
+++ b/crates/sedgepath-core/src/steering.rs
@@ -24,11 +24,12 @@
     pub reported: bool,
     /// The age of the oldest of those reports in milliseconds.
     pub report_age_ms: u64,
-    /// The slots that its upstreams have by their records, drained ones left out.
+    /// The slots that its upstreams have by their records, but for those with a drain of their own.
     pub declared_slots: u32,
     /// Whether an entry VM of it takes work.
     pub serves: bool,
-    /// Whether all entry VMs of it that still take work are about to stop.
+    /// Whether traffic is to move away from it while it serves on: a drain takes it out of service,
+    /// or all entry VMs of it that still take work are about to stop.
     pub leaves: bool,
     /// Its region, if a record names it.
     pub region: Option<RegionKey>,
--- a/crates/sedgepath-core/tests/leaving.rs
+++ b/crates/sedgepath-core/tests/leaving.rs
@@ -107,6 +107,19 @@
     assert_stays_away(3, |bed| bed.list_upstream_leaving("u1", "a"));
 }
 
+/// Its failure domain is drained and serves on until its share has moved; the upstream says with its
+/// answers that it leaves meanwhile. The drain of the domain does not hide that.
+#[test]
+fn its_answers_say_so_while_its_domain_is_drained() {
+    let body = json!({ "target": "domain", "active": true });
+    let drain = records::record(1, "drain", "a", &body);
+    assert_stays_away(10, |bed| {
+        bed.write_records(&[drain]);
+        bed.run_for(3_000);
+        bed.upstreams.get("u1").leaving = true;
+    });
+}
+
 /// One answer says that the upstream leaves, to its owner, which then dies. The platform is down, and
 /// the upstream gives no reports any more. The next owner has heard it from the first.
 #[test]
