--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -9,7 +9,7 @@
 use crossbeam::channel::unbounded;
 use jsonrpsee::server::Server;
 use sedgepath_core::event::Event;
-use sedgepath_core::identity::{Identity, NodeSettings};
+use sedgepath_core::identity::Identity;
 use sedgepath_core::key::{BootId, DomainKey};
 use sedgepath_core::message::MemberCard;
 use sedgepath_core::node::Node;
@@ -86,7 +86,8 @@
 
     let boot = BootId(fastrand::u64(..));
     let clock = Clock::new();
-    let node = Node::new(identity(settings, boot), node_settings());
+    let node =
+        Node::new(identity(settings, boot), settings.timing.node_settings(fastrand::u64(..)));
     let (platform_sender, platform_jobs) = unbounded();
     let (fetch_sender, fetch_jobs) = mpsc::unbounded_channel();
     let (hand_over_sender, hand_overs) = mpsc::unbounded_channel();
@@ -178,7 +179,3 @@
     };
     Identity::new(card, boot)
 }
-
-fn node_settings() -> NodeSettings {
-    NodeSettings { seed: fastrand::u64(..), ..NodeSettings::default() }
-}
