--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -12,6 +12,7 @@
 use crate::configuration::store::{Page, Position};
 use crate::egress::{Egress, Scope};
 use crate::event::{Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError};
+use crate::explain::{Explanation, Question};
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{self, Conclusion, Ingress, Means};
 use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
@@ -22,7 +23,7 @@
 use crate::outbox::Outbox;
 use crate::request::{HopEnd, Once, RequestHead, Ticket};
 use crate::steering::{ByHeadroom, SteeringPolicy};
-use crate::stop::PlannedStop;
+use crate::stop::{self, PlannedStop};
 use crate::timeline::Topic;
 
 /// What the ingress decides by: a macro, so that the ingress and the outbox can be borrowed beside.
@@ -34,7 +35,7 @@
                 identity: &$identity,
                 catalogue: $node.configuration.catalogue(),
                 revision: $node.configuration.revision(),
-                ready: $node.configuration.ready(),
+                ready: $node.configuration.ready() && !$node.stop.refuses($node.out.now_ms()),
                 membership: &$node.membership,
                 own_loads: &$node.own_loads,
             },
@@ -136,6 +137,9 @@
                 self.once.caller_gone(request, &mut self.out);
                 self.ingress.forget(request);
             }
+            Event::Dispatched { exchange, .. } if self.stop.refuses(now_ms) => {
+                self.out.push(Action::Refuse { exchange, refusal: stop::REFUSAL });
+            }
             Event::Dispatched { exchange, dispatch, .. } => {
                 self.admit(|egress, scope, out| egress.dispatch(exchange, &dispatch, scope, out));
             }
@@ -270,6 +274,13 @@
         self.ingress.look_ups_mut().answer(look_up, valid_ms, &means.view)
     }
 
+    /// Explains where a request would go.
+    pub fn explain(&self, question: &Question) -> Explanation {
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        means.view.explain(question, means.policy)
+    }
+
     /// Gives requests their final outcomes.
     fn conclude(&mut self, concluded: impl IntoIterator<Item = Conclusion>) {
         for Conclusion { request, outcome } in concluded {
