--- a/crates/sedgepath-core/src/configuration/change.rs
+++ b/crates/sedgepath-core/src/configuration/change.rs
@@ -37,6 +37,9 @@
 /// The newest changes among which an identifier is looked for when no revision is expected.
 const REMEMBERED_CHANGES: u64 = 256;
 
+/// The most text of all records of a change, in bytes: it goes to the table in one transaction.
+const MAX_CHANGE_BYTES: usize = 4 * 1024 * 1024;
+
 /// The most changes that a node works on at once.
 const MAX_CHANGES: usize = 32;
 
@@ -117,6 +120,16 @@
     /// The change has no records.
     #[error("the change has no records")]
     Empty,
+    /// The records of the change are too long together.
+    #[error(
+        "the records of the change have {bytes} bytes; split it into changes of at most {most}"
+    )]
+    Large {
+        /// Their length in bytes.
+        bytes: usize,
+        /// The most.
+        most: usize,
+    },
 }
 
 /// The head as read for a change.
@@ -185,8 +198,11 @@
         request: ChangeRequest,
         now_ms: u64,
     ) -> Option<Concluded> {
+        let bytes = request.records.iter().map(|record| record.body.len()).sum();
         let refusal = if request.records.is_empty() {
             Some(ChangeRefusal::Empty)
+        } else if bytes > MAX_CHANGE_BYTES {
+            Some(ChangeRefusal::Large { bytes, most: MAX_CHANGE_BYTES })
         } else if self.changes.len() >= MAX_CHANGES {
             Some(ChangeRefusal::Busy)
         } else {
--- a/crates/sedgepath-core/tests/configuration.rs
+++ b/crates/sedgepath-core/tests/configuration.rs
@@ -157,3 +157,33 @@
     assert!(!store.apply(unconnected));
     assert_eq!(store.page(&Position::default()), before);
 }
+
+/// A change of two records is accepted while a node that starts turns the pages of all records: it
+/// may read the one record before the change and the other one after it. Whenever the change comes,
+/// peers that fetch from the node never get the one without the other.
+#[test]
+fn a_scan_during_a_change_gives_one_revision() {
+    let service =
+        |number: usize, deadline_ms| records::service(&format!("s{number:03}"), deadline_ms, &[]);
+    let mut mixed = 0;
+    for change_at_ms in (0..3_000).step_by(100) {
+        let mut bed = Bed::new(5);
+        bed.faults.table_ms = 150;
+        let all: Vec<_> = (0..200).map(|number| service(number, 1_000)).collect();
+        bed.write_records(&all);
+        bed.add_node("n1", "north-a");
+        let mut last = Vec::new();
+        for at_ms in (0..6_000).step_by(20) {
+            if at_ms == change_at_ms {
+                bed.write_records(&[service(0, 2_000), service(199, 2_000)]);
+            }
+            bed.run_for(20);
+            let page = bed.node(0).expect("the node runs").page(&Position::default());
+            let changed = page.records.iter().filter(|row| row.record.body.contains("2000"));
+            last = changed.map(|row| row.record.name.clone()).collect();
+            mixed += usize::from(last.len() == 1);
+        }
+        assert_eq!(last.len(), 2, "changed after {change_at_ms} ms");
+    }
+    assert_eq!(mixed, 0, "pages with one record of a change and without the other");
+}
