--- a/crates/sedgepath-core/src/egress.rs
+++ b/crates/sedgepath-core/src/egress.rs
@@ -41,11 +41,12 @@
         catalogue: &Catalogue,
         out: &mut Outbox,
     ) {
-        let Some(upstream) = self.choose(dispatch, allowances, catalogue) else {
+        let Some(allowance) = self.choose(dispatch, allowances, catalogue) else {
             let refusal = Refusal { reason: Reason::NoUpstream, retry_after_ms: RETRY_AFTER_MS };
             out.push(Action::Refuse { exchange, refusal });
             return;
         };
+        let upstream = allowance.upstream;
         let entry = &catalogue.upstreams[&upstream];
         self.upstreams.entry(upstream).or_default().in_flight += 1;
         self.calls.insert(exchange, Call { upstream });
@@ -56,7 +57,7 @@
             domain: entry.domain,
             address: entry.address,
             may_open: true,
-            send_by_ms: deadline_at_ms,
+            send_by_ms: allowance.send_by_ms.min(deadline_at_ms),
             deadline_at_ms,
         });
     }
@@ -71,6 +72,11 @@
         }
     }
 
+    /// Returns the requests that may run at an upstream.
+    pub fn in_flight(&self, upstream: UpstreamKey) -> u32 {
+        self.upstreams.get(&upstream).map_or(0, |state| state.in_flight)
+    }
+
     /// Returns the number of dispatches that run at upstreams.
     pub fn calls_in_flight(&self) -> usize {
         self.calls.len()
@@ -101,20 +107,19 @@
         loads
     }
 
-    fn choose(
+    fn choose<'a>(
         &self,
         dispatch: &Dispatch,
-        allowances: &[Allowance],
+        allowances: &'a [Allowance],
         catalogue: &Catalogue,
-    ) -> Option<UpstreamKey> {
-        let in_flight = |upstream: &UpstreamKey| {
-            self.upstreams.get(upstream).map_or(0, |state| state.in_flight)
-        };
+    ) -> Option<&'a Allowance> {
         allowances
             .iter()
-            .map(|allowance| allowance.upstream)
-            .filter(|upstream| catalogue.upstreams[upstream].service == dispatch.service)
-            .filter(|upstream| Some(*upstream) != dispatch.avoid)
-            .min_by_key(|upstream| (in_flight(upstream), *upstream))
+            .filter(|allowance| self.in_flight(allowance.upstream) < allowance.slots)
+            .filter(|allowance| {
+                catalogue.upstreams[&allowance.upstream].service == dispatch.service
+            })
+            .filter(|allowance| Some(allowance.upstream) != dispatch.avoid)
+            .min_by_key(|allowance| (self.in_flight(allowance.upstream), allowance.upstream))
     }
 }
--- a/crates/sedgepath-core/src/key.rs
+++ b/crates/sedgepath-core/src/key.rs
@@ -61,10 +61,21 @@
     }
 }
 
-/// One run of a process on a VM; drawn at random at its start.
+/// One run of a process on a VM. A later run has a higher number: it is drawn from the time of the
+/// start, see [`BootId::new`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct BootId(pub u64);
 
+impl BootId {
+    /// The bits that are random, to tell apart two boots at the same time.
+    const RANDOM_BITS: u32 = 20;
+
+    /// Creates the number of a boot from the time of its start, in milliseconds since the Unix epoch.
+    pub fn new(started_at_ms: u64, random: u64) -> Self {
+        Self(started_at_ms << Self::RANDOM_BITS | random & ((1 << Self::RANDOM_BITS) - 1))
+    }
+}
+
 macro_rules! number_key {
     ($(#[$doc:meta])* $key:ident) => {
         $(#[$doc])*
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod ownership;
 pub mod record;
 pub mod request;
+pub mod right;
 pub mod steering;
 pub mod stop;
 pub mod table;
--- a/crates/sedgepath-core/src/membership.rs
+++ b/crates/sedgepath-core/src/membership.rs
@@ -3,7 +3,7 @@
 //! # Problem
 //!
 //! Every node needs to know who serves where, soon after a change, while datagrams are lost, links
-//! are cut and processes pause; and the owner's right (the `right` to upstreams) needs each member of the
+//! are cut and processes pause; and the owner's right ([`crate::right`]) needs each member of the
 //! own failure domain to acknowledge this node's heartbeats. What a node sends may not grow with the
 //! number of all nodes.
 //!
@@ -42,16 +42,23 @@
 //! - [`Member::heard_at_ms`] is never later than the member's last sign of life by more than the
 //!   transit of the datagrams that carried it: an age is measured where the sign arrived and carried
 //!   along. Hearsay of hearsay can't keep a dead member alive, since ages only grow.
-//! - A boot that was replaced by a later one is never taken back, so a late datagram of the earlier
-//!   process changes nothing.
+//!   The transit includes the time that a datagram waits while its receiver is paused.
+//! - Of two boots of a member the later one counts. Boots are numbered by the time of their start, so
+//!   datagrams of an earlier boot that waited at a paused node are told apart; should a VM's clock
+//!   have been set back, its new boot counts once the old one is suspected.
+
+use std::net::SocketAddr;
 
 use crate::event::ListedVm;
 use crate::hash::Map;
 use crate::identity::NodeSettings;
 use crate::key::{BootId, DomainKey, VmKey};
-use crate::message::{Envelope, Heartbeat, MemberCard, Probe, ProbeAnswer, ServiceLoad, Summary};
+use crate::message::{
+    Envelope, Heartbeat, MemberCard, Message, Probe, ProbeAnswer, ServiceLoad, Summary,
+};
 use crate::outbox::Outbox;
 use crate::ownership;
+use crate::right::Right;
 use crate::timeline::Topic;
 
 mod heartbeat;
@@ -110,13 +117,22 @@
     card: Option<MemberCard>,
 }
 
+/// A VM of the platform's list, with its names reduced to keys.
+#[derive(Debug, Clone, Copy)]
+struct Listed {
+    vm: VmKey,
+    domain: DomainKey,
+    peers: SocketAddr,
+}
+
 /// The members of the whole system, this node not among them.
 #[derive(Debug)]
 pub struct Membership {
     settings: NodeSettings,
     members: Map<VmKey, Member>,
-    replaced: Map<VmKey, BootId>,
-    listed: Vec<ListedVm>,
+    /// The boots that have said farewell, so that hearsay doesn't bring them back.
+    departed: Map<VmKey, BootId>,
+    listed: Vec<Listed>,
     heartbeats: Heartbeats,
     relay: Relay,
 }
@@ -127,7 +143,7 @@
         Self {
             settings,
             members: Map::default(),
-            replaced: Map::default(),
+            departed: Map::default(),
             listed: Vec::new(),
             heartbeats: Heartbeats::default(),
             relay: Relay::default(),
@@ -141,9 +157,7 @@
 
     /// Returns all members in the order of their keys.
     pub fn members(&self) -> Vec<(VmKey, &Member)> {
-        let mut members: Vec<_> = self.members.iter().map(|(vm, member)| (*vm, member)).collect();
-        members.sort_unstable_by_key(|(vm, _)| *vm);
-        members
+        self.members_with(|_| true)
     }
 
     /// Returns the members of a failure domain that are not suspected, in the order of their keys,
@@ -160,28 +174,39 @@
 
     /// Returns the members of a failure domain in the order of their keys.
     pub fn members_in(&self, domain: DomainKey) -> Vec<(VmKey, &Member)> {
-        let mut members = self.members();
-        members.retain(|(_, member)| member.card.domain == domain);
-        members
+        self.members_with(|member| member.card.domain == domain)
     }
 
-    /// Returns the platform's list of VMs as last read.
-    pub fn listed(&self) -> &[ListedVm] {
-        &self.listed
+    fn members_with(&self, condition: impl Fn(&Member) -> bool) -> Vec<(VmKey, &Member)> {
+        let members = self.members.iter().filter(|(_, member)| condition(member));
+        let mut members: Vec<_> = members.map(|(vm, member)| (*vm, member)).collect();
+        members.sort_unstable_by_key(|(vm, _)| *vm);
+        members
     }
 
     /// Takes in the platform's list of VMs.
-    pub fn take_list(&mut self, listed: Vec<ListedVm>) {
-        self.listed = listed;
+    pub fn take_list(&mut self, listed: &[ListedVm]) {
+        let listed = listed.iter().map(|entry| Listed {
+            vm: VmKey::of(&entry.name),
+            domain: DomainKey::of(&entry.domain),
+            peers: entry.peers,
+        });
+        self.listed = listed.collect();
     }
 
-    /// Takes in a heartbeat of a member of the own failure domain.
-    pub fn take_heartbeat(&mut self, envelope: &Envelope, heartbeat: &Heartbeat, out: &mut Outbox) {
-        if self.is_replaced(envelope.from, envelope.boot) {
-            return;
-        }
-        if !self.heartbeats.take(envelope, heartbeat, out) {
-            return;
+    /// Takes in a heartbeat of a member of the own failure domain; returns false if it is out of
+    /// date because a later one has arrived before.
+    pub fn take_heartbeat(
+        &mut self,
+        envelope: &Envelope,
+        heartbeat: &Heartbeat,
+        out: &mut Outbox,
+    ) -> bool {
+        let valid_ms = self.settings.suspect_after_ms;
+        if self.has_departed(envelope.from, envelope.boot)
+            || !self.heartbeats.take(envelope, heartbeat, valid_ms, out)
+        {
+            return false;
         }
         let known = self.members.get(&envelope.from).map(|member| member.boot);
         let known_leaving =
@@ -201,6 +226,31 @@
         if joined && self.introduces(envelope.from, out) {
             self.introduce(envelope.from, out);
         }
+        true
+    }
+
+    /// Takes in that a boot has ended its work for good; returns false if it is a former one.
+    pub fn take_farewell(&mut self, envelope: &Envelope, out: &mut Outbox) -> bool {
+        let known = self.members.get(&envelope.from);
+        let Some(member) = known.filter(|member| member.boot == envelope.boot) else {
+            return false;
+        };
+        out.log(Topic::Membership, "member_farewell", &[("member", &member.card.name)]);
+        self.members.remove(&envelope.from);
+        self.heartbeats.forget(envelope.from);
+        self.departed.insert(envelope.from, envelope.boot);
+        true
+    }
+
+    /// Tells the own failure domain that this boot has ended its work for good.
+    ///
+    /// Sent twice: a member that hears neither counts this one among its roster until the platform's
+    /// list lacks it, and leaves its part of the upstreams idle for so long.
+    pub fn say_farewell(&self, out: &mut Outbox) {
+        for (_, member) in self.members_in(out.identity().card.domain) {
+            out.send(member.card.peers, Message::Farewell);
+            out.send(member.card.peers, Message::Farewell);
+        }
     }
 
     /// Answers a probe if the member asked about was heard of.
@@ -253,17 +303,17 @@
     }
 
     /// Suspects silent members and sends the heartbeats, probes and summaries that are due.
-    pub fn tick(&mut self, own: OwnState<'_>, out: &mut Outbox) {
+    pub fn tick(&mut self, own: OwnState<'_>, right: &mut Right, out: &mut Outbox) {
         self.suspect_silent(out);
         self.forget_gone(out);
-        self.send_heartbeats(own, out);
+        self.send_heartbeats(own, right, out);
         self.send_summaries(own, out);
     }
 
     /// Takes in a sign of life unless a later one is known.
     fn learn(&mut self, sighting: Sighting, out: &mut Outbox) {
         let own = sighting.vm == out.identity().vm;
-        if own || self.is_replaced(sighting.vm, sighting.boot) {
+        if own || self.has_departed(sighting.vm, sighting.boot) {
             return;
         }
         match self.members.get_mut(&sighting.vm) {
@@ -281,14 +331,13 @@
                     log_alive(member, out);
                 }
             }
-            Some(member) if sighting.heard_at_ms < member.heard_at_ms => {}
-            known => {
+            Some(member) if sighting.boot < member.boot && !member.suspect => {}
+            // A member that has been forgotten is not brought back by those that still remember it.
+            None if sighting.heard_at_ms + self.settings.forget_after_ms <= out.now_ms() => {}
+            _ => {
                 let Some(mut card) = sighting.card else {
                     return;
                 };
-                if let Some(known) = known {
-                    self.replaced.insert(sighting.vm, known.boot);
-                }
                 card.leaving |= sighting.leaving;
                 let member = Member {
                     boot: sighting.boot,
@@ -304,8 +353,8 @@
         }
     }
 
-    fn is_replaced(&self, vm: VmKey, boot: BootId) -> bool {
-        self.replaced.get(&vm) == Some(&boot)
+    fn has_departed(&self, vm: VmKey, boot: BootId) -> bool {
+        self.departed.get(&vm) == Some(&boot)
     }
 
     /// Returns the silence after which a member is suspected, in milliseconds.
@@ -319,12 +368,11 @@
     fn suspect_silent(&mut self, out: &mut Outbox) {
         let own_domain = out.identity().card.domain;
         let silent: Vec<VmKey> = self
-            .members()
-            .into_iter()
-            .filter(|(_, member)| {
+            .members_with(|member| {
                 let after_ms = self.suspect_after_ms(member, own_domain);
                 !member.suspect && member.heard_at_ms + after_ms <= out.now_ms()
             })
+            .into_iter()
             .map(|(vm, _)| vm)
             .collect();
         for vm in silent {
@@ -342,24 +390,20 @@
         }
         let silent_since_ms = out.now_ms().saturating_sub(self.settings.forget_after_ms);
         let gone: Vec<VmKey> = self
-            .members()
+            .members_with(|member| member.heard_at_ms <= silent_since_ms)
             .into_iter()
-            .filter(|(vm, member)| member.heard_at_ms <= silent_since_ms && !self.is_listed(*vm))
             .map(|(vm, _)| vm)
+            .filter(|vm| self.listed.iter().all(|listed| listed.vm != *vm))
             .collect();
         for vm in gone {
             if let Some(member) = self.members.remove(&vm) {
-                self.replaced.remove(&vm);
+                self.departed.remove(&vm);
                 self.heartbeats.forget(vm);
                 out.log(Topic::Membership, "member_gone", &[("member", &member.card.name)]);
             }
         }
     }
 
-    fn is_listed(&self, vm: VmKey) -> bool {
-        self.listed.iter().any(|listed| VmKey::of(&listed.name) == vm)
-    }
-
     /// Whether this node is the one that tells a new member of all others.
     fn introduces(&self, newcomer: VmKey, out: &Outbox) -> bool {
         let identity = out.identity();
--- a/crates/sedgepath-core/src/membership/heartbeat.rs
+++ b/crates/sedgepath-core/src/membership/heartbeat.rs
@@ -8,20 +8,27 @@
 use super::{Membership, OwnState, probe};
 use crate::hash::Map;
 use crate::key::{BootId, DomainKey, VmKey};
-use crate::message::{Acknowledgement, Envelope, Heartbeat, Message, ServiceLoad};
+use crate::message::{Acknowledgement, Claim, Envelope, Heartbeat, Message, ServiceLoad};
 use crate::outbox::Outbox;
+use crate::right::{HeardBeat, Right};
 
 /// The most services whose load a heartbeat tells, so that it fits a datagram; those with the
 /// fewest slots are left out.
 pub(super) const MAX_LOADS: usize = 48;
 
+/// The heartbeats in a row that must name another roster before this node shares its own.
+///
+/// After a join all members hear of the newcomer directly within one period, so rosters differ for a
+/// moment only; they go on differing where a link is cut.
+const SHARE_AFTER_BEATS: u32 = 3;
+
 /// What is known of a peer from its own heartbeats.
 #[derive(Debug)]
 struct Contact {
-    boot: BootId,
+    beat: HeardBeat,
     sequence: u64,
-    heard_at_ms: u64,
-    sent_at_ms: u64,
+    /// The heartbeats since the peer last named the roster of this node.
+    other_roster_beats: u32,
     /// What the peer's last acknowledgement says of this node's card, and when it came.
     card_leaving: Option<bool>,
     acknowledged_at_ms: u64,
@@ -41,31 +48,39 @@
 pub(super) struct Heartbeats {
     contacts: Map<VmKey, Contact>,
     next_at_ms: u64,
-    told_leaving: bool,
+    told: Option<(bool, Claim)>,
 }
 
 impl Heartbeats {
-    /// Takes in a heartbeat; returns false if a later one of the same boot has arrived before.
-    pub fn take(&mut self, envelope: &Envelope, heartbeat: &Heartbeat, out: &Outbox) -> bool {
-        let contact = self.contacts.entry(envelope.from).or_insert(Contact {
+    /// Takes in a heartbeat; returns false if a later one has arrived before. One of an earlier boot
+    /// counts only if the later boot has been silent for `valid_ms`.
+    pub fn take(
+        &mut self,
+        envelope: &Envelope,
+        heartbeat: &Heartbeat,
+        valid_ms: u64,
+        out: &Outbox,
+    ) -> bool {
+        let beat = HeardBeat {
             boot: envelope.boot,
-            sequence: 0,
-            heard_at_ms: 0,
-            sent_at_ms: 0,
-            card_leaving: None,
-            acknowledged_at_ms: 0,
-        });
-        if contact.boot != envelope.boot {
-            contact.boot = envelope.boot;
-            contact.sequence = 0;
-            contact.card_leaving = None;
+            sent_at_ms: heartbeat.sent_at_ms,
+            heard_at_ms: out.now_ms(),
+            claim: heartbeat.claim,
+            longest_deadline_ms: heartbeat.longest_deadline_ms,
+        };
+        let contact = self.contacts.entry(envelope.from).or_insert(Contact::new(beat));
+        let silent = contact.beat.heard_at_ms + valid_ms <= out.now_ms();
+        if envelope.boot < contact.beat.boot && !silent {
+            return false;
+        }
+        if contact.beat.boot != envelope.boot {
+            *contact = Contact::new(beat);
         }
         if envelope.sequence <= contact.sequence {
             return false;
         }
         contact.sequence = envelope.sequence;
-        contact.heard_at_ms = out.now_ms();
-        contact.sent_at_ms = heartbeat.sent_at_ms;
+        contact.beat = beat;
         let acknowledgement = heartbeat.acknowledgement.as_ref();
         if let Some(acknowledgement) =
             acknowledgement.filter(|entry| entry.boot == out.identity().boot)
@@ -79,7 +94,7 @@
     /// Returns when a member was last heard of directly.
     pub fn heard(&self, vm: VmKey) -> Option<Heard> {
         let contact = self.contacts.get(&vm)?;
-        Some(Heard { boot: contact.boot, at_ms: contact.heard_at_ms })
+        Some(Heard { boot: contact.beat.boot, at_ms: contact.beat.heard_at_ms })
     }
 
     /// Forgets a member.
@@ -98,15 +113,26 @@
     }
 }
 
+impl Contact {
+    fn new(beat: HeardBeat) -> Self {
+        Self { beat, sequence: 0, other_roster_beats: 0, card_leaving: None, acknowledged_at_ms: 0 }
+    }
+}
+
 impl Membership {
-    /// Sends the heartbeats that are due; at once to all if this node has begun to leave.
-    pub(super) fn send_heartbeats(&mut self, own: OwnState<'_>, out: &mut Outbox) {
-        let leaving = out.identity().card.leaving;
-        let news = leaving != self.heartbeats.told_leaving;
-        if out.now_ms() < self.heartbeats.next_at_ms && !news {
+    /// Sends the heartbeats that are due; at once to all if this node has begun to leave or has
+    /// changed its claim.
+    pub(super) fn send_heartbeats(
+        &mut self,
+        own: OwnState<'_>,
+        right: &mut Right,
+        out: &mut Outbox,
+    ) {
+        let news = Some((out.identity().card.leaving, right.claim()));
+        if out.now_ms() < self.heartbeats.next_at_ms && self.heartbeats.told == news {
             return;
         }
-        self.heartbeats.told_leaving = leaving;
+        self.heartbeats.told = news;
         self.heartbeats.next_at_ms = out.now_ms() + self.settings.heartbeat_every_ms;
         let domain = out.identity().card.domain;
         let peers: Vec<(VmKey, SocketAddr)> = self
@@ -115,17 +141,23 @@
             .map(|(vm, member)| (vm, member.card.peers))
             .collect();
         for (vm, address) in &peers {
-            let heartbeat = self.heartbeat(Some(*vm), own, out);
-            out.send(*address, Message::Heartbeat(heartbeat));
+            let heartbeat = self.heartbeat(Some(*vm), own, right, out);
+            out.send(*address, Message::Heartbeat(Box::new(heartbeat)));
         }
         for address in self.unheard_addresses(domain, &peers, out) {
-            let heartbeat = self.heartbeat(None, own, out);
-            out.send(address, Message::Heartbeat(heartbeat));
+            let heartbeat = self.heartbeat(None, own, right, out);
+            out.send(address, Message::Heartbeat(Box::new(heartbeat)));
         }
         self.probe_silent(out);
     }
 
-    fn heartbeat(&self, to: Option<VmKey>, own: OwnState<'_>, out: &Outbox) -> Heartbeat {
+    fn heartbeat(
+        &self,
+        to: Option<VmKey>,
+        own: OwnState<'_>,
+        right: &mut Right,
+        out: &Outbox,
+    ) -> Heartbeat {
         let valid_ms = self.settings.suspect_after_ms;
         let needs_card = to.is_none_or(|vm| self.heartbeats.needs_card(vm, valid_ms, out));
         Heartbeat {
@@ -133,18 +165,37 @@
             card: needs_card.then(|| out.identity().card.clone()),
             revision: own.revision,
             loads: largest_loads(own.loads),
-            acknowledgement: to.and_then(|vm| self.acknowledgement(vm)),
+            roster: right.roster_digest(),
+            claim: right.claim(),
+            longest_deadline_ms: right.longest_deadline_ms(),
+            acknowledgement: to.and_then(|vm| self.acknowledgement(vm, right, out)),
         }
     }
 
-    fn acknowledgement(&self, vm: VmKey) -> Option<Acknowledgement> {
-        let contact = self.heartbeats.contacts.get(&vm)?;
-        let member = self.members.get(&vm).filter(|member| member.boot == contact.boot);
-        Some(Acknowledgement {
-            boot: contact.boot,
-            sent_at_ms: contact.sent_at_ms,
-            card_leaving: member.map(|member| member.card.leaving),
-        })
+    fn acknowledgement(
+        &self,
+        vm: VmKey,
+        right: &mut Right,
+        out: &Outbox,
+    ) -> Option<Acknowledgement> {
+        let beat = self.heartbeats.contacts.get(&vm)?.beat;
+        let member = self.members.get(&vm).filter(|member| member.boot == beat.boot);
+        right.acknowledge(vm, beat, member.map(|member| member.card.leaving), out.now_ms())
+    }
+
+    /// Tells a member that goes on naming another roster of the members that this node knows.
+    ///
+    /// Two members that can't hear each other hear of each other's restarts in this way; else one
+    /// would name an old boot for good, and no member that hears both would have a whole upstream.
+    pub fn compare_rosters(&mut self, vm: VmKey, named: u64, own: u64, out: &mut Outbox) {
+        let Some(contact) = self.heartbeats.contacts.get_mut(&vm) else {
+            return;
+        };
+        contact.other_roster_beats = if named == own { 0 } else { contact.other_roster_beats + 1 };
+        if contact.other_roster_beats >= SHARE_AFTER_BEATS {
+            contact.other_roster_beats = 0;
+            self.share_roster(vm, out);
+        }
     }
 
     /// Returns the addresses of the failure domain that only the platform's list names.
@@ -155,7 +206,7 @@
         out: &Outbox,
     ) -> Vec<SocketAddr> {
         let own = out.identity().card.peers;
-        let listed = self.listed.iter().filter(|vm| DomainKey::of(&vm.domain) == domain);
+        let listed = self.listed.iter().filter(|vm| vm.domain == domain);
         let mut addresses: Vec<_> = listed.map(|vm| vm.peers).collect();
         addresses.retain(|address| *address != own && peers.iter().all(|peer| peer.1 != *address));
         addresses.sort_unstable();
--- a/crates/sedgepath-core/src/membership/relay.rs
+++ b/crates/sedgepath-core/src/membership/relay.rs
@@ -94,23 +94,30 @@
         let Some(address) = self.members.get(&newcomer).map(|member| member.card.peers) else {
             return;
         };
-        let mut domains = self.other_domains(out);
-        domains.push(out.identity().card.domain);
-        for domain in domains {
-            let known = self.members_in(domain).into_iter();
-            let lines: Vec<_> = known
-                .filter(|(vm, member)| *vm != newcomer && !member.suspect)
-                .map(|(vm, _)| self.line(vm, true, out))
-                .collect();
+        for domain in self.other_domains(out) {
+            let live = self.members_in(domain).into_iter().filter(|(_, member)| !member.suspect);
+            let lines: Vec<_> = live.map(|(vm, _)| self.line(vm, true, out)).collect();
             send_lines(address, domain, false, lines, out);
         }
+        self.share_roster(newcomer, out);
+    }
+
+    /// Tells a member of the own failure domain of all others there, suspected ones too.
+    pub(super) fn share_roster(&self, with: VmKey, out: &mut Outbox) {
+        let Some(address) = self.members.get(&with).map(|member| member.card.peers) else {
+            return;
+        };
+        let domain = out.identity().card.domain;
+        let others = self.members_in(domain).into_iter().filter(|(vm, _)| *vm != with);
+        let lines: Vec<_> = others.map(|(vm, _)| self.line(vm, true, out)).collect();
+        send_lines(address, domain, false, lines, out);
     }
 
     /// Returns the failure domains that this node knows of, without its own.
     fn other_domains(&self, out: &Outbox) -> Vec<DomainKey> {
         let own = out.identity().card.domain;
         let heard = self.members.values().map(|member| member.card.domain);
-        let listed = self.listed.iter().map(|vm| DomainKey::of(&vm.domain));
+        let listed = self.listed.iter().map(|vm| vm.domain);
         let mut domains: Vec<_> = heard.chain(listed).filter(|domain| *domain != own).collect();
         domains.sort_unstable();
         domains.dedup();
@@ -142,7 +149,7 @@
             .collect();
         if addresses.is_empty() {
             let heard = self.members_in(domain).into_iter().map(|(_, member)| member.card.peers);
-            let listed = self.listed.iter().filter(|vm| DomainKey::of(&vm.domain) == domain);
+            let listed = self.listed.iter().filter(|vm| vm.domain == domain);
             addresses = heard.chain(listed.map(|vm| vm.peers)).collect();
             addresses.sort_unstable();
             addresses.dedup();
--- a/crates/sedgepath-core/src/message.rs
+++ b/crates/sedgepath-core/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Stamp;
-use crate::key::{BootId, DomainKey, ServiceKey, VmKey};
+use crate::key::{BootId, DomainKey, ServiceKey, UpstreamKey, VmKey};
 
 /// A datagram: who sent it, in which order, and what it says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -26,13 +26,15 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// A sign of life to a member of the same failure domain.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// Asks a member when it last heard directly of another.
     Probe(Probe),
     /// Answers a probe.
     ProbeAnswer(ProbeAnswer),
     /// What a relay knows of the members of a failure domain.
     Summary(Summary),
+    /// The sender's boot has ended all of its work and will never send to an upstream again.
+    Farewell,
 }
 
 /// A sign of life.
@@ -46,11 +48,29 @@
     pub revision: u64,
     /// The sender's load by service.
     pub loads: Vec<ServiceLoad>,
+    /// The digest of the sender's roster: the members of its failure domain and their boots.
+    pub roster: u64,
+    /// What the sender does about its right to whole upstreams.
+    pub claim: Claim,
+    /// The longest deadline by which the sender admits and promises, in milliseconds.
+    pub longest_deadline_ms: u64,
     /// Acknowledges the last heartbeat of the receiver that the sender has.
     pub acknowledgement: Option<Acknowledgement>,
 }
 
-/// Says which heartbeat of the receiver was the last to arrive.
+/// What the sender of a heartbeat does about its right to whole upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claim {
+    /// It asks for the right; an acknowledgement grants it.
+    Whole,
+    /// It has given the right up, but has more in flight at some upstream than its part.
+    Ending,
+    /// It has given the right up and has no more in flight anywhere than its part. Promises made to
+    /// it are void, and so are all grants for earlier heartbeats.
+    Released,
+}
+
+/// Says which heartbeat of the receiver was the last to arrive, and grants what that one claims.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Acknowledgement {
     /// The boot that sent the heartbeat.
@@ -59,6 +79,21 @@
     pub sent_at_ms: u64,
     /// Whether the card that is known says that its member is leaving; none if no card is known.
     pub card_leaving: Option<bool>,
+    /// What the granter still has in flight at the receiver's upstreams.
+    pub in_flight: Vec<UpstreamInFlight>,
+    /// Whether the granter's boot is so young that the one before may have left requests running.
+    pub young: bool,
+    /// Whether the receiver surely has no earlier boot that may have left requests running.
+    pub newcomer: bool,
+}
+
+/// The requests in flight at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamInFlight {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Their number.
+    pub in_flight: u32,
 }
 
 /// Asks a member when it last heard directly of another.
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::allowance::{self, Allowance};
+use crate::allowance::Allowance;
 use crate::catalogue::Catalogue;
 use crate::configuration::Configuration;
 use crate::egress::Egress;
@@ -21,7 +21,8 @@
 use crate::ownership;
 use crate::record::Plan;
 use crate::request::{Class, Dispatch, EntryVm, Once, Outcome, RequestHead};
-use crate::steering::{Candidate, Choice, RandomByShare, SteeringPolicy};
+use crate::right::Right;
+use crate::steering::{Candidate, Choice, RandomByShare, SteeringPolicy, draw_order};
 use crate::stop::PlannedStop;
 use crate::timeline::Topic;
 
@@ -33,6 +34,7 @@
     out: Outbox,
     configuration: Configuration,
     membership: Membership,
+    right: Right,
     policy: Box<dyn SteeringPolicy>,
     ingress: Ingress,
     egress: Egress,
@@ -44,6 +46,7 @@
     pub fn new(identity: Identity, settings: NodeSettings) -> Self {
         Self {
             random: fastrand::Rng::with_seed(settings.seed),
+            right: Right::new(settings.clone(), &identity),
             out: Outbox::new(identity),
             configuration: Configuration::default(),
             membership: Membership::new(settings.clone()),
@@ -102,6 +105,7 @@
             Event::CallEnded { exchange, end, .. } => self.egress.call_ended(exchange, end),
             Event::DispatchGone { exchange } => self.out.push(Action::Cancel { exchange }),
             Event::UpstreamReport { upstream, report } => {
+                self.right.take_report(upstream, &report);
                 self.egress.take_report(upstream, report);
             }
             Event::Connections { .. } => {}
@@ -109,7 +113,10 @@
             Event::Table { operation, result } => {
                 self.configuration.take_result(operation, &result, &mut self.out);
             }
-            Event::VmList(listed) => self.membership.take_list(listed),
+            Event::VmList(listed) => {
+                self.membership.take_list(&listed);
+                self.right.take_list(&listed, now_ms);
+            }
             Event::Fetched { snapshot, .. } => {
                 if let Some(snapshot) = snapshot {
                     self.configuration.apply(snapshot, &mut self.out);
@@ -124,10 +131,11 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
         self.configuration.tick(self.settings.head_every_ms, &mut self.out);
+        self.refresh_right();
         let allowances = self.allowances();
         let loads = self.egress.loads(&allowances, self.configuration.catalogue());
         let own = OwnState { revision: self.configuration.revision(), loads: &loads };
-        self.membership.tick(own, &mut self.out);
+        self.membership.tick(own, &mut self.right, &mut self.out);
         self.end_stop();
         self.out.take_actions()
     }
@@ -148,6 +156,10 @@
         let in_flight = self.ingress.in_flight() + self.egress.calls_in_flight();
         if self.stop.may_end(self.out.now_ms(), in_flight) {
             self.out.log(Topic::Node, "stop_ended", &[]);
+            self.right.end();
+            if self.right.is_idle() {
+                self.membership.say_farewell(&mut self.out);
+            }
             self.out.push(Action::Stopped);
         }
     }
@@ -260,7 +272,8 @@
         candidate
     }
 
-    /// Returns an owner in a failure domain, drawn by the number of the service's upstreams it owns.
+    /// Returns a VM of a failure domain, drawn by the slots of the service's upstreams that it may
+    /// use; the owner of a random one of them if none tells of slots.
     fn owner_in(
         &mut self,
         domain: DomainKey,
@@ -268,6 +281,11 @@
         catalogue: &Catalogue,
     ) -> Option<(VmKey, SocketAddr)> {
         let serving = self.serving_in(domain);
+        let weights = serving.iter().map(|vm| self.slots_told(*vm, service, catalogue)).collect();
+        if let Some(index) = draw_order(weights, &mut self.random).first() {
+            let vm = serving[*index];
+            return Some((vm, self.peer_address(vm)?));
+        }
         let upstreams = &catalogue.services.get(&service)?.upstreams;
         let here: Vec<UpstreamKey> = upstreams
             .iter()
@@ -279,6 +297,18 @@
         Some((vm, self.peer_address(vm)?))
     }
 
+    /// Returns the slots of a service's upstreams that a VM has told it may use.
+    fn slots_told(&self, vm: VmKey, service: ServiceKey, catalogue: &Catalogue) -> f64 {
+        let own = vm == self.out.identity().vm;
+        let loads = if own {
+            self.egress.loads(&self.allowances(), catalogue)
+        } else {
+            self.membership.member(vm).map(|member| member.loads.clone()).unwrap_or_default()
+        };
+        let told = loads.iter().find(|load| load.service == service);
+        told.map_or(0.0, |load| f64::from(load.slots))
+    }
+
     fn peer_address(&self, vm: VmKey) -> Option<SocketAddr> {
         if vm == self.out.identity().vm {
             return Some(self.out.identity().card.peers);
@@ -296,11 +326,16 @@
         membership::serving_among(&alive)
     }
 
-    fn allowances(&self) -> Vec<Allowance> {
-        let identity = self.out.identity();
-        let serving = self.serving_in(identity.card.domain);
+    fn refresh_right(&mut self) {
+        let revision = self.configuration.revision();
         let catalogue = self.configuration.catalogue();
-        allowance::whole(identity.vm, identity.card.domain, &serving, catalogue)
+        let egress = &self.egress;
+        let in_flight = |upstream| egress.in_flight(upstream);
+        self.right.refresh(&self.membership, catalogue, revision, in_flight, &mut self.out);
+    }
+
+    fn allowances(&self) -> Vec<Allowance> {
+        self.right.allowances(self.out.now_ms())
     }
 
     fn datagram(&mut self, envelope: &Envelope) {
@@ -310,7 +345,16 @@
         self.out.merge_stamp(envelope.stamp);
         match &envelope.message {
             Message::Heartbeat(heartbeat) => {
-                self.membership.take_heartbeat(envelope, heartbeat, &mut self.out);
+                if self.membership.take_heartbeat(envelope, heartbeat, &mut self.out) {
+                    self.right.take_heartbeat(envelope, heartbeat);
+                    let (named, own) = (heartbeat.roster, self.right.roster_digest());
+                    self.membership.compare_rosters(envelope.from, named, own, &mut self.out);
+                }
+            }
+            Message::Farewell => {
+                if self.membership.take_farewell(envelope, &mut self.out) {
+                    self.right.take_farewell(envelope.from, envelope.boot);
+                }
             }
             Message::Probe(probe) => self.membership.take_probe(envelope, probe, &mut self.out),
             Message::ProbeAnswer(answer) => {
--- /dev/null
+++ b/crates/sedgepath-core/src/right.rs
@@ -0,0 +1,593 @@
+//! The right to upstreams: how much of each this node may use, although links are cut, members are
+//! paused and processes die.
+//!
+//! # Problem
+//!
+//! No upstream may ever run more requests than its slots. One owner per upstream that counts exactly
+//! is enough while all members of a failure domain agree on the owner. They don't while a member is
+//! cut off: it still counts itself the owner while the others have chosen the next one. No clock is
+//! shared, no store is on the path, and a process may be paused at any instruction.
+//!
+//! # The rules
+//!
+//! With T = `suspect_after_ms` and D the longest deadline of the services with upstreams in the
+//! domain; the model `slot_split` of the package `sedgepath-model` explores the same rules.
+//!
+//! - Each upstream has an owner by the roster ([`crate::ownership`]), and each member a fixed part of
+//!   its slots; the parts add up to the slots, and no part grows when the roster does.
+//! - The owner may use all slots while every other member of its roster has granted it. A grant is the
+//!   acknowledgement of a heartbeat that claims the right. It ends T after the heartbeat was *sent*,
+//!   by the holder's clock, and counts only while granter and holder name the same roster, with the
+//!   boots of its members. It is checked at each send, so a paused holder wakes without it.
+//! - With its grant a member promises not to touch the owner's upstreams until 2T + D after it
+//!   received the heartbeat (the second T is for clocks of different rates), and names what it still
+//!   has in flight there; the owner leaves these slots free.
+//! - Without the right a member uses its part of an upstream, except while it has promised not to.
+//! - An owner that lacks a grant for long gives its claim up, and says so once it has no more in flight
+//!   than its part ([`Claim::Released`]); promises to it are void then, and all grants for heartbeats
+//!   sent before. Without this rule the members that are alive would keep each other from the parts of
+//!   their upstreams for as long as one of them is dead: of 42, each upstream would lose 41 parts.
+//! - A boot forgets what the last one promised and started. It uses its part only after boot + 2T + D,
+//!   only once every other member that it has heard of has named the same roster to it, and D after
+//!   that, since they may have admitted requests by a smaller roster before. A member that is listed
+//!   but was never heard of is waited for no longer than `forget_after_ms`, or one VM that fails to
+//!   start would keep a fresh domain from serving; a boot that was paused for so long asks anew.
+//!   Until boot + D it uses
+//!   nothing of its own upstreams, and the owners of others leave all slots of theirs free for it, or
+//!   only its part if the roster had stood long enough that it can't have had more. A report of none
+//!   in flight that is newer than the boot ends the wait for the own upstream.
+//! - A newcomer is spared these waits if every granter says that it heard of no earlier boot: each was
+//!   established before the newcomer entered, so an earlier boot would have needed its consent.
+//! - A node alone in its roster may use all after boot + 2T + D, if it has read the VM list since its
+//!   boot and that names no other VM of the domain. The model gives such a node nothing, as it has no
+//!   list; a failure domain with one VM could then serve nothing.
+//!
+//! # What it costs
+//!
+//! - A fresh domain serves after D plus three heartbeats where members hear each other, a lone VM
+//!   after 2T + D. The last wait can't be cut by the table telling that no other boot was ever
+//!   registered in the domain without a registration that each boot must finish before it serves;
+//!   with the table down no VM could then start to serve.
+//! - While one of `n` members is dead and listed, its part of each upstream is idle: 1/n. For 2T + D
+//!   after its death its own upstreams are idle altogether.
+//! - While a link between two members is cut, no member that lacks a grant has whole upstreams, which
+//!   costs nothing where work is spread by the parts: these add up to the slots.
+//!
+//! # What is not covered
+//!
+//! - Two VMs that never heard of each other, neither directly, nor by another member, nor by the list.
+//! - A VM that is cut off for longer than `forget_after_ms`, while all others of its domain are
+//!   replaced by VMs that never hear of it, and which uses its part all the while.
+//! - A machine whose monotonic clock stands still while it is suspended: it wakes with its right.
+//! - A VM that is alive, cut off, and wrongly off the platform's list for longer than 2T + D.
+
+use crate::allowance::Allowance;
+use crate::catalogue::Catalogue;
+use crate::event::{ListedVm, UpstreamReport};
+use crate::hash::{Map, Set};
+use crate::identity::{Identity, NodeSettings};
+use crate::key::{BootId, DomainKey, UpstreamKey, VmKey};
+use crate::membership::Membership;
+use crate::message::{Acknowledgement, Claim, Envelope, Heartbeat, UpstreamInFlight};
+use crate::outbox::Outbox;
+use crate::ownership;
+use crate::timeline::Topic;
+
+mod promise;
+mod roster;
+
+use promise::{Holder, Promises};
+use roster::{Roster, Waits};
+
+/// The most upstreams whose requests in flight an acknowledgement names; with more to name none is
+/// given, since a datagram could not hold them.
+const MAX_NAMED: usize = 40;
+
+/// The time in which an owner that has got the right opens connections at the rate of its part only:
+/// what others opened just before counts within the same second.
+const RATE_WINDOW_MS: u64 = 1_000;
+
+/// A heartbeat of another member, as far as this node acknowledges it.
+#[derive(Debug, Clone, Copy)]
+pub struct HeardBeat {
+    /// The boot that sent it.
+    pub boot: BootId,
+    /// When it was sent, by the sender's clock.
+    pub sent_at_ms: u64,
+    /// When it arrived, by this node's clock.
+    pub heard_at_ms: u64,
+    /// What it claims.
+    pub claim: Claim,
+    /// The longest deadline by which its sender admits, in milliseconds.
+    pub longest_deadline_ms: u64,
+}
+
+/// A member's last acknowledgement.
+#[derive(Debug)]
+struct Grant {
+    sent_at_ms: u64,
+    roster: u64,
+    longest_deadline_ms: u64,
+    in_flight: Vec<UpstreamInFlight>,
+    young: bool,
+    newcomer: bool,
+}
+
+/// An upstream of the own failure domain.
+#[derive(Debug)]
+struct Share {
+    upstream: UpstreamKey,
+    slots: u32,
+    connections: u32,
+    new_connections_per_s: u32,
+    /// The members of the roster, the node itself among them, in the order of their ranks.
+    ranked: Vec<VmKey>,
+    owner: VmKey,
+    in_flight: u32,
+}
+
+/// The node's right to the upstreams of its failure domain.
+#[derive(Debug)]
+pub struct Right {
+    settings: NodeSettings,
+    own: VmKey,
+    boot: BootId,
+    domain: DomainKey,
+    booted_at_ms: Option<u64>,
+    longest_deadline_ms: u64,
+    revision: u64,
+    shares: Vec<Share>,
+    roster: Roster,
+    digest: u64,
+    names: Vec<(VmKey, bool)>,
+    names_changed_at_ms: u64,
+    grants: Map<VmKey, Grant>,
+    promises: Promises,
+    confirmed: Set<VmKey>,
+    part_from_ms: Option<u64>,
+    claim: Claim,
+    claimed_at_ms: u64,
+    whole_since_ms: Option<u64>,
+    reported_idle: Set<UpstreamKey>,
+    refreshed_at_ms: u64,
+    ended: bool,
+}
+
+impl Right {
+    /// Creates the right of a boot, which has nothing yet.
+    pub fn new(settings: NodeSettings, identity: &Identity) -> Self {
+        Self {
+            settings,
+            own: identity.vm,
+            boot: identity.boot,
+            domain: identity.card.domain,
+            booted_at_ms: None,
+            longest_deadline_ms: 0,
+            revision: 0,
+            shares: Vec::new(),
+            roster: Roster::default(),
+            digest: 0,
+            names: Vec::new(),
+            names_changed_at_ms: 0,
+            grants: Map::default(),
+            promises: Promises::default(),
+            confirmed: Set::default(),
+            part_from_ms: None,
+            claim: Claim::Released,
+            claimed_at_ms: 0,
+            whole_since_ms: None,
+            reported_idle: Set::default(),
+            refreshed_at_ms: 0,
+            ended: false,
+        }
+    }
+
+    /// Returns the digest of the roster.
+    pub fn roster_digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns what this node does about its right to whole upstreams.
+    pub fn claim(&self) -> Claim {
+        self.claim
+    }
+
+    /// Returns the longest deadline by which this node admits and promises, in milliseconds.
+    pub fn longest_deadline_ms(&self) -> u64 {
+        self.longest_deadline_ms
+    }
+
+    /// Takes in the platform's list of VMs.
+    pub fn take_list(&mut self, listed: &[ListedVm], now_ms: u64) {
+        let here = listed.iter().filter(|vm| DomainKey::of(&vm.domain) == self.domain);
+        let others: Vec<_> =
+            here.map(|vm| VmKey::of(&vm.name)).filter(|vm| *vm != self.own).collect();
+        let waits = self.waits();
+        self.roster.take_list(&others, now_ms, waits);
+    }
+
+    /// Takes in a heartbeat of a member of the own failure domain.
+    pub fn take_heartbeat(&mut self, envelope: &Envelope, heartbeat: &Heartbeat) {
+        if heartbeat.claim == Claim::Released {
+            self.promises.release(Holder { vm: envelope.from, boot: envelope.boot });
+        }
+        let acknowledgement = heartbeat.acknowledgement.as_ref();
+        if let Some(acknowledgement) = acknowledgement.filter(|entry| entry.boot == self.boot) {
+            let grant = Grant {
+                sent_at_ms: acknowledgement.sent_at_ms,
+                roster: heartbeat.roster,
+                longest_deadline_ms: heartbeat.longest_deadline_ms,
+                in_flight: acknowledgement.in_flight.clone(),
+                young: acknowledgement.young,
+                newcomer: acknowledgement.newcomer,
+            };
+            self.grants.insert(envelope.from, grant);
+        }
+    }
+
+    /// Takes in that a boot has ended its work for good.
+    pub fn take_farewell(&mut self, vm: VmKey, boot: BootId) {
+        self.roster.remove(vm);
+        self.promises.release(Holder { vm, boot });
+        self.grants.remove(&vm);
+    }
+
+    /// Gives up everything: the process is about to end as planned.
+    pub fn end(&mut self) {
+        self.ended = true;
+    }
+
+    /// Whether this node had nothing in flight at any upstream of its failure domain at the last tick.
+    pub fn is_idle(&self) -> bool {
+        self.shares.iter().all(|share| share.in_flight == 0)
+    }
+
+    /// Takes in an upstream's word on its load.
+    pub fn take_report(&mut self, upstream: UpstreamKey, report: &UpstreamReport) {
+        let newer = self.booted_at_ms.is_some_and(|booted_at_ms| report.made_at_ms > booted_at_ms);
+        if report.in_flight == Some(0) && newer {
+            self.reported_idle.insert(upstream);
+        }
+    }
+
+    /// Brings roster, shares and claim up to date; to be called at each tick before anything is told
+    /// to others.
+    pub fn refresh(
+        &mut self,
+        membership: &Membership,
+        catalogue: &Catalogue,
+        revision: u64,
+        in_flight: impl Fn(UpstreamKey) -> u32,
+        out: &mut Outbox,
+    ) {
+        let now_ms = out.now_ms();
+        self.booted_at_ms.get_or_insert(now_ms);
+        if !self.was_awake(now_ms) {
+            self.part_from_ms = None;
+            self.confirmed.clear();
+        }
+        self.refreshed_at_ms = now_ms;
+        self.promises.expire(now_ms);
+        self.take_roster(membership, out);
+        if revision != self.revision {
+            self.revision = revision;
+            self.take_catalogue(catalogue);
+            self.rank();
+        }
+        for share in &mut self.shares {
+            share.in_flight = in_flight(share.upstream);
+        }
+        self.confirm(now_ms);
+        self.decide_claim(now_ms);
+        self.note_whole(out);
+    }
+
+    /// Acknowledges the last heartbeat of a member, and promises what goes with it.
+    ///
+    /// No acknowledgement is given where the heartbeat is too old for a right to follow from it.
+    pub fn acknowledge(
+        &mut self,
+        vm: VmKey,
+        beat: HeardBeat,
+        card_leaving: Option<bool>,
+        now_ms: u64,
+    ) -> Option<Acknowledgement> {
+        if beat.heard_at_ms + self.settings.suspect_after_ms <= now_ms {
+            return None;
+        }
+        let owned = || self.shares.iter().filter(|share| share.owner == vm);
+        let in_flight: Vec<_> = owned()
+            .filter(|share| share.in_flight > 0)
+            .map(|share| UpstreamInFlight { upstream: share.upstream, in_flight: share.in_flight })
+            .collect();
+        if in_flight.len() > MAX_NAMED {
+            return None;
+        }
+        if beat.claim == Claim::Whole {
+            let longest_ms = self.longest_deadline_ms.max(beat.longest_deadline_ms);
+            let until_ms = beat.heard_at_ms + 2 * self.settings.suspect_after_ms + longest_ms;
+            let upstreams: Vec<_> = owned().map(|share| share.upstream).collect();
+            for upstream in upstreams {
+                let holder = Holder { vm, boot: beat.boot };
+                self.promises.make(upstream, holder, now_ms, until_ms);
+            }
+        }
+        Some(Acknowledgement {
+            boot: beat.boot,
+            sent_at_ms: beat.sent_at_ms,
+            card_leaving,
+            in_flight,
+            young: self.is_young(now_ms),
+            newcomer: self.roster.get(vm).is_some_and(|entry| entry.newcomer),
+        })
+    }
+
+    /// Returns what this node may use of the upstreams of its failure domain at this moment.
+    pub fn allowances(&self, now_ms: u64) -> Vec<Allowance> {
+        if self.ended {
+            return Vec::new();
+        }
+        let whole_until_ms = self.whole_until_ms(now_ms);
+        let shares = self.shares.iter();
+        shares.filter_map(|share| self.allowance(share, whole_until_ms, now_ms)).collect()
+    }
+
+    fn allowance(
+        &self,
+        share: &Share,
+        whole_until_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Option<Allowance> {
+        let part = self.usable_part(share, now_ms);
+        let whole = whole_until_ms.map_or(0, |_| self.usable_whole(share, now_ms));
+        if part.max(whole) == 0 {
+            return None;
+        }
+        let by_part = |total: u32| part_of(total, &share.ranked, self.own);
+        let by_right = whole > part;
+        let whole_rate =
+            self.whole_since_ms.is_some_and(|since_ms| since_ms + RATE_WINDOW_MS <= now_ms);
+        // A decision by a part is void after T, so that one that a pause held up for longer than
+        // anything heard of was true is not carried out.
+        let part_until_ms = now_ms + self.settings.suspect_after_ms;
+        Some(Allowance {
+            upstream: share.upstream,
+            slots: part.max(whole),
+            connections: if by_right { share.connections } else { by_part(share.connections) },
+            new_connections_per_s: if by_right && whole_rate {
+                share.new_connections_per_s
+            } else {
+                by_part(share.new_connections_per_s)
+            },
+            send_by_ms: if by_right { whole_until_ms? } else { part_until_ms },
+        })
+    }
+
+    /// Returns the slots of an owned upstream that the grants leave to this node.
+    fn usable_whole(&self, share: &Share, now_ms: u64) -> u32 {
+        let granted_at_ms = |vm: VmKey| self.grants.get(&vm).map(|grant| grant.sent_at_ms);
+        if share.owner != self.own || self.promises.bind(share.upstream, now_ms, granted_at_ms) {
+            return 0;
+        }
+        if self.may_have_left(share.upstream, now_ms) {
+            return 0;
+        }
+        let named: u32 = self.roster.iter().map(|(vm, _)| self.named(vm, share, now_ms)).sum();
+        share.slots.saturating_sub(named)
+    }
+
+    /// Returns the slots of an owned upstream that a member may still hold.
+    fn named(&self, vm: VmKey, share: &Share, now_ms: u64) -> u32 {
+        let Some(grant) = self.grants.get(&vm) else {
+            return share.slots;
+        };
+        let newcomer = self.roster.get(vm).is_some_and(|entry| entry.newcomer);
+        if !grant.young || newcomer {
+            let named = grant.in_flight.iter().find(|named| named.upstream == share.upstream);
+            return named.map_or(0, |named| named.in_flight);
+        }
+        // The member's last boot used its part at most if the roster has stood for so long that
+        // all rights and requests by an earlier one had ended before that boot did.
+        let wait_ms = 2 * (self.settings.suspect_after_ms + self.longest_deadline_ms);
+        let stood = self.is_established(now_ms) && self.names_changed_at_ms + wait_ms <= now_ms;
+        if stood { part_of(share.slots, &share.ranked, vm) } else { share.slots }
+    }
+
+    /// Whether the last boot of this node may have left requests running at an owned upstream.
+    fn may_have_left(&self, upstream: UpstreamKey, now_ms: u64) -> bool {
+        let known_new = !self.roster.is_empty()
+            && self
+                .roster
+                .iter()
+                .all(|(vm, _)| self.grants.get(&vm).is_some_and(|grant| grant.newcomer));
+        self.is_young(now_ms) && !known_new && !self.reported_idle.contains(&upstream)
+    }
+
+    /// Returns the part of an upstream's slots that this node may use without any grant.
+    fn usable_part(&self, share: &Share, now_ms: u64) -> u32 {
+        let bound = self.promises.bind(share.upstream, now_ms, |_| None);
+        if bound || !self.is_established(now_ms) {
+            return 0;
+        }
+        part_of(share.slots, &share.ranked, self.own)
+    }
+
+    /// Whether this boot may use its parts.
+    fn is_established(&self, now_ms: u64) -> bool {
+        let Some(booted_at_ms) = self.booted_at_ms else {
+            return false;
+        };
+        let waited = booted_at_ms + self.promise_ms() <= now_ms;
+        waited
+            && self.was_awake(now_ms)
+            && self.part_from_ms.is_some_and(|from_ms| from_ms <= now_ms)
+    }
+
+    /// Whether this node has run lately.
+    ///
+    /// One that was paused for very long may wake to find all members replaced by others that never
+    /// heard of it and no longer leave its part free, so it asks for confirmation as a boot does.
+    fn was_awake(&self, now_ms: u64) -> bool {
+        self.refreshed_at_ms + self.settings.forget_after_ms > now_ms
+    }
+
+    /// Whether requests of the last boot may still run.
+    fn is_young(&self, now_ms: u64) -> bool {
+        let young_until_ms = self.booted_at_ms.map(|at_ms| at_ms + self.longest_deadline_ms);
+        // Without a configuration D is not known yet.
+        self.revision == 0 || young_until_ms.is_none_or(|until_ms| until_ms > now_ms)
+    }
+
+    /// Returns the time until which all others have granted the right, if they have.
+    fn whole_until_ms(&self, now_ms: u64) -> Option<u64> {
+        if self.roster.is_empty() {
+            let alone = self.is_established(now_ms);
+            return alone.then(|| now_ms + self.settings.suspect_after_ms);
+        }
+        let mut until_ms = u64::MAX;
+        for (vm, _) in self.roster.iter() {
+            let grant = self.grants.get(&vm)?;
+            let counts = grant.roster == self.digest
+                && grant.sent_at_ms >= self.claimed_at_ms
+                && grant.longest_deadline_ms >= self.longest_deadline_ms;
+            if !counts || self.claim != Claim::Whole {
+                return None;
+            }
+            until_ms = until_ms.min(grant.sent_at_ms + self.settings.suspect_after_ms);
+        }
+        (until_ms > now_ms).then_some(until_ms)
+    }
+
+    fn take_roster(&mut self, membership: &Membership, out: &mut Outbox) {
+        let now_ms = out.now_ms();
+        let members = membership.members_in(self.domain);
+        let established = self.is_established(now_ms);
+        self.roster.take_members(&members, established, now_ms);
+        let waits = self.waits();
+        for vm in self.roster.remove_gone(now_ms, waits) {
+            self.grants.remove(&vm);
+            out.log(Topic::Membership, "member_off_roster", &[("vm", &vm.0)]);
+        }
+        let leaving = out.identity().card.leaving;
+        let mut names: Vec<_> = self.roster.iter().map(|(vm, entry)| (vm, entry.leaving)).collect();
+        names.push((self.own, leaving));
+        names.sort_unstable();
+        if names != self.names {
+            self.names = names;
+            self.names_changed_at_ms = now_ms;
+            self.rank();
+        }
+        let digest = self.roster.digest(self.own, self.boot, leaving);
+        if digest != self.digest {
+            self.digest = digest;
+            self.confirmed.clear();
+        }
+    }
+
+    fn take_catalogue(&mut self, catalogue: &Catalogue) {
+        let here = catalogue.upstreams.iter().filter(|(_, entry)| entry.domain == self.domain);
+        self.shares = here
+            .map(|(upstream, entry)| Share {
+                upstream: *upstream,
+                slots: entry.slots,
+                connections: entry.connections,
+                new_connections_per_s: entry.new_connections_per_s,
+                ranked: Vec::new(),
+                owner: self.own,
+                in_flight: 0,
+            })
+            .collect();
+        self.shares.sort_unstable_by_key(|share| share.upstream);
+        let services = self.shares.iter().map(|share| catalogue.upstreams[&share.upstream].service);
+        let deadlines = services.filter_map(|service| catalogue.services.get(&service));
+        let longest_ms = deadlines.map(|entry| entry.longest_deadline_ms).max().unwrap_or(0);
+        // Never lowered in a boot: requests admitted by a longer deadline may still run.
+        self.longest_deadline_ms = self.longest_deadline_ms.max(longest_ms);
+    }
+
+    /// Ranks the members of the roster for each upstream.
+    fn rank(&mut self) {
+        let staying: Vec<_> = self.names.iter().filter(|name| !name.1).map(|name| name.0).collect();
+        let all: Vec<_> = self.names.iter().map(|name| name.0).collect();
+        let candidates = if staying.is_empty() { &all } else { &staying };
+        for share in &mut self.shares {
+            let item = u64::from(share.upstream.0);
+            share.owner = ownership::owner(item, candidates).unwrap_or(self.own);
+            share.ranked.clone_from(&all);
+            share
+                .ranked
+                .sort_unstable_by_key(|vm| std::cmp::Reverse((ownership::rank(item, vm.0), *vm)));
+        }
+    }
+
+    /// Notes which members have named the same roster; once all have, the part may be used D later.
+    fn confirm(&mut self, now_ms: u64) {
+        if self.part_from_ms.is_some() || self.revision == 0 {
+            return;
+        }
+        for (vm, grant) in &self.grants {
+            if grant.roster == self.digest {
+                self.confirmed.insert(*vm);
+            }
+        }
+        // A VM that is listed and was never heard of may never start, so it is not waited for for
+        // ever; its part stays free. Should it be paused, it does not use its part on waking.
+        let mut awaited = self.roster.iter().filter(|(_, entry)| {
+            entry.boot.is_some() || entry.entered_at_ms + self.settings.forget_after_ms > now_ms
+        });
+        if self.roster.list_seen() && awaited.all(|(vm, _)| self.confirmed.contains(&vm)) {
+            self.part_from_ms = Some(now_ms + self.longest_deadline_ms);
+        }
+    }
+
+    /// Claims the right while each member has lately acknowledged this node under the same roster.
+    fn decide_claim(&mut self, now_ms: u64) {
+        let lately_ms = now_ms.saturating_sub(2 * self.settings.suspect_after_ms);
+        let reachable = self.roster.iter().all(|(vm, _)| {
+            let grant = self.grants.get(&vm);
+            grant.is_some_and(|grant| grant.sent_at_ms >= lately_ms && grant.roster == self.digest)
+        });
+        if reachable && self.claim != Claim::Whole {
+            self.claim = Claim::Whole;
+            self.claimed_at_ms = now_ms;
+        }
+        if !reachable {
+            // At upstreams that it owned by an earlier roster, too: whoever it promised nothing to,
+            // or has been released by this word, may take its own part there.
+            let over = self
+                .shares
+                .iter()
+                .any(|share| share.in_flight > part_of(share.slots, &share.ranked, self.own));
+            self.claim = if over { Claim::Ending } else { Claim::Released };
+        }
+    }
+
+    fn note_whole(&mut self, out: &mut Outbox) {
+        let now_ms = out.now_ms();
+        let whole = self.whole_until_ms(now_ms).is_some();
+        if whole != self.whole_since_ms.is_some() {
+            self.whole_since_ms = whole.then_some(now_ms);
+            let event = if whole { "right_whole" } else { "right_part" };
+            out.log(Topic::Admission, event, &[("members", &self.names.len())]);
+        }
+    }
+
+    /// Returns how long a promise outlasts the heartbeat, in milliseconds: 2T + D.
+    fn promise_ms(&self) -> u64 {
+        2 * self.settings.suspect_after_ms + self.longest_deadline_ms
+    }
+
+    fn waits(&self) -> Waits {
+        let gone_after_ms = self.promise_ms();
+        Waits { gone_after_ms, never_listed_ms: gone_after_ms.max(self.settings.forget_after_ms) }
+    }
+}
+
+/// Returns a member's part of a total: the parts of all members add up to it, those that rank first
+/// have one more where it can't be divided evenly, and no part grows when members are added.
+fn part_of(total: u32, ranked: &[VmKey], vm: VmKey) -> u32 {
+    let Some(place) = ranked.iter().position(|member| *member == vm) else {
+        return 0;
+    };
+    total.saturating_sub(place as u32).div_ceil(ranked.len() as u32)
+}
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -83,8 +83,8 @@
     let socket =
         UdpSocket::bind(settings.peers).map_err(listen("datagrams of peers", settings.peers))?;
 
-    let boot = BootId(fastrand::u64(..));
     let clock = Clock::new();
+    let boot = BootId::new(clock.now_ms(), fastrand::u64(..));
     let node = Node::new(identity(settings, boot), node_settings());
     let (platform_sender, platform_jobs) = unbounded();
     let (fetch_sender, fetch_jobs) = mpsc::unbounded_channel();
