--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -547,6 +547,14 @@
         self.carry_out(index, actions);
     }
 
+    /// Lets time pass until nodes that have just started use their upstreams: a lone one does so 2T + D
+    /// after its boot, by the longest deadline D of its failure domain's services.
+    pub fn settle(&mut self, longest_deadline_ms: u64) {
+        let settings = &self.settings;
+        let granted_ms = 4 * settings.heartbeat_every_ms;
+        self.run_for(2 * settings.suspect_after_ms + longest_deadline_ms + granted_ms);
+    }
+
     /// Lets time pass.
     pub fn run_for(&mut self, duration_ms: u64) {
         let until_ms = self.now_ms + duration_ms;
--- a/crates/sedgepath-test-support/src/load.rs
+++ b/crates/sedgepath-test-support/src/load.rs
@@ -98,7 +98,7 @@
     for node in 0..nodes {
         bed.add_node(&format!("n{node}"), "a");
     }
-    bed.run_for(5_000);
+    bed.settle(10_000);
     bed
 }
 
