Ask for the VM list before two new boots grant each other whole upstreams

Cause, shown by the model of the slot split (RosterFromMember, 149 states, 5 steps): a restarted VM and a newcomer that know only each other granted each other whole upstreams while a third member, cut off from both, used its part. Now a right needs the platform's list to have been read, here or by a peer, which names the third. Tried and taken back: letting only confirmed boots take a gone member off the roster (RemovalByConfirmed). The model's counterexample to that rule stands; docs/PROOFS.md lists it as open.

--- a/crates/sedgepath-core/src/right.rs
+++ b/crates/sedgepath-core/src/right.rs
@@ -450,6 +450,12 @@
             let alone = self.is_established(now_ms);
             return alone.then(|| now_ms + self.settings.suspect_after_ms);
         }
+        // Two boots that know only each other, a restarted VM and a newcomer, would grant each other
+        // whole upstreams while a third member that both can't hear uses its part. The platform's
+        // list, read here or by a peer, names that one, and it then has to grant too.
+        if !self.roster.list_seen() {
+            return None;
+        }
         let mut until_ms = u64::MAX;
         for (vm, _) in self.roster.iter() {
             let grant = self.grants.get(&vm)?;
