Let one conflict cost one reading for the rest of its transaction

Ruled out: sending the rest without the 40 ms, since that lets repeats use up what the platform takes.

--- a/crates/sedgepath-core/src/once/batch.rs
+++ b/crates/sedgepath-core/src/once/batch.rs
@@ -2,7 +2,10 @@
 //!
 //! The platform takes a few hundred writes a second in all, so rows that are due at about the same
 //! time share a transaction. A transaction fails as a whole on the first row whose condition does
-//! not hold: that row's job hears of the conflict, and the others go into the next transaction.
+//! not hold. That row's job hears of the conflict, and the others hear that they were left out: they
+//! read their rows, which costs one reading for all of them, before they write again. To send the
+//! rest at once would cost a transaction for each conflict, and many repeats at once would use up
+//! what the platform takes.
 
 use std::collections::VecDeque;
 
@@ -42,6 +45,8 @@
     Written,
     /// The row was not written: its condition did not hold, and this stands there.
     Conflict(Option<Row>),
+    /// The row was not written, since the condition of another row did not hold.
+    LeftOut,
     /// The request was surely not carried out.
     Refused,
     /// The row may or may not be written, now or later.
@@ -142,24 +147,21 @@
         result: &TableResult,
     ) -> Option<Vec<(Job, Reply)>> {
         if let Some(batch) = self.commits_in_flight.remove(&operation) {
-            return Some(self.committed(batch, result));
+            return Some(Self::committed(batch, result));
         }
         let batch = self.readings_in_flight.remove(&operation)?;
         let replies = batch.into_iter().map(|reading| (reading.job, rows_of(&reading, result)));
         Some(replies.collect())
     }
 
-    fn committed(&mut self, batch: Vec<Write>, result: &TableResult) -> Vec<(Job, Reply)> {
+    fn committed(batch: Vec<Write>, result: &TableResult) -> Vec<(Job, Reply)> {
         if let TableResult::Conflict { key, current } = result {
-            let mut replies = Vec::new();
-            for write in batch.into_iter().rev() {
-                if write.write.key == *key {
-                    replies.push((write.job, Reply::Conflict(current.clone())));
-                } else {
-                    self.writes.push_front(write);
-                }
-            }
-            return replies;
+            let reply = |write: Write| {
+                let conflicts = write.write.key == *key;
+                let conflict = || Reply::Conflict(current.clone());
+                (write.job, if conflicts { conflict() } else { Reply::LeftOut })
+            };
+            return batch.into_iter().map(reply).collect();
         }
         let reply = || match result {
             TableResult::Committed => Reply::Written,
--- a/crates/sedgepath-core/src/once/claims.rs
+++ b/crates/sedgepath-core/src/once/claims.rs
@@ -187,8 +187,10 @@
         match (claim.step.clone(), reply) {
             (Step::Claiming(_), Reply::Written) => self.grant(request, batcher, out),
             (Step::Claiming(_), Reply::Conflict(row)) => self.resolve(request, row, batcher, out),
-            (Step::Claiming(against), Reply::Lost) => {
-                claim.may_land = Some(against);
+            (Step::Claiming(against), reply @ (Reply::Lost | Reply::LeftOut)) => {
+                if matches!(reply, Reply::Lost) {
+                    claim.may_land = Some(against);
+                }
                 claim.step = Step::Reading;
                 batcher.read(Job::Claim(request), vec![ClaimRow::key(claim.key)]);
             }
@@ -203,7 +205,7 @@
                 self.write_end(request, &end, rows.first(), batcher, out);
             }
             (Step::Ending(end), Reply::Written) => self.ended(request, &end, out),
-            (Step::Ending(_), Reply::Conflict(_) | Reply::Lost) => {
+            (Step::Ending(_), Reply::Conflict(_) | Reply::Lost | Reply::LeftOut) => {
                 batcher.read(Job::Claim(request), vec![ClaimRow::key(claim.key)]);
             }
             (Step::Ending(_), Reply::Refused) => {
--- a/crates/sedgepath-core/src/once/handover.rs
+++ b/crates/sedgepath-core/src/once/handover.rs
@@ -126,6 +126,8 @@
         let copied = self.copies.iter().any(|copy| copy.taken);
         let placed = self.unwritten == 0 || (copied && took_ms >= TABLE_WAIT_MS);
         if placed && claims == 0 {
+            let rows = self.rows.len() - self.unwritten;
+            out.log(Topic::Once, "handed_over", &[("rows", &rows), ("copied", &copied)]);
             return true;
         }
         let given_up = took_ms >= GIVE_UP_MS;
--- a/crates/sedgepath-core/tests/claims.rs
+++ b/crates/sedgepath-core/tests/claims.rs
@@ -275,8 +275,8 @@
     assert!(bed.upstreams.runs_by_key().is_empty());
 }
 
-/// A hundred actions come at once and ten of them are repeats of running ones. A repeat fails its
-/// whole transaction; the others must not be refused for it, and few transactions must do.
+/// A hundred actions come at once, and so do repeats of sixty of them through other nodes. A repeat
+/// fails its whole transaction; the others must not be refused for it, and few transactions must do.
 #[test]
 fn a_conflict_does_not_fail_the_others_of_its_transaction() {
     let mut bed = bed(10);
@@ -285,7 +285,7 @@
         let first = head(&bed, key(number), 0);
         bed.call(number % 4, first);
     }
-    for number in 0..10 {
+    for number in 0..60 {
         let repeat = head(&bed, key(number), 0);
         bed.call((number + 1) % 4, repeat);
     }
@@ -295,5 +295,5 @@
     let firsts = &bed.calls()[..100];
     let ended = |seen: &Seen| !matches!(seen, Seen::Concluded(Outcome::NotRun { .. }));
     assert!(firsts.iter().all(|call| ended(&call.seen)), "{verdict:?}");
-    assert!(bed.table_commits - before <= 60, "{}", bed.table_commits - before);
+    assert!(bed.table_commits - before <= 40, "{}", bed.table_commits - before);
 }
--- a/crates/sedgepathd/tests/once.rs
+++ b/crates/sedgepathd/tests/once.rs
@@ -141,6 +141,37 @@
     assert_eq!(pair.post(0, &fields, "300"), answered("300"));
 }
 
+/// Answers to the platform's writes are lost, or the writes land only after all is over. While a
+/// deposit runs, it is repeated through the other daemon. The first one has made sure of its claim by
+/// then, so the repeat does not run, and what lands late changes nothing.
+#[test]
+fn lost_and_late_writes_run_nothing_twice() {
+    let pair = Pair::new();
+    let platform = pair.system.platform.state();
+    for upstream in &pair.upstreams {
+        upstream.set_behaviour(Behaviour::DelayAnswer { delay_ms: 600 });
+    }
+    let keys: Vec<String> = (0..6).map(|number| format!("late-{number}")).collect();
+    for (number, key) in keys.iter().enumerate() {
+        if number % 2 == 0 {
+            platform.lose_next_answers(1);
+        } else {
+            platform.apply_late(1);
+        }
+        thread::scope(|scope| {
+            scope.spawn(|| pair.key(number % 2, key, "100"));
+            thread::sleep(Duration::from_millis(250));
+            pair.key(1 - number % 2, key, "100");
+        });
+        assert_eq!(pair.repeat(1 - number % 2, key, "100"), answered("100"));
+    }
+    assert!(!platform.release_late().is_empty());
+    for (number, key) in keys.iter().enumerate() {
+        assert_eq!(pair.repeat(number % 2, key, "100"), answered("100"));
+        assert_eq!(pair.runs(key), 1);
+    }
+}
+
 /// A ticket is used at the daemon that did not mint it: that one forwards the request home. Repeats
 /// through both get the answer again; a forged ticket, and a ticket beside a key, are refused.
 #[test]
