--- a/crates/sedgepath-model/src/slot_split.rs
+++ b/crates/sedgepath-model/src/slot_split.rs
@@ -1,90 +1,101 @@
-//! The slots of an upstream, shared by the entry VMs of a failure domain that may not hear each other.
+//! The slots of an upstream, shared by the entry VMs of a failure domain that may not hear each
+//! other.
 //!
 //! # Problem
 //!
 //! An upstream has a few slots and several entry VMs that could fill them. One of them, the owner,
 //! should use all slots; yet when links are cut, a member is paused, or one has crashed, the others
-//! cannot tell which of these it is, and must go on with what surely belongs to them. At no moment may
-//! more requests be in flight at the upstream than it has slots. No clock is compared between nodes;
-//! each only measures intervals of its own.
+//! cannot tell which of these it is, and must go on with what surely belongs to them. At no moment
+//! may more requests be in flight at the upstream than it has slots. No clock is compared between
+//! nodes; each only measures intervals of its own.
 //!
 //! # The rules
 //!
 //! Each upstream has one owner by the roster of members, and each member a fixed part of its slots;
 //! the parts add up to the slots.
 //!
-//! - The owner may use all slots while every other member of its roster has granted it. A grant is the
-//!   answer to a heartbeat. It counts until T after the heartbeat was *sent*, and only if it names the
-//!   roster that the owner has.
+//! - The owner may use all slots while every other member of its roster has granted it. A grant is
+//!   the answer to a heartbeat. It counts until T after the heartbeat was *sent*, and only if it
+//!   names the roster that the owner has.
 //! - With its grant a member promises not to touch the upstream until 2T + D after it received the
-//!   heartbeat, D being the longest deadline of a request. The grant names what the member still has in
-//!   flight there; the owner leaves these slots free.
+//!   heartbeat, D being the longest deadline of a request. The grant names what the member still
+//!   has in flight there; the owner leaves these slots free.
 //! - A member without a promise outstanding, and an owner without the grants, use their part.
-//! - A boot knows neither promises nor requests of the last one. It touches nothing of another owner
-//!   until boot + 2T + D. Until boot + D it uses nothing of its own, and names its whole part as in
-//!   flight; where the roster changes, all slots.
-//! - Where the roster changes, it lists members with their boots. A boot takes it from a long-standing
-//!   member, directly or through others. It uses its part only once every other member of its roster
-//!   has named the same roster to it, and D has passed since. A member that learns of a larger roster
-//!   goes down to its smaller part at once.
+//! - A boot knows neither promises nor requests of the last one. It touches nothing of another
+//!   owner until boot + 2T + D. Until boot + D it uses nothing of its own, and names its whole part
+//!   as in flight; where the roster changes, all slots.
+//! - Where the roster changes, it lists members with their boots. A boot takes it from a
+//!   long-standing member, directly or through others. It uses its part only once every other
+//!   member of its roster has named the same roster to it, and D has passed since. A member that
+//!   learns of a larger roster goes down to its smaller part at once.
+//! - A member that the platform's list confirms gone is taken off the roster after another 2T + D,
+//!   by boots whose roster was confirmed; the others hear it from these.
+//! - An owner that has no more in flight than its part, and has been up for D, may give its right
+//!   up, with all grants for heartbeats that it sent before. A member that hears of it is free of
+//!   its promise, unless it has received a later heartbeat since. (Explored on a fixed roster.)
 //!
-//! - A member that the platform's list confirms gone is taken off the roster after another 2T + D, by
-//!   boots whose roster was confirmed; the others hear it from these.
+//! (On a changing roster the wait for 2T + D is implied by the confirmation: without it the search
+//! found no violation in four sizes. It is kept, and shown to be needed on a fixed roster.)
 //!
-//! What the rules for the roster keep up: every node that uses a slot is on the roster of every other
-//! one that does, and no part is larger by a larger roster. So the parts in use never add up to more
-//! than the slots, even while rosters differ.
+//! What the rules for the roster keep up: every node that uses a slot is on the roster of every
+//! other one that does, and no part is larger by a larger roster. So the parts in use never add up
+//! to more than the slots, even while rosters differ.
 //!
 //! # Ways weighed
 //!
-//! - *The right counted from the receipt of the grant*: a grant that is late on its way gives a right
-//!   that outlives the promise ([`Safeguard::RightFromSent`]).
-//! - *A rebooted member names its own part only*: enough while the roster stays as it is, not when the
-//!   last boot had a larger part or was the owner ([`Safeguard::AllSlotsNamedAtBoot`]).
-//! - *A roster from whoever answers first*: two boots that know only each other agree on a roster of two
-//!   ([`Safeguard::RosterFromMember`]).
-//! - *A newcomer takes its part as soon as it knows the roster*: the others may still use theirs of the
-//!   smaller roster ([`Safeguard::RosterConfirmed`]).
-//! - *A roster without boots*: what the last boot of a member has confirmed would be held to bind the
-//!   next one, which may know an older roster ([`Safeguard::RosterNamesBoots`]).
-//!
-//! - *Anyone takes a gone member off*: two newcomers who had the roster from that member, each before
-//!   it knew of the other, would both go on alone ([`Safeguard::RemovalByConfirmed`]).
+//! - *The right counted from the receipt of the grant*: a grant that is late on its way gives a
+//!   right that outlives the promise ([`Safeguard::RightFromSent`]).
+//! - *A rebooted member names its own part only*: enough while the roster stays as it is, not when
+//!   the last boot had a larger part or was the owner ([`Safeguard::AllSlotsNamedAtBoot`]).
+//! - *A roster from whoever answers first*: two boots that know only each other agree on a roster
+//!   of two ([`Safeguard::RosterFromMember`]).
+//! - *A newcomer takes its part as soon as it knows the roster*: the others may still use theirs of
+//!   the smaller roster ([`Safeguard::RosterConfirmed`]).
+//! - *A roster without boots*: what the last boot of a member has confirmed would be held to bind
+//!   the next one, which may know an older roster ([`Safeguard::RosterNamesBoots`]).
+//! - *Anyone takes a gone member off*: two newcomers who had the roster from that member, each
+//!   before it knew of the other, would both go on alone ([`Safeguard::RemovalByConfirmed`]).
 //!
 //! # Property
 //!
-//! Requests in flight at the upstream, those of boots that have ended included, never exceed its slots
-//! ([`Violation::Overload`]).
+//! Requests in flight at the upstream, those of boots that have ended included, never exceed its
+//! slots ([`Violation::Overload`]).
 //!
 //! # How it is modelled
 //!
 //! One upstream; time in ticks, with T = 1 and D = 2. Any number of other steps happens between two
-//! ticks. D is longer than T, or the promise would cover the last request by chance. All counters are
-//! what is left, so the state space is finite without an end of time. Between an owner and a member one
-//! heartbeat or grant is under way at a time; it is lost or comes up to T late. (A heartbeat that is
-//! older only makes its member promise more, and its grant gives no right; the variant in which it
-//! would is explored with later ones.) Requests hold their slot until their deadline; one that ends
-//! earlier holds less. The order that decides who gets which part is the least lucky one that
-//! rendezvous hashing can give: the newcomer comes first and takes the upstream over.
+//! ticks. D is longer than T, or the promise would cover the last request by chance. All counters
+//! are what is left, so the state space is finite without an end of time. Between an owner and a
+//! member one heartbeat or grant is under way at a time; it is lost or comes up to T late. (A
+//! heartbeat that is older only makes its member promise more, and its grant gives no right; the
+//! variant in which it would is explored with later ones.) Requests hold their slot until their
+//! deadline; one that ends earlier holds less. The order that decides who gets which part is the
+//! least lucky one that rendezvous hashing can give: the newcomer comes first and takes the
+//! upstream over.
 //!
-//! With a fixed roster every boot knows it, and uses its part once its wait is over. Where newcomers
-//! join, every boot, also a restarted one, has to learn the roster and to have it confirmed.
+//! With a fixed roster every boot knows it, and uses its part once its wait is over. Where
+//! newcomers join, every boot, also a restarted one, has to learn the roster and to have it
+//! confirmed.
 //!
 //! # Left out
 //!
-//! Several upstreams (each is shared out on its own; heartbeats only couple their timing); clocks that
-//! run at different rates (the second T of the promise is for them: at equal rates T + D would do);
-//! more than one member that leaves; an upstream that reports none in flight; statements of the roster
-//! that come late other than in grants; a domain all of whose members restart at once, which has to
-//! take the roster from the platform's list (of newcomers whose only source of the roster is gone, too);
-//! a list that calls a member gone which is not. A restart takes no time, the worst case for what the last
-//! boot left. The upstream is taken to end a request at its deadline, which was fixed before the check;
-//! a deadline that the upstream counts from its receipt would be [`Safeguard::DeadlineFixedAtCheck`]
-//! left out.
+//! Several upstreams (each is shared out on its own; heartbeats only couple their timing); clocks
+//! that run at different rates (the second T of the promise is for them: with equal rates, as here,
+//! a promise of T + D showed no violation either); more than one member that leaves; an upstream
+//! that reports none in flight; statements of the roster that come late other than in grants; a
+//! domain all of whose members restart at once, which has to take the roster from the platform's
+//! list (of newcomers whose only source of the roster is gone, too); a list that calls a member
+//! gone which is not. A restart takes no time, the worst case for what the last boot left. The
+//! upstream is taken to end a request at its deadline, which was fixed before the check; a deadline
+//! that the upstream counts from its receipt would be [`Safeguard::DeadlineFixedAtCheck`] left out.
+
+mod state;
 
 use crate::search::{Model, Step, Steps};
 use crate::variant::Variant;
 
+pub use state::{Grant, InFlight, Link, NodeState, Release, Roster, State};
+
 type ModelSteps = Steps<Action, State>;
 
 /// Nodes at most.
@@ -96,8 +107,8 @@
 /// How long a grant binds the member, and a boot all that its last one may have promised.
 const PROMISE_TICKS: u8 = 2 * RIGHT_TICKS + DEADLINE_TICKS;
 
-/// The boot number of a member that is gone for good. It is the highest, so that it prevails wherever
-/// rosters are joined.
+/// The boot number of a member that is gone for good. It is the highest, so that it prevails
+/// wherever rosters are joined.
 const GONE: u8 = u8::MAX;
 
 /// A node, by index.
@@ -136,13 +147,22 @@
     WaitBeforeRemoval,
     /// Only a boot whose roster was confirmed takes a member off it.
     RemovalByConfirmed,
-    /// The deadline is fixed before the check, so that a pause before the send shortens the request.
+    /// An owner gives its right up only when it has no more in flight than its part.
+    DrainedBeforeRelease,
+    /// A boot gives no right up before what the last one left running is over.
+    WaitBeforeRelease,
+    /// Grants for heartbeats sent before a release do not count after it.
+    ReleaseVoidsGrants,
+    /// A release that a later heartbeat has overtaken is ignored.
+    OldReleaseIgnored,
+    /// The deadline is fixed before the check, so that a pause before the send shortens the
+    /// request.
     DeadlineFixedAtCheck,
 }
 
 impl Safeguard {
     /// All safeguards, in the order in which they are reported.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 20] = [
         Self::DeadlineInPromise,
         Self::RightFromSent,
         Self::InFlightNamed,
@@ -158,6 +178,10 @@
         Self::RosterNamesBoots,
         Self::WaitBeforeRemoval,
         Self::RemovalByConfirmed,
+        Self::DrainedBeforeRelease,
+        Self::WaitBeforeRelease,
+        Self::ReleaseVoidsGrants,
+        Self::OldReleaseIgnored,
         Self::DeadlineFixedAtCheck,
     ];
 }
@@ -169,256 +193,6 @@
     Overload,
 }
 
-/// The members that a node knows, each with the number of its latest boot known; 0 if unknown. A
-/// member that is gone keeps its place with a number of its own.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Roster([u8; NODES]);
-
-impl Roster {
-    fn of(members: impl IntoIterator<Item = Node>) -> Self {
-        let mut boots = [0; NODES];
-        for member in members {
-            boots[member] = 1;
-        }
-        Self(boots)
-    }
-
-    fn contains(self, node: Node) -> bool {
-        self.0[node] > 0 && self.0[node] != GONE
-    }
-
-    fn members(self) -> impl Iterator<Item = Node> {
-        (0..NODES).filter(move |&node| self.contains(node))
-    }
-
-    fn others(self, node: Node) -> impl Iterator<Item = Node> {
-        self.members().filter(move |&member| member != node)
-    }
-
-    fn len(self) -> usize {
-        self.members().count()
-    }
-
-    fn without(mut self, gone: Node) -> Self {
-        self.0[gone] = GONE;
-        self
-    }
-
-    fn joined(self, other: Self) -> Self {
-        let mut boots = self.0;
-        for (known, heard) in boots.iter_mut().zip(other.0) {
-            *known = (*known).max(heard);
-        }
-        Self(boots)
-    }
-}
-
-/// Requests in flight, counted by the ticks that they have left.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct InFlight([u8; DEADLINE_TICKS as usize]);
-
-impl InFlight {
-    const NONE: Self = Self([0; DEADLINE_TICKS as usize]);
-
-    /// Returns the number of requests.
-    pub fn count(self) -> u8 {
-        self.0.iter().sum()
-    }
-
-    fn add(&mut self, ticks_left: u8) {
-        self.0[usize::from(ticks_left) - 1] += 1;
-    }
-
-    fn add_all(&mut self, other: Self) {
-        for (count, more) in self.0.iter_mut().zip(other.0) {
-            *count += more;
-        }
-    }
-
-    fn tick(&mut self) {
-        self.0.rotate_left(1);
-        self.0[usize::from(DEADLINE_TICKS) - 1] = 0;
-    }
-}
-
-/// A grant as its holder keeps it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Grant {
-    /// The ticks for which it still counts.
-    pub ticks_left: u8,
-    /// The slots that the member has in flight.
-    pub named: u8,
-}
-
-/// What is under way between an owner and a member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Link {
-    /// Nothing.
-    Idle,
-    /// A heartbeat of the owner.
-    Heartbeat {
-        /// The ticks since it was sent.
-        age: u8,
-        /// The owner's roster.
-        roster: Roster,
-    },
-    /// The member's grant.
-    Grant {
-        /// The ticks since the heartbeat was sent.
-        age: u8,
-        /// The member's roster.
-        roster: Roster,
-        /// The slots that the member has in flight.
-        named: u8,
-    },
-}
-
-/// One boot of a node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct NodeState {
-    /// The members that it knows.
-    pub roster: Roster,
-    /// Whether it has its roster from a long-standing member, directly or through others.
-    pub rooted: bool,
-    /// The ticks since its boot, up to the length of a promise.
-    pub age: u8,
-    /// The others that have named the same roster to it, as bits.
-    pub confirmed: u8,
-    /// The ticks until it may use its part; `None` before its roster is confirmed.
-    pub part_in: Option<u8>,
-    /// The ticks for which it has promised not to touch the upstream.
-    pub promised: u8,
-    /// What it has in flight.
-    pub in_flight: InFlight,
-    /// What it has checked and not yet sent; it is paused while there is any.
-    pub checked: InFlight,
-    /// The grants that it holds.
-    pub grants: [Option<Grant>; NODES],
-}
-
-impl NodeState {
-    fn booted(node: Node, boot: u8) -> Self {
-        let mut roster = [0; NODES];
-        roster[node] = boot;
-        Self {
-            roster: Roster(roster),
-            rooted: false,
-            age: 0,
-            confirmed: 0,
-            part_in: None,
-            promised: 0,
-            in_flight: InFlight::NONE,
-            checked: InFlight::NONE,
-            grants: [None; NODES],
-        }
-    }
-
-    fn long_member(node: Node, roster: Roster) -> Self {
-        let confirmed = roster.others(node).map(|other| 1 << other).sum();
-        let part_in = Some(0);
-        Self {
-            roster,
-            rooted: true,
-            age: PROMISE_TICKS,
-            confirmed,
-            part_in,
-            ..Self::booted(node, 1)
-        }
-    }
-
-    fn is_paused(&self) -> bool {
-        self.checked != InFlight::NONE
-    }
-
-    /// The slots that its requests hold or are about to hold.
-    fn used(&self) -> u8 {
-        self.in_flight.count() + self.checked.count()
-    }
-
-    /// Takes over what another roster knows. Grants and confirmations of a smaller one are void.
-    fn learn(&mut self, roster: Roster) {
-        let joined = self.roster.joined(roster);
-        if joined != self.roster {
-            self.roster = joined;
-            self.grants = [None; NODES];
-            self.confirmed = 0;
-        }
-    }
-
-    fn confirm(&mut self, node: Node, other: Node) {
-        self.confirmed |= 1 << other;
-        let all = self.roster.others(node).all(|other| self.confirmed & (1 << other) != 0);
-        if all && self.part_in.is_none() {
-            self.part_in = Some(DEADLINE_TICKS);
-        }
-    }
-}
-
-/// The state of all parties.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct State {
-    /// The nodes.
-    pub nodes: [NodeState; NODES],
-    /// What is under way between each node, as owner, and each other one.
-    pub links: [[Link; NODES]; NODES],
-    /// What boots that have ended left in flight.
-    pub left_behind: InFlight,
-    /// The restarts that may still happen.
-    pub restarts_left: u8,
-    /// The node that is gone for good, and the ticks since, up to the length of a promise.
-    pub gone: Option<(Node, u8)>,
-}
-
-impl State {
-    /// All requests in flight at the upstream.
-    pub fn in_flight(&self) -> u8 {
-        let nodes: u8 = self.nodes.iter().map(|node| node.in_flight.count()).sum();
-        nodes + self.left_behind.count()
-    }
-
-    fn tick(&mut self, deadline_fixed: bool, message_ticks: u8) {
-        for node in &mut self.nodes {
-            node.age = (node.age + 1).min(PROMISE_TICKS);
-            node.promised = node.promised.saturating_sub(1);
-            node.part_in = node.part_in.map(|ticks| ticks.saturating_sub(1));
-            node.in_flight.tick();
-            if deadline_fixed {
-                node.checked.tick();
-            }
-            for grant in &mut node.grants {
-                *grant = grant.and_then(Grant::after_tick);
-            }
-        }
-        for link in self.links.as_flattened_mut() {
-            link.tick(message_ticks);
-        }
-        self.left_behind.tick();
-        if let Some((_, age)) = &mut self.gone {
-            *age = (*age + 1).min(PROMISE_TICKS);
-        }
-    }
-}
-
-impl Grant {
-    fn after_tick(self) -> Option<Self> {
-        let ticks_left = self.ticks_left.checked_sub(1)?;
-        Some(Self { ticks_left, ..self })
-    }
-}
-
-impl Link {
-    fn tick(&mut self, message_ticks: u8) {
-        let age = match self {
-            Self::Idle => return,
-            Self::Heartbeat { age, .. } | Self::Grant { age, .. } => age,
-        };
-        *age += 1;
-        if *age > message_ticks {
-            *self = Self::Idle;
-        }
-    }
-}
-
 /// What can happen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
@@ -440,6 +214,10 @@
     Check(Node),
     /// The node wakes and sends what it has checked.
     Send(Node),
+    /// The owner gives its right up and tells the members.
+    GiveUpRight(Node),
+    /// The owner's release reaches the member.
+    GetRelease(Node, Node),
     /// The node is gone for good.
     Vanish(Node),
     /// The first node is told that the second is gone, and takes it off its roster.
@@ -448,6 +226,15 @@
     Restart(Node),
 }
 
+/// How heartbeats and grants arrive, if they do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Delivery {
+    /// Up to so many ticks after the heartbeat was sent.
+    Within(u8),
+    /// A heartbeat and its grant in one step.
+    Atomic,
+}
+
 /// The model of the slot split.
 #[derive(Debug, Clone)]
 pub struct SlotSplitModel {
@@ -456,9 +243,9 @@
     slots: u8,
     restarts: u8,
     removal: bool,
+    releases: bool,
     pauses: bool,
-    atomic_heartbeats: bool,
-    message_ticks: u8,
+    delivery: Delivery,
     variant: Variant<Safeguard, Violation>,
 }
 
@@ -472,9 +259,9 @@
             slots,
             restarts: 0,
             removal: false,
+            releases: false,
             pauses: false,
-            atomic_heartbeats: false,
-            message_ticks: RIGHT_TICKS,
+            delivery: Delivery::Within(RIGHT_TICKS),
             variant: Variant::new(),
         }
     }
@@ -491,11 +278,17 @@
         Self { restarts, ..self }
     }
 
-    /// Lets one node be gone for good, which the platform's list confirms to the others at some time.
+    /// Lets one node be gone for good, which the platform's list confirms to the others at some
+    /// time.
     pub fn with_removal(self) -> Self {
         Self { removal: true, ..self }
     }
 
+    /// Lets the owner give its right up. Explored on a fixed roster only.
+    pub fn with_releases(self) -> Self {
+        Self { releases: true, ..self }
+    }
+
     /// Lets nodes be paused between the check and the send.
     pub fn with_pauses(self) -> Self {
         Self { pauses: true, ..self }
@@ -504,13 +297,13 @@
     /// Lets heartbeats and grants arrive up to so many ticks after the heartbeat was sent, not only
     /// up to T.
     pub fn with_message_ticks(self, message_ticks: u8) -> Self {
-        Self { message_ticks, ..self }
+        Self { delivery: Delivery::Within(message_ticks), ..self }
     }
 
-    /// Lets a heartbeat and its grant be exchanged in one step or not at all, so that more nodes can
-    /// be explored.
+    /// Lets a heartbeat and its grant be exchanged in one step or not at all, so that more nodes
+    /// can be explored.
     pub fn with_atomic_heartbeats(self) -> Self {
-        Self { atomic_heartbeats: true, ..self }
+        Self { delivery: Delivery::Atomic, ..self }
     }
 
     /// Leaves out one safeguard.
@@ -518,8 +311,8 @@
         Self { variant: self.variant.with_removed(removed), ..self }
     }
 
-    /// Creates the smallest model in which leaving out `removed` shows: with a fixed roster, or with
-    /// the members, newcomers and restarts that the rule is about.
+    /// Creates the smallest model in which leaving out `removed` shows: with a fixed roster, or
+    /// with the members, newcomers and restarts that the rule is about.
     pub fn smallest_without(removed: Safeguard) -> Self {
         let changing = |members, newcomers, restarts| {
             let model = Self::new(members, 2).with_newcomers(newcomers).with_restarts(restarts);
@@ -532,6 +325,10 @@
             | Safeguard::RosterConfirmed
             | Safeguard::WaitAfterConfirmed => changing(2, 1, 0),
             Safeguard::RosterNamesBoots => changing(2, 1, 1),
+            Safeguard::DrainedBeforeRelease
+            | Safeguard::ReleaseVoidsGrants
+            | Safeguard::OldReleaseIgnored => Self::new(2, 2).with_releases(),
+            Safeguard::WaitBeforeRelease => Self::new(2, 2).with_releases().with_restarts(1),
             Safeguard::RemovalByConfirmed => changing(1, 2, 0).with_removal(),
             Safeguard::WaitBeforeRemoval => Self::new(2, 2).with_removal(),
             _ => {
@@ -560,8 +357,8 @@
         newest.or_else(|| roster.members().next()).unwrap_or_default()
     }
 
-    /// Returns a node's part of the slots by a roster that it is on. The owner ranks first, then the
-    /// others in order. No part grows when the roster does.
+    /// Returns a node's part of the slots by a roster that it is on. The owner ranks first, then
+    /// the others in order. No part grows when the roster does.
     fn part(&self, node: Node, roster: Roster) -> u8 {
         let owner = self.owner(roster);
         let before = roster.others(owner).filter(|&other| other < node).count() as u8;
@@ -609,8 +406,8 @@
     }
 
     fn member_allowance(&self, current: &NodeState, node: Node) -> u8 {
-        // The last boot may have granted the owner just before it ended, and the owner relies on it.
-        // It may also have left requests of its own, which a new boot would not count.
+        // The last boot may have granted the owner just before it ended, and the owner relies on
+        // it. It may also have left requests of its own, which a new boot would not count.
         let wait_ticks = if !self.keeps(Safeguard::MemberWaitsAtBoot) {
             0
         } else if self.keeps(Safeguard::PromiseInWaitAtBoot) {
@@ -627,11 +424,12 @@
     /// Returns the part that a node may use without any grant.
     ///
     /// Parts add up to the slots only if all nodes take them from the same roster. A newcomer, or a
-    /// boot that has just learnt the roster, could hold one that others have not heard of; each would
-    /// use its part of another whole.
+    /// boot that has just learnt the roster, could hold one that others have not heard of; each
+    /// would use its part of another whole.
     fn usable_part(&self, current: &NodeState, node: Node) -> u8 {
         let confirmed = match current.part_in {
-            // Before a member heard of the larger roster it may have admitted requests by the smaller.
+            // Before a member heard of the larger roster it may have admitted requests by the
+            // smaller.
             Some(ticks) => ticks == 0 || !self.keeps(Safeguard::WaitAfterConfirmed),
             None => !self.keeps(Safeguard::RosterConfirmed),
         };
@@ -661,7 +459,7 @@
         let holder = &state.nodes[owner];
         let owns = self.owner(holder.roster) == owner && holder.roster.contains(member);
         let sends = owns && self.trusts_roster(holder) && !holder.is_paused();
-        if self.atomic_heartbeats {
+        if self.delivery == Delivery::Atomic {
             if sends && !state.nodes[member].is_paused() {
                 steps.add(Action::ExchangeHeartbeat(owner, member), |s| {
                     self.exchange(s, owner, member);
@@ -673,6 +471,7 @@
             steps.add(Action::SendHeartbeat(owner, member), |s| {
                 let roster = s.nodes[owner].roster;
                 s.links[owner][member] = Link::Heartbeat { age: 0, roster };
+                mark_older(&mut s.releases[owner][member]);
             });
         }
         match state.links[owner][member] {
@@ -694,6 +493,7 @@
     /// Sends a heartbeat and its grant without delay.
     fn exchange(&self, state: &mut State, owner: Node, member: Node) {
         let roster = state.nodes[owner].roster;
+        mark_older(&mut state.releases[owner][member]);
         let answer = self.granted(state, owner, member, 0, roster);
         if let Link::Grant { age, roster, named } = answer {
             self.get_grant(&mut state.nodes[owner], (owner, member), age, roster, named);
@@ -709,14 +509,17 @@
         age: u8,
         roster: Roster,
     ) -> Link {
+        if state.releases[owner][member] == Release::Older {
+            state.releases[owner][member] = Release::Overtaken;
+        }
         let current = &mut state.nodes[member];
         current.rooted = true;
         current.learn(roster);
         if self.owner(current.roster) != owner {
             return Link::Idle;
         }
-        // The owner may admit a request at the end of its right, and that request holds its slot for
-        // its whole deadline. A promise that ended before would give the slot away under it.
+        // The owner may admit a request at the end of its right, and that request holds its slot
+        // for its whole deadline. A promise that ended before would give the slot away under it.
         let ticks = if self.keeps(Safeguard::DeadlineInPromise) {
             PROMISE_TICKS
         } else {
@@ -729,8 +532,8 @@
 
     /// Lets an owner take a grant.
     ///
-    /// A newcomer that has heard of some members only would otherwise have all the grants it knows to
-    /// ask for, and use slots that a member it has not heard of is using.
+    /// A newcomer that has heard of some members only would otherwise have all the grants it knows
+    /// to ask for, and use slots that a member it has not heard of is using.
     fn get_grant(
         &self,
         holder: &mut NodeState,
@@ -746,8 +549,8 @@
             }
         }
         holder.confirm(owner, member);
-        // The member's promise runs from its receipt of the heartbeat. Time that the grant spends on
-        // its way must therefore be taken off the right.
+        // The member's promise runs from its receipt of the heartbeat. Time that the grant spends
+        // on its way must therefore be taken off the right.
         let counted_age = if self.keeps(Safeguard::RightFromSent) { age } else { 0 };
         if let Some(ticks_left) = RIGHT_TICKS.checked_sub(counted_age) {
             holder.grants[member] = Some(Grant { ticks_left, named });
@@ -798,8 +601,8 @@
 
     /// Sends what was checked before a pause.
     ///
-    /// A node may be paused after its checks until the right is long gone. The requests that it sends
-    /// on waking must end when they would have ended without the pause.
+    /// A node may be paused after its checks until the right is long gone. The requests that it
+    /// sends on waking must end when they would have ended without the pause.
     fn send_checked(&self, current: &mut NodeState) {
         let checked = std::mem::replace(&mut current.checked, InFlight::NONE);
         if self.keeps(Safeguard::DeadlineFixedAtCheck) {
@@ -819,8 +622,16 @@
             if current.part_in.is_some() {
                 current.confirmed = 0;
             }
-            // Parts never grow unless a member leaves, so a promise to leave alone what the node has no
-            // part of is idle.
+            // The heartbeat that overtook a release has renewed the promise that it would void.
+            if self.keeps(Safeguard::OldReleaseIgnored) {
+                for release in &mut state.releases[node] {
+                    if *release == Release::Overtaken {
+                        *release = Release::Idle;
+                    }
+                }
+            }
+            // Parts never grow unless a member leaves, so a promise to leave alone what the node
+            // has no part of is idle.
             if !owns && !self.removal && self.part(node, current.roster) == 0 {
                 current.promised = 0;
             }
@@ -831,6 +642,47 @@
         }
     }
 
+    /// Lists how an owner gives its right up, and how the members take it in.
+    ///
+    /// While one member is dead, the others would otherwise keep their promises to an owner that
+    /// can't get the right back, and its slots but for its own part would lie idle.
+    fn release_steps(&self, state: &State, owner: Node, steps: &mut ModelSteps) {
+        let current = &state.nodes[owner];
+        if !self.releases || self.owner(current.roster) != owner {
+            return;
+        }
+        // Members use their parts as soon as they hear of the release. What the owner has in flight
+        // beyond its own part would come on top.
+        let drained = current.used() <= self.part(owner, current.roster)
+            || !self.keeps(Safeguard::DrainedBeforeRelease);
+        // The last boot may have filled the upstream, and the members' promises still guard that.
+        let waited = current.age >= DEADLINE_TICKS || !self.keeps(Safeguard::WaitBeforeRelease);
+        if drained && waited && !current.is_paused() {
+            steps.add(Action::GiveUpRight(owner), |s| self.give_up_right(s, owner));
+        }
+        for member in current.roster.others(owner) {
+            let release = state.releases[owner][member];
+            if release != Release::Idle && !state.nodes[member].is_paused() {
+                steps.add(Action::GetRelease(owner, member), |s| {
+                    s.releases[owner][member] = Release::Idle;
+                    s.nodes[member].promised = 0;
+                });
+            }
+        }
+    }
+
+    /// Gives the owner's right up. A grant that is still on its way was given by a member which is
+    /// about to forget its promise, so it must not bring the right back.
+    fn give_up_right(&self, state: &mut State, owner: Node) {
+        if self.keeps(Safeguard::ReleaseVoidsGrants) {
+            state.nodes[owner].grants = [None; NODES];
+            state.links[owner] = [Link::Idle; NODES];
+        }
+        for member in state.nodes[owner].roster.others(owner) {
+            state.releases[owner][member] = Release::UnderWay;
+        }
+    }
+
     /// Lists how a node leaves for good, and how the others take it off their rosters.
     fn removal_steps(&self, state: &State, node: Node, steps: &mut ModelSteps) {
         let Some((gone, age)) = state.gone else {
@@ -844,12 +696,12 @@
             }
             return;
         };
-        // Its requests hold their slots after it is gone. Taken off at once, it would no longer be asked
-        // what it has in flight, and the others would share out its part.
+        // Its requests hold their slots after it is gone. Taken off at once, it would no longer be
+        // asked what it has in flight, and the others would share out its part.
         let waited = age == PROMISE_TICKS || !self.keeps(Safeguard::WaitBeforeRemoval);
         let current = &state.nodes[node];
-        // A boot that has not been confirmed may hold an old roster. Without the gone member, the only
-        // one that could have told it of others, it would go on alone next to those others.
+        // A boot that has not been confirmed may hold an old roster. Without the gone member, the
+        // only one that could have told it of others, it would go on alone next to those others.
         let entitled = current.part_in.is_some() || !self.keeps(Safeguard::RemovalByConfirmed);
         if waited && entitled && current.roster.contains(gone) && !current.is_paused() {
             steps.add(Action::Remove(node, gone), |s| {
@@ -864,10 +716,10 @@
         if self.roster_is_fixed() {
             return NodeState { age: 0, ..NodeState::long_member(node, last) };
         }
-        // What the last boot has confirmed does not bind the new one, which may come to know an older
-        // roster. If both went by one name, a newcomer would take its part by the last boot's word
-        // while the new boot uses the larger part that the older roster gives it.
-        let boot = last.0[node] + u8::from(self.keeps(Safeguard::RosterNamesBoots));
+        // What the last boot has confirmed does not bind the new one, which may come to know an
+        // older roster. If both went by one name, a newcomer would take its part by the last boot's
+        // word while the new boot uses the larger part that the older roster gives it.
+        let boot = last.boot(node) + u8::from(self.keeps(Safeguard::RosterNamesBoots));
         NodeState::booted(node, boot)
     }
 
@@ -883,6 +735,13 @@
     }
 }
 
+/// Notes that a heartbeat was sent after a release.
+fn mark_older(release: &mut Release) {
+    if *release == Release::UnderWay {
+        *release = Release::Older;
+    }
+}
+
 impl Model for SlotSplitModel {
     type State = State;
     type Action = Action;
@@ -901,6 +760,7 @@
             nodes,
             links: [[Link::Idle; NODES]; NODES],
             left_behind: InFlight::NONE,
+            releases: [[Release::Idle; NODES]; NODES],
             restarts_left: self.restarts,
             gone: None,
         }]
@@ -909,7 +769,11 @@
     fn steps(&self, state: &State) -> Vec<Step<Action, State>> {
         let mut steps = Steps::new(state);
         let deadline_fixed = self.keeps(Safeguard::DeadlineFixedAtCheck);
-        steps.add(Action::Tick, |s| s.tick(deadline_fixed, self.message_ticks));
+        let message_ticks = match self.delivery {
+            Delivery::Within(ticks) => ticks,
+            Delivery::Atomic => 0,
+        };
+        steps.add(Action::Tick, |s| s.tick(deadline_fixed, message_ticks));
         let is_gone = |node| state.gone.is_some_and(|(gone, _)| gone == node);
         for node in (0..self.nodes()).filter(|&node| !is_gone(node)) {
             for other in (0..self.nodes()).filter(|&other| other != node && !is_gone(other)) {
@@ -918,6 +782,7 @@
             }
             self.request_steps(state, node, &mut steps);
             self.restart_step(state, node, &mut steps);
+            self.release_steps(state, node, &mut steps);
             self.removal_steps(state, node, &mut steps);
         }
         let mut steps = steps.into_vec();
