--- a/crates/sedgepath-core/src/once/claims.rs
+++ b/crates/sedgepath-core/src/once/claims.rs
@@ -27,7 +27,6 @@
 //! - A row that says *not run* speaks for all attempts up to its number, so a delayed earlier request
 //!   can't claim after its caller has heard that the action did not run.
 
-use crate::event::Action;
 use crate::hash::{Digest, Map};
 use crate::key::RequestKey;
 use crate::outbox::Outbox;
@@ -35,11 +34,13 @@
 use crate::table::{Condition, Row};
 
 use super::batch::{Batcher, Job, Reply};
-use super::claim::{Claim, End, KEPT_MS, Step};
+use super::claim::{Claim, End, Step};
 use super::row::{ClaimRow, ClaimState, Holder};
 use super::sweep::Sweep;
 use super::{RETRY_AFTER_MS, conclude, not_run, unsettled};
 
+mod ending;
+
 /// The longest that a request waits for its claim, in milliseconds.
 const CLAIM_WAIT_MS: u64 = 1_000;
 
@@ -369,75 +370,6 @@
         }
     }
 
-    fn end(&mut self, request: RequestKey, end: End, batcher: &mut Batcher) {
-        if let Some(claim) = self.by_request.get_mut(&request) {
-            claim.step = Step::Ending(end);
-            batcher.read(Job::Claim(request), vec![ClaimRow::key(claim.key)]);
-        }
-    }
-
-    /// Writes how a claim ended in place of the row that was read.
-    fn write_end(
-        &mut self,
-        request: RequestKey,
-        end: &End,
-        row: Option<&Row>,
-        batcher: &mut Batcher,
-        out: &mut Outbox,
-    ) {
-        let Some(claim) = self.by_request.get(&request) else {
-            return;
-        };
-        let own = holder(request, out);
-        let known = row.and_then(|row| serde_json::from_str::<ClaimRow>(&row.value).ok());
-        let is_own = known.as_ref().is_some_and(|known| known.holder == own);
-        let condition = row.map_or(Condition::Absent, |row| Condition::Version(row.version));
-        let state = match end {
-            End::Swept if is_own => {
-                batcher.write(Job::Claim(request), super::row::delete(claim.key, condition));
-                return;
-            }
-            End::Swept => {
-                self.ended(request, end, out);
-                return;
-            }
-            End::NotRun => ClaimState::NotRun,
-            End::Answered(stored) => ClaimState::Answered(stored.clone()),
-        };
-        let done = match &known {
-            Some(known) if is_own => known.state == state,
-            // A row that says not run may still be replaced by an own claim that names its version.
-            Some(_) => claim.may_land.as_ref() != Some(&condition),
-            None => row.is_some(),
-        };
-        if done {
-            self.ended(request, end, out);
-        } else {
-            let row = claim.row(own, state, out.now_ms());
-            batcher.write(Job::Claim(request), row.write(claim.key, condition));
-        }
-    }
-
-    fn ended(&mut self, request: RequestKey, end: &End, out: &mut Outbox) {
-        self.release_outcome(request, out);
-        if let Some(claim) = self.by_request.get(&request)
-            && *end != End::Swept
-        {
-            self.sweep.push(out.now_ms() + KEPT_MS, claim.key, request);
-        }
-        self.drop_claim(request);
-    }
-
-    /// Gives the outcome that has waited for the release of its claim.
-    fn release_outcome(&mut self, request: RequestKey, out: &mut Outbox) {
-        let Some(claim) = self.by_request.get_mut(&request) else {
-            return;
-        };
-        if let Some((outcome, _)) = claim.held_back.take() {
-            out.push(Action::Conclude { request, outcome });
-        }
-    }
-
     fn drop_claim(&mut self, request: RequestKey) {
         if let Some(claim) = self.by_request.remove(&request)
             && self.by_key.get(&claim.key) == Some(&request)
--- /dev/null
+++ b/crates/sedgepath-core/src/once/claims/ending.rs
@@ -0,0 +1,83 @@
+//! How a claim ends: its row comes to say so, whatever the writes on the way became.
+
+use crate::event::Action;
+use crate::key::RequestKey;
+use crate::once::batch::{Batcher, Job};
+use crate::once::claim::{End, KEPT_MS, Step};
+use crate::once::row::{self, ClaimRow, ClaimState};
+use crate::outbox::Outbox;
+use crate::table::{Condition, Row};
+
+use super::{Claims, holder};
+
+impl Claims {
+    /// Begins to write how a claim ended; its row's version has to be read first.
+    pub(super) fn end(&mut self, request: RequestKey, end: End, batcher: &mut Batcher) {
+        if let Some(claim) = self.by_request.get_mut(&request) {
+            claim.step = Step::Ending(end);
+            batcher.read(Job::Claim(request), vec![ClaimRow::key(claim.key)]);
+        }
+    }
+
+    /// Writes how a claim ended in place of the row that was read.
+    pub(super) fn write_end(
+        &mut self,
+        request: RequestKey,
+        end: &End,
+        row: Option<&Row>,
+        batcher: &mut Batcher,
+        out: &mut Outbox,
+    ) {
+        let Some(claim) = self.by_request.get(&request) else {
+            return;
+        };
+        let own = holder(request, out);
+        let known = row.and_then(|row| serde_json::from_str::<ClaimRow>(&row.value).ok());
+        let is_own = known.as_ref().is_some_and(|known| known.holder == own);
+        let condition = row.map_or(Condition::Absent, |row| Condition::Version(row.version));
+        let state = match end {
+            End::Swept if is_own => {
+                batcher.write(Job::Claim(request), row::delete(claim.key, condition));
+                return;
+            }
+            End::Swept => {
+                self.ended(request, end, out);
+                return;
+            }
+            End::NotRun => ClaimState::NotRun,
+            End::Answered(stored) => ClaimState::Answered(stored.clone()),
+        };
+        let done = match &known {
+            Some(known) if is_own => known.state == state,
+            // A row that says not run may still be replaced by an own claim that names its version.
+            Some(_) => claim.may_land.as_ref() != Some(&condition),
+            None => row.is_some(),
+        };
+        if done {
+            self.ended(request, end, out);
+        } else {
+            let row = claim.row(own, state, out.now_ms());
+            batcher.write(Job::Claim(request), row.write(claim.key, condition));
+        }
+    }
+
+    pub(super) fn ended(&mut self, request: RequestKey, end: &End, out: &mut Outbox) {
+        self.release_outcome(request, out);
+        if let Some(claim) = self.by_request.get(&request)
+            && *end != End::Swept
+        {
+            self.sweep.push(out.now_ms() + KEPT_MS, claim.key, request);
+        }
+        self.drop_claim(request);
+    }
+
+    /// Gives the outcome that has waited for the release of its claim.
+    pub(super) fn release_outcome(&mut self, request: RequestKey, out: &mut Outbox) {
+        let Some(claim) = self.by_request.get_mut(&request) else {
+            return;
+        };
+        if let Some((outcome, _)) = claim.held_back.take() {
+            out.push(Action::Conclude { request, outcome });
+        }
+    }
+}
