--- a/crates/sedgepath-core/src/candidates.rs
+++ b/crates/sedgepath-core/src/candidates.rs
@@ -17,8 +17,8 @@
     pub vm: VmKey,
     /// Where it takes frames.
     pub address: SocketAddr,
-    /// The service's upstreams that it owns.
-    pub upstreams: u32,
+    /// The slots of the service's upstreams that it may use.
+    pub slots: u32,
     /// Its last report on the service.
     pub load: Option<ServiceLoad>,
 }
@@ -109,18 +109,36 @@
         Some((*loads.iter().find(|load| load.service == service)?, age_ms))
     }
 
-    /// Returns the owners of a service's upstreams in a failure domain; upstreams that have a drain of
-    /// their own don't count.
+    /// Returns the VMs of a failure domain that have told of slots of a service's upstreams: the
+    /// owners, and where a member can't be told dead from cut off, all that use their parts.
+    ///
+    /// Where none has told of any, those that own upstreams by the members known here are returned.
     pub fn owners_in(&self, domain: DomainKey, service: ServiceKey) -> Vec<Owner> {
         let serving = self.serving_in(domain);
+        let told: Vec<_> = serving.iter().filter_map(|vm| self.told_owner(*vm, service)).collect();
+        if told.is_empty() { self.presumed_owners(domain, service, &serving) } else { told }
+    }
+
+    fn told_owner(&self, vm: VmKey, service: ServiceKey) -> Option<Owner> {
+        let (load, _) = self.load_of(vm, service).filter(|(load, _)| load.slots > 0)?;
+        Some(Owner { vm, address: self.peer_address(vm)?, slots: load.slots, load: Some(load) })
+    }
+
+    fn presumed_owners(
+        &self,
+        domain: DomainKey,
+        service: ServiceKey,
+        serving: &[VmKey],
+    ) -> Vec<Owner> {
         let mut owners: Vec<Owner> = Vec::new();
         for upstream in self.upstreams_in(domain, service) {
-            let Some(vm) = ownership::owner(u64::from(upstream.0), &serving) else { continue };
+            let Some(vm) = ownership::owner(u64::from(upstream.0), serving) else { continue };
+            let slots = self.catalogue.upstreams[&upstream].slots;
             if let Some(owner) = owners.iter_mut().find(|owner| owner.vm == vm) {
-                owner.upstreams += 1;
+                owner.slots += slots;
             } else if let Some(address) = self.peer_address(vm) {
                 let load = self.load_of(vm, service).map(|(load, _)| load);
-                owners.push(Owner { vm, address, upstreams: 1, load });
+                owners.push(Owner { vm, address, slots, load });
             }
         }
         owners
--- a/crates/sedgepath-core/src/ingress/places.rs
+++ b/crates/sedgepath-core/src/ingress/places.rs
@@ -164,13 +164,13 @@
 }
 
 fn draw(owners: &[Owner], random: &mut fastrand::Rng) -> Option<Owner> {
-    let sum: u32 = owners.iter().map(|owner| owner.upstreams).sum();
+    let sum: u32 = owners.iter().map(|owner| owner.slots).sum();
     let mut point = random.u32(0..sum.max(1));
     owners
         .iter()
         .find(|owner| {
-            let found = point < owner.upstreams;
-            point = point.saturating_sub(owner.upstreams);
+            let found = point < owner.slots;
+            point = point.saturating_sub(owner.slots);
             found
         })
         .copied()
