--- a/crates/sedgepath-core/tests/configuration.rs
+++ b/crates/sedgepath-core/tests/configuration.rs
@@ -187,3 +187,39 @@
     }
     assert_eq!(mixed, 0, "pages with one record of a change and without the other");
 }
+
+/// All members of the only failure domain but one lose the platform while they go on hearing each
+/// other, the two that poll it among them in most of the six cases. The one that is left steps in
+/// once the others' figures have aged, and a change is in force at all of them within seconds.
+#[test]
+fn whoever_still_reaches_the_platform_steps_in_as_a_reader() {
+    for left in 0..6 {
+        let mut bed = Bed::new(6);
+        write_first(&mut bed);
+        add_nodes(&mut bed, 1, 6);
+        bed.run_for(5_000);
+        for node in (0..6).filter(|node| *node != left) {
+            bed.faults.cut(Place::Node(node), Place::Platform);
+        }
+        bed.run_for(1_000);
+        let revision = write_share(&mut bed, 3.0);
+        bed.run_for(6_000);
+        assert_eq!(all_in_force(&mut bed), vec![revision; 6], "node {left} is left");
+    }
+}
+
+/// The platform is down for a minute. The thirty nodes go on trying, but not all of them at the pace
+/// of a reader, so that the platform is not met by all of them when it comes back.
+#[test]
+fn an_outage_does_not_make_every_node_a_reader() {
+    let mut bed = Bed::new(7);
+    write_first(&mut bed);
+    add_nodes(&mut bed, 3, 10);
+    bed.run_for(5_000);
+    bed.faults.platform_down = true;
+    bed.run_for(10_000);
+    let before = table_reads(&bed);
+    bed.run_for(50_000);
+    let reads = table_reads(&bed) - before;
+    assert!(reads <= 50 * 3 * 5, "{reads} attempts in 50 s by 30 nodes of 3 domains");
+}
--- a/crates/sedgepathd/tests/operators.rs
+++ b/crates/sedgepathd/tests/operators.rs
@@ -5,6 +5,7 @@
 
 use sedgepath::cli;
 use sedgepath::error::{CliError, Exit};
+use sedgepath_test_support::memory::Outage;
 use sedgepath_test_support::records::{self, UpstreamSpec};
 use sedgepath_test_support::system::System;
 use tempfile::TempDir;
@@ -187,6 +188,29 @@
     assert_eq!(told["candidates"].as_array().map(Vec::len), Some(2));
 }
 
+/// The platform goes down and one daemon is started again with an empty memory. It serves callers
+/// within seconds by the records that its peer hands it; a change is not accepted meanwhile, which
+/// the operator is told; and after the outage it is accepted as if nothing had been.
+#[test]
+fn a_daemon_restarts_while_the_platform_is_down() {
+    let mut bench = Bench::new();
+    let file = bench.steering(4);
+    assert_eq!(bench.run(&["apply", &file]).expect("apply"), "revision 2 is accepted\n");
+    let serves = |bench: &Bench, node: usize| {
+        let status = bench.run_at(&[node], &["status"]);
+        status.is_ok_and(|status| status.contains(" serves by revision 2;"))
+    };
+    bench.wait_for(|bench| serves(bench, 0) && serves(bench, 1));
+    bench.system.platform.state().set_outage(Outage::Refusing);
+    bench.system.daemons[1] = None;
+    bench.system.start_daemon(1).expect("daemon");
+    bench.wait_for(|bench| serves(bench, 1));
+    assert_eq!(exit(bench.run(&["apply", &file])).0, Exit::Failed);
+    assert_eq!(exit(bench.run(&["history"])).0, Exit::Unreachable);
+    bench.system.platform.state().set_outage(Outage::None);
+    assert_eq!(bench.run(&["apply", &file]).expect("apply"), "revision 3 is accepted\n");
+}
+
 /// The help of each command and wrong command lines.
 #[test]
 fn help_and_usage() {
