Never make a change twice, whatever revision the operator expects

Cause: only a change without an expected revision looked for its identifier in the log. An operator who asked again and expected the revision that the change had made, or a later one, made it twice. Found by letting the fuzz ask again on top of what is newest: "change 1 was made twice: [3, 4]" within 300 cases.

--- /dev/null
+++ b/crates/sedgepath-core/src/configuration/change/progress.rs
@@ -0,0 +1,346 @@
+//! One change on its way: what it waits for, and what each answer of the table leads to.
+
+use serde::Serialize;
+
+use super::{ChangeOutcome, ChangeRefusal, ChangeRequest, Concluded};
+use crate::configuration::rows::{
+    HEAD_KEY, KEPT_CHANGES, LOG_PREFIX, LoggedChange, RecordRow, log_key, record_key,
+};
+use crate::configuration::store::{Changes, Store};
+use crate::key::{OperationKey, ReplyKey};
+use crate::outbox::Outbox;
+use crate::record::check;
+use crate::table::{
+    Change as RowChange, Condition, Row, RowVersion, RowWrite, TableRequest, TableResult,
+    Transaction,
+};
+
+/// How long a change is worked on before its outcome is given, in milliseconds.
+const CHANGE_LIMIT_MS: u64 = 8_000;
+
+/// The time between two tries of a request that failed, in milliseconds.
+const RETRY_MS: u64 = 250;
+
+/// The newest changes among which a change's identifier is looked for.
+const REMEMBERED_CHANGES: u64 = 256;
+
+/// The head as read for a change.
+#[derive(Debug, Clone, Copy)]
+struct Head {
+    revision: u64,
+    version: Option<RowVersion>,
+}
+
+/// What a change waits for.
+#[derive(Debug)]
+enum Step {
+    /// To be sent at a time: the read of the head.
+    ReadHead { at_ms: u64 },
+    /// The head.
+    AwaitHead,
+    /// The newest log rows, to find the change's identifier.
+    AwaitLog { head: Head },
+    /// That this node has the head's revision in force.
+    AwaitStore { head: Head },
+    /// The result of the transaction.
+    AwaitCommit { head: Head },
+    /// To be sent at a time: the read of the log row that settles an unknown result.
+    Settle { head: Head, at_ms: u64 },
+    /// That log row.
+    AwaitSettle { head: Head },
+    /// The log row of the change that came first.
+    AwaitOther { head: Head },
+}
+
+/// A change on its way.
+#[derive(Debug)]
+pub(super) struct Change {
+    reply: ReplyKey,
+    request: ChangeRequest,
+    give_up_at_ms: u64,
+    /// Whether a transaction was sent whose result is not known.
+    in_doubt: bool,
+    operation: Option<OperationKey>,
+    step: Step,
+    /// What the transaction has put in force, if this node saw it committed.
+    committed: Option<Changes>,
+}
+
+impl Change {
+    pub(super) fn new(reply: ReplyKey, request: ChangeRequest, now_ms: u64) -> Self {
+        Self {
+            reply,
+            request,
+            give_up_at_ms: now_ms + CHANGE_LIMIT_MS,
+            in_doubt: false,
+            operation: None,
+            step: Step::ReadHead { at_ms: now_ms },
+            committed: None,
+        }
+    }
+
+    pub(super) fn reply(&self) -> ReplyKey {
+        self.reply
+    }
+
+    /// Takes the key of the request that it waits for, if it is this one.
+    pub(super) fn take_operation(&mut self, operation: OperationKey) -> bool {
+        self.operation.take_if(|waited| *waited == operation).is_some()
+    }
+
+    pub(super) fn waits_for_store(&self) -> bool {
+        matches!(self.step, Step::AwaitStore { .. })
+    }
+
+    pub(super) fn tick(&mut self, store: &Store, out: &mut Outbox) -> Option<ChangeOutcome> {
+        match &self.step {
+            Step::ReadHead { at_ms } if *at_ms <= out.now_ms() => self.read_head(out),
+            Step::Settle { head, at_ms } if *at_ms <= out.now_ms() => {
+                let head = *head;
+                self.read(vec![log_key(head.revision + 1)], Step::AwaitSettle { head }, out);
+            }
+            Step::AwaitStore { head } if store.revision() >= head.revision => {
+                let head = *head;
+                return self.check_and_commit(head, store, out);
+            }
+            _ => {}
+        }
+        (self.give_up_at_ms <= out.now_ms()).then(|| self.give_up(store))
+    }
+
+    fn give_up(&self, store: &Store) -> ChangeOutcome {
+        if self.in_doubt {
+            return ChangeOutcome::Unknown;
+        }
+        let refusal = match &self.step {
+            Step::AwaitCommit { .. } => return ChangeOutcome::Unknown,
+            Step::AwaitOther { head } => {
+                return ChangeOutcome::Conflict { revision: head.revision + 1, other: None };
+            }
+            Step::AwaitStore { head } => {
+                ChangeRefusal::Behind { own: store.revision(), head: head.revision }
+            }
+            _ => ChangeRefusal::Unavailable,
+        };
+        ChangeOutcome::NotAccepted { refusal }
+    }
+
+    pub(super) fn conclude(&mut self, outcome: ChangeOutcome) -> Concluded {
+        Concluded { reply: self.reply, outcome, changes: self.committed.take() }
+    }
+
+    fn changes(&self, revision: u64) -> Changes {
+        let records = self.request.records.iter();
+        let records = records.map(|record| RecordRow { revision, record: record.clone() });
+        Changes { revision, after: revision - 1, records: records.collect() }
+    }
+
+    fn read(&mut self, keys: Vec<Box<str>>, step: Step, out: &mut Outbox) {
+        self.operation = Some(out.table(TableRequest::Read(keys)));
+        self.step = step;
+    }
+
+    fn read_head(&mut self, out: &mut Outbox) {
+        self.read(vec![HEAD_KEY.into()], Step::AwaitHead, out);
+    }
+
+    pub(super) fn take_result(
+        &mut self,
+        result: &TableResult,
+        store: &Store,
+        out: &mut Outbox,
+    ) -> Option<ChangeOutcome> {
+        let retry_at_ms = out.now_ms() + RETRY_MS;
+        let step = std::mem::replace(&mut self.step, Step::ReadHead { at_ms: retry_at_ms });
+        match (step, result) {
+            (Step::AwaitHead, TableResult::Rows(rows)) => {
+                self.take_head(rows, out);
+                None
+            }
+            (Step::AwaitLog { head }, TableResult::Rows(rows)) => {
+                self.take_log(head, rows, store, out)
+            }
+            (Step::AwaitCommit { head }, result) => self.take_commit(head, result, out),
+            (Step::AwaitSettle { head }, TableResult::Rows(rows)) => {
+                self.take_settle(head, rows, out)
+            }
+            (Step::AwaitOther { head }, TableResult::Rows(rows)) => {
+                Some(self.standing(head.revision + 1, rows))
+            }
+            (Step::AwaitSettle { head } | Step::AwaitOther { head }, _) => {
+                self.step = Step::Settle { head, at_ms: retry_at_ms };
+                None
+            }
+            // The read failed, and is sent again after a while.
+            _ => None,
+        }
+    }
+
+    /// Returns the outcome that follows from the log row of the expected revision.
+    fn standing(&self, revision: u64, rows: &[Row]) -> ChangeOutcome {
+        match rows.iter().find_map(logged) {
+            Some(own) if self.is_mine(&own) => ChangeOutcome::Accepted { revision: own.revision },
+            other => ChangeOutcome::Conflict { revision, other },
+        }
+    }
+
+    fn is_mine(&self, logged: &LoggedChange) -> bool {
+        logged.change_id == self.request.change_id
+    }
+
+    /// Looks through the newest changes for this one before anything is sent.
+    ///
+    /// An operator may ask again about a change that was accepted, and expect the revision that it
+    /// made or a later one. Without this the change would be made twice.
+    fn take_head(&mut self, rows: &[Row], out: &mut Outbox) {
+        let row = rows.first();
+        let head = Head {
+            revision: row.and_then(|row| row.value.parse().ok()).unwrap_or(0),
+            version: row.map(|row| row.version),
+        };
+        let request = TableRequest::Scan {
+            prefix: LOG_PREFIX.into(),
+            after: log_key(head.revision.saturating_sub(REMEMBERED_CHANGES)),
+            limit: REMEMBERED_CHANGES as u32,
+        };
+        self.operation = Some(out.table(request));
+        self.step = Step::AwaitLog { head };
+    }
+
+    fn take_log(
+        &mut self,
+        head: Head,
+        rows: &[Row],
+        store: &Store,
+        out: &mut Outbox,
+    ) -> Option<ChangeOutcome> {
+        let mut changes: Vec<_> = rows.iter().filter_map(logged).collect();
+        if let Some(own) = changes.iter().find(|change| self.is_mine(change)) {
+            return Some(ChangeOutcome::Accepted { revision: own.revision });
+        }
+        match self.request.expected_revision {
+            Some(expected) if expected != head.revision => {
+                changes.retain(|change| change.revision == expected + 1);
+                Some(ChangeOutcome::Conflict { revision: head.revision, other: changes.pop() })
+            }
+            _ => self.await_store(head, store, out),
+        }
+    }
+
+    fn await_store(
+        &mut self,
+        head: Head,
+        store: &Store,
+        out: &mut Outbox,
+    ) -> Option<ChangeOutcome> {
+        if store.revision() >= head.revision {
+            return self.check_and_commit(head, store, out);
+        }
+        self.step = Step::AwaitStore { head };
+        None
+    }
+
+    fn check_and_commit(
+        &mut self,
+        head: Head,
+        store: &Store,
+        out: &mut Outbox,
+    ) -> Option<ChangeOutcome> {
+        if store.revision() > head.revision {
+            if self.request.expected_revision.is_some() {
+                self.read(vec![log_key(head.revision + 1)], Step::AwaitOther { head }, out);
+            } else {
+                self.read_head(out);
+            }
+            return None;
+        }
+        let in_force = store.records().map(|row| &row.record);
+        let problems = check::change(in_force, &self.request.records);
+        if !problems.is_empty() {
+            let refusal = ChangeRefusal::Check { problems };
+            return Some(ChangeOutcome::NotAccepted { refusal });
+        }
+        self.commit(head, out);
+        None
+    }
+
+    fn commit(&mut self, head: Head, out: &mut Outbox) {
+        let revision = head.revision + 1;
+        let condition = head.version.map_or(Condition::Absent, Condition::Version);
+        let put = |key: Box<str>, condition: Condition, value: String| RowWrite {
+            key,
+            condition,
+            change: RowChange::Put(value.into()),
+        };
+        let logged = LoggedChange {
+            revision,
+            change_id: self.request.change_id.clone(),
+            note: self.request.note.clone(),
+            node: out.identity().card.name.clone(),
+            written_at_ms: out.now_ms(),
+            records: self.request.records.clone(),
+        };
+        let mut writes = vec![
+            put(HEAD_KEY.into(), condition, revision.to_string()),
+            put(log_key(revision), Condition::Any, json(&logged)),
+        ];
+        for record in &self.request.records {
+            let row = RecordRow { revision, record: record.clone() };
+            writes.push(put(record_key(record), Condition::Any, json(&row)));
+        }
+        if let Some(outdated) = revision.checked_sub(KEPT_CHANGES) {
+            writes.push(RowWrite {
+                key: log_key(outdated),
+                condition: Condition::Any,
+                change: RowChange::Delete,
+            });
+        }
+        self.operation = Some(out.table(TableRequest::Commit(Transaction { writes })));
+        self.step = Step::AwaitCommit { head };
+    }
+
+    fn take_commit(
+        &mut self,
+        head: Head,
+        result: &TableResult,
+        out: &mut Outbox,
+    ) -> Option<ChangeOutcome> {
+        match result {
+            TableResult::Committed => {
+                self.committed = Some(self.changes(head.revision + 1));
+                return Some(ChangeOutcome::Accepted { revision: head.revision + 1 });
+            }
+            TableResult::Conflict { .. } => {
+                // The first row after the head that was read: another's change, or this one's own
+                // if an earlier try of it took effect and its answer was lost.
+                self.read(vec![log_key(head.revision + 1)], Step::AwaitOther { head }, out);
+            }
+            TableResult::Unavailable => {
+                self.step = Step::Settle { head, at_ms: out.now_ms() + RETRY_MS };
+            }
+            TableResult::Unknown | TableResult::Rows(_) => {
+                self.in_doubt = true;
+                self.step = Step::Settle { head, at_ms: out.now_ms() };
+            }
+        }
+        None
+    }
+
+    fn take_settle(&mut self, head: Head, rows: &[Row], out: &mut Outbox) -> Option<ChangeOutcome> {
+        if rows.is_empty() {
+            // None has taken effect yet. The same transaction again is safe: both are conditional
+            // on the same version of the head, so that at most one of them takes effect.
+            self.commit(head, out);
+            return None;
+        }
+        Some(self.standing(head.revision + 1, rows))
+    }
+}
+
+fn logged(row: &Row) -> Option<LoggedChange> {
+    row.key.starts_with(LOG_PREFIX).then(|| serde_json::from_str(&row.value).ok()).flatten()
+}
+
+fn json<T: Serialize>(row: &T) -> String {
+    serde_json::to_string(row).expect("rows hold text and numbers only")
+}
--- a/crates/sedgepath-core/tests/fuzz_configuration.rs
+++ b/crates/sedgepath-core/tests/fuzz_configuration.rs
@@ -35,10 +35,11 @@
         node: usize,
         expects: bool,
     },
-    /// An operator asks again about an earlier change.
+    /// An operator asks again about an earlier change, as before or on top of what is newest now.
     AskAgain {
         node: usize,
         change: prop::sample::Index,
+        expects: bool,
     },
     /// A newer node writes a record of a schema that these nodes don't know.
     Newer,
@@ -73,8 +74,8 @@
         let node = || 0..NODES;
         prop_oneof![
             14 => (node(), any::<bool>()).prop_map(|(node, expects)| Step::Change { node, expects }),
-            6 => (node(), any::<prop::sample::Index>())
-                .prop_map(|(node, change)| Step::AskAgain { node, change }),
+            6 => (node(), any::<prop::sample::Index>(), any::<bool>())
+                .prop_map(|(node, change, expects)| Step::AskAgain { node, change, expects }),
             1 => Just(Step::Newer),
             3 => node().prop_map(Step::Kill),
             5 => node().prop_map(Step::Start),
@@ -163,8 +164,12 @@
     fn take(&mut self, step: &Step) {
         match step {
             Step::Change { node, expects } => self.change(*node, *expects),
-            Step::AskAgain { node, change } if !self.asked.is_empty() => {
-                self.ask(*node, change.index(self.asked.len()));
+            Step::AskAgain { node, change, expects } if !self.asked.is_empty() => {
+                let change = change.index(self.asked.len());
+                if *expects {
+                    self.asked[change].expected_revision = Some(self.in_force(*node));
+                }
+                self.ask(*node, change);
             }
             Step::Newer => self.newer(),
             Step::Kill(node) => {
