--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod record;
 pub mod request;
 pub mod retry;
+pub mod right;
 pub mod schema;
 pub mod shift;
 pub mod steering;
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use crate::allowance::{self, Allowance};
+use crate::allowance::Allowance;
 use crate::candidates::View;
 use crate::configuration::Configuration;
 use crate::configuration::store::{Page, Position};
@@ -15,13 +15,14 @@
 use crate::explain::{Explanation, Question};
 use crate::identity::{Identity, NodeSettings};
 use crate::ingress::{self, Conclusion, Ingress, Means};
-use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
-use crate::membership::{self, Membership, OwnState};
-use crate::message::{Baseline, Envelope, Message, ServiceLoad};
+use crate::key::{RequestKey, ServiceKey, UpstreamKey, VmKey};
+use crate::membership::{Membership, OwnState};
+use crate::message::{Baseline, Envelope, Heartbeat, Message, ServiceLoad};
 use crate::once::tickets::MintError;
 use crate::once::{self, OnceSystem};
 use crate::outbox::Outbox;
 use crate::request::{HopEnd, Once, RequestHead, Ticket};
+use crate::right::Right;
 use crate::steering::{ByHeadroom, SteeringPolicy};
 use crate::stop::{self, PlannedStop};
 use crate::timeline::Topic;
@@ -51,6 +52,7 @@
     out: Outbox,
     configuration: Configuration,
     membership: Membership,
+    right: Right,
     policy: Box<dyn SteeringPolicy>,
     ingress: Ingress,
     egress: Egress,
@@ -65,6 +67,7 @@
     /// Creates a node that knows nothing yet.
     pub fn new(identity: Identity, settings: NodeSettings) -> Self {
         Self {
+            right: Right::new(settings.clone(), &identity),
             out: Outbox::new(identity),
             configuration: Configuration::new(settings.clone()),
             membership: Membership::new(settings.clone()),
@@ -148,6 +151,7 @@
             }
             Event::DispatchGone { exchange } => self.egress.dispatch_gone(exchange, &mut self.out),
             Event::UpstreamReport { upstream, report } => {
+                self.right.take_report(upstream, &report);
                 self.admit(|egress, scope, out| egress.take_report(upstream, report, scope, out));
             }
             Event::Connections { upstream, open } => {
@@ -161,8 +165,10 @@
             }
             Event::VmList(listed) => self.vm_list(listed),
             Event::Fetched { operation, page } => {
-                if let Some(page) = page.as_ref().filter(|page| !page.listed.is_empty()) {
-                    self.membership.take_list_of_peer(&page.listed);
+                if let Some(page) = page.as_ref().filter(|page| !page.listed.is_empty())
+                    && self.membership.take_list_of_peer(&page.listed)
+                {
+                    self.right.take_list(&page.listed, now_ms);
                 }
                 self.configuration.fetched(operation, page, &mut self.out);
             }
@@ -180,12 +186,15 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
         self.configuration.tick(&self.membership, &mut self.out);
-        self.allowances = None;
+        self.refresh_right();
         self.admit(Egress::tick);
         self.tell_leaving();
         self.own_loads = self.admit(|egress, scope, out| egress.loads(scope, out.now_ms()));
         let own = OwnState { news: self.configuration.news(now_ms), loads: &self.own_loads };
-        self.membership.tick(own, &mut self.out);
+        self.right.count_in_flight(|upstream| self.egress.in_flight(upstream));
+        self.membership.tick(own, &mut self.right, &mut self.out);
+        // What was promised to other members just now must hold for the next dispatch.
+        self.allowances = None;
         let identity = self.out.shared_identity();
         let means = means!(self, identity);
         let concluded = self.ingress.tick(means, &mut self.out);
@@ -258,6 +267,10 @@
             && self.once.hand_over(&self.membership, &mut self.out)
         {
             self.out.log(Topic::Node, "stop_ended", &[]);
+            self.right.end();
+            if self.right.is_idle() {
+                self.membership.say_farewell(&mut self.out);
+            }
             self.out.push(Action::Stopped);
         }
     }
@@ -290,22 +303,13 @@
         }
     }
 
-    /// Returns the VMs that serve in a failure domain, this node among them.
-    fn serving_in(&self, domain: DomainKey) -> Vec<VmKey> {
-        let identity = self.out.identity();
-        let mut alive = self.membership.alive_in(domain);
-        if identity.card.domain == domain {
-            alive.push((identity.vm, identity.card.leaving));
-        }
-        membership::serving_among(&alive)
-    }
-
     /// Takes in the platform's list, which may name VMs of upstreams as well.
     fn vm_list(&mut self, listed: Vec<ListedVm>) {
         let catalogue = Arc::clone(self.configuration.catalogue());
         let is_upstream =
             |vm: &ListedVm| catalogue.upstreams.contains_key(&UpstreamKey::of(&vm.name));
         let (upstreams, vms): (Vec<_>, Vec<_>) = listed.into_iter().partition(is_upstream);
+        self.right.take_list(&vms, self.out.now_ms());
         self.membership.take_list(vms);
         for vm in upstreams.into_iter().filter(|vm| vm.leaving) {
             let upstream = UpstreamKey::of(&vm.name);
@@ -369,10 +373,16 @@
     }
 
     fn allowances(&self) -> Vec<Allowance> {
-        let identity = self.out.identity();
-        let serving = self.serving_in(identity.card.domain);
+        self.right.allowances(self.out.now_ms())
+    }
+
+    fn refresh_right(&mut self) {
+        self.allowances = None;
+        let revision = self.configuration.revision();
         let catalogue = self.configuration.catalogue();
-        allowance::whole(identity.vm, identity.card.domain, &serving, catalogue)
+        let egress = &self.egress;
+        let in_flight = |upstream| egress.in_flight(upstream);
+        self.right.refresh(&self.membership, catalogue, revision, in_flight, &mut self.out);
     }
 
     /// Takes in that a member has a revision in force, if it is known where to fetch it.
@@ -388,6 +398,21 @@
         self.ingress.places_mut().take_baseline(from, baseline, &means, &mut self.out);
     }
 
+    fn heartbeat(&mut self, envelope: &Envelope, heartbeat: &Heartbeat) {
+        let boot = |node: &Self| node.membership.member(envelope.from).map(|known| known.boot);
+        let known = boot(self);
+        if self.membership.take_heartbeat(envelope, heartbeat, &mut self.out) {
+            self.right.take_heartbeat(envelope, heartbeat);
+            let (named, own) = (heartbeat.roster, self.right.roster_digest());
+            self.membership.compare_rosters(envelope.from, named, own, &mut self.out);
+        }
+        if boot(self) != known {
+            self.tell_newcomer(envelope.from);
+        }
+        self.configuration.hear_head_age(heartbeat.news.head_age_ms, &self.out);
+        self.hear_revision(envelope.from, heartbeat.news.revision);
+    }
+
     fn datagram(&mut self, envelope: &Envelope) {
         if envelope.from == self.out.identity().vm {
             return;
@@ -397,16 +422,11 @@
             Message::LeavingUpstreams(leaving) => {
                 self.admit(|egress, scope, out| egress.take_leaving(leaving, scope, out));
             }
-            Message::Heartbeat(heartbeat) => {
-                let boot =
-                    |node: &Self| node.membership.member(envelope.from).map(|known| known.boot);
-                let known = boot(self);
-                self.membership.take_heartbeat(envelope, heartbeat, &mut self.out);
-                if boot(self) != known {
-                    self.tell_newcomer(envelope.from);
+            Message::Heartbeat(heartbeat) => self.heartbeat(envelope, heartbeat),
+            Message::Farewell => {
+                if self.membership.take_farewell(envelope, &mut self.out) {
+                    self.right.take_farewell(envelope.from, envelope.boot);
                 }
-                self.configuration.hear_head_age(heartbeat.news.head_age_ms, &self.out);
-                self.hear_revision(envelope.from, heartbeat.news.revision);
             }
             Message::Revision(notice) => {
                 self.configuration.hear_head_age(notice.news.head_age_ms, &self.out);
