--- a/crates/sedgepath-core/src/message.rs
+++ b/crates/sedgepath-core/src/message.rs
@@ -27,6 +27,8 @@
 pub enum Message {
     /// A sign of life to a member of the same failure domain.
     Heartbeat(Heartbeat),
+    /// A new configuration revision.
+    Revision(RevisionNotice),
     /// A node that has just started asks where traffic stands.
     BaselineRequest,
     /// The answer to it.
@@ -41,6 +43,25 @@
     LeavingUpstreams(LeavingUpstreams),
 }
 
+/// What a node knows of the configuration, passed on with every sign of life.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationNews {
+    /// The revision that the node has in force.
+    pub revision: u64,
+    /// The time since the newest successful reading of the platform's head that the node knows of,
+    /// in milliseconds; a time on the wire, since clocks differ between nodes.
+    pub head_age_ms: u64,
+}
+
+/// Tells of a revision that the sender has just put in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionNotice {
+    /// What the sender knows of the configuration.
+    pub news: ConfigurationNews,
+    /// Where the sender takes remote calls, to fetch the records from.
+    pub operators: SocketAddr,
+}
+
 /// Where traffic stands, for a node that has just started.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Baseline {
@@ -81,8 +102,8 @@
     pub sent_at_ms: u64,
     /// The sender's name and addresses, until the receiver has acknowledged them.
     pub card: Option<MemberCard>,
-    /// The configuration revision that the sender has in force.
-    pub revision: u64,
+    /// What the sender knows of the configuration.
+    pub news: ConfigurationNews,
     /// The sender's load by service.
     pub loads: Vec<ServiceLoad>,
     /// Acknowledges the last heartbeat of the receiver that the sender has.
--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -9,16 +9,21 @@
 use crate::allowance::{self, Allowance};
 use crate::candidates::View;
 use crate::configuration::Configuration;
+use crate::configuration::store::{Page, Position};
 use crate::egress::{Egress, Scope};
 use crate::event::{Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError};
+use crate::explain::{Explanation, Question};
 use crate::identity::{Identity, NodeSettings};
-use crate::ingress::{Conclusion, Ingress, Means};
-use crate::key::{DomainKey, UpstreamKey, VmKey};
+use crate::ingress::{self, Conclusion, Ingress, Means};
+use crate::key::{DomainKey, RequestKey, ServiceKey, UpstreamKey, VmKey};
 use crate::membership::{self, Membership, OwnState};
 use crate::message::{Baseline, Envelope, Message, ServiceLoad};
+use crate::once::tickets::MintError;
+use crate::once::{self, OnceSystem};
 use crate::outbox::Outbox;
+use crate::request::{HopEnd, Once, RequestHead, Ticket};
 use crate::steering::{ByHeadroom, SteeringPolicy};
-use crate::stop::PlannedStop;
+use crate::stop::{self, PlannedStop};
 use crate::timeline::Topic;
 
 /// What the ingress decides by: a macro, so that the ingress and the outbox can be borrowed beside.
@@ -30,6 +35,7 @@
                 identity: &$identity,
                 catalogue: $node.configuration.catalogue(),
                 revision: $node.configuration.revision(),
+                ready: $node.configuration.ready() && !$node.stop.refuses($node.out.now_ms()),
                 membership: &$node.membership,
                 own_loads: &$node.own_loads,
             },
@@ -48,6 +54,7 @@
     policy: Box<dyn SteeringPolicy>,
     ingress: Ingress,
     egress: Egress,
+    once: OnceSystem,
     /// What the node may use; none when it has to be worked out anew.
     allowances: Option<Vec<Allowance>>,
     stop: PlannedStop,
@@ -59,11 +66,12 @@
     pub fn new(identity: Identity, settings: NodeSettings) -> Self {
         Self {
             out: Outbox::new(identity),
-            configuration: Configuration::default(),
+            configuration: Configuration::new(settings.clone()),
             membership: Membership::new(settings.clone()),
             policy: Box::new(ByHeadroom),
             ingress: Ingress::new(settings.seed),
             egress: Egress::new(settings.admission),
+            once: OnceSystem::default(),
             allowances: None,
             stop: PlannedStop::default(),
             own_loads: Vec::new(),
@@ -82,6 +90,15 @@
         &self.configuration
     }
 
+    /// Returns the next page of the records that were written after a position, for a peer.
+    pub fn page(&self, after: &Position) -> Page {
+        let mut page = self.configuration.page(after);
+        if after.is_first() {
+            page.listed = self.membership.listed().to_vec();
+        }
+        page
+    }
+
     /// Returns the members heard of.
     pub fn membership(&self) -> &Membership {
         &self.membership
@@ -101,25 +118,28 @@
                 let answer = self.look_up(&look_up);
                 self.out.push(Action::AnswerLookUp { reply, answer });
             }
-            Event::Request { request, head } => {
-                let identity = self.out.shared_identity();
-                let means = means!(self, identity);
-                let conclusion = self.ingress.begin(request, &head, means, &mut self.out);
-                self.conclude(conclusion);
+            Event::MintTickets { reply, service, count } => {
+                let tickets = self.mint(&service, count);
+                self.out.push(Action::AnswerTickets { reply, tickets });
             }
+            Event::Request { request, head } => self.request(request, &head),
             Event::HopAnswered { request, attempt, .. } => {
-                self.ingress.hop_answered(request, attempt, &mut self.out);
+                if !self.once.hop_answered(request, attempt, &mut self.out) {
+                    self.ingress.hop_answered(request, attempt, &mut self.out);
+                }
             }
-            Event::HopEnded { request, attempt, end } => {
-                let identity = self.out.shared_identity();
-                let means = means!(self, identity);
-                let out = &mut self.out;
-                let conclusion = self.ingress.hop_ended(request, attempt, end, means, out);
-                self.conclude(conclusion);
+            Event::HopEnded { request, attempt, end } => self.hop_ended(request, attempt, end),
+            Event::RelayEnded { request, stored, .. } => {
+                self.once.relay_ended(request, stored, &mut self.out);
+                self.ingress.forget(request);
             }
-            Event::RelayEnded { request, .. } | Event::CallerGone { request } => {
+            Event::CallerGone { request } => {
+                self.once.caller_gone(request, &mut self.out);
                 self.ingress.forget(request);
             }
+            Event::Dispatched { exchange, .. } if self.stop.refuses(now_ms) => {
+                self.out.push(Action::Refuse { exchange, refusal: stop::REFUSAL });
+            }
             Event::Dispatched { exchange, dispatch, .. } => {
                 self.admit(|egress, scope, out| egress.dispatch(exchange, &dispatch, scope, out));
             }
@@ -135,35 +155,89 @@
             }
             Event::Datagram(envelope) => self.datagram(&envelope),
             Event::Table { operation, result } => {
-                self.configuration.take_result(operation, &result, &mut self.out);
+                if !self.once.take_result(operation, &result, &mut self.out) {
+                    self.configuration.take_result(operation, &result, &mut self.out);
+                }
             }
             Event::VmList(listed) => self.vm_list(listed),
-            Event::Fetched { snapshot, .. } => {
-                if let Some(snapshot) = snapshot {
-                    self.configuration.apply(snapshot, &mut self.out);
+            Event::Fetched { operation, page } => {
+                if let Some(page) = page.as_ref().filter(|page| !page.listed.is_empty()) {
+                    self.membership.take_list_of_peer(&page.listed);
                 }
+                self.configuration.fetched(operation, page, &mut self.out);
+            }
+            Event::Change { reply, request } => {
+                self.configuration.begin_change(reply, request, &mut self.out);
             }
+            Event::HandedOver(tickets) => self.once.keep(tickets),
+            Event::HandOverEnded { operation, taken } => self.once.copied(operation, taken),
             Event::Stop => self.begin_stop(),
         }
-        self.out.take_actions()
+        self.settle_once()
     }
 
     /// Runs the systems that work by time; to be called every few tens of milliseconds.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         self.out.set_now_ms(now_ms);
-        self.configuration.tick(self.settings.head_every_ms, &mut self.out);
+        self.configuration.tick(&self.membership, &mut self.out);
         self.allowances = None;
         self.admit(Egress::tick);
         self.tell_leaving();
         self.own_loads = self.admit(|egress, scope, out| egress.loads(scope, out.now_ms()));
-        let own = OwnState { revision: self.configuration.revision(), loads: &self.own_loads };
+        let own = OwnState { news: self.configuration.news(now_ms), loads: &self.own_loads };
         self.membership.tick(own, &mut self.out);
         let identity = self.out.shared_identity();
         let means = means!(self, identity);
         let concluded = self.ingress.tick(means, &mut self.out);
         self.conclude(concluded);
+        self.once.tick(&mut self.out);
         self.end_stop();
-        self.out.take_actions()
+        self.settle_once()
+    }
+
+    fn request(&mut self, request: RequestKey, head: &RequestHead) {
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        let is_once = head.once != Once::Repeatable;
+        let is_known = is_once && ingress::knows(head, means.view.catalogue);
+        if is_known && !self.once.admit(request, head, &self.membership, &mut self.out) {
+            return;
+        }
+        let mut conclusion = self.ingress.begin(request, head, means, &mut self.out);
+        if let Some(conclusion) = conclusion.as_mut().filter(|_| is_once && !is_known) {
+            once::hedge(head, &mut conclusion.outcome);
+        }
+        self.conclude(conclusion);
+    }
+
+    fn hop_ended(&mut self, request: RequestKey, attempt: u32, end: HopEnd) {
+        if self.once.hop_ended(request, end, &self.membership, &mut self.out) {
+            return;
+        }
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        let conclusion = self.ingress.hop_ended(request, attempt, end, means, &mut self.out);
+        self.conclude(conclusion);
+    }
+
+    /// Starts the once-only requests that may run and takes the actions, with the ends of once-only
+    /// requests accounted for.
+    fn settle_once(&mut self) -> Vec<Action> {
+        for (request, head) in self.once.take_granted() {
+            self.request(request, &head);
+        }
+        self.once.settle(&mut self.out)
+    }
+
+    fn mint(&mut self, service: &str, count: u32) -> Result<Vec<Ticket>, MintError> {
+        let service = ServiceKey::of(service);
+        if !self.configuration.catalogue().services.contains_key(&service) {
+            return Err(MintError::NoService);
+        }
+        if self.stop.has_begun() {
+            return Err(MintError::Stopping);
+        }
+        self.once.mint(service, count, &self.out)
     }
 
     fn begin_stop(&mut self) {
@@ -180,7 +254,9 @@
 
     fn end_stop(&mut self) {
         let in_flight = self.ingress.in_flight() + self.egress.calls_in_flight();
-        if self.stop.may_end(self.out.now_ms(), in_flight) {
+        if self.stop.may_end(self.out.now_ms(), in_flight)
+            && self.once.hand_over(&self.membership, &mut self.out)
+        {
             self.out.log(Topic::Node, "stop_ended", &[]);
             self.out.push(Action::Stopped);
         }
@@ -198,6 +274,13 @@
         self.ingress.look_ups_mut().answer(look_up, valid_ms, &means.view)
     }
 
+    /// Explains where a request would go.
+    pub fn explain(&self, question: &Question) -> Explanation {
+        let identity = self.out.shared_identity();
+        let means = means!(self, identity);
+        means.view.explain(question, means.policy)
+    }
+
     /// Gives requests their final outcomes.
     fn conclude(&mut self, concluded: impl IntoIterator<Item = Conclusion>) {
         for Conclusion { request, outcome } in concluded {
@@ -290,6 +373,13 @@
         allowance::whole(identity.vm, identity.card.domain, &serving, catalogue)
     }
 
+    /// Takes in that a member has a revision in force, if it is known where to fetch it.
+    fn hear_revision(&mut self, vm: VmKey, revision: u64) {
+        if let Some(member) = self.membership.member(vm) {
+            self.configuration.hear_revision(vm, member.card.operators, revision);
+        }
+    }
+
     fn baseline(&mut self, from: VmKey, baseline: Option<&Baseline>) {
         let identity = self.out.shared_identity();
         let means = means!(self, identity);
@@ -313,6 +403,13 @@
                 if boot(self) != known {
                     self.tell_newcomer(envelope.from);
                 }
+                self.configuration.hear_head_age(heartbeat.news.head_age_ms, &self.out);
+                self.hear_revision(envelope.from, heartbeat.news.revision);
+            }
+            Message::Revision(notice) => {
+                self.configuration.hear_head_age(notice.news.head_age_ms, &self.out);
+                let revision = notice.news.revision;
+                self.configuration.hear_revision(envelope.from, notice.operators, revision);
             }
             Message::BaselineRequest => self.baseline(envelope.from, None),
             Message::Baseline(baseline) => self.baseline(envelope.from, Some(baseline)),
@@ -320,7 +417,12 @@
             Message::ProbeAnswer(answer) => {
                 self.membership.take_probe_answer(answer, &mut self.out);
             }
-            Message::Summary(summary) => self.membership.take_summary(summary, &mut self.out),
+            Message::Summary(summary) => {
+                self.membership.take_summary(summary, &mut self.out);
+                for line in &summary.lines {
+                    self.hear_revision(line.vm, line.revision);
+                }
+            }
         }
     }
 }
--- a/crates/sedgepath-test-support/src/bed.rs
+++ b/crates/sedgepath-test-support/src/bed.rs
@@ -11,19 +11,22 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRequest};
+use sedgepath_core::configuration::store::{Page, Position};
 use sedgepath_core::event::{
     Action, Event, ListedVm, LookUp, LookUpAnswer, LookUpError, UpstreamReport,
 };
 use sedgepath_core::hash::Digest;
 use sedgepath_core::identity::{Identity, NodeSettings};
 use sedgepath_core::key::{
-    BootId, DomainKey, ExchangeKey, OperationKey, RequestKey, UpstreamKey, VmKey,
+    BootId, DomainKey, ExchangeKey, OperationKey, ReplyKey, RequestKey, UpstreamKey, VmKey,
 };
 use sedgepath_core::message::MemberCard;
 use sedgepath_core::node::Node;
+use sedgepath_core::once::row::HandedOver;
 use sedgepath_core::record::RawRecord;
 use sedgepath_core::request::{
-    AnswerHead, CallEnd, Dispatch, HopEnd, Once, Outcome, RequestHead, StoredAnswer,
+    AnswerHead, CallEnd, Dispatch, HopEnd, Once, Outcome, RequestHead, StoredAnswer, Ticket,
 };
 use sedgepath_core::steering::{ByHeadroom, SteeringPolicy};
 use sedgepath_core::table::{TableRequest, TableResult};
@@ -67,7 +70,7 @@
     Broken,
 }
 
-/// The datagrams that a node sent and received.
+/// What a node sent and received.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Traffic {
     /// The datagrams sent, lost ones among them.
@@ -78,6 +81,14 @@
     pub received: u64,
     /// Their bytes, counted like those sent.
     pub received_bytes: u64,
+    /// Reads and scans of the table, whether or not they were answered.
+    pub table_reads: u64,
+    /// Commits to the table, whether or not they were answered.
+    pub table_commits: u64,
+    /// Pages of records asked of peers.
+    pub fetches: u64,
+    /// The bytes of the pages that came, as JSON text.
+    pub fetched_bytes: u64,
 }
 
 /// The bytes of a datagram besides its envelope: a code of 16, and 28 of IPv4 and UDP headers.
@@ -127,13 +138,44 @@
 /// What is due at a time.
 #[derive(Debug, Clone)]
 enum Item {
-    Tick { node: NodeIndex, boot: u64 },
-    List { node: NodeIndex, boot: u64 },
-    Deliver { node: NodeIndex, boot: Option<u64>, event: Box<BedEvent> },
-    TableArrives { node: NodeIndex, boot: u64, operation: OperationKey, request: TableRequest },
-    LateWrite { request: TableRequest },
-    UpstreamArrives { owner: NodeIndex, boot: u64, exchange: ExchangeKey, upstream: UpstreamKey },
-    UpstreamDone { started: Started },
+    Tick {
+        node: NodeIndex,
+        boot: u64,
+    },
+    List {
+        node: NodeIndex,
+        boot: u64,
+    },
+    Deliver {
+        node: NodeIndex,
+        boot: Option<u64>,
+        event: Box<BedEvent>,
+    },
+    Asked {
+        node: NodeIndex,
+        boot: u64,
+        request: RequestKey,
+        head: Box<RequestHead>,
+    },
+    TableArrives {
+        node: NodeIndex,
+        boot: u64,
+        operation: OperationKey,
+        request: TableRequest,
+    },
+    LateWrite {
+        request: TableRequest,
+    },
+    UpstreamArrives {
+        owner: NodeIndex,
+        boot: u64,
+        exchange: ExchangeKey,
+        upstream: UpstreamKey,
+        call: Option<CallIndex>,
+    },
+    UpstreamDone {
+        started: Started,
+    },
 }
 
 /// An event on its way to a node; cloneable, unlike [`Event`].
@@ -146,7 +188,8 @@
     HopEnded(RequestKey, u32, HopEnd),
     CallEnded(ExchangeKey, CallEnd, u64),
     Report(UpstreamKey, UpstreamReport),
-    Fetched(OperationKey, Option<sedgepath_core::event::Snapshot>),
+    Fetched(OperationKey, Option<Page>),
+    HandOverEnded(OperationKey, bool),
 }
 
 /// Nodes, upstreams and a table under one clock.
@@ -166,8 +209,14 @@
     /// The upstreams and what they counted.
     pub upstreams: FakeUpstreams,
     calls: Vec<Call>,
+    changes: BTreeMap<ReplyKey, ChangeOutcome>,
     next_number: u64,
     log: Vec<(NodeIndex, sedgepath_core::timeline::Entry)>,
+    minted: Vec<Ticket>,
+    /// The transactions that have reached the table.
+    pub table_commits: u64,
+    /// The readings that have reached the table.
+    pub table_reads: u64,
     absent_from_list: BTreeSet<NodeIndex>,
     leaving_in_list: BTreeSet<NodeIndex>,
     leaving_upstreams: Vec<ListedVm>,
@@ -176,6 +225,22 @@
 /// The bed's clock starts well after zero, so that nothing depends on times before the start.
 pub const START_MS: u64 = 1_000_000;
 
+/// Creates a guest's repeatable request from loopback.
+pub fn guest_request(service: &str, deadline_at_ms: u64) -> RequestHead {
+    RequestHead {
+        service: service.into(),
+        source: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        key_digest: None,
+        deadline_at_ms,
+        once: Once::Repeatable,
+        attempt: 0,
+        idempotent: true,
+        digest: Digest::of(&[b"GET /"]),
+        revision_seen: 0,
+        forwarded_by: None,
+    }
+}
+
 impl Bed {
     /// Creates an empty bed whose delays are drawn from a seed.
     pub fn new(seed: u64) -> Self {
@@ -192,8 +257,12 @@
             faults: Faults::default(),
             upstreams: FakeUpstreams::default(),
             calls: Vec::new(),
+            changes: BTreeMap::new(),
             next_number: 1,
             log: Vec::new(),
+            minted: Vec::new(),
+            table_commits: 0,
+            table_reads: 0,
             absent_from_list: BTreeSet::new(),
             leaving_in_list: BTreeSet::new(),
             leaving_upstreams: Vec::new(),
@@ -387,6 +456,7 @@
             key_digest: None,
             deadline_at_ms: self.now_ms + 2_000,
             once: Once::Repeatable,
+            attempt: 0,
             idempotent: true,
             digest: Digest::of(&[b"GET /"]),
             revision_seen: 0,
@@ -413,10 +483,43 @@
         self.nodes[node].requests.insert(request, call);
         let mut head = head;
         head.deadline_at_ms = head.deadline_at_ms.saturating_add_signed(self.nodes[node].skew_ms);
-        self.handle(node, Event::Request { request, head });
+        self.ask(node, request, head);
         call
     }
 
+    /// Asks a node for tickets; there are none if it refuses or does not run.
+    pub fn mint(&mut self, node: NodeIndex, service: &str, count: u32) -> Vec<Ticket> {
+        self.minted.clear();
+        if self.runs(node) {
+            let reply = ReplyKey(self.number());
+            self.handle(node, Event::MintTickets { reply, service: service.into(), count });
+        }
+        std::mem::take(&mut self.minted)
+    }
+
+    /// Hands a request to a node; one that is paused finds it when it wakes.
+    fn ask(&mut self, node: NodeIndex, request: RequestKey, head: RequestHead) {
+        if self.nodes[node].paused {
+            let boot = self.nodes[node].boots;
+            let item = Item::Asked { node, boot, request, head: Box::new(head) };
+            self.nodes[node].held.push_back(item);
+        } else {
+            self.handle(node, Event::Request { request, head });
+        }
+    }
+
+    /// Asks a node for a change of the configuration, as an operator's command does.
+    pub fn change(&mut self, node: NodeIndex, request: ChangeRequest) -> ReplyKey {
+        let reply = ReplyKey(self.number());
+        self.handle(node, Event::Change { reply, request });
+        reply
+    }
+
+    /// Returns what became of a change; none until the node has told.
+    pub fn change_outcome(&self, reply: ReplyKey) -> Option<&ChangeOutcome> {
+        self.changes.get(&reply)
+    }
+
     /// Asks a node which entry VMs to use.
     ///
     /// # Errors
@@ -461,9 +564,10 @@
 
     fn take(&mut self, item: Item) {
         let node = match &item {
-            Item::Tick { node, .. } | Item::List { node, .. } | Item::Deliver { node, .. } => {
-                Some(*node)
-            }
+            Item::Tick { node, .. }
+            | Item::List { node, .. }
+            | Item::Deliver { node, .. }
+            | Item::Asked { node, .. } => Some(*node),
             _ => None,
         };
         if let Some(node) = node
@@ -483,8 +587,13 @@
                 // Its answer was lost when it was sent; what became of it shows in the table.
                 let _unseen = self.table.execute(&request);
             }
-            Item::UpstreamArrives { owner, boot, exchange, upstream } => {
-                self.upstream_arrives(owner, boot, exchange, upstream);
+            Item::UpstreamArrives { owner, boot, exchange, upstream, call } => {
+                self.upstream_arrives(owner, boot, exchange, upstream, call);
+            }
+            Item::Asked { node, boot, request, head } => {
+                if self.is_boot(node, boot) {
+                    self.handle(node, Event::Request { request, head: *head });
+                }
             }
             Item::UpstreamDone { started } => self.upstream_done(&started),
         }
@@ -547,7 +656,8 @@
                 Event::CallEnded { exchange, end, took_ms }
             }
             BedEvent::Report(upstream, report) => Event::UpstreamReport { upstream, report },
-            BedEvent::Fetched(operation, snapshot) => Event::Fetched { operation, snapshot },
+            BedEvent::HandOverEnded(operation, taken) => Event::HandOverEnded { operation, taken },
+            BedEvent::Fetched(operation, page) => Event::Fetched { operation, page },
             BedEvent::Dispatch(dispatch, exchange) => {
                 let key = ExchangeKey(self.number());
                 let from = VmKey::of(&self.nodes[exchange.ingress].name);
@@ -574,6 +684,12 @@
                 self.forward_home(index, request, attempt, to);
             }
             Action::Relay { request, attempt } => self.relay(index, request, attempt),
+            Action::AnswerTickets { tickets, .. } => {
+                self.minted = tickets.unwrap_or_default();
+            }
+            Action::HandOver { operation, to, tickets, .. } => {
+                self.hand_over(index, operation, to, tickets);
+            }
             Action::Abandon { .. } | Action::AnswerLookUp { .. } | Action::Cancel { .. } => {}
             Action::Conclude { request, outcome } => {
                 if let Some(call) = self.nodes[index].requests.remove(&request) {
@@ -589,7 +705,12 @@
                 }
             }
             Action::Table { operation, request } => self.table_request(index, operation, request),
-            Action::Fetch { operation, from } => self.fetch(index, operation, from),
+            Action::Fetch { operation, from, after } => {
+                self.fetch(index, operation, from, &after);
+            }
+            Action::AnswerChange { reply, outcome } => {
+                self.changes.insert(reply, outcome);
+            }
             Action::Log(entry) => self.log.push((index, entry)),
             Action::Stopped => {
                 self.nodes[index].stopped = true;
@@ -668,7 +789,7 @@
         head.deadline_at_ms = head.deadline_at_ms.saturating_add_signed(self.nodes[target].skew_ms);
         let forwarded = RequestKey(self.number());
         self.nodes[target].requests.insert(forwarded, call);
-        self.handle(target, Event::Request { request: forwarded, head });
+        self.ask(target, forwarded, head);
     }
 
     fn relay(&mut self, index: NodeIndex, request: RequestKey, _attempt: u32) {
@@ -706,7 +827,8 @@
             return;
         }
         let boot = self.nodes[index].boots;
-        let item = Item::UpstreamArrives { owner: index, boot, exchange, upstream };
+        let call = self.nodes[index].exchanges.get(&exchange).map(|entry| entry.call);
+        let item = Item::UpstreamArrives { owner: index, boot, exchange, upstream, call };
         self.schedule(delay_ms + 1, item);
     }
 
@@ -716,9 +838,8 @@
         boot: u64,
         exchange: ExchangeKey,
         upstream: UpstreamKey,
+        call: Option<CallIndex>,
     ) {
-        let entry = self.nodes[owner].exchanges.get(&exchange).cloned();
-        let call = entry.as_ref().map(|entry| entry.call);
         let head = call.map(|call| self.calls[call].head.clone());
         let started = self.upstreams.start(
             Started { owner, boot, exchange, upstream, call, at_ms: self.now_ms },
@@ -787,6 +908,12 @@
     }
 
     fn table_request(&mut self, index: NodeIndex, operation: OperationKey, request: TableRequest) {
+        match request {
+            TableRequest::Commit(_) => self.nodes[index].traffic.table_commits += 1,
+            TableRequest::Read(_) | TableRequest::Scan { .. } => {
+                self.nodes[index].traffic.table_reads += 1;
+            }
+        }
         let boot = self.nodes[index].boots;
         let down = self.faults.platform_down;
         if down || !self.faults.reaches(Place::Node(index), Place::Platform) {
@@ -807,6 +934,8 @@
         request: &TableRequest,
     ) {
         let commits = matches!(request, TableRequest::Commit(_));
+        self.table_commits += u64::from(commits);
+        self.table_reads += u64::from(!commits);
         if commits && self.faults.late_writes > 0 {
             self.faults.late_writes -= 1;
             let late_by_ms = self.faults.late_by_ms;
@@ -831,14 +960,36 @@
         self.schedule(delay_ms, Item::Deliver { node: index, boot: Some(boot), event });
     }
 
-    fn fetch(&mut self, index: NodeIndex, operation: OperationKey, from: SocketAddr) {
+    fn fetch(
+        &mut self,
+        index: NodeIndex,
+        operation: OperationKey,
+        from: SocketAddr,
+        after: &Position,
+    ) {
         let target = self.nodes.iter().position(|slot| slot.card.operators == from);
         let reached = target.filter(|target| self.connects(index, *target) && self.runs(*target));
-        let snapshot = reached
-            .and_then(|target| self.node(target))
-            .map(|node| node.configuration().snapshot());
+        let page = reached.and_then(|target| self.node(target)).map(|node| node.page(after));
+        let bytes = page.as_ref().map_or(0, |page| serde_json::json!(page).to_string().len());
+        self.nodes[index].traffic.fetches += 1;
+        self.nodes[index].traffic.fetched_bytes += bytes as u64;
         let delay_ms = target.map_or(0, |target| 2 * self.delay_ms(index, target));
-        self.deliver_later(index, delay_ms, BedEvent::Fetched(operation, snapshot));
+        self.deliver_later(index, delay_ms, BedEvent::Fetched(operation, page));
+    }
+
+    fn hand_over(
+        &mut self,
+        index: NodeIndex,
+        operation: OperationKey,
+        to: VmKey,
+        tickets: HandedOver,
+    ) {
+        let target = self.nodes.iter().position(|slot| VmKey::of(&slot.name) == to);
+        let target = target.filter(|target| self.connects(index, *target) && self.runs(*target));
+        if let Some(target) = target {
+            self.handle(target, Event::HandedOver(tickets));
+        }
+        self.deliver_later(index, 10, BedEvent::HandOverEnded(operation, target.is_some()));
     }
 
     fn deliver_later(&mut self, index: NodeIndex, delay_ms: u64, event: BedEvent) {
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -4,40 +4,49 @@
 //! an idle connection, and closes a connection whose answer broke off, so that a caller can't take
 //! the next answer for the rest of this one. See docs/DESIGN.md.
 
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Instant;
 
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use sedgepath_core::event::{LookUp, LookUpError};
+use sedgepath_core::event::{Event, LookUp, LookUpError};
 use sedgepath_core::hash::Digest;
-use sedgepath_core::key::{BootId, VmKey};
-use sedgepath_core::request::{Once, RequestHead};
-use sedgepath_wire::frame::HttpRequestHead;
+use sedgepath_core::key::{BootId, RequestKey, VmKey};
+use sedgepath_core::request::RequestHead;
+use sedgepath_wire::frame::{HomeRequest, HttpRequestHead};
+use sedgepath_wire::key::SharedKey;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{Semaphore, watch};
 
 use crate::driver::Handle;
 use crate::exchange::passed_on;
 use crate::hop::Hops;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
+use crate::reply::{Answer, Reply};
 
 mod answers;
+mod collect;
+mod once;
 mod reading;
 mod relay;
 mod serving;
+mod tickets;
 
-use answers::{ResponseBody, json_response, outcome_of, refused};
+use answers::{
+    ResponseBody, append, conclude, concluded, json_response, outcome_of, refused, whole_response,
+};
 use reading::{deadline_at_ms, number, query_value, read_body};
-use serving::Serving;
+use relay::RelayBody;
+use serving::{Served, Serving};
 
 /// The header field that names a request; it is passed on to the upstream and stands on the answer.
 const REQUEST_ID: &str = "sedgepath-request-id";
@@ -45,6 +54,9 @@
 /// The path of look-ups.
 const LOOK_UP_PATH: &str = "/v1/lookup";
 
+/// The path of tickets.
+const TICKETS_PATH: &str = "/v1/tickets";
+
 /// The start of the paths of requests: `/v1/call/SERVICE/PATH`.
 const CALL_PREFIX: &str = "/v1/call/";
 
@@ -58,6 +70,7 @@
     hops: Arc<Hops>,
     metrics: Arc<Metrics>,
     limits: Limits,
+    ticket_key: SharedKey,
 }
 
 impl Callers {
@@ -69,8 +82,15 @@
         hops: Arc<Hops>,
         metrics: Arc<Metrics>,
         limits: Limits,
+        ticket_key: SharedKey,
     ) -> Arc<Self> {
-        Arc::new(Self { vm: VmKey::of(&name), name, boot, handle, hops, metrics, limits })
+        let vm = VmKey::of(&name);
+        Arc::new(Self { name, vm, boot, handle, hops, metrics, limits, ticket_key })
+    }
+
+    /// Returns the way to the node.
+    pub fn handle(&self) -> &Handle {
+        &self.handle
     }
 
     /// Takes connections until `stop` says so, then lets those that are open finish their requests.
@@ -139,6 +159,8 @@
         let id = request.headers().get(REQUEST_ID).cloned();
         let (mut response, outcome) = if request.uri().path() == LOOK_UP_PATH {
             (self.look_up(&request, source).await, "look_up")
+        } else if request.uri().path() == TICKETS_PATH {
+            (self.tickets(&request).await, "tickets")
         } else if request.uri().path().starts_with(CALL_PREFIX) {
             let response = self.call(request, source).await;
             let outcome = outcome_of(&response);
@@ -182,29 +204,36 @@
         }
     }
 
-    async fn call(&self, request: Request<Incoming>, source: IpAddr) -> Response<ResponseBody> {
+    async fn call(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        source: IpAddr,
+    ) -> Response<ResponseBody> {
         let (parts, incoming) = request.into_parts();
         let path = &parts.uri.path()[CALL_PREFIX.len()..];
         let (service, rest) = path.split_once('/').unwrap_or((path, ""));
         let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
         let target = format!("/{rest}{query}");
+        let key_digest = parts
+            .headers
+            .get("sedgepath-key")
+            .map(|key| Digest::of(&[b"organisation key", key.as_bytes()]));
+        let once = match once::once(&parts.headers, service, key_digest, &self.ticket_key) {
+            Ok(once) => once,
+            Err(error) => return refused(StatusCode::BAD_REQUEST, error.name()),
+        };
         let body = match read_body(incoming, &self.limits).await {
             Ok(body) => body,
             Err(status) => return refused(status, "body"),
         };
+        let now_ms = self.handle.clock().now_ms();
         let head = RequestHead {
             service: service.into(),
             source,
-            key_digest: parts
-                .headers
-                .get("sedgepath-key")
-                .map(|key| Digest::of(&[b"organisation key", key.as_bytes()])),
-            deadline_at_ms: deadline_at_ms(
-                &parts.headers,
-                self.handle.clock().now_ms(),
-                &self.limits,
-            ),
-            once: Once::Repeatable,
+            key_digest,
+            deadline_at_ms: deadline_at_ms(&parts.headers, now_ms, &self.limits),
+            once,
+            attempt: once::attempt(&parts.headers),
             idempotent: parts.method.is_idempotent(),
             digest: Digest::of(&[
                 parts.method.as_str().as_bytes(),
@@ -221,21 +250,75 @@
             fields: passed_on(&parts.headers),
             body_bytes: body.len() as u64,
         };
-        let (request, actions) = self.handle.request(head);
-        let (attempt_sender, attempts) = mpsc::unbounded_channel();
-        let serving = Serving {
-            callers: self,
+        let served = Serving::new(Arc::clone(self), head, http, body).serve().await;
+        self.response(served)
+    }
+
+    /// Serves a request that a peer has forwarded because this node is its ticket's home, by the
+    /// path of a caller's own request.
+    pub async fn take_home(
+        self: &Arc<Self>,
+        from: VmKey,
+        home: HomeRequest,
+        http: HttpRequestHead,
+        body: Bytes,
+    ) -> Reply {
+        let head = RequestHead {
+            service: home.service,
+            source: home.source,
+            key_digest: home.key_digest,
+            deadline_at_ms: self.handle.clock().now_ms().saturating_add(home.remaining_ms),
+            once: home.once,
+            attempt: home.attempt,
+            idempotent: false,
+            digest: home.digest,
+            revision_seen: 0,
+            forwarded_by: Some(from),
+        };
+        match Serving::new(Arc::clone(self), head, http, body).serve().await {
+            Served::Answer { answer, request, is_ended } => {
+                if !is_ended {
+                    let event = Event::RelayEnded { request, whole: true, stored: None };
+                    self.handle.event(event);
+                }
+                Reply::Answer(answer)
+            }
+            served => concluded(self.response(served)).await,
+        }
+    }
+
+    fn response(&self, served: Served) -> Response<ResponseBody> {
+        match served {
+            Served::Answer { answer, request, is_ended } => self.relay(*answer, request, is_ended),
+            Served::Outcome(outcome) => conclude(&outcome, self.handle.clock().now_ms()),
+            Served::Passed { status, fields, body } => {
+                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+                let mut response = whole_response(status, body);
+                append(&mut response, &fields);
+                response
+            }
+            Served::Stopping => refused(StatusCode::SERVICE_UNAVAILABLE, "not_ready"),
+        }
+    }
+
+    fn relay(&self, answer: Answer, request: RequestKey, ended: bool) -> Response<ResponseBody> {
+        let status = StatusCode::from_u16(answer.head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let body = RelayBody {
+            parts: answer.body,
+            left_bytes: answer.http.body_bytes,
+            handle: self.handle.clone(),
             request,
-            http,
-            body,
-            actions,
-            attempt_sender,
-            attempts,
-            running: HashMap::new(),
-            replies: HashMap::new(),
-            concluded: false,
+            ended,
         };
-        serving.run().await
+        let mut response = Response::new(UnsyncBoxBody::new(body));
+        *response.status_mut() = status;
+        append(&mut response, &answer.http.fields);
+        let headers = response.headers_mut();
+        headers.insert("sedgepath-outcome", HeaderValue::from_static("answered"));
+        if let Ok(name) = HeaderValue::from_str(&self.name) {
+            headers.insert("sedgepath-entry-vm", name);
+        }
+        response
     }
 }
 
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -9,7 +9,7 @@
 use crossbeam::channel::unbounded;
 use jsonrpsee::server::Server;
 use sedgepath_core::event::Event;
-use sedgepath_core::identity::{Identity, NodeSettings};
+use sedgepath_core::identity::Identity;
 use sedgepath_core::key::{BootId, DomainKey};
 use sedgepath_core::message::MemberCard;
 use sedgepath_core::node::Node;
@@ -25,6 +25,7 @@
 use crate::datagrams;
 use crate::driver::{self, Clock, Outlets};
 use crate::exchange::Exchanges;
+use crate::homes;
 use crate::hop::Hops;
 use crate::logging;
 use crate::metrics::{self, Metrics, MetricsError};
@@ -85,15 +86,18 @@
 
     let boot = BootId(fastrand::u64(..));
     let clock = Clock::new();
-    let node = Node::new(identity(settings, boot), node_settings());
+    let node =
+        Node::new(identity(settings, boot), settings.timing.node_settings(fastrand::u64(..)));
     let (platform_sender, platform_jobs) = unbounded();
     let (fetch_sender, fetch_jobs) = mpsc::unbounded_channel();
+    let (hand_over_sender, hand_overs) = mpsc::unbounded_channel();
     let datagram_key = SharedKey::new(&settings.secret, "datagrams");
     let outlets = Outlets {
         socket: socket.try_clone().map_err(listen("datagrams of peers", settings.peers))?,
         datagram_key: datagram_key.clone(),
         platform: platform_sender,
         fetches: fetch_sender,
+        hand_overs: hand_over_sender,
         metrics: Arc::clone(&metrics),
     };
     let (handle, node_thread) = driver::start(node, clock, outlets);
@@ -107,11 +111,18 @@
 
     let frame_key = SharedKey::new(&settings.secret, "frames");
     let exchanges = Exchanges::new(handle.clone(), Upstreams::new(handle.clone()), boot);
-    let peers = Peers::new(frame_key.clone(), exchanges.clone(), Arc::clone(&metrics));
     let vm = sedgepath_core::key::VmKey::of(&settings.name);
-    let hops = Hops::new(vm, frame_key, clock, exchanges, Arc::clone(&metrics));
-    let callers =
-        Callers::new(settings.name.clone(), boot, handle.clone(), hops, metrics, settings.limits);
+    let hops = Hops::new(vm, frame_key.clone(), clock, exchanges.clone(), Arc::clone(&metrics));
+    let callers = Callers::new(
+        settings.name.clone(),
+        boot,
+        handle.clone(),
+        Arc::clone(&hops),
+        Arc::clone(&metrics),
+        settings.limits,
+        SharedKey::new(&settings.secret, "tickets"),
+    );
+    let peers = Peers::new(frame_key, exchanges, Arc::clone(&callers), metrics);
 
     let (stop_callers, callers_stop) = watch::channel(false);
     let serving_callers = runtime.block_on(async {
@@ -124,10 +135,11 @@
             .build(settings.operators)
             .await
             .map_err(listen("operators", settings.operators))?;
-        let serving = server.start(Operators::new(handle.clone()).into_rpc());
+        let serving = server.start(Operators::new(handle.clone(), Arc::clone(&table)).into_rpc());
         let serving_callers = tokio::spawn(callers.serve(callers_listener, callers_stop));
         tokio::spawn(peers.serve(peers_listener));
         tokio::spawn(operators::run_fetches(fetch_jobs, handle.clone()));
+        tokio::spawn(homes::run_hand_overs(hand_overs, hops, handle.clone(), boot));
         tokio::spawn(serving.stopped());
         Ok::<_, DaemonError>(serving_callers)
     })?;
@@ -167,7 +179,3 @@
     };
     Identity::new(card, boot)
 }
-
-fn node_settings() -> NodeSettings {
-    NodeSettings { seed: fastrand::u64(..), ..NodeSettings::default() }
-}
--- a/crates/sedgepathd/src/lib.rs
+++ b/crates/sedgepathd/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod datagrams;
 pub mod driver;
 pub mod exchange;
+pub mod homes;
 pub mod hop;
 pub mod limits;
 pub mod logging;
--- a/crates/sedgepathd/src/limits.rs
+++ b/crates/sedgepathd/src/limits.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// The bounds, as written under `limits` in the settings.
-#[derive(Debug, Clone, Copy, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Limits {
     /// The most connections of callers at once; further ones wait to be accepted.
     pub connections: usize,
