--- a/crates/sedgepath-core/src/drain.rs
+++ b/crates/sedgepath-core/src/drain.rs
@@ -260,7 +260,10 @@
         }
         let cap = self.cap();
         let from_ms = now_ms + IN_FORCE_MS;
-        let mut standing = Standing::new(&[(TARGET, share), (ELSEWHERE, 1.0 - share)], from_ms);
+        // The remainders of single requests don't matter here.
+        let mut random = fastrand::Rng::with_seed(0);
+        let shares = [(TARGET, share), (ELSEWHERE, 1.0 - share)];
+        let mut standing = Standing::new(&shares, from_ms, &mut random);
         let mut next_step_ms = from_ms;
         for _ in 0..MOST_PARTS {
             let at_ms = standing.part_ends_at_ms();
