--- a/crates/sedgepath-core/src/message.rs
+++ b/crates/sedgepath-core/src/message.rs
@@ -64,7 +64,7 @@
     pub operators: SocketAddr,
 }
 
-/// Where traffic stands.
+/// Where traffic stands, for a node that has just started.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Baseline {
     /// The configuration revision that the sender has in force.
