--- a/crates/sedgepath-core/tests/configuration.rs
+++ b/crates/sedgepath-core/tests/configuration.rs
@@ -157,3 +157,69 @@
     assert!(!store.apply(unconnected));
     assert_eq!(store.page(&Position::default()), before);
 }
+
+/// A change of two records is accepted while a node that starts turns the pages of all records: it
+/// may read the one record before the change and the other one after it. Whenever the change comes,
+/// peers that fetch from the node never get the one without the other.
+#[test]
+fn a_scan_during_a_change_gives_one_revision() {
+    let service =
+        |number: usize, deadline_ms| records::service(&format!("s{number:03}"), deadline_ms, &[]);
+    let mut mixed = 0;
+    for change_at_ms in (0..3_000).step_by(100) {
+        let mut bed = Bed::new(5);
+        bed.faults.table_ms = 150;
+        let all: Vec<_> = (0..200).map(|number| service(number, 1_000)).collect();
+        bed.write_records(&all);
+        bed.add_node("n1", "north-a");
+        let mut last = Vec::new();
+        for at_ms in (0..6_000).step_by(20) {
+            if at_ms == change_at_ms {
+                bed.write_records(&[service(0, 2_000), service(199, 2_000)]);
+            }
+            bed.run_for(20);
+            let page = bed.node(0).expect("the node runs").page(&Position::default());
+            let changed = page.records.iter().filter(|row| row.record.body.contains("2000"));
+            last = changed.map(|row| row.record.name.clone()).collect();
+            mixed += usize::from(last.len() == 1);
+        }
+        assert_eq!(last.len(), 2, "changed after {change_at_ms} ms");
+    }
+    assert_eq!(mixed, 0, "pages with one record of a change and without the other");
+}
+
+/// All members of the only failure domain but one lose the platform while they go on hearing each
+/// other, the two that poll it among them in most of the six cases. The one that is left steps in
+/// once the others' figures have aged, and a change is in force at all of them within seconds.
+#[test]
+fn whoever_still_reaches_the_platform_steps_in_as_a_reader() {
+    for left in 0..6 {
+        let mut bed = Bed::new(6);
+        write_first(&mut bed);
+        add_nodes(&mut bed, 1, 6);
+        bed.run_for(5_000);
+        for node in (0..6).filter(|node| *node != left) {
+            bed.faults.cut(Place::Node(node), Place::Platform);
+        }
+        bed.run_for(1_000);
+        let revision = write_share(&mut bed, 3.0);
+        bed.run_for(6_000);
+        assert_eq!(all_in_force(&mut bed), vec![revision; 6], "node {left} is left");
+    }
+}
+
+/// The platform is down for a minute. The thirty nodes go on trying, but not all of them at the pace
+/// of a reader, so that the platform is not met by all of them when it comes back.
+#[test]
+fn an_outage_does_not_make_every_node_a_reader() {
+    let mut bed = Bed::new(7);
+    write_first(&mut bed);
+    add_nodes(&mut bed, 3, 10);
+    bed.run_for(5_000);
+    bed.faults.platform_down = true;
+    bed.run_for(10_000);
+    let before = table_reads(&bed);
+    bed.run_for(50_000);
+    let reads = table_reads(&bed) - before;
+    assert!(reads <= 50 * 3 * 5, "{reads} attempts in 50 s by 30 nodes of 3 domains");
+}
