--- /dev/null
+++ b/crates/sedgepathd/tests/faults.rs
@@ -0,0 +1,168 @@
+//! Daemons that are paused, killed and started again, with the platform away, under load.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use sedgepath_test_support::caller::{Call, Caller, CallerStats, Outcome};
+use sedgepath_test_support::daemon::Signal;
+use sedgepath_test_support::memory::Outage;
+use sedgepath_test_support::records::{self, UpstreamSpec};
+use sedgepath_test_support::system::System;
+use sedgepath_test_support::upstream::{UpstreamFigures, UpstreamStandIn};
+
+const SLOTS: u32 = 3;
+
+const CALLERS: usize = 12;
+
+const ANSWERED: Outcome = Outcome::Answered { status: 200 };
+
+/// Two daemons of one failure domain, one of another, and two upstreams in each.
+struct Faulty {
+    upstreams: Vec<UpstreamStandIn>,
+    system: System,
+}
+
+impl Faulty {
+    fn new() -> Self {
+        let figures = UpstreamFigures::new(SLOTS).with_service_ms(30);
+        let upstreams: Vec<_> =
+            (0..4).map(|_| UpstreamStandIn::new(figures).expect("upstream")).collect();
+        let spec = |(number, upstream): (usize, &UpstreamStandIn)| UpstreamSpec {
+            name: format!("u{number}").into(),
+            domain: ["south-a", "north-a"][number / 2].into(),
+            address: upstream.addr(),
+            slots: SLOTS,
+        };
+        let specs: Vec<_> = upstreams.iter().enumerate().map(spec).collect();
+        let mut system =
+            System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+        let records = [
+            records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
+            records::service("deposits", 2_000, &specs),
+            records::steering("deposits", &[("south-a", 1.0), ("north-a", 1.0)], 100.0, 2_000),
+            records::organisations(&[("porch", "paying", "porch-key")]),
+        ];
+        system.write_records(&records).expect("records");
+        for (name, domain) in [("s1", "south-a"), ("s2", "south-a"), ("n1", "north-a")] {
+            system.add_daemon(name, domain).expect("daemon");
+        }
+        let faulty = Self { upstreams, system };
+        faulty.wait_until_served("start");
+        faulty
+    }
+
+    fn entries(&self) -> Vec<SocketAddr> {
+        self.system.addresses.iter().map(|address| address.callers).collect()
+    }
+
+    /// Waits until each daemon answers a request of its own.
+    fn wait_until_served(&self, when: &str) {
+        for (number, entry) in self.entries().into_iter().enumerate() {
+            let served = (0..600).any(|try_number| {
+                thread::sleep(Duration::from_millis(100));
+                let key = format!("{when} {number} {try_number}");
+                Caller::new([entry]).call(&call(&key, 0)).outcome == ANSWERED
+            });
+            assert!(served, "daemon {number} serves nothing after the {when}");
+        }
+    }
+
+    fn signal(&mut self, daemon: usize, signal: Signal) {
+        let daemon = self.system.daemons[daemon].as_mut().expect("a daemon");
+        daemon.signal(signal).expect("a signal");
+    }
+
+    /// Holds what callers were told against what the upstreams ran.
+    fn judge(&self, told: &CallerStats) {
+        for (number, upstream) in self.upstreams.iter().enumerate() {
+            let peak = upstream.counts().peak_in_flight;
+            assert!(peak <= SLOTS, "{peak} in flight of {SLOTS} at upstream {number}");
+        }
+        let mut runs = BTreeMap::new();
+        for (key, count) in self.upstreams.iter().flat_map(UpstreamStandIn::runs_by_key) {
+            *runs.entry(key).or_insert(0) += count;
+        }
+        let twice: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
+        assert!(twice.is_empty(), "run more than once: {twice:?}");
+        let ran: BTreeSet<_> = self
+            .upstreams
+            .iter()
+            .flat_map(|upstream| upstream.runs_by_request_id().into_keys())
+            .collect();
+        let untrue = told
+            .attempts
+            .iter()
+            .filter(|attempt| matches!(attempt.outcome, Outcome::NotRun { .. }))
+            .filter(|attempt| ran.contains(&attempt.request_id));
+        assert_eq!(untrue.count(), 0, "told not run, and run");
+    }
+}
+
+fn call(key: &str, retries: u32) -> Call {
+    Call::new("paying", "deposits", "/v1/call/deposits/confirm")
+        .with_method("POST")
+        .with_header("sedgepath-key", "porch-key")
+        .with_header("idempotency-key", key)
+        .with_body(key)
+        .with_retries(retries)
+}
+
+fn start_callers(entries: &[SocketAddr], stop: &Arc<AtomicBool>) -> Vec<JoinHandle<CallerStats>> {
+    let start = |number: usize| {
+        let mut entries = entries.to_vec();
+        let first = number % entries.len();
+        entries.rotate_left(first);
+        let stop = Arc::clone(stop);
+        thread::spawn(move || {
+            let mut caller = Caller::new(entries);
+            for sent in 0.. {
+                if stop.load(Ordering::Relaxed) {
+                    break;
+                }
+                caller.call(&call(&format!("{number} {sent}"), 3));
+            }
+            caller.into_stats()
+        })
+    };
+    (0..CALLERS).map(start).collect()
+}
+
+/// Twelve callers keep all slots busy with deposits. An owner is paused for longer than its right and
+/// wakes; then the other one is killed and started again; then the platform is away. No upstream runs
+/// more than its slots, no deposit runs twice, nothing runs that was told not to have, and in the end
+/// every daemon answers again.
+#[test]
+fn pauses_kills_and_an_outage_break_no_promise() {
+    let mut faulty = Faulty::new();
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = start_callers(&faulty.entries(), &stop);
+    let pass = |ms| thread::sleep(Duration::from_millis(ms));
+    pass(1_500);
+    faulty.signal(0, Signal::Stop);
+    pass(4_000);
+    faulty.signal(0, Signal::Continue);
+    pass(3_000);
+    faulty.system.daemons[1] = None;
+    pass(2_500);
+    faulty.system.start_daemon(1).expect("the daemon starts again");
+    pass(1_000);
+    faulty.system.platform.state().set_outage(Outage::Refusing);
+    pass(3_000);
+    faulty.system.platform.state().set_outage(Outage::None);
+    pass(1_000);
+    stop.store(true, Ordering::Relaxed);
+    let mut told = CallerStats::default();
+    for caller in callers {
+        told.merge(caller.join().expect("a caller"));
+    }
+    let counts = told.counts();
+    assert!(counts.answered > 200, "{counts:?}");
+    faulty.judge(&told);
+    faulty.wait_until_served("end");
+    faulty.judge(&told);
+}
