--- /dev/null
+++ b/crates/sedgepathd/examples/slopes/datagrams.rs
@@ -0,0 +1,91 @@
+//! What a heartbeat costs: its size, and the time to write, read and take it in.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Instant;
+
+use sedgepath_core::clock::Stamp;
+use sedgepath_core::event::Event;
+use sedgepath_core::identity::{Identity, NodeSettings};
+use sedgepath_core::key::{BootId, DomainKey, ServiceKey, VmKey};
+use sedgepath_core::membership::Member;
+use sedgepath_core::message::{
+    Acknowledgement, Claim, ConfigurationNews, Envelope, Heartbeat, MemberCard, Message,
+    ServiceLoad,
+};
+use sedgepath_core::node::Node;
+use sedgepath_wire::datagram::{Opener, seal};
+use sedgepath_wire::key::SharedKey;
+
+/// The members of a failure domain at full size, this node not among them.
+const MEMBERS: u64 = 41;
+
+/// The heartbeats of one measurement.
+const HEARTBEATS: u64 = 41 * 2_000;
+
+/// Prints bytes and time of a heartbeat in a domain of full size.
+pub fn measure() {
+    let key = SharedKey::new("a secret for measurements", "datagrams");
+    let mut node = Node::new(Identity::new(card(0), BootId(1)), NodeSettings::default());
+    let mut opener = Opener::new(key.clone());
+    let (mut bytes, mut now_ms) = (0, 1_000_000);
+    let started = Instant::now();
+    for number in 0..HEARTBEATS {
+        let envelope = heartbeat(number, now_ms);
+        let Ok(sealed) = seal(&key, &envelope) else { continue };
+        bytes += sealed.len();
+        if let Ok(opened) = opener.open(&sealed) {
+            node.handle(now_ms, Event::Datagram(opened));
+        }
+        now_ms += u64::from(number % MEMBERS == 0);
+    }
+    let each_us = started.elapsed().as_micros() as f64 / HEARTBEATS as f64;
+    println!(
+        "\nheartbeat: {} bytes with its code, {each_us:.1} us to write, read and take in; a member \
+         takes {} bytes and its card",
+        bytes as u64 / HEARTBEATS,
+        size_of::<Member>()
+    );
+}
+
+fn card(number: u64) -> MemberCard {
+    let address = |port: u16| SocketAddr::from((Ipv4Addr::new(10, 0, 0, number as u8), port));
+    MemberCard {
+        name: format!("lowcountry-a-{number}").into(),
+        domain: DomainKey::of("lowcountry-a"),
+        callers: address(80),
+        peers: address(81),
+        operators: address(82),
+        leaving: false,
+    }
+}
+
+/// A heartbeat in a steady state; the first of each member brings its card.
+fn heartbeat(number: u64, now_ms: u64) -> Envelope {
+    let member = 1 + number % MEMBERS;
+    let load = |service: u32| ServiceLoad { service: ServiceKey(service), slots: 12, in_flight: 3 };
+    let acknowledgement = Acknowledgement {
+        boot: BootId(1),
+        sent_at_ms: now_ms,
+        card_leaving: Some(false),
+        in_flight: Vec::new(),
+        young: false,
+        newcomer: false,
+    };
+    let heartbeat = Heartbeat {
+        sent_at_ms: now_ms,
+        card: (number < MEMBERS).then(|| card(member)),
+        news: ConfigurationNews { revision: 1, head_age_ms: 300 },
+        loads: (0..4).map(load).collect(),
+        roster: 7,
+        claim: Claim::Whole,
+        longest_deadline_ms: 10_000,
+        acknowledgement: Some(acknowledgement),
+    };
+    Envelope {
+        from: VmKey::of(&format!("lowcountry-a-{member}")),
+        boot: BootId(2),
+        sequence: 1 + number / MEMBERS,
+        stamp: Stamp { time_ms: now_ms, count: 0 },
+        message: Message::Heartbeat(Box::new(heartbeat)),
+    }
+}
--- a/crates/sedgepathd/examples/slopes/main.rs
+++ b/crates/sedgepathd/examples/slopes/main.rs
@@ -9,6 +9,7 @@
 
 mod blocks;
 mod daemon;
+mod datagrams;
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -26,5 +27,6 @@
 
 fn run() -> Result<(), Box<dyn Error>> {
     blocks::measure();
+    datagrams::measure();
     daemon::measure()
 }
