--- a/crates/sedgepath-core/tests/claims.rs
+++ b/crates/sedgepath-core/tests/claims.rs
@@ -4,7 +4,7 @@
 mod once_callers;
 mod once_support;
 
-use once_callers::run_actions;
+use once_callers::{kill_in_turn, pause_two, run_actions};
 use once_support::{Verdict, assert_holds, bed, head, judge, settle};
 use sedgepath_core::hash::Digest;
 use sedgepath_core::request::{Once, Outcome};
@@ -144,11 +144,7 @@
 #[test]
 fn killed_holders() {
     let mut bed = bed(5);
-    run_actions(&mut bed, 200, 10, key_of, |bed, number| match number % 40 {
-        20 => bed.kill(number / 40 % 4),
-        35 => bed.start(number / 40 % 4),
-        _ => {}
-    });
+    run_actions(&mut bed, 200, 10, key_of, kill_in_turn);
     let verdict = settle(&mut bed);
     assert_holds(&verdict);
     assert!(verdict.answered > 150, "{verdict:?}");
@@ -160,14 +156,7 @@
 #[test]
 fn paused_holders() {
     let mut bed = bed(6);
-    run_actions(&mut bed, 200, 10, key_of, |bed, number| match number {
-        20 | 40 => bed.pause(number / 20),
-        180 => {
-            bed.wake(1);
-            bed.wake(2);
-        }
-        _ => {}
-    });
+    run_actions(&mut bed, 200, 10, key_of, pause_two);
     let verdict = settle(&mut bed);
     assert_holds(&verdict);
     assert!(verdict.answered > 150, "{verdict:?}");
--- a/crates/sedgepath-core/tests/fuzz_configuration.rs
+++ b/crates/sedgepath-core/tests/fuzz_configuration.rs
@@ -7,11 +7,14 @@
 //!
 //! CI runs a fixed seed; `FUZZ_CASES` and `FUZZ_SEED` in the environment make long runs.
 
+mod fuzz_support;
+
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
 
+use fuzz_support::config;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
+
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRequest};
 use sedgepath_core::configuration::rows::LoggedChange;
@@ -284,22 +287,8 @@
     }
 }
 
-fn from_environment(name: &str, default: u64) -> u64 {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
-fn config() -> Config {
-    Config {
-        cases: from_environment("FUZZ_CASES", 32) as u32,
-        rng_seed: RngSeed::Fixed(from_environment("FUZZ_SEED", 1)),
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..Config::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(config(32))]
 
     /// Whatever happens, operators are told the truth, no node goes back to a lower revision, and all
     /// nodes have the newest one in force soon after the faults end.
--- a/crates/sedgepath-core/tests/fuzz_once.rs
+++ b/crates/sedgepath-core/tests/fuzz_once.rs
@@ -7,13 +7,15 @@
 //!
 //! CI runs a fixed seed; `FUZZ_CASES` and `FUZZ_SEED` in the environment make long runs.
 
+mod fuzz_support;
 mod once_support;
 
 use std::collections::BTreeMap;
 
+use fuzz_support::config;
 use once_support::{assert_holds, bed, head, judge, settle};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
+
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use sedgepath_core::hash::Digest;
 use sedgepath_core::key::UpstreamKey;
@@ -203,22 +205,8 @@
     }
 }
 
-fn from_environment(name: &str, default: u64) -> u64 {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
-fn config() -> Config {
-    Config {
-        cases: from_environment("FUZZ_CASES", 48) as u32,
-        rng_seed: RngSeed::Fixed(from_environment("FUZZ_SEED", 1)),
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..Config::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(config(48))]
 
     /// Whatever happens, no key or ticket runs twice, nothing runs that was denied, and no repeat
     /// gets another action's answer.
--- /dev/null
+++ b/crates/sedgepath-core/tests/fuzz_support/mod.rs
@@ -0,0 +1,19 @@
+//! How long and from which seed the fuzz tests run.
+
+use proptest::test_runner::{Config, RngSeed};
+
+/// Returns the configuration of a fuzz test that runs `cases` in CI, from a fixed seed; the variables
+/// `FUZZ_CASES` and `FUZZ_SEED` ask for other runs.
+pub fn config(cases: u32) -> Config {
+    Config {
+        cases: from_environment("FUZZ_CASES", u64::from(cases)) as u32,
+        rng_seed: RngSeed::Fixed(from_environment("FUZZ_SEED", 1)),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    }
+}
+
+fn from_environment(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
--- a/crates/sedgepath-core/tests/once_support/callers.rs
+++ b/crates/sedgepath-core/tests/once_support/callers.rs
@@ -64,3 +64,24 @@
         action.poll(bed);
     }
 }
+
+/// Kills one node after another, each starting again 15 actions later.
+pub fn kill_in_turn(bed: &mut Bed, number: usize) {
+    match number % 40 {
+        20 => bed.kill(number / 40 % 4),
+        35 => bed.start(number / 40 % 4),
+        _ => {}
+    }
+}
+
+/// Pauses two nodes with work in hand and wakes them long after.
+pub fn pause_two(bed: &mut Bed, number: usize) {
+    match number {
+        20 | 40 => bed.pause(number / 20),
+        180 => {
+            bed.wake(1);
+            bed.wake(2);
+        }
+        _ => {}
+    }
+}
--- a/crates/sedgepath-core/tests/once_support/mod.rs
+++ b/crates/sedgepath-core/tests/once_support/mod.rs
@@ -2,7 +2,6 @@
 //! at most once. The oracle reads only what callers, upstreams and the table saw.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
 
 use sedgepath_core::hash::Digest;
 use sedgepath_core::request::{Once, Outcome, RequestHead};
@@ -13,13 +12,8 @@
 /// Creates four nodes in two failure domains and a service with an upstream in each.
 pub fn bed(seed: u64) -> Bed {
     let mut bed = Bed::new(seed);
-    let upstream = |name: &str, domain: &str| UpstreamSpec {
-        name: name.into(),
-        domain: domain.into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
-        slots: 16,
-    };
-    let upstreams = [upstream("d1", "north-a"), upstream("d2", "south-a")];
+    let upstreams =
+        [UpstreamSpec::new("d1", "north-a", 16), UpstreamSpec::new("d2", "south-a", 16)];
     let mut service = records::service("deposit", 5_000, &upstreams);
     service.body = service.body.replacen('{', "{\"once_only\":true,", 1).into();
     bed.write_records(&[
--- a/crates/sedgepath-core/tests/right.rs
+++ b/crates/sedgepath-core/tests/right.rs
@@ -4,7 +4,7 @@
 //! Load from a node of another failure domain always exceeds all slots, so that any slot that a node
 //! believes to be free is filled. Upstreams don't refuse what is too much; they count it.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr};
 
 use sedgepath_core::hash::Digest;
 use sedgepath_core::identity::NodeSettings;
@@ -38,12 +38,7 @@
 fn bed(seed: u64, members: usize) -> Bed {
     let settings = NodeSettings { forget_after_ms: FORGET_AFTER_MS, ..NodeSettings::default() };
     let mut bed = Bed::new(seed).with_settings(settings);
-    let upstreams = UPSTREAMS.map(|name| UpstreamSpec {
-        name: name.into(),
-        domain: "near".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
-        slots: SLOTS,
-    });
+    let upstreams = UPSTREAMS.map(|name| UpstreamSpec::new(name, "near", SLOTS));
     bed.write_records(&[
         records::places(&[("region", &["near", "far"])]),
         records::service("browse", LONGEST_DEADLINE_MS, &upstreams),
--- a/crates/sedgepath-core/tests/tickets.rs
+++ b/crates/sedgepath-core/tests/tickets.rs
@@ -4,7 +4,7 @@
 mod once_callers;
 mod once_support;
 
-use once_callers::run_actions;
+use once_callers::{kill_in_turn, pause_two, run_actions};
 use once_support::{Verdict, assert_holds, bed, head, is_not_run, judge, settle};
 use sedgepath_core::hash::Digest;
 use sedgepath_core::once::tickets::{MAX_LIVE, VALID_MS};
@@ -74,11 +74,7 @@
 #[test]
 fn killed_homes() {
     let mut bed = bed(3);
-    run_actions(&mut bed, 200, 10, ticket_of, |bed, number| match number % 40 {
-        20 => bed.kill(number / 40 % 4),
-        35 => bed.start(number / 40 % 4),
-        _ => {}
-    });
+    run_actions(&mut bed, 200, 10, ticket_of, kill_in_turn);
     let verdict = settle(&mut bed);
     assert_holds(&verdict);
     assert!(verdict.answered > 120, "{verdict:?}");
@@ -110,14 +106,7 @@
 #[test]
 fn paused_homes() {
     let mut bed = bed(4);
-    run_actions(&mut bed, 200, 10, ticket_of, |bed, number| match number {
-        20 | 40 => bed.pause(number / 20),
-        180 => {
-            bed.wake(1);
-            bed.wake(2);
-        }
-        _ => {}
-    });
+    run_actions(&mut bed, 200, 10, ticket_of, pause_two);
     let verdict = settle(&mut bed);
     assert_holds(&verdict);
     assert!(verdict.answered > 150, "{verdict:?}");
--- a/crates/sedgepath-model/src/search.rs
+++ b/crates/sedgepath-model/src/search.rs
@@ -137,6 +137,9 @@
 
 /// Formats the result in one line, for example `412 states, violated: RanTwice after 9 steps`; the
 /// alternate form adds the actions, each on a line of its own.
+/// The steps of a counterexample that are printed on one line.
+const STEPS_PER_LINE: usize = 4;
+
 impl<A: Debug, S, V: Debug> Display for Exploration<A, S, V> {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{} states, ", self.explored)?;
@@ -147,8 +150,9 @@
         };
         write!(f, "violated: {:?} after {} steps", found.violation, found.trace.len())?;
         if f.alternate() {
-            for step in &found.trace {
-                write!(f, "\n{:?}", step.action)?;
+            for (number, step) in found.trace.iter().enumerate() {
+                let separator = if number % STEPS_PER_LINE == 0 { "\n" } else { ", " };
+                write!(f, "{separator}{:?}", step.action)?;
             }
         }
         Ok(())
--- a/crates/sedgepath-model/tests/claim.rs
+++ b/crates/sedgepath-model/tests/claim.rs
@@ -75,31 +75,17 @@
         &without(Safeguard::ReadBack),
         &expect![[r#"
             29403 states, violated: RanAfterNotRun after 9 steps
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            TableTimeout(0)
-            AssumeClaimed(0)
-            Send(0)
-            Start(0)
-            Refuse(1)
+            Issue(0), Issue(0), TakeUp(0), TableTimeout(0)
+            AssumeClaimed(0), Send(0), Start(0), Refuse(1)
             TableAnswers(1)"#]],
     );
     check(
         &without(Safeguard::ReadBack).with_searched(Violation::RanTwice),
         &expect![[r#"
             107683 states, violated: RanTwice after 11 steps
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            TableAnswers(0)
-            Send(0)
-            Start(0)
-            TakeUp(1)
-            TableTimeout(1)
-            AssumeClaimed(1)
-            Send(1)
-            Start(1)"#]],
+            Issue(0), Issue(0), TakeUp(0), TableAnswers(0)
+            Send(0), Start(0), TakeUp(1), TableTimeout(1)
+            AssumeClaimed(1), Send(1), Start(1)"#]],
     );
 }
 
@@ -111,13 +97,8 @@
         &without(Safeguard::TombstoneBeforeNotRun),
         &expect![[r#"
             4855 states, violated: RanAfterNotRun after 7 steps
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            Refuse(1)
-            TableAnswers(0)
-            Send(0)
-            Start(0)"#]],
+            Issue(0), Issue(0), TakeUp(0), Refuse(1)
+            TableAnswers(0), Send(0), Start(0)"#]],
     );
 }
 
@@ -130,10 +111,7 @@
         &without(Safeguard::TombstoneAfterOwnInsert),
         &expect![[r#"
             586 states, violated: OrphanedClaim after 5 steps
-            Issue(0)
-            TakeUp(0)
-            TableTimeout(0)
-            ReadBack(0)
+            Issue(0), TakeUp(0), TableTimeout(0), ReadBack(0)
             ApplyLate(Claim(0))"#]],
     );
     check(
@@ -151,30 +129,17 @@
         &without(Safeguard::ClaimNeverTakenOver),
         &expect![[r#"
             28514 states, violated: RanAfterNotRun after 9 steps
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            TableAnswers(0)
-            Send(0)
-            Start(0)
-            TakeUp(1)
-            TableAnswers(1)
+            Issue(0), Issue(0), TakeUp(0), TableAnswers(0)
+            Send(0), Start(0), TakeUp(1), TableAnswers(1)
             GiveUp(1)"#]],
     );
     check(
         &without(Safeguard::ClaimNeverTakenOver).with_searched(Violation::RanTwice),
         &expect![[r#"
             55888 states, violated: RanTwice after 10 steps
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            TableAnswers(0)
-            Send(0)
-            Start(0)
-            TakeUp(1)
-            TableAnswers(1)
-            Send(1)
-            Start(1)"#]],
+            Issue(0), Issue(0), TakeUp(0), TableAnswers(0)
+            Send(0), Start(0), TakeUp(1), TableAnswers(1)
+            Send(1), Start(1)"#]],
     );
 }
 
@@ -187,40 +152,19 @@
         &without(Safeguard::ReleaseNamesHolder),
         &expect![[r#"
             201163 states, violated: OrphanedClaim after 13 steps
-            Issue(0)
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            TableAnswers(0)
-            GiveUp(0)
-            TakeUp(1)
-            Refuse(2)
-            ApplyLate(Release(0))
-            TableAnswers(2)
-            TableAnswers(1)
-            ApplyLate(Release(0))
+            Issue(0), Issue(0), Issue(0), TakeUp(0)
+            TableAnswers(0), GiveUp(0), TakeUp(1), Refuse(2)
+            ApplyLate(Release(0)), TableAnswers(2), TableAnswers(1), ApplyLate(Release(0))
             ApplyLate(Claim(1))"#]],
     );
     check(
         &without(Safeguard::ReleaseNamesHolder).with_searched(Violation::RanTwice),
         &expect![[r#"
             400015 states, violated: RanTwice after 16 steps
-            Issue(0)
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            TableAnswers(0)
-            GiveUp(0)
-            TakeUp(1)
-            TakeUp(2)
-            ApplyLate(Release(0))
-            TableAnswers(1)
-            Send(1)
-            Start(1)
-            ApplyLate(Release(0))
-            TableAnswers(2)
-            Send(2)
-            Start(2)"#]],
+            Issue(0), Issue(0), Issue(0), TakeUp(0)
+            TableAnswers(0), GiveUp(0), TakeUp(1), TakeUp(2)
+            ApplyLate(Release(0)), TableAnswers(1), Send(1), Start(1)
+            ApplyLate(Release(0)), TableAnswers(2), Send(2), Start(2)"#]],
     );
 }
 
@@ -233,24 +177,15 @@
     check(
         &model.clone().with_kind(KeyKind::Chosen),
         &expect![[r#"
-        4567 states, violated: RanAfterNotRun after 8 steps
-        Issue(0)
-        Issue(0)
-        TakeUp(0)
-        Refuse(1)
-        TableAnswers(1)
-        TableAnswers(0)
-        Send(0)
-        Start(0)"#]],
+            4567 states, violated: RanAfterNotRun after 8 steps
+            Issue(0), Issue(0), TakeUp(0), Refuse(1)
+            TableAnswers(1), TableAnswers(0), Send(0), Start(0)"#]],
     );
     check(
         &model.with_kind(KeyKind::Ticket),
         &expect![[r#"
             164 states, violated: RanAfterNotRun after 5 steps
-            Issue(0)
-            Issue(0)
-            Refuse(1)
-            TakeUp(0)
+            Issue(0), Issue(0), Refuse(1), TakeUp(0)
             Start(0)"#]],
     );
 }
@@ -264,13 +199,8 @@
         &without(Safeguard::RepeatSettledByTable),
         &expect![[r#"
             4766 states, violated: RanAfterNotRun after 7 steps
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            TableAnswers(0)
-            Send(0)
-            Start(0)
-            Refuse(1)"#]],
+            Issue(0), Issue(0), TakeUp(0), TableAnswers(0)
+            Send(0), Start(0), Refuse(1)"#]],
     );
 }
 
@@ -283,21 +213,14 @@
         &model.clone().with_kind(KeyKind::Chosen),
         &expect![[r#"
             609 states, violated: RanAfterNotRun after 6 steps
-            Issue(0)
-            TakeUp(0)
-            TableAnswers(0)
-            Send(0)
-            UpstreamTimeout(0)
-            Start(0)"#]],
+            Issue(0), TakeUp(0), TableAnswers(0), Send(0)
+            UpstreamTimeout(0), Start(0)"#]],
     );
     check(
         &model.with_kind(KeyKind::Ticket),
         &expect![[r#"
             53 states, violated: RanAfterNotRun after 4 steps
-            Issue(0)
-            TakeUp(0)
-            UpstreamTimeout(0)
-            Start(0)"#]],
+            Issue(0), TakeUp(0), UpstreamTimeout(0), Start(0)"#]],
     );
 }
 
@@ -310,21 +233,14 @@
         &model.clone().with_kind(KeyKind::Chosen),
         &expect![[r#"
             608 states, violated: RanAfterNotRun after 6 steps
-            Issue(0)
-            TakeUp(0)
-            TableAnswers(0)
-            Send(0)
-            Cancel(0)
-            Start(0)"#]],
+            Issue(0), TakeUp(0), TableAnswers(0), Send(0)
+            Cancel(0), Start(0)"#]],
     );
     check(
         &model.with_kind(KeyKind::Ticket),
         &expect![[r#"
             52 states, violated: RanAfterNotRun after 4 steps
-            Issue(0)
-            TakeUp(0)
-            Cancel(0)
-            Start(0)"#]],
+            Issue(0), TakeUp(0), Cancel(0), Start(0)"#]],
     );
 }
 
@@ -336,24 +252,15 @@
         &without(Safeguard::TicketBoundToBoot),
         &expect![[r#"
             838 states, violated: RanAfterNotRun after 6 steps
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            Start(0)
-            Crash(0)
-            Refuse(1)"#]],
+            Issue(0), Issue(0), TakeUp(0), Start(0)
+            Crash(0), Refuse(1)"#]],
     );
     check(
         &without(Safeguard::TicketBoundToBoot).with_searched(Violation::RanTwice),
         &expect![[r#"
             2899 states, violated: RanTwice after 7 steps
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            Start(0)
-            Crash(0)
-            TakeUp(1)
-            Start(1)"#]],
+            Issue(0), Issue(0), TakeUp(0), Start(0)
+            Crash(0), TakeUp(1), Start(1)"#]],
     );
 }
 
@@ -365,22 +272,15 @@
         &without(Safeguard::UsedTicketsRemembered),
         &expect![[r#"
             235 states, violated: RanAfterNotRun after 5 steps
-            Issue(0)
-            Issue(0)
-            Refuse(1)
-            TakeUp(0)
+            Issue(0), Issue(0), Refuse(1), TakeUp(0)
             Start(0)"#]],
     );
     check(
         &without(Safeguard::UsedTicketsRemembered).with_searched(Violation::RanTwice),
         &expect![[r#"
             825 states, violated: RanTwice after 6 steps
-            Issue(0)
-            Issue(0)
-            TakeUp(0)
-            Start(0)
-            TakeUp(1)
-            Start(1)"#]],
+            Issue(0), Issue(0), TakeUp(0), Start(0)
+            TakeUp(1), Start(1)"#]],
     );
 }
 
@@ -392,26 +292,16 @@
     check(
         &model.clone(),
         &expect![[r#"
-        910 states, violated: RanAfterNotRun after 6 steps
-        Issue(0)
-        Issue(0)
-        Refuse(1)
-        Expire
-        TakeUp(0)
-        Start(0)"#]],
+            910 states, violated: RanAfterNotRun after 6 steps
+            Issue(0), Issue(0), Refuse(1), Expire
+            TakeUp(0), Start(0)"#]],
     );
     check(
         &model.with_searched(Violation::RanTwice),
         &expect![[r#"
-        8447 states, violated: RanTwice after 8 steps
-        Issue(0)
-        Issue(0)
-        TakeUp(0)
-        Start(0)
-        UpstreamAnswers(0)
-        Expire
-        TakeUp(1)
-        Start(1)"#]],
+            8447 states, violated: RanTwice after 8 steps
+            Issue(0), Issue(0), TakeUp(0), Start(0)
+            UpstreamAnswers(0), Expire, TakeUp(1), Start(1)"#]],
     );
 }
 
@@ -422,14 +312,9 @@
     check(
         &without(Safeguard::HandOverIsFinal),
         &expect![[r#"
-        3733 states, violated: RanAfterNotRun after 7 steps
-        Issue(0)
-        Issue(1)
-        HandOver
-        TakeUp(0)
-        Start(0)
-        ReceiveHandOver
-        TakeUp(1)"#]],
+            3733 states, violated: RanAfterNotRun after 7 steps
+            Issue(0), Issue(1), HandOver, TakeUp(0)
+            Start(0), ReceiveHandOver, TakeUp(1)"#]],
     );
 }
 
@@ -440,16 +325,10 @@
     check(
         &without(Safeguard::UnlistedIsUnknown),
         &expect![[r#"
-        21186 states, violated: RanAfterNotRun after 9 steps
-        Issue(0)
-        Issue(1)
-        TakeUp(0)
-        Start(0)
-        UpstreamAnswers(0)
-        Expire
-        HandOver
-        ReceiveHandOver
-        TakeUp(1)"#]],
+            21186 states, violated: RanAfterNotRun after 9 steps
+            Issue(0), Issue(1), TakeUp(0), Start(0)
+            UpstreamAnswers(0), Expire, HandOver, ReceiveHandOver
+            TakeUp(1)"#]],
     );
 }
 
@@ -462,32 +341,21 @@
         &without(Safeguard::PathsKeptApart),
         &expect![[r#"
             4 states, violated: PathChanged after 2 steps
-            Issue(1)
-            ChangePath(0)"#]],
+            Issue(1), ChangePath(0)"#]],
     );
     let twice = without(Safeguard::PathsKeptApart).with_searched(Violation::RanTwice);
     check(
         &twice.clone().with_kind(KeyKind::Chosen),
         &expect![[r#"
-        1040 states, violated: RanTwice after 6 steps
-        Issue(0)
-        Issue(1)
-        ChangePath(0)
-        Start(0)
-        ChangePath(1)
-        Start(1)"#]],
+            1040 states, violated: RanTwice after 6 steps
+            Issue(0), Issue(1), ChangePath(0), Start(0)
+            ChangePath(1), Start(1)"#]],
     );
     check(
         &twice.with_kind(KeyKind::Ticket),
         &expect![[r#"
             9789 states, violated: RanTwice after 8 steps
-            Issue(0)
-            Issue(1)
-            TakeUp(0)
-            Start(0)
-            ChangePath(1)
-            TableAnswers(1)
-            Send(1)
-            Start(1)"#]],
+            Issue(0), Issue(1), TakeUp(0), Start(0)
+            ChangePath(1), TableAnswers(1), Send(1), Start(1)"#]],
     );
 }
--- a/crates/sedgepath-model/tests/configuration.rs
+++ b/crates/sedgepath-model/tests/configuration.rs
@@ -75,20 +75,14 @@
     check(
         &without(Safeguard::HeadCondition),
         &expect![[r#"
-        27 states, violated: TwoWinners after 4 steps
-        Submit(0)
-        Submit(1)
-        TableAnswers(0)
-        TableAnswers(1)"#]],
+            27 states, violated: TwoWinners after 4 steps
+            Submit(0), Submit(1), TableAnswers(0), TableAnswers(1)"#]],
     );
     check(
         &without(Safeguard::HeadCondition).with_searched(Violation::AcceptedLost),
         &expect![[r#"
             27 states, violated: AcceptedLost after 4 steps
-            Submit(0)
-            Submit(1)
-            TableAnswers(0)
-            TableAnswers(1)"#]],
+            Submit(0), Submit(1), TableAnswers(0), TableAnswers(1)"#]],
     );
 }
 
@@ -99,19 +93,14 @@
     check(
         &without(Safeguard::ChangeId),
         &expect![[r#"
-        9 states, violated: FalseConflict after 3 steps
-        Submit(0)
-        ApplyLate(0, 0)
-        TableAnswers(0)"#]],
+            9 states, violated: FalseConflict after 3 steps
+            Submit(0), ApplyLate(0, 0), TableAnswers(0)"#]],
     );
     check(
         &without(Safeguard::ChangeId).with_searched(Violation::AppliedTwice),
         &expect![[r#"
             79 states, violated: AppliedTwice after 5 steps
-            Submit(0)
-            TableTimeout(0)
-            ApplyLate(0, 0)
-            Resubmit(0)
+            Submit(0), TableTimeout(0), ApplyLate(0, 0), Resubmit(0)
             TableAnswers(0)"#]],
     );
 }
@@ -123,11 +112,8 @@
     check(
         &without(Safeguard::AbsenceIsNoProof),
         &expect![[r#"
-        22 states, violated: FalseConflict after 4 steps
-        Submit(0)
-        TableTimeout(0)
-        ReadLog(0)
-        ApplyLate(0, 0)"#]],
+            22 states, violated: FalseConflict after 4 steps
+            Submit(0), TableTimeout(0), ReadLog(0), ApplyLate(0, 0)"#]],
     );
 }
 
@@ -139,13 +125,9 @@
     check(
         &without(Safeguard::OneTransaction),
         &expect![[r#"
-        148 states, violated: AcceptedLost after 6 steps
-        Submit(0)
-        TableAnswers(0)
-        Submit(1)
-        TableAnswers(1)
-        WriteRecord(1)
-        WriteRecord(0)"#]],
+            148 states, violated: AcceptedLost after 6 steps
+            Submit(0), TableAnswers(0), Submit(1), TableAnswers(1)
+            WriteRecord(1), WriteRecord(0)"#]],
     );
 }
 
@@ -156,14 +138,9 @@
     check(
         &without(Safeguard::RecordNamesRevision),
         &expect![[r#"
-        741 states, violated: Diverged after 7 steps
-        Submit(0)
-        TableAnswers(0)
-        Submit(1)
-        ReadHead(0)
-        TableAnswers(1)
-        ReadRecord(0)
-        Deliver(0, Held { revision: 1, change: Some(1) })"#]],
+            741 states, violated: Diverged after 7 steps
+            Submit(0), TableAnswers(0), Submit(1), ReadHead(0)
+            TableAnswers(1), ReadRecord(0), Deliver(0, Held { revision: 1, change: Some(1) })"#]],
     );
 }
 
@@ -174,16 +151,10 @@
     check(
         &without(Safeguard::LowerIgnored),
         &expect![[r#"
-        2626 states, violated: Reverted after 9 steps
-        Submit(0)
-        TableAnswers(0)
-        Submit(1)
-        ReadRecord(0)
-        TableAnswers(1)
-        ReadRecord(0)
-        Deliver(0, Held { revision: 2, change: Some(1) })
-        Serve(0)
-        Deliver(0, Held { revision: 1, change: Some(0) })"#]],
+            2626 states, violated: Reverted after 9 steps
+            Submit(0), TableAnswers(0), Submit(1), ReadRecord(0)
+            TableAnswers(1), ReadRecord(0), Deliver(0, Held { revision: 2, change: Some(1) }), Serve(0)
+            Deliver(0, Held { revision: 1, change: Some(0) })"#]],
     );
 }
 
@@ -195,14 +166,8 @@
         &without(Safeguard::CaughtUpBeforeServing),
         &expect![[r#"
             2614 states, violated: ServedBehind after 9 steps
-            Submit(0)
-            TableAnswers(0)
-            Submit(1)
-            ReadRecord(0)
-            TableAnswers(1)
-            ReadRecord(0)
-            Deliver(0, Held { revision: 1, change: Some(0) })
-            Hear(0, 2)
+            Submit(0), TableAnswers(0), Submit(1), ReadRecord(0)
+            TableAnswers(1), ReadRecord(0), Deliver(0, Held { revision: 1, change: Some(0) }), Hear(0, 2)
             Serve(0)"#]],
     );
 }
@@ -215,17 +180,8 @@
         &without(Safeguard::CallerCarriesRevision),
         &expect![[r#"
             15900 states, violated: CallerSawOlder after 12 steps
-            Submit(0)
-            TableAnswers(0)
-            Submit(1)
-            ReadRecord(0)
-            TableAnswers(1)
-            ReadRecord(0)
-            Deliver(0, Held { revision: 1, change: Some(0) })
-            Serve(0)
-            Deliver(1, Held { revision: 2, change: Some(1) })
-            Serve(1)
-            Call(1)
-            Call(0)"#]],
+            Submit(0), TableAnswers(0), Submit(1), ReadRecord(0)
+            TableAnswers(1), ReadRecord(0), Deliver(0, Held { revision: 1, change: Some(0) }), Serve(0)
+            Deliver(1, Held { revision: 2, change: Some(1) }), Serve(1), Call(1), Call(0)"#]],
     );
 }
--- a/crates/sedgepath-model/tests/slot_split.rs
+++ b/crates/sedgepath-model/tests/slot_split.rs
@@ -115,14 +115,8 @@
         &without(Safeguard::DeadlineInPromise),
         &expect![[r#"
             3282 states, violated: Overload after 8 steps
-            SendHeartbeat(0, 1)
-            GetHeartbeat(0, 1)
-            Tick
-            GetGrant(0, 1)
-            CheckAndSend(0)
-            CheckAndSend(0)
-            Tick
-            CheckAndSend(1)"#]],
+            SendHeartbeat(0, 1), GetHeartbeat(0, 1), Tick, GetGrant(0, 1)
+            CheckAndSend(0), CheckAndSend(0), Tick, CheckAndSend(1)"#]],
     );
 }
 
@@ -133,17 +127,10 @@
     check(
         &without(Safeguard::RightFromSent),
         &expect![[r#"
-        7748 states, violated: Overload after 10 steps
-        SendHeartbeat(0, 1)
-        GetHeartbeat(0, 1)
-        Tick
-        Tick
-        GetGrant(0, 1)
-        Tick
-        CheckAndSend(0)
-        CheckAndSend(0)
-        Tick
-        CheckAndSend(1)"#]],
+            7748 states, violated: Overload after 10 steps
+            SendHeartbeat(0, 1), GetHeartbeat(0, 1), Tick, Tick
+            GetGrant(0, 1), Tick, CheckAndSend(0), CheckAndSend(0)
+            Tick, CheckAndSend(1)"#]],
     );
 }
 
@@ -154,13 +141,9 @@
     check(
         &without(Safeguard::InFlightNamed),
         &expect![[r#"
-        860 states, violated: Overload after 6 steps
-        SendHeartbeat(0, 1)
-        CheckAndSend(0)
-        CheckAndSend(1)
-        GetHeartbeat(0, 1)
-        GetGrant(0, 1)
-        CheckAndSend(0)"#]],
+            860 states, violated: Overload after 6 steps
+            SendHeartbeat(0, 1), CheckAndSend(0), CheckAndSend(1), GetHeartbeat(0, 1)
+            GetGrant(0, 1), CheckAndSend(0)"#]],
     );
 }
 
@@ -171,10 +154,7 @@
         &without(Safeguard::MemberWaitsAtBoot),
         &expect![[r#"
             132 states, violated: Overload after 4 steps
-            CheckAndSend(0)
-            CheckAndSend(1)
-            Restart(1)
-            CheckAndSend(1)"#]],
+            CheckAndSend(0), CheckAndSend(1), Restart(1), CheckAndSend(1)"#]],
     );
 }
 
@@ -185,16 +165,10 @@
     check(
         &without(Safeguard::PromiseInWaitAtBoot),
         &expect![[r#"
-        5869 states, violated: Overload after 9 steps
-        SendHeartbeat(0, 1)
-        GetHeartbeat(0, 1)
-        GetGrant(0, 1)
-        Restart(1)
-        Tick
-        CheckAndSend(0)
-        CheckAndSend(0)
-        Tick
-        CheckAndSend(1)"#]],
+            5869 states, violated: Overload after 9 steps
+            SendHeartbeat(0, 1), GetHeartbeat(0, 1), GetGrant(0, 1), Restart(1)
+            Tick, CheckAndSend(0), CheckAndSend(0), Tick
+            CheckAndSend(1)"#]],
     );
 }
 
@@ -205,10 +179,7 @@
         &without(Safeguard::OwnerWaitsAtBoot),
         &expect![[r#"
             127 states, violated: Overload after 4 steps
-            CheckAndSend(0)
-            Restart(0)
-            CheckAndSend(0)
-            CheckAndSend(1)"#]],
+            CheckAndSend(0), Restart(0), CheckAndSend(0), CheckAndSend(1)"#]],
     );
 }
 
@@ -220,13 +191,8 @@
         &without(Safeguard::PartNamedAtBoot),
         &expect![[r#"
             1887 states, violated: Overload after 7 steps
-            SendHeartbeat(0, 1)
-            CheckAndSend(0)
-            CheckAndSend(1)
-            Restart(1)
-            GetHeartbeat(0, 1)
-            GetGrant(0, 1)
-            CheckAndSend(0)"#]],
+            SendHeartbeat(0, 1), CheckAndSend(0), CheckAndSend(1), Restart(1)
+            GetHeartbeat(0, 1), GetGrant(0, 1), CheckAndSend(0)"#]],
     );
 }
 
@@ -238,17 +204,9 @@
         &without(Safeguard::DeadlineFixedAtCheck),
         &expect![[r#"
             8109 states, violated: Overload after 11 steps
-            SendHeartbeat(0, 1)
-            GetHeartbeat(0, 1)
-            Tick
-            GetGrant(0, 1)
-            Check(0)
-            Check(0)
-            Tick
-            Tick
-            Tick
-            Send(0)
-            CheckAndSend(1)"#]],
+            SendHeartbeat(0, 1), GetHeartbeat(0, 1), Tick, GetGrant(0, 1)
+            Check(0), Check(0), Tick, Tick
+            Tick, Send(0), CheckAndSend(1)"#]],
     );
 }
 
@@ -261,14 +219,8 @@
         &without(Safeguard::AllSlotsNamedAtBoot),
         &expect![[r#"
             860 states, violated: Overload after 8 steps
-            Tick
-            Tick
-            CheckAndSend(0)
-            CheckAndSend(0)
-            HearRoster(1, 0)
-            Restart(0)
-            ExchangeHeartbeat(1, 0)
-            CheckAndSend(1)"#]],
+            Tick, Tick, CheckAndSend(0), CheckAndSend(0)
+            HearRoster(1, 0), Restart(0), ExchangeHeartbeat(1, 0), CheckAndSend(1)"#]],
     );
 }
 
@@ -280,14 +232,8 @@
         &without(Safeguard::SameRoster),
         &expect![[r#"
             3095 states, violated: Overload after 9 steps
-            Tick
-            Tick
-            CheckAndSend(0)
-            HearRoster(1, 0)
-            HearRoster(2, 0)
-            ExchangeHeartbeat(1, 0)
-            CheckAndSend(1)
-            ExchangeHeartbeat(2, 0)
+            Tick, Tick, CheckAndSend(0), HearRoster(1, 0)
+            HearRoster(2, 0), ExchangeHeartbeat(1, 0), CheckAndSend(1), ExchangeHeartbeat(2, 0)
             CheckAndSend(2)"#]],
     );
 }
@@ -300,10 +246,7 @@
         &without(Safeguard::RosterFromMember),
         &expect![[r#"
             149 states, violated: Overload after 5 steps
-            Tick
-            Tick
-            CheckAndSend(0)
-            CheckAndSend(1)
+            Tick, Tick, CheckAndSend(0), CheckAndSend(1)
             CheckAndSend(2)"#]],
     );
 }
@@ -316,12 +259,8 @@
         &without(Safeguard::RosterConfirmed),
         &expect![[r#"
             251 states, violated: Overload after 6 steps
-            Tick
-            Tick
-            CheckAndSend(0)
-            CheckAndSend(1)
-            HearRoster(2, 0)
-            CheckAndSend(2)"#]],
+            Tick, Tick, CheckAndSend(0), CheckAndSend(1)
+            HearRoster(2, 0), CheckAndSend(2)"#]],
     );
 }
 
@@ -333,14 +272,8 @@
         &without(Safeguard::WaitAfterConfirmed),
         &expect![[r#"
             1095 states, violated: Overload after 8 steps
-            Tick
-            Tick
-            CheckAndSend(0)
-            CheckAndSend(1)
-            HearRoster(2, 0)
-            ExchangeHeartbeat(2, 0)
-            ExchangeHeartbeat(2, 1)
-            CheckAndSend(2)"#]],
+            Tick, Tick, CheckAndSend(0), CheckAndSend(1)
+            HearRoster(2, 0), ExchangeHeartbeat(2, 0), ExchangeHeartbeat(2, 1), CheckAndSend(2)"#]],
     );
 }
 
@@ -353,17 +286,9 @@
         &without(Safeguard::RosterNamesBoots),
         &expect![[r#"
             57673 states, violated: Overload after 11 steps
-            Tick
-            HearRoster(2, 0)
-            ExchangeHeartbeat(2, 0)
-            Restart(0)
-            HearRoster(0, 1)
-            Tick
-            CheckAndSend(1)
-            ExchangeHeartbeat(2, 1)
-            CheckAndSend(2)
-            Tick
-            CheckAndSend(0)"#]],
+            Tick, HearRoster(2, 0), ExchangeHeartbeat(2, 0), Restart(0)
+            HearRoster(0, 1), Tick, CheckAndSend(1), ExchangeHeartbeat(2, 1)
+            CheckAndSend(2), Tick, CheckAndSend(0)"#]],
     );
 }
 
@@ -374,12 +299,9 @@
     check(
         &without(Safeguard::WaitBeforeRemoval),
         &expect![[r#"
-        216 states, violated: Overload after 5 steps
-        CheckAndSend(0)
-        Vanish(0)
-        CheckAndSend(1)
-        Remove(1, 0)
-        CheckAndSend(1)"#]],
+            216 states, violated: Overload after 5 steps
+            CheckAndSend(0), Vanish(0), CheckAndSend(1), Remove(1, 0)
+            CheckAndSend(1)"#]],
     );
 }
 
@@ -390,19 +312,10 @@
     check(
         &without(Safeguard::RemovalByConfirmed),
         &expect![[r#"
-        40979 states, violated: Overload after 12 steps
-        HearRoster(1, 0)
-        HearRoster(2, 0)
-        Vanish(0)
-        Tick
-        Tick
-        Tick
-        Tick
-        Remove(1, 0)
-        CheckAndSend(1)
-        CheckAndSend(1)
-        Remove(2, 0)
-        CheckAndSend(2)"#]],
+            40979 states, violated: Overload after 12 steps
+            HearRoster(1, 0), HearRoster(2, 0), Vanish(0), Tick
+            Tick, Tick, Tick, Remove(1, 0)
+            CheckAndSend(1), CheckAndSend(1), Remove(2, 0), CheckAndSend(2)"#]],
     );
 }
 
@@ -427,15 +340,9 @@
     check(
         &without(Safeguard::DrainedBeforeRelease),
         &expect![[r#"
-        734 states, violated: Overload after 8 steps
-        SendHeartbeat(0, 1)
-        GetHeartbeat(0, 1)
-        GetGrant(0, 1)
-        CheckAndSend(0)
-        CheckAndSend(0)
-        GiveUpRight(0)
-        GetRelease(0, 1)
-        CheckAndSend(1)"#]],
+            734 states, violated: Overload after 8 steps
+            SendHeartbeat(0, 1), GetHeartbeat(0, 1), GetGrant(0, 1), CheckAndSend(0)
+            CheckAndSend(0), GiveUpRight(0), GetRelease(0, 1), CheckAndSend(1)"#]],
     );
 }
 
@@ -446,16 +353,10 @@
     check(
         &without(Safeguard::WaitBeforeRelease),
         &expect![[r#"
-        4248 states, violated: Overload after 9 steps
-        SendHeartbeat(0, 1)
-        GetHeartbeat(0, 1)
-        GetGrant(0, 1)
-        CheckAndSend(0)
-        CheckAndSend(0)
-        Restart(0)
-        GiveUpRight(0)
-        GetRelease(0, 1)
-        CheckAndSend(1)"#]],
+            4248 states, violated: Overload after 9 steps
+            SendHeartbeat(0, 1), GetHeartbeat(0, 1), GetGrant(0, 1), CheckAndSend(0)
+            CheckAndSend(0), Restart(0), GiveUpRight(0), GetRelease(0, 1)
+            CheckAndSend(1)"#]],
     );
 }
 
@@ -466,15 +367,9 @@
     check(
         &without(Safeguard::ReleaseVoidsGrants),
         &expect![[r#"
-        1043 states, violated: Overload after 8 steps
-        SendHeartbeat(0, 1)
-        GetHeartbeat(0, 1)
-        GetGrant(0, 1)
-        CheckAndSend(0)
-        GiveUpRight(0)
-        CheckAndSend(0)
-        GetRelease(0, 1)
-        CheckAndSend(1)"#]],
+            1043 states, violated: Overload after 8 steps
+            SendHeartbeat(0, 1), GetHeartbeat(0, 1), GetGrant(0, 1), CheckAndSend(0)
+            GiveUpRight(0), CheckAndSend(0), GetRelease(0, 1), CheckAndSend(1)"#]],
     );
 }
 
@@ -485,14 +380,8 @@
     check(
         &without(Safeguard::OldReleaseIgnored),
         &expect![[r#"
-        1001 states, violated: Overload after 8 steps
-        CheckAndSend(0)
-        GiveUpRight(0)
-        SendHeartbeat(0, 1)
-        GetHeartbeat(0, 1)
-        GetGrant(0, 1)
-        CheckAndSend(0)
-        GetRelease(0, 1)
-        CheckAndSend(1)"#]],
+            1001 states, violated: Overload after 8 steps
+            CheckAndSend(0), GiveUpRight(0), SendHeartbeat(0, 1), GetHeartbeat(0, 1)
+            GetGrant(0, 1), CheckAndSend(0), GetRelease(0, 1), CheckAndSend(1)"#]],
     );
 }
--- a/crates/sedgepath-test-support/src/load.rs
+++ b/crates/sedgepath-test-support/src/load.rs
@@ -1,6 +1,6 @@
 //! A steady load of paying and trial callers on a bed, and what they saw.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr};
 
 use sedgepath_core::hash::Digest;
 use sedgepath_core::identity::NodeSettings;
@@ -75,15 +75,8 @@
     settings: NodeSettings,
 ) -> Bed {
     let mut bed = Bed::new(seed).with_settings(settings);
-    let specs: Vec<_> = upstreams
-        .iter()
-        .map(|(name, slots, _)| UpstreamSpec {
-            name: (*name).into(),
-            domain: "a".into(),
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
-            slots: *slots,
-        })
-        .collect();
+    let specs: Vec<_> =
+        upstreams.iter().map(|(name, slots, _)| UpstreamSpec::new(name, "a", *slots)).collect();
     bed.write_records(&[
         records::places(&[("r", &["a"])]),
         records::service("s", 10_000, &specs),
--- a/crates/sedgepath-test-support/src/records.rs
+++ b/crates/sedgepath-test-support/src/records.rs
@@ -36,6 +36,29 @@
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
         Self { name: name.into(), domain: domain.into(), address, slots }
     }
+
+    /// Sets the address.
+    pub fn with_address(mut self, address: SocketAddr) -> Self {
+        self.address = address;
+        self
+    }
+}
+
+/// Creates the records of one service in the failure domains `north-a` and `south-a` of two regions, by
+/// equal shares of the domains named, with no effective cap and one paying organisation.
+pub fn one_service(
+    name: &str,
+    longest_deadline_ms: u64,
+    upstreams: &[UpstreamSpec],
+    domains: &[&str],
+) -> Vec<RawRecord> {
+    let shares: Vec<_> = domains.iter().map(|domain| (*domain, 1.0)).collect();
+    vec![
+        places(&[("north", &["north-a"]), ("south", &["south-a"])]),
+        service(name, longest_deadline_ms, upstreams),
+        steering(name, &shares, 100.0, 10_000),
+        organisations(&[("porch", "paying", "porch-key")]),
+    ]
 }
 
 /// Creates the record of a service.
--- a/crates/sedgepath-test-support/src/system.rs
+++ b/crates/sedgepath-test-support/src/system.rs
@@ -86,6 +86,40 @@
         self
     }
 
+    /// Writes the first records and starts daemons, given by name and failure domain.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the records are not taken or a daemon does not start.
+    pub fn with_daemons(
+        mut self,
+        records: &[RawRecord],
+        daemons: &[(&str, &str)],
+    ) -> Result<Self, SystemError> {
+        self.write_records(records)?;
+        for (name, domain) in daemons {
+            self.add_daemon(name, domain)?;
+        }
+        Ok(self)
+    }
+
+    /// Returns where the daemons take callers, in the order in which they were added.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.addresses.iter().map(|address| address.callers).collect()
+    }
+
+    /// Asks until every daemon serves, as `serves` finds out by the number of the try; false after a
+    /// minute. A daemon serves only once its right to upstreams has begun.
+    pub fn all_serve(&self, mut serves: impl FnMut(SocketAddr, usize) -> bool) -> bool {
+        let mut tries = 0..600;
+        self.entries().into_iter().all(|entry| {
+            tries.any(|number| {
+                std::thread::sleep(std::time::Duration::from_millis(100));
+                serves(entry, number)
+            })
+        })
+    }
+
     /// Writes records and the next head revision to the table and returns that revision.
     ///
     /// # Errors
--- a/crates/sedgepathd/examples/demo.rs
+++ b/crates/sedgepathd/examples/demo.rs
@@ -70,13 +70,14 @@
 
 fn run() -> Result<bool, Box<dyn Error>> {
     let upstreams = start_upstreams()?;
-    let mut system = System::new(&std::env::current_exe()?)?;
-    system.write_records(&first_records(&upstreams))?;
-    for domain in DOMAINS {
-        system.add_daemon(&format!("{domain}-1"), domain)?;
+    let names = DOMAINS.map(|domain| format!("{domain}-1"));
+    let daemons: Vec<_> = names.iter().map(|name| &**name).zip(DOMAINS).collect();
+    let mut system = System::new(&std::env::current_exe()?)?
+        .with_daemons(&first_records(&upstreams), &daemons)?;
+    if !system.all_serve(serves) {
+        return Err("a daemon serves nothing".into());
     }
-    let entries: Vec<_> = system.addresses.iter().map(|address| address.callers).collect();
-    wait_until_served(&entries)?;
+    let entries = system.entries();
 
     println!("traffic begins: {CALLERS} paying and {CALLERS} trial callers");
     let started = Instant::now();
@@ -126,12 +127,8 @@
     let mut specs = Vec::new();
     for (domain, group) in upstreams.iter().enumerate() {
         for (number, upstream) in group.iter().enumerate() {
-            specs.push(UpstreamSpec {
-                name: name(domain, number).into(),
-                domain: DOMAINS[domain].into(),
-                address: upstream.addr(),
-                slots: 4,
-            });
+            let spec = UpstreamSpec::new(&name(domain, number), DOMAINS[domain], 4);
+            specs.push(spec.with_address(upstream.addr()));
         }
     }
     vec![
@@ -159,23 +156,11 @@
         .with_retries(RETRIES)
 }
 
-fn wait_until_served(entries: &[SocketAddr]) -> Result<(), Box<dyn Error>> {
-    let deadline = Instant::now() + Duration::from_secs(30);
-    for entry in entries {
-        let mut caller = Caller::new([*entry]);
-        for number in 0.. {
-            // A key of its own each time: one that was given up on is not run again.
-            let ready = call("paying", "porch-key", &format!("ready {entry} {number}"));
-            if matches!(caller.call(&ready.with_retries(0)).outcome, Outcome::Answered { .. }) {
-                break;
-            }
-            if Instant::now() > deadline {
-                return Err(format!("{entry} serves nothing").into());
-            }
-            thread::sleep(Duration::from_millis(100));
-        }
-    }
-    Ok(())
+/// Sends a request with a key of its own: one that was given up on is not run again.
+fn serves(entry: SocketAddr, number: usize) -> bool {
+    let ready = call("paying", "porch-key", &format!("ready {entry} {number}"));
+    let reply = Caller::new([entry]).call(&ready.with_retries(0));
+    matches!(reply.outcome, Outcome::Answered { .. })
 }
 
 /// What one caller did: its figures and the keys that were never answered.
--- a/crates/sedgepathd/examples/slopes/daemon.rs
+++ b/crates/sedgepathd/examples/slopes/daemon.rs
@@ -27,22 +27,14 @@
 /// Prints a daemon's figures and the cost of the hop.
 pub fn measure() -> Result<(), Box<dyn Error>> {
     let upstream = UpstreamStandIn::new(UpstreamFigures::new(64))?;
-    let mut system = System::new(&std::env::current_exe()?)?;
-    let spec = UpstreamSpec {
-        name: "b1".into(),
-        domain: "south-a".into(),
-        address: upstream.addr(),
-        slots: 64,
-    };
-    system.write_records(&[
-        records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
-        records::service("browse", 5_000, &[spec]),
-        records::steering("browse", &[("south-a", 1.0)], 100.0, 10_000),
-    ])?;
-    system.add_daemon("n1", "north-a")?;
-    system.add_daemon("s1", "south-a")?;
-    let entries = [system.addresses[0].callers, system.addresses[1].callers];
-    wait_until_served(&entries)?;
+    let spec = UpstreamSpec::new("b1", "south-a", 64).with_address(upstream.addr());
+    let records = records::one_service("browse", 5_000, &[spec], &["south-a"]);
+    let system = System::new(&std::env::current_exe()?)?
+        .with_daemons(&records, &[("n1", "north-a"), ("s1", "south-a")])?;
+    let entries = system.entries();
+    if !system.all_serve(|entry, _| is_answered(entry)) {
+        return Err("the daemons serve nothing".into());
+    }
 
     let id = system.daemons[0].as_ref().ok_or("no daemon")?.id();
     let before_s = processor_s(id)?;
@@ -76,22 +68,9 @@
     Ok(())
 }
 
-fn wait_until_served(entries: &[SocketAddr]) -> Result<(), Box<dyn Error>> {
-    let deadline = Instant::now() + Duration::from_mins(1);
-    for entry in entries {
-        while through_once(&mut Caller::new([*entry])).is_none() {
-            if Instant::now() > deadline {
-                return Err("the daemons serve nothing".into());
-            }
-            thread::sleep(Duration::from_millis(100));
-        }
-    }
-    Ok(())
-}
-
-fn through_once(caller: &mut Caller) -> Option<()> {
+fn is_answered(entry: SocketAddr) -> bool {
     let call = Call::new("guest", "browse", CALL);
-    matches!(caller.call(&call).outcome, Outcome::Answered { .. }).then_some(())
+    matches!(Caller::new([entry]).call(&call).outcome, Outcome::Answered { .. })
 }
 
 /// Sends requests over one kept connection: to an upstream, or to an entry VM whatever its look-ups
--- a/crates/sedgepathd/tests/callers.rs
+++ b/crates/sedgepathd/tests/callers.rs
@@ -21,39 +21,19 @@
 impl Small {
     fn new() -> Self {
         let upstream = UpstreamStandIn::new(UpstreamFigures::new(8)).expect("upstream");
-        let mut system = System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd")))
+        let spec = UpstreamSpec::new("b1", "south-a", 8).with_address(upstream.addr());
+        let records = records::one_service("browse", 5_000, &[spec], &["south-a"]);
+        let system = System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd")))
             .expect("platform")
             .with_settings(
                 "limits:\n  head_timeout_ms: 400\n  body_timeout_ms: 400\n  body_bytes: 1000\n",
-            );
-        let spec = UpstreamSpec {
-            name: "b1".into(),
-            domain: "south-a".into(),
-            address: upstream.addr(),
-            slots: 8,
-        };
-        let records = [
-            records::places(&[("south", &["south-a"])]),
-            records::service("browse", 5_000, &[spec]),
-            records::steering("browse", &[("south-a", 1.0)], 100.0, 10_000),
-            records::organisations(&[("porch", "paying", "porch-key")]),
-        ];
-        system.write_records(&records).expect("records");
-        system.add_daemon("s1", "south-a").expect("daemon");
+            )
+            .with_daemons(&records, &[("s1", "south-a")])
+            .expect("daemon");
+        let served = |entry, _| Caller::new([entry]).call(&get("/ready")).outcome == ANSWERED;
+        assert!(system.all_serve(served), "the daemon serves nothing");
         let callers = system.addresses[0].callers;
-        let small = Self { upstream, system, callers };
-        small.wait_until_served();
-        small
-    }
-
-    fn wait_until_served(&self) {
-        let mut caller = Caller::new([self.callers]);
-        let served = (0..1_200).any(|_| {
-            std::thread::sleep(Duration::from_millis(50));
-            let reply = caller.call(&get("/ready"));
-            matches!(reply.outcome, Outcome::Answered { .. })
-        });
-        assert!(served, "the daemon serves nothing");
+        Self { upstream, system, callers }
     }
 
     /// Sends raw bytes and returns all that comes back until the daemon closes or stands still.
--- a/crates/sedgepathd/tests/faults.rs
+++ b/crates/sedgepathd/tests/faults.rs
@@ -32,44 +32,26 @@
         let figures = UpstreamFigures::new(SLOTS).with_service_ms(30);
         let upstreams: Vec<_> =
             (0..4).map(|_| UpstreamStandIn::new(figures).expect("upstream")).collect();
-        let spec = |(number, upstream): (usize, &UpstreamStandIn)| UpstreamSpec {
-            name: format!("u{number}").into(),
-            domain: ["south-a", "north-a"][number / 2].into(),
-            address: upstream.addr(),
-            slots: SLOTS,
+        let spec = |(number, upstream): (usize, &UpstreamStandIn)| {
+            let domain = ["south-a", "north-a"][number / 2];
+            UpstreamSpec::new(&format!("u{number}"), domain, SLOTS).with_address(upstream.addr())
         };
         let specs: Vec<_> = upstreams.iter().enumerate().map(spec).collect();
-        let mut system =
-            System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
-        let records = [
-            records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
-            records::service("deposits", 2_000, &specs),
-            records::steering("deposits", &[("south-a", 1.0), ("north-a", 1.0)], 100.0, 2_000),
-            records::organisations(&[("porch", "paying", "porch-key")]),
-        ];
-        system.write_records(&records).expect("records");
-        for (name, domain) in [("s1", "south-a"), ("s2", "south-a"), ("n1", "north-a")] {
-            system.add_daemon(name, domain).expect("daemon");
-        }
+        let records = records::one_service("deposits", 2_000, &specs, &["south-a", "north-a"]);
+        let daemons = [("s1", "south-a"), ("s2", "south-a"), ("n1", "north-a")];
+        let system = System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+        let system = system.with_daemons(&records, &daemons).expect("daemons");
         let faulty = Self { upstreams, system };
-        faulty.wait_until_served("start");
+        faulty.assert_all_serve("start");
         faulty
     }
 
-    fn entries(&self) -> Vec<SocketAddr> {
-        self.system.addresses.iter().map(|address| address.callers).collect()
-    }
-
-    /// Waits until each daemon answers a request of its own.
-    fn wait_until_served(&self, when: &str) {
-        for (number, entry) in self.entries().into_iter().enumerate() {
-            let served = (0..600).any(|try_number| {
-                thread::sleep(Duration::from_millis(100));
-                let key = format!("{when} {number} {try_number}");
-                Caller::new([entry]).call(&call(&key, 0)).outcome == ANSWERED
-            });
-            assert!(served, "daemon {number} serves nothing after the {when}");
-        }
+    fn assert_all_serve(&self, when: &str) {
+        let serves = |entry, number| {
+            let key = format!("{when} {entry} {number}");
+            Caller::new([entry]).call(&call(&key, 0)).outcome == ANSWERED
+        };
+        assert!(self.system.all_serve(serves), "a daemon serves nothing at the {when}");
     }
 
     fn signal(&mut self, daemon: usize, signal: Signal) {
@@ -140,7 +122,7 @@
 fn pauses_kills_and_an_outage_break_no_promise() {
     let mut faulty = Faulty::new();
     let stop = Arc::new(AtomicBool::new(false));
-    let callers = start_callers(&faulty.entries(), &stop);
+    let callers = start_callers(&faulty.system.entries(), &stop);
     let pass = |ms| thread::sleep(Duration::from_millis(ms));
     pass(1_500);
     faulty.signal(0, Signal::Stop);
@@ -163,6 +145,6 @@
     let counts = told.counts();
     assert!(counts.answered > 200, "{counts:?}");
     faulty.judge(&told);
-    faulty.wait_until_served("end");
+    faulty.assert_all_serve("end");
     faulty.judge(&told);
 }
--- a/crates/sedgepathd/tests/once.rs
+++ b/crates/sedgepathd/tests/once.rs
@@ -31,25 +31,18 @@
     fn new() -> Self {
         let upstream = || UpstreamStandIn::new(UpstreamFigures::new(8)).expect("upstream");
         let upstreams = [upstream(), upstream()];
-        let spec = |index: usize, name: &str, domain: &str| UpstreamSpec {
-            name: name.into(),
-            domain: domain.into(),
-            address: upstreams[index].addr(),
-            slots: 8,
-        };
-        let specs = [spec(0, "d1", "north-a"), spec(1, "d2", "south-a")];
-        let mut system =
-            System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
-        let shares = [("north-a", 1.0), ("south-a", 1.0)];
-        let records = [
-            records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
-            records::service("deposit", 5_000, &specs),
-            records::steering("deposit", &shares, 100.0, 10_000),
-            records::organisations(&[("porch", "paying", "porch-key"), ("clue", "paying", "clue")]),
+        let specs = [
+            UpstreamSpec::new("d1", "north-a", 8).with_address(upstreams[0].addr()),
+            UpstreamSpec::new("d2", "south-a", 8).with_address(upstreams[1].addr()),
         ];
-        system.write_records(&records).expect("records");
-        system.add_daemon("n1", "north-a").expect("daemon");
-        system.add_daemon("s1", "south-a").expect("daemon");
+        let mut records = records::one_service("deposit", 5_000, &specs, &["north-a", "south-a"]);
+        records.push(records::organisations(&[
+            ("porch", "paying", "porch-key"),
+            ("clue", "paying", "clue"),
+        ]));
+        let system = System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+        let system = system.with_daemons(&records, &[("n1", "north-a"), ("s1", "south-a")]);
+        let system = system.expect("daemons");
         let entries = [system.addresses[0].callers, system.addresses[1].callers];
         let pair = Self { upstreams, system, entries };
         pair.wait_until_joined();
--- a/crates/sedgepathd/tests/path.rs
+++ b/crates/sedgepathd/tests/path.rs
@@ -14,21 +14,11 @@
 #[test]
 fn a_request_crosses_two_daemons_and_comes_back_whole() {
     let upstream = UpstreamStandIn::new(UpstreamFigures::new(4)).expect("upstream");
-    let mut system = System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
-    let spec = UpstreamSpec {
-        name: "b1".into(),
-        domain: "south-a".into(),
-        address: upstream.addr(),
-        slots: 4,
-    };
-    let records = [
-        records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
-        records::service("browse", 5_000, &[spec]),
-        records::steering("browse", &[("south-a", 1.0)], 100.0, 10_000),
-    ];
-    system.write_records(&records).expect("records");
-    system.add_daemon("n1", "north-a").expect("daemon");
-    system.add_daemon("s1", "south-a").expect("daemon");
+    let spec = UpstreamSpec::new("b1", "south-a", 4).with_address(upstream.addr());
+    let records = records::one_service("browse", 5_000, &[spec], &["south-a"]);
+    let system = System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+    let system = system.with_daemons(&records, &[("n1", "north-a"), ("s1", "south-a")]);
+    let system = system.expect("daemons");
     let mut caller = Caller::new([system.addresses[0].callers]);
 
     let call = Call::new("guest", "browse", "/v1/call/browse/echo")
--- a/crates/sedgepathd/tests/stop.rs
+++ b/crates/sedgepathd/tests/stop.rs
@@ -26,27 +26,13 @@
 /// name the stopping daemon are served meanwhile, and then its process ends by itself.
 fn stop_under_load(stopped: usize) {
     let upstream = UpstreamStandIn::new(UpstreamFigures::new(40)).expect("upstream");
-    let mut system = System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
-    let spec = UpstreamSpec {
-        name: "b1".into(),
-        domain: "south-a".into(),
-        address: upstream.addr(),
-        slots: 40,
-    };
-    let records = [
-        records::places(&[("north", &["north-a"]), ("south", &["south-a"])]),
-        records::service("browse", 10_000, &[spec]),
-        records::steering("browse", &[("south-a", 1.0)], 100.0, 10_000),
-    ];
-    system.write_records(&records).expect("records");
-    system.add_daemon("n1", "north-a").expect("daemon");
-    system.add_daemon("s1", "south-a").expect("daemon");
-    let entries = [system.addresses[0].callers, system.addresses[1].callers];
-    let served = (0..1_200).any(|_| {
-        thread::sleep(Duration::from_millis(50));
-        entries.iter().all(|entry| answered(*entry, "/ready"))
-    });
-    assert!(served, "the daemons serve nothing");
+    let spec = UpstreamSpec::new("b1", "south-a", 40).with_address(upstream.addr());
+    let records = records::one_service("browse", 10_000, &[spec], &["south-a"]);
+    let system = System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+    let system = system.with_daemons(&records, &[("n1", "north-a"), ("s1", "south-a")]);
+    let mut system = system.expect("daemons");
+    assert!(system.all_serve(|entry, _| answered(entry, "/ready")), "a daemon serves nothing");
+    let entries = system.entries();
 
     upstream.set_behaviour(Behaviour::DelayAnswer { delay_ms: 2_000 });
     let in_flight: Vec<_> = (0..20)
