--- a/crates/sedgepathd/tests/faults.rs
+++ b/crates/sedgepathd/tests/faults.rs
@@ -10,6 +10,7 @@
 
 use sedgepath_test_support::caller::{Call, Caller, CallerStats, Outcome};
 use sedgepath_test_support::daemon::Signal;
+use sedgepath_test_support::link::{Cut, CuttableLink};
 use sedgepath_test_support::memory::Outage;
 use sedgepath_test_support::records::{self, UpstreamSpec};
 use sedgepath_test_support::system::System;
@@ -21,8 +22,9 @@
 
 const ANSWERED: Outcome = Outcome::Answered { status: 200 };
 
-/// Two daemons of one failure domain, one of another, and two upstreams in each.
+/// Two daemons of one failure domain, one of another, and two upstreams in each, behind links.
 struct Faulty {
+    links: Vec<CuttableLink>,
     upstreams: Vec<UpstreamStandIn>,
     system: System,
 }
@@ -32,16 +34,18 @@
         let figures = UpstreamFigures::new(SLOTS).with_service_ms(30);
         let upstreams: Vec<_> =
             (0..4).map(|_| UpstreamStandIn::new(figures).expect("upstream")).collect();
-        let spec = |(number, upstream): (usize, &UpstreamStandIn)| {
+        let link = |upstream: &UpstreamStandIn| CuttableLink::new(upstream.addr()).expect("link");
+        let links: Vec<_> = upstreams.iter().map(link).collect();
+        let spec = |(number, link): (usize, &CuttableLink)| {
             let domain = ["south-a", "north-a"][number / 2];
-            UpstreamSpec::new(&format!("u{number}"), domain, SLOTS).with_address(upstream.addr())
+            UpstreamSpec::new(&format!("u{number}"), domain, SLOTS).with_address(link.addr())
         };
-        let specs: Vec<_> = upstreams.iter().enumerate().map(spec).collect();
+        let specs: Vec<_> = links.iter().enumerate().map(spec).collect();
         let records = records::one_service("deposits", 2_000, &specs, &["south-a", "north-a"]);
         let daemons = [("s1", "south-a"), ("s2", "south-a"), ("n1", "north-a")];
         let system = System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
         let system = system.with_daemons(&records, &daemons).expect("daemons");
-        let faulty = Self { upstreams, system };
+        let faulty = Self { links, upstreams, system };
         faulty.assert_all_serve("start");
         faulty
     }
@@ -94,6 +98,25 @@
         .with_retries(retries)
 }
 
+/// Lets callers keep all slots busy while faults happen, and returns what they were told.
+fn under_load(faulty: &mut Faulty, events: impl FnOnce(&mut Faulty)) -> CallerStats {
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = start_callers(&faulty.system.entries(), &stop);
+    pass(1_500);
+    events(faulty);
+    pass(1_000);
+    stop.store(true, Ordering::Relaxed);
+    let mut told = CallerStats::default();
+    for caller in callers {
+        told.merge(caller.join().expect("a caller"));
+    }
+    told
+}
+
+fn pass(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
 fn start_callers(entries: &[SocketAddr], stop: &Arc<AtomicBool>) -> Vec<JoinHandle<CallerStats>> {
     let start = |number: usize| {
         let mut entries = entries.to_vec();
@@ -121,29 +144,41 @@
 #[test]
 fn pauses_kills_and_an_outage_break_no_promise() {
     let mut faulty = Faulty::new();
-    let stop = Arc::new(AtomicBool::new(false));
-    let callers = start_callers(&faulty.system.entries(), &stop);
-    let pass = |ms| thread::sleep(Duration::from_millis(ms));
-    pass(1_500);
-    faulty.signal(0, Signal::Stop);
-    pass(4_000);
-    faulty.signal(0, Signal::Continue);
-    pass(3_000);
-    faulty.system.daemons[1] = None;
-    pass(2_500);
-    faulty.system.start_daemon(1).expect("the daemon starts again");
-    pass(1_000);
-    faulty.system.platform.state().set_outage(Outage::Refusing);
-    pass(3_000);
-    faulty.system.platform.state().set_outage(Outage::None);
-    pass(1_000);
-    stop.store(true, Ordering::Relaxed);
-    let mut told = CallerStats::default();
-    for caller in callers {
-        told.merge(caller.join().expect("a caller"));
-    }
+    let told = under_load(&mut faulty, |faulty| {
+        faulty.signal(0, Signal::Stop);
+        pass(4_000);
+        faulty.signal(0, Signal::Continue);
+        pass(3_000);
+        faulty.system.daemons[1] = None;
+        pass(2_500);
+        faulty.system.start_daemon(1).expect("the daemon starts again");
+        pass(1_000);
+        faulty.system.platform.state().set_outage(Outage::Refusing);
+        pass(3_000);
+        faulty.system.platform.state().set_outage(Outage::None);
+    });
+    assert!(told.counts().answered > 200, "{:?}", told.counts());
+    faulty.judge(&told);
+    faulty.assert_all_serve("end");
+    faulty.judge(&told);
+}
+
+/// The answers of one upstream are cut off while it runs what it is sent, then the way to another one
+/// is cut. What ran without an answer is told as unknown and never run again, its slots are kept
+/// until its deadline, and in the end every daemon answers again.
+#[test]
+fn cut_links_to_upstreams_break_no_promise() {
+    let mut faulty = Faulty::new();
+    let told = under_load(&mut faulty, |faulty| {
+        faulty.links[0].set_cut(Cut::FromTarget);
+        pass(4_000);
+        faulty.links[0].set_cut(Cut::None);
+        faulty.links[2].set_cut(Cut::ToTarget);
+        pass(4_000);
+        faulty.links[2].set_cut(Cut::None);
+    });
     let counts = told.counts();
-    assert!(counts.answered > 200, "{counts:?}");
+    assert!(counts.answered > 200 && counts.unknown > 0, "{counts:?}");
     faulty.judge(&told);
     faulty.assert_all_serve("end");
     faulty.judge(&told);
