Never run an attempt again whose caller was told that it was not run

Attempts that are equal and numbered are denied now, on both paths; a request without a number is a new try.

--- a/crates/sedgepath-core/src/node.rs
+++ b/crates/sedgepath-core/src/node.rs
@@ -214,7 +214,7 @@
         }
         let mut conclusion = self.ingress.begin(request, head, means, &mut self.out);
         if let Some(conclusion) = conclusion.as_mut().filter(|_| is_once && !is_known) {
-            once::hedge(head, &mut conclusion.outcome);
+            once::withhold_not_run(head, &mut conclusion.outcome);
         }
         self.conclude(conclusion);
     }
--- a/crates/sedgepath-core/src/once.rs
+++ b/crates/sedgepath-core/src/once.rs
@@ -231,6 +231,14 @@
     Outcome::NotRun { refusal, others: Vec::new() }
 }
 
+/// Whether an attempt was overtaken by one whose caller has been told *not run*.
+///
+/// That caller may have turned to another key by then, so neither an earlier attempt that comes late
+/// nor the same one sent again may run. A request without a number (0) is a new try of its caller.
+fn is_denied(attempt: u32, denied: u32) -> bool {
+    attempt < denied || (attempt == denied && attempt != 0)
+}
+
 /// The outcome of a request that was not sent although nothing is known of its key.
 ///
 /// *Not run* is said of the first attempt only. A later one asks about the action, and an earlier
@@ -242,7 +250,7 @@
 
 /// Turns *not run* into *unknown* for a request that was denied before its key was looked at, unless
 /// it is the first with that key.
-pub fn hedge(head: &RequestHead, outcome: &mut Outcome) {
+pub fn withhold_not_run(head: &RequestHead, outcome: &mut Outcome) {
     if matches!(outcome, Outcome::NotRun { .. }) && head.attempt != 1 {
         *outcome = Outcome::Unknown { retry_after_ms: RETRY_AFTER_MS };
     }
--- a/crates/sedgepath-core/src/once/claims.rs
+++ b/crates/sedgepath-core/src/once/claims.rs
@@ -37,7 +37,7 @@
 use super::claim::{Claim, End, Step};
 use super::row::{ClaimRow, ClaimState, Holder};
 use super::sweep::Sweep;
-use super::{RETRY_AFTER_MS, conclude, not_run, unsettled};
+use super::{RETRY_AFTER_MS, conclude, is_denied, not_run, unsettled};
 
 mod ending;
 
@@ -314,7 +314,7 @@
         let outcome = match known.state {
             _ if known.digest != digest => Outcome::KeyReused,
             ClaimState::Answered(Some(stored)) => Outcome::Repeated(stored),
-            ClaimState::NotRun if known.attempt > attempt => not_run(Reason::Claim),
+            ClaimState::NotRun if is_denied(attempt, known.attempt) => not_run(Reason::Claim),
             ClaimState::NotRun => {
                 self.claim(request, Condition::Version(row.version), batcher, out);
                 return;
--- a/crates/sedgepath-core/src/once/tickets.rs
+++ b/crates/sedgepath-core/src/once/tickets.rs
@@ -30,7 +30,7 @@
 use crate::request::{Outcome, Reason, RequestHead, StoredAnswer, Ticket};
 
 use super::row::{ClaimState, HandedOver, HandedTicket, TicketRow};
-use super::{RETRY_AFTER_MS, conclude, not_run};
+use super::{RETRY_AFTER_MS, conclude, is_denied, not_run};
 
 /// How long a ticket is valid, in milliseconds.
 pub const VALID_MS: u64 = 600_000;
@@ -165,7 +165,7 @@
         match self.used.get(&ticket.number) {
             Some(row) if row.digest != head.digest => Some(Outcome::KeyReused),
             Some(row) => match &row.state {
-                ClaimState::NotRun if row.attempt > head.attempt => {
+                ClaimState::NotRun if is_denied(head.attempt, row.attempt) => {
                     Some(not_run(Reason::TicketVoid))
                 }
                 ClaimState::NotRun => self.refusal(ticket, now_ms).map(not_run),
--- a/crates/sedgepath-core/tests/claims.rs
+++ b/crates/sedgepath-core/tests/claims.rs
@@ -200,6 +200,26 @@
     assert_holds(&judge(&bed));
 }
 
+/// A request is refused by the upstreams and its caller hears *not run*. Something on the way sends
+/// the very same attempt once more, to another node, when the upstreams are ready again. It must not
+/// run, for its caller has been told; the caller's next attempt does.
+#[test]
+fn an_attempt_that_was_denied_does_not_run_when_it_is_sent_again() {
+    let mut bed = bed(12);
+    let seen: Vec<_> = [(0, 1, true), (2, 1, false), (2, 2, false)]
+        .map(|(node, attempt, refuses)| {
+            bed.upstreams.get("d1").refuses = refuses;
+            bed.upstreams.get("d2").refuses = refuses;
+            let head = head(&bed, key(0), attempt);
+            let call = bed.call(node, head);
+            bed.run_for(500);
+            matches!(bed.calls()[call].seen, Seen::Concluded(Outcome::NotRun { .. }))
+        })
+        .to_vec();
+    assert_eq!(seen, [true, true, false]);
+    assert_holds(&judge(&bed));
+}
+
 /// The release of a refused request's claim lands seconds late, after the node has released it again
 /// and its caller's repeat has claimed anew and run with its answer lost. The late release names
 /// the version that it replaces, so it can't free the new claim for a third request.
