--- a/crates/sedgepathd/tests/once.rs
+++ b/crates/sedgepathd/tests/once.rs
@@ -49,15 +49,19 @@
         pair
     }
 
-    /// Waits until each daemon serves and forwards to the other.
+    /// Waits until each daemon serves and forwards to the other, and the upstreams of both failure
+    /// domains run requests: traffic goes to either, also while the right to one has not begun.
     fn wait_until_joined(&self) {
-        let joined = (0..400).any(|_| {
+        let before: Vec<_> = self.upstreams.iter().map(|upstream| upstream.runs().len()).collect();
+        let joined = (0..1_200).any(|_| {
             thread::sleep(Duration::from_millis(50));
-            (0..2).all(|from| {
+            let forwarded = (0..2).all(|from| {
                 let tickets = self.mint(from, 1);
                 let first = tickets.first();
                 first.is_some_and(|ticket| self.ticket(1 - from, ticket, "join").status == 200)
-            })
+            });
+            let mut upstreams = self.upstreams.iter().zip(&before);
+            forwarded && upstreams.all(|(upstream, runs)| upstream.runs().len() > *runs)
         });
         assert!(joined, "the daemons do not serve");
     }
