Keep the makers of a field in one place

The tables of records' and settings' fields each had their own required() and optional(); Field::required and Field::optional serve both. Behaviour unchanged: clippy over the workspace and the tests of records, settings and the operators' page pass.

--- a/crates/sedgepath-core/src/record/fields.rs
+++ b/crates/sedgepath-core/src/record/fields.rs
@@ -54,19 +54,6 @@
     KINDS.iter().find(|known| known.name == kind).map(|known| known.fields)
 }
 
-const fn required(name: &'static str, shape: Shape, meaning: &'static str) -> Field {
-    Field { name, shape, default: None, since: 1, meaning }
-}
-
-const fn optional(
-    name: &'static str,
-    shape: Shape,
-    default: &'static str,
-    meaning: &'static str,
-) -> Field {
-    Field { name, shape, default: Some(default), since: 1, meaning }
-}
-
 const fn since_2(
     name: &'static str,
     shape: Shape,
@@ -76,12 +63,15 @@
     Field { name, shape, default: Some(default), since: 2, meaning }
 }
 
-const PLACES: &[Field] =
-    &[required("regions", Shape::List { of: &Shape::Object(REGION), least: 1 }, "the regions")];
+const PLACES: &[Field] = &[Field::required(
+    "regions",
+    Shape::List { of: &Shape::Object(REGION), least: 1 },
+    "the regions",
+)];
 
 const REGION: &[Field] = &[
-    required("name", Shape::Name, "the region's name"),
-    required(
+    Field::required("name", Shape::Name, "the region's name"),
+    Field::required(
         "domains",
         Shape::List { of: &Shape::Name, least: 1 },
         "the names of its failure domains",
@@ -89,48 +79,52 @@
 ];
 
 const SERVICE: &[Field] = &[
-    required(
+    Field::required(
         "longest_deadline_ms",
         Shape::Integer { least: 1, most: 600_000 },
         "the longest deadline that a request may carry, in milliseconds",
     ),
-    optional(
+    Field::optional(
         "once_only",
         Shape::Flag,
         "false",
         "whether requests must carry an idempotency key or a ticket",
     ),
-    required("upstreams", Shape::List { of: &Shape::Object(UPSTREAM), least: 0 }, "the upstreams"),
+    Field::required(
+        "upstreams",
+        Shape::List { of: &Shape::Object(UPSTREAM), least: 0 },
+        "the upstreams",
+    ),
 ];
 
 const UPSTREAM: &[Field] = &[
-    required("name", Shape::Name, "the upstream's name, unique over all services"),
-    required("domain", Shape::Name, "the name of its failure domain"),
-    required("address", Shape::Address, "its IP address and port"),
-    required(
+    Field::required("name", Shape::Name, "the upstream's name, unique over all services"),
+    Field::required("domain", Shape::Name, "the name of its failure domain"),
+    Field::required("address", Shape::Address, "its IP address and port"),
+    Field::required(
         "slots",
         Shape::Integer { least: 1, most: MAX_COUNT },
         "the most requests that it runs at once",
     ),
-    optional(
+    Field::optional(
         "connections",
         Shape::Integer { least: 1, most: MAX_COUNT },
         "350",
         "the most connections that it takes",
     ),
-    optional(
+    Field::optional(
         "new_connections_per_s",
         Shape::Integer { least: 1, most: MAX_COUNT },
         "100",
         "the most new connections that it takes in a second",
     ),
-    optional(
+    Field::optional(
         "cold_slots",
         Shape::Integer { least: 1, most: MAX_COUNT },
         "as `slots`",
         "the requests that it may run at once when cold; they rise to `slots` over `warm_up_ms`",
     ),
-    optional(
+    Field::optional(
         "warm_up_ms",
         Shape::Integer { least: 0, most: MAX_TIME_MS },
         "0",
@@ -139,12 +133,12 @@
 ];
 
 const CAP: &[Field] = &[
-    required(
+    Field::required(
         "percent",
         Shape::Number { least: 0.0, most: 100.0 },
         "the most traffic that moves in a window, in percent",
     ),
-    required(
+    Field::required(
         "window_ms",
         Shape::Integer { least: 1, most: MAX_TIME_MS },
         "the length of the window, in milliseconds",
@@ -152,12 +146,12 @@
 ];
 
 const STEERING: &[Field] = &[
-    required(
+    Field::required(
         "groups",
         Shape::List { of: &Shape::Object(GROUP), least: 1 },
         "the shares by origin group; callers of other groups follow the group `any`",
     ),
-    required("cap", Shape::Object(CAP), "the most traffic that a shift may move"),
+    Field::required("cap", Shape::Object(CAP), "the most traffic that a shift may move"),
     since_2(
         "failover_cap",
         Shape::Object(CAP),
@@ -173,8 +167,8 @@
 ];
 
 const GROUP: &[Field] = &[
-    required("origin", Shape::Name, "the origin group's name"),
-    required(
+    Field::required("origin", Shape::Name, "the origin group's name"),
+    Field::required(
         "shares",
         Shape::List { of: &Shape::Object(SHARE), least: 1 },
         "the weight of each failure domain",
@@ -182,24 +176,24 @@
 ];
 
 const SHARE: &[Field] = &[
-    required("domain", Shape::Name, "the failure domain's name"),
-    required(
+    Field::required("domain", Shape::Name, "the failure domain's name"),
+    Field::required(
         "weight",
         Shape::Number { least: 0.0, most: 1e9 },
         "its weight against the others of the group",
     ),
 ];
 
-const ORGANISATIONS: &[Field] = &[required(
+const ORGANISATIONS: &[Field] = &[Field::required(
     "organisations",
     Shape::List { of: &Shape::Object(ORGANISATION), least: 0 },
     "the organisations",
 )];
 
 const ORGANISATION: &[Field] = &[
-    required("name", Shape::Name, "the organisation's name"),
-    required("plan", Shape::OneOf(&["paying", "trial"]), "what it pays"),
-    required(
+    Field::required("name", Shape::Name, "the organisation's name"),
+    Field::required("plan", Shape::OneOf(&["paying", "trial"]), "what it pays"),
+    Field::required(
         "key_digests",
         Shape::List { of: &Shape::Digest, least: 1 },
         "the digests of its keys, as `sedgepath key` prints them",
@@ -207,14 +201,18 @@
 ];
 
 const CLIENTS: &[Field] =
-    &[required("blocks", Shape::List { of: &Shape::Object(BLOCK), least: 0 }, "the blocks")];
+    &[Field::required("blocks", Shape::List { of: &Shape::Object(BLOCK), least: 0 }, "the blocks")];
 
 const BLOCK: &[Field] = &[
-    required("block", Shape::Block, "the block, like 192.0.2.0/24"),
-    required("origin", Shape::Name, "the name of its origin group"),
+    Field::required("block", Shape::Block, "the block, like 192.0.2.0/24"),
+    Field::required("origin", Shape::Name, "the name of its origin group"),
 ];
 
 const DRAIN: &[Field] = &[
-    required("target", Shape::OneOf(&["upstream", "domain"]), "what the record's name names"),
-    required("active", Shape::Flag, "whether the drain is in force; `false` ends it"),
+    Field::required(
+        "target",
+        Shape::OneOf(&["upstream", "domain"]),
+        "what the record's name names",
+    ),
+    Field::required("active", Shape::Flag, "whether the drain is in force; `false` ends it"),
 ];
--- a/crates/sedgepath-core/src/schema.rs
+++ b/crates/sedgepath-core/src/schema.rs
@@ -78,6 +78,23 @@
     pub meaning: &'static str,
 }
 
+impl Field {
+    /// Creates a field of the first schema that may not be left out.
+    pub const fn required(name: &'static str, shape: Shape, meaning: &'static str) -> Self {
+        Self { name, shape, default: None, since: 1, meaning }
+    }
+
+    /// Creates a field of the first schema that has a default.
+    pub const fn optional(
+        name: &'static str,
+        shape: Shape,
+        default: &'static str,
+        meaning: &'static str,
+    ) -> Self {
+        Self { name, shape, default: Some(default), since: 1, meaning }
+    }
+}
+
 /// A step from a document to a part of it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(untagged)]
--- a/crates/sedgepathd/src/settings/fields.rs
+++ b/crates/sedgepathd/src/settings/fields.rs
@@ -2,45 +2,45 @@
 
 use sedgepath_core::schema::{Field, Shape};
 
-const fn required(name: &'static str, shape: Shape, meaning: &'static str) -> Field {
-    Field { name, shape, default: None, since: 1, meaning }
-}
-
-const fn optional(
-    name: &'static str,
-    shape: Shape,
-    default: &'static str,
-    meaning: &'static str,
-) -> Field {
-    Field { name, shape, default: Some(default), since: 1, meaning }
-}
-
 const fn from_to(least: u64, most: u64) -> Shape {
     Shape::Integer { least, most }
 }
 
 /// The fields of a settings file.
 pub const FIELDS: &[Field] = &[
-    required("name", Shape::Name, "the VM's name, unique in the system"),
-    required("domain", Shape::Name, "the name of the VM's failure domain"),
-    required("callers", Shape::Address, "where callers' requests are taken"),
-    required("peers", Shape::Address, "where frames (TCP) and datagrams (UDP) of peers are taken"),
-    required("operators", Shape::Address, "where remote calls of operators and peers are taken"),
-    required("metrics", Shape::Address, "where metrics are read, at `/metrics`"),
-    required("platform", Shape::Url, "the base URL of the platform"),
-    required(
+    Field::required("name", Shape::Name, "the VM's name, unique in the system"),
+    Field::required("domain", Shape::Name, "the name of the VM's failure domain"),
+    Field::required("callers", Shape::Address, "where callers' requests are taken"),
+    Field::required(
+        "peers",
+        Shape::Address,
+        "where frames (TCP) and datagrams (UDP) of peers are taken",
+    ),
+    Field::required(
+        "operators",
+        Shape::Address,
+        "where remote calls of operators and peers are taken",
+    ),
+    Field::required("metrics", Shape::Address, "where metrics are read, at `/metrics`"),
+    Field::required("platform", Shape::Url, "the base URL of the platform"),
+    Field::required(
         "secret",
         Shape::Text { least_chars: 16 },
         "the secret that all processes of the system share, of at least 16 characters",
     ),
-    optional(
+    Field::optional(
         "log_level",
         Shape::OneOf(&["error", "warn", "info", "debug"]),
         "info",
         "the least level that is logged",
     ),
-    optional("limits", Shape::Object(LIMITS), "see below", "bounds on what callers may take"),
-    optional(
+    Field::optional(
+        "limits",
+        Shape::Object(LIMITS),
+        "see below",
+        "bounds on what callers may take",
+    ),
+    Field::optional(
         "timing",
         Shape::Object(TIMING),
         "see below",
@@ -49,38 +49,38 @@
 ];
 
 const LIMITS: &[Field] = &[
-    optional(
+    Field::optional(
         "connections",
         from_to(1, 65_536),
         "4096",
         "the most connections of callers at once; further ones wait to be accepted",
     ),
-    optional(
+    Field::optional(
         "head_bytes",
         from_to(8_192, 1_048_576),
         "32768",
         "the most bytes of a request's head",
     ),
-    optional(
+    Field::optional(
         "head_timeout_ms",
         from_to(100, 600_000),
         "15000",
         "the longest that a request's head may take to arrive, in milliseconds; an idle connection \
          is closed after it too",
     ),
-    optional(
+    Field::optional(
         "body_bytes",
         from_to(0, 67_108_864),
         "1048576",
         "the most bytes of a request's body, which is kept until the answer to be sent again",
     ),
-    optional(
+    Field::optional(
         "body_timeout_ms",
         from_to(100, 600_000),
         "10000",
         "the longest that a request's body may take to arrive, in milliseconds",
     ),
-    optional(
+    Field::optional(
         "default_timeout_ms",
         from_to(1, 600_000),
         "10000",
@@ -89,59 +89,59 @@
 ];
 
 const TIMING: &[Field] = &[
-    optional(
+    Field::optional(
         "heartbeat_every_ms",
         from_to(20, 10_000),
         "250",
         "the time between two heartbeats, in milliseconds",
     ),
-    optional(
+    Field::optional(
         "suspect_after_ms",
         from_to(60, 60_000),
         "1500",
         "after which silence a member is suspected, in milliseconds; an owner's right to its \
          upstreams ends as long after the heartbeat that was acknowledged",
     ),
-    optional(
+    Field::optional(
         "forget_after_ms",
         from_to(1_000, 86_400_000),
         "60000",
         "after which silence a member that the VM list no longer names is forgotten, in \
          milliseconds",
     ),
-    optional(
+    Field::optional(
         "relay_every_ms",
         from_to(20, 10_000),
         "500",
         "the time between two summaries from one failure domain to another, in milliseconds",
     ),
-    optional(
+    Field::optional(
         "head_every_ms",
         from_to(100, 60_000),
         "1000",
         "the time between two readings of the platform's head revision, in milliseconds",
     ),
-    optional(
+    Field::optional(
         "head_stale_ms",
         from_to(200, 600_000),
         "3000",
         "the age of the newest reading after which other members step in as readers, in \
          milliseconds",
     ),
-    optional(
+    Field::optional(
         "fetch_jitter_ms",
         from_to(0, 10_000),
         "100",
         "the longest random wait before records are fetched from a peer, in milliseconds",
     ),
-    optional(
+    Field::optional(
         "boot_wait_ms",
         from_to(0, 60_000),
         "1000",
         "how long a node that can't reach the platform listens after its start before it serves by \
          what a peer gave it, in milliseconds",
     ),
-    optional(
+    Field::optional(
         "look_up_valid_ms",
         from_to(100, 600_000),
         "5000",
