--- /dev/null
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -0,0 +1,149 @@
+//! The attempts to get one request run, and what follows from the end of each.
+//!
+//! A request that is not idempotent is sent again only with proof that it was not run: nothing was
+//! sent, or the upstream refused it. One that is idempotent is sent again after any failure, while
+//! its route's number of attempts and the retry budget last.
+
+use std::sync::Arc;
+
+use super::routing::Route;
+use super::upstreams::{LoadReport, UpstreamKey};
+
+/// How one sending of a request ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// The upstream ran it and answered in full.
+    Answered {
+        /// Whether the answer says that the upstream failed at it.
+        failed: bool,
+        /// The upstream's load.
+        report: Option<LoadReport>,
+        /// The size of the answer's body in bytes.
+        body_bytes: u64,
+    },
+    /// The upstream says that it did not run it.
+    Refused {
+        /// The upstream's load.
+        report: Option<LoadReport>,
+    },
+    /// Another upstream has the address now, and did not run it.
+    Misdirected,
+    /// No connection could be made, so nothing was sent.
+    Unreachable,
+    /// It was sent, at least in part, and no whole answer came: it may have run.
+    Failed,
+    /// The time was up: it may have run.
+    TimedOut,
+    /// The caller has left.
+    Abandoned,
+}
+
+/// Why a request is answered by the VM itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No route takes the path.
+    NoRoute,
+    /// No upstream of the service can be used.
+    NoUpstream,
+    /// All upstreams are so busy that the time would be up before the answer.
+    Busy,
+    /// The time that the caller gave was up on arrival.
+    Late,
+    /// The retry budget is spent, or the route's attempts are used up.
+    NoRetry,
+    /// The VM holds as many requests as it can.
+    Overloaded,
+}
+
+impl Reason {
+    /// Returns the name for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::NoUpstream => "no_upstream",
+            Self::Busy => "busy",
+            Self::Late => "late",
+            Self::NoRetry => "no_retry",
+            Self::Overloaded => "overloaded",
+        }
+    }
+}
+
+/// What to do next with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Send it to an upstream.
+    Send(Sending),
+    /// Tell the caller that it was not run, and when to come back.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// The time to come back after, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// Pass on the last answer, or tell the caller that it may have run.
+    GiveUp {
+        /// Why it isn't sent again.
+        reason: Reason,
+    },
+}
+
+/// One sending of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sending {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+    /// The name of its incarnation, which it checks.
+    pub name: Box<str>,
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Attempts {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that runs it.
+    pub service: Box<str>,
+    /// A digest of the object that it concerns.
+    pub object: Option<u64>,
+    /// When it arrived, in milliseconds.
+    pub arrived_at_ms: u64,
+    /// When it is given up, in milliseconds.
+    pub deadline_at_ms: u64,
+    /// The upstreams to which it was sent.
+    pub tried: Vec<UpstreamKey>,
+    /// The sendings that reached an upstream, whether refused or not.
+    pub arrivals: u32,
+    /// The sendings that may have run.
+    pub runs: u32,
+    /// The sending that has not ended.
+    pub current: Option<Current>,
+}
+
+/// The sending that has not ended.
+#[derive(Debug, Clone, Copy)]
+pub struct Current {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// When it was sent, in milliseconds.
+    pub sent_at_ms: u64,
+    /// Whether the upstream had lately run a request for the object.
+    pub warm: bool,
+    /// The wait for a slot that was expected, in milliseconds.
+    pub wait_ms: f64,
+}
+
+impl Attempts {
+    /// Whether it may be sent once more, as far as its own attempts go.
+    pub fn may_send(&self) -> bool {
+        if self.runs == 0 {
+            return true;
+        }
+        self.route.kind.may_repeat() && self.runs < self.route.max_attempts.max(1)
+    }
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/placing.rs
@@ -0,0 +1,211 @@
+//! Which upstream of a service runs a request.
+//!
+//! # Load that this answers
+//!
+//! An upstream that has lately run a request for an object runs the next one about three times
+//! faster, and remembers a limited number of objects. Requests of an object that are scattered over
+//! upstreams are slow everywhere; all on one upstream overload it when the object is busy.
+//!
+//! So the upstreams of a service are ranked for each object by weighted rendezvous hashing, near ones
+//! with a larger weight. Every VM that stands in the same failure domain computes the same order
+//! without a message, and an upstream that joins or leaves moves only its own objects. Of the first
+//! [`RANKED`] the one with the least expected time is taken: its wait for a slot, its work (warm or
+//! not), the way there, its slowness and its failures. A busy object thus spills to its second
+//! upstream, which then is warm too, and to a third only when both are full.
+
+use crate::hash::Set;
+
+use super::upstreams::{Upstream, UpstreamKey};
+
+/// How many upstreams of an object's order are weighed. More scatter objects.
+pub const RANKED: usize = 3;
+
+/// The weight of an upstream in the VM's own failure domain, one elsewhere having 1.
+const OWN_DOMAIN_WEIGHT: f64 = 4.0;
+
+/// The weight of an upstream in another failure domain of the VM's region.
+const OWN_REGION_WEIGHT: f64 = 2.0;
+
+/// What the weight of the own failure domain is multiplied by for large answers, whose bytes cost
+/// more on the way than a wait for a slot.
+const LARGE_ANSWER_FACTOR: f64 = 8.0;
+
+/// The mean size from which answers count as large, in bytes.
+const LARGE_ANSWER_BYTES: f64 = 30_000.0;
+
+/// What a failure costs a request, in milliseconds: about the time in which it is tried elsewhere.
+const FAILURE_COST_MS: f64 = 1_500.0;
+
+/// The silence from which an upstream is left to others, as a multiple of the time of cold work.
+const SILENCE_FACTOR: f64 = 2.0;
+
+/// How far an upstream is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Proximity {
+    /// In the own failure domain.
+    Domain,
+    /// In the own region.
+    Region,
+    /// Elsewhere.
+    Far,
+}
+
+/// The times that a service's requests take, as learnt.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceTimes {
+    /// The work for an object that the upstream has lately handled, in milliseconds.
+    pub warm_ms: f64,
+    /// The work for another object, in milliseconds.
+    pub cold_ms: f64,
+}
+
+/// The weight of a new sample of a service's times.
+const TIME_WEIGHT: f64 = 0.03;
+
+impl Default for ServiceTimes {
+    fn default() -> Self {
+        // Between the two until requests have been seen; soon replaced by samples.
+        Self { warm_ms: 250.0, cold_ms: 600.0 }
+    }
+}
+
+impl ServiceTimes {
+    /// Takes in a request that found a free slot.
+    pub fn learn(&mut self, warm: bool, took_ms: f64) {
+        let mean_ms = if warm { &mut self.warm_ms } else { &mut self.cold_ms };
+        *mean_ms += TIME_WEIGHT * (took_ms - *mean_ms);
+    }
+
+    /// Returns the expected work.
+    pub fn work_ms(&self, warm: bool) -> f64 {
+        if warm { self.warm_ms } else { self.cold_ms.max(self.warm_ms) }
+    }
+}
+
+/// What placing needs to know of a request and of the VM that places it.
+#[derive(Debug, Clone, Copy)]
+pub struct Question<'a> {
+    /// A digest of the object that the request concerns, or a random number.
+    pub object: u64,
+    /// Whether upstreams get faster at an object.
+    pub sticky: bool,
+    /// The mean size of the route's answers in bytes.
+    pub answer_bytes: f64,
+    /// The VM's failure domain.
+    pub domain: &'a str,
+    /// The VM's region.
+    pub region: &'a str,
+    /// The round trip to other regions in milliseconds.
+    pub far_ms: f64,
+    /// The service's times.
+    pub times: ServiceTimes,
+    /// The failure domains that are being emptied.
+    pub evacuated: &'a Set<Box<str>>,
+    /// The regions that may run the request; empty for all.
+    pub home_regions: &'a [Box<str>],
+    /// The upstreams to which the request has been sent.
+    pub tried: &'a [UpstreamKey],
+    /// The present moment in milliseconds.
+    pub now_ms: u64,
+}
+
+/// An upstream that may run a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// The expected time until the answer in milliseconds.
+    pub expected_ms: f64,
+    /// The part of it that the request waits for a slot, in milliseconds.
+    pub wait_ms: f64,
+    /// Whether it has lately run a request for the object.
+    pub warm: bool,
+    /// Its place in the object's order.
+    pub rank: usize,
+}
+
+impl Question<'_> {
+    /// Whether an upstream may get the request at all.
+    pub fn allows(&self, key: UpstreamKey, upstream: &Upstream) -> bool {
+        !upstream.entry.leaving
+            && !self.evacuated.contains(&upstream.entry.domain)
+            && (self.home_regions.is_empty() || self.home_regions.contains(&upstream.region))
+            && !self.tried.contains(&key)
+    }
+
+    /// Whether an upstream is worth a request: it can be reached, answers, and is not cold.
+    fn sound(&self, upstream: &Upstream) -> bool {
+        let silence_ms = upstream.silence_ms(self.now_ms) as f64;
+        upstream.ejected_until_ms <= self.now_ms
+            && !upstream.cold(self.now_ms)
+            && silence_ms < SILENCE_FACTOR * self.times.cold_ms.max(400.0)
+    }
+
+    /// Chooses among the upstreams of a service.
+    pub fn choose<'a>(
+        &self,
+        upstreams: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
+    ) -> Option<Candidate> {
+        let mut ranked: Vec<(f64, UpstreamKey, &Upstream)> = upstreams
+            .filter(|(key, upstream)| self.allows(*key, upstream) && self.sound(upstream))
+            .map(|(key, upstream)| (self.order(upstream), key, upstream))
+            .collect();
+        ranked.sort_unstable_by(|one, other| one.0.total_cmp(&other.0));
+        let candidates = ranked
+            .iter()
+            .take(RANKED)
+            .enumerate()
+            .map(|(rank, (_, key, upstream))| self.weigh(rank, *key, upstream));
+        candidates.min_by(|one, other| one.expected_ms.total_cmp(&other.expected_ms))
+    }
+
+    /// Returns how near an upstream is.
+    pub fn proximity(&self, upstream: &Upstream) -> Proximity {
+        if *upstream.entry.domain == *self.domain {
+            Proximity::Domain
+        } else if *upstream.region == *self.region {
+            Proximity::Region
+        } else {
+            Proximity::Far
+        }
+    }
+
+    /// Returns the upstream's place in the object's order; the least is the first.
+    fn order(&self, upstream: &Upstream) -> f64 {
+        let hash = crate::ownership::rank(upstream.hash, self.object);
+        // A number above 0 and up to 1.
+        let uniform = ((hash >> 11) as f64 + 1.0) / (1_u64 << 53) as f64;
+        -uniform.ln() / self.weight(upstream)
+    }
+
+    fn weight(&self, upstream: &Upstream) -> f64 {
+        let near = match self.proximity(upstream) {
+            Proximity::Domain if self.answer_bytes > LARGE_ANSWER_BYTES => {
+                OWN_DOMAIN_WEIGHT * LARGE_ANSWER_FACTOR
+            }
+            Proximity::Domain => OWN_DOMAIN_WEIGHT,
+            Proximity::Region => OWN_REGION_WEIGHT,
+            Proximity::Far => 1.0,
+        };
+        near * f64::from(upstream.entry.slots.max(1))
+    }
+
+    fn weigh(&self, rank: usize, key: UpstreamKey, upstream: &Upstream) -> Candidate {
+        let slots = f64::from(upstream.entry.slots.max(1));
+        let known_warm = self.sticky && upstream.warm_for(self.object, self.now_ms);
+        // The first of the order is where the object shall be warm, whether or not it is yet.
+        let warm = known_warm || rank == 0 || !self.sticky;
+        let slowness = upstream.slowness(self.now_ms);
+        let work_ms = self.times.work_ms(warm) * slowness;
+        let ahead = (upstream.load(self.now_ms) + 1.0 - slots).max(0.0);
+        let wait_ms = ahead * self.times.work_ms(true) * slowness / slots;
+        let way_ms = match self.proximity(upstream) {
+            Proximity::Domain => 0.0,
+            Proximity::Region => 4.0,
+            Proximity::Far => self.far_ms,
+        };
+        let failure_ms = upstream.failing(self.now_ms) * FAILURE_COST_MS;
+        let expected_ms = wait_ms + work_ms + way_ms + failure_ms;
+        Candidate { upstream: key, expected_ms, wait_ms, warm: known_warm, rank }
+    }
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/routing.rs
@@ -0,0 +1,154 @@
+//! The configuration in force: hosts, routes and services.
+
+use std::sync::Arc;
+
+use crate::hash::Map;
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// Idempotent: may run more than once.
+    Idempotent,
+    /// Not idempotent: runs at most once for each attempt of the caller.
+    Once,
+    /// A large idempotent answer.
+    Download,
+}
+
+impl RouteKind {
+    /// Whether a request may be sent again after it may have run.
+    pub fn may_repeat(self) -> bool {
+        !matches!(self, Self::Once)
+    }
+}
+
+/// A service among which a route spreads its requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RoutePart {
+    /// The service's name.
+    pub service: Box<str>,
+    /// Its share of the requests, relative to the other parts.
+    pub weight: f64,
+}
+
+/// A rule that sends the requests under a path to services.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// The route's name.
+    pub name: Box<str>,
+    /// The beginning of the paths that it takes.
+    pub prefix: Box<str>,
+    /// Whether its requests may run more than once.
+    pub kind: RouteKind,
+    /// The longest that a caller is kept waiting, in milliseconds.
+    pub timeout_ms: u64,
+    /// The time within which an answer is worth most, in milliseconds.
+    pub target_ms: u64,
+    /// The rank; 0 is the most urgent.
+    pub priority: u32,
+    /// The services that run its requests; at least one.
+    pub parts: Vec<RoutePart>,
+    /// The most upstreams to which one request may be sent.
+    pub max_attempts: u32,
+    /// Whether an upstream that has lately run a request for an object runs the next one faster.
+    pub sticky: bool,
+    /// The regions that may run it; empty for all.
+    pub home_regions: Vec<Box<str>>,
+}
+
+/// A service as configured.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceSettings {
+    /// The path of its health check.
+    pub health_path: Box<str>,
+    /// The most connections that one upstream takes from all VMs together.
+    pub max_connections: u32,
+    /// How long an upstream stays cold after its start, in milliseconds.
+    pub cold_start_ms: u64,
+    /// The requests a second that a cold upstream bears.
+    pub cold_per_s: f64,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// The largest head of a request in bytes.
+    pub max_header_bytes: usize,
+    /// The largest body of a request in bytes.
+    pub max_body_bytes: u64,
+    /// The longest that the head of a request may take, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// The longest that a connection may stay idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+/// A configuration in full.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Configuration {
+    /// Grows with every accepted configuration.
+    pub version: u64,
+    /// The services by name.
+    pub services: Map<Box<str>, ServiceSettings>,
+    /// The routes of each host.
+    pub hosts: Map<Box<str>, Vec<Arc<Route>>>,
+    /// The limits for callers.
+    pub limits: CallerLimits,
+}
+
+impl Configuration {
+    /// Returns the route of a host whose prefix is the longest one that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.hosts.get(host_name(host).as_ref())?;
+        let fitting = routes.iter().filter(|route| path.starts_with(&*route.prefix));
+        fitting.max_by_key(|route| route.prefix.len())
+    }
+}
+
+/// Reduces a `Host` field to the name: no port, in lower case.
+fn host_name(host: &str) -> std::borrow::Cow<'_, str> {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    };
+    if name.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        return name.to_ascii_lowercase().into();
+    }
+    name.into()
+}
+
+/// Spreads the requests of routes over their parts in proportion to the weights.
+///
+/// Smooth weighted round robin: each part gains its weight with each request, and the part with the
+/// most is taken and pays the sum. After any number of requests each part is within one request of
+/// its share, which a random draw is not; so a small node holds the shares as well as a large one.
+#[derive(Debug, Default)]
+pub struct Splits {
+    credits: Map<Box<str>, Vec<f64>>,
+}
+
+impl Splits {
+    /// Returns the part that takes the next request of a route.
+    pub fn next<'a>(&mut self, route: &'a Route) -> &'a RoutePart {
+        let [first, _second, ..] = &*route.parts else {
+            return &route.parts[0];
+        };
+        let credits = self.credits.entry(route.name.clone()).or_default();
+        credits.resize(route.parts.len(), 0.0);
+        let mut best = 0;
+        let mut total = 0.0;
+        for (index, part) in route.parts.iter().enumerate() {
+            credits[index] += part.weight;
+            total += part.weight;
+            if credits[index] > credits[best] {
+                best = index;
+            }
+        }
+        credits[best] -= total;
+        route.parts.get(best).unwrap_or(first)
+    }
+
+    /// Forgets the counts, since a new configuration may have changed the parts.
+    pub fn clear(&mut self) {
+        self.credits.clear();
+    }
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -0,0 +1,402 @@
+//! The decisions of a VM that sends to upstreams itself.
+
+use std::sync::Arc;
+
+use crate::hash::{Digest, Map, Set};
+use crate::key::VmKey;
+use crate::ownership;
+
+use super::attempts::{Attempts, Current, Outcome, Reason, Sending, Step};
+use super::budget::{BudgetLimits, RetryBudget};
+use super::placing::{Candidate, Question, ServiceTimes};
+use super::routing::{Configuration, ServiceSettings, Splits};
+use super::upstreams::{Upstream, UpstreamKey, Upstreams};
+use super::vms::Vms;
+
+/// Where a VM stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// The VM's name.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Its region.
+    pub region: Box<str>,
+    /// The region of each failure domain.
+    pub regions: Map<Box<str>, Box<str>>,
+}
+
+/// The limits that the platform's operators set.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// The retry budget of all VMs.
+    pub budget: BudgetLimits,
+}
+
+/// The time to come back after when no upstream can be used, in milliseconds: an upstream that
+/// restarts is known again within about this time.
+const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
+
+/// The least time to come back after when all upstreams are busy, in milliseconds: about the time in
+/// which a slot comes free.
+const MIN_BUSY_RETRY_MS: u64 = 200;
+
+/// The longest time to come back after when all upstreams are busy, in milliseconds.
+const MAX_BUSY_RETRY_MS: u64 = 1_500;
+
+/// The part of a request's time that its expected answer may take up; the rest is for the estimate's
+/// error. A request that would be late is refused at once, so that its caller can go elsewhere.
+const USABLE_TIME: f64 = 0.9;
+
+/// The round trip to other regions that is expected until one was measured, in milliseconds.
+const FAR_ROUND_TRIP_MS: f64 = 60.0;
+
+/// The weight of a new sample of a mean size or round trip.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// A request as a caller sent it.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked<'a> {
+    /// The host that it names.
+    pub host: &'a str,
+    /// Its path, without a query.
+    pub path: &'a str,
+    /// How much longer the caller waits, in milliseconds.
+    pub time_left_ms: Option<u64>,
+    /// The object that it concerns.
+    pub object: Option<&'a str>,
+}
+
+/// A request that the VM answers itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// The time to come back after, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// The state of a VM that sends to upstreams itself.
+#[derive(Debug)]
+pub struct Steering {
+    place: Place,
+    configuration: Option<Arc<Configuration>>,
+    splits: Splits,
+    upstreams: Upstreams,
+    evacuated: Set<Box<str>>,
+    budget: RetryBudget,
+    times: Map<Box<str>, ServiceTimes>,
+    answer_bytes: Map<Box<str>, f64>,
+    far_ms: f64,
+    vms: Vms,
+}
+
+impl Steering {
+    /// Creates the state of a VM that knows only itself.
+    pub fn new(place: Place, limits: Limits, vms: Vms) -> Self {
+        Self {
+            place,
+            configuration: None,
+            splits: Splits::default(),
+            upstreams: Upstreams::default(),
+            evacuated: Set::default(),
+            budget: RetryBudget::new(limits.budget),
+            times: Map::default(),
+            answer_bytes: Map::default(),
+            far_ms: FAR_ROUND_TRIP_MS,
+            vms,
+        }
+    }
+
+    /// Returns where the VM stands.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Returns the upstreams.
+    pub fn upstreams(&self) -> &Upstreams {
+        &self.upstreams
+    }
+
+    /// Returns the upstreams to be changed.
+    pub fn upstreams_mut(&mut self) -> &mut Upstreams {
+        &mut self.upstreams
+    }
+
+    /// Returns the entry VMs.
+    pub fn vms(&self) -> &Vms {
+        &self.vms
+    }
+
+    /// Returns the entry VMs to be changed.
+    pub fn vms_mut(&mut self) -> &mut Vms {
+        &mut self.vms
+    }
+
+    /// Returns the region of a failure domain, or its own name where none is known.
+    pub fn region_of(&self, domain: &str) -> Box<str> {
+        self.place.regions.get(domain).cloned().unwrap_or_else(|| domain.into())
+    }
+
+    /// Whether requests can be served: a configuration and an upstream are known.
+    pub fn can_serve(&self) -> bool {
+        self.configuration.is_some() && !self.upstreams.is_empty()
+    }
+
+    /// Puts a configuration in force unless it is older than the one in force.
+    ///
+    /// A read that was delayed may bring an older one; taken in, routes that callers have used
+    /// already would be gone again. Returns whether it is in force now and was not before.
+    pub fn configure(&mut self, configuration: Arc<Configuration>) -> bool {
+        let newer =
+            self.configuration.as_ref().is_none_or(|known| known.version < configuration.version);
+        if newer {
+            self.splits.clear();
+            self.configuration = Some(configuration);
+        }
+        newer
+    }
+
+    /// Sets the failure domains that are being emptied; those that no longer are may be cold.
+    pub fn evacuate(&mut self, domains: Set<Box<str>>, now_ms: u64) {
+        let cold_ms = self.configuration.as_ref().map_or(0, |configuration| {
+            configuration.services.values().map(|service| service.cold_start_ms).max().unwrap_or(0)
+        });
+        for domain in self.evacuated.difference(&domains) {
+            self.upstreams.chill_domain(domain, now_ms + cold_ms);
+        }
+        self.evacuated = domains;
+    }
+
+    /// Returns the failure domains that are being emptied.
+    pub fn evacuated(&self) -> &Set<Box<str>> {
+        &self.evacuated
+    }
+
+    /// Takes in a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the VM's own answer if no route takes it or its time is up.
+    pub fn begin(&mut self, asked: Asked<'_>, now_ms: u64) -> Result<Attempts, Refusal> {
+        let refuse = |reason, retry_after_ms| Err(Refusal { reason, retry_after_ms });
+        let Some(configuration) = self.configuration.as_ref() else {
+            return refuse(Reason::NoConfiguration, NO_UPSTREAM_RETRY_MS);
+        };
+        let Some(route) = configuration.route(asked.host, asked.path).map(Arc::clone) else {
+            return refuse(Reason::NoRoute, 0);
+        };
+        let time_ms = asked.time_left_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+        if time_ms == 0 {
+            return refuse(Reason::Late, 0);
+        }
+        let service = self.splits.next(&route).service.clone();
+        self.budget.earn(&service, now_ms);
+        let object = asked.object.map(|name| Digest::of(&[name.as_bytes()]).to_u64());
+        Ok(Attempts {
+            service,
+            object,
+            arrived_at_ms: now_ms,
+            deadline_at_ms: now_ms + time_ms,
+            tried: Vec::new(),
+            arrivals: 0,
+            runs: 0,
+            current: None,
+            route,
+        })
+    }
+
+    /// Decides what happens next with a request none of whose sendings is under way.
+    pub fn next(&mut self, attempts: &mut Attempts, random: u64, now_ms: u64) -> Step {
+        if !attempts.may_send() {
+            return Step::GiveUp { reason: Reason::NoRetry };
+        }
+        let stop = |reason, retry_after_ms, attempts: &Attempts| {
+            if attempts.runs > 0 {
+                return Step::GiveUp { reason };
+            }
+            Step::Refuse { reason, retry_after_ms }
+        };
+        let Some(candidate) = self.choose(attempts, random, now_ms) else {
+            return stop(Reason::NoUpstream, NO_UPSTREAM_RETRY_MS, attempts);
+        };
+        let left_ms = attempts.deadline_at_ms.saturating_sub(now_ms) as f64;
+        if candidate.wait_ms > 0.0 && candidate.expected_ms > left_ms * USABLE_TIME {
+            let retry_ms = (candidate.wait_ms / 2.0) as u64;
+            let retry_ms = retry_ms.clamp(MIN_BUSY_RETRY_MS, MAX_BUSY_RETRY_MS);
+            return stop(Reason::Busy, retry_ms, attempts);
+        }
+        if attempts.arrivals > 0 {
+            let vms = self.vms.sharing(now_ms);
+            if !self.budget.spend(&attempts.service, vms, now_ms) {
+                return stop(Reason::NoRetry, MIN_BUSY_RETRY_MS, attempts);
+            }
+        }
+        self.send(attempts, candidate, now_ms)
+    }
+
+    fn send(&mut self, attempts: &mut Attempts, candidate: Candidate, now_ms: u64) -> Step {
+        let key = candidate.upstream;
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return Step::GiveUp { reason: Reason::NoUpstream };
+        };
+        upstream.sent(attempts.object, now_ms);
+        attempts.tried.push(key);
+        attempts.current = Some(Current {
+            upstream: key,
+            sent_at_ms: now_ms,
+            warm: candidate.warm,
+            wait_ms: candidate.wait_ms,
+        });
+        Step::Send(Sending {
+            upstream: key,
+            address: upstream.entry.address,
+            name: upstream.entry.name.clone(),
+        })
+    }
+
+    fn choose(&self, attempts: &Attempts, random: u64, now_ms: u64) -> Option<Candidate> {
+        let question = Question {
+            object: attempts.object.unwrap_or(random),
+            sticky: attempts.route.sticky && attempts.object.is_some(),
+            answer_bytes: self.answer_bytes.get(&attempts.route.name).copied().unwrap_or(0.0),
+            domain: &self.place.domain,
+            region: &self.place.region,
+            far_ms: self.far_ms,
+            times: self.times.get(&attempts.service).copied().unwrap_or_default(),
+            evacuated: &self.evacuated,
+            home_regions: &attempts.route.home_regions,
+            tried: &attempts.tried,
+            now_ms,
+        };
+        let keys = self.upstreams.of_service(&attempts.service);
+        let known = || keys.iter().filter_map(|key| Some((*key, self.upstreams.get(*key)?)));
+        question.choose(known()).or_else(|| self.last_resort(&attempts.service, &question, known()))
+    }
+
+    /// Chooses when no upstream is sound: a cold one at its rate, else one that failed.
+    fn last_resort<'a>(
+        &self,
+        service: &str,
+        question: &Question<'_>,
+        known: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
+    ) -> Option<Candidate> {
+        let now_ms = question.now_ms;
+        let settings = self.service(service);
+        let cold_per_s = settings.map_or(1.0, |settings| settings.cold_per_s);
+        let serving = self.vms.serving(now_ms);
+        let allowed = known.filter(|(key, upstream)| question.allows(*key, upstream));
+        let usable = allowed.filter(|(_, upstream)| {
+            if upstream.cold(now_ms) {
+                upstream.cold_room(cold_per_s, now_ms) && self.leads(upstream, &serving)
+            } else {
+                upstream.in_flight == 0
+            }
+        });
+        let first = usable.min_by(|(_, one), (_, other)| {
+            let rate = |up: &Upstream| (up.ejected_until_ms, up.load(now_ms));
+            let (one, other) = (rate(one), rate(other));
+            one.0.cmp(&other.0).then(one.1.total_cmp(&other.1))
+        })?;
+        let work_ms = question.times.cold_ms;
+        Some(Candidate {
+            upstream: first.0,
+            expected_ms: work_ms,
+            wait_ms: 0.0,
+            warm: false,
+            rank: 0,
+        })
+    }
+
+    /// Whether this VM is the one that may send to an upstream while it is cold.
+    ///
+    /// The bound is for all VMs together. One VM of the upstream's failure domain, or of the region if
+    /// there is none, takes all of it; those that disagree on who serves exceed it by their number, and
+    /// the bound leaves room for two.
+    fn leads(&self, upstream: &Upstream, serving: &[&super::vms::VmCard]) -> bool {
+        let near = |fits: &dyn Fn(&super::vms::VmCard) -> bool| -> Vec<VmKey> {
+            let near = serving.iter().filter(|card| fits(card));
+            near.map(|card| VmKey::of(&card.name)).collect()
+        };
+        let mut candidates = near(&|card| card.domain == upstream.entry.domain);
+        if candidates.is_empty() {
+            candidates = near(&|card| card.region == upstream.region);
+        }
+        if candidates.is_empty() {
+            candidates = near(&|_| true);
+        }
+        ownership::owner(upstream.hash, &candidates) == Some(VmKey::of(&self.place.name))
+    }
+
+    /// Takes in how a sending ended.
+    pub fn ended(&mut self, attempts: &mut Attempts, outcome: Outcome, now_ms: u64) {
+        let Some(current) = attempts.current.take() else {
+            return;
+        };
+        let key = current.upstream;
+        match outcome {
+            Outcome::Answered { .. } | Outcome::Failed | Outcome::TimedOut => {
+                attempts.arrivals += 1;
+                attempts.runs += 1;
+            }
+            Outcome::Refused { .. } | Outcome::Misdirected => attempts.arrivals += 1,
+            Outcome::Unreachable | Outcome::Abandoned => {}
+        }
+        if let Some(service) = self.service(&attempts.service).cloned()
+            && !matches!(outcome, Outcome::Unreachable | Outcome::Abandoned | Outcome::TimedOut)
+        {
+            self.upstreams.note_return(key, &service, now_ms);
+        }
+        self.learn(attempts, current, outcome, now_ms);
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        upstream.ended();
+        match outcome {
+            Outcome::Answered { failed: true, .. } | Outcome::Failed => upstream.failed(now_ms),
+            Outcome::Answered { report, .. } => {
+                let expected_ms = self
+                    .times
+                    .get(&attempts.service)
+                    .map(|times| times.work_ms(current.warm) + current.wait_ms);
+                let took_ms = (now_ms - current.sent_at_ms) as f64;
+                let slowness = expected_ms.map(|expected_ms| took_ms / expected_ms.max(1.0));
+                upstream.answered(report, slowness, now_ms);
+            }
+            Outcome::Refused { report } => upstream.refused(report, now_ms),
+            Outcome::Misdirected => self.upstreams.misdirected(key),
+            Outcome::Unreachable => upstream.unreachable(now_ms),
+            Outcome::TimedOut | Outcome::Abandoned => {}
+        }
+    }
+
+    fn learn(&mut self, attempts: &Attempts, current: Current, outcome: Outcome, now_ms: u64) {
+        let Outcome::Answered { failed: false, body_bytes, .. } = outcome else {
+            return;
+        };
+        if current.wait_ms <= 0.0 {
+            let times = self.times.entry(attempts.service.clone()).or_default();
+            times.learn(current.warm, (now_ms - current.sent_at_ms) as f64);
+        }
+        let mean =
+            self.answer_bytes.entry(attempts.route.name.clone()).or_insert(body_bytes as f64);
+        *mean += SAMPLE_WEIGHT * (body_bytes as f64 - *mean);
+    }
+
+    /// Takes in the time that a connection to an upstream took.
+    pub fn connected(&mut self, key: UpstreamKey, took_ms: u64) {
+        let far = self.upstreams.get(key).is_some_and(|up| up.region != self.place.region);
+        if far {
+            self.far_ms += SAMPLE_WEIGHT * (took_ms as f64 - self.far_ms);
+        }
+    }
+
+    fn service(&self, name: &str) -> Option<&ServiceSettings> {
+        self.configuration.as_ref()?.services.get(name)
+    }
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -0,0 +1,185 @@
+//! The entry VMs that this one has heard of, and the answers to look-ups.
+//!
+//! Every VM sends every other a small heartbeat. One that falls silent is no longer named after
+//! [`VmTiming::silent_after_ms`]; one that says that it leaves, at once. What VMs pass on of others is
+//! only how to reach them, never that they live: hearsay can't keep a dead VM named.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::hash::Map;
+
+/// How to reach an entry VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmCard {
+    /// The VM's name.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Its region.
+    pub region: Box<str>,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
+    /// Where it takes other VMs' datagrams.
+    pub peers: SocketAddr,
+}
+
+/// What a VM tells the others of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmHeartbeat {
+    /// How to reach it.
+    pub card: VmCard,
+    /// When its process started, in milliseconds since the Unix epoch; the later of two counts.
+    pub boot: u64,
+    /// Whether it takes new requests.
+    pub ready: bool,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Where it sends datagrams to: addresses that the receiver may not know yet.
+    pub known: Vec<SocketAddr>,
+}
+
+/// When a VM counts as silent and as forgotten.
+#[derive(Debug, Clone, Copy)]
+pub struct VmTiming {
+    /// The time between two heartbeats in milliseconds.
+    pub heartbeat_ms: u64,
+    /// The silence after which a VM is no longer named, in milliseconds.
+    pub silent_after_ms: u64,
+    /// The silence after which a VM no longer shares the limits that hold for all, in milliseconds.
+    pub forgotten_after_ms: u64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    heartbeat: VmHeartbeat,
+    heard_at_ms: u64,
+}
+
+/// The most addresses that a look-up names.
+const MAX_NAMED: usize = 64;
+
+/// The most addresses of others that a heartbeat carries, so that it stays within one datagram.
+const MAX_KNOWN: usize = 40;
+
+/// The entry VMs as this one sees them.
+#[derive(Debug)]
+pub struct Vms {
+    own: VmHeartbeat,
+    timing: VmTiming,
+    peers: Map<Box<str>, Peer>,
+    /// Addresses to send heartbeats to, with the moment up to which they are tried unanswered.
+    addresses: Map<SocketAddr, u64>,
+}
+
+impl Vms {
+    /// Creates a table in which only this VM stands.
+    pub fn new(own: VmHeartbeat, timing: VmTiming) -> Self {
+        Self { own, timing, peers: Map::default(), addresses: Map::default() }
+    }
+
+    /// Returns what this VM tells the others.
+    pub fn heartbeat(&self) -> VmHeartbeat {
+        let mut heartbeat = self.own.clone();
+        heartbeat.known = self.addresses.keys().copied().take(MAX_KNOWN).collect();
+        heartbeat
+    }
+
+    /// Sets whether this VM takes new requests.
+    pub fn set_ready(&mut self, ready: bool) {
+        self.own.ready = ready;
+    }
+
+    /// Notes that this VM is about to stop.
+    pub fn leave(&mut self) {
+        self.own.leaving = true;
+        self.own.ready = false;
+    }
+
+    /// Whether this VM is about to stop.
+    pub fn leaving(&self) -> bool {
+        self.own.leaving
+    }
+
+    /// Adds an address to send heartbeats to.
+    pub fn add_address(&mut self, address: SocketAddr, now_ms: u64) {
+        if address != self.own.card.peers {
+            let until_ms = now_ms + self.timing.forgotten_after_ms;
+            self.addresses.entry(address).or_insert(until_ms);
+        }
+    }
+
+    /// Returns the addresses to send heartbeats to, without those that have been silent for long.
+    pub fn addresses(&mut self, now_ms: u64) -> Vec<SocketAddr> {
+        self.addresses.retain(|_, until_ms| *until_ms > now_ms);
+        self.addresses.keys().copied().collect()
+    }
+
+    /// Takes in a heartbeat of another VM.
+    pub fn heard(&mut self, heartbeat: VmHeartbeat, now_ms: u64) {
+        if heartbeat.card.name == self.own.card.name {
+            return;
+        }
+        let forgotten_at_ms = now_ms + self.timing.forgotten_after_ms;
+        self.addresses.insert(heartbeat.card.peers, forgotten_at_ms);
+        for address in &heartbeat.known {
+            self.add_address(*address, now_ms);
+        }
+        // A delayed datagram of an earlier process must not undo what the later one says.
+        let later = self
+            .peers
+            .get(&heartbeat.card.name)
+            .is_none_or(|peer| peer.heartbeat.boot <= heartbeat.boot);
+        // A farewell that overtakes nothing: once a process leaves it doesn't come back.
+        let left = self.peers.get(&heartbeat.card.name).is_some_and(|peer| {
+            peer.heartbeat.boot == heartbeat.boot && peer.heartbeat.leaving && !heartbeat.leaving
+        });
+        if later && !left {
+            let name = heartbeat.card.name.clone();
+            self.peers.insert(name, Peer { heartbeat, heard_at_ms: now_ms });
+        }
+    }
+
+    /// Returns the number of VMs that share what holds for all of them, this one among them.
+    pub fn sharing(&self, now_ms: u64) -> usize {
+        let timing = self.timing;
+        let shares = |peer: &&Peer| now_ms < peer.heard_at_ms + timing.forgotten_after_ms;
+        1 + self.peers.values().filter(shares).count()
+    }
+
+    /// Returns the VMs that serve, this one among them unless it leaves, in the order of names.
+    pub fn serving(&self, now_ms: u64) -> Vec<&VmCard> {
+        let mut cards: Vec<_> = self
+            .peers
+            .values()
+            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms)
+            .filter(|peer| peer.heartbeat.ready && !peer.heartbeat.leaving)
+            .map(|peer| &peer.heartbeat.card)
+            .collect();
+        if !self.own.leaving {
+            cards.push(&self.own.card);
+        }
+        cards.sort_unstable_by(|one, other| one.name.cmp(&other.name));
+        cards
+    }
+
+    /// Answers a look-up from a failure domain and region with the addresses of entry VMs.
+    ///
+    /// VMs of the caller's own failure domain come alone if there are any, since a byte that crosses
+    /// to another costs; then those of its region, then all. Never empty unless this VM leaves and
+    /// knows no other.
+    pub fn look_up(&self, domain: &str, region: &str, now_ms: u64) -> Vec<SocketAddr> {
+        let serving = self.serving(now_ms);
+        let near = |fits: &dyn Fn(&VmCard) -> bool| -> Vec<SocketAddr> {
+            let fitting = serving.iter().filter(|card| fits(card));
+            fitting.map(|card| card.callers).take(MAX_NAMED).collect()
+        };
+        let in_domain = near(&|card| &*card.domain == domain);
+        if !in_domain.is_empty() {
+            return in_domain;
+        }
+        let in_region = near(&|card| &*card.region == region);
+        if in_region.is_empty() { near(&|_| true) } else { in_region }
+    }
+}
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod catalogue;
 pub mod clock;
 pub mod configuration;
+pub mod direct;
 pub mod drain;
 pub mod egress;
 pub mod event;
--- a/crates/sedgepath-wire/src/lib.rs
+++ b/crates/sedgepath-wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! encrypted: the links between the VMs are the users' own.
 
 pub mod datagram;
+pub mod dial;
 pub mod frame;
 pub mod key;
 pub mod rpc;
--- a/crates/sedgepathd/src/command.rs
+++ b/crates/sedgepathd/src/command.rs
@@ -5,8 +5,8 @@
 
 use getopts::Options;
 
-use crate::daemon;
 use crate::settings::Settings;
+use crate::{daemon, direct};
 
 /// The exit code of a wrong command line or wrong settings.
 const EXIT_USAGE: u8 = 2;
@@ -32,6 +32,15 @@
         println!("sedgepathd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if matches.opt_present("direct") {
+        return match direct::run::run() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("{:?}", miette::Report::new(error));
+                ExitCode::from(EXIT_FAILED)
+            }
+        };
+    }
     let Some(path) = matches.opt_str("settings").map(PathBuf::from) else {
         eprintln!("sedgepathd: the settings file is missing\n{}", usage(&options));
         return ExitCode::from(EXIT_USAGE);
@@ -60,6 +69,11 @@
     let mut options = Options::new();
     options.optopt("s", "settings", "read the settings from this YAML file", "FILE");
     options.optflag("c", "check", "check the settings and end");
+    options.optflag(
+        "d",
+        "direct",
+        "run on the platform and send to upstreams directly; the platform's settings file is named by the environment",
+    );
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
     options
--- /dev/null
+++ b/crates/sedgepathd/src/direct.rs
@@ -0,0 +1,22 @@
+//! The shell around [`sedgepath_core::direct`]: an entry VM that sends to upstreams itself.
+//!
+//! One thread runs everything: a VM has a fifth of a core, so threads would only take turns, and the
+//! steering state needs no lock. [`shell::Shell`] is what all tasks share.
+//!
+//! - [`run`]: start, signals, planned stop.
+//! - [`ingress`]: callers' connections and their requests.
+//! - [`sending`]: one sending of a request to an upstream.
+//! - [`pool`]: connections to upstreams, kept between requests.
+//! - [`entry`]: look-ups, and whether this VM takes requests.
+//! - [`follow`]: follows the store's rows.
+//! - [`peers`]: heartbeats between entry VMs.
+
+pub mod clock;
+pub mod entry;
+pub mod follow;
+pub mod ingress;
+pub mod peers;
+pub mod pool;
+pub mod run;
+pub mod sending;
+pub mod shell;
--- /dev/null
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -0,0 +1,307 @@
+//! Callers' connections and their requests.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Body as _, Frame, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use sedgepath_adapter::exchange::{self, RequestFields};
+use sedgepath_core::direct::attempts::{Attempts, Outcome, Reason, Step};
+use sedgepath_core::direct::steering::{Asked, Refusal};
+use sedgepath_wire::dial;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout_at;
+
+use super::clock;
+use super::pool::Body;
+use super::sending::{self, Flight, Head, RequestBody, held};
+use super::shell::{Shell, StopPhase};
+
+/// The descriptors kept free for files and for connections to upstreams and to the store.
+const RESERVED_DESCRIPTORS: usize = 1_200;
+
+/// Bodies of requests up to this size are read whole before the request is sent, so that it can be
+/// sent again.
+const MAX_HELD_BYTES: usize = 256 * 1024;
+
+/// How long a connection may stay idle before a configuration is known, in milliseconds.
+const DEFAULT_IDLE_MS: u64 = 15_000;
+
+/// The largest head before a configuration is known, in bytes.
+const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
+
+/// What hyper needs at least for its buffer, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Takes callers' connections until the process ends.
+pub async fn serve(shell: Rc<Shell>, listener: TcpListener) {
+    let most =
+        shell.settings.resources.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors for a moment; those of ended connections come free.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        if shell.connections.get() >= most {
+            drop(stream);
+            continue;
+        }
+        shell.connections.set(shell.connections.get() + 1);
+        let shell = Rc::clone(&shell);
+        tokio::task::spawn_local(async move {
+            connection(&shell, stream).await;
+            shell.connections.set(shell.connections.get() - 1);
+        });
+    }
+}
+
+async fn connection(shell: &Rc<Shell>, stream: TcpStream) {
+    if dial::watch(&stream).is_err() {
+        return;
+    }
+    let limits = shell.steering.borrow().configuration().map(|in_force| in_force.limits);
+    let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |limits| limits.idle_timeout_ms);
+    let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.max_header_bytes);
+    let service = service_fn(|request| {
+        let shell = Rc::clone(shell);
+        async move { Ok::<_, Infallible>(answer(shell, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(idle_ms))
+        .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES) + MIN_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut stop = shell.stop.subscribe();
+    let stopping = async {
+        let _sender_lives = stop.wait_for(|phase| *phase >= StopPhase::Closing).await;
+    };
+    tokio::select! {
+        ended = connection.as_mut() => return log_end(ended),
+        () = stopping => connection.as_mut().graceful_shutdown(),
+    }
+    log_end(connection.await);
+}
+
+fn log_end(ended: Result<(), hyper::Error>) {
+    if let Err(error) = ended {
+        log::debug!("event=caller_connection_failed error={:?}", error.to_string());
+    }
+}
+
+async fn answer(shell: Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
+    shell.requests.set(shell.requests.get() + 1);
+    let count = Counted(Rc::clone(&shell));
+    let mut response = handle(&shell, request).await;
+    drop(count);
+    if *shell.stop.borrow() >= StopPhase::Leaving {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Counts a request until it is answered or its caller has left.
+#[derive(Debug)]
+struct Counted(Rc<Shell>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.requests.set(self.0.requests.get() - 1);
+    }
+}
+
+async fn handle(shell: &Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
+    let now_ms = clock::now_ms();
+    let (parts, incoming) = request.into_parts();
+    let fields = RequestFields::read(&parts.headers, &parts.uri);
+    let attempt: Box<str> = fields.attempt.into();
+    let asked = Asked {
+        host: fields.host,
+        path: parts.uri.path(),
+        time_left_ms: fields.time_left_ms,
+        object: fields.object,
+    };
+    let begun = shell.steering.borrow_mut().begin(asked, now_ms);
+    let attempts = match begun {
+        Ok(attempts) => attempts,
+        Err(refusal) => return refuse(&attempt, None, refusal),
+    };
+    let deadline = clock::instant(attempts.deadline_at_ms);
+    let mut flight = Flight { shell: Rc::clone(shell), attempts };
+    let most_bytes = max_body_bytes(shell);
+    let mut body = match timeout_at(deadline, take_body(incoming, most_bytes)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyRefusal::TooLarge)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, &attempt),
+        Ok(Err(BodyRefusal::Broken)) => return plain(StatusCode::BAD_REQUEST, &attempt),
+        Err(_elapsed) => return plain(StatusCode::REQUEST_TIMEOUT, &attempt),
+    };
+    let head = Head { parts, attempt };
+    let mut last: Option<Response<Body>> = None;
+    loop {
+        let step = shell.steering.borrow_mut().next(
+            &mut flight.attempts,
+            fastrand::u64(..),
+            clock::now_ms(),
+        );
+        match step {
+            Step::Send(to) => {
+                let deadline_at_ms = flight.attempts.deadline_at_ms;
+                let ended = sending::send(shell, deadline_at_ms, &to, &head, &mut body).await;
+                flight.ended(ended.outcome);
+                match ended.outcome {
+                    Outcome::Answered { failed: false, .. } => {
+                        if let Some(answer) = ended.answer {
+                            return answer;
+                        }
+                    }
+                    Outcome::TimedOut => {
+                        return gave_up(&head.attempt, &flight.attempts, "timed_out", last);
+                    }
+                    outcome => note(&head.attempt, &flight.attempts, &to.name, outcome),
+                }
+                last = ended.answer.or(last);
+                if matches!(body, RequestBody::Streamed(None)) {
+                    return gave_up(&head.attempt, &flight.attempts, "body_was_streamed", last);
+                }
+            }
+            Step::Refuse { reason, retry_after_ms } => {
+                let refusal = Refusal { reason, retry_after_ms };
+                return refuse(&head.attempt, Some(&flight.attempts), refusal);
+            }
+            Step::GiveUp { reason } => {
+                return gave_up(&head.attempt, &flight.attempts, reason.name(), last);
+            }
+        }
+    }
+}
+
+fn max_body_bytes(shell: &Shell) -> u64 {
+    let steering = shell.steering.borrow();
+    steering.configuration().map_or(0, |in_force| in_force.limits.max_body_bytes)
+}
+
+#[derive(Debug, Clone, Copy)]
+enum BodyRefusal {
+    TooLarge,
+    Broken,
+}
+
+/// Reads a request's body, or its beginning if it is large.
+async fn take_body(mut incoming: Incoming, most_bytes: u64) -> Result<RequestBody, BodyRefusal> {
+    if incoming.is_end_stream() {
+        return Ok(RequestBody::Held(Bytes::new()));
+    }
+    if incoming.size_hint().lower() > most_bytes {
+        return Err(BodyRefusal::TooLarge);
+    }
+    let mut first = BytesMut::new();
+    while first.len() < MAX_HELD_BYTES {
+        let Some(frame) = incoming.frame().await else {
+            return Ok(RequestBody::Held(first.freeze()));
+        };
+        let frame = frame.map_err(|_broken| BodyRefusal::Broken)?;
+        if let Ok(data) = frame.into_data() {
+            first.extend_from_slice(&data);
+        }
+        if first.len() as u64 > most_bytes {
+            return Err(BodyRefusal::TooLarge);
+        }
+    }
+    Ok(RequestBody::Streamed(Some(streamed(first.freeze(), incoming, most_bytes))))
+}
+
+/// Passes on a body whose first part was read; one that grows over the limit breaks off.
+fn streamed(first: Bytes, rest: Incoming, most_bytes: u64) -> Body {
+    let seen_bytes = first.len() as u64;
+    let state = (Some(first), rest, seen_bytes);
+    let stream = futures_stream(state, most_bytes);
+    BodyExt::boxed_unsync(StreamBody::new(stream))
+}
+
+type StreamState = (Option<Bytes>, Incoming, u64);
+
+fn futures_stream(
+    state: StreamState,
+    most_bytes: u64,
+) -> impl futures_util::Stream<Item = Result<Frame<Bytes>, super::pool::BodyError>> + Send {
+    futures_util::stream::try_unfold(state, move |(first, mut rest, seen_bytes)| async move {
+        if let Some(first) = first {
+            return Ok(Some((Frame::data(first), (None, rest, seen_bytes))));
+        }
+        let Some(frame) = rest.frame().await else {
+            return Ok(None);
+        };
+        let frame = frame?;
+        let seen_bytes = seen_bytes + frame.data_ref().map_or(0, |data| data.len() as u64);
+        if seen_bytes > most_bytes {
+            return Err("the body is larger than allowed".into());
+        }
+        Ok(Some((frame, (None, rest, seen_bytes))))
+    })
+}
+
+fn plain(status: StatusCode, attempt: &str) -> Response<Body> {
+    let mut response = Response::new(held(Bytes::new()));
+    *response.status_mut() = status;
+    exchange::set_attempt(response.headers_mut(), attempt);
+    response
+}
+
+/// Tells the caller that the request was not run and never will be.
+fn refuse(attempt: &str, attempts: Option<&Attempts>, refusal: Refusal) -> Response<Body> {
+    let status = match refusal.reason {
+        Reason::NoRoute => StatusCode::NOT_FOUND,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = plain(status, attempt);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        exchange::set_retry_after(response.headers_mut(), refusal.retry_after_ms);
+    }
+    let service = attempts.map_or("", |attempts| &*attempts.service);
+    let sendings = attempts.map_or(0, |attempts| attempts.arrivals);
+    log::info!(
+        "event=refused request={attempt} reason={} service={service} sendings={sendings} \
+         retry_after_ms={}",
+        refusal.reason.name(),
+        refusal.retry_after_ms,
+    );
+    response
+}
+
+/// Passes on the last answer, or tells the caller that the request may have run.
+fn gave_up(
+    attempt: &str,
+    attempts: &Attempts,
+    reason: &str,
+    last: Option<Response<Body>>,
+) -> Response<Body> {
+    let response = last.unwrap_or_else(|| {
+        let late = reason == "timed_out";
+        plain(if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY }, attempt)
+    });
+    log::info!(
+        "event=gave_up request={attempt} reason={reason} status={} service={} sendings={} runs={} \
+         took_ms={}",
+        response.status().as_u16(),
+        attempts.service,
+        attempts.arrivals,
+        attempts.runs,
+        clock::now_ms().saturating_sub(attempts.arrived_at_ms),
+    );
+    response
+}
+
+fn note(attempt: &str, attempts: &Attempts, upstream: &str, outcome: Outcome) {
+    log::info!(
+        "event=sending_failed request={attempt} upstream={upstream} service={} outcome={outcome:?}",
+        attempts.service,
+    );
+}
--- /dev/null
+++ b/crates/sedgepathd/src/direct/pool.rs
@@ -0,0 +1,101 @@
+//! Connections to upstreams, kept between requests.
+//!
+//! An upstream takes about a millisecond of a slot for a new connection, takes a few hundred in all,
+//! and closes those that stay idle for long. The one used last is used first, so that the others
+//! are closed here before the upstream closes them: a request that crosses such a close may have run.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use sedgepath_core::direct::upstreams::UpstreamKey;
+use sedgepath_core::hash::Map;
+use sedgepath_wire::dial;
+
+use super::clock;
+
+/// Why a body ends early.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// A body that is sent or received.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// A connection to an upstream.
+pub type Connection = SendRequest<Body>;
+
+/// How long a connection is kept if the upstream doesn't say, in milliseconds.
+const DEFAULT_IDLE_MS: u64 = 8_000;
+
+/// How long before the upstream would close a connection it is given up, in milliseconds: the way
+/// there and its timers' lateness.
+const IDLE_MARGIN_MS: u64 = 1_500;
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until_ms: u64,
+}
+
+/// The idle connections to all upstreams.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: RefCell<Map<UpstreamKey, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Takes an idle connection to an upstream.
+    pub fn take(&self, upstream: UpstreamKey) -> Option<Connection> {
+        let now_ms = clock::now_ms();
+        let mut pool = self.idle.borrow_mut();
+        let idle = pool.get_mut(&upstream)?;
+        while let Some(Idle { connection, until_ms }) = idle.pop() {
+            if connection.is_ready() && now_ms < until_ms {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none is made in time.
+    pub async fn open(
+        &self,
+        address: std::net::SocketAddr,
+        limit: Duration,
+    ) -> std::io::Result<Connection> {
+        let stream = dial::connect(address, limit).await?;
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let (connection, task) = handshake.map_err(std::io::Error::other)?;
+        tokio::task::spawn_local(async move {
+            if let Err(error) = task.await {
+                log::debug!("event=upstream_connection_failed error={:?}", error.to_string());
+            }
+        });
+        Ok(connection)
+    }
+
+    /// Keeps a connection whose last answer has been read to its end.
+    pub fn give_back(&self, upstream: UpstreamKey, connection: Connection, idle_ms: Option<u64>) {
+        if connection.is_closed() {
+            return;
+        }
+        let kept_ms = idle_ms.unwrap_or(DEFAULT_IDLE_MS).saturating_sub(IDLE_MARGIN_MS);
+        let until_ms = clock::now_ms() + kept_ms;
+        self.idle.borrow_mut().entry(upstream).or_default().push(Idle { connection, until_ms });
+    }
+
+    /// Closes connections that have been idle for long, and those of upstreams that are gone.
+    pub fn prune(&self, known: impl Fn(UpstreamKey) -> bool) {
+        let now_ms = clock::now_ms();
+        self.idle.borrow_mut().retain(|upstream, idle| {
+            idle.retain(|idle| now_ms < idle.until_ms && !idle.connection.is_closed());
+            known(*upstream) && !idle.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -0,0 +1,230 @@
+//! Start, signals and planned stop.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sedgepath_adapter::entries::{OPERATOR_TABLE, UPSTREAM_TABLE};
+use sedgepath_adapter::settings::{Settings, SettingsError};
+use sedgepath_adapter::store::Store;
+use sedgepath_core::direct::budget::BudgetLimits;
+use sedgepath_core::direct::vms::{VmCard, VmHeartbeat, VmTiming, Vms};
+use sedgepath_core::direct::{Limits, Place, Steering};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+use super::shell::{Shell, StopPhase};
+use super::{clock, entry, follow, ingress, peers};
+use crate::logging;
+
+/// The time between two heartbeats in milliseconds. Four may be lost before a VM is taken as silent.
+const HEARTBEAT_MS: u64 = 500;
+
+/// The silence after which a VM is no longer named, in milliseconds.
+const SILENT_AFTER_MS: u64 = 2_200;
+
+/// The silence after which a VM no longer shares the common limits, in milliseconds: longer than the
+/// window of the retry budget, in which what it has spent still counts.
+const FORGOTTEN_AFTER_MS: u64 = 20_000;
+
+/// The table in which entry VMs find each other.
+const VM_TABLE: &str = "sedgepath-vms";
+
+/// How long a stopping VM takes new requests on new connections, in milliseconds: callers may use
+/// an answer to a look-up for this long.
+const STOP_SERVING_MS: u64 = 3_000;
+
+/// The time before the end of the grace at which a stopping VM ends whatever is left, in
+/// milliseconds.
+const STOP_MARGIN_MS: u64 = 150;
+
+/// The period of the upkeep of tables, in milliseconds.
+const UPKEEP_MS: u64 = 250;
+
+/// Why the daemon could not start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum RunError {
+    /// The settings can't be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// An address can't be listened on.
+    #[error("can't listen for {what} on {address}")]
+    Listen {
+        /// What was to be listened for.
+        what: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        #[source]
+        source: io::Error,
+    },
+    /// The log can't be started.
+    #[error("can't start the log")]
+    Log(#[from] log::SetLoggerError),
+    /// The runtime or the signal handler can't be started.
+    #[error("can't start the runtime")]
+    Runtime(#[source] io::Error),
+}
+
+/// Runs an entry VM until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails if the settings can't be used or an address can't be listened on.
+pub fn run() -> Result<(), RunError> {
+    logging::start("info")?;
+    let settings = Settings::from_environment()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(RunError::Runtime)?;
+    LocalSet::new().block_on(&runtime, serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), RunError> {
+    let callers = settings.listen.callers.ok_or(SettingsError::NoAddress("callers"))?;
+    let ready = settings.listen.ready.ok_or(SettingsError::NoAddress("readiness"))?;
+    let look_ups = settings.listen.look_ups.ok_or(SettingsError::NoAddress("look-ups"))?;
+    let peer_address = SocketAddr::new(settings.ip, settings.peer_ports.0);
+    let steering = steering(&settings, callers, peer_address);
+    let shell = Shell::new(settings, steering);
+
+    let callers_listener = listen("callers", callers).await?;
+    let ready_listener = listen("readiness", ready).await?;
+    let look_up_listener = listen("look-ups", look_ups).await?;
+    let socket = UdpSocket::bind(peer_address).await.map_err(|source| RunError::Listen {
+        what: "heartbeats",
+        address: peer_address,
+        source,
+    })?;
+    let socket = Rc::new(socket);
+    log::info!(
+        "event=started vm={} domain={} region={} boot={}",
+        shell.settings.vm,
+        shell.settings.domain,
+        shell.settings.region,
+        clock::unix_ms(),
+    );
+
+    let store = Rc::new(Store::new(shell.settings.store.address));
+    let taking = spawn_local(ingress::serve(Rc::clone(&shell), callers_listener));
+    spawn_local(entry::serve(Rc::clone(&shell), ready_listener));
+    spawn_local(entry::serve(Rc::clone(&shell), look_up_listener));
+    spawn_local(follow::follow(Rc::clone(&shell), Rc::clone(&store), OPERATOR_TABLE));
+    spawn_local(follow::follow(Rc::clone(&shell), Rc::clone(&store), UPSTREAM_TABLE));
+    spawn_local(find_vms(Rc::clone(&shell), Rc::clone(&store)));
+    spawn_local(peers::receive(Rc::clone(&shell), Rc::clone(&socket)));
+    spawn_local(peers::send_heartbeats(Rc::clone(&shell), Rc::clone(&socket), HEARTBEAT_MS));
+    spawn_local(keep_up(Rc::clone(&shell)));
+
+    wait_for_stop().await?;
+    let deadline_at_ms = clock::now_ms() + shell.settings.bounds.stop_ms - STOP_MARGIN_MS;
+    log::info!("event=stopping requests={}", shell.requests.get());
+    shell.steering.borrow_mut().vms_mut().leave();
+    shell.stop.send_replace(StopPhase::Leaving);
+    for _ in 0..3 {
+        peers::send_once(&shell, &socket).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(STOP_SERVING_MS)).await;
+    shell.stop.send_replace(StopPhase::Closing);
+    taking.abort();
+    while clock::now_ms() < deadline_at_ms
+        && (shell.requests.get() > 0 || shell.connections.get() > 0)
+    {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    log::info!("event=stopped requests={}", shell.requests.get());
+    Ok(())
+}
+
+fn steering(settings: &Settings, callers: SocketAddr, peers: SocketAddr) -> Steering {
+    let place = Place {
+        name: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        regions: settings.regions.clone(),
+    };
+    let limits = Limits {
+        budget: BudgetLimits {
+            ratio: settings.bounds.repeat_ratio,
+            slack: settings.bounds.repeat_slack,
+            window_ms: settings.bounds.repeat_window_ms,
+        },
+    };
+    let card = VmCard {
+        name: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        callers,
+        peers,
+    };
+    let boot = clock::unix_ms();
+    let own = VmHeartbeat { card, boot, ready: false, leaving: false, known: Vec::new() };
+    let timing = VmTiming {
+        heartbeat_ms: HEARTBEAT_MS,
+        silent_after_ms: SILENT_AFTER_MS,
+        forgotten_after_ms: FORGOTTEN_AFTER_MS,
+    };
+    let mut vms = Vms::new(own, timing);
+    for seed in &settings.seeds {
+        // All VMs listen on the same ports.
+        vms.add_address(SocketAddr::new(seed.ip(), peers.port()), clock::now_ms());
+    }
+    Steering::new(place, limits, vms)
+}
+
+async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).await.map_err(|source| RunError::Listen { what, address, source })
+}
+
+/// Tells other VMs of this one by a row of the store, and learns of theirs.
+async fn find_vms(shell: Rc<Shell>, store: Rc<Store>) {
+    let address = SocketAddr::new(shell.settings.ip, shell.settings.peer_ports.0).to_string();
+    let pause = || tokio::time::sleep(Duration::from_millis(500 + fastrand::u64(0..500)));
+    while store.put(VM_TABLE, &shell.settings.vm, address.as_bytes()).await.is_err() {
+        pause().await;
+    }
+    loop {
+        let Ok(rows) = store.rows(VM_TABLE).await else {
+            pause().await;
+            continue;
+        };
+        let addresses = rows.rows.iter().filter_map(|row| {
+            std::str::from_utf8(row.value.as_ref()?).ok()?.parse::<SocketAddr>().ok()
+        });
+        let mut steering = shell.steering.borrow_mut();
+        for address in addresses {
+            steering.vms_mut().add_address(address, clock::now_ms());
+        }
+        return;
+    }
+}
+
+/// Forgets what has lapsed and closes connections that are not needed.
+async fn keep_up(shell: Rc<Shell>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(UPKEEP_MS)).await;
+        let gone = shell.steering.borrow_mut().upstreams_mut().expire(clock::now_ms());
+        for name in gone {
+            log::info!("event=upstream_lapsed upstream={name}");
+        }
+        let steering = shell.steering.borrow();
+        shell.pool.prune(|key| steering.upstreams().get(key).is_some());
+    }
+}
+
+async fn wait_for_stop() -> Result<(), RunError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Runtime)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Runtime)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(RunError::Runtime)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = reload.recv() => log::info!("event=reload"),
+        }
+    }
+}
--- a/crates/sedgepathd/src/lib.rs
+++ b/crates/sedgepathd/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod command;
 pub mod daemon;
 pub mod datagrams;
+pub mod direct;
 pub mod driver;
 pub mod exchange;
 pub mod homes;
