--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -15,6 +15,7 @@
 //! - [`placing`]: which upstream of a service runs a request.
 //! - [`attempts`]: what happens after a refusal or a failure.
 //! - [`budget`]: how many requests may be sent more than once.
+//! - [`copies`]: copies of the store's tables, which VMs pass on to each other.
 //! - [`vms`]: which entry VMs serve, for look-ups and for splitting what all of them share.
 //!
 //! # What nodes share
@@ -26,6 +27,7 @@
 
 pub mod attempts;
 pub mod budget;
+pub mod copies;
 pub mod placing;
 pub mod routing;
 pub mod steering;
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/copies.rs
@@ -0,0 +1,207 @@
+//! Copies of the store's tables, which entry VMs pass on to each other.
+//!
+//! # Problem
+//!
+//! Calls to the store cost, so not every VM may follow its tables; and a VM that can't reach the
+//! store must still learn what others know: that an upstream leaves or that a failure domain is
+//! being emptied. A VM that steers by what it read before the cut sends to upstreams that all others
+//! have left.
+//!
+//! # What was weighed
+//!
+//! Every VM follows the store: simple, blind behind a cut, and its calls grow with the VMs. One
+//! elected reader: its death is a gap. Chosen: a few readers, and every VM tells in its heartbeats
+//! how new its copies are; one that hears of a newer copy fetches what it lacks from there. A lost
+//! heartbeat is made up for by the next, of any VM.
+//!
+//! # Invariants
+//!
+//! - Each row carries the store's version at which it got its value, and a copy takes a row only over
+//!   an older one. So copies merge in any order, and none ever goes back.
+//! - A removal is kept as a row without a value, or a copy that still has the row would bring it back.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::hash::Map;
+
+/// The most removals that a copy keeps; a VM that lacks older ones is given the whole table.
+const MAX_REMOVALS: usize = 4_096;
+
+/// A table of the store that is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Table {
+    /// What operators write: configuration and evacuations.
+    Operators,
+    /// The upstreams.
+    Upstreams,
+}
+
+impl Table {
+    /// All tables that are followed.
+    pub const ALL: [Self; 2] = [Self::Operators, Self::Upstreams];
+
+    /// Returns the name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Operators => "operators",
+            Self::Upstreams => "upstreams",
+        }
+    }
+}
+
+/// A row as of one version of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopiedRow {
+    /// Its key.
+    pub key: Box<str>,
+    /// The store's version at which it got its value, or was removed.
+    pub version: u64,
+    /// Its value; none if it was removed.
+    pub value: Option<Arc<[u8]>>,
+}
+
+/// Rows of a table, from the store or from another VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// The rows.
+    pub rows: Vec<CopiedRow>,
+    /// The store's version up to which they tell all changes.
+    pub position: u64,
+    /// Whether they are all rows of the table; else those that have changed.
+    pub whole: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Kept {
+    version: u64,
+    value: Option<Arc<[u8]>>,
+}
+
+/// A copy of one table.
+#[derive(Debug, Default)]
+pub struct TableCopy {
+    rows: Map<Box<str>, Kept>,
+    position: u64,
+    changed_at: u64,
+    removals: usize,
+    /// The version up to which removals have been dropped.
+    forgotten_at: u64,
+    known: bool,
+}
+
+impl TableCopy {
+    /// Whether the copy has ever held the whole table.
+    pub fn known(&self) -> bool {
+        self.known
+    }
+
+    /// Returns the store's version up to which the copy has all changes.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Returns the store's version of the newest change that the copy has.
+    pub fn changed_at(&self) -> u64 {
+        self.changed_at
+    }
+
+    /// Takes in rows and returns those that were new here.
+    pub fn merge(&mut self, page: Page) -> Vec<CopiedRow> {
+        let mut changes = Vec::new();
+        if page.whole {
+            changes.extend(self.missing_from(&page));
+        }
+        changes.extend(page.rows);
+        changes.retain(|row| self.take(row));
+        self.position = self.position.max(page.position);
+        self.known |= page.whole;
+        self.forget_removals();
+        changes
+    }
+
+    /// Returns what has changed after a version, or the whole table if that can't be told.
+    pub fn since(&self, after: u64) -> Page {
+        let whole = after < self.forgotten_at || after == 0;
+        let rows = self
+            .rows
+            .iter()
+            .filter(|(_, kept)| if whole { kept.value.is_some() } else { kept.version > after })
+            .map(|(key, kept)| CopiedRow {
+                key: key.clone(),
+                version: kept.version,
+                value: kept.value.clone(),
+            })
+            .collect();
+        Page { rows, position: self.position, whole }
+    }
+
+    /// Returns the removal of each row that a whole table doesn't have.
+    fn missing_from(&self, page: &Page) -> Vec<CopiedRow> {
+        let there: crate::hash::Set<&str> = page.rows.iter().map(|row| &*row.key).collect();
+        let missing = self.rows.iter().filter(|(key, kept)| {
+            kept.value.is_some() && kept.version <= page.position && !there.contains(&***key)
+        });
+        missing
+            .map(|(key, _)| CopiedRow { key: key.clone(), version: page.position, value: None })
+            .collect()
+    }
+
+    fn take(&mut self, row: &CopiedRow) -> bool {
+        let known = self.rows.get(&row.key);
+        if known.is_some_and(|known| known.version >= row.version) {
+            return false;
+        }
+        let was_removed = known.is_some_and(|known| known.value.is_none());
+        let changes = row.value.is_some() || known.is_some_and(|known| known.value.is_some());
+        match (was_removed, row.value.is_none()) {
+            (false, true) => self.removals += 1,
+            (true, false) => self.removals -= 1,
+            _ => {}
+        }
+        self.changed_at = self.changed_at.max(row.version);
+        let kept = Kept { version: row.version, value: row.value.clone() };
+        self.rows.insert(row.key.clone(), kept);
+        changes
+    }
+
+    fn forget_removals(&mut self) {
+        if self.removals <= MAX_REMOVALS {
+            return;
+        }
+        self.rows.retain(|_, kept| kept.value.is_some());
+        self.removals = 0;
+        self.forgotten_at = self.changed_at;
+    }
+}
+
+/// Copies of all tables that are followed.
+#[derive(Debug, Default)]
+pub struct Copies {
+    operators: TableCopy,
+    upstreams: TableCopy,
+}
+
+impl Copies {
+    /// Returns the copy of a table.
+    pub fn get(&self, table: Table) -> &TableCopy {
+        match table {
+            Table::Operators => &self.operators,
+            Table::Upstreams => &self.upstreams,
+        }
+    }
+
+    /// Returns the copy of a table to be changed.
+    pub fn get_mut(&mut self, table: Table) -> &mut TableCopy {
+        match table {
+            Table::Operators => &mut self.operators,
+            Table::Upstreams => &mut self.upstreams,
+        }
+    }
+
+    /// Returns how new the copies are, in the order of [`Table::ALL`].
+    pub fn changed_at(&self) -> [u64; 2] {
+        Table::ALL.map(|table| self.get(table).changed_at())
+    }
+}
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -89,6 +89,17 @@
     answer_bytes: Map<Box<str>, f64>,
     far_ms: f64,
     vms: Vms,
+    store: StoreContact,
+}
+
+/// What is known of the store's being there.
+#[derive(Debug, Clone, Copy)]
+struct StoreContact {
+    /// When this VM or another last had an answer of it, in milliseconds.
+    last_at_ms: u64,
+    /// When the last time without an answer began, in milliseconds.
+    away_since_ms: Option<u64>,
+    away: bool,
 }
 
 impl Steering {
@@ -105,6 +116,7 @@
             answer_bytes: Map::default(),
             far_ms: FAR_ROUND_TRIP_MS,
             vms,
+            store: StoreContact { last_at_ms: 0, away_since_ms: None, away: true },
         }
     }
 
@@ -138,6 +150,32 @@
         &mut self.vms
     }
 
+    /// Takes in for how long the store has answered this VM without a break.
+    ///
+    /// The store is away only if it answers no VM that this one hears. If it answered another one all
+    /// the time, only this VM was cut off, and what the store now lacks has not lapsed but left.
+    pub fn note_store(&mut self, own_contact_ms: Option<u64>, now_ms: u64) {
+        let others_ms = self.vms.peers_store_contact_ms(now_ms);
+        let Some(contact_ms) = own_contact_ms.max(others_ms) else {
+            if !self.store.away {
+                self.store.away = true;
+                self.store.away_since_ms = Some(self.store.last_at_ms);
+                self.upstreams.set_store_away(true, now_ms);
+            }
+            return;
+        };
+        self.store.last_at_ms = now_ms;
+        if self.store.away {
+            self.store.away = false;
+            self.upstreams.set_store_away(false, now_ms);
+        }
+        let since_ms = now_ms.saturating_sub(contact_ms);
+        if self.store.away_since_ms.is_some_and(|away_since_ms| since_ms <= away_since_ms) {
+            self.store.away_since_ms = None;
+            self.upstreams.confirm_removals(now_ms);
+        }
+    }
+
     /// Returns the region of a failure domain, or its own name where none is known.
     pub fn region_of(&self, domain: &str) -> Box<str> {
         self.place.regions.get(domain).cloned().unwrap_or_else(|| domain.into())
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -411,12 +411,11 @@
         self.forget(key);
     }
 
-    /// Takes in all names that the store has; the others are removed.
-    pub fn retain(&mut self, names: &crate::hash::Set<Box<str>>, now_ms: u64) {
-        let missing: Vec<_> =
-            self.by_name.keys().filter(|name| !names.contains(*name)).cloned().collect();
-        for name in missing {
-            self.remove(&name, now_ms);
+    /// Notes that the store was there all the time for others: what it lacks is gone.
+    pub fn confirm_removals(&mut self, now_ms: u64) {
+        self.store_back_at_ms = None;
+        for upstream in self.upstreams.values_mut().filter(|up| up.lapses_at_ms.is_some()) {
+            upstream.lapses_at_ms = Some(now_ms);
         }
     }
 
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::hash::Map;
+use crate::hash::{Map, Set};
 
 /// How to reach an entry VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,6 +36,10 @@
     pub ready: bool,
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// How new its copies of the store's tables are, by the store's versions.
+    pub changed_at: [u64; 2],
+    /// For how long the store has answered it without a break, in milliseconds; none if it doesn't.
+    pub store_contact_ms: Option<u64>,
     /// Where it sends datagrams to: addresses that the receiver may not know yet.
     pub known: Vec<SocketAddr>,
 }
@@ -57,6 +61,10 @@
     heard_at_ms: u64,
 }
 
+/// How many VMs follow the store at the least, over all regions, if there are as many: with two, one
+/// may die and another be cut off before the silence of either shows.
+const MIN_READERS: usize = 3;
+
 /// The most addresses that a look-up names.
 const MAX_NAMED: usize = 64;
 
@@ -86,6 +94,12 @@
         heartbeat
     }
 
+    /// Sets how new this VM's copies are, and for how long the store has answered it.
+    pub fn set_copies(&mut self, changed_at: [u64; 2], store_contact_ms: Option<u64>) {
+        self.own.changed_at = changed_at;
+        self.own.store_contact_ms = store_contact_ms;
+    }
+
     /// Sets whether this VM takes new requests.
     pub fn set_ready(&mut self, ready: bool) {
         self.own.ready = ready;
@@ -164,6 +178,38 @@
         cards
     }
 
+    /// Whether this VM is one of those that follow the store.
+    ///
+    /// Each region has its own, so that one behind a cut goes on by itself; with few regions there
+    /// are more of each, so that the death of one is never a gap. A VM that hears no other of its
+    /// region ranks first and follows the store by itself.
+    pub fn reads_store(&self, now_ms: u64) -> bool {
+        let alive = self.peers.values().filter(|peer| {
+            now_ms < peer.heard_at_ms + self.timing.silent_after_ms && !peer.heartbeat.leaving
+        });
+        let cards: Vec<&VmCard> = alive.map(|peer| &peer.heartbeat.card).collect();
+        let regions: Set<&str> =
+            cards.iter().map(|card| &*card.region).chain([&*self.own.card.region]).collect();
+        let readers = MIN_READERS.div_ceil(regions.len());
+        let before = cards
+            .iter()
+            .filter(|card| card.region == self.own.card.region && card.name < self.own.card.name);
+        before.count() < readers
+    }
+
+    /// Returns the longest for which the store has answered another VM, in milliseconds by now.
+    pub fn peers_store_contact_ms(&self, now_ms: u64) -> Option<u64> {
+        let alive = self
+            .peers
+            .values()
+            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms);
+        let contacts = alive.filter_map(|peer| {
+            let age_ms = now_ms.saturating_sub(peer.heard_at_ms);
+            Some(peer.heartbeat.store_contact_ms? + age_ms)
+        });
+        contacts.max()
+    }
+
     /// Answers a look-up from a failure domain and region with the addresses of entry VMs.
     ///
     /// VMs of the caller's own failure domain come alone if there are any, since a byte that crosses
--- a/crates/sedgepathd/src/direct/follow.rs
+++ b/crates/sedgepathd/src/direct/follow.rs
@@ -1,16 +1,17 @@
-//! Follows the store's rows and hands them to the decisions.
+//! Follows the store's tables and hands their rows to the decisions.
 
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use sedgepath_adapter::entries::{self, OPERATOR_TABLE, OperatorKey, UPSTREAM_TABLE};
-use sedgepath_adapter::store::{Row, Rows, Store, StoreError};
+use sedgepath_adapter::entries::{self, OperatorKey, table_name};
+use sedgepath_adapter::store::StoreError;
+use sedgepath_core::direct::Steering;
+use sedgepath_core::direct::copies::{CopiedRow, Page, Table};
 use sedgepath_core::direct::upstreams::EntryChange;
-use sedgepath_core::hash::Set;
 
-use super::clock;
 use super::shell::Shell;
+use super::{clock, peers};
 
 /// How long the store may hold back a call until something changes, in milliseconds. A connection
 /// may go silent for good; this and the call's own time-out bound how long that stays unnoticed.
@@ -18,79 +19,110 @@
 
 /// The pause between two answers of a feed, in milliseconds: changes that come in quick succession
 /// cost one call instead of one each.
-const BATCH_MS: u64 = 250;
+const BATCH_MS: u64 = 200;
 
-/// The first pause after a failed call, in milliseconds.
-const RETRY_MS: u64 = 150;
+/// The time from one failed call to the next, in milliseconds, the call's own time included. Short,
+/// since the bounds on leaving upstreams hold again some seconds after the store is back.
+const RETRY_MS: u64 = 600;
 
-/// The longest pause after failed calls, in milliseconds.
-const MAX_RETRY_MS: u64 = 800;
+/// The least pause after a failed call, in milliseconds.
+const MIN_PAUSE_MS: u64 = 100;
 
-/// Follows a table until the process ends.
-pub async fn follow(shell: Rc<Shell>, store: Rc<Store>, table: &'static str) {
-    let mut after = None;
-    let mut retry_ms = RETRY_MS;
-    let mut away = true;
+/// How often a VM that doesn't follow the store looks whether it should, in milliseconds.
+const ROLE_CHECK_MS: u64 = 250;
+
+/// Follows a table while this VM is one of those that do, until the process ends.
+pub async fn follow(shell: Rc<Shell>, table: Table) {
+    let mut lost = false;
     loop {
-        let read = match after {
-            None => store.rows(table).await,
-            Some(version) => store.changes(table, version, WAIT_MS).await,
-        };
-        match read {
-            Ok(rows) => {
-                if away {
-                    away = false;
-                    log::info!("event=store_back table={table} version={}", rows.version);
-                    if table == UPSTREAM_TABLE {
-                        set_away(&shell, false);
-                    }
-                }
-                retry_ms = RETRY_MS;
-                let changed = !rows.rows.is_empty();
-                let whole = after.is_none();
-                after = Some(rows.version.max(after.unwrap_or(0)));
-                take_in(&shell, table, &rows, whole);
-                if changed {
+        let reads = shell.steering.borrow().vms().reads_store(clock::now_ms());
+        if !reads && shell.copies.borrow().get(table).known() {
+            if table == Table::Upstreams {
+                shell.store_contact_since_ms.set(None);
+            }
+            tokio::time::sleep(Duration::from_millis(ROLE_CHECK_MS)).await;
+            continue;
+        }
+        let begun_at_ms = clock::now_ms();
+        match read(&shell, table, lost).await {
+            Ok(page) => {
+                lost = false;
+                note_contact(&shell, table, begun_at_ms);
+                if take_in(&shell, table, page) {
+                    peers::send_once(&shell).await;
                     tokio::time::sleep(Duration::from_millis(BATCH_MS)).await;
                 }
             }
             Err(StoreError::Forgotten) => {
-                log::info!("event=store_history_lost table={table}");
-                after = None;
+                log::info!("event=store_history_lost table={}", table.name());
+                lost = true;
             }
             Err(error) => {
-                if !away {
-                    away = true;
-                    log::warn!("event=store_away table={table} error={:?}", error.to_string());
-                    if table == UPSTREAM_TABLE {
-                        set_away(&shell, true);
-                    }
-                }
-                let jitter_ms = fastrand::u64(0..retry_ms);
-                tokio::time::sleep(Duration::from_millis(retry_ms / 2 + jitter_ms)).await;
-                retry_ms = (retry_ms * 2).min(MAX_RETRY_MS);
+                note_loss(&shell, table, &error);
+                let took_ms = clock::now_ms().saturating_sub(begun_at_ms);
+                let pause_ms = RETRY_MS.saturating_sub(took_ms).max(MIN_PAUSE_MS);
+                let jitter_ms = fastrand::u64(0..MIN_PAUSE_MS);
+                tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
             }
         }
     }
 }
 
-fn set_away(shell: &Shell, away: bool) {
-    shell.steering.borrow_mut().upstreams_mut().set_store_away(away, clock::now_ms());
+async fn read(shell: &Shell, table: Table, lost: bool) -> Result<Page, StoreError> {
+    let name = table_name(table);
+    let (known, position) = {
+        let copies = shell.copies.borrow();
+        let copy = copies.get(table);
+        (copy.known(), copy.position())
+    };
+    if lost || !known {
+        return shell.store.rows(name).await;
+    }
+    // While the store is away a call that waits would hide for longer that it is back.
+    let wait_ms = if shell.store_contact_since_ms.get().is_some() { WAIT_MS } else { 0 };
+    shell.store.changes(name, position, wait_ms).await
 }
 
-fn take_in(shell: &Shell, table: &str, rows: &Rows, whole: bool) {
-    if table == OPERATOR_TABLE {
-        take_in_operators(shell, rows, whole);
-    } else {
-        take_in_upstreams(shell, rows, whole);
+fn note_contact(shell: &Shell, table: Table, since_ms: u64) {
+    if table != Table::Upstreams {
+        return;
     }
+    if shell.store_contact_since_ms.get().is_none() {
+        log::info!("event=store_back");
+        shell.store_contact_since_ms.set(Some(since_ms));
+    }
+    let contact_ms = shell.store_contact_ms();
+    shell.steering.borrow_mut().note_store(contact_ms, clock::now_ms());
 }
 
-fn take_in_operators(shell: &Shell, rows: &Rows, whole: bool) {
+fn note_loss(shell: &Shell, table: Table, error: &StoreError) {
+    if table == Table::Upstreams && shell.store_contact_since_ms.take().is_some() {
+        log::warn!("event=store_away error={:?}", error.to_string());
+        shell.steering.borrow_mut().note_store(None, clock::now_ms());
+    }
+}
+
+/// Takes in rows of the store or of another VM, and returns whether any was new.
+pub fn take_in(shell: &Shell, table: Table, page: Page) -> bool {
+    let changes = shell.copies.borrow_mut().get_mut(table).merge(page);
+    match table {
+        Table::Operators => take_in_operators(shell, &changes),
+        Table::Upstreams => {
+            let now_ms = clock::now_ms();
+            let mut steering = shell.steering.borrow_mut();
+            for row in &changes {
+                take_in_upstream(&mut steering, row, now_ms);
+            }
+        }
+    }
+    !changes.is_empty()
+}
+
+fn take_in_operators(shell: &Shell, rows: &[CopiedRow]) {
     let now_ms = clock::now_ms();
     let mut steering = shell.steering.borrow_mut();
-    let mut evacuated = if whole { Set::default() } else { steering.evacuated().clone() };
-    for row in &rows.rows {
+    let mut evacuated = steering.evacuated().clone();
+    for row in rows {
         match OperatorKey::read(&row.key) {
             OperatorKey::Configuration => {
                 let Some(value) = &row.value else { continue };
@@ -120,19 +152,7 @@
     steering.evacuate(evacuated, now_ms);
 }
 
-fn take_in_upstreams(shell: &Shell, rows: &Rows, whole: bool) {
-    let now_ms = clock::now_ms();
-    let mut steering = shell.steering.borrow_mut();
-    for row in &rows.rows {
-        take_in_upstream(&mut steering, row, now_ms);
-    }
-    if whole {
-        let names = rows.rows.iter().map(|row| row.key.clone()).collect();
-        steering.upstreams_mut().retain(&names, now_ms);
-    }
-}
-
-fn take_in_upstream(steering: &mut sedgepath_core::direct::Steering, row: &Row, now_ms: u64) {
+fn take_in_upstream(steering: &mut Steering, row: &CopiedRow, now_ms: u64) {
     let Some(value) = &row.value else {
         log::info!("event=upstream_removed upstream={}", row.key);
         steering.upstreams_mut().remove(&row.key, now_ms);
--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -1,59 +1,191 @@
-//! Heartbeats between entry VMs, as datagrams.
+//! What entry VMs tell each other: heartbeats as datagrams, and rows of the store's tables.
 
+use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1 as server;
+use hyper::service::service_fn;
+use hyper::{Request, Response, client};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use sedgepath_core::direct::copies::{Page, Table};
 use sedgepath_core::direct::vms::VmHeartbeat;
-use tokio::net::UdpSocket;
+use sedgepath_wire::dial;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
-use super::clock;
+use super::pool::Body;
+use super::sending::held;
 use super::shell::Shell;
+use super::{clock, follow};
 
 /// The largest datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_432;
 
+/// How long a VM that follows the store itself waits for a row that another one has, in milliseconds.
+const FETCH_DELAY_MS: u64 = 150;
+
+/// The longest that fetching rows from another VM may take.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The largest answer with rows, in bytes: a table of some thousand upstreams.
+const MAX_PAGE_BYTES: usize = 16 * 1024 * 1024;
+
 /// Sends a heartbeat to every VM known, each period.
-pub async fn send_heartbeats(shell: Rc<Shell>, socket: Rc<UdpSocket>, period_ms: u64) {
+pub async fn send_heartbeats(shell: Rc<Shell>, period_ms: u64) {
     loop {
-        send_once(&shell, &socket).await;
+        send_once(&shell).await;
         tokio::time::sleep(Duration::from_millis(period_ms)).await;
     }
 }
 
 /// Sends one heartbeat to every VM known.
-pub async fn send_once(shell: &Shell, socket: &UdpSocket) {
+pub async fn send_once(shell: &Shell) {
     let now_ms = clock::now_ms();
     let (heartbeat, addresses) = {
         let mut steering = shell.steering.borrow_mut();
         let ready = steering.can_serve() && !steering.vms().leaving();
         let vms = steering.vms_mut();
         vms.set_ready(ready);
+        vms.set_copies(shell.copies.borrow().changed_at(), shell.store_contact_ms());
         (vms.heartbeat(), vms.addresses(now_ms))
     };
     let Ok(bytes) = postcard::to_stdvec(&heartbeat) else {
         return;
     };
     for address in addresses {
-        if let Err(error) = socket.send_to(&bytes, address).await {
+        if let Err(error) = shell.peers.send_to(&bytes, address).await {
             log::debug!("event=heartbeat_not_sent to={address} error={:?}", error.to_string());
         }
     }
 }
 
 /// Takes in heartbeats until the process ends.
-pub async fn receive(shell: Rc<Shell>, socket: Rc<UdpSocket>) {
+pub async fn receive(shell: Rc<Shell>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
-        let received = socket.recv_from(&mut buffer).await;
+        let received = shell.peers.recv_from(&mut buffer).await;
         let Some(heartbeat) = read(received, &buffer) else {
             continue;
         };
+        catch_up(&shell, &heartbeat);
         shell.steering.borrow_mut().vms_mut().heard(heartbeat, clock::now_ms());
     }
 }
 
-fn read(received: io::Result<(usize, std::net::SocketAddr)>, buffer: &[u8]) -> Option<VmHeartbeat> {
+fn read(received: io::Result<(usize, SocketAddr)>, buffer: &[u8]) -> Option<VmHeartbeat> {
     let (length, _) = received.ok()?;
     postcard::from_bytes(buffer.get(..length)?).ok()
 }
+
+/// Fetches what another VM's copies have and this one's lack.
+fn catch_up(shell: &Rc<Shell>, heartbeat: &VmHeartbeat) {
+    let own = shell.copies.borrow().changed_at();
+    for ((table, theirs), own) in Table::ALL.into_iter().zip(heartbeat.changed_at).zip(own) {
+        if theirs > own && shell.fetching.borrow_mut().insert(table) {
+            let shell = Rc::clone(shell);
+            let address = heartbeat.card.peers;
+            tokio::task::spawn_local(async move {
+                fetch(&shell, table, theirs, address).await;
+                shell.fetching.borrow_mut().remove(&table);
+            });
+        }
+    }
+}
+
+async fn fetch(shell: &Shell, table: Table, theirs: u64, address: SocketAddr) {
+    if shell.store_contact_since_ms.get().is_some() {
+        tokio::time::sleep(Duration::from_millis(FETCH_DELAY_MS)).await;
+    }
+    let own = shell.copies.borrow().get(table).changed_at();
+    if own >= theirs {
+        return;
+    }
+    match timeout(FETCH_TIMEOUT, ask(table, own, address)).await {
+        Ok(Ok(page)) => {
+            log::debug!("event=rows_fetched table={} from={address}", table.name());
+            follow::take_in(shell, table, page);
+        }
+        Ok(Err(error)) => {
+            log::info!("event=fetch_failed table={} from={address} error={error:?}", table.name());
+        }
+        Err(_elapsed) => {
+            log::info!("event=fetch_failed table={} from={address} error=timeout", table.name());
+        }
+    }
+}
+
+/// Why rows could not be fetched from another VM.
+#[derive(Debug, thiserror::Error)]
+enum FetchError {
+    #[error("no connection")]
+    Connect(#[from] io::Error),
+    #[error("no answer")]
+    Http(#[from] hyper::Error),
+    #[error("the answer breaks off or is too large")]
+    Body,
+    #[error("the answer can't be read")]
+    Decode(#[from] postcard::Error),
+}
+
+async fn ask(table: Table, after: u64, address: SocketAddr) -> Result<Page, FetchError> {
+    let stream = dial::connect(address, FETCH_TIMEOUT).await?;
+    let (mut connection, task) = client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    // The call that uses the connection hears of its end.
+    tokio::task::spawn_local(async move { drop(task.await) });
+    let mut request = Request::new(Empty::<Bytes>::new());
+    if let Ok(uri) = format!("/copies/{}/{after}", table.name()).parse() {
+        *request.uri_mut() = uri;
+    }
+    let answer = connection.send_request(request).await?;
+    let body = Limited::new(answer.into_body(), MAX_PAGE_BYTES).collect().await;
+    let body = body.map_err(|_broken| FetchError::Body)?.to_bytes();
+    Ok(postcard::from_bytes(&body)?)
+}
+
+/// Gives other VMs rows of the copies until the process ends.
+pub async fn serve_copies(shell: Rc<Shell>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let shell = Rc::clone(&shell);
+        tokio::task::spawn_local(async move { serve_peer(&shell, stream).await });
+    }
+}
+
+async fn serve_peer(shell: &Shell, stream: TcpStream) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let answer = give(shell, request.uri().path());
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let connection = server::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(FETCH_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("event=peer_connection_failed error={:?}", error.to_string());
+    }
+}
+
+fn give(shell: &Shell, path: &str) -> Response<Body> {
+    let mut parts = path.trim_start_matches("/copies/").split('/');
+    let name = parts.next().unwrap_or("");
+    let table = Table::ALL.into_iter().find(|table| table.name() == name);
+    let after = parts.next().and_then(|after| after.parse().ok());
+    let page = table.zip(after).and_then(|(table, after)| {
+        let page = shell.copies.borrow().get(table).since(after);
+        postcard::to_stdvec(&page).ok()
+    });
+    let mut response = Response::new(held(page.clone().unwrap_or_default().into()));
+    if page.is_none() {
+        *response.status_mut() = hyper::StatusCode::NOT_FOUND;
+    }
+    response
+}
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -5,10 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sedgepath_adapter::entries::{OPERATOR_TABLE, UPSTREAM_TABLE};
 use sedgepath_adapter::settings::{Settings, SettingsError};
-use sedgepath_adapter::store::Store;
 use sedgepath_core::direct::budget::BudgetLimits;
+use sedgepath_core::direct::copies::Table;
 use sedgepath_core::direct::vms::{VmCard, VmHeartbeat, VmTiming, Vms};
 use sedgepath_core::direct::{Limits, Place, Steering};
 use tokio::net::{TcpListener, UdpSocket};
@@ -89,17 +88,17 @@
     let look_ups = settings.listen.look_ups.ok_or(SettingsError::NoAddress("look-ups"))?;
     let peer_address = SocketAddr::new(settings.ip, settings.peer_ports.0);
     let steering = steering(&settings, callers, peer_address);
-    let shell = Shell::new(settings, steering);
-
-    let callers_listener = listen("callers", callers).await?;
-    let ready_listener = listen("readiness", ready).await?;
-    let look_up_listener = listen("look-ups", look_ups).await?;
     let socket = UdpSocket::bind(peer_address).await.map_err(|source| RunError::Listen {
         what: "heartbeats",
         address: peer_address,
         source,
     })?;
-    let socket = Rc::new(socket);
+    let shell = Shell::new(settings, steering, socket);
+
+    let callers_listener = listen("callers", callers).await?;
+    let ready_listener = listen("readiness", ready).await?;
+    let look_up_listener = listen("look-ups", look_ups).await?;
+    let peer_listener = listen("peers", peer_address).await?;
     log::info!(
         "event=started vm={} domain={} region={} boot={}",
         shell.settings.vm,
@@ -108,15 +107,16 @@
         clock::unix_ms(),
     );
 
-    let store = Rc::new(Store::new(shell.settings.store.address));
     let taking = spawn_local(ingress::serve(Rc::clone(&shell), callers_listener));
     spawn_local(entry::serve(Rc::clone(&shell), ready_listener));
     spawn_local(entry::serve(Rc::clone(&shell), look_up_listener));
-    spawn_local(follow::follow(Rc::clone(&shell), Rc::clone(&store), OPERATOR_TABLE));
-    spawn_local(follow::follow(Rc::clone(&shell), Rc::clone(&store), UPSTREAM_TABLE));
-    spawn_local(find_vms(Rc::clone(&shell), Rc::clone(&store)));
-    spawn_local(peers::receive(Rc::clone(&shell), Rc::clone(&socket)));
-    spawn_local(peers::send_heartbeats(Rc::clone(&shell), Rc::clone(&socket), HEARTBEAT_MS));
+    for table in Table::ALL {
+        spawn_local(follow::follow(Rc::clone(&shell), table));
+    }
+    spawn_local(find_vms(Rc::clone(&shell)));
+    spawn_local(peers::receive(Rc::clone(&shell)));
+    spawn_local(peers::serve_copies(Rc::clone(&shell), peer_listener));
+    spawn_local(peers::send_heartbeats(Rc::clone(&shell), HEARTBEAT_MS));
     spawn_local(keep_up(Rc::clone(&shell)));
 
     wait_for_stop().await?;
@@ -125,7 +125,7 @@
     shell.steering.borrow_mut().vms_mut().leave();
     shell.stop.send_replace(StopPhase::Leaving);
     for _ in 0..3 {
-        peers::send_once(&shell, &socket).await;
+        peers::send_once(&shell).await;
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     tokio::time::sleep(Duration::from_millis(STOP_SERVING_MS)).await;
@@ -162,7 +162,15 @@
         peers,
     };
     let boot = clock::unix_ms();
-    let own = VmHeartbeat { card, boot, ready: false, leaving: false, known: Vec::new() };
+    let own = VmHeartbeat {
+        card,
+        boot,
+        ready: false,
+        leaving: false,
+        changed_at: [0; 2],
+        store_contact_ms: None,
+        known: Vec::new(),
+    };
     let timing = VmTiming {
         heartbeat_ms: HEARTBEAT_MS,
         silent_after_ms: SILENT_AFTER_MS,
@@ -181,18 +189,18 @@
 }
 
 /// Tells other VMs of this one by a row of the store, and learns of theirs.
-async fn find_vms(shell: Rc<Shell>, store: Rc<Store>) {
+async fn find_vms(shell: Rc<Shell>) {
     let address = SocketAddr::new(shell.settings.ip, shell.settings.peer_ports.0).to_string();
     let pause = || tokio::time::sleep(Duration::from_millis(500 + fastrand::u64(0..500)));
-    while store.put(VM_TABLE, &shell.settings.vm, address.as_bytes()).await.is_err() {
+    while shell.store.put(VM_TABLE, &shell.settings.vm, address.as_bytes()).await.is_err() {
         pause().await;
     }
     loop {
-        let Ok(rows) = store.rows(VM_TABLE).await else {
+        let Ok(page) = shell.store.rows(VM_TABLE).await else {
             pause().await;
             continue;
         };
-        let addresses = rows.rows.iter().filter_map(|row| {
+        let addresses = page.rows.iter().filter_map(|row| {
             std::str::from_utf8(row.value.as_ref()?).ok()?.parse::<SocketAddr>().ok()
         });
         let mut steering = shell.steering.borrow_mut();
@@ -207,7 +215,12 @@
 async fn keep_up(shell: Rc<Shell>) {
     loop {
         tokio::time::sleep(Duration::from_millis(UPKEEP_MS)).await;
-        let gone = shell.steering.borrow_mut().upstreams_mut().expire(clock::now_ms());
+        let now_ms = clock::now_ms();
+        let gone = {
+            let mut steering = shell.steering.borrow_mut();
+            steering.note_store(shell.store_contact_ms(), now_ms);
+            steering.upstreams_mut().expire(now_ms)
+        };
         for name in gone {
             log::info!("event=upstream_lapsed upstream={name}");
         }
--- a/crates/sedgepathd/src/direct/shell.rs
+++ b/crates/sedgepathd/src/direct/shell.rs
@@ -4,8 +4,13 @@
 use std::rc::Rc;
 
 use sedgepath_adapter::settings::Settings;
+use sedgepath_adapter::store::Store;
 use sedgepath_core::direct::Steering;
+use sedgepath_core::direct::copies::{Copies, Table};
+use sedgepath_core::hash::Set;
+use tokio::net::UdpSocket;
 
+use super::clock;
 use super::pool::Pool;
 
 /// What all tasks of a VM share.
@@ -15,6 +20,16 @@
     pub settings: Settings,
     /// The decisions. Borrowed for a moment at a time, never across a wait.
     pub steering: RefCell<Steering>,
+    /// Copies of the store's tables.
+    pub copies: RefCell<Copies>,
+    /// The store.
+    pub store: Store,
+    /// Since when the store has answered without a break, in milliseconds; none if it doesn't.
+    pub store_contact_since_ms: Cell<Option<u64>>,
+    /// The datagrams between VMs.
+    pub peers: UdpSocket,
+    /// The tables of which rows are being fetched from another VM.
+    pub fetching: RefCell<Set<Table>>,
     /// The connections to upstreams.
     pub pool: Pool,
     /// The requests that have not been answered.
@@ -38,8 +53,13 @@
 
 impl Shell {
     /// Creates the shared state.
-    pub fn new(settings: Settings, steering: Steering) -> Rc<Self> {
+    pub fn new(settings: Settings, steering: Steering, peers: UdpSocket) -> Rc<Self> {
         Rc::new(Self {
+            store: Store::new(settings.store.address),
+            copies: RefCell::default(),
+            store_contact_since_ms: Cell::new(None),
+            peers,
+            fetching: RefCell::default(),
             settings,
             steering: RefCell::new(steering),
             pool: Pool::default(),
@@ -49,3 +69,10 @@
         })
     }
 }
+
+impl Shell {
+    /// Returns for how long the store has answered without a break, in milliseconds.
+    pub fn store_contact_ms(&self) -> Option<u64> {
+        self.store_contact_since_ms.get().map(|since_ms| clock::now_ms().saturating_sub(since_ms))
+    }
+}
