Keep an object at one service of a split; say come back at once where there is room

Cause: a split's round robin sent each object to every service of it, cold at each; after a refusal by an upstream with room the caller was told 200 ms although another had room. Change: the digest names the part while it is at most three requests ahead of its share; 30 ms where only the retry budget is spent; nine tenths of the budget used; look-ups name the region where a failure domain has one VM only.

--- a/crates/sedgepath-core/src/direct/budget.rs
+++ b/crates/sedgepath-core/src/direct/budget.rs
@@ -7,9 +7,9 @@
 
 use crate::hash::Map;
 
-/// The part of the budget that is used, the rest being a margin for windows that this VM's own
-/// count of seconds doesn't line up with (one bucket of ten) and for VMs not yet known.
-const USED_SHARE: f64 = 0.8;
+/// The part of the budget that is used; the rest is a margin for VMs not yet known. Windows that don't
+/// line up with this VM's buckets are covered, since one bucket more than the window is counted.
+const USED_SHARE: f64 = 0.9;
 
 /// The time that one bucket counts, in milliseconds: a tenth of the usual window of 10 s.
 const BUCKET_MS: u64 = 1_000;
--- a/crates/sedgepath-core/src/direct/routing.rs
+++ b/crates/sedgepath-core/src/direct/routing.rs
@@ -116,35 +116,43 @@
     name.into()
 }
 
+/// How many requests a part may be ahead of or behind its share for the sake of a warm object.
+///
+/// Three in each VM: of the 30 requests that one of ten VMs counts in a window of 300, a tenth; the
+/// errors of VMs are independent, so their sum stays well below that.
+const MAX_LEAD: f64 = 3.0;
+
 /// Spreads the requests of routes over their parts in proportion to the weights.
 ///
-/// Smooth weighted round robin: each part gains its weight with each request, and the part with the
-/// most is taken and pays the sum. After any number of requests each part is within one request of
-/// its share, which a random draw is not; so a small node holds the shares as well as a large one.
+/// Weighted round robin with a bounded lead: each part gains its weight with each request, and the part
+/// taken pays the sum. An object goes to the part that its digest names, so that it is warm at one
+/// service only, unless that part is [`MAX_LEAD`] requests ahead; then the part with the most is
+/// taken. So each part stays within some requests of its share after any number of requests, which
+/// neither a random draw nor the digests alone do.
 #[derive(Debug, Default)]
 pub struct Splits {
     credits: Map<Box<str>, Vec<f64>>,
 }
 
 impl Splits {
-    /// Returns the part that takes the next request of a route.
-    pub fn next<'a>(&mut self, route: &'a Route) -> &'a RoutePart {
-        let [first, _second, ..] = &*route.parts else {
+    /// Returns the part that takes the next request of a route, for an object if it has one.
+    pub fn next<'a>(&mut self, route: &'a Route, object: Option<u64>) -> &'a RoutePart {
+        if route.parts.len() < 2 {
             return &route.parts[0];
-        };
+        }
         let credits = self.credits.entry(route.name.clone()).or_default();
         credits.resize(route.parts.len(), 0.0);
-        let mut best = 0;
-        let mut total = 0.0;
-        for (index, part) in route.parts.iter().enumerate() {
-            credits[index] += part.weight;
-            total += part.weight;
-            if credits[index] > credits[best] {
-                best = index;
-            }
+        let total: f64 = route.parts.iter().map(|part| part.weight).sum();
+        for (credit, part) in credits.iter_mut().zip(&route.parts) {
+            *credit += part.weight;
         }
-        credits[best] -= total;
-        route.parts.get(best).unwrap_or(first)
+        let most =
+            (0..credits.len()).max_by(|one, other| credits[*one].total_cmp(&credits[*other]));
+        let preferred = object.map(|object| preferred(route, object, total));
+        let within = |index: &usize| credits[*index] - total >= -MAX_LEAD * total;
+        let taken = preferred.filter(within).or(most).unwrap_or(0);
+        credits[taken] -= total;
+        &route.parts[taken]
     }
 
     /// Forgets the counts, since a new configuration may have changed the parts.
@@ -152,3 +160,16 @@
         self.credits.clear();
     }
 }
+
+/// Returns the part that an object's digest names, parts in proportion to their weights.
+fn preferred(route: &Route, object: u64, total: f64) -> usize {
+    // The digest's upper half, as a number from 0 to 1; its whole ranks upstreams.
+    let mut place = (object >> 32) as f64 / (1_u64 << 32) as f64 * total;
+    for (index, part) in route.parts.iter().enumerate() {
+        if place < part.weight {
+            return index;
+        }
+        place -= part.weight;
+    }
+    route.parts.len() - 1
+}
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -41,6 +41,10 @@
 /// which a slot comes free.
 const MIN_BUSY_RETRY_MS: u64 = 200;
 
+/// The time to come back after when an upstream has room but the retry budget is spent, in
+/// milliseconds. The caller's next attempt counts as a request of its own.
+const ROOM_RETRY_MS: u64 = 30;
+
 /// The longest time to come back after when all upstreams are busy, in milliseconds.
 const MAX_BUSY_RETRY_MS: u64 = 1_500;
 
@@ -233,9 +237,9 @@
         if time_ms == 0 {
             return refuse(Reason::Late, 0);
         }
-        let service = self.splits.next(&route).service.clone();
-        self.budget.earn(&service, now_ms);
         let object = asked.object.map(|name| Digest::of(&[name.as_bytes()]).to_u64());
+        let service = self.splits.next(&route, object).service.clone();
+        self.budget.earn(&service, now_ms);
         Ok(Attempts {
             service,
             object,
@@ -272,7 +276,10 @@
         if attempts.arrivals > 0 {
             let vms = self.vms.sharing(now_ms);
             if !self.budget.spend(&attempts.service, vms, now_ms) {
-                return stop(Reason::NoRetry, MIN_BUSY_RETRY_MS, attempts);
+                // Another upstream has room now; only this VM may not send there on its own account.
+                let retry_ms =
+                    if candidate.wait_ms > 0.0 { MIN_BUSY_RETRY_MS } else { ROOM_RETRY_MS };
+                return stop(Reason::NoRetry, retry_ms, attempts);
             }
         }
         self.send(attempts, candidate, now_ms)
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -65,6 +65,10 @@
 /// may die and another be cut off before the silence of either shows.
 const MIN_READERS: usize = 3;
 
+/// How many VMs of the caller's failure domain are named without others: one is a single point of
+/// failure for as long as callers keep the answer.
+const ENOUGH_NAMED: usize = 2;
+
 /// The most addresses that a look-up names.
 const MAX_NAMED: usize = 64;
 
@@ -212,9 +216,9 @@
 
     /// Answers a look-up from a failure domain and region with the addresses of entry VMs.
     ///
-    /// VMs of the caller's own failure domain come alone if there are any, since a byte that crosses
-    /// to another costs; then those of its region, then all. Never empty unless this VM leaves and
-    /// knows no other.
+    /// VMs of the caller's own failure domain come alone if there are [`ENOUGH_NAMED`], since a byte
+    /// that crosses to another costs; else those of its region, or all. Never empty unless this VM
+    /// leaves and knows no other.
     pub fn look_up(&self, domain: &str, region: &str, now_ms: u64) -> Vec<SocketAddr> {
         let serving = self.serving(now_ms);
         let near = |fits: &dyn Fn(&VmCard) -> bool| -> Vec<SocketAddr> {
@@ -222,7 +226,7 @@
             fitting.map(|card| card.callers).take(MAX_NAMED).collect()
         };
         let in_domain = near(&|card| &*card.domain == domain);
-        if !in_domain.is_empty() {
+        if in_domain.len() >= ENOUGH_NAMED {
             return in_domain;
         }
         let in_region = near(&|card| &*card.region == region);
