Try a second upstream beside a silent one

Change: after twice the expected time an idempotent request goes to a second upstream too if the first has answered nothing since; an upstream is left out the sooner the more requests it should have answered; 250 ms for a connection.

--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -121,13 +121,13 @@
     pub arrivals: u32,
     /// The sendings that may have run.
     pub runs: u32,
-    /// The sending that has not ended.
-    pub current: Option<Current>,
+    /// The sendings that have not ended.
+    pub under_way: Vec<UnderWay>,
 }
 
-/// The sending that has not ended.
+/// A sending that has not ended.
 #[derive(Debug, Clone, Copy)]
-pub struct Current {
+pub struct UnderWay {
     /// The upstream.
     pub upstream: UpstreamKey,
     /// When it was sent, in milliseconds.
@@ -136,14 +136,17 @@
     pub warm: bool,
     /// The wait for a slot that was expected, in milliseconds.
     pub wait_ms: f64,
+    /// The time until the answer that was expected, in milliseconds.
+    pub expected_ms: f64,
 }
 
 impl Attempts {
     /// Whether it may be sent once more, as far as its own attempts go.
     pub fn may_send(&self) -> bool {
-        if self.runs == 0 {
+        let runs = self.runs + self.under_way.len() as u32;
+        if runs == 0 {
             return true;
         }
-        self.route.kind.may_repeat() && self.runs < self.route.max_attempts.max(1)
+        self.route.kind.may_repeat() && runs < self.route.max_attempts.max(1)
     }
 }
--- a/crates/sedgepath-core/src/direct/placing.rs
+++ b/crates/sedgepath-core/src/direct/placing.rs
@@ -43,8 +43,16 @@
 /// What a failure costs a request, in milliseconds: about the time in which it is tried elsewhere.
 const FAILURE_COST_MS: f64 = 1_500.0;
 
-/// The silence from which an upstream is left to others, as a multiple of the time of cold work.
-const SILENCE_FACTOR: f64 = 2.0;
+/// The silence from which an upstream with a single request is left out, as a multiple of the time of
+/// cold work. One with more requests is left out sooner, since some of them should have ended.
+const SILENCE_FACTOR: f64 = 1.6;
+
+/// The least time of cold work that silence is compared with, in milliseconds: round trips, timers
+/// and bursts of a busy VM stay below a fraction of it.
+const MIN_COLD_MS: f64 = 400.0;
+
+/// The least of these multiples, for an upstream with many requests.
+const MIN_SILENCE_FACTOR: f64 = 0.8;
 
 /// How far an upstream is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -142,10 +150,23 @@
 
     /// Whether an upstream is worth a request: it can be reached, answers, and is not cold.
     fn sound(&self, upstream: &Upstream) -> bool {
-        let silence_ms = upstream.silence_ms(self.now_ms) as f64;
         upstream.ejected_until_ms <= self.now_ms
             && !upstream.cold(self.now_ms)
-            && silence_ms < SILENCE_FACTOR * self.times.cold_ms.max(400.0)
+            && !self.too_silent(upstream)
+    }
+
+    /// Whether an upstream has answered nothing for so long that it seems to be gone.
+    ///
+    /// An upstream without power neither answers nor resets connections; each request sent there until
+    /// that shows is lost, or waits for its deadline.
+    fn too_silent(&self, upstream: &Upstream) -> bool {
+        let running = upstream.in_flight.clamp(1, upstream.entry.slots.max(1));
+        let factor = (SILENCE_FACTOR / f64::from(running)).max(MIN_SILENCE_FACTOR);
+        let slowest_ms = self.times.cold_ms.max(MIN_COLD_MS);
+        // Requests of other VMs may stand before this VM's own in the upstream's queue.
+        let queue = f64::from(upstream.in_flight) / f64::from(upstream.entry.slots.max(1));
+        let wait_ms = queue * self.times.cold_ms;
+        upstream.silence_ms(self.now_ms) as f64 > factor * slowest_ms + wait_ms
     }
 
     /// Chooses among the upstreams of a service.
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -6,7 +6,7 @@
 use crate::key::VmKey;
 use crate::ownership;
 
-use super::attempts::{Attempts, Current, Outcome, Reason, Sending, Step};
+use super::attempts::{Attempts, Outcome, Reason, Sending, Step, UnderWay};
 use super::budget::{BudgetLimits, RetryBudget};
 use super::placing::{Candidate, Question, ServiceTimes};
 use super::routing::{Configuration, ServiceSettings, Splits};
@@ -52,6 +52,13 @@
 /// error. A request that would be late is refused at once, so that its caller can go elsewhere.
 const USABLE_TIME: f64 = 0.9;
 
+/// How many times the expected time a request waits before a second upstream is tried beside a silent
+/// one: rare for one that lives, since times spread by a sixth.
+const HEDGE_FACTOR: f64 = 2.0;
+
+/// The least wait before a second upstream is tried, in milliseconds.
+const MIN_HEDGE_MS: f64 = 600.0;
+
 /// The round trip to other regions that is expected until one was measured, in milliseconds.
 const FAR_ROUND_TRIP_MS: f64 = 60.0;
 
@@ -248,7 +255,7 @@
             tried: Vec::new(),
             arrivals: 0,
             runs: 0,
-            current: None,
+            under_way: Vec::new(),
             route,
         })
     }
@@ -292,11 +299,12 @@
         };
         upstream.sent(attempts.object, now_ms);
         attempts.tried.push(key);
-        attempts.current = Some(Current {
+        attempts.under_way.push(UnderWay {
             upstream: key,
             sent_at_ms: now_ms,
             warm: candidate.warm,
             wait_ms: candidate.wait_ms,
+            expected_ms: candidate.expected_ms,
         });
         Step::Send(Sending {
             upstream: key,
@@ -378,12 +386,57 @@
         ownership::owner(upstream.hash, &candidates) == Some(VmKey::of(&self.place.name))
     }
 
+    /// Returns when to look whether a request should be sent to a second upstream although the first
+    /// may still answer, if it may be at all.
+    pub fn hedge_at_ms(&self, attempts: &Attempts) -> Option<u64> {
+        let [first] = &*attempts.under_way else {
+            return None;
+        };
+        let wait_ms = (first.expected_ms * HEDGE_FACTOR).max(MIN_HEDGE_MS) as u64;
+        (attempts.route.kind.may_repeat() && attempts.may_send())
+            .then_some(first.sent_at_ms + wait_ms)
+    }
+
+    /// Sends a request to a second upstream if the first has answered nothing at all since.
+    ///
+    /// An upstream that is only busy or slow at this request answers others meanwhile; one that has
+    /// lost its power does not, and the request would wait there until its time is up.
+    pub fn hedge(&mut self, attempts: &mut Attempts, random: u64, now_ms: u64) -> Option<Sending> {
+        let first = attempts.under_way.first()?;
+        let silence_ms = self.upstreams.get(first.upstream).map(|up| up.silence_ms(now_ms));
+        if silence_ms.is_some_and(|silence_ms| now_ms - silence_ms > first.sent_at_ms) {
+            return None;
+        }
+        let candidate = self.choose(attempts, random, now_ms)?;
+        let vms = self.vms.sharing(now_ms);
+        if !self.budget.spend(&attempts.service, vms, now_ms) {
+            return None;
+        }
+        match self.send(attempts, candidate, now_ms) {
+            Step::Send(sending) => Some(sending),
+            Step::Refuse { .. } | Step::GiveUp { .. } => None,
+        }
+    }
+
+    /// Takes in that the caller has left or has its answer, whatever is still under way.
+    pub fn abandon(&mut self, attempts: &mut Attempts, now_ms: u64) {
+        while let Some(current) = attempts.under_way.last() {
+            self.ended(attempts, current.upstream, Outcome::Abandoned, now_ms);
+        }
+    }
+
     /// Takes in how a sending ended.
-    pub fn ended(&mut self, attempts: &mut Attempts, outcome: Outcome, now_ms: u64) {
-        let Some(current) = attempts.current.take() else {
+    pub fn ended(
+        &mut self,
+        attempts: &mut Attempts,
+        key: UpstreamKey,
+        outcome: Outcome,
+        now_ms: u64,
+    ) {
+        let Some(index) = attempts.under_way.iter().position(|sent| sent.upstream == key) else {
             return;
         };
-        let key = current.upstream;
+        let current = attempts.under_way.swap_remove(index);
         match outcome {
             Outcome::Answered { .. } | Outcome::Failed | Outcome::TimedOut => {
                 attempts.arrivals += 1;
@@ -420,7 +473,7 @@
         }
     }
 
-    fn learn(&mut self, attempts: &Attempts, current: Current, outcome: Outcome, now_ms: u64) {
+    fn learn(&mut self, attempts: &Attempts, current: UnderWay, outcome: Outcome, now_ms: u64) {
         let Outcome::Answered { failed: false, body_bytes, .. } = outcome else {
             return;
         };
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use futures_util::stream::{self, FuturesUnordered, Stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
@@ -144,40 +146,60 @@
         Err(_elapsed) => return plain(StatusCode::REQUEST_TIMEOUT, &attempt),
     };
     let head = Head { parts, attempt };
+    run(&mut flight, &head, &mut body).await
+}
+
+/// Sends a request to upstreams until one answers or nothing more can be done.
+async fn run(flight: &mut Flight, head: &Head, body: &mut RequestBody) -> Response<Body> {
+    let shell = Rc::clone(&flight.shell);
+    let deadline_at_ms = flight.attempts.deadline_at_ms;
+    let mut under_way = FuturesUnordered::new();
     let mut last: Option<Response<Body>> = None;
+    let mut second = None;
     loop {
-        let step = shell.steering.borrow_mut().next(
-            &mut flight.attempts,
-            fastrand::u64(..),
-            clock::now_ms(),
-        );
-        match step {
-            Step::Send(to) => {
-                let deadline_at_ms = flight.attempts.deadline_at_ms;
-                let ended = sending::send(shell, deadline_at_ms, &to, &head, &mut body).await;
-                flight.ended(ended.outcome);
-                match ended.outcome {
-                    Outcome::Answered { failed: false, .. } => {
-                        if let Some(answer) = ended.answer {
-                            return answer;
-                        }
-                    }
-                    Outcome::TimedOut => {
-                        return gave_up(&head.attempt, &flight.attempts, "timed_out", last);
-                    }
-                    outcome => note(&head.attempt, &flight.attempts, &to.name, outcome),
+        let to = match second.take() {
+            Some(to) => to,
+            None => match flight.next() {
+                Step::Send(to) => to,
+                Step::Refuse { reason, retry_after_ms } => {
+                    let refusal = Refusal { reason, retry_after_ms };
+                    return refuse(&head.attempt, Some(&flight.attempts), refusal);
                 }
-                last = ended.answer.or(last);
-                if matches!(body, RequestBody::Streamed(None)) {
-                    return gave_up(&head.attempt, &flight.attempts, "body_was_streamed", last);
+                Step::GiveUp { reason } => {
+                    return gave_up(&head.attempt, &flight.attempts, reason.name(), last);
+                }
+            },
+        };
+        let Some(bytes) = body.take() else {
+            return gave_up(&head.attempt, &flight.attempts, "body_was_streamed", last);
+        };
+        let shell = &shell;
+        under_way.push(async move {
+            let ended = sending::send(shell, deadline_at_ms, &to, head, bytes).await;
+            (to, ended)
+        });
+        while !under_way.is_empty() {
+            let (to, ended) = tokio::select! {
+                Some(ended) = under_way.next() => ended,
+                to = flight.hedge(), if !body.is_spent() => {
+                    log::info!(
+                        "event=second_sending request={} upstream={} service={}",
+                        head.attempt, to.name, flight.attempts.service,
+                    );
+                    second = Some(to);
+                    break;
+                }
+            };
+            flight.ended(to.upstream, ended.outcome);
+            match (ended.outcome, ended.answer) {
+                (Outcome::Answered { failed: false, .. }, Some(answer)) => return answer,
+                (Outcome::TimedOut, _) => {
+                    return gave_up(&head.attempt, &flight.attempts, "timed_out", last);
+                }
+                (outcome, answer) => {
+                    note(&head.attempt, &flight.attempts, &to.name, outcome);
+                    last = answer.or(last);
                 }
-            }
-            Step::Refuse { reason, retry_after_ms } => {
-                let refusal = Refusal { reason, retry_after_ms };
-                return refuse(&head.attempt, Some(&flight.attempts), refusal);
-            }
-            Step::GiveUp { reason } => {
-                return gave_up(&head.attempt, &flight.attempts, reason.name(), last);
             }
         }
     }
@@ -231,8 +253,8 @@
 fn futures_stream(
     state: StreamState,
     most_bytes: u64,
-) -> impl futures_util::Stream<Item = Result<Frame<Bytes>, super::pool::BodyError>> + Send {
-    futures_util::stream::try_unfold(state, move |(first, mut rest, seen_bytes)| async move {
+) -> impl Stream<Item = Result<Frame<Bytes>, super::pool::BodyError>> + Send {
+    stream::try_unfold(state, move |(first, mut rest, seen_bytes)| async move {
         if let Some(first) = first {
             return Ok(Some((Frame::data(first), (None, rest, seen_bytes))));
         }
--- a/crates/sedgepathd/src/direct/sending.rs
+++ b/crates/sedgepathd/src/direct/sending.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::{Request, Response, StatusCode, http};
 use sedgepath_adapter::exchange::{self, AnswerFields, AnswerKind};
-use sedgepath_core::direct::attempts::{Attempts, Outcome, Sending};
+use sedgepath_core::direct::attempts::{Attempts, Outcome, Sending, Step};
 use sedgepath_core::direct::upstreams::UpstreamKey;
 use tokio::time::timeout_at;
 
@@ -18,9 +18,13 @@
 use super::pool::{Body, Connection};
 use super::shell::Shell;
 
-/// The longest that a connection to an upstream may take: the longest round trip between regions
-/// with room for a busy upstream. A lost packet is not waited for; another upstream is tried.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest that a connection to an upstream may take: three of the longest round trips between
+/// regions. A lost packet, which is sent again after a second, is not waited for; another upstream is
+/// tried.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How often a request whose upstream may be gone is looked at, in milliseconds.
+const HEDGE_CHECK_MS: u64 = 100;
 
 /// Answers up to this size are read whole before the caller gets the first byte, so that one that
 /// breaks off can be replaced by another upstream's.
@@ -45,8 +49,13 @@
 }
 
 impl RequestBody {
+    /// Whether the body was streamed to an upstream and can't be sent again.
+    pub fn is_spent(&self) -> bool {
+        matches!(self, Self::Streamed(None))
+    }
+
     /// Returns the body for one sending; `None` if it was streamed to an earlier one.
-    fn take(&mut self) -> Option<Body> {
+    pub fn take(&mut self) -> Option<Body> {
         match self {
             Self::Held(bytes) => Some(held(bytes.clone())),
             Self::Streamed(body) => body.take(),
@@ -89,14 +98,38 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         let mut steering = self.shell.steering.borrow_mut();
-        steering.ended(&mut self.attempts, Outcome::Abandoned, clock::now_ms());
+        steering.abandon(&mut self.attempts, clock::now_ms());
     }
 }
 
 impl Flight {
-    /// Counts the end of the sending under way.
-    pub fn ended(&mut self, outcome: Outcome) {
-        self.shell.steering.borrow_mut().ended(&mut self.attempts, outcome, clock::now_ms());
+    /// Counts the end of the sending to an upstream.
+    pub fn ended(&mut self, upstream: UpstreamKey, outcome: Outcome) {
+        let mut steering = self.shell.steering.borrow_mut();
+        steering.ended(&mut self.attempts, upstream, outcome, clock::now_ms());
+    }
+
+    /// Decides what happens next.
+    pub fn next(&mut self) -> Step {
+        let mut steering = self.shell.steering.borrow_mut();
+        steering.next(&mut self.attempts, fastrand::u64(..), clock::now_ms())
+    }
+
+    /// Waits until a second upstream should be tried beside the first, and says which.
+    pub async fn hedge(&mut self) -> Sending {
+        loop {
+            let at_ms = self.shell.steering.borrow().hedge_at_ms(&self.attempts);
+            let Some(at_ms) = at_ms else {
+                return std::future::pending().await;
+            };
+            let at_ms = at_ms.max(clock::now_ms() + HEDGE_CHECK_MS);
+            tokio::time::sleep_until(clock::instant(at_ms)).await;
+            let mut steering = self.shell.steering.borrow_mut();
+            let now_ms = clock::now_ms();
+            if let Some(sending) = steering.hedge(&mut self.attempts, fastrand::u64(..), now_ms) {
+                return sending;
+            }
+        }
     }
 }
 
@@ -106,12 +139,9 @@
     deadline_at_ms: u64,
     sending: &Sending,
     head: &Head,
-    body: &mut RequestBody,
+    body: Body,
 ) -> Ended {
     let deadline = clock::instant(deadline_at_ms);
-    let Some(body) = body.take() else {
-        return Ended::without_answer(Outcome::Failed);
-    };
     let mut request = Request::from_parts(head.parts.clone(), body);
     loop {
         let (mut connection, fresh) = match shell.pool.take(sending.upstream) {
