Let another VM step in where the store turns its readers away

The readers noticed after 2.1 s only. Ruled out: all VMs asking at once (a store that is down for all would get every VM's calls).

--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -69,6 +69,10 @@
 /// failure for as long as callers keep the answer.
 const ENOUGH_NAMED: usize = 2;
 
+/// The time after which one more VM tries the store while none of the region has an answer, in
+/// milliseconds: about a call to a store that is there.
+const STEP_IN_MS: u64 = 250;
+
 /// The most addresses that a look-up names.
 const MAX_NAMED: usize = 64;
 
@@ -81,6 +85,8 @@
     own: VmHeartbeat,
     timing: VmTiming,
     peers: Map<Box<str>, Peer>,
+    /// Since when no VM of the region has had an answer of the store, in milliseconds.
+    without_contact_since_ms: Option<u64>,
     /// Addresses to send heartbeats to, with the moment up to which they are tried unanswered.
     addresses: Map<SocketAddr, u64>,
 }
@@ -88,7 +94,13 @@
 impl Vms {
     /// Creates a table in which only this VM stands.
     pub fn new(own: VmHeartbeat, timing: VmTiming) -> Self {
-        Self { own, timing, peers: Map::default(), addresses: Map::default() }
+        Self {
+            own,
+            timing,
+            peers: Map::default(),
+            without_contact_since_ms: None,
+            addresses: Map::default(),
+        }
     }
 
     /// Returns what this VM tells the others.
@@ -187,18 +199,38 @@
     /// Each region has its own, so that one behind a cut goes on by itself; with few regions there
     /// are more of each, so that the death of one is never a gap. A VM that hears no other of its
     /// region ranks first and follows the store by itself.
-    pub fn reads_store(&self, now_ms: u64) -> bool {
-        let alive = self.peers.values().filter(|peer| {
-            now_ms < peer.heard_at_ms + self.timing.silent_after_ms && !peer.heartbeat.leaving
-        });
-        let cards: Vec<&VmCard> = alive.map(|peer| &peer.heartbeat.card).collect();
-        let regions: Set<&str> =
-            cards.iter().map(|card| &*card.region).chain([&*self.own.card.region]).collect();
-        let readers = MIN_READERS.div_ceil(regions.len());
-        let before = cards
-            .iter()
-            .filter(|card| card.region == self.own.card.region && card.name < self.own.card.name);
-        before.count() < readers
+    ///
+    /// The store may turn away just those that follow it. While none of the region has an answer of
+    /// it, one more VM in the order of names tries every [`STEP_IN_MS`]; were all to try at once, a
+    /// store that is down for all would get calls of every VM.
+    pub fn reads_store(&mut self, now_ms: u64) -> bool {
+        let alive: Vec<&VmHeartbeat> = self
+            .peers
+            .values()
+            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms)
+            .map(|peer| &peer.heartbeat)
+            .filter(|heartbeat| !heartbeat.leaving)
+            .collect();
+        let regions: Set<&str> = alive.iter().map(|peer| &*peer.card.region).collect();
+        let own_region = &self.own.card.region;
+        let others = regions.iter().filter(|region| **region != &**own_region).count();
+        let readers = MIN_READERS.div_ceil(1 + others);
+        let near = || alive.iter().filter(|peer| peer.card.region == *own_region);
+        let before = near().filter(|peer| peer.card.name < self.own.card.name).count();
+        let contact = near().any(|peer| peer.store_contact_ms.is_some())
+            || self.own.store_contact_ms.is_some();
+        let since_ms = *self.without_contact_since_ms.get_or_insert(now_ms);
+        if contact {
+            self.without_contact_since_ms = None;
+        }
+        let stepping_in = match self.without_contact_since_ms {
+            Some(_) => 1 + (now_ms.saturating_sub(since_ms) / STEP_IN_MS) as usize,
+            None => 0,
+        };
+        // One that follows the store without being of the first goes on until these have an answer.
+        let needed = near().filter(|peer| peer.store_contact_ms.is_some()).count() < readers
+            && self.own.store_contact_ms.is_some();
+        before < readers + stepping_in || needed
     }
 
     /// Returns the longest for which the store has answered another VM, in milliseconds by now.
--- a/crates/sedgepathd/src/direct/follow.rs
+++ b/crates/sedgepathd/src/direct/follow.rs
@@ -14,8 +14,9 @@
 use super::{clock, peers};
 
 /// How long the store may hold back a call until something changes, in milliseconds. A connection
-/// may go silent for good; this and the call's own time-out bound how long that stays unnoticed.
-const WAIT_MS: u64 = 1_200;
+/// may go silent for good; this and the call's own time-out bound how long that stays unnoticed, and
+/// another VM must step in within the 2.5 s that a leaving upstream may get requests.
+const WAIT_MS: u64 = 700;
 
 /// The pause between two answers of a feed, in milliseconds: changes that come in quick succession
 /// cost one call instead of one each.
@@ -29,13 +30,13 @@
 const MIN_PAUSE_MS: u64 = 100;
 
 /// How often a VM that doesn't follow the store looks whether it should, in milliseconds.
-const ROLE_CHECK_MS: u64 = 250;
+const ROLE_CHECK_MS: u64 = 100;
 
 /// Follows a table while this VM is one of those that do, until the process ends.
 pub async fn follow(shell: Rc<Shell>, table: Table) {
     let mut lost = false;
     loop {
-        let reads = shell.steering.borrow().vms().reads_store(clock::now_ms());
+        let reads = shell.steering.borrow_mut().vms_mut().reads_store(clock::now_ms());
         if !reads && shell.copies.borrow().get(table).known() {
             if table == Table::Upstreams {
                 shell.store_contact_since_ms.set(None);
@@ -58,7 +59,9 @@
                 lost = true;
             }
             Err(error) => {
-                note_loss(&shell, table, &error);
+                if note_loss(&shell, table, &error) {
+                    peers::send_once(&shell).await;
+                }
                 let took_ms = clock::now_ms().saturating_sub(begun_at_ms);
                 let pause_ms = RETRY_MS.saturating_sub(took_ms).max(MIN_PAUSE_MS);
                 let jitter_ms = fastrand::u64(0..MIN_PAUSE_MS);
@@ -95,11 +98,14 @@
     shell.steering.borrow_mut().note_store(contact_ms, clock::now_ms());
 }
 
-fn note_loss(shell: &Shell, table: Table, error: &StoreError) {
-    if table == Table::Upstreams && shell.store_contact_since_ms.take().is_some() {
+/// Notes that the store gave no answer, and returns whether it had given one before.
+fn note_loss(shell: &Shell, table: Table, error: &StoreError) -> bool {
+    let lost = table == Table::Upstreams && shell.store_contact_since_ms.take().is_some();
+    if lost {
         log::warn!("event=store_away error={:?}", error.to_string());
         shell.steering.borrow_mut().note_store(None, clock::now_ms());
     }
+    lost
 }
 
 /// Takes in rows of the store or of another VM, and returns whether any was new.
