--- /dev/null
+++ b/crates/sedgepath-core/tests/direct_attempts.rs
@@ -0,0 +1,199 @@
+//! What happens after a refusal or a failure, and how often a request is sent again.
+
+use sedgepath_core::direct::Steering;
+use sedgepath_core::direct::attempts::{Attempts, Outcome, Reason, Sending, Step};
+use sedgepath_core::direct::upstreams::LoadReport;
+use sedgepath_test_support::direct::{COLD_PER_S, begin, heartbeat, serving_vm, vm};
+
+const ANSWER: Outcome = Outcome::Answered { failed: false, report: None, body_bytes: 100 };
+const ERROR: Outcome = Outcome::Answered { failed: true, report: None, body_bytes: 0 };
+const REFUSAL: Outcome = Outcome::Refused { report: None };
+
+fn send(vm: &mut Steering, attempts: &mut Attempts, now_ms: u64) -> Sending {
+    match vm.next(attempts, 1, now_ms) {
+        Step::Send(to) => to,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+/// A charge is sent and the connection breaks: it may have run. It is not sent again, and the caller
+/// is not told that it was not run.
+#[test]
+fn what_may_have_run_once_is_never_sent_again() {
+    for outcome in [Outcome::Failed, Outcome::TimedOut, ERROR] {
+        let mut vm = serving_vm("a1", "north-a", 1, 2);
+        let mut attempts = begin(&mut vm, "/charges/1", "x", 0);
+        let to = send(&mut vm, &mut attempts, 0);
+        vm.ended(&mut attempts, to.upstream, outcome, 10);
+
+        let step = vm.next(&mut attempts, 1, 10);
+
+        assert_eq!(step, Step::GiveUp { reason: Reason::NoRetry }, "after {outcome:?}");
+    }
+}
+
+/// A charge is refused by its upstream, or no connection could be made. It was not run: another
+/// upstream gets it.
+#[test]
+fn what_was_not_run_is_sent_elsewhere() {
+    for outcome in [REFUSAL, Outcome::Misdirected, Outcome::Unreachable] {
+        let mut vm = serving_vm("a1", "north-a", 1, 2);
+        let mut attempts = begin(&mut vm, "/charges/1", "x", 0);
+        let first = send(&mut vm, &mut attempts, 0);
+        vm.ended(&mut attempts, first.upstream, outcome, 10);
+
+        let second = send(&mut vm, &mut attempts, 10);
+
+        assert_ne!(first.upstream, second.upstream, "after {outcome:?}");
+    }
+}
+
+/// An idempotent request that fails is sent once more, as its route's two attempts allow; then the
+/// caller gets what there is.
+#[test]
+fn an_idempotent_request_runs_on_at_most_the_routes_attempts() {
+    let mut vm = serving_vm("a1", "north-a", 1, 2);
+    let mut attempts = begin(&mut vm, "/reads/1", "x", 0);
+    for _ in 0..2 {
+        let to = send(&mut vm, &mut attempts, 0);
+        vm.ended(&mut attempts, to.upstream, ERROR, 10);
+    }
+    assert_eq!(vm.next(&mut attempts, 1, 20), Step::GiveUp { reason: Reason::NoRetry });
+}
+
+/// A charge that ran and then finds no other upstream must not be answered with *not run*.
+#[test]
+fn a_request_that_may_have_run_is_never_refused() {
+    let mut vm = vm("a1", "north-a", 1);
+    vm.configure(sedgepath_test_support::direct::all_kinds(1));
+    let only = sedgepath_test_support::direct::entry("b0", "north-a", 0);
+    vm.upstreams_mut().put(only, "north", 0);
+    let mut attempts = begin(&mut vm, "/reads/1", "x", 0);
+    let to = send(&mut vm, &mut attempts, 0);
+    vm.ended(&mut attempts, to.upstream, Outcome::Failed, 10);
+
+    assert!(matches!(vm.next(&mut attempts, 1, 10), Step::GiveUp { .. }));
+}
+
+/// Every upstream refuses everything. All VMs together send no more repeats than a fifth of the
+/// requests and 60 in any ten seconds, or an outage would multiply its own load.
+#[test]
+fn repeats_of_all_vms_stay_within_the_shared_budget() {
+    let names = ["a1", "a2", "a3", "a4"];
+    let mut vms: Vec<Steering> = (1..=4)
+        .map(|number| serving_vm(names[number as usize - 1], "north-a", number, 4))
+        .collect();
+    let mut sent_at_ms = Vec::new();
+    let mut asked_at_ms = Vec::new();
+    for now_ms in (0..30_000).step_by(10) {
+        for (index, vm) in vms.iter_mut().enumerate() {
+            for (number, name) in (1..).zip(names) {
+                if now_ms % 500 == 0 && number != index + 1 {
+                    vm.vms_mut().heard(heartbeat(name, "north-a", number as u8), now_ms);
+                }
+            }
+            // Traffic comes in waves, so that a window's budget differs from that of the next.
+            if (now_ms / 5_000) % 2 == 1 && now_ms % 50 != 0 {
+                continue;
+            }
+            asked_at_ms.push(now_ms);
+            let mut attempts = begin(vm, "/reads/1", &now_ms.to_string(), now_ms);
+            while let Step::Send(to) = vm.next(&mut attempts, 1, now_ms) {
+                if attempts.arrivals > 0 {
+                    sent_at_ms.push(now_ms);
+                }
+                let report = Some(LoadReport { running: 0, waiting: 0, slots: 3 });
+                vm.ended(&mut attempts, to.upstream, Outcome::Refused { report }, now_ms);
+            }
+        }
+    }
+    let within = |times: &[u64], from_ms: u64| {
+        times.iter().filter(|at_ms| (from_ms..from_ms + 10_000).contains(*at_ms)).count() as f64
+    };
+    for from_ms in (0..20_000).step_by(100) {
+        let requests = within(&asked_at_ms, from_ms);
+        let repeats = within(&sent_at_ms, from_ms);
+        assert!(repeats <= 0.2 * requests + 60.0, "{repeats} of {requests} from {from_ms}");
+    }
+    assert!(sent_at_ms.len() > 100, "hardly any repeat was sent: {}", sent_at_ms.len());
+}
+
+/// The upstream of an idempotent request loses its power: it neither answers nor resets. Without a
+/// second sending the caller waits until its deadline.
+#[test]
+fn a_silent_upstream_gets_a_second_one_beside_it() {
+    let mut vm = serving_vm("a1", "north-a", 1, 2);
+    let mut attempts = begin(&mut vm, "/reads/1", "x", 0);
+    let first = send(&mut vm, &mut attempts, 0);
+    let at_ms = vm.hedge_at_ms(&attempts).expect("no second sending is planned");
+    assert!((600..2_000).contains(&at_ms), "at {at_ms}");
+
+    let second = vm.hedge(&mut attempts, 1, at_ms).expect("no second sending");
+
+    assert_ne!(first.upstream, second.upstream);
+    assert_eq!(vm.hedge_at_ms(&attempts), None, "a third sending is planned");
+    vm.ended(&mut attempts, second.upstream, ANSWER, at_ms + 200);
+    vm.abandon(&mut attempts, at_ms + 200);
+    let idle = vm.upstreams().all().all(|(_, upstream)| upstream.in_flight == 0);
+    assert!(idle, "a sending was not counted down");
+}
+
+/// The upstream is only slow at this request: it answers others meanwhile. A second sending would
+/// add to the load that slows it down.
+#[test]
+fn a_busy_upstream_gets_no_second_one_beside_it() {
+    let mut vm = serving_vm("a1", "north-a", 1, 2);
+    let mut attempts = begin(&mut vm, "/reads/1", "x", 0);
+    send(&mut vm, &mut attempts, 0);
+    let mut other = begin(&mut vm, "/reads/1", "x", 0);
+    let to = send(&mut vm, &mut other, 0);
+    vm.ended(&mut other, to.upstream, ANSWER, 500);
+    let at_ms = vm.hedge_at_ms(&attempts).expect("no second sending is planned");
+
+    assert_eq!(vm.hedge(&mut attempts, 1, at_ms), None);
+}
+
+/// A charge is never sent to a second upstream while the first may run it.
+#[test]
+fn a_charge_gets_no_second_upstream_beside_the_first() {
+    let mut vm = serving_vm("a1", "north-a", 1, 2);
+    let mut attempts = begin(&mut vm, "/charges/1", "x", 0);
+    send(&mut vm, &mut attempts, 0);
+    assert_eq!(vm.hedge_at_ms(&attempts), None);
+}
+
+/// All upstreams have just come back, cold. Each crashes above its rate, which holds for all VMs
+/// together though none hears what the others send.
+#[test]
+fn cold_upstreams_get_no_more_than_their_rate_of_all_vms_together() {
+    let names = ["a1", "a2", "b1"];
+    let domains = ["north-a", "north-a", "north-b"];
+    let mut vms: Vec<Steering> =
+        (0..3).map(|index| serving_vm(names[index], domains[index], index as u8 + 1, 1)).collect();
+    for vm in &mut vms {
+        for index in 0..3 {
+            vm.vms_mut().heard(heartbeat(names[index], domains[index], index as u8 + 1), 0);
+        }
+        for domain in ["north-a", "north-b", "south-a", "south-b"] {
+            vm.upstreams_mut().chill_domain(domain, 2_000);
+        }
+    }
+    let mut sent: Vec<(Box<str>, u64)> = Vec::new();
+    for now_ms in (0..1_900).step_by(5) {
+        for vm in &mut vms {
+            let mut attempts = begin(vm, "/reads/1", &now_ms.to_string(), now_ms);
+            if let Step::Send(to) = vm.next(&mut attempts, now_ms, now_ms) {
+                sent.push((to.name.clone(), now_ms));
+                vm.ended(&mut attempts, to.upstream, ANSWER, now_ms);
+            }
+        }
+    }
+    assert!(!sent.is_empty(), "cold upstreams get nothing at all");
+    for name in ["b0", "b1", "b2", "b3"] {
+        for from_ms in (0..1_000).step_by(50) {
+            let window = from_ms..from_ms + 1_000;
+            let count = sent.iter().filter(|(to, at)| **to == *name && window.contains(at)).count();
+            assert!(count as f64 <= COLD_PER_S, "{count} to {name} from {from_ms}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sedgepath-core/tests/direct_placing.rs
@@ -0,0 +1,154 @@
+//! Which upstream runs a request.
+
+use sedgepath_core::direct::Steering;
+use sedgepath_core::direct::attempts::{Attempts, Outcome, Step};
+use sedgepath_core::direct::upstreams::LoadReport;
+use sedgepath_core::hash::{Map, Set};
+use sedgepath_test_support::direct::{begin, entry, serving_vm};
+
+const OBJECTS: usize = 60;
+
+fn send(vm: &mut Steering, path: &str, object: usize, now_ms: u64) -> (Attempts, Box<str>) {
+    let mut attempts = begin(vm, path, &format!("object {object}"), now_ms);
+    match vm.next(&mut attempts, 1, now_ms) {
+        Step::Send(to) => (attempts, to.name),
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+/// Returns the upstream of each object on an idle VM.
+fn homes(vm: &mut Steering, path: &str) -> Vec<Box<str>> {
+    let each = 0..OBJECTS;
+    each.map(|object| {
+        let (mut attempts, name) = send(vm, path, object, 0);
+        vm.abandon(&mut attempts, 0);
+        name
+    })
+    .collect()
+}
+
+/// Callers of both failure domains of a region ask for the same objects, through VMs that exchange
+/// nothing about them. An object must have one upstream, or each runs it slowly for the first time.
+#[test]
+fn vms_of_a_region_agree_on_each_objects_upstream() {
+    let mut one = serving_vm("a1", "north-a", 1, 3);
+    let mut other = serving_vm("b1", "north-b", 2, 3);
+    assert_eq!(homes(&mut one, "/reads/1"), homes(&mut other, "/reads/1"));
+}
+
+/// An upstream leaves. Only its own objects move; the others stay warm where they are.
+#[test]
+fn a_leaving_upstream_moves_only_its_own_objects() {
+    let mut vm = serving_vm("a1", "north-a", 1, 3);
+    let before = homes(&mut vm, "/reads/1");
+    let mut leaving = entry("b4", "north-b", 4);
+    leaving.leaving = true;
+    leaving.sequence = 2;
+    vm.upstreams_mut().put(leaving, "north", 0);
+
+    let after = homes(&mut vm, "/reads/1");
+
+    let moved = before.iter().zip(&after).filter(|(before, after)| before != after);
+    assert!(moved.clone().all(|(before, _)| **before == *"b4"), "{:?}", moved.collect::<Vec<_>>());
+}
+
+/// Most objects have their upstream in the VM's own region.
+#[test]
+fn near_upstreams_get_most_objects() {
+    let mut vm = serving_vm("a1", "north-a", 1, 3);
+    let north = ["b0", "b1", "b2", "b3", "b4", "b5"];
+    let homes = homes(&mut vm, "/reads/1");
+    let near = homes.iter().filter(|name| north.contains(&&***name)).count();
+    assert!(near > OBJECTS * 6 / 10, "{near} of {OBJECTS}");
+    assert!(near < OBJECTS, "the other region runs nothing");
+}
+
+/// One object is asked for so often that its upstream is full. It spills to a second upstream and to
+/// no third one: each more is one more place at which it must become fast.
+#[test]
+fn a_busy_object_spills_to_one_more_upstream_only() {
+    let mut vm = serving_vm("a1", "north-a", 1, 3);
+    let mut counts: Map<Box<str>, usize> = Map::default();
+    let mut under_way = Vec::new();
+    for now_ms in 0..30 {
+        let (attempts, name) = send(&mut vm, "/reads/1", 7, now_ms);
+        *counts.entry(name).or_default() += 1;
+        under_way.push(attempts);
+    }
+    assert_eq!(counts.len(), 2, "{counts:?}");
+    assert!(counts.values().all(|count| *count >= 10), "{counts:?}");
+}
+
+/// An upstream can't be reached; after its time left out it is tried with a request, not with all.
+#[test]
+fn an_unreachable_upstream_is_left_out_for_a_time() {
+    let mut vm = serving_vm("a1", "north-a", 1, 3);
+    let (mut attempts, home) = send(&mut vm, "/reads/1", 7, 0);
+    let key = attempts.tried[0];
+    vm.ended(&mut attempts, key, Outcome::Unreachable, 10);
+
+    let (_, soon) = send(&mut vm, "/reads/1", 7, 100);
+
+    assert_ne!(home, soon);
+}
+
+/// An upstream has lost its power: it holds requests and answers none. New ones go elsewhere though
+/// no connection has failed yet.
+#[test]
+fn an_upstream_that_answers_nothing_is_left() {
+    let mut vm = serving_vm("a1", "north-a", 1, 3);
+    let (_first, home) = send(&mut vm, "/reads/1", 7, 0);
+    let (_second, again) = send(&mut vm, "/reads/1", 7, 50);
+    assert_eq!(home, again);
+
+    let (_, later) = send(&mut vm, "/reads/1", 7, 3_000);
+
+    assert_ne!(home, later);
+}
+
+/// Other VMs fill the object's upstream; its report says so. The next request goes to the second.
+#[test]
+fn a_load_report_tells_what_other_vms_send() {
+    let mut vm = serving_vm("a1", "north-a", 1, 3);
+    let (mut attempts, home) = send(&mut vm, "/reads/1", 7, 0);
+    let key = attempts.tried[0];
+    let report = Some(LoadReport { running: 3, waiting: 9, slots: 3 });
+    let answer = Outcome::Answered { failed: false, report, body_bytes: 10 };
+    vm.ended(&mut attempts, key, answer, 200);
+
+    let (_, next) = send(&mut vm, "/reads/1", 7, 210);
+
+    assert_ne!(home, next);
+}
+
+/// Large answers cost more on the way than a wait: they come from the VM's own failure domain.
+#[test]
+fn large_answers_come_from_the_own_domain() {
+    let mut vm = serving_vm("a1", "north-a", 1, 3);
+    let (mut attempts, _) = send(&mut vm, "/packs/1", 0, 0);
+    let key = attempts.tried[0];
+    let answer = Outcome::Answered { failed: false, report: None, body_bytes: 90_000 };
+    vm.ended(&mut attempts, key, answer, 200);
+
+    let homes = homes(&mut vm, "/packs/1");
+
+    let own = homes.iter().filter(|name| ["b0", "b1", "b2"].contains(&&***name)).count();
+    assert!(own > OBJECTS * 8 / 10, "{own} of {OBJECTS}");
+}
+
+/// A route may run in one region only: no other gets its requests, even if nothing is left there.
+#[test]
+fn home_regions_bind() {
+    use sedgepath_core::direct::routing::RouteKind;
+    let mut vm = serving_vm("a1", "north-a", 1, 2);
+    let mut route = sedgepath_test_support::direct::route(RouteKind::Idempotent);
+    route.home_regions = vec!["south".into()];
+    vm.configure(sedgepath_test_support::direct::configuration(2, vec![route]));
+    let homes = homes(&mut vm, "/reads/1");
+    assert!(homes.iter().all(|name| ["b4", "b5", "b6", "b7"].contains(&&**name)), "{homes:?}");
+
+    let emptied: Set<Box<str>> = [Box::from("south-a"), Box::from("south-b")].into_iter().collect();
+    vm.evacuate(emptied, 0);
+    let mut attempts = begin(&mut vm, "/reads/1", "x", 10);
+    assert!(matches!(vm.next(&mut attempts, 1, 10), Step::Refuse { .. }));
+}
--- /dev/null
+++ b/crates/sedgepath-core/tests/direct_routing.rs
@@ -0,0 +1,82 @@
+//! Routes, splits and the configuration in force.
+
+use sedgepath_core::direct::attempts::Reason;
+use sedgepath_core::direct::routing::{RouteKind, RoutePart, Splits};
+use sedgepath_core::direct::steering::Asked;
+use sedgepath_test_support::direct::{HOST, begin, configuration, route, serving_vm, vm};
+
+fn asked(path: &str) -> Asked<'_> {
+    Asked { host: HOST, path, time_left_ms: Some(1_000), object: None }
+}
+
+/// Of two routes that fit, the one with the longer prefix takes the request; a host is compared
+/// without its port and case.
+#[test]
+fn the_longest_prefix_wins() {
+    let mut long = route(RouteKind::Once);
+    long.prefix = "/reads/charges/".into();
+    let configuration = configuration(1, vec![route(RouteKind::Idempotent), long]);
+    let name = |host, path| configuration.route(host, path).map(|route| route.name.clone());
+    assert_eq!(name(HOST, "/reads/charges/1").as_deref(), Some("charges"));
+    assert_eq!(name("Shop.Example:80", "/reads/1").as_deref(), Some("reads"));
+    assert_eq!(name(HOST, "/reads"), None);
+    assert_eq!(name("other.example", "/reads/1"), None);
+}
+
+/// A read that was delayed brings an older configuration. Taken in, a route that callers use already
+/// would be gone again.
+#[test]
+fn an_older_configuration_is_not_taken() {
+    let mut vm = serving_vm("a1", "north-a", 1, 1);
+    assert!(vm.configure(configuration(7, vec![route(RouteKind::Idempotent)])));
+    assert!(!vm.configure(configuration(6, vec![route(RouteKind::Once)])));
+    assert!(vm.begin(asked("/reads/1"), 0).is_ok());
+    let refusal = vm.begin(asked("/charges/1"), 0).expect_err("an old route is in force");
+    assert_eq!(refusal.reason, Reason::NoRoute);
+}
+
+/// Before a configuration is known nobody is told that a path does not exist.
+#[test]
+fn without_a_configuration_requests_are_refused_as_not_run() {
+    let mut vm = vm("a1", "north-a", 1);
+    let refusal = vm.begin(asked("/reads/1"), 0).expect_err("served without a configuration");
+    assert_eq!(refusal.reason, Reason::NoConfiguration);
+    assert!(refusal.retry_after_ms > 0);
+}
+
+/// A request is kept waiting no longer than its route allows, whatever its caller would.
+#[test]
+fn the_routes_timeout_bounds_the_callers() {
+    let mut vm = serving_vm("a1", "north-a", 1, 1);
+    let asked = Asked { time_left_ms: Some(60_000), ..asked("/reads/1") };
+    let attempts = vm.begin(asked, 100).expect("refused");
+    assert_eq!(attempts.deadline_at_ms, 3_100);
+    assert_eq!(begin(&mut vm, "/reads/1", "x", 5).deadline_at_ms, 3_005);
+}
+
+/// Two services share a route by weight. After any number of requests each is within some requests of
+/// its share, and most requests of an object meet at one service, where it is warm.
+#[test]
+fn splits_keep_shares_and_objects_together() {
+    let mut split = route(RouteKind::Idempotent);
+    split.parts = vec![
+        RoutePart { service: "left".into(), weight: 70.0 },
+        RoutePart { service: "right".into(), weight: 30.0 },
+    ];
+    let mut splits = Splits::default();
+    let objects: Vec<u64> =
+        (0..60_u64).map(|object| sedgepath_core::ownership::rank(object, 3)).collect();
+    let mut left = 0_i64;
+    let mut by_object = vec![[0_u32; 2]; objects.len()];
+    for number in 0..3_000_i64 {
+        let object = fastrand::Rng::with_seed(number as u64).usize(..objects.len());
+        let part = splits.next(&split, Some(objects[object]));
+        let is_left = &*part.service == "left";
+        left += i64::from(is_left);
+        by_object[object][usize::from(is_left)] += 1;
+        let due = (number + 1) * 70 / 100;
+        assert!((left - due).abs() <= 4, "{left} of {} went left", number + 1);
+    }
+    let together: u32 = by_object.iter().map(|counts| *counts.iter().max().unwrap_or(&0)).sum();
+    assert!(together > 2_400, "{together} of 3000 met at one service");
+}
--- /dev/null
+++ b/crates/sedgepath-core/tests/direct_vms.rs
@@ -0,0 +1,121 @@
+//! Which entry VMs look-ups name, and which of them follow the store.
+
+use std::net::SocketAddr;
+
+use sedgepath_core::direct::vms::{VmHeartbeat, Vms};
+use sedgepath_test_support::direct::{heartbeat, vms};
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+/// A VM of `north-a` that hears four others.
+fn five() -> Vms {
+    let mut own = vms("a1", "north-a", 1);
+    for peer in others() {
+        own.heard(peer, 0);
+    }
+    own
+}
+
+fn others() -> [VmHeartbeat; 4] {
+    [
+        heartbeat("a2", "north-a", 2),
+        heartbeat("b1", "north-b", 3),
+        heartbeat("c1", "south-a", 4),
+        heartbeat("c2", "south-a", 5),
+    ]
+}
+
+/// Callers get the VMs of their own failure domain.
+#[test]
+fn the_callers_own_domain_comes_first() {
+    assert_eq!(five().look_up("south-a", "south", 100), vec![address(4), address(5)]);
+    assert_eq!(five().look_up("north-a", "north", 100), vec![address(1), address(2)]);
+}
+
+/// A failure domain has one VM left. Were it named alone, its end would leave its callers without
+/// any until their answer lapses; the region's others are named with it.
+#[test]
+fn a_lone_vm_is_named_with_others_of_its_region() {
+    assert_eq!(five().look_up("north-b", "north", 100), vec![address(1), address(2), address(3)]);
+}
+
+/// A VM is killed and says nothing. Callers go on being sent there until its silence shows; it must
+/// not be named for longer, even if others still mention its address.
+#[test]
+fn a_silent_vm_is_no_longer_named() {
+    let mut own = five();
+    let mut living = heartbeat("c2", "south-a", 5);
+    living.known = vec![SocketAddr::from(([10, 0, 0, 4], 7_000))];
+    own.heard(living, 2_000);
+
+    let named = own.look_up("south-a", "south", 2_300);
+
+    assert!(!named.contains(&address(4)), "a VM that has been silent for 2.3 s is named");
+    assert!(named.contains(&address(5)));
+}
+
+/// A VM says that it leaves; a heartbeat that it sent before arrives later. It must not be named
+/// again, or callers would be sent to a closing listener.
+#[test]
+fn a_delayed_heartbeat_does_not_bring_back_a_leaving_vm() {
+    let mut own = five();
+    let mut leaving = heartbeat("c1", "south-a", 4);
+    leaving.leaving = true;
+    own.heard(leaving, 100);
+    own.heard(heartbeat("c1", "south-a", 4), 110);
+
+    assert!(!own.look_up("south-a", "south", 200).contains(&address(4)));
+
+    let mut restarted = heartbeat("c1", "south-a", 4);
+    restarted.boot = 2;
+    own.heard(restarted, 300);
+    assert!(own.look_up("south-a", "south", 400).contains(&address(4)));
+}
+
+/// A look-up is never answered with nothing.
+#[test]
+fn a_vm_that_hears_nobody_names_itself() {
+    let own = vms("a1", "north-a", 1);
+    assert_eq!(own.look_up("south-b", "south", 0), vec![address(1)]);
+}
+
+/// With two regions two VMs of each follow the store.
+#[test]
+fn the_first_vms_of_a_region_follow_the_store() {
+    let mut first = five();
+    assert!(first.reads_store(100));
+
+    let mut third = vms("b1", "north-b", 3);
+    let mut readers = others();
+    readers[0].store_contact_ms = Some(5_000);
+    for peer in readers {
+        third.heard(peer, 0);
+    }
+    third.heard(heartbeat("a1", "north-a", 1), 0);
+    assert!(!third.reads_store(100), "a third VM of the region follows the store");
+}
+
+/// The store turns away just the VMs that follow it, and they say so. Others must step in, or nobody
+/// learns that an upstream leaves.
+#[test]
+fn another_vm_steps_in_while_the_readers_have_no_answer() {
+    let mut third = vms("b1", "north-b", 3);
+    for peer in [heartbeat("a1", "north-a", 1), heartbeat("a2", "north-a", 2)] {
+        third.heard(peer, 0);
+    }
+    third.heard(heartbeat("c1", "south-a", 4), 0);
+
+    assert!(third.reads_store(100), "the next VM waits although no reader has an answer");
+}
+
+/// A VM behind a cut hears no other of its region: it follows the store itself.
+#[test]
+fn a_vm_that_hears_nobody_follows_the_store() {
+    let mut last = vms("z9", "north-b", 3);
+    for peer in others() {
+        last.heard(peer, 0);
+    }
+    assert!(last.reads_store(10_000));
+}
--- /dev/null
+++ b/crates/sedgepath-test-support/src/direct.rs
@@ -0,0 +1,162 @@
+//! Builders for tests of VMs that send to upstreams themselves.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use sedgepath_core::direct::attempts::Attempts;
+use sedgepath_core::direct::budget::BudgetLimits;
+use sedgepath_core::direct::routing::{
+    CallerLimits, Configuration, Route, RouteKind, RoutePart, ServiceSettings,
+};
+use sedgepath_core::direct::steering::Asked;
+use sedgepath_core::direct::upstreams::UpstreamEntry;
+use sedgepath_core::direct::vms::{VmCard, VmHeartbeat, VmTiming, Vms};
+use sedgepath_core::direct::{Limits, Place, Steering};
+use sedgepath_core::hash::Map;
+
+/// The failure domains of tests with their regions.
+pub const DOMAINS: [(&str, &str); 4] =
+    [("north-a", "north"), ("north-b", "north"), ("south-a", "south"), ("south-b", "south")];
+
+/// The host of all routes of tests.
+pub const HOST: &str = "shop.example";
+
+/// The service of all routes of tests unless they say otherwise.
+pub const SERVICE: &str = "browse";
+
+/// How long an upstream stays cold in tests, in milliseconds.
+pub const COLD_START_MS: u64 = 3_000;
+
+/// The requests a second that a cold upstream bears in tests.
+pub const COLD_PER_S: f64 = 4.0;
+
+/// Returns the region of a failure domain of [`DOMAINS`].
+pub fn region(domain: &str) -> &'static str {
+    DOMAINS.iter().find(|(name, _)| *name == domain).map_or("elsewhere", |(_, region)| region)
+}
+
+/// Returns the heartbeat of a VM that serves.
+pub fn heartbeat(name: &str, domain: &str, number: u8) -> VmHeartbeat {
+    let address = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, number)), port);
+    VmHeartbeat {
+        card: VmCard {
+            name: name.into(),
+            domain: domain.into(),
+            region: region(domain).into(),
+            callers: address(80),
+            peers: address(7_000),
+        },
+        boot: 1,
+        ready: true,
+        leaving: false,
+        changed_at: [0; 2],
+        store_contact_ms: None,
+        known: Vec::new(),
+    }
+}
+
+/// Returns a VM's view of the others, in which it stands alone.
+pub fn vms(name: &str, domain: &str, number: u8) -> Vms {
+    let timing = VmTiming { heartbeat_ms: 500, silent_after_ms: 2_200, forgotten_after_ms: 20_000 };
+    Vms::new(heartbeat(name, domain, number), timing)
+}
+
+/// Returns a VM that knows nothing yet.
+pub fn vm(name: &str, domain: &str, number: u8) -> Steering {
+    let regions: Map<Box<str>, Box<str>> =
+        DOMAINS.iter().map(|(domain, region)| ((*domain).into(), (*region).into())).collect();
+    let place =
+        Place { name: name.into(), domain: domain.into(), region: region(domain).into(), regions };
+    let budget = BudgetLimits { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
+    Steering::new(place, Limits { budget }, vms(name, domain, number))
+}
+
+/// Returns a route under `/KIND/`.
+pub fn route(kind: RouteKind) -> Route {
+    let (name, prefix) = match kind {
+        RouteKind::Idempotent => ("reads", "/reads/"),
+        RouteKind::Once => ("charges", "/charges/"),
+        RouteKind::Download => ("packs", "/packs/"),
+    };
+    Route {
+        name: name.into(),
+        prefix: prefix.into(),
+        kind,
+        timeout_ms: 3_000,
+        target_ms: 400,
+        priority: 1,
+        parts: vec![RoutePart { service: SERVICE.into(), weight: 1.0 }],
+        max_attempts: 2,
+        sticky: true,
+        home_regions: Vec::new(),
+    }
+}
+
+/// Returns a configuration with these routes on [`HOST`].
+pub fn configuration(version: u64, routes: Vec<Route>) -> Arc<Configuration> {
+    let settings = ServiceSettings {
+        health_path: "/health".into(),
+        max_connections: 100,
+        cold_start_ms: COLD_START_MS,
+        cold_per_s: COLD_PER_S,
+    };
+    let services = routes
+        .iter()
+        .flat_map(|route| &route.parts)
+        .map(|part| (part.service.clone(), settings.clone()))
+        .collect();
+    let mut hosts: Map<Box<str>, Vec<Arc<Route>>> = Map::default();
+    hosts.insert(HOST.into(), routes.into_iter().map(Arc::new).collect());
+    let limits = CallerLimits {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1 << 20,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    };
+    Arc::new(Configuration { version, services, hosts, limits })
+}
+
+/// Returns a configuration with one route of each kind.
+pub fn all_kinds(version: u64) -> Arc<Configuration> {
+    let kinds = [RouteKind::Idempotent, RouteKind::Once, RouteKind::Download];
+    configuration(version, kinds.map(route).to_vec())
+}
+
+/// Returns the entry of an upstream of [`SERVICE`] with three slots.
+pub fn entry(name: &str, domain: &str, number: u8) -> UpstreamEntry {
+    UpstreamEntry {
+        name: name.into(),
+        service: SERVICE.into(),
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 1, 0, number)), 8_080),
+        domain: domain.into(),
+        slots: 3,
+        leaving: false,
+        cold_for_ms: 0,
+        sequence: 1,
+        born_at_ms: None,
+    }
+}
+
+/// Returns a VM with a configuration and some upstreams in each failure domain, `b0` and up.
+pub fn serving_vm(name: &str, domain: &str, number: u8, per_domain: u8) -> Steering {
+    let mut vm = vm(name, domain, number);
+    vm.configure(all_kinds(1));
+    let mut next = 0;
+    for (domain, region) in DOMAINS {
+        for _ in 0..per_domain {
+            vm.upstreams_mut().put(entry(&format!("b{next}"), domain, next), region, 0);
+            next += 1;
+        }
+    }
+    vm
+}
+
+/// Takes in a request for an object under `/reads/`, `/charges/` or `/packs/`.
+///
+/// # Panics
+///
+/// Panics if the VM refuses it.
+pub fn begin(vm: &mut Steering, path: &str, object: &str, now_ms: u64) -> Attempts {
+    let asked = Asked { host: HOST, path, time_left_ms: Some(3_000), object: Some(object) };
+    vm.begin(asked, now_ms).expect("the request is refused")
+}
--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod content;
 pub mod daemon;
+pub mod direct;
 pub mod link;
 pub mod load;
 pub mod memory;
