Use a part of the slack only in a VM's first window

All VMs had been killed and started anew; each had heard of no other and took the whole slack for its own, and requests were offered to four and more full upstreams each. Ruled out: a smaller part of the ratio (the excess came with the restart). Change: a quarter of the slack in the first window, split among known addresses too; three upstreams a request at most. Tests fail without each change.

--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -9,6 +9,10 @@
 use super::routing::Route;
 use super::upstreams::{LoadReport, UpstreamKey};
 
+/// The most upstreams that one request reaches, whether they refuse it or not: where three refuse it
+/// the service is full or failing, and further sendings only take the retry budget of others.
+const MAX_ARRIVALS: u32 = 3;
+
 /// How one sending of a request ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Outcome {
@@ -143,6 +147,9 @@
 impl Attempts {
     /// Whether it may be sent once more, as far as its own attempts go.
     pub fn may_send(&self) -> bool {
+        if self.arrivals >= MAX_ARRIVALS {
+            return false;
+        }
         let runs = self.runs + self.under_way.len() as u32;
         if runs == 0 {
             return true;
--- a/crates/sedgepath-core/src/direct/budget.rs
+++ b/crates/sedgepath-core/src/direct/budget.rs
@@ -11,6 +11,10 @@
 /// line up with this VM's buckets are covered, since one bucket more than the window is counted.
 const USED_SHARE: f64 = 0.9;
 
+/// The part of the slack that a VM uses in its first window. At its start it knows at least three
+/// seeds, so ten VMs that know no more together use ten sixteenths of the slack.
+const FRESH_SLACK: f64 = 0.25;
+
 /// The time that one bucket counts, in milliseconds: a tenth of the usual window of 10 s.
 const BUCKET_MS: u64 = 1_000;
 
@@ -41,13 +45,20 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: BudgetLimits,
+    /// From when this VM uses all of its part of the slack, in milliseconds.
+    whole_slack_from_ms: u64,
     services: Map<Box<str>, Counts>,
 }
 
 impl RetryBudget {
-    /// Creates a budget with nothing spent.
-    pub fn new(limits: BudgetLimits) -> Self {
-        Self { limits, services: Map::default() }
+    /// Creates the budget of a VM that has just started.
+    ///
+    /// Its last process may have spent the VM's part of the slack a moment ago, and it may not know
+    /// yet among how many the slack is split. So it uses [`FRESH_SLACK`] of it until a window has
+    /// passed; else all VMs that restart together would spend more than the whole slack.
+    pub fn new(limits: BudgetLimits, now_ms: u64) -> Self {
+        let whole_slack_from_ms = now_ms + limits.window_ms;
+        Self { limits, whole_slack_from_ms, services: Map::default() }
     }
 
     /// Counts a request of a caller.
@@ -66,7 +77,9 @@
         };
         let requests: u32 = counts.buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = counts.buckets.iter().map(|bucket| bucket.repeats).sum();
-        let part = limits.slack / vms.max(1) as f64 + limits.ratio * f64::from(requests);
+        let fresh = now_ms < self.whole_slack_from_ms;
+        let slack = if fresh { limits.slack * FRESH_SLACK } else { limits.slack };
+        let part = slack / vms.max(1) as f64 + limits.ratio * f64::from(requests);
         let allowed = f64::from(repeats) + 1.0 <= part * USED_SHARE;
         if allowed && let Some(bucket) = counts.buckets.back_mut() {
             bucket.repeats += 1;
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -115,14 +115,14 @@
 
 impl Steering {
     /// Creates the state of a VM that knows only itself.
-    pub fn new(place: Place, limits: Limits, vms: Vms) -> Self {
+    pub fn new(place: Place, limits: Limits, vms: Vms, now_ms: u64) -> Self {
         Self {
             place,
             configuration: None,
             splits: Splits::default(),
             upstreams: Upstreams::default(),
             evacuated: Set::default(),
-            budget: RetryBudget::new(limits.budget),
+            budget: RetryBudget::new(limits.budget, now_ms),
             times: Map::default(),
             answer_bytes: Map::default(),
             far_ms: FAR_ROUND_TRIP_MS,
@@ -262,15 +262,15 @@
 
     /// Decides what happens next with a request none of whose sendings is under way.
     pub fn next(&mut self, attempts: &mut Attempts, random: u64, now_ms: u64) -> Step {
-        if !attempts.may_send() {
-            return Step::GiveUp { reason: Reason::NoRetry };
-        }
         let stop = |reason, retry_after_ms, attempts: &Attempts| {
             if attempts.runs > 0 {
                 return Step::GiveUp { reason };
             }
             Step::Refuse { reason, retry_after_ms }
         };
+        if !attempts.may_send() {
+            return stop(Reason::NoRetry, MIN_BUSY_RETRY_MS, attempts);
+        }
         let Some(candidate) = self.choose(attempts, random, now_ms) else {
             return stop(Reason::NoUpstream, NO_UPSTREAM_RETRY_MS, attempts);
         };
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -172,10 +172,15 @@
     }
 
     /// Returns the number of VMs that share what holds for all of them, this one among them.
+    ///
+    /// Those known by address only count too: a VM that has just started has heard of none, and would
+    /// take the limits of all for its own.
     pub fn sharing(&self, now_ms: u64) -> usize {
         let timing = self.timing;
         let shares = |peer: &&Peer| now_ms < peer.heard_at_ms + timing.forgotten_after_ms;
-        1 + self.peers.values().filter(shares).count()
+        let heard = self.peers.values().filter(shares).count();
+        let known = self.addresses.values().filter(|until_ms| now_ms < **until_ms).count();
+        1 + heard.max(known)
     }
 
     /// Returns the VMs that serve, this one among them unless it leaves, in the order of names.
--- a/crates/sedgepath-core/tests/direct_attempts.rs
+++ b/crates/sedgepath-core/tests/direct_attempts.rs
@@ -118,6 +118,44 @@
     assert!(sent_at_ms.len() > 100, "hardly any repeat was sent: {}", sent_at_ms.len());
 }
 
+/// All VMs are killed and start again while every upstream refuses. None has heard of the others yet,
+/// it has but three seeds; were each to take the slack for its own, all together would exceed it.
+#[test]
+fn vms_that_start_together_do_not_each_spend_the_whole_slack() {
+    let mut repeats = 0;
+    let mut requests = 0;
+    for number in 1..=10 {
+        let mut vm = serving_vm(&format!("a{number}"), "north-a", number, 4);
+        for seed in 11..14 {
+            vm.vms_mut().add_address(([10, 0, 0, seed], 7_000).into(), 0);
+        }
+        for now_ms in (0..2_000).step_by(50) {
+            requests += 1;
+            let mut attempts = begin(&mut vm, "/reads/1", &now_ms.to_string(), now_ms);
+            while let Step::Send(to) = vm.next(&mut attempts, 1, now_ms) {
+                repeats += u32::from(attempts.arrivals > 0);
+                vm.ended(&mut attempts, to.upstream, REFUSAL, now_ms);
+            }
+        }
+    }
+    assert!(f64::from(repeats) <= 0.2 * f64::from(requests) + 60.0, "{repeats} of {requests}");
+}
+
+/// Every upstream refuses a request. Its caller is told soon, and what is left of the retry budget
+/// serves others.
+#[test]
+fn one_request_reaches_only_some_of_many_full_upstreams() {
+    let mut vm = serving_vm("a1", "north-a", 1, 4);
+    for number in 0..600 {
+        begin(&mut vm, "/reads/1", &number.to_string(), 20_000);
+    }
+    let mut attempts = begin(&mut vm, "/reads/1", "x", 20_000);
+    while let Step::Send(to) = vm.next(&mut attempts, 1, 20_000) {
+        vm.ended(&mut attempts, to.upstream, REFUSAL, 20_000);
+    }
+    assert_eq!(attempts.arrivals, 3);
+}
+
 /// The upstream of an idempotent request loses its power: it neither answers nor resets. Without a
 /// second sending the caller waits until its deadline.
 #[test]
--- a/crates/sedgepath-test-support/src/direct.rs
+++ b/crates/sedgepath-test-support/src/direct.rs
@@ -68,7 +68,7 @@
     let place =
         Place { name: name.into(), domain: domain.into(), region: region(domain).into(), regions };
     let budget = BudgetLimits { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
-    Steering::new(place, Limits { budget }, vms(name, domain, number))
+    Steering::new(place, Limits { budget }, vms(name, domain, number), 0)
 }
 
 /// Returns a route under `/KIND/`.
