--- /dev/null
+++ b/crates/sedgepathd/tests/platform/caller.rs
@@ -0,0 +1,95 @@
+//! A caller that shows every byte: what it sends is written as given, and an answer that breaks off is
+//! told from a whole one.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use super::upstream::{read_chunks, read_fields};
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The header fields, names in lower case.
+    pub fields: BTreeMap<String, String>,
+    /// The body; none if it broke off.
+    pub body: Option<Vec<u8>>,
+}
+
+impl Answer {
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(self.body.as_deref().unwrap_or(b"(broken off)")).into()
+    }
+}
+
+/// A kept connection.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Connection {
+    /// Connects.
+    pub fn new(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(15))).ok()?;
+        let reader = BufReader::new(stream.try_clone().ok()?);
+        Some(Self { stream, reader })
+    }
+
+    /// Writes bytes as they are.
+    pub fn write(&mut self, bytes: &[u8]) -> Option<()> {
+        self.stream.write_all(bytes).ok()
+    }
+
+    /// Sends a request without a body.
+    pub fn send(&mut self, method: &str, path: &str, attempt: &str, left_ms: u64) -> Option<()> {
+        let length = if method == "GET" { "" } else { "Content-Length: 0\r\n" };
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Sedgepath-Attempt-Id: {attempt}\r\n\
+             Cookie: X-Sedgepath-Affinity-Key=17\r\nX-Sedgepath-Deadline-Ms: {left_ms}\r\n{length}\r\n"
+        );
+        self.write(head.as_bytes())
+    }
+
+    /// Reads an answer; `None` if the connection ends without one.
+    pub fn receive(&mut self) -> Option<Answer> {
+        let mut line = String::new();
+        if self.reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let status = line.split(' ').nth(1)?.parse().ok()?;
+        let fields = read_fields(&mut self.reader)?;
+        let body = if fields.contains_key("transfer-encoding") {
+            read_chunks(&mut self.reader)
+        } else {
+            let length: usize = fields.get("content-length")?.parse().ok()?;
+            let mut body = vec![0; length];
+            self.reader.read_exact(&mut body).ok().map(|()| body)
+        };
+        Some(Answer { status, fields, body })
+    }
+
+    /// Sends a request and reads its answer.
+    pub fn ask(&mut self, method: &str, path: &str, attempt: &str) -> Option<Answer> {
+        self.send(method, path, attempt, 3_000)?;
+        self.receive()
+    }
+}
+
+/// Sends a request on a connection of its own.
+pub fn ask(address: SocketAddr, method: &str, path: &str, attempt: &str) -> Option<Answer> {
+    Connection::new(address)?.ask(method, path, attempt)
+}
+
+/// Sends a plain GET on a connection of its own.
+pub fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+    let mut connection = Connection::new(address)?;
+    connection.write(format!("GET {path} HTTP/1.1\r\nHost: vm\r\n\r\n").as_bytes())?;
+    connection.receive()
+}
--- /dev/null
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -0,0 +1,181 @@
+//! Stand-ins of the users' platform for tests of real daemons: its store, its upstreams, its settings.
+//!
+//! They speak what the platform's pages say, and misbehave on demand. Each daemon has a loopback
+//! address of its own, since all VMs of the platform use the same ports.
+
+#![allow(dead_code, reason = "each test file uses a part of the stand-ins")]
+
+pub mod caller;
+pub mod store;
+pub mod upstream;
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use sedgepath_test_support::port::free_ports;
+use tempfile::TempDir;
+
+/// The longest that a test waits for something that must happen.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The next part of the loopback range, so that the tests of one file don't share addresses.
+static NEXT_BLOCK: AtomicU8 = AtomicU8::new(1);
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics if it doesn't within [`PATIENCE`].
+pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < deadline, "{what} did not happen");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// The ports that all VMs of a test use, and the store that they share.
+#[derive(Debug)]
+pub struct Site {
+    block: u8,
+    ports: Vec<u16>,
+    store: SocketAddr,
+    dir: TempDir,
+}
+
+impl Site {
+    /// Lays out a site around a store.
+    pub fn new(store: SocketAddr) -> Self {
+        let block = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
+        let ports = free_ports(4).expect("free ports");
+        Self { block, ports, store, dir: tempfile::tempdir().expect("a directory") }
+    }
+
+    fn ip(&self, number: u8) -> IpAddr {
+        let process = (std::process::id() % 200) as u8 + 10;
+        IpAddr::V4(Ipv4Addr::new(127, process, self.block, number))
+    }
+
+    /// Starts the VM of a number in a failure domain; it is not waited for.
+    pub fn start(&self, number: u8, domain: &str) -> Vm {
+        let settings = self.dir.path().join(format!("vm{number}.toml"));
+        fs::write(&settings, self.settings(number, domain)).expect("settings");
+        let output =
+            fs::File::create(self.dir.path().join(format!("vm{number}.log"))).expect("log");
+        let child = Command::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd")))
+            .arg("--direct")
+            .env("SEDGEPATH_CONFIG", &settings)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone().expect("log"))
+            .stderr(output)
+            .spawn()
+            .expect("the daemon starts");
+        let address = |index: usize| SocketAddr::new(self.ip(number), self.ports[index]);
+        Vm { child, callers: address(0), ready: address(1), look_ups: address(2) }
+    }
+
+    /// Starts a VM and waits until it takes requests.
+    pub fn start_ready(&self, number: u8, domain: &str) -> Vm {
+        let vm = self.start(number, domain);
+        wait_for("readiness", || vm.is_ready());
+        vm
+    }
+
+    fn settings(&self, number: u8, domain: &str) -> String {
+        let [callers, ready, look_ups, peers] = [0, 1, 2, 3].map(|index| self.ports[index]);
+        let ip = self.ip(number);
+        let region = region(domain);
+        let seed = self.ip(1);
+        let store = self.store;
+        format!(
+            r#"node = "vm{number}"
+ip = "{ip}"
+zone = "{domain}"
+region = "{region}"
+internalPorts = [{peers},{peers}]
+seeds = ["{seed}:{ready}"]
+heartbeat = "1500ms"
+somethingNew = 1
+[zones]
+north-a = "north"
+north-b = "north"
+south-a = "south"
+[listen]
+front = "{ip}:{callers}"
+ready = "{ip}:{ready}"
+directory = "{ip}:{look_ups}"
+[limits]
+memoryMb = 260
+maxFds = 4100
+[bounds]
+stabilityWindow = "3000ms"
+drain = "2500ms"
+grace = "6s"
+configApply = "2.5s"
+retryBudgetRatio = 0.2
+budgetWindow = "10s"
+budgetSlack = 60
+[platform]
+address = "{store}"
+"#
+        )
+    }
+}
+
+fn region(domain: &str) -> &str {
+    domain.split('-').next().unwrap_or(domain)
+}
+
+/// A daemon; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct Vm {
+    child: Child,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
+    /// Where it says whether it takes requests.
+    pub ready: SocketAddr,
+    /// Where it answers look-ups.
+    pub look_ups: SocketAddr,
+}
+
+impl Vm {
+    /// Whether it says that it takes requests.
+    pub fn is_ready(&self) -> bool {
+        caller::get(self.ready, "/-/ready").is_some_and(|answer| answer.status == 200)
+    }
+
+    /// Asks it to stop as planned.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends a signal by the option of `kill` that names it.
+    pub fn signal(&self, option: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([option, &id]).status().expect("kill");
+        assert!(status.success(), "the daemon has ended");
+    }
+
+    /// Kills it at once.
+    pub fn kill(mut self) {
+        self.child.kill().expect("kill");
+        self.child.wait().expect("wait");
+    }
+
+    /// Returns how it ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("wait")
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        // It may have ended already.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
--- /dev/null
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -0,0 +1,259 @@
+//! A stand-in of the platform's upstreams, which counts what it runs and fails on demand.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use super::store::StoreStandIn;
+
+/// What the upstream does with the requests that it gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Answers with 200.
+    Answer,
+    /// Refuses with 503 and says that it did not run the request.
+    Refuse,
+    /// Runs the request and closes the connection without an answer.
+    Break,
+    /// Runs the request and closes the connection in the middle of the answer.
+    Truncate,
+    /// Runs the request and answers at the end of this many milliseconds.
+    Slow(u64),
+    /// Answers, and answers once more on the same connection.
+    AnswerTwice,
+    /// Answers without a length; the end of the connection ends the answer.
+    Unframed,
+    /// Runs the request and never answers.
+    Silent,
+}
+
+/// A request that the upstream has got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Received {
+    /// The first line.
+    pub line: String,
+    /// The header fields, names in lower case.
+    pub fields: BTreeMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Whether it was run.
+    pub run: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    name: String,
+    behaviour: Behaviour,
+    received: Vec<Received>,
+    connections: usize,
+    broken_off: usize,
+}
+
+/// An upstream; it ends with the test's process.
+#[derive(Debug, Clone)]
+pub struct UpstreamStandIn {
+    state: Arc<Mutex<State>>,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+impl UpstreamStandIn {
+    /// Starts an upstream of this name.
+    pub fn new(name: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let state = State {
+            name: name.into(),
+            behaviour: Behaviour::Answer,
+            received: Vec::new(),
+            connections: 0,
+            broken_off: 0,
+        };
+        let upstream = Self { state: Arc::new(Mutex::new(state)), address };
+        let serving = upstream.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let serving = serving.clone();
+                serving.lock().connections += 1;
+                std::thread::spawn(move || serving.serve(&stream));
+            }
+        });
+        upstream
+    }
+
+    /// Registers itself in the store.
+    pub fn register(&self, store: &StoreStandIn, domain: &str, state: &str, sequence: u64) {
+        let name = self.lock().name.clone();
+        let entry = serde_json::json!({
+            "address": self.address.to_string(),
+            "info": {"service": "shop", "version": "v1", "zone": domain, "slots": 4},
+            "status": {"state": state, "sequence": sequence, "coldRemaining": "0ms"},
+        });
+        store.put("servers", &name, entry.to_string().as_bytes());
+    }
+
+    /// Sets what it does from now on.
+    pub fn behave(&self, behaviour: Behaviour) {
+        self.lock().behaviour = behaviour;
+    }
+
+    /// Takes another name, as if another upstream had got the address.
+    pub fn rename(&self, name: &str) {
+        self.lock().name = name.into();
+    }
+
+    /// Returns the requests that it has run.
+    pub fn runs(&self) -> Vec<Received> {
+        self.lock().received.iter().filter(|received| received.run).cloned().collect()
+    }
+
+    /// Returns the requests that it has got.
+    pub fn received(&self) -> Vec<Received> {
+        self.lock().received.clone()
+    }
+
+    /// Returns the number of connections that were opened to it.
+    pub fn connections(&self) -> usize {
+        self.lock().connections
+    }
+
+    /// Returns the number of requests whose connection was closed before their answer.
+    pub fn broken_off(&self) -> usize {
+        self.lock().broken_off
+    }
+
+    fn serve(&self, stream: &TcpStream) {
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = read_request(&mut reader) {
+            if self.answer(stream, request).is_none() {
+                // The caller may be gone already.
+                drop(stream.shutdown(std::net::Shutdown::Both));
+                return;
+            }
+        }
+    }
+
+    /// Answers a request; `None` if the connection is to be closed.
+    fn answer(&self, mut stream: &TcpStream, mut request: Received) -> Option<()> {
+        let (name, behaviour) = {
+            let state = self.lock();
+            (state.name.clone(), state.behaviour)
+        };
+        let attempt = request.fields.get("x-sedgepath-attempt-id").cloned().unwrap_or_default();
+        let expected = request.fields.get("x-sedgepath-expected-instance").cloned();
+        let misdirected = expected.is_some_and(|expected| expected != name);
+        request.run = !misdirected && behaviour != Behaviour::Refuse;
+        self.lock().received.push(request);
+        let body = format!("{attempt} at {name}");
+        let whole = format!(
+            "HTTP/1.1 200 OK\r\nX-Sedgepath-Attempt-Id: {attempt}\r\n\
+             X-Sedgepath-Response-Signature: s.{attempt}\r\nX-Sedgepath-Backend-Load: 1,0,4\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        if misdirected {
+            let answer = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nX-Sedgepath-Instance-Id: {name}\r\nContent-Length: 0\r\n\r\n"
+            );
+            return stream.write_all(answer.as_bytes()).ok();
+        }
+        match behaviour {
+            Behaviour::Answer => stream.write_all(whole.as_bytes()).ok(),
+            Behaviour::Refuse => {
+                let refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Sedgepath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+                stream.write_all(refusal.as_bytes()).ok()
+            }
+            Behaviour::Break => None,
+            Behaviour::Truncate => {
+                stream.write_all(&whole.as_bytes()[..whole.len() - 3]).ok()?;
+                None
+            }
+            Behaviour::Slow(ms) => {
+                self.work(stream, Duration::from_millis(ms))?;
+                stream.write_all(whole.as_bytes()).ok()
+            }
+            Behaviour::AnswerTwice => {
+                stream.write_all(whole.as_bytes()).ok()?;
+                std::thread::sleep(Duration::from_millis(30));
+                stream.write_all(whole.as_bytes()).ok()
+            }
+            Behaviour::Unframed => {
+                let head = whole.split("Content-Length").next().unwrap_or("");
+                stream
+                    .write_all(format!("{head}Connection: close\r\n\r\n{body}").as_bytes())
+                    .ok()?;
+                None
+            }
+            Behaviour::Silent => {
+                self.work(stream, Duration::from_secs(60))?;
+                None
+            }
+        }
+    }
+
+    /// Works for a time, or until the connection is closed, which is counted.
+    fn work(&self, stream: &TcpStream, time: Duration) -> Option<()> {
+        stream.set_read_timeout(Some(time)).ok()?;
+        let closed = matches!(stream.peek(&mut [0]), Ok(0));
+        stream.set_read_timeout(None).ok()?;
+        if closed {
+            self.lock().broken_off += 1;
+            return None;
+        }
+        Some(())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no test panics while it holds the lock")
+    }
+}
+
+fn read_request(reader: &mut impl BufRead) -> Option<Received> {
+    let mut line = String::new();
+    if reader.read_line(&mut line).ok()? == 0 {
+        return None;
+    }
+    let fields = read_fields(reader)?;
+    let body = if fields.contains_key("transfer-encoding") {
+        read_chunks(reader)?
+    } else {
+        let length = fields.get("content-length").map_or(0, |text| text.parse().unwrap_or(0));
+        let mut body = vec![0; length];
+        reader.read_exact(&mut body).ok()?;
+        body
+    };
+    Some(Received { line: line.trim_end().into(), fields, body, run: false })
+}
+
+/// Reads header fields up to the empty line.
+pub(super) fn read_fields(reader: &mut impl BufRead) -> Option<BTreeMap<String, String>> {
+    let mut fields = BTreeMap::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let Some((name, value)) = line.split_once(':') else {
+            return Some(fields);
+        };
+        fields.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+}
+
+/// Reads a chunked body; `None` if it breaks off.
+pub(super) fn read_chunks(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let length = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let mut chunk = vec![0; length + 2];
+        reader.read_exact(&mut chunk).ok()?;
+        if length == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(&chunk[..length]);
+    }
+}
