Log decisions of direct VMs within a budget, and count them

One line a decision on standard output, stamped by the hybrid clock that heartbeats hand on: request, route, upstream, rank, warmth, load and its age, expected time, configuration. 20 calm and 200 other lines a second a VM, a writer of its own that no request waits for, left-out lines counted.

--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -61,6 +61,22 @@
     Overloaded,
 }
 
+impl Outcome {
+    /// Returns the name for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered { failed: false, .. } => "answered",
+            Self::Answered { failed: true, .. } => "error",
+            Self::Refused { .. } => "refused",
+            Self::Misdirected => "misdirected",
+            Self::Unreachable => "unreachable",
+            Self::Failed => "failed",
+            Self::TimedOut => "timed_out",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
 impl Reason {
     /// Returns the name for logs and counters.
     pub fn name(self) -> &'static str {
@@ -104,6 +120,32 @@
     pub address: std::net::SocketAddr,
     /// The name of its incarnation, which it checks.
     pub name: Box<str>,
+    /// What decided that it goes there.
+    pub grounds: Grounds,
+}
+
+/// What decided where a request goes, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Grounds {
+    /// The upstream's place in the object's order.
+    pub rank: usize,
+    /// Whether it had lately run a request for the object.
+    pub warm: bool,
+    /// The requests that it had to do, over all VMs, in tenths.
+    pub load_tenths: u64,
+    /// The age of the last load report, in milliseconds.
+    pub load_age_ms: u64,
+    /// The time until the answer that was expected, in milliseconds.
+    pub expected_ms: u64,
+}
+
+impl std::fmt::Display for Grounds {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { rank, warm, load_tenths, load_age_ms, expected_ms } = self;
+        let (whole, tenth) = (load_tenths / 10, load_tenths % 10);
+        write!(f, "rank={rank} warm={warm} load={whole}.{tenth} load_age_ms={load_age_ms} ")?;
+        write!(f, "expected_ms={expected_ms}")
+    }
 }
 
 /// A request on its way.
@@ -113,6 +155,8 @@
     pub route: Arc<Route>,
     /// The service that runs it.
     pub service: Box<str>,
+    /// The version of the configuration by which it is served.
+    pub version: u64,
     /// A digest of the object that it concerns.
     pub object: Option<u64>,
     /// When it arrived, in milliseconds.
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -6,7 +6,7 @@
 use crate::key::VmKey;
 use crate::ownership;
 
-use super::attempts::{Attempts, Outcome, Reason, Sending, Step, UnderWay};
+use super::attempts::{Attempts, Grounds, Outcome, Reason, Sending, Step, UnderWay};
 use super::budget::{BudgetLimits, RetryBudget};
 use super::placing::{Candidate, Question, ServiceTimes};
 use super::routing::{Configuration, ServiceSettings, Splits};
@@ -248,6 +248,7 @@
         let service = self.splits.next(&route, object).service.clone();
         self.budget.earn(&service, now_ms);
         Ok(Attempts {
+            version: configuration.version,
             service,
             object,
             arrived_at_ms: now_ms,
@@ -297,6 +298,13 @@
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return Step::GiveUp { reason: Reason::NoUpstream };
         };
+        let grounds = Grounds {
+            rank: candidate.rank,
+            warm: candidate.warm,
+            load_tenths: (upstream.load(now_ms) * 10.0).round() as u64,
+            load_age_ms: upstream.load_age_ms(now_ms),
+            expected_ms: candidate.expected_ms as u64,
+        };
         upstream.sent(attempts.object, now_ms);
         attempts.tried.push(key);
         attempts.under_way.push(UnderWay {
@@ -310,6 +318,7 @@
             upstream: key,
             address: upstream.entry.address,
             name: upstream.entry.name.clone(),
+            grounds,
         })
     }
 
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -179,6 +179,11 @@
         f64::from(self.in_flight) + self.others * 0.5_f64.powf(age_ms / REPORT_HALF_LIFE_MS)
     }
 
+    /// Returns the age of the last load report, in milliseconds.
+    pub fn load_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.others_at_ms)
+    }
+
     /// Returns how many times longer than others of its service it takes.
     pub fn slowness(&self, now_ms: u64) -> f64 {
         1.0 + (self.slowness - 1.0) * self.memory(now_ms)
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Stamp;
 use crate::hash::{Map, Set};
 
 /// How to reach an entry VM.
@@ -28,6 +29,8 @@
 /// What a VM tells the others of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmHeartbeat {
+    /// When it was sent, in the order of events over all VMs.
+    pub stamp: Stamp,
     /// How to reach it.
     pub card: VmCard,
     /// When its process started, in milliseconds since the Unix epoch; the later of two counts.
@@ -103,9 +106,10 @@
         }
     }
 
-    /// Returns what this VM tells the others.
-    pub fn heartbeat(&self) -> VmHeartbeat {
+    /// Returns what this VM tells the others, sent now.
+    pub fn heartbeat(&self, stamp: Stamp) -> VmHeartbeat {
         let mut heartbeat = self.own.clone();
+        heartbeat.stamp = stamp;
         heartbeat.known = self.addresses.keys().copied().take(MAX_KNOWN).collect();
         heartbeat
     }
--- a/crates/sedgepath-test-support/src/direct.rs
+++ b/crates/sedgepath-test-support/src/direct.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
+use sedgepath_core::clock::Stamp;
 use sedgepath_core::direct::attempts::Attempts;
 use sedgepath_core::direct::budget::BudgetLimits;
 use sedgepath_core::direct::routing::{
@@ -39,6 +40,7 @@
 pub fn heartbeat(name: &str, domain: &str, number: u8) -> VmHeartbeat {
     let address = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, number)), port);
     VmHeartbeat {
+        stamp: Stamp::default(),
         card: VmCard {
             name: name.into(),
             domain: domain.into(),
--- a/crates/sedgepathd/src/command.rs
+++ b/crates/sedgepathd/src/command.rs
@@ -33,7 +33,15 @@
         return ExitCode::SUCCESS;
     }
     if matches.opt_present("direct") {
-        return match direct::run::run() {
+        let metrics_port = match matches.opt_str("metrics-port").map(|port| port.parse()) {
+            None => None,
+            Some(Ok(port)) => Some(port),
+            Some(Err(_)) => {
+                eprintln!("sedgepathd: the port of the metrics is no port\n{}", usage(&options));
+                return ExitCode::from(EXIT_USAGE);
+            }
+        };
+        return match direct::run::run(metrics_port) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
                 eprintln!("{:?}", miette::Report::new(error));
@@ -74,6 +82,7 @@
         "direct",
         "run on the platform and send to upstreams directly; the platform's settings file is named by the environment",
     );
+    options.optopt("", "metrics-port", "with --direct: serve metrics on this port", "PORT");
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
     options
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -9,12 +9,15 @@
 //! - [`pool`]: connections to upstreams, kept between requests.
 //! - [`entry`]: look-ups, and whether this VM takes requests.
 //! - [`follow`]: follows the store's rows.
-//! - [`peers`]: heartbeats between entry VMs.
+//! - [`peers`]: heartbeats between entry VMs, and rows that they give each other.
+//! - [`lines`], [`metrics`]: what on-call engineers see.
 
 pub mod clock;
 pub mod entry;
 pub mod follow;
 pub mod ingress;
+pub mod lines;
+pub mod metrics;
 pub mod peers;
 pub mod pool;
 pub mod run;
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -15,16 +15,16 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgepath_adapter::exchange::{self, RequestFields};
-use sedgepath_core::direct::attempts::{Attempts, Outcome, Reason, Step};
+use sedgepath_core::direct::attempts::{Attempts, Outcome, Reason, Sending, Step};
 use sedgepath_core::direct::steering::{Asked, Refusal};
 use sedgepath_wire::dial;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout_at;
 
-use super::clock;
 use super::pool::Body;
 use super::sending::{self, Flight, Head, RequestBody, held};
 use super::shell::{Shell, StopPhase};
+use super::{clock, lines};
 
 /// The descriptors kept free for files and for connections to upstreams and to the store.
 const RESERVED_DESCRIPTORS: usize = 1_200;
@@ -134,7 +134,7 @@
     let begun = shell.steering.borrow_mut().begin(asked, now_ms);
     let attempts = match begun {
         Ok(attempts) => attempts,
-        Err(refusal) => return refuse(&attempt, None, refusal),
+        Err(refusal) => return refuse(shell, &attempt, None, refusal),
     };
     let deadline = clock::instant(attempts.deadline_at_ms);
     let mut flight = Flight { shell: Rc::clone(shell), attempts };
@@ -163,15 +163,15 @@
                 Step::Send(to) => to,
                 Step::Refuse { reason, retry_after_ms } => {
                     let refusal = Refusal { reason, retry_after_ms };
-                    return refuse(&head.attempt, Some(&flight.attempts), refusal);
+                    return refuse(&shell, &head.attempt, Some(&flight.attempts), refusal);
                 }
                 Step::GiveUp { reason } => {
-                    return gave_up(&head.attempt, &flight.attempts, reason.name(), last);
+                    return gave_up(&shell, &head.attempt, &flight.attempts, reason.name(), last);
                 }
             },
         };
         let Some(bytes) = body.take() else {
-            return gave_up(&head.attempt, &flight.attempts, "body_was_streamed", last);
+            return gave_up(&shell, &head.attempt, &flight.attempts, "body_was_streamed", last);
         };
         let shell = &shell;
         under_way.push(async move {
@@ -183,21 +183,25 @@
                 Some(ended) = under_way.next() => ended,
                 to = flight.hedge(), if !body.is_spent() => {
                     log::info!(
-                        "event=second_sending request={} upstream={} service={}",
-                        head.attempt, to.name, flight.attempts.service,
+                        "event=second_sending request={} upstream={} service={} {}",
+                        head.attempt, to.name, flight.attempts.service, to.grounds,
                     );
                     second = Some(to);
                     break;
                 }
             };
+            shell.metrics.sent(ended.outcome.name());
             flight.ended(to.upstream, ended.outcome);
             match (ended.outcome, ended.answer) {
-                (Outcome::Answered { failed: false, .. }, Some(answer)) => return answer,
+                (Outcome::Answered { failed: false, .. }, Some(answer)) => {
+                    served(&shell, &head.attempt, &flight.attempts, &to);
+                    return answer;
+                }
                 (Outcome::TimedOut, _) => {
-                    return gave_up(&head.attempt, &flight.attempts, "timed_out", last);
+                    return gave_up(&shell, &head.attempt, &flight.attempts, "timed_out", last);
                 }
                 (outcome, answer) => {
-                    note(&head.attempt, &flight.attempts, &to.name, outcome);
+                    note(&head.attempt, &flight.attempts, &to, outcome);
                     last = answer.or(last);
                 }
             }
@@ -277,8 +281,30 @@
     response
 }
 
+/// Notes a request that was served.
+fn served(shell: &Shell, attempt: &str, attempts: &Attempts, to: &Sending) {
+    let took_ms = clock::now_ms().saturating_sub(attempts.arrived_at_ms);
+    shell.metrics.answered("answered", took_ms);
+    log::info!(
+        target: lines::CALM,
+        "event=served request={attempt} route={} service={} upstream={} sendings={} \
+         took_ms={took_ms} configuration={} {}",
+        attempts.route.name,
+        attempts.service,
+        to.name,
+        attempts.arrivals,
+        attempts.version,
+        to.grounds,
+    );
+}
+
 /// Tells the caller that the request was not run and never will be.
-fn refuse(attempt: &str, attempts: Option<&Attempts>, refusal: Refusal) -> Response<Body> {
+fn refuse(
+    shell: &Shell,
+    attempt: &str,
+    attempts: Option<&Attempts>,
+    refusal: Refusal,
+) -> Response<Body> {
     let status = match refusal.reason {
         Reason::NoRoute => StatusCode::NOT_FOUND,
         _ => StatusCode::SERVICE_UNAVAILABLE,
@@ -287,11 +313,17 @@
     if status == StatusCode::SERVICE_UNAVAILABLE {
         exchange::set_retry_after(response.headers_mut(), refusal.retry_after_ms);
     }
-    let service = attempts.map_or("", |attempts| &*attempts.service);
+    let service = attempts.map_or("none", |attempts| &*attempts.service);
     let sendings = attempts.map_or(0, |attempts| attempts.arrivals);
+    let arrived_at_ms = attempts.map_or_else(clock::now_ms, |attempts| attempts.arrived_at_ms);
+    let took_ms = clock::now_ms().saturating_sub(arrived_at_ms);
+    let version =
+        shell.steering.borrow().configuration().map_or(0, |configuration| configuration.version);
+    shell.metrics.answered("not_run", took_ms);
     log::info!(
-        "event=refused request={attempt} reason={} service={service} sendings={sendings} \
-         retry_after_ms={}",
+        "event=refused request={attempt} status={} reason={} service={service} \
+         sendings={sendings} took_ms={took_ms} retry_after_ms={} configuration={version}",
+        status.as_u16(),
         refusal.reason.name(),
         refusal.retry_after_ms,
     );
@@ -300,6 +332,7 @@
 
 /// Passes on the last answer, or tells the caller that the request may have run.
 fn gave_up(
+    shell: &Shell,
     attempt: &str,
     attempts: &Attempts,
     reason: &str,
@@ -309,21 +342,32 @@
         let late = reason == "timed_out";
         plain(if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY }, attempt)
     });
+    let took_ms = clock::now_ms().saturating_sub(attempts.arrived_at_ms);
+    shell.metrics.answered("gave_up", took_ms);
+    let last_upstream = attempts.tried.last().and_then(|key| {
+        let steering = shell.steering.borrow();
+        steering.upstreams().get(*key).map(|upstream| upstream.entry.name.clone())
+    });
     log::info!(
-        "event=gave_up request={attempt} reason={reason} status={} service={} sendings={} runs={} \
-         took_ms={}",
+        "event=gave_up request={attempt} reason={reason} status={} route={} service={} \
+         upstream={} sendings={} runs={} took_ms={took_ms} configuration={}",
         response.status().as_u16(),
+        attempts.route.name,
         attempts.service,
+        last_upstream.as_deref().unwrap_or("gone"),
         attempts.arrivals,
         attempts.runs,
-        clock::now_ms().saturating_sub(attempts.arrived_at_ms),
+        attempts.version,
     );
     response
 }
 
-fn note(attempt: &str, attempts: &Attempts, upstream: &str, outcome: Outcome) {
+fn note(attempt: &str, attempts: &Attempts, to: &Sending, outcome: Outcome) {
     log::info!(
-        "event=sending_failed request={attempt} upstream={upstream} service={} outcome={outcome:?}",
+        "event=sending_failed request={attempt} upstream={} service={} outcome={} {}",
+        to.name,
         attempts.service,
+        outcome.name(),
+        to.grounds,
     );
 }
--- /dev/null
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -0,0 +1,155 @@
+//! What a VM counts, in the text form of Prometheus.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+use tokio::net::TcpListener;
+
+use super::clock;
+use super::pool::Body;
+use super::sending::held;
+use super::shell::Shell;
+
+/// The upper bounds in seconds of the buckets of latencies: around the targets of some hundred
+/// milliseconds, and the deadlines of some seconds.
+const LATENCY_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0];
+
+/// How long a connection may stay idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The counts, gauges and histograms of a VM.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+    sendings: IntCounterVec,
+    upstreams: IntGaugeVec,
+    vms: IntGauge,
+    configuration: IntGauge,
+    store_contact: IntGauge,
+    in_flight: IntGauge,
+}
+
+impl Metrics {
+    /// Creates all of them at zero.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two of them have the same name.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let latency = HistogramOpts::new(
+            "sedgepath_request_seconds",
+            "Time from a request's arrival to the head of its answer.",
+        )
+        .buckets(LATENCY_BUCKETS_S.to_vec());
+        let counter = |name: &str, help: &str, label: &str| {
+            IntCounterVec::new(Opts::new(name, help), &[label])
+        };
+        let gauge = |name: &str, help: &str| IntGauge::new(name, help);
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: counter("sedgepath_requests_total", "Requests by outcome.", "outcome")?,
+            latency: HistogramVec::new(latency, &["outcome"])?,
+            sendings: counter(
+                "sedgepath_sendings_total",
+                "Requests sent to upstreams, by how that ended.",
+                "outcome",
+            )?,
+            upstreams: IntGaugeVec::new(
+                Opts::new("sedgepath_upstreams", "Upstreams by state."),
+                &["state"],
+            )?,
+            vms: gauge("sedgepath_vms", "Entry VMs that serve, this one among them.")?,
+            configuration: gauge("sedgepath_configuration_version", "Configuration in force.")?,
+            store_contact: gauge(
+                "sedgepath_store_contact_ms",
+                "For how long the store has answered this VM; -1 if it doesn't, or isn't asked.",
+            )?,
+            in_flight: gauge("sedgepath_requests_in_flight", "Requests not answered yet.")?,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        self.registry.register(Box::new(self.requests.clone()))?;
+        self.registry.register(Box::new(self.latency.clone()))?;
+        self.registry.register(Box::new(self.sendings.clone()))?;
+        self.registry.register(Box::new(self.upstreams.clone()))?;
+        for gauge in [&self.vms, &self.configuration, &self.store_contact, &self.in_flight] {
+            self.registry.register(Box::new(gauge.clone()))?;
+        }
+        Ok(())
+    }
+
+    /// Counts a request and the time until its answer.
+    pub fn answered(&self, outcome: &str, took_ms: u64) {
+        self.requests.with_label_values(&[outcome]).inc();
+        self.latency.with_label_values(&[outcome]).observe(took_ms as f64 / 1_000.0);
+    }
+
+    /// Counts the end of a sending.
+    pub fn sent(&self, outcome: &str) {
+        self.sendings.with_label_values(&[outcome]).inc();
+    }
+
+    fn text(&self, shell: &Shell) -> Vec<u8> {
+        let now_ms = clock::now_ms();
+        let steering = shell.steering.borrow();
+        let count =
+            |state: &str, fits: &dyn Fn(&sedgepath_core::direct::upstreams::Upstream) -> bool| {
+                let count =
+                    steering.upstreams().all().filter(|(_, upstream)| fits(upstream)).count();
+                self.upstreams.with_label_values(&[state]).set(count as i64);
+            };
+        count("known", &|_| true);
+        count("leaving", &|upstream| upstream.entry.leaving);
+        count("cold", &|upstream| upstream.cold(now_ms));
+        count("left_out", &|upstream| now_ms < upstream.ejected_until_ms);
+        self.vms.set(steering.vms().serving(now_ms).len() as i64);
+        let version = steering.configuration().map_or(0, |in_force| in_force.version);
+        self.configuration.set(version as i64);
+        self.store_contact.set(shell.store_contact_ms().map_or(-1, |ms| ms as i64));
+        self.in_flight.set(shell.requests.get() as i64);
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("event=metrics_not_encoded error={:?}", error.to_string());
+        }
+        text
+    }
+}
+
+/// Serves the metrics until the process ends.
+pub async fn serve(shell: Rc<Shell>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let shell = Rc::clone(&shell);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|_: Request<Incoming>| {
+                let text = shell.metrics.text(&shell);
+                async move { Ok::<Response<Body>, Infallible>(Response::new(held(text.into()))) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("event=metrics_connection_failed error={:?}", error.to_string());
+            }
+        });
+    }
+}
--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -53,7 +53,7 @@
         let vms = steering.vms_mut();
         vms.set_ready(ready);
         vms.set_copies(shell.copies.borrow().changed_at(), shell.store_contact_ms());
-        (vms.heartbeat(), vms.addresses(now_ms))
+        (vms.heartbeat(shell.line_clock.tick()), vms.addresses(now_ms))
     };
     let Ok(bytes) = postcard::to_stdvec(&heartbeat) else {
         return;
@@ -73,6 +73,7 @@
         let Some(heartbeat) = read(received, &buffer) else {
             continue;
         };
+        shell.line_clock.merge(heartbeat.stamp);
         catch_up(&shell, &heartbeat);
         shell.steering.borrow_mut().vms_mut().heard(heartbeat, clock::now_ms());
     }
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use sedgepath_adapter::settings::{Settings, SettingsError};
+use sedgepath_core::clock::Stamp;
 use sedgepath_core::direct::budget::BudgetLimits;
 use sedgepath_core::direct::copies::Table;
 use sedgepath_core::direct::vms::{VmCard, VmHeartbeat, VmTiming, Vms};
@@ -14,9 +15,10 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
+use super::lines::LineClock;
+use super::metrics::Metrics;
 use super::shell::{Shell, StopPhase};
-use super::{clock, entry, follow, ingress, peers};
-use crate::logging;
+use super::{clock, entry, follow, ingress, lines, metrics, peers};
 
 /// The time between two heartbeats in milliseconds. Four may be lost before a VM is taken as silent.
 const HEARTBEAT_MS: u64 = 500;
@@ -59,6 +61,9 @@
         #[source]
         source: io::Error,
     },
+    /// The metrics can't be set up.
+    #[error("can't set up the metrics")]
+    Metrics(#[from] prometheus::Error),
     /// The log can't be started.
     #[error("can't start the log")]
     Log(#[from] log::SetLoggerError),
@@ -72,17 +77,21 @@
 /// # Errors
 ///
 /// Fails if the settings can't be used or an address can't be listened on.
-pub fn run() -> Result<(), RunError> {
-    logging::start("info")?;
+pub fn run(metrics_port: Option<u16>) -> Result<(), RunError> {
     let settings = Settings::from_environment()?;
+    let line_clock = lines::start(&settings.vm)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(RunError::Runtime)?;
-    LocalSet::new().block_on(&runtime, serve(settings))
+    LocalSet::new().block_on(&runtime, serve(settings, line_clock, metrics_port))
 }
 
-async fn serve(settings: Settings) -> Result<(), RunError> {
+async fn serve(
+    settings: Settings,
+    line_clock: LineClock,
+    metrics_port: Option<u16>,
+) -> Result<(), RunError> {
     let callers = settings.listen.callers.ok_or(SettingsError::NoAddress("callers"))?;
     let ready = settings.listen.ready.ok_or(SettingsError::NoAddress("readiness"))?;
     let look_ups = settings.listen.look_ups.ok_or(SettingsError::NoAddress("look-ups"))?;
@@ -93,7 +102,7 @@
         address: peer_address,
         source,
     })?;
-    let shell = Shell::new(settings, steering, socket);
+    let shell = Shell::new(settings, steering, socket, line_clock, Metrics::new()?);
 
     let callers_listener = listen("callers", callers).await?;
     let ready_listener = listen("readiness", ready).await?;
@@ -118,6 +127,11 @@
     spawn_local(peers::serve_copies(Rc::clone(&shell), peer_listener));
     spawn_local(peers::send_heartbeats(Rc::clone(&shell), HEARTBEAT_MS));
     spawn_local(keep_up(Rc::clone(&shell)));
+    if let Some(port) = metrics_port {
+        let address = SocketAddr::new(shell.settings.ip, port);
+        let listener = listen("metrics", address).await?;
+        spawn_local(metrics::serve(Rc::clone(&shell), listener));
+    }
 
     wait_for_stop().await?;
     let deadline_at_ms = clock::now_ms() + shell.settings.bounds.stop_ms - STOP_MARGIN_MS;
@@ -163,6 +177,7 @@
     };
     let boot = clock::unix_ms();
     let own = VmHeartbeat {
+        stamp: Stamp::default(),
         card,
         boot,
         ready: false,
--- a/crates/sedgepathd/src/direct/shell.rs
+++ b/crates/sedgepathd/src/direct/shell.rs
@@ -11,6 +11,8 @@
 use tokio::net::UdpSocket;
 
 use super::clock;
+use super::lines::LineClock;
+use super::metrics::Metrics;
 use super::pool::Pool;
 
 /// What all tasks of a VM share.
@@ -30,6 +32,10 @@
     pub peers: UdpSocket,
     /// The tables of which rows are being fetched from another VM.
     pub fetching: RefCell<Set<Table>>,
+    /// The order of log lines over all VMs.
+    pub line_clock: LineClock,
+    /// What is counted.
+    pub metrics: Metrics,
     /// The connections to upstreams.
     pub pool: Pool,
     /// The requests that have not been answered.
@@ -53,8 +59,16 @@
 
 impl Shell {
     /// Creates the shared state.
-    pub fn new(settings: Settings, steering: Steering, peers: UdpSocket) -> Rc<Self> {
+    pub fn new(
+        settings: Settings,
+        steering: Steering,
+        peers: UdpSocket,
+        line_clock: LineClock,
+        metrics: Metrics,
+    ) -> Rc<Self> {
         Rc::new(Self {
+            line_clock,
+            metrics,
             store: Store::new(settings.store.address),
             copies: RefCell::default(),
             store_contact_since_ms: Cell::new(None),
