--- a/crates/sedgepath/src/cli.rs
+++ b/crates/sedgepath/src/cli.rs
@@ -8,6 +8,7 @@
 use crate::client::Client;
 use crate::commands::{COMMANDS, Command};
 use crate::error::{CliError, Exit};
+use crate::operations::logs::LogLine;
 
 /// The variable that names the nodes to ask, separated by commas or blanks.
 pub const NODES_VARIABLE: &str = "SEDGEPATH_NODES";
@@ -77,6 +78,25 @@
         }
     }
 
+    /// Writes lines of logs, as text or JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the output can't be written.
+    pub fn write_lines<'a>(
+        &mut self,
+        lines: impl IntoIterator<Item = &'a LogLine>,
+    ) -> Result<(), CliError> {
+        let lines: Vec<&LogLine> = lines.into_iter().collect();
+        if self.json() {
+            return self.write_json(&lines);
+        }
+        for line in lines {
+            writeln!(self.out, "at={}.{} {}", line.stamp.time_ms, line.stamp.count, line.text)?;
+        }
+        Ok(())
+    }
+
     /// Whether the output is to be JSON.
     pub fn json(&self) -> bool {
         self.matches.opt_defined("json") && self.matches.opt_present("json")
--- a/crates/sedgepath/src/commands/explain.rs
+++ b/crates/sedgepath/src/commands/explain.rs
@@ -1,5 +1,6 @@
 use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr};
+use std::path::Path;
 
 use getopts::Options;
 use sedgepath_core::explain::{Entrance, Explanation, Question};
@@ -10,14 +11,16 @@
 use super::{Command, data_options};
 use crate::cli::Context;
 use crate::error::CliError;
+use crate::operations::logs;
 
 /// `sedgepath explain`
 pub const COMMAND: Command = Command {
     name: "explain",
-    arguments: "SERVICE [OPTIONS]",
-    about: "Show why a request of a caller would go where it goes\n\nShows the caller's origin \
+    arguments: "SERVICE [OPTIONS] | REQUEST --logs DIR",
+    about: "Show why a request of a caller would go where it goes, or where one went\n\nShows the caller's origin \
             group and class, the shares that hold, and what the node knows of each\nfailure domain \
-            and how old that is.",
+            and how old that is. With --logs, shows from collected log files what happened\nto \
+            one request, and what its VM believed then.",
     options,
     exec,
 };
@@ -25,10 +28,28 @@
 fn options(options: &mut Options) {
     data_options(options);
     options.optopt("f", "from", "the caller's address; 127.0.0.1 unless given", "ADDRESS");
+    options.optopt("l", "logs", "read the collected log files of this directory", "DIR");
     options.optopt("", "key-digest", "the digest of the organisation's key", "DIGEST");
 }
 
 fn exec(context: &mut Context<'_>) -> Result<(), CliError> {
+    match context.matches.opt_str("logs") {
+        Some(dir) => exec_on_logs(context, Path::new(&dir)),
+        None => exec_on_node(context),
+    }
+}
+
+fn exec_on_logs(context: &mut Context<'_>, dir: &Path) -> Result<(), CliError> {
+    let request = context.argument("the request's id")?;
+    let lines = logs::read(dir)?;
+    let picked = logs::about(&lines, &request);
+    if picked.is_empty() {
+        return Err(CliError::NoSuchRequest { request });
+    }
+    context.write_lines(picked)
+}
+
+fn exec_on_node(context: &mut Context<'_>) -> Result<(), CliError> {
     let service = context.argument("the service")?;
     let source = match context.matches.opt_str("from") {
         None => IpAddr::V4(Ipv4Addr::LOCALHOST),
--- a/crates/sedgepath/src/commands/timeline.rs
+++ b/crates/sedgepath/src/commands/timeline.rs
@@ -1,3 +1,4 @@
+use std::path::Path;
 use std::time::Duration;
 
 use getopts::Options;
@@ -5,6 +6,7 @@
 use super::{Command, data_options};
 use crate::cli::Context;
 use crate::error::CliError;
+use crate::operations::logs;
 use crate::operations::timeline::{Reader, Reading};
 use crate::time;
 
@@ -33,6 +35,7 @@
         "begin so long ago (90s, 15m, 2h) or at a time (2026-12-02T21:30:00Z); 10m unless given",
         "TIME",
     );
+    options.optopt("l", "logs", "read the collected log files of this directory instead", "DIR");
     options.optflag("f", "follow", "go on with what happens, until interrupted");
 }
 
@@ -46,6 +49,9 @@
             .or_else(|| time::parse(&text))
             .ok_or_else(|| context.usage(format!("`--since {text}` is no time")))?,
     };
+    if let Some(dir) = context.matches.opt_str("logs") {
+        return write_logs(context, Path::new(&dir), since_ms);
+    }
     let client = context.client()?;
     let mut reader = Reader::new(since_ms);
     loop {
@@ -58,6 +64,14 @@
     }
 }
 
+/// Writes collected lines; without `--since` all of them.
+fn write_logs(context: &mut Context<'_>, dir: &Path, since_ms: u64) -> Result<(), CliError> {
+    let since_ms = if context.matches.opt_present("since") { since_ms } else { 0 };
+    let mut lines = logs::read(dir)?;
+    lines.retain(|line| line.stamp.time_ms >= since_ms);
+    context.write_lines(&lines)
+}
+
 fn write(context: &mut Context<'_>, reading: &Reading) -> Result<(), CliError> {
     if context.json() {
         return context.write_json(reading);
--- a/crates/sedgepath/src/error.rs
+++ b/crates/sedgepath/src/error.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use miette::Diagnostic;
 use sedgepath_core::configuration::change::ChangeRefusal;
@@ -73,6 +74,25 @@
         /// The command.
         command: Box<str>,
     },
+    /// Collected logs can't be read.
+    #[error("can't read logs at {path}")]
+    ReadLogs {
+        /// The directory or file.
+        path: PathBuf,
+        /// The system's error.
+        #[source]
+        source: io::Error,
+    },
+    /// No collected line tells of a request.
+    #[error("no line of the logs tells of the request {request}")]
+    #[diagnostic(help(
+        "calm outcomes are sampled under load; a request that failed has a line unless \
+         `event=lines_left_out` says otherwise"
+    ))]
+    NoSuchRequest {
+        /// The request's id.
+        request: Box<str>,
+    },
     /// No node is named.
     #[error("no node to ask is named")]
     #[diagnostic(help(
@@ -169,6 +189,8 @@
             Self::Unknown { .. } => Exit::Unknown,
             Self::Records { .. } | Self::Drain(_) | Self::NoTarget { .. } => Exit::Refused,
             Self::File { .. }
+            | Self::ReadLogs { .. }
+            | Self::NoSuchRequest { .. }
             | Self::Node { .. }
             | Self::NotAccepted(_)
             | Self::NoRecord { .. }
--- a/crates/sedgepath/src/operations.rs
+++ b/crates/sedgepath/src/operations.rs
@@ -11,6 +11,7 @@
 use crate::records::FileRecords;
 
 pub mod drain;
+pub mod logs;
 pub mod timeline;
 
 /// How often all nodes are asked about a change whose outcome is not known.
