--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -314,7 +314,7 @@
 /// All upstreams.
 #[derive(Debug, Default)]
 pub struct Upstreams {
-    upstreams: Map<UpstreamKey, Upstream>,
+    by_key: Map<UpstreamKey, Upstream>,
     by_name: Map<Box<str>, UpstreamKey>,
     by_service: Map<Box<str>, Vec<UpstreamKey>>,
     next: u32,
@@ -336,12 +336,12 @@
 impl Upstreams {
     /// Returns an upstream.
     pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
-        self.upstreams.get(&key)
+        self.by_key.get(&key)
     }
 
     /// Returns an upstream to be changed.
     pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
-        self.upstreams.get_mut(&key)
+        self.by_key.get_mut(&key)
     }
 
     /// Returns the upstreams of a service.
@@ -351,17 +351,17 @@
 
     /// Returns all upstreams.
     pub fn all(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        self.upstreams.iter().map(|(key, upstream)| (*key, upstream))
+        self.by_key.iter().map(|(key, upstream)| (*key, upstream))
     }
 
     /// Returns the number of upstreams.
     pub fn len(&self) -> usize {
-        self.upstreams.len()
+        self.by_key.len()
     }
 
     /// Whether no upstream is known.
     pub fn is_empty(&self) -> bool {
-        self.upstreams.is_empty()
+        self.by_key.is_empty()
     }
 
     /// Notes that the store has stopped answering this VM, or answers again.
@@ -375,7 +375,7 @@
     /// Takes in an entry as the store has it now.
     pub fn put(&mut self, entry: UpstreamEntry, region: &str, now_ms: u64) -> EntryChange {
         if let Some(key) = self.by_name.get(&entry.name).copied()
-            && let Some(known) = self.upstreams.get_mut(&key)
+            && let Some(known) = self.by_key.get_mut(&key)
         {
             if entry.older_than(&known.entry) {
                 return EntryChange::None;
@@ -395,7 +395,7 @@
         self.next += 1;
         self.by_name.insert(entry.name.clone(), key);
         self.by_service.entry(entry.service.clone()).or_default().push(key);
-        self.upstreams.insert(key, Upstream::new(entry, region.into(), now_ms));
+        self.by_key.insert(key, Upstream::new(entry, region.into(), now_ms));
         EntryChange::Joined(key)
     }
 
@@ -405,7 +405,7 @@
             return;
         };
         let echo = self.store_back_at_ms.is_some_and(|at_ms| now_ms < at_ms + OUTAGE_ECHO_MS);
-        if let Some(upstream) = self.upstreams.get_mut(&key)
+        if let Some(upstream) = self.by_key.get_mut(&key)
             && (echo || self.store_away)
             && !upstream.entry.leaving
         {
@@ -419,7 +419,7 @@
     /// Notes that the store was there all the time for others: what it lacks is gone.
     pub fn confirm_removals(&mut self, now_ms: u64) {
         self.store_back_at_ms = None;
-        for upstream in self.upstreams.values_mut().filter(|up| up.lapses_at_ms.is_some()) {
+        for upstream in self.by_key.values_mut().filter(|up| up.lapses_at_ms.is_some()) {
             upstream.lapses_at_ms = Some(now_ms);
         }
     }
@@ -428,7 +428,7 @@
     pub fn expire(&mut self, now_ms: u64) -> Vec<Box<str>> {
         let over = |upstream: &Upstream| upstream.lapses_at_ms.is_some_and(|at| at <= now_ms);
         let gone: Vec<_> = self
-            .upstreams
+            .by_key
             .iter()
             .filter(|(_, upstream)| over(upstream))
             .map(|(key, upstream)| (*key, upstream.entry.name.clone()))
@@ -448,7 +448,7 @@
 
     /// Notes that an upstream that could not be reached answers again: it may have restarted, cold.
     pub fn note_return(&mut self, key: UpstreamKey, service: &ServiceSettings, now_ms: u64) {
-        if let Some(upstream) = self.upstreams.get_mut(&key)
+        if let Some(upstream) = self.by_key.get_mut(&key)
             && std::mem::take(&mut upstream.unreached)
         {
             let until_ms = now_ms + service.cold_start_ms;
@@ -458,7 +458,7 @@
 
     /// Notes that all upstreams of a failure domain may be cold for a time.
     pub fn chill_domain(&mut self, domain: &str, until_ms: u64) {
-        let there = self.upstreams.values_mut().filter(|up| &*up.entry.domain == domain);
+        let there = self.by_key.values_mut().filter(|up| &*up.entry.domain == domain);
         for upstream in there {
             upstream.cold_until_ms = upstream.cold_until_ms.max(until_ms);
             upstream.warm.clear();
@@ -466,7 +466,7 @@
     }
 
     fn forget(&mut self, key: UpstreamKey) {
-        let Some(upstream) = self.upstreams.remove(&key) else {
+        let Some(upstream) = self.by_key.remove(&key) else {
             return;
         };
         if self.by_name.get(&upstream.entry.name) == Some(&key) {
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -159,7 +159,7 @@
     loop {
         let to = match second.take() {
             Some(to) => to,
-            None => match flight.next() {
+            None => match flight.next_step() {
                 Step::Send(to) => to,
                 Step::Refuse { reason, retry_after_ms } => {
                     let refusal = Refusal { reason, retry_after_ms };
@@ -194,11 +194,11 @@
             flight.ended(to.upstream, ended.outcome);
             match (ended.outcome, ended.answer) {
                 (Outcome::Answered { failed: false, .. }, Some(answer)) => {
-                    served(&shell, &head.attempt, &flight.attempts, &to);
+                    served(shell, &head.attempt, &flight.attempts, &to);
                     return answer;
                 }
                 (Outcome::TimedOut, _) => {
-                    return gave_up(&shell, &head.attempt, &flight.attempts, "timed_out", last);
+                    return gave_up(shell, &head.attempt, &flight.attempts, "timed_out", last);
                 }
                 (outcome, answer) => {
                     note(&head.attempt, &flight.attempts, &to, outcome);
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -111,17 +111,17 @@
             |state: &str, fits: &dyn Fn(&sedgepath_core::direct::upstreams::Upstream) -> bool| {
                 let count =
                     steering.upstreams().all().filter(|(_, upstream)| fits(upstream)).count();
-                self.upstreams.with_label_values(&[state]).set(count as i64);
+                self.upstreams.with_label_values(&[state]).set(whole(count));
             };
         count("known", &|_| true);
         count("leaving", &|upstream| upstream.entry.leaving);
         count("cold", &|upstream| upstream.cold(now_ms));
         count("left_out", &|upstream| now_ms < upstream.ejected_until_ms);
-        self.vms.set(steering.vms().serving(now_ms).len() as i64);
+        self.vms.set(whole(steering.vms().serving(now_ms).len()));
         let version = steering.configuration().map_or(0, |in_force| in_force.version);
-        self.configuration.set(version as i64);
-        self.store_contact.set(shell.store_contact_ms().map_or(-1, |ms| ms as i64));
-        self.in_flight.set(shell.requests.get() as i64);
+        self.configuration.set(version.cast_signed());
+        self.store_contact.set(shell.store_contact_ms().map_or(-1, u64::cast_signed));
+        self.in_flight.set(whole(shell.requests.get()));
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::error!("event=metrics_not_encoded error={:?}", error.to_string());
@@ -130,6 +130,10 @@
     }
 }
 
+fn whole(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 /// Serves the metrics until the process ends.
 pub async fn serve(shell: Rc<Shell>, listener: TcpListener) {
     loop {
--- a/crates/sedgepathd/src/direct/sending.rs
+++ b/crates/sedgepathd/src/direct/sending.rs
@@ -110,7 +110,7 @@
     }
 
     /// Decides what happens next.
-    pub fn next(&mut self) -> Step {
+    pub fn next_step(&mut self) -> Step {
         let mut steering = self.shell.steering.borrow_mut();
         steering.next(&mut self.attempts, fastrand::u64(..), clock::now_ms())
     }
@@ -188,11 +188,11 @@
     let fields = AnswerFields::read(response.status(), response.headers(), &head.attempt);
     let (parts, mut incoming) = response.into_parts();
     let deadline = clock::instant(deadline_at_ms);
-    let held_bytes = match fields.kind {
+    let begun = match fields.kind {
         AnswerKind::Foreign => return Ended::without_answer(Outcome::Failed),
         AnswerKind::Own | AnswerKind::NotRun | AnswerKind::Misdirected => {
             match timeout_at(deadline, hold(&mut incoming)).await {
-                Ok(Ok(held)) => held,
+                Ok(Ok(begun)) => begun,
                 Ok(Err(_broken)) if fields.kind == AnswerKind::Own => {
                     return Ended::without_answer(Outcome::Failed);
                 }
@@ -206,7 +206,7 @@
     };
     let report = fields.load;
     let returned = Returned { upstream: sending.upstream, connection, fields };
-    match (fields.kind, held_bytes) {
+    match (fields.kind, begun) {
         (AnswerKind::NotRun, _) => {
             returned.give_back(shell);
             Ended::without_answer(Outcome::Refused { report })
@@ -292,12 +292,12 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         if let Some(first) = self.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
-        Pin::new(&mut self.rest).poll_frame(context).map_err(Into::into)
+        Pin::new(&mut self.rest).poll_frame(cx).map_err(Into::into)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/sedgepathd/tests/direct.rs
+++ b/crates/sedgepathd/tests/direct.rs
@@ -262,7 +262,7 @@
         served.store.put("servers", &format!("odd{number}"), value);
     }
     served.store.put("op", "config", b"{\"version\":\"0000000f\"}");
-    std::thread::sleep(Duration::from_millis(1_000));
+    std::thread::sleep(Duration::from_secs(1));
     for number in 0..10 {
         let answer = caller::ask(served.vm.callers, "GET", READS, &format!("a{number}"));
         assert_eq!(answer.expect("an answer").text(), format!("a{number} at u0"));
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -187,7 +187,7 @@
                 None
             }
             Behaviour::Silent => {
-                self.work(stream, Duration::from_secs(60))?;
+                self.work(stream, Duration::from_mins(1))?;
                 None
             }
         }
