--- a/crates/sedgepath-core/src/direct/budget.rs
+++ b/crates/sedgepath-core/src/direct/budget.rs
@@ -13,7 +13,7 @@
 
 /// The part of the slack that a VM uses in its first window. At its start it knows at least three
 /// seeds, so ten VMs that know no more together use ten sixteenths of the slack.
-const FRESH_SLACK: f64 = 0.25;
+pub const FRESH_SLACK: f64 = 0.25;
 
 /// The time that one bucket counts, in milliseconds: a tenth of the usual window of 10 s.
 const BUCKET_MS: u64 = 1_000;
--- a/crates/sedgepath-core/src/direct/routing.rs
+++ b/crates/sedgepath-core/src/direct/routing.rs
@@ -120,7 +120,7 @@
 ///
 /// Three in each VM: of the 30 requests that one of ten VMs counts in a window of 300, a tenth; the
 /// errors of VMs are independent, so their sum stays well below that.
-const MAX_LEAD: f64 = 3.0;
+pub const MAX_LEAD: f64 = 3.0;
 
 /// Spreads the requests of routes over their parts in proportion to the weights.
 ///
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -70,11 +70,11 @@
 
 /// How many VMs of the caller's failure domain are named without others: one is a single point of
 /// failure for as long as callers keep the answer.
-const ENOUGH_NAMED: usize = 2;
+pub const ENOUGH_NAMED: usize = 2;
 
 /// The time after which one more VM tries the store while none of the region has an answer, in
 /// milliseconds: about a call to a store that is there.
-const STEP_IN_MS: u64 = 250;
+pub const STEP_IN_MS: u64 = 250;
 
 /// The most addresses that a look-up names.
 const MAX_NAMED: usize = 64;
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -7,6 +7,7 @@
 //! - [`ingress`]: callers' connections and their requests.
 //! - [`sending`]: one sending of a request to an upstream.
 //! - [`pool`]: connections to upstreams, kept between requests.
+//! - [`questions`]: serves what is answered at once.
 //! - [`entry`]: look-ups, and whether this VM takes requests.
 //! - [`follow`]: follows the store's rows.
 //! - [`peers`]: heartbeats between entry VMs, and rows that they give each other.
@@ -20,6 +21,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod pool;
+pub mod questions;
 pub mod run;
 pub mod sending;
 pub mod shell;
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -22,7 +22,8 @@
 use tokio::time::timeout_at;
 
 use super::pool::Body;
-use super::sending::{self, Flight, Head, RequestBody, held};
+use super::questions::{ACCEPT_PAUSE, empty};
+use super::sending::{self, Flight, Head, RequestBody};
 use super::shell::{Shell, StopPhase};
 use super::{clock, lines};
 
@@ -49,7 +50,7 @@
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Out of descriptors for a moment; those of ended connections come free.
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         if shell.connections.get() >= most {
@@ -275,8 +276,7 @@
 }
 
 fn plain(status: StatusCode, attempt: &str) -> Response<Body> {
-    let mut response = Response::new(held(Bytes::new()));
-    *response.status_mut() = status;
+    let mut response = empty(status);
     exchange::set_attempt(response.headers_mut(), attempt);
     response
 }
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -1,19 +1,11 @@
 //! What a VM counts, in the text form of Prometheus.
 
-use std::convert::Infallible;
-use std::rc::Rc;
-use std::time::Duration;
-
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
-use tokio::net::TcpListener;
 
 use super::clock;
 use super::pool::Body;
@@ -24,9 +16,6 @@
 /// milliseconds, and the deadlines of some seconds.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0];
 
-/// How long a connection may stay idle.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
 /// The counts, gauges and histograms of a VM.
 #[derive(Debug)]
 pub struct Metrics {
@@ -134,26 +123,7 @@
     i64::try_from(count).unwrap_or(i64::MAX)
 }
 
-/// Serves the metrics until the process ends.
-pub async fn serve(shell: Rc<Shell>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let shell = Rc::clone(&shell);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|_: Request<Incoming>| {
-                let text = shell.metrics.text(&shell);
-                async move { Ok::<Response<Body>, Infallible>(Response::new(held(text.into()))) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("event=metrics_connection_failed error={:?}", error.to_string());
-            }
-        });
-    }
+/// Answers with all metrics as text.
+pub fn answer(shell: &Shell, _request: &Request<Incoming>) -> Response<Body> {
+    Response::new(held(shell.metrics.text(shell).into()))
 }
--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -1,6 +1,5 @@
 //! What entry VMs tell each other: heartbeats as datagrams, and rows of the store's tables.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,17 +8,15 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1 as server;
-use hyper::service::service_fn;
-use hyper::{Request, Response, client};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Request, Response, StatusCode, client};
+use hyper_util::rt::TokioIo;
 use sedgepath_core::direct::copies::{Page, Table};
 use sedgepath_core::direct::vms::VmHeartbeat;
 use sedgepath_wire::dial;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 use super::pool::Body;
+use super::questions::empty;
 use super::sending::held;
 use super::shell::Shell;
 use super::{clock, follow};
@@ -149,34 +146,9 @@
     Ok(postcard::from_bytes(&body)?)
 }
 
-/// Gives other VMs rows of the copies until the process ends.
-pub async fn serve_copies(shell: Rc<Shell>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let shell = Rc::clone(&shell);
-        tokio::task::spawn_local(async move { serve_peer(&shell, stream).await });
-    }
-}
-
-async fn serve_peer(shell: &Shell, stream: TcpStream) {
-    let service = service_fn(|request: Request<Incoming>| {
-        let answer = give(shell, request.uri().path());
-        async move { Ok::<_, Infallible>(answer) }
-    });
-    let connection = server::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(FETCH_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
-        log::debug!("event=peer_connection_failed error={:?}", error.to_string());
-    }
-}
-
-fn give(shell: &Shell, path: &str) -> Response<Body> {
-    let mut parts = path.trim_start_matches("/copies/").split('/');
+/// Gives another VM the rows of a copy that have changed after a version.
+pub fn give(shell: &Shell, request: &Request<Incoming>) -> Response<Body> {
+    let mut parts = request.uri().path().trim_start_matches("/copies/").split('/');
     let name = parts.next().unwrap_or("");
     let table = Table::ALL.into_iter().find(|table| table.name() == name);
     let after = parts.next().and_then(|after| after.parse().ok());
@@ -184,9 +156,5 @@
         let page = shell.copies.borrow().get(table).since(after);
         postcard::to_stdvec(&page).ok()
     });
-    let mut response = Response::new(held(page.clone().unwrap_or_default().into()));
-    if page.is_none() {
-        *response.status_mut() = hyper::StatusCode::NOT_FOUND;
-    }
-    response
+    page.map_or_else(|| empty(StatusCode::NOT_FOUND), |page| Response::new(held(page.into())))
 }
--- /dev/null
+++ b/crates/sedgepathd/src/direct/questions.rs
@@ -0,0 +1,59 @@
+//! Serves small questions that are answered at once: look-ups, readiness, metrics, rows for peers.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::pool::Body;
+use super::sending::held;
+use super::shell::Shell;
+
+/// How long a connection may stay idle, or its next question take.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The pause after a connection could not be taken, which happens while descriptors are short.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Answers a question.
+pub type Answer = fn(&Shell, &Request<Incoming>) -> Response<Body>;
+
+/// Answers questions until the process ends.
+pub async fn serve(shell: Rc<Shell>, listener: TcpListener, answer: Answer) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let shell = Rc::clone(&shell);
+        tokio::task::spawn_local(async move { connection(&shell, stream, answer).await });
+    }
+}
+
+async fn connection(shell: &Shell, stream: TcpStream, answer: Answer) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let answer = answer(shell, &request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("event=question_connection_failed error={:?}", error.to_string());
+    }
+}
+
+/// Returns an answer without a body.
+pub fn empty(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(held(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -18,7 +18,7 @@
 use super::lines::LineClock;
 use super::metrics::Metrics;
 use super::shell::{Shell, StopPhase};
-use super::{clock, entry, follow, ingress, lines, metrics, peers};
+use super::{clock, entry, follow, ingress, lines, metrics, peers, questions};
 
 /// The time between two heartbeats in milliseconds. Four may be lost before a VM is taken as silent.
 const HEARTBEAT_MS: u64 = 500;
@@ -117,20 +117,20 @@
     );
 
     let taking = spawn_local(ingress::serve(Rc::clone(&shell), callers_listener));
-    spawn_local(entry::serve(Rc::clone(&shell), ready_listener));
-    spawn_local(entry::serve(Rc::clone(&shell), look_up_listener));
+    spawn_local(questions::serve(Rc::clone(&shell), ready_listener, entry::answer));
+    spawn_local(questions::serve(Rc::clone(&shell), look_up_listener, entry::answer));
     for table in Table::ALL {
         spawn_local(follow::follow(Rc::clone(&shell), table));
     }
     spawn_local(find_vms(Rc::clone(&shell)));
     spawn_local(peers::receive(Rc::clone(&shell)));
-    spawn_local(peers::serve_copies(Rc::clone(&shell), peer_listener));
+    spawn_local(questions::serve(Rc::clone(&shell), peer_listener, peers::give));
     spawn_local(peers::send_heartbeats(Rc::clone(&shell), HEARTBEAT_MS));
     spawn_local(keep_up(Rc::clone(&shell)));
     if let Some(port) = metrics_port {
         let address = SocketAddr::new(shell.settings.ip, port);
         let listener = listen("metrics", address).await?;
-        spawn_local(metrics::serve(Rc::clone(&shell), listener));
+        spawn_local(questions::serve(Rc::clone(&shell), listener, metrics::answer));
     }
 
     wait_for_stop().await?;
