--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -184,8 +184,8 @@
     pub warm: bool,
     /// The wait for a slot that was expected, in milliseconds.
     pub wait_ms: f64,
-    /// The time until the answer that was expected, in milliseconds.
-    pub expected_ms: f64,
+    /// When its answer is overdue, in milliseconds.
+    pub overdue_at_ms: u64,
 }
 
 impl Attempts {
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -52,12 +52,11 @@
 /// error. A request that would be late is refused at once, so that its caller can go elsewhere.
 const USABLE_TIME: f64 = 0.9;
 
-/// How many times the expected time a request waits before a second upstream is tried beside a silent
-/// one: rare for one that lives, since times spread by a sixth.
-const HEDGE_FACTOR: f64 = 2.0;
-
-/// The least wait before a second upstream is tried, in milliseconds.
-const MIN_HEDGE_MS: f64 = 600.0;
+/// How many times the work for an object that is not warm an answer takes until it is overdue, beside
+/// its wait for a slot. Upstreams that have just been filled with objects new to them answer nobody
+/// for about once that time; at twice the expected time of a warm object, the first seconds of a day
+/// were sent twice.
+const OVERDUE_FACTOR: f64 = 2.0;
 
 /// The round trip to other regions that is expected until one was measured, in milliseconds.
 const FAR_ROUND_TRIP_MS: f64 = 60.0;
@@ -306,13 +305,15 @@
             expected_ms: candidate.expected_ms as u64,
         };
         upstream.sent(attempts.object, now_ms);
+        let times = self.times.get(&attempts.service).copied().unwrap_or_default();
+        let overdue_ms = candidate.wait_ms + times.work_ms(false) * OVERDUE_FACTOR;
         attempts.tried.push(key);
         attempts.under_way.push(UnderWay {
             upstream: key,
             sent_at_ms: now_ms,
             warm: candidate.warm,
             wait_ms: candidate.wait_ms,
-            expected_ms: candidate.expected_ms,
+            overdue_at_ms: now_ms + overdue_ms as u64,
         });
         Step::Send(Sending {
             upstream: key,
@@ -401,9 +402,7 @@
         let [first] = &*attempts.under_way else {
             return None;
         };
-        let wait_ms = (first.expected_ms * HEDGE_FACTOR).max(MIN_HEDGE_MS) as u64;
-        (attempts.route.kind.may_repeat() && attempts.may_send())
-            .then_some(first.sent_at_ms + wait_ms)
+        (attempts.route.kind.may_repeat() && attempts.may_send()).then_some(first.overdue_at_ms)
     }
 
     /// Sends a request to a second upstream if the first has answered nothing at all since.
