--- a/crates/sedgepath-core/src/direct/copies.rs
+++ b/crates/sedgepath-core/src/direct/copies.rs
@@ -140,9 +140,9 @@
     /// Returns the removal of each row that a whole table doesn't have.
     fn missing_from(&self, page: &Page) -> Vec<CopiedRow> {
         let there: crate::hash::Set<&str> = page.rows.iter().map(|row| &*row.key).collect();
-        let missing = self.rows.iter().filter(|(key, kept)| {
-            kept.value.is_some() && kept.version <= page.position && !there.contains(&***key)
-        });
+        // A row that was written after the table was read is newer than its removal below, and stays.
+        let missing =
+            self.rows.iter().filter(|(key, kept)| kept.value.is_some() && !there.contains(&***key));
         missing
             .map(|(key, _)| CopiedRow { key: key.clone(), version: page.position, value: None })
             .collect()
