Soak real daemons under random faults from outside

Three VMs, four upstreams and the store as processes and stand-ins on loopback; kills, stops, pauses, restarts, cut links, faulty upstreams, a store that falls silent, refuses and forgets.

--- a/crates/sedgepathd/tests/direct.rs
+++ b/crates/sedgepathd/tests/direct.rs
@@ -7,37 +7,11 @@
 use platform::caller::{self, Connection};
 use platform::store::{Mode, StoreStandIn};
 use platform::upstream::{Behaviour, UpstreamStandIn};
-use platform::{Site, Vm, wait_for};
+use platform::{Site, Vm, configure, wait_for};
 
 const READS: &str = "/reads/1?q=2";
 const CHARGES: &str = "/charges/1";
 
-/// Writes a configuration with an idempotent route and one that is not.
-fn configure(store: &StoreStandIn, version: &str, timeout: &str) {
-    let route = |name: &str, kind: &str| {
-        serde_json::json!({
-            "name": name, "prefix": format!("/{name}/"), "kind": kind, "timeout": timeout,
-            "targetLatency": "400ms", "priority": 1, "service": "shop", "maxAttempts": 2,
-            "sticky": true, "homeRegions": [],
-        })
-    };
-    let configuration = serde_json::json!({
-        "version": version,
-        "services": [{
-            "name": "shop", "healthPath": "/health", "maxConnections": 100, "protocol": "h1",
-            "tls": false, "coldStart": "3s", "coldPerS": 4.0,
-        }],
-        "limits": {
-            "maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000, "headerTimeout": "3000ms",
-            "idleTimeout": "15000ms",
-        },
-        "virtualHosts": [{
-            "host": "shop.example", "pathRoutes": [route("reads", "safe"), route("charges", "unsafe")],
-        }],
-    });
-    store.put("op", "config", configuration.to_string().as_bytes());
-}
-
 /// A store with a configuration, some upstreams in it, and a VM that serves them.
 struct Served {
     store: StoreStandIn,
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -38,6 +38,32 @@
     }
 }
 
+/// Writes a configuration with an idempotent route and one that is not.
+pub fn configure(store: &store::StoreStandIn, version: &str, timeout: &str) {
+    let route = |name: &str, kind: &str| {
+        serde_json::json!({
+            "name": name, "prefix": format!("/{name}/"), "kind": kind, "timeout": timeout,
+            "targetLatency": "400ms", "priority": 1, "service": "shop", "maxAttempts": 2,
+            "sticky": true, "homeRegions": [],
+        })
+    };
+    let configuration = serde_json::json!({
+        "version": version,
+        "services": [{
+            "name": "shop", "healthPath": "/health", "maxConnections": 100, "protocol": "h1",
+            "tls": false, "coldStart": "3s", "coldPerS": 4.0,
+        }],
+        "limits": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000, "headerTimeout": "3000ms",
+            "idleTimeout": "15000ms",
+        },
+        "virtualHosts": [{
+            "host": "shop.example", "pathRoutes": [route("reads", "safe"), route("charges", "unsafe")],
+        }],
+    });
+    store.put("op", "config", configuration.to_string().as_bytes());
+}
+
 /// The ports that all VMs of a test use, and the store that they share.
 #[derive(Debug)]
 pub struct Site {
@@ -62,8 +88,13 @@
 
     /// Starts the VM of a number in a failure domain; it is not waited for.
     pub fn start(&self, number: u8, domain: &str) -> Vm {
+        self.start_with_store(number, domain, self.store)
+    }
+
+    /// Starts a VM that reaches the store at an address of its own, such as a link's.
+    pub fn start_with_store(&self, number: u8, domain: &str, store: SocketAddr) -> Vm {
         let settings = self.dir.path().join(format!("vm{number}.toml"));
-        fs::write(&settings, self.settings(number, domain)).expect("settings");
+        fs::write(&settings, self.settings(number, domain, store)).expect("settings");
         let output =
             fs::File::create(self.dir.path().join(format!("vm{number}.log"))).expect("log");
         let child = Command::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd")))
@@ -85,12 +116,16 @@
         vm
     }
 
-    fn settings(&self, number: u8, domain: &str) -> String {
+    /// Returns what the VM of a number has written, over all its starts.
+    pub fn log(&self, number: u8) -> String {
+        fs::read_to_string(self.dir.path().join(format!("vm{number}.log"))).unwrap_or_default()
+    }
+
+    fn settings(&self, number: u8, domain: &str, store: SocketAddr) -> String {
         let [callers, ready, look_ups, peers] = [0, 1, 2, 3].map(|index| self.ports[index]);
         let ip = self.ip(number);
         let region = region(domain);
         let seed = self.ip(1);
-        let store = self.store;
         format!(
             r#"node = "vm{number}"
 ip = "{ip}"
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -85,9 +85,21 @@
 
     /// Registers itself in the store.
     pub fn register(&self, store: &StoreStandIn, domain: &str, state: &str, sequence: u64) {
+        self.register_at(self.address, store, domain, state, sequence);
+    }
+
+    /// Registers itself in the store at another address, such as a link's.
+    pub fn register_at(
+        &self,
+        address: SocketAddr,
+        store: &StoreStandIn,
+        domain: &str,
+        state: &str,
+        sequence: u64,
+    ) {
         let name = self.lock().name.clone();
         let entry = serde_json::json!({
-            "address": self.address.to_string(),
+            "address": address.to_string(),
             "info": {"service": "shop", "version": "v1", "zone": domain, "slots": 4},
             "status": {"state": state, "sequence": sequence, "coldRemaining": "0ms"},
         });
--- /dev/null
+++ b/crates/sedgepathd/tests/soak.rs
@@ -0,0 +1,358 @@
+//! A randomized soak of real daemons under faults from outside.
+//!
+//! Three VMs, four upstreams, the store. While callers ask on connections that they keep, VMs are
+//! killed, stopped, paused and restarted; upstreams refuse, break off, fall silent, answer twice and
+//! leave; links are cut one way or both and slowed; the store falls silent, refuses and forgets its
+//! history; configurations change. Faults come in series and overlap. What callers and upstreams saw
+//! is checked: nothing runs twice that must not, *not run* is true, no answer reaches another request,
+//! and after the faults every VM serves and a leaving upstream gets nothing.
+//!
+//! A seed decides all faults, though not how the processes interleave. CI runs [`CI_SEEDS`];
+//! `SOAK_SEEDS=FROM..TO cargo test -p sedgepathd --test soak -- --nocapture` runs others.
+
+mod platform;
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use platform::caller::{Answer, Connection};
+use platform::store::{Mode, StoreStandIn};
+use platform::upstream::{Behaviour, UpstreamStandIn};
+use platform::{Site, Vm, wait_for};
+use sedgepath_test_support::link::{Cut, CuttableLink};
+
+/// The seeds of each CI run.
+const CI_SEEDS: Range<u64> = 1..3;
+
+/// Seeds that failed once, each with its cause; they are run with the others.
+const FAILED_SEEDS: [u64; 0] = [];
+
+/// The number of faults of a seed.
+const FAULTS: usize = 40;
+
+/// The longest pause between two faults, in milliseconds.
+const MAX_PAUSE_MS: u64 = 300;
+
+const DOMAINS: [&str; 3] = ["north-a", "north-b", "south-a"];
+
+/// What a caller was told of each attempt.
+type Told = Arc<Mutex<BTreeMap<String, Option<Answer>>>>;
+
+struct Soak {
+    random: fastrand::Rng,
+    store: StoreStandIn,
+    store_links: Vec<CuttableLink>,
+    upstreams: Vec<(UpstreamStandIn, CuttableLink)>,
+    site: Site,
+    vms: Vec<Option<Vm>>,
+    version: u64,
+    sequence: u64,
+    faults: Vec<String>,
+}
+
+impl Soak {
+    fn new(seed: u64) -> Self {
+        let store = StoreStandIn::new();
+        let store_links: Vec<_> =
+            (0..3).map(|_| CuttableLink::new(store.address).expect("a link")).collect();
+        let upstreams: Vec<_> = (0..4)
+            .map(|number| {
+                let upstream = UpstreamStandIn::new(&format!("u{number}"));
+                let link = CuttableLink::new(upstream.address).expect("a link");
+                (upstream, link)
+            })
+            .collect();
+        let site = Site::new(store.address);
+        let mut soak = Self {
+            random: fastrand::Rng::with_seed(seed),
+            store,
+            store_links,
+            upstreams,
+            site,
+            vms: Vec::new(),
+            version: 1,
+            sequence: 1,
+            faults: Vec::new(),
+        };
+        soak.configure();
+        for number in 0..4 {
+            soak.register(number, "ready");
+        }
+        soak.vms = (0..3).map(|number| Some(soak.start(number))).collect();
+        for vm in soak.vms.iter().flatten() {
+            wait_for("readiness", || vm.is_ready());
+        }
+        soak
+    }
+
+    fn start(&self, number: usize) -> Vm {
+        let link = self.store_links[number].addr();
+        self.site.start_with_store(number as u8 + 1, DOMAINS[number], link)
+    }
+
+    fn register(&mut self, number: usize, state: &str) {
+        self.sequence += 1;
+        let (upstream, link) = &self.upstreams[number];
+        let domain = DOMAINS[number % 3];
+        upstream.register_at(link.addr(), &self.store, domain, state, self.sequence);
+    }
+
+    fn configure(&mut self) {
+        self.version += 1;
+        platform::configure(&self.store, &format!("{:08x}", self.version), "2500ms");
+    }
+
+    /// Brings about one fault.
+    fn fault(&mut self) {
+        let vm = self.random.usize(..3);
+        let upstream = self.random.usize(..4);
+        let kind = self.random.u32(..12);
+        self.faults.push(format!("{kind}:{vm}:{upstream}"));
+        match kind {
+            0 => self.vms[vm] = None,
+            1 => self.signal(vm, "-TERM"),
+            2 => self.signal(vm, "-STOP"),
+            3 => self.signal(vm, "-HUP"),
+            4 | 5 => {
+                let behaviour = self.behaviour();
+                self.upstreams[upstream].0.behave(behaviour);
+            }
+            6 => {
+                let cut = self.cut();
+                self.upstreams[upstream].1.set_cut(cut);
+            }
+            7 => {
+                let cut = self.cut();
+                self.store_links[vm].set_cut(cut);
+            }
+            8 => {
+                let modes = [Mode::Silent, Mode::Refusing, Mode::Up];
+                self.store.set_mode(modes[self.random.usize(..3)]);
+            }
+            9 => self.store.forget_history(),
+            10 => self.configure(),
+            _ => {
+                let state = if self.random.bool() { "draining" } else { "ready" };
+                self.register(upstream, state);
+            }
+        }
+    }
+
+    fn behaviour(&mut self) -> Behaviour {
+        let behaviours = [
+            Behaviour::Answer,
+            Behaviour::Refuse,
+            Behaviour::Break,
+            Behaviour::Truncate,
+            Behaviour::Slow(400),
+            Behaviour::AnswerTwice,
+            Behaviour::Unframed,
+            Behaviour::Silent,
+        ];
+        behaviours[self.random.usize(..behaviours.len())]
+    }
+
+    fn cut(&mut self) -> Cut {
+        [Cut::None, Cut::ToTarget, Cut::FromTarget, Cut::Both][self.random.usize(..4)]
+    }
+
+    fn signal(&mut self, number: usize, option: &str) {
+        if let Some(vm) = &mut self.vms[number]
+            && vm.ended().is_none()
+        {
+            vm.signal(option);
+        }
+    }
+
+    /// Starts VMs that have ended, as the platform does.
+    fn restart_ended(&mut self) {
+        for number in 0..3 {
+            let ended = self.vms[number].as_mut().is_none_or(|vm| vm.ended().is_some());
+            if ended {
+                self.vms[number] = None;
+                self.vms[number] = Some(self.start(number));
+            }
+        }
+    }
+
+    /// Ends all faults, and waits until every VM is ready.
+    fn heal(&mut self) {
+        for number in 0..3 {
+            self.signal(number, "-CONT");
+            self.store_links[number].set_cut(Cut::None);
+        }
+        self.store.set_mode(Mode::Up);
+        for number in 0..4 {
+            self.upstreams[number].0.behave(Behaviour::Answer);
+            self.upstreams[number].1.set_cut(Cut::None);
+            self.register(number, "ready");
+        }
+        // One that was asked to stop while it was paused ends now.
+        std::thread::sleep(Duration::from_millis(200));
+        let mut vms = std::mem::take(&mut self.vms);
+        wait_for("readiness after all faults", || {
+            for (number, vm) in vms.iter_mut().enumerate() {
+                if vm.as_mut().is_none_or(|vm| vm.ended().is_some()) {
+                    *vm = None;
+                    *vm = Some(self.start(number));
+                }
+            }
+            vms.iter().flatten().all(Vm::is_ready)
+        });
+        self.vms = vms;
+    }
+}
+
+/// Asks on kept connections until told to stop; each attempt has an id of its own.
+fn ask_on(addresses: Vec<std::net::SocketAddr>, caller: usize, stop: &AtomicBool, told: &Told) {
+    let mut connection = None;
+    let mut random = fastrand::Rng::with_seed(caller as u64);
+    for number in 0_u64.. {
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let attempt = format!("c{caller}-{number}");
+        let charge = random.bool();
+        let (method, path) = if charge { ("POST", "/charges/1") } else { ("GET", "/reads/1") };
+        let address = addresses[random.usize(..addresses.len())];
+        let mut open = match connection.take() {
+            Some(open) => open,
+            None => match Connection::new(address) {
+                Some(open) => open,
+                None => {
+                    std::thread::sleep(Duration::from_millis(20));
+                    continue;
+                }
+            },
+        };
+        let answer = open.send(method, path, &attempt, 1_500).and_then(|()| open.receive());
+        let closes =
+            |answer: &Answer| answer.fields.get("connection").is_some_and(|v| v == "close");
+        if answer.as_ref().is_some_and(|answer| answer.body.is_some() && !closes(answer)) {
+            connection = Some(open);
+        }
+        told.lock().expect("told").insert(attempt, answer);
+        std::thread::sleep(Duration::from_millis(random.u64(..30)));
+    }
+}
+
+fn soak(seed: u64) {
+    let mut soak = Soak::new(seed);
+    let addresses: Vec<_> = soak.vms.iter().flatten().map(|vm| vm.callers).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let told: Told = Arc::default();
+    let callers: Vec<_> = (0..6)
+        .map(|caller| {
+            let (stop, told, addresses) = (Arc::clone(&stop), Arc::clone(&told), addresses.clone());
+            std::thread::spawn(move || ask_on(addresses, caller, &stop, &told))
+        })
+        .collect();
+    for _ in 0..FAULTS {
+        soak.fault();
+        std::thread::sleep(Duration::from_millis(soak.random.u64(..MAX_PAUSE_MS)));
+        if soak.random.bool() {
+            soak.restart_ended();
+        }
+    }
+    soak.heal();
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.join().expect("a caller");
+    }
+    let failures = check(&soak, &told.lock().expect("told"), &addresses);
+    if !failures.is_empty() {
+        for number in 1..=3 {
+            eprintln!("--- vm{number}\n{}", soak.site.log(number));
+        }
+        panic!("seed {seed}: {failures:#?}\nfaults: {}", soak.faults.join(" "));
+    }
+}
+
+/// Returns every promise that was broken.
+fn check(
+    soak: &Soak,
+    told: &BTreeMap<String, Option<Answer>>,
+    addresses: &[std::net::SocketAddr],
+) -> Vec<String> {
+    let mut failures = Vec::new();
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for (upstream, _) in &soak.upstreams {
+        for run in upstream.runs() {
+            let attempt = run.fields.get("x-sedgepath-attempt-id").cloned().unwrap_or_default();
+            if run.line.starts_with("POST") {
+                *runs.entry(attempt).or_default() += 1;
+            }
+        }
+    }
+    for (attempt, count) in &runs {
+        if *count > 1 {
+            failures.push(format!("{attempt} ran {count} times"));
+        }
+        let answer = told.get(attempt).and_then(Option::as_ref);
+        if answer.is_some_and(|answer| matches!(answer.status, 408 | 421 | 429 | 503)) {
+            failures.push(format!("{attempt} ran and was told not to have run"));
+        }
+    }
+    let mut served = 0;
+    for (attempt, answer) in told {
+        let Some(answer) = answer else { continue };
+        if answer.status == 200 && answer.body.is_some() {
+            served += 1;
+            if !answer.text().starts_with(&format!("{attempt} at u")) {
+                failures.push(format!("{attempt} got another answer: {}", answer.text()));
+            }
+        }
+        if answer.status == 404 {
+            failures.push(format!("{attempt} was told that its route does not exist"));
+        }
+    }
+    if served == 0 {
+        failures.push("nothing was served".into());
+    }
+    failures.extend(check_calm(soak, addresses));
+    eprintln!("attempts={} served={served} charges_run={}", told.len(), runs.len());
+    failures
+}
+
+/// Checks what must hold once the faults are over: a leaving upstream gets nothing, others serve.
+fn check_calm(soak: &Soak, addresses: &[std::net::SocketAddr]) -> Vec<String> {
+    let (leaving, link) = &soak.upstreams[0];
+    // Whoever was left out, cold or lapsed is used again.
+    std::thread::sleep(Duration::from_secs(4));
+    leaving.register_at(link.addr(), &soak.store, DOMAINS[0], "draining", soak.sequence + 1);
+    std::thread::sleep(Duration::from_millis(2_500));
+    let before = leaving.received().len();
+    let mut failures = Vec::new();
+    for (number, address) in addresses.iter().enumerate() {
+        for request in 0..8 {
+            let attempt = format!("calm-{number}-{request}");
+            let answer = Connection::new(*address)
+                .and_then(|mut connection| connection.ask("GET", "/reads/1", &attempt));
+            let status = answer.as_ref().map(|answer| answer.status);
+            if status != Some(200) {
+                failures.push(format!("{attempt} after the faults: {status:?}"));
+            }
+        }
+    }
+    let after = leaving.received().len();
+    if after > before {
+        failures.push(format!("a leaving upstream got {} requests", after - before));
+    }
+    failures
+}
+
+/// Whatever the faults, the promises to callers hold.
+#[test]
+fn promises_hold_under_random_faults() {
+    let seeds = std::env::var("SOAK_SEEDS").ok().and_then(|text| {
+        let (from, to) = text.split_once("..")?;
+        Some(from.parse().ok()?..to.parse().ok()?)
+    });
+    for seed in FAILED_SEEDS.into_iter().chain(seeds.unwrap_or(CI_SEEDS)) {
+        eprintln!("seed {seed}");
+        soak(seed);
+    }
+}
