Send heartbeats more rarely the more VMs there are

Cause: heartbeats go between all pairs; at 300 VMs each would send 600 a second. Change: at most 130 a second a VM, which says its period; silence is judged by the sender's period, 5.5 s at most; four addresses of others a heartbeat in place of forty.

--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -1,7 +1,7 @@
 //! The entry VMs that this one has heard of, and the answers to look-ups.
 //!
-//! Every VM sends every other a small heartbeat. One that falls silent is no longer named after
-//! [`VmTiming::silent_after_ms`]; one that says that it leaves, at once. What VMs pass on of others is
+//! Every VM sends every other a small heartbeat, the more rarely the more there are, and says how
+//! often. One that falls silent is no longer named after some of its periods; one that says that it leaves, at once. What VMs pass on of others is
 //! only how to reach them, never that they live: hearsay can't keep a dead VM named.
 
 use std::net::SocketAddr;
@@ -31,6 +31,8 @@
 pub struct VmHeartbeat {
     /// When it was sent, in the order of events over all VMs.
     pub stamp: Stamp,
+    /// The time until its next one, in milliseconds.
+    pub period_ms: u64,
     /// How to reach it.
     pub card: VmCard,
     /// When its process started, in milliseconds since the Unix epoch; the later of two counts.
@@ -50,10 +52,13 @@
 /// When a VM counts as silent and as forgotten.
 #[derive(Debug, Clone, Copy)]
 pub struct VmTiming {
-    /// The time between two heartbeats in milliseconds.
+    /// The time between two heartbeats in milliseconds, while there are few VMs.
     pub heartbeat_ms: u64,
-    /// The silence after which a VM is no longer named, in milliseconds.
-    pub silent_after_ms: u64,
+    /// The most heartbeats that a VM sends in a second. With more VMs than fit, the time between
+    /// two grows.
+    pub heartbeats_per_s: u64,
+    /// The longest silence after which a VM is no longer named, in milliseconds.
+    pub max_silence_ms: u64,
     /// The silence after which a VM no longer shares the limits that hold for all, in milliseconds.
     pub forgotten_after_ms: u64,
 }
@@ -64,6 +69,17 @@
     heard_at_ms: u64,
 }
 
+impl VmTiming {
+    /// Returns the silence after which a VM is no longer named, in milliseconds, by its own period.
+    fn silent_after_ms(&self, peer: &Peer) -> u64 {
+        let silence_ms = (peer.heartbeat.period_ms as f64 * SILENT_PERIODS) as u64;
+        silence_ms.min(self.max_silence_ms)
+    }
+}
+
+/// The periods of silence after which a VM is no longer named: four heartbeats may be lost.
+const SILENT_PERIODS: f64 = 4.4;
+
 /// How many VMs follow the store at the least, over all regions, if there are as many: with two, one
 /// may die and another be cut off before the silence of either shows.
 const MIN_READERS: usize = 3;
@@ -79,8 +95,9 @@
 /// The most addresses that a look-up names.
 const MAX_NAMED: usize = 64;
 
-/// The most addresses of others that a heartbeat carries, so that it stays within one datagram.
-const MAX_KNOWN: usize = 40;
+/// The addresses of others that a heartbeat carries, other ones each time. A VM learns of all others from
+/// the store; these are for one that can't reach it, and many would be most of a heartbeat's bytes.
+const KNOWN_PER_HEARTBEAT: usize = 4;
 
 /// The entry VMs as this one sees them.
 #[derive(Debug)]
@@ -90,6 +107,8 @@
     peers: Map<Box<str>, Peer>,
     /// Since when no VM of the region has had an answer of the store, in milliseconds.
     without_contact_since_ms: Option<u64>,
+    /// How many addresses have been told in heartbeats.
+    told: usize,
     /// Addresses to send heartbeats to, with the moment up to which they are tried unanswered.
     addresses: Map<SocketAddr, u64>,
 }
@@ -102,18 +121,30 @@
             timing,
             peers: Map::default(),
             without_contact_since_ms: None,
+            told: 0,
             addresses: Map::default(),
         }
     }
 
     /// Returns what this VM tells the others, sent now.
-    pub fn heartbeat(&self, stamp: Stamp) -> VmHeartbeat {
+    pub fn heartbeat(&mut self, stamp: Stamp) -> VmHeartbeat {
         let mut heartbeat = self.own.clone();
         heartbeat.stamp = stamp;
-        heartbeat.known = self.addresses.keys().copied().take(MAX_KNOWN).collect();
+        heartbeat.period_ms = self.period_ms();
+        let next = self.told;
+        self.told = next.wrapping_add(KNOWN_PER_HEARTBEAT);
+        let from = next % self.addresses.len().max(1);
+        let known = self.addresses.keys().copied().cycle().skip(from);
+        heartbeat.known = known.take(KNOWN_PER_HEARTBEAT.min(self.addresses.len())).collect();
         heartbeat
     }
 
+    /// Returns the time between two heartbeats in milliseconds.
+    pub fn period_ms(&self) -> u64 {
+        let round_ms = self.addresses.len() as u64 * 1_000 / self.timing.heartbeats_per_s.max(1);
+        round_ms.max(self.timing.heartbeat_ms)
+    }
+
     /// Sets how new this VM's copies are, and for how long the store has answered it.
     pub fn set_copies(&mut self, changed_at: [u64; 2], store_contact_ms: Option<u64>) {
         self.own.changed_at = changed_at;
@@ -192,7 +223,7 @@
         let mut cards: Vec<_> = self
             .peers
             .values()
-            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms)
+            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms(peer))
             .filter(|peer| peer.heartbeat.ready && !peer.heartbeat.leaving)
             .map(|peer| &peer.heartbeat.card)
             .collect();
@@ -216,7 +247,7 @@
         let alive: Vec<&VmHeartbeat> = self
             .peers
             .values()
-            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms)
+            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms(peer))
             .map(|peer| &peer.heartbeat)
             .filter(|heartbeat| !heartbeat.leaving)
             .collect();
@@ -247,7 +278,7 @@
         let alive = self
             .peers
             .values()
-            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms);
+            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms(peer));
         let contacts = alive.filter_map(|peer| {
             let age_ms = now_ms.saturating_sub(peer.heard_at_ms);
             Some(peer.heartbeat.store_contact_ms? + age_ms)
--- a/crates/sedgepath-core/tests/direct_vms.rs
+++ b/crates/sedgepath-core/tests/direct_vms.rs
@@ -119,3 +119,20 @@
     }
     assert!(last.reads_store(10_000));
 }
+
+/// Two hundred VMs would each send four hundred heartbeats a second. They send fewer and say so, so
+/// that a VM that hears one only each two seconds is not taken as gone between two.
+#[test]
+fn heartbeats_grow_rarer_with_more_vms_and_silence_is_judged_by_them() {
+    let mut own = vms("a1", "north-a", 1);
+    assert_eq!(own.period_ms(), 500);
+    for number in 0..200 {
+        own.add_address(SocketAddr::from(([10, 1, 0, number], 7_000)), 0);
+    }
+    assert_eq!(own.period_ms(), 2_000);
+    let mut rare = heartbeat("a2", "north-a", 2);
+    rare.period_ms = 2_000;
+    own.heard(rare, 0);
+    assert_eq!(own.look_up("north-a", "north", 5_000), vec![address(1), address(2)]);
+    assert_eq!(own.look_up("north-a", "north", 5_600), vec![address(1)]);
+}
--- a/crates/sedgepath-test-support/src/direct.rs
+++ b/crates/sedgepath-test-support/src/direct.rs
@@ -41,6 +41,7 @@
     let address = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, number)), port);
     VmHeartbeat {
         stamp: Stamp::default(),
+        period_ms: 500,
         card: VmCard {
             name: name.into(),
             domain: domain.into(),
@@ -59,7 +60,12 @@
 
 /// Returns a VM's view of the others, in which it stands alone.
 pub fn vms(name: &str, domain: &str, number: u8) -> Vms {
-    let timing = VmTiming { heartbeat_ms: 500, silent_after_ms: 2_200, forgotten_after_ms: 20_000 };
+    let timing = VmTiming {
+        heartbeat_ms: 500,
+        heartbeats_per_s: 100,
+        max_silence_ms: 5_500,
+        forgotten_after_ms: 20_000,
+    };
     Vms::new(heartbeat(name, domain, number), timing)
 }
 
--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -34,9 +34,10 @@
 const MAX_PAGE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Sends a heartbeat to every VM known, each period.
-pub async fn send_heartbeats(shell: Rc<Shell>, period_ms: u64) {
+pub async fn send_heartbeats(shell: Rc<Shell>) {
     loop {
         send_once(&shell).await;
+        let period_ms = shell.steering.borrow().vms().period_ms();
         tokio::time::sleep(Duration::from_millis(period_ms)).await;
     }
 }
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -20,11 +20,16 @@
 use super::shell::{Shell, StopPhase};
 use super::{clock, entry, follow, ingress, lines, metrics, peers, questions};
 
-/// The time between two heartbeats in milliseconds. Four may be lost before a VM is taken as silent.
+/// The time between two heartbeats in milliseconds, while there are few VMs.
 const HEARTBEAT_MS: u64 = 500;
 
-/// The silence after which a VM is no longer named, in milliseconds.
-const SILENT_AFTER_MS: u64 = 2_200;
+/// The most heartbeats that a VM sends in a second. Each takes some 10 microseconds at both ends, so
+/// that both ways together take a hundredth of a fifth of a core.
+const HEARTBEATS_PER_S: u64 = 130;
+
+/// The longest silence after which a VM is no longer named, in milliseconds. The operators allow 3 s
+/// after the 3 s in which a VM counts as disturbed.
+const MAX_SILENCE_MS: u64 = 5_500;
 
 /// The silence after which a VM no longer shares the common limits, in milliseconds: longer than the
 /// window of the retry budget, in which what it has spent still counts.
@@ -125,7 +130,7 @@
     spawn_local(find_vms(Rc::clone(&shell)));
     spawn_local(peers::receive(Rc::clone(&shell)));
     spawn_local(questions::serve(Rc::clone(&shell), peer_listener, peers::give));
-    spawn_local(peers::send_heartbeats(Rc::clone(&shell), HEARTBEAT_MS));
+    spawn_local(peers::send_heartbeats(Rc::clone(&shell)));
     spawn_local(keep_up(Rc::clone(&shell)));
     if let Some(port) = metrics_port {
         let address = SocketAddr::new(shell.settings.ip, port);
@@ -178,6 +183,7 @@
     let boot = clock::unix_ms();
     let own = VmHeartbeat {
         stamp: Stamp::default(),
+        period_ms: HEARTBEAT_MS,
         card,
         boot,
         ready: false,
@@ -188,7 +194,8 @@
     };
     let timing = VmTiming {
         heartbeat_ms: HEARTBEAT_MS,
-        silent_after_ms: SILENT_AFTER_MS,
+        heartbeats_per_s: HEARTBEATS_PER_S,
+        max_silence_ms: MAX_SILENCE_MS,
         forgotten_after_ms: FORGOTTEN_AFTER_MS,
     };
     let mut vms = Vms::new(own, timing);
