--- a/crates/sedgepathd/tests/soak.rs
+++ b/crates/sedgepathd/tests/soak.rs
@@ -207,7 +207,7 @@
 }
 
 /// Asks on kept connections until told to stop; each attempt has an id of its own.
-fn ask_on(addresses: Vec<std::net::SocketAddr>, caller: usize, stop: &AtomicBool, told: &Told) {
+fn ask_on(addresses: &[std::net::SocketAddr], caller: usize, stop: &AtomicBool, told: &Told) {
     let mut connection = None;
     let mut random = fastrand::Rng::with_seed(caller as u64);
     for number in 0_u64.. {
@@ -218,15 +218,10 @@
         let charge = random.bool();
         let (method, path) = if charge { ("POST", "/charges/1") } else { ("GET", "/reads/1") };
         let address = addresses[random.usize(..addresses.len())];
-        let mut open = match connection.take() {
-            Some(open) => open,
-            None => match Connection::new(address) {
-                Some(open) => open,
-                None => {
-                    std::thread::sleep(Duration::from_millis(20));
-                    continue;
-                }
-            },
+        let kept = connection.take();
+        let Some(mut open) = kept.or_else(|| Connection::new(address)) else {
+            std::thread::sleep(Duration::from_millis(20));
+            continue;
         };
         let answer = open.send(method, path, &attempt, 1_500).and_then(|()| open.receive());
         let closes =
@@ -247,7 +242,7 @@
     let callers: Vec<_> = (0..6)
         .map(|caller| {
             let (stop, told, addresses) = (Arc::clone(&stop), Arc::clone(&told), addresses.clone());
-            std::thread::spawn(move || ask_on(addresses, caller, &stop, &told))
+            std::thread::spawn(move || ask_on(&addresses, caller, &stop, &told))
         })
         .collect();
     for _ in 0..FAULTS {
