Let requests wait for a VM that is starting; bound requests and held bodies

Change: a request waits up to 400 ms for the first configuration and upstream; 1,000 requests at once; held bodies within a quarter of the memory. The process test ends with 503 without the wait.

--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -34,6 +34,13 @@
 /// sent again.
 const MAX_HELD_BYTES: usize = 256 * 1024;
 
+/// The most requests at once. Each takes some ten kilobytes and a turn of the processor; a VM with a
+/// fifth of a core serves a few hundred a second.
+const MAX_REQUESTS: usize = 1_000;
+
+/// The time to come back after to a VM with too many requests, in milliseconds.
+const OVERLOADED_RETRY_MS: u64 = 500;
+
 /// How long a connection may stay idle before a configuration is known, in milliseconds.
 const DEFAULT_IDLE_MS: u64 = 15_000;
 
@@ -126,12 +133,17 @@
     let (parts, incoming) = request.into_parts();
     let fields = RequestFields::read(&parts.headers, &parts.uri);
     let attempt: Box<str> = fields.attempt.into();
+    if shell.requests.get() > MAX_REQUESTS {
+        let refusal = Refusal { reason: Reason::Overloaded, retry_after_ms: OVERLOADED_RETRY_MS };
+        return refuse(shell, &attempt, None, refusal);
+    }
     let asked = Asked {
         host: fields.host,
         path: parts.uri.path(),
         time_left_ms: fields.time_left_ms,
         object: fields.object,
     };
+    shell.wait_for_start().await;
     let begun = shell.steering.borrow_mut().begin(asked, now_ms);
     let attempts = match begun {
         Ok(attempts) => attempts,
@@ -140,7 +152,7 @@
     let deadline = clock::instant(attempts.deadline_at_ms);
     let mut flight = Flight { shell: Rc::clone(shell), attempts };
     let most_bytes = max_body_bytes(shell);
-    let mut body = match timeout_at(deadline, take_body(incoming, most_bytes)).await {
+    let mut body = match timeout_at(deadline, take_body(shell, incoming, most_bytes)).await {
         Ok(Ok(body)) => body,
         Ok(Err(BodyRefusal::TooLarge)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, &attempt),
         Ok(Err(BodyRefusal::Broken)) => return plain(StatusCode::BAD_REQUEST, &attempt),
@@ -222,7 +234,11 @@
 }
 
 /// Reads a request's body, or its beginning if it is large.
-async fn take_body(mut incoming: Incoming, most_bytes: u64) -> Result<RequestBody, BodyRefusal> {
+async fn take_body(
+    shell: &Shell,
+    mut incoming: Incoming,
+    most_bytes: u64,
+) -> Result<RequestBody, BodyRefusal> {
     if incoming.is_end_stream() {
         return Ok(RequestBody::Held(Bytes::new()));
     }
@@ -230,7 +246,7 @@
         return Err(BodyRefusal::TooLarge);
     }
     let mut first = BytesMut::new();
-    while first.len() < MAX_HELD_BYTES {
+    while first.len() < shell.hold_limit(MAX_HELD_BYTES) {
         let Some(frame) = incoming.frame().await else {
             return Ok(RequestBody::Held(first.freeze()));
         };
--- a/crates/sedgepathd/src/direct/sending.rs
+++ b/crates/sedgepathd/src/direct/sending.rs
@@ -191,7 +191,7 @@
     let begun = match fields.kind {
         AnswerKind::Foreign => return Ended::without_answer(Outcome::Failed),
         AnswerKind::Own | AnswerKind::NotRun | AnswerKind::Misdirected => {
-            match timeout_at(deadline, hold(&mut incoming)).await {
+            match timeout_at(deadline, hold(shell, &mut incoming)).await {
                 Ok(Ok(begun)) => begun,
                 Ok(Err(_broken)) if fields.kind == AnswerKind::Own => {
                     return Ended::without_answer(Outcome::Failed);
@@ -261,7 +261,7 @@
 }
 
 /// Reads a body to its end, or up to [`MAX_HELD_BYTES`].
-async fn hold(incoming: &mut Incoming) -> Result<Held, hyper::Error> {
+async fn hold(shell: &Shell, incoming: &mut Incoming) -> Result<Held, hyper::Error> {
     let mut held = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
         if let Ok(data) = frame?.into_data() {
@@ -270,7 +270,7 @@
             }
             held.extend_from_slice(&data);
         }
-        if held.len() >= MAX_HELD_BYTES {
+        if held.len() >= shell.hold_limit(MAX_HELD_BYTES) {
             return Ok(Held::Begun(held.freeze()));
         }
     }
--- a/crates/sedgepathd/src/direct/shell.rs
+++ b/crates/sedgepathd/src/direct/shell.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use sedgepath_adapter::settings::Settings;
 use sedgepath_adapter::store::Store;
@@ -84,7 +85,35 @@
     }
 }
 
+/// How long a request waits for a VM that has just started to know what it needs, in milliseconds: a
+/// few answers of the store. After that its caller does better elsewhere.
+const START_WAIT_MS: u64 = 400;
+
+/// How often a waiting request looks, in milliseconds.
+const START_CHECK_MS: u64 = 10;
+
+/// The part of the process's memory that bodies may take, as a divisor.
+const BODY_MEMORY_PART: usize = 4;
+
 impl Shell {
+    /// Waits until requests can be served, or [`START_WAIT_MS`] have passed.
+    ///
+    /// After a restart of all VMs callers come back at once. Refused, each of them would come a
+    /// second time, later than the moment at which the first could have been served.
+    pub async fn wait_for_start(&self) {
+        let until_ms = clock::now_ms() + START_WAIT_MS;
+        while !self.steering.borrow().can_serve() && clock::now_ms() < until_ms {
+            tokio::time::sleep(Duration::from_millis(START_CHECK_MS)).await;
+        }
+    }
+
+    /// Returns how many bytes of a body may be held, at most `most`, so that those of all requests
+    /// together stay within a part of the process's memory.
+    pub fn hold_limit(&self, most: usize) -> usize {
+        let memory_bytes = self.settings.resources.memory_mb as usize * 1024 * 1024;
+        most.min(memory_bytes / BODY_MEMORY_PART / self.requests.get().max(1))
+    }
+
     /// Returns for how long the store has answered without a break, in milliseconds.
     pub fn store_contact_ms(&self) -> Option<u64> {
         self.store_contact_since_ms.get().map(|since_ms| clock::now_ms().saturating_sub(since_ms))
--- a/crates/sedgepathd/tests/direct.rs
+++ b/crates/sedgepathd/tests/direct.rs
@@ -332,3 +332,19 @@
         !named.contains(&address) && named.contains(&served.vm.callers.to_string())
     });
 }
+
+/// All VMs start again, and callers come at once. The store's answer is on its way: a request that
+/// arrives before it is served when it comes, in place of being refused and coming back later.
+#[test]
+fn a_request_waits_for_a_vm_that_is_starting() {
+    let served = Served::new(1);
+    served.store.set_mode(Mode::Slow(150));
+    let starting = served.site.start(9, "south-a");
+    let mut connection = None;
+    wait_for("a listener", || {
+        connection = Connection::new(starting.callers);
+        connection.is_some()
+    });
+    let answer = connection.and_then(|mut connection| connection.ask("GET", READS, "a1"));
+    assert_eq!(answer.expect("an answer").status, 200);
+}
--- a/crates/sedgepathd/tests/platform/store.rs
+++ b/crates/sedgepathd/tests/platform/store.rs
@@ -26,6 +26,8 @@
     Silent,
     /// With 503: nothing was done.
     Refusing,
+    /// As it should, this many milliseconds late.
+    Slow(u64),
 }
 
 #[derive(Debug)]
@@ -137,6 +139,7 @@
         match mode {
             Mode::Silent => return std::future::pending().await,
             Mode::Refusing => return response(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+            Mode::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
             Mode::Up => {}
         }
         let query = request.uri().query().unwrap_or("").to_owned();
