Split waiting and answers off; share an upstream's connections among VMs; read what is used

The silence after which a VM is not named follows the operators' bound. Settings and configuration are decoded as far as they are used.

--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -13,6 +13,7 @@
 //! - [`routing`]: which services a request may go to, by the configuration in force.
 //! - [`upstreams`]: the upstreams as they registered themselves, and what was seen of each.
 //! - [`placing`]: which upstream of a service runs a request.
+//! - [`waiting`]: how long a request may wait there.
 //! - [`attempts`]: what happens after a refusal or a failure.
 //! - [`budget`]: how many requests may be sent more than once.
 //! - [`copies`]: copies of the store's tables, which VMs pass on to each other.
@@ -33,5 +34,6 @@
 pub mod steering;
 pub mod upstreams;
 pub mod vms;
+pub mod waiting;
 
 pub use steering::{Limits, Place, Steering};
--- a/crates/sedgepath-core/src/direct/placing.rs
+++ b/crates/sedgepath-core/src/direct/placing.rs
@@ -118,6 +118,8 @@
     pub evacuated: &'a Set<Box<str>>,
     /// The regions that may run the request; empty for all.
     pub home_regions: &'a [Box<str>],
+    /// The most requests, each on a connection of its own, that this VM may have at one upstream.
+    pub max_in_flight: u32,
     /// The upstreams to which the request has been sent.
     pub tried: &'a [UpstreamKey],
     /// The present moment in milliseconds.
@@ -145,6 +147,7 @@
         !upstream.entry.leaving
             && !self.evacuated.contains(&upstream.entry.domain)
             && (self.home_regions.is_empty() || self.home_regions.contains(&upstream.region))
+            && upstream.in_flight < self.max_in_flight
             && !self.tried.contains(&key)
     }
 
--- a/crates/sedgepath-core/src/direct/routing.rs
+++ b/crates/sedgepath-core/src/direct/routing.rs
@@ -59,8 +59,6 @@
 /// A service as configured.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceSettings {
-    /// The path of its health check.
-    pub health_path: Box<str>,
     /// The most connections that one upstream takes from all VMs together.
     pub max_connections: u32,
     /// How long an upstream stays cold after its start, in milliseconds.
@@ -76,8 +74,6 @@
     pub max_header_bytes: usize,
     /// The largest body of a request in bytes.
     pub max_body_bytes: u64,
-    /// The longest that the head of a request may take, in milliseconds.
-    pub header_timeout_ms: u64,
     /// The longest that a connection may stay idle, in milliseconds.
     pub idle_timeout_ms: u64,
 }
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -12,6 +12,7 @@
 use super::routing::{Configuration, ServiceSettings, Splits};
 use super::upstreams::{Upstream, UpstreamKey, Upstreams};
 use super::vms::Vms;
+use super::waiting::{self, Pressure};
 
 /// Where a VM stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,24 +49,6 @@
 /// The longest time to come back after when all upstreams are busy, in milliseconds.
 const MAX_BUSY_RETRY_MS: u64 = 1_500;
 
-/// The part of a request's time that its expected answer may take up; the rest is for the estimate's
-/// error.
-const USABLE_TIME: f64 = 0.9;
-
-/// How many times its route's target a request may be expected to take and yet be sent, while queues
-/// come and go. A burst is served late rather than refused.
-const CALM_TARGET_FACTOR: f64 = 2.0;
-
-/// The same while the queues stand.
-const PRESSED_TARGET_FACTOR: f64 = 0.95;
-
-/// The weight of one request in the share of requests that find a queue: the last fifty or so count.
-const PRESSURE_WEIGHT: f64 = 0.02;
-
-/// The wait for a slot that any request may have, in milliseconds, also one whose work takes longer
-/// than its target by itself.
-const MIN_WAIT_MS: f64 = 100.0;
-
 /// How many times the work for an object that is not warm an answer takes until it is overdue, beside
 /// its wait for a slot. Upstreams that have just been filled with objects new to them answer nobody
 /// for about once that time; at twice the expected time of a warm object, the first seconds of a day
@@ -111,8 +94,7 @@
     budget: RetryBudget,
     times: Map<Box<str>, ServiceTimes>,
     answer_bytes: Map<Box<str>, f64>,
-    /// The share of each service's last requests that found a queue.
-    pressure: Map<Box<str>, f64>,
+    pressure: Pressure,
     far_ms: f64,
     vms: Vms,
     store: StoreContact,
@@ -140,7 +122,7 @@
             budget: RetryBudget::new(limits.budget, now_ms),
             times: Map::default(),
             answer_bytes: Map::default(),
-            pressure: Map::default(),
+            pressure: Pressure::default(),
             far_ms: FAR_ROUND_TRIP_MS,
             vms,
             store: StoreContact { last_at_ms: 0, away_since_ms: None, away: true },
@@ -291,9 +273,8 @@
         let Some(candidate) = self.choose(attempts, random, now_ms) else {
             return stop(Reason::NoUpstream, NO_UPSTREAM_RETRY_MS, attempts);
         };
-        let pressure = self.pressure.entry(attempts.service.clone()).or_default();
-        *pressure += PRESSURE_WEIGHT * (f64::from(candidate.wait_ms > 0.0) - *pressure);
-        if candidate.wait_ms > most_wait_ms(attempts, &candidate, *pressure, now_ms) {
+        let pressure = self.pressure.note(&attempts.service, candidate.wait_ms > 0.0);
+        if candidate.wait_ms > waiting::most_wait_ms(attempts, &candidate, pressure, now_ms) {
             // By then what waits now has been served.
             let retry_ms = candidate.wait_ms as u64;
             let retry_ms = retry_ms.clamp(MIN_BUSY_RETRY_MS, MAX_BUSY_RETRY_MS);
@@ -353,6 +334,7 @@
             times: self.times.get(&attempts.service).copied().unwrap_or_default(),
             evacuated: &self.evacuated,
             home_regions: &attempts.route.home_regions,
+            max_in_flight: self.max_in_flight(&attempts.service, now_ms),
             tried: &attempts.tried,
             now_ms,
         };
@@ -513,6 +495,14 @@
         *mean += SAMPLE_WEIGHT * (body_bytes as f64 - *mean);
     }
 
+    /// Returns this VM's part of the connections that an upstream takes from all VMs.
+    ///
+    /// An upstream resets connections beyond its limit, and what was sent on them may have run.
+    fn max_in_flight(&self, service: &str, now_ms: u64) -> u32 {
+        let all = self.service(service).map_or(u32::MAX, |settings| settings.max_connections);
+        (all / self.vms.sharing(now_ms) as u32).max(1)
+    }
+
     /// Takes in the time that a connection to an upstream took.
     pub fn connected(&mut self, key: UpstreamKey, took_ms: u64) {
         let far = self.upstreams.get(key).is_some_and(|up| up.region != self.place.region);
@@ -525,18 +515,3 @@
         self.configuration.as_ref()?.services.get(name)
     }
 }
-
-/// Returns how long a request may wait for a slot.
-///
-/// With more requests than slots a queue that stands only makes all answers late, the first as well as
-/// the last: as many are served with a short one, in time, and the others are told so at once. A queue
-/// that comes and goes is a burst, which is better served late. `pressure` tells the two apart: it is
-/// the share of the service's last requests that found a queue at their best upstream.
-fn most_wait_ms(attempts: &Attempts, candidate: &Candidate, pressure: f64, now_ms: u64) -> f64 {
-    let factor = CALM_TARGET_FACTOR + pressure * (PRESSED_TARGET_FACTOR - CALM_TARGET_FACTOR);
-    let work_ms = candidate.expected_ms - candidate.wait_ms;
-    let by_target_ms = attempts.route.target_ms as f64 * factor - work_ms;
-    let left_ms = attempts.deadline_at_ms.saturating_sub(now_ms) as f64;
-    let by_deadline_ms = (left_ms * USABLE_TIME - work_ms).max(0.0);
-    by_target_ms.max(MIN_WAIT_MS).min(by_deadline_ms)
-}
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -55,6 +55,10 @@
 /// The failures in a row that leave out an upstream that can be reached.
 const FAILURES_TO_EJECT: u32 = 4;
 
+/// The window in which requests to a cold upstream are counted, in milliseconds: the bound is for any
+/// second, and requests of one moment may arrive apart by the transit of the slower one.
+const COLD_WINDOW_MS: u64 = 1_200;
+
 /// An upstream's key: its number in the order in which this VM has heard of upstreams; never used again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct UpstreamKey(pub u32);
@@ -277,7 +281,14 @@
         (recent.count() as f64) < per_s.floor()
     }
 
-    /// Notes that it has restarted at the latest now, cold.
+    /// Takes in for how long it says that it stays cold.
+    fn take_cold(&mut self, cold_for_ms: u64, now_ms: u64) {
+        if cold_for_ms > 0 {
+            self.cold_until_ms = now_ms + cold_for_ms;
+        }
+    }
+
+    /// Takes in that it has answered, whatever it said.
     fn reached(&mut self, report: Option<LoadReport>, now_ms: u64) {
         self.quiet_since_ms = now_ms;
         self.ejected_until_ms = 0;
@@ -307,10 +318,6 @@
     }
 }
 
-/// The window in which requests to a cold upstream are counted, in milliseconds: the bound is for any
-/// second, and requests of one moment may arrive apart by the transit of the slower one.
-const COLD_WINDOW_MS: u64 = 1_200;
-
 /// All upstreams.
 #[derive(Debug, Default)]
 pub struct Upstreams {
@@ -477,12 +484,3 @@
         }
     }
 }
-
-impl Upstream {
-    /// Takes in for how long it says that it stays cold.
-    fn take_cold(&mut self, cold_for_ms: u64, now_ms: u64) {
-        if cold_for_ms > 0 {
-            self.cold_until_ms = now_ms + cold_for_ms;
-        }
-    }
-}
--- a/crates/sedgepath-test-support/src/direct.rs
+++ b/crates/sedgepath-test-support/src/direct.rs
@@ -103,7 +103,6 @@
 /// Returns a configuration with these routes on [`HOST`].
 pub fn configuration(version: u64, routes: Vec<Route>) -> Arc<Configuration> {
     let settings = ServiceSettings {
-        health_path: "/health".into(),
         max_connections: 100,
         cold_start_ms: COLD_START_MS,
         cold_per_s: COLD_PER_S,
@@ -115,12 +114,8 @@
         .collect();
     let mut hosts: Map<Box<str>, Vec<Arc<Route>>> = Map::default();
     hosts.insert(HOST.into(), routes.into_iter().map(Arc::new).collect());
-    let limits = CallerLimits {
-        max_header_bytes: 16_384,
-        max_body_bytes: 1 << 20,
-        header_timeout_ms: 3_000,
-        idle_timeout_ms: 15_000,
-    };
+    let limits =
+        CallerLimits { max_header_bytes: 16_384, max_body_bytes: 1 << 20, idle_timeout_ms: 15_000 };
     Arc::new(Configuration { version, services, hosts, limits })
 }
 
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`run`]: start, signals, planned stop.
 //! - [`ingress`]: callers' connections and their requests.
+//! - [`answers`]: the VM's own answers.
 //! - [`sending`]: one sending of a request to an upstream.
 //! - [`pool`]: connections to upstreams, kept between requests.
 //! - [`questions`]: serves what is answered at once.
@@ -13,6 +14,7 @@
 //! - [`peers`]: heartbeats between entry VMs, and rows that they give each other.
 //! - [`lines`], [`metrics`]: what on-call engineers see.
 
+pub mod answers;
 pub mod clock;
 pub mod entry;
 pub mod follow;
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -14,18 +14,19 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use sedgepath_adapter::exchange::{self, RequestFields};
-use sedgepath_core::direct::attempts::{Attempts, Outcome, Reason, Sending, Step};
+use sedgepath_adapter::exchange::RequestFields;
+use sedgepath_core::direct::attempts::{Outcome, Reason, Step};
 use sedgepath_core::direct::steering::{Asked, Refusal};
 use sedgepath_wire::dial;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout_at;
 
+use super::answers::{gave_up, note, plain, refuse, served};
+use super::clock;
 use super::pool::Body;
-use super::questions::{ACCEPT_PAUSE, empty};
+use super::questions::ACCEPT_PAUSE;
 use super::sending::{self, Flight, Head, RequestBody};
 use super::shell::{Shell, StopPhase};
-use super::{clock, lines};
 
 /// The descriptors kept free for files and for connections to upstreams and to the store.
 const RESERVED_DESCRIPTORS: usize = 1_200;
@@ -290,100 +291,3 @@
         Ok(Some((frame, (None, rest, seen_bytes))))
     })
 }
-
-fn plain(status: StatusCode, attempt: &str) -> Response<Body> {
-    let mut response = empty(status);
-    exchange::set_attempt(response.headers_mut(), attempt);
-    response
-}
-
-/// Notes a request that was served.
-fn served(shell: &Shell, attempt: &str, attempts: &Attempts, to: &Sending) {
-    let took_ms = clock::now_ms().saturating_sub(attempts.arrived_at_ms);
-    shell.metrics.answered("answered", took_ms);
-    log::info!(
-        target: lines::CALM,
-        "event=served request={attempt} route={} service={} upstream={} sendings={} \
-         took_ms={took_ms} configuration={} {}",
-        attempts.route.name,
-        attempts.service,
-        to.name,
-        attempts.arrivals,
-        attempts.version,
-        to.grounds,
-    );
-}
-
-/// Tells the caller that the request was not run and never will be.
-fn refuse(
-    shell: &Shell,
-    attempt: &str,
-    attempts: Option<&Attempts>,
-    refusal: Refusal,
-) -> Response<Body> {
-    let status = match refusal.reason {
-        Reason::NoRoute => StatusCode::NOT_FOUND,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    let mut response = plain(status, attempt);
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        exchange::set_retry_after(response.headers_mut(), refusal.retry_after_ms);
-    }
-    let service = attempts.map_or("none", |attempts| &*attempts.service);
-    let sendings = attempts.map_or(0, |attempts| attempts.arrivals);
-    let arrived_at_ms = attempts.map_or_else(clock::now_ms, |attempts| attempts.arrived_at_ms);
-    let took_ms = clock::now_ms().saturating_sub(arrived_at_ms);
-    let version =
-        shell.steering.borrow().configuration().map_or(0, |configuration| configuration.version);
-    shell.metrics.answered("not_run", took_ms);
-    log::info!(
-        "event=refused request={attempt} status={} reason={} service={service} \
-         sendings={sendings} took_ms={took_ms} retry_after_ms={} configuration={version}",
-        status.as_u16(),
-        refusal.reason.name(),
-        refusal.retry_after_ms,
-    );
-    response
-}
-
-/// Passes on the last answer, or tells the caller that the request may have run.
-fn gave_up(
-    shell: &Shell,
-    attempt: &str,
-    attempts: &Attempts,
-    reason: &str,
-    last: Option<Response<Body>>,
-) -> Response<Body> {
-    let response = last.unwrap_or_else(|| {
-        let late = reason == "timed_out";
-        plain(if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY }, attempt)
-    });
-    let took_ms = clock::now_ms().saturating_sub(attempts.arrived_at_ms);
-    shell.metrics.answered("gave_up", took_ms);
-    let last_upstream = attempts.tried.last().and_then(|key| {
-        let steering = shell.steering.borrow();
-        steering.upstreams().get(*key).map(|upstream| upstream.entry.name.clone())
-    });
-    log::info!(
-        "event=gave_up request={attempt} reason={reason} status={} route={} service={} \
-         upstream={} sendings={} runs={} took_ms={took_ms} configuration={}",
-        response.status().as_u16(),
-        attempts.route.name,
-        attempts.service,
-        last_upstream.as_deref().unwrap_or("gone"),
-        attempts.arrivals,
-        attempts.runs,
-        attempts.version,
-    );
-    response
-}
-
-fn note(attempt: &str, attempts: &Attempts, to: &Sending, outcome: Outcome) {
-    log::info!(
-        "event=sending_failed request={attempt} upstream={} service={} outcome={} {}",
-        to.name,
-        attempts.service,
-        outcome.name(),
-        to.grounds,
-    );
-}
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -27,9 +27,9 @@
 /// that both ways together take a hundredth of a fifth of a core.
 const HEARTBEATS_PER_S: u64 = 130;
 
-/// The longest silence after which a VM is no longer named, in milliseconds. The operators allow 3 s
-/// after the 3 s in which a VM counts as disturbed.
-const MAX_SILENCE_MS: u64 = 5_500;
+/// How much longer than a disturbance is excused a silent VM may be named, in milliseconds. The
+/// operators allow 3 s.
+const NAMED_SILENT_MS: u64 = 2_500;
 
 /// The silence after which a VM no longer shares the common limits, in milliseconds: longer than the
 /// window of the retry budget, in which what it has spent still counts.
@@ -195,7 +195,7 @@
     let timing = VmTiming {
         heartbeat_ms: HEARTBEAT_MS,
         heartbeats_per_s: HEARTBEATS_PER_S,
-        max_silence_ms: MAX_SILENCE_MS,
+        max_silence_ms: settings.bounds.settled_after_ms + NAMED_SILENT_MS,
         forgotten_after_ms: FORGOTTEN_AFTER_MS,
     };
     let mut vms = Vms::new(own, timing);
