--- a/crates/sedgepathd/src/direct/shell.rs
+++ b/crates/sedgepathd/src/direct/shell.rs
@@ -87,7 +87,7 @@
 
 /// How long a request waits for a VM that has just started to know what it needs, in milliseconds: a
 /// few answers of the store. After that its caller does better elsewhere.
-const START_WAIT_MS: u64 = 400;
+pub const START_WAIT_MS: u64 = 400;
 
 /// How often a waiting request looks, in milliseconds.
 const START_CHECK_MS: u64 = 10;
