Ask another VM beside one that does not answer

Not proved, but found by reading: a VM asked one other at a time, 0.8 s each, while 25 VMs were being stopped. Ruled out: slow readers (the first VM had it after 0.05 s). Change: after 0.35 s the next heartbeat of a VM with newer rows makes it ask there too.

--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -27,6 +27,10 @@
 /// How long a VM that follows the store itself waits for a row that another one has, in milliseconds.
 const FETCH_DELAY_MS: u64 = 150;
 
+/// The time after which another VM is asked beside one that has not answered, in milliseconds: a
+/// connection and an answer between the farthest regions, twice.
+const ASK_ANOTHER_MS: u64 = 350;
+
 /// The longest that fetching rows from another VM may take.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -86,7 +90,7 @@
 fn catch_up(shell: &Rc<Shell>, heartbeat: &VmHeartbeat) {
     let own = shell.copies.borrow().changed_at();
     for ((table, theirs), own) in Table::ALL.into_iter().zip(heartbeat.changed_at).zip(own) {
-        if theirs > own && shell.fetching.borrow_mut().insert(table) {
+        if theirs > own && may_fetch(shell, table) {
             let shell = Rc::clone(shell);
             let address = heartbeat.card.peers;
             tokio::task::spawn_local(async move {
@@ -97,6 +101,20 @@
     }
 }
 
+/// Whether rows of a table may be asked for now, which is then noted.
+///
+/// The VM that was asked may be stopping or behind a cut, and the next may be too: one after the other
+/// with a time-out each would take up the time that a leaving upstream may get requests.
+fn may_fetch(shell: &Shell, table: Table) -> bool {
+    let now_ms = clock::now_ms();
+    let mut fetching = shell.fetching.borrow_mut();
+    let may = fetching.get(&table).is_none_or(|asked_at_ms| now_ms >= asked_at_ms + ASK_ANOTHER_MS);
+    if may {
+        fetching.insert(table, now_ms);
+    }
+    may
+}
+
 async fn fetch(shell: &Shell, table: Table, theirs: u64, address: SocketAddr) {
     if shell.store_contact_since_ms.get().is_some() {
         tokio::time::sleep(Duration::from_millis(FETCH_DELAY_MS)).await;
--- a/crates/sedgepathd/src/direct/shell.rs
+++ b/crates/sedgepathd/src/direct/shell.rs
@@ -8,7 +8,7 @@
 use sedgepath_adapter::store::Store;
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::copies::{Copies, Table};
-use sedgepath_core::hash::Set;
+use sedgepath_core::hash::Map;
 use tokio::net::UdpSocket;
 
 use super::clock;
@@ -31,8 +31,8 @@
     pub store_contact_since_ms: Cell<Option<u64>>,
     /// The datagrams between VMs.
     pub peers: UdpSocket,
-    /// The tables of which rows are being fetched from another VM.
-    pub fetching: RefCell<Set<Table>>,
+    /// When rows of each table were last asked of another VM, in milliseconds, until they came.
+    pub fetching: RefCell<Map<Table, u64>>,
     /// The order of log lines over all VMs.
     pub line_clock: LineClock,
     /// What is counted.
