--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -11,7 +11,7 @@
 //!
 //! An upstream that has just started bears few requests and crashes above that rate. It is known from
 //! its entry; and an upstream to which connections failed may have restarted without this VM having
-//! read so, thus it counts as cold once it answers again, until its entry says otherwise.
+//! read so, thus it counts as cold for the service's cold start once it answers again.
 
 use std::net::SocketAddr;
 
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -1,8 +1,9 @@
 //! The entry VMs that this one has heard of, and the answers to look-ups.
 //!
 //! Every VM sends every other a small heartbeat, the more rarely the more there are, and says how
-//! often. One that falls silent is no longer named after some of its periods; one that says that it leaves, at once. What VMs pass on of others is
-//! only how to reach them, never that they live: hearsay can't keep a dead VM named.
+//! often. One that falls silent is no longer named after some of its periods; one that says that it
+//! leaves, at once. What VMs pass on of others is only how to reach them, never that they live: hearsay
+//! can't keep a dead VM named.
 
 use std::net::SocketAddr;
 
@@ -196,7 +197,7 @@
             .peers
             .get(&heartbeat.card.name)
             .is_none_or(|peer| peer.heartbeat.boot <= heartbeat.boot);
-        // A farewell that overtakes nothing: once a process leaves it doesn't come back.
+        // A heartbeat that was overtaken by the farewell: once a process leaves it doesn't come back.
         let left = self.peers.get(&heartbeat.card.name).is_some_and(|peer| {
             peer.heartbeat.boot == heartbeat.boot && peer.heartbeat.leaving && !heartbeat.leaving
         });
