Use one client of the store for both ways

Cause: the owned way spoke calls of its own making (one for tables, one for objects, one for a list of VMs), with a client and a stand-in of its own, which the users' store does not offer; it could not run there at all.

Ruled out: several reads in place of one of several rows (a change may come between a hand-over and its ticket); letting a listed VM lapse after a silence (a VM that is cut off and serves would have its upstreams owned twice).

Change: the adapter carries out the core's requests to a table by the store's calls (rows-get by range and page, rows-tx with conditions). The daemon of the owned way lists itself by a row. The stand-in of the store moves to the support crate, with conditions, pages, limits, lost and late writes. `sedgepath-platform`, its stand-in, the object store that nothing used and the VM list go. Limits that the old stand-in did not have: 100 entries and 1 MB in a write; a change holds at most 96 records and 350 KB and says so, a batch of claims 50 rows, and the tables in memory hold to it as well.

Tests: those of the old client are kept against the new one (lost, late, cut, chunked and refused answers), but for objects and the VM list; new: pages, several rows of one moment, too many rows, a change that fits no transaction.

--- a/crates/sedgepath-core/src/configuration/change.rs
+++ b/crates/sedgepath-core/src/configuration/change.rs
@@ -27,8 +27,13 @@
 
 use progress::Change;
 
-/// The most text of all records of a change, in bytes: it goes to the table in one transaction.
-const MAX_CHANGE_BYTES: usize = 4 * 1024 * 1024;
+/// The most text of all records of a change, in bytes. It goes to the store in one transaction of at
+/// most 1 MB, in which each record stands twice (its own row and the log's), as base64.
+const MAX_CHANGE_BYTES: usize = 350 * 1024;
+
+/// The most records of a change: the store takes a hundred entries in a transaction, of which the
+/// head's condition and value and the newest and the oldest row of the log are four.
+const MAX_CHANGE_RECORDS: usize = 96;
 
 /// The most changes that a node works on at once.
 const MAX_CHANGES: usize = 32;
@@ -110,6 +115,14 @@
     /// The change has no records.
     #[error("the change has no records")]
     Empty,
+    /// The change has too many records.
+    #[error("the change has {records} records; split it into changes of at most {most}")]
+    Many {
+        /// Their number.
+        records: usize,
+        /// The most.
+        most: usize,
+    },
     /// The records of the change are too long together.
     #[error(
         "the records of the change have {bytes} bytes; split it into changes of at most {most}"
@@ -152,6 +165,9 @@
             Some(ChangeRefusal::Empty)
         } else if bytes > MAX_CHANGE_BYTES {
             Some(ChangeRefusal::Large { bytes, most: MAX_CHANGE_BYTES })
+        } else if request.records.len() > MAX_CHANGE_RECORDS {
+            let records = request.records.len();
+            Some(ChangeRefusal::Many { records, most: MAX_CHANGE_RECORDS })
         } else if self.changes.len() >= MAX_CHANGES {
             Some(ChangeRefusal::Busy)
         } else {
--- a/crates/sedgepath-core/src/once/batch.rs
+++ b/crates/sedgepath-core/src/once/batch.rs
@@ -21,8 +21,9 @@
 /// The most requests of one kind that wait for the table at once.
 const MAX_IN_FLIGHT: usize = 2;
 
-/// The most rows in one transaction or reading.
-const MAX_ROWS: usize = 64;
+/// The most rows in one transaction or reading. The store takes a hundred entries at once, and a row
+/// with a condition and a change counts as two.
+const MAX_ROWS: usize = 50;
 
 /// The most bytes of rows in one transaction; a single larger row still goes alone.
 const MAX_BYTES: usize = 256 * 1024;
--- a/crates/sedgepath-core/src/table.rs
+++ b/crates/sedgepath-core/src/table.rs
@@ -6,6 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// The name of the table, where a store has several.
+pub const RECORD_TABLE: &str = "sedgepath";
+
 /// The version of a row; rises by at least one with each write of the row. An absent row has none.
 pub type RowVersion = u64;
 
@@ -99,3 +102,14 @@
     /// The request was sent and no answer came; a transaction may or may not have taken effect.
     Unknown,
 }
+
+/// Carries out requests to a table.
+///
+/// Callers hold it as a trait object, so that tests can put a table in memory in the store's place.
+pub trait TableService: std::fmt::Debug + Send + Sync {
+    /// Executes one request and returns what became of it.
+    ///
+    /// A failed read is [`TableResult::Unavailable`]; a commit whose answer was lost is
+    /// [`TableResult::Unknown`].
+    fn execute(&self, request: &TableRequest) -> TableResult;
+}
--- a/crates/sedgepath-core/tests/configuration_change.rs
+++ b/crates/sedgepath-core/tests/configuration_change.rs
@@ -189,6 +189,30 @@
     assert_eq!(in_force(&mut bed), [1; 6]);
 }
 
+/// An operator sends more records, or more text, than the store takes in one transaction. The command
+/// hears at once how far to split them; a change of as many records as fit is accepted.
+#[test]
+fn a_change_that_fits_no_transaction_is_refused_at_once() {
+    let mut bed = bed(6);
+    let of_records = |count: usize| {
+        let service = |number| records::service(&format!("s{number}"), 5_000, &[]);
+        let mut request = request("many", None, steering(2.0));
+        request.records = (0..count).map(service).collect();
+        request
+    };
+    let reply = bed.change(0, of_records(97));
+    let refusal = ChangeRefusal::Many { records: 97, most: 96 };
+    assert_eq!(outcome(&bed, reply), ChangeOutcome::NotAccepted { refusal });
+    let mut long = request("long", None, steering(2.0));
+    long.records[0].body = " ".repeat(350 * 1024 + 1).into();
+    let reply = bed.change(0, long);
+    let refusal = ChangeRefusal::Large { bytes: 350 * 1024 + 1, most: 350 * 1024 };
+    assert_eq!(outcome(&bed, reply), ChangeOutcome::NotAccepted { refusal });
+    let reply = bed.change(0, of_records(96));
+    bed.run_for(3_000);
+    assert_eq!(outcome(&bed, reply), ChangeOutcome::Accepted { revision: 2 });
+}
+
 /// An operator names a failure domain that is in no record. The node refuses the change before it
 /// reaches the table and names the place of the mistake.
 #[test]
--- a/crates/sedgepath-test-support/src/bed/delivery.rs
+++ b/crates/sedgepath-test-support/src/bed/delivery.rs
@@ -3,7 +3,7 @@
 use sedgepath_core::event::{Event, ListedVm};
 use sedgepath_core::key::{ExchangeKey, VmKey};
 use sedgepath_core::request::HopEnd;
-use sedgepath_platform::TableService;
+use sedgepath_core::table::TableService;
 
 use super::faults::Place;
 use super::{Bed, BedEvent, BedReply, Item, LIST_EVERY_MS, NodeIndex, TICK_EVERY_MS};
--- a/crates/sedgepath-test-support/src/bed/platform.rs
+++ b/crates/sedgepath-test-support/src/bed/platform.rs
@@ -6,8 +6,8 @@
 use sedgepath_core::event::Event;
 use sedgepath_core::key::{OperationKey, VmKey};
 use sedgepath_core::once::row::HandedOver;
+use sedgepath_core::table::TableService;
 use sedgepath_core::table::{TableRequest, TableResult};
-use sedgepath_platform::TableService;
 
 use super::faults::Place;
 use super::{Bed, BedEvent, Item, NodeIndex};
--- a/crates/sedgepath-test-support/src/system.rs
+++ b/crates/sedgepath-test-support/src/system.rs
@@ -6,13 +6,14 @@
 
 use sedgepath_core::configuration::rows::{LoggedChange, log_key};
 use sedgepath_core::record::RawRecord;
-use sedgepath_core::table::{Change, Condition, RowWrite, TableRequest, TableResult, Transaction};
-use sedgepath_platform::{TableService, VmEntry, VmState};
+use sedgepath_core::table::{
+    Change, Condition, RECORD_TABLE, RowWrite, TableRequest, TableResult, TableService, Transaction,
+};
 use thiserror::Error;
 
 use crate::daemon::{DaemonError, DaemonProcess};
-use crate::platform::{PlatformStandIn, StartError};
 use crate::port::free_ports;
+use crate::store::{StoreClient, StoreStandIn};
 
 /// The secret that the daemons share.
 pub const SECRET: &str = "a secret for tests only";
@@ -20,11 +21,8 @@
 /// Why a system could not be started.
 #[derive(Debug, Error)]
 pub enum SystemError {
-    /// A stand-in could not be started.
-    #[error(transparent)]
-    StandIn(#[from] StartError),
-    /// No ports are free.
-    #[error("no ports are free")]
+    /// No ports are free, or the store can't be started.
+    #[error("no ports are free, or the store can't be started")]
     Ports(#[from] io::Error),
     /// A daemon could not be started.
     #[error(transparent)]
@@ -51,12 +49,12 @@
     pub metrics: SocketAddr,
 }
 
-/// A platform and the daemons on it. All of them end when it is dropped.
+/// A store and the daemons on it. All of them end when it is dropped.
 #[derive(Debug)]
 pub struct System {
     binary: PathBuf,
-    /// The platform.
-    pub platform: PlatformStandIn,
+    /// The store.
+    pub store: StoreStandIn,
     /// Where the daemons listen, in the order in which they were added.
     pub addresses: Vec<Addresses>,
     /// The daemons; none where one has been taken away.
@@ -65,15 +63,15 @@
 }
 
 impl System {
-    /// Starts the platform; `binary` is a built `sedgepathd`.
+    /// Starts the store; `binary` is a built `sedgepathd`.
     ///
     /// # Errors
     ///
-    /// Fails if the platform can't be started.
+    /// Fails if the store can't be started.
     pub fn new(binary: &Path) -> Result<Self, SystemError> {
         Ok(Self {
             binary: binary.into(),
-            platform: PlatformStandIn::new()?,
+            store: StoreStandIn::new()?,
             addresses: Vec::new(),
             daemons: Vec::new(),
             extra_settings: String::new(),
@@ -126,10 +124,10 @@
     ///
     /// Fails if the table does not take them.
     pub fn write_records(&self, records: &[RawRecord]) -> Result<u64, SystemError> {
-        write_records(self.platform.state().table(), records)
+        write_records(&StoreClient::new(self.store.address, RECORD_TABLE)?, records)
     }
 
-    /// Lists a VM and starts a daemon on it; returns its number.
+    /// Adds a VM and starts a daemon on it; returns its number.
     ///
     /// # Errors
     ///
@@ -146,12 +144,6 @@
             metrics: address(3),
         });
         self.daemons.push(None);
-        self.platform.state().put_vm(VmEntry {
-            name: name.into(),
-            domain: domain.into(),
-            peers: address(1),
-            state: VmState::Live,
-        });
         let index = self.daemons.len() - 1;
         self.start_daemon(index)?;
         Ok(index)
@@ -173,7 +165,7 @@
     /// Returns the settings of a daemon as YAML.
     pub fn settings(&self, addresses: &Addresses) -> String {
         let Addresses { name, domain, callers, peers, operators, metrics } = addresses;
-        let platform = self.platform.base_url();
+        let platform = self.store.base_url();
         let extra = &self.extra_settings;
         format!(
             "name: {name}\ndomain: {domain}\ncallers: {callers}\npeers: {peers}\n\
@@ -183,12 +175,24 @@
     }
 }
 
-/// Writes records and the next head revision to a table, as an operator's change does.
+/// The most records of a change that a table takes in one transaction.
+const CHANGE_RECORDS: usize = 96;
+
+/// Writes records and the next head revision to a table, as an operator's changes do; many records
+/// take several. Returns the last revision.
 ///
 /// # Errors
 ///
 /// Fails if the table does not take them.
 pub fn write_records(table: &dyn TableService, records: &[RawRecord]) -> Result<u64, SystemError> {
+    let mut revision = 0;
+    for part in records.chunks(CHANGE_RECORDS) {
+        revision = write_change(table, part)?;
+    }
+    Ok(revision)
+}
+
+fn write_change(table: &dyn TableService, records: &[RawRecord]) -> Result<u64, SystemError> {
     let head = match table.execute(&TableRequest::Read(vec!["head".into()])) {
         TableResult::Rows(rows) => rows.first().map_or(0, |row| row.value.parse().unwrap_or(0)),
         other => return Err(SystemError::Records(other)),
--- a/crates/sedgepath-test-support/src/table.rs
+++ b/crates/sedgepath-test-support/src/table.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 
+use sedgepath_core::table::TableService;
 use sedgepath_core::table::{
     Change, Condition, Row, RowVersion, RowWrite, TableRequest, TableResult, Transaction,
 };
-use sedgepath_platform::TableService;
 
+use crate::store::MAX_ENTRIES;
 use crate::sync::lock;
 
 /// A transactional table in memory.
@@ -51,6 +52,13 @@
 
 impl Rows {
     fn commit(&mut self, transaction: &Transaction) -> TableResult {
+        let entries = |write: &RowWrite| {
+            usize::from(write.condition != Condition::Any)
+                + usize::from(write.change != Change::Check)
+        };
+        if transaction.writes.iter().map(entries).sum::<usize>() > MAX_ENTRIES {
+            return TableResult::Unavailable;
+        }
         if let Some(failed) = transaction.writes.iter().find(|write| !self.holds(write)) {
             return TableResult::Conflict {
                 key: failed.key.clone(),
--- a/crates/sedgepath-test-support/src/upstream.rs
+++ b/crates/sedgepath-test-support/src/upstream.rs
@@ -9,10 +9,10 @@
 //! [`REQUEST_ID`] header unless it has started, and every other path with a line naming the request.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use crate::platform::StartError;
 use crate::server::TcpServer;
 
 mod connection;
@@ -58,8 +58,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`StartError`] if it cannot listen.
-    pub fn new(figures: UpstreamFigures) -> Result<Self, StartError> {
+    /// Fails if it cannot listen.
+    pub fn new(figures: UpstreamFigures) -> io::Result<Self> {
         Self::new_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), figures)
     }
 
@@ -67,8 +67,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`StartError`] if it cannot listen.
-    pub fn new_at(addr: SocketAddr, figures: UpstreamFigures) -> Result<Self, StartError> {
+    /// Fails if it cannot listen.
+    pub fn new_at(addr: SocketAddr, figures: UpstreamFigures) -> io::Result<Self> {
         let shared = Arc::new(Shared::new(figures));
         let server = TcpServer::new(addr, Arc::clone(&shared))?;
         Ok(Self { shared, server })
--- a/crates/sedgepath-test-support/tests/table.rs
+++ b/crates/sedgepath-test-support/tests/table.rs
@@ -1,13 +1,17 @@
 //! The version rules of the table and what a caller sees of each fault.
 
 use sedgepath_core::table::{
-    Change, Condition, Row, RowWrite, TableRequest, TableResult, Transaction,
+    Change, Condition, Row, RowWrite, TableRequest, TableResult, TableService, Transaction,
 };
-use sedgepath_platform::{HttpPlatform, TableService};
-use sedgepath_test_support::memory::Outage;
-use sedgepath_test_support::platform::PlatformStandIn;
+use sedgepath_test_support::store::{Mode, StoreClient, StoreCounts, StoreStandIn};
 use sedgepath_test_support::table::MemoryTable;
 
+const TABLE: &str = "table";
+
+fn client(store: &StoreStandIn) -> StoreClient {
+    StoreClient::new(store.address, TABLE).expect("a client")
+}
+
 fn put(key: &str, condition: Condition, value: &str) -> RowWrite {
     RowWrite { key: key.into(), condition, change: Change::Put(value.into()) }
 }
@@ -89,36 +93,76 @@
 
 #[test]
 fn a_long_scan_comes_whole_over_http() {
-    // A node that boots reads 2,000 rows in one scan, an answer of more than 100 KB.
-    // It sees each of them: an answer of this size comes in chunks and declares no length.
-    let platform = PlatformStandIn::new().expect("the stand-in starts");
-    let client = HttpPlatform::new(platform.base_url());
-    let all: Vec<_> = (0..2_000)
-        .map(|number| put(&format!("log/{number:04}"), Condition::Absent, "a change of a record"))
-        .collect();
-    assert_eq!(client.execute(&commit(all)), TableResult::Committed);
-    match client.execute(&scan("log/", "", 5_000)) {
-        TableResult::Rows(rows) => assert_eq!(rows, platform.state().table().rows()),
-        other => panic!("{other:?}"),
+    // A node that boots reads 2,000 rows in one scan; the store gives 500 at once and takes 100
+    // entries in a write. The caller sees each row, in order, and those after a key alone.
+    let store = StoreStandIn::new().expect("the stand-in starts");
+    let client = client(&store);
+    for part in 0..40 {
+        let rows = (0..50).map(|number| {
+            let key = format!("log/{:04}", 50 * part + number);
+            put(&key, Condition::Absent, "a change of a record")
+        });
+        assert_eq!(client.execute(&commit(rows.collect::<Vec<_>>())), TableResult::Committed);
     }
-    assert_eq!(platform.state().table().rows().len(), 2_000);
+    store.put(TABLE, "loh", b"behind the prefix");
+    let keys = |request| match client.execute(&request) {
+        TableResult::Rows(rows) => rows.into_iter().map(|row| row.key).collect::<Vec<_>>(),
+        other => panic!("{other:?}"),
+    };
+    let expected: Vec<Box<str>> =
+        (0..2_000).map(|number| format!("log/{number:04}").into()).collect();
+    assert_eq!(keys(scan("log/", "", 5_000)), expected);
+    assert_eq!(keys(scan("log/", "log/0498", 600)), expected[499..1_099]);
+}
+
+#[test]
+fn several_keys_are_read_at_one_moment_and_nothing_is_written() {
+    // A node reads a hand-over and two tickets, of which one was never used, in one call.
+    // The caller sees the rows that exist, and the store's version stays.
+    let store = StoreStandIn::new().expect("the stand-in starts");
+    let client = client(&store);
+    store.put(TABLE, "handover/a", b"done");
+    store.put(TABLE, "ticket/a/1", b"ran");
+    let before = store.rows(TABLE);
+    let keys = ["handover/a", "ticket/a/1", "ticket/a/2", "handover/a"].map(Into::into);
+    let TableResult::Rows(rows) = client.execute(&TableRequest::Read(keys.into())) else {
+        panic!("no rows");
+    };
+    let rows: Vec<_> = rows.iter().map(|row| (&*row.key, &*row.value)).collect();
+    assert_eq!(rows, [("handover/a", "done"), ("ticket/a/1", "ran")]);
+    assert_eq!(store.rows(TABLE), before);
+    assert_eq!(store.counts(), StoreCounts { reads: 0, writes: 1 });
+}
+
+#[test]
+fn a_write_of_too_many_rows_does_nothing() {
+    // The store takes a hundred entries at once; a row with a condition and a value counts twice.
+    // The caller hears that nothing was done, and the store that takes fifty such rows takes them.
+    let store = StoreStandIn::new().expect("the stand-in starts");
+    let client = client(&store);
+    let rows = |count: usize| {
+        let row = |number| put(&format!("claim/{number}"), Condition::Absent, "mine");
+        commit((0..count).map(row).collect::<Vec<_>>())
+    };
+    assert_eq!(client.execute(&rows(51)), TableResult::Unavailable);
+    assert_eq!(store.rows(TABLE), []);
+    assert_eq!(client.execute(&rows(50)), TableResult::Committed);
 }
 
 #[test]
 fn a_lost_answer_is_unknown_and_the_write_stands() {
     // The platform carries a commit out and closes the connection without an answer.
     // The caller sees "unknown"; a read shows the row; a repeat of the insert conflicts with it.
-    let platform = PlatformStandIn::new().expect("the stand-in starts");
-    let client = HttpPlatform::new(platform.base_url());
-    platform.state().lose_next_answers(1);
+    let store = StoreStandIn::new().expect("the stand-in starts");
+    let client = client(&store);
+    store.lose_next_answers(1);
     let insert = commit([put("claim/1", Condition::Absent, "mine")]);
     assert_eq!(client.execute(&insert), TableResult::Unknown);
     let row = read(&client, "claim/1");
     assert_eq!(row.as_ref().map(|row| &*row.value), Some("mine"));
     let expected = TableResult::Conflict { key: "claim/1".into(), current: row };
     assert_eq!(client.execute(&insert), expected);
-    let counts = platform.state().counts();
-    assert_eq!((counts.table_commits, counts.table_reads), (2, 1));
+    assert_eq!(store.counts(), StoreCounts { reads: 1, writes: 2 });
 }
 
 #[test]
@@ -126,16 +170,15 @@
     // A commit's answer is lost and the commit itself is still on its way.
     // The caller reads back and sees nothing, then writes a tombstone. When the commit arrives at
     // last it must conflict with the tombstone, so that it has no effect.
-    let platform = PlatformStandIn::new().expect("the stand-in starts");
-    let client = HttpPlatform::new(platform.base_url());
-    platform.state().apply_late(1);
+    let store = StoreStandIn::new().expect("the stand-in starts");
+    let client = client(&store);
+    store.apply_late(1);
     let insert = commit([put("claim/1", Condition::Absent, "mine")]);
     assert_eq!(client.execute(&insert), TableResult::Unknown);
     assert_eq!(read(&client, "claim/1"), None);
     let tombstone = commit([put("claim/1", Condition::Absent, "not run")]);
     assert_eq!(client.execute(&tombstone), TableResult::Committed);
-    let late = platform.state().release_late();
-    assert!(matches!(&*late, [TableResult::Conflict { .. }]), "{late:?}");
+    assert_eq!(store.release_late(), [false]);
     let row = read(&client, "claim/1").expect("the tombstone stands");
     assert_eq!(&*row.value, "not run");
 }
@@ -145,18 +188,18 @@
     // The platform answers 503, then closes connections without an answer, then is gone.
     // A commit is "unavailable" when it was refused or could not be sent, and "unknown" when it was
     // sent and nothing came back. A read is "unavailable" each time. The table stays empty.
-    let platform = PlatformStandIn::new().expect("the stand-in starts");
-    let client = HttpPlatform::new(platform.base_url());
+    let store = StoreStandIn::new().expect("the stand-in starts");
+    let client = client(&store);
     let insert = commit([put("a", Condition::Absent, "1")]);
     let lookup = TableRequest::Read(vec!["a".into()]);
-    platform.state().set_outage(Outage::Refusing);
+    store.set_mode(Mode::Refusing);
     assert_eq!(client.execute(&insert), TableResult::Unavailable);
     assert_eq!(client.execute(&lookup), TableResult::Unavailable);
-    platform.state().set_outage(Outage::Silent);
+    store.set_mode(Mode::Closing);
     assert_eq!(client.execute(&insert), TableResult::Unknown);
     assert_eq!(client.execute(&lookup), TableResult::Unavailable);
-    assert_eq!(platform.state().table().rows(), []);
-    drop(platform);
+    assert_eq!(store.rows(TABLE), []);
+    drop(store);
     assert_eq!(client.execute(&insert), TableResult::Unavailable);
     assert_eq!(client.execute(&lookup), TableResult::Unavailable);
 }
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -1,19 +1,20 @@
 //! Starts the parts of the daemon and waits for its stop.
 
 use std::io;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{SocketAddr, ToSocketAddrs, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use crossbeam::channel::unbounded;
 use jsonrpsee::server::Server;
+use sedgepath_adapter::store::Store;
 use sedgepath_core::event::Event;
 use sedgepath_core::identity::Identity;
 use sedgepath_core::key::{BootId, DomainKey};
 use sedgepath_core::message::MemberCard;
 use sedgepath_core::node::Node;
-use sedgepath_platform::{HttpPlatform, TableService, VmList};
+use sedgepath_core::table::TableService;
 use sedgepath_wire::key::SharedKey;
 use sedgepath_wire::rpc::OperatorsServer;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -33,6 +34,7 @@
 use crate::peers::Peers;
 use crate::platform;
 use crate::settings::Settings;
+use crate::store::{self, StoreTable};
 use crate::upstreams::Upstreams;
 
 /// Why the daemon could not start.
@@ -49,6 +51,15 @@
         #[source]
         source: io::Error,
     },
+    /// The store's address can't be found out.
+    #[error("can't find the address of the store {url}")]
+    StoreAddress {
+        /// The URL of the settings.
+        url: Box<str>,
+        /// The system's error.
+        #[source]
+        source: io::Error,
+    },
     /// The metrics can't be set up.
     #[error("can't set up the metrics")]
     Metrics(#[from] prometheus::Error),
@@ -102,11 +113,18 @@
     };
     let (handle, node_thread) = driver::start(node, clock, outlets);
 
-    let platform = Arc::new(HttpPlatform::new(&*settings.platform));
-    let table: Arc<dyn TableService> = Arc::clone(&platform) as Arc<dyn TableService>;
+    let store = Arc::new(Store::new(store_address(&settings.platform)?));
+    let table: Arc<dyn TableService> =
+        Arc::new(StoreTable::new(Arc::clone(&store), runtime.handle().clone()));
     platform::start_workers(&table, &platform_jobs, &handle);
     let stopping = Arc::new(AtomicBool::new(false));
-    platform::start_list(platform as Arc<dyn VmList>, handle.clone(), Arc::clone(&stopping));
+    runtime.spawn(store::follow_list(
+        Arc::clone(&store),
+        settings.name.clone(),
+        store::vm_row(settings),
+        handle.clone(),
+        Arc::clone(&stopping),
+    ));
     datagrams::start(socket, datagram_key, handle.clone(), Arc::clone(&metrics));
 
     let frame_key = SharedKey::new(&settings.secret, "frames");
@@ -160,10 +178,21 @@
         if tokio::time::timeout(LAST_BYTES_TIMEOUT, serving_callers).await.is_err() {
             log::warn!("event=caller_connections_cut");
         }
+        if store.remove(store::VM_TABLE, &settings.name).await.is_err() {
+            log::warn!("event=vm_still_listed");
+        }
     });
     Ok(())
 }
 
+/// Returns the address of the store, given as `http://HOST:PORT`.
+fn store_address(url: &str) -> Result<SocketAddr, DaemonError> {
+    let failed = |source| DaemonError::StoreAddress { url: url.into(), source };
+    let place = url.strip_prefix("http://").unwrap_or(url).trim_end_matches('/');
+    let mut addresses = place.to_socket_addrs().map_err(failed)?;
+    addresses.next().ok_or_else(|| failed(io::ErrorKind::AddrNotAvailable.into()))
+}
+
 fn listen(what: &'static str, address: SocketAddr) -> impl FnOnce(io::Error) -> DaemonError {
     move |source| DaemonError::Listen { what, address, source }
 }
--- a/crates/sedgepathd/src/lib.rs
+++ b/crates/sedgepathd/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod platform;
 pub mod reply;
 pub mod settings;
+pub mod store;
 pub mod upstreams;
--- a/crates/sedgepathd/src/operators.rs
+++ b/crates/sedgepathd/src/operators.rs
@@ -15,8 +15,7 @@
 use sedgepath_core::explain::{Explanation, Question};
 use sedgepath_core::key::OperationKey;
 use sedgepath_core::node::Node;
-use sedgepath_core::table::{TableRequest, TableResult};
-use sedgepath_platform::TableService;
+use sedgepath_core::table::{TableRequest, TableResult, TableService};
 use sedgepath_wire::rpc::{
     MemberStatus, OperatorsClient, OperatorsServer, STOPPING_CODE, Status, TimelinePart,
     UNAVAILABLE_CODE, UnreadStatus,
--- a/crates/sedgepathd/tests/direct.rs
+++ b/crates/sedgepathd/tests/direct.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use platform::caller::{self, Connection};
-use platform::store::{Mode, StoreStandIn};
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{Site, Vm, configure, wait_for};
+use sedgepath_test_support::store::{Mode, StoreStandIn};
 
 const READS: &str = "/reads/1?q=2";
 const CHARGES: &str = "/charges/1";
@@ -22,7 +22,7 @@
 
 impl Served {
     fn new(upstreams: usize) -> Self {
-        let store = StoreStandIn::new();
+        let store = StoreStandIn::new().expect("a store");
         configure(&store, "0000000c", "3000ms");
         let upstreams: Vec<_> =
             (0..upstreams).map(|number| UpstreamStandIn::new(&format!("u{number}"))).collect();
--- a/crates/sedgepathd/tests/once.rs
+++ b/crates/sedgepathd/tests/once.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use sedgepath_test_support::daemon::Signal;
-use sedgepath_test_support::memory::Outage;
 use sedgepath_test_support::records::{self, UpstreamSpec};
+use sedgepath_test_support::store::Mode;
 use sedgepath_test_support::system::System;
 use sedgepath_test_support::upstream::{Behaviour, UpstreamFigures, UpstreamStandIn};
 use serde_json::Value;
@@ -144,16 +144,16 @@
 #[test]
 fn lost_and_late_writes_run_nothing_twice() {
     let pair = Pair::new();
-    let platform = pair.system.platform.state();
+    let store = &pair.system.store;
     for upstream in &pair.upstreams {
         upstream.set_behaviour(Behaviour::DelayAnswer { delay_ms: 600 });
     }
     let keys: Vec<String> = (0..6).map(|number| format!("late-{number}")).collect();
     for (number, key) in keys.iter().enumerate() {
         if number % 2 == 0 {
-            platform.lose_next_answers(1);
+            store.lose_next_answers(1);
         } else {
-            platform.apply_late(1);
+            store.apply_late(1);
         }
         thread::scope(|scope| {
             scope.spawn(|| pair.key(number % 2, key, "100"));
@@ -162,7 +162,7 @@
         });
         assert_eq!(pair.repeat(1 - number % 2, key, "100"), answered("100"));
     }
-    assert!(!platform.release_late().is_empty());
+    assert!(!store.release_late().is_empty());
     for (number, key) in keys.iter().enumerate() {
         assert_eq!(pair.repeat(number % 2, key, "100"), answered("100"));
         assert_eq!(pair.runs(key), 1);
@@ -193,7 +193,7 @@
 fn tickets_are_served_while_the_platform_is_down() {
     let pair = Pair::new();
     assert_eq!(pair.key(0, "before", "100"), answered("100"));
-    pair.system.platform.state().set_outage(Outage::Refusing);
+    pair.system.store.set_mode(Mode::Refusing);
     let first = [("idempotency-key", "first"), ("sedgepath-attempt", "1")];
     let repeat = [("idempotency-key", "before"), ("sedgepath-attempt", "2")];
     let told = pair.post(0, &first, "100");
--- a/crates/sedgepathd/tests/operators.rs
+++ b/crates/sedgepathd/tests/operators.rs
@@ -5,8 +5,8 @@
 
 use sedgepath::cli;
 use sedgepath::error::{CliError, Exit};
-use sedgepath_test_support::memory::Outage;
 use sedgepath_test_support::records::{self, UpstreamSpec};
+use sedgepath_test_support::store::Mode;
 use sedgepath_test_support::system::System;
 use tempfile::TempDir;
 
@@ -122,7 +122,7 @@
 #[test]
 fn a_lost_answer_is_settled() {
     let bench = Bench::new();
-    bench.system.platform.state().lose_next_answers(1);
+    bench.system.store.lose_next_answers(1);
     let file = bench.steering(2);
     let arguments = ["apply", &file, "--change-id", "one"];
     assert_eq!(bench.run(&arguments).expect("apply"), "revision 2 is accepted\n");
@@ -201,13 +201,13 @@
         status.is_ok_and(|status| status.contains(" serves by revision 2;"))
     };
     bench.wait_for(|bench| serves(bench, 0) && serves(bench, 1));
-    bench.system.platform.state().set_outage(Outage::Refusing);
+    bench.system.store.set_mode(Mode::Refusing);
     bench.system.daemons[1] = None;
     bench.system.start_daemon(1).expect("daemon");
     bench.wait_for(|bench| serves(bench, 1));
     assert_eq!(exit(bench.run(&["apply", &file])).0, Exit::Failed);
     assert_eq!(exit(bench.run(&["history"])).0, Exit::Unreachable);
-    bench.system.platform.state().set_outage(Outage::None);
+    bench.system.store.set_mode(Mode::Up);
     assert_eq!(bench.run(&["apply", &file]).expect("apply"), "revision 3 is accepted\n");
 }
 
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -6,7 +6,6 @@
 #![allow(dead_code, reason = "each test file uses a part of the stand-ins")]
 
 pub mod caller;
-pub mod store;
 pub mod upstream;
 
 use std::fs;
@@ -17,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use sedgepath_test_support::port::free_ports;
+use sedgepath_test_support::store::StoreStandIn;
 use tempfile::TempDir;
 
 /// The longest that a test waits for something that must happen.
@@ -39,7 +39,7 @@
 }
 
 /// Writes a configuration with an idempotent route and one that is not.
-pub fn configure(store: &store::StoreStandIn, version: &str, timeout: &str) {
+pub fn configure(store: &StoreStandIn, version: &str, timeout: &str) {
     let route = |name: &str, kind: &str| {
         serde_json::json!({
             "name": name, "prefix": format!("/{name}/"), "kind": kind, "timeout": timeout,
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use super::store::StoreStandIn;
+use sedgepath_test_support::store::StoreStandIn;
 
 /// What the upstream does with the requests that it gets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/sedgepathd/tests/soak.rs
+++ b/crates/sedgepathd/tests/soak.rs
@@ -19,10 +19,10 @@
 use std::time::Duration;
 
 use platform::caller::{Answer, Connection};
-use platform::store::{Mode, StoreStandIn};
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{Site, Vm, wait_for};
 use sedgepath_test_support::link::{Cut, CuttableLink};
+use sedgepath_test_support::store::{Mode, StoreStandIn};
 
 /// The seeds of each CI run.
 const CI_SEEDS: Range<u64> = 1..3;
@@ -55,7 +55,7 @@
 
 impl Soak {
     fn new(seed: u64) -> Self {
-        let store = StoreStandIn::new();
+        let store = StoreStandIn::new().expect("a store");
         let store_links: Vec<_> =
             (0..3).map(|_| CuttableLink::new(store.address).expect("a link")).collect();
         let upstreams: Vec<_> = (0..4)
