Add an emulator of callers and upstreams that compares policies

Change: a package that drives the direct core of all entry VMs under one clock: upstreams with slots, queue, warm objects and cold starts that break down, slow, failing, silent and lost ones; callers with waves, bursts and returns; scenarios in YAML; tables with the spread over seeds and plots (SVG by plotters). The core takes the figures of placing and waiting as a `Policy`, whose default is what is in force.

Ruled out: changing a figure in force by this alone. Not modelled: bytes, priorities, lost heartbeats.

--- a/crates/sedgepath-core/src/direct/placing.rs
+++ b/crates/sedgepath-core/src/direct/placing.rs
@@ -9,7 +9,7 @@
 //! So the upstreams of a service are ranked for each object by weighted rendezvous hashing, near ones
 //! with a larger weight. Every VM of a region computes the same order
 //! without a message, and an upstream that joins or leaves moves only its own objects. Of the first
-//! [`RANKED`] the one with the least expected time is taken: its wait for a slot, its work (warm or
+//! [`Weights::ranked`] the one with the least expected time is taken: its wait for a slot, its work (warm or
 //! not), the way there, its slowness and its failures. A busy object thus spills to its second
 //! upstream only, which then is warm too.
 
@@ -27,15 +27,15 @@
 /// The same for all failure domains of the region, whose callers ask for the same objects: with 4 for
 /// the own and 2 for the others each object had two first upstreams (trials: 0.653 and 0.762, with 4
 /// for both 0.659 and 0.775; with 1, 2, 6 and 10 no better on both).
-const OWN_REGION_WEIGHT: f64 = 4.0;
+pub const OWN_REGION_WEIGHT: f64 = 4.0;
 
 /// The weight of an upstream in the VM's own failure domain for large answers, whose bytes cost more
 /// on the way than a wait for a slot (trials: 0.652 with 32, 0.659 with 128 on mpx-swap).
-const LARGE_ANSWER_DOMAIN_WEIGHT: f64 = 128.0;
+pub const LARGE_ANSWER_DOMAIN_WEIGHT: f64 = 128.0;
 
 /// What it costs to take another upstream than the first of the order, in milliseconds: the object
 /// takes up room in a second memory (trials of 0, 50, 100, 200 and 250: best at 100).
-const SPILL_COST_MS: f64 = 100.0;
+pub const SPILL_COST_MS: f64 = 100.0;
 
 /// The mean size from which answers count as large, in bytes.
 const LARGE_ANSWER_BYTES: f64 = 30_000.0;
@@ -54,6 +54,33 @@
 /// The least of these multiples, for an upstream with many requests.
 const MIN_SILENCE_FACTOR: f64 = 0.8;
 
+/// The figures by which placing weighs upstreams; those in force are its default.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Weights {
+    /// Whether an object's requests share one order of upstreams; else each request has its own.
+    pub by_object: bool,
+    /// See [`RANKED`].
+    pub ranked: usize,
+    /// See [`OWN_REGION_WEIGHT`].
+    pub own_region: f64,
+    /// See [`LARGE_ANSWER_DOMAIN_WEIGHT`].
+    pub large_answer_domain: f64,
+    /// See [`SPILL_COST_MS`].
+    pub spill_cost_ms: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            by_object: true,
+            ranked: RANKED,
+            own_region: OWN_REGION_WEIGHT,
+            large_answer_domain: LARGE_ANSWER_DOMAIN_WEIGHT,
+            spill_cost_ms: SPILL_COST_MS,
+        }
+    }
+}
+
 /// How far an upstream is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Proximity {
@@ -100,6 +127,8 @@
 /// What placing needs to know of a request and of the VM that places it.
 #[derive(Debug, Clone, Copy)]
 pub struct Question<'a> {
+    /// The figures to go by.
+    pub weights: Weights,
     /// A digest of the object that the request concerns, or a random number.
     pub object: u64,
     /// Whether upstreams get faster at an object.
@@ -184,7 +213,7 @@
         ranked.sort_unstable_by(|one, other| one.0.total_cmp(&other.0));
         let candidates = ranked
             .iter()
-            .take(RANKED)
+            .take(self.weights.ranked)
             .enumerate()
             .map(|(rank, (_, key, upstream))| self.weigh(rank, *key, upstream));
         candidates.min_by(|one, other| one.expected_ms.total_cmp(&other.expected_ms))
@@ -212,9 +241,9 @@
     fn weight(&self, upstream: &Upstream) -> f64 {
         let near = match self.proximity(upstream) {
             Proximity::Domain if self.answer_bytes > LARGE_ANSWER_BYTES => {
-                LARGE_ANSWER_DOMAIN_WEIGHT
+                self.weights.large_answer_domain
             }
-            Proximity::Domain | Proximity::Region => OWN_REGION_WEIGHT,
+            Proximity::Domain | Proximity::Region => self.weights.own_region,
             Proximity::Far => 1.0,
         };
         near * f64::from(upstream.entry.slots.max(1))
@@ -235,7 +264,7 @@
             Proximity::Far => self.far_ms,
         };
         let failure_ms = upstream.failing(self.now_ms) * FAILURE_COST_MS;
-        let spill_ms = rank as f64 * SPILL_COST_MS;
+        let spill_ms = rank as f64 * self.weights.spill_cost_ms;
         let expected_ms = wait_ms + work_ms + way_ms + failure_ms + spill_ms;
         Candidate { upstream: key, expected_ms, wait_ms, warm: known_warm, rank }
     }
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -8,11 +8,11 @@
 
 use super::attempts::{Attempts, Grounds, Outcome, Reason, Sending, Step, UnderWay};
 use super::budget::{BudgetLimits, RetryBudget};
-use super::placing::{Candidate, Question, ServiceTimes};
+use super::placing::{Candidate, Question, ServiceTimes, Weights};
 use super::routing::{Configuration, ServiceSettings, Splits};
 use super::upstreams::{Upstream, UpstreamKey, Upstreams};
 use super::vms::Vms;
-use super::waiting::{self, Pressure};
+use super::waiting::{self, Patience, Pressure};
 
 /// Where a VM stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -83,9 +83,20 @@
     pub retry_after_ms: u64,
 }
 
+/// The figures by which requests are placed and made to wait; those in force are the default, others
+/// are for comparison.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Policy {
+    /// How upstreams are weighed.
+    pub weights: Weights,
+    /// How long a request may wait.
+    pub patience: Patience,
+}
+
 /// The state of a VM that sends to upstreams itself.
 #[derive(Debug)]
 pub struct Steering {
+    policy: Policy,
     place: Place,
     configuration: Option<Arc<Configuration>>,
     splits: Splits,
@@ -114,6 +125,7 @@
     /// Creates the state of a VM that knows only itself.
     pub fn new(place: Place, limits: Limits, vms: Vms, now_ms: u64) -> Self {
         Self {
+            policy: Policy::default(),
             place,
             configuration: None,
             splits: Splits::default(),
@@ -129,6 +141,12 @@
         }
     }
 
+    /// Sets figures other than those in force.
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Returns where the VM stands.
     pub fn place(&self) -> &Place {
         &self.place
@@ -274,7 +292,9 @@
             return stop(Reason::NoUpstream, NO_UPSTREAM_RETRY_MS, attempts);
         };
         let pressure = self.pressure.note(&attempts.service, candidate.wait_ms > 0.0);
-        if candidate.wait_ms > waiting::most_wait_ms(attempts, &candidate, pressure, now_ms) {
+        let patience = self.policy.patience;
+        let most_ms = waiting::most_wait_ms(attempts, &candidate, patience, pressure, now_ms);
+        if candidate.wait_ms > most_ms {
             // By then what waits now has been served.
             let retry_ms = candidate.wait_ms as u64;
             let retry_ms = retry_ms.clamp(MIN_BUSY_RETRY_MS, MAX_BUSY_RETRY_MS);
@@ -324,9 +344,11 @@
     }
 
     fn choose(&self, attempts: &Attempts, random: u64, now_ms: u64) -> Option<Candidate> {
+        let weights = self.policy.weights;
         let question = Question {
-            object: attempts.object.unwrap_or(random),
-            sticky: attempts.route.sticky && attempts.object.is_some(),
+            weights,
+            object: attempts.object.filter(|_| weights.by_object).unwrap_or(random),
+            sticky: attempts.route.sticky && attempts.object.is_some() && weights.by_object,
             answer_bytes: self.answer_bytes.get(&attempts.route.name).copied().unwrap_or(0.0),
             domain: &self.place.domain,
             region: &self.place.region,
--- a/crates/sedgepath-core/src/direct/waiting.rs
+++ b/crates/sedgepath-core/src/direct/waiting.rs
@@ -11,10 +11,10 @@
 
 /// How many times its route's target a request may be expected to take and yet be sent, while queues
 /// come and go. A burst is served late rather than refused.
-const CALM_TARGET_FACTOR: f64 = 2.0;
+pub const CALM_TARGET_FACTOR: f64 = 2.0;
 
 /// The same while the queues stand.
-const PRESSED_TARGET_FACTOR: f64 = 0.95;
+pub const PRESSED_TARGET_FACTOR: f64 = 0.95;
 
 /// The weight of one request in the share of requests that find a queue: the last fifty or so count.
 const PRESSURE_WEIGHT: f64 = 0.02;
@@ -23,6 +23,28 @@
 /// than its target by itself.
 const MIN_WAIT_MS: f64 = 100.0;
 
+/// How many times its route's target a request may be expected to take and yet be sent; the figures in
+/// force are the default.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Patience {
+    /// See [`CALM_TARGET_FACTOR`].
+    pub calm: f64,
+    /// See [`PRESSED_TARGET_FACTOR`].
+    pub pressed: f64,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Self { calm: CALM_TARGET_FACTOR, pressed: PRESSED_TARGET_FACTOR }
+    }
+}
+
+impl Patience {
+    fn factor(self, pressure: f64) -> f64 {
+        self.calm + pressure * (self.pressed - self.calm)
+    }
+}
+
 /// Whether the queues of each service stand, or come and go.
 #[derive(Debug, Default)]
 pub struct Pressure {
@@ -48,8 +70,14 @@
 /// the last: as many are served with a short one, in time, and the others are told so at once. A queue
 /// that comes and goes is a burst, which is better served late. `pressure`, by [`Pressure::note`],
 /// tells the two apart.
-pub fn most_wait_ms(attempts: &Attempts, candidate: &Candidate, pressure: f64, now_ms: u64) -> f64 {
-    let factor = CALM_TARGET_FACTOR + pressure * (PRESSED_TARGET_FACTOR - CALM_TARGET_FACTOR);
+pub fn most_wait_ms(
+    attempts: &Attempts,
+    candidate: &Candidate,
+    patience: Patience,
+    pressure: f64,
+    now_ms: u64,
+) -> f64 {
+    let factor = patience.factor(pressure);
     let work_ms = candidate.expected_ms - candidate.wait_ms;
     let by_target_ms = attempts.route.target_ms as f64 * factor - work_ms;
     let left_ms = attempts.deadline_at_ms.saturating_sub(now_ms) as f64;
--- /dev/null
+++ b/crates/sedgepath-emulator/src/policy.rs
@@ -0,0 +1,46 @@
+//! The policies compared: those in force, and baselines.
+
+use sedgepath_core::direct::placing::Weights;
+use sedgepath_core::direct::steering::Policy;
+use sedgepath_core::direct::waiting::Patience;
+
+/// A policy with its name in reports.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Named {
+    /// The name.
+    pub name: &'static str,
+    /// The figures.
+    pub policy: Policy,
+}
+
+/// Returns all policies, the one in force first.
+pub fn all() -> Vec<Named> {
+    let of = |weights, patience| Policy { weights, patience };
+    let weights = Weights::default();
+    let patience = Patience::default();
+    let long = Patience { calm: 2.0, pressed: 2.0 };
+    vec![
+        Named { name: "in force", policy: Policy::default() },
+        Named {
+            name: "first of the order only",
+            policy: of(Weights { ranked: 1, ..weights }, patience),
+        },
+        Named {
+            name: "three of the order",
+            policy: of(Weights { ranked: 3, ..weights }, patience),
+        },
+        Named {
+            name: "least expected time of all",
+            policy: of(Weights { ranked: usize::MAX, spill_cost_ms: 0.0, ..weights }, patience),
+        },
+        Named {
+            name: "two at random",
+            policy: of(Weights { by_object: false, spill_cost_ms: 0.0, ..weights }, patience),
+        },
+        Named {
+            name: "regions alike",
+            policy: of(Weights { own_region: 1.0, ..weights }, patience),
+        },
+        Named { name: "waits twice the target", policy: of(weights, long) },
+    ]
+}
