Prove remote calls by a key

Ruled out: a proof in an HTTP field of the method alone (the parameters could be changed on the way); one key only (it could not be replaced without a gap); one clock for all (clocks step: the node tells its time and the call is made once more by it).

Change: each remote call carries a keyed hash of its method, parameters, time and number. Nodes take it by the secret or one of `operator_keys`, within 30 s, once. A refused call is logged, proves that nothing was done, and says why. The command line takes its key from `--key-file` or SEDGEPATH_KEY.

Seen before: all calls were taken.

Not covered: a node that starts again takes a recorded call for up to 30 s; such a change is found by its number.

--- a/crates/sedgepath-wire/src/lib.rs
+++ b/crates/sedgepath-wire/src/lib.rs
@@ -1,12 +1,12 @@
 //! What the processes of sedgepath say to each other: datagrams, frames and remote calls.
 //!
-//! Datagrams and frames are authenticated by a keyed BLAKE3 hash whose key comes from the settings;
-//! remote calls are not, so their port is for the VMs and the operators alone. Nothing is
-//! encrypted: the links between the VMs are the users' own.
+//! Datagrams, frames and remote calls are authenticated by a keyed BLAKE3 hash whose keys come from the
+//! settings. Nothing is encrypted: the links between the VMs are the users' own.
 
 pub mod datagram;
 pub mod dial;
 pub mod frame;
 pub mod key;
+pub mod proof;
 pub mod rpc;
 pub mod ticket;
--- a/crates/sedgepath-wire/src/rpc.rs
+++ b/crates/sedgepath-wire/src/rpc.rs
@@ -11,6 +11,12 @@
 use sedgepath_core::timeline::Entry;
 use serde::{Deserialize, Serialize};
 
+use crate::proof::Proved;
+
+mod caller;
+
+pub use caller::Caller;
+
 /// A node's part of the time line.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TimelinePart {
@@ -73,30 +79,53 @@
 /// The code of the error of a question that needs the platform while it can't be reached.
 pub const UNAVAILABLE_CODE: i32 = -32_002;
 
-/// The remote calls of a node.
+/// The code of the error of a call that no key in force proves, or that was made before.
+pub const UNPROVED_CODE: i32 = -32_003;
+
+/// The code of the error of a call whose time is far from the node's; its data is the node's time, in
+/// milliseconds since the Unix epoch.
+pub const UNTIMELY_CODE: i32 = -32_004;
+
+/// The methods by their names in proofs.
+pub mod method {
+    /// Of [`super::OperatorsServer::page`].
+    pub const PAGE: &str = "page";
+    /// Of [`super::OperatorsServer::change`].
+    pub const CHANGE: &str = "change";
+    /// Of [`super::OperatorsServer::history`].
+    pub const HISTORY: &str = "history";
+    /// Of [`super::OperatorsServer::status`].
+    pub const STATUS: &str = "status";
+    /// Of [`super::OperatorsServer::explain`].
+    pub const EXPLAIN: &str = "explain";
+    /// Of [`super::OperatorsServer::timeline`].
+    pub const TIMELINE: &str = "timeline";
+}
+
+/// The remote calls of a node; each is proved by a key.
 #[rpc(client, server, namespace = "sedgepath")]
 pub trait Operators {
     /// Returns the next page of the records that were written after a position.
     #[method(name = "page")]
-    async fn page(&self, after: Position) -> RpcResult<Page>;
+    async fn page(&self, after: Proved<Position>) -> RpcResult<Page>;
 
     /// Changes the configuration in force everywhere.
     #[method(name = "change")]
-    async fn change(&self, request: ChangeRequest) -> RpcResult<ChangeOutcome>;
+    async fn change(&self, request: Proved<ChangeRequest>) -> RpcResult<ChangeOutcome>;
 
     /// Returns the newest accepted changes, the newest first.
     #[method(name = "history")]
-    async fn history(&self, limit: u32) -> RpcResult<Vec<LoggedChange>>;
+    async fn history(&self, limit: Proved<u32>) -> RpcResult<Vec<LoggedChange>>;
 
     /// Returns what the node says of itself and of the members that it knows.
     #[method(name = "status")]
-    async fn status(&self) -> RpcResult<Status>;
+    async fn status(&self, call: Proved<()>) -> RpcResult<Status>;
 
     /// Explains where a request of a caller would go, by what the node knows.
     #[method(name = "explain")]
-    async fn explain(&self, question: Question) -> RpcResult<Explanation>;
+    async fn explain(&self, question: Proved<Question>) -> RpcResult<Explanation>;
 
     /// Returns the entries of the node's time line after a stamp.
     #[method(name = "timeline")]
-    async fn timeline(&self, after: Stamp) -> RpcResult<TimelinePart>;
+    async fn timeline(&self, after: Proved<Stamp>) -> RpcResult<TimelinePart>;
 }
--- a/crates/sedgepath/src/cli.rs
+++ b/crates/sedgepath/src/cli.rs
@@ -9,10 +9,37 @@
 use crate::commands::{COMMANDS, Command};
 use crate::error::{CliError, Exit};
 use crate::operations::logs::LogLine;
+use sedgepath_wire::proof;
 
 /// The variable that names the nodes to ask, separated by commas or blanks.
 pub const NODES_VARIABLE: &str = "SEDGEPATH_NODES";
 
+/// The variable that holds the operator's key.
+pub const KEY_VARIABLE: &str = "SEDGEPATH_KEY";
+
+/// What the environment says.
+#[derive(Clone, Default)]
+pub struct Environment {
+    /// The nodes to ask, separated by commas or blanks.
+    pub nodes: Option<String>,
+    /// The operator's key.
+    pub key: Option<String>,
+}
+
+impl std::fmt::Debug for Environment {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        // The key stays out of logs and panics.
+        f.debug_struct("Environment").field("nodes", &self.nodes).finish_non_exhaustive()
+    }
+}
+
+impl Environment {
+    /// Reads the process's own.
+    pub fn of_process() -> Self {
+        Self { nodes: std::env::var(NODES_VARIABLE).ok(), key: std::env::var(KEY_VARIABLE).ok() }
+    }
+}
+
 /// The width of the column of the commands' names.
 const NAME_WIDTH: usize = 10;
 
@@ -22,8 +49,8 @@
     pub command: &'static Command,
     /// Its options and arguments.
     pub matches: Matches,
-    /// The nodes that the environment names.
-    pub nodes: Option<&'a str>,
+    /// What the environment says.
+    pub environment: &'a Environment,
     /// Where the output goes.
     pub out: &'a mut dyn Write,
 }
@@ -120,7 +147,7 @@
     pub fn named_nodes(&self) -> Result<Vec<SocketAddr>, CliError> {
         let mut names = self.matches.opt_strs("node");
         if names.is_empty() {
-            let listed = self.nodes.unwrap_or_default();
+            let listed = self.environment.nodes.as_deref().unwrap_or_default();
             let listed = listed.split([',', ' ']).filter(|name| !name.is_empty());
             names.extend(listed.map(str::to_owned));
         }
@@ -136,15 +163,24 @@
     ///
     /// # Errors
     ///
-    /// Fails if none is named or one is no address.
+    /// Fails if none is named or one is no address, or there is no key.
     pub fn client(&self) -> Result<Client, CliError> {
-        Client::new(self.named_nodes()?)
+        let nodes = self.named_nodes()?;
+        let key = match self.matches.opt_str("key-file") {
+            Some(file) => Some(
+                std::fs::read_to_string(&file)
+                    .map_err(|source| CliError::File { file: file.into(), source })?,
+            ),
+            None => self.environment.key.clone(),
+        };
+        let key = key.ok_or(CliError::NoKey)?;
+        Client::new(nodes, proof::key(key.trim()))
     }
 }
 
 /// Runs the command line without the program's name; errors go to standard error.
-pub fn run(arguments: &[String], nodes: Option<&str>, out: &mut dyn Write) -> Exit {
-    match execute(arguments, nodes, out) {
+pub fn run(arguments: &[String], environment: &Environment, out: &mut dyn Write) -> Exit {
+    match execute(arguments, environment, out) {
         Ok(()) => Exit::Success,
         Err(error) => {
             let exit = error.exit();
@@ -161,7 +197,7 @@
 /// Fails as the command does.
 pub fn execute(
     arguments: &[String],
-    nodes: Option<&str>,
+    environment: &Environment,
     out: &mut dyn Write,
 ) -> Result<(), CliError> {
     let (first, rest) = match arguments.split_first() {
@@ -187,7 +223,7 @@
     if matches.opt_present("help") {
         return Ok(writeln!(out, "{}", help(command))?);
     }
-    (command.exec)(&mut Context { command, matches, nodes, out })
+    (command.exec)(&mut Context { command, matches, environment, out })
 }
 
 fn find(name: &str) -> Result<&'static Command, CliError> {
@@ -225,7 +261,8 @@
     }
     text += "\n`sedgepath COMMAND --help` shows a command's options.\n\nNodes are named by `--node \
              ADDRESS`, which may be repeated, or by the variable SEDGEPATH_NODES, separated by \
-             commas;\nthe next one is tried when one can't be reached.\n\nExit codes: 0 done, 1 \
+             commas;\nthe next one is tried when one can't be reached. The key that proves who asks is \
+             read from\n`--key-file FILE` or the variable SEDGEPATH_KEY.\n\nExit codes: 0 done, 1 \
              failed, 2 wrong command line, 3 another change came first, 4 no node reached,\n5 \
              not known whether the change was accepted, 6 refused by the check or the plan.";
     text
--- a/crates/sedgepath/src/client.rs
+++ b/crates/sedgepath/src/client.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use jsonrpsee::core::client::Error as RpcError;
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::http_client::HttpClientBuilder;
 use sedgepath_core::configuration::rows::RecordRow;
 use sedgepath_core::configuration::store::Position;
-use sedgepath_wire::rpc::{OperatorsClient, STOPPING_CODE, UNAVAILABLE_CODE};
+use sedgepath_wire::key::SharedKey;
+use sedgepath_wire::rpc::{Caller, STOPPING_CODE, UNAVAILABLE_CODE, UNPROVED_CODE, UNTIMELY_CODE};
 use tokio::runtime::Runtime;
 
 use crate::error::{CliError, Tried};
@@ -46,6 +47,7 @@
 pub struct Client {
     runtime: Runtime,
     nodes: Vec<SocketAddr>,
+    key: SharedKey,
 }
 
 /// Records in force at a node.
@@ -58,17 +60,17 @@
 }
 
 impl Client {
-    /// Creates a client of these nodes, tried in their order.
+    /// Creates a client of these nodes, tried in their order; its calls are proved by a key.
     ///
     /// # Errors
     ///
     /// Fails if there is none, or the runtime can't be started.
-    pub fn new(nodes: Vec<SocketAddr>) -> Result<Self, CliError> {
+    pub fn new(nodes: Vec<SocketAddr>, key: SharedKey) -> Result<Self, CliError> {
         if nodes.is_empty() {
             return Err(CliError::NoNode);
         }
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        Ok(Self { runtime, nodes })
+        Ok(Self { runtime, nodes, key })
     }
 
     /// Returns the nodes that are tried.
@@ -84,7 +86,7 @@
     pub fn ask_one<T, F: Future<Output = Result<T, RpcError>>>(
         &self,
         node: SocketAddr,
-        question: impl Fn(HttpClient) -> F,
+        question: impl Fn(Caller) -> F,
     ) -> Result<T, Silence> {
         let unsent =
             |reason: String| Silence { reason: reason.into(), sent: false, try_next: true };
@@ -97,10 +99,12 @@
             .max_response_size(MAX_ANSWER_BYTES)
             .build(format!("http://{node}"))
             .map_err(|error| unsent(error.to_string()))?;
-        self.runtime.block_on(question(client)).map_err(|error| match error {
+        let caller = Caller::new(client, self.key.clone());
+        self.runtime.block_on(question(caller)).map_err(|error| match error {
             RpcError::Call(object) => Silence {
                 reason: object.message().into(),
-                sent: true,
+                // A call that is not proved is refused before anything is done for it.
+                sent: ![UNPROVED_CODE, UNTIMELY_CODE].contains(&object.code()),
                 try_next: [STOPPING_CODE, UNAVAILABLE_CODE].contains(&object.code()),
             },
             other => Silence { reason: other.to_string().into(), sent: true, try_next: true },
@@ -114,7 +118,7 @@
     /// Fails if none answers, or one answers with an error that others would give too.
     pub fn ask<T, F: Future<Output = Result<T, RpcError>>>(
         &self,
-        question: impl Fn(HttpClient) -> F,
+        question: impl Fn(Caller) -> F,
     ) -> Result<Answer<T>, CliError> {
         let mut tried = Vec::new();
         for &node in &self.nodes {
--- a/crates/sedgepath/src/commands.rs
+++ b/crates/sedgepath/src/commands.rs
@@ -45,6 +45,7 @@
 
 fn node_option(options: &mut Options) {
     options.optmulti("n", "node", "ask this node; may be repeated", "ADDRESS");
+    options.optopt("", "key-file", "prove who asks by the key in this file", "FILE");
 }
 
 fn data_options(options: &mut Options) {
--- a/crates/sedgepath/src/commands/explain.rs
+++ b/crates/sedgepath/src/commands/explain.rs
@@ -6,7 +6,6 @@
 use sedgepath_core::explain::{Entrance, Explanation, Question};
 use sedgepath_core::hash::Digest;
 use sedgepath_core::request::Class;
-use sedgepath_wire::rpc::OperatorsClient;
 
 use super::{Command, data_options};
 use crate::cli::Context;
--- a/crates/sedgepath/src/commands/history.rs
+++ b/crates/sedgepath/src/commands/history.rs
@@ -1,5 +1,4 @@
 use getopts::Options;
-use sedgepath_wire::rpc::OperatorsClient;
 
 use super::{Command, data_options};
 use crate::cli::Context;
--- a/crates/sedgepath/src/commands/status.rs
+++ b/crates/sedgepath/src/commands/status.rs
@@ -1,7 +1,7 @@
 use std::io::Write;
 
 use getopts::Options;
-use sedgepath_wire::rpc::{OperatorsClient, Status};
+use sedgepath_wire::rpc::Status;
 
 use super::{Command, data_options};
 use crate::cli::Context;
--- a/crates/sedgepath/src/error.rs
+++ b/crates/sedgepath/src/error.rs
@@ -99,6 +99,10 @@
         "name one or more with `--node ADDRESS`, or all in the variable SEDGEPATH_NODES"
     ))]
     NoNode,
+    /// There is no key to prove who asks.
+    #[error("no key is given")]
+    #[diagnostic(help("give it in a file by `--key-file FILE`, or in the variable SEDGEPATH_KEY"))]
+    NoKey,
     /// A file can't be read.
     #[error("can't read {file}")]
     File {
@@ -183,7 +187,7 @@
     /// Returns how the program ends with this error.
     pub fn exit(&self) -> Exit {
         match self {
-            Self::Usage { .. } | Self::NoNode => Exit::Usage,
+            Self::Usage { .. } | Self::NoNode | Self::NoKey => Exit::Usage,
             Self::Conflict { .. } => Exit::Conflict,
             Self::Unreachable { .. } => Exit::Unreachable,
             Self::Unknown { .. } => Exit::Unknown,
--- a/crates/sedgepath/src/main.rs
+++ b/crates/sedgepath/src/main.rs
@@ -2,9 +2,10 @@
 
 use std::process::ExitCode;
 
+use sedgepath::cli::{self, Environment};
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let nodes = std::env::var(sedgepath::cli::NODES_VARIABLE).ok();
-    let exit = sedgepath::cli::run(&arguments, nodes.as_deref(), &mut std::io::stdout().lock());
+    let exit = cli::run(&arguments, &Environment::of_process(), &mut std::io::stdout().lock());
     ExitCode::from(exit.code())
 }
--- a/crates/sedgepath/src/operations.rs
+++ b/crates/sedgepath/src/operations.rs
@@ -3,7 +3,6 @@
 use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRefusal, ChangeRequest};
 use sedgepath_core::record::RawRecord;
 use sedgepath_core::record::check;
-use sedgepath_wire::rpc::OperatorsClient;
 use serde::Serialize;
 
 use crate::client::{Client, InForce, Silence};
@@ -115,6 +114,9 @@
                     return Err(refused(refusal, files));
                 }
                 Ok(ChangeOutcome::NotAccepted { .. } | ChangeOutcome::Unknown) => in_doubt = true,
+                Err(Silence { reason, sent: false, try_next: false }) if !in_doubt => {
+                    return Err(CliError::Node { node, reason });
+                }
                 Err(Silence { reason, sent, .. }) => {
                     in_doubt |= sent;
                     tried.push(Tried { node, reason });
--- a/crates/sedgepath/src/operations/timeline.rs
+++ b/crates/sedgepath/src/operations/timeline.rs
@@ -5,7 +5,6 @@
 
 use sedgepath_core::clock::Stamp;
 use sedgepath_core::timeline::Entry;
-use sedgepath_wire::rpc::OperatorsClient;
 use serde::Serialize;
 
 use crate::client::Client;
--- a/crates/sedgepathd/examples/demo.rs
+++ b/crates/sedgepathd/examples/demo.rs
@@ -17,10 +17,11 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use sedgepath::cli::Environment;
 use sedgepath_test_support::caller::{Call, Caller, CallerStats, Outcome};
 use sedgepath_test_support::daemon::Signal;
 use sedgepath_test_support::records::{self, UpstreamSpec};
-use sedgepath_test_support::system::System;
+use sedgepath_test_support::system::{SECRET, System};
 use sedgepath_test_support::upstream::{UpstreamFigures, UpstreamStandIn};
 
 /// How long callers send requests after the start.
@@ -221,8 +222,9 @@
     println!("  $ sedgepath {}", arguments.join(" "));
     let arguments: Vec<String> = arguments.iter().map(ToString::to_string).collect();
     let node = system.addresses[0].operators.to_string();
+    let environment = Environment { nodes: Some(node), key: Some(SECRET.into()) };
     let mut printed = Vec::new();
-    let exit = sedgepath::cli::run(&arguments, Some(&node), &mut printed);
+    let exit = sedgepath::cli::run(&arguments, &environment, &mut printed);
     let printed = String::from_utf8(printed)?;
     if exit.code() != 0 {
         return Err(format!("exit code {}: {printed}", exit.code()).into());
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -16,6 +16,7 @@
 use sedgepath_core::node::Node;
 use sedgepath_core::table::TableService;
 use sedgepath_wire::key::SharedKey;
+use sedgepath_wire::proof::{self, Guard};
 use sedgepath_wire::rpc::OperatorsServer;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -142,6 +143,10 @@
     );
     let peers = Peers::new(frame_key, exchanges, Arc::clone(&callers), metrics);
 
+    let call_key = proof::key(&settings.secret);
+    let operator_keys = settings.operator_keys.iter().map(|key| &**key);
+    let guard = Guard::new(std::iter::once(&*settings.secret).chain(operator_keys));
+
     let (stop_callers, callers_stop) = watch::channel(false);
     let serving_callers = runtime.block_on(async {
         let callers_listener = TcpListener::bind(settings.callers)
@@ -153,10 +158,11 @@
             .build(settings.operators)
             .await
             .map_err(listen("operators", settings.operators))?;
-        let serving = server.start(Operators::new(handle.clone(), Arc::clone(&table)).into_rpc());
+        let serving =
+            server.start(Operators::new(handle.clone(), Arc::clone(&table), guard).into_rpc());
         let serving_callers = tokio::spawn(callers.serve(callers_listener, callers_stop));
         tokio::spawn(peers.serve(peers_listener));
-        tokio::spawn(operators::run_fetches(fetch_jobs, handle.clone()));
+        tokio::spawn(operators::run_fetches(fetch_jobs, call_key, handle.clone()));
         tokio::spawn(homes::run_hand_overs(hand_overs, hops, handle.clone(), boot));
         tokio::spawn(serving.stopped());
         Ok::<_, DaemonError>(serving_callers)
--- a/crates/sedgepathd/src/operators.rs
+++ b/crates/sedgepathd/src/operators.rs
@@ -1,7 +1,7 @@
 //! Remote calls: served to operators and peers, and made to peers.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use jsonrpsee::core::{RpcResult, async_trait};
@@ -16,10 +16,13 @@
 use sedgepath_core::key::OperationKey;
 use sedgepath_core::node::Node;
 use sedgepath_core::table::{TableRequest, TableResult, TableService};
+use sedgepath_wire::key::SharedKey;
+use sedgepath_wire::proof::{Guard, ProofError, Proved};
 use sedgepath_wire::rpc::{
-    MemberStatus, OperatorsClient, OperatorsServer, STOPPING_CODE, Status, TimelinePart,
-    UNAVAILABLE_CODE, UnreadStatus,
+    Caller, MemberStatus, OperatorsServer, STOPPING_CODE, Status, TimelinePart, UNAVAILABLE_CODE,
+    UNPROVED_CODE, UNTIMELY_CODE, UnreadStatus, method,
 };
+use serde::Serialize;
 use tokio::sync::mpsc;
 
 use crate::driver::Handle;
@@ -49,12 +52,31 @@
 pub struct Operators {
     handle: Handle,
     table: Arc<dyn TableService>,
+    guard: Mutex<Guard>,
 }
 
 impl Operators {
     /// Creates the server's methods.
-    pub fn new(handle: Handle, table: Arc<dyn TableService>) -> Self {
-        Self { handle, table }
+    pub fn new(handle: Handle, table: Arc<dyn TableService>, guard: Guard) -> Self {
+        Self { handle, table, guard: Mutex::new(guard) }
+    }
+
+    /// Checks a call's proof and returns its parameters.
+    fn open<T: Serialize>(&self, method: &str, call: Proved<T>) -> RpcResult<T> {
+        let now_ms = self.handle.clock().now_ms();
+        // No code panics while it holds the lock.
+        let mut guard = self.guard.lock().unwrap_or_else(PoisonError::into_inner);
+        guard.open(method, call, now_ms).map_err(|error| {
+            log::warn!("event=call_refused method={method} error={:?}", error.to_string());
+            match error {
+                ProofError::Untimely { .. } => {
+                    ErrorObjectOwned::owned(UNTIMELY_CODE, error.to_string(), Some(now_ms))
+                }
+                ProofError::Unproved | ProofError::Repeated => {
+                    ErrorObjectOwned::owned(UNPROVED_CODE, error.to_string(), None::<()>)
+                }
+            }
+        })
     }
 
     async fn ask<T: Send + 'static>(
@@ -68,16 +90,18 @@
 
 #[async_trait]
 impl OperatorsServer for Operators {
-    async fn page(&self, after: Position) -> RpcResult<Page> {
+    async fn page(&self, after: Proved<Position>) -> RpcResult<Page> {
+        let after = self.open(method::PAGE, after)?;
         self.ask(move |node| node.page(&after)).await
     }
 
-    async fn change(&self, request: ChangeRequest) -> RpcResult<ChangeOutcome> {
+    async fn change(&self, request: Proved<ChangeRequest>) -> RpcResult<ChangeOutcome> {
+        let request = self.open(method::CHANGE, request)?;
         self.handle.change(request).await.ok_or_else(stopping)
     }
 
-    async fn history(&self, limit: u32) -> RpcResult<Vec<LoggedChange>> {
-        let limit = limit.min(MAX_HISTORY);
+    async fn history(&self, limit: Proved<u32>) -> RpcResult<Vec<LoggedChange>> {
+        let limit = self.open(method::HISTORY, limit)?.min(MAX_HISTORY);
         let revision = self.ask(|node| node.configuration().revision()).await?;
         let table = Arc::clone(&self.table);
         let read = move || read_history(&*table, revision, limit);
@@ -88,16 +112,19 @@
         })
     }
 
-    async fn status(&self) -> RpcResult<Status> {
+    async fn status(&self, call: Proved<()>) -> RpcResult<Status> {
+        self.open(method::STATUS, call)?;
         let now_ms = self.handle.clock().now_ms();
         self.ask(move |node| status(node, now_ms)).await
     }
 
-    async fn explain(&self, question: Question) -> RpcResult<Explanation> {
+    async fn explain(&self, question: Proved<Question>) -> RpcResult<Explanation> {
+        let question = self.open(method::EXPLAIN, question)?;
         self.ask(move |node| node.explain(&question)).await
     }
 
-    async fn timeline(&self, after: Stamp) -> RpcResult<TimelinePart> {
+    async fn timeline(&self, after: Proved<Stamp>) -> RpcResult<TimelinePart> {
+        let after = self.open(method::TIMELINE, after)?;
         self.ask(move |node| TimelinePart {
             node: node.outbox().identity().card.name.clone(),
             entries: node.outbox().timeline().since(after),
@@ -150,20 +177,25 @@
 }
 
 /// Carries out fetches from peers until the process ends.
-pub async fn run_fetches(mut jobs: mpsc::UnboundedReceiver<FetchJob>, handle: Handle) {
+pub async fn run_fetches(
+    mut jobs: mpsc::UnboundedReceiver<FetchJob>,
+    key: SharedKey,
+    handle: Handle,
+) {
     while let Some(job) = jobs.recv().await {
         let handle = handle.clone();
+        let key = key.clone();
         tokio::spawn(async move {
-            let page = fetch(job.from, job.after).await;
+            let page = fetch(job.from, key, job.after).await;
             handle.event(Event::Fetched { operation: job.operation, page });
         });
     }
 }
 
-async fn fetch(from: SocketAddr, after: Position) -> Option<Page> {
+async fn fetch(from: SocketAddr, key: SharedKey, after: Position) -> Option<Page> {
     let client = HttpClientBuilder::default()
         .request_timeout(CALL_TIMEOUT)
         .build(format!("http://{from}"))
         .ok()?;
-    client.page(after).await.ok()
+    Caller::new(client, key).page(after).await.ok()
 }
--- a/crates/sedgepathd/src/settings.rs
+++ b/crates/sedgepathd/src/settings.rs
@@ -34,6 +34,9 @@
     pub platform: Box<str>,
     /// The secret that all processes of the system share; at least 16 characters.
     pub secret: Box<str>,
+    /// The keys by which operators' calls are proved, beside the secret.
+    #[serde(default)]
+    pub operator_keys: Box<[Box<str>]>,
     /// The least level that is logged: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log_level")]
     pub log_level: Box<str>,
@@ -47,7 +50,7 @@
 
 impl fmt::Debug for Settings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        // The secret stays out of logs and panics.
+        // The secret and the keys stay out of logs and panics.
         f.debug_struct("Settings")
             .field("name", &self.name)
             .field("domain", &self.domain)
--- a/crates/sedgepathd/src/settings/fields.rs
+++ b/crates/sedgepathd/src/settings/fields.rs
@@ -28,6 +28,13 @@
         Shape::Text { least_chars: 16 },
         "the secret that all processes of the system share, of at least 16 characters",
     ),
+    Field::optional(
+        "operator_keys",
+        Shape::List { of: &Shape::Text { least_chars: 16 }, least: 0 },
+        "none",
+        "the keys by which operators' calls are proved, beside the secret; several while one is \
+         replaced",
+    ),
     Field::optional(
         "log_level",
         Shape::OneOf(&["error", "warn", "info", "debug"]),
--- a/crates/sedgepathd/tests/operators.rs
+++ b/crates/sedgepathd/tests/operators.rs
@@ -1,15 +1,20 @@
 //! The operators' commands against daemons as processes of their own.
 
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use sedgepath::cli;
+use sedgepath::cli::{self, Environment};
 use sedgepath::error::{CliError, Exit};
 use sedgepath_test_support::records::{self, UpstreamSpec};
 use sedgepath_test_support::store::Mode;
-use sedgepath_test_support::system::System;
+use sedgepath_test_support::system::{SECRET, System};
+use sedgepath_wire::proof::{self, Proved};
+use sedgepath_wire::rpc::method;
 use tempfile::TempDir;
 
+/// What an operator reads of the first change.
+const ACCEPTED: &str = "revision 2 is accepted\n";
+
 /// How long a condition that holds within seconds is waited for.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
@@ -21,8 +26,14 @@
 
 impl Bench {
     fn new() -> Self {
-        let mut system =
-            System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+        Self::with_settings("")
+    }
+
+    /// Starts daemons with further lines in their settings.
+    fn with_settings(lines: &str) -> Self {
+        let mut system = System::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd")))
+            .expect("platform")
+            .with_settings(lines);
         let upstreams =
             [UpstreamSpec::new("b1", "north-a", 4), UpstreamSpec::new("b2", "south-a", 4)];
         let first = [
@@ -53,11 +64,22 @@
 
     /// Runs a command that may ask these daemons, and returns its output.
     fn run_at(&self, daemons: &[usize], arguments: &[&str]) -> Result<String, CliError> {
+        self.run_with(SECRET, daemons, arguments)
+    }
+
+    /// Does the same as an operator with a certain key.
+    fn run_with(
+        &self,
+        key: &str,
+        daemons: &[usize],
+        arguments: &[&str],
+    ) -> Result<String, CliError> {
         let nodes = daemons.iter().map(|daemon| self.system.addresses[*daemon].operators);
         let nodes: Vec<_> = nodes.map(|node| node.to_string()).collect();
         let arguments: Vec<_> = arguments.iter().map(|argument| (*argument).to_owned()).collect();
+        let environment = Environment { nodes: Some(nodes.join(",")), key: Some(key.into()) };
         let mut out = Vec::new();
-        cli::execute(&arguments, Some(&nodes.join(",")), &mut out)?;
+        cli::execute(&arguments, &environment, &mut out)?;
         Ok(String::from_utf8(out).expect("text"))
     }
 
@@ -81,6 +103,10 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
+}
+
 fn exit(result: Result<String, CliError>) -> (Exit, String) {
     let error = result.expect_err("an error");
     (error.exit(), error.to_string())
@@ -211,13 +237,43 @@
     assert_eq!(bench.run(&["apply", &file]).expect("apply"), "revision 3 is accepted\n");
 }
 
+/// One key of operators is replaced by another: both are in force for a while. An operator with
+/// either reads and changes; one with a key that is not, or with none, learns nothing and changes
+/// nothing, and a change that was recorded on its way can't be made again.
+#[test]
+fn calls_are_proved_by_a_key_in_force() {
+    let (old, new) = ("the key until now", "the key from now on");
+    let bench = Bench::with_settings(&format!("operator_keys: [{old}, {new}]\n"));
+    let file = bench.steering(3);
+    for key in [old, new, SECRET] {
+        assert!(bench.run_with(key, &[1], &["status"]).expect("status").contains("serves"));
+    }
+    let (code, message) = exit(bench.run_with("some other key....", &[0], &["apply", &file]));
+    assert_eq!(code, Exit::Failed);
+    assert!(message.contains("not proved by a key in force"), "{message}");
+    assert_eq!(exit(bench.run_with("some other key....", &[0], &["get"])).0, Exit::Failed);
+    assert_eq!(bench.run_with(new, &[0], &["apply", &file]).expect("apply"), ACCEPTED);
+
+    let recorded = Proved::new(&proof::key(old), method::STATUS, (), unix_ms(), 7);
+    let body = serde_json::json!({
+        "jsonrpc": "2.0", "id": 1, "method": "sedgepath_status", "params": [recorded],
+    });
+    let url = format!("http://{}", bench.system.addresses[0].operators);
+    let call = || attohttpc::post(&url).json(&body).expect("a body").send().expect("an answer");
+    let first = call().text().expect("text");
+    assert!(first.contains("\"ready\":true"), "{first}");
+    let again = call().text().expect("text");
+    assert!(again.contains("the call was made before"), "{again}");
+}
+
 /// The help of each command and wrong command lines.
 #[test]
 fn help_and_usage() {
     let run = |arguments: &[&str]| {
         let arguments: Vec<_> = arguments.iter().map(|argument| (*argument).to_owned()).collect();
         let mut out = Vec::new();
-        cli::execute(&arguments, None, &mut out).map(|()| String::from_utf8(out).expect("text"))
+        cli::execute(&arguments, &Environment::default(), &mut out)
+            .map(|()| String::from_utf8(out).expect("text"))
     };
     let overview = run(&["--help"]).expect("help");
     for command in sedgepath::commands::COMMANDS {
