Give the whole table where a copy began after the asker's position

Cause: a VM that restarts reads the whole table and so knows of no removal made before. Asked for what changed after an older version it gave its rows that are newer, without those removals, and said that they were all. The asker kept an upstream that had left, for good if it never fell silent, and sent requests to it.

Change: a copy notes the position of each whole table that it takes in, and gives the whole table to whoever is behind that. Askers tell the position up to which they have all changes, not the version of the newest one that they have, so that fewer of them are behind.

Tests, seen failing: a restarted copy does not hide a removal; 2,000 random lives of four copies that restart, follow and fetch, each compared with the store's history at its position. `only_later_changes_are_passed_on` asked for changes after version 4 of a copy begun at 5 and got them; it now asks after 5, and after 4 gets the whole table.

--- a/crates/sedgepath-core/src/direct/copies.rs
+++ b/crates/sedgepath-core/src/direct/copies.rs
@@ -18,6 +18,8 @@
 //!
 //! - Each row carries the store's version at which it got its value, and a copy takes a row only over
 //!   an older one. So copies merge in any order, and none ever goes back.
+//! - What a copy holds is what the store held at the copy's position. A page of changes keeps that only
+//!   if its giver knows all removals since the asker's position; else the whole table is given.
 //! - A removal is kept as a row without a value, or a copy that still has the row would bring it back.
 
 use std::sync::Arc;
@@ -86,7 +88,8 @@
     position: u64,
     changed_at: u64,
     removals: usize,
-    /// The version up to which removals have been dropped.
+    /// The version up to which removals are not known: they were dropped, or made before the whole table
+    /// was read.
     forgotten_at: u64,
     known: bool,
 }
@@ -116,12 +119,19 @@
         changes.extend(page.rows);
         changes.retain(|row| self.take(row));
         self.position = self.position.max(page.position);
-        self.known |= page.whole;
+        if page.whole {
+            // What was removed before the table was read is not in it. Given the changes alone, a VM
+            // that still has such a row would believe that they are all and keep it: requests went to
+            // an upstream for seconds after it had left.
+            self.forgotten_at = self.forgotten_at.max(page.position);
+            self.known = true;
+        }
         self.forget_removals();
         changes
     }
 
-    /// Returns what has changed after a version, or the whole table if that can't be told.
+    /// Returns what has changed after a version, up to which the asker has all changes, or the whole
+    /// table if that can't be told.
     pub fn since(&self, after: u64) -> Page {
         let whole = after < self.forgotten_at || after == 0;
         let rows = self
@@ -172,7 +182,7 @@
         }
         self.rows.retain(|_, kept| kept.value.is_some());
         self.removals = 0;
-        self.forgotten_at = self.changed_at;
+        self.forgotten_at = self.forgotten_at.max(self.changed_at);
     }
 }
 
--- a/crates/sedgepath-core/tests/direct_copies.rs
+++ b/crates/sedgepath-core/tests/direct_copies.rs
@@ -60,20 +60,139 @@
     assert_eq!(copy.since(8).rows, vec![row("b1", 9, Some("ready"))]);
 }
 
-/// What is asked after a version holds just what has changed since.
+/// A VM restarts and reads the whole table just after an upstream has left. A neighbour that still has
+/// the upstream asks it what has changed since. The restarted VM has never heard of the removal, so
+/// it must give the whole table: of the changes that it knows the neighbour would believe that they
+/// are all, and go on sending to the upstream that has left.
+#[test]
+fn a_copy_begun_after_a_removal_does_not_hide_it() {
+    let mut neighbour = TableCopy::default();
+    neighbour.merge(whole(5, vec![row("b1", 3, Some("ready")), row("b2", 4, Some("ready"))]));
+    let mut restarted = TableCopy::default();
+    restarted.merge(whole(10, vec![row("b2", 9, Some("draining"))]));
+
+    let news = neighbour.merge(restarted.since(neighbour.position()));
+
+    assert!(news.contains(&row("b1", 10, None)), "the removal is hidden: {news:?}");
+    assert!(news.contains(&row("b2", 9, Some("draining"))), "{news:?}");
+}
+
+/// What is asked after a version holds just what has changed since, unless the copy began later.
 #[test]
 fn only_later_changes_are_passed_on() {
     let mut copy = TableCopy::default();
     copy.merge(whole(5, vec![row("b1", 3, Some("ready")), row("b2", 4, Some("ready"))]));
     copy.merge(changes(8, vec![row("b3", 8, Some("ready"))]));
 
-    let page = copy.since(4);
+    assert!(copy.since(4).whole, "what was removed at 5 is not known here");
+    let page = copy.since(5);
 
     assert!(!page.whole);
     assert_eq!(page.rows, vec![row("b3", 8, Some("ready"))]);
     assert_eq!((copy.changed_at(), copy.position()), (8, 8));
 }
 
+/// What happens in the life of some copies of one table.
+#[derive(Debug, Clone)]
+enum Happening {
+    /// The store's row of a key gets a value, or is removed.
+    Change(u8, bool),
+    /// A copy is lost; its VM reads the whole table from the store.
+    Restart(usize),
+    /// A copy is lost; its VM gets the table from another VM.
+    RestartFrom(usize, usize),
+    /// A copy takes what has changed from the store.
+    Follow(usize),
+    /// A copy takes what has changed from another.
+    Fetch(usize, usize),
+}
+
+fn happening() -> impl Strategy<Value = Happening> {
+    let vm = 0..4_usize;
+    prop_oneof![
+        4 => (0..5_u8, any::<bool>()).prop_map(|(key, there)| Happening::Change(key, there)),
+        1 => vm.clone().prop_map(Happening::Restart),
+        1 => (vm.clone(), vm.clone()).prop_map(|(vm, from)| Happening::RestartFrom(vm, from)),
+        2 => vm.clone().prop_map(Happening::Follow),
+        4 => (vm.clone(), vm).prop_map(|(vm, from)| Happening::Fetch(vm, from)),
+    ]
+}
+
+/// The store's table at each version.
+#[derive(Debug, Default)]
+struct History {
+    rows: Vec<CopiedRow>,
+}
+
+impl History {
+    fn change(&mut self, key: u8, there: bool) {
+        let version = self.rows.len() as u64 + 1;
+        self.rows.push(row(&key.to_string(), version, there.then_some("ready")));
+    }
+
+    fn after(&self, position: u64) -> Page {
+        let mut last = std::collections::BTreeMap::new();
+        for row in self.rows.iter().filter(|row| row.version > position) {
+            last.insert(row.key.clone(), row.clone());
+        }
+        changes(self.rows.len() as u64, last.into_values().collect())
+    }
+
+    fn at(&self, position: u64) -> Vec<CopiedRow> {
+        let mut last = std::collections::BTreeMap::new();
+        for row in self.rows.iter().filter(|row| row.version <= position) {
+            last.insert(row.key.clone(), row.clone());
+        }
+        last.into_values().filter(|row| row.value.is_some()).collect()
+    }
+}
+
+fn sorted_rows(copy: &TableCopy) -> Vec<CopiedRow> {
+    let mut rows = copy.since(0).rows;
+    rows.sort_unstable_by(|one, other| one.key.cmp(&other.key));
+    rows
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// VMs restart, follow the store and fetch from each other, in any order. A copy that says that it
+    /// has all changes up to a version holds what the store held then: no row too many, none too few.
+    #[test]
+    fn a_copy_holds_what_it_says(happenings in prop::collection::vec(happening(), 1..60)) {
+        let mut history = History::default();
+        let mut copies: Vec<TableCopy> = (0..4).map(|_| TableCopy::default()).collect();
+        for happening in happenings {
+            let newest = history.rows.len() as u64;
+            match happening {
+                Happening::Change(key, there) => history.change(key, there),
+                Happening::Restart(vm) => {
+                    copies[vm] = TableCopy::default();
+                    copies[vm].merge(whole(newest, history.at(newest)));
+                }
+                Happening::RestartFrom(vm, from) if vm != from => {
+                    copies[vm] = TableCopy::default();
+                    let page = copies[from].since(0);
+                    copies[vm].merge(page);
+                }
+                Happening::Follow(vm) if copies[vm].known() => {
+                    let position = copies[vm].position();
+                    copies[vm].merge(history.after(position));
+                }
+                Happening::Fetch(vm, from) if copies[from].known() => {
+                    let position = copies[vm].position();
+                    let page = copies[from].since(position);
+                    copies[vm].merge(page);
+                }
+                _ => {}
+            }
+            for copy in copies.iter().filter(|copy| copy.known()) {
+                prop_assert_eq!(sorted_rows(copy), history.at(copy.position()));
+            }
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -119,11 +119,15 @@
     if shell.store_contact_since_ms.get().is_some() {
         tokio::time::sleep(Duration::from_millis(FETCH_DELAY_MS)).await;
     }
-    let own = shell.copies.borrow().get(table).changed_at();
-    if own >= theirs {
-        return;
-    }
-    match timeout(FETCH_TIMEOUT, ask(table, own, address)).await {
+    let position = {
+        let copies = shell.copies.borrow();
+        let copy = copies.get(table);
+        if copy.changed_at() >= theirs {
+            return;
+        }
+        copy.position()
+    };
+    match timeout(FETCH_TIMEOUT, ask(table, position, address)).await {
         Ok(Ok(page)) => {
             log::debug!("event=rows_fetched table={} from={address}", table.name());
             follow::take_in(shell, table, page);
