Show the state of VMs that send to upstreams themselves

Cause: `sedgepath status` asked nodes of the owned way only; on the platform an engineer had metrics and logs, but no answer to what a VM believes of a service's upstreams, its budget or the other VMs.

Ruled out: a remote call (the platform's settings give no key; the state is as public as the metrics beside it).

Test: two VMs, one upstream of two leaving: both states are shown; a lost VM is an error that names its address. Core tests and process tests pass.

--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -17,6 +17,7 @@
 //! - [`attempts`]: what happens after a refusal or a failure.
 //! - [`budget`]: how many requests may be sent more than once.
 //! - [`copies`]: copies of the store's tables, which VMs pass on to each other.
+//! - [`status`]: what a VM says of its state, for operators.
 //! - [`vms`]: which entry VMs serve, for look-ups and for splitting what all of them share.
 //!
 //! # What nodes share
@@ -31,6 +32,7 @@
 pub mod copies;
 pub mod placing;
 pub mod routing;
+pub mod status;
 pub mod steering;
 pub mod upstreams;
 pub mod vms;
--- a/crates/sedgepath-core/src/direct/budget.rs
+++ b/crates/sedgepath-core/src/direct/budget.rs
@@ -87,6 +87,15 @@
         allowed
     }
 
+    /// Returns a service's requests and repeats in the window.
+    pub fn counts(&self, service: &str, now_ms: u64) -> (u32, u32) {
+        let window_ms = self.limits.window_ms;
+        let counts = self.services.get(service).into_iter().flat_map(|counts| &counts.buckets);
+        counts
+            .filter(|bucket| now_ms < bucket.starts_at_ms + window_ms + BUCKET_MS)
+            .fold((0, 0), |sum, bucket| (sum.0 + bucket.requests, sum.1 + bucket.repeats))
+    }
+
     fn bucket(&mut self, service: &str, now_ms: u64) -> &mut Bucket {
         let window_ms = self.limits.window_ms;
         if !self.services.contains_key(service) {
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -167,6 +167,11 @@
         &mut self.upstreams
     }
 
+    /// Returns the retry budget.
+    pub fn budget(&self) -> &RetryBudget {
+        &self.budget
+    }
+
     /// Returns the entry VMs.
     pub fn vms(&self) -> &Vms {
         &self.vms
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::status::OtherVm;
 use crate::clock::Stamp;
 use crate::hash::{Map, Set};
 
@@ -219,6 +220,24 @@
         1 + heard.max(known)
     }
 
+    /// Returns what is known of the other VMs, in the order of names.
+    pub fn others(&self, now_ms: u64) -> Vec<OtherVm> {
+        let mut others: Vec<_> = self
+            .peers
+            .values()
+            .map(|Peer { heartbeat, heard_at_ms }| OtherVm {
+                name: heartbeat.card.name.clone(),
+                domain: heartbeat.card.domain.clone(),
+                silent_ms: now_ms.saturating_sub(*heard_at_ms),
+                ready: heartbeat.ready,
+                leaving: heartbeat.leaving,
+                has_store: heartbeat.store_contact_ms.is_some(),
+            })
+            .collect();
+        others.sort_unstable_by(|one, other| one.name.cmp(&other.name));
+        others
+    }
+
     /// Returns the VMs that serve, this one among them unless it leaves, in the order of names.
     pub fn serving(&self, now_ms: u64) -> Vec<&VmCard> {
         let mut cards: Vec<_> = self
--- a/crates/sedgepath/src/commands/status.rs
+++ b/crates/sedgepath/src/commands/status.rs
@@ -1,11 +1,13 @@
 use std::io::Write;
 
 use getopts::Options;
+use sedgepath_core::direct::status::VmStatus;
 use sedgepath_wire::rpc::Status;
 
 use super::{Command, data_options};
 use crate::cli::Context;
 use crate::error::CliError;
+use crate::operations::vm_status;
 
 /// `sedgepath status`
 pub const COMMAND: Command = Command {
@@ -13,17 +15,24 @@
     arguments: "[OPTIONS]",
     about: "Show a node's state and the members that it knows\n\nThe age of the head is the time \
             since anyone whom the node hears of has read the platform; it\nrises while the \
-            platform can't be reached.",
+            platform can't be reached.\n\nWith --metrics, which may be repeated, show VMs that \
+            send to upstreams themselves: their services,\nwith upstreams by state and the retry \
+            budget, and the other VMs that they hear.",
     options,
     exec,
 };
 
 fn options(options: &mut Options) {
     data_options(options);
+    options.optmulti("", "metrics", "show the VM whose metrics are at this address", "ADDRESS");
 }
 
 fn exec(context: &mut Context<'_>) -> Result<(), CliError> {
     context.no_arguments()?;
+    let addresses = context.matches.opt_strs("metrics");
+    if !addresses.is_empty() {
+        return of_direct_vms(context, &addresses);
+    }
     let answer = context.client()?.ask(|client| async move { client.status().await })?;
     if context.json() {
         return context.write_json(&answer.value);
@@ -32,6 +41,60 @@
     Ok(())
 }
 
+/// Shows VMs that send to upstreams themselves.
+fn of_direct_vms(context: &mut Context<'_>, addresses: &[String]) -> Result<(), CliError> {
+    let statuses = addresses.iter().map(|address| vm_status::read(address));
+    let statuses = statuses.collect::<Result<Vec<_>, _>>()?;
+    if context.json() {
+        return context.write_json(&statuses);
+    }
+    for status in &statuses {
+        write_direct(context.out, status)?;
+    }
+    Ok(())
+}
+
+fn write_direct(out: &mut dyn Write, status: &VmStatus) -> std::io::Result<()> {
+    let VmStatus { name, domain, configuration_version, sharing, .. } = status;
+    let state = match (status.leaving, status.can_serve) {
+        (true, _) => "leaves",
+        (false, true) => "serves",
+        (false, false) => "does not serve yet",
+    };
+    writeln!(out, "{name} in {domain} {state} by configuration {configuration_version}")?;
+    if !status.evacuated.is_empty() {
+        writeln!(out, "being emptied: {}", status.evacuated.join(", "))?;
+    }
+    for (service, of) in &status.services {
+        writeln!(
+            out,
+            "{service:<24} {} upstreams ({} leaving, {} cold, {} left out), load {:.0} of {} slots, \
+             {} in flight from here, {} repeats for {} requests",
+            of.upstreams,
+            of.leaving,
+            of.cold,
+            of.left_out,
+            of.load,
+            of.slots,
+            of.in_flight,
+            of.repeats,
+            of.requests
+        )?;
+    }
+    writeln!(out, "{} other VMs heard; limits are split among {sharing}:", status.others.len())?;
+    for other in &status.others {
+        let state = match (other.leaving, other.ready) {
+            (true, _) => "leaving",
+            (false, true) => "ready",
+            (false, false) => "not ready",
+        };
+        let store = if other.has_store { "has the store" } else { "does not follow the store" };
+        let (name, domain, silent_ms) = (&other.name, &other.domain, other.silent_ms);
+        writeln!(out, "{name:<24} {state:<9} in {domain}, heard {silent_ms} ms ago, {store}")?;
+    }
+    Ok(())
+}
+
 fn write(out: &mut dyn Write, status: &Status) -> std::io::Result<()> {
     let Status { node, revision, head_age_ms, ready, unread, members, .. } = status;
     let ready = if *ready { "serves" } else { "does not serve yet" };
--- a/crates/sedgepath/src/error.rs
+++ b/crates/sedgepath/src/error.rs
@@ -99,6 +99,16 @@
         "name one or more with `--node ADDRESS`, or all in the variable SEDGEPATH_NODES"
     ))]
     NoNode,
+    /// A VM does not tell its state.
+    #[error("the VM at {address} does not tell its state")]
+    #[diagnostic(help("the address should be that of its metrics, like 192.0.2.1:9464"))]
+    NoStatus {
+        /// The address.
+        address: Box<str>,
+        /// Why.
+        #[source]
+        source: attohttpc::Error,
+    },
     /// There is no key to prove who asks.
     #[error("no key is given")]
     #[diagnostic(help("give it in a file by `--key-file FILE`, or in the variable SEDGEPATH_KEY"))]
@@ -195,6 +205,7 @@
             Self::File { .. }
             | Self::ReadLogs { .. }
             | Self::NoSuchRequest { .. }
+            | Self::NoStatus { .. }
             | Self::Node { .. }
             | Self::NotAccepted(_)
             | Self::NoRecord { .. }
--- a/crates/sedgepath/src/operations.rs
+++ b/crates/sedgepath/src/operations.rs
@@ -12,6 +12,7 @@
 pub mod drain;
 pub mod logs;
 pub mod timeline;
+pub mod vm_status;
 
 /// How often all nodes are asked about a change whose outcome is not known.
 const ROUNDS: u32 = 2;
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -1,7 +1,7 @@
 //! What a VM counts, in the text form of Prometheus.
 
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -9,6 +9,7 @@
 
 use super::clock;
 use super::pool::Body;
+use super::questions::empty;
 use super::sending::held;
 use super::shell::Shell;
 
@@ -123,7 +124,17 @@
     i64::try_from(count).unwrap_or(i64::MAX)
 }
 
-/// Answers with all metrics as text.
-pub fn answer(shell: &Shell, _request: &Request<Incoming>) -> Response<Body> {
-    Response::new(held(shell.metrics.text(shell).into()))
+/// Answers with the VM's state as JSON, or with all metrics as text.
+pub fn answer(shell: &Shell, request: &Request<Incoming>) -> Response<Body> {
+    if request.uri().path() != "/status" {
+        return Response::new(held(shell.metrics.text(shell).into()));
+    }
+    let status = shell.steering.borrow().status(clock::now_ms());
+    match serde_json::to_vec(&status) {
+        Ok(text) => Response::new(held(text.into())),
+        Err(error) => {
+            log::error!("event=status_not_written error={:?}", error.to_string());
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
 }
--- a/crates/sedgepathd/tests/direct.rs
+++ b/crates/sedgepathd/tests/direct.rs
@@ -7,6 +7,7 @@
 use platform::caller::{self, Connection};
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{Site, Vm, configure, wait_for};
+use sedgepath::cli::{self, Environment};
 use sedgepath_test_support::store::{Mode, StoreStandIn};
 
 const READS: &str = "/reads/1?q=2";
@@ -294,6 +295,38 @@
     assert_eq!(answer.status, 200);
 }
 
+/// An engineer on call asks two VMs for their state, and one that is not there. Each tells its
+/// configuration, its service's upstreams by state and the other VM; the lost one is an error that
+/// names the address.
+#[test]
+fn the_command_line_shows_the_state_of_vms() {
+    let served = Served::new(2);
+    let second = served.site.start_ready(2, "north-b");
+    served.upstreams[1].register(&served.store, "north-a", "draining", 2);
+    let status = |addresses: &[String]| {
+        let mut arguments = vec!["status".to_owned()];
+        arguments.extend(addresses.iter().flat_map(|at| ["--metrics".to_owned(), at.clone()]));
+        let mut out = Vec::new();
+        cli::execute(&arguments, &Environment::default(), &mut out)
+            .map(|()| String::from_utf8(out).expect("text"))
+    };
+    let both = [served.vm.metrics.to_string(), second.metrics.to_string()];
+    let expected = [
+        "vm1 in north-a serves by configuration 12\n",
+        "vm2 in north-b serves by configuration 12\n",
+        "2 upstreams (1 leaving, 0 cold, 0 left out), load 0 of 8 slots",
+        "1 other VMs heard; limits are split among 2:",
+    ];
+    wait_for("the state of both", || {
+        let shown = status(&both).expect("the state");
+        expected.iter().all(|line| shown.contains(line))
+    });
+    let lost = second.metrics.to_string();
+    second.kill();
+    let error = status(std::slice::from_ref(&lost)).expect_err("no state");
+    assert!(error.to_string().contains(&lost), "{error}");
+}
+
 /// The store's history is gone, and an upstream left in the gap: its removal is in no feed. The VM
 /// reads all rows anew and finds it missing.
 #[test]
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -77,7 +77,7 @@
     /// Lays out a site around a store.
     pub fn new(store: SocketAddr) -> Self {
         let block = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
-        let ports = free_ports(4).expect("free ports");
+        let ports = free_ports(5).expect("free ports");
         Self { block, ports, store, dir: tempfile::tempdir().expect("a directory") }
     }
 
@@ -98,7 +98,7 @@
         let output =
             fs::File::create(self.dir.path().join(format!("vm{number}.log"))).expect("log");
         let child = Command::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd")))
-            .arg("--direct")
+            .args(["--direct", "--metrics-port", &self.ports[4].to_string()])
             .env("SEDGEPATH_CONFIG", &settings)
             .stdin(Stdio::null())
             .stdout(output.try_clone().expect("log"))
@@ -106,7 +106,13 @@
             .spawn()
             .expect("the daemon starts");
         let address = |index: usize| SocketAddr::new(self.ip(number), self.ports[index]);
-        Vm { child, callers: address(0), ready: address(1), look_ups: address(2) }
+        Vm {
+            child,
+            callers: address(0),
+            ready: address(1),
+            look_ups: address(2),
+            metrics: address(4),
+        }
     }
 
     /// Starts a VM and waits until it takes requests.
@@ -175,6 +181,8 @@
     pub ready: SocketAddr,
     /// Where it answers look-ups.
     pub look_ups: SocketAddr,
+    /// Where it tells its metrics and its state.
+    pub metrics: SocketAddr,
 }
 
 impl Vm {
