Write the last lines of a stop before the process ends

Cause: lines are written by a thread of their own, and the process ended without waiting for it.

Change: at the end the process waits until the lines on their way are written, for 0.1 s at most.

The process test of the planned stop now asks for it as the last line; it passed before as well, since there a file takes the lines at once.

--- a/crates/sedgepathd/src/direct/lines.rs
+++ b/crates/sedgepathd/src/direct/lines.rs
@@ -35,6 +35,13 @@
 /// How often it is looked whether lines were left out.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 
+/// The longest that a process about to end waits for its last lines to be written, in milliseconds; a
+/// reader that stands still must not hold up the end. Less than the margin that a stop leaves.
+const LAST_LINES_MS: u64 = 100;
+
+/// How often it looks, in milliseconds.
+const LAST_LINES_CHECK_MS: u64 = 2;
+
 /// A budget of lines for each second.
 #[derive(Debug, Default)]
 pub struct LineBudget {
@@ -67,6 +74,23 @@
     urgent: AtomicU64,
 }
 
+/// The lines of a process on their way to its standard output.
+#[derive(Debug, Clone, Default)]
+pub struct Lines {
+    waiting: Arc<AtomicU64>,
+}
+
+impl Lines {
+    /// Waits until all lines are written, but not for long. The process's end would lose them, the one
+    /// that tells of its stop among them.
+    pub async fn finish(&self) {
+        let until_ms = clock::now_ms() + LAST_LINES_MS;
+        while self.waiting.load(Ordering::Acquire) > 0 && clock::now_ms() < until_ms {
+            tokio::time::sleep(Duration::from_millis(LAST_LINES_CHECK_MS)).await;
+        }
+    }
+}
+
 /// The order of lines over all VMs.
 #[derive(Debug, Clone, Default)]
 pub struct LineClock {
@@ -95,8 +119,9 @@
 /// # Errors
 ///
 /// Fails if a logger is in place already.
-pub fn start(vm: &str) -> Result<LineClock, log::SetLoggerError> {
+pub fn start(vm: &str) -> Result<(LineClock, Lines), log::SetLoggerError> {
     let line_clock = LineClock::default();
+    let lines = Lines::default();
     let (sender, receiver) = bounded(QUEUE_LINES);
     let left_out = Arc::new(LeftOut::default());
     let counted = Arc::clone(&left_out);
@@ -114,11 +139,12 @@
             let level = record.level().as_str().to_ascii_lowercase();
             out.finish(format_args!("at={time_ms}.{count} vm={vm} level={level} {message}"));
         })
-        .chain(fern::Output::call(queue(sender, Arc::clone(&left_out))))
+        .chain(fern::Output::call(queue(sender, lines.clone(), Arc::clone(&left_out))))
         .apply()?;
     let stamps = line_clock.clone();
-    std::thread::spawn(move || write(&receiver, &left_out, &stamps, &writer_vm));
-    Ok(line_clock)
+    let writing = lines.clone();
+    std::thread::spawn(move || write(&receiver, &writing, &left_out, &stamps, &writer_vm));
+    Ok((line_clock, lines))
 }
 
 fn within_budget(budgets: &Mutex<Budgets>, left_out: &LeftOut, calm: bool) -> bool {
@@ -137,24 +163,38 @@
 
 fn queue(
     sender: Sender<String>,
+    lines: Lines,
     left_out: Arc<LeftOut>,
 ) -> impl Fn(&log::Record<'_>) + Send + Sync {
     move |record| {
+        lines.waiting.fetch_add(1, Ordering::Release);
         if sender.try_send(record.args().to_string()).is_err() {
+            lines.waiting.fetch_sub(1, Ordering::Release);
             left_out.urgent.fetch_add(1, Ordering::Relaxed);
         }
     }
 }
 
-fn write(receiver: &Receiver<String>, left_out: &LeftOut, stamps: &LineClock, vm: &str) {
+fn write(
+    receiver: &Receiver<String>,
+    lines: &Lines,
+    left_out: &LeftOut,
+    stamps: &LineClock,
+    vm: &str,
+) {
     let mut report_at_ms = 0;
     loop {
+        let mut taken = 0;
         let mut text = match receiver.recv_timeout(REPORT_EVERY) {
-            Ok(line) => line + "\n",
+            Ok(line) => {
+                taken += 1;
+                line + "\n"
+            }
             Err(error) if error.is_timeout() => String::new(),
             Err(_disconnected) => return,
         };
         for line in receiver.try_iter() {
+            taken += 1;
             text.push_str(&line);
             text.push('\n');
         }
@@ -169,6 +209,7 @@
         if out.write_all(text.as_bytes()).and_then(|()| out.flush()).is_err() {
             return;
         }
+        lines.waiting.fetch_sub(taken, Ordering::Release);
     }
 }
 
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -15,7 +15,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
-use super::lines::LineClock;
+use super::lines::{LineClock, Lines};
 use super::metrics::Metrics;
 use super::shell::{Shell, StopPhase};
 use super::{clock, entry, follow, ingress, lines, metrics, peers, questions};
@@ -84,17 +84,18 @@
 /// Fails if the settings can't be used or an address can't be listened on.
 pub fn run(metrics_port: Option<u16>) -> Result<(), RunError> {
     let settings = Settings::from_environment()?;
-    let line_clock = lines::start(&settings.vm)?;
+    let (line_clock, lines) = lines::start(&settings.vm)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(RunError::Runtime)?;
-    LocalSet::new().block_on(&runtime, serve(settings, line_clock, metrics_port))
+    LocalSet::new().block_on(&runtime, serve(settings, line_clock, lines, metrics_port))
 }
 
 async fn serve(
     settings: Settings,
     line_clock: LineClock,
+    lines: Lines,
     metrics_port: Option<u16>,
 ) -> Result<(), RunError> {
     let callers = settings.listen.callers.ok_or(SettingsError::NoAddress("callers"))?;
@@ -156,6 +157,7 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     log::info!("event=stopped requests={}", shell.requests.get());
+    lines.finish().await;
     Ok(())
 }
 
--- a/crates/sedgepathd/tests/direct.rs
+++ b/crates/sedgepathd/tests/direct.rs
@@ -245,7 +245,7 @@
 }
 
 /// The VM is asked to stop while a request runs. The request gets its whole answer, the VM says that
-/// it takes no more, and it ends by itself within the grace.
+/// it takes no more, and it ends by itself within the grace; the last line of its log says so.
 #[test]
 fn a_planned_stop_cuts_nothing() {
     let mut served = Served::new(1);
@@ -264,6 +264,9 @@
     wait_for("the end", || served.vm.ended().is_some());
     assert!(begun.elapsed() < Duration::from_secs(6));
     assert!(served.vm.ended().is_some_and(|status| status.success()));
+    let log = served.site.log(1);
+    let last = log.lines().last().expect("a line");
+    assert!(last.ends_with("event=stopped requests=0"), "{last}");
 }
 
 /// The settings are read anew on a signal while a request runs: nothing is cut.
