Break connections, slow links and lose the store's answers in the soak

Cause: the soak cut links but never broke a connection that was in use, and the store never lost an answer; both are among what the users' platform does.

Change: four more kinds of fault: the connections of an upstream's or a VM's store link break, an upstream's link is slow, the store carries a write out and loses its answer, or carries it out late.

--- a/crates/sedgepath-test-support/src/link.rs
+++ b/crates/sedgepath-test-support/src/link.rs
@@ -100,6 +100,14 @@
         lock(&self.control.state).delay_ms = delay_ms;
     }
 
+    /// Breaks all connections, whatever is on its way; new ones are made as before.
+    pub fn break_connections(&self) {
+        for target in lock(&self.control.state).targets.values() {
+            // The target may have closed it already.
+            drop(target.shutdown(Shutdown::Both));
+        }
+    }
+
     /// Returns the counts so far.
     pub fn counts(&self) -> LinkCounts {
         lock(&self.control.state).counts
--- a/crates/sedgepathd/tests/soak.rs
+++ b/crates/sedgepathd/tests/soak.rs
@@ -2,8 +2,8 @@
 //!
 //! Three VMs, four upstreams, the store. While callers ask on connections that they keep, VMs are
 //! killed, stopped, paused and restarted; upstreams refuse, break off, fall silent, answer twice and
-//! leave; links are cut one way or both and slowed; the store falls silent, refuses and forgets its
-//! history; configurations change. Faults come in series and overlap. What callers and upstreams saw
+//! leave; links are cut one way or both, slowed, and break their connections; the store falls silent,
+//! refuses, forgets its history, loses answers and writes late; configurations change. Faults come in series and overlap. What callers and upstreams saw
 //! is checked: nothing runs twice that must not, *not run* is true, no answer reaches another request,
 //! and after the faults every VM serves and a leaving upstream gets nothing.
 //!
@@ -36,6 +36,9 @@
 /// The longest pause between two faults, in milliseconds.
 const MAX_PAUSE_MS: u64 = 300;
 
+/// The longest delay of a slowed link, in milliseconds: some times the way to the farthest region.
+const SLOW_LINK_MS: u64 = 150;
+
 const DOMAINS: [&str; 3] = ["north-a", "north-b", "south-a"];
 
 /// What a caller was told of each attempt.
@@ -109,7 +112,7 @@
     fn fault(&mut self) {
         let vm = self.random.usize(..3);
         let upstream = self.random.usize(..4);
-        let kind = self.random.u32(..12);
+        let kind = self.random.u32(..16);
         self.faults.push(format!("{kind}:{vm}:{upstream}"));
         match kind {
             0 => self.vms[vm] = None,
@@ -134,6 +137,13 @@
             }
             9 => self.store.forget_history(),
             10 => self.configure(),
+            11 => self.upstreams[upstream].1.break_connections(),
+            12 => self.store_links[vm].break_connections(),
+            13 => self.upstreams[upstream].1.set_delay_ms(self.random.u64(0..=SLOW_LINK_MS)),
+            14 => {
+                self.store.lose_next_answers(1);
+                self.store.apply_late(self.random.u32(..2));
+            }
             _ => {
                 let state = if self.random.bool() { "draining" } else { "ready" };
                 self.register(upstream, state);
@@ -185,9 +195,13 @@
             self.store_links[number].set_cut(Cut::None);
         }
         self.store.set_mode(Mode::Up);
+        self.store.lose_next_answers(0);
+        self.store.apply_late(0);
+        self.store.release_late();
         for number in 0..4 {
             self.upstreams[number].0.behave(Behaviour::Answer);
             self.upstreams[number].1.set_cut(Cut::None);
+            self.upstreams[number].1.set_delay_ms(0);
             self.register(number, "ready");
         }
         // One that was asked to stop while it was paused ends now.
