--- a/crates/sedgepathd/tests/store_answers.rs
+++ b/crates/sedgepathd/tests/store_answers.rs
@@ -93,6 +93,28 @@
     }
 }
 
+#[test]
+fn a_store_that_closes_each_connection_is_not_stormed() {
+    // The store takes connections and closes them at once, as under overload. A call tries one, and
+    // ends: were it to connect again and again until its time is up, all VMs together would keep the
+    // store down.
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let client = client(listener.local_addr().expect("an address"));
+    let taken = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let counted = std::sync::Arc::clone(&taken);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            counted.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            drop(stream);
+        }
+    });
+    for _ in 0..5 {
+        assert_ne!(client.execute(&commit()), TableResult::Committed);
+    }
+    let taken = taken.load(std::sync::atomic::Ordering::Relaxed);
+    assert!(taken <= 5, "{taken} connections for 5 calls");
+}
+
 #[test]
 fn a_refused_commit_was_not_carried_out() {
     // The platform answers 503, then nobody listens at its address any more.
