Name the table workers after what they do

On a newcomer's reading `sedgepathd::platform` was taken for a part of `platform/`; it holds threads that wait for the table. No other change.

--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -33,9 +33,9 @@
 use crate::metrics::{self, Metrics, MetricsError};
 use crate::operators::{self, Operators};
 use crate::peers::Peers;
-use crate::platform;
 use crate::settings::Settings;
 use crate::store::{self, StoreTable};
+use crate::table;
 use crate::upstreams::Upstreams;
 
 /// Why the daemon could not start.
@@ -100,14 +100,14 @@
     let boot = BootId::new(clock.now_ms(), fastrand::u64(..));
     let node =
         Node::new(identity(settings, boot), settings.timing.node_settings(fastrand::u64(..)));
-    let (platform_sender, platform_jobs) = unbounded();
+    let (table_sender, table_jobs) = unbounded();
     let (fetch_sender, fetch_jobs) = mpsc::unbounded_channel();
     let (hand_over_sender, hand_overs) = mpsc::unbounded_channel();
     let datagram_key = SharedKey::new(&settings.secret, "datagrams");
     let outlets = Outlets {
         socket: socket.try_clone().map_err(listen("datagrams of peers", settings.peers))?,
         datagram_key: datagram_key.clone(),
-        platform: platform_sender,
+        table: table_sender,
         fetches: fetch_sender,
         hand_overs: hand_over_sender,
         metrics: Arc::clone(&metrics),
@@ -117,7 +117,7 @@
     let store = Arc::new(Store::new(store_address(&settings.platform)?));
     let table: Arc<dyn TableService> =
         Arc::new(StoreTable::new(Arc::clone(&store), runtime.handle().clone()));
-    platform::start_workers(&table, &platform_jobs, &handle);
+    table::start_workers(&table, &table_jobs, &handle);
     let stopping = Arc::new(AtomicBool::new(false));
     runtime.spawn(store::follow_list(
         Arc::clone(&store),
--- a/crates/sedgepathd/src/driver.rs
+++ b/crates/sedgepathd/src/driver.rs
@@ -1,6 +1,6 @@
 //! The thread that owns the node.
 //!
-//! Events come in over a channel; the node's actions go out to the sockets, the platform workers
+//! Events come in over a channel; the node's actions go out to the sockets, the table workers
 //! and the tasks of the requests that they concern. Nothing here decides anything.
 
 use std::net::UdpSocket;
@@ -24,7 +24,7 @@
 use crate::homes::HandOverJob;
 use crate::logging;
 use crate::metrics::Metrics;
-use crate::platform::PlatformJob;
+use crate::table::TableJob;
 
 /// The time between two ticks of the node.
 const TICK_EVERY: Duration = Duration::from_millis(20);
@@ -174,8 +174,8 @@
     pub socket: UdpSocket,
     /// The key of datagrams.
     pub datagram_key: SharedKey,
-    /// The queue of the platform workers.
-    pub platform: Sender<PlatformJob>,
+    /// The queue of the table workers.
+    pub table: Sender<TableJob>,
     /// The queue of fetches from peers.
     pub fetches: mpsc::UnboundedSender<crate::operators::FetchJob>,
     /// The queue of hand-overs to peers.
@@ -337,7 +337,7 @@
                 }
                 Action::Send { to, envelope } => self.send_datagram(to, &envelope),
                 Action::Table { operation, request } => {
-                    let _ended = self.outlets.platform.send(PlatformJob { operation, request });
+                    let _ended = self.outlets.table.send(TableJob { operation, request });
                 }
                 Action::Fetch { operation, from, after } => {
                     let job = crate::operators::FetchJob { operation, from, after };
--- a/crates/sedgepathd/src/platform.rs
+++ b/crates/sedgepathd/src/table.rs
@@ -14,7 +14,7 @@
 
 /// A request to the table.
 #[derive(Debug)]
-pub struct PlatformJob {
+pub struct TableJob {
     /// Names the request in its result.
     pub operation: OperationKey,
     /// The request.
@@ -22,7 +22,7 @@
 }
 
 /// Starts the threads that execute requests to the table.
-pub fn start_workers(table: &Arc<dyn TableService>, jobs: &Receiver<PlatformJob>, handle: &Handle) {
+pub fn start_workers(table: &Arc<dyn TableService>, jobs: &Receiver<TableJob>, handle: &Handle) {
     for _ in 0..WORKERS {
         let table = Arc::clone(table);
         let jobs = jobs.clone();
