Fetch rows from another VM for as long as they come

The second configuration with 1,400 more routes takes more than 0.8 s over a slow link that several VMs ask over; the fetch was given up then and begun anew, and another VM asked beside it every 0.35 s. 238 fetches timed out between 24 and 32 s; version 11 was at its first VM at 24.5 s, at its last at 31.9 s.

Ruled out: VMs that did not hear of it (all had heartbeats, and fetched); the store (the VMs that follow it had the version before it was acknowledged).

Change: a fetch ends when nothing comes for 0.8 s, or after 5 s; while rows come, another VM is asked only after a second.

--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, client};
@@ -31,9 +31,18 @@
 /// connection and an answer between the farthest regions, twice.
 const ASK_ANOTHER_MS: u64 = 350;
 
-/// The longest that fetching rows from another VM may take.
+/// The longest that another VM may say nothing while rows are fetched from it.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The longest that fetching rows may take. A configuration of some thousand routes takes a second and
+/// more on a link of 10 Mbit/s that several VMs ask over; given up on before, it is sent again and
+/// again, and keeps the link full.
+const WHOLE_FETCH_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long rows may come from one VM before another one is asked as well, in milliseconds: by then
+/// some VM with a free link has them.
+const SLOW_FETCH_MS: u64 = 1_000;
+
 /// The largest answer with rows, in bytes: a table of some thousand upstreams.
 const MAX_PAGE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -127,7 +136,7 @@
         }
         copy.position()
     };
-    match timeout(FETCH_TIMEOUT, ask(table, position, address)).await {
+    match timeout(WHOLE_FETCH_TIMEOUT, ask(shell, table, position, address)).await {
         Ok(Ok(page)) => {
             log::debug!("event=rows_fetched table={} from={address}", table.name());
             follow::take_in(shell, table, page);
@@ -150,11 +159,19 @@
     Http(#[from] hyper::Error),
     #[error("the answer breaks off or is too large")]
     Body,
+    #[error("nothing comes any more")]
+    Silent,
     #[error("the answer can't be read")]
     Decode(#[from] postcard::Error),
 }
 
-async fn ask(table: Table, after: u64, address: SocketAddr) -> Result<Page, FetchError> {
+async fn ask(
+    shell: &Shell,
+    table: Table,
+    after: u64,
+    address: SocketAddr,
+) -> Result<Page, FetchError> {
+    let begun_at_ms = clock::now_ms();
     let stream = dial::connect(address, FETCH_TIMEOUT).await?;
     let (mut connection, task) = client::conn::http1::handshake(TokioIo::new(stream)).await?;
     // The call that uses the connection hears of its end.
@@ -163,9 +180,21 @@
     if let Ok(uri) = format!("/copies/{}/{after}", table.name()).parse() {
         *request.uri_mut() = uri;
     }
-    let answer = connection.send_request(request).await?;
-    let body = Limited::new(answer.into_body(), MAX_PAGE_BYTES).collect().await;
-    let body = body.map_err(|_broken| FetchError::Body)?.to_bytes();
+    let sent = timeout(FETCH_TIMEOUT, connection.send_request(request)).await;
+    let answer = sent.map_err(|_elapsed| FetchError::Silent)??;
+    let mut incoming = Limited::new(answer.into_body(), MAX_PAGE_BYTES);
+    let mut body = BytesMut::new();
+    loop {
+        let frame = timeout(FETCH_TIMEOUT, incoming.frame()).await;
+        let Some(frame) = frame.map_err(|_elapsed| FetchError::Silent)? else { break };
+        if let Ok(data) = frame.map_err(|_broken| FetchError::Body)?.into_data() {
+            body.extend_from_slice(&data);
+        }
+        let now_ms = clock::now_ms();
+        if now_ms < begun_at_ms + SLOW_FETCH_MS {
+            shell.fetching.borrow_mut().insert(table, now_ms);
+        }
+    }
     Ok(postcard::from_bytes(&body)?)
 }
 
