Keep the stand-in of the store beside the adapter

Cause: moved to the support crate, the stand-in brought the names of the store's calls to a place outside platform/.

Change: it is a package of its own in platform/stand-in; the support crate gives it on under the same name. No other change.

--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -14,11 +14,12 @@
 pub mod owner;
 pub mod port;
 pub mod records;
-pub mod store;
 pub mod system;
 pub mod table;
 pub mod upstream;
 
+pub use sedgepath_store_stand_in as store;
+
 mod clock;
 mod http1;
 mod server;
