--- a/crates/sedgepathd/tests/direct.rs
+++ b/crates/sedgepathd/tests/direct.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use platform::caller::{self, Connection};
+use platform::slow_peer::SlowPeer;
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{Site, Vm, configure, wait_for};
 use sedgepath::cli::{self, Environment};
@@ -330,6 +331,27 @@
     assert!(error.to_string().contains(&lost), "{error}");
 }
 
+/// A VM starts without the store; the only other VM hands its rows on over a slow link, in pieces over
+/// more than a second. They are taken as they come. Given up on and begun anew they would never be
+/// whole, and asked for again and again they would only make the link slower.
+#[test]
+fn rows_that_come_slowly_are_taken() {
+    let store = StoreStandIn::new().expect("a store");
+    configure(&store, "0000000c", "3000ms");
+    UpstreamStandIn::new("u0").register(&store, "north-a", "ready", 1);
+    let site = Site::new(store.address);
+    let peer = SlowPeer::new(site.peer_address(1), &store);
+    store.set_mode(Mode::Silent);
+
+    let vm = site.start(2, "north-a");
+
+    wait_for("readiness by slow rows", || {
+        peer.tell(site.peer_address(2));
+        vm.is_ready()
+    });
+    assert!(peer.asked() <= 6, "asked {} times for two tables", peer.asked());
+}
+
 /// The store's history is gone, and an upstream left in the gap: its removal is in no feed. The VM
 /// reads all rows anew and finds it missing.
 #[test]
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the stand-ins")]
 
 pub mod caller;
+pub mod slow_peer;
 pub mod upstream;
 
 use std::fs;
@@ -86,6 +87,11 @@
         IpAddr::V4(Ipv4Addr::new(127, process, self.block, number))
     }
 
+    /// Returns where the VM of a number hears other VMs.
+    pub fn peer_address(&self, number: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(number), self.ports[3])
+    }
+
     /// Starts the VM of a number in a failure domain; it is not waited for.
     pub fn start(&self, number: u8, domain: &str) -> Vm {
         self.start_with_store(number, domain, self.store)
--- /dev/null
+++ b/crates/sedgepathd/tests/platform/slow_peer.rs
@@ -0,0 +1,87 @@
+//! A VM that is there only to hand on rows, and does so slowly.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use sedgepath_core::direct::copies::{CopiedRow, Page, Table};
+use sedgepath_test_support::direct::heartbeat;
+use sedgepath_test_support::store::StoreStandIn;
+
+/// The pieces in which an answer comes.
+const PIECES: usize = 10;
+
+/// The time between two of them.
+const PIECE_EVERY: Duration = Duration::from_millis(130);
+
+/// The VM; it ends with the test's process.
+#[derive(Debug)]
+pub struct SlowPeer {
+    socket: UdpSocket,
+    address: SocketAddr,
+    asked: Arc<AtomicUsize>,
+}
+
+impl SlowPeer {
+    /// Starts one at an address, with the rows that the store has now.
+    pub fn new(address: SocketAddr, store: &StoreStandIn) -> Self {
+        let listener = TcpListener::bind(address).expect("the address is free");
+        let asked = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&asked);
+        let pages = [page(store, "op"), page(store, "servers")];
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                counted.fetch_add(1, Ordering::Relaxed);
+                let pages = pages.clone();
+                // A VM that has given up hears no more.
+                thread::spawn(move || drop(answer(stream, &pages)));
+            }
+        });
+        Self { socket: UdpSocket::bind(address).expect("the address is free"), address, asked }
+    }
+
+    /// Tells a VM that it has rows.
+    pub fn tell(&self, vm: SocketAddr) {
+        let mut heartbeat = heartbeat("slow", "north-a", 1);
+        heartbeat.card.peers = self.address;
+        heartbeat.changed_at = [1_000; 2];
+        let bytes = postcard::to_stdvec(&heartbeat).expect("a heartbeat");
+        // The VM may not listen yet.
+        drop(self.socket.send_to(&bytes, vm));
+    }
+
+    /// Returns how often it was asked for rows.
+    pub fn asked(&self) -> usize {
+        self.asked.load(Ordering::Relaxed)
+    }
+}
+
+fn page(store: &StoreStandIn, table: &str) -> Vec<u8> {
+    let rows = store.rows(table).into_iter().map(|row| CopiedRow {
+        key: row.key.into(),
+        version: row.version,
+        value: Some(row.value.into()),
+    });
+    let page = Page { rows: rows.collect(), position: 1_000, whole: true };
+    postcard::to_stdvec(&page).expect("a page")
+}
+
+fn answer(mut stream: TcpStream, pages: &[Vec<u8>; 2]) -> std::io::Result<()> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte)?;
+        head.push(byte[0]);
+    }
+    let operators = String::from_utf8_lossy(&head).contains(Table::Operators.name());
+    let body = &pages[usize::from(!operators)];
+    write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len())?;
+    for piece in body.chunks(body.len().div_ceil(PIECES)) {
+        thread::sleep(PIECE_EVERY);
+        stream.write_all(piece)?;
+    }
+    Ok(())
+}
