--- a/crates/sedgepath-emulator/src/lib.rs
+++ b/crates/sedgepath-emulator/src/lib.rs
@@ -20,3 +20,5 @@
 pub mod run;
 pub mod scenario;
 pub mod upstream;
+
+mod setup;
--- /dev/null
+++ b/crates/sedgepath-emulator/src/setup.rs
@@ -0,0 +1,119 @@
+//! What the core is told before a run: VMs, upstreams, the configuration.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use sedgepath_core::clock::Stamp;
+use sedgepath_core::direct::budget::BudgetLimits;
+use sedgepath_core::direct::routing::{
+    CallerLimits, Configuration, Route, RouteKind, RoutePart, ServiceSettings,
+};
+use sedgepath_core::direct::upstreams::UpstreamEntry;
+use sedgepath_core::direct::vms::{VmCard, VmHeartbeat, VmTiming, Vms};
+use sedgepath_core::direct::{Limits, Place, Steering};
+use sedgepath_core::hash::Map;
+
+use crate::scenario::Scenario;
+
+/// The service that all callers ask for.
+const SERVICE: &str = "service";
+
+/// The host that all callers name.
+pub(crate) const HOST: &str = "host.example";
+
+/// The time between two heartbeats of a VM, in milliseconds, as in the daemon.
+pub(crate) const HEARTBEAT_MS: u64 = 500;
+
+/// The retry budget: that of the users' sites.
+const BUDGET: BudgetLimits = BudgetLimits { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
+
+/// Returns the entry of an upstream, which has been warm for long.
+pub(crate) fn entry(number: usize, domain: &str, scenario: &Scenario) -> UpstreamEntry {
+    UpstreamEntry {
+        name: format!("u{number}").into(),
+        service: SERVICE.into(),
+        address: address(1, number, 8_080),
+        domain: domain.into(),
+        slots: scenario.upstreams.slots as u32,
+        leaving: false,
+        cold_for_ms: 0,
+        sequence: 1,
+        born_at_ms: None,
+    }
+}
+
+fn address(net: u8, number: usize, port: u16) -> SocketAddr {
+    let ip = Ipv4Addr::new(10, net, (number / 250) as u8, (number % 250) as u8 + 1);
+    SocketAddr::new(IpAddr::V4(ip), port)
+}
+
+/// Returns the configuration: one host, one route, one service.
+pub(crate) fn configuration(scenario: &Scenario) -> Arc<Configuration> {
+    let callers = scenario.callers;
+    let route = Route {
+        name: "route".into(),
+        prefix: "/".into(),
+        kind: RouteKind::Idempotent,
+        timeout_ms: callers.timeout_ms,
+        target_ms: callers.target_ms,
+        priority: 1,
+        parts: vec![RoutePart { service: SERVICE.into(), weight: 1.0 }],
+        max_attempts: callers.max_attempts,
+        sticky: true,
+        home_regions: Vec::new(),
+    };
+    let settings = ServiceSettings {
+        max_connections: scenario.upstreams.max_connections,
+        cold_start_ms: scenario.upstreams.cold_start_ms,
+        cold_per_s: scenario.upstreams.cold_per_s,
+    };
+    let mut services: Map<Box<str>, ServiceSettings> = Map::default();
+    services.insert(SERVICE.into(), settings);
+    let mut hosts: Map<Box<str>, Vec<Arc<Route>>> = Map::default();
+    hosts.insert(HOST.into(), vec![Arc::new(route)]);
+    let limits =
+        CallerLimits { max_header_bytes: 16_384, max_body_bytes: 1 << 20, idle_timeout_ms: 15_000 };
+    Arc::new(Configuration { version: 1, services, hosts, limits })
+}
+
+/// Returns a VM that knows only itself.
+pub(crate) fn steering(
+    number: usize,
+    domain: &str,
+    region: &str,
+    domains: &[(&str, &str)],
+) -> Steering {
+    let name: Box<str> = format!("vm{number}").into();
+    let regions = domains.iter().map(|(domain, region)| ((*domain).into(), (*region).into()));
+    let place = Place {
+        name: name.clone(),
+        domain: domain.into(),
+        region: region.into(),
+        regions: regions.collect(),
+    };
+    let card = VmCard {
+        name,
+        domain: domain.into(),
+        region: region.into(),
+        callers: address(0, number, 80),
+        peers: address(0, number, 7_000),
+    };
+    let own = VmHeartbeat {
+        stamp: Stamp::default(),
+        period_ms: HEARTBEAT_MS,
+        card,
+        boot: 1,
+        ready: true,
+        leaving: false,
+        changed_at: [0; 2],
+        store_contact_ms: Some(0),
+        known: Vec::new(),
+    };
+    let timing = VmTiming {
+        heartbeat_ms: HEARTBEAT_MS,
+        heartbeats_per_s: 130,
+        max_silence_ms: 5_500,
+        forgotten_after_ms: 20_000,
+    };
+    Steering::new(place, Limits { budget: BUDGET }, Vms::new(own, timing), 0)
+}
--- a/crates/sedgepath-wire/src/lib.rs
+++ b/crates/sedgepath-wire/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod proof;
 pub mod rpc;
 pub mod ticket;
+pub mod time;
--- a/crates/sedgepath-wire/src/proof.rs
+++ b/crates/sedgepath-wire/src/proof.rs
@@ -68,7 +68,9 @@
 impl<T: Serialize> Proved<T> {
     /// Proves a call.
     pub fn new(key: &SharedKey, method: &str, of: T, at_ms: u64, number: u64) -> Self {
-        let code = code(key, method, &of, at_ms, number);
+        // Parameters that can't be written are proved by nothing, and refused.
+        let parts = parts(method, &of, at_ms, number);
+        let code = parts.map(|parts| key.code(&[&parts])).unwrap_or_default();
         Self { proof: Proof { at_ms, number, code }, of }
     }
 }
@@ -101,12 +103,11 @@
         now_ms: u64,
     ) -> Result<T, ProofError> {
         let Proof { at_ms, number, code: given } = call.proof;
+        let Some(parts) = parts(method, &call.of, at_ms, number) else {
+            return Err(ProofError::Unproved);
+        };
         // All keys are tried, so that the time does not tell which one fits.
-        let fits = self.keys.iter().filter(|key| {
-            let parts = parts(method, &call.of, at_ms, number);
-            key.verify(&[&parts], &given)
-        });
-        if fits.count() == 0 {
+        if self.keys.iter().filter(|key| key.verify(&[&parts], &given)).count() == 0 {
             return Err(ProofError::Unproved);
         }
         let apart_ms = now_ms.abs_diff(at_ms);
@@ -135,18 +136,13 @@
     }
 }
 
-fn code<T: Serialize>(key: &SharedKey, method: &str, of: &T, at_ms: u64, number: u64) -> Code {
-    key.code(&[&parts(method, of, at_ms, number)])
-}
-
-/// Returns what a code stands for. Parameters that can't be written stand as nothing, which both ends
-/// do alike.
-fn parts<T: Serialize>(method: &str, of: &T, at_ms: u64, number: u64) -> Vec<u8> {
+/// Returns what a code stands for, or none if the parameters can't be written.
+fn parts<T: Serialize>(method: &str, of: &T, at_ms: u64, number: u64) -> Option<Vec<u8>> {
     let mut parts = Vec::new();
     parts.extend_from_slice(&at_ms.to_le_bytes());
     parts.extend_from_slice(&number.to_le_bytes());
     parts.extend_from_slice(&(method.len() as u64).to_le_bytes());
     parts.extend_from_slice(method.as_bytes());
-    parts.extend_from_slice(&postcard::to_stdvec(of).unwrap_or_default());
-    parts
+    parts.extend_from_slice(&postcard::to_stdvec(of).ok()?);
+    Some(parts)
 }
--- a/crates/sedgepath-wire/src/rpc/caller.rs
+++ b/crates/sedgepath-wire/src/rpc/caller.rs
@@ -1,7 +1,5 @@
 //! Makes remote calls, each with its proof.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use jsonrpsee::core::client::Error;
 use jsonrpsee::http_client::HttpClient;
 use sedgepath_core::clock::Stamp;
@@ -14,6 +12,7 @@
 use super::{OperatorsClient, Status, TimelinePart, UNTIMELY_CODE, method};
 use crate::key::SharedKey;
 use crate::proof::Proved;
+use crate::time::unix_ms;
 
 /// Makes a call, and once more by the node's time if that is far from the caller's.
 macro_rules! proved {
@@ -109,9 +108,3 @@
     let untimely = refusal.code() == UNTIMELY_CODE;
     refusal.data().filter(|_| untimely)?.get().parse().ok()
 }
-
-/// Returns the time of day in milliseconds since the Unix epoch.
-fn unix_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since_epoch.as_millis() as u64
-}
--- a/crates/sedgepath/src/cli.rs
+++ b/crates/sedgepath/src/cli.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 
 use getopts::{Matches, Options};
+use sedgepath_wire::proof;
 
 use crate::client::Client;
 use crate::commands::{COMMANDS, Command};
 use crate::error::{CliError, Exit};
 use crate::operations::logs::LogLine;
-use sedgepath_wire::proof;
 
 /// The variable that names the nodes to ask, separated by commas or blanks.
 pub const NODES_VARIABLE: &str = "SEDGEPATH_NODES";
--- a/crates/sedgepath/src/commands/drain.rs
+++ b/crates/sedgepath/src/commands/drain.rs
@@ -2,6 +2,7 @@
 
 use getopts::Options;
 use sedgepath_core::record::DrainTarget;
+use sedgepath_wire::time::unix_ms;
 
 use super::{Command, change_options, data_options};
 use crate::cli::Context;
@@ -39,7 +40,7 @@
     let [step, target] = &*arguments else {
         return Err(context.usage("`plan`, `start` or `end` and one target should be given"));
     };
-    let now_ms = time::now_ms();
+    let now_ms = unix_ms();
     let options = DrainOptions {
         target: target.as_str().into(),
         kind: kind(context)?,
--- a/crates/sedgepath/src/commands/timeline.rs
+++ b/crates/sedgepath/src/commands/timeline.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use getopts::Options;
+use sedgepath_wire::time::unix_ms;
 
 use super::{Command, data_options};
 use crate::cli::Context;
@@ -41,7 +42,7 @@
 
 fn exec(context: &mut Context<'_>) -> Result<(), CliError> {
     context.no_arguments()?;
-    let now_ms = time::now_ms();
+    let now_ms = unix_ms();
     let since_ms = match context.matches.opt_str("since") {
         None => now_ms.saturating_sub(DEFAULT_SINCE_MS),
         Some(text) => time::parse_length(&text)
--- a/crates/sedgepath/src/time.rs
+++ b/crates/sedgepath/src/time.rs
@@ -1,15 +1,7 @@
 //! Times as operators read and write them, in UTC.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 const DAY_MS: u64 = 86_400_000;
 
-/// Returns the time in milliseconds since the Unix epoch.
-pub fn now_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since_epoch.as_millis() as u64
-}
-
 /// Writes a time in milliseconds since the Unix epoch as `2026-12-02T21:30:00.123Z`.
 ///
 /// The date follows from the days since the epoch as in Hinnant's `civil_from_days` (2013).
--- a/crates/sedgepath/tests/logs.rs
+++ b/crates/sedgepath/tests/logs.rs
@@ -23,6 +23,13 @@
     fs::write(dir.join("b1.log"), second).expect("written");
 }
 
+/// Returns the lines of both files.
+fn collected() -> Vec<LogLine> {
+    let dir = tempfile::tempdir().expect("a directory");
+    write_files(dir.path());
+    logs::read(dir.path()).expect("read")
+}
+
 fn text(lines: &[&LogLine]) -> String {
     let lines: Vec<_> = lines.iter().map(|line| format!("{} {}", line.vm, line.event)).collect();
     lines.join("\n")
@@ -30,9 +37,7 @@
 
 #[test]
 fn lines_of_all_vms_merge_in_one_order() {
-    let dir = tempfile::tempdir().expect("a directory");
-    write_files(dir.path());
-    let lines = logs::read(dir.path()).expect("read");
+    let lines = collected();
     expect![[r"
         a1 started
         a1 configuration
@@ -49,9 +54,7 @@
 /// What its VM believed when it decided, and nothing that came later or of other VMs.
 #[test]
 fn a_request_is_explained_by_what_its_vm_believed() {
-    let dir = tempfile::tempdir().expect("a directory");
-    write_files(dir.path());
-    let lines = logs::read(dir.path()).expect("read");
+    let lines = collected();
     expect![[r"
         a1 started
         a1 configuration
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -30,52 +30,15 @@
 use crate::homes;
 use crate::hop::Hops;
 use crate::logging;
-use crate::metrics::{self, Metrics, MetricsError};
+use crate::metrics::{self, Metrics};
 use crate::operators::{self, Operators};
 use crate::peers::Peers;
 use crate::settings::Settings;
+use crate::start::StartError;
 use crate::store::{self, StoreTable};
 use crate::table;
 use crate::upstreams::Upstreams;
 
-/// Why the daemon could not start.
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-pub enum DaemonError {
-    /// An address can't be listened on.
-    #[error("can't listen for {what} on {address}")]
-    Listen {
-        /// What was to be listened for.
-        what: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// The system's error.
-        #[source]
-        source: io::Error,
-    },
-    /// The store's address can't be found out.
-    #[error("can't find the address of the store {url}")]
-    StoreAddress {
-        /// The URL of the settings.
-        url: Box<str>,
-        /// The system's error.
-        #[source]
-        source: io::Error,
-    },
-    /// The metrics can't be set up.
-    #[error("can't set up the metrics")]
-    Metrics(#[from] prometheus::Error),
-    /// The metrics can't be served.
-    #[error(transparent)]
-    #[diagnostic(transparent)]
-    ServeMetrics(#[from] MetricsError),
-    /// The log can't be started.
-    #[error("can't start the log")]
-    Log(#[from] log::SetLoggerError),
-    /// The runtime or the signal handler can't be started.
-    #[error("can't start the runtime")]
-    Runtime(#[source] io::Error),
-}
-
 /// The longest that callers may take to read the last bytes of their answers at a planned stop.
 const LAST_BYTES_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -84,17 +47,17 @@
 /// # Errors
 ///
 /// Fails if an address can't be listened on or a part can't be started.
-pub fn run(settings: &Settings) -> Result<(), DaemonError> {
+pub fn run(settings: &Settings) -> Result<(), StartError> {
     logging::start(&settings.log_level)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
         .build()
-        .map_err(DaemonError::Runtime)?;
+        .map_err(StartError::Runtime)?;
     let metrics = Arc::new(Metrics::new()?);
     metrics::serve(settings.metrics, Arc::clone(&metrics))?;
-    let socket =
-        UdpSocket::bind(settings.peers).map_err(listen("datagrams of peers", settings.peers))?;
+    let socket = UdpSocket::bind(settings.peers)
+        .map_err(StartError::listen("datagrams of peers", settings.peers))?;
 
     let clock = Clock::new();
     let boot = BootId::new(clock.now_ms(), fastrand::u64(..));
@@ -105,7 +68,9 @@
     let (hand_over_sender, hand_overs) = mpsc::unbounded_channel();
     let datagram_key = SharedKey::new(&settings.secret, "datagrams");
     let outlets = Outlets {
-        socket: socket.try_clone().map_err(listen("datagrams of peers", settings.peers))?,
+        socket: socket
+            .try_clone()
+            .map_err(StartError::listen("datagrams of peers", settings.peers))?,
         datagram_key: datagram_key.clone(),
         table: table_sender,
         fetches: fetch_sender,
@@ -151,13 +116,14 @@
     let serving_callers = runtime.block_on(async {
         let callers_listener = TcpListener::bind(settings.callers)
             .await
-            .map_err(listen("callers", settings.callers))?;
-        let peers_listener =
-            TcpListener::bind(settings.peers).await.map_err(listen("peers", settings.peers))?;
+            .map_err(StartError::listen("callers", settings.callers))?;
+        let peers_listener = TcpListener::bind(settings.peers)
+            .await
+            .map_err(StartError::listen("peers", settings.peers))?;
         let server = Server::builder()
             .build(settings.operators)
             .await
-            .map_err(listen("operators", settings.operators))?;
+            .map_err(StartError::listen("operators", settings.operators))?;
         let serving =
             server.start(Operators::new(handle.clone(), Arc::clone(&table), guard).into_rpc());
         let serving_callers = tokio::spawn(callers.serve(callers_listener, callers_stop));
@@ -165,10 +131,10 @@
         tokio::spawn(operators::run_fetches(fetch_jobs, call_key, handle.clone()));
         tokio::spawn(homes::run_hand_overs(hand_overs, hops, handle.clone(), boot));
         tokio::spawn(serving.stopped());
-        Ok::<_, DaemonError>(serving_callers)
+        Ok::<_, StartError>(serving_callers)
     })?;
 
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(DaemonError::Runtime)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(StartError::Runtime)?;
     std::thread::spawn(move || {
         for _signal in signals.forever() {
             handle.event(Event::Stop);
@@ -192,17 +158,13 @@
 }
 
 /// Returns the address of the store, given as `http://HOST:PORT`.
-fn store_address(url: &str) -> Result<SocketAddr, DaemonError> {
-    let failed = |source| DaemonError::StoreAddress { url: url.into(), source };
+fn store_address(url: &str) -> Result<SocketAddr, StartError> {
+    let failed = |source| StartError::StoreAddress { url: url.into(), source };
     let place = url.strip_prefix("http://").unwrap_or(url).trim_end_matches('/');
     let mut addresses = place.to_socket_addrs().map_err(failed)?;
     addresses.next().ok_or_else(|| failed(io::ErrorKind::AddrNotAvailable.into()))
 }
 
-fn listen(what: &'static str, address: SocketAddr) -> impl FnOnce(io::Error) -> DaemonError {
-    move |source| DaemonError::Listen { what, address, source }
-}
-
 fn identity(settings: &Settings, boot: BootId) -> Identity {
     let card = MemberCard {
         name: settings.name.clone(),
--- a/crates/sedgepathd/src/direct/clock.rs
+++ b/crates/sedgepathd/src/direct/clock.rs
@@ -5,6 +5,8 @@
 use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
+pub use sedgepath_wire::time::unix_ms;
+
 /// Returns the milliseconds since the machine started, those while it was suspended among them.
 ///
 /// The steady clock stands still while a machine is suspended. By it, what was read before the
@@ -19,9 +21,3 @@
 pub fn instant(at_ms: u64) -> Instant {
     Instant::now() + Duration::from_millis(at_ms.saturating_sub(now_ms()))
 }
-
-/// Returns the milliseconds since the Unix epoch.
-pub fn unix_ms() -> u64 {
-    let time = clock_gettime(ClockId::Realtime);
-    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
-}
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -1,4 +1,4 @@
-//! What a VM counts, in the text form of Prometheus.
+//! What a VM counts, in the text form of Prometheus, and its state beside it.
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -1,6 +1,5 @@
 //! Start, signals and planned stop.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +14,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::start::StartError;
+
 use super::lines::{LineClock, Lines};
 use super::metrics::Metrics;
 use super::shell::{Shell, StopPhase};
@@ -49,46 +50,18 @@
 /// The period of the upkeep of tables, in milliseconds.
 const UPKEEP_MS: u64 = 250;
 
-/// Why the daemon could not start.
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-pub enum RunError {
-    /// The settings can't be used.
-    #[error(transparent)]
-    Settings(#[from] SettingsError),
-    /// An address can't be listened on.
-    #[error("can't listen for {what} on {address}")]
-    Listen {
-        /// What was to be listened for.
-        what: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// The system's error.
-        #[source]
-        source: io::Error,
-    },
-    /// The metrics can't be set up.
-    #[error("can't set up the metrics")]
-    Metrics(#[from] prometheus::Error),
-    /// The log can't be started.
-    #[error("can't start the log")]
-    Log(#[from] log::SetLoggerError),
-    /// The runtime or the signal handler can't be started.
-    #[error("can't start the runtime")]
-    Runtime(#[source] io::Error),
-}
-
 /// Runs an entry VM until it is asked to stop.
 ///
 /// # Errors
 ///
 /// Fails if the settings can't be used or an address can't be listened on.
-pub fn run(metrics_port: Option<u16>) -> Result<(), RunError> {
+pub fn run(metrics_port: Option<u16>) -> Result<(), StartError> {
     let settings = Settings::from_environment()?;
     let (line_clock, lines) = lines::start(&settings.vm)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(RunError::Runtime)?;
+        .map_err(StartError::Runtime)?;
     LocalSet::new().block_on(&runtime, serve(settings, line_clock, lines, metrics_port))
 }
 
@@ -97,17 +70,15 @@
     line_clock: LineClock,
     lines: Lines,
     metrics_port: Option<u16>,
-) -> Result<(), RunError> {
+) -> Result<(), StartError> {
     let callers = settings.listen.callers.ok_or(SettingsError::NoAddress("callers"))?;
     let ready = settings.listen.ready.ok_or(SettingsError::NoAddress("readiness"))?;
     let look_ups = settings.listen.look_ups.ok_or(SettingsError::NoAddress("look-ups"))?;
     let peer_address = SocketAddr::new(settings.ip, settings.peer_ports.0);
     let steering = steering(&settings, callers, peer_address);
-    let socket = UdpSocket::bind(peer_address).await.map_err(|source| RunError::Listen {
-        what: "heartbeats",
-        address: peer_address,
-        source,
-    })?;
+    let socket = UdpSocket::bind(peer_address)
+        .await
+        .map_err(StartError::listen("heartbeats", peer_address))?;
     let shell = Shell::new(settings, steering, socket, line_clock, Metrics::new()?);
 
     let callers_listener = listen("callers", callers).await?;
@@ -208,8 +179,8 @@
     Steering::new(place, limits, vms, clock::now_ms())
 }
 
-async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, RunError> {
-    TcpListener::bind(address).await.map_err(|source| RunError::Listen { what, address, source })
+async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(StartError::listen(what, address))
 }
 
 /// Tells other VMs of this one by a row of the store, and learns of theirs.
@@ -253,10 +224,10 @@
     }
 }
 
-async fn wait_for_stop() -> Result<(), RunError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Runtime)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Runtime)?;
-    let mut reload = signal(SignalKind::hangup()).map_err(RunError::Runtime)?;
+async fn wait_for_stop() -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Runtime)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Runtime)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(StartError::Runtime)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
--- a/crates/sedgepathd/src/driver.rs
+++ b/crates/sedgepathd/src/driver.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use sedgepath_core::configuration::change::{ChangeOutcome, ChangeRequest};
@@ -19,6 +19,7 @@
 use sedgepath_core::request::{Dispatch, RequestHead, Ticket};
 use sedgepath_wire::datagram;
 use sedgepath_wire::key::SharedKey;
+use sedgepath_wire::time::unix_ms;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::homes::HandOverJob;
@@ -42,8 +43,7 @@
 impl Clock {
     /// Starts the clock from the wall clock.
     pub fn new() -> Self {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { started: Instant::now(), started_at_ms: since_epoch.as_millis() as u64 }
+        Self { started: Instant::now(), started_at_ms: unix_ms() }
     }
 
     /// Returns the time in milliseconds.
--- a/crates/sedgepathd/src/lib.rs
+++ b/crates/sedgepathd/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod reply;
 pub mod settings;
+pub mod start;
 pub mod store;
 pub mod table;
 pub mod upstreams;
--- a/crates/sedgepathd/tests/operators.rs
+++ b/crates/sedgepathd/tests/operators.rs
@@ -1,15 +1,16 @@
 //! The operators' commands against daemons as processes of their own.
 
 use std::path::Path;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use sedgepath::cli::{self, Environment};
 use sedgepath::error::{CliError, Exit};
 use sedgepath_test_support::records::{self, UpstreamSpec};
 use sedgepath_test_support::store::Mode;
 use sedgepath_test_support::system::{SECRET, System};
-use sedgepath_wire::proof::{self, Proved};
-use sedgepath_wire::rpc::method;
+use sedgepath_wire::proof::{self, MAX_AGE_MS, Proved};
+use sedgepath_wire::rpc::{UNPROVED_CODE, UNTIMELY_CODE, method};
+use sedgepath_wire::time::unix_ms;
 use tempfile::TempDir;
 
 /// What an operator reads of the first change.
@@ -103,10 +104,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
-}
-
 fn exit(result: Result<String, CliError>) -> (Exit, String) {
     let error = result.expect_err("an error");
     (error.exit(), error.to_string())
@@ -239,7 +236,8 @@
 
 /// One key of operators is replaced by another: both are in force for a while. An operator with
 /// either reads and changes; one with a key that is not, or with none, learns nothing and changes
-/// nothing, and a change that was recorded on its way can't be made again.
+/// nothing, and a call that was recorded on its way can't be made again. One by a clock far from the
+/// node's is told the node's time, and taken by that.
 #[test]
 fn calls_are_proved_by_a_key_in_force() {
     let (old, new) = ("the key until now", "the key from now on");
@@ -254,16 +252,25 @@
     assert_eq!(exit(bench.run_with("some other key....", &[0], &["get"])).0, Exit::Failed);
     assert_eq!(bench.run_with(new, &[0], &["apply", &file]).expect("apply"), ACCEPTED);
 
-    let recorded = Proved::new(&proof::key(old), method::STATUS, (), unix_ms(), 7);
-    let body = serde_json::json!({
-        "jsonrpc": "2.0", "id": 1, "method": "sedgepath_status", "params": [recorded],
-    });
     let url = format!("http://{}", bench.system.addresses[0].operators);
-    let call = || attohttpc::post(&url).json(&body).expect("a body").send().expect("an answer");
-    let first = call().text().expect("text");
-    assert!(first.contains("\"ready\":true"), "{first}");
-    let again = call().text().expect("text");
-    assert!(again.contains("the call was made before"), "{again}");
+    let call = |at_ms, number| {
+        let recorded = Proved::new(&proof::key(old), method::STATUS, (), at_ms, number);
+        let body = serde_json::json!({
+            "jsonrpc": "2.0", "id": 1, "method": "sedgepath_status", "params": [recorded],
+        });
+        let answer = attohttpc::post(&url).json(&body).expect("a body").send();
+        answer.expect("an answer").json::<serde_json::Value>().expect("JSON")
+    };
+    let now_ms = unix_ms();
+    let first = call(now_ms, 7);
+    assert_eq!(first["result"]["ready"], true, "{first}");
+    let again = call(now_ms, 7);
+    assert_eq!(again["error"]["code"], UNPROVED_CODE, "{again}");
+    assert_eq!(again["error"]["message"], "the call was made before");
+    let early = call(now_ms - 10 * MAX_AGE_MS, 8);
+    assert_eq!(early["error"]["code"], UNTIMELY_CODE, "{early}");
+    let nodes_ms = early["error"]["data"].as_u64().expect("the node's time");
+    assert_eq!(call(nodes_ms, 9)["result"]["ready"], true, "by the node's own time");
 }
 
 /// The help of each command and wrong command lines.
--- a/crates/sedgepathd/tests/store_answers.rs
+++ b/crates/sedgepathd/tests/store_answers.rs
@@ -2,6 +2,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 
 use sedgepath_core::table::{Row, TableRequest, TableResult, TableService, Transaction};
@@ -68,7 +70,7 @@
 
 #[test]
 fn a_commit_without_a_whole_answer_is_unknown_and_a_read_unavailable() {
-    // The platform takes the request and then: holds it beyond the time-out, cuts its answer short,
+    // The store takes the request and then: holds it beyond the time-out, cuts its answer short,
     // answers with a server's error, or answers something that is no result.
     // The commit may have taken effect each time, so the caller must not hear that it did not.
     // A read has no effect, so "unavailable" is true of it.
@@ -85,9 +87,9 @@
         [(commit(), TableResult::Unknown), (read(), TableResult::Unavailable)]
     {
         let count = failures().len();
-        let (platform, server) = serve(failures());
+        let (store, server) = serve(failures());
         for step in 0..count {
-            assert_eq!(platform.execute(&request), expected, "step {step}");
+            assert_eq!(store.execute(&request), expected, "step {step}");
         }
         assert_eq!(server.join().expect("served").len(), count);
     }
@@ -100,31 +102,31 @@
     // store down.
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let client = client(listener.local_addr().expect("an address"));
-    let taken = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
-    let counted = std::sync::Arc::clone(&taken);
+    let taken = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&taken);
     thread::spawn(move || {
         for stream in listener.incoming() {
-            counted.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            counted.fetch_add(1, Ordering::Relaxed);
             drop(stream);
         }
     });
     for _ in 0..5 {
         assert_ne!(client.execute(&commit()), TableResult::Committed);
     }
-    let taken = taken.load(std::sync::atomic::Ordering::Relaxed);
+    let taken = taken.load(Ordering::Relaxed);
     assert!(taken <= 5, "{taken} connections for 5 calls");
 }
 
 #[test]
 fn a_refused_commit_was_not_carried_out() {
-    // The platform answers 503, then nobody listens at its address any more.
+    // The store answers 503, then nobody listens at its address any more.
     // The caller hears "unavailable" both times and may safely say that nothing was written.
-    let (platform, server) = serve(vec![Step::Answer(
+    let (store, server) = serve(vec![Step::Answer(
         "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
     )]);
-    assert_eq!(platform.execute(&commit()), TableResult::Unavailable);
+    assert_eq!(store.execute(&commit()), TableResult::Unavailable);
     server.join().expect("served");
-    assert_eq!(platform.execute(&commit()), TableResult::Unavailable);
+    assert_eq!(store.execute(&commit()), TableResult::Unavailable);
 }
 
 #[test]
