Tell a store that nobody asks from one that is away

The three VMs that followed the store, one a region, were suspended at 7.15 s; the upstream left at 7.81 s. Others noticed the silence after 2.2 s and read the removal at 9.32 s. But a VM that makes no calls counted as one that gets no answer, so with the readers silent the store counted as away, and the removal as a lapse: the upstream was used until 11.1 s.

Ruled out: the way reader, peer, decision (rows reached all VMs within 0.11 s of the first read), a choked link, a waking VM's old view (the requests came from VMs that ran all the time).

Change: heartbeats say what a VM can tell of the store (not asked, answers, fails); the store is away only if it fails somebody and answers nobody. VMs that follow the store are relied on for 2.6 of their periods of silence in place of 4.4.

Both new core tests fail without their part of the change.

The bound holds for readers that are all suspended at one moment.

--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -11,7 +11,7 @@
 use super::placing::{Candidate, Question, ServiceTimes, Weights};
 use super::routing::{Configuration, ServiceSettings, Splits};
 use super::upstreams::{Upstream, UpstreamKey, Upstreams};
-use super::vms::Vms;
+use super::vms::{StoreView, Vms};
 use super::waiting::{self, Patience, Pressure};
 
 /// Where a VM stands.
@@ -182,19 +182,23 @@
         &mut self.vms
     }
 
-    /// Takes in for how long the store has answered this VM without a break.
+    /// Takes in what this VM can tell of the store.
     ///
-    /// The store is away only if it answers no VM that this one hears. If it answered another one all
-    /// the time, only this VM was cut off, and what the store now lacks has not lapsed but left.
-    pub fn note_store(&mut self, own_contact_ms: Option<u64>, now_ms: u64) {
-        let others_ms = self.vms.peers_store_contact_ms(now_ms);
-        let Some(contact_ms) = own_contact_ms.max(others_ms) else {
-            if !self.store.away {
-                self.store.away = true;
-                self.store.away_since_ms = Some(self.store.last_at_ms);
-                self.upstreams.set_store_away(true, now_ms);
+    /// The store is away only if it fails a VM and answers none that this one hears. If it answered
+    /// another one all the time, only this VM was cut off, and what the store now lacks has not lapsed
+    /// but left.
+    pub fn note_store(&mut self, own: StoreView, now_ms: u64) {
+        let contact_ms = match self.vms.store(own, now_ms) {
+            StoreView::Answers { for_ms } => for_ms,
+            StoreView::Unasked => return,
+            StoreView::Fails => {
+                if !self.store.away {
+                    self.store.away = true;
+                    self.store.away_since_ms = Some(self.store.last_at_ms);
+                    self.upstreams.set_store_away(true, now_ms);
+                }
+                return;
             }
-            return;
         };
         self.store.last_at_ms = now_ms;
         if self.store.away {
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -28,6 +28,40 @@
     pub peers: SocketAddr,
 }
 
+/// What a VM can tell of the store from its own calls.
+///
+/// A VM that makes no calls knows nothing of the store. Taken for one that gets no answer, it made an
+/// outage of the moment in which all VMs that follow the store were suspended: the removal of an
+/// upstream, read right after, counted as a lapse, and the upstream got requests for 2 s more.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreView {
+    /// It makes no calls, or has had the end of none yet.
+    #[default]
+    Unasked,
+    /// It has been answered.
+    Answers {
+        /// For how long without a break, in milliseconds.
+        for_ms: u64,
+    },
+    /// Its last call failed.
+    Fails,
+}
+
+impl StoreView {
+    /// Returns for how long the store has answered without a break, in milliseconds.
+    pub fn contact_ms(self) -> Option<u64> {
+        match self {
+            Self::Answers { for_ms } => Some(for_ms),
+            Self::Unasked | Self::Fails => None,
+        }
+    }
+
+    /// Whether the store answers.
+    pub fn answers(self) -> bool {
+        matches!(self, Self::Answers { .. })
+    }
+}
+
 /// What a VM tells the others of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmHeartbeat {
@@ -45,8 +79,8 @@
     pub leaving: bool,
     /// How new its copies of the store's tables are, by the store's versions.
     pub changed_at: [u64; 2],
-    /// For how long the store has answered it without a break, in milliseconds; none if it doesn't.
-    pub store_contact_ms: Option<u64>,
+    /// What it can tell of the store.
+    pub store: StoreView,
     /// Where it sends datagrams to: addresses that the receiver may not know yet.
     pub known: Vec<SocketAddr>,
 }
@@ -77,11 +111,23 @@
         let silence_ms = (peer.heartbeat.period_ms as f64 * SILENT_PERIODS) as u64;
         silence_ms.min(self.max_silence_ms)
     }
+
+    /// Returns the silence after which others stop relying on a VM to follow the store, in
+    /// milliseconds.
+    fn reader_silent_after_ms(&self, peer: &Peer) -> u64 {
+        let silence_ms = (peer.heartbeat.period_ms as f64 * READER_SILENT_PERIODS) as u64;
+        silence_ms.min(self.max_silence_ms)
+    }
 }
 
 /// The periods of silence after which a VM is no longer named: four heartbeats may be lost.
 const SILENT_PERIODS: f64 = 4.4;
 
+/// The periods of silence after which others stop relying on a VM to follow the store: two heartbeats
+/// may be lost. All that follow it may be suspended at once, and a leaving upstream may get requests
+/// for 2.5 s only; one more VM that reads for a moment costs some calls.
+const READER_SILENT_PERIODS: f64 = 2.6;
+
 /// How many VMs follow the store at the least, over all regions, if there are as many: with two, one
 /// may die and another be cut off before the silence of either shows.
 const MIN_READERS: usize = 3;
@@ -147,10 +193,10 @@
         round_ms.max(self.timing.heartbeat_ms)
     }
 
-    /// Sets how new this VM's copies are, and for how long the store has answered it.
-    pub fn set_copies(&mut self, changed_at: [u64; 2], store_contact_ms: Option<u64>) {
+    /// Sets how new this VM's copies are, and what it can tell of the store.
+    pub fn set_copies(&mut self, changed_at: [u64; 2], store: StoreView) {
         self.own.changed_at = changed_at;
-        self.own.store_contact_ms = store_contact_ms;
+        self.own.store = store;
     }
 
     /// Sets whether this VM takes new requests.
@@ -231,7 +277,7 @@
                 silent_ms: now_ms.saturating_sub(*heard_at_ms),
                 ready: heartbeat.ready,
                 leaving: heartbeat.leaving,
-                has_store: heartbeat.store_contact_ms.is_some(),
+                has_store: heartbeat.store.answers(),
             })
             .collect();
         others.sort_unstable_by(|one, other| one.name.cmp(&other.name));
@@ -267,7 +313,7 @@
         let alive: Vec<&VmHeartbeat> = self
             .peers
             .values()
-            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms(peer))
+            .filter(|peer| now_ms < peer.heard_at_ms + self.timing.reader_silent_after_ms(peer))
             .map(|peer| &peer.heartbeat)
             .filter(|heartbeat| !heartbeat.leaving)
             .collect();
@@ -277,8 +323,7 @@
         let readers = MIN_READERS.div_ceil(1 + others);
         let near = || alive.iter().filter(|peer| peer.card.region == *own_region);
         let before = near().filter(|peer| peer.card.name < self.own.card.name).count();
-        let contact = near().any(|peer| peer.store_contact_ms.is_some())
-            || self.own.store_contact_ms.is_some();
+        let contact = near().any(|peer| peer.store.answers()) || self.own.store.answers();
         let since_ms = *self.without_contact_since_ms.get_or_insert(now_ms);
         if contact {
             self.without_contact_since_ms = None;
@@ -288,22 +333,34 @@
             None => 0,
         };
         // One that follows the store without being of the first goes on until these have an answer.
-        let needed = near().filter(|peer| peer.store_contact_ms.is_some()).count() < readers
-            && self.own.store_contact_ms.is_some();
+        let needed = near().filter(|peer| peer.store.answers()).count() < readers
+            && self.own.store.answers();
         before < readers + stepping_in || needed
     }
 
-    /// Returns the longest for which the store has answered another VM, in milliseconds by now.
-    pub fn peers_store_contact_ms(&self, now_ms: u64) -> Option<u64> {
+    /// Returns what all VMs that are heard, this one among them, can tell of the store by now: the
+    /// longest for which it has answered one of them, else whether it fails one.
+    pub fn store(&self, own: StoreView, now_ms: u64) -> StoreView {
         let alive = self
             .peers
             .values()
             .filter(|peer| now_ms < peer.heard_at_ms + self.timing.silent_after_ms(peer));
-        let contacts = alive.filter_map(|peer| {
-            let age_ms = now_ms.saturating_sub(peer.heard_at_ms);
-            Some(peer.heartbeat.store_contact_ms? + age_ms)
+        let others = alive.map(|peer| match peer.heartbeat.store {
+            StoreView::Answers { for_ms } => {
+                StoreView::Answers { for_ms: for_ms + now_ms.saturating_sub(peer.heard_at_ms) }
+            }
+            view => view,
         });
-        contacts.max()
+        let (mut answered_ms, mut fails) = (None, false);
+        for view in others.chain([own]) {
+            answered_ms = answered_ms.max(view.contact_ms());
+            fails |= view == StoreView::Fails;
+        }
+        match answered_ms {
+            Some(for_ms) => StoreView::Answers { for_ms },
+            None if fails => StoreView::Fails,
+            None => StoreView::Unasked,
+        }
     }
 
     /// Answers a look-up from a failure domain and region with the addresses of entry VMs.
--- a/crates/sedgepath-core/tests/direct_upstreams.rs
+++ b/crates/sedgepath-core/tests/direct_upstreams.rs
@@ -3,6 +3,7 @@
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::attempts::{Outcome, Step};
 use sedgepath_core::direct::upstreams::{EntryChange, LAPSED_GRACE_MS};
+use sedgepath_core::direct::vms::StoreView;
 use sedgepath_core::hash::Set;
 use sedgepath_test_support::direct::{
     COLD_START_MS, all_kinds, begin, entry, heartbeat, serving_vm, vm,
@@ -85,9 +86,9 @@
 #[test]
 fn entries_that_lapse_with_the_store_away_are_used_until_they_are_due_back() {
     let mut vm = with_one();
-    vm.note_store(Some(5_000), 5_000);
-    vm.note_store(None, 9_000);
-    vm.note_store(Some(0), 14_000);
+    vm.note_store(StoreView::Answers { for_ms: 5_000 }, 5_000);
+    vm.note_store(StoreView::Fails, 9_000);
+    vm.note_store(StoreView::Answers { for_ms: 0 }, 14_000);
     vm.upstreams_mut().remove("b0", 14_010);
 
     assert_eq!(goes_to(&mut vm, "x", 14_100).as_deref(), Some("b0"));
@@ -101,24 +102,62 @@
 #[test]
 fn an_entry_removed_while_others_had_the_store_is_gone_at_once() {
     let mut vm = with_one();
-    vm.note_store(Some(5_000), 5_000);
-    vm.note_store(None, 9_000);
-    vm.note_store(Some(0), 14_000);
+    vm.note_store(StoreView::Answers { for_ms: 5_000 }, 5_000);
+    vm.note_store(StoreView::Fails, 9_000);
+    vm.note_store(StoreView::Answers { for_ms: 0 }, 14_000);
     vm.upstreams_mut().remove("b0", 14_010);
     let mut peer = heartbeat("a2", "north-a", 2);
-    peer.store_contact_ms = Some(14_000);
+    peer.store = StoreView::Answers { for_ms: 14_000 };
     vm.vms_mut().heard(peer, 14_100);
 
-    vm.note_store(Some(100), 14_100);
+    vm.note_store(StoreView::Answers { for_ms: 100 }, 14_100);
 
     assert_eq!(vm.upstreams_mut().expire(14_100), vec!["b0".into()]);
 }
 
+/// All VMs that follow the store are suspended at once, and an upstream leaves meanwhile. Others notice
+/// their silence, read for themselves and find the entry removed. The store was there all the time, only
+/// nobody asked it: callers must not be sent to the upstream for two more seconds.
+#[test]
+fn an_entry_removed_while_nobody_read_the_store_is_gone_at_once() {
+    let mut vm = with_one();
+    let mut reader = heartbeat("a0", "north-a", 2);
+    reader.store = StoreView::Answers { for_ms: 5_000 };
+    vm.vms_mut().heard(reader, 5_000);
+    vm.note_store(StoreView::Unasked, 5_100);
+
+    vm.note_store(StoreView::Unasked, 7_300);
+    vm.note_store(StoreView::Answers { for_ms: 0 }, 7_400);
+    vm.upstreams_mut().remove("b0", 7_400);
+
+    assert_eq!(goes_to(&mut vm, "x", 7_410), None);
+}
+
+/// The VMs that follow the store say that it fails them, and this one makes no calls itself. What they
+/// read first when it is back has lapsed rather than left, here as well as there.
+#[test]
+fn an_outage_that_others_tell_of_is_an_outage() {
+    let mut vm = with_one();
+    let mut reader = heartbeat("a0", "north-a", 2);
+    reader.store = StoreView::Answers { for_ms: 5_000 };
+    vm.vms_mut().heard(reader.clone(), 5_000);
+    vm.note_store(StoreView::Unasked, 5_100);
+    reader.store = StoreView::Fails;
+    vm.vms_mut().heard(reader.clone(), 6_000);
+    vm.note_store(StoreView::Unasked, 6_100);
+
+    reader.store = StoreView::Answers { for_ms: 0 };
+    vm.vms_mut().heard(reader, 9_000);
+    vm.upstreams_mut().remove("b0", 9_010);
+
+    assert_eq!(goes_to(&mut vm, "x", 9_020).as_deref(), Some("b0"));
+}
+
 /// With the store there, a removed entry is a gone upstream.
 #[test]
 fn a_removed_upstream_gets_nothing_new() {
     let mut vm = with_one();
-    vm.note_store(Some(60_000), 60_000);
+    vm.note_store(StoreView::Answers { for_ms: 60_000 }, 60_000);
     vm.upstreams_mut().remove("b0", 60_100);
     assert_eq!(goes_to(&mut vm, "x", 60_100), None);
 }
--- a/crates/sedgepath-core/tests/direct_vms.rs
+++ b/crates/sedgepath-core/tests/direct_vms.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use sedgepath_core::direct::vms::{VmHeartbeat, Vms};
+use sedgepath_core::direct::vms::{StoreView, VmHeartbeat, Vms};
 use sedgepath_test_support::direct::{heartbeat, vms};
 
 fn address(number: u8) -> SocketAddr {
@@ -89,7 +89,7 @@
 
     let mut third = vms("b1", "north-b", 3);
     let mut readers = others();
-    readers[0].store_contact_ms = Some(5_000);
+    readers[0].store = StoreView::Answers { for_ms: 5_000 };
     for peer in readers {
         third.heard(peer, 0);
     }
@@ -110,6 +110,25 @@
     assert!(third.reads_store(100), "the next VM waits although no reader has an answer");
 }
 
+/// The VMs that follow the store are suspended, all at the same moment, just as an upstream leaves. It
+/// may get requests for 2.5 s more: another VM reads the store within a second and a half of that, which
+/// leaves a second for the read, the way to the others and what is already on its way to the upstream.
+#[test]
+fn suspended_readers_are_replaced_within_a_second_and_a_half() {
+    let mut third = vms("b1", "north-b", 3);
+    for mut reader in [heartbeat("a1", "north-a", 1), heartbeat("a2", "north-a", 2)] {
+        reader.store = StoreView::Answers { for_ms: 5_000 };
+        third.heard(reader, 10_000);
+    }
+    third.heard(heartbeat("c1", "south-a", 4), 10_000);
+
+    assert!(!third.reads_store(10_500), "it reads beside those that do");
+    assert!(
+        third.reads_store(11_500),
+        "nobody reads the store 1.5 s after its readers fell silent"
+    );
+}
+
 /// A VM behind a cut hears no other of its region: it follows the store itself.
 #[test]
 fn a_vm_that_hears_nobody_follows_the_store() {
--- a/crates/sedgepath-emulator/src/setup.rs
+++ b/crates/sedgepath-emulator/src/setup.rs
@@ -9,7 +9,7 @@
     CallerLimits, Configuration, Route, RouteKind, RoutePart, ServiceSettings,
 };
 use sedgepath_core::direct::upstreams::UpstreamEntry;
-use sedgepath_core::direct::vms::{VmCard, VmHeartbeat, VmTiming, Vms};
+use sedgepath_core::direct::vms::{StoreView, VmCard, VmHeartbeat, VmTiming, Vms};
 use sedgepath_core::direct::{Limits, Place, Steering};
 use sedgepath_core::hash::Map;
 
@@ -106,7 +106,7 @@
         ready: true,
         leaving: false,
         changed_at: [0; 2],
-        store_contact_ms: Some(0),
+        store: StoreView::Answers { for_ms: 0 },
         known: Vec::new(),
     };
     let timing = VmTiming {
--- a/crates/sedgepath-test-support/src/direct.rs
+++ b/crates/sedgepath-test-support/src/direct.rs
@@ -11,7 +11,7 @@
 };
 use sedgepath_core::direct::steering::Asked;
 use sedgepath_core::direct::upstreams::UpstreamEntry;
-use sedgepath_core::direct::vms::{VmCard, VmHeartbeat, VmTiming, Vms};
+use sedgepath_core::direct::vms::{StoreView, VmCard, VmHeartbeat, VmTiming, Vms};
 use sedgepath_core::direct::{Limits, Place, Steering};
 use sedgepath_core::hash::Map;
 
@@ -53,7 +53,7 @@
         ready: true,
         leaving: false,
         changed_at: [0; 2],
-        store_contact_ms: None,
+        store: StoreView::Unasked,
         known: Vec::new(),
     }
 }
--- a/crates/sedgepathd/src/direct/follow.rs
+++ b/crates/sedgepathd/src/direct/follow.rs
@@ -9,8 +9,9 @@
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::copies::{CopiedRow, Page, Table};
 use sedgepath_core::direct::upstreams::EntryChange;
+use sedgepath_core::direct::vms::StoreView;
 
-use super::shell::Shell;
+use super::shell::{Shell, StoreContact};
 use super::{clock, peers};
 
 /// How long the store may hold back a call until something changes, in milliseconds. A connection
@@ -39,7 +40,7 @@
         let reads = shell.steering.borrow_mut().vms_mut().reads_store(clock::now_ms());
         if !reads && shell.copies.borrow().get(table).known() {
             if table == Table::Upstreams {
-                shell.store_contact_since_ms.set(None);
+                shell.store_contact.set(StoreContact::Unasked);
             }
             tokio::time::sleep(Duration::from_millis(ROLE_CHECK_MS)).await;
             continue;
@@ -82,7 +83,7 @@
         return shell.store.rows(name).await;
     }
     // While the store is away a call that waits would hide for longer that it is back.
-    let wait_ms = if shell.store_contact_since_ms.get().is_some() { WAIT_MS } else { 0 };
+    let wait_ms = if shell.store_contact.get().answers() { WAIT_MS } else { 0 };
     shell.store.changes(name, position, wait_ms).await
 }
 
@@ -90,21 +91,24 @@
     if table != Table::Upstreams {
         return;
     }
-    if shell.store_contact_since_ms.get().is_none() {
+    if !shell.store_contact.get().answers() {
         log::info!("event=store_back");
-        shell.store_contact_since_ms.set(Some(since_ms));
+        shell.store_contact.set(StoreContact::Since { at_ms: since_ms });
     }
-    let contact_ms = shell.store_contact_ms();
-    shell.steering.borrow_mut().note_store(contact_ms, clock::now_ms());
+    let now_ms = clock::now_ms();
+    shell.steering.borrow_mut().note_store(shell.store_contact.get().view(now_ms), now_ms);
 }
 
 /// Notes that the store gave no answer, and returns whether it had given one before.
 fn note_loss(shell: &Shell, table: Table, error: &StoreError) -> bool {
-    let lost = table == Table::Upstreams && shell.store_contact_since_ms.take().is_some();
+    if table != Table::Upstreams {
+        return false;
+    }
+    let lost = shell.store_contact.replace(StoreContact::Lost).answers();
     if lost {
         log::warn!("event=store_away error={:?}", error.to_string());
-        shell.steering.borrow_mut().note_store(None, clock::now_ms());
     }
+    shell.steering.borrow_mut().note_store(StoreView::Fails, clock::now_ms());
     lost
 }
 
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -110,7 +110,14 @@
         self.vms.set(whole(steering.vms().serving(now_ms).len()));
         let version = steering.configuration().map_or(0, |in_force| in_force.version);
         self.configuration.set(version.cast_signed());
-        self.store_contact.set(shell.store_contact_ms().map_or(-1, u64::cast_signed));
+        self.store_contact.set(
+            shell
+                .store_contact
+                .get()
+                .view(clock::now_ms())
+                .contact_ms()
+                .map_or(-1, u64::cast_signed),
+        );
         self.in_flight.set(whole(shell.requests.get()));
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -8,7 +8,7 @@
 use sedgepath_core::clock::Stamp;
 use sedgepath_core::direct::budget::BudgetLimits;
 use sedgepath_core::direct::copies::Table;
-use sedgepath_core::direct::vms::{VmCard, VmHeartbeat, VmTiming, Vms};
+use sedgepath_core::direct::vms::{StoreView, VmCard, VmHeartbeat, VmTiming, Vms};
 use sedgepath_core::direct::{Limits, Place, Steering};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -162,7 +162,7 @@
         ready: false,
         leaving: false,
         changed_at: [0; 2],
-        store_contact_ms: None,
+        store: StoreView::Unasked,
         known: Vec::new(),
     };
     let timing = VmTiming {
@@ -213,7 +213,7 @@
         let now_ms = clock::now_ms();
         let gone = {
             let mut steering = shell.steering.borrow_mut();
-            steering.note_store(shell.store_contact_ms(), now_ms);
+            steering.note_store(shell.store_contact.get().view(now_ms), now_ms);
             steering.upstreams_mut().expire(now_ms)
         };
         for name in gone {
--- a/crates/sedgepathd/src/direct/shell.rs
+++ b/crates/sedgepathd/src/direct/shell.rs
@@ -8,6 +8,7 @@
 use sedgepath_adapter::store::Store;
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::copies::{Copies, Table};
+use sedgepath_core::direct::vms::StoreView;
 use sedgepath_core::hash::Map;
 use tokio::net::UdpSocket;
 
@@ -27,8 +28,8 @@
     pub copies: RefCell<Copies>,
     /// The store.
     pub store: Store,
-    /// Since when the store has answered without a break, in milliseconds; none if it doesn't.
-    pub store_contact_since_ms: Cell<Option<u64>>,
+    /// How this VM's own calls of the store end.
+    pub store_contact: Cell<StoreContact>,
     /// The datagrams between VMs.
     pub peers: UdpSocket,
     /// When rows of each table were last asked of another VM, in milliseconds, until they came.
@@ -47,6 +48,37 @@
     pub stop: tokio::sync::watch::Sender<StopPhase>,
 }
 
+/// How a VM's own calls of the store end.
+#[derive(Debug, Clone, Copy, Default)]
+pub enum StoreContact {
+    /// It makes none, or has had the end of none yet.
+    #[default]
+    Unasked,
+    /// The store answers.
+    Since {
+        /// Since when without a break, in milliseconds.
+        at_ms: u64,
+    },
+    /// The last one failed.
+    Lost,
+}
+
+impl StoreContact {
+    /// Whether the store answers.
+    pub fn answers(self) -> bool {
+        matches!(self, Self::Since { .. })
+    }
+
+    /// Returns what it tells of the store by now.
+    pub fn view(self, now_ms: u64) -> StoreView {
+        match self {
+            Self::Unasked => StoreView::Unasked,
+            Self::Since { at_ms } => StoreView::Answers { for_ms: now_ms.saturating_sub(at_ms) },
+            Self::Lost => StoreView::Fails,
+        }
+    }
+}
+
 /// How far a planned stop has got.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -72,7 +104,7 @@
             metrics,
             store: Store::new(settings.store.address),
             copies: RefCell::default(),
-            store_contact_since_ms: Cell::new(None),
+            store_contact: Cell::default(),
             peers,
             fetching: RefCell::default(),
             settings,
@@ -113,9 +145,4 @@
         let memory_bytes = self.settings.resources.memory_mb as usize * 1024 * 1024;
         most.min(memory_bytes / BODY_MEMORY_PART / self.requests.get().max(1))
     }
-
-    /// Returns for how long the store has answered without a break, in milliseconds.
-    pub fn store_contact_ms(&self) -> Option<u64> {
-        self.store_contact_since_ms.get().map(|since_ms| clock::now_ms().saturating_sub(since_ms))
-    }
 }
