Leave mechanisms out one by one by a switch

So what a mechanism is worth is measured without editing it, on any system.

The policies of the emulator that were made by hand for the two newest mechanisms are taken from the same switch.

--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -27,6 +27,7 @@
 //! upstream's failure domain uses all (the same rendezvous hash on every VM). Neither needs a
 //! message, so both hold while VMs can't hear each other.
 
+pub mod ablation;
 pub mod attempts;
 pub mod budget;
 pub mod copies;
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/ablation.rs
@@ -0,0 +1,106 @@
+//! Mechanisms of a VM that can be left out one by one, to see what each is worth.
+//!
+//! A mechanism whose absence changes nothing that callers or operators notice, over many days and on
+//! unlike systems, is code that nobody needs.
+
+use std::fmt;
+use std::str::FromStr;
+
+use super::steering::Policy;
+use super::waiting::{CALM_TARGET_FACTOR, Patience};
+
+/// A mechanism that can be left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mechanism {
+    /// All requests for an object go by one order of upstreams.
+    ObjectOrder,
+    /// An object has a second upstream for when the first is busy.
+    SecondPlace,
+    /// Upstreams of the own region come first for most objects.
+    OwnRegion,
+    /// Large answers come from the own failure domain.
+    LargeAnswersNear,
+    /// Taking the second upstream costs something by itself.
+    SpillCost,
+    /// It costs more where upstreams forget objects.
+    ForgottenSpill,
+    /// Requests wait for a shorter time while queues stand.
+    ShortQueues,
+    /// A request is sent a second time beside an upstream that says nothing.
+    SecondSending,
+}
+
+/// An error for a mechanism's name that isn't known.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("no mechanism is named `{name}`; there are {}", known())]
+pub struct UnknownMechanism {
+    /// The name that was given.
+    pub name: Box<str>,
+}
+
+fn known() -> String {
+    Mechanism::ALL.map(Mechanism::name).join(", ")
+}
+
+impl Mechanism {
+    /// All mechanisms.
+    pub const ALL: [Self; 8] = [
+        Self::ObjectOrder,
+        Self::SecondPlace,
+        Self::OwnRegion,
+        Self::LargeAnswersNear,
+        Self::SpillCost,
+        Self::ForgottenSpill,
+        Self::ShortQueues,
+        Self::SecondSending,
+    ];
+
+    /// Returns the name on command lines and in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ObjectOrder => "object-order",
+            Self::SecondPlace => "second-place",
+            Self::OwnRegion => "own-region",
+            Self::LargeAnswersNear => "large-answers-near",
+            Self::SpillCost => "spill-cost",
+            Self::ForgottenSpill => "forgotten-spill",
+            Self::ShortQueues => "short-queues",
+            Self::SecondSending => "second-sending",
+        }
+    }
+}
+
+impl fmt::Display for Mechanism {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for Mechanism {
+    type Err = UnknownMechanism;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|mechanism| mechanism.name() == name);
+        found.ok_or_else(|| UnknownMechanism { name: name.into() })
+    }
+}
+
+impl Policy {
+    /// Leaves a mechanism out.
+    pub fn without(mut self, mechanism: Mechanism) -> Self {
+        let weights = &mut self.weights;
+        match mechanism {
+            Mechanism::ObjectOrder => weights.by_object = false,
+            Mechanism::SecondPlace => weights.ranked = 1,
+            Mechanism::OwnRegion => weights.own_region = 1.0,
+            Mechanism::LargeAnswersNear => weights.large_answer_domain = weights.own_region,
+            Mechanism::SpillCost => weights.spill_cost_ms = 0.0,
+            Mechanism::ForgottenSpill => weights.forgotten_spill = 0.0,
+            Mechanism::ShortQueues => {
+                self.patience = Patience { pressed: CALM_TARGET_FACTOR, ..self.patience };
+            }
+            Mechanism::SecondSending => self.second_sending = false,
+        }
+        self
+    }
+}
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -85,12 +85,20 @@
 
 /// The figures by which requests are placed and made to wait; those in force are the default, others
 /// are for comparison.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Policy {
     /// How upstreams are weighed.
     pub weights: Weights,
     /// How long a request may wait.
     pub patience: Patience,
+    /// Whether a request may be sent a second time beside an upstream that says nothing.
+    pub second_sending: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self { weights: Weights::default(), patience: Patience::default(), second_sending: true }
+    }
 }
 
 /// The state of a VM that sends to upstreams itself.
@@ -436,6 +444,9 @@
         let [first] = &*attempts.under_way else {
             return None;
         };
+        if !self.policy.second_sending {
+            return None;
+        }
         (attempts.route.kind.may_repeat() && attempts.may_send()).then_some(first.overdue_at_ms)
     }
 
--- a/crates/sedgepath-emulator/src/policy.rs
+++ b/crates/sedgepath-emulator/src/policy.rs
@@ -1,5 +1,6 @@
 //! The policies compared: those in force, and baselines.
 
+use sedgepath_core::direct::ablation::Mechanism;
 use sedgepath_core::direct::placing::Weights;
 use sedgepath_core::direct::steering::Policy;
 use sedgepath_core::direct::waiting::Patience;
@@ -13,9 +14,13 @@
     pub policy: Policy,
 }
 
+fn without(name: &'static str, mechanism: Mechanism) -> Named {
+    Named { name, policy: Policy::default().without(mechanism) }
+}
+
 /// Returns all policies, the one in force first.
 pub fn all() -> Vec<Named> {
-    let of = |weights, patience| Policy { weights, patience };
+    let of = |weights, patience| Policy { weights, patience, ..Policy::default() };
     let weights = Weights::default();
     let patience = Patience::default();
     let long = Patience { calm: 2.0, pressed: 2.0 };
@@ -42,5 +47,7 @@
             policy: of(Weights { own_region: 1.0, ..weights }, patience),
         },
         Named { name: "waits twice the target", policy: of(weights, long) },
+        without("spills as cheap where upstreams forget", Mechanism::ForgottenSpill),
+        without("no second sending", Mechanism::SecondSending),
     ]
 }
--- a/crates/sedgepathd/src/command.rs
+++ b/crates/sedgepathd/src/command.rs
@@ -3,7 +3,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use getopts::Options;
+use getopts::{Matches, Options};
+use sedgepath_core::direct::ablation::UnknownMechanism;
+use sedgepath_core::direct::steering::Policy;
 
 use crate::settings::Settings;
 use crate::{daemon, direct};
@@ -33,15 +35,14 @@
         return ExitCode::SUCCESS;
     }
     if matches.opt_present("direct") {
-        let metrics_port = match matches.opt_str("metrics-port").map(|port| port.parse()) {
-            None => None,
-            Some(Ok(port)) => Some(port),
-            Some(Err(_)) => {
-                eprintln!("sedgepathd: the port of the metrics is no port\n{}", usage(&options));
+        let direct_options = match direct_options(&matches) {
+            Ok(direct_options) => direct_options,
+            Err(message) => {
+                eprintln!("sedgepathd: {message}\n{}", usage(&options));
                 return ExitCode::from(EXIT_USAGE);
             }
         };
-        return match direct::run::run(metrics_port) {
+        return match direct::run::run(direct_options) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
                 eprintln!("{:?}", miette::Report::new(error));
@@ -73,6 +74,25 @@
     }
 }
 
+/// Why the options of `--direct` can't be used.
+#[derive(Debug, thiserror::Error)]
+enum OptionError {
+    #[error("the port of the metrics is no port")]
+    Port(#[from] std::num::ParseIntError),
+    #[error(transparent)]
+    Mechanism(#[from] UnknownMechanism),
+}
+
+/// Reads the options that go with `--direct`.
+fn direct_options(matches: &Matches) -> Result<direct::run::Options, OptionError> {
+    let metrics_port = matches.opt_str("metrics-port").map(|port| port.parse()).transpose()?;
+    let mut policy = Policy::default();
+    for name in matches.opt_strs("without") {
+        policy = policy.without(name.parse()?);
+    }
+    Ok(direct::run::Options { metrics_port, policy })
+}
+
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "read the settings from this YAML file", "FILE");
@@ -83,6 +103,12 @@
         "run on the platform and send to upstreams directly; the platform's settings file is named by the environment",
     );
     options.optopt("", "metrics-port", "with --direct: serve metrics on this port", "PORT");
+    options.optmulti(
+        "",
+        "without",
+        "with --direct: leave out a mechanism, to see what it is worth",
+        "MECHANISM",
+    );
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
     options
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -8,6 +8,7 @@
 use sedgepath_core::clock::Stamp;
 use sedgepath_core::direct::budget::BudgetLimits;
 use sedgepath_core::direct::copies::Table;
+use sedgepath_core::direct::steering::Policy;
 use sedgepath_core::direct::vms::{StoreView, VmCard, VmHeartbeat, VmTiming, Vms};
 use sedgepath_core::direct::{Limits, Place, Steering};
 use tokio::net::{TcpListener, UdpSocket};
@@ -50,32 +51,41 @@
 /// The period of the upkeep of tables, in milliseconds.
 const UPKEEP_MS: u64 = 250;
 
+/// What the command line says beside the platform's settings.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Options {
+    /// The port on which metrics are served, if any.
+    pub metrics_port: Option<u16>,
+    /// How requests are placed and made to wait.
+    pub policy: Policy,
+}
+
 /// Runs an entry VM until it is asked to stop.
 ///
 /// # Errors
 ///
 /// Fails if the settings can't be used or an address can't be listened on.
-pub fn run(metrics_port: Option<u16>) -> Result<(), StartError> {
+pub fn run(options: Options) -> Result<(), StartError> {
     let settings = Settings::from_environment()?;
     let (line_clock, lines) = lines::start(&settings.vm)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(StartError::Runtime)?;
-    LocalSet::new().block_on(&runtime, serve(settings, line_clock, lines, metrics_port))
+    LocalSet::new().block_on(&runtime, serve(settings, line_clock, lines, options))
 }
 
 async fn serve(
     settings: Settings,
     line_clock: LineClock,
     lines: Lines,
-    metrics_port: Option<u16>,
+    options: Options,
 ) -> Result<(), StartError> {
     let callers = settings.listen.callers.ok_or(SettingsError::NoAddress("callers"))?;
     let ready = settings.listen.ready.ok_or(SettingsError::NoAddress("readiness"))?;
     let look_ups = settings.listen.look_ups.ok_or(SettingsError::NoAddress("look-ups"))?;
     let peer_address = SocketAddr::new(settings.ip, settings.peer_ports.0);
-    let steering = steering(&settings, callers, peer_address);
+    let steering = steering(&settings, callers, peer_address).with_policy(options.policy);
     let socket = UdpSocket::bind(peer_address)
         .await
         .map_err(StartError::listen("heartbeats", peer_address))?;
@@ -104,7 +114,7 @@
     spawn_local(questions::serve(Rc::clone(&shell), peer_listener, peers::give));
     spawn_local(peers::send_heartbeats(Rc::clone(&shell)));
     spawn_local(keep_up(Rc::clone(&shell)));
-    if let Some(port) = metrics_port {
+    if let Some(port) = options.metrics_port {
         let address = SocketAddr::new(shell.settings.ip, port);
         let listener = listen("metrics", address).await?;
         spawn_local(questions::serve(Rc::clone(&shell), listener, metrics::answer));
