Split the decisions of a VM by job

No line of logic changes. The check of the shared budget, which stood twice in the tests, is one function.

--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -1,17 +1,20 @@
 //! The decisions of a VM that sends to upstreams itself.
 
+mod choosing;
+mod learning;
+mod store;
+
 use std::sync::Arc;
 
 use crate::hash::{Digest, Map, Set};
-use crate::key::VmKey;
-use crate::ownership;
 
+use self::store::StoreContact;
 use super::attempts::{Attempts, Grounds, Outcome, Reason, Sending, Step, UnderWay};
 use super::budget::{BudgetLimits, RetryBudget};
-use super::placing::{Candidate, Question, ServiceTimes, Weights};
+use super::placing::{Candidate, ServiceTimes, Weights};
 use super::routing::{Configuration, ServiceSettings, Splits};
-use super::upstreams::{Upstream, UpstreamKey, Upstreams};
-use super::vms::{StoreView, Vms};
+use super::upstreams::Upstreams;
+use super::vms::Vms;
 use super::waiting::{self, Patience, Pressure};
 
 /// Where a VM stands.
@@ -119,16 +122,6 @@
     store: StoreContact,
 }
 
-/// What is known of the store's being there.
-#[derive(Debug, Clone, Copy)]
-struct StoreContact {
-    /// When this VM or another last had an answer of it, in milliseconds.
-    last_at_ms: u64,
-    /// When the last time without an answer began, in milliseconds.
-    away_since_ms: Option<u64>,
-    away: bool,
-}
-
 impl Steering {
     /// Creates the state of a VM that knows only itself.
     pub fn new(place: Place, limits: Limits, vms: Vms, now_ms: u64) -> Self {
@@ -190,36 +183,6 @@
         &mut self.vms
     }
 
-    /// Takes in what this VM can tell of the store.
-    ///
-    /// The store is away only if it fails a VM and answers none that this one hears. If it answered
-    /// another one all the time, only this VM was cut off, and what the store now lacks has not lapsed
-    /// but left.
-    pub fn note_store(&mut self, own: StoreView, now_ms: u64) {
-        let contact_ms = match self.vms.store(own, now_ms) {
-            StoreView::Answers { for_ms } => for_ms,
-            StoreView::Unasked => return,
-            StoreView::Fails => {
-                if !self.store.away {
-                    self.store.away = true;
-                    self.store.away_since_ms = Some(self.store.last_at_ms);
-                    self.upstreams.set_store_away(true, now_ms);
-                }
-                return;
-            }
-        };
-        self.store.last_at_ms = now_ms;
-        if self.store.away {
-            self.store.away = false;
-            self.upstreams.set_store_away(false, now_ms);
-        }
-        let since_ms = now_ms.saturating_sub(contact_ms);
-        if self.store.away_since_ms.is_some_and(|away_since_ms| since_ms <= away_since_ms) {
-            self.store.away_since_ms = None;
-            self.upstreams.confirm_removals(now_ms);
-        }
-    }
-
     /// Returns the region of a failure domain, or its own name where none is known.
     pub fn region_of(&self, domain: &str) -> Box<str> {
         self.place.regions.get(domain).cloned().unwrap_or_else(|| domain.into())
@@ -361,83 +324,6 @@
         })
     }
 
-    fn choose(&self, attempts: &Attempts, random: u64, now_ms: u64) -> Option<Candidate> {
-        let weights = self.policy.weights;
-        let question = Question {
-            weights,
-            object: attempts.object.filter(|_| weights.by_object).unwrap_or(random),
-            sticky: attempts.route.sticky && attempts.object.is_some() && weights.by_object,
-            answer_bytes: self.answer_bytes.get(&attempts.route.name).copied().unwrap_or(0.0),
-            domain: &self.place.domain,
-            region: &self.place.region,
-            far_ms: self.far_ms,
-            times: self.times.get(&attempts.service).copied().unwrap_or_default(),
-            evacuated: &self.evacuated,
-            home_regions: &attempts.route.home_regions,
-            max_in_flight: self.max_in_flight(&attempts.service, now_ms),
-            tried: &attempts.tried,
-            now_ms,
-        };
-        let keys = self.upstreams.of_service(&attempts.service);
-        let known = || keys.iter().filter_map(|key| Some((*key, self.upstreams.get(*key)?)));
-        question.choose(known()).or_else(|| self.last_resort(&attempts.service, &question, known()))
-    }
-
-    /// Chooses when no upstream is sound: a cold one at its rate, else one that failed.
-    fn last_resort<'a>(
-        &self,
-        service: &str,
-        question: &Question<'_>,
-        known: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
-    ) -> Option<Candidate> {
-        let now_ms = question.now_ms;
-        let settings = self.service(service);
-        let cold_per_s = settings.map_or(1.0, |settings| settings.cold_per_s);
-        let serving = self.vms.serving(now_ms);
-        let allowed = known.filter(|(key, upstream)| question.allows(*key, upstream));
-        let usable = allowed.filter(|(_, upstream)| {
-            if upstream.cold(now_ms) {
-                upstream.cold_room(cold_per_s, now_ms) && self.leads(upstream, &serving)
-            } else {
-                upstream.in_flight == 0
-            }
-        });
-        let first = usable.min_by(|(_, one), (_, other)| {
-            let rate = |up: &Upstream| (up.ejected_until_ms, up.load(now_ms));
-            let (one, other) = (rate(one), rate(other));
-            one.0.cmp(&other.0).then(one.1.total_cmp(&other.1))
-        })?;
-        let work_ms = question.times.cold_ms;
-        Some(Candidate {
-            upstream: first.0,
-            expected_ms: work_ms,
-            wait_ms: 0.0,
-            way_ms: 0.0,
-            warm: false,
-            rank: 0,
-        })
-    }
-
-    /// Whether this VM is the one that may send to an upstream while it is cold.
-    ///
-    /// The bound is for all VMs together. One VM of the upstream's failure domain, or of the region if
-    /// there is none, takes all of it; those that disagree on who serves exceed it by their number, and
-    /// the bound leaves room for two.
-    fn leads(&self, upstream: &Upstream, serving: &[&super::vms::VmCard]) -> bool {
-        let near = |fits: &dyn Fn(&super::vms::VmCard) -> bool| -> Vec<VmKey> {
-            let near = serving.iter().filter(|card| fits(card));
-            near.map(|card| VmKey::of(&card.name)).collect()
-        };
-        let mut candidates = near(&|card| card.domain == upstream.entry.domain);
-        if candidates.is_empty() {
-            candidates = near(&|card| card.region == upstream.region);
-        }
-        if candidates.is_empty() {
-            candidates = near(&|_| true);
-        }
-        ownership::owner(upstream.hash, &candidates) == Some(VmKey::of(&self.place.name))
-    }
-
     /// Returns when to look whether a request should be sent to a second upstream although the first
     /// may still answer, if it may be at all.
     pub fn hedge_at_ms(&self, attempts: &Attempts) -> Option<u64> {
@@ -478,83 +364,6 @@
         }
     }
 
-    /// Takes in how a sending ended.
-    pub fn ended(
-        &mut self,
-        attempts: &mut Attempts,
-        key: UpstreamKey,
-        outcome: Outcome,
-        now_ms: u64,
-    ) {
-        let Some(index) = attempts.under_way.iter().position(|sent| sent.upstream == key) else {
-            return;
-        };
-        let current = attempts.under_way.swap_remove(index);
-        match outcome {
-            Outcome::Answered { .. } | Outcome::Failed | Outcome::TimedOut => {
-                attempts.arrivals += 1;
-                attempts.runs += 1;
-            }
-            Outcome::Refused { .. } | Outcome::Misdirected => attempts.arrivals += 1,
-            Outcome::Unreachable | Outcome::Abandoned => {}
-        }
-        if let Some(service) = self.service(&attempts.service).cloned()
-            && !matches!(outcome, Outcome::Unreachable | Outcome::Abandoned | Outcome::TimedOut)
-        {
-            self.upstreams.note_return(key, &service, now_ms);
-        }
-        self.learn(attempts, current, outcome, now_ms);
-        let Some(upstream) = self.upstreams.get_mut(key) else {
-            return;
-        };
-        upstream.ended();
-        match outcome {
-            Outcome::Answered { failed: true, .. } | Outcome::Failed => upstream.failed(now_ms),
-            Outcome::Answered { report, .. } => {
-                let expected_ms = self
-                    .times
-                    .get(&attempts.service)
-                    .map(|times| times.work_ms(current.warm) + current.wait_ms);
-                let took_ms = current.took_ms(now_ms);
-                let slowness = expected_ms.map(|expected_ms| took_ms / expected_ms.max(1.0));
-                upstream.answered(report, slowness, now_ms);
-            }
-            Outcome::Refused { report } => upstream.refused(report, now_ms),
-            Outcome::Misdirected => self.upstreams.misdirected(key),
-            Outcome::Unreachable => upstream.unreachable(now_ms),
-            Outcome::TimedOut | Outcome::Abandoned => {}
-        }
-    }
-
-    fn learn(&mut self, attempts: &Attempts, current: UnderWay, outcome: Outcome, now_ms: u64) {
-        let Outcome::Answered { failed: false, body_bytes, .. } = outcome else {
-            return;
-        };
-        if current.wait_ms <= 0.0 {
-            let times = self.times.entry(attempts.service.clone()).or_default();
-            times.learn(current.warm, current.took_ms(now_ms));
-        }
-        let mean =
-            self.answer_bytes.entry(attempts.route.name.clone()).or_insert(body_bytes as f64);
-        *mean += SAMPLE_WEIGHT * (body_bytes as f64 - *mean);
-    }
-
-    /// Returns this VM's part of the connections that an upstream takes from all VMs.
-    ///
-    /// An upstream resets connections beyond its limit, and what was sent on them may have run.
-    fn max_in_flight(&self, service: &str, now_ms: u64) -> u32 {
-        let all = self.service(service).map_or(u32::MAX, |settings| settings.max_connections);
-        (all / self.vms.sharing(now_ms) as u32).max(1)
-    }
-
-    /// Takes in the time that a connection to an upstream took.
-    pub fn connected(&mut self, key: UpstreamKey, took_ms: u64) {
-        let far = self.upstreams.get(key).is_some_and(|up| up.region != self.place.region);
-        if far {
-            self.far_ms += SAMPLE_WEIGHT * (took_ms as f64 - self.far_ms);
-        }
-    }
-
     fn service(&self, name: &str) -> Option<&ServiceSettings> {
         self.configuration.as_ref()?.services.get(name)
     }
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/steering/learning.rs
@@ -0,0 +1,76 @@
+//! What is learnt of upstreams and services from how sendings end.
+
+use super::{SAMPLE_WEIGHT, Steering};
+use crate::direct::attempts::{Attempts, Outcome, UnderWay};
+use crate::direct::upstreams::UpstreamKey;
+
+impl Steering {
+    /// Takes in how a sending ended.
+    pub fn ended(
+        &mut self,
+        attempts: &mut Attempts,
+        key: UpstreamKey,
+        outcome: Outcome,
+        now_ms: u64,
+    ) {
+        let Some(index) = attempts.under_way.iter().position(|sent| sent.upstream == key) else {
+            return;
+        };
+        let current = attempts.under_way.swap_remove(index);
+        match outcome {
+            Outcome::Answered { .. } | Outcome::Failed | Outcome::TimedOut => {
+                attempts.arrivals += 1;
+                attempts.runs += 1;
+            }
+            Outcome::Refused { .. } | Outcome::Misdirected => attempts.arrivals += 1,
+            Outcome::Unreachable | Outcome::Abandoned => {}
+        }
+        if let Some(service) = self.service(&attempts.service).cloned()
+            && !matches!(outcome, Outcome::Unreachable | Outcome::Abandoned | Outcome::TimedOut)
+        {
+            self.upstreams.note_return(key, &service, now_ms);
+        }
+        self.learn(attempts, current, outcome, now_ms);
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        upstream.ended();
+        match outcome {
+            Outcome::Answered { failed: true, .. } | Outcome::Failed => upstream.failed(now_ms),
+            Outcome::Answered { report, .. } => {
+                let expected_ms = self
+                    .times
+                    .get(&attempts.service)
+                    .map(|times| times.work_ms(current.warm) + current.wait_ms);
+                let took_ms = current.took_ms(now_ms);
+                let slowness = expected_ms.map(|expected_ms| took_ms / expected_ms.max(1.0));
+                upstream.answered(report, slowness, now_ms);
+            }
+            Outcome::Refused { report } => upstream.refused(report, now_ms),
+            Outcome::Misdirected => self.upstreams.misdirected(key),
+            Outcome::Unreachable => upstream.unreachable(now_ms),
+            Outcome::TimedOut | Outcome::Abandoned => {}
+        }
+    }
+
+    fn learn(&mut self, attempts: &Attempts, current: UnderWay, outcome: Outcome, now_ms: u64) {
+        let Outcome::Answered { failed: false, body_bytes, .. } = outcome else {
+            return;
+        };
+        if current.wait_ms <= 0.0 {
+            let times = self.times.entry(attempts.service.clone()).or_default();
+            times.learn(current.warm, current.took_ms(now_ms));
+        }
+        let mean =
+            self.answer_bytes.entry(attempts.route.name.clone()).or_insert(body_bytes as f64);
+        *mean += SAMPLE_WEIGHT * (body_bytes as f64 - *mean);
+    }
+
+    /// Takes in the time that a connection to an upstream took.
+    pub fn connected(&mut self, key: UpstreamKey, took_ms: u64) {
+        let far = self.upstreams.get(key).is_some_and(|up| up.region != self.place.region);
+        if far {
+            self.far_ms += SAMPLE_WEIGHT * (took_ms as f64 - self.far_ms);
+        }
+    }
+}
--- a/crates/sedgepath-core/tests/direct_attempts.rs
+++ b/crates/sedgepath-core/tests/direct_attempts.rs
@@ -77,6 +77,18 @@
     assert!(matches!(vm.next(&mut attempts, 1, 10), Step::GiveUp { .. }));
 }
 
+/// Checks that repeats stay within a fifth of the requests and 60 in any ten seconds of the first thirty.
+fn assert_within_budget(asked_at_ms: &[u64], repeated_at_ms: &[u64]) {
+    let within = |times: &[u64], from_ms: u64| {
+        times.iter().filter(|at_ms| (from_ms..from_ms + 10_000).contains(*at_ms)).count() as f64
+    };
+    for from_ms in (0..20_000).step_by(100) {
+        let requests = within(asked_at_ms, from_ms);
+        let repeats = within(repeated_at_ms, from_ms);
+        assert!(repeats <= 0.2 * requests + 60.0, "{repeats} of {requests} from {from_ms}");
+    }
+}
+
 /// Every upstream refuses everything. All VMs together send no more repeats than a fifth of the
 /// requests and 60 in any ten seconds, or an outage would multiply its own load.
 #[test]
@@ -109,14 +121,7 @@
             }
         }
     }
-    let within = |times: &[u64], from_ms: u64| {
-        times.iter().filter(|at_ms| (from_ms..from_ms + 10_000).contains(*at_ms)).count() as f64
-    };
-    for from_ms in (0..20_000).step_by(100) {
-        let requests = within(&asked_at_ms, from_ms);
-        let repeats = within(&sent_at_ms, from_ms);
-        assert!(repeats <= 0.2 * requests + 60.0, "{repeats} of {requests} from {from_ms}");
-    }
+    assert_within_budget(&asked_at_ms, &sent_at_ms);
     assert!(sent_at_ms.len() > 100, "hardly any repeat was sent: {}", sent_at_ms.len());
 }
 
@@ -220,14 +225,7 @@
             }
         }
     }
-    let within = |times: &[u64], from_ms: u64| {
-        times.iter().filter(|at_ms| (from_ms..from_ms + 10_000).contains(*at_ms)).count() as f64
-    };
-    for from_ms in (0..20_000).step_by(100) {
-        let requests = within(&asked_at_ms, from_ms);
-        let repeats = within(&repeated_at_ms, from_ms);
-        assert!(repeats <= 0.2 * requests + 60.0, "{repeats} of {requests} from {from_ms}");
-    }
+    assert_within_budget(&asked_at_ms, &repeated_at_ms);
 }
 
 /// Every upstream refuses a request. Its caller is told soon, and what is left of the retry budget
--- a/crates/sedgepathd/src/direct/follow.rs
+++ b/crates/sedgepathd/src/direct/follow.rs
@@ -11,7 +11,7 @@
 use sedgepath_core::direct::upstreams::EntryChange;
 use sedgepath_core::direct::vms::StoreView;
 
-use super::shell::{Shell, StoreContact};
+use super::shell::{Shell, StoreCalls};
 use super::{clock, peers};
 
 /// How long the store may hold back a call until something changes, in milliseconds. A connection
@@ -40,7 +40,7 @@
         let reads = shell.steering.borrow_mut().vms_mut().reads_store(clock::now_ms());
         if !reads && shell.copies.borrow().get(table).known() {
             if table == Table::Upstreams {
-                shell.store_contact.set(StoreContact::Unasked);
+                shell.store_calls.set(StoreCalls::Unasked);
             }
             tokio::time::sleep(Duration::from_millis(ROLE_CHECK_MS)).await;
             continue;
@@ -83,7 +83,7 @@
         return shell.store.rows(name).await;
     }
     // While the store is away a call that waits would hide for longer that it is back.
-    let wait_ms = if shell.store_contact.get().answers() { WAIT_MS } else { 0 };
+    let wait_ms = if shell.store_calls.get().answers() { WAIT_MS } else { 0 };
     shell.store.changes(name, position, wait_ms).await
 }
 
@@ -91,12 +91,12 @@
     if table != Table::Upstreams {
         return;
     }
-    if !shell.store_contact.get().answers() {
+    if !shell.store_calls.get().answers() {
         log::info!("event=store_back");
-        shell.store_contact.set(StoreContact::Since { at_ms: since_ms });
+        shell.store_calls.set(StoreCalls::Since { at_ms: since_ms });
     }
     let now_ms = clock::now_ms();
-    shell.steering.borrow_mut().note_store(shell.store_contact.get().view(now_ms), now_ms);
+    shell.steering.borrow_mut().note_store(shell.store_calls.get().view(now_ms), now_ms);
 }
 
 /// Notes that the store gave no answer, and returns whether it had given one before.
@@ -104,7 +104,7 @@
     if table != Table::Upstreams {
         return false;
     }
-    let lost = shell.store_contact.replace(StoreContact::Lost).answers();
+    let lost = shell.store_calls.replace(StoreCalls::Lost).answers();
     if lost {
         log::warn!("event=store_away error={:?}", error.to_string());
     }
--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -63,7 +63,7 @@
         let ready = steering.can_serve() && !steering.vms().leaving();
         let vms = steering.vms_mut();
         vms.set_ready(ready);
-        vms.set_copies(shell.copies.borrow().changed_at(), shell.store_contact.get().view(now_ms));
+        vms.set_copies(shell.copies.borrow().changed_at(), shell.store_calls.get().view(now_ms));
         (vms.heartbeat(shell.line_clock.tick()), vms.addresses(now_ms))
     };
     let Ok(bytes) = postcard::to_stdvec(&heartbeat) else {
@@ -125,7 +125,7 @@
 }
 
 async fn fetch(shell: &Shell, table: Table, theirs: u64, address: SocketAddr) {
-    if shell.store_contact.get().answers() {
+    if shell.store_calls.get().answers() {
         tokio::time::sleep(Duration::from_millis(FETCH_DELAY_MS)).await;
     }
     let position = {
--- a/crates/sedgepathd/src/direct/shell.rs
+++ b/crates/sedgepathd/src/direct/shell.rs
@@ -29,7 +29,7 @@
     /// The store.
     pub store: Store,
     /// How this VM's own calls of the store end.
-    pub store_contact: Cell<StoreContact>,
+    pub store_calls: Cell<StoreCalls>,
     /// The datagrams between VMs.
     pub peers: UdpSocket,
     /// When rows of each table were last asked of another VM, in milliseconds, until they came.
@@ -50,7 +50,7 @@
 
 /// How a VM's own calls of the store end.
 #[derive(Debug, Clone, Copy, Default)]
-pub enum StoreContact {
+pub enum StoreCalls {
     /// It makes none, or has had the end of none yet.
     #[default]
     Unasked,
@@ -63,7 +63,7 @@
     Lost,
 }
 
-impl StoreContact {
+impl StoreCalls {
     /// Whether the store answers.
     pub fn answers(self) -> bool {
         matches!(self, Self::Since { .. })
@@ -104,7 +104,7 @@
             metrics,
             store: Store::new(settings.store.address),
             copies: RefCell::default(),
-            store_contact: Cell::default(),
+            store_calls: Cell::default(),
             peers,
             fetching: RefCell::default(),
             settings,
