--- a/crates/sedgepath-core/src/direct/placing.rs
+++ b/crates/sedgepath-core/src/direct/placing.rs
@@ -41,9 +41,9 @@
 ///
 /// Where memories are short an object at two upstreams pushes another one out at both; that one runs
 /// long, its upstream fills up, and more spills: most requests then run as if nothing were known. With
-/// a quarter of the memory 0.384 of the worth in place of 0.354, with four times the objects 0.358 in
-/// place of 0.336, with 1.7 times the load and on the users' sites the same (trials, mean of three
-/// days each; 10 gave 0.368 and 0.347, 100 took 0.008 with that load).
+/// a quarter of the memory 0.381 of the worth in place of 0.354, with four times the objects 0.356 in
+/// place of 0.336, with 1.7 times the load the same (trials, mean of three days each; a factor of 10
+/// gave 0.368 and 0.347, one of 100 took 0.008 with that load).
 pub const FORGOTTEN_SPILL_FACTOR: f64 = 40.0;
 
 /// The mean size from which answers count as large, in bytes.
@@ -123,7 +123,7 @@
 const TIME_WEIGHT: f64 = 0.03;
 
 /// The weight of a new sample of the two groups of times, and of what upstreams remember: the last
-/// twenty or so count, so that a memory that runs over shows within a second or two.
+/// twenty or so count.
 const GROUP_WEIGHT: f64 = 0.05;
 
 /// How many times the shorter times the longer ones are at least, if there are two groups at all; a
