--- a/crates/sedgepath-core/tests/direct_placing.rs
+++ b/crates/sedgepath-core/tests/direct_placing.rs
@@ -251,8 +251,8 @@
     assert!(places < 1.2, "each object is at {places:.2} upstreams");
 }
 
-/// An upstream has become so slow that no request there is answered in time. Nothing comes from which its
-/// slowness could be learnt. After the first requests are lost, callers of its objects are sent elsewhere.
+/// No answer of an upstream arrives in time: they are lost, or it has become too slow. Nothing comes from
+/// which that could be learnt. After the first requests are lost, callers of its objects are sent elsewhere.
 #[test]
 fn an_upstream_at_which_time_runs_out_gets_few_more_requests() {
     let mut vm = serving_vm("a1", "north-a", 1, 3);
