--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -120,10 +120,10 @@
     }
 }
 
-/// The periods of silence after which a VM is no longer named: four heartbeats may be lost.
+/// The periods of silence after which a VM is no longer named: three heartbeats may be lost.
 const SILENT_PERIODS: f64 = 4.4;
 
-/// The periods of silence after which others stop relying on a VM to follow the store: two heartbeats
+/// The periods of silence after which others stop relying on a VM to follow the store: one heartbeat
 /// may be lost. All that follow it may be suspended at once, and a leaving upstream may get requests
 /// for 2.5 s only; one more VM that reads for a moment costs some calls.
 const READER_SILENT_PERIODS: f64 = 2.6;
