Take no row that an overtaken answer brings back

Logs of all VMs: front-pd-durham-2, started at 25.98 s, noted the upstream's removal (store: 26.06 s) never; its neighbour durham-1 did at 26.09 s. A VM that starts asks the store and a neighbour for the table. If the neighbour's newer table comes first, the store's older one put the removed row back, while the copy's position stayed the newer one, so no later change told of it.

Ruled out: a store that is away (it answered at 26.08 s), a suspended VM, a reader that fell silent, a neighbour that hides removals (it told all others).

Change: a row that a copy lacks and that is no newer than the copy's position is not taken.

--- a/crates/sedgepath-core/src/direct/copies.rs
+++ b/crates/sedgepath-core/src/direct/copies.rs
@@ -163,6 +163,12 @@
         if known.is_some_and(|known| known.version >= row.version) {
             return false;
         }
+        // The copy holds all that the store held at its position, so a row that it lacks and that is no newer
+        // was removed meanwhile: it comes with an answer that a newer one overtook. Nobody tells of that
+        // removal again; taken, an upstream that had left got requests for 3 s.
+        if known.is_none() && row.value.is_some() && row.version <= self.position {
+            return false;
+        }
         let was_removed = known.is_some_and(|known| known.value.is_none());
         let changes = row.value.is_some() || known.is_some_and(|known| known.value.is_some());
         match (was_removed, row.value.is_none()) {
--- a/crates/sedgepath-core/tests/direct_copies.rs
+++ b/crates/sedgepath-core/tests/direct_copies.rs
@@ -60,6 +60,21 @@
     assert_eq!(copy.since(8).rows, vec![row("b1", 9, Some("ready"))]);
 }
 
+/// A VM restarts and asks the store and a neighbour for the whole table at once. An upstream leaves
+/// meanwhile, and the neighbour's answer, without it, comes first. The store's older one must not bring the
+/// upstream back: nobody would tell of its removal again, and it would get requests for seconds.
+#[test]
+fn an_older_table_that_arrives_late_brings_nothing_back() {
+    let mut copy = TableCopy::default();
+    copy.merge(whole(10, vec![row("b2", 4, Some("ready"))]));
+
+    let older = vec![row("b1", 3, Some("ready")), row("b2", 4, Some("ready"))];
+
+    assert_eq!(copy.merge(whole(8, older)), vec![]);
+    assert_eq!(copy.merge(changes(9, vec![row("b3", 7, Some("ready"))])), vec![]);
+    assert_eq!(copy.since(0).rows, vec![row("b2", 4, Some("ready"))]);
+}
+
 /// A VM restarts and reads the whole table just after an upstream has left. A neighbour that still has
 /// the upstream asks it what has changed since. The restarted VM has never heard of the removal, so
 /// it must give the whole table: of the changes that it knows the neighbour would believe that they
@@ -105,6 +120,14 @@
     Follow(usize),
     /// A copy takes what has changed from another.
     Fetch(usize, usize),
+    /// A copy is lost; nothing has been read for it yet.
+    Lose(usize),
+    /// A VM asks the store for what its copy lacks, or for the whole table; the answer is on its way.
+    AskStore(usize, bool),
+    /// A VM asks another for what its copy lacks; the answer is on its way.
+    AskVm(usize, usize),
+    /// One of the answers on their way arrives.
+    Arrive(prop::sample::Index),
 }
 
 fn happening() -> impl Strategy<Value = Happening> {
@@ -114,7 +137,11 @@
         1 => vm.clone().prop_map(Happening::Restart),
         1 => (vm.clone(), vm.clone()).prop_map(|(vm, from)| Happening::RestartFrom(vm, from)),
         2 => vm.clone().prop_map(Happening::Follow),
-        4 => (vm.clone(), vm).prop_map(|(vm, from)| Happening::Fetch(vm, from)),
+        4 => (vm.clone(), vm.clone()).prop_map(|(vm, from)| Happening::Fetch(vm, from)),
+        1 => vm.clone().prop_map(Happening::Lose),
+        2 => (vm.clone(), any::<bool>()).prop_map(|(vm, all)| Happening::AskStore(vm, all)),
+        2 => (vm.clone(), vm).prop_map(|(vm, from)| Happening::AskVm(vm, from)),
+        4 => any::<prop::sample::Index>().prop_map(Happening::Arrive),
     ]
 }
 
@@ -156,21 +183,46 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2_000, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
 
-    /// VMs restart, follow the store and fetch from each other, in any order. A copy that says that it
-    /// has all changes up to a version holds what the store held then: no row too many, none too few.
+    /// VMs restart, follow the store and fetch from each other, in any order; answers overtake each other.
+    /// A copy that says that it has all changes up to a version holds what the store held then: no row too
+    /// many, none too few.
     #[test]
     fn a_copy_holds_what_it_says(happenings in prop::collection::vec(happening(), 1..60)) {
         let mut history = History::default();
         let mut copies: Vec<TableCopy> = (0..4).map(|_| TableCopy::default()).collect();
+        let mut on_their_way: Vec<(usize, Page)> = Vec::new();
         for happening in happenings {
             let newest = history.rows.len() as u64;
             match happening {
                 Happening::Change(key, there) => history.change(key, there),
+                Happening::Lose(vm) => {
+                    // The answers to the last process find no one.
+                    on_their_way.retain(|(asker, _)| *asker != vm);
+                    copies[vm] = TableCopy::default();
+                }
+                Happening::AskStore(vm, all) => {
+                    let page = if all || !copies[vm].known() {
+                        whole(newest, history.at(newest))
+                    } else {
+                        history.after(copies[vm].position())
+                    };
+                    on_their_way.push((vm, page));
+                }
+                Happening::AskVm(vm, from) if copies[from].known() => {
+                    let page = copies[from].since(copies[vm].position());
+                    on_their_way.push((vm, page));
+                }
+                Happening::Arrive(index) if !on_their_way.is_empty() => {
+                    let (vm, page) = on_their_way.swap_remove(index.index(on_their_way.len()));
+                    copies[vm].merge(page);
+                }
                 Happening::Restart(vm) => {
+                    on_their_way.retain(|(asker, _)| *asker != vm);
                     copies[vm] = TableCopy::default();
                     copies[vm].merge(whole(newest, history.at(newest)));
                 }
                 Happening::RestartFrom(vm, from) if vm != from => {
+                    on_their_way.retain(|(asker, _)| *asker != vm);
                     copies[vm] = TableCopy::default();
                     let page = copies[from].since(0);
                     copies[vm].merge(page);
