Show that earlier requests pay for repeats beyond the budget, failing

What callers see: after a burst, or when VMs restart, upstreams that refuse get more repeats in ten seconds than a fifth of any ten seconds' requests and 60.

Cause so far: a VM counts requests and repeats of its own last ten seconds. These are not the ten seconds that operators look at, and a process that follows another one forgets them.

Conclusion: to be mended by construction; the tests come first.

--- /dev/null
+++ b/crates/sedgepath-core/tests/direct_budget.rs
@@ -0,0 +1,108 @@
+//! The retry budget of all VMs together, in any ten seconds of a day, also those that don't line up
+//! with anything.
+//!
+//! An upstream that refuses says so before it has done any work, so a request meets three of them in a
+//! tenth of a second: what VMs have saved up is spent in a few seconds, and whatever they forget shows.
+
+use sedgepath_test_support::fleet::{Day, Seen, Trouble};
+
+const SEEDS: [u64; 3] = [11, 12, 13];
+
+const VMS: u8 = 10;
+
+/// A day on which callers come evenly for eight seconds and then 1.8 times as many for a while, and from
+/// 9.5 s on most upstreams of the service refuse most requests for eleven seconds.
+fn day(seed: u64, troubles: Vec<(u64, Trouble, Vec<u8>)>) -> Day {
+    Day {
+        vms: VMS,
+        length_ms: 30_000,
+        demand_per_s: |now_ms| if (8_000..11_500).contains(&now_ms) { 360.0 } else { 200.0 },
+        refused_share: |now_ms| if (9_500..20_500).contains(&now_ms) { 0.8 } else { 0.0 },
+        troubles,
+        seed,
+    }
+}
+
+/// Plays a day with several seeds and checks that no ten seconds hold more repeats than allowed, and
+/// that repeats are sent at all.
+fn assert_within_budget(day: impl Fn(u64) -> Day) {
+    let plays: Vec<Seen> = SEEDS.iter().map(|seed| day(*seed).play()).collect();
+    let excess: Vec<_> = plays.iter().filter_map(Seen::worst_excess).collect();
+    assert!(excess.is_empty(), "{} of {} plays: {excess:#?}", excess.len(), plays.len());
+    for seen in &plays {
+        assert!(
+            seen.repeated_at_ms.len() > 300,
+            "hardly any repeat: {}",
+            seen.repeated_at_ms.len()
+        );
+    }
+}
+
+/// Callers press for some seconds, then upstreams refuse nearly everything. VMs spend what the burst has
+/// earned after it has ended, within ten seconds that hold a part of the burst only: operators count more repeats than the
+/// requests of any ten seconds allow. No VM stops, starts or is cut off.
+#[test]
+fn requests_of_an_earlier_burst_do_not_pay_for_repeats_after_it() {
+    assert_within_budget(|seed| Day {
+        demand_per_s: |now_ms| if (4_000..11_500).contains(&now_ms) { 400.0 } else { 60.0 },
+        refused_share: |now_ms| if (10_500..30_000).contains(&now_ms) { 0.95 } else { 0.0 },
+        ..day(seed, Vec::new())
+    });
+}
+
+/// Two VMs at a time are stopped as planned and start again, each second two more, while upstreams refuse.
+/// A process has saved up ten calm seconds and spends them; the one that follows it knows nothing of that
+/// and earns anew.
+#[test]
+fn vms_stopped_in_turn_after_a_calm_time_stay_within_the_budget() {
+    let in_turn = |from_ms: u64| {
+        (0..VMS / 2).map(move |pair| {
+            (from_ms + 1_000 * u64::from(pair), Trouble::Stop, vec![2 * pair, 2 * pair + 1])
+        })
+    };
+    assert_within_budget(|seed| day(seed, in_turn(8_000).collect()));
+}
+
+/// Nine of ten VMs are killed together, and once more five seconds later.
+#[test]
+fn vms_killed_together_and_again_stay_within_the_budget() {
+    let killed = |at_ms: u64| (at_ms, Trouble::Kill { down_ms: 300 }, (0..9).collect());
+    assert_within_budget(|seed| day(seed, vec![killed(12_500)]));
+    assert_within_budget(|seed| day(seed, vec![killed(12_500), killed(17_500)]));
+}
+
+/// Half of the VMs lose their power for four seconds; their callers go to the others and back.
+#[test]
+fn vms_that_lose_their_power_stay_within_the_budget() {
+    let dark = Trouble::Kill { down_ms: 4_000 };
+    assert_within_budget(|seed| day(seed, vec![(12_000, dark.clone(), (0..5).collect())]));
+}
+
+/// Four VMs join while upstreams refuse; each begins with three addresses and has heard of nobody.
+#[test]
+fn vms_that_join_stay_within_the_budget() {
+    assert_within_budget(|seed| day(seed, vec![(12_000, Trouble::Join, (6..VMS).collect())]));
+}
+
+/// Two VMs are cut off from all others for longer than others remember them, and serve on. Both sides
+/// take the others for gone; were each to take the whole slack, they would spend it several times.
+#[test]
+fn vms_taken_for_gone_that_serve_on_stay_within_the_budget() {
+    let cut = |number: u8| (1_000, Trouble::CutOff { for_ms: 60_000 }, vec![number]);
+    assert_within_budget(|seed| Day {
+        length_ms: 50_000,
+        demand_per_s: |_| 40.0,
+        refused_share: |now_ms| if (25_000..45_000).contains(&now_ms) { 0.8 } else { 0.0 },
+        ..day(seed, (0..VMS).map(cut).collect())
+    });
+}
+
+/// Three VMs stand still for 2.5 s in the middle of the refusals. When they go on, they send what was
+/// decided before, and what callers asked meanwhile comes all at once.
+#[test]
+fn sendings_of_suspended_vms_stay_within_the_budget() {
+    let still = |at_ms: u64, vms: Vec<u8>| (at_ms, Trouble::Suspend { for_ms: 2_500 }, vms);
+    assert_within_budget(|seed| {
+        day(seed, vec![still(10_500, vec![0, 1, 2]), still(15_500, vec![2, 3, 4])])
+    });
+}
--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod content;
 pub mod daemon;
 pub mod direct;
+pub mod fleet;
 pub mod link;
 pub mod load;
 pub mod moves;
