Count repeats by why they were sent and how they ended

Hypothesis: whether repeats are of use can't be told from what VMs show; only their number can.

Change: `sedgepath_sendings_total` has the cause of a sending (first, refused, failed, silent) beside its outcome, `sedgepath_refusals_total` the reason; the grounds in the log lines, and so `explain`, name the cause.

--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -42,6 +42,32 @@
     Abandoned,
 }
 
+/// Why a request is sent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Cause {
+    /// It has reached no upstream yet.
+    #[default]
+    First,
+    /// The last upstream refused it, or was another one than expected.
+    Refused,
+    /// The last upstream failed at it, or its answer broke off.
+    Failed,
+    /// The upstream that has it answers nobody.
+    Silent,
+}
+
+impl Cause {
+    /// Returns the name for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Why a request is answered by the VM itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
@@ -127,6 +153,8 @@
 /// What decided where a request goes, for logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Grounds {
+    /// Why it is sent.
+    pub cause: Cause,
     /// The upstream's place in the object's order.
     pub rank: usize,
     /// Whether it had lately run a request for the object.
@@ -141,9 +169,10 @@
 
 impl std::fmt::Display for Grounds {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Self { rank, warm, load_tenths, load_age_ms, expected_ms } = self;
+        let Self { cause, rank, warm, load_tenths, load_age_ms, expected_ms } = self;
         let (whole, tenth) = (load_tenths / 10, load_tenths % 10);
-        write!(f, "rank={rank} warm={warm} load={whole}.{tenth} load_age_ms={load_age_ms} ")?;
+        write!(f, "cause={} rank={rank} warm={warm} load={whole}.{tenth} ", cause.name())?;
+        write!(f, "load_age_ms={load_age_ms} ")?;
         write!(f, "expected_ms={expected_ms}")
     }
 }
@@ -169,6 +198,8 @@
     pub arrivals: u32,
     /// The sendings that may have run.
     pub runs: u32,
+    /// Why it would be sent next.
+    pub cause: Cause,
     /// The sendings that have not ended.
     pub under_way: Vec<UnderWay>,
 }
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -9,7 +9,7 @@
 use crate::hash::{Digest, Map, Set};
 
 use self::store::StoreContact;
-use super::attempts::{Attempts, Grounds, Outcome, Reason, Sending, Step, UnderWay};
+use super::attempts::{Attempts, Cause, Grounds, Outcome, Reason, Sending, Step, UnderWay};
 use super::budget::{BudgetLimits, RetryBudget};
 use super::placing::{Candidate, ServiceTimes, Weights};
 use super::routing::{Configuration, ServiceSettings, Splits};
@@ -253,6 +253,7 @@
             tried: Vec::new(),
             arrivals: 0,
             runs: 0,
+            cause: Cause::First,
             under_way: Vec::new(),
             route,
         })
@@ -299,6 +300,7 @@
             return Step::GiveUp { reason: Reason::NoUpstream };
         };
         let grounds = Grounds {
+            cause: attempts.cause,
             rank: candidate.rank,
             warm: candidate.warm,
             load_tenths: (upstream.load(now_ms) * 10.0).round() as u64,
@@ -352,6 +354,7 @@
         if !self.budget.spend(&attempts.service, vms, now_ms) {
             return None;
         }
+        attempts.cause = Cause::Silent;
         match self.send(attempts, candidate, now_ms) {
             Step::Send(sending) => Some(sending),
             Step::Refuse { .. } | Step::GiveUp { .. } => None,
--- a/crates/sedgepath-core/src/direct/steering/learning.rs
+++ b/crates/sedgepath-core/src/direct/steering/learning.rs
@@ -1,7 +1,7 @@
 //! What is learnt of upstreams and services from how sendings end.
 
 use super::{SAMPLE_WEIGHT, Steering};
-use crate::direct::attempts::{Attempts, Outcome, UnderWay};
+use crate::direct::attempts::{Attempts, Cause, Outcome, UnderWay};
 use crate::direct::upstreams::UpstreamKey;
 
 impl Steering {
@@ -21,8 +21,12 @@
             Outcome::Answered { .. } | Outcome::Failed | Outcome::TimedOut => {
                 attempts.arrivals += 1;
                 attempts.runs += 1;
+                attempts.cause = Cause::Failed;
+            }
+            Outcome::Refused { .. } | Outcome::Misdirected => {
+                attempts.arrivals += 1;
+                attempts.cause = Cause::Refused;
             }
-            Outcome::Refused { .. } | Outcome::Misdirected => attempts.arrivals += 1,
             Outcome::Unreachable | Outcome::Abandoned => {}
         }
         if let Some(service) = self.service(&attempts.service).cloned()
--- a/crates/sedgepathd/src/direct/answers.rs
+++ b/crates/sedgepathd/src/direct/answers.rs
@@ -56,6 +56,7 @@
     let version =
         shell.steering.borrow().configuration().map_or(0, |configuration| configuration.version);
     shell.metrics.answered("not_run", took_ms);
+    shell.metrics.refused(refusal.reason);
     log::info!(
         "event=refused request={attempt} status={} reason={} service={service} \
          sendings={sendings} took_ms={took_ms} retry_after_ms={} configuration={version}",
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -204,7 +204,7 @@
                     break;
                 }
             };
-            shell.metrics.sent(ended.outcome.name());
+            shell.metrics.sent(to.grounds.cause, ended.outcome);
             flight.ended(to.upstream, ended.outcome);
             match (ended.outcome, ended.answer) {
                 (Outcome::Answered { failed: false, .. }, Some(answer)) => {
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -6,6 +6,7 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
+use sedgepath_core::direct::attempts::{Cause, Outcome, Reason};
 
 use super::clock;
 use super::pool::Body;
@@ -24,6 +25,7 @@
     requests: IntCounterVec,
     latency: HistogramVec,
     sendings: IntCounterVec,
+    refusals: IntCounterVec,
     upstreams: IntGaugeVec,
     vms: IntGauge,
     configuration: IntGauge,
@@ -43,18 +45,23 @@
             "Time from a request's arrival to the head of its answer.",
         )
         .buckets(LATENCY_BUCKETS_S.to_vec());
-        let counter = |name: &str, help: &str, label: &str| {
-            IntCounterVec::new(Opts::new(name, help), &[label])
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name, help), labels)
         };
         let gauge = |name: &str, help: &str| IntGauge::new(name, help);
         let metrics = Self {
             registry: Registry::new(),
-            requests: counter("sedgepath_requests_total", "Requests by outcome.", "outcome")?,
+            requests: counter("sedgepath_requests_total", "Requests by outcome.", &["outcome"])?,
             latency: HistogramVec::new(latency, &["outcome"])?,
             sendings: counter(
                 "sedgepath_sendings_total",
-                "Requests sent to upstreams, by how that ended.",
-                "outcome",
+                "Requests sent to upstreams, by why and by how that ended.",
+                &["cause", "outcome"],
+            )?,
+            refusals: counter(
+                "sedgepath_refusals_total",
+                "Requests answered as not run, by reason.",
+                &["reason"],
             )?,
             upstreams: IntGaugeVec::new(
                 Opts::new("sedgepath_upstreams", "Upstreams by state."),
@@ -76,6 +83,7 @@
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.sendings.clone()))?;
+        self.registry.register(Box::new(self.refusals.clone()))?;
         self.registry.register(Box::new(self.upstreams.clone()))?;
         for gauge in [&self.vms, &self.configuration, &self.store_contact, &self.in_flight] {
             self.registry.register(Box::new(gauge.clone()))?;
@@ -90,8 +98,13 @@
     }
 
     /// Counts the end of a sending.
-    pub fn sent(&self, outcome: &str) {
-        self.sendings.with_label_values(&[outcome]).inc();
+    pub fn sent(&self, cause: Cause, outcome: Outcome) {
+        self.sendings.with_label_values(&[cause.name(), outcome.name()]).inc();
+    }
+
+    /// Counts a request that was answered by the VM itself as not run.
+    pub fn refused(&self, reason: Reason) {
+        self.refusals.with_label_values(&[reason.name()]).inc();
     }
 
     fn text(&self, shell: &Shell) -> Vec<u8> {
--- a/crates/sedgepathd/tests/direct.rs
+++ b/crates/sedgepathd/tests/direct.rs
@@ -121,6 +121,30 @@
     assert_eq!((answer.status, answer.text()), (200, format!("a1 at u{}", 1 - home)));
 }
 
+/// On call one reads why requests were sent again and whether that was of use: one whose answer broke off
+/// was sent to the other upstream, which answered.
+#[test]
+fn repeats_are_counted_by_cause_and_outcome() {
+    let served = Served::new(2);
+    let home = home(&served);
+    served.upstreams[home].behave(Behaviour::Truncate);
+    caller::ask(served.vm.callers, "GET", READS, "a1").expect("an answer");
+
+    let text = attohttpc::get(format!("http://{}/metrics", served.vm.metrics))
+        .send()
+        .and_then(attohttpc::Response::text)
+        .expect("the metrics");
+
+    for (labels, count) in [
+        (r#"cause="failed",outcome="answered""#, 1),
+        (r#"cause="first",outcome="failed""#, 1),
+        (r#"cause="first",outcome="answered""#, 12),
+    ] {
+        let line = format!("sedgepath_sendings_total{{{labels}}} {count}\n");
+        assert!(text.contains(&line), "{line}: {text}");
+    }
+}
+
 /// Returns which upstream has the object of all requests; finding out takes some requests, which pay for
 /// the repeat of a later one.
 fn home(served: &Served) -> usize {
