Leave cold upstreams room for a VM that restarts

Cause: the VM that sends to a cold upstream takes all of its rate and forgets at a restart what it has sent in the same second; so do two VMs that disagree on who sends. Twice the rate is over the one and a half times above which an upstream crashes, but for the operators' slack.

Ruled out: waiting a second after a start (all upstreams may be cold when all VMs start).

Change: a VM sends three quarters of the rate.

--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -45,6 +45,11 @@
 /// second, and requests of one moment may arrive apart by the transit of the slower one.
 const COLD_WINDOW_MS: u64 = 1_200;
 
+/// The part of a cold upstream's rate that one VM sends. A VM that starts knows nothing of what its last
+/// process has sent in the same second, and VMs that disagree on who serves each take the rate for their own;
+/// two of them stay within one and a half times the rate, above which an upstream crashes.
+const COLD_RATE_SHARE: f64 = 0.75;
+
 /// An upstream's key: its number in the order in which this VM has heard of upstreams; never used again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct UpstreamKey(pub u32);
@@ -274,7 +279,7 @@
     /// Whether one more request now stays under a rate, while it is cold.
     pub fn cold_room(&self, per_s: f64, now_ms: u64) -> bool {
         let recent = self.cold_sends.iter().filter(|at_ms| now_ms < **at_ms + COLD_WINDOW_MS);
-        (recent.count() as f64) < per_s.floor()
+        (recent.count() as f64) < (per_s * COLD_RATE_SHARE).floor().max(1.0)
     }
 
     /// Takes in for how long it says that it stays cold.
--- a/crates/sedgepath-core/tests/direct_attempts.rs
+++ b/crates/sedgepath-core/tests/direct_attempts.rs
@@ -320,6 +320,31 @@
     assert_eq!(vm.hedge_at_ms(&attempts), None);
 }
 
+/// The VM that sends to cold upstreams is killed and starts again at once, knowing nothing of what it has
+/// sent in the same second. Above one and a half times its rate an upstream crashes; two processes that
+/// each sent at the rate would exceed that.
+#[test]
+fn a_vm_that_restarts_within_the_second_spares_cold_upstreams() {
+    let mut sent_to: Vec<Box<str>> = Vec::new();
+    for started_at_ms in [0, 400] {
+        let mut vm = serving_vm("a1", "north-a", 1, 1);
+        for domain in ["north-a", "north-b", "south-a", "south-b"] {
+            vm.upstreams_mut().chill_domain(domain, 2_000);
+        }
+        for now_ms in (started_at_ms..started_at_ms + 400).step_by(5) {
+            let mut attempts = begin(&mut vm, "/reads/1", &now_ms.to_string(), now_ms);
+            if let Step::Send(to) = vm.next(&mut attempts, now_ms, now_ms) {
+                sent_to.push(to.name.clone());
+                vm.ended(&mut attempts, to.upstream, ANSWER, now_ms);
+            }
+        }
+    }
+    for name in ["b0", "b1", "b2", "b3"] {
+        let count = sent_to.iter().filter(|to| &***to == name).count();
+        assert!(count > 0 && count as f64 <= 1.5 * COLD_PER_S, "{count} to {name}");
+    }
+}
+
 /// All upstreams have just come back, cold. Each crashes above its rate, which holds for all VMs
 /// together though none hears what the others send.
 #[test]
