Keep the parts of VMs that are no longer heard, for every limit over all VMs

Cause: VMs that don't hear each other for 20 s take the others' parts: of the slack, which the bucket refused already, and of the connections to an upstream, which resets those beyond its limit; what was sent on them may have run.

Change: the number of VMs among which limits are split is the most that were ever known at a time, in one place.

Figures: a new test, three VMs cut off for longer than they remember: the number fell to 1, stays 3 now.

--- a/crates/sedgepath-core/src/direct/budget.rs
+++ b/crates/sedgepath-core/src/direct/budget.rs
@@ -74,18 +74,13 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: BudgetLimits,
-    /// The most VMs, this one among them, that were ever known at a time.
-    ///
-    /// One that is no longer heard may serve on behind a cut; were its part of the slack taken over,
-    /// VMs that don't hear each other would each have all of it.
-    most_vms: usize,
     services: Map<Box<str>, Account>,
 }
 
 impl RetryBudget {
     /// Creates the budget of a VM that has just started.
     pub fn new(limits: BudgetLimits) -> Self {
-        Self { limits, most_vms: 1, services: Map::default() }
+        Self { limits, services: Map::default() }
     }
 
     /// Counts a request of a caller.
@@ -129,7 +124,6 @@
     /// request of a window may earn in it, or let something be saved from before it, not both.
     fn account(&mut self, service: &str, vms: usize, now_ms: u64) -> &mut Account {
         let BudgetLimits { ratio, slack, window_ms } = self.limits;
-        self.most_vms = self.most_vms.max(vms);
         if !self.services.contains_key(service) {
             self.services.insert(service.into(), Account::default());
         }
@@ -140,7 +134,7 @@
         }
         let requests: u32 = account.buckets.iter().map(|bucket| bucket.requests).sum();
         let most =
-            KEPT_SLACK * slack / self.most_vms as f64 + SAVED_SHARE * ratio * f64::from(requests);
+            KEPT_SLACK * slack / vms.max(1) as f64 + SAVED_SHARE * ratio * f64::from(requests);
         account.saved = account.saved.min(most);
         let starts_at_ms = now_ms - now_ms % BUCKET_MS;
         if account.buckets.back().is_none_or(|bucket| bucket.starts_at_ms < starts_at_ms) {
--- a/crates/sedgepath-core/src/direct/steering/choosing.rs
+++ b/crates/sedgepath-core/src/direct/steering/choosing.rs
@@ -28,7 +28,7 @@
             times: self.times.get(&attempts.service).copied().unwrap_or_default(),
             evacuated: &self.evacuated,
             home_regions: &attempts.route.home_regions,
-            max_in_flight: self.max_in_flight(&attempts.service, now_ms),
+            max_in_flight: self.max_in_flight(&attempts.service),
             tried: &attempts.tried,
             now_ms,
         };
@@ -75,8 +75,8 @@
     /// Whether this VM is the one that may send to an upstream while it is cold.
     ///
     /// The bound is for all VMs together. One VM of the upstream's failure domain, or of the region if
-    /// there is none, takes all of it; those that disagree on who serves exceed it by their number, and
-    /// the bound leaves room for two.
+    /// there is none, takes all of it; two that disagree on who serves, or two
+    /// processes of one VM within a second, stay within the bound by what each leaves of the rate.
     fn leads(&self, upstream: &Upstream, serving: &[&VmCard]) -> bool {
         let near = |fits: &dyn Fn(&VmCard) -> bool| -> Vec<VmKey> {
             let near = serving.iter().filter(|card| fits(card));
@@ -95,8 +95,8 @@
     /// Returns this VM's part of the connections that an upstream takes from all VMs.
     ///
     /// An upstream resets connections beyond its limit, and what was sent on them may have run.
-    pub(super) fn max_in_flight(&self, service: &str, now_ms: u64) -> u32 {
+    pub(super) fn max_in_flight(&self, service: &str) -> u32 {
         let all = self.service(service).map_or(u32::MAX, |settings| settings.max_connections);
-        (all / self.vms.sharing(now_ms) as u32).max(1)
+        (all / self.vms.sharing() as u32).max(1)
     }
 }
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -159,6 +159,8 @@
     told: usize,
     /// Addresses to send heartbeats to, with the moment up to which they are tried unanswered.
     addresses: Map<SocketAddr, u64>,
+    /// The most VMs, this one among them, that were ever known at a time.
+    most_known: usize,
 }
 
 impl Vms {
@@ -171,6 +173,7 @@
             without_contact_since_ms: None,
             told: 0,
             addresses: Map::default(),
+            most_known: 1,
         }
     }
 
@@ -220,6 +223,7 @@
         if address != self.own.card.peers {
             let until_ms = now_ms + self.timing.forgotten_after_ms;
             self.addresses.entry(address).or_insert(until_ms);
+            self.note_known(now_ms);
         }
     }
 
@@ -252,18 +256,25 @@
             let name = heartbeat.card.name.clone();
             self.peers.insert(name, Peer { heartbeat, heard_at_ms: now_ms });
         }
+        self.note_known(now_ms);
     }
 
     /// Returns the number of VMs that share what holds for all of them, this one among them.
     ///
     /// Those known by address only count too: a VM that has just started has heard of none, and would
-    /// take the limits of all for its own.
-    pub fn sharing(&self, now_ms: u64) -> usize {
+    /// take the limits of all for its own. One that is no longer heard may serve on behind a cut, so its part is not taken
+    /// over: VMs that don't hear each other would each have all of it.
+    pub fn sharing(&self) -> usize {
+        self.most_known
+    }
+
+    /// Notes how many VMs are known now.
+    fn note_known(&mut self, now_ms: u64) {
         let timing = self.timing;
         let shares = |peer: &&Peer| now_ms < peer.heard_at_ms + timing.forgotten_after_ms;
         let heard = self.peers.values().filter(shares).count();
         let known = self.addresses.values().filter(|until_ms| now_ms < **until_ms).count();
-        1 + heard.max(known)
+        self.most_known = self.most_known.max(1 + heard.max(known));
     }
 
     /// Returns what is known of the other VMs, in the order of names.
--- a/crates/sedgepath-core/tests/direct_vms.rs
+++ b/crates/sedgepath-core/tests/direct_vms.rs
@@ -155,3 +155,16 @@
     assert_eq!(own.look_up("north-a", "north", 5_000), vec![address(1), address(2)]);
     assert_eq!(own.look_up("north-a", "north", 5_600), vec![address(1)]);
 }
+
+/// Two VMs know each other and are then cut off from each other for longer than either remembers. Both serve on,
+/// so neither takes over what the other may use of a limit that holds for all: the connections to an
+/// upstream, which resets those beyond its limit, and the slack of the retry budget.
+#[test]
+fn vms_that_are_taken_for_gone_keep_their_part_of_what_holds_for_all() {
+    let mut vm = vms("a1", "north-a", 1);
+    vm.heard(heartbeat("a2", "north-a", 2), 0);
+    vm.heard(heartbeat("b1", "north-b", 3), 0);
+    assert_eq!(vm.sharing(), 3);
+    assert!(vm.addresses(60_000).is_empty(), "the others are not forgotten");
+    assert_eq!(vm.sharing(), 3);
+}
