--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -225,8 +225,7 @@
     /// Returns how long the upstream has had it, in milliseconds: its wait there and its work.
     ///
     /// With the way counted as work, upstreams of another region look slower than they are, and work
-    /// as long as half a target is judged too long for it: on days of 1.7 times the usual load 0.606 of
-    /// the worth in place of 0.597 (trials, mean of three days).
+    /// as long as half a target is judged too long for it.
     pub fn took_ms(&self, now_ms: u64) -> f64 {
         ((now_ms - self.sent_at_ms) as f64 - self.way_ms).max(0.0)
     }
--- a/crates/sedgepath-core/src/direct/placing.rs
+++ b/crates/sedgepath-core/src/direct/placing.rs
@@ -18,32 +18,27 @@
 use super::upstreams::{Upstream, UpstreamKey};
 
 /// How many upstreams of an object's order are weighed. With three a busy service's objects are at
-/// more upstreams than these remember: mean worth of the standard days 0.643 and 0.720 with three,
-/// 0.650 and 0.757 with two (trials without charge for processor time, mpx-swap and clue-bookings).
+/// more upstreams than these remember.
 pub const RANKED: usize = 2;
 
 /// The weight of an upstream in the VM's own region, one elsewhere having 1.
 ///
-/// The same for all failure domains of the region, whose callers ask for the same objects: with 4 for
-/// the own and 2 for the others each object had two first upstreams (trials: 0.653 and 0.762, with 4
-/// for both 0.659 and 0.775; with 1, 2, 6 and 10 no better on both).
+/// The same for all failure domains of the region, whose callers ask for the same objects: with more for
+/// the own domain each object has two first upstreams.
 pub const OWN_REGION_WEIGHT: f64 = 4.0;
 
 /// The weight of an upstream in the VM's own failure domain for large answers, whose bytes cost more
-/// on the way than a wait for a slot (trials: 0.652 with 32, 0.659 with 128 on mpx-swap).
+/// on the way than a wait for a slot.
 pub const LARGE_ANSWER_DOMAIN_WEIGHT: f64 = 128.0;
 
 /// What it costs to take another upstream than the first of the order, in milliseconds: the object
-/// takes up room in a second memory (trials of 0, 50, 100, 200 and 250: best at 100).
+/// takes up room in a second memory.
 pub const SPILL_COST_MS: f64 = 100.0;
 
 /// By how many times [`SPILL_COST_MS`] it grows if upstreams forget all they knew.
 ///
 /// Where memories are short an object at two upstreams pushes another one out at both; that one runs
-/// long, its upstream fills up, and more spills: most requests then run as if nothing were known. With
-/// a quarter of the memory 0.381 of the worth in place of 0.354, with four times the objects 0.356 in
-/// place of 0.336, with 1.7 times the load the same (trials, mean of three days each; a factor of 10
-/// gave 0.368 and 0.347, one of 100 took 0.008 with that load).
+/// long, its upstream fills up, and more spills: most requests then run as if nothing were known.
 pub const FORGOTTEN_SPILL_FACTOR: f64 = 40.0;
 
 /// The mean size from which answers count as large, in bytes.
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -261,9 +261,9 @@
     /// Takes in that a request's time was up before it answered.
     ///
     /// An upstream whose answers are lost, on connections that stay open, or come too late tells nothing
-    /// else, and with no request under way it does not look silent either. It went on getting the requests
-    /// of its objects: 106 were lost in ten seconds at five upstreams of one service. As a failure each
-    /// one makes the object's second upstream the better choice, until it fades.
+    /// else, and with no request under way it does not look silent either, so it would go on getting, and
+    /// losing, the requests of its objects. As a failure each one makes the object's second upstream the
+    /// better choice, until it fades.
     pub fn timed_out(&mut self, now_ms: u64) {
         self.count_failure(now_ms);
     }
