Keep no connections to upstreams for VMs that never answer

The store keeps the rows of VMs that ended without a word; every process would have split an upstream's connections among these too for as long as it runs.

Change: connections are split among the VMs known now and the most ever heard at a time; the slack of the retry budget, of which a part too small costs little, among the most ever known.

Figures: a new test, one VM heard and twenty that never answer: 2 after a minute (22 before).

--- a/crates/sedgepath-core/src/direct/status.rs
+++ b/crates/sedgepath-core/src/direct/status.rs
@@ -99,7 +99,7 @@
             leaving: self.vms().leaving(),
             configuration_version: self.configuration().map_or(0, |in_force| in_force.version),
             evacuated,
-            sharing: self.vms().sharing(),
+            sharing: self.vms().sharing(now_ms),
             services,
             others: self.vms().others(now_ms),
         }
--- a/crates/sedgepath-core/src/direct/steering/choosing.rs
+++ b/crates/sedgepath-core/src/direct/steering/choosing.rs
@@ -28,7 +28,7 @@
             times: self.times.get(&attempts.service).copied().unwrap_or_default(),
             evacuated: &self.evacuated,
             home_regions: &attempts.route.home_regions,
-            max_in_flight: self.max_in_flight(&attempts.service),
+            max_in_flight: self.max_in_flight(&attempts.service, now_ms),
             tried: &attempts.tried,
             now_ms,
         };
@@ -95,8 +95,8 @@
     /// Returns this VM's part of the connections that an upstream takes from all VMs.
     ///
     /// An upstream resets connections beyond its limit, and what was sent on them may have run.
-    pub(super) fn max_in_flight(&self, service: &str) -> u32 {
+    pub(super) fn max_in_flight(&self, service: &str, now_ms: u64) -> u32 {
         let all = self.service(service).map_or(u32::MAX, |settings| settings.max_connections);
-        (all / self.vms.sharing() as u32).max(1)
+        (all / self.vms.sharing(now_ms) as u32).max(1)
     }
 }
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -159,7 +159,9 @@
     told: usize,
     /// Addresses to send heartbeats to, with the moment up to which they are tried unanswered.
     addresses: Map<SocketAddr, u64>,
-    /// The most VMs, this one among them, that were ever known at a time.
+    /// The most other VMs that were ever heard at a time.
+    most_heard: usize,
+    /// The most other VMs that were ever known by address at a time.
     most_known: usize,
 }
 
@@ -173,7 +175,8 @@
             without_contact_since_ms: None,
             told: 0,
             addresses: Map::default(),
-            most_known: 1,
+            most_heard: 0,
+            most_known: 0,
         }
     }
 
@@ -262,19 +265,31 @@
     /// Returns the number of VMs that share what holds for all of them, this one among them.
     ///
     /// Those known by address only count too: a VM that has just started has heard of none, and would
-    /// take the limits of all for its own. One that is no longer heard may serve on behind a cut, so its part is not taken
-    /// over: VMs that don't hear each other would each have all of it.
-    pub fn sharing(&self) -> usize {
-        self.most_known
+    /// take the limits of all for its own. One that is no longer heard may serve on behind a cut, so its
+    /// part is not taken over: VMs that don't hear each other would each have all of it.
+    pub fn sharing(&self, now_ms: u64) -> usize {
+        1 + self.most_heard.max(self.known(now_ms))
     }
 
-    /// Notes how many VMs are known now.
+    /// Returns the most VMs, this one among them, that were ever known at a time, heard or not.
+    ///
+    /// Among them are VMs that are gone for good and whose rows the store still has: for limits of which a
+    /// part too small costs little.
+    pub fn most_known(&self) -> usize {
+        1 + self.most_heard.max(self.most_known)
+    }
+
+    /// Returns how many other VMs are known by address and are tried or heard.
+    fn known(&self, now_ms: u64) -> usize {
+        self.addresses.values().filter(|until_ms| now_ms < **until_ms).count()
+    }
+
+    /// Notes how many VMs are heard and known now.
     fn note_known(&mut self, now_ms: u64) {
-        let timing = self.timing;
-        let shares = |peer: &&Peer| now_ms < peer.heard_at_ms + timing.forgotten_after_ms;
-        let heard = self.peers.values().filter(shares).count();
-        let known = self.addresses.values().filter(|until_ms| now_ms < **until_ms).count();
-        self.most_known = self.most_known.max(1 + heard.max(known));
+        let forgotten_after_ms = self.timing.forgotten_after_ms;
+        let heard = |peer: &&Peer| now_ms < peer.heard_at_ms + forgotten_after_ms;
+        self.most_heard = self.most_heard.max(self.peers.values().filter(heard).count());
+        self.most_known = self.most_known.max(self.known(now_ms));
     }
 
     /// Returns what is known of the other VMs, in the order of names.
--- a/crates/sedgepath-core/tests/direct_vms.rs
+++ b/crates/sedgepath-core/tests/direct_vms.rs
@@ -156,15 +156,29 @@
     assert_eq!(own.look_up("north-a", "north", 5_600), vec![address(1)]);
 }
 
-/// Two VMs know each other and are then cut off from each other for longer than either remembers. Both serve on,
-/// so neither takes over what the other may use of a limit that holds for all: the connections to an
-/// upstream, which resets those beyond its limit, and the slack of the retry budget.
+/// VMs that know each other are cut off from each other for longer than any remembers. All serve on, so none
+/// takes over what the others may use of a limit that holds for all: the connections to an upstream, which
+/// resets those beyond its limit, and the slack of the retry budget.
 #[test]
 fn vms_that_are_taken_for_gone_keep_their_part_of_what_holds_for_all() {
     let mut vm = vms("a1", "north-a", 1);
     vm.heard(heartbeat("a2", "north-a", 2), 0);
     vm.heard(heartbeat("b1", "north-b", 3), 0);
-    assert_eq!(vm.sharing(), 3);
+    assert_eq!((vm.sharing(0), vm.most_known()), (3, 3));
     assert!(vm.addresses(60_000).is_empty(), "the others are not forgotten");
-    assert_eq!(vm.sharing(), 3);
+    assert_eq!((vm.sharing(60_000), vm.most_known()), (3, 3));
+}
+
+/// The store still has the rows of twenty VMs that ended without a word. They answer nobody, and after a
+/// while an upstream's connections are no longer kept for them; of the slack, which is little, they keep their
+/// part, since from here they look like VMs behind a cut.
+#[test]
+fn vms_that_never_answer_keep_no_connections_to_upstreams() {
+    let mut vm = vms("a1", "north-a", 1);
+    vm.heard(heartbeat("a2", "north-a", 2), 0);
+    for gone in 10..30 {
+        vm.add_address(SocketAddr::from(([10, 0, 0, gone], 7_000)), 0);
+    }
+    assert_eq!(vm.sharing(1_000), 22);
+    assert_eq!((vm.sharing(60_000), vm.most_known()), (2, 22));
 }
