--- a/crates/sedgepath-core/src/direct/steering/choosing.rs
+++ b/crates/sedgepath-core/src/direct/steering/choosing.rs
@@ -75,8 +75,8 @@
     /// Whether this VM is the one that may send to an upstream while it is cold.
     ///
     /// The bound is for all VMs together. One VM of the upstream's failure domain, or of the region if
-    /// there is none, takes all of it; two that disagree on who serves, or two
-    /// processes of one VM within a second, stay within the bound by what each leaves of the rate.
+    /// there is none, sends; two that disagree on who serves, or two processes of one VM within a second,
+    /// stay within the bound by what each leaves of the rate.
     fn leads(&self, upstream: &Upstream, serving: &[&VmCard]) -> bool {
         let near = |fits: &dyn Fn(&VmCard) -> bool| -> Vec<VmKey> {
             let near = serving.iter().filter(|card| fits(card));
