Say where the retry budget holds on the mean only

Comments and docs; behaviour unchanged. The lot among many VMs keeps the bound on the mean, and the part of the slack needs every VM to be known: both were said to hold by construction.

--- a/crates/sedgepath-core/src/direct/budget.rs
+++ b/crates/sedgepath-core/src/direct/budget.rs
@@ -14,6 +14,10 @@
 //!   and this VM's part of [`KEPT_SLACK`] of the slack;
 //! - a process starts with nothing saved.
 //!
+//! Where that bound is less than a whole repeat, as among many VMs with few requests each, some VMs may
+//! save a whole one by lot: their sum then keeps to the bound on the mean, not in each case, and the rest
+//! of the slack is for the difference too.
+//!
 //! So in a window each process sends no more than it had saved when the window began and what the
 //! requests of the window earn; both add up over processes, whichever ends or starts when. A process
 //! that counted its own last window in place of that would spend what it has saved in one moment, and
@@ -35,7 +39,8 @@
 /// outage may take at once, such as an upstream that crashes with its requests.
 pub const SAVED_SHARE: f64 = 0.1;
 
-/// The part of the slack that all VMs together may save.
+/// The part of the slack that all VMs together may save. It adds up to no more if each VM knows of all
+/// others: one that has heard of fewer takes too large a part.
 pub const KEPT_SLACK: f64 = 0.5;
 
 /// The time that one bucket counts, in milliseconds: a tenth of the usual window of 10 s.
