Speak between failure domains by a few VMs, and give tables to starters by those near

Cause: heartbeats went between all pairs of VMs, 130 a second from each, so control traffic grew with the square of the VMs and silence showed after 6.5 s at 195 VMs; and each VM that starts read all tables from the store and was given them by whoever had them, so that the busiest gave them to dozens at once.

Change: heartbeats within the failure domain, mostly without what does not change; summaries of a domain by two of its VMs (rendezvous hashing, no election) to one of each other domain, passed on there once, mostly as a digest. A VM that starts asks those of its domain for the tables; the first of each domain reads them; whole tables are given to three VMs at a time, from one copy. While the store turns readers away the others of a region try in turn, three at a time, in place of all that have stepped in so far.

Tests: direct_tiers.rs plays up to 288 VMs on one clock, with kills, cuts (one way, long, through a third), loss, suspension. The check that VMs taken for gone are forgotten by address is replaced by that they are not named.

--- a/crates/sedgepath-core/src/direct/copies.rs
+++ b/crates/sedgepath-core/src/direct/copies.rs
@@ -130,10 +130,15 @@
         changes
     }
 
+    /// Whether the whole table is given to one that has all changes up to a version.
+    pub fn gives_whole(&self, after: u64) -> bool {
+        after < self.forgotten_at || after == 0
+    }
+
     /// Returns what has changed after a version, up to which the asker has all changes, or the whole
     /// table if that can't be told.
     pub fn since(&self, after: u64) -> Page {
-        let whole = after < self.forgotten_at || after == 0;
+        let whole = self.gives_whole(after);
         let rows = self
             .rows
             .iter()
@@ -216,6 +221,11 @@
         }
     }
 
+    /// Whether each has ever held its whole table.
+    pub fn known(&self) -> bool {
+        Table::ALL.into_iter().all(|table| self.get(table).known())
+    }
+
     /// Returns how new the copies are, in the order of [`Table::ALL`].
     pub fn changed_at(&self) -> [u64; 2] {
         Table::ALL.map(|table| self.get(table).changed_at())
--- a/crates/sedgepath-core/src/direct/steering/choosing.rs
+++ b/crates/sedgepath-core/src/direct/steering/choosing.rs
@@ -80,7 +80,7 @@
     fn leads(&self, upstream: &Upstream, serving: &[&VmCard]) -> bool {
         let near = |fits: &dyn Fn(&VmCard) -> bool| -> Vec<VmKey> {
             let near = serving.iter().filter(|card| fits(card));
-            near.map(|card| VmKey::of(&card.name)).collect()
+            near.map(|card| card.key()).collect()
         };
         let mut candidates = near(&|card| card.domain == upstream.entry.domain);
         if candidates.is_empty() {
@@ -89,7 +89,7 @@
         if candidates.is_empty() {
             candidates = near(&|_| true);
         }
-        ownership::owner(upstream.hash, &candidates) == Some(VmKey::of(&self.place.name))
+        ownership::owner(upstream.hash, &candidates) == Some(self.vms.key())
     }
 
     /// Returns this VM's part of the connections that an upstream takes from all VMs.
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/vms/heartbeat.rs
@@ -0,0 +1,212 @@
+//! What a VM says of itself, and when its silence counts.
+
+use std::net::{IpAddr, SocketAddr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Stamp;
+use crate::hash::Digest;
+use crate::key::VmKey;
+
+/// How to reach an entry VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmCard {
+    /// The VM's name; the text of its address where only that is known.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Its region.
+    pub region: Box<str>,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
+    /// Where it takes other VMs' datagrams.
+    pub peers: SocketAddr,
+}
+
+impl VmCard {
+    /// Returns its key for rendezvous hashing, the same on all VMs whether or not they know its name.
+    pub fn key(&self) -> VmKey {
+        let port = self.peers.port().to_le_bytes();
+        let digest = match self.peers.ip() {
+            IpAddr::V4(ip) => Digest::of(&[b"vm", &ip.octets(), &port]),
+            IpAddr::V6(ip) => Digest::of(&[b"vm", &ip.octets(), &port]),
+        };
+        VmKey(digest.to_u64())
+    }
+}
+
+/// What a VM can tell of the store from its own calls.
+///
+/// A VM that makes no calls knows nothing of the store. Taken for one that gets no answer, it made an
+/// outage of the moment in which all VMs that follow the store were suspended: the removal of an
+/// upstream, read right after, counted as a lapse, and the upstream got requests for 2 s more.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreView {
+    /// It makes no calls, or has had the end of none yet.
+    #[default]
+    Unasked,
+    /// It has been answered.
+    Answers {
+        /// For how long without a break, in milliseconds.
+        for_ms: u64,
+    },
+    /// Its last call failed.
+    Fails,
+}
+
+impl StoreView {
+    /// Returns for how long the store has answered without a break, in milliseconds.
+    pub fn contact_ms(self) -> Option<u64> {
+        match self {
+            Self::Answers { for_ms } => Some(for_ms),
+            Self::Unasked | Self::Fails => None,
+        }
+    }
+
+    /// Whether the store answers.
+    pub fn answers(self) -> bool {
+        matches!(self, Self::Answers { .. })
+    }
+
+    /// Returns what it tells after some more time.
+    pub(super) fn aged(self, age_ms: u64) -> Self {
+        match self {
+            Self::Answers { for_ms } => Self::Answers { for_ms: for_ms + age_ms },
+            view => view,
+        }
+    }
+
+    /// Returns what two VMs can tell together: the longer contact, else whether the store fails one.
+    pub(super) fn with(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Answers { for_ms: one }, Self::Answers { for_ms: two }) => {
+                Self::Answers { for_ms: one.max(two) }
+            }
+            (view @ Self::Answers { .. }, _) | (_, view @ Self::Answers { .. }) => view,
+            (Self::Fails, _) | (_, Self::Fails) => Self::Fails,
+            (Self::Unasked, Self::Unasked) => Self::Unasked,
+        }
+    }
+}
+
+/// What a VM tells those of its failure domain of itself, and others as long as it doesn't know any.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmHeartbeat {
+    /// When it was sent, in the order of events over all VMs.
+    pub stamp: Stamp,
+    /// The time until its next one, in milliseconds.
+    pub period_ms: u64,
+    /// How to reach it.
+    pub card: VmCard,
+    /// When its process started, in milliseconds since the Unix epoch; the later of two counts.
+    pub boot: u64,
+    /// Whether it takes new requests.
+    pub ready: bool,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// How new its copies of the store's tables are, by the store's versions.
+    pub changed_at: [u64; 2],
+    /// What it can tell of the store.
+    pub store: StoreView,
+    /// Where it sends heartbeats to: addresses that the receiver may not know yet.
+    pub known: Vec<SocketAddr>,
+}
+
+/// What a VM says of itself between two heartbeats to those that know how to reach it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShortHeartbeat {
+    /// When it was sent, in the order of events over all VMs.
+    pub stamp: Stamp,
+    /// The time until its next one, in milliseconds.
+    pub period_ms: u64,
+    /// When its process started, in milliseconds since the Unix epoch.
+    pub boot: u64,
+    /// Whether it takes new requests.
+    pub ready: bool,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// How new its copies of the store's tables are, by the store's versions.
+    pub changed_at: [u64; 2],
+    /// What it can tell of the store.
+    pub store: StoreView,
+}
+
+impl VmHeartbeat {
+    /// Returns what of it changes.
+    pub(super) fn short(&self) -> ShortHeartbeat {
+        ShortHeartbeat {
+            stamp: self.stamp,
+            period_ms: self.period_ms,
+            boot: self.boot,
+            ready: self.ready,
+            leaving: self.leaving,
+            changed_at: self.changed_at,
+            store: self.store,
+        }
+    }
+
+    /// Returns the heartbeat with what a later one says.
+    pub(super) fn updated(&self, short: ShortHeartbeat) -> Self {
+        Self {
+            stamp: short.stamp,
+            period_ms: short.period_ms,
+            card: self.card.clone(),
+            boot: short.boot,
+            ready: short.ready,
+            leaving: short.leaving,
+            changed_at: short.changed_at,
+            store: short.store,
+            known: Vec::new(),
+        }
+    }
+}
+
+/// When a VM counts as silent and as forgotten.
+#[derive(Debug, Clone, Copy)]
+pub struct VmTiming {
+    /// The time between two heartbeats in milliseconds, while there are few VMs.
+    pub heartbeat_ms: u64,
+    /// The most heartbeats that a VM sends in a second. With more VMs than fit, the time between
+    /// two grows.
+    pub heartbeats_per_s: u64,
+    /// The longest silence after which a VM is no longer named, in milliseconds.
+    pub max_silence_ms: u64,
+    /// The silence after which a VM no longer shares the limits that hold for all, in milliseconds.
+    pub forgotten_after_ms: u64,
+}
+
+/// The periods of silence after which a VM is no longer named: three heartbeats may be lost.
+const SILENT_PERIODS: f64 = 4.4;
+
+/// The periods of silence after which others stop relying on a VM to follow the store: one heartbeat
+/// may be lost. All that follow it may be suspended at once, and a leaving upstream may get requests
+/// for 2.5 s only; one more VM that reads for a moment costs some calls.
+const READER_SILENT_PERIODS: f64 = 2.6;
+
+/// The periods of silence after which another VM speaks for the failure domain in place of a silent one: early
+/// enough that what it says has been passed on before the silent one's last word lapses. One taken for silent
+/// by mistake costs a few datagrams.
+const SPEAKER_SILENT_PERIODS: f64 = 1.6;
+
+impl VmTiming {
+    /// Returns the silence after which one that sends each period is no longer named, in
+    /// milliseconds.
+    pub(super) fn silent_after_ms(&self, period_ms: u64) -> u64 {
+        self.periods_ms(period_ms, SILENT_PERIODS)
+    }
+
+    /// Returns the silence after which others stop relying on a VM to follow the store, in
+    /// milliseconds.
+    pub(super) fn reader_silent_after_ms(&self, period_ms: u64) -> u64 {
+        self.periods_ms(period_ms, READER_SILENT_PERIODS)
+    }
+
+    /// Returns the silence after which another VM speaks in place of a silent one, in milliseconds.
+    pub(super) fn speaker_silent_after_ms(&self, period_ms: u64) -> u64 {
+        self.periods_ms(period_ms, SPEAKER_SILENT_PERIODS)
+    }
+
+    fn periods_ms(&self, period_ms: u64, periods: f64) -> u64 {
+        ((period_ms as f64 * periods) as u64).min(self.max_silence_ms)
+    }
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/vms/readers.rs
@@ -0,0 +1,132 @@
+//! Which VMs follow the store.
+//!
+//! Each region has its own, so that one behind a cut goes on by itself; with few regions there are more
+//! of each, so that the death of one is never a gap. Nobody is elected: the first of a region in the
+//! order of failure domains and addresses follow it, and a VM that hears no other of its region ranks
+//! first.
+
+use std::net::SocketAddr;
+
+use super::Vms;
+use super::elsewhere::Listed;
+use super::heartbeat::VmHeartbeat;
+use crate::hash::Set;
+
+/// How many VMs follow the store at the least, over all regions, if there are as many: with two, one
+/// may die and another be cut off before the silence of either shows.
+const MIN_READERS: usize = 3;
+
+/// The time after which one more VM tries the store while none of the region has an answer, in
+/// milliseconds: about a call to a store that is there.
+pub const STEP_IN_MS: u64 = 250;
+
+/// The steps for which a VM that has stepped in goes on trying: long enough for a call that is begun
+/// late in the first of them.
+const STEPS_TO_TRY: usize = 3;
+
+/// A VM that may follow the store.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Reader<'a> {
+    domain: &'a str,
+    address: SocketAddr,
+    has_store: bool,
+}
+
+/// The VMs of the own region that may follow the store, beside this one.
+#[derive(Debug)]
+struct Region<'a> {
+    name: &'a str,
+    readers: Vec<Reader<'a>>,
+    others: Set<&'a str>,
+}
+
+impl<'a> Region<'a> {
+    fn add(&mut self, region: &'a str, reader: Reader<'a>) {
+        if *region == *self.name {
+            self.readers.push(reader);
+        } else {
+            self.others.insert(region);
+        }
+    }
+
+    /// Leaves one entry of each VM: that which says that it has the store, if there is one.
+    fn merge(&mut self) {
+        self.readers.sort_unstable();
+        self.readers.reverse();
+        self.readers.dedup_by(|one, other| one.address == other.address);
+    }
+
+    fn before(&self, own: (&str, SocketAddr)) -> usize {
+        let before = |reader: &&Reader<'_>| (reader.domain, reader.address) < own;
+        self.readers.iter().filter(before).count()
+    }
+
+    fn with_store(&self) -> usize {
+        self.readers.iter().filter(|reader| reader.has_store).count()
+    }
+}
+
+impl Vms {
+    /// Whether this VM is one of those that follow the store.
+    ///
+    /// The store may turn away just those that follow it. While none of the region has an answer, the
+    /// others try in turn, the next one each [`STEP_IN_MS`]; all at once, or each for as long as the
+    /// store is away, would be a load that keeps it down.
+    pub fn reads_store(&mut self, now_ms: u64) -> bool {
+        let region = self.region(now_ms);
+        let readers = MIN_READERS.div_ceil(1 + region.others.len());
+        let before = region.before((&self.own.card.domain, self.own.card.peers));
+        let (with_store, others) = (region.with_store(), region.readers.len());
+        let answered = self.own.store.answers();
+        if with_store > 0 || answered {
+            self.without_contact_since_ms = None;
+        } else {
+            self.without_contact_since_ms.get_or_insert(now_ms);
+        }
+        // One that follows the store without being of the first goes on until these have an answer.
+        let needed = with_store < readers && answered;
+        before < readers || needed || self.steps_in(before - readers, 1 + others - readers, now_ms)
+    }
+
+    /// Whether this VM is the first of its failure domain that may be running.
+    ///
+    /// All VMs may start at the same moment; then this one reads the store's tables for its domain.
+    pub fn first_of_domain(&self, now_ms: u64) -> bool {
+        let own = &self.own.card;
+        let region = self.region(now_ms);
+        let of_domain = region.readers.iter().filter(|reader| *reader.domain == *own.domain);
+        of_domain.filter(|reader| reader.address < own.peers).count() == 0
+    }
+
+    fn steps_in(&self, number: usize, others: usize, now_ms: u64) -> bool {
+        let Some(since_ms) = self.without_contact_since_ms else {
+            return false;
+        };
+        let step = (now_ms.saturating_sub(since_ms) / STEP_IN_MS) as usize % others;
+        let steps_since = (step + others - number) % others;
+        steps_since < STEPS_TO_TRY
+    }
+
+    fn region(&self, now_ms: u64) -> Region<'_> {
+        let own = &self.own.card;
+        let mut region = Region { name: &own.region, readers: Vec::new(), others: Set::default() };
+        for peer in self.peers.values() {
+            let VmHeartbeat { card, period_ms, store, leaving, .. } = &peer.heartbeat;
+            let silent_after_ms = self.timing.reader_silent_after_ms(*period_ms);
+            if now_ms < peer.heard_at_ms + silent_after_ms && !leaving {
+                let (address, has_store) = (card.peers, store.answers());
+                region.add(&card.region, Reader { domain: &card.domain, address, has_store });
+            }
+        }
+        for Listed { card, member } in self.elsewhere.relied_on(self.timing, now_ms) {
+            let (address, has_store) = (card.peers, member.has_store);
+            region.add(&card.region, Reader { domain: &card.domain, address, has_store });
+        }
+        for (address, standing) in self.known.expected(now_ms) {
+            let reader = Reader { domain: &standing.domain, address, has_store: false };
+            region.add(&standing.region, reader);
+        }
+        region.merge();
+        region
+    }
+}
--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod system;
 pub mod table;
 pub mod upstream;
+pub mod vm_net;
 
 pub use sedgepath_store_stand_in as store;
 
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -11,13 +11,15 @@
 //! - [`questions`]: serves what is answered at once.
 //! - [`entry`]: look-ups, and whether this VM takes requests.
 //! - [`follow`]: follows the store's rows.
-//! - [`peers`]: heartbeats between entry VMs, and rows that they give each other.
+//! - [`peers`]: datagrams between entry VMs, and rows that they fetch from each other.
+//! - [`giving`]: rows that they give.
 //! - [`lines`], [`metrics`]: what on-call engineers see.
 
 pub mod answers;
 pub mod clock;
 pub mod entry;
 pub mod follow;
+pub mod giving;
 pub mod ingress;
 pub mod lines;
 pub mod metrics;
--- a/crates/sedgepathd/src/direct/follow.rs
+++ b/crates/sedgepathd/src/direct/follow.rs
@@ -30,15 +30,24 @@
 /// The least pause after a failed call, in milliseconds.
 const MIN_PAUSE_MS: u64 = 100;
 
+/// How many times the period of failed calls is doubled while a VM doesn't have the table.
+const MAX_START_DOUBLINGS: u32 = 2;
+
+/// The least time for which a VM that starts waits for others to give it a table before it reads the store
+/// itself, in milliseconds; up to twice that, so that not all read at once.
+const START_PATIENCE_MS: u64 = 600;
+
 /// How often a VM that doesn't follow the store looks whether it should, in milliseconds.
 const ROLE_CHECK_MS: u64 = 100;
 
 /// Follows a table while this VM is one of those that do, until the process ends.
 pub async fn follow(shell: Rc<Shell>, table: Table) {
     let mut lost = false;
+    let mut failures = 0;
+    let patient_until_ms =
+        clock::now_ms() + START_PATIENCE_MS + fastrand::u64(0..START_PATIENCE_MS);
     loop {
-        let reads = shell.steering.borrow_mut().vms_mut().reads_store(clock::now_ms());
-        if !reads && shell.copies.borrow().get(table).known() {
+        if !reads(&shell, table, patient_until_ms) {
             if table == Table::Upstreams {
                 shell.store_calls.set(StoreCalls::Unasked);
             }
@@ -49,9 +58,10 @@
         match read(&shell, table, lost).await {
             Ok(page) => {
                 lost = false;
+                failures = 0;
                 note_contact(&shell, table, begun_at_ms);
                 if take_in(&shell, table, page) {
-                    peers::send_once(&shell).await;
+                    peers::announce(&shell).await;
                     tokio::time::sleep(Duration::from_millis(BATCH_MS)).await;
                 }
             }
@@ -61,17 +71,43 @@
             }
             Err(error) => {
                 if note_loss(&shell, table, &error) {
-                    peers::send_once(&shell).await;
+                    peers::announce(&shell).await;
                 }
+                failures += 1;
                 let took_ms = clock::now_ms().saturating_sub(begun_at_ms);
-                let pause_ms = RETRY_MS.saturating_sub(took_ms).max(MIN_PAUSE_MS);
-                let jitter_ms = fastrand::u64(0..MIN_PAUSE_MS);
-                tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
+                let pause_ms = pause_ms(&shell, table, failures, took_ms);
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
         }
     }
 }
 
+/// Whether this VM reads a table from the store now.
+///
+/// While it doesn't have the table it reads it as the first of its failure domain that may be running;
+/// the others get it from there, and read it themselves only if that takes long.
+fn reads(shell: &Shell, table: Table, patient_until_ms: u64) -> bool {
+    let now_ms = clock::now_ms();
+    let mut steering = shell.steering.borrow_mut();
+    if shell.copies.borrow().get(table).known() {
+        return steering.vms_mut().reads_store(now_ms);
+    }
+    let first = shell.looked_for_vms.get() && steering.vms().first_of_domain(now_ms);
+    first || now_ms >= patient_until_ms
+}
+
+/// Returns the pause after a failed call, in milliseconds.
+///
+/// A VM without the table asks ever more rarely: one that starts while the store is away gets the table
+/// from others, and many that start together would be most of the store's load when it comes back.
+fn pause_ms(shell: &Shell, table: Table, failures: u32, took_ms: u64) -> u64 {
+    let known = shell.copies.borrow().get(table).known();
+    let doublings = if known { 0 } else { (failures - 1).min(MAX_START_DOUBLINGS) };
+    let period_ms = RETRY_MS << doublings;
+    let jitter_ms = MIN_PAUSE_MS << doublings;
+    period_ms.saturating_sub(took_ms).max(MIN_PAUSE_MS) + fastrand::u64(0..jitter_ms)
+}
+
 async fn read(shell: &Shell, table: Table, lost: bool) -> Result<Page, StoreError> {
     let name = table_name(table);
     let (known, position) = {
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -26,6 +26,7 @@
     latency: HistogramVec,
     sendings: IntCounterVec,
     refusals: IntCounterVec,
+    peer_bytes: IntCounterVec,
     upstreams: IntGaugeVec,
     vms: IntGauge,
     configuration: IntGauge,
@@ -63,6 +64,11 @@
                 "Requests answered as not run, by reason.",
                 &["reason"],
             )?,
+            peer_bytes: counter(
+                "sedgepath_peer_bytes_total",
+                "Bytes sent to other entry VMs, by what they tell, without those of the transport.",
+                &["kind"],
+            )?,
             upstreams: IntGaugeVec::new(
                 Opts::new("sedgepath_upstreams", "Upstreams by state."),
                 &["state"],
@@ -84,6 +90,7 @@
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.sendings.clone()))?;
         self.registry.register(Box::new(self.refusals.clone()))?;
+        self.registry.register(Box::new(self.peer_bytes.clone()))?;
         self.registry.register(Box::new(self.upstreams.clone()))?;
         for gauge in [&self.vms, &self.configuration, &self.store_contact, &self.in_flight] {
             self.registry.register(Box::new(gauge.clone()))?;
@@ -107,6 +114,11 @@
         self.refusals.with_label_values(&[reason.name()]).inc();
     }
 
+    /// Counts what is sent to another VM.
+    pub fn told_peer(&self, kind: &str, bytes: usize) {
+        self.peer_bytes.with_label_values(&[kind]).inc_by(bytes as u64);
+    }
+
     fn text(&self, shell: &Shell) -> Vec<u8> {
         let now_ms = clock::now_ms();
         let steering = shell.steering.borrow();
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -7,10 +7,11 @@
 use sedgepath_adapter::settings::{Settings, SettingsError};
 use sedgepath_core::clock::Stamp;
 use sedgepath_core::direct::budget::BudgetLimits;
-use sedgepath_core::direct::copies::Table;
+use sedgepath_core::direct::copies::{Page, Table};
 use sedgepath_core::direct::steering::Policy;
 use sedgepath_core::direct::vms::{StoreView, VmCard, VmHeartbeat, VmTiming, Vms};
 use sedgepath_core::direct::{Limits, Place, Steering};
+use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
@@ -40,6 +41,13 @@
 /// The table in which entry VMs find each other.
 const VM_TABLE: &str = "sedgepath-vms";
 
+/// The first pause after the store could not be asked for other VMs, in milliseconds; each later one is twice
+/// as long.
+const FIND_PAUSE_MS: u64 = 500;
+
+/// The longest of these pauses, in milliseconds.
+const MAX_FIND_PAUSE_MS: u64 = 4_000;
+
 /// How long a stopping VM takes new requests on new connections, in milliseconds: callers may use
 /// an answer to a look-up for this long.
 const STOP_SERVING_MS: u64 = 3_000;
@@ -112,7 +120,7 @@
     spawn_local(find_vms(Rc::clone(&shell)));
     spawn_local(peers::receive(Rc::clone(&shell)));
     spawn_local(questions::serve(Rc::clone(&shell), peer_listener, peers::give));
-    spawn_local(peers::send_heartbeats(Rc::clone(&shell)));
+    spawn_local(peers::send_rounds(Rc::clone(&shell)));
     spawn_local(keep_up(Rc::clone(&shell)));
     if let Some(port) = options.metrics_port {
         let address = SocketAddr::new(shell.settings.ip, port);
@@ -126,7 +134,7 @@
     shell.steering.borrow_mut().vms_mut().leave();
     shell.stop.send_replace(StopPhase::Leaving);
     for _ in 0..3 {
-        peers::send_once(&shell).await;
+        peers::announce(&shell).await;
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     tokio::time::sleep(Duration::from_millis(STOP_SERVING_MS)).await;
@@ -195,27 +203,62 @@
 
 /// Tells other VMs of this one by a row of the store, and learns of theirs.
 async fn find_vms(shell: Rc<Shell>) {
-    let address = SocketAddr::new(shell.settings.ip, shell.settings.peer_ports.0).to_string();
-    let pause = || tokio::time::sleep(Duration::from_millis(500 + fastrand::u64(0..500)));
-    while shell.store.put(VM_TABLE, &shell.settings.vm, address.as_bytes()).await.is_err() {
-        pause().await;
-    }
+    let own = VmRow {
+        address: SocketAddr::new(shell.settings.ip, shell.settings.peer_ports.0),
+        domain: shell.settings.domain.clone(),
+        region: shell.settings.region.clone(),
+    };
+    let row = match serde_json::to_vec(&own) {
+        Ok(row) => row,
+        Err(error) => {
+            log::error!("event=vm_row_not_written error={:?}", error.to_string());
+            return;
+        }
+    };
+    let mut pause_ms = FIND_PAUSE_MS;
     loop {
-        let Ok(page) = shell.store.rows(VM_TABLE).await else {
-            pause().await;
-            continue;
+        let put = shell.store.put(VM_TABLE, &shell.settings.vm, &row).await;
+        let read = match put {
+            Ok(()) => shell.store.rows(VM_TABLE).await,
+            Err(error) => Err(error),
         };
-        let addresses = page.rows.iter().filter_map(|row| {
-            std::str::from_utf8(row.value.as_ref()?).ok()?.parse::<SocketAddr>().ok()
-        });
-        let mut steering = shell.steering.borrow_mut();
-        for address in addresses {
-            steering.vms_mut().add_address(address, clock::now_ms());
+        if let Ok(page) = read {
+            take_in_vms(&shell, &page);
+            shell.looked_for_vms.set(true);
+            peers::send_round(&shell).await;
+            peers::fill(&shell).await;
+            return;
         }
-        return;
+        shell.looked_for_vms.set(true);
+        let jitter_ms = fastrand::u64(0..pause_ms);
+        tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
+        pause_ms = (pause_ms * 2).min(MAX_FIND_PAUSE_MS);
     }
 }
 
+fn take_in_vms(shell: &Shell, page: &Page) {
+    let now_ms = clock::now_ms();
+    let mut steering = shell.steering.borrow_mut();
+    let vms = steering.vms_mut();
+    for row in &page.rows {
+        let Some(value) = &row.value else { continue };
+        match serde_json::from_slice::<VmRow>(value) {
+            Ok(VmRow { address, domain, region }) => vms.add_vm(address, &domain, &region, now_ms),
+            Err(error) => {
+                log::warn!("event=vm_row_unreadable vm={} error={:?}", row.key, error.to_string());
+            }
+        }
+    }
+}
+
+/// What the store's row of a VM says.
+#[derive(Debug, Serialize, Deserialize)]
+struct VmRow {
+    address: SocketAddr,
+    domain: Box<str>,
+    region: Box<str>,
+}
+
 /// Forgets what has lapsed and closes connections that are not needed.
 async fn keep_up(shell: Rc<Shell>) {
     loop {
@@ -229,6 +272,7 @@
         for name in gone {
             log::info!("event=upstream_lapsed upstream={name}");
         }
+        shell.giving.forget();
         let steering = shell.steering.borrow();
         shell.pool.prune(|key| steering.upstreams().get(key).is_some());
     }
--- a/crates/sedgepathd/src/direct/shell.rs
+++ b/crates/sedgepathd/src/direct/shell.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 
 use super::clock;
+use super::giving::Giving;
 use super::lines::LineClock;
 use super::metrics::Metrics;
 use super::pool::Pool;
@@ -34,6 +35,10 @@
     pub peers: UdpSocket,
     /// When rows of each table were last asked of another VM, in milliseconds, until they came.
     pub fetching: RefCell<Map<Table, u64>>,
+    /// The rows that are given to other VMs.
+    pub giving: Giving,
+    /// Whether the other VMs have been looked for in the store, found or not.
+    pub looked_for_vms: Cell<bool>,
     /// The order of log lines over all VMs.
     pub line_clock: LineClock,
     /// What is counted.
@@ -107,6 +112,8 @@
             store_calls: Cell::default(),
             peers,
             fetching: RefCell::default(),
+            giving: Giving::default(),
+            looked_for_vms: Cell::default(),
             settings,
             steering: RefCell::new(steering),
             pool: Pool::default(),
