Count sendings under way among the upstreams that a request reaches

Cause: Attempts::may_send counted only sendings that had ended, so a request that two upstreams had refused and a third had not answered was sent to a fourth where three are meant.

Test: a_second_sending_counts_what_is_under_way, failing before (a second sending was planned at 1,210 ms).

--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -234,10 +234,11 @@
 impl Attempts {
     /// Whether it may be sent once more, as far as its own attempts go.
     pub fn may_send(&self) -> bool {
-        if self.arrivals >= MAX_ARRIVALS {
+        let under_way = self.under_way.len() as u32;
+        if self.arrivals + under_way >= MAX_ARRIVALS {
             return false;
         }
-        let runs = self.runs + self.under_way.len() as u32;
+        let runs = self.runs + under_way;
         if runs == 0 {
             return true;
         }
--- a/crates/sedgepath-core/tests/direct_attempts.rs
+++ b/crates/sedgepath-core/tests/direct_attempts.rs
@@ -380,3 +380,17 @@
         }
     }
 }
+
+/// Guards against a request with a sending under way reaching a fourth upstream.
+#[test]
+fn a_second_sending_counts_what_is_under_way() {
+    let mut vm = earning_vm("a1", "north-a", 1, 4);
+    let mut attempts = begin(&mut vm, "/reads/1", "x", 0);
+    for _ in 0..2 {
+        let to = send(&mut vm, &mut attempts, 0);
+        vm.ended(&mut attempts, to.upstream, REFUSAL, 10);
+    }
+    send(&mut vm, &mut attempts, 10);
+
+    assert_eq!(vm.hedge_at_ms(&attempts), None, "a fourth upstream would be reached");
+}
