Give whole tables compressed, and say in full what VMs that come lack

Cause: at 304 VMs the busiest VM sent 1,212 KB/s, most of it tables of 3,000 rows given whole within its domain.

Change: whole tables compressed (flate2, a well-kept library), written once for all that ask; a VM passes on whole what has changed since its last round, and everything for 2 s after a VM of its domain came; a VM tells three of each domain while it has news.

--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -14,7 +14,7 @@
 
 use std::net::SocketAddr;
 
-use self::elsewhere::Elsewhere;
+use self::elsewhere::{Elsewhere, Said};
 use self::known::{KnownVms, Standing};
 use super::status::OtherVm;
 use crate::hash::{Map, Set};
@@ -30,10 +30,22 @@
     heard_at_ms: u64,
 }
 
+/// A summary that came since the last round.
+#[derive(Debug, Clone, Copy)]
+struct ToPassOn {
+    received_at_ms: u64,
+    /// Whether it says something else than the one before.
+    changed: bool,
+}
+
 /// How many VMs of the caller's failure domain are named without others: one is a single point of
 /// failure for as long as callers keep the answer.
 pub const ENOUGH_NAMED: usize = 2;
 
+/// How long summaries are passed on whole after another VM of the failure domain came, in milliseconds: some
+/// rounds of all other domains.
+const WHOLE_MS: u64 = 2_000;
+
 /// The most addresses that a look-up names.
 const MAX_NAMED: usize = 64;
 
@@ -46,14 +58,20 @@
     peers: Map<Box<str>, Peer>,
     elsewhere: Elsewhere,
     known: KnownVms,
-    /// The summaries that came since the last round, by sender, with when they came in milliseconds.
-    to_pass_on: Map<SocketAddr, (u64, News)>,
+    /// The senders of the summaries that came since the last round.
+    to_pass_on: Map<SocketAddr, ToPassOn>,
     /// Since when no VM of the region has had an answer of the store, in milliseconds.
     without_contact_since_ms: Option<u64>,
     /// How many addresses have been told in heartbeats.
     told: usize,
-    /// How many rounds there have been.
+    /// How many rounds there have been since another VM came.
     rounds: u64,
+    /// Up to when summaries are passed on whole, in milliseconds.
+    whole_until_ms: u64,
+    /// A digest of what this VM last said of its failure domain.
+    said: u64,
+    /// Up to when that is news, in milliseconds.
+    news_until_ms: u64,
 }
 
 impl Vms {
@@ -69,6 +87,9 @@
             without_contact_since_ms: None,
             told: 0,
             rounds: 0,
+            whole_until_ms: 0,
+            said: 0,
+            news_until_ms: 0,
         }
     }
 
@@ -155,9 +176,12 @@
         self.known.heard(card.peers, &standing, forgotten_at_ms);
         if self.is_news(&heartbeat, now_ms) {
             let last = self.peers.get(&heartbeat.card.name);
-            if last.is_none_or(|peer| peer.heartbeat.boot != heartbeat.boot) {
-                // It doesn't know yet how to reach this VM.
+            if last.is_none_or(|peer| {
+                peer.heartbeat.boot != heartbeat.boot || now_ms >= self.silent_at_ms(peer)
+            }) {
+                // It may lack what this VM and other domains have said.
                 self.rounds = 0;
+                self.whole_until_ms = now_ms + WHOLE_MS;
             }
             let name = heartbeat.card.name.clone();
             self.peers.insert(name, Peer { heartbeat, heard_at_ms: now_ms });
@@ -196,8 +220,11 @@
     /// Takes in what another failure domain says of its VMs, as its sender told this VM.
     pub fn told(&mut self, summary: DomainSummary, now_ms: u64) {
         let sender = summary.sender();
-        if let Some(news) = self.take(summary, now_ms, now_ms) {
-            self.to_pass_on.insert(sender, (now_ms, news));
+        if let Some(said) = self.take(summary, now_ms, now_ms) {
+            // Two may come in one round: the second doesn't make the first one's change known.
+            let changed = said == Said::Changed
+                || self.to_pass_on.get(&sender).is_some_and(|earlier| earlier.changed);
+            self.to_pass_on.insert(sender, ToPassOn { received_at_ms: now_ms, changed });
         }
     }
 
@@ -218,7 +245,7 @@
         }
     }
 
-    fn take(&mut self, summary: DomainSummary, heard_at_ms: u64, now_ms: u64) -> Option<News> {
+    fn take(&mut self, summary: DomainSummary, heard_at_ms: u64, now_ms: u64) -> Option<Said> {
         if summary.domain == self.own.card.domain {
             return None;
         }
@@ -229,9 +256,9 @@
             self.tell(address, Some(own.clone()), now_ms);
         }
         self.known.listed(&summary, heard_at_ms + self.timing.forgotten_after_ms);
-        let news = self.elsewhere.take(summary, heard_at_ms, &self.timing, now_ms);
+        let said = self.elsewhere.take(summary, heard_at_ms, &self.timing, now_ms);
         self.known.note(now_ms);
-        news
+        said
     }
 
     /// Returns the number of VMs that share what holds for all of them, this one among them.
--- a/crates/sedgepath-core/src/direct/vms/elsewhere.rs
+++ b/crates/sedgepath-core/src/direct/vms/elsewhere.rs
@@ -18,6 +18,15 @@
     pub(super) member: Member,
 }
 
+/// What a summary says against the last one of its sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Said {
+    /// Something else.
+    Changed,
+    /// The same.
+    Same,
+}
+
 #[derive(Debug)]
 struct Told {
     summary: DomainSummary,
@@ -41,7 +50,7 @@
         heard_at_ms: u64,
         timing: &VmTiming,
         now_ms: u64,
-    ) -> Option<News> {
+    ) -> Option<Said> {
         let (sender, digest) = (summary.sender(), summary.digest());
         let mut said_before = false;
         if let Some(told) = self.by_sender.get(&sender) {
@@ -57,16 +66,12 @@
             }
             said_before = summary.boot == last.boot && digest == told.digest;
         }
-        let news = if said_before {
-            News::Same { sender, boot: summary.boot, stamp: summary.stamp, digest }
-        } else {
-            News::Changed(summary.clone())
-        };
+        let said = if said_before { Said::Same } else { Said::Changed };
         let listed = summary.members.iter();
         let listed = listed.map(|member| Listed { card: summary.card(member), member: *member });
         let told = Told { digest, listed: listed.collect(), heard_at_ms, summary };
         self.by_sender.insert(sender, told);
-        Some(news)
+        Some(said)
     }
 
     /// Takes in that a VM still says what it said in a summary; returns its failure domain's VMs if it is
@@ -90,9 +95,14 @@
         Some(&told.summary)
     }
 
-    /// Returns the last summary of a VM.
-    pub(super) fn last_of(&self, sender: SocketAddr) -> Option<&DomainSummary> {
-        Some(&self.by_sender.get(&sender)?.summary)
+    /// Returns what the last summary of a VM is passed on as: whole, or as a digest.
+    pub(super) fn news(&self, sender: SocketAddr, whole: bool) -> Option<News> {
+        let Told { summary, digest, .. } = self.by_sender.get(&sender)?;
+        Some(if whole {
+            News::Changed(summary.clone())
+        } else {
+            News::Same { sender, boot: summary.boot, stamp: summary.stamp, digest: *digest }
+        })
     }
 
     /// Forgets the summaries of VMs that have been silent for long.
--- a/crates/sedgepath-core/src/direct/vms/rounds.rs
+++ b/crates/sedgepath-core/src/direct/vms/rounds.rs
@@ -24,8 +24,8 @@
 
 use super::heartbeat::{ShortHeartbeat, VmHeartbeat};
 use super::known::Standing;
-use super::summary::{DomainSummary, MAX_LISTED, Member, News, PassedOn};
-use super::{Peer, Vms};
+use super::summary::{DomainSummary, MAX_LISTED, Member, PassedOn};
+use super::{Peer, ToPassOn, Vms};
 use crate::clock::Stamp;
 use crate::hash::Digest;
 use crate::ownership;
@@ -36,14 +36,19 @@
 /// How many VMs of another failure domain each of them tells, other ones each time.
 const LISTENERS: usize = 1;
 
+/// How many it tells while it has news: some of them may have died with those that the news is of.
+const NEWS_LISTENERS: usize = 3;
+
+/// For how long it has news after something has changed, in milliseconds: some rounds.
+const NEWS_MS: u64 = 1_500;
+
 /// How many it tells of a domain with at most as many, all of which thus hear it without delay.
 const FEW_LISTENERS: usize = 2;
 
 /// Each how many rounds a heartbeat says how to reach its VM.
 const ROUNDS_PER_CARD: u64 = 4;
 
-/// The part of the unchanged summaries that are passed on whole, for those that lack them: a VM that has just
-/// started learns of all domains within some rounds.
+/// The part of the unchanged summaries that are passed on whole all the same, for those that have lost one.
 const WHOLE_SHARE: f64 = 0.125;
 
 /// The addresses of others that a heartbeat carries, other ones each time. A VM learns of all others from
@@ -115,6 +120,11 @@
         };
         let passed_on_to = self.known.of_domain(&self.own.card.domain).collect();
         let passed_on = self.passed_on(rng, now_ms);
+        let said = self.summary(stamp, now_ms).digest();
+        if said != self.said {
+            self.said = said;
+            self.news_until_ms = now_ms + NEWS_MS;
+        }
         let domains = self.other_domains();
         let spoken_to = domains.iter().filter(|to| self.speaks_to(&to.domain, now_ms));
         let summaries =
@@ -235,7 +245,11 @@
             there.into_iter().collect()
         };
         there.sort_unstable();
-        let count = if there.len() <= FEW_LISTENERS { FEW_LISTENERS } else { LISTENERS };
+        let count = match there.len() {
+            _ if now_ms < self.news_until_ms => NEWS_LISTENERS,
+            0..=FEW_LISTENERS => FEW_LISTENERS,
+            _ => LISTENERS,
+        };
         rng.choose_multiple(there, count)
     }
 
@@ -250,13 +264,13 @@
     }
 
     fn passed_on(&mut self, rng: &mut Rng, now_ms: u64) -> Vec<PassedOn> {
+        let all_whole = now_ms < self.whole_until_ms;
         let mut passed_on = Vec::new();
-        for (sender, (received_at_ms, mut news)) in std::mem::take(&mut self.to_pass_on) {
-            let last = self.elsewhere.last_of(sender);
-            if let Some(last) = last.filter(|_| rng.f64() < WHOLE_SHARE) {
-                news = News::Changed(last.clone());
-            }
-            passed_on.push(PassedOn { age_ms: now_ms.saturating_sub(received_at_ms), news });
+        for (sender, ToPassOn { received_at_ms, changed }) in std::mem::take(&mut self.to_pass_on) {
+            let whole = changed || all_whole || rng.f64() < WHOLE_SHARE;
+            let age_ms = now_ms.saturating_sub(received_at_ms);
+            let news = self.elsewhere.news(sender, whole);
+            passed_on.extend(news.map(|news| PassedOn { age_ms, news }));
         }
         passed_on
     }
--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -17,10 +17,11 @@
 use sedgepath_wire::dial;
 use tokio::time::timeout;
 
+use super::giving::RowsError;
 use super::pool::Body;
 use super::questions::empty;
 use super::shell::Shell;
-use super::{clock, follow};
+use super::{clock, follow, giving};
 
 /// The largest datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_432;
@@ -54,7 +55,7 @@
 /// some VM with a free link has them.
 const SLOW_FETCH_MS: u64 = 1_000;
 
-/// The largest answer with rows, in bytes: a table of some thousand upstreams.
+/// The largest answer with rows, in bytes: a configuration of some thousand routes, not compressed.
 const MAX_PAGE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Tells the other VMs of this one and of its failure domain, each period.
@@ -306,7 +307,7 @@
     #[error("the VM doesn't have the table, or gives it to as many as it can")]
     Refused,
     #[error("the answer can't be read")]
-    Decode(#[from] postcard::Error),
+    Rows(#[from] RowsError),
 }
 
 async fn ask(
@@ -329,7 +330,8 @@
     if answer.status() != StatusCode::OK {
         return Err(FetchError::Refused);
     }
-    let mut incoming = Limited::new(answer.into_body(), MAX_PAGE_BYTES);
+    let (head, incoming) = answer.into_parts();
+    let mut incoming = Limited::new(incoming, MAX_PAGE_BYTES);
     let mut body = BytesMut::new();
     loop {
         let frame = timeout(FETCH_TIMEOUT, incoming.frame()).await;
@@ -342,7 +344,7 @@
             shell.fetching.borrow_mut().insert(table, now_ms);
         }
     }
-    Ok(postcard::from_bytes(&body)?)
+    Ok(giving::read(&head.headers, &body)?)
 }
 
 /// Gives another VM the rows of a copy that have changed after a version.
@@ -354,15 +356,7 @@
     let Some((table, after)) = table.zip(after) else {
         return empty(StatusCode::NOT_FOUND);
     };
-    if !shell.copies.borrow().get(table).known() {
-        return empty(StatusCode::NOT_FOUND);
-    }
-    let given = shell.giving.give(&shell.copies.borrow(), table, after);
-    given.map_or_else(
-        || empty(StatusCode::SERVICE_UNAVAILABLE),
-        |body| {
-            shell.metrics.told_peer("rows", body.size_hint().lower() as usize);
-            Response::new(body)
-        },
-    )
+    let answer = shell.giving.answer(&shell.copies.borrow(), table, after);
+    shell.metrics.told_peer("rows", answer.body().size_hint().lower() as usize);
+    answer
 }
