--- a/crates/sedgepath-model/examples/explore.rs
+++ b/crates/sedgepath-model/examples/explore.rs
@@ -9,6 +9,7 @@
 use sedgepath_model::retry_budget::{self, RetryBudgetModel};
 use sedgepath_model::search::{Model, Verdict, explore};
 use sedgepath_model::slot_split::{self, SlotSplitModel};
+use sedgepath_model::summaries::{self, SummariesModel};
 
 /// The flag that asks for counterexamples.
 const TRACE_FLAG: &str = "--trace";
@@ -107,6 +108,18 @@
     }
 }
 
+fn report_summaries(trace_wanted: bool) {
+    let name = "summaries";
+    for kills in 0..=2 {
+        let model = SummariesModel::new().with_kills(kills).with_deafenings(2);
+        report(name, &format!("{kills} kills, 2 deaf"), &model, trace_wanted);
+    }
+    for safeguard in summaries::Safeguard::ALL {
+        let variant = format!("no {safeguard:?}");
+        report(name, &variant, &SummariesModel::smallest_without(safeguard), trace_wanted);
+    }
+}
+
 /// Prints the rows of sizes that are too large for a test.
 fn report_large_slot_splits(trace_wanted: bool) {
     let sizes = [
@@ -146,5 +159,6 @@
     report_claims(trace_wanted);
     report_configurations(trace_wanted);
     report_retry_budgets(trace_wanted);
+    report_summaries(trace_wanted);
     report_slot_splits(trace_wanted, has_flag(LARGE_FLAG));
 }
--- a/crates/sedgepath-model/src/lib.rs
+++ b/crates/sedgepath-model/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod retry_budget;
 pub mod search;
 pub mod slot_split;
+pub mod summaries;
 mod variant;
