Write rows once for all that ask, and compress what is long; ask the store a little more rarely

Change: changes are written once for all that ask for the same, and compressed from 2 kB on. A call of the store waits 1 s for a change in place of 0.7.

--- a/crates/sedgepathd/src/direct/follow.rs
+++ b/crates/sedgepathd/src/direct/follow.rs
@@ -16,8 +16,8 @@
 
 /// How long the store may hold back a call until something changes, in milliseconds. A connection
 /// may go silent for good; this and the call's own time-out bound how long that stays unnoticed, and
-/// another VM must step in within the 2.5 s that a leaving upstream may get requests.
-const WAIT_MS: u64 = 700;
+/// another VM must have stepped in within the 2.5 s that a leaving upstream may get requests.
+const WAIT_MS: u64 = 1_000;
 
 /// The pause between two answers of a feed, in milliseconds: changes that come in quick succession
 /// cost one call instead of one each.
--- a/crates/sedgepathd/src/direct/giving.rs
+++ b/crates/sedgepathd/src/direct/giving.rs
@@ -2,7 +2,8 @@
 //!
 //! Many VMs may start at the same moment, and each of them asks for whole tables. A VM gives these to a few
 //! at a time and refuses the others, who find another VM that has them by then; else one VM would hold
-//! them for all, in its memory and on its link. Whole tables are compressed: their rows are much alike.
+//! them for all, in its memory and on its link. Rows are much alike, so many of them are compressed; and many VMs
+//! ask for the same ones within a moment of a change, so they are written once.
 
 use std::cell::RefCell;
 use std::io::{self, Read, Write};
@@ -24,7 +25,6 @@
 
 use super::pool::Body;
 use super::questions::empty;
-use super::sending::held;
 
 /// How many other VMs a VM gives a whole table to at a time.
 const MAX_GIVEN: usize = 3;
@@ -32,6 +32,9 @@
 /// The name of the compression in the field that tells of it (RFC 9110, 8.4.1).
 const COMPRESSION: HeaderValue = HeaderValue::from_static("deflate");
 
+/// The size from which rows are compressed, in bytes: a few rows fit a packet or two as they are.
+const COMPRESSED_FROM_BYTES: usize = 2_048;
+
 /// The largest table that is taken, in bytes, once it is no longer compressed: some ten thousand upstreams.
 const MAX_PAGE_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -60,28 +63,41 @@
     Ok(postcard::from_bytes(&rows)?)
 }
 
-fn write(page: &Page) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_stdvec(page)
-}
-
-fn write_compressed(page: &Page) -> Result<Bytes, RowsError> {
-    let mut compressed = ZlibEncoder::new(Vec::new(), Compression::fast());
-    compressed.write_all(&write(page)?)?;
-    Ok(compressed.finish()?.into())
-}
-
-/// A whole table as it is sent.
-#[derive(Debug)]
+/// Rows as they are sent.
+#[derive(Debug, Clone)]
 struct Written {
     changed_at: u64,
     bytes: Bytes,
+    compressed: bool,
+}
+
+impl Written {
+    fn new(copy: &TableCopy, after: u64) -> Result<Self, RowsError> {
+        let (changed_at, plain) = (copy.changed_at(), postcard::to_stdvec(&copy.since(after))?);
+        if plain.len() < COMPRESSED_FROM_BYTES {
+            return Ok(Self { changed_at, bytes: plain.into(), compressed: false });
+        }
+        let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+        encoder.write_all(&plain)?;
+        Ok(Self { changed_at, bytes: encoder.finish()?.into(), compressed: true })
+    }
+
+    fn answer(&self, permit: Option<OwnedSemaphorePermit>) -> Response<Body> {
+        let rows = Full::new(self.bytes.clone());
+        let mut answer = Response::new(Given { rows, _permit: permit }.boxed_unsync());
+        if self.compressed {
+            answer.headers_mut().insert(CONTENT_ENCODING, COMPRESSION);
+        }
+        answer
+    }
 }
 
 /// What is being given.
 #[derive(Debug)]
 pub struct Giving {
     free: Arc<Semaphore>,
-    written: RefCell<Map<Table, Written>>,
+    /// The rows that were written lately, by the version after which they have changed.
+    written: RefCell<Map<(Table, u64), Written>>,
 }
 
 impl Default for Giving {
@@ -94,12 +110,19 @@
     /// Answers with the rows of a table that have changed after a version; without any if this VM doesn't have the
     /// table, or if the whole table is needed and given to as many VMs as it may be.
     pub fn answer(&self, copies: &Copies, table: Table, after: u64) -> Response<Body> {
-        if !copies.get(table).known() {
+        let copy = copies.get(table);
+        if !copy.known() {
             return empty(StatusCode::NOT_FOUND);
         }
-        match self.give(copies.get(table), table, after) {
-            Ok(Some(answer)) => answer,
-            Ok(None) => empty(StatusCode::SERVICE_UNAVAILABLE),
+        let mut permit = None;
+        if copy.gives_whole(after) {
+            permit = Arc::clone(&self.free).try_acquire_owned().ok();
+            if permit.is_none() {
+                return empty(StatusCode::SERVICE_UNAVAILABLE);
+            }
+        }
+        match self.written(copy, table, after) {
+            Ok(written) => written.answer(permit),
             Err(error) => {
                 log::error!("event=rows_not_written error={:?}", error.to_string());
                 empty(StatusCode::INTERNAL_SERVER_ERROR)
@@ -107,51 +130,30 @@
         }
     }
 
-    fn give(
-        &self,
-        copy: &TableCopy,
-        table: Table,
-        after: u64,
-    ) -> Result<Option<Response<Body>>, RowsError> {
-        if !copy.gives_whole(after) {
-            let changes = write(&copy.since(after))?;
-            return Ok(Some(Response::new(held(changes.into()))));
-        }
-        let Ok(permit) = Arc::clone(&self.free).try_acquire_owned() else {
-            return Ok(None);
-        };
-        let rows = Full::new(self.whole(copy, table)?);
-        let mut answer = Response::new(Given { rows, _permit: permit }.boxed_unsync());
-        answer.headers_mut().insert(CONTENT_ENCODING, COMPRESSION);
-        Ok(Some(answer))
-    }
-
-    /// Returns the whole table, written once for all that ask for it.
-    fn whole(&self, copy: &TableCopy, table: Table) -> Result<Bytes, RowsError> {
+    /// Returns rows, written once for all that ask for the same.
+    fn written(&self, copy: &TableCopy, table: Table, after: u64) -> Result<Written, RowsError> {
         let mut written = self.written.borrow_mut();
-        let changed_at = copy.changed_at();
-        if let Some(written) = written.get(&table).filter(|whole| whole.changed_at == changed_at) {
-            return Ok(written.bytes.clone());
+        let before = written.get(&(table, after));
+        if let Some(same) = before.filter(|before| before.changed_at == copy.changed_at()) {
+            return Ok(same.clone());
         }
-        let bytes = write_compressed(&copy.since(0))?;
-        written.insert(table, Written { changed_at, bytes: bytes.clone() });
-        Ok(bytes)
+        let new = Written::new(copy, after)?;
+        written.insert((table, after), new.clone());
+        Ok(new)
     }
 
-    /// Forgets the tables as they were written, unless they are being given.
+    /// Forgets the rows as they were written.
     pub fn forget(&self) {
-        if self.free.available_permits() == MAX_GIVEN {
-            self.written.borrow_mut().clear();
-        }
+        self.written.borrow_mut().clear();
     }
 }
 
-/// A whole table on its way to another VM.
+/// Rows on their way to another VM.
 #[derive(Debug)]
 struct Given {
     rows: Full<Bytes>,
-    /// Given back once the table is sent, or its receiver is gone.
-    _permit: OwnedSemaphorePermit,
+    /// Given back once a whole table is sent, or its receiver is gone.
+    _permit: Option<OwnedSemaphorePermit>,
 }
 
 impl HttpBody for Given {
