--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -228,24 +228,32 @@
 /// Asks VMs of the own failure domain for the tables until this one has them.
 ///
 /// A VM that starts beside others that run gets them sooner, and cheaper for the store, than by reading
-/// them. If all start together none has them yet; the first to get them says so ([`announce`]).
+/// them. If all start together the first of the domain has them soonest; so it is asked in turn with others.
 pub async fn fill(shell: &Rc<Shell>) {
     let mut pause_ms = FILL_PAUSE_MS;
+    let mut ask_first = false;
     while !shell.copies.borrow().known() && pause_ms <= MAX_FILL_PAUSE_MS {
         let near = shell.steering.borrow().vms().near();
-        if let Some(address) = fastrand::choice(near) {
-            for table in Table::ALL {
-                if !shell.copies.borrow().get(table).known() && may_fetch(shell, table) {
-                    fetch(shell, table, u64::MAX, address).await;
-                    shell.fetching.borrow_mut().remove(&table);
-                }
-            }
+        let first = near.iter().min().copied();
+        let asked = if ask_first { first } else { fastrand::choice(near) };
+        if let Some(address) = asked {
+            fill_from(shell, address).await;
         }
+        ask_first = !ask_first;
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         pause_ms *= 2;
     }
 }
 
+async fn fill_from(shell: &Rc<Shell>, address: SocketAddr) {
+    for table in Table::ALL {
+        if !shell.copies.borrow().get(table).known() && may_fetch(shell, table) {
+            fetch(shell, table, u64::MAX, address).await;
+            shell.fetching.borrow_mut().remove(&table);
+        }
+    }
+}
+
 /// Whether rows of a table may be asked for now, which is then noted.
 ///
 /// The VM that was asked may be stopping or behind a cut, and the next may be too: one after the other
