--- a/crates/sedgepath-core/src/direct/vms/rounds.rs
+++ b/crates/sedgepath-core/src/direct/vms/rounds.rs
@@ -28,6 +28,7 @@
 use super::{Peer, ToPassOn, Vms};
 use crate::clock::Stamp;
 use crate::hash::Digest;
+use crate::key::VmKey;
 use crate::ownership;
 
 /// How many VMs of a failure domain speak for it to each other one.
@@ -152,7 +153,7 @@
         summary
     }
 
-    /// Returns what this VM tells others of itself, sent now.
+    /// Returns all that this VM tells others of itself, sent now.
     pub fn heartbeat(&mut self, stamp: Stamp) -> VmHeartbeat {
         let mut heartbeat = self.own_now(stamp);
         let known: Vec<_> = self.known.of_domain(&self.own.card.domain).collect();
@@ -225,7 +226,7 @@
             return false;
         }
         let item = Digest::of(&[domain.as_bytes()]).to_u64();
-        let rank = |key: crate::key::VmKey| (ownership::rank(item, key.0), key.0);
+        let rank = |key: VmKey| (ownership::rank(item, key.0), key.0);
         let own = rank(self.own.card.key());
         let speaks = |peer: &&Peer| {
             let silent_after_ms = self.timing.speaker_silent_after_ms(peer.heartbeat.period_ms);
