Fuzz the datagrams between VMs, and bear absurd times; names by what they do

absurd_times_are_borne failed before (an addition overflowed where a summary says that its next one comes in ages); 2,000 drawn damaged datagrams stop nobody.

--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -63,7 +63,7 @@
     /// Since when no VM of the region has had an answer of the store, in milliseconds.
     without_contact_since_ms: Option<u64>,
     /// How many addresses have been told in heartbeats.
-    told: usize,
+    addresses_told: usize,
     /// How many rounds there have been since another VM came.
     rounds: u64,
     /// Up to when summaries are passed on whole, in milliseconds.
@@ -85,7 +85,7 @@
             known: KnownVms::default(),
             to_pass_on: Map::default(),
             without_contact_since_ms: None,
-            told: 0,
+            addresses_told: 0,
             rounds: 0,
             whole_until_ms: 0,
             said: 0,
@@ -130,21 +130,21 @@
 
     /// Takes in that a VM may be at an address, of which nothing else is known.
     pub fn add_address(&mut self, address: SocketAddr, now_ms: u64) {
-        self.tell(address, None, now_ms);
+        self.add_known(address, None, now_ms);
         self.known.note(now_ms);
     }
 
     /// Takes in that a VM of a failure domain and region may be at an address.
     pub fn add_vm(&mut self, address: SocketAddr, domain: &str, region: &str, now_ms: u64) {
         let standing = Standing { domain: domain.into(), region: region.into() };
-        self.tell(address, Some(standing), now_ms);
+        self.add_known(address, Some(standing), now_ms);
         self.known.note(now_ms);
     }
 
-    fn tell(&mut self, address: SocketAddr, standing: Option<Standing>, now_ms: u64) {
+    fn add_known(&mut self, address: SocketAddr, standing: Option<Standing>, now_ms: u64) {
         if address != self.own.card.peers {
             let until_ms = now_ms + self.timing.forgotten_after_ms;
-            self.known.tell(address, standing, until_ms, now_ms);
+            self.known.add(address, standing, until_ms, now_ms);
         }
     }
 
@@ -170,7 +170,7 @@
         let card = &heartbeat.card;
         let standing = Standing { domain: card.domain.clone(), region: card.region.clone() };
         for address in &heartbeat.known {
-            self.tell(*address, Some(standing.clone()), now_ms);
+            self.add_known(*address, Some(standing.clone()), now_ms);
         }
         let forgotten_at_ms = now_ms + self.timing.forgotten_after_ms;
         self.known.heard(card.peers, &standing, forgotten_at_ms);
@@ -218,7 +218,7 @@
     }
 
     /// Takes in what another failure domain says of its VMs, as its sender told this VM.
-    pub fn told(&mut self, summary: DomainSummary, now_ms: u64) {
+    pub fn take_summary(&mut self, summary: DomainSummary, now_ms: u64) {
         let sender = summary.sender();
         if let Some(said) = self.take(summary, now_ms, now_ms) {
             // Two may come in one round: the second doesn't make the first one's change known.
@@ -229,7 +229,7 @@
     }
 
     /// Takes in what another failure domain says of its VMs, as a VM of this one passes it on.
-    pub fn told_by(&mut self, passed_on: PassedOn, now_ms: u64) {
+    pub fn take_passed_on(&mut self, passed_on: PassedOn, now_ms: u64) {
         let heard_at_ms = now_ms.saturating_sub(passed_on.age_ms);
         match passed_on.news {
             News::Changed(summary) => {
@@ -253,7 +253,7 @@
             Standing { domain: self.own.card.domain.clone(), region: self.own.card.region.clone() };
         for ip in &summary.yours {
             let address = SocketAddr::new(*ip, self.own.card.peers.port());
-            self.tell(address, Some(own.clone()), now_ms);
+            self.add_known(address, Some(own.clone()), now_ms);
         }
         self.known.listed(&summary, heard_at_ms + self.timing.forgotten_after_ms);
         let said = self.elsewhere.take(summary, heard_at_ms, &self.timing, now_ms);
--- a/crates/sedgepath-core/src/direct/vms/elsewhere.rs
+++ b/crates/sedgepath-core/src/direct/vms/elsewhere.rs
@@ -122,7 +122,8 @@
     pub(super) fn relied_on(&self, timing: VmTiming, now_ms: u64) -> impl Iterator<Item = &Listed> {
         let until_ms = move |told: &Told| {
             let period_ms = told.summary.period_ms;
-            told.heard_at_ms + timing.reader_silent_after_ms(period_ms) + period_ms
+            let silent_after_ms = timing.reader_silent_after_ms(period_ms);
+            (told.heard_at_ms + silent_after_ms).saturating_add(period_ms)
         };
         let fresh = self.by_sender.values().filter(move |told| now_ms < until_ms(told));
         fresh.flat_map(|told| &told.listed)
--- a/crates/sedgepath-core/src/direct/vms/heartbeat.rs
+++ b/crates/sedgepath-core/src/direct/vms/heartbeat.rs
@@ -71,7 +71,7 @@
     /// Returns what it tells after some more time.
     pub(super) fn aged(self, age_ms: u64) -> Self {
         match self {
-            Self::Answers { for_ms } => Self::Answers { for_ms: for_ms + age_ms },
+            Self::Answers { for_ms } => Self::Answers { for_ms: for_ms.saturating_add(age_ms) },
             view => view,
         }
     }
--- a/crates/sedgepath-core/src/direct/vms/known.rs
+++ b/crates/sedgepath-core/src/direct/vms/known.rs
@@ -37,7 +37,7 @@
 
 impl KnownVms {
     /// Takes in that a VM may be at an address.
-    pub(super) fn tell(
+    pub(super) fn add(
         &mut self,
         address: SocketAddr,
         standing: Option<Standing>,
--- a/crates/sedgepath-core/src/direct/vms/rounds.rs
+++ b/crates/sedgepath-core/src/direct/vms/rounds.rs
@@ -157,8 +157,8 @@
     pub fn heartbeat(&mut self, stamp: Stamp) -> VmHeartbeat {
         let mut heartbeat = self.own_now(stamp);
         let known: Vec<_> = self.known.of_domain(&self.own.card.domain).collect();
-        let next = self.told;
-        self.told = next.wrapping_add(KNOWN_PER_HEARTBEAT);
+        let next = self.addresses_told;
+        self.addresses_told = next.wrapping_add(KNOWN_PER_HEARTBEAT);
         let from = next % known.len().max(1);
         let count = KNOWN_PER_HEARTBEAT.min(known.len());
         heartbeat.known = known.iter().copied().cycle().skip(from).take(count).collect();
--- /dev/null
+++ b/crates/sedgepath-core/tests/fuzz_peer_messages.rs
@@ -0,0 +1,109 @@
+//! Datagrams that are damaged, forged, repeated or come in any order.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use proptest::prelude::*;
+use sedgepath_core::clock::Stamp;
+use sedgepath_core::direct::vms::rounds::{Heartbeat, PeerMessage};
+use sedgepath_core::direct::vms::{DomainSummary, Member, News, PassedOn, StoreView, Vms};
+use sedgepath_test_support::direct::{heartbeat, vms};
+
+const NOW_MS: u64 = 1_000;
+
+fn summary() -> DomainSummary {
+    let ip = |number| IpAddr::V4(Ipv4Addr::new(10, 0, 0, number));
+    let member = |number| Member { ip: ip(number), ready: true, has_store: true };
+    DomainSummary {
+        stamp: Stamp { time_ms: 5, count: 0 },
+        period_ms: 500,
+        boot: 1,
+        domain: "south-a".into(),
+        region: "south".into(),
+        sender: ip(4),
+        callers_port: 80,
+        peers_port: 7_000,
+        members: vec![member(4), member(5)],
+        changed_at: [1, 2],
+        store: StoreView::Answers { for_ms: 100 },
+        yours: vec![ip(1), ip(2)],
+    }
+}
+
+fn messages() -> Vec<PeerMessage> {
+    let whole = heartbeat("a2", "north-a", 2);
+    let changed = PassedOn { age_ms: 10, news: News::Changed(summary()) };
+    let same = News::Same {
+        sender: summary().sender(),
+        boot: 1,
+        stamp: Stamp { time_ms: 6, count: 0 },
+        digest: 7,
+    };
+    vec![
+        PeerMessage::Heartbeat(Heartbeat::Whole(whole)),
+        PeerMessage::Summary(summary()),
+        PeerMessage::PassedOn(vec![changed, PassedOn { age_ms: 10, news: same }]),
+    ]
+}
+
+fn take(vm: &mut Vms, message: PeerMessage) {
+    match message {
+        PeerMessage::Heartbeat(Heartbeat::Whole(heartbeat)) => vm.heard(heartbeat, NOW_MS),
+        PeerMessage::Heartbeat(Heartbeat::Short(short)) => {
+            vm.heard_short(([10, 0, 0, 2], 7_000).into(), short, NOW_MS);
+        }
+        PeerMessage::Summary(summary) => vm.take_summary(summary, NOW_MS),
+        PeerMessage::PassedOn(summaries) => {
+            summaries.into_iter().for_each(|passed_on| vm.take_passed_on(passed_on, NOW_MS));
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: prop::test_runner::RngSeed::Fixed(25),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a datagram that ends the process, or after which it names nobody.
+    #[test]
+    fn no_datagram_stops_a_vm(
+        picks in prop::collection::vec((0..3_usize, any::<u16>(), any::<u8>()), 1..8),
+        later_ms in 0..60_000_u64,
+    ) {
+        let mut vm = vms("a1", "north-a", 1);
+        for (pick, place, byte) in picks {
+            let mut bytes = postcard::to_stdvec(&messages()[pick]).expect("it can be written");
+            let place = usize::from(place) % bytes.len();
+            bytes[place] = byte;
+            if let Ok(message) = postcard::from_bytes(&bytes) {
+                take(&mut vm, message);
+            }
+        }
+        let now_ms = NOW_MS + later_ms;
+        prop_assert!(!vm.look_up("north-a", "north", now_ms).is_empty());
+        vm.reads_store(now_ms);
+        vm.store(StoreView::Unasked, now_ms);
+        vm.round(Stamp::default(), &mut fastrand::Rng::with_seed(1), now_ms);
+    }
+}
+
+/// Guards against times that no VM sends overflowing in one that gets them.
+#[test]
+fn absurd_times_are_borne() {
+    let mut vm = vms("a1", "north-a", 1);
+    let mut absurd = summary();
+    absurd.period_ms = u64::MAX;
+    absurd.store = StoreView::Answers { for_ms: u64::MAX };
+    vm.take_summary(absurd.clone(), NOW_MS);
+    vm.take_passed_on(PassedOn { age_ms: u64::MAX, news: News::Changed(absurd) }, NOW_MS);
+    let mut near = heartbeat("a2", "north-a", 2);
+    near.period_ms = u64::MAX;
+    near.store = StoreView::Answers { for_ms: u64::MAX };
+    vm.heard(near, NOW_MS);
+
+    vm.reads_store(NOW_MS + 1);
+    assert!(vm.store(StoreView::Unasked, NOW_MS + 1).answers());
+    vm.round(Stamp::default(), &mut fastrand::Rng::with_seed(1), NOW_MS + 1);
+}
--- a/crates/sedgepath-test-support/src/vm_net.rs
+++ b/crates/sedgepath-test-support/src/vm_net.rs
@@ -367,10 +367,10 @@
                     welcome = Some(table.welcome(&domain, stamp, &mut rng, now_ms));
                 }
             }
-            PeerMessage::Summary(summary) => table.told(summary, now_ms),
+            PeerMessage::Summary(summary) => table.take_summary(summary, now_ms),
             PeerMessage::PassedOn(summaries) => {
                 for passed_on in summaries {
-                    table.told_by(passed_on, now_ms);
+                    table.take_passed_on(passed_on, now_ms);
                 }
             }
         }
--- a/crates/sedgepathd/src/direct/peers.rs
+++ b/crates/sedgepathd/src/direct/peers.rs
@@ -169,12 +169,12 @@
             Some((_, PeerMessage::Summary(summary))) => {
                 shell.line_clock.merge(summary.stamp);
                 catch_up(&shell, summary.changed_at, summary.sender());
-                shell.steering.borrow_mut().vms_mut().told(summary, clock::now_ms());
+                shell.steering.borrow_mut().vms_mut().take_summary(summary, clock::now_ms());
             }
             Some((_, PeerMessage::PassedOn(summaries))) => {
                 let mut steering = shell.steering.borrow_mut();
                 for passed_on in summaries {
-                    steering.vms_mut().told_by(passed_on, clock::now_ms());
+                    steering.vms_mut().take_passed_on(passed_on, clock::now_ms());
                 }
             }
             None => {}
