--- a/crates/sedgepath-core/tests/fuzz_peer_messages.rs
+++ b/crates/sedgepath-core/tests/fuzz_peer_messages.rs
@@ -53,7 +53,9 @@
         }
         PeerMessage::Summary(summary) => vm.take_summary(summary, NOW_MS),
         PeerMessage::PassedOn(summaries) => {
-            summaries.into_iter().for_each(|passed_on| vm.take_passed_on(passed_on, NOW_MS));
+            for passed_on in summaries {
+                vm.take_passed_on(passed_on, NOW_MS);
+            }
         }
     }
 }
