--- a/crates/sedgepath-core/src/direct/vms/rounds.rs
+++ b/crates/sedgepath-core/src/direct/vms/rounds.rs
@@ -7,9 +7,9 @@
 //!
 //! # Tiers
 //!
-//! Heartbeats go to the own failure domain only. For each other domain, [`SPEAKERS`] of the VMs that are
-//! heard, by rendezvous hashing, send a summary to [`LISTENERS`] of its VMs, others each time; these pass
-//! it on in their own domain with their next heartbeats. Nobody is elected: two VMs that disagree on who
+//! Heartbeats go to the own failure domain only. For each other domain, two of the VMs that are
+//! heard, by rendezvous hashing, send a summary to one of its VMs, another one each time, which passes
+//! it on in its own domain with its next heartbeats. Nobody is elected: two VMs that disagree on who
 //! is heard send one summary more, and a speaker or a listener that dies is one of several. What has not
 //! changed is not said again in full: heartbeats mostly leave out how to reach their VM, and a summary is
 //! mostly passed on as a digest.
