--- a/crates/sedgepath/src/commands.rs
+++ b/crates/sedgepath/src/commands.rs
@@ -12,6 +12,7 @@
 mod get;
 mod history;
 mod key;
+mod losses;
 mod status;
 mod timeline;
 
@@ -40,6 +41,7 @@
     &status::COMMAND,
     &explain::COMMAND,
     &timeline::COMMAND,
+    &losses::COMMAND,
     &key::COMMAND,
 ];
 
--- a/crates/sedgepath/src/error.rs
+++ b/crates/sedgepath/src/error.rs
@@ -74,6 +74,14 @@
         /// The command.
         command: Box<str>,
     },
+    /// A plot can't be drawn.
+    #[error("can't draw {path}: {reason}")]
+    Plot {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        reason: Box<str>,
+    },
     /// Collected logs can't be read.
     #[error("can't read logs at {path}")]
     ReadLogs {
@@ -204,6 +212,7 @@
             Self::Records { .. } | Self::Drain(_) | Self::NoTarget { .. } => Exit::Refused,
             Self::File { .. }
             | Self::ReadLogs { .. }
+            | Self::Plot { .. }
             | Self::NoSuchRequest { .. }
             | Self::NoStatus { .. }
             | Self::Node { .. }
--- a/crates/sedgepath/src/operations.rs
+++ b/crates/sedgepath/src/operations.rs
@@ -11,6 +11,7 @@
 
 pub mod drain;
 pub mod logs;
+pub mod losses;
 pub mod timeline;
 pub mod vm_status;
 
