--- a/crates/sedgepath-core/src/direct/vms/readers.rs
+++ b/crates/sedgepath-core/src/direct/vms/readers.rs
@@ -24,6 +24,13 @@
 /// late in the first of them.
 const STEPS_TO_TRY: usize = 3;
 
+/// How long a VM without the tables waits for others to give them to it, in milliseconds for each VM of its failure
+/// domain: those that may start with it, and get them one after the other.
+const PATIENCE_PER_VM_MS: u64 = 30;
+
+/// The longest that it waits, in milliseconds, but for what is left to chance.
+const MAX_PATIENCE_MS: u64 = 600;
+
 /// A VM that may follow the store.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct Reader<'a> {
@@ -88,10 +95,19 @@
         before < readers || needed || self.steps_in(before - readers, 1 + others - readers, now_ms)
     }
 
-    /// Whether this VM is the first of its failure domain that may be running.
+    /// Whether a VM that doesn't have the tables reads them from the store now.
     ///
-    /// All VMs may start at the same moment; then this one reads the store's tables for its domain.
-    pub fn first_of_domain(&self, now_ms: u64) -> bool {
+    /// All VMs may start at the same moment; then the first of each failure domain reads them for it. The others
+    /// wait for a time, and up to twice that by `draw`, a number from 0 to 1 of their own, so that not all read at
+    /// once. With few others that is short: the one that would give them the tables may be gone.
+    pub fn reads_to_start(&self, waited_ms: u64, draw: f64, now_ms: u64) -> bool {
+        let others = self.known.of_domain(&self.own.card.domain).count() as u64;
+        let patience_ms = (others * PATIENCE_PER_VM_MS).min(MAX_PATIENCE_MS) as f64;
+        waited_ms as f64 >= patience_ms * (1.0 + draw) || self.first_of_domain(now_ms)
+    }
+
+    /// Whether this VM is the first of its failure domain that may be running.
+    fn first_of_domain(&self, now_ms: u64) -> bool {
         let own = &self.own.card;
         let region = self.region(now_ms);
         let of_domain = region.readers.iter().filter(|reader| *reader.domain == *own.domain);
--- a/crates/sedgepathd/src/direct/follow.rs
+++ b/crates/sedgepathd/src/direct/follow.rs
@@ -33,9 +33,8 @@
 /// How many times the period of failed calls is doubled while a VM doesn't have the table.
 const MAX_START_DOUBLINGS: u32 = 2;
 
-/// The least time for which a VM that starts waits for others to give it a table before it reads the store
-/// itself, in milliseconds; up to twice that, so that not all read at once.
-const START_PATIENCE_MS: u64 = 600;
+/// How often a VM without the table looks whether it should read it, in milliseconds: callers may wait.
+const START_CHECK_MS: u64 = 10;
 
 /// How often a VM that doesn't follow the store looks whether it should, in milliseconds.
 const ROLE_CHECK_MS: u64 = 100;
@@ -44,14 +43,15 @@
 pub async fn follow(shell: Rc<Shell>, table: Table) {
     let mut lost = false;
     let mut failures = 0;
-    let patient_until_ms =
-        clock::now_ms() + START_PATIENCE_MS + fastrand::u64(0..START_PATIENCE_MS);
+    let started = Started { at_ms: clock::now_ms(), draw: fastrand::f64() };
     loop {
-        if !reads(&shell, table, patient_until_ms) {
+        if !reads(&shell, table, started) {
             if table == Table::Upstreams {
                 shell.store_calls.set(StoreCalls::Unasked);
             }
-            tokio::time::sleep(Duration::from_millis(ROLE_CHECK_MS)).await;
+            let known = shell.copies.borrow().get(table).known();
+            let pause_ms = if known { ROLE_CHECK_MS } else { START_CHECK_MS };
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             continue;
         }
         let begun_at_ms = clock::now_ms();
@@ -82,18 +82,22 @@
     }
 }
 
+/// The start of the process, and what of it is left to chance.
+#[derive(Debug, Clone, Copy)]
+struct Started {
+    at_ms: u64,
+    draw: f64,
+}
+
 /// Whether this VM reads a table from the store now.
-///
-/// While it doesn't have the table it reads it as the first of its failure domain that may be running;
-/// the others get it from there, and read it themselves only if that takes long.
-fn reads(shell: &Shell, table: Table, patient_until_ms: u64) -> bool {
+fn reads(shell: &Shell, table: Table, started: Started) -> bool {
     let now_ms = clock::now_ms();
     let mut steering = shell.steering.borrow_mut();
     if shell.copies.borrow().get(table).known() {
         return steering.vms_mut().reads_store(now_ms);
     }
-    let first = shell.looked_for_vms.get() && steering.vms().first_of_domain(now_ms);
-    first || now_ms >= patient_until_ms
+    let waited_ms = now_ms.saturating_sub(started.at_ms);
+    shell.looked_for_vms.get() && steering.vms().reads_to_start(waited_ms, started.draw, now_ms)
 }
 
 /// Returns the pause after a failed call, in milliseconds.
