Tell others only of VMs that were heard

Cause: heartbeats named addresses that were only told of, so VMs that learnt of one at different times told each other of it for ever: one that never ran was tried, and counted among those that share the connections to an upstream, without end.

Test: vms_that_never_answer_are_forgotten_by_all, failing before.

--- a/crates/sedgepath-core/src/direct/vms/known.rs
+++ b/crates/sedgepath-core/src/direct/vms/known.rs
@@ -21,7 +21,7 @@
     standing: Option<Standing>,
     /// Up to when it is tried although it is not heard, in milliseconds.
     tried_until_ms: u64,
-    /// Up to when it counts as heard, in milliseconds.
+    /// Up to when it counts as heard, in milliseconds; 0 if it never was.
     heard_until_ms: u64,
     /// Up to when it may be one that starts too and is not heard yet, in milliseconds.
     expected_until_ms: u64,
@@ -106,6 +106,16 @@
         self.by_address.iter().filter(move |(_, known)| there(known)).map(|(address, _)| *address)
     }
 
+    /// Returns the VMs of a failure domain that were heard.
+    ///
+    /// Only these are named to others: told of VMs that never answer, each would go on telling the others.
+    pub(super) fn heard_in(&self, domain: &str) -> impl Iterator<Item = SocketAddr> {
+        let heard = |address: &SocketAddr| {
+            self.by_address.get(address).is_some_and(|known| known.heard_until_ms > 0)
+        };
+        self.of_domain(domain).filter(heard)
+    }
+
     /// Returns the addresses of which nobody knows yet who is there.
     pub(super) fn unplaced(&self) -> impl Iterator<Item = SocketAddr> {
         self.by_address
--- a/crates/sedgepath-core/src/direct/vms/rounds.rs
+++ b/crates/sedgepath-core/src/direct/vms/rounds.rs
@@ -156,7 +156,7 @@
     /// Returns all that this VM tells others of itself, sent now.
     pub fn heartbeat(&mut self, stamp: Stamp) -> VmHeartbeat {
         let mut heartbeat = self.own_now(stamp);
-        let known: Vec<_> = self.known.of_domain(&self.own.card.domain).collect();
+        let known: Vec<_> = self.known.heard_in(&self.own.card.domain).collect();
         let next = self.addresses_told;
         self.addresses_told = next.wrapping_add(KNOWN_PER_HEARTBEAT);
         let from = next % known.len().max(1);
@@ -255,7 +255,7 @@
     }
 
     fn named_to(&self, domain: &str, most: usize, rng: &mut Rng) -> Vec<IpAddr> {
-        let known = self.known.of_domain(domain);
+        let known = self.known.heard_in(domain);
         rng.choose_multiple(known, most).into_iter().map(|address| address.ip()).collect()
     }
 
--- a/crates/sedgepath-core/tests/direct_tiers.rs
+++ b/crates/sedgepath-core/tests/direct_tiers.rs
@@ -179,3 +179,21 @@
     let busiest = per_s.max().expect("there are VMs");
     assert!(busiest <= CONTROL_BYTES_PER_S, "{busiest} bytes a second");
 }
+
+/// Guards against VMs that are gone for good being tried for ever, because each tells the others of them.
+#[test]
+fn vms_that_never_answer_are_forgotten_by_all() {
+    let mut net = VmNet::new(3, 4, 14);
+    let all: Vec<_> = (0..net.count()).collect();
+    let live: Vec<_> = all.iter().copied().filter(|vm| ![3, 7].contains(vm)).collect();
+    for vm in &live {
+        net.start(*vm, &all);
+        net.run_for(4_000);
+    }
+    net.run_for(90_000);
+
+    let now_ms = net.now_ms();
+    let table = net.table(0).expect("it runs");
+    assert_eq!(table.near().len(), 2, "a VM of its domain that never ran is still tried");
+    assert_eq!(table.sharing(now_ms), live.len());
+}
