--- a/crates/sedgepath/src/commands/losses.rs
+++ b/crates/sedgepath/src/commands/losses.rs
@@ -26,7 +26,7 @@
 };
 
 fn options(options: &mut Options) {
-    options.reqopt("l", "logs", "read the collected log files of this directory", "DIR");
+    options.optopt("l", "logs", "read the collected log files of this directory", "DIR");
     options.optopt("", "late-after", "an answer is late after this time; 500 unless given", "MS");
     options.optopt("b", "by", "count by service, domain or second as well", "WHAT");
     options.optopt("p", "plot", "draw the losses of each second as SVG", "FILE");
@@ -44,7 +44,8 @@
         }
     };
     let late_after_ms = context.number("late-after")?.unwrap_or(LATE_AFTER_MS);
-    let dir = context.matches.opt_str("logs").unwrap_or_default();
+    let dir =
+        context.matches.opt_str("logs").ok_or_else(|| context.usage("`--logs` is missing"))?;
     let losses = Losses::new(&logs::read(Path::new(&dir))?, late_after_ms);
     write(context, &losses, grouping)?;
     if let Some(path) = context.matches.opt_str("plot").map(PathBuf::from) {
