--- a/crates/sedgepath-core/src/egress.rs
+++ b/crates/sedgepath-core/src/egress.rs
@@ -211,7 +211,7 @@
 
     /// Returns what a peer that joins has to be told.
     pub fn leaving(&self, now_ms: u64) -> LeavingUpstreams {
-        self.upstreams.leaving.take_summary(now_ms)
+        self.upstreams.leaving.told(now_ms)
     }
 
     /// Gives up what time has ended, refuses what can no longer be served and sends what can.
--- a/crates/sedgepath-core/src/egress/leaving.rs
+++ b/crates/sedgepath-core/src/egress/leaving.rs
@@ -93,11 +93,11 @@
         self.notices += 1;
         let to_all = self.to_all > 0;
         self.to_all = self.to_all.saturating_sub(1);
-        Some(Notice { to_all, number: self.notices, leaving: self.take_summary(now_ms) })
+        Some(Notice { to_all, number: self.notices, leaving: self.told(now_ms) })
     }
 
     /// Returns what a peer has to know; nothing in most cases.
-    pub fn take_summary(&self, now_ms: u64) -> LeavingUpstreams {
+    pub fn told(&self, now_ms: u64) -> LeavingUpstreams {
         let leaving = self.until_ms.iter().map(|(upstream, until_ms)| LeavingUpstream {
             upstream: *upstream,
             remaining_ms: until_ms.saturating_sub(now_ms),
