--- a/crates/sedgepath-core/tests/direct_tiers.rs
+++ b/crates/sedgepath-core/tests/direct_tiers.rs
@@ -107,6 +107,20 @@
     assert_eq!(net.serving(8), net.live());
 }
 
+/// Guards against a VM that is added and that callers are not sent to for long.
+#[test]
+fn a_vm_that_joins_is_known_to_all_in_time() {
+    let mut net = VmNet::new(6, 4, 15);
+    let all: Vec<_> = (0..net.count()).collect();
+    for vm in &all[1..] {
+        net.start(*vm, &all[1..]);
+    }
+    net.run_for(5_000);
+    net.start(0, &all);
+    let took_ms = net.run_until(10_000, agree).expect("it is known");
+    assert!(took_ms <= STABILITY_MS, "{took_ms} ms");
+}
+
 /// Guards against a VM that can't reach the store when it starts staying alone.
 #[test]
 fn a_vm_that_starts_without_the_store_is_known_to_all() {
