--- a/crates/sedgepath/tests/losses.rs
+++ b/crates/sedgepath/tests/losses.rs
@@ -30,10 +30,11 @@
     String::from_utf8(out).expect("text")
 }
 
-/// Returns what `--by` adds to the table.
+/// Returns what `--by` adds to the table, under a line that keeps its indentation in an expectation.
 fn groups(by: &str) -> String {
     let all = run(&["--by", by]);
-    all.strip_prefix(&run(&[])).expect("the table over all comes first").to_owned()
+    let added = all.strip_prefix(&run(&[])).expect("the table over all comes first");
+    format!("by {by}\n{added}")
 }
 
 /// Guards against a reason that hides another: each request counts once, by the most likely one.
@@ -55,6 +56,7 @@
 #[test]
 fn losses_are_counted_by_domain_and_second() {
     expect![[r#"
+        by domain
         north-a
                1  refused: busy
                1  given up: timed_out
@@ -67,6 +69,7 @@
     "#]]
     .assert_eq(&groups("domain"));
     expect![[r#"
+        by second
             0
                1  late: sent again
                1  late: first run of an object
