Log the fingerprint of requests that fail or are rejected

A fingerprint is a digest of caller, method, host, target and body; repeats at other VMs have the same. For callers without credentials a second one leaves out their address, which changes when they come back another way. Nothing decides by it yet.

--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -12,6 +12,7 @@
 //! - [`queueing`]: the longest time that a request may wait for a slot.
 //! - [`attempts`]: the state of a request and of its attempts.
 //! - [`budget`]: the retry budget.
+//! - [`fingerprint`]: how the repeats of a request are recognised.
 //! - [`replicas`]: replicas of the store's tables, which VMs exchange with each other.
 //! - [`status`]: the state that a VM reports to operators.
 //! - [`vms`]: the entry VMs that accept requests, for look-ups and for dividing shared limits.
@@ -27,6 +28,7 @@
 pub mod ablation;
 pub mod attempts;
 pub mod budget;
+pub mod fingerprint;
 pub mod placement;
 pub mod queueing;
 pub mod replicas;
--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use super::fingerprint::RequestFingerprints;
 use super::routing::Route;
 use super::upstreams::{LoadReport, UpstreamKey};
 
@@ -190,6 +191,8 @@
     pub version: u64,
     /// A digest of the requested object.
     pub object: Option<u64>,
+    /// The request's fingerprints; `None` until its body has been read.
+    pub fingerprints: Option<RequestFingerprints>,
     /// When the request arrived, in milliseconds.
     pub arrived_at_ms: u64,
     /// The time after which the caller no longer waits for a response, in milliseconds.
@@ -233,6 +236,11 @@
 }
 
 impl RequestState {
+    /// Returns the request's fingerprints for logs.
+    pub fn fingerprint_text(&self) -> String {
+        self.fingerprints.map_or_else(|| "none".into(), |fingerprints| fingerprints.to_string())
+    }
+
     /// Returns whether the request's own attempt limits allow another attempt.
     pub fn allows_attempt(&self) -> bool {
         let in_flight = self.in_flight.len() as u32;
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -276,6 +276,7 @@
             version: configuration.version,
             service,
             object,
+            fingerprints: None,
             arrived_at_ms: now_ms,
             deadline_at_ms: now_ms + time_limit_ms,
             tried_upstreams: Vec::new(),
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -44,21 +44,42 @@
 pub enum RequestBody {
     /// Complete; can be sent again.
     Buffered(Bytes),
-    /// Partly read; can be sent once. `None` after that.
-    Streamed(Option<Body>),
+    /// Partly read; can be sent once.
+    Streamed {
+        /// The first bytes, which the request's fingerprint covers.
+        beginning: Bytes,
+        /// The whole body; `None` after it was sent.
+        body: Option<Body>,
+    },
 }
 
 impl RequestBody {
     /// Returns whether the body was streamed to an upstream and can't be sent again.
     pub fn is_spent(&self) -> bool {
-        matches!(self, Self::Streamed(None))
+        matches!(self, Self::Streamed { body: None, .. })
     }
 
     /// Returns the body for an attempt; `None` if it was streamed in an earlier one.
     pub fn take(&mut self) -> Option<Body> {
         match self {
             Self::Buffered(bytes) => Some(bytes_body(bytes.clone())),
-            Self::Streamed(body) => body.take(),
+            Self::Streamed { body, .. } => body.take(),
+        }
+    }
+
+    /// Returns the body, or the beginning of a streamed one.
+    pub fn beginning(&self) -> &[u8] {
+        match self {
+            Self::Buffered(bytes) => bytes,
+            Self::Streamed { beginning, .. } => beginning,
+        }
+    }
+
+    /// Returns the length of the body in bytes, if it is in memory.
+    pub fn buffered_bytes(&self) -> Option<u64> {
+        match self {
+            Self::Buffered(bytes) => Some(bytes.len() as u64),
+            Self::Streamed { .. } => None,
         }
     }
 }
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -1,6 +1,7 @@
 //! Callers' connections and their requests.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,10 +13,13 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, http};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgepath_adapter::headers::RequestHeaders;
 use sedgepath_core::direct::attempts::{AttemptOutcome, NextStep, RejectionReason};
+use sedgepath_core::direct::fingerprint::{
+    FINGERPRINT_BODY_BYTES, RequestFingerprints, RequestIdentity,
+};
 use sedgepath_core::direct::steering::{IncomingRequest, Rejection};
 use sedgepath_wire::tcp;
 use tokio::net::{TcpListener, TcpStream};
@@ -58,7 +62,7 @@
         .saturating_sub(RESERVED_FILE_DESCRIPTORS)
         .max(64);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, caller)) = listener.accept().await else {
             // Usually out of file descriptors, which closing connections free.
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
@@ -70,13 +74,13 @@
         shared.open_connections.set(shared.open_connections.get() + 1);
         let shared = Rc::clone(&shared);
         tokio::task::spawn_local(async move {
-            serve_connection(&shared, stream).await;
+            serve_connection(&shared, stream, caller.ip()).await;
             shared.open_connections.set(shared.open_connections.get() - 1);
         });
     }
 }
 
-async fn serve_connection(shared: &Rc<SharedState>, stream: TcpStream) {
+async fn serve_connection(shared: &Rc<SharedState>, stream: TcpStream, caller: IpAddr) {
     if tcp::detect_dead_peer(&stream).is_err() {
         return;
     }
@@ -85,7 +89,7 @@
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
     let service = service_fn(|request| {
         let shared = Rc::clone(shared);
-        async move { Ok::<_, Infallible>(handle_counted(shared, request).await) }
+        async move { Ok::<_, Infallible>(handle_counted(shared, request, caller).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -110,10 +114,14 @@
     }
 }
 
-async fn handle_counted(shared: Rc<SharedState>, request: Request<Incoming>) -> Response<Body> {
+async fn handle_counted(
+    shared: Rc<SharedState>,
+    request: Request<Incoming>,
+    caller: IpAddr,
+) -> Response<Body> {
     shared.in_flight_requests.set(shared.in_flight_requests.get() + 1);
     let guard = InFlightGuard(Rc::clone(&shared));
-    let mut response = handle_request(&shared, request).await;
+    let mut response = handle_request(&shared, request, caller).await;
     drop(guard);
     if *shared.stop_phase.borrow() >= StopPhase::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -131,7 +139,11 @@
     }
 }
 
-async fn handle_request(shared: &Rc<SharedState>, request: Request<Incoming>) -> Response<Body> {
+async fn handle_request(
+    shared: &Rc<SharedState>,
+    request: Request<Incoming>,
+    caller: IpAddr,
+) -> Response<Body> {
     let now_ms = clock::now_ms();
     let (parts, incoming) = request.into_parts();
     let headers = RequestHeaders::parse(&parts.headers, &parts.uri);
@@ -158,6 +170,7 @@
     let deadline = clock::instant_at(state.deadline_at_ms);
     let mut request = InFlightRequest { shared: Rc::clone(shared), state };
     let max_bytes = max_body_bytes(shared);
+    let declared_bytes = incoming.size_hint().exact();
     let mut body = match timeout_at(deadline, read_body(shared, incoming, max_bytes)).await {
         Ok(Ok(body)) => body,
         Ok(Err(BodyReadError::TooLarge)) => {
@@ -168,6 +181,7 @@
         }
         Err(_elapsed) => return status_response(StatusCode::REQUEST_TIMEOUT, &attempt_id),
     };
+    request.state.fingerprints = Some(fingerprints(&parts, caller, &body, declared_bytes));
     let head = RequestHead { parts, attempt_id };
     run_attempts(&mut request, &head, &mut body).await
 }
@@ -254,6 +268,24 @@
     }
 }
 
+fn fingerprints(
+    parts: &http::request::Parts,
+    caller: IpAddr,
+    body: &RequestBody,
+    declared_bytes: Option<u64>,
+) -> RequestFingerprints {
+    let headers = RequestHeaders::parse(&parts.headers, &parts.uri);
+    RequestFingerprints::of(&RequestIdentity {
+        credentials: headers.credentials,
+        caller,
+        method: parts.method.as_str(),
+        host: headers.host,
+        target: parts.uri.path_and_query().map_or("", http::uri::PathAndQuery::as_str),
+        body: body.beginning(),
+        body_bytes: declared_bytes.or_else(|| body.buffered_bytes()),
+    })
+}
+
 fn max_body_bytes(shared: &SharedState) -> u64 {
     let steering = shared.steering.borrow();
     steering.configuration().map_or(0, |in_force| in_force.limits.max_body_bytes)
@@ -290,7 +322,10 @@
             return Err(BodyReadError::TooLarge);
         }
     }
-    Ok(RequestBody::Streamed(Some(streaming_body(prefix.freeze(), incoming, max_bytes))))
+    let prefix = prefix.freeze();
+    let beginning = Bytes::copy_from_slice(&prefix[..prefix.len().min(FINGERPRINT_BODY_BYTES)]);
+    let body = Some(streaming_body(prefix, incoming, max_bytes));
+    Ok(RequestBody::Streamed { beginning, body })
 }
 
 /// Streams a body whose beginning is buffered; fails once it exceeds `max_bytes`.
--- a/crates/sedgepathd/src/direct/responses.rs
+++ b/crates/sedgepathd/src/direct/responses.rs
@@ -64,10 +64,12 @@
     shared.metrics.count_rejection(rejection.reason);
     log::info!(
         "event=refused request={attempt_id} status={} reason={} service={service} \
-         sendings={delivered} took_ms={took_ms} retry_after_ms={} configuration={version}",
+         sendings={delivered} took_ms={took_ms} retry_after_ms={} configuration={version} \
+         fingerprint={}",
         status.as_u16(),
         rejection.reason.name(),
         rejection.retry_after_ms,
+        state.map_or_else(|| "none".into(), RequestState::fingerprint_text),
     );
     response
 }
@@ -96,7 +98,7 @@
     });
     log::info!(
         "event=gave_up request={attempt_id} reason={reason} status={} route={} service={} \
-         upstream={} sendings={} runs={} took_ms={took_ms} configuration={}",
+         upstream={} sendings={} runs={} took_ms={took_ms} configuration={} fingerprint={}",
         response.status().as_u16(),
         state.route.name,
         state.service,
@@ -104,6 +106,7 @@
         state.delivered,
         state.possible_runs,
         state.version,
+        state.fingerprint_text(),
     );
     response
 }
@@ -116,10 +119,11 @@
     outcome: AttemptOutcome,
 ) {
     log::info!(
-        "event=sending_failed request={attempt_id} upstream={} service={} outcome={} {}",
+        "event=sending_failed request={attempt_id} upstream={} service={} outcome={} {} fingerprint={}",
         attempt.name,
         state.service,
         outcome.name(),
         attempt.decision,
+        state.fingerprint_text(),
     );
 }
