--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -49,6 +49,10 @@
     received: Vec<ReceivedRequest>,
     connections: usize,
     canceled_requests: usize,
+    /// A part of the request line with which a request crashes the upstream.
+    fatal_text: Option<String>,
+    crashed: bool,
+    streams: Vec<TcpStream>,
 }
 
 /// An upstream, which runs until the test's process ends.
@@ -70,13 +74,19 @@
             received: Vec::new(),
             connections: 0,
             canceled_requests: 0,
+            fatal_text: None,
+            crashed: false,
+            streams: Vec::new(),
         };
         let upstream = Self { state: Arc::new(Mutex::new(state)), address };
         let server = upstream.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let server = server.clone();
-                server.lock().connections += 1;
+                if server.has_crashed() {
+                    return;
+                }
+                server.record_connection(&stream);
                 std::thread::spawn(move || server.serve(&stream));
             }
         });
@@ -111,6 +121,37 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Makes requests whose request line contains a text crash the upstream as soon as they run.
+    pub fn set_fatal_text(&self, text: &str) {
+        self.lock().fatal_text = Some(text.into());
+    }
+
+    /// Returns whether the upstream has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.lock().crashed
+    }
+
+    fn record_connection(&self, stream: &TcpStream) {
+        let mut state = self.lock();
+        state.connections += 1;
+        state.streams.extend(stream.try_clone());
+    }
+
+    /// Resets all connections and closes the listener, as the end of the process does.
+    pub fn crash(&self) {
+        let streams = {
+            let mut state = self.lock();
+            state.crashed = true;
+            std::mem::take(&mut state.streams)
+        };
+        for stream in streams {
+            // The caller may have disconnected already.
+            drop(stream.shutdown(std::net::Shutdown::Both));
+        }
+        // The listening thread ends with its next connection.
+        drop(TcpStream::connect(self.address));
+    }
+
     /// Changes the upstream's name, as if another one had got the address.
     pub fn rename(&self, name: &str) {
         self.lock().name = name.into();
@@ -157,7 +198,18 @@
         let expected = request.headers.get("x-sedgepath-expected-instance").cloned();
         let misdirected = expected.is_some_and(|expected| expected != name);
         request.run = !misdirected && behaviour != Behaviour::Reject;
-        self.lock().received.push(request);
+        let fatal = {
+            let mut state = self.lock();
+            let line = &request.line;
+            let fatal = state.fatal_text.as_ref().is_some_and(|text| line.contains(text));
+            let fatal = fatal && request.run;
+            state.received.push(request);
+            fatal
+        };
+        if fatal {
+            self.crash();
+            return None;
+        }
         let body = format!("{attempt_id} at {name}");
         let full_response = format!(
             "HTTP/1.1 200 OK\r\nX-Sedgepath-Attempt-Id: {attempt_id}\r\n\
