--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -12,6 +12,7 @@
 //! - [`queueing`]: the longest time that a request may wait for a slot.
 //! - [`attempts`]: the state of a request and of its attempts.
 //! - [`budget`]: the retry budget.
+//! - [`crashes`]: requests that crash the upstreams that run them.
 //! - [`fingerprint`]: how the repeats of a request are recognised.
 //! - [`replicas`]: replicas of the store's tables, which VMs exchange with each other.
 //! - [`status`]: the state that a VM reports to operators.
@@ -28,6 +29,7 @@
 pub mod ablation;
 pub mod attempts;
 pub mod budget;
+pub mod crashes;
 pub mod fingerprint;
 pub mod placement;
 pub mod queueing;
--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use super::crashes::IncarnationKey;
 use super::fingerprint::RequestFingerprints;
 use super::routing::Route;
 use super::upstreams::{LoadReport, UpstreamKey};
@@ -37,6 +38,8 @@
     Unreachable,
     /// The request was sent at least in part and no complete response came: it may have run.
     Failed,
+    /// As [`Failed`](Self::Failed), and the upstream refuses connections since: its process ended.
+    Crashed,
     /// The deadline passed: the request may have run.
     TimedOut,
     /// The caller disconnected or got the response of another attempt.
@@ -86,6 +89,8 @@
     RetriesExhausted,
     /// The VM holds its maximum number of requests.
     Overloaded,
+    /// Upstreams that ran the request have crashed.
+    CrashesUpstreams,
 }
 
 impl AttemptOutcome {
@@ -98,6 +103,7 @@
             Self::Misdirected => "misdirected",
             Self::Unreachable => "unreachable",
             Self::Failed => "failed",
+            Self::Crashed => "crashed",
             Self::TimedOut => "timed_out",
             Self::Canceled => "abandoned",
         }
@@ -115,6 +121,7 @@
             Self::DeadlineExceeded => "late",
             Self::RetriesExhausted => "no_retry",
             Self::Overloaded => "overloaded",
+            Self::CrashesUpstreams => "crashes_upstreams",
         }
     }
 }
@@ -193,6 +200,8 @@
     pub object: Option<u64>,
     /// The request's fingerprints; `None` until its body has been read.
     pub fingerprints: Option<RequestFingerprints>,
+    /// Whether the request may be sent once although it is quarantined.
+    pub is_probe: bool,
     /// When the request arrived, in milliseconds.
     pub arrived_at_ms: u64,
     /// The time after which the caller no longer waits for a response, in milliseconds.
@@ -214,6 +223,8 @@
 pub struct InFlightAttempt {
     /// The key of the upstream.
     pub upstream: UpstreamKey,
+    /// The run of the upstream's process.
+    pub incarnation: IncarnationKey,
     /// When the request was sent, in milliseconds.
     pub sent_at_ms: u64,
     /// Whether the upstream recently ran a request for the object.
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/crashes/reports.rs
@@ -0,0 +1,144 @@
+//! Reports of crashes to other VMs.
+//!
+//! A VM sends each report to its own failure domain, and to a few VMs of each other one, which relay
+//! it within theirs. Datagrams get lost, so each report is sent several times. A report that reaches
+//! some VMs late or not at all does little harm: those may send the request once more. Quarantined
+//! requests are also kept in the store, which all VMs follow.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use super::IncarnationKey;
+use crate::hash::Digest;
+
+/// How often a report is sent.
+const SENDS_PER_REPORT: u32 = 3;
+
+/// How often a report of another failure domain is relayed by each VM that it reaches first.
+const SENDS_PER_RELAY: u32 = 2;
+
+/// The time between two sends of a report, in milliseconds.
+const SEND_INTERVAL_MS: u64 = 400;
+
+/// The most queued reports; beyond that the oldest are dropped.
+const MAX_QUEUED_REPORTS: usize = 1_024;
+
+/// The most reports in one datagram.
+const MAX_REPORTS_PER_MESSAGE: usize = 32;
+
+/// What a VM tells others of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CrashReport {
+    /// The request was in flight at an upstream when that crashed.
+    Crashed {
+        /// The request's fingerprint.
+        fingerprint: Digest,
+        /// The upstream.
+        incarnation: IncarnationKey,
+    },
+    /// The request has succeeded since these crashes.
+    Cleared {
+        /// The request's fingerprint.
+        fingerprint: Digest,
+        /// The upstreams whose crashes no longer count.
+        incarnations: Vec<IncarnationKey>,
+    },
+}
+
+/// Reports in a datagram, and the sender's view of the quarantine.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReports {
+    /// Whether the receiver relays news within its failure domain.
+    pub relay: bool,
+    /// The newest store version in the sender's replica of the quarantine table.
+    pub quarantine_version: u64,
+    /// The reports.
+    pub reports: Vec<CrashReport>,
+}
+
+/// Reports that are due, by receivers.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct DueReports {
+    /// Reports for the VM's own failure domain, each list for one datagram.
+    pub in_domain: Vec<Vec<CrashReport>>,
+    /// Reports for all other failure domains, each list for one datagram.
+    pub elsewhere: Vec<Vec<CrashReport>>,
+}
+
+#[derive(Debug)]
+struct QueuedReport {
+    report: CrashReport,
+    /// Whether the report is for the VM's own failure domain only.
+    in_domain_only: bool,
+    sends_left: u32,
+    next_send_at_ms: u64,
+}
+
+/// The reports that a VM has still to send.
+#[derive(Debug, Default)]
+pub struct ReportQueue {
+    queued: VecDeque<QueuedReport>,
+}
+
+impl ReportQueue {
+    /// Queues a report for all VMs.
+    pub(super) fn announce(&mut self, report: CrashReport, now_ms: u64) {
+        self.drop_outdated(&report);
+        self.push(report, false, now_ms);
+    }
+
+    /// Drops the queued crashes of a request that has succeeded since.
+    fn drop_outdated(&mut self, report: &CrashReport) {
+        let CrashReport::Cleared { fingerprint: cleared, incarnations } = report else {
+            return;
+        };
+        self.queued.retain(|queued| match &queued.report {
+            CrashReport::Crashed { fingerprint, incarnation } => {
+                fingerprint != cleared || !incarnations.contains(incarnation)
+            }
+            CrashReport::Cleared { .. } => true,
+        });
+    }
+
+    /// Queues a report of another failure domain for the VM's own one.
+    pub(super) fn relay(&mut self, report: CrashReport, now_ms: u64) {
+        self.drop_outdated(&report);
+        self.push(report, true, now_ms);
+    }
+
+    fn push(&mut self, report: CrashReport, in_domain_only: bool, now_ms: u64) {
+        if self.queued.len() == MAX_QUEUED_REPORTS {
+            self.queued.pop_front();
+        }
+        self.queued.push_back(QueuedReport {
+            report,
+            in_domain_only,
+            sends_left: if in_domain_only { SENDS_PER_RELAY } else { SENDS_PER_REPORT },
+            next_send_at_ms: now_ms,
+        });
+    }
+
+    /// Returns when the next report is due, in milliseconds, if any is queued.
+    pub fn due_at_ms(&self) -> Option<u64> {
+        self.queued.iter().map(|queued| queued.next_send_at_ms).min()
+    }
+
+    /// Returns the reports that are due, and schedules their next sends.
+    pub fn take_due(&mut self, now_ms: u64) -> DueReports {
+        let (mut in_domain, mut elsewhere) = (Vec::new(), Vec::new());
+        for queued in self.queued.iter_mut().filter(|queued| queued.next_send_at_ms <= now_ms) {
+            queued.sends_left -= 1;
+            queued.next_send_at_ms = now_ms + SEND_INTERVAL_MS;
+            if !queued.in_domain_only {
+                elsewhere.push(queued.report.clone());
+            }
+            in_domain.push(queued.report.clone());
+        }
+        self.queued.retain(|queued| queued.sends_left > 0);
+        let batches = |reports: Vec<CrashReport>| {
+            reports.chunks(MAX_REPORTS_PER_MESSAGE).map(<[_]>::to_vec).collect()
+        };
+        DueReports { in_domain: batches(in_domain), elsewhere: batches(elsewhere) }
+    }
+}
--- a/crates/sedgepath-core/src/direct/replicas.rs
+++ b/crates/sedgepath-core/src/direct/replicas.rs
@@ -29,17 +29,23 @@
     Operators,
     /// The registrations of upstreams.
     Upstreams,
+    /// The quarantined requests.
+    Quarantine,
 }
 
 impl Table {
-    /// Every replicated table, in the order of replica versions in heartbeats.
-    pub const ALL: [Self; 2] = [Self::Operators, Self::Upstreams];
+    /// Every replicated table.
+    pub const ALL: [Self; 3] = [Self::Operators, Self::Upstreams, Self::Quarantine];
+
+    /// The tables without which a VM can't serve, in the order of replica versions in heartbeats.
+    pub const REQUIRED: [Self; 2] = [Self::Operators, Self::Upstreams];
 
     /// Returns the name for logs.
     pub fn name(self) -> &'static str {
         match self {
             Self::Operators => "operators",
             Self::Upstreams => "upstreams",
+            Self::Quarantine => "quarantine",
         }
     }
 }
@@ -204,6 +210,7 @@
 pub struct TableReplicas {
     operators: TableReplica,
     upstreams: TableReplica,
+    quarantine: TableReplica,
 }
 
 impl TableReplicas {
@@ -212,6 +219,7 @@
         match table {
             Table::Operators => &self.operators,
             Table::Upstreams => &self.upstreams,
+            Table::Quarantine => &self.quarantine,
         }
     }
 
@@ -220,6 +228,7 @@
         match table {
             Table::Operators => &mut self.operators,
             Table::Upstreams => &mut self.upstreams,
+            Table::Quarantine => &mut self.quarantine,
         }
     }
 
@@ -228,8 +237,8 @@
         Table::ALL.into_iter().all(|table| self.get(table).is_complete())
     }
 
-    /// Returns the newest version of each replica, in the order of [`Table::ALL`].
+    /// Returns the newest version of each required replica, in the order of [`Table::REQUIRED`].
     pub fn newest_version(&self) -> [u64; 2] {
-        Table::ALL.map(|table| self.get(table).newest_version())
+        Table::REQUIRED.map(|table| self.get(table).newest_version())
     }
 }
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -14,6 +14,8 @@
     RejectionReason, RequestState,
 };
 use super::budget::{RetryBudget, RetryBudgetLimits};
+use super::crashes::quarantine::{Clocks, QuarantineWrite};
+use super::crashes::{CrashLedger, IncarnationKey, Verdict};
 use super::placement::{Candidate, PlacementWeights, ServiceTimes};
 use super::queueing::{self, QueuePressure, QueueTolerance};
 use super::routing::{Configuration, ServiceSettings, WeightedRoundRobin};
@@ -60,6 +62,10 @@
 /// The delay that a caller is told once [`IMMEDIATE_RETRY_SHARE`] is used up, in milliseconds.
 const DEFERRED_RETRY_AFTER_MS: u64 = 400;
 
+/// The delay that a caller is told when its request could be a probe that this VM can't claim, in
+/// milliseconds: the store doesn't respond, or another VM has claimed the probe.
+const PROBE_RETRY_AFTER_MS: u64 = 1_000;
+
 /// The longest delay that a caller is told when all upstreams are busy, in milliseconds.
 const MAX_BUSY_RETRY_AFTER_MS: u64 = 1_500;
 
@@ -134,6 +140,7 @@
     other_region_rtt_ms: f64,
     vms: VmTable,
     store: StoreAvailability,
+    crashes: CrashLedger,
 }
 
 impl Steering {
@@ -154,6 +161,7 @@
             service_times: Map::default(),
             response_bytes: Map::default(),
             queue_pressure: QueuePressure::default(),
+            crashes: CrashLedger::new(vms.key()),
             other_region_rtt_ms: INITIAL_OTHER_REGION_RTT_MS,
             vms,
             store: StoreAvailability {
@@ -205,6 +213,40 @@
         &mut self.vms
     }
 
+    /// Returns the record of requests that were in flight at upstreams that crashed.
+    pub fn crashes(&self) -> &CrashLedger {
+        &self.crashes
+    }
+
+    /// Returns a mutable reference to the record of requests that were in flight at upstreams that
+    /// crashed.
+    pub fn crashes_mut(&mut self) -> &mut CrashLedger {
+        &mut self.crashes
+    }
+
+    /// Checks the store's entries for upstreams that may have crashed, and drops expired suspicions.
+    pub fn maintain_crashes(&mut self, now_ms: u64) {
+        self.crashes.maintain(&self.upstreams, now_ms);
+    }
+
+    /// Returns the writes that claim a request's probe, which must be applied together; empty if the
+    /// request needs none or none is due.
+    pub fn probe_claim(&self, request: &RequestState, clocks: Clocks) -> Vec<QuarantineWrite> {
+        match &request.fingerprints {
+            Some(fingerprints) if self.verdict(request, clocks.now_ms) == Verdict::ProbeDue => {
+                self.crashes.quarantine().probe_claim(fingerprints, clocks)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn verdict(&self, request: &RequestState, now_ms: u64) -> Verdict {
+        request
+            .fingerprints
+            .as_ref()
+            .map_or(Verdict::Allowed, |fingerprints| self.crashes.verdict(fingerprints, now_ms))
+    }
+
     /// Returns the region of a failure domain, or the domain's name if its region is unknown.
     pub fn region_of(&self, domain: &str) -> Box<str> {
         self.location.regions.get(domain).cloned().unwrap_or_else(|| domain.into())
@@ -277,6 +319,7 @@
             service,
             object,
             fingerprints: None,
+            is_probe: false,
             arrived_at_ms: now_ms,
             deadline_at_ms: now_ms + time_limit_ms,
             tried_upstreams: Vec::new(),
@@ -296,6 +339,19 @@
             }
             NextStep::Reject { reason, retry_after_ms }
         };
+        let verdict = self.verdict(request, now_ms);
+        if !(request.is_probe && request.tried_upstreams.is_empty()) {
+            let retry_after_ms = match verdict {
+                Verdict::Quarantined { retry_after_ms } => Some(retry_after_ms),
+                Verdict::ProbeDue => Some(PROBE_RETRY_AFTER_MS),
+                _ if request.possible_runs > 0 && !verdict.allows_retry() => Some(0),
+                Verdict::Allowed | Verdict::Suspected { .. } => None,
+            };
+            if let Some(retry_after_ms) = retry_after_ms {
+                let reason = RejectionReason::CrashesUpstreams;
+                return reject_or_give_up(reason, retry_after_ms, request);
+            }
+        }
         if !request.allows_attempt() {
             return reject_or_give_up(
                 RejectionReason::RetriesExhausted,
@@ -365,6 +421,7 @@
         request.tried_upstreams.push(key);
         request.in_flight.push(InFlightAttempt {
             upstream: key,
+            incarnation: IncarnationKey::of(&upstream.entry),
             sent_at_ms: now_ms,
             warm: candidate.warm,
             wait_ms: candidate.wait_ms,
@@ -402,6 +459,9 @@
         random: u64,
         now_ms: u64,
     ) -> Option<Attempt> {
+        if !self.verdict(request, now_ms).allows_hedging() {
+            return None;
+        }
         let first = request.in_flight.first()?;
         let silence_ms =
             self.upstreams.get(first.upstream).map(|upstream| upstream.silence_ms(now_ms));
--- a/crates/sedgepath-core/src/direct/steering/learning.rs
+++ b/crates/sedgepath-core/src/direct/steering/learning.rs
@@ -18,8 +18,12 @@
             return;
         };
         let attempt = request.in_flight.swap_remove(index);
+        self.record_crash_evidence(request, attempt, outcome, now_ms);
         match outcome {
-            AttemptOutcome::Answered { .. } | AttemptOutcome::Failed | AttemptOutcome::TimedOut => {
+            AttemptOutcome::Answered { .. }
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Crashed
+            | AttemptOutcome::TimedOut => {
                 request.delivered += 1;
                 request.possible_runs += 1;
                 request.cause = AttemptCause::Failed;
@@ -33,7 +37,10 @@
         if let Some(service) = self.service(&request.service).cloned()
             && !matches!(
                 outcome,
-                AttemptOutcome::Unreachable | AttemptOutcome::Canceled | AttemptOutcome::TimedOut
+                AttemptOutcome::Unreachable
+                    | AttemptOutcome::Canceled
+                    | AttemptOutcome::Crashed
+                    | AttemptOutcome::TimedOut
             )
         {
             self.upstreams.record_reachable_again(key, &service, now_ms);
@@ -58,12 +65,43 @@
             }
             AttemptOutcome::Refused { report } => upstream.record_rejection(report, now_ms),
             AttemptOutcome::Misdirected => self.upstreams.remove_misdirected(key),
-            AttemptOutcome::Unreachable => upstream.record_unreachable(now_ms),
+            AttemptOutcome::Unreachable | AttemptOutcome::Crashed => {
+                upstream.record_unreachable(now_ms);
+            }
             AttemptOutcome::TimedOut => upstream.record_timeout(now_ms),
             AttemptOutcome::Canceled => {}
         }
     }
 
+    /// Records whether an attempt speaks for or against the request crashing its upstreams.
+    fn record_crash_evidence(
+        &mut self,
+        request: &RequestState,
+        attempt: InFlightAttempt,
+        outcome: AttemptOutcome,
+        now_ms: u64,
+    ) {
+        let Some(fingerprints) = &request.fingerprints else {
+            return;
+        };
+        let is_leaving =
+            self.upstreams.get(attempt.upstream).is_some_and(|upstream| upstream.entry.leaving);
+        match outcome {
+            AttemptOutcome::Answered { failed: false, .. } => {
+                self.crashes.record_success(fingerprints, now_ms);
+            }
+            // The planned end of a process may cut requests off too.
+            AttemptOutcome::Crashed | AttemptOutcome::Failed if is_leaving => {}
+            AttemptOutcome::Crashed => {
+                self.crashes.record_crash(fingerprints, attempt.incarnation, now_ms);
+            }
+            AttemptOutcome::Failed => {
+                self.crashes.watch(*fingerprints, attempt.upstream, attempt.incarnation, now_ms);
+            }
+            _ => {}
+        }
+    }
+
     /// Records the response size of a successful attempt, and its time if it found a free slot.
     fn record_time_and_size(
         &mut self,
--- a/crates/sedgepath-core/src/direct/vms/heartbeat.rs
+++ b/crates/sedgepath-core/src/direct/vms/heartbeat.rs
@@ -105,7 +105,7 @@
     /// Whether the VM is about to stop.
     pub leaving: bool,
     /// The newest store version in each of the VM's table replicas, in the order of
-    /// [`Table::ALL`](crate::direct::replicas::Table::ALL).
+    /// [`Table::REQUIRED`](crate::direct::replicas::Table::REQUIRED).
     pub newest_version: [u64; 2],
     /// The VM's view of the store.
     pub store_health: StoreHealth,
--- a/crates/sedgepath-core/src/direct/vms/summary.rs
+++ b/crates/sedgepath-core/src/direct/vms/summary.rs
@@ -44,7 +44,7 @@
     /// The VMs that the sender hears and that aren't leaving, including itself.
     pub members: Vec<DomainMember>,
     /// The newest store version in each of the sender's table replicas, in the order of
-    /// [`Table::ALL`](crate::direct::replicas::Table::ALL).
+    /// [`Table::REQUIRED`](crate::direct::replicas::Table::REQUIRED).
     pub changed_at: [u64; 2],
     /// The combined view of the store of the domain's VMs.
     pub store_health: StoreHealth,
--- a/crates/sedgepath-core/tests/fuzz_peer_messages.rs
+++ b/crates/sedgepath-core/tests/fuzz_peer_messages.rs
@@ -9,10 +9,14 @@
 use fuzz_support::config;
 use proptest::prelude::*;
 use sedgepath_core::clock::HybridTimestamp;
+use sedgepath_core::direct::crashes::reports::{CrashReport, CrashReports};
+use sedgepath_core::direct::crashes::{CrashLedger, IncarnationKey};
+use sedgepath_core::direct::upstreams::UpstreamTable;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
 use sedgepath_core::direct::vms::{
     DomainMember, DomainSummary, RelayedSummary, StoreHealth, SummaryUpdate, VmTable,
 };
+use sedgepath_core::hash::Digest;
 use sedgepath_test_support::direct::{heartbeat, vm_table};
 
 const NOW_MS: u64 = 1_000;
@@ -37,6 +41,7 @@
 }
 
 fn messages() -> Vec<PeerMessage> {
+    let fingerprint = Digest::of(&[b"request"]);
     let heartbeat = heartbeat("a2", "north-a", 2);
     let changed = SummaryUpdate::Changed(summary());
     let unchanged = SummaryUpdate::Unchanged {
@@ -52,10 +57,18 @@
             RelayedSummary { age_ms: 10, update: changed },
             RelayedSummary { age_ms: 10, update: unchanged },
         ]),
+        PeerMessage::CrashReports(CrashReports {
+            relay: true,
+            quarantine_version: 3,
+            reports: vec![
+                CrashReport::Crashed { fingerprint, incarnation: IncarnationKey(1) },
+                CrashReport::Cleared { fingerprint, incarnations: vec![IncarnationKey(1)] },
+            ],
+        }),
     ]
 }
 
-fn receive(vm: &mut VmTable, message: PeerMessage) {
+fn receive(vm: &mut VmTable, crashes: &mut CrashLedger, message: PeerMessage) {
     match message {
         PeerMessage::Heartbeat(Heartbeat::Full(heartbeat)) => {
             vm.record_heartbeat(heartbeat, NOW_MS);
@@ -69,6 +82,11 @@
                 vm.record_relayed_summary(relayed, NOW_MS);
             }
         }
+        PeerMessage::CrashReports(reports) => {
+            for report in &reports.reports {
+                crashes.receive(report, reports.relay, NOW_MS);
+            }
+        }
     }
 }
 
@@ -78,20 +96,23 @@
     /// Guards against a datagram that panics the process or leaves look-ups without a result.
     #[test]
     fn corrupted_datagrams_do_not_stop_a_vm(
-        corruptions in prop::collection::vec((0..3_usize, any::<u16>(), any::<u8>()), 1..8),
+        corruptions in prop::collection::vec((0..4_usize, any::<u16>(), any::<u8>()), 1..8),
         later_ms in 0..60_000_u64,
     ) {
         let mut vm = vm_table("a1", "north-a", 1);
+        let mut crashes = CrashLedger::new(vm.key());
         for (message_index, offset, byte) in corruptions {
             let mut bytes =
                 postcard::to_stdvec(&messages()[message_index]).expect("the message serializes");
             let offset = usize::from(offset) % bytes.len();
             bytes[offset] = byte;
             if let Ok(message) = postcard::from_bytes(&bytes) {
-                receive(&mut vm, message);
+                receive(&mut vm, &mut crashes, message);
             }
         }
         let now_ms = NOW_MS + later_ms;
+        crashes.reports_mut().take_due(now_ms);
+        crashes.maintain(&UpstreamTable::default(), now_ms);
         prop_assert!(!vm.look_up("north-a", "north", now_ms).is_empty());
         vm.should_read_store(now_ms);
         vm.store_health(StoreHealth::Unknown, now_ms);
--- a/crates/sedgepath-test-support/src/vm_network.rs
+++ b/crates/sedgepath-test-support/src/vm_network.rs
@@ -9,6 +9,8 @@
 
 use fastrand::Rng;
 use sedgepath_core::clock::HybridTimestamp;
+use sedgepath_core::direct::crashes::{CrashLedger, IncarnationKey, Verdict};
+use sedgepath_core::direct::fingerprint::RequestFingerprints;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, OutgoingMessage, PeerMessage};
 use sedgepath_core::direct::vms::{VmDescriptor, VmHeartbeat, VmTable};
 use sedgepath_core::hash::{Map, Set};
@@ -21,6 +23,9 @@
 /// The number of failure domains in a region.
 const DOMAINS_PER_REGION: usize = 3;
 
+/// The time for which a VM collects reports of crashes before it sends them, in milliseconds.
+const REPORT_DELAY_MS: u64 = 20;
+
 const PEER_PORT: u16 = 7_000;
 
 /// The index of a VM.
@@ -40,6 +45,7 @@
 #[derive(Debug)]
 struct Vm {
     table: Option<VmTable>,
+    ledger: Option<CrashLedger>,
     boot_at_ms: u64,
     suspended_until_ms: u64,
 }
@@ -47,6 +53,7 @@
 #[derive(Debug)]
 enum Event {
     GossipRound { vm: VmIndex, boot: u64 },
+    ReportRound { vm: VmIndex },
     Arrival { vm: VmIndex, from: VmIndex, message: Box<PeerMessage> },
 }
 
@@ -75,7 +82,7 @@
     /// Creates a network without running VMs.
     pub fn new(domains: usize, per_domain: usize, seed: u64) -> Self {
         let count = domains * per_domain;
-        let vm = |_| Vm { table: None, boot_at_ms: 0, suspended_until_ms: 0 };
+        let vm = |_| Vm { table: None, ledger: None, boot_at_ms: 0, suspended_until_ms: 0 };
         Self {
             per_domain,
             now_ms: 0,
@@ -173,8 +180,10 @@
         let boot = boot.unwrap_or(self.last_boot_at_ms);
         let mut heartbeat = VmHeartbeat::new(self.descriptor(vm), boot, HEARTBEAT_MS);
         heartbeat.state.ready = true;
+        let table = VmTable::new(heartbeat, TIMING);
         self.vms[vm] = Vm {
-            table: Some(VmTable::new(heartbeat, TIMING)),
+            ledger: Some(CrashLedger::new(table.key())),
+            table: Some(table),
             boot_at_ms: boot,
             suspended_until_ms: 0,
         };
@@ -186,6 +195,7 @@
     pub fn kill(&mut self, vms: &[VmIndex]) {
         for vm in vms {
             self.vms[*vm].table = None;
+            self.vms[*vm].ledger = None;
         }
     }
 
@@ -228,6 +238,29 @@
         self.vms[vm].table.as_mut().expect("the VM should be running")
     }
 
+    /// Returns what a VM may do with a request, or `None` if the VM is not running.
+    pub fn verdict(&self, vm: VmIndex, request: &RequestFingerprints) -> Option<Verdict> {
+        Some(self.vms[vm].ledger.as_ref()?.verdict(request, self.now_ms))
+    }
+
+    /// Records that a VM lost a request at an upstream that crashed.
+    pub fn crash(&mut self, vm: VmIndex, request: &RequestFingerprints, upstream: IncarnationKey) {
+        let now_ms = self.now_ms;
+        if let Some(ledger) = &mut self.vms[vm].ledger {
+            ledger.record_crash(request, upstream, now_ms);
+            self.schedule(now_ms + REPORT_DELAY_MS, Event::ReportRound { vm });
+        }
+    }
+
+    /// Records that a VM relayed the response to a request.
+    pub fn succeed(&mut self, vm: VmIndex, request: &RequestFingerprints) {
+        let now_ms = self.now_ms;
+        if let Some(ledger) = &mut self.vms[vm].ledger {
+            ledger.record_success(request, now_ms);
+            self.schedule(now_ms + REPORT_DELAY_MS, Event::ReportRound { vm });
+        }
+    }
+
     /// Returns the VMs that are running.
     pub fn running_vms(&self) -> BTreeSet<VmIndex> {
         (0..self.count()).filter(|vm| self.vms[*vm].table.is_some()).collect()
@@ -278,6 +311,7 @@
     fn handle_event(&mut self, event: Event) {
         match event {
             Event::GossipRound { vm, boot } => self.run_gossip_round(vm, boot),
+            Event::ReportRound { vm } => self.send_reports(vm),
             Event::Arrival { vm, from, message } => self.deliver(vm, from, message),
         }
     }
@@ -306,6 +340,27 @@
         self.schedule(now_ms + period_ms, Event::GossipRound { vm, boot });
     }
 
+    fn send_reports(&mut self, vm: VmIndex) {
+        let (now_ms, mut rng) = (self.now_ms, self.rng.fork());
+        let resumes_at_ms = self.vms[vm].suspended_until_ms;
+        let Vm { table: Some(table), ledger: Some(ledger), .. } = &mut self.vms[vm] else {
+            return;
+        };
+        if now_ms < resumes_at_ms {
+            return self.schedule(resumes_at_ms, Event::ReportRound { vm });
+        }
+        let due = ledger.reports_mut().take_due(now_ms);
+        let next_at_ms = ledger.reports_mut().due_at_ms();
+        for OutgoingMessage { message, to } in table.crash_report_messages(due, 0, &mut rng) {
+            for to in to {
+                self.send(vm, to, message.clone());
+            }
+        }
+        if let Some(at_ms) = next_at_ms {
+            self.schedule(at_ms, Event::ReportRound { vm });
+        }
+    }
+
     fn send(&mut self, from: VmIndex, to: SocketAddr, message: PeerMessage) {
         let to = vm_index(to);
         let encoded = postcard::to_stdvec(&message).expect("peer messages are serializable");
@@ -341,9 +396,10 @@
         self.last_timestamp_ms += 1;
         let timestamp = HybridTimestamp { time_ms: self.last_timestamp_ms, count: 0 };
         let mut rng = self.rng.fork();
-        let Some(table) = &mut self.vms[vm].table else {
+        let Vm { table: Some(table), ledger: Some(ledger), .. } = &mut self.vms[vm] else {
             return;
         };
+        let mut has_news = false;
         match *message {
             PeerMessage::Heartbeat(Heartbeat::StateOnly(state)) => {
                 table.record_state(address(from), state, now_ms);
@@ -361,6 +417,14 @@
                     table.record_relayed_summary(summary, now_ms);
                 }
             }
+            PeerMessage::CrashReports(reports) => {
+                for report in &reports.reports {
+                    has_news |= ledger.receive(report, reports.relay, now_ms);
+                }
+            }
+        }
+        if has_news {
+            self.schedule(now_ms + REPORT_DELAY_MS, Event::ReportRound { vm });
         }
         if let Some(join_reply) = join_reply {
             self.send(vm, address(from), join_reply);
--- a/crates/sedgepath/src/operations/logs.rs
+++ b/crates/sedgepath/src/operations/logs.rs
@@ -76,10 +76,21 @@
     Ok(files)
 }
 
+/// Returns whether the requests of two lines have a fingerprint in common.
+fn shares_fingerprint(one: &LogLine, other: &LogLine) -> bool {
+    let fingerprints = |line: &'_ LogLine| -> Vec<String> {
+        let text = line.field("fingerprint").unwrap_or_default();
+        text.split('/').filter(|digest| !digest.is_empty()).map(str::to_owned).collect()
+    };
+    let others = fingerprints(other);
+    fingerprints(one).iter().any(|digest| others.contains(digest))
+}
+
 /// Returns the lines that explain a request, in order.
 ///
 /// These are its own lines and earlier lines of the VM that ended it: those about the upstreams of its
-/// attempts, and the latest about the configuration, the store, evacuations and the VM's start.
+/// attempts, and the latest about the configuration, the store, evacuations and the VM's start. If the
+/// request was rejected because its repeats crash upstreams, the crashes on all VMs are added.
 pub fn lines_explaining<'a>(lines: &'a [LogLine], request: &str) -> Vec<&'a LogLine> {
     let own: Vec<&LogLine> =
         lines.iter().filter(|line| line.field("request") == Some(request)).collect();
@@ -98,6 +109,16 @@
         });
         selected.extend(of_upstream);
     }
+    if last.field("reason") == Some("crashes_upstreams") {
+        selected.extend(
+            before().filter(|line| {
+                line.event.starts_with("quarantine") && shares_fingerprint(line, last)
+            }),
+        );
+        selected.extend(lines.iter().filter(|line| {
+            line.field("outcome") == Some("crashed") && shares_fingerprint(line, last)
+        }));
+    }
     selected.extend(own);
     selected.sort_by_key(|line| line.stamp);
     selected.dedup_by(|a, b| std::ptr::eq(*a, *b));
--- a/crates/sedgepath/tests/logs.rs
+++ b/crates/sedgepath/tests/logs.rs
@@ -64,3 +64,22 @@
     .assert_eq(&summarize(&logs::lines_explaining(&lines, "r7")));
     assert!(logs::lines_explaining(&lines, "r9").is_empty());
 }
+
+/// Guards against a rejection whose cause, crashes on other VMs, is not shown.
+#[test]
+fn a_quarantined_request_is_explained_by_the_crashes_of_its_repeats() {
+    let dir = tempfile::tempdir().expect("a temporary directory");
+    let first = "at=1000.0 vm=a1 event=sending_failed request=r1 upstream=u1 outcome=crashed fingerprint=aa/cc\n\
+        at=1000.1 vm=a1 event=sending_failed request=r2 upstream=u1 outcome=crashed fingerprint=dd/ee\n";
+    let second = "at=1500.0 vm=b1 event=quarantine fingerprint=cc in_force=true probes=0\n\
+        at=1500.1 vm=b1 event=quarantine fingerprint=dd in_force=true probes=0\n\
+        at=1600.0 vm=b1 event=refused request=r3 reason=crashes_upstreams fingerprint=bb/cc\n";
+    fs::write(dir.path().join("a1.log"), first).expect("the file is written");
+    fs::write(dir.path().join("b1.log"), second).expect("the file is written");
+    let lines = logs::read(dir.path()).expect("the logs are readable");
+    expect![[r"
+        a1 sending_failed
+        b1 quarantine
+        b1 refused"]]
+    .assert_eq(&summarize(&logs::lines_explaining(&lines, "r3")));
+}
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -8,6 +8,8 @@
 //! - [`responses`]: responses of the VM itself.
 //! - [`attempt`]: one attempt of a request at an upstream.
 //! - [`connection_pool`]: idle connections to upstreams.
+//! - [`crash_checks`]: whether upstreams have crashed.
+//! - [`quarantine`]: requests that crash upstreams, in the store.
 //! - [`control_server`]: look-ups, readiness, metrics and rows for peers.
 //! - [`entry_queries`]: look-ups and readiness checks.
 //! - [`store_feed`]: replicas of the store's tables.
@@ -20,6 +22,7 @@
 pub mod clock;
 pub mod connection_pool;
 pub mod control_server;
+pub mod crash_checks;
 pub mod discovery;
 pub mod entry_queries;
 pub mod fetch;
@@ -27,6 +30,7 @@
 pub mod ingress;
 pub mod logging;
 pub mod metrics;
+pub mod quarantine;
 pub mod responses;
 pub mod run;
 pub mod shared;
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request sent to one upstream, and its response.
 
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -128,6 +129,9 @@
     pub fn record_outcome(&mut self, upstream: UpstreamKey, outcome: AttemptOutcome) {
         let mut steering = self.shared.steering.borrow_mut();
         steering.record_outcome(&mut self.state, upstream, outcome, clock::now_ms());
+        if steering.crashes_mut().reports_mut().due_at_ms().is_some() {
+            self.shared.crash_reports_queued.notify_one();
+        }
     }
 
     /// Decides whether to send, reject or give up the request.
@@ -162,6 +166,38 @@
     attempt: &Attempt,
     head: &RequestHead,
     body: Body,
+) -> AttemptResult {
+    let mut result = exchange(shared, deadline_at_ms, attempt, head, body).await;
+    if result.outcome == AttemptOutcome::Failed && refuses_connections(shared, attempt).await {
+        result.outcome = AttemptOutcome::Crashed;
+    }
+    result
+}
+
+/// Returns whether an upstream refuses connections, which tells the end of its process from the loss
+/// of a connection.
+async fn refuses_connections(shared: &SharedState, attempt: &Attempt) -> bool {
+    let check = shared.crash_checks.get(attempt.upstream);
+    let refuses = check.get_or_init(|| async {
+        match shared.upstream_connections.open(attempt.address, CONNECT_TIMEOUT).await {
+            Ok(connection) => {
+                shared.upstream_connections.release(attempt.upstream, connection, None);
+                false
+            }
+            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        }
+    });
+    let refuses = *refuses.await;
+    shared.crash_checks.remove(attempt.upstream);
+    refuses
+}
+
+async fn exchange(
+    shared: &SharedState,
+    deadline_at_ms: u64,
+    attempt: &Attempt,
+    head: &RequestHead,
+    body: Body,
 ) -> AttemptResult {
     let deadline = clock::instant_at(deadline_at_ms);
     let mut request = Request::from_parts(head.parts.clone(), body);
--- a/crates/sedgepathd/src/direct/fetch.rs
+++ b/crates/sedgepathd/src/direct/fetch.rs
@@ -55,17 +55,26 @@
     newest_versions: [u64; 2],
     address: SocketAddr,
 ) {
-    let own_versions = shared.replicas.borrow().newest_version();
-    for ((table, peer_version), own_version) in
-        Table::ALL.into_iter().zip(newest_versions).zip(own_versions)
-    {
-        if peer_version > own_version && try_begin_fetch(shared, table) {
-            let shared = Rc::clone(shared);
-            tokio::task::spawn_local(async move {
-                fetch_table(&shared, table, peer_version, address).await;
-                shared.last_fetch_at_ms.borrow_mut().remove(&table);
-            });
-        }
+    for (table, peer_version) in Table::REQUIRED.into_iter().zip(newest_versions) {
+        fetch_newer_rows(shared, table, peer_version, address);
+    }
+}
+
+/// Fetches the rows of a table that a peer's replica has and this VM's lacks, given the peer's newest
+/// version.
+pub fn fetch_newer_rows(
+    shared: &Rc<SharedState>,
+    table: Table,
+    peer_version: u64,
+    address: SocketAddr,
+) {
+    let own_version = shared.replicas.borrow().get(table).newest_version();
+    if peer_version > own_version && try_begin_fetch(shared, table) {
+        let shared = Rc::clone(shared);
+        tokio::task::spawn_local(async move {
+            fetch_table(&shared, table, peer_version, address).await;
+            shared.last_fetch_at_ms.borrow_mut().remove(&table);
+        });
     }
 }
 
--- a/crates/sedgepathd/src/direct/gossip.rs
+++ b/crates/sedgepathd/src/direct/gossip.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use sedgepath_core::clock::HybridTimestamp;
+use sedgepath_core::direct::crashes::reports::{CrashReports, DueReports};
+use sedgepath_core::direct::replicas::Table;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, OutgoingMessage, PeerMessage};
 use sedgepath_core::direct::vms::{RelayedSummary, VmHeartbeat};
 
@@ -15,6 +17,9 @@
 /// The largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_432;
 
+/// The time for which reports of crashes are collected before they are sent.
+const REPORT_DELAY: Duration = Duration::from_millis(20);
+
 /// The bytes of a datagram before the summaries of a list.
 const LIST_OVERHEAD_BYTES: usize = 4;
 
@@ -22,11 +27,62 @@
 pub async fn send_periodically(shared: Rc<SharedState>) {
     loop {
         send_periodic_messages(&shared).await;
+        announce_quarantine(&shared).await;
         let period_ms = shared.steering.borrow().vms().period_ms();
         tokio::time::sleep(Duration::from_millis(period_ms)).await;
     }
 }
 
+/// Sends reports of crashes when they are due, until the process ends.
+pub async fn send_crash_reports(shared: Rc<SharedState>) {
+    loop {
+        let due_at_ms = shared.steering.borrow_mut().crashes_mut().reports_mut().due_at_ms();
+        let Some(due_at_ms) = due_at_ms else {
+            shared.crash_reports_queued.notified().await;
+            tokio::time::sleep(REPORT_DELAY).await;
+            continue;
+        };
+        let now_ms = clock::now_ms();
+        if due_at_ms > now_ms {
+            tokio::time::sleep_until(clock::instant_at(due_at_ms)).await;
+            continue;
+        }
+        let messages = {
+            let mut steering = shared.steering.borrow_mut();
+            let due = steering.crashes_mut().reports_mut().take_due(now_ms);
+            let version = quarantine_version(&shared);
+            steering.vms().crash_report_messages(due, version, &mut fastrand::Rng::new())
+        };
+        send_messages(&shared, messages).await;
+    }
+}
+
+/// Tells some VMs the version of this VM's replica of the quarantine, if there ever was one.
+async fn announce_quarantine(shared: &SharedState) {
+    let version = quarantine_version(shared);
+    if version > 0 {
+        let mut rng = fastrand::Rng::new();
+        let message = shared.steering.borrow().vms().quarantine_announcement(version, &mut rng);
+        send_messages(shared, vec![message]).await;
+    }
+}
+
+/// Tells all VMs of this VM's failure domain, and some of each other one, of a change of the
+/// quarantine.
+pub async fn announce_quarantine_change(shared: &SharedState) {
+    let messages = {
+        let due = DueReports { in_domain: vec![Vec::new()], elsewhere: vec![Vec::new()] };
+        let version = quarantine_version(shared);
+        let steering = shared.steering.borrow();
+        steering.vms().crash_report_messages(due, version, &mut fastrand::Rng::new())
+    };
+    send_messages(shared, messages).await;
+}
+
+fn quarantine_version(shared: &SharedState) -> u64 {
+    shared.replicas.borrow().get(Table::Quarantine).newest_version()
+}
+
 /// Sends the messages of one period.
 pub async fn send_periodic_messages(shared: &SharedState) {
     let (stamp, now_ms) = update_own_state(shared);
@@ -139,6 +195,9 @@
                     steering.vms_mut().record_relayed_summary(summary, clock::now_ms());
                 }
             }
+            Some((from, PeerMessage::CrashReports(reports))) => {
+                handle_crash_reports(&shared, &reports, from);
+            }
             None => {}
         }
     }
@@ -153,6 +212,19 @@
     Some((from, message))
 }
 
+fn handle_crash_reports(shared: &Rc<SharedState>, reports: &CrashReports, from: SocketAddr) {
+    fetch::fetch_newer_rows(shared, Table::Quarantine, reports.quarantine_version, from);
+    let now_ms = clock::now_ms();
+    let mut steering = shared.steering.borrow_mut();
+    let crashes = steering.crashes_mut();
+    for report in &reports.reports {
+        crashes.receive(report, reports.relay, now_ms);
+    }
+    if crashes.reports_mut().due_at_ms().is_some() {
+        shared.crash_reports_queued.notify_one();
+    }
+}
+
 async fn handle_heartbeat(shared: &Rc<SharedState>, heartbeat: VmHeartbeat) {
     shared.log_clock.merge(heartbeat.state.stamp);
     fetch::fetch_missing_rows(
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -29,6 +29,7 @@
 use super::clock;
 use super::connection_pool::Body;
 use super::control_server::ACCEPT_PAUSE;
+use super::quarantine;
 use super::responses::{give_up, log_failed_attempt, record_success, reject, status_response};
 use super::shared::{SharedState, StopPhase};
 
@@ -182,6 +183,7 @@
         Err(_elapsed) => return status_response(StatusCode::REQUEST_TIMEOUT, &attempt_id),
     };
     request.state.fingerprints = Some(fingerprints(&parts, caller, &body, declared_bytes));
+    quarantine::claim_probe(&mut request).await;
     let head = RequestHead { parts, attempt_id };
     run_attempts(&mut request, &head, &mut body).await
 }
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -20,8 +20,8 @@
 use super::metrics::Metrics;
 use super::shared::{SharedState, StopPhase};
 use super::{
-    clock, control_server, discovery, entry_queries, gossip, ingress, logging, metrics, store_feed,
-    table_server,
+    clock, control_server, discovery, entry_queries, gossip, ingress, logging, metrics, quarantine,
+    store_feed, table_server,
 };
 
 /// The interval of heartbeats while there are few VMs, in milliseconds.
@@ -128,6 +128,7 @@
         table_server::handle_rows_request,
     ));
     spawn_local(gossip::send_periodically(Rc::clone(&shared)));
+    spawn_local(gossip::send_crash_reports(Rc::clone(&shared)));
     spawn_local(maintain(Rc::clone(&shared)));
     if let Some(port) = options.metrics_port {
         let address = SocketAddr::new(shared.settings.ip, port);
@@ -210,11 +211,13 @@
         let lapsed = {
             let mut steering = shared.steering.borrow_mut();
             steering.update_store_health(shared.store_call_state.get().health(now_ms), now_ms);
+            steering.maintain_crashes(now_ms);
             steering.upstreams_mut().remove_lapsed(now_ms)
         };
         for name in lapsed {
             log::info!("event=upstream_lapsed upstream={name}");
         }
+        quarantine::write_due_rows(&shared);
         shared.table_server.clear_cache();
         let steering = shared.steering.borrow();
         shared.upstream_connections.prune(|key| steering.upstreams().get(key).is_some());
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -14,6 +14,7 @@
 
 use super::clock;
 use super::connection_pool::ConnectionPool;
+use super::crash_checks::CrashChecks;
 use super::logging::LogClock;
 use super::metrics::Metrics;
 use super::table_server::TableServer;
@@ -46,6 +47,12 @@
     pub metrics: Metrics,
     /// Idle connections to upstreams.
     pub upstream_connections: ConnectionPool,
+    /// Checks under way whether upstreams have crashed.
+    pub crash_checks: CrashChecks,
+    /// Wakes the task that sends reports of crashes.
+    pub crash_reports_queued: tokio::sync::Notify,
+    /// Whether rows of the quarantine are being written to the store.
+    pub writing_quarantine: Cell<bool>,
     /// The number of requests in flight.
     pub in_flight_requests: Cell<usize>,
     /// The number of callers' open connections.
@@ -120,6 +127,9 @@
             settings,
             steering: RefCell::new(steering),
             upstream_connections: ConnectionPool::default(),
+            crash_checks: CrashChecks::default(),
+            crash_reports_queued: tokio::sync::Notify::new(),
+            writing_quarantine: Cell::new(false),
             in_flight_requests: Cell::new(0),
             open_connections: Cell::new(0),
             stop_phase: tokio::sync::watch::Sender::new(StopPhase::Serving),
--- a/crates/sedgepathd/src/direct/store_feed.rs
+++ b/crates/sedgepathd/src/direct/store_feed.rs
@@ -12,13 +12,19 @@
 use sedgepath_core::direct::vms::StoreHealth;
 
 use super::shared::{SharedState, StoreCallState};
-use super::{clock, gossip};
+use super::{clock, gossip, quarantine};
 
 /// How long the store may hold a call open until something changes, in milliseconds. With the
 /// call's timeout it bounds how long a dead connection stays unnoticed: another VM must take over
 /// reading within the 2.5 s that a leaving upstream may get requests.
 const LONG_POLL_MS: u64 = 1_000;
 
+/// As [`LONG_POLL_MS`], for the quarantine, whose writers tell the other VMs of its changes.
+const QUARANTINE_LONG_POLL_MS: u64 = 10_000;
+
+/// As [`RETRY_PERIOD_MS`], for the quarantine.
+const QUARANTINE_RETRY_PERIOD_MS: u64 = 5_000;
+
 /// The pause after a response with changes, in milliseconds, so that changes in quick succession
 /// cost one call.
 const BATCH_DELAY_MS: u64 = 200;
@@ -40,6 +46,9 @@
 /// How often a VM with the table checks whether it should read the store, in milliseconds.
 const ROLE_CHECK_INTERVAL_MS: u64 = 100;
 
+/// How often a VM checks whether it should read the quarantine, in milliseconds.
+const QUARANTINE_ROLE_CHECK_INTERVAL_MS: u64 = 1_000;
+
 /// Follows a table, while this VM is one of the store's readers, until the process ends.
 pub async fn follow_table(shared: Rc<SharedState>, table: Table) {
     let mut history_lost = false;
@@ -51,7 +60,11 @@
                 shared.store_call_state.set(StoreCallState::Unknown);
             }
             let complete = shared.replicas.borrow().get(table).is_complete();
-            let pause_ms = if complete { ROLE_CHECK_INTERVAL_MS } else { START_CHECK_INTERVAL_MS };
+            let pause_ms = match table {
+                _ if !complete => START_CHECK_INTERVAL_MS,
+                Table::Quarantine => QUARANTINE_ROLE_CHECK_INTERVAL_MS,
+                Table::Operators | Table::Upstreams => ROLE_CHECK_INTERVAL_MS,
+            };
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             continue;
         }
@@ -110,7 +123,10 @@
 fn pause_after_failure_ms(shared: &SharedState, table: Table, failures: u32, took_ms: u64) -> u64 {
     let complete = shared.replicas.borrow().get(table).is_complete();
     let doublings = if complete { 0 } else { (failures - 1).min(MAX_RETRY_DOUBLINGS) };
-    let period_ms = RETRY_PERIOD_MS << doublings;
+    let period_ms = match table {
+        Table::Quarantine => QUARANTINE_RETRY_PERIOD_MS,
+        Table::Operators | Table::Upstreams => RETRY_PERIOD_MS << doublings,
+    };
     let jitter_ms = MIN_RETRY_PAUSE_MS << doublings;
     period_ms.saturating_sub(took_ms).max(MIN_RETRY_PAUSE_MS) + fastrand::u64(0..jitter_ms)
 }
@@ -130,7 +146,11 @@
         return shared.store.read_table(name).await;
     }
     // While the store is unreachable, a long poll would delay noticing that it is back.
-    let wait_ms = if shared.store_call_state.get().is_reachable() { LONG_POLL_MS } else { 0 };
+    let wait_ms = match table {
+        _ if !shared.store_call_state.get().is_reachable() => 0,
+        Table::Quarantine => QUARANTINE_LONG_POLL_MS,
+        Table::Operators | Table::Upstreams => LONG_POLL_MS,
+    };
     shared.store.poll_changes(name, position, wait_ms).await
 }
 
@@ -168,6 +188,7 @@
     let changes = shared.replicas.borrow_mut().get_mut(table).merge(update);
     match table {
         Table::Operators => apply_operator_rows(shared, &changes),
+        Table::Quarantine => quarantine::apply_rows(shared, &changes),
         Table::Upstreams => {
             let now_ms = clock::now_ms();
             let mut steering = shared.steering.borrow_mut();
--- a/crates/sedgepathd/tests/direct_crashes.rs
+++ b/crates/sedgepathd/tests/direct_crashes.rs
@@ -3,12 +3,13 @@
 
 mod platform;
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use platform::caller;
 use platform::upstream::UpstreamStandIn;
 use platform::{TestCluster, Vm, configure, wait_for};
-use sedgepath_test_support::store::StoreStandIn;
+use sedgepath_test_support::store::{StoreMode, StoreStandIn};
 
 /// The part of a path that crashes the upstream that runs the request.
 const FATAL_TEXT: &str = "/fatal";
@@ -93,45 +94,108 @@
     }
 }
 
-/// Guards against a request that takes down one upstream after the other, by repeats at other VMs.
-#[test]
-fn a_request_that_crashes_its_upstreams_is_not_sent_on() {
-    let mut service = CrashingService::new(9);
-    let site = TestCluster::new(service.store.address);
-    let vms: Vec<Vm> =
-        (0..6).map(|number| site.start(number + 1, DOMAINS[usize::from(number) % 3])).collect();
-    for vm in &vms {
-        wait_for("readiness", || vm.is_ready());
+/// VMs of all failure domains, and what callers of a fatal request and of others have seen.
+struct Traffic {
+    service: CrashingService,
+    site: TestCluster,
+    vms: Vec<Vm>,
+    third_crash_at: Option<Instant>,
+    late_runs: usize,
+    requests: usize,
+    served: usize,
+    statuses: BTreeMap<u16, usize>,
+}
+
+impl Traffic {
+    fn new() -> Self {
+        let service = CrashingService::new(9);
+        let site = TestCluster::new(service.store.address);
+        let mut traffic = Self {
+            service,
+            site,
+            vms: Vec::new(),
+            third_crash_at: None,
+            late_runs: 0,
+            requests: 0,
+            served: 0,
+            statuses: BTreeMap::new(),
+        };
+        traffic.start_vms();
+        traffic
     }
 
-    let started = Instant::now();
-    let mut third_crash_at = None;
-    let mut runs_before = 0;
-    let mut late_runs = 0;
-    let mut served = 0;
-    let mut number = 0;
-    while started.elapsed() < Duration::from_secs(12) {
-        number += 1;
-        let vm = &vms[number % vms.len()];
-        let sent_at = Instant::now();
-        // A VM whose upstreams all ended may close the connection.
-        drop(caller::request(vm.caller_address, "GET", FATAL_PATH, &format!("f{number}")));
-        service.maintain();
-        if service.ended.len() >= 3 {
-            third_crash_at.get_or_insert(sent_at);
+    fn start_vms(&mut self) {
+        let start = |number: u8| self.site.start(number + 1, DOMAINS[usize::from(number) % 3]);
+        self.vms = (0..6).map(start).collect();
+        for vm in &self.vms {
+            wait_for("readiness", || vm.is_ready());
         }
-        let runs = service.runs(FATAL_TEXT);
-        if third_crash_at.is_some_and(|at| sent_at > at + SETTLED_AFTER) {
-            late_runs += runs - runs_before;
+    }
+
+    /// Repeats the fatal request at one VM after the other, with another request beside each.
+    fn run_for(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            self.requests += 1;
+            let address = self.vms[self.requests % self.vms.len()].caller_address;
+            let (sent_at, runs_before) = (Instant::now(), self.service.runs(FATAL_TEXT));
+            let id = format!("f{}", self.requests);
+            if let Some(answer) = caller::request(address, "GET", FATAL_PATH, &id) {
+                *self.statuses.entry(answer.status).or_default() += 1;
+                let has_delay = answer.headers.contains_key("retry-after");
+                assert_eq!(answer.status == 503, has_delay, "{answer:?}");
+            }
+            self.service.maintain();
+            if self.service.ended.len() >= 3 {
+                self.third_crash_at.get_or_insert(sent_at);
+            }
+            if self.third_crash_at.is_some_and(|at| sent_at > at + SETTLED_AFTER) {
+                self.late_runs += self.service.runs(FATAL_TEXT) - runs_before;
+            }
+            let (path, id) = (format!("/reads/{}", self.requests), format!("r{}", self.requests));
+            let answer = caller::request(address, "GET", &path, &id);
+            self.served += usize::from(answer.is_some_and(|answer| answer.status == 200));
+            std::thread::sleep(REPEAT_INTERVAL);
         }
-        runs_before = runs;
-        let path = format!("/reads/{number}");
-        let answer = caller::request(vm.caller_address, "GET", &path, &format!("r{number}"));
-        served += usize::from(answer.is_some_and(|answer| answer.status == 200));
-        std::thread::sleep(REPEAT_INTERVAL);
     }
 
-    assert!(third_crash_at.is_some(), "the request ran {runs_before} times only");
-    assert!(late_runs <= MAX_LATE_RUNS, "{late_runs} late runs of {runs_before} in all");
-    assert!(served * 10 >= number * 9, "{served} of {number} other requests were served");
+    fn assert_bounded(&self) {
+        let runs = self.service.runs(FATAL_TEXT);
+        assert!(self.third_crash_at.is_some(), "the request ran {runs} times only");
+        assert!(self.late_runs <= MAX_LATE_RUNS, "{} late runs of {runs} in all", self.late_runs);
+        let (served, requests) = (self.served, self.requests);
+        assert!(served * 10 >= requests * 9, "{served} of {requests} other requests were served");
+        let rejected = self.statuses.get(&503).copied().unwrap_or(0);
+        assert!(rejected * 2 > requests, "statuses {:?}", self.statuses);
+    }
+}
+
+/// Guards against a request that takes down one upstream after the other, by repeats at other VMs.
+#[test]
+fn a_request_that_crashes_its_upstreams_is_not_sent_on() {
+    let mut traffic = Traffic::new();
+    traffic.run_for(Duration::from_secs(12));
+    traffic.assert_bounded();
+}
+
+/// Guards against a quarantine that is lost when all VMs restart.
+#[test]
+fn a_restart_of_all_vms_keeps_the_quarantine() {
+    let mut traffic = Traffic::new();
+    traffic.run_for(Duration::from_secs(5));
+    for vm in std::mem::take(&mut traffic.vms) {
+        vm.kill();
+    }
+    traffic.start_vms();
+    traffic.run_for(Duration::from_secs(6));
+    traffic.assert_bounded();
+}
+
+/// Guards against VMs that don't learn of a fatal request while the store is down.
+#[test]
+fn a_request_that_crashes_its_upstreams_is_not_sent_on_without_the_store() {
+    let mut traffic = Traffic::new();
+    traffic.service.store.set_mode(StoreMode::Refusing);
+    traffic.run_for(Duration::from_secs(9));
+    traffic.assert_bounded();
 }
