--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -10,13 +10,14 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::{Request, Response, StatusCode, http};
-use sedgepath_adapter::headers::{self, ResponseHeaders, ResponseKind};
+use sedgepath_adapter::headers::{self, ResponseHeaders, ResponseKind, StatedRateLimit};
 use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome, NextStep, RequestState};
 use sedgepath_core::direct::upstreams::UpstreamKey;
 use tokio::time::timeout_at;
 
 use super::clock;
 use super::connection_pool::{Body, Connection};
+use super::logging::ROUTINE_TARGET;
 use super::shared::SharedState;
 
 /// Timeout of connecting to an upstream: three of the longest round trips between regions. It is
@@ -260,6 +261,7 @@
     connection: Connection,
 ) -> AttemptResult {
     let headers = ResponseHeaders::parse(response.status(), response.headers(), &head.attempt_id);
+    log_rate_limit(attempt, headers.rate_limit);
     let (parts, mut incoming) = response.into_parts();
     let deadline = clock::instant_at(deadline_at_ms);
     let buffered = match headers.kind {
@@ -305,6 +307,22 @@
     }
 }
 
+fn log_rate_limit(attempt: &Attempt, limit: StatedRateLimit) {
+    match limit {
+        StatedRateLimit::None => {}
+        StatedRateLimit::PerSecond(per_s) => log::info!(
+            target: ROUTINE_TARGET,
+            "event=upstream_limit upstream={} per_s={per_s}",
+            attempt.name,
+        ),
+        StatedRateLimit::Invalid => log::warn!(
+            target: ROUTINE_TARGET,
+            "event=upstream_limit_unreadable upstream={}",
+            attempt.name,
+        ),
+    }
+}
+
 fn response_outcome(
     status: StatusCode,
     headers: ResponseHeaders,
