--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sedgepath_test_support::store::StoreStandIn;
 
@@ -40,6 +40,8 @@
     pub body: Vec<u8>,
     /// Whether the request was run.
     pub run: bool,
+    /// When it was received.
+    pub received_at: Instant,
 }
 
 #[derive(Debug)]
@@ -298,7 +300,13 @@
         reader.read_exact(&mut body).ok()?;
         body
     };
-    Some(ReceivedRequest { line: line.trim_end().into(), headers: fields, body, run: false })
+    Some(ReceivedRequest {
+        line: line.trim_end().into(),
+        headers: fields,
+        body,
+        run: false,
+        received_at: Instant::now(),
+    })
 }
 
 /// Reads headers up to the empty line.
