--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -14,6 +14,7 @@
 //! - [`budget`]: the retry budget.
 //! - [`crashes`]: requests that crash the upstreams that run them.
 //! - [`fingerprint`]: how the repeats of a request are recognised.
+//! - [`reports`]: what VMs tell each other of upstreams.
 //! - [`replicas`]: replicas of the store's tables, which VMs exchange with each other.
 //! - [`status`]: the state that a VM reports to operators.
 //! - [`vms`]: the entry VMs that accept requests, for look-ups and for dividing shared limits.
@@ -34,6 +35,7 @@
 pub mod placement;
 pub mod queueing;
 pub mod replicas;
+pub mod reports;
 pub mod routing;
 pub mod status;
 pub mod steering;
--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -6,10 +6,9 @@
 
 use std::sync::Arc;
 
-use super::crashes::IncarnationKey;
 use super::fingerprint::RequestFingerprints;
 use super::routing::Route;
-use super::upstreams::{LoadReport, UpstreamKey};
+use super::upstreams::{IncarnationKey, LoadReport, UpstreamKey};
 
 /// The most upstreams that one request may reach: after that many rejections the service is full or
 /// failing, and further attempts would only use up the retry budget.
--- a/crates/sedgepath-core/src/direct/crashes.rs
+++ b/crates/sedgepath-core/src/direct/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! A caller repeats such a request at any VM, and each VM would send it to the next upstream, until
 //! the service has none left. Each VM therefore records which requests were in flight at an upstream
-//! that crashed, and tells the others ([`reports`]).
+//! that crashed, and tells the others ([`reports`](super::reports)).
 //!
 //! # Evidence
 //!
@@ -19,16 +19,13 @@
 //! run while no other quarantined request does and clear a request that is innocent.
 
 pub mod quarantine;
-pub mod reports;
 
 use std::collections::VecDeque;
 
-use serde::{Deserialize, Serialize};
-
 use self::quarantine::{Clocks, QuarantineRow, QuarantineTable, QuarantineWrite};
-use self::reports::{CrashReport, ReportQueue};
 use super::fingerprint::RequestFingerprints;
-use super::upstreams::{UpstreamEntry, UpstreamKey, UpstreamTable};
+use super::reports::{Report, ReportQueue};
+use super::upstreams::{IncarnationKey, UpstreamKey, UpstreamTable};
 use crate::hash::{Digest, Map};
 use crate::key::VmKey;
 use crate::table::RowVersion;
@@ -55,18 +52,6 @@
 /// The most lost attempts that wait for evidence.
 const MAX_PENDING: usize = 512;
 
-/// Identifies one run of an upstream's process on all VMs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct IncarnationKey(pub u64);
-
-impl IncarnationKey {
-    /// Derives the key from an upstream's entry.
-    pub fn of(entry: &UpstreamEntry) -> Self {
-        let started_at_ms = entry.started_at_ms.unwrap_or(0).to_le_bytes();
-        Self(Digest::of(&[b"incarnation", entry.name.as_bytes(), &started_at_ms]).to_u64())
-    }
-}
-
 /// What may be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
@@ -145,7 +130,6 @@
     suspects: Map<Digest, Suspect>,
     pending: VecDeque<PendingEvidence>,
     quarantine: QuarantineTable,
-    reports: ReportQueue,
 }
 
 impl CrashLedger {
@@ -155,7 +139,6 @@
             suspects: Map::default(),
             pending: VecDeque::new(),
             quarantine: QuarantineTable::new(own),
-            reports: ReportQueue::default(),
         }
     }
 
@@ -181,6 +164,7 @@
         &mut self,
         fingerprints: &RequestFingerprints,
         incarnation: IncarnationKey,
+        reports: &mut ReportQueue,
         now_ms: u64,
     ) {
         for fingerprint in fingerprints.iter() {
@@ -188,13 +172,18 @@
                 if self.counts_as_fatal(fingerprint) {
                     self.quarantine.schedule_own_check(fingerprint, now_ms);
                 }
-                self.reports.announce(CrashReport::Crashed { fingerprint, incarnation }, now_ms);
+                reports.announce(Report::Crashed { fingerprint, incarnation }, now_ms);
             }
         }
     }
 
     /// Records that a request succeeded, which clears it.
-    pub fn record_success(&mut self, fingerprints: &RequestFingerprints, now_ms: u64) {
+    pub fn record_success(
+        &mut self,
+        fingerprints: &RequestFingerprints,
+        reports: &mut ReportQueue,
+        now_ms: u64,
+    ) {
         for fingerprint in fingerprints.iter() {
             if self.quarantine.contains(fingerprint) {
                 self.quarantine.schedule_release(fingerprint, now_ms);
@@ -202,7 +191,7 @@
             let incarnations = self.clear_all(fingerprint, now_ms);
             if !incarnations.is_empty() {
                 self.quarantine.schedule_release(fingerprint, now_ms);
-                self.reports.announce(CrashReport::Cleared { fingerprint, incarnations }, now_ms);
+                reports.announce(Report::Cleared { fingerprint, incarnations }, now_ms);
             }
         }
     }
@@ -255,37 +244,34 @@
     }
 
     /// Checks the entries of upstreams that may have crashed, and drops what has expired.
-    pub fn maintain(&mut self, upstreams: &UpstreamTable, now_ms: u64) {
+    pub fn maintain(&mut self, upstreams: &UpstreamTable, reports: &mut ReportQueue, now_ms: u64) {
         for pending in std::mem::take(&mut self.pending) {
             match upstreams.get(pending.upstream) {
                 Some(upstream) if upstream.entry.leaving => {}
                 Some(_) if now_ms < pending.until_ms => self.pending.push_back(pending),
                 Some(_) => {}
-                None => self.record_crash(&pending.fingerprints, pending.incarnation, now_ms),
+                None => {
+                    self.record_crash(&pending.fingerprints, pending.incarnation, reports, now_ms);
+                }
             }
         }
         self.suspects.retain(|_, suspect| now_ms < suspect.updated_at_ms + SUSPICION_MS);
     }
 
-    /// Records a report of another VM, and queues it for the VMs of this one's failure domain if it
-    /// is news from another one. Returns whether it was news.
-    pub fn receive(&mut self, report: &CrashReport, relay: bool, now_ms: u64) -> bool {
-        let is_news = match report {
-            CrashReport::Crashed { fingerprint, incarnation } => {
+    /// Records a report of another VM, and returns whether it was news.
+    pub fn receive(&mut self, report: &Report, now_ms: u64) -> bool {
+        match report {
+            Report::Crashed { fingerprint, incarnation } => {
                 let is_news = self.add_crash(*fingerprint, *incarnation, now_ms);
                 if is_news && self.counts_as_fatal(*fingerprint) {
                     self.quarantine.schedule_check(*fingerprint, now_ms);
                 }
                 is_news
             }
-            CrashReport::Cleared { fingerprint, incarnations } => {
+            Report::Cleared { fingerprint, incarnations } => {
                 self.clear(*fingerprint, incarnations, now_ms)
             }
-        };
-        if is_news && relay {
-            self.reports.relay(report.clone(), now_ms);
         }
-        is_news
     }
 
     fn clear(&mut self, fingerprint: Digest, incarnations: &[IncarnationKey], now_ms: u64) -> bool {
@@ -342,9 +328,4 @@
     pub fn quarantine(&self) -> &QuarantineTable {
         &self.quarantine
     }
-
-    /// Returns the reports for other VMs.
-    pub fn reports_mut(&mut self) -> &mut ReportQueue {
-        &mut self.reports
-    }
 }
--- a/crates/sedgepath-core/src/direct/crashes/reports.rs
+++ b/crates/sedgepath-core/src/direct/reports.rs
@@ -1,15 +1,15 @@
-//! Reports of crashes to other VMs.
+//! Reports of what a VM observes at upstreams to other VMs.
 //!
 //! A VM sends each report to its own failure domain, and to a few VMs of each other one, which relay
 //! it within theirs. Datagrams get lost, so each report is sent several times. A report that reaches
-//! some VMs late or not at all does little harm: those may send the request once more. Quarantined
+//! some VMs late or not at all does little harm: those may send a request once more. Quarantined
 //! requests are also kept in the store, which all VMs follow.
 
 use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
 
-use super::IncarnationKey;
+use super::upstreams::IncarnationKey;
 use crate::hash::Digest;
 
 /// How often a report is sent.
@@ -27,9 +27,9 @@
 /// The most reports in one datagram.
 const MAX_REPORTS_PER_MESSAGE: usize = 32;
 
-/// What a VM tells others of a request.
+/// What a VM tells others of a request or an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum CrashReport {
+pub enum Report {
     /// The request was in flight at an upstream when that crashed.
     Crashed {
         /// The request's fingerprint.
@@ -48,27 +48,27 @@
 
 /// Reports in a datagram, and the sender's view of the quarantine.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReports {
+pub struct Reports {
     /// Whether the receiver relays news within its failure domain.
     pub relay: bool,
     /// The newest store version in the sender's replica of the quarantine table.
     pub quarantine_version: u64,
     /// The reports.
-    pub reports: Vec<CrashReport>,
+    pub reports: Vec<Report>,
 }
 
 /// Reports that are due, by receivers.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct DueReports {
     /// Reports for the VM's own failure domain, each list for one datagram.
-    pub in_domain: Vec<Vec<CrashReport>>,
+    pub in_domain: Vec<Vec<Report>>,
     /// Reports for all other failure domains, each list for one datagram.
-    pub elsewhere: Vec<Vec<CrashReport>>,
+    pub elsewhere: Vec<Vec<Report>>,
 }
 
 #[derive(Debug)]
 struct QueuedReport {
-    report: CrashReport,
+    report: Report,
     /// Whether the report is for the VM's own failure domain only.
     in_domain_only: bool,
     sends_left: u32,
@@ -83,31 +83,31 @@
 
 impl ReportQueue {
     /// Queues a report for all VMs.
-    pub(super) fn announce(&mut self, report: CrashReport, now_ms: u64) {
+    pub fn announce(&mut self, report: Report, now_ms: u64) {
         self.drop_outdated(&report);
         self.push(report, false, now_ms);
     }
 
     /// Drops the queued crashes of a request that has succeeded since.
-    fn drop_outdated(&mut self, report: &CrashReport) {
-        let CrashReport::Cleared { fingerprint: cleared, incarnations } = report else {
+    fn drop_outdated(&mut self, report: &Report) {
+        let Report::Cleared { fingerprint: cleared, incarnations } = report else {
             return;
         };
         self.queued.retain(|queued| match &queued.report {
-            CrashReport::Crashed { fingerprint, incarnation } => {
+            Report::Crashed { fingerprint, incarnation } => {
                 fingerprint != cleared || !incarnations.contains(incarnation)
             }
-            CrashReport::Cleared { .. } => true,
+            Report::Cleared { .. } => true,
         });
     }
 
     /// Queues a report of another failure domain for the VM's own one.
-    pub(super) fn relay(&mut self, report: CrashReport, now_ms: u64) {
+    pub fn relay(&mut self, report: Report, now_ms: u64) {
         self.drop_outdated(&report);
         self.push(report, true, now_ms);
     }
 
-    fn push(&mut self, report: CrashReport, in_domain_only: bool, now_ms: u64) {
+    fn push(&mut self, report: Report, in_domain_only: bool, now_ms: u64) {
         if self.queued.len() == MAX_QUEUED_REPORTS {
             self.queued.pop_front();
         }
@@ -136,7 +136,7 @@
             in_domain.push(queued.report.clone());
         }
         self.queued.retain(|queued| queued.sends_left > 0);
-        let batches = |reports: Vec<CrashReport>| {
+        let batches = |reports: Vec<Report>| {
             reports.chunks(MAX_REPORTS_PER_MESSAGE).map(<[_]>::to_vec).collect()
         };
         DueReports { in_domain: batches(in_domain), elsewhere: batches(elsewhere) }
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -15,9 +15,10 @@
 };
 use super::budget::{RetryBudget, RetryBudgetLimits};
 use super::crashes::quarantine::{Clocks, QuarantineWrite};
-use super::crashes::{CrashLedger, IncarnationKey, Verdict};
+use super::crashes::{CrashLedger, Verdict};
 use super::placement::{Candidate, PlacementWeights, ServiceTimes};
 use super::queueing::{self, QueuePressure, QueueTolerance};
+use super::reports::{Report, ReportQueue};
 use super::routing::{Configuration, ServiceSettings, WeightedRoundRobin};
 use super::upstreams::UpstreamTable;
 use super::vms::VmTable;
@@ -141,6 +142,7 @@
     vms: VmTable,
     store: StoreAvailability,
     crashes: CrashLedger,
+    reports: ReportQueue,
 }
 
 impl Steering {
@@ -162,6 +164,7 @@
             response_bytes: Map::default(),
             queue_pressure: QueuePressure::default(),
             crashes: CrashLedger::new(vms.key()),
+            reports: ReportQueue::default(),
             other_region_rtt_ms: INITIAL_OTHER_REGION_RTT_MS,
             vms,
             store: StoreAvailability {
@@ -226,7 +229,21 @@
 
     /// Checks the store's entries for upstreams that may have crashed, and drops expired suspicions.
     pub fn maintain_crashes(&mut self, now_ms: u64) {
-        self.crashes.maintain(&self.upstreams, now_ms);
+        self.crashes.maintain(&self.upstreams, &mut self.reports, now_ms);
+    }
+
+    /// Returns the reports to other VMs.
+    pub fn reports_mut(&mut self) -> &mut ReportQueue {
+        &mut self.reports
+    }
+
+    /// Records a report of another VM. One that is news and comes from another failure domain is
+    /// queued for the VMs of this VM's own one.
+    pub fn receive_report(&mut self, report: &Report, relay: bool, now_ms: u64) {
+        let is_news = self.crashes.receive(report, now_ms);
+        if is_news && relay {
+            self.reports.relay(report.clone(), now_ms);
+        }
     }
 
     /// Returns the writes that claim a request's probe, which must be applied together; empty if the
@@ -421,7 +438,7 @@
         request.tried_upstreams.push(key);
         request.in_flight.push(InFlightAttempt {
             upstream: key,
-            incarnation: IncarnationKey::of(&upstream.entry),
+            incarnation: upstream.incarnation,
             sent_at_ms: now_ms,
             warm: candidate.warm,
             wait_ms: candidate.wait_ms,
--- a/crates/sedgepath-core/src/direct/steering/learning.rs
+++ b/crates/sedgepath-core/src/direct/steering/learning.rs
@@ -88,12 +88,17 @@
             self.upstreams.get(attempt.upstream).is_some_and(|upstream| upstream.entry.leaving);
         match outcome {
             AttemptOutcome::Answered { failed: false, .. } => {
-                self.crashes.record_success(fingerprints, now_ms);
+                self.crashes.record_success(fingerprints, &mut self.reports, now_ms);
             }
             // The planned end of a process may cut requests off too.
             AttemptOutcome::Crashed | AttemptOutcome::Failed if is_leaving => {}
             AttemptOutcome::Crashed => {
-                self.crashes.record_crash(fingerprints, attempt.incarnation, now_ms);
+                self.crashes.record_crash(
+                    fingerprints,
+                    attempt.incarnation,
+                    &mut self.reports,
+                    now_ms,
+                );
             }
             AttemptOutcome::Failed => {
                 self.crashes.watch(*fingerprints, attempt.upstream, attempt.incarnation, now_ms);
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -11,6 +11,8 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::hash::{Digest, Map};
 
 pub use table::{EntryChange, LAPSED_ENTRY_GRACE_MS, UpstreamTable};
@@ -66,6 +68,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct UpstreamKey(pub u32);
 
+/// Identifies one run of an upstream's process on all VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct IncarnationKey(pub u64);
+
+impl IncarnationKey {
+    /// Derives the key from an upstream's entry.
+    pub fn of(entry: &UpstreamEntry) -> Self {
+        let started_at_ms = entry.started_at_ms.unwrap_or(0).to_le_bytes();
+        Self(Digest::of(&[b"incarnation", entry.name.as_bytes(), &started_at_ms]).to_u64())
+    }
+}
+
 /// An upstream's registration in the store.
 #[derive(Debug, Clone, PartialEq)]
 pub struct UpstreamEntry {
@@ -136,6 +150,8 @@
     pub region: Box<str>,
     /// A digest of the upstream's name, for rendezvous hashing.
     pub hash: u64,
+    /// The run of the upstream's process.
+    pub incarnation: IncarnationKey,
     /// The number of this VM's requests in flight.
     pub in_flight: u32,
     /// The end of the cold phase, in milliseconds.
@@ -163,6 +179,7 @@
         let cold_until_ms =
             if entry.cold_remaining_ms > 0 { now_ms + entry.cold_remaining_ms } else { 0 };
         Self {
+            incarnation: IncarnationKey::of(&entry),
             entry,
             region,
             hash,
--- a/crates/sedgepath-core/src/direct/vms/gossip.rs
+++ b/crates/sedgepath-core/src/direct/vms/gossip.rs
@@ -24,7 +24,7 @@
 use super::summary::{DomainMember, DomainSummary, MAX_MEMBERS, RelayedSummary};
 use super::{Peer, VmTable};
 use crate::clock::HybridTimestamp;
-use crate::direct::crashes::reports::{CrashReports, DueReports};
+use crate::direct::reports::{DueReports, Reports};
 use crate::hash::{Digest, Map};
 use crate::key::VmKey;
 use crate::rendezvous;
@@ -52,7 +52,7 @@
 /// periods of the other domains.
 const FULL_RELAY_MS: u64 = 2_000;
 
-/// The number of VMs of each other failure domain that get a report of crashes.
+/// The number of VMs of each other failure domain that get a report.
 const REPORT_RECEIVERS_PER_DOMAIN: usize = 2;
 
 /// The share of unchanged summaries that are relayed in full, for VMs that lost an earlier one.
@@ -86,8 +86,8 @@
     Summary(DomainSummary),
     /// Summaries of other failure domains, relayed by the sender.
     RelayedSummary(Vec<RelayedSummary>),
-    /// Requests that crash upstreams.
-    CrashReports(CrashReports),
+    /// What the sender and others have observed at upstreams.
+    Reports(Reports),
 }
 
 impl PeerMessage {
@@ -97,7 +97,7 @@
             Self::Heartbeat(_) => "heartbeat",
             Self::Summary(_) => "summary",
             Self::RelayedSummary(_) => "passed_on",
-            Self::CrashReports(_) => "crashes",
+            Self::Reports(_) => "reports",
         }
     }
 }
@@ -199,17 +199,16 @@
         outgoing
     }
 
-    /// Returns the messages with reports of crashes: to all VMs of this VM's failure domain, and to
+    /// Returns the messages with reports: to all VMs of this VM's failure domain, and to
     /// some of each other one, which relay them.
-    pub fn crash_report_messages(
+    pub fn report_messages(
         &self,
         due: DueReports,
         quarantine_version: u64,
         rng: &mut Rng,
     ) -> Vec<OutgoingMessage> {
-        let message = |relay, reports| {
-            PeerMessage::CrashReports(CrashReports { relay, quarantine_version, reports })
-        };
+        let message =
+            |relay, reports| PeerMessage::Reports(Reports { relay, quarantine_version, reports });
         let to = self.domain_addresses();
         let in_domain = due.in_domain.into_iter();
         let mut outgoing: Vec<_> = in_domain
@@ -229,10 +228,7 @@
         quarantine_version: u64,
         rng: &mut Rng,
     ) -> OutgoingMessage {
-        let message = PeerMessage::CrashReports(CrashReports {
-            quarantine_version,
-            ..CrashReports::default()
-        });
+        let message = PeerMessage::Reports(Reports { quarantine_version, ..Reports::default() });
         let in_domain = rng.choose_multiple(self.domain_addresses(), 1);
         let elsewhere = self.some_of_each_other_domain(1, rng);
         let elsewhere = rng.choose_multiple(elsewhere, 1);
--- a/crates/sedgepath-core/tests/direct_crashes.rs
+++ b/crates/sedgepath-core/tests/direct_crashes.rs
@@ -7,9 +7,11 @@
     Clocks, MAX_PROBES, PROBE_DELAY_MS, QUARANTINE_MS, QuarantineRow,
 };
 use sedgepath_core::direct::crashes::{
-    CrashLedger, IncarnationKey, MAX_SUSPECTS, QUARANTINE_CRASHES, SUSPICION_MS, Verdict,
+    CrashLedger, MAX_SUSPECTS, QUARANTINE_CRASHES, SUSPICION_MS, Verdict,
 };
 use sedgepath_core::direct::fingerprint::{RequestFingerprints, RequestIdentity};
+use sedgepath_core::direct::reports::ReportQueue;
+use sedgepath_core::direct::upstreams::IncarnationKey;
 use sedgepath_core::hash::Digest;
 use sedgepath_core::key::VmKey;
 use sedgepath_test_support::direct::{
@@ -53,7 +55,7 @@
 fn ledger_with_fatal(request: &RequestFingerprints) -> CrashLedger {
     let mut ledger = ledger();
     for number in 0..QUARANTINE_CRASHES as u64 {
-        ledger.record_crash(request, IncarnationKey(number), 0);
+        ledger.record_crash(request, IncarnationKey(number), &mut ReportQueue::default(), 0);
     }
     ledger
 }
@@ -215,7 +217,7 @@
     let innocent = fingerprints("/reads/hot");
     let mut ledger = ledger_with_fatal(&innocent);
     apply_due_writes(&mut ledger, 1, 0);
-    ledger.record_success(&innocent, PROBE_DELAY_MS);
+    ledger.record_success(&innocent, &mut ReportQueue::default(), PROBE_DELAY_MS);
     assert_eq!(apply_due_writes(&mut ledger, 2, PROBE_DELAY_MS), 2);
     assert_eq!(ledger.verdict(&innocent, PROBE_DELAY_MS), Verdict::Allowed);
     assert_eq!(apply_due_writes(&mut ledger, 3, 60_000), 0, "the quarantine is written again");
@@ -242,12 +244,16 @@
     let mut ledger = ledger_with_fatal(&fatal);
     for number in 0..2 * MAX_SUSPECTS as u64 {
         let request = fingerprints(&format!("/reads/{number}"));
-        ledger.record_crash(&request, IncarnationKey(number), number);
+        ledger.record_crash(&request, IncarnationKey(number), &mut ReportQueue::default(), number);
     }
     assert_eq!(ledger.suspect_count(), MAX_SUSPECTS);
     assert!(matches!(ledger.verdict(&fatal, 0), Verdict::Quarantined { .. }));
     let upstreams = sedgepath_core::direct::upstreams::UpstreamTable::default();
-    ledger.maintain(&upstreams, 2 * MAX_SUSPECTS as u64 + SUSPICION_MS);
+    ledger.maintain(
+        &upstreams,
+        &mut ReportQueue::default(),
+        2 * MAX_SUSPECTS as u64 + SUSPICION_MS,
+    );
     assert_eq!(ledger.suspect_count(), 0);
 }
 
@@ -258,8 +264,8 @@
     let other = RequestFingerprints { of_caller: Digest::of(&[b"other"]), ..attacker };
     let mut ledger = ledger();
     for number in 0..QUARANTINE_CRASHES as u64 {
-        ledger.record_crash(&attacker, IncarnationKey(number), 0);
-        ledger.record_success(&other, 10);
+        ledger.record_crash(&attacker, IncarnationKey(number), &mut ReportQueue::default(), 0);
+        ledger.record_success(&other, &mut ReportQueue::default(), 10);
     }
     assert_eq!(ledger.verdict(&other, 20), Verdict::Allowed);
     assert!(matches!(ledger.verdict(&attacker, 20), Verdict::Quarantined { .. }));
--- a/crates/sedgepath-core/tests/fuzz_peer_messages.rs
+++ b/crates/sedgepath-core/tests/fuzz_peer_messages.rs
@@ -9,9 +9,9 @@
 use fuzz_support::config;
 use proptest::prelude::*;
 use sedgepath_core::clock::HybridTimestamp;
-use sedgepath_core::direct::crashes::reports::{CrashReport, CrashReports};
-use sedgepath_core::direct::crashes::{CrashLedger, IncarnationKey};
-use sedgepath_core::direct::upstreams::UpstreamTable;
+use sedgepath_core::direct::crashes::CrashLedger;
+use sedgepath_core::direct::reports::{Report, ReportQueue, Reports};
+use sedgepath_core::direct::upstreams::{IncarnationKey, UpstreamTable};
 use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
 use sedgepath_core::direct::vms::{
     DomainMember, DomainSummary, RelayedSummary, StoreHealth, SummaryUpdate, VmTable,
@@ -57,12 +57,12 @@
             RelayedSummary { age_ms: 10, update: changed },
             RelayedSummary { age_ms: 10, update: unchanged },
         ]),
-        PeerMessage::CrashReports(CrashReports {
+        PeerMessage::Reports(Reports {
             relay: true,
             quarantine_version: 3,
             reports: vec![
-                CrashReport::Crashed { fingerprint, incarnation: IncarnationKey(1) },
-                CrashReport::Cleared { fingerprint, incarnations: vec![IncarnationKey(1)] },
+                Report::Crashed { fingerprint, incarnation: IncarnationKey(1) },
+                Report::Cleared { fingerprint, incarnations: vec![IncarnationKey(1)] },
             ],
         }),
     ]
@@ -82,9 +82,9 @@
                 vm.record_relayed_summary(relayed, NOW_MS);
             }
         }
-        PeerMessage::CrashReports(reports) => {
+        PeerMessage::Reports(reports) => {
             for report in &reports.reports {
-                crashes.receive(report, reports.relay, NOW_MS);
+                crashes.receive(report, NOW_MS);
             }
         }
     }
@@ -111,8 +111,7 @@
             }
         }
         let now_ms = NOW_MS + later_ms;
-        crashes.reports_mut().take_due(now_ms);
-        crashes.maintain(&UpstreamTable::default(), now_ms);
+        crashes.maintain(&UpstreamTable::default(), &mut ReportQueue::default(), now_ms);
         prop_assert!(!vm.look_up("north-a", "north", now_ms).is_empty());
         vm.should_read_store(now_ms);
         vm.store_health(StoreHealth::Unknown, now_ms);
--- a/crates/sedgepath-test-support/src/vm_network.rs
+++ b/crates/sedgepath-test-support/src/vm_network.rs
@@ -9,8 +9,10 @@
 
 use fastrand::Rng;
 use sedgepath_core::clock::HybridTimestamp;
-use sedgepath_core::direct::crashes::{CrashLedger, IncarnationKey, Verdict};
+use sedgepath_core::direct::crashes::{CrashLedger, Verdict};
 use sedgepath_core::direct::fingerprint::RequestFingerprints;
+use sedgepath_core::direct::reports::ReportQueue;
+use sedgepath_core::direct::upstreams::IncarnationKey;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, OutgoingMessage, PeerMessage};
 use sedgepath_core::direct::vms::{VmDescriptor, VmHeartbeat, VmTable};
 use sedgepath_core::hash::{Map, Set};
@@ -23,7 +25,7 @@
 /// The number of failure domains in a region.
 const DOMAINS_PER_REGION: usize = 3;
 
-/// The time for which a VM collects reports of crashes before it sends them, in milliseconds.
+/// The time for which a VM collects reports before it sends them, in milliseconds.
 const REPORT_DELAY_MS: u64 = 20;
 
 const PEER_PORT: u16 = 7_000;
@@ -46,6 +48,7 @@
 struct Vm {
     table: Option<VmTable>,
     ledger: Option<CrashLedger>,
+    reports: ReportQueue,
     boot_at_ms: u64,
     suspended_until_ms: u64,
 }
@@ -82,7 +85,13 @@
     /// Creates a network without running VMs.
     pub fn new(domains: usize, per_domain: usize, seed: u64) -> Self {
         let count = domains * per_domain;
-        let vm = |_| Vm { table: None, ledger: None, boot_at_ms: 0, suspended_until_ms: 0 };
+        let vm = |_| Vm {
+            table: None,
+            ledger: None,
+            reports: ReportQueue::default(),
+            boot_at_ms: 0,
+            suspended_until_ms: 0,
+        };
         Self {
             per_domain,
             now_ms: 0,
@@ -183,6 +192,7 @@
         let table = VmTable::new(heartbeat, TIMING);
         self.vms[vm] = Vm {
             ledger: Some(CrashLedger::new(table.key())),
+            reports: ReportQueue::default(),
             table: Some(table),
             boot_at_ms: boot,
             suspended_until_ms: 0,
@@ -246,8 +256,9 @@
     /// Records that a VM lost a request at an upstream that crashed.
     pub fn crash(&mut self, vm: VmIndex, request: &RequestFingerprints, upstream: IncarnationKey) {
         let now_ms = self.now_ms;
-        if let Some(ledger) = &mut self.vms[vm].ledger {
-            ledger.record_crash(request, upstream, now_ms);
+        let Vm { ledger, reports, .. } = &mut self.vms[vm];
+        if let Some(ledger) = ledger {
+            ledger.record_crash(request, upstream, reports, now_ms);
             self.schedule(now_ms + REPORT_DELAY_MS, Event::ReportRound { vm });
         }
     }
@@ -255,8 +266,9 @@
     /// Records that a VM relayed the response to a request.
     pub fn succeed(&mut self, vm: VmIndex, request: &RequestFingerprints) {
         let now_ms = self.now_ms;
-        if let Some(ledger) = &mut self.vms[vm].ledger {
-            ledger.record_success(request, now_ms);
+        let Vm { ledger, reports, .. } = &mut self.vms[vm];
+        if let Some(ledger) = ledger {
+            ledger.record_success(request, reports, now_ms);
             self.schedule(now_ms + REPORT_DELAY_MS, Event::ReportRound { vm });
         }
     }
@@ -343,15 +355,15 @@
     fn send_reports(&mut self, vm: VmIndex) {
         let (now_ms, mut rng) = (self.now_ms, self.rng.fork());
         let resumes_at_ms = self.vms[vm].suspended_until_ms;
-        let Vm { table: Some(table), ledger: Some(ledger), .. } = &mut self.vms[vm] else {
+        let Vm { table: Some(table), reports, .. } = &mut self.vms[vm] else {
             return;
         };
         if now_ms < resumes_at_ms {
             return self.schedule(resumes_at_ms, Event::ReportRound { vm });
         }
-        let due = ledger.reports_mut().take_due(now_ms);
-        let next_at_ms = ledger.reports_mut().due_at_ms();
-        for OutgoingMessage { message, to } in table.crash_report_messages(due, 0, &mut rng) {
+        let due = reports.take_due(now_ms);
+        let next_at_ms = reports.due_at_ms();
+        for OutgoingMessage { message, to } in table.report_messages(due, 0, &mut rng) {
             for to in to {
                 self.send(vm, to, message.clone());
             }
@@ -396,7 +408,7 @@
         self.last_timestamp_ms += 1;
         let timestamp = HybridTimestamp { time_ms: self.last_timestamp_ms, count: 0 };
         let mut rng = self.rng.fork();
-        let Vm { table: Some(table), ledger: Some(ledger), .. } = &mut self.vms[vm] else {
+        let Vm { table: Some(table), ledger: Some(ledger), reports, .. } = &mut self.vms[vm] else {
             return;
         };
         let mut has_news = false;
@@ -417,9 +429,13 @@
                     table.record_relayed_summary(summary, now_ms);
                 }
             }
-            PeerMessage::CrashReports(reports) => {
-                for report in &reports.reports {
-                    has_news |= ledger.receive(report, reports.relay, now_ms);
+            PeerMessage::Reports(received) => {
+                for report in &received.reports {
+                    let is_news = ledger.receive(report, now_ms);
+                    if is_news && received.relay {
+                        reports.relay(report.clone(), now_ms);
+                    }
+                    has_news |= is_news;
                 }
             }
         }
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -130,8 +130,8 @@
     pub fn record_outcome(&mut self, upstream: UpstreamKey, outcome: AttemptOutcome) {
         let mut steering = self.shared.steering.borrow_mut();
         steering.record_outcome(&mut self.state, upstream, outcome, clock::now_ms());
-        if steering.crashes_mut().reports_mut().due_at_ms().is_some() {
-            self.shared.crash_reports_queued.notify_one();
+        if steering.reports_mut().due_at_ms().is_some() {
+            self.shared.reports_queued.notify_one();
         }
     }
 
--- a/crates/sedgepathd/src/direct/gossip.rs
+++ b/crates/sedgepathd/src/direct/gossip.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use sedgepath_core::clock::HybridTimestamp;
-use sedgepath_core::direct::crashes::reports::{CrashReports, DueReports};
 use sedgepath_core::direct::replicas::Table;
+use sedgepath_core::direct::reports::{DueReports, Reports};
 use sedgepath_core::direct::vms::gossip::{Heartbeat, OutgoingMessage, PeerMessage};
 use sedgepath_core::direct::vms::{RelayedSummary, VmHeartbeat};
 
@@ -17,7 +17,7 @@
 /// The largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_432;
 
-/// The time for which reports of crashes are collected before they are sent.
+/// The time for which reports are collected before they are sent.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
 
 /// The bytes of a datagram before the summaries of a list.
@@ -33,12 +33,12 @@
     }
 }
 
-/// Sends reports of crashes when they are due, until the process ends.
-pub async fn send_crash_reports(shared: Rc<SharedState>) {
+/// Sends reports when they are due, until the process ends.
+pub async fn send_reports(shared: Rc<SharedState>) {
     loop {
-        let due_at_ms = shared.steering.borrow_mut().crashes_mut().reports_mut().due_at_ms();
+        let due_at_ms = shared.steering.borrow_mut().reports_mut().due_at_ms();
         let Some(due_at_ms) = due_at_ms else {
-            shared.crash_reports_queued.notified().await;
+            shared.reports_queued.notified().await;
             tokio::time::sleep(REPORT_DELAY).await;
             continue;
         };
@@ -49,9 +49,9 @@
         }
         let messages = {
             let mut steering = shared.steering.borrow_mut();
-            let due = steering.crashes_mut().reports_mut().take_due(now_ms);
+            let due = steering.reports_mut().take_due(now_ms);
             let version = quarantine_version(&shared);
-            steering.vms().crash_report_messages(due, version, &mut fastrand::Rng::new())
+            steering.vms().report_messages(due, version, &mut fastrand::Rng::new())
         };
         send_messages(&shared, messages).await;
     }
@@ -74,7 +74,7 @@
         let due = DueReports { in_domain: vec![Vec::new()], elsewhere: vec![Vec::new()] };
         let version = quarantine_version(shared);
         let steering = shared.steering.borrow();
-        steering.vms().crash_report_messages(due, version, &mut fastrand::Rng::new())
+        steering.vms().report_messages(due, version, &mut fastrand::Rng::new())
     };
     send_messages(shared, messages).await;
 }
@@ -195,8 +195,8 @@
                     steering.vms_mut().record_relayed_summary(summary, clock::now_ms());
                 }
             }
-            Some((from, PeerMessage::CrashReports(reports))) => {
-                handle_crash_reports(&shared, &reports, from);
+            Some((from, PeerMessage::Reports(reports))) => {
+                handle_reports(&shared, &reports, from);
             }
             None => {}
         }
@@ -212,16 +212,15 @@
     Some((from, message))
 }
 
-fn handle_crash_reports(shared: &Rc<SharedState>, reports: &CrashReports, from: SocketAddr) {
+fn handle_reports(shared: &Rc<SharedState>, reports: &Reports, from: SocketAddr) {
     fetch::fetch_newer_rows(shared, Table::Quarantine, reports.quarantine_version, from);
     let now_ms = clock::now_ms();
     let mut steering = shared.steering.borrow_mut();
-    let crashes = steering.crashes_mut();
     for report in &reports.reports {
-        crashes.receive(report, reports.relay, now_ms);
+        steering.receive_report(report, reports.relay, now_ms);
     }
-    if crashes.reports_mut().due_at_ms().is_some() {
-        shared.crash_reports_queued.notify_one();
+    if steering.reports_mut().due_at_ms().is_some() {
+        shared.reports_queued.notify_one();
     }
 }
 
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -128,7 +128,7 @@
         table_server::handle_rows_request,
     ));
     spawn_local(gossip::send_periodically(Rc::clone(&shared)));
-    spawn_local(gossip::send_crash_reports(Rc::clone(&shared)));
+    spawn_local(gossip::send_reports(Rc::clone(&shared)));
     spawn_local(maintain(Rc::clone(&shared)));
     if let Some(port) = options.metrics_port {
         let address = SocketAddr::new(shared.settings.ip, port);
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -49,8 +49,8 @@
     pub upstream_connections: ConnectionPool,
     /// Checks under way whether upstreams have crashed.
     pub crash_checks: CrashChecks,
-    /// Wakes the task that sends reports of crashes.
-    pub crash_reports_queued: tokio::sync::Notify,
+    /// Wakes the task that sends reports.
+    pub reports_queued: tokio::sync::Notify,
     /// Whether rows of the quarantine are being written to the store.
     pub writing_quarantine: Cell<bool>,
     /// The number of requests in flight.
@@ -128,7 +128,7 @@
             steering: RefCell::new(steering),
             upstream_connections: ConnectionPool::default(),
             crash_checks: CrashChecks::default(),
-            crash_reports_queued: tokio::sync::Notify::new(),
+            reports_queued: tokio::sync::Notify::new(),
             writing_quarantine: Cell::new(false),
             in_flight_requests: Cell::new(0),
             open_connections: Cell::new(0),
