Share the rate limits that upstreams state among a few VMs

An upstream that had named 2.7 requests a second got 31 within 4 s (21 allowed), another with 5.1 got 70 (36). Cause: the statement was relayed and not read; class: a limit over all VMs. Ruled out: that each VM obeys it for itself (no fall at all at 8.0 s), sends past a check. Change: a few VMs, alike by rendezvous hashing over those that serve in the upstream's region, share 0.7 of the limit, each at one request a second or more; the others send nothing there. VMs tell each other of it, renew it each 2 s, and of its end. Every send takes a token; the rest goes to the next upstream of the object, or is rejected at once with the time of the next token.

--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -14,6 +14,7 @@
 //! - [`budget`]: the retry budget.
 //! - [`crashes`]: requests that crash the upstreams that run them.
 //! - [`fingerprint`]: how the repeats of a request are recognised.
+//! - [`rate_limits`]: the request rates that upstreams accept.
 //! - [`reports`]: what VMs tell each other of upstreams.
 //! - [`replicas`]: replicas of the store's tables, which VMs exchange with each other.
 //! - [`status`]: the state that a VM reports to operators.
@@ -22,10 +23,12 @@
 //!
 //! # Limits shared by all VMs
 //!
-//! The retry budget and the request rate to a cold upstream are limits over all VMs. Each VM uses
+//! The retry budget and the request rates to an upstream that is cold, or states a limit, are limits
+//! over all VMs. Each VM uses
 //! a share of the retry budget that follows from the number of VMs that it knows. A cold upstream
-//! gets requests from one VM only, which every VM determines by the same rendezvous hash. Neither
-//! limit needs messages between VMs, so both hold during a network partition.
+//! gets requests from one VM only, which every VM determines by the same rendezvous hash, and one that
+//! states a limit from a few. The parts need no messages between VMs, so the limits hold during a
+//! network partition; VMs tell each other of a stated limit and of its end.
 
 pub mod ablation;
 pub mod attempts;
@@ -34,6 +37,7 @@
 pub mod fingerprint;
 pub mod placement;
 pub mod queueing;
+pub mod rate_limits;
 pub mod replicas;
 pub mod reports;
 pub mod routing;
--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -90,6 +90,8 @@
     Overloaded,
     /// Upstreams that ran the request have crashed.
     CrashesUpstreams,
+    /// The usable upstreams state rate limits that are used up.
+    RateLimited,
 }
 
 impl AttemptOutcome {
@@ -121,6 +123,7 @@
             Self::RetriesExhausted => "no_retry",
             Self::Overloaded => "overloaded",
             Self::CrashesUpstreams => "crashes_upstreams",
+            Self::RateLimited => "upstream_limits",
         }
     }
 }
--- a/crates/sedgepath-core/src/direct/crashes.rs
+++ b/crates/sedgepath-core/src/direct/crashes.rs
@@ -271,6 +271,7 @@
             Report::Cleared { fingerprint, incarnations } => {
                 self.clear(*fingerprint, incarnations, now_ms)
             }
+            Report::RateLimit { .. } => false,
         }
     }
 
--- a/crates/sedgepath-core/src/direct/placement.rs
+++ b/crates/sedgepath-core/src/direct/placement.rs
@@ -11,6 +11,7 @@
 
 use crate::hash::Set;
 
+use super::rate_limits::RateLimits;
 use super::upstreams::{Upstream, UpstreamKey};
 
 /// The number of top-ranked upstreams considered for a request. A larger number spreads a busy
@@ -196,6 +197,8 @@
     pub evacuated: &'a Set<Box<str>>,
     /// The regions that may run the request; empty if any may.
     pub home_regions: &'a [Box<str>],
+    /// The rate limits that upstreams state.
+    pub rate_limits: &'a RateLimits,
     /// The most requests, each on its own connection, that this VM may have in flight at an upstream.
     pub max_in_flight: u32,
     /// The upstreams that the request has been sent to, which don't get it again.
@@ -224,6 +227,12 @@
 impl PlacementQuery<'_> {
     /// Returns whether an upstream may get the request, regardless of its health.
     pub fn is_eligible(&self, key: UpstreamKey, upstream: &Upstream) -> bool {
+        self.is_permitted(key, upstream)
+            && self.rate_limits.allows(upstream.incarnation, self.now_ms)
+    }
+
+    /// As [`is_eligible`](Self::is_eligible), regardless of the upstream's rate limit.
+    pub fn is_permitted(&self, key: UpstreamKey, upstream: &Upstream) -> bool {
         !upstream.entry.leaving
             && !self.evacuated.contains(&upstream.entry.domain)
             && (self.home_regions.is_empty() || self.home_regions.contains(&upstream.region))
--- a/crates/sedgepath-core/src/direct/reports.rs
+++ b/crates/sedgepath-core/src/direct/reports.rs
@@ -28,7 +28,7 @@
 const MAX_REPORTS_PER_MESSAGE: usize = 32;
 
 /// What a VM tells others of a request or an upstream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Report {
     /// The request was in flight at an upstream when that crashed.
     Crashed {
@@ -44,10 +44,33 @@
         /// The upstreams whose crashes no longer count.
         incarnations: Vec<IncarnationKey>,
     },
+    /// An upstream has stated a rate limit, or none any more.
+    RateLimit {
+        /// The upstream.
+        upstream: IncarnationKey,
+        /// The limit in requests per second.
+        per_s: Option<f64>,
+        /// The time since the upstream's response, in milliseconds.
+        age_ms: u64,
+    },
+}
+
+impl Report {
+    /// Returns the report at a time after it was queued.
+    fn aged_by(&self, later_ms: u64) -> Self {
+        match self {
+            Self::RateLimit { upstream, per_s, age_ms } => Self::RateLimit {
+                upstream: *upstream,
+                per_s: *per_s,
+                age_ms: age_ms.saturating_add(later_ms),
+            },
+            Self::Crashed { .. } | Self::Cleared { .. } => self.clone(),
+        }
+    }
 }
 
 /// Reports in a datagram, and the sender's view of the quarantine.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Reports {
     /// Whether the receiver relays news within its failure domain.
     pub relay: bool,
@@ -58,7 +81,7 @@
 }
 
 /// Reports that are due, by receivers.
-#[derive(Debug, Default, PartialEq, Eq)]
+#[derive(Debug, Default, PartialEq)]
 pub struct DueReports {
     /// Reports for the VM's own failure domain, each list for one datagram.
     pub in_domain: Vec<Vec<Report>>,
@@ -72,6 +95,7 @@
     /// Whether the report is for the VM's own failure domain only.
     in_domain_only: bool,
     sends_left: u32,
+    queued_at_ms: u64,
     next_send_at_ms: u64,
 }
 
@@ -85,36 +109,45 @@
     /// Queues a report for all VMs.
     pub fn announce(&mut self, report: Report, now_ms: u64) {
         self.drop_outdated(&report);
-        self.push(report, false, now_ms);
+        self.push(report, false, SENDS_PER_REPORT, now_ms);
     }
 
-    /// Drops the queued crashes of a request that has succeeded since.
-    fn drop_outdated(&mut self, report: &Report) {
-        let Report::Cleared { fingerprint: cleared, incarnations } = report else {
-            return;
-        };
-        self.queued.retain(|queued| match &queued.report {
-            Report::Crashed { fingerprint, incarnation } => {
-                fingerprint != cleared || !incarnations.contains(incarnation)
+    /// Queues a report for all VMs that they have probably received before.
+    pub fn renew(&mut self, report: Report, now_ms: u64) {
+        self.drop_outdated(&report);
+        self.push(report, false, 1, now_ms);
+    }
+
+    /// Drops what a new report replaces: the crashes of a request that has succeeded since, and an
+    /// earlier limit of the same upstream.
+    fn drop_outdated(&mut self, newer: &Report) {
+        self.queued.retain(|queued| match (newer, &queued.report) {
+            (
+                Report::Cleared { fingerprint: cleared, incarnations },
+                Report::Crashed { fingerprint, incarnation },
+            ) => fingerprint != cleared || !incarnations.contains(incarnation),
+            (Report::RateLimit { upstream: limited, .. }, Report::RateLimit { upstream, .. }) => {
+                upstream != limited
             }
-            Report::Cleared { .. } => true,
+            _ => true,
         });
     }
 
     /// Queues a report of another failure domain for the VM's own one.
     pub fn relay(&mut self, report: Report, now_ms: u64) {
         self.drop_outdated(&report);
-        self.push(report, true, now_ms);
+        self.push(report, true, SENDS_PER_RELAY, now_ms);
     }
 
-    fn push(&mut self, report: Report, in_domain_only: bool, now_ms: u64) {
+    fn push(&mut self, report: Report, in_domain_only: bool, sends_left: u32, now_ms: u64) {
         if self.queued.len() == MAX_QUEUED_REPORTS {
             self.queued.pop_front();
         }
         self.queued.push_back(QueuedReport {
             report,
             in_domain_only,
-            sends_left: if in_domain_only { SENDS_PER_RELAY } else { SENDS_PER_REPORT },
+            sends_left,
+            queued_at_ms: now_ms,
             next_send_at_ms: now_ms,
         });
     }
@@ -131,9 +164,9 @@
             queued.sends_left -= 1;
             queued.next_send_at_ms = now_ms + SEND_INTERVAL_MS;
             if !queued.in_domain_only {
-                elsewhere.push(queued.report.clone());
+                elsewhere.push(queued.report.aged_by(now_ms - queued.queued_at_ms));
             }
-            in_domain.push(queued.report.clone());
+            in_domain.push(queued.report.aged_by(now_ms - queued.queued_at_ms));
         }
         self.queued.retain(|queued| queued.sends_left > 0);
         let batches = |reports: Vec<Report>| {
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -18,6 +18,7 @@
 use super::crashes::{CrashLedger, Verdict};
 use super::placement::{Candidate, PlacementWeights, ServiceTimes};
 use super::queueing::{self, QueuePressure, QueueTolerance};
+use super::rate_limits::RateLimits;
 use super::reports::{Report, ReportQueue};
 use super::routing::{Configuration, ServiceSettings, WeightedRoundRobin};
 use super::upstreams::UpstreamTable;
@@ -143,6 +144,7 @@
     store: StoreAvailability,
     crashes: CrashLedger,
     reports: ReportQueue,
+    rate_limits: RateLimits,
 }
 
 impl Steering {
@@ -165,6 +167,7 @@
             queue_pressure: QueuePressure::default(),
             crashes: CrashLedger::new(vms.key()),
             reports: ReportQueue::default(),
+            rate_limits: RateLimits::new(vms.key()),
             other_region_rtt_ms: INITIAL_OTHER_REGION_RTT_MS,
             vms,
             store: StoreAvailability {
@@ -232,6 +235,11 @@
         self.crashes.maintain(&self.upstreams, &mut self.reports, now_ms);
     }
 
+    /// Returns the rate limits that upstreams state.
+    pub fn rate_limits(&self) -> &RateLimits {
+        &self.rate_limits
+    }
+
     /// Returns the reports to other VMs.
     pub fn reports_mut(&mut self) -> &mut ReportQueue {
         &mut self.reports
@@ -240,7 +248,14 @@
     /// Records a report of another VM. One that is news and comes from another failure domain is
     /// queued for the VMs of this VM's own one.
     pub fn receive_report(&mut self, report: &Report, relay: bool, now_ms: u64) {
-        let is_news = self.crashes.receive(report, now_ms);
+        let is_news = match report {
+            Report::RateLimit { upstream, per_s, age_ms } => {
+                let is_news = self.rate_limits.receive(*upstream, *per_s, *age_ms, now_ms);
+                self.update_rate_limits(now_ms);
+                is_news
+            }
+            Report::Crashed { .. } | Report::Cleared { .. } => self.crashes.receive(report, now_ms),
+        };
         if is_news && relay {
             self.reports.relay(report.clone(), now_ms);
         }
@@ -377,11 +392,8 @@
             );
         }
         let Some(candidate) = self.choose(request, random, now_ms) else {
-            return reject_or_give_up(
-                RejectionReason::NoUpstream,
-                NO_UPSTREAM_RETRY_AFTER_MS,
-                request,
-            );
+            let (reason, retry_after_ms) = self.no_upstream(request, now_ms);
+            return reject_or_give_up(reason, retry_after_ms, request);
         };
         let pressure = self.queue_pressure.record(&request.service, candidate.wait_ms > 0.0);
         let tolerance = self.config.queue_tolerance;
@@ -432,6 +444,7 @@
             load_age_ms: upstream.load_age_ms(now_ms),
             expected_ms: candidate.expected_ms as u64,
         };
+        self.rate_limits.record_send(upstream.incarnation, now_ms);
         upstream.record_send(request.object, now_ms);
         let times = self.service_times.get(&request.service).copied().unwrap_or_default();
         let overdue_ms = candidate.wait_ms + times.work_ms(false) * OVERDUE_FACTOR;
--- a/crates/sedgepath-core/src/direct/steering/learning.rs
+++ b/crates/sedgepath-core/src/direct/steering/learning.rs
@@ -127,6 +127,32 @@
         *mean_bytes += SAMPLE_WEIGHT * (body_bytes as f64 - *mean_bytes);
     }
 
+    /// Records the rate limit that a response states, or that it states none. Returns whether that
+    /// is new.
+    pub fn record_rate_limit(
+        &mut self,
+        request: &RequestState,
+        key: UpstreamKey,
+        stated_per_s: Option<f64>,
+        now_ms: u64,
+    ) -> bool {
+        let attempt = request.in_flight.iter().find(|attempt| attempt.upstream == key);
+        let Some(InFlightAttempt { incarnation, sent_at_ms, .. }) = attempt.copied() else {
+            return false;
+        };
+        let is_news = self.rate_limits.record_response(
+            incarnation,
+            stated_per_s,
+            sent_at_ms,
+            &mut self.reports,
+            now_ms,
+        );
+        if is_news {
+            self.update_rate_limits(now_ms);
+        }
+        is_news
+    }
+
     /// Records the time in which a connection to an upstream was opened, as a sample of the round trip
     /// if the upstream is in another region.
     pub fn record_connect_time(&mut self, key: UpstreamKey, took_ms: u64) {
--- a/crates/sedgepath-core/src/direct/steering/selection.rs
+++ b/crates/sedgepath-core/src/direct/steering/selection.rs
@@ -1,12 +1,13 @@
 //! The choice of an upstream for a request, with a fallback if none is healthy.
 
+use crate::hash::Map;
 use crate::key::VmKey;
 use crate::rendezvous;
 
-use super::Steering;
-use crate::direct::attempts::RequestState;
+use super::{NO_UPSTREAM_RETRY_AFTER_MS, Steering};
+use crate::direct::attempts::{RejectionReason, RequestState};
 use crate::direct::placement::{Candidate, PlacementQuery};
-use crate::direct::upstreams::{Upstream, UpstreamKey};
+use crate::direct::upstreams::{IncarnationKey, Upstream, UpstreamKey};
 use crate::direct::vms::VmDescriptor;
 
 impl Steering {
@@ -17,8 +18,40 @@
         random: u64,
         now_ms: u64,
     ) -> Option<Candidate> {
+        let query = self.placement_query(request, random, now_ms);
+        let keys = self.upstreams.of_service(&request.service);
+        let upstreams = || keys.iter().filter_map(|key| Some((*key, self.upstreams.get(*key)?)));
+        query
+            .choose(upstreams())
+            .or_else(|| self.choose_fallback(&request.service, &query, upstreams()))
+    }
+
+    /// Returns the rejection of a request for which there is no upstream.
+    pub(super) fn no_upstream(
+        &self,
+        request: &RequestState,
+        now_ms: u64,
+    ) -> (RejectionReason, u64) {
+        let query = self.placement_query(request, 0, now_ms);
+        let keys = self.upstreams.of_service(&request.service).iter();
+        let permitted = keys.filter_map(|key| {
+            let upstream = self.upstreams.get(*key)?;
+            query.is_permitted(*key, upstream).then_some(upstream.incarnation)
+        });
+        match self.rate_limits.retry_after_ms(permitted, now_ms) {
+            Some(retry_after_ms) => (RejectionReason::RateLimited, retry_after_ms),
+            None => (RejectionReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS),
+        }
+    }
+
+    fn placement_query<'a>(
+        &'a self,
+        request: &'a RequestState,
+        random: u64,
+        now_ms: u64,
+    ) -> PlacementQuery<'a> {
         let weights = self.config.weights;
-        let query = PlacementQuery {
+        PlacementQuery {
             weights,
             object: request.object.filter(|_| weights.object_affinity).unwrap_or(random),
             sticky: request.route.sticky && request.object.is_some() && weights.object_affinity,
@@ -29,15 +62,11 @@
             times: self.service_times.get(&request.service).copied().unwrap_or_default(),
             evacuated: &self.evacuated_domains,
             home_regions: &request.route.home_regions,
+            rate_limits: &self.rate_limits,
             max_in_flight: self.max_in_flight(&request.service, now_ms),
             tried_upstreams: &request.tried_upstreams,
             now_ms,
-        };
-        let keys = self.upstreams.of_service(&request.service);
-        let upstreams = || keys.iter().filter_map(|key| Some((*key, self.upstreams.get(*key)?)));
-        query
-            .choose(upstreams())
-            .or_else(|| self.choose_fallback(&request.service, &query, upstreams()))
+        }
     }
 
     /// Chooses an upstream when none is healthy: a cold one within its rate limit, or an unhealthy one
@@ -97,6 +126,30 @@
         rendezvous::owner(upstream.hash, &candidates) == Some(self.vms.key())
     }
 
+    /// Updates this VM's parts of the rate limits that upstreams state: those of an upstream's region
+    /// share its limit, or all VMs if none serves there.
+    pub fn update_rate_limits(&mut self, now_ms: u64) {
+        if self.rate_limits.is_empty() {
+            return;
+        }
+        let serving = self.vms.serving_vms(now_ms);
+        let regions: Map<IncarnationKey, &str> = self
+            .upstreams
+            .iter()
+            .map(|(_, upstream)| (upstream.incarnation, &*upstream.region))
+            .collect();
+        let sharing_vms = |upstream: IncarnationKey| -> Option<Vec<VmKey>> {
+            let region = regions.get(&upstream)?;
+            let in_region = serving.iter().filter(|descriptor| *descriptor.region == **region);
+            let in_region: Vec<_> = in_region.map(|descriptor| descriptor.key()).collect();
+            if in_region.is_empty() {
+                return Some(serving.iter().map(|descriptor| descriptor.key()).collect());
+            }
+            Some(in_region)
+        };
+        self.rate_limits.update_parts(sharing_vms, now_ms);
+    }
+
     /// Returns this VM's share of the connections that an upstream accepts from all VMs.
     ///
     /// An upstream resets connections beyond its limit, and the requests on them may have run.
--- a/crates/sedgepath-core/src/direct/vms/gossip.rs
+++ b/crates/sedgepath-core/src/direct/vms/gossip.rs
@@ -78,7 +78,7 @@
 }
 
 /// A message between VMs, sent as a datagram.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// The state of the sender.
     Heartbeat(Heartbeat),
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -98,11 +98,13 @@
     pub outcome: AttemptOutcome,
     /// The response to pass on, if any.
     pub response: Option<Response<Body>>,
+    /// What the upstream's response states of its rate limit; `None` if that is unknown.
+    pub rate_limit: Option<StatedRateLimit>,
 }
 
 impl AttemptResult {
     fn without_response(outcome: AttemptOutcome) -> Self {
-        Self { outcome, response: None }
+        Self { outcome, response: None, rate_limit: None }
     }
 }
 
@@ -135,6 +137,28 @@
         }
     }
 
+    /// Records what the response of an attempt states of its upstream's rate limit.
+    pub fn record_rate_limit(&mut self, attempt: &Attempt, stated: StatedRateLimit) {
+        let stated_per_s = match stated {
+            StatedRateLimit::None => None,
+            StatedRateLimit::PerSecond(per_s) => Some(per_s),
+            StatedRateLimit::Invalid => {
+                log::warn!(
+                    target: ROUTINE_TARGET,
+                    "event=upstream_limit_unreadable upstream={}",
+                    attempt.name,
+                );
+                return;
+            }
+        };
+        let mut steering = self.shared.steering.borrow_mut();
+        let now_ms = clock::now_ms();
+        if steering.record_rate_limit(&self.state, attempt.upstream, stated_per_s, now_ms) {
+            let per_s = stated_per_s.map_or_else(|| "none".into(), |per_s| per_s.to_string());
+            log::info!("event=upstream_limit upstream={} per_s={per_s}", attempt.name);
+        }
+    }
+
     /// Decides whether to send, reject or give up the request.
     pub fn next_step(&mut self) -> NextStep {
         let mut steering = self.shared.steering.borrow_mut();
@@ -261,7 +285,6 @@
     connection: Connection,
 ) -> AttemptResult {
     let headers = ResponseHeaders::parse(response.status(), response.headers(), &head.attempt_id);
-    log_rate_limit(attempt, headers.rate_limit);
     let (parts, mut incoming) = response.into_parts();
     let deadline = clock::instant_at(deadline_at_ms);
     let buffered = match headers.kind {
@@ -285,7 +308,12 @@
     match (headers.kind, buffered) {
         (ResponseKind::NotRun, _) => {
             reusable.release(shared);
-            AttemptResult::without_response(AttemptOutcome::Refused { report })
+            let rate_limit = match headers.rate_limit {
+                StatedRateLimit::None => None,
+                stated => Some(stated),
+            };
+            let outcome = AttemptOutcome::Refused { report };
+            AttemptResult { outcome, response: None, rate_limit }
         }
         (ResponseKind::Misdirected, _) => {
             AttemptResult::without_response(AttemptOutcome::Misdirected)
@@ -293,7 +321,8 @@
         (_, BufferedBody::Complete(bytes)) => {
             reusable.release(shared);
             let outcome = response_outcome(parts.status, headers, bytes.len() as u64);
-            AttemptResult { outcome, response: Some(build_response(parts, bytes_body(bytes))) }
+            let response = Some(build_response(parts, bytes_body(bytes)));
+            AttemptResult { outcome, response, rate_limit: Some(headers.rate_limit) }
         }
         (_, BufferedBody::Partial(prefix)) => {
             let outcome = response_outcome(parts.status, headers, prefix.len() as u64);
@@ -302,27 +331,12 @@
                 rest: incoming,
                 _connection: reusable.connection,
             };
-            AttemptResult { outcome, response: Some(build_response(parts, body.boxed_unsync())) }
+            let response = Some(build_response(parts, body.boxed_unsync()));
+            AttemptResult { outcome, response, rate_limit: Some(headers.rate_limit) }
         }
     }
 }
 
-fn log_rate_limit(attempt: &Attempt, limit: StatedRateLimit) {
-    match limit {
-        StatedRateLimit::None => {}
-        StatedRateLimit::PerSecond(per_s) => log::info!(
-            target: ROUTINE_TARGET,
-            "event=upstream_limit upstream={} per_s={per_s}",
-            attempt.name,
-        ),
-        StatedRateLimit::Invalid => log::warn!(
-            target: ROUTINE_TARGET,
-            "event=upstream_limit_unreadable upstream={}",
-            attempt.name,
-        ),
-    }
-}
-
 fn response_outcome(
     status: StatusCode,
     headers: ResponseHeaders,
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -246,6 +246,9 @@
                 }
             };
             shared.metrics.count_attempt(attempt.decision.cause, result.outcome);
+            if let Some(stated) = result.rate_limit {
+                request.record_rate_limit(&attempt, stated);
+            }
             request.record_outcome(attempt.upstream, result.outcome);
             match (result.outcome, result.response) {
                 (AttemptOutcome::Answered { failed: false, .. }, Some(response)) => {
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -212,6 +212,7 @@
             let mut steering = shared.steering.borrow_mut();
             steering.update_store_health(shared.store_call_state.get().health(now_ms), now_ms);
             steering.maintain_crashes(now_ms);
+            steering.update_rate_limits(now_ms);
             steering.upstreams_mut().remove_lapsed(now_ms)
         };
         for name in lapsed {
--- a/crates/sedgepathd/tests/direct_limits.rs
+++ b/crates/sedgepathd/tests/direct_limits.rs
@@ -7,6 +7,7 @@
 use platform::caller;
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{TestCluster, Vm, configure, wait_for};
+use sedgepath_adapter::headers::{ResponseHeaders, StatedRateLimit};
 use sedgepath_test_support::store::StoreStandIn;
 
 /// The rate limit that the upstream states, in requests per second.
@@ -103,3 +104,24 @@
     let most = most_in_a_window(preferred, lifted_at + SETTLED_AFTER);
     assert!(most as f64 > allowed, "{most} requests in a window after the limit has ended");
 }
+
+/// Guards against limits taken from what isn't a decimal number, and against the greater of two.
+#[test]
+fn only_decimal_numbers_are_rate_limits() {
+    let parse = |values: &[&str]| {
+        let mut headers = hyper::HeaderMap::new();
+        for value in values {
+            headers.append("server-limit", value.parse().expect("a header value"));
+        }
+        ResponseHeaders::parse(hyper::StatusCode::OK, &headers, "a").rate_limit
+    };
+    assert_eq!(parse(&[]), StatedRateLimit::None);
+    assert_eq!(parse(&["2.7"]), StatedRateLimit::PerSecond(2.7));
+    assert_eq!(parse(&[" 0 "]), StatedRateLimit::PerSecond(0.0));
+    assert_eq!(parse(&["5", "3.5"]), StatedRateLimit::PerSecond(3.5));
+    let damaged = ["", "-1", "+1", "NaN", "inf", "1e9", "1,5", "1.2.3", ".", "2 per second"];
+    for value in damaged {
+        assert_eq!(parse(&[value]), StatedRateLimit::Invalid, "{value:?}");
+        assert_eq!(parse(&["3", value]), StatedRateLimit::Invalid, "{value:?}");
+    }
+}
--- a/crates/sedgepathd/tests/fatal_rows.rs
+++ b/crates/sedgepathd/tests/fatal_rows.rs
@@ -169,6 +169,11 @@
         "X-Sedgepath-Backend-Load: 4294967295,4294967295,4294967295\r\n",
         "X-Sedgepath-Backend-Load: 0,0,0\r\n",
         "X-Sedgepath-Backend-Load: -1,,\r\n",
+        "Server-Limit: \r\n",
+        "Server-Limit: -1\r\n",
+        "Server-Limit: NaN\r\n",
+        "Server-Limit: 1e9\r\nServer-Limit: 3\r\n",
+        "Server-Limit: 99999999999999999999999999999999999\r\n",
     ] {
         upstream.set_first_headers(headers);
         for _ in 0..3 {
