Bound the rows of the quarantine that a VM writes at a time

Many requests in flight at the same three crashes would be written one after the other by each VM that saw the third, beyond the store's 400 writes a second for all. 16 rows each quarter of a second now, and at most 1,000 planned; the rest is rejected by what the VMs tell each other meanwhile.

--- a/crates/sedgepath-core/src/direct/crashes/quarantine.rs
+++ b/crates/sedgepath-core/src/direct/crashes/quarantine.rs
@@ -29,6 +29,10 @@
 /// The most quarantined requests.
 pub const MAX_QUARANTINED: usize = 1_000;
 
+/// The most rows that a VM writes at a time, so that the VMs together keep to the store's rate when
+/// many requests were in flight at the same crashes.
+pub const MAX_WRITES: usize = 16;
+
 /// The time from a write of a row to the next try, in milliseconds.
 const WRITE_RETRY_MS: u64 = 3_000;
 
@@ -172,6 +176,9 @@
     }
 
     fn plan(&mut self, fingerprint: Digest, quarantined: bool, at_ms: u64, now_ms: u64) {
+        if self.planned.len() >= MAX_QUARANTINED && !self.planned.contains_key(&fingerprint) {
+            return;
+        }
         let until_ms = now_ms + super::SUSPICION_MS;
         self.planned.insert(fingerprint, PlannedChange { quarantined, at_ms, until_ms });
     }
@@ -214,7 +221,7 @@
         let mut writes = Vec::new();
         for (fingerprint, planned) in &mut self.planned {
             let full = planned.quarantined && self.rows.len() >= MAX_QUARANTINED;
-            if planned.at_ms > now_ms || full {
+            if planned.at_ms > now_ms || full || writes.len() >= MAX_WRITES {
                 continue;
             }
             planned.at_ms = now_ms + WRITE_RETRY_MS;
@@ -228,7 +235,8 @@
                 }),
             });
         }
-        writes.extend(self.expired_rows(now_ms));
+        let left = MAX_WRITES - writes.len();
+        writes.extend(self.expired_rows(now_ms).into_iter().take(left));
         writes
     }
 
