--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -31,6 +31,7 @@
     configuration: IntGauge,
     store_contact: IntGauge,
     in_flight: IntGauge,
+    quarantined: IntGauge,
 }
 
 impl Metrics {
@@ -79,6 +80,10 @@
                 "For how long the store has answered this VM; -1 if it doesn't, or isn't asked.",
             )?,
             in_flight: gauge("sedgepath_requests_in_flight", "Requests not answered yet.")?,
+            quarantined: gauge(
+                "sedgepath_quarantined_fingerprints",
+                "Fingerprints of requests that are rejected because they crash upstreams.",
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -91,7 +96,14 @@
         self.registry.register(Box::new(self.rejections.clone()))?;
         self.registry.register(Box::new(self.peer_bytes.clone()))?;
         self.registry.register(Box::new(self.upstreams.clone()))?;
-        for gauge in [&self.vms, &self.configuration, &self.store_contact, &self.in_flight] {
+        let gauges = [
+            &self.vms,
+            &self.configuration,
+            &self.store_contact,
+            &self.in_flight,
+            &self.quarantined,
+        ];
+        for gauge in gauges {
             self.registry.register(Box::new(gauge.clone()))?;
         }
         Ok(())
@@ -131,6 +143,9 @@
         count("known", &|_| true);
         count("leaving", &|upstream| upstream.entry.leaving);
         count("cold", &|upstream| upstream.is_cold(now_ms));
+        count("limited", &|upstream| {
+            steering.rate_limits().limit_per_s(upstream.incarnation).is_some()
+        });
         count("left_out", &|upstream| now_ms < upstream.ejected_until_ms);
         self.vms.set(to_gauge(steering.vms().serving_vms(now_ms).len()));
         let version = steering.configuration().map_or(0, |in_force| in_force.version);
@@ -143,6 +158,7 @@
                 .reachable_for_ms()
                 .map_or(-1, u64::cast_signed),
         );
+        self.quarantined.set(to_gauge(steering.crashes().quarantine().len()));
         self.in_flight.set(to_gauge(shared.in_flight_requests.get()));
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
