--- a/crates/sedgepath-core/src/direct/crashes.rs
+++ b/crates/sedgepath-core/src/direct/crashes.rs
@@ -9,7 +9,7 @@
 //! A connection that is lost in the middle of a request proves nothing by itself: connections are
 //! also lost when a network fails. An upstream has crashed if it then refuses connections. If it
 //! accepts them, or can't be reached, it has crashed if its entry in the store is replaced or removed
-//! within [`EVIDENCE_MS`] without having been marked as leaving.
+//! within ten seconds without having been marked as leaving.
 //!
 //! # Innocent requests
 //!
--- a/crates/sedgepath-core/src/direct/steering/learning.rs
+++ b/crates/sedgepath-core/src/direct/steering/learning.rs
@@ -73,40 +73,6 @@
         }
     }
 
-    /// Records whether an attempt speaks for or against the request crashing its upstreams.
-    fn record_crash_evidence(
-        &mut self,
-        request: &RequestState,
-        attempt: InFlightAttempt,
-        outcome: AttemptOutcome,
-        now_ms: u64,
-    ) {
-        let Some(fingerprints) = &request.fingerprints else {
-            return;
-        };
-        let is_leaving =
-            self.upstreams.get(attempt.upstream).is_some_and(|upstream| upstream.entry.leaving);
-        match outcome {
-            AttemptOutcome::Answered { failed: false, .. } => {
-                self.crashes.record_success(fingerprints, &mut self.reports, now_ms);
-            }
-            // The planned end of a process may cut requests off too.
-            AttemptOutcome::Crashed | AttemptOutcome::Failed if is_leaving => {}
-            AttemptOutcome::Crashed => {
-                self.crashes.record_crash(
-                    fingerprints,
-                    attempt.incarnation,
-                    &mut self.reports,
-                    now_ms,
-                );
-            }
-            AttemptOutcome::Failed => {
-                self.crashes.watch(*fingerprints, attempt.upstream, attempt.incarnation, now_ms);
-            }
-            _ => {}
-        }
-    }
-
     /// Records the response size of a successful attempt, and its time if it found a free slot.
     fn record_time_and_size(
         &mut self,
@@ -127,32 +93,6 @@
         *mean_bytes += SAMPLE_WEIGHT * (body_bytes as f64 - *mean_bytes);
     }
 
-    /// Records the rate limit that a response states, or that it states none. Returns whether that
-    /// is new.
-    pub fn record_rate_limit(
-        &mut self,
-        request: &RequestState,
-        key: UpstreamKey,
-        stated_per_s: Option<f64>,
-        now_ms: u64,
-    ) -> bool {
-        let attempt = request.in_flight.iter().find(|attempt| attempt.upstream == key);
-        let Some(InFlightAttempt { incarnation, sent_at_ms, .. }) = attempt.copied() else {
-            return false;
-        };
-        let is_news = self.rate_limits.record_response(
-            incarnation,
-            stated_per_s,
-            sent_at_ms,
-            &mut self.reports,
-            now_ms,
-        );
-        if is_news {
-            self.update_rate_limits(now_ms);
-        }
-        is_news
-    }
-
     /// Records the time in which a connection to an upstream was opened, as a sample of the round trip
     /// if the upstream is in another region.
     pub fn record_connect_time(&mut self, key: UpstreamKey, took_ms: u64) {
--- a/crates/sedgepath-core/src/direct/steering/selection.rs
+++ b/crates/sedgepath-core/src/direct/steering/selection.rs
@@ -1,13 +1,12 @@
 //! The choice of an upstream for a request, with a fallback if none is healthy.
 
-use crate::hash::Map;
 use crate::key::VmKey;
 use crate::rendezvous;
 
 use super::{NO_UPSTREAM_RETRY_AFTER_MS, Steering};
 use crate::direct::attempts::{RejectionReason, RequestState};
 use crate::direct::placement::{Candidate, PlacementQuery};
-use crate::direct::upstreams::{IncarnationKey, Upstream, UpstreamKey};
+use crate::direct::upstreams::{Upstream, UpstreamKey};
 use crate::direct::vms::VmDescriptor;
 
 impl Steering {
@@ -126,30 +125,6 @@
         rendezvous::owner(upstream.hash, &candidates) == Some(self.vms.key())
     }
 
-    /// Updates this VM's parts of the rate limits that upstreams state: those of an upstream's region
-    /// share its limit, or all VMs if none serves there.
-    pub fn update_rate_limits(&mut self, now_ms: u64) {
-        if self.rate_limits.is_empty() {
-            return;
-        }
-        let serving = self.vms.serving_vms(now_ms);
-        let regions: Map<IncarnationKey, &str> = self
-            .upstreams
-            .iter()
-            .map(|(_, upstream)| (upstream.incarnation, &*upstream.region))
-            .collect();
-        let sharing_vms = |upstream: IncarnationKey| -> Option<Vec<VmKey>> {
-            let region = regions.get(&upstream)?;
-            let in_region = serving.iter().filter(|descriptor| *descriptor.region == **region);
-            let in_region: Vec<_> = in_region.map(|descriptor| descriptor.key()).collect();
-            if in_region.is_empty() {
-                return Some(serving.iter().map(|descriptor| descriptor.key()).collect());
-            }
-            Some(in_region)
-        };
-        self.rate_limits.update_parts(sharing_vms, now_ms);
-    }
-
     /// Returns this VM's share of the connections that an upstream accepts from all VMs.
     ///
     /// An upstream resets connections beyond its limit, and the requests on them may have run.
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/steering/shared_observations.rs
@@ -0,0 +1,158 @@
+//! What a VM observes at upstreams and shares with other VMs: requests in flight at upstreams that
+//! crashed, and the rate limits that upstreams state.
+
+use super::Steering;
+use crate::direct::attempts::{AttemptOutcome, InFlightAttempt, RequestState};
+use crate::direct::crashes::quarantine::{Clocks, QuarantineWrite};
+use crate::direct::crashes::{CrashLedger, Verdict};
+use crate::direct::rate_limits::RateLimits;
+use crate::direct::reports::{Report, ReportQueue};
+use crate::direct::upstreams::{IncarnationKey, UpstreamKey};
+use crate::hash::Map;
+use crate::key::VmKey;
+
+impl Steering {
+    /// Returns the record of requests that were in flight at upstreams that crashed.
+    pub fn crashes(&self) -> &CrashLedger {
+        &self.crashes
+    }
+
+    /// Returns a mutable reference to the record of requests that were in flight at upstreams that
+    /// crashed.
+    pub fn crashes_mut(&mut self) -> &mut CrashLedger {
+        &mut self.crashes
+    }
+
+    /// Checks the store's entries for upstreams that may have crashed, and drops expired suspicions.
+    pub fn maintain_crashes(&mut self, now_ms: u64) {
+        self.crashes.maintain(&self.upstreams, &mut self.reports, now_ms);
+    }
+
+    /// Returns the rate limits that upstreams state.
+    pub fn rate_limits(&self) -> &RateLimits {
+        &self.rate_limits
+    }
+
+    /// Returns the reports to other VMs.
+    pub fn reports_mut(&mut self) -> &mut ReportQueue {
+        &mut self.reports
+    }
+
+    /// Records a report of another VM. One that is news and comes from another failure domain is
+    /// queued for the VMs of this VM's own one.
+    pub fn receive_report(&mut self, report: &Report, relay: bool, now_ms: u64) {
+        let is_news = match report {
+            Report::RateLimit { upstream, per_s, age_ms } => {
+                let is_news = self.rate_limits.receive(*upstream, *per_s, *age_ms, now_ms);
+                self.update_rate_limits(now_ms);
+                is_news
+            }
+            Report::Crashed { .. } | Report::Cleared { .. } => self.crashes.receive(report, now_ms),
+        };
+        if is_news && relay {
+            self.reports.relay(report.clone(), now_ms);
+        }
+    }
+
+    /// Returns the writes that claim a request's probe, which must be applied together; empty if the
+    /// request needs none or none is due.
+    pub fn probe_claim(&self, request: &RequestState, clocks: Clocks) -> Vec<QuarantineWrite> {
+        match &request.fingerprints {
+            Some(fingerprints) if self.verdict(request, clocks.now_ms) == Verdict::ProbeDue => {
+                self.crashes.quarantine().probe_claim(fingerprints, clocks)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    pub(super) fn verdict(&self, request: &RequestState, now_ms: u64) -> Verdict {
+        request
+            .fingerprints
+            .as_ref()
+            .map_or(Verdict::Allowed, |fingerprints| self.crashes.verdict(fingerprints, now_ms))
+    }
+
+    /// Records whether an attempt speaks for or against the request crashing its upstreams.
+    pub(super) fn record_crash_evidence(
+        &mut self,
+        request: &RequestState,
+        attempt: InFlightAttempt,
+        outcome: AttemptOutcome,
+        now_ms: u64,
+    ) {
+        let Some(fingerprints) = &request.fingerprints else {
+            return;
+        };
+        let is_leaving =
+            self.upstreams.get(attempt.upstream).is_some_and(|upstream| upstream.entry.leaving);
+        match outcome {
+            AttemptOutcome::Answered { failed: false, .. } => {
+                self.crashes.record_success(fingerprints, &mut self.reports, now_ms);
+            }
+            // The planned end of a process may cut requests off too.
+            AttemptOutcome::Crashed | AttemptOutcome::Failed if is_leaving => {}
+            AttemptOutcome::Crashed => {
+                self.crashes.record_crash(
+                    fingerprints,
+                    attempt.incarnation,
+                    &mut self.reports,
+                    now_ms,
+                );
+            }
+            AttemptOutcome::Failed => {
+                self.crashes.watch(*fingerprints, attempt.upstream, attempt.incarnation, now_ms);
+            }
+            _ => {}
+        }
+    }
+
+    /// Records the rate limit that a response states, or that it states none. Returns whether that
+    /// is new.
+    pub fn record_rate_limit(
+        &mut self,
+        request: &RequestState,
+        key: UpstreamKey,
+        stated_per_s: Option<f64>,
+        now_ms: u64,
+    ) -> bool {
+        let attempt = request.in_flight.iter().find(|attempt| attempt.upstream == key);
+        let Some(InFlightAttempt { incarnation, sent_at_ms, .. }) = attempt.copied() else {
+            return false;
+        };
+        let is_news = self.rate_limits.record_response(
+            incarnation,
+            stated_per_s,
+            sent_at_ms,
+            &mut self.reports,
+            now_ms,
+        );
+        if is_news {
+            self.update_rate_limits(now_ms);
+        }
+        is_news
+    }
+
+    /// Updates this VM's parts of the rate limits that upstreams state: those of an upstream's region
+    /// share its limit, or all VMs if none serves there.
+    pub fn update_rate_limits(&mut self, now_ms: u64) {
+        if self.rate_limits.is_empty() {
+            return;
+        }
+        let serving = self.vms.serving_vms(now_ms);
+        let regions: Map<IncarnationKey, &str> = self
+            .upstreams
+            .iter()
+            .map(|(_, upstream)| (upstream.incarnation, &*upstream.region))
+            .collect();
+        let sharing_vms = |upstream: IncarnationKey| -> Option<Vec<VmKey>> {
+            let region = regions.get(&upstream)?;
+            let in_region = serving.iter().filter(|descriptor| *descriptor.region == **region);
+            let in_region: Vec<_> = in_region.map(|descriptor| descriptor.key()).collect();
+            if in_region.is_empty() {
+                return Some(serving.iter().map(|descriptor| descriptor.key()).collect());
+            }
+            Some(in_region)
+        };
+        self.rate_limits.update_parts(sharing_vms, now_ms);
+    }
+}
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -0,0 +1,188 @@
+//! The next step of a request: an attempt, a hedge, a rejection or the end.
+
+use super::Steering;
+use crate::direct::attempts::{
+    Attempt, AttemptCause, AttemptOutcome, InFlightAttempt, NextStep, PlacementDecision,
+    RejectionReason, RequestState,
+};
+use crate::direct::crashes::Verdict;
+use crate::direct::placement::Candidate;
+use crate::direct::queueing;
+
+/// The shortest delay that a caller is told when all upstreams are busy, in milliseconds: about the
+/// time until a slot is free. It is also used once a request's attempts are used up.
+const MIN_BUSY_RETRY_AFTER_MS: u64 = 200;
+
+/// The delay that a caller is told when an upstream has a free slot but the retry budget is used
+/// up, in milliseconds. The caller's next attempt counts as a new request.
+const IMMEDIATE_RETRY_AFTER_MS: u64 = 30;
+
+/// The delay that a caller is told once [`super::IMMEDIATE_RETRY_SHARE`] is used up, in milliseconds.
+const DEFERRED_RETRY_AFTER_MS: u64 = 400;
+
+/// The delay that a caller is told when its request could be a probe that this VM can't claim, in
+/// milliseconds: the store doesn't respond, or another VM has claimed the probe.
+const PROBE_RETRY_AFTER_MS: u64 = 1_000;
+
+/// The longest delay that a caller is told when all upstreams are busy, in milliseconds.
+const MAX_BUSY_RETRY_AFTER_MS: u64 = 1_500;
+
+/// The time after which a response is overdue, beyond the wait for a slot, as a multiple of the time
+/// of cold work. A smaller multiple would hedge requests at upstreams that run only cold objects.
+const OVERDUE_FACTOR: f64 = 2.0;
+
+impl Steering {
+    /// Decides the next step of a request without attempts in flight.
+    pub fn next_step(&mut self, request: &mut RequestState, random: u64, now_ms: u64) -> NextStep {
+        let reject_or_give_up = |reason, retry_after_ms, request: &RequestState| {
+            if request.possible_runs > 0 {
+                return NextStep::GiveUp { reason };
+            }
+            NextStep::Reject { reason, retry_after_ms }
+        };
+        let verdict = self.verdict(request, now_ms);
+        if !(request.is_probe && request.tried_upstreams.is_empty()) {
+            let retry_after_ms = match verdict {
+                Verdict::Quarantined { retry_after_ms } => Some(retry_after_ms),
+                Verdict::ProbeDue => Some(PROBE_RETRY_AFTER_MS),
+                _ if request.possible_runs > 0 && !verdict.allows_retry() => Some(0),
+                Verdict::Allowed | Verdict::Suspected { .. } => None,
+            };
+            if let Some(retry_after_ms) = retry_after_ms {
+                let reason = RejectionReason::CrashesUpstreams;
+                return reject_or_give_up(reason, retry_after_ms, request);
+            }
+        }
+        if !request.allows_attempt() {
+            return reject_or_give_up(
+                RejectionReason::RetriesExhausted,
+                MIN_BUSY_RETRY_AFTER_MS,
+                request,
+            );
+        }
+        let Some(candidate) = self.choose(request, random, now_ms) else {
+            let (reason, retry_after_ms) = self.no_upstream(request, now_ms);
+            return reject_or_give_up(reason, retry_after_ms, request);
+        };
+        let pressure = self.queue_pressure.record(&request.service, candidate.wait_ms > 0.0);
+        let tolerance = self.config.queue_tolerance;
+        let max_wait_ms = queueing::max_wait_ms(request, &candidate, tolerance, pressure, now_ms);
+        if candidate.wait_ms > max_wait_ms {
+            // By then the requests that are queued now should have been served.
+            let retry_after_ms = candidate.wait_ms as u64;
+            let retry_after_ms =
+                retry_after_ms.clamp(MIN_BUSY_RETRY_AFTER_MS, MAX_BUSY_RETRY_AFTER_MS);
+            return reject_or_give_up(RejectionReason::UpstreamsBusy, retry_after_ms, request);
+        }
+        if request.delivered > 0 {
+            let vm_count = self.vms.max_known_vm_count();
+            if !self.budget.try_withdraw(&request.service, vm_count, now_ms) {
+                let retry_after_ms = if candidate.wait_ms > 0.0 {
+                    MIN_BUSY_RETRY_AFTER_MS
+                } else if self.immediate_retries.try_withdraw(&request.service, vm_count, now_ms) {
+                    // A slot is free, but this VM has no retry left to use it.
+                    IMMEDIATE_RETRY_AFTER_MS
+                } else {
+                    DEFERRED_RETRY_AFTER_MS
+                };
+                return reject_or_give_up(
+                    RejectionReason::RetriesExhausted,
+                    retry_after_ms,
+                    request,
+                );
+            }
+        }
+        self.start_attempt(request, candidate, now_ms)
+    }
+
+    fn start_attempt(
+        &mut self,
+        request: &mut RequestState,
+        candidate: Candidate,
+        now_ms: u64,
+    ) -> NextStep {
+        let key = candidate.upstream;
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return NextStep::GiveUp { reason: RejectionReason::NoUpstream };
+        };
+        let decision = PlacementDecision {
+            cause: request.cause,
+            rank: candidate.rank,
+            warm: candidate.warm,
+            load_tenths: (upstream.load(now_ms) * 10.0).round() as u64,
+            load_age_ms: upstream.load_age_ms(now_ms),
+            expected_ms: candidate.expected_ms as u64,
+        };
+        self.rate_limits.record_send(upstream.incarnation, now_ms);
+        upstream.record_send(request.object, now_ms);
+        let times = self.service_times.get(&request.service).copied().unwrap_or_default();
+        let overdue_ms = candidate.wait_ms + times.work_ms(false) * OVERDUE_FACTOR;
+        request.tried_upstreams.push(key);
+        request.in_flight.push(InFlightAttempt {
+            upstream: key,
+            incarnation: upstream.incarnation,
+            sent_at_ms: now_ms,
+            warm: candidate.warm,
+            wait_ms: candidate.wait_ms,
+            network_ms: candidate.network_ms,
+            overdue_at_ms: now_ms + overdue_ms as u64,
+        });
+        NextStep::Send(Attempt {
+            upstream: key,
+            address: upstream.entry.address,
+            name: upstream.entry.name.clone(),
+            decision,
+        })
+    }
+
+    /// Returns when to call [`Steering::hedge`] for a request, in milliseconds, or `None` if the
+    /// request can't be hedged.
+    pub fn hedge_at_ms(&self, request: &RequestState) -> Option<u64> {
+        let [first] = &*request.in_flight else {
+            return None;
+        };
+        if !self.config.hedging {
+            return None;
+        }
+        (request.route.kind.may_retry() && request.allows_attempt()).then_some(first.overdue_at_ms)
+    }
+
+    /// Starts a second attempt if the upstream of the first has responded to nothing since the first
+    /// attempt was sent.
+    ///
+    /// An upstream that is only busy or slow responds to other requests meanwhile; one that lost its
+    /// power doesn't.
+    pub fn hedge(
+        &mut self,
+        request: &mut RequestState,
+        random: u64,
+        now_ms: u64,
+    ) -> Option<Attempt> {
+        if !self.verdict(request, now_ms).allows_hedging() {
+            return None;
+        }
+        let first = request.in_flight.first()?;
+        let silence_ms =
+            self.upstreams.get(first.upstream).map(|upstream| upstream.silence_ms(now_ms));
+        if silence_ms.is_some_and(|silence_ms| now_ms - silence_ms > first.sent_at_ms) {
+            return None;
+        }
+        let candidate = self.choose(request, random, now_ms)?;
+        let vm_count = self.vms.max_known_vm_count();
+        if !self.budget.try_withdraw(&request.service, vm_count, now_ms) {
+            return None;
+        }
+        request.cause = AttemptCause::Unresponsive;
+        match self.start_attempt(request, candidate, now_ms) {
+            NextStep::Send(attempt) => Some(attempt),
+            NextStep::Reject { .. } | NextStep::GiveUp { .. } => None,
+        }
+    }
+
+    /// Cancels all attempts in flight after the caller disconnected or got its response.
+    pub fn cancel_request(&mut self, request: &mut RequestState, now_ms: u64) {
+        while let Some(attempt) = request.in_flight.last() {
+            self.record_outcome(request, attempt.upstream, AttemptOutcome::Canceled, now_ms);
+        }
+    }
+}
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -10,6 +10,7 @@
 mod known_vms;
 mod readers;
 mod remote_domains;
+mod report_messages;
 mod summary;
 
 use std::net::SocketAddr;
--- a/crates/sedgepath-core/src/direct/vms/gossip.rs
+++ b/crates/sedgepath-core/src/direct/vms/gossip.rs
@@ -24,7 +24,7 @@
 use super::summary::{DomainMember, DomainSummary, MAX_MEMBERS, RelayedSummary};
 use super::{Peer, VmTable};
 use crate::clock::HybridTimestamp;
-use crate::direct::reports::{DueReports, Reports};
+use crate::direct::reports::Reports;
 use crate::hash::{Digest, Map};
 use crate::key::VmKey;
 use crate::rendezvous;
@@ -52,9 +52,6 @@
 /// periods of the other domains.
 const FULL_RELAY_MS: u64 = 2_000;
 
-/// The number of VMs of each other failure domain that get a report.
-const REPORT_RECEIVERS_PER_DOMAIN: usize = 2;
-
 /// The share of unchanged summaries that are relayed in full, for VMs that lost an earlier one.
 const FULL_RELAY_SHARE: f64 = 0.125;
 
@@ -199,50 +196,6 @@
         outgoing
     }
 
-    /// Returns the messages with reports: to all VMs of this VM's failure domain, and to
-    /// some of each other one, which relay them.
-    pub fn report_messages(
-        &self,
-        due: DueReports,
-        quarantine_version: u64,
-        rng: &mut Rng,
-    ) -> Vec<OutgoingMessage> {
-        let message =
-            |relay, reports| PeerMessage::Reports(Reports { relay, quarantine_version, reports });
-        let to = self.domain_addresses();
-        let in_domain = due.in_domain.into_iter();
-        let mut outgoing: Vec<_> = in_domain
-            .map(|reports| OutgoingMessage { message: message(false, reports), to: to.clone() })
-            .collect();
-        for reports in due.elsewhere {
-            let to = self.some_of_each_other_domain(REPORT_RECEIVERS_PER_DOMAIN, rng);
-            outgoing.push(OutgoingMessage { message: message(true, reports), to });
-        }
-        outgoing
-    }
-
-    /// Returns the message by which VMs that lack rows of the quarantine notice it, to one VM of this
-    /// VM's failure domain and one of another.
-    pub fn quarantine_announcement(
-        &self,
-        quarantine_version: u64,
-        rng: &mut Rng,
-    ) -> OutgoingMessage {
-        let message = PeerMessage::Reports(Reports { quarantine_version, ..Reports::default() });
-        let in_domain = rng.choose_multiple(self.domain_addresses(), 1);
-        let elsewhere = self.some_of_each_other_domain(1, rng);
-        let elsewhere = rng.choose_multiple(elsewhere, 1);
-        OutgoingMessage { message, to: in_domain.into_iter().chain(elsewhere).collect() }
-    }
-
-    fn some_of_each_other_domain(&self, count: usize, rng: &mut Rng) -> Vec<SocketAddr> {
-        let domains = self.other_domains().into_iter();
-        let addresses = domains.flat_map(|other| {
-            rng.choose_multiple(self.known_vms.domain_addresses(&other.domain), count)
-        });
-        addresses.collect()
-    }
-
     /// Returns a full heartbeat for all receivers of heartbeats.
     pub fn full_heartbeat(&mut self, stamp: HybridTimestamp, now_ms: u64) -> OutgoingMessage {
         let to = self.heartbeat_targets(now_ms);
@@ -388,7 +341,7 @@
         rng.choose_multiple(heard, max_count).into_iter().map(|address| address.ip()).collect()
     }
 
-    fn other_domains(&self) -> Vec<Locality> {
+    pub(super) fn other_domains(&self) -> Vec<Locality> {
         let others = self.known_vms.domains().into_iter();
         others.filter(|locality| locality.domain != self.own.descriptor.domain).cloned().collect()
     }
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -7,6 +7,9 @@
 //! - [`ingress`]: callers' connections and requests.
 //! - [`responses`]: responses of the VM itself.
 //! - [`attempt`]: one attempt of a request at an upstream.
+//! - [`in_flight_request`]: a caller's request with its attempts.
+//! - [`request_body`]: bodies of callers' requests.
+//! - [`response_body`]: bodies of upstreams' responses.
 //! - [`connection_pool`]: idle connections to upstreams.
 //! - [`crash_checks`]: whether upstreams have crashed.
 //! - [`quarantine`]: requests that crash upstreams, in the store.
@@ -27,10 +30,13 @@
 pub mod entry_queries;
 pub mod fetch;
 pub mod gossip;
+pub mod in_flight_request;
 pub mod ingress;
 pub mod logging;
 pub mod metrics;
 pub mod quarantine;
+pub mod request_body;
+pub mod response_body;
 pub mod responses;
 pub mod run;
 pub mod shared;
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -1,23 +1,20 @@
 //! One attempt: a request sent to one upstream, and its response.
 
 use std::io;
-use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, http};
 use sedgepath_adapter::headers::{self, ResponseHeaders, ResponseKind, StatedRateLimit};
-use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome, NextStep, RequestState};
+use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome};
 use sedgepath_core::direct::upstreams::UpstreamKey;
 use tokio::time::timeout_at;
 
 use super::clock;
 use super::connection_pool::{Body, Connection};
-use super::logging::ROUTINE_TARGET;
+use super::response_body::{BufferedBody, PartlyBufferedBody, buffer_body};
 use super::shared::SharedState;
 
 /// Timeout of connecting to an upstream: three of the longest round trips between regions. It is
@@ -25,13 +22,6 @@
 /// tried instead.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The minimum time between checks whether a request needs a hedge, in milliseconds.
-const HEDGE_CHECK_INTERVAL_MS: u64 = 100;
-
-/// Responses up to this size are buffered completely before the caller gets the first byte, so that
-/// a truncated one can be replaced by another upstream's.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 1024 * 1024;
-
 /// The head of a request to be sent.
 #[derive(Debug, Clone)]
 pub struct RequestHead {
@@ -41,51 +31,6 @@
     pub attempt_id: Box<str>,
 }
 
-/// The body of a request to be sent.
-#[derive(Debug)]
-pub enum RequestBody {
-    /// Complete; can be sent again.
-    Buffered(Bytes),
-    /// Partly read; can be sent once.
-    Streamed {
-        /// The first bytes, which the request's fingerprint covers.
-        beginning: Bytes,
-        /// The whole body; `None` after it was sent.
-        body: Option<Body>,
-    },
-}
-
-impl RequestBody {
-    /// Returns whether the body was streamed to an upstream and can't be sent again.
-    pub fn is_spent(&self) -> bool {
-        matches!(self, Self::Streamed { body: None, .. })
-    }
-
-    /// Returns the body for an attempt; `None` if it was streamed in an earlier one.
-    pub fn take(&mut self) -> Option<Body> {
-        match self {
-            Self::Buffered(bytes) => Some(bytes_body(bytes.clone())),
-            Self::Streamed { body, .. } => body.take(),
-        }
-    }
-
-    /// Returns the body, or the beginning of a streamed one.
-    pub fn beginning(&self) -> &[u8] {
-        match self {
-            Self::Buffered(bytes) => bytes,
-            Self::Streamed { beginning, .. } => beginning,
-        }
-    }
-
-    /// Returns the length of the body in bytes, if it is in memory.
-    pub fn buffered_bytes(&self) -> Option<u64> {
-        match self {
-            Self::Buffered(bytes) => Some(bytes.len() as u64),
-            Self::Streamed { .. } => None,
-        }
-    }
-}
-
 /// Returns a body of bytes in memory.
 pub fn bytes_body(bytes: Bytes) -> Body {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
@@ -108,82 +53,6 @@
     }
 }
 
-/// A request in flight, whose remaining attempts are canceled when it is dropped.
-///
-/// The task of a request is dropped when its caller disconnects; without the cancellation its
-/// upstreams would be counted as busy forever.
-#[derive(Debug)]
-pub struct InFlightRequest {
-    /// The state that all tasks share.
-    pub shared: Rc<SharedState>,
-    /// The request's route, deadline and attempts.
-    pub state: RequestState,
-}
-
-impl Drop for InFlightRequest {
-    fn drop(&mut self) {
-        let mut steering = self.shared.steering.borrow_mut();
-        steering.cancel_request(&mut self.state, clock::now_ms());
-    }
-}
-
-impl InFlightRequest {
-    /// Records the outcome of the attempt at an upstream.
-    pub fn record_outcome(&mut self, upstream: UpstreamKey, outcome: AttemptOutcome) {
-        let mut steering = self.shared.steering.borrow_mut();
-        steering.record_outcome(&mut self.state, upstream, outcome, clock::now_ms());
-        if steering.reports_mut().due_at_ms().is_some() {
-            self.shared.reports_queued.notify_one();
-        }
-    }
-
-    /// Records what the response of an attempt states of its upstream's rate limit.
-    pub fn record_rate_limit(&mut self, attempt: &Attempt, stated: StatedRateLimit) {
-        let stated_per_s = match stated {
-            StatedRateLimit::None => None,
-            StatedRateLimit::PerSecond(per_s) => Some(per_s),
-            StatedRateLimit::Invalid => {
-                log::warn!(
-                    target: ROUTINE_TARGET,
-                    "event=upstream_limit_unreadable upstream={}",
-                    attempt.name,
-                );
-                return;
-            }
-        };
-        let mut steering = self.shared.steering.borrow_mut();
-        let now_ms = clock::now_ms();
-        if steering.record_rate_limit(&self.state, attempt.upstream, stated_per_s, now_ms) {
-            let per_s = stated_per_s.map_or_else(|| "none".into(), |per_s| per_s.to_string());
-            log::info!("event=upstream_limit upstream={} per_s={per_s}", attempt.name);
-        }
-    }
-
-    /// Decides whether to send, reject or give up the request.
-    pub fn next_step(&mut self) -> NextStep {
-        let mut steering = self.shared.steering.borrow_mut();
-        steering.next_step(&mut self.state, fastrand::u64(..), clock::now_ms())
-    }
-
-    /// Waits until the request needs a hedge and returns its attempt. Stays pending if none can be
-    /// sent.
-    pub async fn wait_for_hedge(&mut self) -> Attempt {
-        loop {
-            let at_ms = self.shared.steering.borrow().hedge_at_ms(&self.state);
-            let Some(at_ms) = at_ms else {
-                return std::future::pending().await;
-            };
-            let at_ms = at_ms.max(clock::now_ms() + HEDGE_CHECK_INTERVAL_MS);
-            tokio::time::sleep_until(clock::instant_at(at_ms)).await;
-            let mut steering = self.shared.steering.borrow_mut();
-            let now_ms = clock::now_ms();
-            if let Some(attempt) = steering.hedge(&mut self.state, fastrand::u64(..), now_ms) {
-                return attempt;
-            }
-        }
-    }
-}
-
 /// Sends a request to an upstream and waits for the response until the deadline.
 pub async fn send_attempt(
     shared: &SharedState,
@@ -326,11 +195,7 @@
         }
         (_, BufferedBody::Partial(prefix)) => {
             let outcome = response_outcome(parts.status, headers, prefix.len() as u64);
-            let body = PartlyBufferedBody {
-                prefix: Some(prefix),
-                rest: incoming,
-                _connection: reusable.connection,
-            };
+            let body = PartlyBufferedBody::new(prefix, incoming, reusable.connection);
             let response = Some(build_response(parts, body.boxed_unsync()));
             AttemptResult { outcome, response, rate_limit: Some(headers.rate_limit) }
         }
@@ -369,64 +234,3 @@
         }
     }
 }
-
-/// What was buffered of a response body.
-#[derive(Debug)]
-enum BufferedBody {
-    /// The complete body.
-    Complete(Bytes),
-    /// The beginning; the rest is still to be read.
-    Partial(Bytes),
-}
-
-/// Buffers a body to its end, or up to the buffer limit.
-async fn buffer_body(
-    shared: &SharedState,
-    incoming: &mut Incoming,
-) -> Result<BufferedBody, hyper::Error> {
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = incoming.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            if buffer.is_empty() && incoming.is_end_stream() {
-                return Ok(BufferedBody::Complete(data));
-            }
-            buffer.extend_from_slice(&data);
-        }
-        if buffer.len() >= shared.buffer_limit_bytes(MAX_BUFFERED_RESPONSE_BYTES) {
-            return Ok(BufferedBody::Partial(buffer.freeze()));
-        }
-    }
-    Ok(BufferedBody::Complete(buffer.freeze()))
-}
-
-/// A body whose beginning is buffered and whose rest is passed on as it arrives.
-#[derive(Debug)]
-struct PartlyBufferedBody {
-    prefix: Option<Bytes>,
-    rest: Incoming,
-    /// Dropped with the body, since a connection can't be reused before its response has ended.
-    _connection: Connection,
-}
-
-impl hyper::body::Body for PartlyBufferedBody {
-    type Data = Bytes;
-    type Error = super::connection_pool::BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        if let Some(prefix) = self.prefix.take() {
-            return Poll::Ready(Some(Ok(Frame::data(prefix))));
-        }
-        Pin::new(&mut self.rest).poll_frame(cx).map_err(Into::into)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.prefix.is_none() && self.rest.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::default()
-    }
-}
--- /dev/null
+++ b/crates/sedgepathd/src/direct/in_flight_request.rs
@@ -0,0 +1,90 @@
+//! A caller's request in flight, with its attempts.
+
+use std::rc::Rc;
+
+use sedgepath_adapter::headers::StatedRateLimit;
+use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome, NextStep, RequestState};
+use sedgepath_core::direct::upstreams::UpstreamKey;
+
+use super::clock;
+use super::logging::ROUTINE_TARGET;
+use super::shared::SharedState;
+
+/// The minimum time between checks whether a request needs a hedge, in milliseconds.
+const HEDGE_CHECK_INTERVAL_MS: u64 = 100;
+
+/// A request in flight, whose remaining attempts are canceled when it is dropped.
+///
+/// The task of a request is dropped when its caller disconnects; without the cancellation its
+/// upstreams would be counted as busy forever.
+#[derive(Debug)]
+pub struct InFlightRequest {
+    /// The state that all tasks share.
+    pub shared: Rc<SharedState>,
+    /// The request's route, deadline and attempts.
+    pub state: RequestState,
+}
+
+impl Drop for InFlightRequest {
+    fn drop(&mut self) {
+        let mut steering = self.shared.steering.borrow_mut();
+        steering.cancel_request(&mut self.state, clock::now_ms());
+    }
+}
+
+impl InFlightRequest {
+    /// Records the outcome of the attempt at an upstream.
+    pub fn record_outcome(&mut self, upstream: UpstreamKey, outcome: AttemptOutcome) {
+        let mut steering = self.shared.steering.borrow_mut();
+        steering.record_outcome(&mut self.state, upstream, outcome, clock::now_ms());
+        if steering.reports_mut().due_at_ms().is_some() {
+            self.shared.reports_queued.notify_one();
+        }
+    }
+
+    /// Records what the response of an attempt states of its upstream's rate limit.
+    pub fn record_rate_limit(&mut self, attempt: &Attempt, stated: StatedRateLimit) {
+        let stated_per_s = match stated {
+            StatedRateLimit::None => None,
+            StatedRateLimit::PerSecond(per_s) => Some(per_s),
+            StatedRateLimit::Invalid => {
+                log::warn!(
+                    target: ROUTINE_TARGET,
+                    "event=upstream_limit_unreadable upstream={}",
+                    attempt.name,
+                );
+                return;
+            }
+        };
+        let mut steering = self.shared.steering.borrow_mut();
+        let now_ms = clock::now_ms();
+        if steering.record_rate_limit(&self.state, attempt.upstream, stated_per_s, now_ms) {
+            let per_s = stated_per_s.map_or_else(|| "none".into(), |per_s| per_s.to_string());
+            log::info!("event=upstream_limit upstream={} per_s={per_s}", attempt.name);
+        }
+    }
+
+    /// Decides whether to send, reject or give up the request.
+    pub fn next_step(&mut self) -> NextStep {
+        let mut steering = self.shared.steering.borrow_mut();
+        steering.next_step(&mut self.state, fastrand::u64(..), clock::now_ms())
+    }
+
+    /// Waits until the request needs a hedge and returns its attempt. Stays pending if none can be
+    /// sent.
+    pub async fn wait_for_hedge(&mut self) -> Attempt {
+        loop {
+            let at_ms = self.shared.steering.borrow().hedge_at_ms(&self.state);
+            let Some(at_ms) = at_ms else {
+                return std::future::pending().await;
+            };
+            let at_ms = at_ms.max(clock::now_ms() + HEDGE_CHECK_INTERVAL_MS);
+            tokio::time::sleep_until(clock::instant_at(at_ms)).await;
+            let mut steering = self.shared.steering.borrow_mut();
+            let now_ms = clock::now_ms();
+            if let Some(attempt) = steering.hedge(&mut self.state, fastrand::u64(..), now_ms) {
+                return attempt;
+            }
+        }
+    }
+}
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -5,11 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use futures_util::stream::{self, FuturesUnordered, Stream};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Body as _, Frame, Incoming};
+use futures_util::stream::FuturesUnordered;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,28 +15,25 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgepath_adapter::headers::RequestHeaders;
 use sedgepath_core::direct::attempts::{AttemptOutcome, NextStep, RejectionReason};
-use sedgepath_core::direct::fingerprint::{
-    FINGERPRINT_BODY_BYTES, RequestFingerprints, RequestIdentity,
-};
+use sedgepath_core::direct::fingerprint::{RequestFingerprints, RequestIdentity};
 use sedgepath_core::direct::steering::{IncomingRequest, Rejection};
 use sedgepath_wire::tcp;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout_at;
 
-use super::attempt::{self, InFlightRequest, RequestBody, RequestHead};
+use super::attempt::{self, RequestHead};
 use super::clock;
 use super::connection_pool::Body;
 use super::control_server::ACCEPT_PAUSE;
+use super::in_flight_request::InFlightRequest;
 use super::quarantine;
+use super::request_body::{BodyReadError, RequestBody, read_body};
 use super::responses::{give_up, log_failed_attempt, record_success, reject, status_response};
 use super::shared::{SharedState, StopPhase};
 
 /// File descriptors reserved for files and for connections to upstreams and to the store.
 const RESERVED_FILE_DESCRIPTORS: usize = 1_200;
 
-/// Request bodies up to this size are buffered completely, so that they can be sent again.
-const MAX_BUFFERED_BODY_BYTES: usize = 256 * 1024;
-
 /// The most requests in flight; bounds memory and latency under overload.
 const MAX_CONCURRENT_REQUESTS: usize = 1_000;
 
@@ -295,70 +290,3 @@
     let steering = shared.steering.borrow();
     steering.configuration().map_or(0, |in_force| in_force.limits.max_body_bytes)
 }
-
-#[derive(Debug, Clone, Copy)]
-enum BodyReadError {
-    TooLarge,
-    Aborted,
-}
-
-/// Buffers a request's body, or its beginning if it exceeds the buffer limit.
-async fn read_body(
-    shared: &SharedState,
-    mut incoming: Incoming,
-    max_bytes: u64,
-) -> Result<RequestBody, BodyReadError> {
-    if incoming.is_end_stream() {
-        return Ok(RequestBody::Buffered(Bytes::new()));
-    }
-    if incoming.size_hint().lower() > max_bytes {
-        return Err(BodyReadError::TooLarge);
-    }
-    let mut prefix = BytesMut::new();
-    while prefix.len() < shared.buffer_limit_bytes(MAX_BUFFERED_BODY_BYTES) {
-        let Some(frame) = incoming.frame().await else {
-            return Ok(RequestBody::Buffered(prefix.freeze()));
-        };
-        let frame = frame.map_err(|_broken| BodyReadError::Aborted)?;
-        if let Ok(data) = frame.into_data() {
-            prefix.extend_from_slice(&data);
-        }
-        if prefix.len() as u64 > max_bytes {
-            return Err(BodyReadError::TooLarge);
-        }
-    }
-    let prefix = prefix.freeze();
-    let beginning = Bytes::copy_from_slice(&prefix[..prefix.len().min(FINGERPRINT_BODY_BYTES)]);
-    let body = Some(streaming_body(prefix, incoming, max_bytes));
-    Ok(RequestBody::Streamed { beginning, body })
-}
-
-/// Streams a body whose beginning is buffered; fails once it exceeds `max_bytes`.
-fn streaming_body(prefix: Bytes, rest: Incoming, max_bytes: u64) -> Body {
-    let seen_bytes = prefix.len() as u64;
-    let state = (Some(prefix), rest, seen_bytes);
-    let stream = limited_frames(state, max_bytes);
-    BodyExt::boxed_unsync(StreamBody::new(stream))
-}
-
-type StreamState = (Option<Bytes>, Incoming, u64);
-
-fn limited_frames(
-    state: StreamState,
-    max_bytes: u64,
-) -> impl Stream<Item = Result<Frame<Bytes>, super::connection_pool::BodyError>> + Send {
-    stream::try_unfold(state, move |(prefix, mut rest, seen_bytes)| async move {
-        if let Some(prefix) = prefix {
-            return Ok(Some((Frame::data(prefix), (None, rest, seen_bytes))));
-        }
-        let Some(frame) = rest.frame().await else {
-            return Ok(None);
-        };
-        let frame = frame?;
-        let seen_bytes = seen_bytes + frame.data_ref().map_or(0, |data| data.len() as u64);
-        if seen_bytes > max_bytes {
-            return Err("the request body exceeds the size limit".into());
-        }
-        Ok(Some((frame, (None, rest, seen_bytes))))
-    })
-}
--- a/crates/sedgepathd/src/direct/quarantine.rs
+++ b/crates/sedgepathd/src/direct/quarantine.rs
@@ -8,7 +8,7 @@
 use sedgepath_core::hash::Digest;
 use sedgepath_core::table::{TableRequest, TableResult, Transaction};
 
-use super::attempt::InFlightRequest;
+use super::in_flight_request::InFlightRequest;
 use super::shared::SharedState;
 use super::{clock, gossip, store_feed};
 
--- a/crates/sedgepathd/tests/fatal_rows.rs
+++ b/crates/sedgepathd/tests/fatal_rows.rs
@@ -6,7 +6,7 @@
 
 use platform::caller::{self, Connection, Response};
 use platform::upstream::UpstreamStandIn;
-use platform::{TestCluster, wait_for};
+use platform::{TestCluster, Vm, wait_for};
 use sedgepath_test_support::store::StoreStandIn;
 use serde_json::{Value, json};
 
@@ -56,6 +56,26 @@
     all
 }
 
+/// A store with a valid configuration, an upstream registered in it, and a VM that serves it.
+struct Fixture {
+    store: StoreStandIn,
+    upstream: UpstreamStandIn,
+    site: TestCluster,
+    vm: Vm,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let store = StoreStandIn::new().expect("a store");
+        let upstream = UpstreamStandIn::new("u0");
+        store.put("op", "config", configuration(1).to_string().as_bytes());
+        store.put("servers", "u0", entry(&upstream, 1).to_string().as_bytes());
+        let site = TestCluster::new(store.address);
+        let vm = site.start_ready(1, "north-a");
+        Self { store, upstream, site, vm }
+    }
+}
+
 fn request_without_deadline(address: SocketAddr) -> Option<Response> {
     let mut connection = Connection::new(address)?;
     connection.write(
@@ -67,13 +87,8 @@
 /// Guards against one row of the store that makes every VM fail its requests, one VM after the other.
 #[test]
 fn rows_with_extreme_values_stop_no_vm() {
-    let store = StoreStandIn::new().expect("a store");
-    let upstream = UpstreamStandIn::new("u0");
+    let Fixture { store, site, vm, .. } = Fixture::new();
     let mut version = 1;
-    store.put("op", "config", configuration(version).to_string().as_bytes());
-    store.put("servers", "u0", entry(&upstream, 1).to_string().as_bytes());
-    let site = TestCluster::new(store.address);
-    let vm = site.start_ready(1, "north-a");
     let durations: Vec<Value> = DURATIONS.iter().map(|text| json!(text)).collect();
     let counts: Vec<Value> =
         COUNTS.iter().map(|count| json!(count)).chain([json!(-1), json!(1e300)]).collect();
@@ -124,12 +139,7 @@
 /// Guards against one upstream whose entry makes every VM fail the requests of its service.
 #[test]
 fn entries_with_extreme_values_stop_no_vm() {
-    let store = StoreStandIn::new().expect("a store");
-    let upstream = UpstreamStandIn::new("u0");
-    store.put("op", "config", configuration(1).to_string().as_bytes());
-    store.put("servers", "u0", entry(&upstream, 1).to_string().as_bytes());
-    let site = TestCluster::new(store.address);
-    let vm = site.start_ready(1, "north-a");
+    let Fixture { store, upstream, site, vm } = Fixture::new();
     let counts: Vec<Value> =
         COUNTS.iter().map(|count| json!(count)).chain([json!(-1), json!(u64::MAX)]).collect();
     let mut entries =
@@ -156,12 +166,7 @@
 /// Guards against one upstream whose responses make every VM fail the requests of its service.
 #[test]
 fn responses_with_extreme_headers_stop_no_vm() {
-    let store = StoreStandIn::new().expect("a store");
-    let upstream = UpstreamStandIn::new("u0");
-    store.put("op", "config", configuration(1).to_string().as_bytes());
-    store.put("servers", "u0", entry(&upstream, 1).to_string().as_bytes());
-    let site = TestCluster::new(store.address);
-    let vm = site.start_ready(1, "north-a");
+    let Fixture { upstream, site, vm, .. } = Fixture::new();
     for headers in [
         "Keep-Alive: timeout=18446744073709551615\r\n",
         "Keep-Alive: timeout=99999999999999999999999\r\n",
