Leave the rate of limited upstreams to the objects that they have warm

Also unused: 0.3 of each limit, against a cut, although all VMs heard each other. Change: a limited upstream takes what it ranks first or second for; others only after its rate was free for half a second; 0.95 of a limit while no known VM is silent, 0.7 else; a burst of a quarter of a second. Callers beyond all limits are told 0.4 to 2 s.

--- a/crates/sedgepath-core/src/direct/placement.rs
+++ b/crates/sedgepath-core/src/direct/placement.rs
@@ -225,10 +225,11 @@
 }
 
 impl PlacementQuery<'_> {
-    /// Returns whether an upstream may get the request, regardless of its health.
+    /// Returns whether an upstream may get the request whatever the object's ranking, regardless of the
+    /// upstream's health.
     pub fn is_eligible(&self, key: UpstreamKey, upstream: &Upstream) -> bool {
         self.is_permitted(key, upstream)
-            && self.rate_limits.allows(upstream.incarnation, self.now_ms)
+            && self.rate_limits.allows_any_object(upstream.incarnation, self.now_ms)
     }
 
     /// As [`is_eligible`](Self::is_eligible), regardless of the upstream's rate limit.
@@ -263,20 +264,34 @@
     }
 
     /// Returns the candidate with the least expected cost among the top-ranked healthy upstreams.
+    ///
+    /// An upstream at its rate limit is passed over. The rate of a limited one is left to requests that
+    /// rank it at the top, unless they don't use it up.
     pub fn choose<'a>(
         &self,
         upstreams: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
     ) -> Option<Candidate> {
         let mut ranked: Vec<(f64, UpstreamKey, &Upstream)> = upstreams
-            .filter(|(key, upstream)| self.is_eligible(*key, upstream) && self.is_healthy(upstream))
+            .filter(|(key, upstream)| {
+                self.is_permitted(*key, upstream) && self.is_healthy(upstream)
+            })
             .map(|(key, upstream)| (self.rendezvous_score(upstream), key, upstream))
             .collect();
         ranked.sort_unstable_by(|one, other| one.0.total_cmp(&other.0));
+        let has_rate = |(rank, (_, _, upstream)): &(usize, &(f64, UpstreamKey, &Upstream))| {
+            if *rank < self.weights.candidate_count {
+                self.rate_limits.allows(upstream.incarnation, self.now_ms)
+            } else {
+                self.rate_limits.allows_any_object(upstream.incarnation, self.now_ms)
+            }
+        };
         let candidates = ranked
             .iter()
+            .enumerate()
+            .filter(has_rate)
             .take(self.weights.candidate_count)
             .enumerate()
-            .map(|(rank, (_, key, upstream))| self.estimate(rank, *key, upstream));
+            .map(|(rank, (_, (_, key, upstream)))| self.estimate(rank, *key, upstream));
         candidates.min_by(|one, other| one.expected_ms.total_cmp(&other.expected_ms))
     }
 
--- a/crates/sedgepath-core/src/direct/rate_limits.rs
+++ b/crates/sedgepath-core/src/direct/rate_limits.rs
@@ -15,9 +15,12 @@
 use crate::key::VmKey;
 use crate::rendezvous;
 
-/// The share of a limit that all VMs together use, so that VMs that disagree on who shares it exceed
-/// it by less than half.
-const USABLE_SHARE: f64 = 0.7;
+/// The share of a limit that the VMs together use while they hear each other.
+const USABLE_SHARE: f64 = 0.95;
+
+/// The share of a limit that VMs use while some are silent: these may share it with others on the
+/// other side of a partition, and both sides together exceed it by less than half.
+const PARTITIONED_USABLE_SHARE: f64 = 0.7;
 
 /// The smallest part of a limit that a VM gets, in requests per second, unless the limit is smaller.
 const MIN_PART_PER_S: f64 = 1.0;
@@ -28,8 +31,12 @@
 /// The largest limit that is taken from an upstream, in requests per second.
 const MAX_LIMIT_PER_S: f64 = 1e6;
 
-/// The requests that a VM may save up.
-const MAX_TOKENS: f64 = 1.0;
+/// The time whose requests a VM may save up, in seconds, one request at least.
+const BURST_S: f64 = 0.25;
+
+/// The time for which a saved-up request is left to those whose object is warm at the upstream, in
+/// seconds.
+const WARM_ONLY_S: f64 = 0.5;
 
 /// The time between two reports of an unchanged limit, in milliseconds.
 const RENEWAL_INTERVAL_MS: u64 = 8_000;
@@ -65,14 +72,20 @@
 
 impl RateLimit {
     fn tokens_at(&self, now_ms: u64) -> f64 {
+        self.uncapped_tokens_at(now_ms).min((BURST_S * self.own_per_s).max(1.0))
+    }
+
+    fn uncapped_tokens_at(&self, now_ms: u64) -> f64 {
         let elapsed_s = now_ms.saturating_sub(self.refilled_at_ms) as f64 / 1_000.0;
-        (self.tokens + elapsed_s * self.own_per_s).min(MAX_TOKENS)
+        self.tokens + elapsed_s * self.own_per_s
     }
 
     fn set_part(&mut self, own_per_s: f64, now_ms: u64) {
-        self.tokens = self.tokens_at(now_ms);
-        self.refilled_at_ms = now_ms;
-        self.own_per_s = own_per_s;
+        if (self.own_per_s - own_per_s).abs() > f64::EPSILON {
+            self.tokens = self.tokens_at(now_ms);
+            self.refilled_at_ms = now_ms;
+            self.own_per_s = own_per_s;
+        }
     }
 
     fn differs_from(&self, per_s: f64) -> bool {
@@ -112,7 +125,15 @@
 
     /// Returns whether this VM may send a request to an upstream now.
     pub fn allows(&self, upstream: IncarnationKey, now_ms: u64) -> bool {
-        self.limits.get(&upstream).is_none_or(|limit| limit.tokens_at(now_ms) >= MAX_TOKENS)
+        self.limits.get(&upstream).is_none_or(|limit| limit.tokens_at(now_ms) >= 1.0)
+    }
+
+    /// Returns whether this VM may send a request to an upstream that doesn't have its object warm:
+    /// only what requests for warm objects leave, since others take longer.
+    pub fn allows_any_object(&self, upstream: IncarnationKey, now_ms: u64) -> bool {
+        self.limits.get(&upstream).is_none_or(|limit| {
+            limit.uncapped_tokens_at(now_ms) >= 1.0 + WARM_ONLY_S * limit.own_per_s
+        })
     }
 
     /// Records that a request is about to be sent to an upstream.
@@ -135,7 +156,7 @@
             if limit.own_per_s <= 0.0 {
                 return NO_PART_RETRY_AFTER_MS;
             }
-            let missing = (MAX_TOKENS - limit.tokens_at(now_ms)).max(0.0);
+            let missing = (1.0 - limit.tokens_at(now_ms)).max(0.0);
             (missing / limit.own_per_s * 1_000.0).ceil() as u64
         });
         delays.min()
@@ -242,13 +263,15 @@
     /// Updates this VM's parts of all limits, and forgets limits of which nothing is heard.
     ///
     /// `sharing_vms` returns the VMs that may share an upstream's limit, or `None` if the upstream is
-    /// unknown.
+    /// unknown; `hears_all` says whether this VM hears all VMs that it knows.
     pub fn update_parts(
         &mut self,
         sharing_vms: impl Fn(IncarnationKey) -> Option<Vec<VmKey>>,
+        hears_all: bool,
         now_ms: u64,
     ) {
         let own = self.own;
+        let usable_share = if hears_all { USABLE_SHARE } else { PARTITIONED_USABLE_SHARE };
         self.limits.retain(|upstream, limit| {
             let spread_ms = rendezvous::score(own.0, upstream.0) % MEMORY_SPREAD_MS;
             if now_ms >= limit.observed_at_ms + MEMORY_MS + spread_ms {
@@ -257,15 +280,15 @@
             let Some(vms) = sharing_vms(*upstream) else {
                 return false;
             };
-            limit.set_part(part_per_s(limit.per_s, *upstream, own, &vms), now_ms);
+            let usable_per_s = (limit.per_s * usable_share).max(MIN_RATE_PER_S);
+            limit.set_part(part_per_s(usable_per_s, *upstream, own, &vms), now_ms);
             true
         });
     }
 }
 
-/// Returns a VM's part of a limit that some VMs share, in requests per second; 0 if it has none.
-fn part_per_s(limit_per_s: f64, upstream: IncarnationKey, own: VmKey, vms: &[VmKey]) -> f64 {
-    let usable_per_s = (limit_per_s * USABLE_SHARE).max(MIN_RATE_PER_S);
+/// Returns a VM's part of a rate that some VMs share, in requests per second; 0 if it has none.
+fn part_per_s(usable_per_s: f64, upstream: IncarnationKey, own: VmKey, vms: &[VmKey]) -> f64 {
     let parts = ((usable_per_s / MIN_PART_PER_S) as usize).clamp(1, vms.len().max(1));
     let score = |vm: &VmKey| (rendezvous::score(upstream.0, vm.0), vm.0);
     let before_own = vms.iter().filter(|vm| score(vm) > score(&own)).count();
--- a/crates/sedgepath-core/src/direct/steering/selection.rs
+++ b/crates/sedgepath-core/src/direct/steering/selection.rs
@@ -9,6 +9,13 @@
 use crate::direct::upstreams::{Upstream, UpstreamKey};
 use crate::direct::vms::VmDescriptor;
 
+/// The shortest delay that a caller is told when all upstreams are at their rate limits, in
+/// milliseconds: other callers wait for the same request.
+const MIN_LIMIT_RETRY_AFTER_MS: u64 = 400;
+
+/// The longest such delay, in milliseconds.
+const MAX_LIMIT_RETRY_AFTER_MS: u64 = 2_000;
+
 impl Steering {
     /// Chooses an upstream for a request, or returns `None` if no upstream is usable.
     pub(super) fn choose(
@@ -38,7 +45,11 @@
             query.is_permitted(*key, upstream).then_some(upstream.incarnation)
         });
         match self.rate_limits.retry_after_ms(permitted, now_ms) {
-            Some(retry_after_ms) => (RejectionReason::RateLimited, retry_after_ms),
+            Some(retry_after_ms) => {
+                let retry_after_ms =
+                    retry_after_ms.clamp(MIN_LIMIT_RETRY_AFTER_MS, MAX_LIMIT_RETRY_AFTER_MS);
+                (RejectionReason::RateLimited, retry_after_ms)
+            }
             None => (RejectionReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS),
         }
     }
--- a/crates/sedgepath-core/src/direct/steering/shared_observations.rs
+++ b/crates/sedgepath-core/src/direct/steering/shared_observations.rs
@@ -153,6 +153,7 @@
             }
             Some(in_region)
         };
-        self.rate_limits.update_parts(sharing_vms, now_ms);
+        let hears_all = self.vms.hears_all_known(now_ms);
+        self.rate_limits.update_parts(sharing_vms, hears_all, now_ms);
     }
 }
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -256,6 +256,11 @@
         1 + self.known_vms.max_heard().max(self.known_vms.count(now_ms))
     }
 
+    /// Returns whether all VMs that this one knows of, and hasn't forgotten, serve.
+    pub fn hears_all_known(&self, now_ms: u64) -> bool {
+        self.serving_vms(now_ms).len() > self.known_vms.count(now_ms)
+    }
+
     /// Returns the largest number of VMs ever known at a time, including this one, heard or not.
     ///
     /// This may count VMs that no longer exist but are still in the store, so it suits limits where a
