Name the largest VMs of a domain in look-ups, as many as carry its load

Cause: a look-up named all VMs of the caller's domain, and callers pick one at random. Where 2 of 15 VMs have 200 Mbit/s and the others 10, most large responses waited 72 ms on the way in and again on the way out, with everything behind them; and every VM opened its own connections to all upstreams.

Change: VMs tell their capacity (link and cores, from the settings) in their descriptors and summaries, and the recent peak of their load in heartbeats. A look-up names the fewest of the domain's VMs, largest first, whose smallest has room to spare for its part of the load, now and after the loss of one.

--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -8,6 +8,7 @@
 pub mod gossip;
 mod heartbeat;
 mod known_vms;
+pub mod naming;
 mod readers;
 mod remote_domains;
 mod report_messages;
@@ -17,6 +18,7 @@
 
 use self::gossip::OutgoingState;
 use self::known_vms::{KnownVms, Locality};
+use self::naming::{MIN_NAMED, NamingCandidate};
 use self::remote_domains::{RemoteDomains, SummaryChange};
 use super::status::OtherVmStatus;
 use crate::hash::{Map, Set};
@@ -34,10 +36,6 @@
     heard_at_ms: u64,
 }
 
-/// The least number of VMs of the caller's failure domain with which a look-up returns no others. A
-/// single address would be a single point of failure while callers cache the result.
-pub const MIN_NAMED_IN_DOMAIN: usize = 2;
-
 /// The most addresses in the result of a look-up.
 const MAX_LOOK_UP_ADDRESSES: usize = 64;
 
@@ -95,6 +93,11 @@
         self.own.state.ready = ready;
     }
 
+    /// Sets the share of its capacity that this VM uses, in percent.
+    pub fn set_load(&mut self, load_percent: u8) {
+        self.own.state.load_percent = load_percent;
+    }
+
     /// Marks this VM as about to stop and no longer ready.
     pub fn begin_leaving(&mut self) {
         self.own.state.leaving = true;
@@ -372,24 +375,42 @@
 
     /// Returns the addresses of entry VMs for a caller in a failure domain and region.
     ///
-    /// Only VMs of the caller's failure domain are returned if there are at least
-    /// [`MIN_NAMED_IN_DOMAIN`], which avoids the cost of traffic between domains; otherwise those of
-    /// its region, or all if there are none. The result is empty only if this VM is leaving and knows
-    /// no other that serves.
+    /// Only VMs of the caller's failure domain are returned if there are at least [`MIN_NAMED`], which
+    /// avoids the cost of traffic between domains, and of these the ones that [`naming`] chooses;
+    /// otherwise those of its region, or all if there are none. The result is empty only if this VM is
+    /// leaving and knows no other that serves.
     pub fn look_up(&self, domain: &str, region: &str, now_ms: u64) -> Vec<SocketAddr> {
-        let addresses_where = |matches: &dyn Fn(&VmDescriptor) -> bool| -> Vec<SocketAddr> {
-            let serving = self.serving_where(now_ms, matches);
-            serving
-                .into_iter()
-                .map(|descriptor| descriptor.caller_address)
-                .take(MAX_LOOK_UP_ADDRESSES)
-                .collect()
+        let in_domain = self.serving_where(now_ms, &|vm: &VmDescriptor| &*vm.domain == domain);
+        let mut named: Vec<SocketAddr> = if in_domain.len() >= MIN_NAMED {
+            naming::choose_named(
+                in_domain.into_iter().map(|vm| self.naming_candidate(vm)).collect(),
+            )
+        } else {
+            let in_region = self.serving_where(now_ms, &|vm: &VmDescriptor| &*vm.region == region);
+            let serving = if in_region.is_empty() {
+                self.serving_where(now_ms, &|_| true)
+            } else {
+                in_region
+            };
+            serving.into_iter().map(|vm| vm.caller_address).collect()
         };
-        let in_domain = addresses_where(&|descriptor| &*descriptor.domain == domain);
-        if in_domain.len() >= MIN_NAMED_IN_DOMAIN {
-            return in_domain;
+        named.truncate(MAX_LOOK_UP_ADDRESSES);
+        named
+    }
+
+    fn naming_candidate(&self, vm: &VmDescriptor) -> NamingCandidate {
+        NamingCandidate {
+            address: vm.caller_address,
+            capacity_per_s: vm.capacity_per_s,
+            load_percent: self.load_percent(vm),
+        }
+    }
+
+    /// Returns the load of a VM; 0 for those of other failure domains, which don't tell it.
+    fn load_percent(&self, descriptor: &VmDescriptor) -> u8 {
+        if descriptor.peer_address == self.own.descriptor.peer_address {
+            return self.own.state.load_percent;
         }
-        let in_region = addresses_where(&|descriptor| &*descriptor.region == region);
-        if in_region.is_empty() { addresses_where(&|_| true) } else { in_region }
+        self.peers.get(&descriptor.name).map_or(0, |peer| peer.state.load_percent)
     }
 }
--- a/crates/sedgepath-core/src/direct/vms/gossip.rs
+++ b/crates/sedgepath-core/src/direct/vms/gossip.rs
@@ -264,6 +264,7 @@
             ip: descriptor.peer_address.ip(),
             ready: state.ready,
             store_reachable: state.store_health.is_reachable(),
+            capacity_per_s: descriptor.capacity_per_s,
         };
         let mut store = state.store_health;
         let mut members = Vec::new();
--- a/crates/sedgepath-core/src/direct/vms/heartbeat.rs
+++ b/crates/sedgepath-core/src/direct/vms/heartbeat.rs
@@ -21,6 +21,8 @@
     pub caller_address: SocketAddr,
     /// The address for other VMs' datagrams.
     pub peer_address: SocketAddr,
+    /// The number of typical requests that the VM can serve in a second.
+    pub capacity_per_s: u32,
 }
 
 impl VmDescriptor {
@@ -104,6 +106,8 @@
     pub ready: bool,
     /// Whether the VM is about to stop.
     pub leaving: bool,
+    /// The share of its capacity that the VM uses, in percent.
+    pub load_percent: u8,
     /// The newest store version in each of the VM's table replicas, in the order of
     /// [`Table::REQUIRED`](crate::direct::replicas::Table::REQUIRED).
     pub newest_version: [u64; 2],
@@ -131,6 +135,7 @@
             boot_at_ms,
             ready: false,
             leaving: false,
+            load_percent: 0,
             newest_version: [0; 2],
             store_health: StoreHealth::Unknown,
         };
--- a/crates/sedgepath-core/src/direct/vms/summary.rs
+++ b/crates/sedgepath-core/src/direct/vms/summary.rs
@@ -20,6 +20,8 @@
     pub ready: bool,
     /// Whether the store responds to the VM.
     pub store_reachable: bool,
+    /// The number of typical requests that the VM can serve in a second.
+    pub capacity_per_s: u32,
 }
 
 /// The VMs of a failure domain that one of them hears, including itself.
@@ -67,6 +69,7 @@
             region: self.region.clone(),
             caller_address: SocketAddr::new(member.ip, self.caller_port),
             peer_address: SocketAddr::new(member.ip, self.peer_port),
+            capacity_per_s: member.capacity_per_s,
         }
     }
 
@@ -86,6 +89,7 @@
                 IpAddr::V6(ip) => content.extend(ip.octets()),
             }
             content.extend([u8::from(member.ready), u8::from(member.store_reachable)]);
+            content.extend(member.capacity_per_s.to_le_bytes());
         }
         Digest::of(&[&content]).to_u64()
     }
--- a/crates/sedgepath-core/tests/fuzz_peer_messages.rs
+++ b/crates/sedgepath-core/tests/fuzz_peer_messages.rs
@@ -25,7 +25,12 @@
 
 fn summary() -> DomainSummary {
     let ip = |number| IpAddr::V4(Ipv4Addr::new(10, 0, 0, number));
-    let member = |number| DomainMember { ip: ip(number), ready: true, store_reachable: true };
+    let member = |number| DomainMember {
+        ip: ip(number),
+        ready: true,
+        store_reachable: true,
+        capacity_per_s: 100,
+    };
     DomainSummary {
         stamp: HybridTimestamp { time_ms: 5, count: 0 },
         period_ms: 500,
--- a/crates/sedgepath-emulator/src/setup.rs
+++ b/crates/sedgepath-emulator/src/setup.rs
@@ -102,6 +102,7 @@
         region: region.into(),
         caller_address: socket_address(0, number, 80),
         peer_address: socket_address(0, number, 7_000),
+        capacity_per_s: 200,
     };
     let mut heartbeat = VmHeartbeat::new(descriptor, 1, HEARTBEAT_INTERVAL_MS);
     heartbeat.state.ready = true;
--- a/crates/sedgepath-test-support/src/direct.rs
+++ b/crates/sedgepath-test-support/src/direct.rs
@@ -46,6 +46,7 @@
         region: region_of(domain).into(),
         caller_address: address(80),
         peer_address: address(7_000),
+        capacity_per_s: 200,
     };
     let mut heartbeat = VmHeartbeat::new(descriptor, 1, HEARTBEAT_MS);
     heartbeat.state.ready = true;
--- a/crates/sedgepath-test-support/src/vm_network.rs
+++ b/crates/sedgepath-test-support/src/vm_network.rs
@@ -614,6 +614,7 @@
             region: format!("region-{}", domain / DOMAINS_PER_REGION).into(),
             caller_address: SocketAddr::new(peer_address.ip(), 8_641),
             peer_address,
+            capacity_per_s: 200,
         }
     }
 }
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -142,6 +142,7 @@
     caller: IpAddr,
 ) -> Response<Body> {
     let now_ms = clock::now_ms();
+    shared.load.borrow_mut().record_request(now_ms);
     let (parts, incoming) = request.into_parts();
     let headers = RequestHeaders::parse(&parts.headers, &parts.uri);
     let attempt_id: Box<str> = headers.attempt_id.into();
@@ -253,6 +254,9 @@
                 request.record_rate_limit(&attempt, stated);
             }
             request.record_outcome(attempt.upstream, result.outcome);
+            if let AttemptOutcome::Answered { body_bytes, .. } = result.outcome {
+                shared.load.borrow_mut().record_body(body_bytes, clock::now_ms());
+            }
             match (result.outcome, result.response) {
                 (AttemptOutcome::Answered { failed: false, .. }, Some(response)) => {
                     record_success(shared, &head.attempt_id, &request.state, &attempt);
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -9,6 +9,7 @@
 use sedgepath_core::direct::quotas::QuotaBounds;
 use sedgepath_core::direct::replicas::Table;
 use sedgepath_core::direct::steering::SteeringConfig;
+use sedgepath_core::direct::vms::naming::{LoadMeter, VmResources};
 use sedgepath_core::direct::vms::{VmDescriptor, VmHeartbeat, VmTable, VmTiming};
 use sedgepath_core::direct::{OperatorLimits, Steering, VmLocation};
 use tokio::net::{TcpListener, UdpSocket};
@@ -93,7 +94,8 @@
     let socket = UdpSocket::bind(peer_address)
         .await
         .map_err(StartError::listen_failed("heartbeats", peer_address))?;
-    let shared = SharedState::new(settings, steering, socket, log_clock, Metrics::new()?);
+    let load = LoadMeter::new(resources(&settings));
+    let shared = SharedState::new(settings, steering, socket, log_clock, Metrics::new()?, load);
 
     let caller_listener = bind("callers", caller_address).await?;
     let readiness_listener = bind("readiness", readiness_address).await?;
@@ -189,6 +191,7 @@
         region: settings.region.clone(),
         caller_address,
         peer_address,
+        capacity_per_s: resources(settings).capacity_per_s(),
     };
     let own = VmHeartbeat::new(descriptor, clock::unix_ms(), HEARTBEAT_INTERVAL_MS);
     let timing = VmTiming {
@@ -205,6 +208,16 @@
     Steering::new(location, limits, vms)
 }
 
+/// Returns the resources of this VM; values that can't be are replaced by small ones.
+fn resources(settings: &Settings) -> VmResources {
+    let limits = settings.resource_limits;
+    let at_least = |value: f64, least: f64| if value >= least { value } else { least };
+    VmResources {
+        cores: at_least(limits.core_share * limits.cores, 0.01),
+        link_mbps: at_least(limits.link_mbps, 1.0),
+    }
+}
+
 async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(StartError::listen_failed(what, address))
 }
@@ -220,6 +233,7 @@
             steering.maintain_crashes(now_ms);
             steering.update_rate_limits(now_ms);
             steering.update_quotas(now_ms);
+            steering.vms_mut().set_load(shared.load.borrow_mut().percent(now_ms));
             steering.upstreams_mut().remove_lapsed(now_ms)
         };
         for name in lapsed {
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -9,6 +9,7 @@
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::replicas::{Table, TableReplicas};
 use sedgepath_core::direct::vms::StoreHealth;
+use sedgepath_core::direct::vms::naming::LoadMeter;
 use sedgepath_core::hash::Map;
 use tokio::net::UdpSocket;
 
@@ -55,6 +56,8 @@
     pub tokens_granted: tokio::sync::Notify,
     /// Whether rows of the quarantine are being written to the store.
     pub writing_quarantine: Cell<bool>,
+    /// The share of its capacity that this VM uses.
+    pub load: RefCell<LoadMeter>,
     /// The number of requests in flight.
     pub in_flight_requests: Cell<usize>,
     /// The number of callers' open connections.
@@ -115,6 +118,7 @@
         peer_socket: UdpSocket,
         log_clock: LogClock,
         metrics: Metrics,
+        load: LoadMeter,
     ) -> Rc<Self> {
         Rc::new(Self {
             log_clock,
@@ -131,6 +135,7 @@
             upstream_connections: ConnectionPool::default(),
             crash_checks: CrashChecks::default(),
             reports_queued: tokio::sync::Notify::new(),
+            load: RefCell::new(load),
             tokens_granted: tokio::sync::Notify::new(),
             writing_quarantine: Cell::new(false),
             in_flight_requests: Cell::new(0),
