Show quotas, their lenders and losses by client account to operators

`sedgepath status` lists the largest quotas with the VMs that lend them, `sedgepath losses --by account` counts by account, a rejection before the request has begun is logged with its account, and the metrics count accounts and lent slots.

--- a/crates/sedgepath-core/src/direct/quotas.rs
+++ b/crates/sedgepath-core/src/direct/quotas.rs
@@ -214,12 +214,12 @@
         self.lent.remove_idle(now_ms);
     }
 
-    /// Returns the number of accounts for which this VM holds or has asked for tokens.
-    pub fn held_accounts(&self) -> usize {
-        self.holdings.len()
+    /// Returns the number of tokens of an account that this VM holds.
+    pub fn held_tokens(&self, account: AccountKey) -> usize {
+        self.holdings.held_tokens(account)
     }
 
-    /// Returns the number of slots that this VM has lent from.
+    /// Returns the number of slots that this VM has lent from lately.
     pub fn lent_slots(&self) -> usize {
         self.lent.len()
     }
--- a/crates/sedgepath-core/src/direct/quotas/holder.rs
+++ b/crates/sedgepath-core/src/direct/quotas/holder.rs
@@ -291,14 +291,9 @@
         });
     }
 
-    /// Returns the number of accounts.
-    pub fn len(&self) -> usize {
-        self.by_account.len()
-    }
-
-    /// Returns whether there are no accounts.
-    pub fn is_empty(&self) -> bool {
-        self.by_account.is_empty()
+    /// Returns the number of tokens of an account.
+    pub fn held_tokens(&self, account: AccountKey) -> usize {
+        self.by_account.get(&account).map_or(0, |holding| holding.tokens.len())
     }
 }
 
--- a/crates/sedgepath-core/src/direct/status.rs
+++ b/crates/sedgepath-core/src/direct/status.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::Steering;
+use super::accounts::ClientAccounts;
+use super::quotas::lenders::Lender;
 
 /// The state of a VM, as reported to operators.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -28,11 +30,33 @@
     pub sharing_vm_count: usize,
     /// The services that have upstreams, by name.
     pub services: BTreeMap<Box<str>, ServiceStatus>,
+    /// The client accounts with the largest quotas, at most [`MAX_QUOTAS`], largest first.
+    #[serde(default)]
+    pub quotas: Vec<QuotaStatus>,
     /// The other known VMs, sorted by name.
     #[serde(rename = "others")]
     pub other_vms: Vec<OtherVmStatus>,
 }
 
+/// The most client accounts in a status.
+pub const MAX_QUOTAS: usize = 20;
+
+/// A VM's view of the quota of a client account.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QuotaStatus {
+    /// The account's name.
+    pub account: Box<str>,
+    /// The quota's rate in requests per second.
+    pub rate_per_s: f64,
+    /// The requests that may be sent at once beyond the rate.
+    pub burst: f64,
+    /// The VMs that lend the quota's slots: the peer address, `self` for this VM, or `none` if no VM of
+    /// the slot's region serves.
+    pub lenders: Vec<Box<str>>,
+    /// The number of tokens that this VM holds.
+    pub held_tokens: usize,
+}
+
 /// A VM's view of a service.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServiceStatus {
@@ -107,7 +131,38 @@
             evacuated,
             sharing_vm_count: self.vms().sharing_vm_count(now_ms),
             services,
+            quotas: self.quota_status(),
             other_vms: self.vms().other_vms(now_ms),
         }
     }
+
+    fn quota_status(&self) -> Vec<QuotaStatus> {
+        let accounts = self.configuration().and_then(|active| active.accounts.as_ref());
+        let mut limited: Vec<_> = accounts
+            .into_iter()
+            .flat_map(ClientAccounts::iter)
+            .filter_map(|account| Some((account, account.quota?)))
+            .collect();
+        limited.sort_by(|(one, one_quota), (other, other_quota)| {
+            other_quota.rate_per_s.total_cmp(&one_quota.rate_per_s).then(one.name.cmp(&other.name))
+        });
+        let view = self.quotas().view();
+        let lender_name = |lender| match lender {
+            None => "none".into(),
+            Some(Lender::Own) => "self".into(),
+            Some(Lender::Other(address)) => address.to_string().into(),
+        };
+        let largest = limited.into_iter().take(MAX_QUOTAS);
+        largest
+            .map(|(account, quota)| QuotaStatus {
+                account: account.name.clone(),
+                rate_per_s: quota.rate_per_s,
+                burst: quota.burst,
+                lenders: (0..view.slot_count())
+                    .map(|slot| lender_name(view.lender(account.key, slot as u8)))
+                    .collect(),
+                held_tokens: self.quotas().held_tokens(account.key),
+            })
+            .collect()
+    }
 }
--- a/crates/sedgepath-core/src/direct/steering/authentication.rs
+++ b/crates/sedgepath-core/src/direct/steering/authentication.rs
@@ -34,6 +34,17 @@
 }
 
 impl Steering {
+    /// Returns the name of the client account that holds a presented credential.
+    pub fn account_name(&self, presented: PresentedCredential) -> Option<Box<str>> {
+        let accounts = self.configuration.as_ref()?.accounts.as_ref()?;
+        match presented {
+            PresentedCredential::Key(credential) => {
+                accounts.holder(credential).map(|account| account.name.clone())
+            }
+            PresentedCredential::None | PresentedCredential::Malformed => None,
+        }
+    }
+
     /// Returns whether a request may still be sent: its account holds its key under the active
     /// configuration too, which may have changed since the request arrived.
     pub(super) fn is_still_authorized(&self, request: &RequestState) -> bool {
--- a/crates/sedgepath/src/commands/losses.rs
+++ b/crates/sedgepath/src/commands/losses.rs
@@ -28,7 +28,7 @@
 fn options(options: &mut Options) {
     options.optopt("l", "logs", "read the collected log files of this directory", "DIR");
     options.optopt("", "late-after", "an answer is late after this time; 500 unless given", "MS");
-    options.optopt("b", "by", "count by service, domain or second as well", "WHAT");
+    options.optopt("b", "by", "count by service, account, domain or second as well", "WHAT");
     options.optopt("p", "plot", "draw the losses of each second as SVG", "FILE");
 }
 
@@ -37,11 +37,12 @@
     let grouping = match context.matches.opt_str("by").as_deref() {
         None => None,
         Some("service") => Some(Grouping::Service),
+        Some("account") => Some(Grouping::Account),
         Some("domain") => Some(Grouping::Domain),
         Some("second") => Some(Grouping::Second),
         Some(text) => {
             return Err(context.usage_error(format!(
-                "invalid value `{text}` for `--by`: expected service, domain or second"
+                "invalid value `{text}` for `--by`: expected service, account, domain or second"
             )));
         }
     };
--- a/crates/sedgepath/src/commands/status.rs
+++ b/crates/sedgepath/src/commands/status.rs
@@ -1,7 +1,7 @@
 use std::io::Write;
 
 use getopts::Options;
-use sedgepath_core::direct::status::VmStatus;
+use sedgepath_core::direct::status::{QuotaStatus, VmStatus};
 use sedgepath_wire::rpc::NodeStatus;
 
 use super::{Command, add_data_options};
@@ -81,6 +81,15 @@
             service_status.requests
         )?;
     }
+    for quota in &status.quotas {
+        let QuotaStatus { account, rate_per_s, burst, held_tokens, lenders } = quota;
+        writeln!(
+            out,
+            "account {account:<16} {rate_per_s} requests a second, {burst} at once; {held_tokens} tokens \
+             held here; lent by {}",
+            lenders.join(", ")
+        )?;
+    }
     writeln!(
         out,
         "{} other VMs heard; limits are split among {sharing_vm_count}:",
--- a/crates/sedgepath/src/operations/losses.rs
+++ b/crates/sedgepath/src/operations/losses.rs
@@ -58,6 +58,8 @@
     pub vm: Box<str>,
     /// The service, or `unknown` if the VM had not determined it.
     pub service: Box<str>,
+    /// The client account, or `unknown` if the VM had not determined it.
+    pub account: Box<str>,
     /// The most likely reason.
     pub reason: LossReason,
 }
@@ -80,6 +82,8 @@
 pub enum Grouping {
     /// The service of the request.
     Service,
+    /// The client account of the request.
+    Account,
     /// The failure domain of the VM.
     Domain,
     /// The second, counted from the first loss.
@@ -121,7 +125,9 @@
             _ => return,
         };
         let service = text("service");
-        self.losses.push(Loss { at_ms: line.stamp.time_ms, vm: line.vm.clone(), service, reason });
+        let account = text("account");
+        let (at_ms, vm) = (line.stamp.time_ms, line.vm.clone());
+        self.losses.push(Loss { at_ms, vm, service, account, reason });
     }
 
     /// Returns the number of losses by reason, the most frequent first.
@@ -152,6 +158,7 @@
     fn group_name(&self, loss: &Loss, grouping: Grouping) -> Box<str> {
         match grouping {
             Grouping::Service => loss.service.clone(),
+            Grouping::Account => loss.account.clone(),
             Grouping::Domain => {
                 self.domain_by_vm.get(&loss.vm).cloned().unwrap_or_else(|| "unknown".into())
             }
--- a/crates/sedgepath/tests/losses.rs
+++ b/crates/sedgepath/tests/losses.rs
@@ -104,3 +104,20 @@
         assert!(plot.contains(name), "{name} is missing");
     }
 }
+
+/// Guards against an account over its quota that hides behind the service's losses.
+#[test]
+fn losses_are_counted_by_account() {
+    let dir = tempfile::tempdir().expect("a temporary directory");
+    let log = "at=1.0 vm=a1 level=info event=refused request=r1 reason=over_quota account=one service=shop\n\
+               at=2.0 vm=a1 level=info event=refused request=r2 reason=over_quota account=one service=shop\n\
+               at=3.0 vm=a1 level=info event=refused request=r3 reason=busy account=two service=shop\n";
+    fs::write(dir.path().join("a1.log"), log).expect("the file is written");
+    let logs = dir.path().to_str().expect("a UTF-8 path");
+    let arguments = ["losses", "--logs", logs, "--by", "account"].map(str::to_owned);
+    let mut out = Vec::new();
+    cli::execute(&arguments, &Environment::default(), &mut out).expect("the command succeeds");
+    let text = String::from_utf8(out).expect("UTF-8 output");
+    let by_account = text.split_once("one").map_or("", |(_, rest)| rest);
+    assert!(by_account.contains("over_quota") && by_account.contains("two"), "{text}");
+}
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -29,7 +29,9 @@
 use super::quarantine;
 use super::quotas;
 use super::request_body::{BodyReadError, RequestBody, read_body};
-use super::responses::{give_up, log_failed_attempt, record_success, reject, status_response};
+use super::responses::{
+    RejectedRequest, give_up, log_failed_attempt, record_success, reject, status_response,
+};
 use super::shared::{SharedState, StopPhase};
 
 /// File descriptors reserved for files and for connections to upstreams and to the store.
@@ -151,7 +153,7 @@
             reason: RejectionReason::Overloaded,
             retry_after_ms: OVERLOAD_RETRY_AFTER_MS,
         };
-        return reject(shared, &attempt_id, None, rejection);
+        return reject(shared, &attempt_id, RejectedRequest::Unknown, rejection);
     }
     let incoming_request = IncomingRequest {
         host: headers.host,
@@ -164,7 +166,12 @@
     let result = shared.steering.borrow_mut().begin_request(incoming_request, now_ms);
     let state = match result {
         Ok(state) => state,
-        Err(rejection) => return reject(shared, &attempt_id, None, rejection),
+        Err(rejection) => {
+            let account = shared.steering.borrow().account_name(incoming_request.credential);
+            let request =
+                account.as_deref().map_or(RejectedRequest::Unknown, RejectedRequest::OfAccount);
+            return reject(shared, &attempt_id, request, rejection);
+        }
     };
     let deadline = clock::instant_at(state.deadline_at_ms);
     let mut request = InFlightRequest { shared: Rc::clone(shared), state };
@@ -181,7 +188,8 @@
         Err(_elapsed) => return status_response(StatusCode::REQUEST_TIMEOUT, &attempt_id),
     };
     if let Err(rejection) = quotas::wait_for_token(&mut request).await {
-        return reject(shared, &attempt_id, Some(&request.state), rejection);
+        let rejected = RejectedRequest::Begun(&request.state);
+        return reject(shared, &attempt_id, rejected, rejection);
     }
     let account = request.state.account.as_ref().map(|(_, account)| account.name.clone());
     request.state.fingerprints =
@@ -210,7 +218,8 @@
                 NextStep::Reject { reason, retry_after_ms } => {
                     let rejection = Rejection { reason, retry_after_ms };
                     request.return_quota_token();
-                    return reject(&shared, &head.attempt_id, Some(&request.state), rejection);
+                    let rejected = RejectedRequest::Begun(&request.state);
+                    return reject(&shared, &head.attempt_id, rejected, rejection);
                 }
                 NextStep::GiveUp { reason } => {
                     return give_up(
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -6,6 +6,7 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
+use sedgepath_core::direct::accounts::ClientAccounts;
 use sedgepath_core::direct::attempts::{AttemptCause, AttemptOutcome, RejectionReason};
 
 use super::attempt::bytes_body;
@@ -31,6 +32,8 @@
     configuration: IntGauge,
     store_contact: IntGauge,
     in_flight: IntGauge,
+    accounts: IntGauge,
+    lent_slots: IntGauge,
     quarantined: IntGauge,
 }
 
@@ -79,6 +82,14 @@
                 "sedgepath_store_contact_ms",
                 "For how long the store has answered this VM; -1 if it doesn't, or isn't asked.",
             )?,
+            accounts: gauge(
+                "sedgepath_accounts",
+                "Client accounts of the configuration in force.",
+            )?,
+            lent_slots: gauge(
+                "sedgepath_quota_slots_lent",
+                "Slots of client accounts' quotas that this VM has lent from lately.",
+            )?,
             in_flight: gauge("sedgepath_requests_in_flight", "Requests not answered yet.")?,
             quarantined: gauge(
                 "sedgepath_quarantined_fingerprints",
@@ -102,6 +113,8 @@
             &self.store_contact,
             &self.in_flight,
             &self.quarantined,
+            &self.accounts,
+            &self.lent_slots,
         ];
         for gauge in gauges {
             self.registry.register(Box::new(gauge.clone()))?;
@@ -158,6 +171,9 @@
                 .reachable_for_ms()
                 .map_or(-1, u64::cast_signed),
         );
+        let accounts = steering.configuration().and_then(|in_force| in_force.accounts.as_ref());
+        self.accounts.set(to_gauge(accounts.map_or(0, ClientAccounts::len)));
+        self.lent_slots.set(to_gauge(steering.quotas().lent_slots()));
         self.quarantined.set(to_gauge(steering.crashes().quarantine().len()));
         self.in_flight.set(to_gauge(shared.in_flight_requests.get()));
         let mut text = Vec::new();
--- a/crates/sedgepathd/src/direct/responses.rs
+++ b/crates/sedgepathd/src/direct/responses.rs
@@ -40,11 +40,39 @@
     );
 }
 
+/// What is known of a rejected request.
+#[derive(Debug, Clone, Copy)]
+pub enum RejectedRequest<'a> {
+    /// Nothing.
+    Unknown,
+    /// The name of its client account.
+    OfAccount(&'a str),
+    /// Its state.
+    Begun(&'a RequestState),
+}
+
+impl<'a> RejectedRequest<'a> {
+    fn state(self) -> Option<&'a RequestState> {
+        match self {
+            Self::Begun(state) => Some(state),
+            Self::Unknown | Self::OfAccount(_) => None,
+        }
+    }
+
+    fn account(self) -> &'a str {
+        match self {
+            Self::Unknown => "none",
+            Self::OfAccount(account) => account,
+            Self::Begun(state) => state.account_name(),
+        }
+    }
+}
+
 /// Counts and logs a rejection and returns its response: the request was not run and never will be.
 pub fn reject(
     shared: &SharedState,
     attempt_id: &str,
-    state: Option<&RequestState>,
+    request: RejectedRequest<'_>,
     rejection: Rejection,
 ) -> Response<Body> {
     let status = match rejection.reason {
@@ -57,8 +85,9 @@
     if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
         headers::set_retry_after(response.headers_mut(), rejection.retry_after_ms);
     }
+    let state = request.state();
     let service = state.map_or("none", |state| &*state.service);
-    let account = state.map_or("none", RequestState::account_name);
+    let account = request.account();
     let delivered = state.map_or(0, |state| state.delivered);
     let arrived_at_ms = state.map_or_else(clock::now_ms, |state| state.arrived_at_ms);
     let took_ms = clock::now_ms().saturating_sub(arrived_at_ms);
