Let lenders of quotas agree before they are ready, and start with 300 ms of tokens

A view of the lenders held only VMs that were ready and heard, so that each VM asked others, and buckets were empty.

Change: VMs that run or are about to start by their rows in the store are lenders too, ready or not; a new lender starts with what its slot earns in 300 ms, for at least as long nobody has lent it.

Ruled out: a full bucket at the start, which a VM that restarts often would give out each time.

The sums of direct_quotas.rs hold as before. No test of ours shows the cause yet.

--- a/crates/sedgepath-core/src/direct/quotas/lender.rs
+++ b/crates/sedgepath-core/src/direct/quotas/lender.rs
@@ -12,6 +12,10 @@
 /// The shortest such time, in milliseconds.
 const MIN_RETRY_AFTER_MS: f64 = 50.0;
 
+/// The time whose tokens a new lender starts with, in milliseconds: it starts, or notices the silence of
+/// the last lender, after at least as long.
+const START_CREDIT_MS: u64 = 300;
+
 /// The share of a bucket's capacity for which one holder is told to wait at most.
 const MAX_CLAIM_SHARE: f64 = 0.5;
 
@@ -64,7 +68,7 @@
         let capacity = capacity(bounds.saved_tokens(quota) * share, view, account);
         let new_bucket = || Bucket {
             tokens: 0.0,
-            refilled_at_ms: view.unchanged_since_ms(),
+            refilled_at_ms: view.unchanged_since_ms().saturating_sub(START_CREDIT_MS),
             claimed_until_ms: 0.0,
             last_asked_at_ms: now_ms,
         };
--- a/crates/sedgepath-core/src/direct/quotas/lenders.rs
+++ b/crates/sedgepath-core/src/direct/quotas/lenders.rs
@@ -10,12 +10,12 @@
 /// The least number of slots of a quota: if one lender fails, the others still lend two thirds.
 const MIN_SLOTS: usize = 3;
 
-/// The serving VMs of a region.
+/// The VMs of a region that run or are about to start.
 #[derive(Debug, Default, Clone, PartialEq)]
 struct RegionView {
     /// The VMs with their peer addresses.
     vms: Vec<(VmKey, SocketAddr)>,
-    /// The share of the region's known VMs that serve and are heard.
+    /// The share of the region's known VMs that these are.
     heard_share: f64,
 }
 
@@ -51,13 +51,10 @@
 
     /// Updates the view from the membership table.
     pub fn update(&mut self, vms: &VmTable, now_ms: u64) {
-        let serving = vms.serving_vms(now_ms);
         let own_region = vms.own_region();
         self.own_region = self.names.iter().position(|name| **name == *own_region).unwrap_or(0);
         for (name, region) in self.names.iter().zip(&mut self.regions) {
-            let in_region = serving.iter().filter(|descriptor| descriptor.region == *name);
-            let heard: Vec<_> =
-                in_region.map(|descriptor| (descriptor.key(), descriptor.peer_address)).collect();
+            let heard = vms.running_or_starting_in_region(name, now_ms);
             if heard != region.vms {
                 self.unchanged_since_ms = now_ms;
             }
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -24,6 +24,8 @@
 use crate::hash::{Map, Set};
 use crate::key::VmKey;
 
+use heartbeat::key_of_address;
+
 pub use heartbeat::{StoreHealth, VmDescriptor, VmHeartbeat, VmState, VmTiming};
 pub use readers::READER_TAKEOVER_INTERVAL_MS;
 pub use summary::{DomainMember, DomainSummary, RelayedSummary, SummaryUpdate};
@@ -269,6 +271,27 @@
         &self.own.descriptor.region
     }
 
+    /// Returns the VMs of a region that run or are about to start, with their peer addresses, sorted by
+    /// address. VMs that start together thus agree before they are ready and have heard each other.
+    pub fn running_or_starting_in_region(
+        &self,
+        region: &str,
+        now_ms: u64,
+    ) -> Vec<(VmKey, SocketAddr)> {
+        let in_region = |vm: &VmDescriptor| *vm.region == *region;
+        let heard = self.live_peers(now_ms).map(|peer| &peer.descriptor);
+        let listed = self.remote_domains.live_vms(self.timing, now_ms).map(|vm| &vm.descriptor);
+        let own = (!self.own.state.leaving).then_some(&self.own.descriptor);
+        let running = heard.chain(listed).chain(own).filter(|vm| in_region(vm));
+        let starting = self.known_vms.starting(now_ms);
+        let starting = starting.filter(|(_, locality)| *locality.region == *region);
+        let mut addresses: Vec<_> =
+            running.map(|vm| vm.peer_address).chain(starting.map(|(address, _)| address)).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.into_iter().map(|address| (key_of_address(address), address)).collect()
+    }
+
     /// Returns the number of VMs of a region that this one knows of and hasn't forgotten, heard or not,
     /// including this one.
     pub fn known_in_region(&self, region: &str, now_ms: u64) -> usize {
--- a/crates/sedgepath-core/src/direct/vms/heartbeat.rs
+++ b/crates/sedgepath-core/src/direct/vms/heartbeat.rs
@@ -29,15 +29,20 @@
     /// Returns the VM's key for rendezvous hashing. It depends on the peer address only, since some VMs
     /// don't know its name.
     pub fn key(&self) -> VmKey {
-        let port = self.peer_address.port().to_le_bytes();
-        let digest = match self.peer_address.ip() {
-            IpAddr::V4(ip) => Digest::of(&[b"vm", &ip.octets(), &port]),
-            IpAddr::V6(ip) => Digest::of(&[b"vm", &ip.octets(), &port]),
-        };
-        VmKey(digest.to_u64())
+        key_of_address(self.peer_address)
     }
 }
 
+/// Returns the key for rendezvous hashing of the VM with a peer address.
+pub(super) fn key_of_address(peer_address: SocketAddr) -> VmKey {
+    let port = peer_address.port().to_le_bytes();
+    let digest = match peer_address.ip() {
+        IpAddr::V4(ip) => Digest::of(&[b"vm", &ip.octets(), &port]),
+        IpAddr::V6(ip) => Digest::of(&[b"vm", &ip.octets(), &port]),
+    };
+    VmKey(digest.to_u64())
+}
+
 /// A VM's view of the store from its own calls.
 ///
 /// A VM that makes no calls has no view. Treating it as failing would turn each pause in the calls
--- a/crates/sedgepathd/src/direct/store_feed.rs
+++ b/crates/sedgepathd/src/direct/store_feed.rs
@@ -235,6 +235,7 @@
         }
     }
     steering.set_evacuated_domains(evacuated, now_ms);
+    steering.update_quotas(now_ms);
 }
 
 fn apply_upstream_row(steering: &mut Steering, row: &VersionedRow, now_ms: u64) {
