--- a/crates/sedgepath-core/src/direct/budget.rs
+++ b/crates/sedgepath-core/src/direct/budget.rs
@@ -12,8 +12,9 @@
 //!   sum over VMs meets the bound on average.
 //!
 //! A process withdraws at most its balance at the start of a window plus the window's deposits, so
-//! the sum over processes stays within the limit even when processes are restarted. The rest of
-//! the slack covers retries in flight when the window began, requests that operators don't count,
+//! the sum over processes stays within the limit even when processes are restarted. A process that
+//! counted the requests of its own last window instead would spend a whole window's budget in one
+//! moment, and its successor on the same VM would spend it once more. The rest of the slack covers retries in flight when the window began, requests that operators don't count,
 //! and the rounding.
 
 use std::collections::VecDeque;
@@ -31,7 +32,7 @@
 /// others holds more than its share.
 pub const BALANCE_SLACK_SHARE: f64 = 0.5;
 
-/// The time span of one request counter, in milliseconds.
+/// The time span of one request counter, in milliseconds: a tenth of the usual window of 10 s.
 const COUNTER_SPAN_MS: u64 = 1_000;
 
 /// The tolerance for floating-point error when comparing a balance with one token.
--- a/crates/sedgepath-core/src/direct/placement.rs
+++ b/crates/sedgepath-core/src/direct/placement.rs
@@ -21,7 +21,8 @@
 /// The rendezvous weight of an upstream in the VM's own region, relative to other regions.
 ///
 /// All failure domains of the region share it, so that their VMs rank the upstreams of an object
-/// alike.
+/// alike. With a larger weight for the own domain, each object would have two first upstreams in a
+/// region whose callers request the same objects.
 pub const OWN_REGION_WEIGHT: f64 = 4.0;
 
 /// The rendezvous weight of an upstream in the VM's own failure domain for large responses, whose
@@ -121,7 +122,8 @@
 /// The weight of a new sample in the mean times of warm and cold work.
 const WORK_SAMPLE_WEIGHT: f64 = 0.03;
 
-/// The weight of a new sample in the two clusters of times and in the cache hit share.
+/// The weight of a new sample in the two clusters of times and in the cache hit share: about the last
+/// twenty count.
 const CLUSTER_SAMPLE_WEIGHT: f64 = 0.05;
 
 /// The least ratio of the longer to the shorter times for two distinct clusters; below it, times
--- a/crates/sedgepath-core/src/direct/queueing.rs
+++ b/crates/sedgepath-core/src/direct/queueing.rs
@@ -17,7 +17,8 @@
 /// of its route's target.
 pub const LOADED_TARGET_FACTOR: f64 = 0.95;
 
-/// The weight of a new sample in the moving share of requests that find a queue.
+/// The weight of a new sample in the moving share of requests that find a queue: about the last fifty
+/// count.
 const PRESSURE_SAMPLE_WEIGHT: f64 = 0.02;
 
 /// The least wait for a slot that a route's target allows, in milliseconds, even if the work alone
--- a/crates/sedgepath-core/src/direct/routing.rs
+++ b/crates/sedgepath-core/src/direct/routing.rs
@@ -118,6 +118,9 @@
 }
 
 /// The most requests by which a service may exceed its share to keep an object warm, on each VM.
+///
+/// Of the 30 requests that one of ten VMs counts in a window of 300, three are a tenth. The errors of VMs
+/// are independent, so their sum stays well below that.
 pub const MAX_LEAD_REQUESTS: f64 = 3.0;
 
 /// Distributes the requests of routes over their services in proportion to the weights.
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -56,7 +56,8 @@
 
 /// The largest share of a service's requests whose callers are told to retry after
 /// [`steps::IMMEDIATE_RETRY_AFTER_MS`]. Without the limit, such retries would bypass the retry budget
-/// while every upstream rejects requests.
+/// while every upstream rejects requests. Callers that return only once are hardly ever told a longer
+/// delay.
 const IMMEDIATE_RETRY_SHARE: f64 = 0.9;
 
 /// The initial estimate of the mean round trip to other regions, in milliseconds.
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -28,7 +28,8 @@
 const MAX_BUSY_RETRY_AFTER_MS: u64 = 1_500;
 
 /// The time after which a response is overdue, beyond the wait for a slot, as a multiple of the time
-/// of cold work. A smaller multiple would hedge requests at upstreams that run only cold objects.
+/// of cold work. A smaller multiple would hedge requests at upstreams that run only cold objects: one
+/// that has just been filled with these responds to nobody for about once that time.
 const OVERDUE_FACTOR: f64 = 2.0;
 
 impl Steering {
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -24,10 +24,11 @@
 const FAILURE_AND_SLOWNESS_WEIGHT: f64 = 0.2;
 
 /// The half-life of an upstream's slowness and failure rate, in milliseconds, so that an upstream
-/// without requests is tried again.
+/// without requests is tried again after some seconds.
 const HEALTH_HALF_LIFE_MS: f64 = 3_000.0;
 
-/// The half-life of the estimated load from other VMs, in milliseconds.
+/// The half-life of the estimated load from other VMs, in milliseconds: about the time that a request
+/// takes.
 const LOAD_REPORT_HALF_LIFE_MS: f64 = 400.0;
 
 /// The load per slot that is assumed for an upstream that is full.
@@ -58,8 +59,9 @@
 /// second, the unit of the rate, to allow for network jitter.
 const COLD_WINDOW_MS: u64 = 1_200;
 
-/// The share of a cold upstream's rate that one process uses. Two processes that both use a cold
-/// upstream, such as VMs with different views, send at most 1.5 times its rate, which upstreams
+/// The share of a cold upstream's rate that one process uses. A process that starts doesn't know what
+/// its predecessor has sent in the same second. Two processes that both use a cold upstream, these or
+/// VMs with different views, send at most 1.5 times its rate, which upstreams
 /// tolerate.
 const COLD_RATE_SHARE: f64 = 0.75;
 
@@ -309,7 +311,8 @@
     /// Records that a request's deadline passed without a response.
     ///
     /// Timeouts raise the failure rate, so that later requests prefer another upstream. They don't
-    /// lead to ejection.
+    /// lead to ejection. An upstream whose responses are lost on connections that stay open shows it in
+    /// no other way, and without requests in flight it doesn't count as silent either.
     pub fn record_timeout(&mut self, now_ms: u64) {
         self.raise_failure_rate(now_ms);
     }
--- a/crates/sedgepath-core/src/direct/upstreams/table.rs
+++ b/crates/sedgepath-core/src/direct/upstreams/table.rs
@@ -12,7 +12,8 @@
 use crate::hash::Map;
 
 /// The time after the end of a store outage for which a lapsed entry stays in use, in milliseconds.
-/// A running upstream registers again within that time.
+/// A running upstream registers again within about two seconds of the store's return, as the
+/// platform states.
 pub const LAPSED_ENTRY_GRACE_MS: u64 = 2_000;
 
 /// The time after a store outage for which removals count as lapses, in milliseconds. It covers the
--- a/crates/sedgepath-core/src/direct/vms/heartbeat.rs
+++ b/crates/sedgepath-core/src/direct/vms/heartbeat.rs
@@ -165,7 +165,8 @@
 const MAX_SILENT_PERIODS: f64 = 4.4;
 
 /// The silence after which a VM no longer counts as a store reader, in periods: one heartbeat may be
-/// lost. It is short so that changes are read soon after all readers fail.
+/// lost. It is short so that changes are read soon after all readers fail: all may be suspended at once,
+/// and a leaving upstream may get requests for 2.5 s only. One more reader for a moment costs some calls.
 const MAX_READER_SILENT_PERIODS: f64 = 2.6;
 
 /// The silence after which another VM sends summaries in a VM's place, in periods: short enough that
--- a/crates/sedgepathd/src/direct/fetch.rs
+++ b/crates/sedgepathd/src/direct/fetch.rs
@@ -36,8 +36,8 @@
 /// Timeout of connecting, of the response head and of each frame of the body.
 const FETCH_STEP_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Timeout of a fetch. A large configuration takes more than a second on a slow link that several
-/// VMs share; with a shorter timeout it would be sent repeatedly and keep the link full.
+/// Timeout of a fetch. A configuration of some thousand routes takes more than a second on a link of
+/// 10 Mbit/s from which several VMs fetch; with a shorter timeout it would be sent repeatedly and keep the link full.
 const TOTAL_FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// How long a response in progress keeps other VMs from being asked, in milliseconds; after that,
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -37,7 +37,8 @@
 /// File descriptors reserved for files and for connections to upstreams and to the store.
 const RESERVED_FILE_DESCRIPTORS: usize = 1_200;
 
-/// The most requests in flight; bounds memory and latency under overload.
+/// The most requests in flight; bounds memory and latency under overload. Each takes some ten kilobytes,
+/// and a VM with a fifth of a core serves a few hundred a second.
 const MAX_CONCURRENT_REQUESTS: usize = 1_000;
 
 /// The `Retry-After` of a VM with too many requests, in milliseconds.
--- a/crates/sedgepathd/src/direct/logging.rs
+++ b/crates/sedgepathd/src/direct/logging.rs
@@ -23,7 +23,8 @@
 /// The most lines of routine outcomes a second.
 const MAX_ROUTINE_LINES_PER_S: u64 = 20;
 
-/// The most other lines a second; bounds the processor time that logging takes from requests.
+/// The most other lines a second; bounds the processor time that logging takes from requests. At some
+/// microseconds a line, it is less than a hundredth of a fifth of a core.
 const MAX_PRIORITY_LINES_PER_S: u64 = 200;
 
 /// The most lines that may wait to be written.
