Forget the slots of quotas that other VMs lend by now

A former lender kept its bucket until somebody asked it, and would have lent what was saved beside the tokens of the lender between, once it was the lender again. Found on paper, for the model of lending; the sums of direct_quotas.rs hold before and after.

--- a/crates/sedgepath-core/src/direct/quotas.rs
+++ b/crates/sedgepath-core/src/direct/quotas.rs
@@ -208,10 +208,11 @@
         self.holdings.receive_grant(from, grant, now_ms)
     }
 
-    /// Forgets the state of accounts that have sent nothing for a while.
+    /// Forgets the state of accounts that have sent nothing for a while, and the slots that other VMs lend
+    /// by now.
     pub fn remove_idle(&mut self, now_ms: u64) {
         self.holdings.remove_idle(now_ms);
-        self.lent.remove_idle(now_ms);
+        self.lent.remove_unused(&self.view, now_ms);
     }
 
     /// Returns the number of tokens of an account that this VM holds.
--- a/crates/sedgepath-core/src/direct/quotas/lender.rs
+++ b/crates/sedgepath-core/src/direct/quotas/lender.rs
@@ -87,9 +87,13 @@
         Some(LentTokens { tokens, retry_after_ms })
     }
 
-    /// Forgets slots that nobody has asked for in a while.
-    pub fn remove_idle(&mut self, now_ms: u64) {
-        self.buckets.retain(|_, bucket| now_ms < bucket.last_asked_at_ms + FORGET_AFTER_MS);
+    /// Forgets slots that nobody has asked for in a while, and those that other VMs lend by now: kept
+    /// tokens would be lent beside theirs once this VM is the lender again.
+    pub fn remove_unused(&mut self, view: &LenderView, now_ms: u64) {
+        self.buckets.retain(|(account, slot), bucket| {
+            now_ms < bucket.last_asked_at_ms + FORGET_AFTER_MS
+                && view.lender(*account, *slot) == Some(Lender::Own)
+        });
     }
 
     /// Returns the number of slots.
