--- a/crates/sedgepath-core/src/direct/budget.rs
+++ b/crates/sedgepath-core/src/direct/budget.rs
@@ -14,8 +14,8 @@
 //! A process withdraws at most its balance at the start of a window plus the window's deposits, so
 //! the sum over processes stays within the limit even when processes are restarted. A process that
 //! counted the requests of its own last window instead would spend a whole window's budget in one
-//! moment, and its successor on the same VM would spend it once more. The rest of the slack covers retries in flight when the window began, requests that operators don't count,
-//! and the rounding.
+//! moment, and its successor on the same VM would spend it once more. The rest of the slack covers
+//! retries in flight when the window began, requests that operators don't count, and the rounding.
 
 use std::collections::VecDeque;
 
