--- a/crates/sedgepath-core/tests/direct_fingerprint.rs
+++ b/crates/sedgepath-core/tests/direct_fingerprint.rs
@@ -63,3 +63,16 @@
     let distinct: std::collections::BTreeSet<_> = all.iter().collect();
     assert_eq!(distinct.len(), all.len());
 }
+
+/// Guards against a caller who has another account's requests rejected by presenting its name.
+#[test]
+fn an_account_can_not_be_claimed_by_credentials() {
+    let of_account = RequestIdentity { account: Some("one"), ..REQUEST };
+    let claimed = RequestIdentity { credentials: Some(b"one"), ..REQUEST };
+    let other = RequestIdentity { account: Some("two"), ..REQUEST };
+    let fingerprint = |identity| RequestFingerprints::of(&identity).of_caller;
+    assert_ne!(fingerprint(of_account), fingerprint(claimed));
+    assert_ne!(fingerprint(of_account), fingerprint(other));
+    let elsewhere = RequestIdentity { caller: [10, 0, 0, 9].into(), ..of_account };
+    assert_eq!(fingerprint(of_account), fingerprint(elsewhere));
+}
--- a/crates/sedgepath-model/examples/explore.rs
+++ b/crates/sedgepath-model/examples/explore.rs
@@ -6,6 +6,7 @@
 
 use sedgepath_model::claim::{self, ClaimModel};
 use sedgepath_model::configuration::{self, ConfigurationModel};
+use sedgepath_model::quota_lending::{self, QuotaLendingModel};
 use sedgepath_model::retry_budget::{self, RetryBudgetModel};
 use sedgepath_model::search::{Model, Verdict, explore};
 use sedgepath_model::slot_split::{self, SlotSplitModel};
@@ -105,6 +106,21 @@
     }
 }
 
+fn report_quota_lending(trace_wanted: bool) {
+    let name = "quota lending";
+    let sizes = [
+        ("2 restarts", QuotaLendingModel::new().with_restarts(2)),
+        ("2 cuts, 1 restart", QuotaLendingModel::new().with_cuts(2).with_restarts(1)),
+    ];
+    for (variant, model) in &sizes {
+        report(name, variant, model, trace_wanted);
+    }
+    for safeguard in quota_lending::Safeguard::ALL {
+        let variant = format!("no {safeguard:?}");
+        report(name, &variant, &QuotaLendingModel::smallest_without(safeguard), trace_wanted);
+    }
+}
+
 fn report_summaries(trace_wanted: bool) {
     let name = "summaries";
     for kills in 0..=2 {
@@ -155,6 +171,7 @@
     report_claims(trace_wanted);
     report_configurations(trace_wanted);
     report_retry_budgets(trace_wanted);
+    report_quota_lending(trace_wanted);
     report_summaries(trace_wanted);
     report_slot_splits(trace_wanted, has_flag(LARGE_FLAG));
 }
--- a/crates/sedgepath-model/src/lib.rs
+++ b/crates/sedgepath-model/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod claim;
 pub mod configuration;
+pub mod quota_lending;
 pub mod retry_budget;
 pub mod search;
 pub mod slot_split;
--- a/crates/sedgepathd/tests/fatal_rows.rs
+++ b/crates/sedgepathd/tests/fatal_rows.rs
@@ -16,22 +16,8 @@
 
 /// Returns a valid configuration of a route to one service.
 fn configuration(version: u64) -> Value {
-    json!({
-        "version": format!("{version:08x}"),
-        "services": [{
-            "name": "shop", "healthPath": "/health", "maxConnections": 100, "protocol": "h1",
-            "tls": false, "coldStart": "3s", "coldPerS": 4.0,
-        }],
-        "limits": {
-            "maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000, "headerTimeout": "3000ms",
-            "idleTimeout": "15000ms",
-        },
-        "virtualHosts": [{"host": "shop.example", "pathRoutes": [{
-            "name": "reads", "prefix": "/reads/", "kind": "safe", "timeout": "3000ms",
-            "targetLatency": "400ms", "priority": 1, "service": "shop", "maxAttempts": 2,
-            "sticky": true, "homeRegions": [],
-        }]}],
-    })
+    let routes = [platform::route("reads", "safe", "3000ms")];
+    platform::configuration(&format!("{version:08x}"), &routes)
 }
 
 /// Returns the valid entry of an upstream.
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -18,6 +18,7 @@
 
 use sedgepath_test_support::port::{free_ports, spawn};
 use sedgepath_test_support::store::StoreStandIn;
+use serde_json::{Value, json};
 use tempfile::TempDir;
 
 /// The longest that a test waits for a condition.
@@ -39,44 +40,19 @@
     }
 }
 
-/// Writes a configuration with an idempotent route and one that is not idempotent.
-pub fn configure(store: &StoreStandIn, version: &str, timeout: &str) {
-    let route = |name: &str, kind: &str| {
-        serde_json::json!({
-            "name": name, "prefix": format!("/{name}/"), "kind": kind, "timeout": timeout,
-            "targetLatency": "400ms", "priority": 1, "service": "shop", "maxAttempts": 2,
-            "sticky": true, "homeRegions": [],
-        })
-    };
-    let configuration = serde_json::json!({
-        "version": version,
-        "services": [{
-            "name": "shop", "healthPath": "/health", "maxConnections": 100, "protocol": "h1",
-            "tls": false, "coldStart": "3s", "coldPerS": 4.0,
-        }],
-        "limits": {
-            "maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000, "headerTimeout": "3000ms",
-            "idleTimeout": "15000ms",
-        },
-        "virtualHosts": [{
-            "host": "shop.example", "pathRoutes": [route("reads", "safe"), route("charges", "unsafe")],
-        }],
-    });
-    store.put("op", "config", configuration.to_string().as_bytes());
+/// Returns a route named like its path prefix.
+pub fn route(name: &str, kind: &str, timeout: &str) -> Value {
+    json!({
+        "name": name, "prefix": format!("/{name}/"), "kind": kind, "timeout": timeout,
+        "targetLatency": "400ms", "priority": 1, "service": "shop", "maxAttempts": 2,
+        "sticky": true, "homeRegions": [],
+    })
 }
 
-/// Returns a configuration with client accounts, each with its keys: a route that needs an account,
-/// and one that is public.
-pub fn configuration_with_accounts(version: u64, accounts: &serde_json::Value) -> String {
-    let route = |name: &str, kind: &str, public: bool| {
-        serde_json::json!({
-            "name": name, "prefix": format!("/{name}/"), "kind": kind, "timeout": "3000ms",
-            "targetLatency": "400ms", "priority": 1, "service": "shop", "maxAttempts": 2,
-            "sticky": true, "homeRegions": [], "public": public,
-        })
-    };
-    serde_json::json!({
-        "version": format!("{version:08x}"),
+/// Returns a configuration of routes to one service.
+pub fn configuration(version: &str, routes: &[Value]) -> Value {
+    json!({
+        "version": version,
         "services": [{
             "name": "shop", "healthPath": "/health", "maxConnections": 100, "protocol": "h1",
             "tls": false, "coldStart": "3s", "coldPerS": 4.0,
@@ -85,17 +61,24 @@
             "maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000, "headerTimeout": "3000ms",
             "idleTimeout": "15000ms",
         },
-        "tenants": accounts,
-        "virtualHosts": [{
-            "host": "shop.example",
-            "pathRoutes": [
-                route("reads", "safe", false),
-                route("charges", "unsafe", false),
-                route("open", "safe", true),
-            ],
-        }],
+        "virtualHosts": [{"host": "shop.example", "pathRoutes": routes}],
     })
-    .to_string()
+}
+
+/// Writes a configuration with an idempotent route and one that is not idempotent.
+pub fn configure(store: &StoreStandIn, version: &str, timeout: &str) {
+    let routes = [route("reads", "safe", timeout), route("charges", "unsafe", timeout)];
+    store.put("op", "config", configuration(version, &routes).to_string().as_bytes());
+}
+
+/// Returns a configuration with client accounts: two routes that need an account, and a public one.
+pub fn configuration_with_accounts(version: u64, accounts: &Value) -> String {
+    let mut public = route("open", "safe", "3000ms");
+    public["public"] = true.into();
+    let routes = [route("reads", "safe", "3000ms"), route("charges", "unsafe", "3000ms"), public];
+    let mut configuration = configuration(&format!("{version:08x}"), &routes);
+    configuration["tenants"] = accounts.clone();
+    configuration.to_string()
 }
 
 /// VMs that use the same ports and the same store.
