Split what holds tokens and what decodes client accounts by job

Moves only: one account's tokens (holder/holding.rs), the decaying rate, and the decoding of accounts have files of their own; a holder gets its sources of tokens as one value.

--- a/crates/sedgepath-core/src/direct/quotas.rs
+++ b/crates/sedgepath-core/src/direct/quotas.rs
@@ -21,6 +21,7 @@
 pub mod holder;
 pub mod lender;
 pub mod lenders;
+mod rate;
 
 use serde::{Deserialize, Serialize};
 
