--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -25,12 +25,16 @@
 //!
 //! # Limits shared by all VMs
 //!
-//! The retry budget and the request rates to an upstream that is cold, or states a limit, are limits
-//! over all VMs. Each VM uses
-//! a share of the retry budget that follows from the number of VMs that it knows. A cold upstream
-//! gets requests from one VM only, which every VM determines by the same rendezvous hash, and one that
-//! states a limit from a few. The parts need no messages between VMs, so the limits hold during a
-//! network partition; VMs tell each other of a stated limit and of its end.
+//! The retry budget, the request rates to an upstream that is cold or states a limit, and the quotas of
+//! client accounts are limits over all VMs.
+//!
+//! - Each VM uses a share of the retry budget that follows from the number of VMs that it knows.
+//! - A cold upstream gets requests from one VM only, which every VM determines by the same rendezvous
+//!   hash, and one that states a limit from a few.
+//! - A few VMs, determined alike too, lend each other VM tokens of an account's quota.
+//!
+//! The first two need no messages between VMs, so they hold during a network partition; VMs tell each
+//! other of a stated limit and of its end. A quota is lent in parts during a partition.
 
 pub mod ablation;
 pub mod accounts;
--- a/crates/sedgepath-core/src/direct/quotas/holder/holding.rs
+++ b/crates/sedgepath-core/src/direct/quotas/holder/holding.rs
@@ -59,7 +59,7 @@
 
 /// Why a slot isn't asked for tokens for a while.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Closure {
+enum ClosedReason {
     UsedUp,
     Unresponsive,
 }
@@ -67,7 +67,7 @@
 #[derive(Debug, Clone, Copy)]
 struct ClosedSlot {
     slot: u8,
-    closure: Closure,
+    reason: ClosedReason,
     until_ms: u64,
 }
 
@@ -137,13 +137,13 @@
             .partition(|pending| pending.times_out_at_ms() <= now_ms);
         self.pending = pending;
         for PendingRequest { slot, .. } in timed_out {
-            self.close(slot, Closure::Unresponsive, now_ms + UNRESPONSIVE_MS);
+            self.close(slot, ClosedReason::Unresponsive, now_ms + UNRESPONSIVE_MS);
         }
     }
 
-    fn close(&mut self, slot: u8, closure: Closure, until_ms: u64) {
+    fn close(&mut self, slot: u8, reason: ClosedReason, until_ms: u64) {
         self.closed.retain(|closed| closed.slot != slot);
-        self.closed.push(ClosedSlot { slot, closure, until_ms });
+        self.closed.push(ClosedSlot { slot, reason, until_ms });
     }
 
     pub(super) fn open_slots(
@@ -204,10 +204,10 @@
                 return Asked::Nobody;
             };
             match source.view.lender(account, slot) {
-                None => self.close(slot, Closure::UsedUp, now_ms + UNRESPONSIVE_MS),
+                None => self.close(slot, ClosedReason::UsedUp, now_ms + UNRESPONSIVE_MS),
                 Some(Lender::Own) => {
                     let Some(granted) = (source.lend)(slot, tokens) else {
-                        self.close(slot, Closure::Unresponsive, now_ms + UNRESPONSIVE_MS);
+                        self.close(slot, ClosedReason::Unresponsive, now_ms + UNRESPONSIVE_MS);
                         continue;
                     };
                     self.add(granted, slot, now_ms, now_ms);
@@ -234,7 +234,7 @@
         }
         if lent.retry_after_ms > 0 {
             let retry_after_ms = lent.retry_after_ms.min(MAX_RETRY_AFTER_MS);
-            self.close(slot, Closure::UsedUp, now_ms + retry_after_ms);
+            self.close(slot, ClosedReason::UsedUp, now_ms + retry_after_ms);
         }
     }
 
@@ -295,7 +295,7 @@
     /// Returns the time until a used-up slot has tokens again, if no lender is unresponsive, in
     /// milliseconds.
     pub(super) fn over_quota_for_ms(&self, now_ms: u64) -> Option<u64> {
-        if self.closed.iter().any(|closed| closed.closure == Closure::Unresponsive) {
+        if self.closed.iter().any(|closed| closed.reason == ClosedReason::Unresponsive) {
             return None;
         }
         let until_ms = self.closed.iter().map(|closed| closed.until_ms).min()?;
