--- a/crates/sedgepath-core/tests/direct_quotas.rs
+++ b/crates/sedgepath-core/tests/direct_quotas.rs
@@ -240,9 +240,10 @@
     net.kill(&vms);
     net.run_for(1_000);
     for vm in &vms {
-        net.start(*vm, &vms);
+        let ready_at_ms = net.now_ms() + 200 + 2 * *vm as u64;
+        net.start_ready_at(*vm, &vms, ready_at_ms);
     }
-    net.run_for(150);
+    net.run_for(360);
     let started_at_ms = net.now_ms();
     run_together(&mut net, &mut loads, &vms, 1_500);
     let sent: usize = loads.iter().map(|load| load.sent(&net, started_at_ms)).sum();
--- a/crates/sedgepath-test-support/src/vm_network.rs
+++ b/crates/sedgepath-test-support/src/vm_network.rs
@@ -69,6 +69,7 @@
 enum Event {
     GossipRound { vm: VmIndex, boot: u64 },
     ReportRound { vm: VmIndex },
+    Ready { vm: VmIndex, boot: u64 },
     QuotaRound { vm: VmIndex, boot: u64 },
     QuotaDecision { vm: VmIndex },
     Arrival { vm: VmIndex, from: VmIndex, message: Box<PeerMessage> },
@@ -189,6 +190,15 @@
         }
     }
 
+    /// Starts a VM as [`start`](Self::start) does that isn't ready before a time in milliseconds: it has
+    /// no configuration yet.
+    pub fn start_ready_at(&mut self, vm: VmIndex, rows: &[VmIndex], ready_at_ms: u64) {
+        self.start(vm, rows);
+        self.table_mut(vm).set_ready(false);
+        let boot = self.vms[vm].boot_at_ms;
+        self.schedule(ready_at_ms, Event::Ready { vm, boot });
+    }
+
     /// Starts a VM that knows only the addresses of seed VMs.
     pub fn start_with_seeds(&mut self, vm: VmIndex, seeds: &[VmIndex]) {
         self.start_boot(vm, None);
@@ -356,6 +366,13 @@
         match event {
             Event::GossipRound { vm, boot } => self.run_gossip_round(vm, boot),
             Event::ReportRound { vm } => self.send_reports(vm),
+            Event::Ready { vm, boot } => {
+                if self.vms[vm].boot_at_ms == boot
+                    && let Some(table) = &mut self.vms[vm].table
+                {
+                    table.set_ready(true);
+                }
+            }
             Event::QuotaRound { vm, boot } => self.run_quota_round(vm, boot),
             Event::QuotaDecision { vm } => self.decide_waiting(vm),
             Event::Arrival { vm, from, message } => self.deliver(vm, from, message),
