--- a/crates/sedgepathd/src/direct/connection_pool.rs
+++ b/crates/sedgepathd/src/direct/connection_pool.rs
@@ -1,8 +1,9 @@
 //! Connections to upstreams, kept open between requests.
 //!
 //! A new connection costs an upstream about a millisecond of a slot, and upstreams limit their
-//! connections and close idle ones. The connection used last is reused first, so that the others expire here before the
-//! upstream closes them: a request sent while the upstream closes its connection may have run.
+//! connections and close idle ones. The connection used last is reused first, so that the others
+//! expire here before the upstream closes them: a request sent while the upstream closes its connection
+//! may have run.
 
 use std::cell::RefCell;
 use std::time::Duration;
--- a/crates/sedgepathd/src/direct/fetch.rs
+++ b/crates/sedgepathd/src/direct/fetch.rs
@@ -37,7 +37,8 @@
 const FETCH_STEP_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Timeout of a fetch. A configuration of some thousand routes takes more than a second on a link of
-/// 10 Mbit/s from which several VMs fetch; with a shorter timeout it would be sent repeatedly and keep the link full.
+/// 10 Mbit/s from which several VMs fetch; with a shorter timeout it would be sent repeatedly and keep
+/// the link full.
 const TOTAL_FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// How long a response in progress keeps other VMs from being asked, in milliseconds; after that,
