--- a/crates/sedgepath-core/src/direct/quotas.rs
+++ b/crates/sedgepath-core/src/direct/quotas.rs
@@ -11,7 +11,8 @@
 //!   VMs that the lender hears. Two lenders on both sides of a partition thus lend one slot together.
 //! - A token expires [`TOKEN_LIFETIME_MS`] after its holder asked for it, by the holder's clock, and each
 //!   grant answers one request for tokens. A suspended or restarted VM spends nothing from before.
-//! - A lender that starts, or becomes the lender, begins with what its slot earned since.
+//! - A lender that starts, or becomes the lender, begins with what its slot earns in the short time for
+//!   which nobody can have lent it, and what it earned since.
 //! - Lost, repeated and forged datagrams only lose tokens: a grant counts once, up to what was asked,
 //!   from the VM that was asked.
 //!
