Tell upstreams when a call is given up, not when its slot is used again

Cause: an upstream is told the caller's deadline, at which the owner uses the slot of a lost call again. The cut of 4 s ends when the second batch of lost calls is near its deadline of 2 s; one that is delivered and started just before the deadline runs past it, beside the request that has the slot next.

Before: the new test, which delivers a held request 60 ms before the deadline, fails (the request runs).

--- a/crates/sedgepath-test-support/src/clock.rs
+++ b/crates/sedgepath-test-support/src/clock.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Returns the milliseconds since the Unix epoch.
-pub(crate) fn now_ms() -> u64 {
+pub fn now_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
 }
 
--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use sedgepath_store_stand_in as store;
 
-mod clock;
+pub mod clock;
 mod http1;
 mod server;
 mod sync;
--- a/crates/sedgepathd/src/dispatch.rs
+++ b/crates/sedgepathd/src/dispatch.rs
@@ -38,6 +38,9 @@
 ///
 /// A call that ends at its deadline has an unknown outcome. If the upstream confirms the
 /// cancellation in time, the request was certainly not run, and the caller may retry it.
+///
+/// The upstream is given the time of the cancellation as the deadline: a request that it starts just
+/// before then still has this long to end before its slot is used again.
 const CANCEL_RESERVE_MS: u64 = 100;
 
 /// The longest that a body may make no progress.
@@ -155,12 +158,12 @@
     ) {
         let now_ms = self.handle.clock().now_ms();
         let is_head = &*head.method == Method::HEAD.as_str();
-        let Some(request) = self.build_request(&head, body, &call, now_ms) else {
+        let cancel_at_ms = call.deadline_at_ms.saturating_sub(CANCEL_RESERVE_MS).max(now_ms);
+        let shortened = UpstreamCall { deadline_at_ms: cancel_at_ms, ..call };
+        let Some(request) = self.build_request(&head, body, &shortened, now_ms) else {
             self.reply_not_sent(reply);
             return;
         };
-        let cancel_at_ms = call.deadline_at_ms.saturating_sub(CANCEL_RESERVE_MS).max(now_ms);
-        let shortened = UpstreamCall { deadline_at_ms: cancel_at_ms, ..call };
         match self.upstreams.call(shortened, request).await {
             Ok((response, connection)) => {
                 let arrived = ArrivedResponse { response, connection, is_head };
--- a/crates/sedgepathd/tests/faults.rs
+++ b/crates/sedgepathd/tests/faults.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use sedgepath_test_support::caller::{Call, Caller, CallerStats, Outcome};
+use sedgepath_test_support::clock::now_ms;
 use sedgepath_test_support::daemon::Signal;
 use sedgepath_test_support::link::{Cut, CuttableLink};
 use sedgepath_test_support::records::{self, UpstreamSpec};
@@ -186,3 +187,25 @@
     fixture.assert_all_serve("end");
     fixture.assert_guarantees(&stats);
 }
+
+/// Guards against runs that begin after the call was given up, and so overlap with the next request
+/// that uses the slot, when the link to an upstream delivers a request late.
+#[test]
+fn an_upstream_starts_no_request_that_arrives_after_the_call_was_given_up() {
+    const TIMEOUT_MS: u64 = 1_500;
+    const BEFORE_DEADLINE_MS: u64 = 60;
+    let fixture = FaultSystem::new();
+    let set_cut = |cut| fixture.links.iter().for_each(|link| link.set_cut(cut));
+    set_cut(Cut::ToTarget);
+    let deadline_ms = now_ms() + TIMEOUT_MS;
+    let entry = fixture.system.caller_addresses()[0];
+    let caller = thread::spawn(move || {
+        Caller::new([entry]).call(&call("late", 0).with_deadline_ms(deadline_ms)).outcome
+    });
+    sleep_ms(TIMEOUT_MS - BEFORE_DEADLINE_MS);
+    set_cut(Cut::None);
+    let outcome = caller.join().expect("a caller");
+    sleep_ms(200);
+    let ran = fixture.upstreams.iter().any(|upstream| upstream.runs_by_key().contains_key("late"));
+    assert!(!ran && outcome != ANSWERED, "ran: {ran}, {outcome:?}");
+}
