Authenticate messages between VMs, if operators ask for it

Cause: anybody who reaches the VMs' ports could send heartbeats, reports, quota messages and rows: a forged heartbeat is named in look-ups, forged rows come into force (shown by the new test in policy off). Ruled out: a signature for each VM and TLS between all (docs/DESIGN.md). Off by default, so that nothing changes for a deployment that doesn't ask.

Also: the delay of the event loop as a histogram, and a line from 200 ms on.

--- a/crates/sedgepath-wire/src/lib.rs
+++ b/crates/sedgepath-wire/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod datagram;
 pub mod frame;
 pub mod key;
+pub mod peer_keys;
+pub mod peer_seal;
 pub mod rpc;
 pub mod signed_call;
 pub mod tcp;
--- a/crates/sedgepath/src/commands.rs
+++ b/crates/sedgepath/src/commands.rs
@@ -13,6 +13,7 @@
 mod history;
 mod key;
 mod losses;
+mod peer_key;
 mod status;
 mod timeline;
 
@@ -43,6 +44,7 @@
     &timeline::COMMAND,
     &losses::COMMAND,
     &key::COMMAND,
+    &peer_key::COMMAND,
 ];
 
 fn add_node_options(options: &mut Options) {
--- a/crates/sedgepath/src/error.rs
+++ b/crates/sedgepath/src/error.rs
@@ -12,6 +12,7 @@
 use sedgepath_yaml::ErrorReport;
 
 use crate::operations::losses::PlotError;
+use crate::operations::peer_keys::PeerKeyRotationError;
 use crate::time;
 
 /// The exit status of the program.
@@ -194,6 +195,9 @@
         /// The requested name.
         name: Box<str>,
     },
+    /// The key of messages between VMs was not replaced, or may not have been.
+    #[error("failed to replace the key of messages between VMs")]
+    PeerKeyNotReplaced(#[from] PeerKeyRotationError),
     /// The output can't be written.
     #[error("failed to write the output")]
     Output(#[from] io::Error),
@@ -210,9 +214,15 @@
     pub fn exit(&self) -> ExitStatus {
         match self {
             Self::Usage { .. } | Self::MissingNode | Self::MissingKey => ExitStatus::Usage,
-            Self::Conflict { .. } => ExitStatus::Conflict,
-            Self::Unreachable { .. } => ExitStatus::Unreachable,
-            Self::OutcomeUnknown { .. } => ExitStatus::Unknown,
+            Self::Conflict { .. } | Self::PeerKeyNotReplaced(PeerKeyRotationError::Conflict) => {
+                ExitStatus::Conflict
+            }
+            Self::Unreachable { .. }
+            | Self::PeerKeyNotReplaced(PeerKeyRotationError::Unavailable) => {
+                ExitStatus::Unreachable
+            }
+            Self::OutcomeUnknown { .. }
+            | Self::PeerKeyNotReplaced(PeerKeyRotationError::Unknown) => ExitStatus::Unknown,
             Self::InvalidRecords { .. } | Self::DrainRejected(_) | Self::TargetNotFound { .. } => {
                 ExitStatus::Rejected
             }
@@ -224,6 +234,7 @@
             | Self::NodeError { .. }
             | Self::NotAccepted(_)
             | Self::RecordNotFound { .. }
+            | Self::PeerKeyNotReplaced(_)
             | Self::Output(_)
             | Self::Json(_)
             | Self::Yaml(_) => ExitStatus::Failed,
--- a/crates/sedgepath/src/operations.rs
+++ b/crates/sedgepath/src/operations.rs
@@ -12,6 +12,7 @@
 pub mod drain;
 pub mod logs;
 pub mod losses;
+pub mod peer_keys;
 pub mod timeline;
 pub mod vm_status;
 
--- a/crates/sedgepathd/src/command.rs
+++ b/crates/sedgepathd/src/command.rs
@@ -6,6 +6,7 @@
 use getopts::{Matches, Options};
 use sedgepath_core::direct::ablation::UnknownMechanism;
 use sedgepath_core::direct::steering::SteeringConfig;
+use sedgepath_wire::peer_seal::UnknownPeerAuthentication;
 
 use crate::settings::Settings;
 use crate::{daemon, direct};
@@ -81,6 +82,8 @@
     InvalidMetricsPort(#[from] std::num::ParseIntError),
     #[error(transparent)]
     UnknownMechanism(#[from] UnknownMechanism),
+    #[error(transparent)]
+    UnknownPeerAuthentication(#[from] UnknownPeerAuthentication),
 }
 
 /// Parses the options of `--direct`.
@@ -90,7 +93,13 @@
     for name in matches.opt_strs("without") {
         policy = policy.without(name.parse()?);
     }
-    Ok(direct::run::Options { metrics_port, steering_config: policy })
+    let peer_authentication =
+        matches.opt_str("peer-authentication").map(|name| name.parse()).transpose()?;
+    Ok(direct::run::Options {
+        metrics_port,
+        steering_config: policy,
+        peer_authentication: peer_authentication.unwrap_or_default(),
+    })
 }
 
 fn options() -> Options {
@@ -103,6 +112,12 @@
         "run on the platform and send to upstreams directly; the platform's settings file is named by the environment",
     );
     options.optopt("", "metrics-port", "with --direct: serve metrics on this port", "PORT");
+    options.optopt(
+        "",
+        "peer-authentication",
+        "with --direct: off, sign messages to other VMs, or require that theirs are signed too",
+        "off|sign|require",
+    );
     options.optmulti(
         "",
         "without",
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -35,6 +35,7 @@
 pub mod ingress;
 pub mod logging;
 pub mod metrics;
+pub mod peer_authentication;
 pub mod quarantine;
 pub mod quotas;
 pub mod request_body;
--- a/crates/sedgepathd/src/direct/discovery.rs
+++ b/crates/sedgepathd/src/direct/discovery.rs
@@ -6,13 +6,11 @@
 
 use sedgepath_adapter::store::StoreError;
 use sedgepath_core::direct::replicas::TableUpdate;
+use sedgepath_wire::peer_keys::{PEER_KEY_ROW, VM_TABLE};
 use serde::{Deserialize, Serialize};
 
 use super::shared::SharedState;
-use super::{clock, fetch, gossip};
-
-/// The store table with one row for each entry VM.
-const VM_TABLE: &str = "sedgepath-vms";
+use super::{clock, fetch, gossip, peer_authentication};
 
 /// The first backoff after the store could not be read, in milliseconds; it doubles after each
 /// failure.
@@ -36,6 +34,7 @@
     loop {
         let result = publish_and_read_rows(&shared).await;
         if let Ok(update) = &result {
+            peer_authentication::apply_keys(&shared, update);
             add_discovered_vms(&shared, update);
         }
         shared.discovery_attempted.set(true);
@@ -65,7 +64,7 @@
     let now_ms = clock::now_ms();
     let mut steering = shared.steering.borrow_mut();
     let vms = steering.vms_mut();
-    for row in &update.rows {
+    for row in update.rows.iter().filter(|row| &*row.key != PEER_KEY_ROW) {
         let Some(value) = &row.value else { continue };
         match serde_json::from_slice::<VmRow>(value) {
             Ok(VmRow { address, domain, region }) => vms.add_vm(address, &domain, &region, now_ms),
--- a/crates/sedgepathd/src/direct/fetch.rs
+++ b/crates/sedgepathd/src/direct/fetch.rs
@@ -10,10 +10,12 @@
 use hyper::{Request, StatusCode, client};
 use hyper_util::rt::TokioIo;
 use sedgepath_core::direct::replicas::{Table, TableUpdate};
+use sedgepath_wire::peer_seal::SealError;
 use sedgepath_wire::tcp;
 use tokio::time::timeout;
 
 use super::gossip::send_heartbeat;
+use super::peer_authentication::RowsExchange;
 use super::shared::SharedState;
 use super::table_server::RowsError;
 use super::{clock, store_feed, table_server};
@@ -171,6 +173,8 @@
     Silent,
     #[error("the VM lacks the table or has reached its limit of snapshots")]
     Unavailable,
+    #[error("the response isn't proved")]
+    Unproved(#[from] SealError),
     #[error("can't decode the response")]
     Rows(#[from] RowsError),
 }
@@ -187,7 +191,10 @@
     // A connection error is returned by `send_request` or by the body.
     tokio::task::spawn_local(async move { drop(task.await) });
     let mut request = Request::new(Empty::<Bytes>::new());
-    if let Ok(uri) = format!("/copies/{}/{after}", table.name()).parse() {
+    let path = format!("/copies/{}/{after}", table.name());
+    let exchange = RowsExchange::new(&path);
+    exchange.prove_request(shared, request.headers_mut());
+    if let Ok(uri) = path.parse() {
         *request.uri_mut() = uri;
     }
     let sent = timeout(FETCH_STEP_TIMEOUT, connection.send_request(request)).await;
@@ -209,5 +216,6 @@
             shared.last_fetch_at_ms.borrow_mut().insert(table, now_ms);
         }
     }
+    exchange.check_response(shared, &head.headers, &body, address)?;
     Ok(table_server::decode_rows(&head.headers, &body)?)
 }
--- a/crates/sedgepathd/src/direct/gossip.rs
+++ b/crates/sedgepathd/src/direct/gossip.rs
@@ -10,12 +10,16 @@
 use sedgepath_core::direct::reports::{DueReports, Reports};
 use sedgepath_core::direct::vms::gossip::{Heartbeat, OutgoingMessage, PeerMessage};
 use sedgepath_core::direct::vms::{RelayedSummary, VmHeartbeat};
+use sedgepath_wire::peer_seal::SEAL_BYTES;
 
 use super::shared::SharedState;
-use super::{clock, fetch, quotas};
+use super::{clock, fetch, peer_authentication, quotas};
 
-/// The largest datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 1_432;
+/// The largest message in a datagram, in bytes.
+const MAX_MESSAGE_BYTES: usize = 1_432;
+
+/// The largest datagram, in bytes; fits a packet on common links.
+const MAX_DATAGRAM_BYTES: usize = MAX_MESSAGE_BYTES + SEAL_BYTES;
 
 /// The time for which reports are collected before they are sent.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
@@ -139,12 +143,12 @@
     let mut batches: Vec<Vec<RelayedSummary>> = Vec::new();
     let mut free_bytes = 0;
     for summary in summaries {
-        let bytes = postcard::to_stdvec(&summary).map_or(MAX_DATAGRAM_BYTES, |bytes| bytes.len());
+        let bytes = postcard::to_stdvec(&summary).map_or(MAX_MESSAGE_BYTES, |bytes| bytes.len());
         match batches.last_mut() {
             Some(batch) if bytes <= free_bytes => batch.push(summary),
             _ => {
                 batches.push(vec![summary]);
-                free_bytes = MAX_DATAGRAM_BYTES - LIST_OVERHEAD_BYTES;
+                free_bytes = MAX_MESSAGE_BYTES - LIST_OVERHEAD_BYTES;
             }
         }
         free_bytes = free_bytes.saturating_sub(bytes);
@@ -162,8 +166,10 @@
         }
     };
     for address in addresses {
-        shared.metrics.count_peer_bytes(message.name(), bytes.len());
-        if let Err(error) = shared.peer_socket.send_to(&bytes, address).await {
+        let sealed = shared.peer_seal.borrow_mut().seal(&bytes, *address, clock::unix_ms());
+        let Some(datagram) = sealed else { return };
+        shared.metrics.count_peer_bytes(message.name(), datagram.len());
+        if let Err(error) = shared.peer_socket.send_to(&datagram, address).await {
             log::debug!("event=datagram_not_sent to={address} error={:?}", error.to_string());
         }
     }
@@ -174,7 +180,7 @@
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         let received = shared.peer_socket.recv_from(&mut buffer).await;
-        match decode(received, &buffer) {
+        match decode(&shared, received, &buffer) {
             Some((_, PeerMessage::Heartbeat(Heartbeat::Full(heartbeat)))) => {
                 handle_heartbeat(&shared, heartbeat).await;
             }
@@ -208,12 +214,13 @@
 }
 
 fn decode(
+    shared: &SharedState,
     received: io::Result<(usize, SocketAddr)>,
     buffer: &[u8],
 ) -> Option<(SocketAddr, PeerMessage)> {
     let (length, from) = received.ok()?;
-    let message = postcard::from_bytes(buffer.get(..length)?).ok()?;
-    Some((from, message))
+    let message = peer_authentication::open(shared, buffer.get(..length)?, from)?;
+    Some((from, postcard::from_bytes(message).ok()?))
 }
 
 fn handle_reports(shared: &Rc<SharedState>, reports: &Reports, from: SocketAddr) {
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -3,8 +3,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use sedgepath_core::direct::accounts::ClientAccounts;
 use sedgepath_core::direct::attempts::{AttemptCause, AttemptOutcome, RejectionReason};
@@ -27,6 +27,8 @@
     attempts: IntCounterVec,
     rejections: IntCounterVec,
     peer_bytes: IntCounterVec,
+    rejected_peer_messages: IntCounterVec,
+    event_loop_delay: Histogram,
     upstreams: IntGaugeVec,
     vms: IntGauge,
     configuration: IntGauge,
@@ -72,6 +74,18 @@
                 "Bytes sent to other entry VMs, by what they tell, without those of the transport.",
                 &["kind"],
             )?,
+            rejected_peer_messages: counter(
+                "sedgepath_peer_messages_rejected_total",
+                "Messages of other entry VMs, or of somebody else, that were not accepted, by reason.",
+                &["reason"],
+            )?,
+            event_loop_delay: Histogram::with_opts(
+                HistogramOpts::new(
+                    "sedgepath_event_loop_delay_seconds",
+                    "Time by which a timer of the process was late.",
+                )
+                .buckets(LATENCY_BUCKETS_S.to_vec()),
+            )?,
             upstreams: IntGaugeVec::new(
                 Opts::new("sedgepath_upstreams", "Upstreams by state."),
                 &["state"],
@@ -106,6 +120,8 @@
         self.registry.register(Box::new(self.attempts.clone()))?;
         self.registry.register(Box::new(self.rejections.clone()))?;
         self.registry.register(Box::new(self.peer_bytes.clone()))?;
+        self.registry.register(Box::new(self.rejected_peer_messages.clone()))?;
+        self.registry.register(Box::new(self.event_loop_delay.clone()))?;
         self.registry.register(Box::new(self.upstreams.clone()))?;
         let gauges = [
             &self.vms,
@@ -143,6 +159,16 @@
         self.peer_bytes.with_label_values(&[kind]).inc_by(bytes as u64);
     }
 
+    /// Counts a message of another VM that was not accepted.
+    pub fn count_rejected_peer_message(&self, reason: &str) {
+        self.rejected_peer_messages.with_label_values(&[reason]).inc();
+    }
+
+    /// Records by how much a timer was late.
+    pub fn record_event_loop_delay(&self, delay_ms: u64) {
+        self.event_loop_delay.observe(delay_ms as f64 / 1_000.0);
+    }
+
     fn encode(&self, shared: &SharedState) -> Vec<u8> {
         let now_ms = clock::now_ms();
         let steering = shared.steering.borrow();
--- /dev/null
+++ b/crates/sedgepathd/src/direct/peer_authentication.rs
@@ -0,0 +1,185 @@
+//! The keys by which this VM authenticates its messages to other VMs and checks theirs.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use sedgepath_core::direct::replicas::TableUpdate;
+use sedgepath_wire::peer_keys::{KEY_READ_INTERVAL_MS, PEER_KEY_ROW, PeerKeyring, VM_TABLE};
+use sedgepath_wire::peer_seal::{PeerAuthentication, SealError};
+
+use super::clock;
+use super::shared::SharedState;
+
+/// The header with the random number of a request for rows.
+const NONCE_HEADER: HeaderName = HeaderName::from_static("sedgepath-peer-nonce");
+
+/// The header with the proof of a request for rows, or of its response.
+const PROOF_HEADER: HeaderName = HeaderName::from_static("sedgepath-peer-proof");
+
+/// How often a VM checks whether it should read the keys, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 1_000;
+
+/// The least time between two reads of the keys, in milliseconds, so that forged messages don't cost
+/// calls of the store.
+const MIN_READ_INTERVAL_MS: u64 = 5_000;
+
+/// The longest delay before a read, in milliseconds, so that VMs read one after the other.
+const MAX_READ_DELAY_MS: u64 = 2_000;
+
+/// Reads the keys again from time to time, and soon after a message with an unknown one, until the
+/// process ends. Does nothing if messages are not authenticated.
+pub async fn follow_keys(shared: Rc<SharedState>) {
+    if shared.peer_seal.borrow().policy() == PeerAuthentication::Off {
+        return;
+    }
+    let mut read_at_ms = clock::now_ms();
+    loop {
+        tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
+        let elapsed_ms = clock::now_ms().saturating_sub(read_at_ms);
+        if elapsed_ms < MIN_READ_INTERVAL_MS {
+            continue;
+        }
+        let met_unknown_key = shared.peer_seal.borrow_mut().take_met_unknown_key();
+        if !met_unknown_key && elapsed_ms < KEY_READ_INTERVAL_MS {
+            continue;
+        }
+        tokio::time::sleep(Duration::from_millis(fastrand::u64(0..MAX_READ_DELAY_MS))).await;
+        match shared.store.read_table(VM_TABLE).await {
+            Ok(update) => apply_keys(&shared, &update),
+            Err(error) => {
+                log::info!("event=peer_keys_not_read error={:?}", error.to_string());
+            }
+        }
+        read_at_ms = clock::now_ms();
+    }
+}
+
+/// Applies the row of keys, of all rows of the table.
+pub fn apply_keys(shared: &SharedState, update: &TableUpdate) {
+    let mut seal = shared.peer_seal.borrow_mut();
+    if seal.policy() == PeerAuthentication::Off {
+        return;
+    }
+    let row = update.rows.iter().find(|row| &*row.key == PEER_KEY_ROW);
+    let Some(value) = row.and_then(|row| row.value.as_ref()) else {
+        log::warn!("event=no_peer_keys");
+        return;
+    };
+    match PeerKeyring::from_row(value) {
+        Ok(keyring) => {
+            let ids: Vec<_> = keyring.keys().iter().map(|key| key.id).collect();
+            log::info!("event=peer_keys accepted={ids:?}");
+            seal.set_keyring(keyring);
+        }
+        // The keys in force stay.
+        Err(error) => log::warn!("event=peer_keys_unreadable error={:?}", error.to_string()),
+    }
+}
+
+/// Returns the message of a datagram, or counts why there is none.
+pub fn open<'a>(shared: &SharedState, datagram: &'a [u8], from: SocketAddr) -> Option<&'a [u8]> {
+    match shared.peer_seal.borrow_mut().open(datagram, from) {
+        Ok(message) => Some(message),
+        Err(error) => {
+            count_rejected(shared, "datagram", from, error);
+            None
+        }
+    }
+}
+
+fn count_rejected(shared: &SharedState, kind: &str, from: SocketAddr, error: SealError) {
+    shared.metrics.count_rejected_peer_message(error.name());
+    log::debug!("event=peer_message_rejected kind={kind} from={from} reason={}", error.name());
+}
+
+/// A request for rows and its proof.
+#[derive(Debug)]
+pub struct RowsExchange {
+    nonce: String,
+    path: String,
+}
+
+impl RowsExchange {
+    /// Creates the exchange for a request of this VM.
+    pub fn new(path: &str) -> Self {
+        Self { nonce: format!("{:016x}", fastrand::u64(..)), path: path.into() }
+    }
+
+    /// Returns the exchange of a peer's request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request isn't proved although it must be.
+    pub fn accept(
+        shared: &SharedState,
+        path: &str,
+        headers: &HeaderMap,
+    ) -> Result<Self, SealError> {
+        let header = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+        let exchange =
+            Self { nonce: header(NONCE_HEADER).unwrap_or_default().into(), path: path.into() };
+        let proof = header(PROOF_HEADER);
+        let checked = shared.peer_seal.borrow_mut().check_proof(&exchange.request_parts(), proof);
+        match checked {
+            Ok(()) => Ok(exchange),
+            Err(error) => {
+                shared.metrics.count_rejected_peer_message(error.name());
+                Err(error)
+            }
+        }
+    }
+
+    /// Adds the nonce and the proof to this VM's request.
+    pub fn prove_request(&self, shared: &SharedState, headers: &mut HeaderMap) {
+        if let Ok(nonce) = HeaderValue::from_str(&self.nonce) {
+            headers.insert(NONCE_HEADER, nonce);
+        }
+        insert_proof(shared, &self.request_parts(), headers);
+    }
+
+    /// Adds the proof to a response of this VM.
+    pub fn prove_response(&self, shared: &SharedState, headers: &mut HeaderMap, body: &[u8]) {
+        let coding = coding_of(headers);
+        insert_proof(shared, &self.response_parts(&coding, body), headers);
+    }
+
+    /// Checks a peer's response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the response isn't proved although it must be.
+    pub fn check_response(
+        &self,
+        shared: &SharedState,
+        headers: &HeaderMap,
+        body: &[u8],
+        from: SocketAddr,
+    ) -> Result<(), SealError> {
+        let proof = headers.get(PROOF_HEADER).and_then(|value| value.to_str().ok());
+        let coding = coding_of(headers);
+        let parts = self.response_parts(&coding, body);
+        let checked = shared.peer_seal.borrow_mut().check_proof(&parts, proof);
+        checked.inspect_err(|error| count_rejected(shared, "rows", from, *error))
+    }
+
+    fn request_parts(&self) -> [&[u8]; 3] {
+        [b"request", self.nonce.as_bytes(), self.path.as_bytes()]
+    }
+
+    fn response_parts<'a>(&'a self, coding: &'a [u8], body: &'a [u8]) -> [&'a [u8]; 5] {
+        [b"response", self.nonce.as_bytes(), self.path.as_bytes(), coding, body]
+    }
+}
+
+fn coding_of(headers: &HeaderMap) -> Vec<u8> {
+    headers.get(CONTENT_ENCODING).map(|coding| coding.as_bytes().to_vec()).unwrap_or_default()
+}
+
+fn insert_proof(shared: &SharedState, parts: &[&[u8]], headers: &mut HeaderMap) {
+    let proof = shared.peer_seal.borrow().prove(parts, clock::unix_ms());
+    if let Some(proof) = proof.and_then(|proof| HeaderValue::try_from(proof).ok()) {
+        headers.insert(PROOF_HEADER, proof);
+    }
+}
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -12,6 +12,7 @@
 use sedgepath_core::direct::vms::naming::{LoadMeter, VmResources};
 use sedgepath_core::direct::vms::{VmDescriptor, VmHeartbeat, VmTable, VmTiming};
 use sedgepath_core::direct::{OperatorLimits, Steering, VmLocation};
+use sedgepath_wire::peer_seal::{PeerAuthentication, PeerSeal};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
@@ -22,8 +23,8 @@
 use super::metrics::Metrics;
 use super::shared::{SharedState, StopPhase};
 use super::{
-    clock, control_server, discovery, entry_queries, gossip, ingress, logging, metrics, quarantine,
-    store_feed, table_server,
+    clock, control_server, discovery, entry_queries, gossip, ingress, logging, metrics,
+    peer_authentication, quarantine, store_feed, table_server,
 };
 
 /// The interval of heartbeats while there are few VMs, in milliseconds.
@@ -51,6 +52,9 @@
 /// How often expired state is removed, in milliseconds.
 const MAINTENANCE_INTERVAL_MS: u64 = 250;
 
+/// The delay of a timer from which it is logged, in milliseconds: other VMs and callers notice it.
+const LOGGED_EVENT_LOOP_DELAY_MS: u64 = 200;
+
 /// The command-line options beside the platform's settings.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Options {
@@ -58,6 +62,8 @@
     pub metrics_port: Option<u16>,
     /// How upstreams are chosen and how long requests may queue.
     pub steering_config: SteeringConfig,
+    /// Whether messages between VMs are authenticated.
+    pub peer_authentication: PeerAuthentication,
 }
 
 /// Runs an entry VM until a signal asks it to stop.
@@ -95,7 +101,9 @@
         .await
         .map_err(StartError::listen_failed("heartbeats", peer_address))?;
     let load = LoadMeter::new(resources(&settings));
-    let shared = SharedState::new(settings, steering, socket, log_clock, Metrics::new()?, load);
+    let seal = PeerSeal::new(options.peer_authentication, peer_address, fastrand::u32(..));
+    let metrics = Metrics::new()?;
+    let shared = SharedState::new(settings, steering, socket, seal, log_clock, metrics, load);
 
     let caller_listener = bind("callers", caller_address).await?;
     let readiness_listener = bind("readiness", readiness_address).await?;
@@ -124,6 +132,7 @@
         spawn_local(store_feed::follow_table(Rc::clone(&shared), table));
     }
     spawn_local(discovery::discover_vms(Rc::clone(&shared)));
+    spawn_local(peer_authentication::follow_keys(Rc::clone(&shared)));
     spawn_local(gossip::receive(Rc::clone(&shared)));
     spawn_local(control_server::serve(
         Rc::clone(&shared),
@@ -225,8 +234,14 @@
 /// Removes expired state and closes unneeded connections until the process ends.
 async fn maintain(shared: Rc<SharedState>) {
     loop {
+        let due_at_ms = clock::now_ms() + MAINTENANCE_INTERVAL_MS;
         tokio::time::sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
         let now_ms = clock::now_ms();
+        let delay_ms = now_ms.saturating_sub(due_at_ms);
+        shared.metrics.record_event_loop_delay(delay_ms);
+        if delay_ms >= LOGGED_EVENT_LOOP_DELAY_MS {
+            log::warn!("event=event_loop_delayed by_ms={delay_ms}");
+        }
         let lapsed = {
             let mut steering = shared.steering.borrow_mut();
             steering.update_store_health(shared.store_call_state.get().health(now_ms), now_ms);
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -11,6 +11,7 @@
 use sedgepath_core::direct::vms::StoreHealth;
 use sedgepath_core::direct::vms::naming::LoadMeter;
 use sedgepath_core::hash::Map;
+use sedgepath_wire::peer_seal::PeerSeal;
 use tokio::net::UdpSocket;
 
 use super::clock;
@@ -35,6 +36,8 @@
     pub store_call_state: Cell<StoreCallState>,
     /// The socket for datagrams between VMs.
     pub peer_socket: UdpSocket,
+    /// Authenticates messages between VMs.
+    pub peer_seal: RefCell<PeerSeal>,
     /// When rows of a table were last requested from a peer, in milliseconds; removed when the
     /// request ends.
     pub last_fetch_at_ms: RefCell<Map<Table, u64>>,
@@ -116,6 +119,7 @@
         settings: Settings,
         steering: Steering,
         peer_socket: UdpSocket,
+        peer_seal: PeerSeal,
         log_clock: LogClock,
         metrics: Metrics,
         load: LoadMeter,
@@ -127,6 +131,7 @@
             replicas: RefCell::default(),
             store_call_state: Cell::default(),
             peer_socket,
+            peer_seal: RefCell::new(peer_seal),
             last_fetch_at_ms: RefCell::default(),
             table_server: TableServer::default(),
             discovery_attempted: Cell::default(),
--- a/crates/sedgepathd/src/direct/table_server.rs
+++ b/crates/sedgepathd/src/direct/table_server.rs
@@ -24,6 +24,7 @@
 use super::attempt::bytes_body;
 use super::connection_pool::Body;
 use super::control_server::empty_response;
+use super::peer_authentication::RowsExchange;
 use super::shared::SharedState;
 
 /// The most snapshots that are sent to other VMs at a time.
@@ -58,7 +59,14 @@
     let Some((table, after)) = table.zip(after) else {
         return empty_response(StatusCode::NOT_FOUND);
     };
-    let response = shared.table_server.respond(&shared.replicas.borrow(), table, after);
+    let path = request.uri().path();
+    let Ok(exchange) = RowsExchange::accept(shared, path, request.headers()) else {
+        return empty_response(StatusCode::FORBIDDEN);
+    };
+    let mut response = shared.table_server.respond(&shared.replicas.borrow(), table, after);
+    if let Some(EncodedBody(bytes)) = response.extensions_mut().remove() {
+        exchange.prove_response(shared, response.headers_mut(), &bytes);
+    }
     shared.metrics.count_peer_bytes("rows", response.body().size_hint().lower() as usize);
     response
 }
@@ -85,6 +93,10 @@
     compressed: bool,
 }
 
+/// The body of a response with rows, an extension of the response.
+#[derive(Debug, Clone)]
+struct EncodedBody(Bytes);
+
 impl EncodedRows {
     fn new(replica: &TableReplica, after: u64) -> Result<Self, RowsError> {
         let (newest_version, plain) =
@@ -107,6 +119,7 @@
         if self.compressed {
             response.headers_mut().insert(CONTENT_ENCODING, CONTENT_CODING);
         }
+        response.extensions_mut().insert(EncodedBody(self.bytes.clone()));
         response
     }
 }
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -115,13 +115,30 @@
 
     /// Starts a VM that reaches the store at another address, such as a link's.
     pub fn start_with_store(&self, number: u8, domain: &str, store: SocketAddr) -> Vm {
+        self.start_with(number, domain, store, &[])
+    }
+
+    /// Starts a VM with a policy of peer authentication and waits until it is ready.
+    pub fn start_authenticated(&self, number: u8, domain: &str, policy: &str) -> Vm {
+        let vm = self.start_unready(number, domain, policy);
+        wait_for("readiness", || vm.is_ready());
+        vm
+    }
+
+    /// Starts a VM with a policy of peer authentication without waiting until it is ready.
+    pub fn start_unready(&self, number: u8, domain: &str, policy: &str) -> Vm {
+        self.start_with(number, domain, self.store, &["--peer-authentication", policy])
+    }
+
+    fn start_with(&self, number: u8, domain: &str, store: SocketAddr, arguments: &[&str]) -> Vm {
         let settings = self.dir.path().join(format!("vm{number}.toml"));
         fs::write(&settings, self.settings(number, domain, store)).expect("settings");
-        let output =
-            fs::File::create(self.dir.path().join(format!("vm{number}.log"))).expect("a log file");
+        let log = self.dir.path().join(format!("vm{number}.log"));
+        let output = fs::File::options().create(true).append(true).open(log).expect("a log file");
         let mut command = Command::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd")));
         command
             .args(["--direct", "--metrics-port", &self.ports[4].to_string()])
+            .args(arguments)
             .env("SEDGEPATH_CONFIG", &settings)
             .stdin(Stdio::null())
             .stdout(output.try_clone().expect("a log file"))
