--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -1,13 +1,15 @@
-//! The membership table of entry VMs, and look-ups of their addresses.
+//! The membership table of entry VMs, and look-ups of their addresses (`look_ups`).
 //!
 //! Every VM sends heartbeats to the VMs of its failure domain and announces their period. A silent
 //! VM is dropped from look-ups after several periods, a leaving one immediately. VMs of other
 //! domains are known from summaries ([`gossip`]). Messages are sent to an address learned from
 //! another VM, but it isn't evidence that a VM is running there.
 
+mod counts;
 pub mod gossip;
 mod heartbeat;
 mod known_vms;
+mod look_ups;
 pub mod naming;
 mod readers;
 mod remote_domains;
@@ -18,14 +20,11 @@
 
 use self::gossip::OutgoingState;
 use self::known_vms::{KnownVms, Locality};
-use self::naming::{MIN_NAMED, NamingCandidate};
 use self::remote_domains::{RemoteDomains, SummaryChange};
 use super::status::OtherVmStatus;
-use crate::hash::{Map, Set};
+use crate::hash::Map;
 use crate::key::VmKey;
 
-use heartbeat::key_of_address;
-
 pub use heartbeat::{StoreHealth, VmDescriptor, VmHeartbeat, VmState, VmTiming};
 pub use readers::READER_TAKEOVER_INTERVAL_MS;
 pub use summary::{DomainMember, DomainSummary, RelayedSummary, SummaryUpdate};
@@ -38,9 +37,6 @@
     heard_at_ms: u64,
 }
 
-/// The most addresses in the result of a look-up.
-const MAX_LOOK_UP_ADDRESSES: usize = 64;
-
 /// One VM's view of all entry VMs.
 #[derive(Debug)]
 pub struct VmTable {
@@ -252,15 +248,6 @@
         change
     }
 
-    /// Returns the number of VMs that divide the limits for all VMs, including this one.
-    ///
-    /// VMs known only by their addresses are counted, so that a VM that has just started doesn't use
-    /// the whole limit. A VM that is no longer heard keeps its share, since it may still serve on the
-    /// other side of a partition.
-    pub fn sharing_vm_count(&self, now_ms: u64) -> usize {
-        1 + self.known_vms.max_heard().max(self.known_vms.count(now_ms))
-    }
-
     /// Returns when this VM's process started, in milliseconds since the Unix epoch.
     pub fn boot_at_ms(&self) -> u64 {
         self.own.state.boot_at_ms
@@ -271,47 +258,6 @@
         &self.own.descriptor.region
     }
 
-    /// Returns the VMs of a region that run or are about to start, with their peer addresses, sorted by
-    /// address. VMs that start together thus agree before they are ready and have heard each other.
-    pub fn running_or_starting_in_region(
-        &self,
-        region: &str,
-        now_ms: u64,
-    ) -> Vec<(VmKey, SocketAddr)> {
-        let in_region = |vm: &VmDescriptor| *vm.region == *region;
-        let heard = self.live_peers(now_ms).map(|peer| &peer.descriptor);
-        let listed = self.remote_domains.live_vms(self.timing, now_ms).map(|vm| &vm.descriptor);
-        let own = (!self.own.state.leaving).then_some(&self.own.descriptor);
-        let running = heard.chain(listed).chain(own).filter(|vm| in_region(vm));
-        let starting = self.known_vms.starting(now_ms);
-        let starting = starting.filter(|(_, locality)| *locality.region == *region);
-        let mut addresses: Vec<_> =
-            running.map(|vm| vm.peer_address).chain(starting.map(|(address, _)| address)).collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses.into_iter().map(|address| (key_of_address(address), address)).collect()
-    }
-
-    /// Returns the number of VMs of a region that this one knows of and hasn't forgotten, heard or not,
-    /// including this one.
-    pub fn known_in_region(&self, region: &str, now_ms: u64) -> usize {
-        let own = usize::from(*self.own.descriptor.region == *region);
-        own + self.known_vms.count_in_region(region, now_ms)
-    }
-
-    /// Returns whether all VMs that this one knows of, and hasn't forgotten, serve.
-    pub fn hears_all_known(&self, now_ms: u64) -> bool {
-        self.serving_vms(now_ms).len() > self.known_vms.count(now_ms)
-    }
-
-    /// Returns the largest number of VMs ever known at a time, including this one, heard or not.
-    ///
-    /// This may count VMs that no longer exist but are still in the store, so it suits limits where a
-    /// share that is too small does little harm.
-    pub fn max_known_vm_count(&self) -> usize {
-        1 + self.known_vms.max_heard().max(self.known_vms.max_known())
-    }
-
     /// Returns the state of the other VMs, sorted by name.
     pub fn other_vms(&self, now_ms: u64) -> Vec<OtherVmStatus> {
         let heard =
@@ -338,36 +284,6 @@
         others
     }
 
-    /// Returns the VMs that serve, including this one unless it is leaving, sorted by address.
-    pub fn serving_vms(&self, now_ms: u64) -> Vec<&VmDescriptor> {
-        self.serving_where(now_ms, &|_| true)
-    }
-
-    fn serving_where(
-        &self,
-        now_ms: u64,
-        matches: &dyn Fn(&VmDescriptor) -> bool,
-    ) -> Vec<&VmDescriptor> {
-        let heard = self.live_peers(now_ms).filter(|peer| peer.state.ready);
-        let heard = heard.map(|peer| &peer.descriptor);
-        // A VM's own heartbeat takes precedence over summaries that list it.
-        let leaving: Set<SocketAddr> = self
-            .peers
-            .values()
-            .filter(|peer| peer.state.leaving && !self.is_silent(peer, now_ms))
-            .map(|peer| peer.descriptor.peer_address)
-            .collect();
-        let listed = self.remote_domains.live_vms(self.timing, now_ms);
-        let listed = listed.filter(|listed| listed.member.ready).map(|listed| &listed.descriptor);
-        let listed = listed.filter(|descriptor| !leaving.contains(&descriptor.peer_address));
-        let own = (!self.own.state.leaving).then_some(&self.own.descriptor);
-        let all = heard.chain(listed).chain(own);
-        let mut descriptors: Vec<_> = all.filter(|descriptor| matches(descriptor)).collect();
-        descriptors.sort_by_key(|descriptor| descriptor.peer_address);
-        descriptors.dedup_by(|one, other| one.peer_address == other.peer_address);
-        descriptors
-    }
-
     /// Returns the VMs that are heard and aren't leaving.
     fn live_peers(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
         let heard = self.peers.values().filter(move |peer| !self.is_silent(peer, now_ms));
@@ -395,45 +311,4 @@
         let direct = others.fold(own, StoreHealth::combine);
         direct.combine(self.remote_domains.store_health(&self.timing, now_ms))
     }
-
-    /// Returns the addresses of entry VMs for a caller in a failure domain and region.
-    ///
-    /// Only VMs of the caller's failure domain are returned if there are at least [`MIN_NAMED`], which
-    /// avoids the cost of traffic between domains, and of these the ones that [`naming`] chooses;
-    /// otherwise those of its region, or all if there are none. The result is empty only if this VM is
-    /// leaving and knows no other that serves.
-    pub fn look_up(&self, domain: &str, region: &str, now_ms: u64) -> Vec<SocketAddr> {
-        let in_domain = self.serving_where(now_ms, &|vm: &VmDescriptor| &*vm.domain == domain);
-        let mut named: Vec<SocketAddr> = if in_domain.len() >= MIN_NAMED {
-            naming::choose_named(
-                in_domain.into_iter().map(|vm| self.naming_candidate(vm)).collect(),
-            )
-        } else {
-            let in_region = self.serving_where(now_ms, &|vm: &VmDescriptor| &*vm.region == region);
-            let serving = if in_region.is_empty() {
-                self.serving_where(now_ms, &|_| true)
-            } else {
-                in_region
-            };
-            serving.into_iter().map(|vm| vm.caller_address).collect()
-        };
-        named.truncate(MAX_LOOK_UP_ADDRESSES);
-        named
-    }
-
-    fn naming_candidate(&self, vm: &VmDescriptor) -> NamingCandidate {
-        NamingCandidate {
-            address: vm.caller_address,
-            capacity_per_s: vm.capacity_per_s,
-            load_percent: self.load_percent(vm),
-        }
-    }
-
-    /// Returns the load of a VM; 0 for those of other failure domains, which don't tell it.
-    fn load_percent(&self, descriptor: &VmDescriptor) -> u8 {
-        if descriptor.peer_address == self.own.descriptor.peer_address {
-            return self.own.state.load_percent;
-        }
-        self.peers.get(&descriptor.name).map_or(0, |peer| peer.state.load_percent)
-    }
 }
--- a/crates/sedgepath-emulator/src/run.rs
+++ b/crates/sedgepath-emulator/src/run.rs
@@ -1,4 +1,5 @@
-//! The simulation of one scenario under one policy: the event loop, the callers and the network.
+//! The simulation of one scenario under one policy: the event loop and the network. The callers and
+//! VMs are in `requests`, the upstreams and their faults in `upstreams`.
 //!
 //! Events are processed in the order of their time, and events of the same time in the order in which
 //! they were scheduled, so a run depends on its seed alone.
@@ -9,15 +10,20 @@
 
 use sedgepath_core::clock::HybridTimestamp;
 use sedgepath_core::direct::Steering;
-use sedgepath_core::direct::accounts::PresentedCredential;
-use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome, NextStep, RequestState};
-use sedgepath_core::direct::steering::{IncomingRequest, SteeringConfig};
+use sedgepath_core::direct::attempts::RequestState;
+use sedgepath_core::direct::steering::SteeringConfig;
 use sedgepath_core::direct::upstreams::{UpstreamEntry, UpstreamKey};
 use sedgepath_core::direct::vms::VmHeartbeat;
 
-use crate::scenario::{FaultKind, Scenario};
-use crate::setup::{HEARTBEAT_INTERVAL_MS, HOST, configuration, new_steering, upstream_entry};
-use crate::upstream::{Admission, Upstream, Work};
+use crate::scenario::Scenario;
+use crate::setup::{HEARTBEAT_INTERVAL_MS, configuration, new_steering, upstream_entry};
+use crate::upstream::Upstream;
+
+mod metrics;
+mod requests;
+mod upstreams;
+
+pub use self::metrics::{BIN_WIDTH_MS, RunMetrics};
 
 /// The one-way network delay within a region.
 const INTRA_REGION_DELAY_MS: u64 = 1;
@@ -25,65 +31,6 @@
 /// The delay until all VMs know of an upstream's stop or start.
 const UPSTREAM_UPDATE_DELAY_MS: u64 = 300;
 
-/// The delay before a caller that ignores the given retry delay resubmits a rejected request.
-const IMPATIENT_RETRY_DELAY_MS: u64 = 20;
-
-/// The body size of every response, which doesn't count as large for placement.
-const RESPONSE_BODY_BYTES: u64 = 4_000;
-
-/// The width of a bin in [`RunMetrics::bins`], in milliseconds.
-pub const BIN_WIDTH_MS: u64 = 1_000;
-
-/// The outcomes of all requests of a run.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct RunMetrics {
-    /// The requests; a resubmitted request counts once.
-    pub requests: usize,
-    /// The requests answered within the target.
-    pub on_time: usize,
-    /// The requests answered after the target.
-    pub late: usize,
-    /// The requests whose last submission was rejected.
-    pub rejected: usize,
-    /// The requests that failed or timed out.
-    pub failed: usize,
-    /// The rejections of all submissions.
-    pub rejections: usize,
-    /// The sum of the utilities of all responses, each from 0 to 1.
-    pub total_utility: f64,
-    /// The response times from a request's first submission on, in milliseconds.
-    pub latencies_ms: Vec<u64>,
-    /// The attempts sent to upstreams.
-    pub attempts: usize,
-    /// The attempts sent to an upstream of another region.
-    pub cross_region_attempts: usize,
-    /// The connections opened to upstreams.
-    pub opened_connections: usize,
-    /// The requests that upstreams started.
-    pub runs: usize,
-    /// The started requests whose object was warm.
-    pub warm_runs: usize,
-    /// How often a cold upstream crashed under too many requests.
-    pub crashes: usize,
-    /// The total utility and the number of the requests that arrived in each bin.
-    pub bins: Vec<(f64, usize)>,
-}
-
-impl RunMetrics {
-    /// Returns the total utility divided by the number of requests.
-    pub fn mean_utility(&self) -> f64 {
-        self.total_utility / self.requests.max(1) as f64
-    }
-
-    /// Returns a quantile of the response times, from 0 to 1, in milliseconds; 0 without responses.
-    pub fn latency_quantile_ms(&self, quantile: f64) -> u64 {
-        let mut sorted = self.latencies_ms.clone();
-        sorted.sort_unstable();
-        let index = (quantile * sorted.len() as f64) as usize;
-        sorted.get(index.min(sorted.len().saturating_sub(1))).copied().unwrap_or(0)
-    }
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     CallerArrives,
@@ -263,279 +210,6 @@
         }
     }
 
-    /// Submits a new request and schedules the next arrival.
-    fn accept_caller(&mut self) {
-        if self.now_ms >= self.scenario.duration_ms {
-            return;
-        }
-        let callers = self.scenario.callers;
-        let point = self.random.f64();
-        let object = self.object_cdf.partition_point(|probability| *probability < point);
-        self.requests.push(Request {
-            vm: self.next_vm,
-            object,
-            arrived_at_ms: self.now_ms,
-            submissions: 0,
-            state: None,
-            attempts: Vec::new(),
-            ended: false,
-        });
-        self.next_vm = (self.next_vm + 1) % self.vms.len();
-        self.metrics.requests += 1;
-        self.metrics.bins[(self.now_ms / BIN_WIDTH_MS) as usize].1 += 1;
-        let request = self.requests.len() - 1;
-        self.submit(request);
-        let phase = std::f64::consts::TAU * self.now_ms as f64 / callers.rate_period_ms as f64;
-        let requests_per_s = callers.requests_per_s
-            * (1.0 + callers.rate_amplitude * phase.sin())
-            * self.burst_factor;
-        let gap_ms = -(1.0 - self.random.f64()).ln() * 1_000.0 / requests_per_s.max(0.001);
-        self.schedule(self.now_ms + gap_ms.round() as u64, Event::CallerArrives);
-    }
-
-    /// Submits a request to its VM, for the first time or after a rejection.
-    fn submit(&mut self, index: usize) {
-        let request = &mut self.requests[index];
-        request.submissions += 1;
-        let submission = request.submissions;
-        let object = request.object.to_string();
-        let incoming = IncomingRequest {
-            host: HOST,
-            path: "/",
-            time_left_ms: None,
-            object: Some(&object),
-            credential: PresentedCredential::None,
-        };
-        match self.vms[request.vm].steering.begin_request(incoming, self.now_ms) {
-            Ok(state) => {
-                let deadline_at_ms = state.deadline_at_ms;
-                request.state = Some(state);
-                self.schedule(
-                    deadline_at_ms,
-                    Event::DeadlineExpires { request: index, submission },
-                );
-                self.take_next_step(index);
-            }
-            Err(rejection) => self.reject(index, rejection.retry_after_ms),
-        }
-    }
-
-    /// Carries out the core's decision for a request without an attempt in flight.
-    fn take_next_step(&mut self, index: usize) {
-        let random = self.random.u64(..);
-        let request = &mut self.requests[index];
-        let Some(state) = request.state.as_mut() else { return };
-        match self.vms[request.vm].steering.next_step(state, random, self.now_ms) {
-            NextStep::Send(attempt) => self.send(index, &attempt),
-            NextStep::Reject { retry_after_ms, .. } => self.reject(index, retry_after_ms),
-            NextStep::GiveUp { .. } => {
-                self.metrics.failed += 1;
-                self.finish_request(index);
-            }
-        }
-    }
-
-    fn send(&mut self, index: usize, attempt: &Attempt) {
-        let request = &self.requests[index];
-        let vm_index = request.vm;
-        let found = self.upstreams.iter().position(|up| up.entry.address == attempt.address);
-        let Some(upstream) = found else { return };
-        let vm = &mut self.vms[vm_index];
-        self.metrics.attempts += 1;
-        self.metrics.cross_region_attempts +=
-            usize::from(vm.region != self.upstreams[upstream].region);
-        let idle_timeout_ms = self.scenario.upstreams.idle_timeout_ms;
-        let idle_since_ms = &mut vm.idle_since_ms[upstream];
-        while idle_since_ms.front().is_some_and(|at_ms| at_ms + idle_timeout_ms <= self.now_ms) {
-            idle_since_ms.pop_front();
-        }
-        let delay_ms = self.one_way_delay_ms(vm_index, upstream);
-        let mut arrives_at_ms = self.now_ms + delay_ms;
-        if self.vms[vm_index].idle_since_ms[upstream].pop_back().is_none() {
-            self.metrics.opened_connections += 1;
-            arrives_at_ms += 2 * delay_ms;
-        }
-        let key = attempt.upstream;
-        self.attempts.push(SentAttempt {
-            request: index,
-            vm: vm_index,
-            upstream,
-            key,
-            awaited: true,
-        });
-        let attempt = self.attempts.len() - 1;
-        self.requests[index].attempts.push(attempt);
-        self.schedule(arrives_at_ms, Event::AttemptArrives { attempt });
-        self.schedule_hedge_check(index);
-    }
-
-    fn schedule_hedge_check(&mut self, index: usize) {
-        let request = &self.requests[index];
-        let Some(state) = request.state.as_ref() else { return };
-        if let Some(at_ms) = self.vms[request.vm].steering.hedge_at_ms(state) {
-            let submission = request.submissions;
-            self.schedule(
-                at_ms.max(self.now_ms + 100),
-                Event::HedgeCheck { request: index, submission },
-            );
-        }
-    }
-
-    fn deliver_attempt(&mut self, attempt: usize) {
-        let sent = self.attempts[attempt];
-        let work = Work { attempt, object: self.requests[sent.request].object };
-        let upstream = &mut self.upstreams[sent.upstream];
-        let epoch = upstream.epoch;
-        match upstream.model.admit(work, self.now_ms, &mut self.random) {
-            Admission::Started { until_ms } => {
-                let completes = Event::WorkCompletes { upstream: sent.upstream, attempt, epoch };
-                self.schedule(until_ms, completes);
-            }
-            Admission::Queued | Admission::Unanswered => {}
-            Admission::Rejected => self.send_result(attempt, AttemptResult::Rejected),
-            Admission::Failed => self.send_result(attempt, AttemptResult::Failed),
-            Admission::Unreachable => self.send_result(attempt, AttemptResult::Unreachable),
-        }
-    }
-
-    fn complete_work(&mut self, index: usize, attempt: usize, epoch: u32) {
-        if self.upstreams[index].epoch != epoch {
-            return;
-        }
-        self.send_result(attempt, AttemptResult::Completed);
-        let attempts = &self.attempts;
-        let is_wanted = |work: Work| attempts[work.attempt].awaited;
-        let upstream = &mut self.upstreams[index];
-        let next = upstream.model.complete(self.now_ms, &mut self.random, is_wanted);
-        if let Some((work, until_ms)) = next {
-            let attempt = work.attempt;
-            self.schedule(until_ms, Event::WorkCompletes { upstream: index, attempt, epoch });
-        }
-    }
-
-    fn send_result(&mut self, attempt: usize, result: AttemptResult) {
-        let sent = self.attempts[attempt];
-        let unresponsive = self.upstreams[sent.upstream].model.is_unresponsive();
-        if unresponsive && result != AttemptResult::Unreachable {
-            return;
-        }
-        let delay_ms = self.one_way_delay_ms(sent.vm, sent.upstream);
-        self.schedule(self.now_ms + delay_ms, Event::ResponseArrives { attempt, result });
-    }
-
-    fn receive_response(&mut self, attempt: usize, result: AttemptResult) {
-        let sent = self.attempts[attempt];
-        if !sent.awaited {
-            return;
-        }
-        self.attempts[attempt].awaited = false;
-        let report = Some(self.upstreams[sent.upstream].model.load_report());
-        let outcome = match result {
-            AttemptResult::Completed => {
-                AttemptOutcome::Answered { failed: false, report, body_bytes: RESPONSE_BODY_BYTES }
-            }
-            AttemptResult::Failed => {
-                AttemptOutcome::Answered { failed: true, report, body_bytes: 0 }
-            }
-            AttemptResult::Rejected => AttemptOutcome::Refused { report },
-            AttemptResult::Unreachable => AttemptOutcome::Unreachable,
-        };
-        if result != AttemptResult::Unreachable {
-            self.vms[sent.vm].idle_since_ms[sent.upstream].push_back(self.now_ms);
-        }
-        let request = &mut self.requests[sent.request];
-        let Some(state) = request.state.as_mut() else { return };
-        self.vms[sent.vm].steering.record_outcome(state, sent.key, outcome, self.now_ms);
-        let others_in_flight = !state.in_flight.is_empty();
-        if result == AttemptResult::Completed {
-            self.record_response(sent.request);
-        } else if !others_in_flight {
-            self.take_next_step(sent.request);
-        }
-    }
-
-    fn record_response(&mut self, index: usize) {
-        let callers = self.scenario.callers;
-        let request = &self.requests[index];
-        let latency_ms = self.now_ms - request.arrived_at_ms;
-        self.metrics.latencies_ms.push(latency_ms);
-        if latency_ms <= callers.target_ms {
-            self.metrics.on_time += 1;
-        } else {
-            self.metrics.late += 1;
-        }
-        // The utility is 1 up to the target and falls linearly to 0 at the time-out.
-        let over_ms = latency_ms.saturating_sub(callers.target_ms) as f64;
-        let span_ms = (callers.timeout_ms - callers.target_ms).max(1) as f64;
-        let utility = (1.0 - over_ms / span_ms).max(0.0);
-        self.metrics.total_utility += utility;
-        self.metrics.bins[(request.arrived_at_ms / BIN_WIDTH_MS) as usize].0 += utility;
-        self.finish_request(index);
-    }
-
-    /// Cancels the attempts in flight and marks the request as ended.
-    fn finish_request(&mut self, index: usize) {
-        self.cancel_attempts(index);
-        self.requests[index].ended = true;
-    }
-
-    fn cancel_attempts(&mut self, index: usize) {
-        let request = &mut self.requests[index];
-        if let Some(mut state) = request.state.take() {
-            self.vms[request.vm].steering.cancel_request(&mut state, self.now_ms);
-        }
-        for attempt in request.attempts.drain(..) {
-            self.attempts[attempt].awaited = false;
-        }
-    }
-
-    /// Ends the current submission and schedules a resubmission if the caller makes one.
-    fn reject(&mut self, index: usize, retry_after_ms: u64) {
-        let callers = self.scenario.callers;
-        self.metrics.rejections += 1;
-        self.cancel_attempts(index);
-        let wait_ms =
-            if callers.honors_retry_after { retry_after_ms } else { IMPATIENT_RETRY_DELAY_MS };
-        let request = &self.requests[index];
-        let resubmit_at_ms = self.now_ms + wait_ms.max(1);
-        let too_late = resubmit_at_ms >= request.arrived_at_ms + callers.timeout_ms;
-        if request.submissions > callers.max_resubmissions || too_late {
-            self.metrics.rejected += 1;
-            self.requests[index].ended = true;
-        } else {
-            self.schedule(resubmit_at_ms, Event::Resubmit { request: index });
-        }
-    }
-
-    fn check_hedge(&mut self, index: usize, submission: u32) {
-        let random = self.random.u64(..);
-        let request = &mut self.requests[index];
-        if request.ended || request.submissions != submission {
-            return;
-        }
-        let Some(state) = request.state.as_mut() else { return };
-        let steering = &mut self.vms[request.vm].steering;
-        match steering.hedge(state, random, self.now_ms) {
-            Some(attempt) => self.send(index, &attempt),
-            None => self.schedule_hedge_check(index),
-        }
-    }
-
-    fn expire_deadline(&mut self, index: usize, submission: u32) {
-        let request = &mut self.requests[index];
-        if request.ended || request.submissions != submission {
-            return;
-        }
-        let Some(state) = request.state.as_mut() else { return };
-        while let Some(attempt) = state.in_flight.last() {
-            let key = attempt.upstream;
-            let steering = &mut self.vms[request.vm].steering;
-            steering.record_outcome(state, key, AttemptOutcome::TimedOut, self.now_ms);
-        }
-        self.metrics.failed += 1;
-        self.finish_request(index);
-    }
-
     /// Delivers a heartbeat of each VM to all others without delay.
     fn exchange_heartbeats(&mut self) {
         let now_ms = self.now_ms;
@@ -556,49 +230,6 @@
         }
     }
 
-    fn change_fault(&mut self, index: usize, begins: bool) {
-        let fault = self.scenario.faults[index];
-        if let FaultKind::Burst(factor) = fault.kind {
-            self.burst_factor = if begins { factor } else { 1.0 };
-            return;
-        }
-        // Upstreams are ordered by failure domain, so an even step spreads the fault over domains.
-        let step = (self.upstreams.len() / fault.upstreams.max(1)).max(1);
-        for number in 0..fault.upstreams.min(self.upstreams.len()) {
-            let upstream_index = (number * step) % self.upstreams.len();
-            let upstream = &mut self.upstreams[upstream_index];
-            let was_down = upstream.model.is_down();
-            upstream.model.set_fault(begins.then_some(fault.kind), self.now_ms);
-            if upstream.model.is_down() || was_down {
-                upstream.epoch += 1;
-                self.schedule(
-                    self.now_ms + UPSTREAM_UPDATE_DELAY_MS,
-                    Event::UpstreamUpdate { upstream: upstream_index },
-                );
-            }
-        }
-    }
-
-    /// Tells all VMs that an upstream is down, or that it has restarted and is cold.
-    fn publish_upstream(&mut self, index: usize) {
-        let upstream = &mut self.upstreams[index];
-        let is_down = upstream.model.is_down();
-        upstream.entry.sequence += 1;
-        upstream.entry.cold_remaining_ms =
-            self.scenario.upstreams.cold_start_ms.saturating_sub(UPSTREAM_UPDATE_DELAY_MS);
-        upstream.entry.started_at_ms = Some(self.now_ms);
-        let region = &self.scenario.regions[upstream.region].name;
-        for vm in &mut self.vms {
-            let upstreams = vm.steering.upstreams_mut();
-            if is_down {
-                upstreams.remove(&upstream.entry.name, self.now_ms);
-            } else {
-                upstreams.upsert(upstream.entry.clone(), region, self.now_ms);
-            }
-            vm.idle_since_ms[index].clear();
-        }
-    }
-
     fn one_way_delay_ms(&self, vm: usize, upstream: usize) -> u64 {
         let same_region = self.vms[vm].region == self.upstreams[upstream].region;
         if same_region { INTRA_REGION_DELAY_MS } else { self.scenario.inter_region_delay_ms }
