Replace the key and forge messages in the soak

Seeds whose number is 2 beyond a multiple of four require authenticated messages, 3 beyond sign them; with the former the key is replaced once and an intruder tells all VMs that the others leave and that there are newer rows.

--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -130,7 +130,14 @@
         self.start_with(number, domain, self.store, &["--peer-authentication", policy])
     }
 
-    fn start_with(&self, number: u8, domain: &str, store: SocketAddr, arguments: &[&str]) -> Vm {
+    /// Starts a VM with additional arguments.
+    pub fn start_with(
+        &self,
+        number: u8,
+        domain: &str,
+        store: SocketAddr,
+        arguments: &[&str],
+    ) -> Vm {
         let settings = self.dir.path().join(format!("vm{number}.toml"));
         fs::write(&settings, self.settings(number, domain, store)).expect("settings");
         let log = self.dir.path().join(format!("vm{number}.log"));
--- a/crates/sedgepathd/tests/soak.rs
+++ b/crates/sedgepathd/tests/soak.rs
@@ -1,4 +1,5 @@
-//! Randomized fault injection into VMs in `--direct` mode, their upstreams, links and store.
+//! Randomized fault injection into VMs in `--direct` mode, their upstreams, links and store. With some
+//! seeds messages between VMs are authenticated, the key is replaced and an intruder sends messages.
 //!
 //! The checks: no non-idempotent request runs twice, none runs that was reported as not run, no
 //! response reaches another request, and after the faults every VM serves requests and a draining
@@ -10,6 +11,7 @@
 mod platform;
 
 use std::collections::BTreeMap;
+use std::net::UdpSocket;
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -18,8 +20,11 @@
 use platform::caller::{Connection, Response};
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{TestCluster, Vm, wait_for};
+use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
+use sedgepath_test_support::direct::heartbeat;
 use sedgepath_test_support::link::{Cut, CuttableLink};
 use sedgepath_test_support::store::{StoreMode, StoreStandIn};
+use sedgepath_wire::peer_keys::{PEER_KEY_ROW, PeerKeyring, VM_TABLE};
 
 /// The seeds that run by default and in CI.
 const CI_SEEDS: Range<u64> = 1..3;
@@ -37,6 +42,9 @@
 /// region.
 const MAX_LINK_DELAY_MS: u64 = 150;
 
+/// The policies of authentication between VMs, by seed.
+const POLICIES: [&str; 4] = ["off", "off", "require", "sign"];
+
 const DOMAINS: [&str; 3] = ["north-a", "north-b", "south-a"];
 
 /// The response to each attempt, by attempt id; none if no response arrived.
@@ -49,6 +57,12 @@
     upstreams: Vec<(UpstreamStandIn, CuttableLink)>,
     site: TestCluster,
     vms: Vec<Option<Vm>>,
+    /// The policy of authentication between VMs.
+    policy: &'static str,
+    /// Whether the key of the VMs has been replaced.
+    key_replaced: bool,
+    /// Sends messages that no VM must take for another VM's.
+    intruder: UdpSocket,
     version: u64,
     sequence: u64,
     faults: Vec<String>,
@@ -74,11 +88,15 @@
             upstreams,
             site,
             vms: Vec::new(),
+            policy: POLICIES[seed as usize % POLICIES.len()],
+            key_replaced: false,
+            intruder: UdpSocket::bind(("127.0.0.1", 0)).expect("a socket"),
             version: 1,
             sequence: 1,
             faults: Vec::new(),
         };
         soak.configure();
+        sedgepath::operations::peer_keys::rotate(soak.store.address).expect("the first key");
         for number in 0..4 {
             soak.register(number, "ready");
         }
@@ -91,7 +109,8 @@
 
     fn start(&self, number: usize) -> Vm {
         let link = self.store_links[number].addr();
-        self.site.start_with_store(number as u8 + 1, DOMAINS[number], link)
+        let arguments = ["--peer-authentication", self.policy];
+        self.site.start_with(number as u8 + 1, DOMAINS[number], link, &arguments)
     }
 
     fn register(&mut self, number: usize, state: &str) {
@@ -110,7 +129,9 @@
     fn inject_fault(&mut self) {
         let vm = self.random.usize(..3);
         let upstream = self.random.usize(..4);
-        let kind = self.random.u32(..16);
+        // An intruder's messages are believed where they need not be authenticated.
+        let kinds = if self.policy == "require" { 18 } else { 16 };
+        let kind = self.random.u32(..kinds);
         self.faults.push(format!("{kind}:{vm}:{upstream}"));
         match kind {
             0 => self.vms[vm] = None,
@@ -142,6 +163,8 @@
                 self.store.drop_next_answers(1);
                 self.store.hold_next_writes(self.random.u32(..2));
             }
+            16 => self.replace_key(),
+            17 => self.intrude(),
             _ => {
                 let state = if self.random.bool() { "draining" } else { "ready" };
                 self.register(upstream, state);
@@ -149,6 +172,38 @@
         }
     }
 
+    /// Replaces the key once, by one that is used as soon as it is read.
+    fn replace_key(&mut self) {
+        if std::mem::replace(&mut self.key_replaced, true) {
+            return;
+        }
+        let rows = self.store.rows(VM_TABLE);
+        let row = rows.iter().find(|row| &*row.key == PEER_KEY_ROW).expect("the keys");
+        let keyring = PeerKeyring::from_row(&row.value).expect("keys").rotated("new".into(), 0);
+        let replaced = keyring.to_row().expect("a row");
+        self.store.put(VM_TABLE, PEER_KEY_ROW, replaced.as_bytes());
+    }
+
+    /// Tells every VM, without a key, that another one leaves and that there are newer rows.
+    fn intrude(&self) {
+        for number in 1..=3 {
+            let mut full = heartbeat(&format!("vm{number}"), DOMAINS[usize::from(number) - 1], 1);
+            full.descriptor.peer_address = self.site.peer_address(number);
+            full.state.boot_at_ms = u64::MAX / 2;
+            full.state.leaving = true;
+            full.state.newest_version = [u64::MAX / 2; 2];
+            let message = PeerMessage::Heartbeat(Heartbeat::Full(full));
+            let bytes = postcard::to_stdvec(&message).expect("a heartbeat");
+            let sealed_with_nothing = [&[0xF5; 10][..], &bytes, &[0; 16]].concat();
+            for to in 1..=3 {
+                for datagram in [&bytes, &sealed_with_nothing] {
+                    // The VM may be down.
+                    drop(self.intruder.send_to(datagram, self.site.peer_address(to)));
+                }
+            }
+        }
+    }
+
     fn random_behaviour(&mut self) -> Behaviour {
         let behaviours = [
             Behaviour::Respond,
