Open a datagram before it counts against its sender

Otherwise somebody who sends in another VM's name uses up what is handled of that VM. Also: keys are logged when they change, and requests for rows carry a nonce only where messages are authenticated.

--- a/crates/sedgepath-wire/src/peer_keys.rs
+++ b/crates/sedgepath-wire/src/peer_keys.rs
@@ -99,6 +99,11 @@
         &self.keys
     }
 
+    /// Returns the numbers of the keys that are accepted.
+    pub fn ids(&self) -> Vec<u8> {
+        self.keys.iter().map(|key| key.id).collect()
+    }
+
     /// Returns the key with a number.
     pub fn get(&self, id: u8) -> Option<&PeerKey> {
         self.keys.iter().find(|key| key.id == id)
--- a/crates/sedgepath-wire/src/peer_seal.rs
+++ b/crates/sedgepath-wire/src/peer_seal.rs
@@ -131,6 +131,11 @@
         self.policy
     }
 
+    /// Returns the keys.
+    pub fn keyring(&self) -> &PeerKeyring {
+        &self.keyring
+    }
+
     /// Replaces the keys.
     pub fn set_keyring(&mut self, keyring: PeerKeyring) {
         self.keyring = keyring;
--- a/crates/sedgepath/tests/peer_key.rs
+++ b/crates/sedgepath/tests/peer_key.rs
@@ -22,8 +22,7 @@
 fn key_ids(store: &StoreStandIn) -> Vec<u8> {
     let rows = store.rows(VM_TABLE);
     let row = rows.iter().find(|row| &*row.key == PEER_KEY_ROW).expect("a row of keys");
-    let keyring = PeerKeyring::from_row(&row.value).expect("keys");
-    keyring.keys().iter().map(|key| key.id).collect()
+    PeerKeyring::from_row(&row.value).expect("keys").ids()
 }
 
 /// Guards against a replacement that drops the key which VMs use.
--- a/crates/sedgepathd/src/direct/gossip.rs
+++ b/crates/sedgepathd/src/direct/gossip.rs
@@ -219,11 +219,12 @@
     buffer: &[u8],
 ) -> Option<(SocketAddr, PeerMessage)> {
     let (length, from) = received.ok()?;
+    // Somebody who sends in another VM's name mustn't use up its allowance.
+    let message = peer_authentication::open(shared, buffer.get(..length)?, from)?;
     if !shared.steering.borrow_mut().admit_datagram(from, clock::now_ms()) {
         shared.metrics.count_rejected_peer_message("too_many");
         return None;
     }
-    let message = peer_authentication::open(shared, buffer.get(..length)?, from)?;
     Some((from, postcard::from_bytes(message).ok()?))
 }
 
--- a/crates/sedgepathd/src/direct/peer_authentication.rs
+++ b/crates/sedgepathd/src/direct/peer_authentication.rs
@@ -69,8 +69,9 @@
     };
     match PeerKeyring::from_row(value) {
         Ok(keyring) => {
-            let ids: Vec<_> = keyring.keys().iter().map(|key| key.id).collect();
-            log::info!("event=peer_keys accepted={ids:?}");
+            if keyring.ids() != seal.keyring().ids() {
+                log::info!("event=peer_keys accepted={:?}", keyring.ids());
+            }
             seal.set_keyring(keyring);
         }
         // The keys in force stay.
@@ -131,12 +132,14 @@
         }
     }
 
-    /// Adds the nonce and the proof to this VM's request.
+    /// Adds the nonce and the proof to this VM's request, if its messages are authenticated.
     pub fn prove_request(&self, shared: &SharedState, headers: &mut HeaderMap) {
-        if let Ok(nonce) = HeaderValue::from_str(&self.nonce) {
+        insert_proof(shared, &self.request_parts(), headers);
+        if headers.contains_key(PROOF_HEADER)
+            && let Ok(nonce) = HeaderValue::from_str(&self.nonce)
+        {
             headers.insert(NONCE_HEADER, nonce);
         }
-        insert_proof(shared, &self.request_parts(), headers);
     }
 
     /// Adds the proof to a response of this VM.
