Leave queues to urgent requests on the direct way

Ruled out: slots kept free for urgent requests, which upstreams that other VMs use don't have to give. Change: how much a lasting queue counts against a request grows with the share of its service's recent requests that are more urgent; where all are alike nothing changes.

--- a/crates/sedgepath-core/src/direct/queueing.rs
+++ b/crates/sedgepath-core/src/direct/queueing.rs
@@ -42,8 +42,42 @@
 }
 
 impl QueueTolerance {
+    /// Returns the multiple of the target for a pressure, which may exceed 1 for requests that are less
+    /// urgent than most.
     fn factor(self, pressure: f64) -> f64 {
-        self.idle_target_factor + pressure * (self.loaded_target_factor - self.idle_target_factor)
+        let loaded = self.loaded_target_factor - self.idle_target_factor;
+        (self.idle_target_factor + pressure * loaded).max(0.0)
+    }
+}
+
+/// The most priorities of a service that are told apart; further ones count as the last.
+const MAX_PRIORITIES: usize = 16;
+
+/// The weight of a new sample in the shares of priorities: about the last two hundred requests count.
+const PRIORITY_SAMPLE_WEIGHT: f64 = 0.005;
+
+/// The shares of priorities among each service's recent requests.
+#[derive(Debug, Default)]
+pub struct PriorityShares {
+    services: Map<Box<str>, [f64; MAX_PRIORITIES]>,
+}
+
+impl PriorityShares {
+    /// Records a request and returns by how much queues count for it: 1 if all requests of its service
+    /// have its priority, down to 0 if nearly all others are less urgent, and up to 2 if nearly all are
+    /// more urgent.
+    pub fn record(&mut self, service: &str, priority: u32) -> f64 {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.into(), [0.0; MAX_PRIORITIES]);
+        }
+        let shares = self.services.entry(service.into()).or_default();
+        let index = (priority as usize).min(MAX_PRIORITIES - 1);
+        for (other, share) in shares.iter_mut().enumerate() {
+            *share += PRIORITY_SAMPLE_WEIGHT * (f64::from(other == index) - *share);
+        }
+        let total: f64 = shares.iter().sum();
+        let more_urgent: f64 = shares[..index].iter().sum();
+        (2.0 * more_urgent + shares[index]) / total
     }
 }
 
@@ -70,7 +104,8 @@
 ///
 /// Under overload a long queue delays all responses without raising throughput, so the bound
 /// shrinks; a short-lived queue is a burst, which is served late. `pressure`, from
-/// [`QueuePressure::record`], tells the two apart.
+/// [`QueuePressure::record`] and [`PriorityShares::record`], tells the two apart, and leaves the queue
+/// to urgent requests.
 pub fn max_wait_ms(
     request: &RequestState,
     candidate: &Candidate,
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -18,7 +18,7 @@
 use super::budget::{RetryBudget, RetryBudgetLimits};
 use super::crashes::CrashLedger;
 use super::placement::{PlacementWeights, ServiceTimes};
-use super::queueing::{QueuePressure, QueueTolerance};
+use super::queueing::{PriorityShares, QueuePressure, QueueTolerance};
 use super::quotas::{QuotaBounds, Quotas};
 use super::rate_limits::RateLimits;
 use super::reports::ReportQueue;
@@ -127,6 +127,7 @@
     service_times: Map<Box<str>, ServiceTimes>,
     response_bytes: Map<Box<str>, f64>,
     queue_pressure: QueuePressure,
+    priority_shares: PriorityShares,
     other_region_rtt_ms: f64,
     vms: VmTable,
     store: StoreAvailability,
@@ -156,6 +157,7 @@
             service_times: Map::default(),
             response_bytes: Map::default(),
             queue_pressure: QueuePressure::default(),
+            priority_shares: PriorityShares::default(),
             crashes: CrashLedger::new(vms.key()),
             reports: ReportQueue::default(),
             sender_limits: SenderLimits::default(),
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -68,7 +68,8 @@
             let (reason, retry_after_ms) = self.no_upstream(request, now_ms);
             return reject_or_give_up(reason, retry_after_ms, request);
         };
-        let pressure = self.queue_pressure.record(&request.service, candidate.wait_ms > 0.0);
+        let pressure = self.queue_pressure.record(&request.service, candidate.wait_ms > 0.0)
+            * self.priority_shares.record(&request.service, request.priority());
         let tolerance = self.config.queue_tolerance;
         let max_wait_ms = queueing::max_wait_ms(request, &candidate, tolerance, pressure, now_ms);
         if candidate.wait_ms > max_wait_ms {
--- a/crates/sedgepath-core/tests/direct_overload.rs
+++ b/crates/sedgepath-core/tests/direct_overload.rs
@@ -4,8 +4,9 @@
 
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::attempts::{AttemptOutcome, NextStep, RequestState};
+use sedgepath_core::direct::routing::RouteKind;
 use sedgepath_core::direct::upstreams::{LoadReport, UpstreamKey};
-use sedgepath_test_support::direct::{begin_request, upstream_entry, vm};
+use sedgepath_test_support::direct::{begin_request, configuration, route, upstream_entry, vm};
 
 const SLOTS: usize = 3;
 const MAX_QUEUED: usize = 9;
@@ -68,9 +69,22 @@
 
 /// Runs requests at a constant rate through one VM to two upstreams.
 fn run(vm: &mut Steering, requests_per_s: u64, seconds: u64) -> Results {
+    let [results, _] = run_on_paths(vm, requests_per_s, seconds, |_| "/reads/1");
+    results
+}
+
+/// As [`run`], on the path of each request's number; returns the results of `/reads/` and of all others.
+fn run_on_paths(
+    vm: &mut Steering,
+    requests_per_s: u64,
+    seconds: u64,
+    path_of: impl Fn(u64) -> &'static str,
+) -> [Results; 2] {
     let mut emulated = [EmulatedUpstream::default(), EmulatedUpstream::default()];
     let mut requests: Vec<RequestState> = Vec::new();
-    let mut results = Results::default();
+    let mut all_results: [Results; 2] = Default::default();
+    let mut groups: Vec<usize> = Vec::new();
+    let mut sent = 0;
     let keys: Vec<UpstreamKey> = vm.upstreams().of_service("browse").to_vec();
     let index_of = |key: UpstreamKey| {
         keys.iter().position(|other| *other == key).expect("the upstream is registered")
@@ -81,6 +95,7 @@
                 let report = Some(emulated[index].report());
                 let success = AttemptOutcome::Answered { failed: false, report, body_bytes: 100 };
                 vm.record_outcome(&mut requests[request], keys[index], success, now_ms);
+                let results = &mut all_results[groups[request]];
                 if now_ms - requests[request].arrived_at_ms <= TARGET_MS {
                     results.in_time += 1;
                 } else {
@@ -92,13 +107,18 @@
             continue;
         }
         let object = (now_ms % 7).to_string();
-        let mut request = begin_request(vm, "/reads/1", &object, now_ms);
+        let path = path_of(sent);
+        sent += 1;
+        let group = usize::from(!path.starts_with("/reads/"));
+        let results = &mut all_results[group];
+        let mut request = begin_request(vm, path, &object, now_ms);
         loop {
             match vm.next_step(&mut request, 1, now_ms) {
                 NextStep::Send(attempt) => {
                     let upstream = &mut emulated[index_of(attempt.upstream)];
                     if upstream.try_accept(requests.len(), now_ms) {
                         requests.push(request);
+                        groups.push(group);
                         break;
                     }
                     let rejection = AttemptOutcome::Refused { report: Some(upstream.report()) };
@@ -115,7 +135,7 @@
             }
         }
     }
-    results
+    all_results
 }
 
 fn vm_with_two_upstreams() -> Steering {
@@ -144,3 +164,35 @@
     let results = run(&mut vm_with_two_upstreams(), 20, 20);
     assert_eq!((results.rejected, results.late), (0, 0), "{results:?}");
 }
+
+/// Returns [`vm_with_two_upstreams`] whose `/reads/` are more urgent than its `/packs/`.
+fn vm_with_two_priorities() -> Steering {
+    let mut vm = vm_with_two_upstreams();
+    let mut reads = route(RouteKind::Idempotent);
+    reads.priority = 0;
+    let mut packs = route(RouteKind::Download);
+    packs.priority = 1;
+    vm.apply_configuration(configuration(2, vec![reads, packs]));
+    vm
+}
+
+/// Guards against less urgent requests, such as those of organisations on trial, that crowd out urgent
+/// ones: the former alone are a third more than the upstreams can run.
+#[test]
+fn urgent_requests_are_served_while_less_urgent_ones_overload_the_upstreams() {
+    let path_of = |number: u64| if number.is_multiple_of(5) { "/reads/1" } else { "/packs/1" };
+    let [urgent, others] = run_on_paths(&mut vm_with_two_priorities(), 50, 20, path_of);
+    let asked = 50 * 20 / 5;
+    assert_eq!(urgent.rejected, 0, "{urgent:?}, others {others:?}");
+    assert!(urgent.in_time * 100 >= asked * 90, "{urgent:?} of {asked}, others {others:?}");
+    assert!(others.in_time > 0, "{others:?}");
+}
+
+/// Guards against urgent requests that shut out the others although there is room for both.
+#[test]
+fn less_urgent_requests_are_served_while_there_is_room() {
+    let path_of = |number: u64| if number.is_multiple_of(2) { "/reads/1" } else { "/packs/1" };
+    let [_, others] = run_on_paths(&mut vm_with_two_priorities(), 20, 20, path_of);
+    let asked = 20 * 20 / 2;
+    assert!(others.in_time * 100 >= asked * 95, "{others:?} of {asked}");
+}
