--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -1,5 +1,7 @@
 //! Prometheus metrics and the status of a VM.
 
+use std::cell::RefCell;
+
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prometheus::{
@@ -8,6 +10,7 @@
 };
 use sedgepath_core::direct::accounts::ClientAccounts;
 use sedgepath_core::direct::attempts::{AttemptCause, AttemptOutcome, RejectionReason};
+use sedgepath_core::hash::Set;
 
 use super::attempt::bytes_body;
 use super::clock;
@@ -18,6 +21,10 @@
 /// Upper bounds of the latency buckets, in seconds; they cover latency targets and deadlines.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0];
 
+/// The most client accounts that are counted one by one, so that configurations with many don't make
+/// the metrics long.
+const MAX_NAMED_ACCOUNTS: usize = 32;
+
 /// The counters, gauges and histograms of a VM.
 #[derive(Debug)]
 pub struct Metrics {
@@ -26,6 +33,8 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     rejections: IntCounterVec,
+    account_rejections: IntCounterVec,
+    named_accounts: RefCell<Set<Box<str>>>,
     peer_bytes: IntCounterVec,
     rejected_peer_messages: IntCounterVec,
     event_loop_delay: Histogram,
@@ -69,6 +78,13 @@
                 "Requests answered as not run, by reason.",
                 &["reason"],
             )?,
+            account_rejections: counter(
+                "sedgepath_account_refusals_total",
+                "Requests of client accounts answered as not run, by account; `(others)` are those \
+                 beyond the first accounts.",
+                &["account"],
+            )?,
+            named_accounts: RefCell::default(),
             peer_bytes: counter(
                 "sedgepath_peer_bytes_total",
                 "Bytes sent to other entry VMs, by what they tell, without those of the transport.",
@@ -119,6 +135,7 @@
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.attempts.clone()))?;
         self.registry.register(Box::new(self.rejections.clone()))?;
+        self.registry.register(Box::new(self.account_rejections.clone()))?;
         self.registry.register(Box::new(self.peer_bytes.clone()))?;
         self.registry.register(Box::new(self.rejected_peer_messages.clone()))?;
         self.registry.register(Box::new(self.event_loop_delay.clone()))?;
@@ -154,6 +171,15 @@
         self.rejections.with_label_values(&[reason.name()]).inc();
     }
 
+    /// Counts a request of a client account that the VM rejected without running it.
+    pub fn count_account_rejection(&self, account: &str) {
+        let mut named = self.named_accounts.borrow_mut();
+        let is_named = named.contains(account)
+            || (named.len() < MAX_NAMED_ACCOUNTS && named.insert(account.into()));
+        let label = if is_named { account } else { "(others)" };
+        self.account_rejections.with_label_values(&[label]).inc();
+    }
+
     /// Counts bytes sent to another VM by kind of message.
     pub fn count_peer_bytes(&self, kind: &str, bytes: usize) {
         self.peer_bytes.with_label_values(&[kind]).inc_by(bytes as u64);
--- a/crates/sedgepathd/src/direct/responses.rs
+++ b/crates/sedgepathd/src/direct/responses.rs
@@ -40,6 +40,9 @@
     );
 }
 
+/// The name in logs of a request without a client account.
+const NO_ACCOUNT: &str = "none";
+
 /// What is known of a rejected request.
 #[derive(Debug, Clone, Copy)]
 pub enum RejectedRequest<'a> {
@@ -61,7 +64,7 @@
 
     fn account(self) -> &'a str {
         match self {
-            Self::Unknown => "none",
+            Self::Unknown => NO_ACCOUNT,
             Self::OfAccount(account) => account,
             Self::Begun(state) => state.account_name(),
         }
@@ -95,6 +98,9 @@
         shared.steering.borrow().configuration().map_or(0, |configuration| configuration.version);
     shared.metrics.record_request("not_run", took_ms);
     shared.metrics.count_rejection(rejection.reason);
+    if account != NO_ACCOUNT {
+        shared.metrics.count_account_rejection(account);
+    }
     log::info!(
         "event=refused request={attempt_id} status={} reason={} account={account} service={service} \
          sendings={delivered} took_ms={took_ms} retry_after_ms={} configuration={version} \
--- a/crates/sedgepathd/tests/direct_accounts.rs
+++ b/crates/sedgepathd/tests/direct_accounts.rs
@@ -212,6 +212,10 @@
             .collect();
         threads.into_iter().map(|thread| thread.join().expect("no panic")).collect()
     });
+    let metrics = platform::caller::get(fixture.vms[0].metrics_address, "/metrics");
+    let counted = format!("sedgepath_account_refusals_total{{account=\"hot\"}} {}", results[0].0);
+    let metrics = metrics.expect("metrics").text();
+    assert!(metrics.contains(&counted), "no {counted}");
     let runs = fixture.upstream.runs();
     let hot = runs.iter().filter(|run| run.headers["x-sedgepath-tenant"] == "hot").count();
     let allowed = (RATE_PER_S * 5.0 + RATE_PER_S) * 1.1 + 20.0;
