--- a/crates/sedgepath-core/src/direct/sender_limits.rs
+++ b/crates/sedgepath-core/src/direct/sender_limits.rs
@@ -8,8 +8,8 @@
 
 use crate::hash::Map;
 
-/// The most datagrams of one sender that are handled, per second and at once. At about 4 µs each that
-/// is a hundredth of a core.
+/// The most datagrams of one sender that are handled, per second and at once: more than a VM asks of
+/// the lender of a busy client account.
 const MAX_DATAGRAMS_PER_S: f64 = 3_000.0;
 
 /// The most reports of one sender that are handled, per second in the long run: as many as a VM can
--- a/crates/sedgepath-core/src/egress/upstream.rs
+++ b/crates/sedgepath-core/src/egress/upstream.rs
@@ -17,7 +17,7 @@
 #[derive(Debug, Clone, Copy)]
 struct LostCall {
     lost_at_ms: u64,
-    /// The call's deadline, when the upstream stops working on it.
+    /// The call's deadline, by which the upstream has ended it.
     deadline_at_ms: u64,
 }
 
