Count what messages of other VMs cost, to tell why a VM falls behind

A late VM logged that it was late and not with what. Added: the time spent on messages of other VMs, by what they tell, as a metric and on the line event_loop_delayed; how often a VM's part of a rate limit was computed. No decision changes.

--- a/crates/sedgepath-core/src/direct/rate_limits.rs
+++ b/crates/sedgepath-core/src/direct/rate_limits.rs
@@ -100,12 +100,18 @@
     limits: Map<IncarnationKey, RateLimit>,
     /// When limits that have ended were last observed to have, in milliseconds.
     ended_at_ms: Map<IncarnationKey, u64>,
+    parts_computed: u64,
 }
 
 impl RateLimits {
     /// Creates the table of a VM that knows no limits.
     pub fn new(own: VmKey) -> Self {
-        Self { own, limits: Map::default(), ended_at_ms: Map::default() }
+        Self { own, limits: Map::default(), ended_at_ms: Map::default(), parts_computed: 0 }
+    }
+
+    /// Returns how often this VM's part of some limit has been computed, which takes time for each VM.
+    pub fn parts_computed(&self) -> u64 {
+        self.parts_computed
     }
 
     /// Returns the limit of an upstream, in requests per second, if it has one.
@@ -271,6 +277,7 @@
         now_ms: u64,
     ) {
         let own = self.own;
+        let parts_computed = &mut self.parts_computed;
         let usable_share = if hears_all { USABLE_SHARE } else { PARTITIONED_USABLE_SHARE };
         self.limits.retain(|upstream, limit| {
             let spread_ms = rendezvous::score(own.0, upstream.0) % MEMORY_SPREAD_MS;
@@ -282,6 +289,7 @@
             };
             let usable_per_s = (limit.per_s * usable_share).max(MIN_RATE_PER_S);
             limit.set_part(part_per_s(usable_per_s, *upstream, own, &vms), now_ms);
+            *parts_computed += 1;
             true
         });
     }
--- a/crates/sedgepathd/src/direct/gossip.rs
+++ b/crates/sedgepathd/src/direct/gossip.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sedgepath_core::clock::HybridTimestamp;
 use sedgepath_core::direct::replicas::Table;
@@ -180,36 +180,39 @@
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         let received = shared.peer_socket.recv_from(&mut buffer).await;
-        match decode(&shared, received, &buffer) {
-            Some((_, PeerMessage::Heartbeat(Heartbeat::Full(heartbeat)))) => {
-                handle_heartbeat(&shared, heartbeat).await;
-            }
-            Some((from, PeerMessage::Heartbeat(Heartbeat::StateOnly(state)))) => {
-                shared.log_clock.merge(state.stamp);
-                let now_ms = clock::now_ms();
-                if shared.steering.borrow_mut().vms_mut().record_state(from, state, now_ms) {
-                    fetch::fetch_missing_rows(&shared, state.newest_version, from);
-                }
-            }
-            Some((_, PeerMessage::Summary(summary))) => {
-                shared.log_clock.merge(summary.stamp);
-                fetch::fetch_missing_rows(&shared, summary.changed_at, summary.sender());
-                shared.steering.borrow_mut().vms_mut().record_summary(summary, clock::now_ms());
-            }
-            Some((_, PeerMessage::RelayedSummary(summaries))) => {
-                let mut steering = shared.steering.borrow_mut();
-                for summary in summaries {
-                    steering.vms_mut().record_relayed_summary(summary, clock::now_ms());
-                }
-            }
-            Some((from, PeerMessage::Reports(reports))) => {
-                handle_reports(&shared, &reports, from);
+        let Some((from, message)) = decode(&shared, received, &buffer) else { continue };
+        let started_at = Instant::now();
+        let kind = message.name();
+        handle_message(&shared, from, message).await;
+        shared.metrics.record_peer_handling(kind, started_at.elapsed());
+    }
+}
+
+async fn handle_message(shared: &Rc<SharedState>, from: SocketAddr, message: PeerMessage) {
+    match message {
+        PeerMessage::Heartbeat(Heartbeat::Full(heartbeat)) => {
+            handle_heartbeat(shared, heartbeat).await;
+        }
+        PeerMessage::Heartbeat(Heartbeat::StateOnly(state)) => {
+            shared.log_clock.merge(state.stamp);
+            let now_ms = clock::now_ms();
+            if shared.steering.borrow_mut().vms_mut().record_state(from, state, now_ms) {
+                fetch::fetch_missing_rows(shared, state.newest_version, from);
             }
-            Some((from, PeerMessage::Quota(message))) => {
-                quotas::handle_message(&shared, from, message).await;
+        }
+        PeerMessage::Summary(summary) => {
+            shared.log_clock.merge(summary.stamp);
+            fetch::fetch_missing_rows(shared, summary.changed_at, summary.sender());
+            shared.steering.borrow_mut().vms_mut().record_summary(summary, clock::now_ms());
+        }
+        PeerMessage::RelayedSummary(summaries) => {
+            let mut steering = shared.steering.borrow_mut();
+            for summary in summaries {
+                steering.vms_mut().record_relayed_summary(summary, clock::now_ms());
             }
-            None => {}
         }
+        PeerMessage::Reports(reports) => handle_reports(shared, &reports, from),
+        PeerMessage::Quota(message) => quotas::handle_message(shared, from, message).await,
     }
 }
 
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -1,12 +1,13 @@
 //! Prometheus metrics and the status of a VM.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    CounterVec, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use sedgepath_core::direct::accounts::ClientAccounts;
 use sedgepath_core::direct::attempts::{AttemptCause, AttemptOutcome, RejectionReason};
@@ -37,6 +38,8 @@
     named_accounts: RefCell<Set<Box<str>>>,
     peer_bytes: IntCounterVec,
     rejected_peer_messages: IntCounterVec,
+    peer_handling: CounterVec,
+    peer_handling_since_check: Cell<Duration>,
     event_loop_delay: Histogram,
     upstreams: IntGaugeVec,
     vms: IntGauge,
@@ -46,6 +49,7 @@
     accounts: IntGauge,
     lent_slots: IntGauge,
     quarantined: IntGauge,
+    limit_parts_computed: IntGauge,
 }
 
 impl Metrics {
@@ -95,6 +99,14 @@
                 "Messages of other entry VMs, or of somebody else, that were not accepted, by reason.",
                 &["reason"],
             )?,
+            peer_handling: CounterVec::new(
+                Opts::new(
+                    "sedgepath_peer_handling_seconds_total",
+                    "Time spent on messages of other entry VMs, by what they tell.",
+                ),
+                &["kind"],
+            )?,
+            peer_handling_since_check: Cell::default(),
             event_loop_delay: Histogram::with_opts(
                 HistogramOpts::new(
                     "sedgepath_event_loop_delay_seconds",
@@ -125,6 +137,10 @@
                 "sedgepath_quarantined_fingerprints",
                 "Fingerprints of requests that are rejected because they crash upstreams.",
             )?,
+            limit_parts_computed: gauge(
+                "sedgepath_limit_parts_computed",
+                "How often the VM's part of an upstream's rate limit was computed since its start.",
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -138,6 +154,7 @@
         self.registry.register(Box::new(self.account_rejections.clone()))?;
         self.registry.register(Box::new(self.peer_bytes.clone()))?;
         self.registry.register(Box::new(self.rejected_peer_messages.clone()))?;
+        self.registry.register(Box::new(self.peer_handling.clone()))?;
         self.registry.register(Box::new(self.event_loop_delay.clone()))?;
         self.registry.register(Box::new(self.upstreams.clone()))?;
         let gauges = [
@@ -148,6 +165,7 @@
             &self.quarantined,
             &self.accounts,
             &self.lent_slots,
+            &self.limit_parts_computed,
         ];
         for gauge in gauges {
             self.registry.register(Box::new(gauge.clone()))?;
@@ -190,6 +208,17 @@
         self.rejected_peer_messages.with_label_values(&[reason]).inc();
     }
 
+    /// Records the time spent on a message of another VM.
+    pub fn record_peer_handling(&self, kind: &str, took: Duration) {
+        self.peer_handling.with_label_values(&[kind]).inc_by(took.as_secs_f64());
+        self.peer_handling_since_check.set(self.peer_handling_since_check.get() + took);
+    }
+
+    /// Returns the time spent on messages of other VMs since the last call.
+    pub fn take_peer_handling(&self) -> Duration {
+        self.peer_handling_since_check.take()
+    }
+
     /// Records by how much a timer was late.
     pub fn record_event_loop_delay(&self, delay_ms: u64) {
         self.event_loop_delay.observe(delay_ms as f64 / 1_000.0);
@@ -227,6 +256,7 @@
         self.accounts.set(to_gauge(accounts.map_or(0, ClientAccounts::len)));
         self.lent_slots.set(to_gauge(steering.quotas().lent_slots()));
         self.quarantined.set(to_gauge(steering.crashes().quarantine().len()));
+        self.limit_parts_computed.set(steering.rate_limits().parts_computed().cast_signed());
         self.in_flight.set(to_gauge(shared.in_flight_requests.get()));
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -239,8 +239,9 @@
         let now_ms = clock::now_ms();
         let delay_ms = now_ms.saturating_sub(due_at_ms);
         shared.metrics.record_event_loop_delay(delay_ms);
+        let peers_ms = shared.metrics.take_peer_handling().as_millis();
         if delay_ms >= LOGGED_EVENT_LOOP_DELAY_MS {
-            log::warn!("event=event_loop_delayed by_ms={delay_ms}");
+            log::warn!("event=event_loop_delayed by_ms={delay_ms} peer_messages_ms={peers_ms}");
         }
         let lapsed = {
             let mut steering = shared.steering.borrow_mut();
