Add a failing test of what a report of a rate limit costs

A service of 276 upstreams that all state a limit, 68 VMs: each report computes this VM's part of every limit over every VM, 3,772,851 parts for 13,800 reports. The link is not it: 85 KB sent by the busiest VM in these 2 s.

--- a/crates/sedgepath-test-support/src/vm_network.rs
+++ b/crates/sedgepath-test-support/src/vm_network.rs
@@ -1,5 +1,5 @@
 //! A simulation of the protocols between entry VMs, on one clock, with network faults: membership,
-//! reports of crashes, and quotas of client accounts.
+//! reports of crashes and of rate limits, and quotas of client accounts.
 //!
 //! Upstreams and the store are not simulated. Datagrams have a latency, may be lost, and are counted
 //! by their bytes on the wire and by the distance between sender and receiver.
@@ -16,7 +16,8 @@
 use sedgepath_core::direct::crashes::{CrashLedger, Verdict};
 use sedgepath_core::direct::fingerprint::RequestFingerprints;
 use sedgepath_core::direct::quotas::{Quotas, Ticket};
-use sedgepath_core::direct::reports::ReportQueue;
+use sedgepath_core::direct::rate_limits::RateLimits;
+use sedgepath_core::direct::reports::{Report, ReportQueue};
 use sedgepath_core::direct::upstreams::IncarnationKey;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, OutgoingMessage, PeerMessage};
 use sedgepath_core::direct::vms::{VmDescriptor, VmHeartbeat, VmTable};
@@ -55,6 +56,7 @@
 struct Vm {
     table: Option<VmTable>,
     ledger: Option<CrashLedger>,
+    limits: Option<RateLimits>,
     reports: ReportQueue,
     quotas: Option<Quotas>,
     /// The requests that wait for tokens.
@@ -99,6 +101,8 @@
     pub sent_bytes: SentBytes,
     /// The bytes sent by each VM.
     pub sent_bytes_by_vm: Vec<u64>,
+    /// The reports that reached each VM.
+    pub received_reports_by_vm: Vec<u64>,
 }
 
 impl VmNetwork {
@@ -108,6 +112,7 @@
         let vm = |_| Vm {
             table: None,
             ledger: None,
+            limits: None,
             reports: ReportQueue::default(),
             quotas: None,
             waiting: Vec::new(),
@@ -132,6 +137,7 @@
             loss_rate: 0.0,
             sent_bytes: SentBytes::default(),
             sent_bytes_by_vm: vec![0; count],
+            received_reports_by_vm: vec![0; count],
         }
     }
 
@@ -228,6 +234,7 @@
         let regions = (0..self.count()).map(|vm| self.descriptor(vm).region).collect();
         self.vms[vm] = Vm {
             ledger: Some(CrashLedger::new(table.key())),
+            limits: Some(RateLimits::new(table.key())),
             reports: ReportQueue::default(),
             quotas: Some(Quotas::new(table.key(), QUOTA_BOUNDS, regions, boot)),
             waiting: Vec::new(),
@@ -246,6 +253,7 @@
         for vm in vms {
             self.vms[*vm].table = None;
             self.vms[*vm].ledger = None;
+            self.vms[*vm].limits = None;
             self.vms[*vm].quotas = None;
             self.vms[*vm].waiting.clear();
         }
@@ -315,6 +323,21 @@
         }
     }
 
+    /// Records a response to a VM in which an upstream states a rate limit.
+    pub fn state_limit(&mut self, vm: VmIndex, upstream: IncarnationKey, per_s: f64) {
+        let now_ms = self.now_ms;
+        let Vm { limits, reports, .. } = &mut self.vms[vm];
+        if let Some(limits) = limits {
+            limits.record_response(upstream, Some(per_s), now_ms, reports, now_ms);
+            self.schedule(now_ms + REPORT_DELAY_MS, Event::ReportRound { vm });
+        }
+    }
+
+    /// Returns the limit of an upstream as known to a VM, in requests per second.
+    pub fn limit_per_s(&self, vm: VmIndex, upstream: IncarnationKey) -> Option<f64> {
+        self.vms[vm].limits.as_ref()?.limit_per_s(upstream)
+    }
+
     /// Returns the VMs that are running.
     pub fn running_vms(&self) -> BTreeSet<VmIndex> {
         (0..self.count()).filter(|vm| self.vms[*vm].table.is_some()).collect()
@@ -462,7 +485,9 @@
         self.last_timestamp_ms += 1;
         let timestamp = HybridTimestamp { time_ms: self.last_timestamp_ms, count: 0 };
         let mut rng = self.rng.fork();
-        let Vm { table: Some(table), ledger: Some(ledger), reports, .. } = &mut self.vms[vm] else {
+        let Vm { table: Some(table), ledger: Some(ledger), limits: Some(limits), reports, .. } =
+            &mut self.vms[vm]
+        else {
             return;
         };
         let mut has_news = false;
@@ -485,8 +510,14 @@
                 }
             }
             PeerMessage::Reports(received) => {
+                self.received_reports_by_vm[vm] += received.reports.len() as u64;
                 for report in &received.reports {
-                    let is_news = ledger.receive(report, now_ms);
+                    let is_news = match report {
+                        Report::RateLimit { upstream, per_s, age_ms } => {
+                            limits.receive(*upstream, *per_s, *age_ms, now_ms)
+                        }
+                        _ => ledger.receive(report, now_ms),
+                    };
                     if is_news && received.relay {
                         reports.relay(report.clone(), now_ms);
                     }
