Update only the rate limit that a report tells of

Cause: each report of a limit, from any VM, computed this VM's part of every known limit over every VM, hashing each VM's name each time, and so did the maintenance four times a second. 276 limits and 68 VMs: 2.7 ms a report, some 1,950 reports at a VM within 2 s. A row, a request or the end of a connection waits meanwhile; a request that is already handed to its upstream's connection is written after its caller has left. Class: work for one message that grows with the fleet.

Ruled out: the link (85 KB sent by the busiest of 297 VMs in 2 s of 2.5 MB); the reports' number (the same at 63, 99 and 297 VMs).

Change: a report updates its own limit. The parts of all limits are computed when the VMs that serve have changed; their keys are computed once for all limits (serving_keys.rs). Upstreams are found by the run of their process. What each VM may send is unchanged.

--- a/crates/sedgepath-core/src/direct/rate_limits.rs
+++ b/crates/sedgepath-core/src/direct/rate_limits.rs
@@ -266,39 +266,60 @@
         limit.observed_at_ms = observed_at_ms;
     }
 
-    /// Updates this VM's parts of all limits, and forgets limits of which nothing is heard.
-    ///
-    /// `sharing_vms` returns the VMs that may share an upstream's limit, or `None` if the upstream is
-    /// unknown; `hears_all` says whether this VM hears all VMs that it knows.
-    pub fn update_parts(
+    /// Updates this VM's part of an upstream's limit, which `vms` share, after news of the limit.
+    pub fn update_part(
         &mut self,
-        sharing_vms: impl Fn(IncarnationKey) -> Option<Vec<VmKey>>,
+        upstream: IncarnationKey,
+        vms: &[VmKey],
         hears_all: bool,
         now_ms: u64,
     ) {
         let own = self.own;
-        let parts_computed = &mut self.parts_computed;
-        let usable_share = if hears_all { USABLE_SHARE } else { PARTITIONED_USABLE_SHARE };
+        if let Some(limit) = self.limits.get_mut(&upstream) {
+            let usable_per_s = usable_per_s(limit.per_s, hears_all);
+            limit.set_part(part_per_s(usable_per_s, upstream, own, vms), now_ms);
+            self.parts_computed += 1;
+        }
+    }
+
+    /// Updates this VM's parts of all limits, for which `vms` returns the VMs that share the limit.
+    pub fn update_parts<'a>(
+        &mut self,
+        vms: impl Fn(IncarnationKey) -> &'a [VmKey],
+        hears_all: bool,
+        now_ms: u64,
+    ) {
+        let upstreams: Vec<_> = self.limits.keys().copied().collect();
+        for upstream in upstreams {
+            self.update_part(upstream, vms(upstream), hears_all, now_ms);
+        }
+    }
+
+    /// Forgets the limit of an upstream that is unknown.
+    pub fn forget(&mut self, upstream: IncarnationKey) {
+        self.limits.remove(&upstream);
+    }
+
+    /// Forgets limits of which nothing is heard, and those of unknown upstreams.
+    pub fn forget_outdated(&mut self, is_known: impl Fn(IncarnationKey) -> bool, now_ms: u64) {
+        let own = self.own;
         self.limits.retain(|upstream, limit| {
             let spread_ms = rendezvous::score(own.0, upstream.0) % MEMORY_SPREAD_MS;
-            if now_ms >= limit.observed_at_ms + MEMORY_MS + spread_ms {
-                return false;
-            }
-            let Some(vms) = sharing_vms(*upstream) else {
-                return false;
-            };
-            let usable_per_s = (limit.per_s * usable_share).max(MIN_RATE_PER_S);
-            limit.set_part(part_per_s(usable_per_s, *upstream, own, &vms), now_ms);
-            *parts_computed += 1;
-            true
+            now_ms < limit.observed_at_ms + MEMORY_MS + spread_ms && is_known(*upstream)
         });
     }
 }
 
+fn usable_per_s(limit_per_s: f64, hears_all: bool) -> f64 {
+    let share = if hears_all { USABLE_SHARE } else { PARTITIONED_USABLE_SHARE };
+    (limit_per_s * share).max(MIN_RATE_PER_S)
+}
+
 /// Returns a VM's part of a rate that some VMs share, in requests per second; 0 if it has none.
 fn part_per_s(usable_per_s: f64, upstream: IncarnationKey, own: VmKey, vms: &[VmKey]) -> f64 {
     let parts = ((usable_per_s / MIN_PART_PER_S) as usize).clamp(1, vms.len().max(1));
     let score = |vm: &VmKey| (rendezvous::score(upstream.0, vm.0), vm.0);
-    let before_own = vms.iter().filter(|vm| score(vm) > score(&own)).count();
+    let own_score = score(&own);
+    let before_own = vms.iter().filter(|vm| score(vm) > own_score).count();
     if vms.contains(&own) && before_own < parts { usable_per_s / parts as f64 } else { 0.0 }
 }
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -4,6 +4,7 @@
 mod learning;
 mod quota_admission;
 mod selection;
+mod serving_keys;
 mod shared_observations;
 mod steps;
 mod store;
@@ -12,6 +13,7 @@
 
 use crate::hash::{Digest, Map, Set};
 
+use self::serving_keys::ServingKeys;
 use self::store::StoreAvailability;
 use super::accounts::PresentedCredential;
 use super::attempts::{AttemptCause, RejectionReason, RequestState};
@@ -135,6 +137,8 @@
     reports: ReportQueue,
     sender_limits: SenderLimits,
     rate_limits: RateLimits,
+    /// The VMs that share rate limits, as of the last update; `None` while there are no limits.
+    serving_keys: Option<ServingKeys>,
     quotas: Quotas,
 }
 
@@ -162,6 +166,7 @@
             reports: ReportQueue::default(),
             sender_limits: SenderLimits::default(),
             rate_limits: RateLimits::new(vms.key()),
+            serving_keys: None,
             quotas: Quotas::new(vms.key(), limits.quotas, regions, vms.key().0 ^ vms.boot_at_ms()),
             other_region_rtt_ms: INITIAL_OTHER_REGION_RTT_MS,
             vms,
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/steering/serving_keys.rs
@@ -0,0 +1,33 @@
+//! The keys of the VMs that serve, by region.
+
+use crate::direct::vms::VmTable;
+use crate::hash::Map;
+use crate::key::VmKey;
+
+/// The keys of the VMs that serve at a time, by region.
+#[derive(Debug, PartialEq)]
+pub(super) struct ServingKeys {
+    /// Whether all VMs that this one knows of serve.
+    pub(super) hears_all: bool,
+    by_region: Map<Box<str>, Vec<VmKey>>,
+    all: Vec<VmKey>,
+}
+
+impl ServingKeys {
+    /// Returns the keys of the VMs that serve now.
+    pub(super) fn new(vms: &VmTable, now_ms: u64) -> Self {
+        let mut by_region: Map<Box<str>, Vec<VmKey>> = Map::default();
+        let mut all = Vec::new();
+        for descriptor in vms.serving_vms(now_ms) {
+            let key = descriptor.key();
+            by_region.entry(descriptor.region.clone()).or_default().push(key);
+            all.push(key);
+        }
+        Self { hears_all: vms.hears_all_known(now_ms), by_region, all }
+    }
+
+    /// Returns the VMs of a region, or all VMs if none serves there.
+    pub(super) fn of_region(&self, region: &str) -> &[VmKey] {
+        self.by_region.get(region).unwrap_or(&self.all)
+    }
+}
--- a/crates/sedgepath-core/src/direct/steering/shared_observations.rs
+++ b/crates/sedgepath-core/src/direct/steering/shared_observations.rs
@@ -4,14 +4,13 @@
 use std::net::SocketAddr;
 
 use super::Steering;
+use super::serving_keys::ServingKeys;
 use crate::direct::attempts::{AttemptOutcome, InFlightAttempt, RequestState};
 use crate::direct::crashes::quarantine::{Clocks, QuarantineWrite};
 use crate::direct::crashes::{CrashLedger, Verdict};
 use crate::direct::rate_limits::RateLimits;
 use crate::direct::reports::{Report, ReportQueue, Reports};
 use crate::direct::upstreams::{IncarnationKey, UpstreamKey};
-use crate::hash::Map;
-use crate::key::VmKey;
 
 impl Steering {
     /// Returns the record of requests that were in flight at upstreams that crashed.
@@ -59,7 +58,7 @@
         let is_news = match report {
             Report::RateLimit { upstream, per_s, age_ms } => {
                 let is_news = self.rate_limits.receive(*upstream, *per_s, *age_ms, now_ms);
-                self.update_rate_limits(now_ms);
+                self.update_rate_limit(*upstream, now_ms);
                 is_news
             }
             Report::Crashed { .. } | Report::Cleared { .. } => self.crashes.receive(report, now_ms),
@@ -142,33 +141,47 @@
             now_ms,
         );
         if is_news {
-            self.update_rate_limits(now_ms);
+            self.update_rate_limit(incarnation, now_ms);
         }
         is_news
     }
 
-    /// Updates this VM's parts of the rate limits that upstreams state: those of an upstream's region
-    /// share its limit, or all VMs if none serves there.
+    /// Updates what depends on the VMs that serve: this VM's parts of the rate limits that upstreams
+    /// state. Forgets outdated limits.
     pub fn update_rate_limits(&mut self, now_ms: u64) {
         if self.rate_limits.is_empty() {
+            self.serving_keys = None;
             return;
         }
-        let serving = self.vms.serving_vms(now_ms);
-        let regions: Map<IncarnationKey, &str> = self
-            .upstreams
-            .iter()
-            .map(|(_, upstream)| (upstream.incarnation, &*upstream.region))
-            .collect();
-        let sharing_vms = |upstream: IncarnationKey| -> Option<Vec<VmKey>> {
-            let region = regions.get(&upstream)?;
-            let in_region = serving.iter().filter(|descriptor| *descriptor.region == **region);
-            let in_region: Vec<_> = in_region.map(|descriptor| descriptor.key()).collect();
-            if in_region.is_empty() {
-                return Some(serving.iter().map(|descriptor| descriptor.key()).collect());
-            }
-            Some(in_region)
+        let upstreams = &self.upstreams;
+        self.rate_limits
+            .forget_outdated(|upstream| upstreams.by_incarnation(upstream).is_some(), now_ms);
+        let serving = ServingKeys::new(&self.vms, now_ms);
+        if self.serving_keys.as_ref() == Some(&serving) {
+            return;
+        }
+        let sharing = |upstream| {
+            upstreams
+                .by_incarnation(upstream)
+                .map_or(&[][..], |upstream| serving.of_region(&upstream.region))
+        };
+        self.rate_limits.update_parts(sharing, serving.hears_all, now_ms);
+        self.serving_keys = Some(serving);
+    }
+
+    /// Updates this VM's part of one upstream's limit after news of it, with the VMs that served at the
+    /// last [`update_rate_limits`](Self::update_rate_limits).
+    ///
+    /// A whole service may state limits at once, and each VM tells the others: work over all limits for
+    /// each of these reports would keep a VM from everything else for seconds.
+    fn update_rate_limit(&mut self, upstream: IncarnationKey, now_ms: u64) {
+        let Some(known) = self.upstreams.by_incarnation(upstream) else {
+            self.rate_limits.forget(upstream);
+            return;
         };
-        let hears_all = self.vms.hears_all_known(now_ms);
-        self.rate_limits.update_parts(sharing_vms, hears_all, now_ms);
+        let vms = &self.vms;
+        let serving = self.serving_keys.get_or_insert_with(|| ServingKeys::new(vms, now_ms));
+        let sharing = serving.of_region(&known.region);
+        self.rate_limits.update_part(upstream, sharing, serving.hears_all, now_ms);
     }
 }
--- a/crates/sedgepath-core/src/direct/upstreams/table.rs
+++ b/crates/sedgepath-core/src/direct/upstreams/table.rs
@@ -7,7 +7,7 @@
 //! in use until [`LAPSED_ENTRY_GRACE_MS`] after the outage; a running upstream registers again
 //! within that time.
 
-use super::{Upstream, UpstreamEntry, UpstreamKey};
+use super::{IncarnationKey, Upstream, UpstreamEntry, UpstreamKey};
 use crate::direct::routing::ServiceSettings;
 use crate::hash::Map;
 
@@ -26,6 +26,7 @@
     by_key: Map<UpstreamKey, Upstream>,
     by_name: Map<Box<str>, UpstreamKey>,
     by_service: Map<Box<str>, Vec<UpstreamKey>>,
+    by_incarnation: Map<IncarnationKey, UpstreamKey>,
     next_key: u32,
     outage_ended_at_ms: Option<u64>,
     store_unavailable: bool,
@@ -53,6 +54,11 @@
         self.by_key.get_mut(&key)
     }
 
+    /// Returns an upstream by the run of its process.
+    pub fn by_incarnation(&self, incarnation: IncarnationKey) -> Option<&Upstream> {
+        self.by_key.get(self.by_incarnation.get(&incarnation)?)
+    }
+
     /// Returns the keys of a service's upstreams.
     pub fn of_service(&self, service: &str) -> &[UpstreamKey] {
         self.by_service.get(service).map_or(&[], |keys| keys)
@@ -104,7 +110,9 @@
         self.next_key += 1;
         self.by_name.insert(entry.name.clone(), key);
         self.by_service.entry(entry.service.clone()).or_default().push(key);
-        self.by_key.insert(key, Upstream::new(entry, region.into(), now_ms));
+        let upstream = Upstream::new(entry, region.into(), now_ms);
+        self.by_incarnation.insert(upstream.incarnation, key);
+        self.by_key.insert(key, upstream);
         EntryChange::Joined(key)
     }
 
@@ -194,6 +202,9 @@
         if self.by_name.get(&upstream.entry.name) == Some(&key) {
             self.by_name.remove(&upstream.entry.name);
         }
+        if self.by_incarnation.get(&upstream.incarnation) == Some(&key) {
+            self.by_incarnation.remove(&upstream.incarnation);
+        }
         if let Some(keys) = self.by_service.get_mut(&upstream.entry.service) {
             keys.retain(|other| *other != key);
         }
--- a/crates/sedgepath-core/tests/direct_rate_limits.rs
+++ b/crates/sedgepath-core/tests/direct_rate_limits.rs
@@ -49,7 +49,7 @@
     for now_ms in (0..20_000).step_by(10) {
         for (vm, view) in &mut vms {
             if now_ms % 250 == 0 {
-                vm.update_parts(|_| Some((*view).clone()), views.len() == 1, now_ms);
+                vm.update_parts(|_| view.as_slice(), views.len() == 1, now_ms);
             }
             let is_idle = (8_000..13_000).contains(&now_ms);
             if !is_idle && rng.f64() < 0.5 && vm.allows(UPSTREAM, now_ms) {
@@ -116,12 +116,12 @@
     assert_eq!(listener.limit_per_s(UPSTREAM), None);
 
     listener.receive(UPSTREAM, Some(1.0), 0, 1_000);
-    listener.update_parts(|_| Some(vec![other]), true, 30_000);
+    listener.forget_outdated(|_| true, 30_000);
     assert_eq!(listener.limit_per_s(UPSTREAM), Some(1.0));
-    listener.update_parts(|_| Some(vec![other]), true, 62_000);
+    listener.forget_outdated(|_| true, 62_000);
     assert_eq!(listener.limit_per_s(UPSTREAM), None, "nothing is heard of it");
     listener.receive(UPSTREAM, Some(1.0), 0, 70_000);
-    listener.update_parts(|_| None, true, 70_000);
+    listener.forget_outdated(|_| false, 70_000);
     assert_eq!(listener.limit_per_s(UPSTREAM), None, "the upstream is gone");
 }
 
@@ -134,7 +134,7 @@
         assert!(vm.is_empty());
     }
     vm.receive(UPSTREAM, Some(f64::MAX), u64::MAX, 10);
-    vm.update_parts(|_| Some(vec![VmKey(1)]), true, 1_000);
+    vm.update_parts(|_| &[VmKey(1)], true, 1_000);
     assert!(vm.allows(UPSTREAM, 1_100));
 }
 
