--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -20,6 +20,7 @@
 //! - [`reports`]: what VMs tell each other of upstreams.
 //! - [`sender_limits`]: how much of one VM's messages the others handle.
 //! - [`replicas`]: replicas of the store's tables, which VMs exchange with each other.
+//! - [`statements`]: what upstreams state of themselves with their responses.
 //! - [`status`]: the state that a VM reports to operators.
 //! - [`vms`]: the entry VMs that accept requests, for look-ups and for dividing shared limits.
 //! - [`ablation`]: switches that turn single mechanisms off for comparison.
@@ -51,6 +52,7 @@
 pub mod reports;
 pub mod routing;
 pub mod sender_limits;
+pub mod statements;
 pub mod status;
 pub mod steering;
 pub mod upstreams;
--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -163,6 +163,10 @@
 pub struct Attempt {
     /// The key of the upstream.
     pub upstream: UpstreamKey,
+    /// The run of the upstream's process.
+    pub incarnation: IncarnationKey,
+    /// When the request was sent, in milliseconds.
+    pub sent_at_ms: u64,
     /// The address to which the request is sent.
     pub address: std::net::SocketAddr,
     /// The upstream's name, sent with the request so that another upstream at the same address can
--- a/crates/sedgepath-core/src/direct/steering/shared_observations.rs
+++ b/crates/sedgepath-core/src/direct/steering/shared_observations.rs
@@ -5,12 +5,15 @@
 
 use super::Steering;
 use super::serving_keys::ServingKeys;
-use crate::direct::attempts::{AttemptOutcome, InFlightAttempt, RequestState};
+use crate::direct::attempts::{Attempt, AttemptOutcome, InFlightAttempt, RequestState};
 use crate::direct::crashes::quarantine::{Clocks, QuarantineWrite};
 use crate::direct::crashes::{CrashLedger, Verdict};
 use crate::direct::rate_limits::RateLimits;
 use crate::direct::reports::{Report, ReportQueue, Reports};
-use crate::direct::upstreams::{IncarnationKey, UpstreamKey};
+use crate::direct::statements::{
+    StatedLeaving, StatedPause, StatedRateLimit, StatementNews, Statements,
+};
+use crate::direct::upstreams::IncarnationKey;
 
 impl Steering {
     /// Returns the record of requests that were in flight at upstreams that crashed.
@@ -120,28 +123,45 @@
         }
     }
 
+    /// Records what an upstream states of itself with the response to an attempt. Returns what of it is
+    /// new.
+    pub fn record_statements(
+        &mut self,
+        attempt: &Attempt,
+        statements: Statements,
+        now_ms: u64,
+    ) -> StatementNews {
+        let Statements { rate_limit, leaving, pause } = statements;
+        StatementNews {
+            rate_limit: rate_limit.is_some_and(|stated| match stated {
+                StatedRateLimit::None => self.record_rate_limit(attempt, None, now_ms),
+                StatedRateLimit::PerSecond(per_s) => {
+                    self.record_rate_limit(attempt, Some(per_s), now_ms)
+                }
+                StatedRateLimit::Invalid => false,
+            }),
+            leaving: leaving == StatedLeaving::Yes,
+            pause: matches!(pause, StatedPause::ForMs(_)),
+        }
+    }
+
     /// Records the rate limit that a response states, or that it states none. Returns whether that
     /// is new.
-    pub fn record_rate_limit(
+    fn record_rate_limit(
         &mut self,
-        request: &RequestState,
-        key: UpstreamKey,
+        attempt: &Attempt,
         stated_per_s: Option<f64>,
         now_ms: u64,
     ) -> bool {
-        let attempt = request.in_flight.iter().find(|attempt| attempt.upstream == key);
-        let Some(InFlightAttempt { incarnation, sent_at_ms, .. }) = attempt.copied() else {
-            return false;
-        };
         let is_news = self.rate_limits.record_response(
-            incarnation,
+            attempt.incarnation,
             stated_per_s,
-            sent_at_ms,
+            attempt.sent_at_ms,
             &mut self.reports,
             now_ms,
         );
         if is_news {
-            self.update_rate_limit(incarnation, now_ms);
+            self.update_rate_limit(attempt.incarnation, now_ms);
         }
         is_news
     }
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -134,6 +134,8 @@
         });
         NextStep::Send(Attempt {
             upstream: key,
+            incarnation: upstream.incarnation,
+            sent_at_ms: now_ms,
             address: upstream.entry.address,
             name: upstream.entry.name.clone(),
             decision,
--- a/crates/sedgepath-core/tests/direct_rate_limits.rs
+++ b/crates/sedgepath-core/tests/direct_rate_limits.rs
@@ -2,9 +2,10 @@
 
 use fastrand::Rng;
 use sedgepath_core::direct::Steering;
-use sedgepath_core::direct::attempts::{AttemptOutcome, NextStep, RejectionReason};
+use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome, NextStep, RejectionReason};
 use sedgepath_core::direct::rate_limits::RateLimits;
 use sedgepath_core::direct::reports::{Report, ReportQueue};
+use sedgepath_core::direct::statements::{StatedLeaving, StatedPause, StatedRateLimit, Statements};
 use sedgepath_core::direct::upstreams::IncarnationKey;
 use sedgepath_core::key::VmKey;
 use sedgepath_test_support::direct::{begin_request, serving_vm, vm_with_retry_budget};
@@ -34,6 +35,13 @@
     (0..count).map(|number| VmKey::of(&format!("vm-{number}"))).collect()
 }
 
+/// Lets the response to an attempt state a rate limit, or none.
+fn state_limit(vm: &mut Steering, attempt: &Attempt, per_s: Option<f64>, now_ms: u64) {
+    let rate_limit = Some(per_s.map_or(StatedRateLimit::None, StatedRateLimit::PerSecond));
+    let (leaving, pause) = (StatedLeaving::No, StatedPause::None);
+    vm.record_statements(attempt, Statements { rate_limit, leaving, pause }, now_ms);
+}
+
 /// Lets VMs that have all heard of a limit send as much as it allows for a time, each by its view of
 /// who shares it, with a pause; returns when requests were sent.
 fn send_all(limit_per_s: f64, views: &[Vec<VmKey>], seed: u64) -> Vec<u64> {
@@ -159,7 +167,7 @@
             NextStep::Send(attempt) => {
                 let end_ms = now_ms + 50;
                 let limit = stated(&attempt.name);
-                vm.record_rate_limit(&request, attempt.upstream, limit, end_ms);
+                state_limit(vm, &attempt, limit, end_ms);
                 vm.record_outcome(&mut request, attempt.upstream, SUCCESS, end_ms);
                 run.sent.push((attempt.name, now_ms));
             }
@@ -203,7 +211,7 @@
         let object = now_ms / 20 % 40;
         let mut request = begin_request(&mut vm, "/reads/1", &object.to_string(), now_ms);
         if let NextStep::Send(attempt) = vm.next_step(&mut request, 7, now_ms) {
-            vm.record_rate_limit(&request, attempt.upstream, Some(2.0), now_ms + 10);
+            state_limit(&mut vm, &attempt, Some(2.0), now_ms + 10);
             vm.record_outcome(&mut request, attempt.upstream, SUCCESS, now_ms + 10);
             sent += 1;
             sent_warm += usize::from(attempt.decision.warm);
@@ -233,7 +241,7 @@
     for number in 0..4 {
         let mut request = begin_request(&mut vm, "/reads/1", &number.to_string(), 100);
         while let NextStep::Send(attempt) = vm.next_step(&mut request, 7, 100) {
-            vm.record_rate_limit(&request, attempt.upstream, Some(0.1), 110);
+            state_limit(&mut vm, &attempt, Some(0.1), 110);
             let rejected = AttemptOutcome::Refused { report: None };
             vm.record_outcome(&mut request, attempt.upstream, rejected, 110);
         }
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -7,6 +7,7 @@
 //! - [`ingress`]: callers' connections and requests.
 //! - [`responses`]: responses of the VM itself.
 //! - [`attempt`]: one attempt of a request at an upstream.
+//! - [`statements`]: what upstreams state of themselves with their responses.
 //! - [`in_flight_request`]: a caller's request with its attempts.
 //! - [`request_body`]: bodies of callers' requests.
 //! - [`response_body`]: bodies of upstreams' responses.
@@ -43,5 +44,6 @@
 pub mod responses;
 pub mod run;
 pub mod shared;
+mod statements;
 pub mod store_feed;
 pub mod table_server;
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, http};
-use sedgepath_adapter::headers::{self, ResponseHeaders, ResponseKind, StatedRateLimit};
+use sedgepath_adapter::headers::{self, ResponseHeaders, ResponseKind};
 use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome};
 use sedgepath_core::direct::upstreams::UpstreamKey;
 use tokio::time::timeout_at;
@@ -16,6 +16,7 @@
 use super::connection_pool::{Body, Connection};
 use super::response_body::{BufferedBody, PartlyBufferedBody, buffer_body};
 use super::shared::SharedState;
+use super::statements;
 
 /// Timeout of connecting to an upstream: three of the longest round trips between regions. It is
 /// shorter than the retransmission of a lost packet, which takes a second; another upstream is
@@ -45,13 +46,11 @@
     pub outcome: AttemptOutcome,
     /// The response to pass on, if any.
     pub response: Option<Response<Body>>,
-    /// What the upstream's response states of its rate limit; `None` if that is unknown.
-    pub rate_limit: Option<StatedRateLimit>,
 }
 
 impl AttemptResult {
     fn without_response(outcome: AttemptOutcome) -> Self {
-        Self { outcome, response: None, rate_limit: None }
+        Self { outcome, response: None }
     }
 }
 
@@ -161,6 +160,9 @@
     connection: Connection,
 ) -> AttemptResult {
     let headers = ResponseHeaders::parse(response.status(), response.headers(), &head.attempt_id);
+    if let Some(statements) = headers.statements {
+        statements::record(shared, attempt, statements);
+    }
     let (parts, mut incoming) = response.into_parts();
     let deadline = clock::instant_at(deadline_at_ms);
     let buffered = match headers.kind {
@@ -184,12 +186,7 @@
     match (headers.kind, buffered) {
         (ResponseKind::NotRun, _) => {
             reusable.release(shared);
-            let rate_limit = match headers.rate_limit {
-                StatedRateLimit::None => None,
-                stated => Some(stated),
-            };
-            let outcome = AttemptOutcome::Refused { report };
-            AttemptResult { outcome, response: None, rate_limit }
+            AttemptResult::without_response(AttemptOutcome::Refused { report })
         }
         (ResponseKind::Misdirected, _) => {
             AttemptResult::without_response(AttemptOutcome::Misdirected)
@@ -198,13 +195,13 @@
             reusable.release(shared);
             let outcome = response_outcome(parts.status, headers, bytes.len() as u64);
             let response = Some(build_response(parts, bytes_body(bytes)));
-            AttemptResult { outcome, response, rate_limit: Some(headers.rate_limit) }
+            AttemptResult { outcome, response }
         }
         (_, BufferedBody::Partial(prefix)) => {
             let outcome = response_outcome(parts.status, headers, prefix.len() as u64);
             let body = PartlyBufferedBody::new(prefix, incoming, reusable.connection);
             let response = Some(build_response(parts, body.boxed_unsync()));
-            AttemptResult { outcome, response, rate_limit: Some(headers.rate_limit) }
+            AttemptResult { outcome, response }
         }
     }
 }
--- a/crates/sedgepathd/src/direct/in_flight_request.rs
+++ b/crates/sedgepathd/src/direct/in_flight_request.rs
@@ -2,12 +2,10 @@
 
 use std::rc::Rc;
 
-use sedgepath_adapter::headers::StatedRateLimit;
 use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome, NextStep, RequestState};
 use sedgepath_core::direct::upstreams::UpstreamKey;
 
 use super::clock;
-use super::logging::ROUTINE_TARGET;
 use super::shared::SharedState;
 
 /// The minimum time between checks whether a request needs a hedge, in milliseconds.
@@ -42,28 +40,6 @@
         }
     }
 
-    /// Records what the response of an attempt states of its upstream's rate limit.
-    pub fn record_rate_limit(&mut self, attempt: &Attempt, stated: StatedRateLimit) {
-        let stated_per_s = match stated {
-            StatedRateLimit::None => None,
-            StatedRateLimit::PerSecond(per_s) => Some(per_s),
-            StatedRateLimit::Invalid => {
-                log::warn!(
-                    target: ROUTINE_TARGET,
-                    "event=upstream_limit_unreadable upstream={}",
-                    attempt.name,
-                );
-                return;
-            }
-        };
-        let mut steering = self.shared.steering.borrow_mut();
-        let now_ms = clock::now_ms();
-        if steering.record_rate_limit(&self.state, attempt.upstream, stated_per_s, now_ms) {
-            let per_s = stated_per_s.map_or_else(|| "none".into(), |per_s| per_s.to_string());
-            log::info!("event=upstream_limit upstream={} per_s={per_s}", attempt.name);
-        }
-    }
-
     /// Returns the request's token of its account's quota, since it was not run.
     pub fn return_quota_token(&mut self) {
         let mut steering = self.shared.steering.borrow_mut();
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -260,9 +260,6 @@
                 }
             };
             shared.metrics.count_attempt(attempt.decision.cause, result.outcome);
-            if let Some(stated) = result.rate_limit {
-                request.record_rate_limit(&attempt, stated);
-            }
             request.record_outcome(attempt.upstream, result.outcome);
             if let AttemptOutcome::Answered { body_bytes, .. } = result.outcome {
                 shared.load.borrow_mut().record_body(body_bytes, clock::now_ms());
--- a/crates/sedgepathd/tests/direct_limits.rs
+++ b/crates/sedgepathd/tests/direct_limits.rs
@@ -7,7 +7,8 @@
 use platform::caller;
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{TestCluster, Vm, configure, wait_for};
-use sedgepath_adapter::headers::{ResponseHeaders, StatedRateLimit};
+use sedgepath_adapter::headers::ResponseHeaders;
+use sedgepath_core::direct::statements::StatedRateLimit;
 use sedgepath_test_support::store::StoreStandIn;
 
 /// The rate limit that the upstream states, in requests per second.
@@ -113,7 +114,9 @@
         for value in values {
             headers.append("server-limit", value.parse().expect("a header value"));
         }
-        ResponseHeaders::parse(hyper::StatusCode::OK, &headers, "a").rate_limit
+        headers.insert("x-sedgepath-response-signature", "s".parse().expect("a header value"));
+        let parsed = ResponseHeaders::parse(hyper::StatusCode::OK, &headers, "a");
+        parsed.statements.expect("a matching response").rate_limit.expect("a known limit")
     };
     assert_eq!(parse(&[]), StatedRateLimit::None);
     assert_eq!(parse(&["2.7"]), StatedRateLimit::PerSecond(2.7));
