Send nothing more to an upstream that says that it leaves

A request reached an upstream 2,585 and 5,045 ms after a VM had passed on a response that said that it leaves (2,500 allowed).

Cause: the VM reads an upstream's end from its entry only; while the store is away, or writes of the upstream are, nothing tells it. The statement in the responses was not read. Class: a peer's statement that comes in and has no place (the rate limit was the first).

Ruled out: a later read that takes it back (no gap at all at 7.7 s), and retries or hedges past a check (the sends after it are first ones).

Change: the statement holds for the process, from the head of the first response on, whatever its entry says before or after, also when the entry lapses and comes back; another process at the name or address starts anew. Such an upstream is no longer chosen, its idle connections are closed, a cut-off request there counts as its planned end, and an entry that goes during an outage is not kept. Other VMs are not told: each learns it with its first response, and a damaged word empties no service elsewhere.

--- a/crates/sedgepath-core/src/direct/crashes.rs
+++ b/crates/sedgepath-core/src/direct/crashes.rs
@@ -247,7 +247,7 @@
     pub fn maintain(&mut self, upstreams: &UpstreamTable, reports: &mut ReportQueue, now_ms: u64) {
         for pending in std::mem::take(&mut self.pending) {
             match upstreams.get(pending.upstream) {
-                Some(upstream) if upstream.entry.leaving => {}
+                Some(upstream) if upstream.is_leaving() => {}
                 Some(_) if now_ms < pending.until_ms => self.pending.push_back(pending),
                 Some(_) => {}
                 None => {
--- a/crates/sedgepath-core/src/direct/placement.rs
+++ b/crates/sedgepath-core/src/direct/placement.rs
@@ -242,7 +242,7 @@
 
     /// As [`is_eligible`](Self::is_eligible), regardless of the upstream's rate limit.
     pub fn is_permitted(&self, key: UpstreamKey, upstream: &Upstream) -> bool {
-        !upstream.entry.leaving
+        !upstream.is_leaving()
             && !self.evacuated.contains(&upstream.entry.domain)
             && is_home(self.home_regions, &upstream.region)
             && is_home(self.account_home_regions, &upstream.region)
--- a/crates/sedgepath-core/src/direct/statements.rs
+++ b/crates/sedgepath-core/src/direct/statements.rs
@@ -54,7 +54,7 @@
 pub struct StatementNews {
     /// The rate limit is new, has changed or has ended.
     pub rate_limit: bool,
-    /// The upstream states that it is about to stop.
+    /// The upstream is about to stop, which it hasn't stated before.
     pub leaving: bool,
     /// The upstream asks for a pause.
     pub pause: bool,
--- a/crates/sedgepath-core/src/direct/status.rs
+++ b/crates/sedgepath-core/src/direct/status.rs
@@ -109,7 +109,7 @@
         for (_, upstream) in self.upstreams().iter() {
             let service = services.entry(upstream.entry.service.clone()).or_default();
             service.upstreams += 1;
-            service.leaving += usize::from(upstream.entry.leaving);
+            service.leaving += usize::from(upstream.is_leaving());
             service.cold += usize::from(upstream.is_cold(now_ms));
             service.ejected += usize::from(now_ms < upstream.ejected_until_ms);
             service.slots += upstream.entry.slots;
--- a/crates/sedgepath-core/src/direct/steering/shared_observations.rs
+++ b/crates/sedgepath-core/src/direct/steering/shared_observations.rs
@@ -13,7 +13,7 @@
 use crate::direct::statements::{
     StatedLeaving, StatedPause, StatedRateLimit, StatementNews, Statements,
 };
-use crate::direct::upstreams::IncarnationKey;
+use crate::direct::upstreams::{IncarnationKey, Upstream};
 
 impl Steering {
     /// Returns the record of requests that were in flight at upstreams that crashed.
@@ -100,8 +100,7 @@
         let Some(fingerprints) = &request.fingerprints else {
             return;
         };
-        let is_leaving =
-            self.upstreams.get(attempt.upstream).is_some_and(|upstream| upstream.entry.leaving);
+        let is_leaving = self.upstreams.get(attempt.upstream).is_some_and(Upstream::is_leaving);
         match outcome {
             AttemptOutcome::Answered { failed: false, .. } => {
                 self.crashes.record_success(fingerprints, &mut self.reports, now_ms);
@@ -140,7 +139,8 @@
                 }
                 StatedRateLimit::Invalid => false,
             }),
-            leaving: leaving == StatedLeaving::Yes,
+            leaving: leaving == StatedLeaving::Yes
+                && self.upstreams.record_leaving(attempt.incarnation),
             pause: matches!(pause, StatedPause::ForMs(_)),
         }
     }
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -7,12 +7,14 @@
 //! Once such an upstream responds again, it is therefore treated as cold for the service's
 //! cold-start duration.
 
+mod stated;
 mod table;
 
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use self::stated::StatedConditions;
 use crate::hash::{Digest, Map};
 
 pub use table::{EntryChange, LAPSED_ENTRY_GRACE_MS, UpstreamTable};
@@ -96,7 +98,7 @@
     pub domain: Box<str>,
     /// The number of requests that the upstream runs concurrently.
     pub slots: u32,
-    /// Whether the upstream is about to stop.
+    /// Whether the entry says that the upstream is about to stop.
     pub leaving: bool,
     /// The remaining time for which the upstream is cold, in milliseconds.
     pub cold_remaining_ms: u64,
@@ -163,6 +165,7 @@
     /// When the upstream is removed, in milliseconds, if its entry lapsed during or shortly after a
     /// store outage.
     pub lapses_at_ms: Option<u64>,
+    stated: StatedConditions,
     other_vms_load: f64,
     load_updated_at_ms: u64,
     slowness: f64,
@@ -189,6 +192,7 @@
             cold_until_ms,
             ejected_until_ms: 0,
             lapses_at_ms: None,
+            stated: StatedConditions::default(),
             other_vms_load: 0.0,
             load_updated_at_ms: now_ms,
             slowness: 1.0,
@@ -202,6 +206,12 @@
         }
     }
 
+    /// Returns whether the upstream is about to stop, by its entry or by what it has stated itself: the
+    /// entry says so later, or never, while the store is unavailable.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.leaving || self.stated.leaving
+    }
+
     /// Returns whether the upstream is, or may be, cold.
     pub fn is_cold(&self, now_ms: u64) -> bool {
         now_ms < self.cold_until_ms
--- a/crates/sedgepath-core/src/direct/upstreams/table.rs
+++ b/crates/sedgepath-core/src/direct/upstreams/table.rs
@@ -2,11 +2,13 @@
 //!
 //! # Leaving and lapsed upstreams
 //!
-//! An upstream that is leaving, or whose entry is removed, gets no new requests. During or shortly
+//! An upstream that is leaving, by its entry or by its own word, or whose entry is removed, gets no new
+//! requests. Its own word holds for its process, whatever its entry says later. During or shortly
 //! after a store outage, entries may lapse although their upstreams are running. Such an entry stays
 //! in use until [`LAPSED_ENTRY_GRACE_MS`] after the outage; a running upstream registers again
 //! within that time.
 
+use super::stated::{StatedByProcess, StatedConditions};
 use super::{IncarnationKey, Upstream, UpstreamEntry, UpstreamKey};
 use crate::direct::routing::ServiceSettings;
 use crate::hash::Map;
@@ -27,6 +29,7 @@
     by_name: Map<Box<str>, UpstreamKey>,
     by_service: Map<Box<str>, Vec<UpstreamKey>>,
     by_incarnation: Map<IncarnationKey, UpstreamKey>,
+    stated: StatedByProcess,
     next_key: u32,
     outage_ended_at_ms: Option<u64>,
     store_unavailable: bool,
@@ -110,12 +113,33 @@
         self.next_key += 1;
         self.by_name.insert(entry.name.clone(), key);
         self.by_service.entry(entry.service.clone()).or_default().push(key);
-        let upstream = Upstream::new(entry, region.into(), now_ms);
+        let mut upstream = Upstream::new(entry, region.into(), now_ms);
+        upstream.stated = self.stated.of(upstream.incarnation);
         self.by_incarnation.insert(upstream.incarnation, key);
         self.by_key.insert(key, upstream);
         EntryChange::Joined(key)
     }
 
+    /// Records that the process of an upstream states that it is about to stop; returns whether that is
+    /// new.
+    pub fn record_leaving(&mut self, incarnation: IncarnationKey) -> bool {
+        let mut stated = self.stated.of(incarnation);
+        if stated.leaving {
+            return false;
+        }
+        stated.leaving = true;
+        self.set_stated(incarnation, stated);
+        true
+    }
+
+    fn set_stated(&mut self, incarnation: IncarnationKey, stated: StatedConditions) {
+        let keys = &self.by_incarnation;
+        self.stated.set(incarnation, stated, |incarnation| keys.contains_key(&incarnation));
+        if let Some(upstream) = keys.get(&incarnation).and_then(|key| self.by_key.get_mut(key)) {
+            upstream.stated = stated;
+        }
+    }
+
     /// Removes an upstream whose entry was removed. During or shortly after a store outage, marks it
     /// as lapsed instead, unless it is leaving.
     pub fn remove(&mut self, name: &str, now_ms: u64) {
@@ -126,7 +150,7 @@
             self.outage_ended_at_ms.is_some_and(|at_ms| now_ms < at_ms + OUTAGE_REMOVAL_WINDOW_MS);
         if let Some(upstream) = self.by_key.get_mut(&key)
             && (outage_ended_recently || self.store_unavailable)
-            && !upstream.entry.leaving
+            && !upstream.is_leaving()
         {
             let grace_from_ms = self.outage_ended_at_ms.unwrap_or(now_ms);
             upstream.lapses_at_ms.get_or_insert(grace_from_ms + LAPSED_ENTRY_GRACE_MS);
--- a/crates/sedgepath-core/tests/direct_leaving.rs
+++ b/crates/sedgepath-core/tests/direct_leaving.rs
@@ -3,7 +3,11 @@
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome, NextStep, RejectionReason};
 use sedgepath_core::direct::statements::{StatedLeaving, StatedPause, Statements};
-use sedgepath_test_support::direct::{begin_request, serving_vm};
+use sedgepath_core::direct::upstreams::UpstreamEntry;
+use sedgepath_core::direct::vms::StoreHealth;
+use sedgepath_test_support::direct::{
+    DOMAINS, begin_request, serving_vm, upstream_entry, vm_with_retry_budget,
+};
 
 const LEAVING: Statements =
     Statements { rate_limit: None, leaving: StatedLeaving::Yes, pause: StatedPause::None };
@@ -29,6 +33,11 @@
     objects.map(|object| send(vm, &object, now_ms).expect("an upstream").name).collect()
 }
 
+/// Returns the entry of an upstream that [`serving_vm`] knows.
+fn entry_of(vm: &Steering, attempt: &Attempt) -> UpstreamEntry {
+    vm.upstreams().get(attempt.upstream).expect("a known upstream").entry.clone()
+}
+
 /// Guards against requests to an upstream that has said that it leaves, while the store doesn't say so.
 #[test]
 fn an_upstream_that_says_it_leaves_gets_no_more_requests() {
@@ -37,3 +46,62 @@
     vm.record_statements(&attempt, LEAVING, 20);
     assert!(!receivers(&mut vm, 30).contains(&attempt.name));
 }
+
+/// Guards against an entry that still says that the upstream serves, or an outage that hides its end.
+#[test]
+fn the_store_does_not_take_back_what_a_leaving_upstream_says() {
+    let mut vm = serving_vm("v0", "north-a", 0, 2);
+    let attempt = send(&mut vm, "a", 10).expect("an upstream");
+    let mut entry = entry_of(&vm, &attempt);
+    let region = DOMAINS.iter().find(|(domain, _)| *domain == &*entry.domain).expect("a domain").1;
+    vm.record_statements(&attempt, LEAVING, 20);
+    entry.sequence += 1;
+    vm.upstreams_mut().upsert(entry.clone(), region, 30);
+    assert!(!receivers(&mut vm, 40).contains(&attempt.name), "after a heartbeat");
+    vm.update_store_health(StoreHealth::Reachable { for_ms: 1_000 }, 50);
+    vm.update_store_health(StoreHealth::Failing, 60);
+    vm.upstreams_mut().remove(&entry.name, 70);
+    entry.sequence += 1;
+    vm.upstreams_mut().upsert(entry.clone(), region, 80);
+    assert!(!receivers(&mut vm, 90).contains(&attempt.name), "after its entry lapsed");
+    entry.started_at_ms = Some(1);
+    vm.upstreams_mut().upsert(entry, region, 100);
+    assert!(receivers(&mut vm, 110).contains(&attempt.name), "another process");
+}
+
+/// Guards against second sends of requests that wait at another upstream.
+#[test]
+fn a_leaving_upstream_gets_no_retries_or_hedges() {
+    let mut vm = vm_with_retry_budget("v0", "north-a", 0, 1);
+    let leaving = send(&mut vm, "a", 10).expect("an upstream");
+    vm.record_statements(&leaving, LEAVING, 20);
+    for number in 0..100 {
+        let mut request = begin_request(&mut vm, "/reads/1", &number.to_string(), 30);
+        let NextStep::Send(first) = vm.next_step(&mut request, 7, 30) else {
+            panic!("an upstream is free");
+        };
+        let at_ms = vm.hedge_at_ms(&request).expect("a hedge");
+        if let Some(second) = vm.hedge(&mut request, 7, at_ms) {
+            assert_ne!(second.name, leaving.name);
+        }
+        vm.record_outcome(&mut request, first.upstream, AttemptOutcome::Failed, at_ms);
+        if let NextStep::Send(retry) = vm.next_step(&mut request, 7, at_ms) {
+            assert_ne!(retry.name, leaving.name);
+        }
+        vm.cancel_request(&mut request, at_ms);
+    }
+}
+
+/// Guards against requests that wait for their deadline once all upstreams leave.
+#[test]
+fn a_service_whose_upstreams_all_leave_rejects_at_once() {
+    let mut vm = serving_vm("v0", "north-a", 0, 1);
+    for now_ms in 0..4 {
+        let attempt = send(&mut vm, "a", now_ms).expect("an upstream");
+        vm.record_statements(&attempt, LEAVING, now_ms);
+    }
+    assert_eq!(send(&mut vm, "a", 10), Err(RejectionReason::NoUpstream));
+    let joined = upstream_entry("new", "north-a", 99);
+    vm.upstreams_mut().upsert(joined, "north", 20);
+    assert_eq!(send(&mut vm, "a", 30).map(|attempt| attempt.name), Ok("new".into()));
+}
--- a/crates/sedgepathd/src/direct/connection_pool.rs
+++ b/crates/sedgepathd/src/direct/connection_pool.rs
@@ -101,12 +101,12 @@
             .push(IdleConnection { connection, expires_at_ms });
     }
 
-    /// Closes expired connections and those to unknown upstreams.
-    pub fn prune(&self, is_known: impl Fn(UpstreamKey) -> bool) {
+    /// Closes expired connections and those to upstreams that are no longer used.
+    pub fn prune(&self, is_used: impl Fn(UpstreamKey) -> bool) {
         let now_ms = clock::now_ms();
         self.idle.borrow_mut().retain(|upstream, idle| {
             idle.retain(|idle| now_ms < idle.expires_at_ms && !idle.connection.is_closed());
-            is_known(*upstream) && !idle.is_empty()
+            is_used(*upstream) && !idle.is_empty()
         });
     }
 }
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -235,7 +235,7 @@
                 self.upstreams.with_label_values(&[state]).set(to_gauge(count));
             };
         count("known", &|_| true);
-        count("leaving", &|upstream| upstream.entry.leaving);
+        count("leaving", &|upstream| upstream.is_leaving());
         count("cold", &|upstream| upstream.is_cold(now_ms));
         count("limited", &|upstream| {
             steering.rate_limits().limit_per_s(upstream.incarnation).is_some()
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -9,6 +9,7 @@
 use sedgepath_core::direct::quotas::QuotaBounds;
 use sedgepath_core::direct::replicas::Table;
 use sedgepath_core::direct::steering::SteeringConfig;
+use sedgepath_core::direct::upstreams::Upstream;
 use sedgepath_core::direct::vms::naming::{LoadMeter, VmResources};
 use sedgepath_core::direct::vms::{VmDescriptor, VmHeartbeat, VmTable, VmTiming};
 use sedgepath_core::direct::{OperatorLimits, Steering, VmLocation};
@@ -258,7 +259,8 @@
         quarantine::write_due_rows(&shared);
         shared.table_server.clear_cache();
         let steering = shared.steering.borrow();
-        shared.upstream_connections.prune(|key| steering.upstreams().get(key).is_some());
+        let is_used = |upstream: &Upstream| !upstream.is_leaving();
+        shared.upstream_connections.prune(|key| steering.upstreams().get(key).is_some_and(is_used));
     }
 }
 
