Leave an upstream alone for the pause that it asks for

An upstream had answered a VM 503 with Retry-After: 3 and got three requests of it in that time (two allowed).

Cause: Retry-After of an upstream was read by nobody; a rejection with a free slot raised the failure rate, which is forgotten with a half-life of three seconds, so the next object that ranks the upstream first was sent there again. Class: as for the statement of leaving.

Ruled out: a pause kept for one request only (the sends are first ones), and too few other upstreams (eleven of 16 free).

Change: the longest pause that a process asks this VM for holds for all that is sent to it: first attempts, retries, hedges, the fallback. The object's next place is used meanwhile. If all that may run a request pause, it is rejected at once with the time until the first pause ends, spread over half a second (upstream_pauses). The word is for one VM, so others aren't told.

--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -100,6 +100,8 @@
     CrashesUpstreams,
     /// The usable upstreams state rate limits that are used up.
     RateLimited,
+    /// The usable upstreams have asked this VM for a pause.
+    UpstreamsPaused,
 }
 
 impl AttemptOutcome {
@@ -135,6 +137,7 @@
             Self::Overloaded => "overloaded",
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::RateLimited => "upstream_limits",
+            Self::UpstreamsPaused => "upstream_pauses",
         }
     }
 }
--- a/crates/sedgepath-core/src/direct/placement.rs
+++ b/crates/sedgepath-core/src/direct/placement.rs
@@ -242,6 +242,12 @@
 
     /// As [`is_eligible`](Self::is_eligible), regardless of the upstream's rate limit.
     pub fn is_permitted(&self, key: UpstreamKey, upstream: &Upstream) -> bool {
+        upstream.pause_ends_at_ms(self.now_ms).is_none()
+            && self.is_permitted_after_pause(key, upstream)
+    }
+
+    /// As [`is_permitted`](Self::is_permitted), regardless of a pause that the upstream has asked for.
+    pub fn is_permitted_after_pause(&self, key: UpstreamKey, upstream: &Upstream) -> bool {
         !upstream.is_leaving()
             && !self.evacuated.contains(&upstream.entry.domain)
             && is_home(self.home_regions, &upstream.region)
--- a/crates/sedgepath-core/src/direct/statements.rs
+++ b/crates/sedgepath-core/src/direct/statements.rs
@@ -56,6 +56,6 @@
     pub rate_limit: bool,
     /// The upstream is about to stop, which it hasn't stated before.
     pub leaving: bool,
-    /// The upstream asks for a pause.
+    /// The upstream asks for a pause, or for a longer one.
     pub pause: bool,
 }
--- a/crates/sedgepath-core/src/direct/steering/selection.rs
+++ b/crates/sedgepath-core/src/direct/steering/selection.rs
@@ -16,6 +16,10 @@
 /// The longest such delay, in milliseconds.
 const MAX_LIMIT_RETRY_AFTER_MS: u64 = 2_000;
 
+/// The spread of the delays that callers are told while all upstreams pause, in milliseconds, so that
+/// they don't all return at the end of the first pause.
+const PAUSE_RETRY_SPREAD_MS: u64 = 500;
+
 impl Steering {
     /// Chooses an upstream for a request, or returns `None` if no upstream is usable.
     pub(super) fn choose(
@@ -32,26 +36,48 @@
             .or_else(|| self.choose_fallback(&request.service, &query, upstreams()))
     }
 
-    /// Returns the rejection of a request for which there is no upstream.
+    /// Returns the rejection of a request for which there is no upstream, with the time until the first
+    /// one may get it.
     pub(super) fn no_upstream(
         &self,
         request: &RequestState,
+        random: u64,
         now_ms: u64,
     ) -> (RejectionReason, u64) {
         let query = self.placement_query(request, 0, now_ms);
         let keys = self.upstreams.of_service(&request.service).iter();
-        let permitted = keys.filter_map(|key| {
-            let upstream = self.upstreams.get(*key)?;
-            query.is_permitted(*key, upstream).then_some(upstream.incarnation)
-        });
-        match self.rate_limits.retry_after_ms(permitted, now_ms) {
-            Some(retry_after_ms) => {
-                let retry_after_ms =
-                    retry_after_ms.clamp(MIN_LIMIT_RETRY_AFTER_MS, MAX_LIMIT_RETRY_AFTER_MS);
-                (RejectionReason::RateLimited, retry_after_ms)
+        let upstreams = keys.filter_map(|key| Some((*key, self.upstreams.get(*key)?)));
+        let mut first_pause_end_at_ms = None;
+        let mut permitted = Vec::new();
+        for (_, upstream) in
+            upstreams.filter(|(key, upstream)| query.is_permitted_after_pause(*key, upstream))
+        {
+            match upstream.pause_ends_at_ms(now_ms) {
+                None => permitted.push(upstream.incarnation),
+                Some(at_ms) => {
+                    first_pause_end_at_ms =
+                        Some(first_pause_end_at_ms.map_or(at_ms, |first: u64| first.min(at_ms)));
+                }
             }
-            None => (RejectionReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS),
         }
+        let has_permitted = !permitted.is_empty();
+        let limited = self.rate_limits.retry_after_ms(permitted.into_iter(), now_ms);
+        let otherwise = match limited {
+            Some(retry_after_ms) => Some((
+                RejectionReason::RateLimited,
+                retry_after_ms.clamp(MIN_LIMIT_RETRY_AFTER_MS, MAX_LIMIT_RETRY_AFTER_MS),
+            )),
+            None if has_permitted => {
+                Some((RejectionReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS))
+            }
+            None => None,
+        };
+        let paused = first_pause_end_at_ms.map(|at_ms| {
+            let spread_ms = random % PAUSE_RETRY_SPREAD_MS;
+            (RejectionReason::UpstreamsPaused, at_ms - now_ms + spread_ms)
+        });
+        let first = otherwise.into_iter().chain(paused).min_by_key(|(_, after_ms)| *after_ms);
+        first.unwrap_or((RejectionReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS))
     }
 
     fn placement_query<'a>(
--- a/crates/sedgepath-core/src/direct/steering/shared_observations.rs
+++ b/crates/sedgepath-core/src/direct/steering/shared_observations.rs
@@ -141,7 +141,13 @@
             }),
             leaving: leaving == StatedLeaving::Yes
                 && self.upstreams.record_leaving(attempt.incarnation),
-            pause: matches!(pause, StatedPause::ForMs(_)),
+            pause: match pause {
+                StatedPause::ForMs(for_ms) => {
+                    let until_ms = now_ms.saturating_add(for_ms);
+                    self.upstreams.record_pause(attempt.incarnation, until_ms)
+                }
+                StatedPause::None | StatedPause::Invalid => false,
+            },
         }
     }
 
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -65,7 +65,7 @@
             );
         }
         let Some(candidate) = self.choose(request, random, now_ms) else {
-            let (reason, retry_after_ms) = self.no_upstream(request, now_ms);
+            let (reason, retry_after_ms) = self.no_upstream(request, random, now_ms);
             return reject_or_give_up(reason, retry_after_ms, request);
         };
         let pressure = self.queue_pressure.record(&request.service, candidate.wait_ms > 0.0)
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -212,6 +212,12 @@
         self.entry.leaving || self.stated.leaving
     }
 
+    /// Returns when the pause ends that the upstream has asked this VM for, in milliseconds, or `None` if
+    /// it may get requests.
+    pub fn pause_ends_at_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(self.stated.paused_until_ms).filter(|at_ms| *at_ms > now_ms)
+    }
+
     /// Returns whether the upstream is, or may be, cold.
     pub fn is_cold(&self, now_ms: u64) -> bool {
         now_ms < self.cold_until_ms
--- a/crates/sedgepath-core/src/direct/upstreams/stated.rs
+++ b/crates/sedgepath-core/src/direct/upstreams/stated.rs
@@ -11,6 +11,8 @@
 pub(super) struct StatedConditions {
     /// Whether it is about to stop. Nothing takes that back.
     pub(super) leaving: bool,
+    /// The end of the longest pause that it has asked this VM for, in milliseconds.
+    pub(super) paused_until_ms: u64,
 }
 
 /// What processes have stated, kept beyond their entries.
--- a/crates/sedgepath-core/src/direct/upstreams/table.rs
+++ b/crates/sedgepath-core/src/direct/upstreams/table.rs
@@ -132,6 +132,18 @@
         true
     }
 
+    /// Records that the process of an upstream asks this VM for a pause; returns whether that extends an
+    /// earlier one. A shorter pause, or a later response without one, doesn't take back a longer one.
+    pub fn record_pause(&mut self, incarnation: IncarnationKey, until_ms: u64) -> bool {
+        let mut stated = self.stated.of(incarnation);
+        if until_ms <= stated.paused_until_ms {
+            return false;
+        }
+        stated.paused_until_ms = until_ms;
+        self.set_stated(incarnation, stated);
+        true
+    }
+
     fn set_stated(&mut self, incarnation: IncarnationKey, stated: StatedConditions) {
         let keys = &self.by_incarnation;
         self.stated.set(incarnation, stated, |incarnation| keys.contains_key(&incarnation));
--- a/crates/sedgepathd/tests/direct_statements.rs
+++ b/crates/sedgepathd/tests/direct_statements.rs
@@ -2,6 +2,8 @@
 
 mod platform;
 
+use std::time::{Duration, Instant};
+
 use hyper::{HeaderMap, StatusCode};
 use platform::caller;
 use platform::upstream::{Behaviour, UpstreamStandIn};
@@ -10,6 +12,9 @@
 use sedgepath_core::direct::statements::{StatedLeaving, StatedPause, StatedRateLimit, Statements};
 use sedgepath_test_support::store::{StoreMode, StoreStandIn};
 
+/// The part of a pause of two seconds in which the test checks that it holds.
+const CHECKED_PART_OF_PAUSE: Duration = Duration::from_millis(1_700);
+
 /// A VM with four upstreams in its failure domain.
 struct Site {
     store: StoreStandIn,
@@ -71,6 +76,30 @@
     }
 }
 
+/// Guards against requests that reach an upstream in the pause that it has asked for, and against one that
+/// isn't used after it.
+#[test]
+fn an_upstream_is_left_alone_for_the_pause_that_it_asks_for() {
+    let site = Site::new();
+    site.request(40, "warm");
+    let paused = site.preferred();
+    paused.set_first_headers("Retry-After: 2\r\n");
+    paused.set_behaviour(Behaviour::Reject);
+    let before = paused.received().len();
+    assert_eq!(site.request(1, "told"), 1);
+    let told_at = Instant::now();
+    paused.set_behaviour(Behaviour::Respond);
+    while told_at.elapsed() < CHECKED_PART_OF_PAUSE {
+        assert_eq!(site.request(1, "in-pause"), 1);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(paused.received().len(), before + 1, "requests in the pause");
+    wait_for("requests after the pause", || {
+        site.request(1, "after");
+        paused.received().len() > before + 1
+    });
+}
+
 /// Guards against a statement that no code reads, and against values that are not what they should be.
 #[test]
 fn all_statements_of_a_response_are_decoded() {
