Let upstreams of the soak say that they leave and ask for pauses

An upstream that has said that it leaves is replaced by another process at its address before the last checks.

--- a/crates/sedgepathd/tests/soak.rs
+++ b/crates/sedgepathd/tests/soak.rs
@@ -1,5 +1,6 @@
-//! Randomized fault injection into VMs in `--direct` mode, their upstreams, links and store. With some
-//! seeds messages between VMs are authenticated, the key is replaced and an intruder sends messages.
+//! Randomized fault injection into VMs in `--direct` mode, their upstreams, links and store. Upstreams
+//! state that they leave, or ask for pauses. With some seeds messages between VMs are authenticated,
+//! the key is replaced and an intruder sends messages.
 //!
 //! The checks: no non-idempotent request runs twice, none runs that was reported as not run, no
 //! response reaches another request, and after the faults every VM serves requests and a draining
@@ -65,6 +66,8 @@
     intruder: UdpSocket,
     version: u64,
     sequence: u64,
+    /// How often a process of each upstream has stated that it leaves.
+    departures: [u32; 4],
     faults: Vec<String>,
 }
 
@@ -93,6 +96,7 @@
             intruder: UdpSocket::bind(("127.0.0.1", 0)).expect("a socket"),
             version: 1,
             sequence: 1,
+            departures: [0; 4],
             faults: Vec::new(),
         };
         soak.configure();
@@ -130,7 +134,7 @@
         let vm = self.random.usize(..3);
         let upstream = self.random.usize(..4);
         // An intruder's messages are believed where they need not be authenticated.
-        let kinds = if self.policy == "require" { 18 } else { 16 };
+        let kinds = if self.policy == "require" { 19 } else { 17 };
         let kind = self.random.u32(..kinds);
         self.faults.push(format!("{kind}:{vm}:{upstream}"));
         match kind {
@@ -163,8 +167,9 @@
                 self.store.drop_next_answers(1);
                 self.store.hold_next_writes(self.random.u32(..2));
             }
-            16 => self.replace_key(),
-            17 => self.intrude(),
+            16 => self.state(upstream),
+            17 => self.replace_key(),
+            18 => self.intrude(),
             _ => {
                 let state = if self.random.bool() { "draining" } else { "ready" };
                 self.register(upstream, state);
@@ -172,6 +177,23 @@
         }
     }
 
+    /// Lets an upstream state with its responses that it leaves, or ask for a pause with its rejections.
+    fn state(&mut self, number: usize) {
+        let lines = ["", "Retry-After: 1\r\n", "Retry-After: soon\r\n", "Server-Leaving: 1\r\n"];
+        let line = lines[self.random.usize(..lines.len())];
+        self.departures[number] += u32::from(line.starts_with("Server-Leaving"));
+        self.upstreams[number].0.set_first_headers(line);
+    }
+
+    /// Replaces an upstream that has stated that it leaves by another one at its address.
+    fn replace_departed(&mut self, number: usize) {
+        let departures = self.departures[number];
+        if departures > 0 {
+            self.store.remove("servers", &format!("u{number}"));
+            self.upstreams[number].0.rename(&format!("u{number}-{departures}"));
+        }
+    }
+
     /// Replaces the key once, by one that is used as soon as it is read.
     fn replace_key(&mut self) {
         if std::mem::replace(&mut self.key_replaced, true) {
@@ -253,6 +275,8 @@
         self.store.apply_held_writes();
         for number in 0..4 {
             self.upstreams[number].0.set_behaviour(Behaviour::Respond);
+            self.upstreams[number].0.set_first_headers("");
+            self.replace_departed(number);
             self.upstreams[number].1.set_cut(Cut::None);
             self.upstreams[number].1.set_delay_ms(0);
             self.register(number, "ready");
