--- a/crates/sedgepath-core/src/direct/steering/selection.rs
+++ b/crates/sedgepath-core/src/direct/steering/selection.rs
@@ -1,13 +1,12 @@
 //! The choice of an upstream for a request, with a fallback if none is healthy.
 
-use crate::key::VmKey;
 use crate::rendezvous;
 
+use super::serving_keys::ServingKeys;
 use super::{NO_UPSTREAM_RETRY_AFTER_MS, Steering};
 use crate::direct::attempts::{RejectionReason, RequestState};
 use crate::direct::placement::{Candidate, PlacementQuery};
-use crate::direct::upstreams::{Upstream, UpstreamKey};
-use crate::direct::vms::VmDescriptor;
+use crate::direct::upstreams::{IncarnationKey, Upstream, UpstreamKey};
 
 /// The shortest delay that a caller is told when all upstreams are at their rate limits, in
 /// milliseconds: other callers wait for the same request.
@@ -47,39 +46,44 @@
         let query = self.placement_query(request, 0, now_ms);
         let keys = self.upstreams.of_service(&request.service).iter();
         let upstreams = keys.filter_map(|key| Some((*key, self.upstreams.get(*key)?)));
-        let mut first_pause_end_at_ms = None;
-        let mut permitted = Vec::new();
+        let (mut unpaused, mut pause_ends_at_ms) = (Vec::new(), Vec::new());
         for (_, upstream) in
             upstreams.filter(|(key, upstream)| query.is_permitted_after_pause(*key, upstream))
         {
             match upstream.pause_ends_at_ms(now_ms) {
-                None => permitted.push(upstream.incarnation),
-                Some(at_ms) => {
-                    first_pause_end_at_ms =
-                        Some(first_pause_end_at_ms.map_or(at_ms, |first: u64| first.min(at_ms)));
-                }
+                None => unpaused.push(upstream.incarnation),
+                Some(at_ms) => pause_ends_at_ms.push(at_ms),
             }
         }
-        let has_permitted = !permitted.is_empty();
-        let limited = self.rate_limits.retry_after_ms(permitted.into_iter(), now_ms);
-        let otherwise = match limited {
-            Some(retry_after_ms) => Some((
-                RejectionReason::RateLimited,
-                retry_after_ms.clamp(MIN_LIMIT_RETRY_AFTER_MS, MAX_LIMIT_RETRY_AFTER_MS),
-            )),
-            None if has_permitted => {
-                Some((RejectionReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS))
-            }
-            None => None,
-        };
-        let paused = first_pause_end_at_ms.map(|at_ms| {
+        let after_pause = pause_ends_at_ms.into_iter().min().map(|at_ms| {
             let spread_ms = random % PAUSE_RETRY_SPREAD_MS;
             (RejectionReason::UpstreamsPaused, at_ms - now_ms + spread_ms)
         });
-        let first = otherwise.into_iter().chain(paused).min_by_key(|(_, after_ms)| *after_ms);
+        let without_pause = self.unpaused_rejection(unpaused, now_ms);
+        let first = without_pause.into_iter().chain(after_pause).min_by_key(|(_, ms)| *ms);
         first.unwrap_or((RejectionReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS))
     }
 
+    /// Returns the rejection of a request that some upstreams may get apart from their rate limits and
+    /// health; `None` if there are none.
+    fn unpaused_rejection(
+        &self,
+        upstreams: Vec<IncarnationKey>,
+        now_ms: u64,
+    ) -> Option<(RejectionReason, u64)> {
+        if upstreams.is_empty() {
+            return None;
+        }
+        Some(match self.rate_limits.retry_after_ms(upstreams.into_iter(), now_ms) {
+            Some(retry_after_ms) => {
+                let retry_after_ms =
+                    retry_after_ms.clamp(MIN_LIMIT_RETRY_AFTER_MS, MAX_LIMIT_RETRY_AFTER_MS);
+                (RejectionReason::RateLimited, retry_after_ms)
+            }
+            None => (RejectionReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS),
+        })
+    }
+
     fn placement_query<'a>(
         &'a self,
         request: &'a RequestState,
@@ -120,7 +124,7 @@
         let now_ms = query.now_ms;
         let settings = self.service(service);
         let cold_requests_per_s = settings.map_or(1.0, |settings| settings.cold_requests_per_s);
-        let serving = self.vms.serving_vms(now_ms);
+        let serving = ServingKeys::new(&self.vms, now_ms);
         let eligible = upstreams.filter(|(key, upstream)| query.is_eligible(*key, upstream));
         let usable = eligible.filter(|(_, upstream)| {
             if upstream.is_cold(now_ms) {
@@ -151,19 +155,9 @@
     /// its failure domain if any serves, else one of its region, else any one. That VM leaves some of
     /// the rate unused, in case VMs with different views choose two, or the VM restarts within a
     /// second.
-    fn may_send_to_cold(&self, upstream: &Upstream, serving: &[&VmDescriptor]) -> bool {
-        let keys_where = |matches: &dyn Fn(&VmDescriptor) -> bool| -> Vec<VmKey> {
-            let matching = serving.iter().filter(|descriptor| matches(descriptor));
-            matching.map(|descriptor| descriptor.key()).collect()
-        };
-        let mut candidates = keys_where(&|descriptor| descriptor.domain == upstream.entry.domain);
-        if candidates.is_empty() {
-            candidates = keys_where(&|descriptor| descriptor.region == upstream.region);
-        }
-        if candidates.is_empty() {
-            candidates = keys_where(&|_| true);
-        }
-        rendezvous::owner(upstream.hash, &candidates) == Some(self.vms.key())
+    fn may_send_to_cold(&self, upstream: &Upstream, serving: &ServingKeys) -> bool {
+        let candidates = serving.nearest_to(&upstream.entry.domain, &upstream.region);
+        rendezvous::owner(upstream.hash, candidates) == Some(self.vms.key())
     }
 
     /// Returns this VM's share of the connections that an upstream accepts from all VMs.
--- a/crates/sedgepath-test-support/src/direct.rs
+++ b/crates/sedgepath-test-support/src/direct.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 
 use sedgepath_core::direct::accounts::PresentedCredential;
-use sedgepath_core::direct::attempts::RequestState;
+use sedgepath_core::direct::attempts::{AttemptOutcome, NextStep, RequestState};
 use sedgepath_core::direct::budget::RetryBudgetLimits;
 use sedgepath_core::direct::quotas::QuotaBounds;
 use sedgepath_core::direct::routing::{
     CallerLimits, Configuration, Route, RouteKind, ServiceSettings, WeightedService,
 };
 use sedgepath_core::direct::steering::IncomingRequest;
-use sedgepath_core::direct::upstreams::UpstreamEntry;
+use sedgepath_core::direct::upstreams::{LoadReport, UpstreamEntry};
 use sedgepath_core::direct::vms::{VmDescriptor, VmHeartbeat, VmTable, VmTiming};
 use sedgepath_core::direct::{OperatorLimits, Steering, VmLocation};
 use sedgepath_core::hash::Map;
@@ -191,3 +191,29 @@
     };
     vm.begin_request(incoming, now_ms).expect("the VM should accept the request")
 }
+
+/// Begins requests for many objects whose first attempt is overdue and then rejected; returns the
+/// upstreams that get their hedges and retries.
+///
+/// # Panics
+///
+/// Panics if no upstream is free for a first attempt.
+pub fn second_upstreams(vm: &mut Steering, now_ms: u64) -> Vec<Box<str>> {
+    let mut names = Vec::new();
+    for number in 0..100 {
+        let mut request = begin_request(vm, "/reads/1", &number.to_string(), now_ms);
+        let NextStep::Send(first) = vm.next_step(&mut request, number, now_ms) else {
+            panic!("an upstream should be free");
+        };
+        let overdue_at_ms = vm.hedge_at_ms(&request).expect("an idempotent request has a hedge");
+        names.extend(vm.hedge(&mut request, number, overdue_at_ms).map(|hedge| hedge.name));
+        let report = Some(LoadReport { running: 0, waiting: 0, slots: 3 });
+        let rejected = AttemptOutcome::Refused { report };
+        vm.record_outcome(&mut request, first.upstream, rejected, overdue_at_ms);
+        if let NextStep::Send(retry) = vm.next_step(&mut request, number, overdue_at_ms) {
+            names.push(retry.name);
+        }
+        vm.cancel_request(&mut request, overdue_at_ms);
+    }
+    names
+}
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -240,6 +240,7 @@
         count("limited", &|upstream| {
             steering.rate_limits().limit_per_s(upstream.incarnation).is_some()
         });
+        count("paused", &|upstream| upstream.pause_ends_at_ms(now_ms).is_some());
         count("left_out", &|upstream| now_ms < upstream.ejected_until_ms);
         self.vms.set(to_gauge(steering.vms().serving_vms(now_ms).len()));
         let version = steering.configuration().map_or(0, |in_force| in_force.version);
