--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -44,6 +44,6 @@
 pub mod responses;
 pub mod run;
 pub mod shared;
-mod statements;
+pub mod statements;
 pub mod store_feed;
 pub mod table_server;
