Tell how connections to upstreams fail, and since when none has responded

The logs of VMs that are cut off from all upstreams have outcome=unreachable only: refused, reset or no answer can't be told apart, nor a VM that reaches nobody from one that meets bad upstreams. No decision changes.

--- a/crates/sedgepath-wire/src/tcp.rs
+++ b/crates/sedgepath-wire/src/tcp.rs
@@ -1,11 +1,11 @@
 //! TCP connections that detect unreachable peers.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 /// The idle time before the first keepalive probe, and the interval between probes. Linux accepts
@@ -28,7 +28,28 @@
 /// Fails if the connection can't be established within the time limit, or if the system rejects a
 /// socket option.
 pub async fn connect(address: SocketAddr, time_limit: Duration) -> io::Result<TcpStream> {
-    let stream = timeout(time_limit, TcpStream::connect(address))
+    connect_from(None, address, time_limit).await
+}
+
+/// Opens a connection as [`connect`] does, from a source address if one is given.
+///
+/// # Errors
+///
+/// Fails as [`connect`] does, or if the source address can't be used.
+pub async fn connect_from(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    time_limit: Duration,
+) -> io::Result<TcpStream> {
+    let connecting = async {
+        let Some(source) = source else {
+            return TcpStream::connect(address).await;
+        };
+        let socket = if source.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(address).await
+    };
+    let stream = timeout(time_limit, connecting)
         .await
         .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
     detect_dead_peer(&stream)?;
--- a/crates/sedgepathd/src/command.rs
+++ b/crates/sedgepathd/src/command.rs
@@ -80,6 +80,8 @@
 enum OptionError {
     #[error("invalid value for --metrics-port")]
     InvalidMetricsPort(#[from] std::num::ParseIntError),
+    #[error("invalid address for --upstream-source")]
+    InvalidUpstreamSource(#[from] std::net::AddrParseError),
     #[error(transparent)]
     UnknownMechanism(#[from] UnknownMechanism),
     #[error(transparent)]
@@ -89,6 +91,8 @@
 /// Parses the options of `--direct`.
 fn direct_options(matches: &Matches) -> Result<direct::run::Options, OptionError> {
     let metrics_port = matches.opt_str("metrics-port").map(|port| port.parse()).transpose()?;
+    let upstream_source =
+        matches.opt_str("upstream-source").map(|address| address.parse()).transpose()?;
     let mut policy = SteeringConfig::default();
     for name in matches.opt_strs("without") {
         policy = policy.without(name.parse()?);
@@ -97,6 +101,7 @@
         matches.opt_str("peer-authentication").map(|name| name.parse()).transpose()?;
     Ok(direct::run::Options {
         metrics_port,
+        upstream_source,
         steering_config: policy,
         peer_authentication: peer_authentication.unwrap_or_default(),
     })
@@ -112,6 +117,12 @@
         "run on the platform and send to upstreams directly; the platform's settings file is named by the environment",
     );
     options.optopt("", "metrics-port", "with --direct: serve metrics on this port", "PORT");
+    options.optopt(
+        "",
+        "upstream-source",
+        "with --direct: connect to upstreams from this address of the VM",
+        "IP",
+    );
     options.optopt(
         "",
         "peer-authentication",
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -74,7 +74,7 @@
 async fn refuses_connections(shared: &SharedState, attempt: &Attempt) -> bool {
     let check = shared.crash_checks.get(attempt.upstream);
     let refuses = check.get_or_init(|| async {
-        match shared.upstream_connections.open(attempt.address, CONNECT_TIMEOUT).await {
+        match connect(shared, attempt, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 shared.upstream_connections.release(attempt.upstream, connection, None);
                 false
@@ -144,13 +144,43 @@
 ) -> Option<Connection> {
     let started_at_ms = clock::now_ms();
     let left = Duration::from_millis(deadline_at_ms.saturating_sub(started_at_ms));
-    let opened =
-        shared.upstream_connections.open(attempt.address, CONNECT_TIMEOUT.min(left)).await.ok()?;
+    let opened = connect(shared, attempt, CONNECT_TIMEOUT.min(left)).await.ok()?;
     let took_ms = clock::now_ms().saturating_sub(started_at_ms);
     shared.steering.borrow_mut().record_connect_time(attempt.upstream, took_ms);
     Some(opened)
 }
 
+/// Opens a connection, and counts how that ended.
+async fn connect(
+    shared: &SharedState,
+    attempt: &Attempt,
+    timeout: Duration,
+) -> io::Result<Connection> {
+    let started_at_ms = clock::now_ms();
+    let opened = shared.upstream_connections.open(attempt.address, timeout).await;
+    let result = opened.as_ref().map_or_else(connect_error_name, |_connection| "opened");
+    shared.metrics.count_connection(result);
+    match &opened {
+        Ok(_) => shared.upstream_contact_at_ms.set(clock::now_ms()),
+        Err(_) => log::info!(
+            "event=connection_failed upstream={} error={result} took_ms={}",
+            attempt.name,
+            clock::now_ms().saturating_sub(started_at_ms),
+        ),
+    }
+    opened
+}
+
+/// Returns the name for logs and counters of why a connection couldn't be opened.
+fn connect_error_name(error: &io::Error) -> &'static str {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => "refused",
+        io::ErrorKind::ConnectionReset => "reset",
+        io::ErrorKind::TimedOut => "timed_out",
+        _ => "other",
+    }
+}
+
 async fn receive_response(
     shared: &SharedState,
     deadline_at_ms: u64,
@@ -159,6 +189,7 @@
     response: Response<Incoming>,
     connection: Connection,
 ) -> AttemptResult {
+    shared.upstream_contact_at_ms.set(clock::now_ms());
     let headers = ResponseHeaders::parse(response.status(), response.headers(), &head.attempt_id);
     if let Some(statements) = headers.statements {
         statements::record(shared, attempt, statements);
--- a/crates/sedgepathd/src/direct/connection_pool.rs
+++ b/crates/sedgepathd/src/direct/connection_pool.rs
@@ -6,6 +6,7 @@
 //! may have run.
 
 use std::cell::RefCell;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -43,10 +44,18 @@
 /// The idle connections to all upstreams.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
+    /// The source address of new connections; the system's choice if there is none.
+    source: Option<IpAddr>,
     idle: RefCell<Map<UpstreamKey, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
+    /// Sets the source address of new connections.
+    pub fn with_source(mut self, source: Option<IpAddr>) -> Self {
+        self.source = source;
+        self
+    }
+
     /// Takes the idle connection to an upstream that was used last, if one is usable.
     pub fn take_idle(&self, upstream: UpstreamKey) -> Option<Connection> {
         let now_ms = clock::now_ms();
@@ -67,10 +76,10 @@
     /// Fails if the connection is not established in time, or the HTTP handshake fails.
     pub async fn open(
         &self,
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         timeout: Duration,
     ) -> std::io::Result<Connection> {
-        let stream = tcp::connect(address, timeout).await?;
+        let stream = tcp::connect_from(self.source, address, timeout).await?;
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
         let (connection, task) = handshake.map_err(std::io::Error::other)?;
         tokio::task::spawn_local(async move {
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -33,6 +33,7 @@
     requests: IntCounterVec,
     latency: HistogramVec,
     attempts: IntCounterVec,
+    connections: IntCounterVec,
     rejections: IntCounterVec,
     account_rejections: IntCounterVec,
     named_accounts: RefCell<Set<Box<str>>>,
@@ -45,6 +46,7 @@
     vms: IntGauge,
     configuration: IntGauge,
     store_contact: IntGauge,
+    upstream_silence: IntGauge,
     in_flight: IntGauge,
     accounts: IntGauge,
     lent_slots: IntGauge,
@@ -77,6 +79,11 @@
                 "Requests sent to upstreams, by why and by how that ended.",
                 &["cause", "outcome"],
             )?,
+            connections: counter(
+                "sedgepath_upstream_connections_total",
+                "Connections to upstreams that were opened or could not be, by how that ended.",
+                &["result"],
+            )?,
             rejections: counter(
                 "sedgepath_refusals_total",
                 "Requests answered as not run, by reason.",
@@ -124,6 +131,10 @@
                 "sedgepath_store_contact_ms",
                 "For how long the store has answered this VM; -1 if it doesn't, or isn't asked.",
             )?,
+            upstream_silence: gauge(
+                "sedgepath_upstream_silence_ms",
+                "For how long no upstream has responded to this VM or accepted a connection of it.",
+            )?,
             accounts: gauge(
                 "sedgepath_accounts",
                 "Client accounts of the configuration in force.",
@@ -150,6 +161,7 @@
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.attempts.clone()))?;
+        self.registry.register(Box::new(self.connections.clone()))?;
         self.registry.register(Box::new(self.rejections.clone()))?;
         self.registry.register(Box::new(self.account_rejections.clone()))?;
         self.registry.register(Box::new(self.peer_bytes.clone()))?;
@@ -161,6 +173,7 @@
             &self.vms,
             &self.configuration,
             &self.store_contact,
+            &self.upstream_silence,
             &self.in_flight,
             &self.quarantined,
             &self.accounts,
@@ -184,6 +197,11 @@
         self.attempts.with_label_values(&[cause.name(), outcome.name()]).inc();
     }
 
+    /// Counts a connection to an upstream that was opened or could not be.
+    pub fn count_connection(&self, result: &str) {
+        self.connections.with_label_values(&[result]).inc();
+    }
+
     /// Counts a request that the VM rejected without running it.
     pub fn count_rejection(&self, reason: RejectionReason) {
         self.rejections.with_label_values(&[reason.name()]).inc();
@@ -253,6 +271,8 @@
                 .reachable_for_ms()
                 .map_or(-1, u64::cast_signed),
         );
+        let silence_ms = now_ms.saturating_sub(shared.upstream_contact_at_ms.get());
+        self.upstream_silence.set(silence_ms.cast_signed());
         let accounts = steering.configuration().and_then(|in_force| in_force.accounts.as_ref());
         self.accounts.set(to_gauge(accounts.map_or(0, ClientAccounts::len)));
         self.lent_slots.set(to_gauge(steering.quotas().lent_slots()));
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -1,6 +1,6 @@
 //! Start, signals and planned stop.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +10,6 @@
 use sedgepath_core::direct::replicas::Table;
 use sedgepath_core::direct::steering::SteeringConfig;
 use sedgepath_core::direct::upstreams::Upstream;
-use sedgepath_core::direct::vms::naming::{LoadMeter, VmResources};
 use sedgepath_core::direct::vms::{VmDescriptor, VmHeartbeat, VmTable, VmTiming};
 use sedgepath_core::direct::{OperatorLimits, Steering, VmLocation};
 use sedgepath_wire::peer_seal::{PeerAuthentication, PeerSeal};
@@ -20,9 +19,10 @@
 
 use crate::start::StartError;
 
+use super::connection_pool::ConnectionPool;
 use super::logging::{LogClock, PendingLines};
 use super::metrics::Metrics;
-use super::shared::{SharedState, StopPhase};
+use super::shared::{SharedState, StopPhase, vm_resources};
 use super::{
     clock, control_server, discovery, entry_queries, gossip, ingress, logging, metrics,
     peer_authentication, quarantine, store_feed, table_server,
@@ -61,6 +61,8 @@
 pub struct Options {
     /// The port on which metrics are served, if any.
     pub metrics_port: Option<u16>,
+    /// The source address of connections to upstreams; the system's choice if there is none.
+    pub upstream_source: Option<IpAddr>,
     /// How upstreams are chosen and how long requests may queue.
     pub steering_config: SteeringConfig,
     /// Whether messages between VMs are authenticated.
@@ -101,10 +103,18 @@
     let socket = UdpSocket::bind(peer_address)
         .await
         .map_err(StartError::listen_failed("heartbeats", peer_address))?;
-    let load = LoadMeter::new(resources(&settings));
     let seal = PeerSeal::new(options.peer_authentication, peer_address, fastrand::u32(..));
     let metrics = Metrics::new()?;
-    let shared = SharedState::new(settings, steering, socket, seal, log_clock, metrics, load);
+    let upstream_connections = ConnectionPool::default().with_source(options.upstream_source);
+    let shared = SharedState::new(
+        settings,
+        steering,
+        socket,
+        seal,
+        log_clock,
+        metrics,
+        upstream_connections,
+    );
 
     let caller_listener = bind("callers", caller_address).await?;
     let readiness_listener = bind("readiness", readiness_address).await?;
@@ -201,7 +211,7 @@
         region: settings.region.clone(),
         caller_address,
         peer_address,
-        capacity_per_s: resources(settings).capacity_per_s(),
+        capacity_per_s: vm_resources(settings).capacity_per_s(),
     };
     let own = VmHeartbeat::new(descriptor, clock::unix_ms(), HEARTBEAT_INTERVAL_MS);
     let timing = VmTiming {
@@ -218,16 +228,6 @@
     Steering::new(location, limits, vms)
 }
 
-/// Returns the resources of this VM; values that can't be are replaced by small ones.
-fn resources(settings: &Settings) -> VmResources {
-    let limits = settings.resource_limits;
-    let at_least = |value: f64, least: f64| if value >= least { value } else { least };
-    VmResources {
-        cores: at_least(limits.core_share * limits.cores, 0.01),
-        link_mbps: at_least(limits.link_mbps, 1.0),
-    }
-}
-
 async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(StartError::listen_failed(what, address))
 }
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -9,7 +9,7 @@
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::replicas::{Table, TableReplicas};
 use sedgepath_core::direct::vms::StoreHealth;
-use sedgepath_core::direct::vms::naming::LoadMeter;
+use sedgepath_core::direct::vms::naming::{LoadMeter, VmResources};
 use sedgepath_core::hash::Map;
 use sedgepath_wire::peer_seal::PeerSeal;
 use tokio::net::UdpSocket;
@@ -51,6 +51,8 @@
     pub metrics: Metrics,
     /// Idle connections to upstreams.
     pub upstream_connections: ConnectionPool,
+    /// When an upstream last responded or accepted a connection, in milliseconds.
+    pub upstream_contact_at_ms: Cell<u64>,
     /// Checks under way whether upstreams have crashed.
     pub crash_checks: CrashChecks,
     /// Wakes the task that sends reports.
@@ -122,8 +124,9 @@
         peer_seal: PeerSeal,
         log_clock: LogClock,
         metrics: Metrics,
-        load: LoadMeter,
+        upstream_connections: ConnectionPool,
     ) -> Rc<Self> {
+        let load = LoadMeter::new(vm_resources(&settings));
         Rc::new(Self {
             log_clock,
             metrics,
@@ -137,10 +140,11 @@
             discovery_attempted: Cell::default(),
             settings,
             steering: RefCell::new(steering),
-            upstream_connections: ConnectionPool::default(),
+            upstream_contact_at_ms: Cell::new(clock::now_ms()),
             crash_checks: CrashChecks::default(),
             reports_queued: tokio::sync::Notify::new(),
             load: RefCell::new(load),
+            upstream_connections,
             tokens_granted: tokio::sync::Notify::new(),
             writing_quarantine: Cell::new(false),
             in_flight_requests: Cell::new(0),
@@ -150,6 +154,16 @@
     }
 }
 
+/// Returns the resources of this VM; values that can't be are replaced by small ones.
+pub fn vm_resources(settings: &Settings) -> VmResources {
+    let limits = settings.resource_limits;
+    let at_least = |value: f64, least: f64| if value >= least { value } else { least };
+    VmResources {
+        cores: at_least(limits.core_share * limits.cores, 0.01),
+        link_mbps: at_least(limits.link_mbps, 1.0),
+    }
+}
+
 /// How long a request waits at a VM that has just started, in milliseconds: a few responses of the
 /// store.
 pub const MAX_START_WAIT_MS: u64 = 400;
