--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the stand-ins")]
 
 pub mod caller;
+pub mod cut;
 pub mod slow_peer;
 pub mod upstream;
 
@@ -98,9 +99,14 @@
         Self { block, ports, store, dir: tempfile::tempdir().expect("a directory") }
     }
 
-    fn ip(&self, number: u8) -> IpAddr {
+    /// Returns the IP address of a VM.
+    pub fn ipv4(&self, number: u8) -> Ipv4Addr {
         let process = (std::process::id() % 200) as u8 + 10;
-        IpAddr::V4(Ipv4Addr::new(127, process, self.block, number))
+        Ipv4Addr::new(127, process, self.block, number)
+    }
+
+    fn ip(&self, number: u8) -> IpAddr {
+        IpAddr::V4(self.ipv4(number))
     }
 
     /// Returns the peer address of a VM.
@@ -118,6 +124,13 @@
         self.start_with(number, domain, store, &[])
     }
 
+    /// Starts a VM that connects to upstreams from its own address, so that cuts can tell VMs apart.
+    pub fn start_at_own_address(&self, number: u8, domain: &str, arguments: &[&str]) -> Vm {
+        let source = self.ip(number).to_string();
+        let arguments = [&["--upstream-source", &source], arguments].concat();
+        self.start_with(number, domain, self.store, &arguments)
+    }
+
     /// Starts a VM with a policy of peer authentication and waits until it is ready.
     pub fn start_authenticated(&self, number: u8, domain: &str, policy: &str) -> Vm {
         let vm = self.start_unready(number, domain, policy);
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -2,11 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use sedgepath_test_support::store::StoreStandIn;
+use socket2::SockRef;
+
+use super::cut::{VmCut, drop_packets_from};
 
 /// What the upstream does with requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,6 +66,7 @@
 #[derive(Debug, Clone)]
 pub struct UpstreamStandIn {
     state: Arc<Mutex<State>>,
+    listener: Arc<TcpListener>,
     /// The address on which it listens.
     pub address: SocketAddr,
 }
@@ -70,7 +74,7 @@
 impl UpstreamStandIn {
     /// Starts an upstream with a name.
     pub fn new(name: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let listener = Arc::new(TcpListener::bind("127.0.0.1:0").expect("a port"));
         let address = listener.local_addr().expect("an address");
         let state = State {
             name: name.into(),
@@ -83,8 +87,9 @@
             crashed: false,
             streams: Vec::new(),
         };
-        let upstream = Self { state: Arc::new(Mutex::new(state)), address };
+        let upstream = Self { state: Arc::new(Mutex::new(state)), listener, address };
         let server = upstream.clone();
+        let listener = Arc::clone(&upstream.listener);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let server = server.clone();
@@ -131,6 +136,41 @@
         self.lock().first_headers = lines.into();
     }
 
+    /// Cuts the upstream off from VMs that connect from these addresses; ends all earlier cuts.
+    pub fn cut_from(&self, vms: &[Ipv4Addr], cut: VmCut) {
+        self.end_cuts();
+        drop_packets_from(&self.listener, vms).expect("a filter");
+        let is_cut = |stream: &TcpStream| {
+            stream.peer_addr().is_ok_and(|peer| vms.iter().any(|vm| peer.ip() == IpAddr::V4(*vm)))
+        };
+        let streams = &mut self.lock().streams;
+        match cut {
+            VmCut::NewConnections => {}
+            VmCut::Silent => {
+                for stream in streams.iter().filter(|stream| is_cut(stream)) {
+                    drop_packets_from(stream, vms).expect("a filter");
+                }
+            }
+            VmCut::Reset => {
+                for stream in streams.extract_if(.., |stream| is_cut(stream)) {
+                    // Closing without lingering sends a reset; its thread holds the last copy.
+                    let no_linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    no_linger.expect("the option");
+                    drop(stream.shutdown(std::net::Shutdown::Read));
+                }
+            }
+        }
+    }
+
+    /// Ends all cuts between the upstream and VMs.
+    pub fn end_cuts(&self) {
+        // A socket without a filter has none to detach.
+        drop(SockRef::from(&self.listener).detach_filter());
+        for stream in &self.lock().streams {
+            drop(SockRef::from(stream).detach_filter());
+        }
+    }
+
     /// Makes requests whose request line contains a text crash the upstream as soon as they run.
     pub fn set_fatal_text(&self, text: &str) {
         self.lock().fatal_text = Some(text.into());
