--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -19,6 +19,7 @@
 //! - [`rate_limits`]: the request rates that upstreams accept.
 //! - [`reports`]: what VMs tell each other of upstreams.
 //! - [`sender_limits`]: how much of one VM's messages the others handle.
+//! - [`reach`]: whether this VM reaches upstreams at all.
 //! - [`replicas`]: replicas of the store's tables, which VMs exchange with each other.
 //! - [`statements`]: what upstreams state of themselves with their responses.
 //! - [`status`]: the state that a VM reports to operators.
@@ -48,6 +49,7 @@
 pub mod queueing;
 pub mod quotas;
 pub mod rate_limits;
+pub mod reach;
 pub mod replicas;
 pub mod reports;
 pub mod routing;
--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -4,6 +4,7 @@
 //! upstream rejected it. An idempotent request is retried after any failure, within its route's
 //! attempt limit and the retry budget.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::accounts::{ClientAccount, Credential};
@@ -102,6 +103,8 @@
     RateLimited,
     /// The usable upstreams have asked this VM for a pause.
     UpstreamsPaused,
+    /// This VM reaches no upstream, and no other VM that does has served the request.
+    CutOff,
 }
 
 impl AttemptOutcome {
@@ -138,8 +141,52 @@
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::RateLimited => "upstream_limits",
             Self::UpstreamsPaused => "upstream_pauses",
+            Self::CutOff => "cut_off",
         }
     }
+
+    /// Returns the reason with a name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|reason| reason.name() == name)
+    }
+
+    /// Returns whether another VM may serve a request that one rejects for this reason.
+    pub fn is_of_one_vm(self) -> bool {
+        matches!(
+            self,
+            Self::NoConfiguration
+                | Self::NoRoute
+                | Self::Unauthenticated
+                | Self::Overloaded
+                | Self::CutOff
+        )
+    }
+
+    const ALL: [Self; 14] = [
+        Self::NoConfiguration,
+        Self::NoRoute,
+        Self::Unauthenticated,
+        Self::OverQuota,
+        Self::QuotaUnavailable,
+        Self::NoUpstream,
+        Self::UpstreamsBusy,
+        Self::DeadlineExceeded,
+        Self::RetriesExhausted,
+        Self::Overloaded,
+        Self::CrashesUpstreams,
+        Self::RateLimited,
+        Self::UpstreamsPaused,
+        Self::CutOff,
+    ];
+}
+
+/// A response of a VM itself to a request that did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rejection {
+    /// Why the request is rejected.
+    pub reason: RejectionReason,
+    /// The delay before the caller's next attempt, in milliseconds.
+    pub retry_after_ms: u64,
 }
 
 /// The next step for a request.
@@ -147,6 +194,8 @@
 pub enum NextStep {
     /// Send the request to an upstream.
     Send(Attempt),
+    /// Let another VM serve the request.
+    Forward(Forwarding),
     /// Tell the caller that the request didn't run and when to retry.
     Reject {
         /// Why the request is rejected.
@@ -161,6 +210,56 @@
     },
 }
 
+/// The forwarding of a request to another VM, which sends it to upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Forwarding {
+    /// The other VM's address for messages between VMs.
+    pub peer_address: SocketAddr,
+    /// The number of attempts so far that reached an upstream, including rejected ones.
+    pub delivered: u32,
+    /// The number of attempts so far that may have run.
+    pub possible_runs: u32,
+}
+
+/// How the forwarding of a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ForwardOutcome {
+    /// The other VM sent a response.
+    Answered,
+    /// The request didn't run, with the other VM's rejection if that holds for all VMs.
+    NotRun {
+        /// The rejection.
+        rejection: Option<Rejection>,
+    },
+    /// The connection was lost: the request may have run.
+    Failed,
+    /// The deadline passed: the request may have run.
+    TimedOut,
+}
+
+impl ForwardOutcome {
+    /// Returns the name for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun { .. } => "not_run",
+            Self::Failed => "failed",
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
+
+/// What the VM that forwards a request tells of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ForwardedRequest {
+    /// The number of attempts so far that reached an upstream, including rejected ones.
+    pub delivered: u32,
+    /// The number of attempts so far that may have run.
+    pub possible_runs: u32,
+    /// Whether the request may be sent once although it is quarantined.
+    pub is_probe: bool,
+}
+
 /// An attempt to run a request at an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Attempt {
@@ -240,6 +339,16 @@
     pub cause: AttemptCause,
     /// The attempts that haven't ended.
     pub in_flight: Vec<InFlightAttempt>,
+    /// The number of upstreams to which no connection could be opened.
+    pub unreachable: u32,
+    /// Whether another VM has forwarded the request, so that this one must not.
+    pub is_forwarded: bool,
+    /// The VMs that the request was forwarded to.
+    pub asked_vms: Vec<SocketAddr>,
+    /// The number of forwardings that haven't ended.
+    pub forwardings_in_flight: u32,
+    /// The rejection of a VM that the request was forwarded to, if that holds for all VMs.
+    pub neighbour_rejection: Option<Rejection>,
 }
 
 /// An attempt that hasn't ended.
@@ -287,9 +396,27 @@
         of_account.unwrap_or(self.route.priority)
     }
 
+    /// Records that the request is forwarded to another VM.
+    pub fn record_forwarding(&mut self, forwarding: Forwarding) {
+        self.asked_vms.push(forwarding.peer_address);
+        self.forwardings_in_flight += 1;
+    }
+
+    /// Records how a forwarding of the request ended.
+    pub fn record_forward_outcome(&mut self, outcome: ForwardOutcome) {
+        self.forwardings_in_flight = self.forwardings_in_flight.saturating_sub(1);
+        match outcome {
+            ForwardOutcome::NotRun { rejection } => self.neighbour_rejection = rejection,
+            ForwardOutcome::Answered | ForwardOutcome::Failed | ForwardOutcome::TimedOut => {
+                // The other VM may have used all attempts.
+                self.possible_runs += self.route.max_attempts.max(1);
+            }
+        }
+    }
+
     /// Returns whether the request's own attempt limits allow another attempt.
     pub fn allows_attempt(&self) -> bool {
-        let in_flight = self.in_flight.len() as u32;
+        let in_flight = self.in_flight.len() as u32 + self.forwardings_in_flight;
         if self.delivered + in_flight >= MAX_UPSTREAMS_REACHED {
             return false;
         }
--- a/crates/sedgepath-core/src/direct/status.rs
+++ b/crates/sedgepath-core/src/direct/status.rs
@@ -21,6 +21,9 @@
     pub can_serve: bool,
     /// Whether the VM is about to stop.
     pub leaving: bool,
+    /// Whether the VM reaches no upstream.
+    #[serde(default)]
+    pub cut_off: bool,
     /// The version of the active configuration; 0 before there is one.
     pub configuration_version: u64,
     /// The evacuated failure domains, sorted by name.
@@ -81,6 +84,23 @@
     pub repeats: u32,
 }
 
+/// Whether a VM reports that it reaches upstreams.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReportedReach {
+    /// The VM reaches upstreams, or doesn't know of any that it doesn't.
+    #[default]
+    Reaches,
+    /// The VM reaches no upstream.
+    CutOff,
+}
+
+impl ReportedReach {
+    pub(super) fn of(cut_off: bool) -> Self {
+        if cut_off { Self::CutOff } else { Self::Reaches }
+    }
+}
+
 /// A VM's view of another VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OtherVmStatus {
@@ -94,6 +114,9 @@
     pub ready: bool,
     /// Whether the VM is about to stop.
     pub leaving: bool,
+    /// Whether the VM reports that it reaches upstreams.
+    #[serde(default)]
+    pub reach: ReportedReach,
     /// Whether the VM reports that the store responds to it.
     #[serde(rename = "has_store")]
     pub store_reachable: bool,
@@ -125,6 +148,7 @@
             region: location.region.clone(),
             can_serve: self.can_serve(),
             leaving: self.vms().is_leaving(),
+            cut_off: self.is_cut_off(),
             configuration_version: self
                 .configuration()
                 .map_or(0, |configuration| configuration.version),
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -3,6 +3,7 @@
 mod authentication;
 mod learning;
 mod quota_admission;
+mod reachability;
 mod selection;
 mod serving_keys;
 mod shared_observations;
@@ -16,13 +17,14 @@
 use self::serving_keys::ServingKeys;
 use self::store::StoreAvailability;
 use super::accounts::PresentedCredential;
-use super::attempts::{AttemptCause, RejectionReason, RequestState};
+use super::attempts::{AttemptCause, ForwardedRequest, RejectionReason, RequestState};
 use super::budget::{RetryBudget, RetryBudgetLimits};
 use super::crashes::CrashLedger;
 use super::placement::{PlacementWeights, ServiceTimes};
 use super::queueing::{PriorityShares, QueuePressure, QueueTolerance};
 use super::quotas::{QuotaBounds, Quotas};
 use super::rate_limits::RateLimits;
+use super::reach::UpstreamReach;
 use super::reports::ReportQueue;
 use super::routing::{Configuration, ServiceSettings, WeightedRoundRobin};
 use super::sender_limits::SenderLimits;
@@ -30,6 +32,8 @@
 use super::vms::VmTable;
 
 pub use self::quota_admission::QuotaDecision;
+pub use self::reachability::UpstreamCheck;
+pub use super::attempts::Rejection;
 
 /// The name and location of a VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -82,15 +86,8 @@
     pub object: Option<&'a str>,
     /// What the request presents to authenticate its client account.
     pub credential: PresentedCredential,
-}
-
-/// A response of the VM itself to a request that did not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Rejection {
-    /// Why the request is rejected.
-    pub reason: RejectionReason,
-    /// The delay before the caller's next attempt, in milliseconds.
-    pub retry_after_ms: u64,
+    /// What another VM tells that has forwarded the request; `None` if a caller sent it to this VM.
+    pub forwarded: Option<ForwardedRequest>,
 }
 
 /// The parameters of the choice of upstreams, of queueing and of hedging.
@@ -132,6 +129,7 @@
     priority_shares: PriorityShares,
     other_region_rtt_ms: f64,
     vms: VmTable,
+    reach: UpstreamReach,
     store: StoreAvailability,
     crashes: CrashLedger,
     reports: ReportQueue,
@@ -170,6 +168,7 @@
             quotas: Quotas::new(vms.key(), limits.quotas, regions, vms.key().0 ^ vms.boot_at_ms()),
             other_region_rtt_ms: INITIAL_OTHER_REGION_RTT_MS,
             vms,
+            reach: UpstreamReach::default(),
             store: StoreAvailability {
                 last_reachable_at_ms: 0,
                 outage_since_ms: None,
@@ -284,6 +283,7 @@
         };
         if let Some((_, account)) = &account
             && account.quota.is_some()
+            && incoming.forwarded.is_none()
             && let Some(retry_after_ms) = self.quotas.over_quota_retry_after_ms(account.key, now_ms)
         {
             return reject(RejectionReason::OverQuota, retry_after_ms);
@@ -295,8 +295,12 @@
         let object = incoming.object.map(|name| Digest::of(&[name.as_bytes()]).to_u64());
         let service = self.round_robin.next_service(&route, object).service.clone();
         let vm_count = self.vms.max_known_vm_count();
-        self.budget.deposit(&service, vm_count, now_ms);
-        self.immediate_retries.deposit(&service, vm_count, now_ms);
+        let forwarded = incoming.forwarded;
+        if forwarded.is_none() {
+            // The VM that the caller sent a forwarded request to has counted it.
+            self.budget.deposit(&service, vm_count, now_ms);
+            self.immediate_retries.deposit(&service, vm_count, now_ms);
+        }
         Ok(RequestState {
             version: configuration.version,
             service,
@@ -304,14 +308,19 @@
             account,
             quota_token: None,
             fingerprints: None,
-            is_probe: false,
+            is_probe: forwarded.is_some_and(|forwarded| forwarded.is_probe),
             arrived_at_ms: now_ms,
             deadline_at_ms: now_ms + time_limit_ms,
             tried_upstreams: Vec::new(),
-            delivered: 0,
-            possible_runs: 0,
+            delivered: forwarded.map_or(0, |forwarded| forwarded.delivered),
+            possible_runs: forwarded.map_or(0, |forwarded| forwarded.possible_runs),
             cause: AttemptCause::First,
             in_flight: Vec::new(),
+            unreachable: 0,
+            is_forwarded: forwarded.is_some(),
+            asked_vms: Vec::new(),
+            forwardings_in_flight: 0,
+            neighbour_rejection: None,
             route,
         })
     }
--- a/crates/sedgepath-core/src/direct/steering/learning.rs
+++ b/crates/sedgepath-core/src/direct/steering/learning.rs
@@ -32,8 +32,16 @@
                 request.delivered += 1;
                 request.cause = AttemptCause::Rejected;
             }
-            AttemptOutcome::Unreachable | AttemptOutcome::Canceled => {}
+            AttemptOutcome::Unreachable => request.unreachable += 1,
+            AttemptOutcome::Canceled => {}
         }
+        let responded = matches!(
+            outcome,
+            AttemptOutcome::Answered { .. }
+                | AttemptOutcome::Refused { .. }
+                | AttemptOutcome::Misdirected
+        );
+        self.reach.record_end(responded, now_ms);
         if let Some(service) = self.service(&request.service).cloned()
             && !matches!(
                 outcome,
--- a/crates/sedgepath-core/src/direct/steering/serving_keys.rs
+++ b/crates/sedgepath-core/src/direct/steering/serving_keys.rs
@@ -1,10 +1,10 @@
-//! The keys of the VMs that serve, by failure domain and region.
+//! The keys of the VMs that send to upstreams, by failure domain and region.
 
 use crate::direct::vms::VmTable;
 use crate::hash::Map;
 use crate::key::VmKey;
 
-/// The keys of the VMs that serve at a time.
+/// The keys of the VMs that serve and reach upstreams at a time.
 ///
 /// A key is a hash of the VM's name, so the keys are computed once for all upstreams that VMs share.
 #[derive(Debug, PartialEq)]
@@ -17,12 +17,12 @@
 }
 
 impl ServingKeys {
-    /// Returns the keys of the VMs that serve now.
+    /// Returns the keys of the VMs that serve and reach upstreams now.
     pub(super) fn new(vms: &VmTable, now_ms: u64) -> Self {
         let mut by_domain: Map<Box<str>, Vec<VmKey>> = Map::default();
         let mut by_region: Map<Box<str>, Vec<VmKey>> = Map::default();
         let mut all = Vec::new();
-        for descriptor in vms.serving_vms(now_ms) {
+        for descriptor in vms.sending_vms(now_ms) {
             let key = descriptor.key();
             by_domain.entry(descriptor.domain.clone()).or_default().push(key);
             by_region.entry(descriptor.region.clone()).or_default().push(key);
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -27,6 +27,17 @@
 /// The longest delay that a caller is told when all upstreams are busy, in milliseconds.
 const MAX_BUSY_RETRY_AFTER_MS: u64 = 1_500;
 
+/// The number of upstreams to which a request fails to connect before another VM is asked, or it is
+/// rejected.
+const MAX_UNREACHABLE: u32 = 3;
+
+/// The time for which a request is held at least before that, in milliseconds: two connections without an
+/// answer.
+const MAX_CONNECTING_MS: u64 = 500;
+
+/// The most upstreams at a VM that reaches no upstream and knows no other VM that does.
+const MAX_UNREACHABLE_WHEN_CUT_OFF: u32 = 1;
+
 /// The time after which a response is overdue, beyond the wait for a slot, as a multiple of the time
 /// of cold work. A smaller multiple would hedge requests at upstreams that run only cold objects: one
 /// that has just been filled with these responds to nobody for about once that time.
@@ -57,6 +68,16 @@
                 return reject_or_give_up(reason, retry_after_ms, request);
             }
         }
+        if now_ms >= request.deadline_at_ms {
+            return reject_or_give_up(
+                RejectionReason::DeadlineExceeded,
+                MIN_BUSY_RETRY_AFTER_MS,
+                request,
+            );
+        }
+        if let Some(rejection) = request.neighbour_rejection {
+            return reject_or_give_up(rejection.reason, rejection.retry_after_ms, request);
+        }
         if !request.allows_attempt() {
             return reject_or_give_up(
                 RejectionReason::RetriesExhausted,
@@ -64,6 +85,30 @@
                 request,
             );
         }
+        match self.step_when_cut_off(request, random, now_ms) {
+            Some(NextStep::Forward(forwarding)) => {
+                request.record_forwarding(forwarding);
+                return NextStep::Forward(forwarding);
+            }
+            Some(NextStep::Reject { reason, retry_after_ms }) => {
+                return reject_or_give_up(reason, retry_after_ms, request);
+            }
+            Some(NextStep::Send(_) | NextStep::GiveUp { .. }) | None => {}
+        }
+        if self.has_tried_to_connect_enough(request, now_ms) {
+            // Only this VM may fail to reach the upstreams of the service.
+            if !request.is_forwarded
+                && let Some(forwarding) = self.choose_neighbour(request, random, now_ms)
+            {
+                request.record_forwarding(forwarding);
+                return NextStep::Forward(forwarding);
+            }
+            return reject_or_give_up(
+                RejectionReason::NoUpstream,
+                super::NO_UPSTREAM_RETRY_AFTER_MS,
+                request,
+            );
+        }
         let Some(candidate) = self.choose(request, random, now_ms) else {
             let (reason, retry_after_ms) = self.no_upstream(request, random, now_ms);
             return reject_or_give_up(reason, retry_after_ms, request);
@@ -100,6 +145,16 @@
         self.start_attempt(request, candidate, now_ms)
     }
 
+    /// Returns whether a request has failed to connect to so many upstreams, for so long, that it isn't held
+    /// any longer. Refused connections cost no time, unlike those that get no answer.
+    fn has_tried_to_connect_enough(&self, request: &RequestState, now_ms: u64) -> bool {
+        if self.is_cut_off() {
+            return request.unreachable >= MAX_UNREACHABLE_WHEN_CUT_OFF;
+        }
+        let held_ms = now_ms.saturating_sub(request.arrived_at_ms);
+        request.unreachable >= MAX_UNREACHABLE && held_ms >= MAX_CONNECTING_MS
+    }
+
     fn start_attempt(
         &mut self,
         request: &mut RequestState,
@@ -119,6 +174,7 @@
             expected_ms: candidate.expected_ms as u64,
         };
         self.rate_limits.record_send(upstream.incarnation, now_ms);
+        self.reach.record_send(now_ms);
         upstream.record_send(request.object, now_ms);
         let times = self.service_times.get(&request.service).copied().unwrap_or_default();
         let overdue_ms = candidate.wait_ms + times.work_ms(false) * OVERDUE_FACTOR;
@@ -148,6 +204,10 @@
         let [first] = &*request.in_flight else {
             return None;
         };
+        if self.is_cut_off() && !request.is_forwarded && request.forwardings_in_flight == 0 {
+            let may_retry = request.route.kind.may_retry() && request.allows_attempt();
+            return may_retry.then_some(0);
+        }
         if !self.config.hedging {
             return None;
         }
@@ -165,7 +225,7 @@
         random: u64,
         now_ms: u64,
     ) -> Option<Attempt> {
-        if !self.verdict(request, now_ms).allows_hedging() || !self.is_still_authorized(request) {
+        if !self.may_hedge(request, now_ms) {
             return None;
         }
         let first = request.in_flight.first()?;
@@ -182,10 +242,15 @@
         request.cause = AttemptCause::Unresponsive;
         match self.start_attempt(request, candidate, now_ms) {
             NextStep::Send(attempt) => Some(attempt),
-            NextStep::Reject { .. } | NextStep::GiveUp { .. } => None,
+            NextStep::Forward(_) | NextStep::Reject { .. } | NextStep::GiveUp { .. } => None,
         }
     }
 
+    /// Returns whether a request may be sent a second time while an attempt is in flight.
+    pub(super) fn may_hedge(&self, request: &RequestState, now_ms: u64) -> bool {
+        self.verdict(request, now_ms).allows_hedging() && self.is_still_authorized(request)
+    }
+
     /// Cancels all attempts in flight after the caller disconnected or got its response.
     pub fn cancel_request(&mut self, request: &mut RequestState, now_ms: u64) {
         while let Some(attempt) = request.in_flight.last() {
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -341,6 +341,14 @@
         self.eject(now_ms);
     }
 
+    /// Forgets that connections couldn't be opened, since that wasn't the upstream's failure.
+    pub(super) fn forget_unreachability(&mut self) {
+        self.was_unreachable = false;
+        self.ejected_until_ms = 0;
+        self.consecutive_failures = 0;
+        self.failure_rate = 0.0;
+    }
+
     /// Returns whether one more request stays within this VM's share of a cold upstream's rate.
     pub fn has_cold_capacity(&self, max_requests_per_s: f64, now_ms: u64) -> bool {
         let recent = self.cold_sent_at_ms.iter().filter(|at_ms| now_ms < **at_ms + COLD_WINDOW_MS);
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -11,6 +11,7 @@
 mod known_vms;
 mod look_ups;
 pub mod naming;
+mod neighbours;
 mod readers;
 mod remote_domains;
 mod report_messages;
@@ -21,7 +22,7 @@
 use self::gossip::OutgoingState;
 use self::known_vms::{KnownVms, Locality};
 use self::remote_domains::{RemoteDomains, SummaryChange};
-use super::status::OtherVmStatus;
+use super::status::{OtherVmStatus, ReportedReach};
 use crate::hash::Map;
 use crate::key::VmKey;
 
@@ -253,6 +254,11 @@
         self.own.state.boot_at_ms
     }
 
+    /// Returns this VM's address for messages between VMs.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.own.descriptor.peer_address
+    }
+
     /// Returns this VM's region.
     pub fn own_region(&self) -> &str {
         &self.own.descriptor.region
@@ -267,6 +273,7 @@
                 silent_ms: now_ms.saturating_sub(*heard_at_ms),
                 ready: state.ready,
                 leaving: state.leaving,
+                reach: ReportedReach::of(state.cut_off),
                 store_reachable: state.store_health.is_reachable(),
             });
         let listed =
@@ -276,6 +283,7 @@
                 silent_ms: 0,
                 ready: listed.member.ready,
                 leaving: false,
+                reach: ReportedReach::of(listed.member.cut_off),
                 store_reachable: listed.member.store_reachable,
             });
         let mut others: Vec<_> = heard.chain(listed).collect();
--- a/crates/sedgepath-core/src/direct/vms/gossip.rs
+++ b/crates/sedgepath-core/src/direct/vms/gossip.rs
@@ -263,6 +263,7 @@
         let member = |descriptor: &VmDescriptor, state: &VmState| DomainMember {
             ip: descriptor.peer_address.ip(),
             ready: state.ready,
+            cut_off: state.cut_off,
             store_reachable: state.store_health.is_reachable(),
             capacity_per_s: descriptor.capacity_per_s,
         };
--- a/crates/sedgepath-core/src/direct/vms/heartbeat.rs
+++ b/crates/sedgepath-core/src/direct/vms/heartbeat.rs
@@ -111,6 +111,8 @@
     pub ready: bool,
     /// Whether the VM is about to stop.
     pub leaving: bool,
+    /// Whether the VM reaches no upstream.
+    pub cut_off: bool,
     /// The share of its capacity that the VM uses, in percent.
     pub load_percent: u8,
     /// The newest store version in each of the VM's table replicas, in the order of
@@ -140,6 +142,7 @@
             boot_at_ms,
             ready: false,
             leaving: false,
+            cut_off: false,
             load_percent: 0,
             newest_version: [0; 2],
             store_health: StoreHealth::Unknown,
--- a/crates/sedgepath-core/src/direct/vms/naming.rs
+++ b/crates/sedgepath-core/src/direct/vms/naming.rs
@@ -138,6 +138,12 @@
         (self.peak * 100.0).ceil().min(100.0) as u8
     }
 
+    /// Returns the present load as a share of the VM's capacity.
+    pub fn utilization_at(&mut self, now_ms: u64) -> f64 {
+        self.decay(now_ms);
+        self.utilization()
+    }
+
     fn utilization(&self) -> f64 {
         let by_processor = self.requests_per_s * CORE_S_PER_REQUEST / self.resources.cores;
         let by_link = self.bytes_per_s / self.resources.link_bytes_per_s();
--- a/crates/sedgepath-core/tests/direct_attempts.rs
+++ b/crates/sedgepath-core/tests/direct_attempts.rs
@@ -274,6 +274,7 @@
                     }
                     NextStep::Reject { retry_after_ms, .. } => break retry_after_ms,
                     NextStep::GiveUp { reason } => panic!("given up: {reason:?}"),
+                    NextStep::Forward(to) => panic!("forwarded to {to:?}"),
                 }
             };
             immediate += u64::from(retry_after_ms < 100);
--- a/crates/sedgepath-core/tests/direct_crashes.rs
+++ b/crates/sedgepath-core/tests/direct_crashes.rs
@@ -101,6 +101,7 @@
             match step(&mut vm, &mut state, AttemptOutcome::Crashed, now_ms) {
                 NextStep::Send(_) => sends += 1,
                 NextStep::GiveUp { .. } => break assert!(state.possible_runs > 0),
+                NextStep::Forward(to) => panic!("forwarded to {to:?}"),
                 NextStep::Reject { reason, retry_after_ms } => {
                     assert_eq!(reason, RejectionReason::CrashesUpstreams);
                     assert_eq!((state.possible_runs, retry_after_ms), (0, PROBE_DELAY_MS));
--- a/crates/sedgepath-core/tests/direct_leaving.rs
+++ b/crates/sedgepath-core/tests/direct_leaving.rs
@@ -24,6 +24,7 @@
             Ok(attempt)
         }
         NextStep::Reject { reason, .. } | NextStep::GiveUp { reason } => Err(reason),
+        NextStep::Forward(to) => panic!("forwarded to {to:?}"),
     }
 }
 
--- a/crates/sedgepath-core/tests/direct_overload.rs
+++ b/crates/sedgepath-core/tests/direct_overload.rs
@@ -131,6 +131,7 @@
                     results.longest_rejection_ms = results.longest_rejection_ms.max(held_ms);
                     break;
                 }
+                NextStep::Forward(to) => panic!("forwarded to {to:?}"),
                 NextStep::GiveUp { .. } => panic!("gave up although the request didn't run"),
             }
         }
--- a/crates/sedgepath-core/tests/direct_pauses.rs
+++ b/crates/sedgepath-core/tests/direct_pauses.rs
@@ -27,6 +27,7 @@
         }
         NextStep::Reject { reason, retry_after_ms } => Err((reason, retry_after_ms)),
         NextStep::GiveUp { reason } => panic!("given up: {reason:?}"),
+        NextStep::Forward(to) => panic!("forwarded to {to:?}"),
     }
 }
 
--- a/crates/sedgepath-core/tests/direct_rate_limits.rs
+++ b/crates/sedgepath-core/tests/direct_rate_limits.rs
@@ -175,6 +175,7 @@
                 run.rejected.push((reason, retry_after_ms));
             }
             NextStep::GiveUp { reason } => panic!("given up: {reason:?}"),
+            NextStep::Forward(to) => panic!("forwarded to {to:?}"),
         }
     }
     run
--- a/crates/sedgepath-core/tests/direct_upstreams.rs
+++ b/crates/sedgepath-core/tests/direct_upstreams.rs
@@ -25,7 +25,7 @@
     vm.cancel_request(&mut request, now_ms);
     match step {
         NextStep::Send(attempt) => Some(attempt.name),
-        NextStep::Reject { .. } | NextStep::GiveUp { .. } => None,
+        NextStep::Forward(_) | NextStep::Reject { .. } | NextStep::GiveUp { .. } => None,
     }
 }
 
--- a/crates/sedgepath-emulator/src/run/requests.rs
+++ b/crates/sedgepath-emulator/src/run/requests.rs
@@ -57,6 +57,7 @@
             time_left_ms: None,
             object: Some(&object),
             credential: PresentedCredential::None,
+            forwarded: None,
         };
         match self.vms[request.vm].steering.begin_request(incoming, self.now_ms) {
             Ok(state) => {
@@ -80,6 +81,8 @@
         match self.vms[request.vm].steering.next_step(state, random, self.now_ms) {
             NextStep::Send(attempt) => self.send(index, &attempt),
             NextStep::Reject { retry_after_ms, .. } => self.reject(index, retry_after_ms),
+            // No VM checks whether it is cut off here.
+            NextStep::Forward(_) => self.reject(index, 0),
             NextStep::GiveUp { .. } => {
                 self.metrics.failed += 1;
                 self.finish_request(index);
--- a/crates/sedgepath-test-support/src/fleet.rs
+++ b/crates/sedgepath-test-support/src/fleet.rs
@@ -422,7 +422,8 @@
                     );
                 }
             }
-            NextStep::GiveUp { .. } => self.requests[request] = None,
+            // Nothing is forwarded, since no VM checks whether it is cut off here.
+            NextStep::GiveUp { .. } | NextStep::Forward(_) => self.requests[request] = None,
         }
     }
 
--- a/crates/sedgepath/src/commands/status.rs
+++ b/crates/sedgepath/src/commands/status.rs
@@ -1,7 +1,7 @@
 use std::io::Write;
 
 use getopts::Options;
-use sedgepath_core::direct::status::{QuotaStatus, VmStatus};
+use sedgepath_core::direct::status::{QuotaStatus, ReportedReach, VmStatus};
 use sedgepath_wire::rpc::NodeStatus;
 
 use super::{Command, add_data_options};
@@ -58,6 +58,7 @@
     let VmStatus { name, domain, configuration_version, sharing_vm_count, .. } = status;
     let state = match (status.leaving, status.can_serve) {
         (true, _) => "is leaving",
+        (false, true) if status.cut_off => "reaches no upstream",
         (false, true) => "serves",
         (false, false) => "does not serve yet",
     };
@@ -98,6 +99,7 @@
     for other in &status.other_vms {
         let state = match (other.leaving, other.ready) {
             (true, _) => "leaving",
+            (false, true) if other.reach == ReportedReach::CutOff => "cut off",
             (false, true) => "ready",
             (false, false) => "not ready",
         };
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -8,6 +8,9 @@
 //! - [`responses`]: responses of the VM itself.
 //! - [`attempt`]: one attempt of a request at an upstream.
 //! - [`statements`]: what upstreams state of themselves with their responses.
+//! - [`request_run`]: the sendings of a request, one after the other.
+//! - [`forwarding`]: requests that another VM serves for one that reaches no upstream.
+//! - [`reach_checks`]: whether this VM reaches upstreams.
 //! - [`in_flight_request`]: a caller's request with its attempts.
 //! - [`request_body`]: bodies of callers' requests.
 //! - [`response_body`]: bodies of upstreams' responses.
@@ -31,6 +34,7 @@
 pub mod discovery;
 pub mod entry_queries;
 pub mod fetch;
+pub mod forwarding;
 pub mod gossip;
 pub mod in_flight_request;
 pub mod ingress;
@@ -39,7 +43,9 @@
 pub mod peer_authentication;
 pub mod quarantine;
 pub mod quotas;
+pub mod reach_checks;
 pub mod request_body;
+pub mod request_run;
 pub mod response_body;
 pub mod responses;
 pub mod run;
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: a request sent to one upstream, and its response.
 
 use std::io;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,12 +17,12 @@
 use super::connection_pool::{Body, Connection};
 use super::response_body::{BufferedBody, PartlyBufferedBody, buffer_body};
 use super::shared::SharedState;
-use super::statements;
+use super::{reach_checks, statements};
 
 /// Timeout of connecting to an upstream: three of the longest round trips between regions. It is
 /// shorter than the retransmission of a lost packet, which takes a second; another upstream is
 /// tried instead.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// The head of a request to be sent.
 #[derive(Debug, Clone)]
@@ -32,6 +33,8 @@
     pub attempt_id: Box<str>,
     /// The name of the client account, if any.
     pub account: Option<Box<str>>,
+    /// The caller's address.
+    pub caller: IpAddr,
 }
 
 /// Returns a body of bytes in memory.
@@ -69,8 +72,8 @@
     result
 }
 
-/// Returns whether an upstream refuses connections, which tells the end of its process from the loss
-/// of a connection.
+/// Returns whether an upstream refuses connections while another one accepts them, which tells the end
+/// of its process from the loss of a connection and from a VM that is cut off.
 async fn refuses_connections(shared: &SharedState, attempt: &Attempt) -> bool {
     let check = shared.crash_checks.get(attempt.upstream);
     let refuses = check.get_or_init(|| async {
@@ -79,7 +82,10 @@
                 shared.upstream_connections.release(attempt.upstream, connection, None);
                 false
             }
-            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                reach_checks::another_upstream_accepts(shared, attempt.upstream).await
+            }
+            Err(_) => false,
         }
     });
     let refuses = *refuses.await;
@@ -160,19 +166,26 @@
     let opened = shared.upstream_connections.open(attempt.address, timeout).await;
     let result = opened.as_ref().map_or_else(connect_error_name, |_connection| "opened");
     shared.metrics.count_connection(result);
-    match &opened {
-        Ok(_) => shared.upstream_contact_at_ms.set(clock::now_ms()),
-        Err(_) => log::info!(
+    shared.steering.borrow_mut().record_connection(
+        attempt.upstream,
+        opened.is_ok(),
+        clock::now_ms(),
+    );
+    if opened.is_ok() {
+        shared.upstream_contact_at_ms.set(clock::now_ms());
+    } else {
+        shared.connection_failed.notify_one();
+        log::info!(
             "event=connection_failed upstream={} error={result} took_ms={}",
             attempt.name,
             clock::now_ms().saturating_sub(started_at_ms),
-        ),
+        );
     }
     opened
 }
 
 /// Returns the name for logs and counters of why a connection couldn't be opened.
-fn connect_error_name(error: &io::Error) -> &'static str {
+pub fn connect_error_name(error: &io::Error) -> &'static str {
     match error.kind() {
         io::ErrorKind::ConnectionRefused => "refused",
         io::ErrorKind::ConnectionReset => "reset",
@@ -231,7 +244,7 @@
         (_, BufferedBody::Partial(prefix)) => {
             let outcome = response_outcome(parts.status, headers, prefix.len() as u64);
             let body = PartlyBufferedBody::new(prefix, incoming, reusable.connection);
-            let response = Some(build_response(parts, body.boxed_unsync()));
+            let response = Some(build_response(parts, body.boxed()));
             AttemptResult { outcome, response }
         }
     }
@@ -245,7 +258,8 @@
     AttemptOutcome::Answered { failed: status.is_server_error(), report: headers.load, body_bytes }
 }
 
-fn build_response(mut parts: http::response::Parts, body: Body) -> Response<Body> {
+/// Returns a response of an upstream, or of another VM, for the caller.
+pub fn build_response(mut parts: http::response::Parts, body: Body) -> Response<Body> {
     headers::remove_hop_by_hop_headers(&mut parts.headers);
     Response::from_parts(parts, body)
 }
--- a/crates/sedgepathd/src/direct/connection_pool.rs
+++ b/crates/sedgepathd/src/direct/connection_pool.rs
@@ -1,4 +1,4 @@
-//! Connections to upstreams, kept open between requests.
+//! Connections to upstreams and to other VMs, kept open between requests.
 //!
 //! A new connection costs an upstream about a millisecond of a slot, and upstreams limit their
 //! connections and close idle ones. The connection used last is reused first, so that the others
@@ -6,6 +6,7 @@
 //! may have run.
 
 use std::cell::RefCell;
+use std::hash::Hash;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -13,7 +14,6 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use sedgepath_core::direct::upstreams::UpstreamKey;
 use sedgepath_core::hash::Map;
 use sedgepath_wire::tcp;
 
@@ -41,15 +41,21 @@
     expires_at_ms: u64,
 }
 
-/// The idle connections to all upstreams.
-#[derive(Debug, Default)]
-pub struct ConnectionPool {
+/// The idle connections to all servers, by key.
+#[derive(Debug)]
+pub struct ConnectionPool<K> {
     /// The source address of new connections; the system's choice if there is none.
     source: Option<IpAddr>,
-    idle: RefCell<Map<UpstreamKey, Vec<IdleConnection>>>,
+    idle: RefCell<Map<K, Vec<IdleConnection>>>,
+}
+
+impl<K> Default for ConnectionPool<K> {
+    fn default() -> Self {
+        Self { source: None, idle: RefCell::default() }
+    }
 }
 
-impl ConnectionPool {
+impl<K: Copy + Eq + Hash> ConnectionPool<K> {
     /// Sets the source address of new connections.
     pub fn with_source(mut self, source: Option<IpAddr>) -> Self {
         self.source = source;
@@ -57,10 +63,10 @@
     }
 
     /// Takes the idle connection to an upstream that was used last, if one is usable.
-    pub fn take_idle(&self, upstream: UpstreamKey) -> Option<Connection> {
+    pub fn take_idle(&self, server: K) -> Option<Connection> {
         let now_ms = clock::now_ms();
         let mut pool = self.idle.borrow_mut();
-        let idle = pool.get_mut(&upstream)?;
+        let idle = pool.get_mut(&server)?;
         while let Some(IdleConnection { connection, expires_at_ms }) = idle.pop() {
             if connection.is_ready() && now_ms < expires_at_ms {
                 return Some(connection);
@@ -91,12 +97,7 @@
     }
 
     /// Returns a connection to the pool after its response was read completely.
-    pub fn release(
-        &self,
-        upstream: UpstreamKey,
-        connection: Connection,
-        keep_alive_ms: Option<u64>,
-    ) {
+    pub fn release(&self, server: K, connection: Connection, keep_alive_ms: Option<u64>) {
         if connection.is_closed() {
             return;
         }
@@ -105,17 +106,22 @@
         let expires_at_ms = clock::now_ms() + usable_ms;
         self.idle
             .borrow_mut()
-            .entry(upstream)
+            .entry(server)
             .or_default()
             .push(IdleConnection { connection, expires_at_ms });
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes expired connections and those to upstreams that are no longer used.
-    pub fn prune(&self, is_used: impl Fn(UpstreamKey) -> bool) {
+    pub fn prune(&self, is_used: impl Fn(K) -> bool) {
         let now_ms = clock::now_ms();
-        self.idle.borrow_mut().retain(|upstream, idle| {
+        self.idle.borrow_mut().retain(|server, idle| {
             idle.retain(|idle| now_ms < idle.expires_at_ms && !idle.connection.is_closed());
-            is_used(*upstream) && !idle.is_empty()
+            is_used(*server) && !idle.is_empty()
         });
     }
 }
--- a/crates/sedgepathd/src/direct/control_server.rs
+++ b/crates/sedgepathd/src/direct/control_server.rs
@@ -1,4 +1,5 @@
-//! Serves requests whose responses need no waiting: look-ups, readiness, metrics, rows for peers.
+//! Serves requests that don't come from callers: look-ups, readiness, metrics, and what other VMs ask
+//! for.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -22,11 +23,12 @@
 /// The pause after a failed accept, for example while file descriptors are short.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// Returns the response to a request.
-pub type Handler = fn(&SharedState, &Request<Incoming>) -> Response<Body>;
-
 /// Accepts connections and handles their requests until the process ends.
-pub async fn serve(shared: Rc<SharedState>, listener: TcpListener, handler: Handler) {
+pub async fn serve<H, F>(shared: Rc<SharedState>, listener: TcpListener, handler: H)
+where
+    H: Fn(Rc<SharedState>, Request<Incoming>) -> F + Copy + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -37,10 +39,14 @@
     }
 }
 
-async fn serve_connection(shared: &SharedState, stream: TcpStream, handler: Handler) {
+async fn serve_connection<H, F>(shared: &Rc<SharedState>, stream: TcpStream, handler: H)
+where
+    H: Fn(Rc<SharedState>, Request<Incoming>) -> F,
+    F: Future<Output = Response<Body>>,
+{
     let service = service_fn(|request: Request<Incoming>| {
-        let response = handler(shared, &request);
-        async move { Ok::<_, Infallible>(response) }
+        let response = handler(Rc::clone(shared), request);
+        async move { Ok::<_, Infallible>(response.await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/sedgepathd/src/direct/in_flight_request.rs
+++ b/crates/sedgepathd/src/direct/in_flight_request.rs
@@ -2,10 +2,11 @@
 
 use std::rc::Rc;
 
-use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome, NextStep, RequestState};
+use sedgepath_core::direct::attempts::{AttemptOutcome, NextStep, RequestState};
 use sedgepath_core::direct::upstreams::UpstreamKey;
 
 use super::clock;
+use super::request_run::Destination;
 use super::shared::SharedState;
 
 /// The minimum time between checks whether a request needs a hedge, in milliseconds.
@@ -52,20 +53,28 @@
         steering.next_step(&mut self.state, fastrand::u64(..), clock::now_ms())
     }
 
-    /// Waits until the request needs a hedge and returns its attempt. Stays pending if none can be
+    /// Waits until the request needs a hedge and returns its destination. Stays pending if none can be
     /// sent.
-    pub async fn wait_for_hedge(&mut self) -> Attempt {
+    pub async fn wait_for_hedge(&mut self) -> Destination {
+        let shared = Rc::clone(&self.shared);
         loop {
+            let cut_off = shared.cut_off.notified();
             let at_ms = self.shared.steering.borrow().hedge_at_ms(&self.state);
             let Some(at_ms) = at_ms else {
-                return std::future::pending().await;
+                cut_off.await;
+                continue;
             };
             let at_ms = at_ms.max(clock::now_ms() + HEDGE_CHECK_INTERVAL_MS);
-            tokio::time::sleep_until(clock::instant_at(at_ms)).await;
+            // Either way the request is decided again.
+            let _elapsed = tokio::time::timeout_at(clock::instant_at(at_ms), cut_off).await;
             let mut steering = self.shared.steering.borrow_mut();
-            let now_ms = clock::now_ms();
-            if let Some(attempt) = steering.hedge(&mut self.state, fastrand::u64(..), now_ms) {
-                return attempt;
+            let (random, now_ms) = (fastrand::u64(..), clock::now_ms());
+            if let Some(forwarding) = steering.hedge_by_neighbour(&mut self.state, random, now_ms) {
+                return Destination::Vm(forwarding);
+            }
+            let is_due = now_ms >= at_ms && !steering.is_cut_off();
+            if is_due && let Some(attempt) = steering.hedge(&mut self.state, random, now_ms) {
+                return Destination::Upstream(attempt);
             }
         }
     }
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -5,8 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -14,25 +12,23 @@
 use hyper::{Request, Response, StatusCode, http};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgepath_adapter::headers::RequestHeaders;
-use sedgepath_core::direct::attempts::{AttemptOutcome, NextStep, RejectionReason};
+use sedgepath_core::direct::attempts::{ForwardedRequest, RejectionReason};
 use sedgepath_core::direct::fingerprint::{RequestFingerprints, RequestIdentity};
 use sedgepath_core::direct::steering::{IncomingRequest, Rejection};
 use sedgepath_wire::tcp;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout_at;
 
-use super::attempt::{self, RequestHead};
+use super::attempt::RequestHead;
 use super::clock;
 use super::connection_pool::Body;
 use super::control_server::ACCEPT_PAUSE;
+use super::forwarding::ForwardedHead;
 use super::in_flight_request::InFlightRequest;
-use super::quarantine;
-use super::quotas;
 use super::request_body::{BodyReadError, RequestBody, read_body};
-use super::responses::{
-    RejectedRequest, give_up, log_failed_attempt, record_success, reject, status_response,
-};
+use super::responses::{RejectedRequest, reject, status_response};
 use super::shared::{SharedState, StopPhase};
+use super::{quarantine, quotas, request_run};
 
 /// File descriptors reserved for files and for connections to upstreams and to the store.
 const RESERVED_FILE_DESCRIPTORS: usize = 1_200;
@@ -44,6 +40,16 @@
 /// The `Retry-After` of a VM with too many requests, in milliseconds.
 const OVERLOAD_RETRY_AFTER_MS: u64 = 500;
 
+/// The rejection of a VM with too many requests.
+const OVERLOADED: Rejection =
+    Rejection { reason: RejectionReason::Overloaded, retry_after_ms: OVERLOAD_RETRY_AFTER_MS };
+
+/// The share of its capacity up to which a VM serves requests that others forward.
+const MAX_UTILIZATION_FORWARDED: f64 = 0.7;
+
+/// The same for requests of the highest priority.
+const MAX_UTILIZATION_FORWARDED_URGENT: f64 = 0.9;
+
 /// The idle timeout of a connection before a configuration is known, in milliseconds.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
 
@@ -89,7 +95,8 @@
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
     let service = service_fn(|request| {
         let shared = Rc::clone(shared);
-        async move { Ok::<_, Infallible>(handle_counted(shared, request, caller).await) }
+        let source = RequestSource::Caller(caller);
+        async move { Ok::<_, Infallible>(handle_counted(shared, request, source).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -114,14 +121,40 @@
     }
 }
 
-async fn handle_counted(
+/// Who sent a request to this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestSource {
+    /// A caller at an address.
+    Caller(IpAddr),
+    /// Another VM, to which a caller has sent it.
+    Vm(ForwardedHead),
+}
+
+impl RequestSource {
+    fn caller(self) -> IpAddr {
+        match self {
+            Self::Caller(caller) => caller,
+            Self::Vm(forwarded) => forwarded.caller,
+        }
+    }
+
+    fn forwarded(self) -> Option<ForwardedRequest> {
+        match self {
+            Self::Caller(_) => None,
+            Self::Vm(forwarded) => Some(forwarded.request),
+        }
+    }
+}
+
+/// Handles a request and counts it as in flight until its response is ready.
+pub async fn handle_counted(
     shared: Rc<SharedState>,
     request: Request<Incoming>,
-    caller: IpAddr,
+    source: RequestSource,
 ) -> Response<Body> {
     shared.in_flight_requests.set(shared.in_flight_requests.get() + 1);
     let guard = InFlightGuard(Rc::clone(&shared));
-    let mut response = handle_request(&shared, request, caller).await;
+    let mut response = handle_request(&shared, request, source).await;
     drop(guard);
     if *shared.stop_phase.borrow() >= StopPhase::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -142,7 +175,7 @@
 async fn handle_request(
     shared: &Rc<SharedState>,
     request: Request<Incoming>,
-    caller: IpAddr,
+    source: RequestSource,
 ) -> Response<Body> {
     let now_ms = clock::now_ms();
     shared.load.borrow_mut().record_request(now_ms);
@@ -150,11 +183,7 @@
     let headers = RequestHeaders::parse(&parts.headers, &parts.uri);
     let attempt_id: Box<str> = headers.attempt_id.into();
     if shared.in_flight_requests.get() > MAX_CONCURRENT_REQUESTS {
-        let rejection = Rejection {
-            reason: RejectionReason::Overloaded,
-            retry_after_ms: OVERLOAD_RETRY_AFTER_MS,
-        };
-        return reject(shared, &attempt_id, RejectedRequest::Unknown, rejection);
+        return reject(shared, &attempt_id, RejectedRequest::Unknown, OVERLOADED);
     }
     let incoming_request = IncomingRequest {
         host: headers.host,
@@ -162,6 +191,7 @@
         time_left_ms: headers.time_left_ms,
         object: headers.object,
         credential: headers.account_credential,
+        forwarded: source.forwarded(),
     };
     shared.wait_for_start().await;
     let result = shared.steering.borrow_mut().begin_request(incoming_request, now_ms);
@@ -174,6 +204,9 @@
             return reject(shared, &attempt_id, request, rejection);
         }
     };
+    if state.is_forwarded && !has_room_for_forwarded(shared, state.priority()) {
+        return reject(shared, &attempt_id, RejectedRequest::Begun(&state), OVERLOADED);
+    }
     let deadline = clock::instant_at(state.deadline_at_ms);
     let mut request = InFlightRequest { shared: Rc::clone(shared), state };
     let max_bytes = max_body_bytes(shared);
@@ -188,103 +221,19 @@
         }
         Err(_elapsed) => return status_response(StatusCode::REQUEST_TIMEOUT, &attempt_id),
     };
-    if let Err(rejection) = quotas::wait_for_token(&mut request).await {
+    let is_forwarded = request.state.is_forwarded;
+    if !is_forwarded && let Err(rejection) = quotas::wait_for_token(&mut request).await {
         let rejected = RejectedRequest::Begun(&request.state);
         return reject(shared, &attempt_id, rejected, rejection);
     }
     let account = request.state.account.as_ref().map(|(_, account)| account.name.clone());
     request.state.fingerprints =
-        Some(fingerprints(&parts, caller, account.as_deref(), &body, declared_bytes));
-    quarantine::claim_probe(&mut request).await;
-    let head = RequestHead { parts, attempt_id, account };
-    run_attempts(&mut request, &head, &mut body).await
-}
-
-/// Sends a request to upstreams until one responds or the request is rejected or given up.
-async fn run_attempts(
-    request: &mut InFlightRequest,
-    head: &RequestHead,
-    body: &mut RequestBody,
-) -> Response<Body> {
-    let shared = Rc::clone(&request.shared);
-    let deadline_at_ms = request.state.deadline_at_ms;
-    let mut in_flight = FuturesUnordered::new();
-    let mut last_response: Option<Response<Body>> = None;
-    let mut hedge = None;
-    loop {
-        let attempt = match hedge.take() {
-            Some(attempt) => attempt,
-            None => match request.next_step() {
-                NextStep::Send(attempt) => attempt,
-                NextStep::Reject { reason, retry_after_ms } => {
-                    let rejection = Rejection { reason, retry_after_ms };
-                    request.return_quota_token();
-                    let rejected = RejectedRequest::Begun(&request.state);
-                    return reject(&shared, &head.attempt_id, rejected, rejection);
-                }
-                NextStep::GiveUp { reason } => {
-                    return give_up(
-                        &shared,
-                        &head.attempt_id,
-                        &request.state,
-                        reason.name(),
-                        last_response,
-                    );
-                }
-            },
-        };
-        let Some(bytes) = body.take() else {
-            return give_up(
-                &shared,
-                &head.attempt_id,
-                &request.state,
-                "body_was_streamed",
-                last_response,
-            );
-        };
-        let shared = &shared;
-        in_flight.push(async move {
-            let result = attempt::send_attempt(shared, deadline_at_ms, &attempt, head, bytes).await;
-            (attempt, result)
-        });
-        while !in_flight.is_empty() {
-            let (attempt, result) = tokio::select! {
-                Some(ended) = in_flight.next() => ended,
-                attempt = request.wait_for_hedge(), if !body.is_spent() => {
-                    log::info!(
-                        "event=second_sending request={} upstream={} service={} {}",
-                        head.attempt_id, attempt.name, request.state.service, attempt.decision,
-                    );
-                    hedge = Some(attempt);
-                    break;
-                }
-            };
-            shared.metrics.count_attempt(attempt.decision.cause, result.outcome);
-            request.record_outcome(attempt.upstream, result.outcome);
-            if let AttemptOutcome::Answered { body_bytes, .. } = result.outcome {
-                shared.load.borrow_mut().record_body(body_bytes, clock::now_ms());
-            }
-            match (result.outcome, result.response) {
-                (AttemptOutcome::Answered { failed: false, .. }, Some(response)) => {
-                    record_success(shared, &head.attempt_id, &request.state, &attempt);
-                    return response;
-                }
-                (AttemptOutcome::TimedOut, _) => {
-                    return give_up(
-                        shared,
-                        &head.attempt_id,
-                        &request.state,
-                        "timed_out",
-                        last_response,
-                    );
-                }
-                (outcome, response) => {
-                    log_failed_attempt(&head.attempt_id, &request.state, &attempt, outcome);
-                    last_response = response.or(last_response);
-                }
-            }
-        }
+        Some(fingerprints(&parts, source.caller(), account.as_deref(), &body, declared_bytes));
+    if !is_forwarded {
+        quarantine::claim_probe(&mut request).await;
     }
+    let head = RequestHead { parts, attempt_id, account, caller: source.caller() };
+    request_run::run(&mut request, &head, &mut body).await
 }
 
 fn fingerprints(
@@ -307,6 +256,12 @@
     })
 }
 
+fn has_room_for_forwarded(shared: &SharedState, priority: u32) -> bool {
+    let max =
+        if priority == 0 { MAX_UTILIZATION_FORWARDED_URGENT } else { MAX_UTILIZATION_FORWARDED };
+    shared.load.borrow_mut().utilization_at(clock::now_ms()) < max
+}
+
 fn max_body_bytes(shared: &SharedState) -> u64 {
     let steering = shared.steering.borrow();
     steering.configuration().map_or(0, |in_force| in_force.limits.max_body_bytes)
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -10,7 +10,9 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use sedgepath_core::direct::accounts::ClientAccounts;
-use sedgepath_core::direct::attempts::{AttemptCause, AttemptOutcome, RejectionReason};
+use sedgepath_core::direct::attempts::{
+    AttemptCause, AttemptOutcome, ForwardOutcome, RejectionReason,
+};
 use sedgepath_core::hash::Set;
 
 use super::attempt::bytes_body;
@@ -34,6 +36,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     connections: IntCounterVec,
+    forwardings: IntCounterVec,
     rejections: IntCounterVec,
     account_rejections: IntCounterVec,
     named_accounts: RefCell<Set<Box<str>>>,
@@ -47,6 +50,7 @@
     configuration: IntGauge,
     store_contact: IntGauge,
     upstream_silence: IntGauge,
+    cut_off: IntGauge,
     in_flight: IntGauge,
     accounts: IntGauge,
     lent_slots: IntGauge,
@@ -84,6 +88,11 @@
                 "Connections to upstreams that were opened or could not be, by how that ended.",
                 &["result"],
             )?,
+            forwardings: counter(
+                "sedgepath_forwardings_total",
+                "Requests forwarded to other VMs while this one reached no upstream, by how that ended.",
+                &["outcome"],
+            )?,
             rejections: counter(
                 "sedgepath_refusals_total",
                 "Requests answered as not run, by reason.",
@@ -135,6 +144,7 @@
                 "sedgepath_upstream_silence_ms",
                 "For how long no upstream has responded to this VM or accepted a connection of it.",
             )?,
+            cut_off: gauge("sedgepath_cut_off", "1 while this VM reaches no upstream, else 0.")?,
             accounts: gauge(
                 "sedgepath_accounts",
                 "Client accounts of the configuration in force.",
@@ -162,6 +172,7 @@
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.attempts.clone()))?;
         self.registry.register(Box::new(self.connections.clone()))?;
+        self.registry.register(Box::new(self.forwardings.clone()))?;
         self.registry.register(Box::new(self.rejections.clone()))?;
         self.registry.register(Box::new(self.account_rejections.clone()))?;
         self.registry.register(Box::new(self.peer_bytes.clone()))?;
@@ -174,6 +185,7 @@
             &self.configuration,
             &self.store_contact,
             &self.upstream_silence,
+            &self.cut_off,
             &self.in_flight,
             &self.quarantined,
             &self.accounts,
@@ -202,6 +214,11 @@
         self.connections.with_label_values(&[result]).inc();
     }
 
+    /// Counts a request that was forwarded to another VM.
+    pub fn count_forwarding(&self, outcome: ForwardOutcome) {
+        self.forwardings.with_label_values(&[outcome.name()]).inc();
+    }
+
     /// Counts a request that the VM rejected without running it.
     pub fn count_rejection(&self, reason: RejectionReason) {
         self.rejections.with_label_values(&[reason.name()]).inc();
@@ -272,6 +289,7 @@
                 .map_or(-1, u64::cast_signed),
         );
         let silence_ms = now_ms.saturating_sub(shared.upstream_contact_at_ms.get());
+        self.cut_off.set(i64::from(steering.is_cut_off()));
         self.upstream_silence.set(silence_ms.cast_signed());
         let accounts = steering.configuration().and_then(|in_force| in_force.accounts.as_ref());
         self.accounts.set(to_gauge(accounts.map_or(0, ClientAccounts::len)));
--- a/crates/sedgepathd/src/direct/peer_authentication.rs
+++ b/crates/sedgepathd/src/direct/peer_authentication.rs
@@ -4,8 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::Request;
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use sedgepath_adapter::headers::RequestHeaders;
 use sedgepath_core::direct::replicas::TableUpdate;
+use sedgepath_core::hash::Map;
 use sedgepath_wire::peer_keys::{KEY_READ_INTERVAL_MS, PEER_KEY_ROW, PeerKeyring, VM_TABLE};
 use sedgepath_wire::peer_seal::{PeerAuthentication, SealError};
 
@@ -176,6 +179,119 @@
     }
 }
 
+/// A request that a VM forwards to another one, and its proof.
+///
+/// The proof covers the receiver, what the sender tells of the request, and the request's method, target,
+/// host, attempt id and time, but not its body, which may be streamed.
+#[derive(Debug)]
+pub struct ForwardExchange {
+    nonce: String,
+    sent_at_unix_ms: u64,
+    to: String,
+    forwarded: String,
+}
+
+impl ForwardExchange {
+    /// Creates the exchange for a request of this VM.
+    pub fn new(to: SocketAddr, forwarded: &str) -> Self {
+        let sent_at_unix_ms = clock::unix_ms();
+        Self {
+            nonce: format!("{:016x}-{sent_at_unix_ms}", fastrand::u64(..)),
+            sent_at_unix_ms,
+            to: to.to_string(),
+            forwarded: forwarded.into(),
+        }
+    }
+
+    /// Adds the nonce and the proof to this VM's request, if its messages are authenticated.
+    pub fn prove_request<B>(&self, shared: &SharedState, request: &mut Request<B>) {
+        let parts = self.parts(request);
+        let parts: Vec<&[u8]> = parts.iter().map(Vec::as_slice).collect();
+        insert_proof(shared, &parts, request.headers_mut());
+        if request.headers().contains_key(PROOF_HEADER)
+            && let Ok(nonce) = HeaderValue::from_str(&self.nonce)
+        {
+            request.headers_mut().insert(NONCE_HEADER, nonce);
+        }
+    }
+
+    /// Checks the proof of another VM's request, and removes it. Each request is accepted once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request isn't proved although it must be, or was received before.
+    pub fn accept<B>(
+        shared: &SharedState,
+        forwarded: &str,
+        request: &mut Request<B>,
+    ) -> Result<(), SealError> {
+        let text = |value: Option<HeaderValue>| {
+            value.and_then(|value| value.to_str().map(Box::<str>::from).ok())
+        };
+        let nonce = text(request.headers_mut().remove(NONCE_HEADER)).unwrap_or_default();
+        let proof = text(request.headers_mut().remove(PROOF_HEADER));
+        let sent_at_unix_ms = nonce.split_once('-').and_then(|(_, at_ms)| at_ms.parse().ok());
+        let exchange = Self {
+            nonce: nonce.into(),
+            sent_at_unix_ms: sent_at_unix_ms.unwrap_or_default(),
+            to: shared.steering.borrow().vms().peer_address().to_string(),
+            forwarded: forwarded.into(),
+        };
+        let parts = exchange.parts(request);
+        let parts: Vec<&[u8]> = parts.iter().map(Vec::as_slice).collect();
+        let mut checked = shared.peer_seal.borrow_mut().check_proof(&parts, proof.as_deref());
+        if checked.is_ok() && proof.is_some() {
+            let mut nonces = shared.forward_nonces.borrow_mut();
+            let (nonce, sent_at_unix_ms) = (&exchange.nonce, exchange.sent_at_unix_ms);
+            if !nonces.accept(nonce, sent_at_unix_ms, clock::unix_ms()) {
+                checked = Err(SealError::Replayed);
+            }
+        }
+        checked.inspect_err(|error| shared.metrics.count_rejected_peer_message(error.name()))
+    }
+
+    fn parts<B>(&self, request: &Request<B>) -> [Vec<u8>; 7] {
+        let headers = RequestHeaders::parse(request.headers(), request.uri());
+        let target = request.uri().path_and_query().map_or("", |target| target.as_str());
+        [
+            b"forward".to_vec(),
+            self.nonce.as_bytes().to_vec(),
+            self.to.as_bytes().to_vec(),
+            self.forwarded.as_bytes().to_vec(),
+            request.method().as_str().as_bytes().to_vec(),
+            target.as_bytes().to_vec(),
+            [headers.host, "\n", headers.attempt_id].concat().into_bytes(),
+        ]
+    }
+}
+
+/// The time for which a forwarded request is accepted after it was sent, by the clocks of both VMs, in
+/// milliseconds.
+const FORWARD_VALIDITY_MS: u64 = 30_000;
+
+/// The nonces of the requests that were accepted lately, so that a recorded one can't be sent again.
+#[derive(Debug, Default)]
+pub struct RecentNonces {
+    expires_at_unix_ms: Map<Box<str>, u64>,
+    pruned_at_unix_ms: u64,
+}
+
+impl RecentNonces {
+    /// Returns whether a request is recent and hasn't been accepted before, and remembers it.
+    pub fn accept(&mut self, nonce: &str, sent_at_unix_ms: u64, now_unix_ms: u64) -> bool {
+        if now_unix_ms.abs_diff(sent_at_unix_ms) > FORWARD_VALIDITY_MS {
+            return false;
+        }
+        if now_unix_ms.abs_diff(self.pruned_at_unix_ms) > FORWARD_VALIDITY_MS {
+            self.pruned_at_unix_ms = now_unix_ms;
+            self.expires_at_unix_ms.retain(|_, at_ms| now_unix_ms < *at_ms);
+        }
+        // The clock may be set back meanwhile by as much as a request may be old.
+        let expires_at_ms = now_unix_ms.max(sent_at_unix_ms) + 2 * FORWARD_VALIDITY_MS;
+        self.expires_at_unix_ms.insert(nonce.into(), expires_at_ms).is_none()
+    }
+}
+
 fn coding_of(headers: &HeaderMap) -> Vec<u8> {
     headers.get(CONTENT_ENCODING).map(|coding| coding.as_bytes().to_vec()).unwrap_or_default()
 }
--- a/crates/sedgepathd/src/direct/response_body.rs
+++ b/crates/sedgepathd/src/direct/response_body.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 
-use super::connection_pool::{BodyError, Connection};
+use super::connection_pool::{Body, BodyError, Connection};
 use super::shared::SharedState;
 
 /// Responses up to this size are buffered completely before the caller gets the first byte, so that
@@ -61,6 +61,11 @@
     pub fn new(prefix: Bytes, rest: Incoming, connection: Connection) -> Self {
         Self { prefix: Some(prefix), rest, _connection: connection }
     }
+
+    /// Returns the body with its type erased.
+    pub fn boxed(self) -> Body {
+        self.boxed_unsync()
+    }
 }
 
 impl hyper::body::Body for PartlyBufferedBody {
--- a/crates/sedgepathd/src/direct/responses.rs
+++ b/crates/sedgepathd/src/direct/responses.rs
@@ -7,12 +7,14 @@
 
 use super::connection_pool::Body;
 use super::control_server::empty_response;
+use super::forwarding::OwnResponse;
 use super::shared::SharedState;
 use super::{clock, logging};
 
-/// Returns a response without a body that carries the attempt id.
+/// Returns a response of this VM, without a body, that carries the attempt id.
 pub fn status_response(status: StatusCode, attempt_id: &str) -> Response<Body> {
     let mut response = empty_response(status);
+    response.extensions_mut().insert(OwnResponse::GivenUp);
     headers::set_attempt_id(response.headers_mut(), attempt_id);
     response
 }
@@ -40,6 +42,27 @@
     );
 }
 
+/// Counts a request whose response another VM has sent.
+pub fn record_forwarded(
+    shared: &SharedState,
+    attempt_id: &str,
+    state: &RequestState,
+    is_from_upstream: bool,
+) {
+    let took_ms = clock::now_ms().saturating_sub(state.arrived_at_ms);
+    shared.metrics.record_request(if is_from_upstream { "answered" } else { "gave_up" }, took_ms);
+    if !is_from_upstream {
+        log::info!(
+            "event=gave_up request={attempt_id} reason=neighbour_gave_up account={} route={} \
+             service={} took_ms={took_ms} configuration={}",
+            state.account_name(),
+            state.route.name,
+            state.service,
+            state.version,
+        );
+    }
+}
+
 /// The name in logs of a request without a client account.
 const NO_ACCOUNT: &str = "none";
 
@@ -88,6 +111,7 @@
     if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
         headers::set_retry_after(response.headers_mut(), rejection.retry_after_ms);
     }
+    response.extensions_mut().insert(OwnResponse::Rejected(rejection));
     let state = request.state();
     let service = state.map_or("none", |state| &*state.service);
     let account = request.account();
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -1,9 +1,12 @@
 //! Start, signals and planned stop.
 
+use std::future::ready;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::body::Incoming;
+use hyper::{Request, Response};
 use sedgepath_adapter::settings::{Settings, SettingsError};
 use sedgepath_core::direct::budget::RetryBudgetLimits;
 use sedgepath_core::direct::quotas::QuotaBounds;
@@ -19,13 +22,13 @@
 
 use crate::start::StartError;
 
-use super::connection_pool::ConnectionPool;
+use super::connection_pool::{Body, ConnectionPool};
 use super::logging::{LogClock, PendingLines};
 use super::metrics::Metrics;
 use super::shared::{SharedState, StopPhase, vm_resources};
 use super::{
-    clock, control_server, discovery, entry_queries, gossip, ingress, logging, metrics,
-    peer_authentication, quarantine, store_feed, table_server,
+    clock, control_server, discovery, entry_queries, forwarding, gossip, ingress, logging, metrics,
+    peer_authentication, quarantine, reach_checks, store_feed, table_server,
 };
 
 /// The interval of heartbeats while there are few VMs, in milliseconds.
@@ -132,31 +135,28 @@
     spawn_local(control_server::serve(
         Rc::clone(&shared),
         readiness_listener,
-        entry_queries::handle_query,
-    ));
-    spawn_local(control_server::serve(
-        Rc::clone(&shared),
-        look_up_listener,
-        entry_queries::handle_query,
+        |shared, request| ready(entry_queries::handle_query(&shared, &request)),
     ));
+    spawn_local(control_server::serve(Rc::clone(&shared), look_up_listener, |shared, request| {
+        ready(entry_queries::handle_query(&shared, &request))
+    }));
     for table in Table::ALL {
         spawn_local(store_feed::follow_table(Rc::clone(&shared), table));
     }
     spawn_local(discovery::discover_vms(Rc::clone(&shared)));
     spawn_local(peer_authentication::follow_keys(Rc::clone(&shared)));
     spawn_local(gossip::receive(Rc::clone(&shared)));
-    spawn_local(control_server::serve(
-        Rc::clone(&shared),
-        peer_listener,
-        table_server::handle_rows_request,
-    ));
+    spawn_local(control_server::serve(Rc::clone(&shared), peer_listener, handle_peer_request));
+    spawn_local(reach_checks::run(Rc::clone(&shared)));
     spawn_local(gossip::send_periodically(Rc::clone(&shared)));
     spawn_local(gossip::send_reports(Rc::clone(&shared)));
     spawn_local(maintain(Rc::clone(&shared)));
     if let Some(port) = options.metrics_port {
         let address = SocketAddr::new(shared.settings.ip, port);
         let listener = bind("metrics", address).await?;
-        spawn_local(control_server::serve(Rc::clone(&shared), listener, metrics::handle_request));
+        spawn_local(control_server::serve(Rc::clone(&shared), listener, |shared, request| {
+            ready(metrics::handle_request(&shared, &request))
+        }));
     }
 
     wait_for_stop().await?;
@@ -182,6 +182,17 @@
     Ok(())
 }
 
+/// Responds to another VM: with rows, or to a request that it forwards.
+async fn handle_peer_request(
+    shared: Rc<SharedState>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    if forwarding::is_forwarded(request.headers()) {
+        return forwarding::serve(shared, request).await;
+    }
+    table_server::handle_rows_request(&shared, &request)
+}
+
 fn new_steering(
     settings: &Settings,
     caller_address: SocketAddr,
@@ -260,6 +271,7 @@
         shared.table_server.clear_cache();
         let steering = shared.steering.borrow();
         let is_used = |upstream: &Upstream| !upstream.is_leaving();
+        shared.peer_connections.prune(|_| true);
         shared.upstream_connections.prune(|key| steering.upstreams().get(key).is_some_and(is_used));
     }
 }
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -1,6 +1,7 @@
 //! The state that all tasks of a VM share.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use sedgepath_adapter::store::HttpStore;
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::replicas::{Table, TableReplicas};
+use sedgepath_core::direct::upstreams::UpstreamKey;
 use sedgepath_core::direct::vms::StoreHealth;
 use sedgepath_core::direct::vms::naming::{LoadMeter, VmResources};
 use sedgepath_core::hash::Map;
@@ -19,6 +21,7 @@
 use super::crash_checks::CrashChecks;
 use super::logging::LogClock;
 use super::metrics::Metrics;
+use super::peer_authentication::RecentNonces;
 use super::table_server::TableServer;
 
 /// The state that all tasks of a VM share.
@@ -50,7 +53,15 @@
     /// The counters, gauges and histograms.
     pub metrics: Metrics,
     /// Idle connections to upstreams.
-    pub upstream_connections: ConnectionPool,
+    pub upstream_connections: ConnectionPool<UpstreamKey>,
+    /// Idle connections to other VMs, by their addresses for messages between VMs.
+    pub peer_connections: ConnectionPool<SocketAddr>,
+    /// Wakes the task that checks whether this VM reaches upstreams.
+    pub connection_failed: tokio::sync::Notify,
+    /// Wakes requests in flight when this VM turns out to reach no upstream.
+    pub cut_off: tokio::sync::Notify,
+    /// Requests of other VMs that were accepted lately.
+    pub forward_nonces: RefCell<RecentNonces>,
     /// When an upstream last responded or accepted a connection, in milliseconds.
     pub upstream_contact_at_ms: Cell<u64>,
     /// Checks under way whether upstreams have crashed.
@@ -124,7 +135,7 @@
         peer_seal: PeerSeal,
         log_clock: LogClock,
         metrics: Metrics,
-        upstream_connections: ConnectionPool,
+        upstream_connections: ConnectionPool<UpstreamKey>,
     ) -> Rc<Self> {
         let load = LoadMeter::new(vm_resources(&settings));
         Rc::new(Self {
@@ -145,6 +156,10 @@
             reports_queued: tokio::sync::Notify::new(),
             load: RefCell::new(load),
             upstream_connections,
+            peer_connections: ConnectionPool::default(),
+            connection_failed: tokio::sync::Notify::new(),
+            cut_off: tokio::sync::Notify::new(),
+            forward_nonces: RefCell::default(),
             tokens_granted: tokio::sync::Notify::new(),
             writing_quarantine: Cell::new(false),
             in_flight_requests: Cell::new(0),
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
 use sedgepath_test_support::store::StoreStandIn;
@@ -66,7 +66,8 @@
 #[derive(Debug, Clone)]
 pub struct UpstreamStandIn {
     state: Arc<Mutex<State>>,
-    listener: Arc<TcpListener>,
+    /// The listening socket, as long as its thread listens.
+    listener: Weak<TcpListener>,
     /// The address on which it listens.
     pub address: SocketAddr,
 }
@@ -87,9 +88,9 @@
             crashed: false,
             streams: Vec::new(),
         };
-        let upstream = Self { state: Arc::new(Mutex::new(state)), listener, address };
+        let state = Arc::new(Mutex::new(state));
+        let upstream = Self { state, listener: Arc::downgrade(&listener), address };
         let server = upstream.clone();
-        let listener = Arc::clone(&upstream.listener);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let server = server.clone();
@@ -139,7 +140,9 @@
     /// Cuts the upstream off from VMs that connect from these addresses; ends all earlier cuts.
     pub fn cut_from(&self, vms: &[Ipv4Addr], cut: VmCut) {
         self.end_cuts();
-        drop_packets_from(&self.listener, vms).expect("a filter");
+        if let Some(listener) = self.listener.upgrade() {
+            drop_packets_from(&*listener, vms).expect("a filter");
+        }
         let is_cut = |stream: &TcpStream| {
             stream.peer_addr().is_ok_and(|peer| vms.iter().any(|vm| peer.ip() == IpAddr::V4(*vm)))
         };
@@ -165,7 +168,9 @@
     /// Ends all cuts between the upstream and VMs.
     pub fn end_cuts(&self) {
         // A socket without a filter has none to detach.
-        drop(SockRef::from(&self.listener).detach_filter());
+        if let Some(listener) = self.listener.upgrade() {
+            drop(SockRef::from(&*listener).detach_filter());
+        }
         for stream in &self.lock().streams {
             drop(SockRef::from(stream).detach_filter());
         }
