Cut VMs off from upstreams in the soak, and know a cut with a single upstream

The soak's links cut an upstream off from all VMs alike, so no run had a VM that reached nobody while others did: why the fault stayed unseen. Links and stand-ins now drop, reset or keep the connections of single VMs by packet filters on their own sockets. Two failed connections were needed for a suspicion, which a deployment with one upstream never has: the number of known upstreams bounds it.

--- a/crates/sedgepath-core/src/direct/reach.rs
+++ b/crates/sedgepath-core/src/direct/reach.rs
@@ -12,7 +12,8 @@
 /// one that was opened meanwhile, before the VM counts as cut off.
 const CUT_OFF_UPSTREAMS: usize = 4;
 
-/// The number of upstreams to which connections must have failed before others are checked.
+/// The number of upstreams, or all if there are fewer, to which connections must have failed before
+/// others are checked.
 const SUSPECT_UPSTREAMS: usize = 2;
 
 /// The number of upstreams that are checked at a time during a suspicion.
@@ -119,24 +120,24 @@
         self.failed.push(FailedConnection { upstream, failed_at_ms: now_ms });
     }
 
-    /// Returns how many upstreams to check now; the check must end with
+    /// Returns how many of the `known` upstreams to check now; the check must end with
     /// [`record_check`](Self::record_check).
-    pub fn begin_check(&mut self, now_ms: u64) -> Option<usize> {
+    pub fn begin_check(&mut self, known: usize, now_ms: u64) -> Option<usize> {
         if self.is_checking {
             return None;
         }
         let count = match self.next_cut_check_at_ms {
             Some(at_ms) => (now_ms >= at_ms).then_some(1),
-            None => self.suspicion(now_ms),
+            None => self.suspicion(known, now_ms),
         };
         self.is_checking = count.is_some();
         count
     }
 
-    fn suspicion(&mut self, now_ms: u64) -> Option<usize> {
+    fn suspicion(&mut self, known: usize, now_ms: u64) -> Option<usize> {
         let is_recent = |failed: &&FailedConnection| now_ms < failed.failed_at_ms + EVIDENCE_MS;
         let failed = self.failed.iter().filter(is_recent).count();
-        if failed >= SUSPECT_UPSTREAMS && now_ms >= self.next_suspicion_at_ms {
+        if failed >= SUSPECT_UPSTREAMS.min(known) && now_ms >= self.next_suspicion_at_ms {
             return Some(CHECKED_UPSTREAMS);
         }
         let is_silent = self.silent_since_ms.is_some_and(|at_ms| now_ms >= at_ms + SILENCE_MS);
--- a/crates/sedgepath-core/src/direct/steering/reachability.rs
+++ b/crates/sedgepath-core/src/direct/steering/reachability.rs
@@ -44,7 +44,7 @@
         if self.upstreams.is_empty() {
             return Vec::new();
         }
-        let Some(count) = self.reach.begin_check(now_ms) else {
+        let Some(count) = self.reach.begin_check(self.upstreams.len(), now_ms) else {
             return Vec::new();
         };
         let failed: Vec<_> = self.reach.failed_upstreams().collect();
--- a/crates/sedgepath-core/tests/direct_reach.rs
+++ b/crates/sedgepath-core/tests/direct_reach.rs
@@ -13,7 +13,8 @@
 use sedgepath_core::direct::steering::IncomingRequest;
 use sedgepath_core::direct::upstreams::UpstreamKey;
 use sedgepath_test_support::direct::{
-    HOST, SERVICE, begin_request, configuration, heartbeat, route, serving_vm, vm_with_retry_budget,
+    HOST, SERVICE, begin_request, configuration, heartbeat, route, serving_vm, upstream_entry, vm,
+    vm_with_retry_budget,
 };
 
 /// The time limit of a connection, in milliseconds.
@@ -113,6 +114,17 @@
     panic!("no cut was noticed");
 }
 
+// Guards against a deployment with a single upstream whose cut VMs never know.
+#[test]
+fn a_vm_that_knows_one_upstream_notices_a_cut() {
+    let mut vm = vm("a1", "north-a", 1);
+    vm.upstreams_mut().upsert(upstream_entry("b0", "north-a", 0), "north", 0);
+    let (key, _) = vm.upstreams().iter().next().expect("an upstream");
+    vm.record_connection(key, false, 0);
+    assert_eq!(check(&mut vm, |_| false, 0), Some(ReachChange::CutOff));
+    assert_eq!(check(&mut vm, |_| true, 1_000), Some(ReachChange::Recovered));
+}
+
 // Guards against a VM with one request in flight that waits for its deadline to notice a cut.
 #[test]
 fn one_request_without_a_response_shows_a_cut_within_a_second() {
--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod link;
 pub mod load;
 pub mod owner;
+pub mod packet_filter;
 pub mod port;
 pub mod records;
 pub mod system;
--- a/crates/sedgepath-test-support/src/link.rs
+++ b/crates/sedgepath-test-support/src/link.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::clock::sleep_ms;
+use crate::packet_filter::ClientCut;
 use crate::port::free_port;
 use crate::server::{Service, TcpServer};
 use crate::sync::lock;
@@ -99,6 +100,21 @@
         self.control.changed.notify_all();
     }
 
+    /// Cuts the link off from TCP clients at these addresses, and lets all others pass; ends all earlier
+    /// such cuts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses a packet filter.
+    pub fn cut_from(&self, clients: &[Ipv4Addr], cut: ClientCut) -> io::Result<()> {
+        self.tcp.cut_from(clients, cut)
+    }
+
+    /// Ends all cuts between the link and single clients.
+    pub fn end_client_cuts(&self) {
+        self.tcp.end_cuts();
+    }
+
     /// Sets the delay of each datagram and of each chunk of a TCP stream, in milliseconds.
     pub fn set_delay_ms(&self, delay_ms: u64) {
         lock(&self.control.state).delay_ms = delay_ms;
--- a/crates/sedgepathd/tests/platform/cut.rs
+++ b/crates/sedgepath-test-support/src/packet_filter.rs
@@ -1,14 +1,15 @@
-//! Cuts between some VMs and an upstream, by packet filters on the upstream's own sockets.
+//! Cuts between some clients and a server, by packet filters on the server's own sockets.
 
 use std::io;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, Shutdown, TcpStream};
 use std::os::fd::AsFd;
+use std::time::Duration;
 
 use socket2::{SockFilter, SockRef};
 
-/// How an upstream is cut off from some VMs.
+/// How a server is cut off from some clients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum VmCut {
+pub enum ClientCut {
     /// Open connections and new ones get no packet through.
     Silent,
     /// Open connections are reset, and new ones get no packet through.
@@ -40,3 +41,27 @@
     filters.push(SockFilter::new(RETURN, 0, 0, 0));
     SockRef::from(socket).attach_filter(&filters)
 }
+
+/// Lets all packets through to a socket again, or to a listener's new connections.
+pub fn accept_packets(socket: &impl AsFd) {
+    // A socket without a filter has none to detach.
+    drop(SockRef::from(socket).detach_filter());
+}
+
+/// Returns whether a connection comes from one of these addresses.
+pub fn is_from(stream: &TcpStream, sources: &[Ipv4Addr]) -> bool {
+    stream.peer_addr().is_ok_and(|peer| sources.iter().any(|source| peer.ip() == *source))
+}
+
+/// Makes a connection end with a reset as soon as its last owner drops it, and ends the reads of the
+/// others.
+///
+/// # Errors
+///
+/// Fails if the system refuses the option.
+pub fn reset_on_drop(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+    // The client may have disconnected already.
+    drop(stream.shutdown(Shutdown::Read));
+    Ok(())
+}
--- a/crates/sedgepath-test-support/src/server.rs
+++ b/crates/sedgepath-test-support/src/server.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 
+use crate::packet_filter::{ClientCut, accept_packets, drop_packets_from, is_from, reset_on_drop};
 use crate::sync::lock;
 
 /// The handler of a server's connections.
@@ -34,6 +35,8 @@
     service: Arc<S>,
     open: Arc<Mutex<OpenConnections>>,
     addr: SocketAddr,
+    /// The socket on which the acceptor listens.
+    listener: TcpListener,
     acceptor: Option<JoinHandle<()>>,
 }
 
@@ -54,10 +57,39 @@
     pub(crate) fn new(addr: SocketAddr, service: Arc<S>) -> io::Result<Self> {
         let listener = TcpListener::bind(addr)?;
         let addr = listener.local_addr()?;
+        let accepting_on = listener.try_clone()?;
         let open = Arc::default();
         let (accepting, shared) = (Arc::clone(&service), Arc::clone(&open));
-        let acceptor = thread::spawn(move || accept_connections(&listener, &accepting, &shared));
-        Ok(Self { service, open, addr, acceptor: Some(acceptor) })
+        let acceptor =
+            thread::spawn(move || accept_connections(&accepting_on, &accepting, &shared));
+        Ok(Self { service, open, addr, listener, acceptor: Some(acceptor) })
+    }
+
+    /// Cuts the server off from clients at these addresses; ends all earlier cuts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses a packet filter.
+    pub(crate) fn cut_from(&self, clients: &[Ipv4Addr], cut: ClientCut) -> io::Result<()> {
+        self.end_cuts();
+        drop_packets_from(&self.listener, clients)?;
+        let open = lock(&self.open);
+        for stream in open.streams.values().filter(|stream| is_from(stream, clients)) {
+            match cut {
+                ClientCut::NewConnections => {}
+                ClientCut::Silent => drop_packets_from(stream, clients)?,
+                ClientCut::Reset => reset_on_drop(stream)?,
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all cuts between the server and clients.
+    pub(crate) fn end_cuts(&self) {
+        accept_packets(&self.listener);
+        for stream in lock(&self.open).streams.values() {
+            accept_packets(stream);
+        }
     }
 
     /// Returns the listen address.
--- a/crates/sedgepathd/tests/direct_cuts.rs
+++ b/crates/sedgepathd/tests/direct_cuts.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use platform::caller::{Connection, Response};
-use platform::cut::VmCut;
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{TestCluster, Vm, caller, configuration_with_accounts, configure, wait_for};
+use sedgepath_test_support::packet_filter::ClientCut;
 use sedgepath_test_support::store::StoreStandIn;
 use serde_json::json;
 
@@ -60,12 +60,12 @@
         Self { store, upstreams, cluster, vms }
     }
 
-    fn cut(&self, vms: &[u8], cut: VmCut) {
+    fn cut(&self, vms: &[u8], cut: ClientCut) {
         let addresses: Vec<_> = vms.iter().map(|number| self.cluster.ipv4(*number)).collect();
         for upstream in &self.upstreams {
             upstream.set_first_headers("");
             upstream.cut_from(&addresses, cut);
-            if cut == VmCut::NewConnections {
+            if cut == ClientCut::NewConnections {
                 // The open connections run out.
                 upstream.set_first_headers("Connection: close\r\n");
             }
@@ -111,7 +111,7 @@
     tries.into_iter().map(|one| usize::from(one.join().expect("a caller"))).sum()
 }
 
-fn first_tries_are_served_during(cut: VmCut) {
+fn first_tries_are_served_during(cut: ClientCut) {
     let site = Site::new(&["north-a", "north-a", "north-b"]);
     let (cut_vm, other_vm) = (site.vms[0].caller_address, site.vms[1].caller_address);
     assert_eq!(served_first_tries(cut_vm, "warm-cut", 40), 40);
@@ -136,23 +136,23 @@
 // Guards against rejecting callers of a VM whose packets reach no upstream.
 #[test]
 fn first_tries_at_a_vm_cut_from_all_upstreams_are_served_when_connections_hang() {
-    first_tries_are_served_during(VmCut::Silent);
+    first_tries_are_served_during(ClientCut::Silent);
 }
 
 // Guards against rejecting callers of a VM whose connections to all upstreams are reset.
 #[test]
 fn first_tries_at_a_vm_cut_from_all_upstreams_are_served_when_connections_are_reset() {
-    first_tries_are_served_during(VmCut::Reset);
+    first_tries_are_served_during(ClientCut::Reset);
 }
 
 // Guards against rejecting callers of a VM that opens no new connection and has a few open ones.
 #[test]
 fn first_tries_at_a_vm_cut_from_all_upstreams_are_served_when_only_new_connections_fail() {
-    first_tries_are_served_during(VmCut::NewConnections);
+    first_tries_are_served_during(ClientCut::NewConnections);
 }
 
 /// Cuts a VM off and waits until it knows.
-fn cut_off(site: &Site, numbers: &[u8], cut: VmCut) {
+fn cut_off(site: &Site, numbers: &[u8], cut: ClientCut) {
     for number in numbers {
         // Requests on the way show the cut.
         let address = site.vms[usize::from(*number) - 1].caller_address;
@@ -194,7 +194,7 @@
 #[test]
 fn a_caller_that_leaves_ends_the_work_at_the_upstream_through_both_vms() {
     let site = Site::new(&["north-a", "north-a"]);
-    cut_off(&site, &[1], VmCut::Silent);
+    cut_off(&site, &[1], ClientCut::Silent);
     set_behaviour(&site, Behaviour::DelayedByMs(2_500));
     let canceled = || site.upstreams.iter().map(UpstreamStandIn::canceled_requests).sum::<usize>();
     let before = canceled();
@@ -211,7 +211,7 @@
 #[test]
 fn a_request_whose_neighbour_is_killed_may_have_run() {
     let mut site = Site::new(&["north-a", "north-a"]);
-    cut_off(&site, &[1], VmCut::Silent);
+    cut_off(&site, &[1], ClientCut::Silent);
     set_behaviour(&site, Behaviour::DelayedByMs(1_000));
     let request = request_in_background(site.vms[0].caller_address, "POST", "/charges/1", "killed");
     wait_for("the run", || site.runs_of("killed") == 1);
@@ -225,7 +225,7 @@
 #[test]
 fn a_request_is_completed_by_a_neighbour_that_stops() {
     let site = Site::new(&["north-a", "north-a", "north-a"]);
-    cut_off(&site, &[1], VmCut::Silent);
+    cut_off(&site, &[1], ClientCut::Silent);
     set_behaviour(&site, Behaviour::DelayedByMs(1_000));
     let address = site.vms[0].caller_address;
     let requests =
@@ -244,7 +244,7 @@
 #[test]
 fn requests_and_responses_pass_unchanged_through_both_vms() {
     let site = Site::new(&["north-a", "north-a"]);
-    cut_off(&site, &[1], VmCut::Silent);
+    cut_off(&site, &[1], ClientCut::Silent);
     let body: Vec<u8> = (0..700_000_u32).map(|number| (number % 251) as u8).collect();
     for (id, chunked) in [("large", false), ("chunked", true)] {
         let mut connection = Connection::new(site.vms[0].caller_address).expect("a connection");
@@ -298,11 +298,11 @@
 #[test]
 fn vms_that_are_cut_off_together_ask_the_others_and_reject_at_once_without_them() {
     let site = Site::new(&["north-a", "north-a", "south-a"]);
-    cut_off(&site, &[1, 2], VmCut::Reset);
+    cut_off(&site, &[1, 2], ClientCut::Reset);
     for vm in &site.vms[..2] {
         assert_eq!(served_first_tries(vm.caller_address, "south", 30), 30);
     }
-    cut_off(&site, &[1, 2, 3], VmCut::Silent);
+    cut_off(&site, &[1, 2, 3], ClientCut::Silent);
     wait_for("knowing that all are cut off", || {
         let status = caller::get(site.vms[0].metrics_address, "/status");
         status.is_some_and(|status| status.text().matches("\"reach\":\"cut_off\"").count() == 2)
@@ -332,7 +332,7 @@
     let response = connection.request_with("POST", "/charges/1", "by-intruder", line);
     assert_eq!(response.expect("a response").status, 403);
     assert_eq!(site.runs_of("by-intruder"), 0);
-    cut_off(&site, &[1], VmCut::Silent);
+    cut_off(&site, &[1], ClientCut::Silent);
     assert_eq!(served_first_tries(site.vms[0].caller_address, "proved", 30), 30);
     assert!(forwardings(&site.vms[0]) >= 30);
 }
@@ -347,7 +347,7 @@
     for round in 0..3 {
         let requests = ids.map(|id| request_in_background(address, "GET", "/reads/same", id));
         std::thread::sleep(Duration::from_millis(200));
-        site.cut(&[1], VmCut::Reset);
+        site.cut(&[1], ClientCut::Reset);
         for request in requests {
             request.join().expect("a caller");
         }
@@ -368,7 +368,7 @@
 fn after_a_cut_a_vm_serves_by_itself() {
     let site = Site::new(&["north-a", "north-a"]);
     let vm = &site.vms[0];
-    for cut in [VmCut::Silent, VmCut::Reset, VmCut::NewConnections] {
+    for cut in [ClientCut::Silent, ClientCut::Reset, ClientCut::NewConnections] {
         cut_off(&site, &[1], cut);
         site.end_cuts();
         let ended_at = Instant::now();
@@ -407,7 +407,7 @@
     }
     let address = site.vms[0].caller_address;
     let before = served_within_quota(address, "before");
-    site.cut(&[1], VmCut::Silent);
+    site.cut(&[1], ClientCut::Silent);
     // The public route shows the cut.
     let mut number = 0;
     wait_for("noticing the cut", || {
@@ -432,7 +432,7 @@
 #[test]
 fn a_vm_stops_and_starts_during_its_cut() {
     let mut site = Site::new(&["north-a", "north-a"]);
-    cut_off(&site, &[1], VmCut::Silent);
+    cut_off(&site, &[1], ClientCut::Silent);
     site.vms[0].terminate();
     let mut stopped = site.vms.remove(0);
     wait_for("the end of the VM", || stopped.exit_status().is_some());
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -6,7 +6,6 @@
 #![allow(dead_code, reason = "each test file uses a part of the stand-ins")]
 
 pub mod caller;
-pub mod cut;
 pub mod slow_peer;
 pub mod upstream;
 
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
+use sedgepath_test_support::packet_filter::{
+    ClientCut, accept_packets, drop_packets_from, is_from, reset_on_drop,
+};
 use sedgepath_test_support::store::StoreStandIn;
-use socket2::SockRef;
-
-use super::cut::{VmCut, drop_packets_from};
 
 /// What the upstream does with requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -138,28 +138,23 @@
     }
 
     /// Cuts the upstream off from VMs that connect from these addresses; ends all earlier cuts.
-    pub fn cut_from(&self, vms: &[Ipv4Addr], cut: VmCut) {
+    pub fn cut_from(&self, vms: &[Ipv4Addr], cut: ClientCut) {
         self.end_cuts();
         if let Some(listener) = self.listener.upgrade() {
             drop_packets_from(&*listener, vms).expect("a filter");
         }
-        let is_cut = |stream: &TcpStream| {
-            stream.peer_addr().is_ok_and(|peer| vms.iter().any(|vm| peer.ip() == IpAddr::V4(*vm)))
-        };
         let streams = &mut self.lock().streams;
         match cut {
-            VmCut::NewConnections => {}
-            VmCut::Silent => {
-                for stream in streams.iter().filter(|stream| is_cut(stream)) {
+            ClientCut::NewConnections => {}
+            ClientCut::Silent => {
+                for stream in streams.iter().filter(|stream| is_from(stream, vms)) {
                     drop_packets_from(stream, vms).expect("a filter");
                 }
             }
-            VmCut::Reset => {
-                for stream in streams.extract_if(.., |stream| is_cut(stream)) {
-                    // Closing without lingering sends a reset; its thread holds the last copy.
-                    let no_linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-                    no_linger.expect("the option");
-                    drop(stream.shutdown(std::net::Shutdown::Read));
+            ClientCut::Reset => {
+                for stream in streams.extract_if(.., |stream| is_from(stream, vms)) {
+                    // Its thread holds the last copy.
+                    reset_on_drop(&stream).expect("the option");
                 }
             }
         }
@@ -167,12 +162,11 @@
 
     /// Ends all cuts between the upstream and VMs.
     pub fn end_cuts(&self) {
-        // A socket without a filter has none to detach.
         if let Some(listener) = self.listener.upgrade() {
-            drop(SockRef::from(&*listener).detach_filter());
+            accept_packets(&*listener);
         }
         for stream in &self.lock().streams {
-            drop(SockRef::from(stream).detach_filter());
+            accept_packets(stream);
         }
     }
 
--- a/crates/sedgepathd/tests/soak.rs
+++ b/crates/sedgepathd/tests/soak.rs
@@ -1,5 +1,5 @@
 //! Randomized fault injection into VMs in `--direct` mode, their upstreams, links and store. Upstreams
-//! state that they leave, or ask for pauses. With some seeds messages between VMs are authenticated,
+//! state that they leave, or ask for pauses, and some VMs are cut off from all of them. With some seeds messages between VMs are authenticated,
 //! the key is replaced and an intruder sends messages.
 //!
 //! The checks: no non-idempotent request runs twice, none runs that was reported as not run, no
@@ -24,6 +24,7 @@
 use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
 use sedgepath_test_support::direct::heartbeat;
 use sedgepath_test_support::link::{Cut, CuttableLink};
+use sedgepath_test_support::packet_filter::ClientCut;
 use sedgepath_test_support::store::{StoreMode, StoreStandIn};
 use sedgepath_wire::peer_keys::{PEER_KEY_ROW, PeerKeyring, VM_TABLE};
 
@@ -113,7 +114,9 @@
 
     fn start(&self, number: usize) -> Vm {
         let link = self.store_links[number].addr();
-        let arguments = ["--peer-authentication", self.policy];
+        let source = self.site.ipv4(number as u8 + 1).to_string();
+        let arguments =
+            ["--peer-authentication", self.policy, "--upstream-source", source.as_str()];
         self.site.start_with(number as u8 + 1, DOMAINS[number], link, &arguments)
     }
 
@@ -134,7 +137,7 @@
         let vm = self.random.usize(..3);
         let upstream = self.random.usize(..4);
         // An intruder's messages are believed where they need not be authenticated.
-        let kinds = if self.policy == "require" { 19 } else { 17 };
+        let kinds = if self.policy == "require" { 20 } else { 18 };
         let kind = self.random.u32(..kinds);
         self.faults.push(format!("{kind}:{vm}:{upstream}"));
         match kind {
@@ -168,8 +171,9 @@
                 self.store.hold_next_writes(self.random.u32(..2));
             }
             16 => self.state(upstream),
-            17 => self.replace_key(),
-            18 => self.intrude(),
+            17 => self.cut_vms(),
+            18 => self.replace_key(),
+            19 => self.intrude(),
             _ => {
                 let state = if self.random.bool() { "draining" } else { "ready" };
                 self.register(upstream, state);
@@ -177,6 +181,17 @@
         }
     }
 
+    /// Cuts some VMs off from all upstreams, in one of three ways, or ends such a cut.
+    fn cut_vms(&mut self) {
+        let cuts = [ClientCut::Silent, ClientCut::Reset, ClientCut::NewConnections];
+        let cut = cuts[self.random.usize(..cuts.len())];
+        let vms: Vec<_> =
+            (1..=3).filter(|_| self.random.bool()).map(|number| self.site.ipv4(number)).collect();
+        for (_, link) in &self.upstreams {
+            link.cut_from(&vms, cut).expect("packet filters");
+        }
+    }
+
     /// Lets an upstream state with its responses that it leaves, or ask for a pause with its rejections.
     fn state(&mut self, number: usize) {
         let lines = ["", "Retry-After: 1\r\n", "Retry-After: soon\r\n", "Server-Leaving: 1\r\n"];
@@ -278,6 +293,7 @@
             self.upstreams[number].0.set_first_headers("");
             self.replace_departed(number);
             self.upstreams[number].1.set_cut(Cut::None);
+            self.upstreams[number].1.end_client_cuts();
             self.upstreams[number].1.set_delay_ms(0);
             self.register(number, "ready");
         }
