--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -215,10 +215,8 @@
 pub struct Forwarding {
     /// The other VM's address for messages between VMs.
     pub peer_address: SocketAddr,
-    /// The number of attempts so far that reached an upstream, including rejected ones.
-    pub delivered: u32,
-    /// The number of attempts so far that may have run.
-    pub possible_runs: u32,
+    /// What the other VM is told of the request.
+    pub request: ForwardedRequest,
 }
 
 /// How the forwarding of a request ended.
--- a/crates/sedgepath-core/src/direct/steering/reachability.rs
+++ b/crates/sedgepath-core/src/direct/steering/reachability.rs
@@ -5,7 +5,9 @@
 use fastrand::Rng;
 
 use super::Steering;
-use crate::direct::attempts::{Forwarding, NextStep, RejectionReason, RequestState};
+use crate::direct::attempts::{
+    ForwardedRequest, Forwarding, NextStep, RejectionReason, RequestState,
+};
 use crate::direct::reach::ReachChange;
 use crate::direct::upstreams::{Upstream, UpstreamKey};
 use crate::direct::vms::VmDescriptor;
@@ -138,8 +140,11 @@
         let neighbour = self.vms.choose_neighbour(&may_serve, random, now_ms)?;
         Some(Forwarding {
             peer_address: neighbour.peer_address,
-            delivered: request.delivered + request.in_flight.len() as u32,
-            possible_runs: request.possible_runs + request.in_flight.len() as u32,
+            request: ForwardedRequest {
+                delivered: request.delivered + request.in_flight.len() as u32,
+                possible_runs: request.possible_runs + request.in_flight.len() as u32,
+                is_probe: request.is_probe,
+            },
         })
     }
 
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -26,7 +26,7 @@
 use crate::hash::Map;
 use crate::key::VmKey;
 
-pub use heartbeat::{StoreHealth, VmDescriptor, VmHeartbeat, VmState, VmTiming};
+pub use heartbeat::{ReportedLoad, StoreHealth, VmDescriptor, VmHeartbeat, VmState, VmTiming};
 pub use readers::READER_TAKEOVER_INTERVAL_MS;
 pub use summary::{DomainMember, DomainSummary, RelayedSummary, SummaryUpdate};
 
@@ -94,7 +94,7 @@
 
     /// Sets the share of its capacity that this VM uses, in percent.
     pub fn set_load(&mut self, load_percent: u8) {
-        self.own.state.load_percent = load_percent;
+        self.own.state.load = self.own.state.load.with_percent(load_percent);
     }
 
     /// Marks this VM as about to stop and no longer ready.
@@ -273,7 +273,7 @@
                 silent_ms: now_ms.saturating_sub(*heard_at_ms),
                 ready: state.ready,
                 leaving: state.leaving,
-                reach: ReportedReach::of(state.cut_off),
+                reach: ReportedReach::of(state.load.is_cut_off()),
                 store_reachable: state.store_health.is_reachable(),
             });
         let listed =
@@ -283,7 +283,7 @@
                 silent_ms: 0,
                 ready: listed.member.ready,
                 leaving: false,
-                reach: ReportedReach::of(listed.member.cut_off),
+                reach: ReportedReach::default(),
                 store_reachable: listed.member.store_reachable,
             });
         let mut others: Vec<_> = heard.chain(listed).collect();
--- a/crates/sedgepath-core/src/direct/vms/gossip.rs
+++ b/crates/sedgepath-core/src/direct/vms/gossip.rs
@@ -262,8 +262,7 @@
         let VmHeartbeat { descriptor, state, .. } = &self.own;
         let member = |descriptor: &VmDescriptor, state: &VmState| DomainMember {
             ip: descriptor.peer_address.ip(),
-            ready: state.ready,
-            cut_off: state.cut_off,
+            ready: state.ready && !state.load.is_cut_off(),
             store_reachable: state.store_health.is_reachable(),
             capacity_per_s: descriptor.capacity_per_s,
         };
--- a/crates/sedgepath-core/src/direct/vms/heartbeat.rs
+++ b/crates/sedgepath-core/src/direct/vms/heartbeat.rs
@@ -97,6 +97,37 @@
     }
 }
 
+/// The share of its capacity that a VM uses, and whether it reaches no upstream.
+///
+/// Both are in one byte, the load alone where it was before, so that VMs of earlier versions read the
+/// heartbeats of later ones.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedLoad(u8);
+
+impl ReportedLoad {
+    const CUT_OFF: u8 = 0x80;
+
+    /// Returns this report with another load in percent.
+    pub fn with_percent(self, percent: u8) -> Self {
+        Self(percent.min(100) | self.0 & Self::CUT_OFF)
+    }
+
+    /// Returns this report with another word on whether the VM reaches no upstream.
+    pub fn with_cut_off(self, cut_off: bool) -> Self {
+        Self(self.0 & !Self::CUT_OFF | if cut_off { Self::CUT_OFF } else { 0 })
+    }
+
+    /// Returns the share of its capacity that the VM uses, in percent.
+    pub fn percent(self) -> u8 {
+        self.0 & !Self::CUT_OFF
+    }
+
+    /// Returns whether the VM reaches no upstream.
+    pub fn is_cut_off(self) -> bool {
+        self.0 & Self::CUT_OFF != 0
+    }
+}
+
 /// The variable part of a heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmState {
@@ -111,10 +142,8 @@
     pub ready: bool,
     /// Whether the VM is about to stop.
     pub leaving: bool,
-    /// Whether the VM reaches no upstream.
-    pub cut_off: bool,
-    /// The share of its capacity that the VM uses, in percent.
-    pub load_percent: u8,
+    /// The VM's load, and whether it reaches upstreams.
+    pub load: ReportedLoad,
     /// The newest store version in each of the VM's table replicas, in the order of
     /// [`Table::REQUIRED`](crate::direct::replicas::Table::REQUIRED).
     pub newest_version: [u64; 2],
@@ -142,8 +171,7 @@
             boot_at_ms,
             ready: false,
             leaving: false,
-            cut_off: false,
-            load_percent: 0,
+            load: ReportedLoad::default(),
             newest_version: [0; 2],
             store_health: StoreHealth::Unknown,
         };
--- a/crates/sedgepath-core/src/direct/vms/look_ups.rs
+++ b/crates/sedgepath-core/src/direct/vms/look_ups.rs
@@ -52,8 +52,8 @@
     /// Returns the load of a VM; 0 for those of other failure domains, which don't tell it.
     pub(super) fn load_percent(&self, descriptor: &VmDescriptor) -> u8 {
         if descriptor.peer_address == self.own.descriptor.peer_address {
-            return self.own.state.load_percent;
+            return self.own.state.load.percent();
         }
-        self.peers.get(&descriptor.name).map_or(0, |peer| peer.state.load_percent)
+        self.peers.get(&descriptor.name).map_or(0, |peer| peer.state.load.percent())
     }
 }
--- a/crates/sedgepath-core/src/direct/vms/neighbours.rs
+++ b/crates/sedgepath-core/src/direct/vms/neighbours.rs
@@ -15,12 +15,12 @@
 impl VmTable {
     /// Sets whether this VM reaches no upstream.
     pub fn set_cut_off(&mut self, cut_off: bool) {
-        self.own.state.cut_off = cut_off;
+        self.own.state.load = self.own.state.load.with_cut_off(cut_off);
     }
 
     /// Returns whether this VM reaches no upstream.
     pub fn is_cut_off(&self) -> bool {
-        self.own.state.cut_off
+        self.own.state.load.is_cut_off()
     }
 
     /// Returns the VMs that serve and reach upstreams, or all that serve if none does, sorted by
@@ -34,7 +34,7 @@
 
     /// Returns whether a VM that serves, this one among them, reaches upstreams.
     pub(super) fn some_vm_reaches_upstreams(&self, now_ms: u64) -> bool {
-        let own_reaches = !self.own.state.leaving && !self.own.state.cut_off;
+        let own_reaches = !self.own.state.leaving && !self.is_cut_off();
         own_reaches || self.serving_where(now_ms, &|_| true).iter().any(|vm| !vm.cut_off)
     }
 
@@ -86,8 +86,10 @@
         matches: &dyn Fn(&VmDescriptor) -> bool,
     ) -> Vec<ServingVm<'_>> {
         let heard = self.live_peers(now_ms).filter(|peer| peer.state.ready);
-        let heard = heard
-            .map(|peer| ServingVm { descriptor: &peer.descriptor, cut_off: peer.state.cut_off });
+        let heard = heard.map(|peer| ServingVm {
+            descriptor: &peer.descriptor,
+            cut_off: peer.state.load.is_cut_off(),
+        });
         // A VM's own heartbeat takes precedence over summaries that list it.
         let leaving: Set<SocketAddr> = self
             .peers
@@ -99,20 +101,16 @@
         let listed = listed.filter(|listed| listed.member.ready);
         let listed = listed.map(|listed| ServingVm {
             descriptor: &listed.descriptor,
-            cut_off: listed.member.cut_off,
+            // A VM that reaches no upstream is listed as not ready.
+            cut_off: false,
         });
         let listed = listed.filter(|vm| !leaving.contains(&vm.descriptor.peer_address));
-        let own = ServingVm { descriptor: &self.own.descriptor, cut_off: self.own.state.cut_off };
+        let own = ServingVm { descriptor: &self.own.descriptor, cut_off: self.is_cut_off() };
         let own = (!self.own.state.leaving).then_some(own);
         let all = heard.chain(listed).chain(own);
         let mut serving: Vec<_> = all.filter(|vm| matches(vm.descriptor)).collect();
         serving.sort_by_key(|vm| vm.descriptor.peer_address);
-        serving.dedup_by(|one, kept| {
-            let is_same = one.descriptor.peer_address == kept.descriptor.peer_address;
-            // Summaries of different senders differ for a moment after a change.
-            kept.cut_off |= is_same && one.cut_off;
-            is_same
-        });
+        serving.dedup_by_key(|vm| vm.descriptor.peer_address);
         serving
     }
 }
--- a/crates/sedgepath-core/src/direct/vms/summary.rs
+++ b/crates/sedgepath-core/src/direct/vms/summary.rs
@@ -16,10 +16,8 @@
 pub struct DomainMember {
     /// The VM's IP address; its ports are those of the summary's sender.
     pub ip: IpAddr,
-    /// Whether the VM accepts new requests.
+    /// Whether the VM accepts new requests and reaches upstreams.
     pub ready: bool,
-    /// Whether the VM reaches no upstream.
-    pub cut_off: bool,
     /// Whether the store responds to the VM.
     pub store_reachable: bool,
     /// The number of typical requests that the VM can serve in a second.
@@ -90,7 +88,7 @@
                 IpAddr::V4(ip) => content.extend(ip.octets()),
                 IpAddr::V6(ip) => content.extend(ip.octets()),
             }
-            content.extend([member.ready, member.cut_off, member.store_reachable].map(u8::from));
+            content.extend([u8::from(member.ready), u8::from(member.store_reachable)]);
             content.extend(member.capacity_per_s.to_le_bytes());
         }
         Digest::of(&[&content]).to_u64()
--- a/crates/sedgepath-core/tests/fuzz_peer_messages.rs
+++ b/crates/sedgepath-core/tests/fuzz_peer_messages.rs
@@ -28,7 +28,6 @@
     let member = |number| DomainMember {
         ip: ip(number),
         ready: true,
-        cut_off: false,
         store_reachable: true,
         capacity_per_s: 100,
     };
--- a/crates/sedgepathd/src/direct/forwarding.rs
+++ b/crates/sedgepathd/src/direct/forwarding.rs
@@ -7,6 +7,7 @@
 
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -101,12 +102,11 @@
     shared: &SharedState,
     deadline_at_ms: u64,
     forwarding: &Forwarding,
-    is_probe: bool,
     head: &RequestHead,
     body: Body,
 ) -> ForwardResult {
     let started_at_ms = clock::now_ms();
-    let result = exchange(shared, deadline_at_ms, forwarding, is_probe, head, body).await;
+    let result = exchange(shared, deadline_at_ms, forwarding, head, body).await;
     shared.metrics.count_forwarding(result.outcome);
     log::info!(
         target: super::logging::ROUTINE_TARGET,
@@ -123,7 +123,6 @@
     shared: &SharedState,
     deadline_at_ms: u64,
     forwarding: &Forwarding,
-    is_probe: bool,
     head: &RequestHead,
     body: Body,
 ) -> ForwardResult {
@@ -135,17 +134,17 @@
         let fresh = idle.is_none();
         let mut connection = match idle {
             Some(connection) => connection,
-            None => match shared.peer_connections.open(address, CONNECT_TIMEOUT).await {
-                Ok(connection) => connection,
-                Err(_unreachable) => return ForwardResult::unsent(),
-            },
-        };
-        let told = ForwardedRequest {
-            delivered: forwarding.delivered,
-            possible_runs: forwarding.possible_runs,
-            is_probe,
+            None => {
+                let left_ms = deadline_at_ms.saturating_sub(clock::now_ms());
+                let limit = CONNECT_TIMEOUT.min(Duration::from_millis(left_ms));
+                match shared.peer_connections.open(address, limit).await {
+                    Ok(connection) => connection,
+                    Err(_unreachable) => return ForwardResult::unsent(),
+                }
+            }
         };
-        let forwarded = ForwardedHead { caller: head.caller, request: told }.to_text();
+        let forwarded =
+            ForwardedHead { caller: head.caller, request: forwarding.request }.to_text();
         let left_ms = deadline_at_ms.saturating_sub(clock::now_ms());
         headers::prepare_peer_headers(request.headers_mut(), left_ms);
         if let Ok(value) = HeaderValue::from_str(&forwarded) {
--- a/crates/sedgepathd/src/direct/request_run.rs
+++ b/crates/sedgepathd/src/direct/request_run.rs
@@ -71,8 +71,7 @@
             let (reason, state) = ("body_was_streamed", &request.state);
             return give_up(shared, &head.attempt_id, state, reason, last_response);
         };
-        let is_probe = request.state.is_probe;
-        in_flight.push(send(shared, deadline_at_ms, destination, is_probe, head, bytes));
+        in_flight.push(send(shared, deadline_at_ms, destination, head, bytes));
         while !in_flight.is_empty() {
             let sent = tokio::select! {
                 Some(ended) = in_flight.next() => ended,
@@ -110,7 +109,6 @@
     shared: &SharedState,
     deadline_at_ms: u64,
     destination: Destination,
-    is_probe: bool,
     head: &RequestHead,
     bytes: Body,
 ) -> Sent {
@@ -120,8 +118,7 @@
             Sent::Upstream(attempt, result)
         }
         Destination::Vm(to) => {
-            let result =
-                forwarding::forward(shared, deadline_at_ms, &to, is_probe, head, bytes).await;
+            let result = forwarding::forward(shared, deadline_at_ms, &to, head, bytes).await;
             Sent::Vm(result)
         }
     }
