--- a/crates/sedgepathd/src/direct/forwarding.rs
+++ b/crates/sedgepathd/src/direct/forwarding.rs
@@ -132,16 +132,15 @@
     loop {
         let idle = shared.peer_connections.take_idle(address);
         let fresh = idle.is_none();
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => {
-                let left_ms = deadline_at_ms.saturating_sub(clock::now_ms());
-                let limit = CONNECT_TIMEOUT.min(Duration::from_millis(left_ms));
-                match shared.peer_connections.open(address, limit).await {
-                    Ok(connection) => connection,
-                    Err(_unreachable) => return ForwardResult::unsent(),
-                }
-            }
+        let connection = if idle.is_some() {
+            idle
+        } else {
+            let left_ms = deadline_at_ms.saturating_sub(clock::now_ms());
+            let limit = CONNECT_TIMEOUT.min(Duration::from_millis(left_ms));
+            shared.peer_connections.open(address, limit).await.ok()
+        };
+        let Some(mut connection) = connection else {
+            return ForwardResult::unsent();
         };
         let forwarded =
             ForwardedHead { caller: head.caller, request: forwarding.request }.to_text();
