--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -57,6 +57,7 @@
 pub mod statements;
 pub mod status;
 pub mod steering;
+pub mod store_version;
 pub mod upstreams;
 pub mod vms;
 
--- a/crates/sedgepath-core/src/direct/crashes.rs
+++ b/crates/sedgepath-core/src/direct/crashes.rs
@@ -25,10 +25,10 @@
 use self::quarantine::{Clocks, QuarantineRow, QuarantineTable, QuarantineWrite};
 use super::fingerprint::RequestFingerprints;
 use super::reports::{Report, ReportQueue};
+use super::store_version::StoreVersion;
 use super::upstreams::{IncarnationKey, UpstreamKey, UpstreamTable};
 use crate::hash::{Digest, Map};
 use crate::key::VmKey;
-use crate::table::RowVersion;
 
 /// The number of crashed upstreams after which a request is quarantined.
 pub const QUARANTINE_CRASHES: usize = 3;
@@ -213,7 +213,7 @@
     pub fn apply_quarantine_row(
         &mut self,
         fingerprint: Digest,
-        version: RowVersion,
+        version: StoreVersion,
         row: Option<QuarantineRow>,
         clocks: Clocks,
     ) {
@@ -223,6 +223,18 @@
         self.quarantine.apply_row(fingerprint, version, row, clocks);
     }
 
+    /// Plans to repeat a write of the quarantine that a restored store has lost, unless another VM does:
+    /// the row's last value, or its removal, and the version that the row has in the restored store.
+    pub fn repeat_quarantine_write(
+        &mut self,
+        fingerprint: Digest,
+        row: Option<QuarantineRow>,
+        expected: Option<StoreVersion>,
+        now_ms: u64,
+    ) {
+        self.quarantine.schedule_repeat(fingerprint, row, expected, now_ms);
+    }
+
     /// Returns the changes of the quarantine that this VM is to write now.
     pub fn take_due_writes(&mut self, clocks: Clocks) -> Vec<QuarantineWrite> {
         self.quarantine.take_due_writes(clocks)
--- a/crates/sedgepath-core/src/direct/crashes/quarantine.rs
+++ b/crates/sedgepath-core/src/direct/crashes/quarantine.rs
@@ -8,10 +8,12 @@
 
 use super::Verdict;
 use crate::direct::fingerprint::RequestFingerprints;
+use crate::direct::replicas::Table;
+use crate::direct::store_version::StoreVersion;
 use crate::hash::{Digest, Map};
 use crate::key::VmKey;
 use crate::rendezvous;
-use crate::table::{RowChange, RowCondition, RowVersion, RowWrite};
+use crate::table::{RowChange, RowCondition, RowWrite};
 
 /// The duration of a quarantine, in milliseconds.
 pub const QUARANTINE_MS: u64 = 60 * 60 * 1_000;
@@ -78,7 +80,7 @@
     /// The request's fingerprint.
     pub fingerprint: Digest,
     /// The version that the row must have; `None` if it must not exist.
-    pub expected: Option<RowVersion>,
+    pub expected: Option<StoreVersion>,
     /// The new value; `None` if the row is to be removed.
     pub row: Option<QuarantineRow>,
 }
@@ -88,7 +90,9 @@
     pub fn to_row_write(&self, encode: impl Fn(&QuarantineRow) -> Box<str>) -> RowWrite {
         RowWrite {
             key: self.fingerprint.to_hex().into(),
-            condition: self.expected.map_or(RowCondition::Absent, RowCondition::Version),
+            condition: self
+                .expected
+                .map_or(RowCondition::Absent, |version| RowCondition::Version(version.to_u64())),
             change: self.row.as_ref().map_or(RowChange::Delete, |row| RowChange::Put(encode(row))),
         }
     }
@@ -96,7 +100,7 @@
 
 #[derive(Debug)]
 struct Quarantined {
-    version: RowVersion,
+    version: StoreVersion,
     probes: u32,
     probe_at_ms: u64,
     until_ms: u64,
@@ -113,17 +117,27 @@
     until_ms: u64,
 }
 
+/// A write that a restored store has lost, and that a VM is to repeat.
+#[derive(Debug, Clone, Copy)]
+struct LostChange {
+    expected: Option<StoreVersion>,
+    row: Option<QuarantineRow>,
+    at_ms: u64,
+    until_ms: u64,
+}
+
 /// A VM's replica of the quarantine, and the changes that it is to write.
 #[derive(Debug)]
 pub struct QuarantineTable {
     own: VmKey,
     rows: Map<Digest, Quarantined>,
     planned: Map<Digest, PlannedChange>,
+    lost: Map<Digest, LostChange>,
 }
 
 impl QuarantineTable {
     pub(super) fn new(own: VmKey) -> Self {
-        Self { own, rows: Map::default(), planned: Map::default() }
+        Self { own, rows: Map::default(), planned: Map::default(), lost: Map::default() }
     }
 
     /// Returns the number of quarantined fingerprints.
@@ -183,14 +197,30 @@
         self.planned.insert(fingerprint, PlannedChange { quarantined, at_ms, until_ms });
     }
 
+    /// Plans to repeat a write that a restored store has lost, unless another VM does: the row's last
+    /// value, or its removal, and the version that the row has in the restored store.
+    pub(super) fn schedule_repeat(
+        &mut self,
+        fingerprint: Digest,
+        row: Option<QuarantineRow>,
+        expected: Option<StoreVersion>,
+        now_ms: u64,
+    ) {
+        let at_ms = now_ms + self.spread(fingerprint, TAKEOVER_SPREAD_MS);
+        let until_ms = now_ms + Table::Quarantine.restore_grace_ms();
+        self.lost.insert(fingerprint, LostChange { expected, row, at_ms, until_ms });
+    }
+
     /// Applies a row of the store, or its removal.
     pub(super) fn apply_row(
         &mut self,
         fingerprint: Digest,
-        version: RowVersion,
+        version: StoreVersion,
         row: Option<QuarantineRow>,
         clocks: Clocks,
     ) {
+        // The store has a newer write.
+        self.lost.remove(&fingerprint);
         let Some(row) = row else {
             self.rows.remove(&fingerprint);
             return;
@@ -235,11 +265,22 @@
                 }),
             });
         }
-        let left = MAX_WRITES - writes.len();
-        writes.extend(self.expired_rows(now_ms).into_iter().take(left));
+        writes.extend(self.repeated_writes(now_ms));
+        writes.extend(self.expired_rows(now_ms));
+        writes.truncate(MAX_WRITES);
         writes
     }
 
+    fn repeated_writes(&mut self, now_ms: u64) -> Vec<QuarantineWrite> {
+        self.lost.retain(|_, lost| now_ms < lost.until_ms);
+        let due = self.lost.iter_mut().filter(|(_, lost)| lost.at_ms <= now_ms);
+        due.map(|(fingerprint, lost)| {
+            lost.at_ms = now_ms + WRITE_RETRY_MS;
+            QuarantineWrite { fingerprint: *fingerprint, expected: lost.expected, row: lost.row }
+        })
+        .collect()
+    }
+
     fn expired_rows(&mut self, now_ms: u64) -> Vec<QuarantineWrite> {
         let expired = self.rows.iter_mut().filter(|(_, row)| now_ms >= row.remove_at_ms);
         expired
--- a/crates/sedgepath-core/src/direct/replicas.rs
+++ b/crates/sedgepath-core/src/direct/replicas.rs
@@ -8,19 +8,28 @@
 //!
 //! - Each row carries the store version of its last write, and replaces only an older row. Replicas
 //!   can therefore be merged in any order and never return to an earlier state.
-//! - A replica holds what the store held at the replica's position. An incremental update keeps
-//!   this only if its sender knows all removals since the requester's position; otherwise the
-//!   sender must send a snapshot.
+//! - Within an era of the store, a replica holds what the store held at the replica's position. An
+//!   incremental update keeps this only if its sender knows all removals since the requester's
+//!   position; otherwise the sender must send a snapshot.
 //! - A removed row is kept as a tombstone, so that an older replica can't restore it.
+//!
+//! # Restored stores
+//!
+//! A store that is restored from an older copy begins a new era ([`StoreVersion`]) with a snapshot that
+//! may lack what this replica knows (module `restore`).
+
+mod restore;
+mod table;
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-use crate::hash::Map;
+use super::store_version::StoreVersion;
 
-/// The most tombstones that a replica keeps; a VM that lacks older removals gets a snapshot.
-const MAX_TOMBSTONES: usize = 4_096;
+pub use restore::{LostWrite, RowContents, RowDecoder};
+pub use table::TableReplica;
 
 /// A replicated table of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -56,7 +65,7 @@
     /// The row's key, unique within its table.
     pub key: Box<str>,
     /// The store version at which the row was written or removed.
-    pub version: u64,
+    pub version: StoreVersion,
     /// The row's value; `None` if the row was removed.
     pub value: Option<Arc<[u8]>>,
 }
@@ -67,144 +76,11 @@
     /// The rows of the snapshot, or those that changed.
     pub rows: Vec<VersionedRow>,
     /// The store version up to which the update contains all changes.
-    pub position: u64,
+    pub position: StoreVersion,
     /// Whether the update holds all rows of the table rather than only the changed ones.
     pub is_snapshot: bool,
 }
 
-#[derive(Debug, Clone)]
-struct StoredRow {
-    version: u64,
-    value: Option<Arc<[u8]>>,
-}
-
-/// A replica of one table.
-#[derive(Debug, Default)]
-pub struct TableReplica {
-    rows: Map<Box<str>, StoredRow>,
-    position: u64,
-    newest_version: u64,
-    tombstone_count: usize,
-    /// The version up to which removals are unknown: their tombstones were dropped, or they precede
-    /// the last snapshot.
-    removals_unknown_up_to: u64,
-    is_complete: bool,
-}
-
-impl TableReplica {
-    /// Returns whether the replica has ever received a snapshot.
-    pub fn is_complete(&self) -> bool {
-        self.is_complete
-    }
-
-    /// Returns the store version up to which the replica has all changes.
-    pub fn position(&self) -> u64 {
-        self.position
-    }
-
-    /// Returns the store version of the newest change in the replica.
-    pub fn newest_version(&self) -> u64 {
-        self.newest_version
-    }
-
-    /// Merges an update and returns the rows that changed the replica's contents.
-    pub fn merge(&mut self, update: TableUpdate) -> Vec<VersionedRow> {
-        let mut changes = Vec::new();
-        if update.is_snapshot {
-            changes.extend(self.removed_by_snapshot(&update));
-        }
-        changes.extend(update.rows);
-        changes.retain(|row| self.apply_row(row));
-        self.position = self.position.max(update.position);
-        if update.is_snapshot {
-            // A snapshot doesn't list earlier removals, so an incremental update from this replica
-            // can't either: a VM that still has a removed row would keep it.
-            self.removals_unknown_up_to = self.removals_unknown_up_to.max(update.position);
-            self.is_complete = true;
-        }
-        self.drop_tombstones();
-        changes
-    }
-
-    /// Returns whether a VM that has all changes up to a version must be sent a snapshot.
-    pub fn requires_snapshot(&self, version: u64) -> bool {
-        version < self.removals_unknown_up_to || version == 0
-    }
-
-    /// Returns the changes after a version for a VM that has all changes up to it, or a snapshot if
-    /// this replica may lack removals since then.
-    pub fn changes_since(&self, version: u64) -> TableUpdate {
-        let is_snapshot = self.requires_snapshot(version);
-        let rows = self
-            .rows
-            .iter()
-            .filter(
-                |(_, stored)| {
-                    if is_snapshot { stored.value.is_some() } else { stored.version > version }
-                },
-            )
-            .map(|(key, stored)| VersionedRow {
-                key: key.clone(),
-                version: stored.version,
-                value: stored.value.clone(),
-            })
-            .collect();
-        TableUpdate { rows, position: self.position, is_snapshot }
-    }
-
-    /// Returns a tombstone for each row that is absent from a snapshot.
-    fn removed_by_snapshot(&self, update: &TableUpdate) -> Vec<VersionedRow> {
-        let present: crate::hash::Set<&str> = update.rows.iter().map(|row| &*row.key).collect();
-        // A row written after the snapshot was taken is newer than this tombstone and stays.
-        let missing = self
-            .rows
-            .iter()
-            .filter(|(key, stored)| stored.value.is_some() && !present.contains(&***key));
-        missing
-            .map(|(key, _)| VersionedRow {
-                key: key.clone(),
-                version: update.position,
-                value: None,
-            })
-            .collect()
-    }
-
-    /// Stores a row unless it is outdated, and returns whether the replica's contents changed.
-    fn apply_row(&mut self, row: &VersionedRow) -> bool {
-        let stored = self.rows.get(&row.key);
-        if stored.is_some_and(|stored| stored.version >= row.version) {
-            return false;
-        }
-        // The replica has all changes up to its position. A row of an earlier version that it lacks
-        // was therefore removed, and arrives with a delayed update. The removal isn't sent again, so
-        // accepting the row would keep a removed upstream in use.
-        if stored.is_none() && row.value.is_some() && row.version <= self.position {
-            return false;
-        }
-        let was_removed = stored.is_some_and(|stored| stored.value.is_none());
-        let changed = row.value.is_some() || stored.is_some_and(|stored| stored.value.is_some());
-        match (was_removed, row.value.is_none()) {
-            (false, true) => self.tombstone_count += 1,
-            (true, false) => self.tombstone_count -= 1,
-            _ => {}
-        }
-        self.newest_version = self.newest_version.max(row.version);
-        let newer = StoredRow { version: row.version, value: row.value.clone() };
-        self.rows.insert(row.key.clone(), newer);
-        changed
-    }
-
-    /// Drops all tombstones if there are more than [`MAX_TOMBSTONES`].
-    fn drop_tombstones(&mut self) {
-        if self.tombstone_count <= MAX_TOMBSTONES {
-            return;
-        }
-        self.rows.retain(|_, stored| stored.value.is_some());
-        self.tombstone_count = 0;
-        self.removals_unknown_up_to = self.removals_unknown_up_to.max(self.newest_version);
-    }
-}
-
 /// The replicas of all replicated tables.
 #[derive(Debug, Default)]
 pub struct TableReplicas {
@@ -214,6 +90,16 @@
 }
 
 impl TableReplicas {
+    /// Creates empty replicas whose rows a decoder orders across restores of the store.
+    pub fn new(decoder: &Rc<dyn RowDecoder>) -> Self {
+        let new = |table| TableReplica::new(table, Rc::clone(decoder));
+        Self {
+            operators: new(Table::Operators),
+            upstreams: new(Table::Upstreams),
+            quarantine: new(Table::Quarantine),
+        }
+    }
+
     /// Returns the replica of a table.
     pub fn get(&self, table: Table) -> &TableReplica {
         match table {
@@ -238,7 +124,7 @@
     }
 
     /// Returns the newest version of each required replica, in the order of [`Table::REQUIRED`].
-    pub fn newest_version(&self) -> [u64; 2] {
+    pub fn newest_version(&self) -> [StoreVersion; 2] {
         Table::REQUIRED.map(|table| self.get(table).newest_version())
     }
 }
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/replicas/table.rs
@@ -0,0 +1,224 @@
+//! The replica of one table.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use super::restore::{LostWrite, NoDecoder, RowDecoder};
+use super::{Table, TableUpdate, VersionedRow};
+use crate::direct::store_version::StoreVersion;
+use crate::hash::{Map, Set};
+
+/// The most tombstones that a replica keeps; a VM that lacks older removals gets a snapshot.
+const MAX_TOMBSTONES: usize = 4_096;
+
+#[derive(Debug, Clone)]
+pub(super) struct StoredRow {
+    pub(super) version: StoreVersion,
+    /// The row's value, or the last one before its removal.
+    pub(super) value: Option<Arc<[u8]>>,
+    pub(super) is_removed: bool,
+}
+
+impl StoredRow {
+    fn current_value(&self) -> Option<&Arc<[u8]>> {
+        self.value.as_ref().filter(|_| !self.is_removed)
+    }
+}
+
+/// A replica of one table.
+#[derive(Debug)]
+pub struct TableReplica {
+    pub(super) rows: Map<Box<str>, StoredRow>,
+    pub(super) position: StoreVersion,
+    pub(super) newest_version: StoreVersion,
+    tombstone_count: usize,
+    /// The version up to which removals are unknown: their tombstones were dropped, or they precede
+    /// the last snapshot.
+    pub(super) removals_unknown_up_to: StoreVersion,
+    is_complete: bool,
+    pub(super) table: Table,
+    pub(super) decoder: Rc<dyn RowDecoder>,
+    /// The position of the snapshot with which the current era began, until [`Self::settle`].
+    pub(super) unsettled_since: Option<StoreVersion>,
+    /// Rows of that snapshot which this VM knows to have been removed.
+    pub(super) held_back: Vec<VersionedRow>,
+    pub(super) lost_writes: Vec<LostWrite>,
+}
+
+impl Default for TableReplica {
+    fn default() -> Self {
+        Self::new(Table::Operators, Rc::new(NoDecoder))
+    }
+}
+
+impl TableReplica {
+    /// Creates an empty replica of a table whose rows a decoder orders across restores of the store.
+    pub fn new(table: Table, decoder: Rc<dyn RowDecoder>) -> Self {
+        Self {
+            rows: Map::default(),
+            position: StoreVersion::default(),
+            newest_version: StoreVersion::default(),
+            tombstone_count: 0,
+            removals_unknown_up_to: StoreVersion::default(),
+            is_complete: false,
+            table,
+            decoder,
+            unsettled_since: None,
+            held_back: Vec::new(),
+            lost_writes: Vec::new(),
+        }
+    }
+
+    /// Returns whether the replica has ever received a snapshot.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Returns the store version up to which the replica has all changes.
+    pub fn position(&self) -> StoreVersion {
+        self.position
+    }
+
+    /// Returns the store version of the newest change in the replica.
+    pub fn newest_version(&self) -> StoreVersion {
+        self.newest_version
+    }
+
+    /// Merges an update and returns the rows that changed the replica's contents.
+    ///
+    /// Changes of another era are ignored: within their era they follow on rows that this replica
+    /// doesn't have.
+    pub fn merge(&mut self, update: TableUpdate) -> Vec<VersionedRow> {
+        if self.is_complete && update.position.era() != self.position.era() {
+            let begins_era = update.is_snapshot && update.position > self.position;
+            return if begins_era { self.begin_era(update) } else { Vec::new() };
+        }
+        let mut changes = Vec::new();
+        if update.is_snapshot {
+            changes.extend(self.removed_by_snapshot(&update));
+        }
+        changes.extend(update.rows);
+        changes.retain(|row| self.apply_row(row));
+        self.position = self.position.max(update.position);
+        if update.is_snapshot {
+            // A snapshot doesn't list earlier removals, so an incremental update from this replica
+            // can't either: a VM that still has a removed row would keep it.
+            self.removals_unknown_up_to = self.removals_unknown_up_to.max(update.position);
+            self.is_complete = true;
+        }
+        self.drop_tombstones();
+        changes
+    }
+
+    /// Returns whether a VM that has all changes up to a version must be sent a snapshot.
+    pub fn requires_snapshot(&self, version: StoreVersion) -> bool {
+        version < self.removals_unknown_up_to || version == StoreVersion::default()
+    }
+
+    /// Returns the changes after a version for a VM that has all changes up to it, or a snapshot if
+    /// this replica may lack removals since then.
+    pub fn changes_since(&self, version: StoreVersion) -> TableUpdate {
+        let is_snapshot = self.requires_snapshot(version);
+        let rows = self.rows.iter().filter(|(_, stored)| {
+            if is_snapshot {
+                // A row of an earlier era isn't the store's; each VM keeps its own for a while.
+                !stored.is_removed && stored.version.era() == self.position.era()
+            } else {
+                stored.version > version
+            }
+        });
+        let rows = rows.map(|(key, stored)| VersionedRow {
+            key: key.clone(),
+            version: stored.version,
+            value: stored.current_value().cloned(),
+        });
+        let mut rows: Vec<_> = rows.collect();
+        if is_snapshot {
+            // The store has these rows; the receiver may know nothing that speaks against them.
+            rows.extend(self.held_back.iter().filter(|row| self.is_held_back(row)).cloned());
+        }
+        TableUpdate { rows, position: self.position, is_snapshot }
+    }
+
+    /// Returns whether a row that was held back has not been written since.
+    pub(super) fn is_held_back(&self, row: &VersionedRow) -> bool {
+        self.rows.get(&row.key).is_some_and(|stored| stored.version < row.version)
+    }
+
+    /// Returns a tombstone for each row that is absent from a snapshot.
+    fn removed_by_snapshot(&self, update: &TableUpdate) -> Vec<VersionedRow> {
+        let present: Set<&str> = update.rows.iter().map(|row| &*row.key).collect();
+        // A row written after the snapshot was taken is newer than this tombstone and stays. So do rows
+        // that this era's store doesn't have: those of an earlier era, until the replica settles, and
+        // those that outlive a restore, which have no counter.
+        let missing = self.rows.iter().filter(|(key, stored)| {
+            !stored.is_removed
+                && stored.version > StoreVersion::new(self.position.era(), 0)
+                && !present.contains(&***key)
+        });
+        missing
+            .map(|(key, _)| VersionedRow {
+                key: key.clone(),
+                version: update.position,
+                value: None,
+            })
+            .collect()
+    }
+
+    /// Stores a row unless it is outdated, and returns whether the replica's contents changed.
+    pub(super) fn apply_row(&mut self, row: &VersionedRow) -> bool {
+        let stored = self.rows.get(&row.key);
+        if stored.is_some_and(|stored| !self.is_newer(row, stored)) {
+            return false;
+        }
+        // The replica has all changes up to its position. A row of an earlier version that it lacks, or
+        // has of an earlier era only, was therefore removed, and arrives with a delayed update. The
+        // removal isn't sent again, so accepting the row would keep a removed upstream in use.
+        let has_none = stored.is_none_or(|stored| stored.version.era() < self.position.era());
+        if has_none && row.value.is_some() && row.version <= self.position {
+            return false;
+        }
+        self.store_row(row)
+    }
+
+    /// Stores a row, and returns whether the replica's contents changed.
+    pub(super) fn store_row(&mut self, row: &VersionedRow) -> bool {
+        let stored = self.rows.get(&row.key);
+        let was_removed = stored.is_some_and(|stored| stored.is_removed);
+        let changed = row.value.is_some() || stored.is_some_and(|stored| !stored.is_removed);
+        let last_value = stored.and_then(|stored| stored.value.clone());
+        match (was_removed, row.value.is_none()) {
+            (false, true) => self.tombstone_count += 1,
+            (true, false) => self.tombstone_count -= 1,
+            _ => {}
+        }
+        self.newest_version = self.newest_version.max(row.version);
+        let newer = StoredRow {
+            version: row.version,
+            value: row.value.clone().or(last_value),
+            is_removed: row.value.is_none(),
+        };
+        self.rows.insert(row.key.clone(), newer);
+        changed
+    }
+
+    /// Returns whether a row is newer than the stored one. Of one version there may be two values after
+    /// a restore, as VMs knew different newest ones.
+    fn is_newer(&self, row: &VersionedRow, stored: &StoredRow) -> bool {
+        if stored.version != row.version {
+            return stored.version < row.version;
+        }
+        let values = stored.current_value().zip(row.value.as_ref());
+        values.is_some_and(|(stored, offered)| self.is_outdated(&row.key, stored, offered))
+    }
+
+    /// Drops all tombstones if there are more than [`MAX_TOMBSTONES`].
+    fn drop_tombstones(&mut self) {
+        if self.tombstone_count <= MAX_TOMBSTONES {
+            return;
+        }
+        self.rows.retain(|_, stored| !stored.is_removed);
+        self.tombstone_count = 0;
+        self.removals_unknown_up_to = self.removals_unknown_up_to.max(self.newest_version);
+    }
+}
--- a/crates/sedgepath-core/src/direct/reports.rs
+++ b/crates/sedgepath-core/src/direct/reports.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::store_version::StoreVersion;
 use super::upstreams::IncarnationKey;
 use crate::hash::Digest;
 
@@ -75,7 +76,7 @@
     /// Whether the receiver relays news within its failure domain.
     pub relay: bool,
     /// The newest store version in the sender's replica of the quarantine table.
-    pub quarantine_version: u64,
+    pub quarantine_version: StoreVersion,
     /// The reports.
     pub reports: Vec<Report>,
 }
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -125,6 +125,18 @@
         }
     }
 
+    /// Returns whether this entry, read from a restored store, precedes a known one of the same name or is
+    /// the same one. Unlike in a later read, more cold time doesn't tell of a restart: the
+    /// copy holds what was written earlier.
+    pub fn precedes_in_copy(&self, known: &Self) -> bool {
+        match (self.started_at_ms, known.started_at_ms) {
+            (Some(own_start_ms), Some(known_start_ms)) if own_start_ms != known_start_ms => {
+                own_start_ms < known_start_ms
+            }
+            _ => self.sequence <= known.sequence,
+        }
+    }
+
     /// Returns whether this entry belongs to the same incarnation as `other` and is not older.
     fn continues_incarnation(&self, other: &Self) -> bool {
         self.address == other.address
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -23,6 +23,7 @@
 use self::known_vms::{KnownVms, Locality};
 use self::remote_domains::{RemoteDomains, SummaryChange};
 use super::status::{OtherVmStatus, ReportedReach};
+use super::store_version::StoreVersion;
 use crate::hash::Map;
 use crate::key::VmKey;
 
@@ -82,7 +83,7 @@
     }
 
     /// Sets the versions of this VM's replicas and its view of the store.
-    pub fn set_replica_state(&mut self, newest_version: [u64; 2], store: StoreHealth) {
+    pub fn set_replica_state(&mut self, newest_version: [StoreVersion; 2], store: StoreHealth) {
         self.own.state.newest_version = newest_version;
         self.own.state.store_health = store;
     }
--- a/crates/sedgepath-core/src/direct/vms/heartbeat.rs
+++ b/crates/sedgepath-core/src/direct/vms/heartbeat.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::HybridTimestamp;
+use crate::direct::store_version::StoreVersion;
 use crate::hash::Digest;
 use crate::key::VmKey;
 
@@ -146,7 +147,7 @@
     pub load: ReportedLoad,
     /// The newest store version in each of the VM's table replicas, in the order of
     /// [`Table::REQUIRED`](crate::direct::replicas::Table::REQUIRED).
-    pub newest_version: [u64; 2],
+    pub newest_version: [StoreVersion; 2],
     /// The VM's view of the store.
     pub store_health: StoreHealth,
 }
@@ -172,7 +173,7 @@
             ready: false,
             leaving: false,
             load: ReportedLoad::default(),
-            newest_version: [0; 2],
+            newest_version: [StoreVersion::default(); 2],
             store_health: StoreHealth::Unknown,
         };
         Self { descriptor, state, known_addresses: Vec::new() }
--- a/crates/sedgepath-core/src/direct/vms/report_messages.rs
+++ b/crates/sedgepath-core/src/direct/vms/report_messages.rs
@@ -7,6 +7,7 @@
 use super::VmTable;
 use super::gossip::{OutgoingMessage, PeerMessage};
 use crate::direct::reports::{DueReports, Reports};
+use crate::direct::store_version::StoreVersion;
 
 /// The number of VMs of each other failure domain that get a report.
 const REPORT_RECEIVERS_PER_DOMAIN: usize = 2;
@@ -17,7 +18,7 @@
     pub fn report_messages(
         &self,
         due: DueReports,
-        quarantine_version: u64,
+        quarantine_version: StoreVersion,
         rng: &mut Rng,
     ) -> Vec<OutgoingMessage> {
         let message =
@@ -38,7 +39,7 @@
     /// VM's failure domain and one of another.
     pub fn quarantine_announcement(
         &self,
-        quarantine_version: u64,
+        quarantine_version: StoreVersion,
         rng: &mut Rng,
     ) -> OutgoingMessage {
         let message = PeerMessage::Reports(Reports { quarantine_version, ..Reports::default() });
--- a/crates/sedgepath-core/src/direct/vms/summary.rs
+++ b/crates/sedgepath-core/src/direct/vms/summary.rs
@@ -6,6 +6,7 @@
 
 use super::heartbeat::{StoreHealth, VmDescriptor};
 use crate::clock::HybridTimestamp;
+use crate::direct::store_version::StoreVersion;
 use crate::hash::Digest;
 
 /// The most VMs in a summary, so that it fits in a datagram.
@@ -47,7 +48,7 @@
     pub members: Vec<DomainMember>,
     /// The newest store version in each of the sender's table replicas, in the order of
     /// [`Table::REQUIRED`](crate::direct::replicas::Table::REQUIRED).
-    pub changed_at: [u64; 2],
+    pub changed_at: [StoreVersion; 2],
     /// The combined view of the store of the domain's VMs.
     pub store_health: StoreHealth,
     /// VMs of the receiver's failure domain that the sender knows, so that its VMs find each other
--- a/crates/sedgepath-core/tests/direct_copies.rs
+++ b/crates/sedgepath-core/tests/direct_copies.rs
@@ -4,18 +4,24 @@
 
 use proptest::prelude::*;
 use sedgepath_core::direct::replicas::{TableReplica, TableUpdate, VersionedRow};
+use sedgepath_core::direct::store_version::StoreVersion;
+
+/// Returns a version of a store that was never restored.
+fn at(counter: u64) -> StoreVersion {
+    StoreVersion::new(0, counter)
+}
 
 fn row(key: &str, version: u64, value: Option<&str>) -> VersionedRow {
     let value = value.map(|value| Arc::from(value.as_bytes()));
-    VersionedRow { key: key.into(), version, value }
+    VersionedRow { key: key.into(), version: at(version), value }
 }
 
 fn changes(position: u64, rows: Vec<VersionedRow>) -> TableUpdate {
-    TableUpdate { rows, position, is_snapshot: false }
+    TableUpdate { rows, position: at(position), is_snapshot: false }
 }
 
 fn snapshot(position: u64, rows: Vec<VersionedRow>) -> TableUpdate {
-    TableUpdate { rows, position, is_snapshot: true }
+    TableUpdate { rows, position: at(position), is_snapshot: true }
 }
 
 /// Guards against an older replica restoring the entry of a removed upstream.
@@ -24,11 +30,11 @@
     let mut ahead = TableReplica::default();
     ahead.merge(snapshot(5, vec![row("b1", 3, Some("ready")), row("b2", 4, Some("ready"))]));
     let mut behind = TableReplica::default();
-    behind.merge(ahead.changes_since(0));
+    behind.merge(ahead.changes_since(at(0)));
     ahead.merge(changes(9, vec![row("b1", 9, None)]));
 
     assert_eq!(
-        ahead.merge(behind.changes_since(0)),
+        ahead.merge(behind.changes_since(at(0))),
         vec![],
         "the older replica changed the newer one"
     );
@@ -57,7 +63,7 @@
     replica.merge(changes(9, vec![row("b1", 9, Some("ready"))]));
 
     assert_eq!(replica.merge(snapshot(7, vec![])), vec![]);
-    assert_eq!(replica.changes_since(8).rows, vec![row("b1", 9, Some("ready"))]);
+    assert_eq!(replica.changes_since(at(8)).rows, vec![row("b1", 9, Some("ready"))]);
 }
 
 /// Guards against a delayed older snapshot restoring a removed upstream, whose removal isn't sent
@@ -71,7 +77,7 @@
 
     assert_eq!(replica.merge(snapshot(8, older)), vec![]);
     assert_eq!(replica.merge(changes(9, vec![row("b3", 7, Some("ready"))])), vec![]);
-    assert_eq!(replica.changes_since(0).rows, vec![row("b2", 4, Some("ready"))]);
+    assert_eq!(replica.changes_since(at(0)).rows, vec![row("b2", 4, Some("ready"))]);
 }
 
 /// Guards against an incremental update that lacks a removal, because its sender's replica was
@@ -96,12 +102,12 @@
     replica.merge(snapshot(5, vec![row("b1", 3, Some("ready")), row("b2", 4, Some("ready"))]));
     replica.merge(changes(8, vec![row("b3", 8, Some("ready"))]));
 
-    assert!(replica.changes_since(4).is_snapshot, "removals up to version 5 are unknown");
-    let update = replica.changes_since(5);
+    assert!(replica.changes_since(at(4)).is_snapshot, "removals up to version 5 are unknown");
+    let update = replica.changes_since(at(5));
 
     assert!(!update.is_snapshot);
     assert_eq!(update.rows, vec![row("b3", 8, Some("ready"))]);
-    assert_eq!((replica.newest_version(), replica.position()), (8, 8));
+    assert_eq!((replica.newest_version(), replica.position()), (at(8), at(8)));
 }
 
 /// An event that affects the replicas of one table.
@@ -157,7 +163,7 @@
 
     fn changes_after(&self, position: u64) -> TableUpdate {
         let mut last = std::collections::BTreeMap::new();
-        for row in self.rows.iter().filter(|row| row.version > position) {
+        for row in self.rows.iter().filter(|row| row.version.counter() > position) {
             last.insert(row.key.clone(), row.clone());
         }
         changes(self.rows.len() as u64, last.into_values().collect())
@@ -165,7 +171,7 @@
 
     fn rows_at(&self, position: u64) -> Vec<VersionedRow> {
         let mut last = std::collections::BTreeMap::new();
-        for row in self.rows.iter().filter(|row| row.version <= position) {
+        for row in self.rows.iter().filter(|row| row.version.counter() <= position) {
             last.insert(row.key.clone(), row.clone());
         }
         last.into_values().filter(|row| row.value.is_some()).collect()
@@ -173,7 +179,7 @@
 }
 
 fn sorted_rows(replica: &TableReplica) -> Vec<VersionedRow> {
-    let mut rows = replica.changes_since(0).rows;
+    let mut rows = replica.changes_since(at(0)).rows;
     rows.sort_unstable_by(|one, other| one.key.cmp(&other.key));
     rows
 }
@@ -201,7 +207,7 @@
                     let update = if in_full || !replicas[vm].is_complete() {
                         snapshot(newest, history.rows_at(newest))
                     } else {
-                        history.changes_after(replicas[vm].position())
+                        history.changes_after(replicas[vm].position().counter())
                     };
                     in_transit.push((vm, update));
                 }
@@ -221,12 +227,12 @@
                 ReplicaEvent::RestartFromVm(vm, from) if vm != from => {
                     in_transit.retain(|(requester, _)| *requester != vm);
                     replicas[vm] = TableReplica::default();
-                    let update = replicas[from].changes_since(0);
+                    let update = replicas[from].changes_since(at(0));
                     replicas[vm].merge(update);
                 }
                 ReplicaEvent::ReadFromStore(vm) if replicas[vm].is_complete() => {
                     let position = replicas[vm].position();
-                    replicas[vm].merge(history.changes_after(position));
+                    replicas[vm].merge(history.changes_after(position.counter()));
                 }
                 ReplicaEvent::ReadFromVm(vm, from) if replicas[from].is_complete() => {
                     let position = replicas[vm].position();
@@ -236,7 +242,7 @@
                 _ => {}
             }
             for replica in replicas.iter().filter(|replica| replica.is_complete()) {
-                prop_assert_eq!(sorted_rows(replica), history.rows_at(replica.position()));
+                prop_assert_eq!(sorted_rows(replica), history.rows_at(replica.position().counter()));
             }
         }
     }
@@ -269,11 +275,11 @@
             let row = index.get(&rows).clone();
             out_of_order.merge(changes(0, vec![row]));
         }
-        out_of_order.merge(in_order.changes_since(0));
+        out_of_order.merge(in_order.changes_since(at(0)));
         out_of_order.merge(changes(0, rows));
 
         let sorted = |replica: &TableReplica| {
-            let mut rows = replica.changes_since(0).rows;
+            let mut rows = replica.changes_since(at(0)).rows;
             rows.sort_unstable_by(|one, other| one.key.cmp(&other.key));
             rows
         };
--- a/crates/sedgepath-core/tests/direct_crashes.rs
+++ b/crates/sedgepath-core/tests/direct_crashes.rs
@@ -11,6 +11,7 @@
 };
 use sedgepath_core::direct::fingerprint::{RequestFingerprints, RequestIdentity};
 use sedgepath_core::direct::reports::ReportQueue;
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::upstreams::IncarnationKey;
 use sedgepath_core::hash::Digest;
 use sedgepath_core::key::VmKey;
@@ -61,11 +62,16 @@
     ledger
 }
 
+/// Returns a version of a store that was never restored.
+fn at(counter: u64) -> StoreVersion {
+    StoreVersion::new(0, counter)
+}
+
 /// Applies the writes that are due, as if the store had accepted them.
 fn apply_due_writes(ledger: &mut CrashLedger, version: u64, now_ms: u64) -> usize {
     let writes = ledger.take_due_writes(clocks(now_ms));
     for write in &writes {
-        ledger.apply_quarantine_row(write.fingerprint, version, write.row, clocks(now_ms));
+        ledger.apply_quarantine_row(write.fingerprint, at(version), write.row, clocks(now_ms));
     }
     writes.len()
 }
@@ -206,7 +212,7 @@
             for write in claim {
                 ledger.apply_quarantine_row(
                     write.fingerprint,
-                    1 + probes,
+                    at(1 + probes),
                     write.row,
                     clocks(now_ms),
                 );
@@ -231,11 +237,11 @@
     let fatal = fingerprints("/reads/fatal");
     let row = QuarantineRow { probes: 9, probe_at_unix_ms: 0, until_unix_ms: 1_005_000 };
     let mut ledger = ledger();
-    ledger.apply_quarantine_row(fatal.of_caller, 1, Some(row), clocks(0));
+    ledger.apply_quarantine_row(fatal.of_caller, at(1), Some(row), clocks(0));
     assert_eq!(ledger.verdict(&fatal, 1_000), Verdict::Quarantined { retry_after_ms: 4_000 });
     assert_eq!(ledger.verdict(&fatal, 5_000), Verdict::Allowed);
     let writes = ledger.take_due_writes(clocks(100_000));
-    assert_eq!((writes.len(), writes[0].expected, writes[0].row), (1, Some(1), None));
+    assert_eq!((writes.len(), writes[0].expected, writes[0].row), (1, Some(at(1)), None));
     assert_eq!(ledger.verdict(&fatal, 100_000), Verdict::Allowed);
 }
 
@@ -344,3 +350,34 @@
     let bytes_per_vm = bytes / net.count() as u64;
     assert!(bytes_per_vm < MAX_CONTROL_BYTES_PER_S, "{bytes_per_vm} bytes a VM in a second");
 }
+
+/// Guards against a quarantine that is lost, or a removed one that is back, once the store was restored
+/// from a copy, and against VMs that all write it again at the same moment.
+#[test]
+fn a_lost_quarantine_is_written_again() {
+    let fatal = fingerprints("/reads/fatal").of_caller;
+    let row = QuarantineRow { probes: 1, probe_at_unix_ms: 0, until_unix_ms: 9_000_000 };
+    let restored_version = StoreVersion::new(1, 7);
+    let mut first_writes_at_ms = Vec::new();
+    for vm in 0..8 {
+        let mut ledger = CrashLedger::new(VmKey(vm));
+        ledger.apply_quarantine_row(fatal, at(40), Some(row), clocks(0));
+        ledger.repeat_quarantine_write(fatal, Some(row), None, 0);
+        let due_at_ms = (0..10_000).find(|now_ms| {
+            let writes = ledger.take_due_writes(clocks(*now_ms));
+            writes.iter().any(|write| (write.expected, write.row) == (None, Some(row)))
+        });
+        first_writes_at_ms.push(due_at_ms.expect("a write"));
+
+        ledger.apply_quarantine_row(fatal, restored_version, Some(row), clocks(10_000));
+        assert_eq!(ledger.take_due_writes(clocks(20_000)), vec![], "another VM has written it");
+
+        ledger.repeat_quarantine_write(fatal, None, Some(restored_version), 20_000);
+        let removals = ledger.take_due_writes(clocks(23_000));
+        assert_eq!(removals.len(), 1);
+        assert_eq!((removals[0].expected, removals[0].row), (Some(restored_version), None));
+    }
+    first_writes_at_ms.sort_unstable();
+    first_writes_at_ms.dedup();
+    assert!(first_writes_at_ms.len() > 4, "{first_writes_at_ms:?}");
+}
--- a/crates/sedgepath-core/tests/direct_reach.rs
+++ b/crates/sedgepath-core/tests/direct_reach.rs
@@ -12,6 +12,7 @@
 use sedgepath_core::direct::reach::ReachChange;
 use sedgepath_core::direct::routing::RouteKind;
 use sedgepath_core::direct::steering::IncomingRequest;
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::upstreams::UpstreamKey;
 use sedgepath_core::direct::vms::{ReportedLoad, StoreHealth, VmState};
 use sedgepath_test_support::direct::{
@@ -428,7 +429,7 @@
 #[test]
 fn heartbeats_of_this_version_and_of_earlier_ones_can_be_read_by_both() {
     let mut state = heartbeat("a1", "north-a", 1).state;
-    state.newest_version = [700, 800];
+    state.newest_version = [700, 800].map(StoreVersion::from_u64);
     state.store_health = StoreHealth::Reachable { for_ms: 900 };
     for cut_off in [false, true] {
         state.load = ReportedLoad::default().with_percent(37).with_cut_off(cut_off);
--- a/crates/sedgepath-core/tests/direct_sender_limits.rs
+++ b/crates/sedgepath-core/tests/direct_sender_limits.rs
@@ -5,6 +5,7 @@
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::reports::{Report, Reports};
 use sedgepath_core::direct::sender_limits::SenderLimits;
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::upstreams::IncarnationKey;
 use sedgepath_core::hash::Digest;
 use sedgepath_test_support::direct::vm;
@@ -25,7 +26,11 @@
         fingerprint: Digest::of(&[&(number * 1_000 + index).to_le_bytes()]),
         incarnation: IncarnationKey(index),
     };
-    Reports { relay: true, quarantine_version: 0, reports: (0..count).map(crash).collect() }
+    Reports {
+        relay: true,
+        quarantine_version: StoreVersion::default(),
+        reports: (0..count).map(crash).collect(),
+    }
 }
 
 /// Returns the bytes of reports that a VM sends to its failure domain at a time.
--- a/crates/sedgepath-core/tests/fuzz_peer_messages.rs
+++ b/crates/sedgepath-core/tests/fuzz_peer_messages.rs
@@ -13,6 +13,7 @@
 use sedgepath_core::direct::crashes::CrashLedger;
 use sedgepath_core::direct::quotas::{QuotaMessage, Quotas, TokenGrant, TokenRequest};
 use sedgepath_core::direct::reports::{Report, ReportQueue, Reports};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::upstreams::{IncarnationKey, UpstreamTable};
 use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
 use sedgepath_core::direct::vms::{
@@ -41,7 +42,7 @@
         caller_port: 80,
         peer_port: 7_000,
         members: vec![member(4), member(5)],
-        changed_at: [1, 2],
+        changed_at: [1, 2].map(StoreVersion::from_u64),
         store_health: StoreHealth::Reachable { for_ms: 100 },
         receiver_domain_vms: vec![ip(1), ip(2)],
     }
@@ -66,7 +67,7 @@
         ]),
         PeerMessage::Reports(Reports {
             relay: true,
-            quarantine_version: 3,
+            quarantine_version: StoreVersion::from_u64(3),
             reports: vec![
                 Report::Crashed { fingerprint, incarnation: IncarnationKey(1) },
                 Report::Cleared { fingerprint, incarnations: vec![IncarnationKey(1)] },
--- a/crates/sedgepath-test-support/src/vm_network.rs
+++ b/crates/sedgepath-test-support/src/vm_network.rs
@@ -18,6 +18,7 @@
 use sedgepath_core::direct::quotas::{Quotas, Ticket};
 use sedgepath_core::direct::rate_limits::RateLimits;
 use sedgepath_core::direct::reports::{Report, ReportQueue};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::upstreams::IncarnationKey;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, OutgoingMessage, PeerMessage};
 use sedgepath_core::direct::vms::{VmDescriptor, VmHeartbeat, VmTable};
@@ -437,7 +438,9 @@
         }
         let due = reports.take_due(now_ms);
         let next_at_ms = reports.due_at_ms();
-        for OutgoingMessage { message, to } in table.report_messages(due, 0, &mut rng) {
+        for OutgoingMessage { message, to } in
+            table.report_messages(due, StoreVersion::default(), &mut rng)
+        {
             for to in to {
                 self.send(vm, to, message.clone());
             }
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -48,6 +48,7 @@
 pub mod request_run;
 pub mod response_body;
 pub mod responses;
+pub mod restored_store;
 pub mod run;
 pub mod shared;
 pub mod statements;
--- a/crates/sedgepathd/src/direct/discovery.rs
+++ b/crates/sedgepathd/src/direct/discovery.rs
@@ -40,24 +40,42 @@
         shared.discovery_attempted.set(true);
         let Err(error) = result else { break };
         log::info!("event=vms_not_found error={:?}", error.to_string());
-        let jitter_ms = fastrand::u64(0..backoff_ms);
-        tokio::time::sleep(Duration::from_millis(backoff_ms + jitter_ms)).await;
-        backoff_ms = (backoff_ms * 2).min(MAX_DISCOVERY_BACKOFF_MS);
+        backoff_ms = pause(backoff_ms).await;
     }
     gossip::send_periodic_messages(&shared).await;
     fetch::fetch_initial_tables(&shared).await;
 }
 
+/// Writes this VM's row again, with retries until the store responds.
+pub async fn publish_row_with_retries(shared: &SharedState) {
+    let mut backoff_ms = INITIAL_DISCOVERY_BACKOFF_MS;
+    while let Err(error) = publish_row(shared).await {
+        log::info!("event=own_row_not_written error={:?}", error.to_string());
+        backoff_ms = pause(backoff_ms).await;
+    }
+}
+
+/// Pauses after a failure and returns the backoff of the next one.
+async fn pause(backoff_ms: u64) -> u64 {
+    let jitter_ms = fastrand::u64(0..backoff_ms);
+    tokio::time::sleep(Duration::from_millis(backoff_ms + jitter_ms)).await;
+    (backoff_ms * 2).min(MAX_DISCOVERY_BACKOFF_MS)
+}
+
 /// Writes this VM's row and then reads all rows: of two VMs that start together, at least one finds
 /// the other.
 async fn publish_and_read_rows(shared: &SharedState) -> Result<TableUpdate, StoreError> {
+    publish_row(shared).await?;
+    shared.store.read_table(VM_TABLE).await
+}
+
+async fn publish_row(shared: &SharedState) -> Result<(), StoreError> {
     let own_row = VmRow {
         address: SocketAddr::new(shared.settings.ip, shared.settings.peer_ports.0),
         domain: shared.settings.domain.clone(),
         region: shared.settings.region.clone(),
     };
-    shared.store.put(VM_TABLE, &shared.settings.vm_name, &serde_json::to_vec(&own_row)?).await?;
-    shared.store.read_table(VM_TABLE).await
+    shared.store.put(VM_TABLE, &shared.settings.vm_name, &serde_json::to_vec(&own_row)?).await
 }
 
 fn add_discovered_vms(shared: &SharedState, update: &TableUpdate) {
--- a/crates/sedgepathd/src/direct/fetch.rs
+++ b/crates/sedgepathd/src/direct/fetch.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, StatusCode, client};
 use hyper_util::rt::TokioIo;
 use sedgepath_core::direct::replicas::{Table, TableUpdate};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_wire::peer_seal::SealError;
 use sedgepath_wire::tcp;
 use tokio::time::timeout;
@@ -55,7 +56,7 @@
 /// of each table.
 pub fn fetch_missing_rows(
     shared: &Rc<SharedState>,
-    newest_versions: [u64; 2],
+    newest_versions: [StoreVersion; 2],
     address: SocketAddr,
 ) {
     for (table, peer_version) in Table::REQUIRED.into_iter().zip(newest_versions) {
@@ -68,7 +69,7 @@
 pub fn fetch_newer_rows(
     shared: &Rc<SharedState>,
     table: Table,
-    peer_version: u64,
+    peer_version: StoreVersion,
     address: SocketAddr,
 ) {
     let own_version = shared.replicas.borrow().get(table).newest_version();
@@ -106,7 +107,7 @@
 async fn fetch_missing_tables(shared: &Rc<SharedState>, address: SocketAddr) {
     for table in Table::ALL {
         if !shared.replicas.borrow().get(table).is_complete() && try_begin_fetch(shared, table) {
-            fetch_table(shared, table, u64::MAX, address).await;
+            fetch_table(shared, table, StoreVersion::from_u64(u64::MAX), address).await;
             shared.last_fetch_at_ms.borrow_mut().remove(&table);
         }
     }
@@ -127,7 +128,12 @@
     allowed
 }
 
-async fn fetch_table(shared: &SharedState, table: Table, peer_version: u64, address: SocketAddr) {
+async fn fetch_table(
+    shared: &Rc<SharedState>,
+    table: Table,
+    peer_version: StoreVersion,
+    address: SocketAddr,
+) {
     if shared.store_call_state.get().is_reachable() {
         tokio::time::sleep(Duration::from_millis(FETCH_DELAY_MS)).await;
     }
@@ -182,7 +188,7 @@
 async fn request_rows(
     shared: &SharedState,
     table: Table,
-    after: u64,
+    after: StoreVersion,
     address: SocketAddr,
 ) -> Result<TableUpdate, FetchError> {
     let started_at_ms = clock::now_ms();
@@ -191,7 +197,7 @@
     // A connection error is returned by `send_request` or by the body.
     tokio::task::spawn_local(async move { drop(task.await) });
     let mut request = Request::new(Empty::<Bytes>::new());
-    let path = format!("/copies/{}/{after}", table.name());
+    let path = format!("/copies/{}/{}", table.name(), after.to_u64());
     let exchange = RowsExchange::new(&path);
     exchange.prove_request(shared, request.headers_mut());
     if let Ok(uri) = path.parse() {
--- a/crates/sedgepathd/src/direct/gossip.rs
+++ b/crates/sedgepathd/src/direct/gossip.rs
@@ -8,6 +8,7 @@
 use sedgepath_core::clock::HybridTimestamp;
 use sedgepath_core::direct::replicas::Table;
 use sedgepath_core::direct::reports::{DueReports, Reports};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, OutgoingMessage, PeerMessage};
 use sedgepath_core::direct::vms::{RelayedSummary, VmHeartbeat};
 use sedgepath_wire::peer_seal::SEAL_BYTES;
@@ -64,7 +65,7 @@
 /// Tells some VMs the version of this VM's replica of the quarantine, if there ever was one.
 async fn announce_quarantine(shared: &SharedState) {
     let version = quarantine_version(shared);
-    if version > 0 {
+    if version > StoreVersion::default() {
         let mut rng = fastrand::Rng::new();
         let message = shared.steering.borrow().vms().quarantine_announcement(version, &mut rng);
         send_messages(shared, vec![message]).await;
@@ -83,7 +84,7 @@
     send_messages(shared, messages).await;
 }
 
-fn quarantine_version(shared: &SharedState) -> u64 {
+fn quarantine_version(shared: &SharedState) -> StoreVersion {
     shared.replicas.borrow().get(Table::Quarantine).newest_version()
 }
 
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -28,7 +28,7 @@
 use super::shared::{SharedState, StopPhase, vm_resources};
 use super::{
     clock, control_server, discovery, entry_queries, forwarding, gossip, ingress, logging, metrics,
-    peer_authentication, quarantine, reach_checks, store_feed, table_server,
+    peer_authentication, quarantine, reach_checks, restored_store, store_feed, table_server,
 };
 
 /// The interval of heartbeats while there are few VMs, in milliseconds.
@@ -143,6 +143,8 @@
     for table in Table::ALL {
         spawn_local(store_feed::follow_table(Rc::clone(&shared), table));
     }
+    spawn_local(restored_store::settle_replicas(Rc::clone(&shared)));
+    spawn_local(restored_store::keep_own_row(Rc::clone(&shared)));
     spawn_local(discovery::discover_vms(Rc::clone(&shared)));
     spawn_local(peer_authentication::follow_keys(Rc::clone(&shared)));
     spawn_local(gossip::receive(Rc::clone(&shared)));
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use sedgepath_adapter::rows::PlatformRowDecoder;
 use sedgepath_adapter::settings::Settings;
 use sedgepath_adapter::store::HttpStore;
 use sedgepath_core::direct::Steering;
-use sedgepath_core::direct::replicas::{Table, TableReplicas};
+use sedgepath_core::direct::replicas::{RowDecoder, Table, TableReplicas};
 use sedgepath_core::direct::upstreams::UpstreamKey;
 use sedgepath_core::direct::vms::StoreHealth;
 use sedgepath_core::direct::vms::naming::{LoadMeter, VmResources};
@@ -35,6 +36,10 @@
     pub replicas: RefCell<TableReplicas>,
     /// The client of the store.
     pub store: HttpStore,
+    /// When replicas settle after a restore of the store, in milliseconds.
+    pub settles_at_ms: RefCell<Map<Table, u64>>,
+    /// Wakes the tasks that follow a restore of the store.
+    pub store_restored: tokio::sync::Notify,
     /// The result of this VM's own calls of the store.
     pub store_call_state: Cell<StoreCallState>,
     /// The socket for datagrams between VMs.
@@ -142,7 +147,9 @@
             log_clock,
             metrics,
             store: HttpStore::new(settings.store.address),
-            replicas: RefCell::default(),
+            replicas: RefCell::new(new_replicas()),
+            settles_at_ms: RefCell::default(),
+            store_restored: tokio::sync::Notify::new(),
             store_call_state: Cell::default(),
             peer_socket,
             peer_seal: RefCell::new(peer_seal),
@@ -169,6 +176,11 @@
     }
 }
 
+fn new_replicas() -> TableReplicas {
+    let decoder: Rc<dyn RowDecoder> = Rc::new(PlatformRowDecoder);
+    TableReplicas::new(&decoder)
+}
+
 /// Returns the resources of this VM; values that can't be are replaced by small ones.
 pub fn vm_resources(settings: &Settings) -> VmResources {
     let limits = settings.resource_limits;
--- a/crates/sedgepathd/src/direct/store_feed.rs
+++ b/crates/sedgepathd/src/direct/store_feed.rs
@@ -8,11 +8,12 @@
 use sedgepath_adapter::store::StoreError;
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::replicas::{Table, TableUpdate, VersionedRow};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::upstreams::EntryChange;
 use sedgepath_core::direct::vms::StoreHealth;
 
 use super::shared::{SharedState, StoreCallState};
-use super::{clock, gossip, quarantine};
+use super::{clock, gossip, quarantine, restored_store};
 
 /// How long the store may hold a call open until something changes, in milliseconds. With the
 /// call's timeout it bounds how long a dead connection stays unnoticed: another VM must take over
@@ -51,7 +52,8 @@
 
 /// Follows a table, while this VM is one of the store's readers, until the process ends.
 pub async fn follow_table(shared: Rc<SharedState>, table: Table) {
-    let mut history_lost = false;
+    let mut read_whole = false;
+    let mut history_losses = 0;
     let mut failures = 0;
     let start = ReaderStart { at_ms: clock::now_ms(), random_draw: fastrand::f64() };
     loop {
@@ -69,9 +71,11 @@
             continue;
         }
         let started_at_ms = clock::now_ms();
-        match read_store(&shared, table, history_lost).await {
+        match read_store(&shared, table, read_whole).await {
             Ok(update) => {
-                history_lost = false;
+                if !std::mem::take(&mut read_whole) {
+                    history_losses = 0;
+                }
                 failures = 0;
                 record_store_success(&shared, table, started_at_ms);
                 if apply_update(&shared, table, update) {
@@ -79,9 +83,20 @@
                     tokio::time::sleep(Duration::from_millis(BATCH_DELAY_MS)).await;
                 }
             }
-            Err(StoreError::HistoryUnavailable) => {
-                log::info!("event=store_history_lost table={}", table.name());
-                history_lost = true;
+            Err(error @ (StoreError::HistoryUnavailable | StoreError::Restored)) => {
+                let (name, era) = (table.name(), shared.store.era());
+                log::info!(
+                    "event=store_history_lost table={name} era={era} error={:?}",
+                    error.to_string()
+                );
+                // The first whole read is made at once. If there is no history after that either, the
+                // next ones wait, as after failures.
+                if history_losses > 0 {
+                    let pause_ms = pause_after_failure_ms(&shared, table, history_losses, 0);
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                }
+                history_losses += 1;
+                read_whole = true;
             }
             Err(error) => {
                 if record_store_failure(&shared, table, &error) {
@@ -134,7 +149,7 @@
 async fn read_store(
     shared: &SharedState,
     table: Table,
-    history_lost: bool,
+    read_whole: bool,
 ) -> Result<TableUpdate, StoreError> {
     let name = store_table_name(table);
     let (complete, position) = {
@@ -142,7 +157,7 @@
         let replica = replicas.get(table);
         (replica.is_complete(), replica.position())
     };
-    if history_lost || !complete {
+    if read_whole || !complete {
         return shared.store.read_table(name).await;
     }
     // While the store is unreachable, a long poll would delay noticing that it is back.
@@ -185,14 +200,35 @@
 /// Merges rows of the store or of a peer into a replica, applies the changes to the steering state
 /// and returns whether there were any.
 pub fn apply_update(shared: &SharedState, table: Table, update: TableUpdate) -> bool {
-    let changes = shared.replicas.borrow_mut().get_mut(table).merge(update);
+    let (changes, begins_era) = {
+        let mut replicas = shared.replicas.borrow_mut();
+        let replica = replicas.get_mut(table);
+        let earlier_era = replica.is_complete().then(|| replica.position().era());
+        let changes = replica.merge(update);
+        let begins_era = earlier_era.is_some_and(|era| era != replica.position().era());
+        if begins_era && table == Table::Quarantine {
+            // Claims and removals name the rows' versions, all of which have changed.
+            (replica.changes_since(StoreVersion::default()).rows, begins_era)
+        } else {
+            (changes, begins_era)
+        }
+    };
+    let applied_any = apply_changes(shared, table, &changes);
+    if begins_era {
+        restored_store::begin_era(shared, table);
+    }
+    applied_any || begins_era
+}
+
+/// Applies changes of a replica to the steering state and returns whether there are any.
+pub fn apply_changes(shared: &SharedState, table: Table, changes: &[VersionedRow]) -> bool {
     match table {
-        Table::Operators => apply_operator_rows(shared, &changes),
-        Table::Quarantine => quarantine::apply_rows(shared, &changes),
+        Table::Operators => apply_operator_rows(shared, changes),
+        Table::Quarantine => quarantine::apply_rows(shared, changes),
         Table::Upstreams => {
             let now_ms = clock::now_ms();
             let mut steering = shared.steering.borrow_mut();
-            for row in &changes {
+            for row in changes {
                 apply_upstream_row(&mut steering, row, now_ms);
             }
         }
--- a/crates/sedgepathd/src/direct/table_server.rs
+++ b/crates/sedgepathd/src/direct/table_server.rs
@@ -18,6 +18,7 @@
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use sedgepath_core::direct::replicas::{Table, TableReplica, TableReplicas, TableUpdate};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::hash::Map;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -55,7 +56,7 @@
     let mut parts = request.uri().path().trim_start_matches("/copies/").split('/');
     let name = parts.next().unwrap_or("");
     let table = Table::ALL.into_iter().find(|table| table.name() == name);
-    let after = parts.next().and_then(|after| after.parse().ok());
+    let after = parts.next().and_then(|after| after.parse().ok()).map(StoreVersion::from_u64);
     let Some((table, after)) = table.zip(after) else {
         return empty_response(StatusCode::NOT_FOUND);
     };
@@ -88,7 +89,7 @@
 /// Encoded rows of a replica.
 #[derive(Debug, Clone)]
 struct EncodedRows {
-    newest_version: u64,
+    newest_version: StoreVersion,
     bytes: Bytes,
     compressed: bool,
 }
@@ -98,7 +99,7 @@
 struct EncodedBody(Bytes);
 
 impl EncodedRows {
-    fn new(replica: &TableReplica, after: u64) -> Result<Self, RowsError> {
+    fn new(replica: &TableReplica, after: StoreVersion) -> Result<Self, RowsError> {
         let (newest_version, plain) =
             (replica.newest_version(), postcard::to_stdvec(&replica.changes_since(after))?);
         if plain.len() < MIN_COMPRESSED_BYTES {
@@ -129,7 +130,7 @@
 pub struct TableServer {
     snapshot_permits: Arc<Semaphore>,
     /// Encoded rows by table and by the version after which they have changed.
-    encoded: RefCell<Map<(Table, u64), EncodedRows>>,
+    encoded: RefCell<Map<(Table, StoreVersion), EncodedRows>>,
 }
 
 impl Default for TableServer {
@@ -146,7 +147,12 @@
     ///
     /// The status is 404 if this VM's replica is incomplete, and 503 if a snapshot is needed and
     /// the limit of concurrent snapshots is reached.
-    pub fn respond(&self, replicas: &TableReplicas, table: Table, after: u64) -> Response<Body> {
+    pub fn respond(
+        &self,
+        replicas: &TableReplicas,
+        table: Table,
+        after: StoreVersion,
+    ) -> Response<Body> {
         let replica = replicas.get(table);
         if !replica.is_complete() {
             return empty_response(StatusCode::NOT_FOUND);
@@ -172,7 +178,7 @@
         &self,
         replica: &TableReplica,
         table: Table,
-        after: u64,
+        after: StoreVersion,
     ) -> Result<EncodedRows, RowsError> {
         let mut cache = self.encoded.borrow_mut();
         let cached = cache.get(&(table, after));
--- a/crates/sedgepathd/tests/direct_peer_keys.rs
+++ b/crates/sedgepathd/tests/direct_peer_keys.rs
@@ -13,10 +13,11 @@
 use platform::upstream::UpstreamStandIn;
 use platform::{TestCluster, Vm, configure, wait_for};
 use sedgepath_core::direct::reports::{Report, Reports};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
 use sedgepath_core::hash::Digest;
 use sedgepath_test_support::direct::heartbeat;
-use sedgepath_test_support::store::{StoreMode, StoreStandIn};
+use sedgepath_test_support::store::{FIRST_ERA, StoreMode, StoreStandIn};
 use sedgepath_wire::peer_keys::{PEER_KEY_ROW, PeerKeyring, VM_TABLE};
 use sedgepath_wire::peer_seal::{PeerAuthentication, PeerSeal};
 
@@ -89,14 +90,14 @@
         full.descriptor.caller_address = ghost;
         full.descriptor.capacity_per_s = 100_000;
         full.state.boot_at_ms = unix_ms();
-        full.state.newest_version = [1_000; 2];
+        full.state.newest_version = [StoreVersion::new(FIRST_ERA, 1_000); 2];
         let state = full.state;
         let messages = [
             PeerMessage::Heartbeat(Heartbeat::Full(full)),
             PeerMessage::Heartbeat(Heartbeat::StateOnly(state)),
             PeerMessage::Reports(Reports {
                 relay: true,
-                quarantine_version: 1_000,
+                quarantine_version: StoreVersion::new(FIRST_ERA, 1_000),
                 reports: vec![Report::Cleared {
                     fingerprint: Digest::of(&[b"a request"]),
                     incarnations: Vec::new(),
--- a/crates/sedgepathd/tests/platform/slow_peer.rs
+++ b/crates/sedgepathd/tests/platform/slow_peer.rs
@@ -8,13 +8,17 @@
 use std::time::Duration;
 
 use sedgepath_core::direct::replicas::{Table, TableUpdate, VersionedRow};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
 use sedgepath_test_support::direct::heartbeat;
-use sedgepath_test_support::store::StoreStandIn;
+use sedgepath_test_support::store::{FIRST_ERA, StoreStandIn};
 
 /// The number of chunks of a response body.
 const CHUNKS: usize = 10;
 
+/// The version of the rows that the peer announces and sends, above those of the store.
+const VERSION_COUNTER: u64 = 1_000;
+
 /// The pause before each chunk.
 const CHUNK_INTERVAL: Duration = Duration::from_millis(130);
 
@@ -52,7 +56,7 @@
     pub fn announce_rows(&self, vm: SocketAddr) {
         let mut heartbeat = heartbeat("slow", "north-a", 1);
         heartbeat.descriptor.peer_address = self.address;
-        heartbeat.state.newest_version = [1_000; 2];
+        heartbeat.state.newest_version = [StoreVersion::new(FIRST_ERA, VERSION_COUNTER); 2];
         let message = PeerMessage::Heartbeat(Heartbeat::Full(heartbeat));
         let bytes = postcard::to_stdvec(&message).expect("a heartbeat");
         // The VM may not listen yet.
@@ -68,10 +72,11 @@
 fn encoded_update(store: &StoreStandIn, table: &str) -> Vec<u8> {
     let rows = store.rows(table).into_iter().map(|row| VersionedRow {
         key: row.key.into(),
-        version: row.version,
+        version: StoreVersion::new(FIRST_ERA, row.version),
         value: Some(row.value.into()),
     });
-    let update = TableUpdate { rows: rows.collect(), position: 1_000, is_snapshot: true };
+    let position = StoreVersion::new(FIRST_ERA, VERSION_COUNTER);
+    let update = TableUpdate { rows: rows.collect(), position, is_snapshot: true };
     postcard::to_stdvec(&update).expect("the update encodes")
 }
 
--- a/crates/sedgepathd/tests/soak.rs
+++ b/crates/sedgepathd/tests/soak.rs
@@ -21,6 +21,7 @@
 use platform::caller::{Connection, Response};
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{TestCluster, Vm, wait_for};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
 use sedgepath_test_support::direct::heartbeat;
 use sedgepath_test_support::link::{Cut, CuttableLink};
@@ -228,7 +229,7 @@
             full.descriptor.peer_address = self.site.peer_address(number);
             full.state.boot_at_ms = u64::MAX / 2;
             full.state.leaving = true;
-            full.state.newest_version = [u64::MAX / 2; 2];
+            full.state.newest_version = [StoreVersion::from_u64(u64::MAX / 2); 2];
             let message = PeerMessage::Heartbeat(Heartbeat::Full(full));
             let bytes = postcard::to_stdvec(&message).expect("a heartbeat");
             let sealed_with_nothing = [&[0xF5; 10][..], &bytes, &[0; 16]].concat();
--- a/crates/sedgepathd/tests/table_server.rs
+++ b/crates/sedgepathd/tests/table_server.rs
@@ -3,6 +3,7 @@
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use sedgepath_core::direct::replicas::{Table, TableReplicas, TableUpdate, VersionedRow};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepathd::direct::connection_pool::Body;
 use sedgepathd::direct::table_server::{self, TableServer};
 
@@ -16,14 +17,14 @@
     let mut replicas = TableReplicas::default();
     let row = |number: u32| VersionedRow {
         key: format!("u{number}").into(),
-        version: u64::from(number) + 1,
+        version: StoreVersion::new(0, u64::from(number) + 1),
         value: Some(
             format!("{{\"service\":\"shop\",\"slots\":3,\"number\":{number}}}").into_bytes().into(),
         ),
     };
     let update = TableUpdate {
         rows: (0..rows).map(row).collect(),
-        position: u64::from(rows),
+        position: StoreVersion::new(0, u64::from(rows)),
         is_snapshot: true,
     };
     replicas.get_mut(Table::Upstreams).merge(update);
@@ -40,7 +41,7 @@
 #[test]
 fn a_snapshot_is_sent_to_a_limited_number_of_vms_at_a_time() {
     let (replicas, server) = (replicas(3_000), TableServer::default());
-    let request = || server.respond(&replicas, Table::Upstreams, 0);
+    let request = || server.respond(&replicas, Table::Upstreams, StoreVersion::default());
     let mut responses: Vec<_> = (0..MAX_CONCURRENT_SNAPSHOTS).map(|_| request()).collect();
     assert!(responses.iter().all(|response| response.status() == StatusCode::OK));
     assert_eq!(request().status(), StatusCode::SERVICE_UNAVAILABLE);
@@ -58,7 +59,7 @@
 #[test]
 fn a_snapshot_is_compressed_and_arrives_unchanged() {
     let (replicas, server) = (replicas(3_000), TableServer::default());
-    let response = server.respond(&replicas, Table::Upstreams, 0);
+    let response = server.respond(&replicas, Table::Upstreams, StoreVersion::default());
     let headers = response.headers().clone();
     let body = body_bytes(response);
     let update = table_server::decode_rows(&headers, &body).expect("a table");
@@ -74,15 +75,22 @@
 fn changes_are_sent_while_all_snapshot_permits_are_held() {
     let (replicas, server) = (replicas(10), TableServer::default());
     let _responses: Vec<_> = (0..MAX_CONCURRENT_SNAPSHOTS)
-        .map(|_| server.respond(&replicas, Table::Upstreams, 0))
+        .map(|_| server.respond(&replicas, Table::Upstreams, StoreVersion::default()))
         .collect();
-    assert_eq!(server.respond(&replicas, Table::Upstreams, 10).status(), StatusCode::OK);
+    assert_eq!(
+        server.respond(&replicas, Table::Upstreams, StoreVersion::new(0, 10)).status(),
+        StatusCode::OK
+    );
 }
 
 /// Guards against a starting VM that takes an incomplete replica for the whole table.
 #[test]
 fn a_vm_without_the_table_responds_not_found() {
-    let response = TableServer::default().respond(&TableReplicas::default(), Table::Upstreams, 0);
+    let response = TableServer::default().respond(
+        &TableReplicas::default(),
+        Table::Upstreams,
+        StoreVersion::default(),
+    );
     assert_eq!(response.status(), StatusCode::NOT_FOUND);
 }
 
@@ -93,12 +101,13 @@
     let mut replicas = TableReplicas::default();
     let huge = VersionedRow {
         key: "u0".into(),
-        version: 1,
+        version: StoreVersion::new(0, 1),
         value: Some(vec![0; 2 * CONTROL_MEMORY_BYTES].into()),
     };
-    let update = TableUpdate { rows: vec![huge], position: 1, is_snapshot: true };
+    let update =
+        TableUpdate { rows: vec![huge], position: StoreVersion::new(0, 1), is_snapshot: true };
     replicas.get_mut(Table::Upstreams).merge(update);
-    let response = server.respond(&replicas, Table::Upstreams, 0);
+    let response = server.respond(&replicas, Table::Upstreams, StoreVersion::default());
     let headers = response.headers().clone();
     table_server::decode_rows(&headers, &body_bytes(response))
         .expect_err("decoded without a size limit");
