Pause between polls that don't wait while the store's other table fails

After an outage a VM may reach the store for one table while its last call for the other has failed. Polls then don't wait for changes, so as to notice the store's return at once, and each successful one without changes was followed by the next without a pause: 600, 791 and 1,830 calls of four VMs in a second, for up to 0.6 s. Class: a loop whose only pause is in the branches that were thought of. It shows after any outage, not only after a restore. Now such a poll is followed by the shortest pause after a failure. a_restore_costs_few_calls (60 calls a second of four VMs) failed before and passes, three runs of three.

--- a/crates/sedgepathd/src/direct/store_feed.rs
+++ b/crates/sedgepathd/src/direct/store_feed.rs
@@ -81,6 +81,9 @@
                 if apply_update(&shared, table, update) {
                     gossip::announce_changes(&shared).await;
                     tokio::time::sleep(Duration::from_millis(BATCH_DELAY_MS)).await;
+                } else if !shared.store_call_state.get().is_reachable() {
+                    // The poll didn't wait for changes, as calls for another table still fail.
+                    tokio::time::sleep(Duration::from_millis(MIN_RETRY_PAUSE_MS)).await;
                 }
             }
             Err(error @ (StoreError::HistoryUnavailable | StoreError::Restored)) => {
