Write the VMs' keys again that a restored store has lost, and test conditions across restores

A copy from before a key was replaced held the older keys, and VMs took them over as the newest: a VM that starts later would reject messages under the newer key. Now keys older than those in force, read in an era after theirs, change nothing; a VM writes its own again under the condition of the row read, so that one VM does, and reads are spread over 10 s. vms_write_their_rows_and_keys_again fails without the change (the keys were not written in 20 s) and passes. Two tests of the store client: a condition isn't met by a version that was given out twice, and a write whose response tells another era is unknown; a response of an earlier era is not used.

--- a/crates/sedgepath-wire/src/peer_keys.rs
+++ b/crates/sedgepath-wire/src/peer_keys.rs
@@ -94,6 +94,12 @@
         Self::new(stored)
     }
 
+    /// Returns whether these keys, read from a restored store, are older than known ones.
+    pub fn precedes(&self, known: &Self) -> bool {
+        let newest = |keyring: &Self| keyring.keys.last().map(|newest| newest.sign_from_unix_ms);
+        newest(self) < newest(known)
+    }
+
     /// Returns the keys that are accepted, the newest last.
     pub fn keys(&self) -> &[PeerKey] {
         &self.keys
--- a/crates/sedgepathd/src/direct/peer_authentication.rs
+++ b/crates/sedgepathd/src/direct/peer_authentication.rs
@@ -7,8 +7,12 @@
 use hyper::Request;
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use sedgepath_adapter::headers::RequestHeaders;
-use sedgepath_core::direct::replicas::TableUpdate;
+use sedgepath_core::direct::replicas::{Table, TableUpdate};
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::hash::Map;
+use sedgepath_core::table::{
+    RowChange, RowCondition, RowWrite, TableRequest, TableResult, Transaction,
+};
 use sedgepath_wire::peer_keys::{KEY_READ_INTERVAL_MS, PEER_KEY_ROW, PeerKeyring, VM_TABLE};
 use sedgepath_wire::peer_seal::{PeerAuthentication, SealError};
 
@@ -31,6 +35,16 @@
 /// The longest delay before a read, in milliseconds, so that VMs read one after the other.
 const MAX_READ_DELAY_MS: u64 = 2_000;
 
+/// As [`MAX_READ_DELAY_MS`], after a restore of the store, when all VMs read the keys.
+const MAX_READ_DELAY_AFTER_RESTORE_MS: u64 = 10_000;
+
+/// Returns the newest era of the store that this VM knows from it or from other VMs.
+fn known_era(shared: &SharedState) -> u32 {
+    let replicas = shared.replicas.borrow();
+    let eras = Table::ALL.map(|table| replicas.get(table).position().era());
+    eras.into_iter().max().unwrap_or_default()
+}
+
 /// Reads the keys again from time to time, and soon after a message with an unknown one, until the
 /// process ends. Does nothing if messages are not authenticated.
 pub async fn follow_keys(shared: Rc<SharedState>) {
@@ -45,10 +59,13 @@
             continue;
         }
         let met_unknown_key = shared.peer_seal.borrow_mut().take_met_unknown_key();
-        if !met_unknown_key && elapsed_ms < KEY_READ_INTERVAL_MS {
+        let store_restored = known_era(&shared) > shared.peer_keys_era.get();
+        if !met_unknown_key && !store_restored && elapsed_ms < KEY_READ_INTERVAL_MS {
             continue;
         }
-        tokio::time::sleep(Duration::from_millis(fastrand::u64(0..MAX_READ_DELAY_MS))).await;
+        let max_delay_ms =
+            if store_restored { MAX_READ_DELAY_AFTER_RESTORE_MS } else { MAX_READ_DELAY_MS };
+        tokio::time::sleep(Duration::from_millis(fastrand::u64(0..max_delay_ms))).await;
         match shared.store.read_table(VM_TABLE).await {
             Ok(update) => apply_keys(&shared, &update),
             Err(error) => {
@@ -60,26 +77,62 @@
 }
 
 /// Applies the row of keys, of all rows of the table.
-pub fn apply_keys(shared: &SharedState, update: &TableUpdate) {
+///
+/// A store that was restored since the keys in force were read may hold older keys, or none. Then the
+/// keys in force stay, and are written again.
+pub fn apply_keys(shared: &Rc<SharedState>, update: &TableUpdate) {
     let mut seal = shared.peer_seal.borrow_mut();
     if seal.policy() == PeerAuthentication::Off {
         return;
     }
-    let row = update.rows.iter().find(|row| &*row.key == PEER_KEY_ROW);
-    let Some(value) = row.and_then(|row| row.value.as_ref()) else {
+    let row = update.rows.iter().find(|row| &*row.key == PEER_KEY_ROW && row.value.is_some());
+    let read = row.and_then(|row| row.value.as_deref()).map(PeerKeyring::from_row);
+    let keyring = match read {
+        None => PeerKeyring::default(),
+        Some(Ok(keyring)) => keyring,
+        Some(Err(error)) => {
+            // The keys in force stay.
+            log::warn!("event=peer_keys_unreadable error={:?}", error.to_string());
+            return;
+        }
+    };
+    let era = update.position.era();
+    if era > shared.peer_keys_era.get() && keyring.precedes(seal.keyring()) {
+        let (keyring, restored) = (seal.keyring().clone(), row.map(|row| row.version));
+        tokio::task::spawn_local(repeat_write(Rc::clone(shared), keyring, restored));
+        return;
+    }
+    if row.is_none() {
         log::warn!("event=no_peer_keys");
         return;
-    };
-    match PeerKeyring::from_row(value) {
-        Ok(keyring) => {
-            if keyring.ids() != seal.keyring().ids() {
-                log::info!("event=peer_keys accepted={:?}", keyring.ids());
-            }
-            seal.set_keyring(keyring);
-        }
-        // The keys in force stay.
-        Err(error) => log::warn!("event=peer_keys_unreadable error={:?}", error.to_string()),
     }
+    if keyring.ids() != seal.keyring().ids() {
+        log::info!("event=peer_keys accepted={:?}", keyring.ids());
+    }
+    seal.set_keyring(keyring);
+    shared.peer_keys_era.set(era);
+}
+
+/// Writes the keys in force again, unless somebody has written the row since it was read. A failed write
+/// is tried again with the next read.
+async fn repeat_write(
+    shared: Rc<SharedState>,
+    keyring: PeerKeyring,
+    restored: Option<StoreVersion>,
+) {
+    let row = match keyring.to_row() {
+        Ok(row) => row,
+        Err(error) => {
+            log::error!("event=peer_keys_not_written error={:?}", error.to_string());
+            return;
+        }
+    };
+    let condition =
+        restored.map_or(RowCondition::Absent, |version| RowCondition::Version(version.to_u64()));
+    let write = RowWrite { key: PEER_KEY_ROW.into(), condition, change: RowChange::Put(row) };
+    let commit = TableRequest::Commit(Transaction { writes: vec![write] });
+    let written = shared.store.execute(VM_TABLE, &commit).await == TableResult::Committed;
+    log::info!("event=peer_keys_written_again keys={:?} written={written}", keyring.ids());
 }
 
 /// Returns the message of a datagram, or counts why there is none.
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -46,6 +46,8 @@
     pub peer_socket: UdpSocket,
     /// Authenticates messages between VMs.
     pub peer_seal: RefCell<PeerSeal>,
+    /// The store's era in which the keys in force were read.
+    pub peer_keys_era: Cell<u32>,
     /// When rows of a table were last requested from a peer, in milliseconds; removed when the
     /// request ends.
     pub last_fetch_at_ms: RefCell<Map<Table, u64>>,
@@ -153,6 +155,7 @@
             store_call_state: Cell::default(),
             peer_socket,
             peer_seal: RefCell::new(peer_seal),
+            peer_keys_era: Cell::new(0),
             last_fetch_at_ms: RefCell::default(),
             table_server: TableServer::default(),
             discovery_attempted: Cell::default(),
--- a/crates/sedgepathd/tests/direct_restored_store.rs
+++ b/crates/sedgepathd/tests/direct_restored_store.rs
@@ -7,7 +7,9 @@
 use platform::caller::Connection;
 use platform::upstream::UpstreamStandIn;
 use platform::{TestCluster, Vm, caller, configuration, route, wait_for};
-use sedgepath_test_support::store::{StoreCopy, StoreMode, StoreStandIn};
+use sedgepath::operations::peer_keys;
+use sedgepath_test_support::store::{StoreCopy, StoreMode, StoreStandIn, StoredRow};
+use sedgepath_wire::peer_keys::{PEER_KEY_ROW, PeerKeyring, VM_TABLE};
 
 const DOMAINS: [&str; 4] = ["north-a", "north-a", "north-b", "south-a"];
 
@@ -31,7 +33,15 @@
 
 impl Site {
     fn new() -> Self {
+        Self::with_policy("off")
+    }
+
+    /// Starts VMs with a policy of peer authentication.
+    fn with_policy(policy: &str) -> Self {
         let store = StoreStandIn::new().expect("a store");
+        for _ in 0..2 {
+            peer_keys::rotate(store.address).expect("a key");
+        }
         configure(&store, 12, &["reads"]);
         let upstreams: Vec<_> =
             (0..3).map(|number| UpstreamStandIn::new(&format!("u{number}"))).collect();
@@ -39,8 +49,9 @@
             upstream.register(&store, "north-a", "ready", 1);
         }
         let cluster = TestCluster::new(store.address);
+        let numbers = (1..).zip(DOMAINS);
         let vms: Vec<_> =
-            (1..).zip(DOMAINS).map(|(number, domain)| cluster.start(number, domain)).collect();
+            numbers.map(|(number, domain)| cluster.start_unready(number, domain, policy)).collect();
         for vm in &vms {
             wait_for("readiness", || vm.is_ready());
         }
@@ -159,6 +170,27 @@
     }
 }
 
+/// Guards against VMs that start after a restore and find no others, or only older keys of theirs.
+#[test]
+fn vms_write_their_rows_and_keys_again() {
+    let site = Site::with_policy("require");
+    let lost_rows = site.store.rows(VM_TABLE);
+    let other_store = StoreStandIn::new().expect("a store");
+    let empty_copy = other_store.copy();
+    let older = PeerKeyring::default().rotated("older".into(), 0).to_row().expect("a row");
+    other_store.put(VM_TABLE, PEER_KEY_ROW, older.as_bytes());
+    let keys_of = |rows: &[StoredRow]| {
+        rows.iter().find(|row| row.key == PEER_KEY_ROW).map(|row| row.value.clone())
+    };
+    for copy in [empty_copy, other_store.copy()] {
+        site.restore_after_outage(copy);
+        wait_for("the rows", || {
+            let rows = site.store.rows(VM_TABLE);
+            rows.len() == lost_rows.len() && keys_of(&rows) == keys_of(&lost_rows)
+        });
+    }
+}
+
 /// Guards against a restored copy that brings back an older configuration, an upstream that has left, or
 /// one that leaves.
 #[test]
--- a/crates/sedgepathd/tests/store_responses.rs
+++ b/crates/sedgepathd/tests/store_responses.rs
@@ -6,8 +6,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 
-use sedgepath_core::table::{Row, TableRequest, TableResult, TableService, Transaction};
-use sedgepath_test_support::store::BlockingTableClient;
+use sedgepath_core::direct::store_version::StoreVersion;
+use sedgepath_core::table::{
+    Row, RowChange, RowCondition, RowWrite, TableRequest, TableResult, TableService, Transaction,
+};
+use sedgepath_test_support::store::{BlockingTableClient, StoreStandIn};
 
 /// What the test server does with a connection after it has read the request.
 enum ServerStep {
@@ -186,3 +189,64 @@
     }
     server.join().expect("served");
 }
+
+fn write_if(condition: RowCondition, value: &str) -> TableRequest {
+    let change = RowChange::Put(value.into());
+    let write = RowWrite { key: "a".into(), condition, change };
+    TableRequest::Commit(Transaction { writes: vec![write] })
+}
+
+fn only_row(client: &BlockingTableClient) -> Row {
+    match client.execute(&read()) {
+        TableResult::Rows(rows) => rows.into_iter().next().expect("a row"),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a claim that is believed since a restored store has given the row's version again to
+/// another value.
+#[test]
+fn a_condition_is_not_met_by_a_version_that_was_given_out_twice() {
+    let store = StoreStandIn::new().expect("a store");
+    let client = client(store.address);
+    let empty = store.copy();
+    store.put("table", "a", b"before");
+    let before = only_row(&client);
+    store.restore(empty.clone());
+    store.put("table", "a", b"after");
+    let after = only_row(&client);
+    assert!(after.version > before.version, "{} after {}", after.version, before.version);
+
+    let claim = write_if(RowCondition::Version(before.version), "mine");
+    let conflict = TableResult::Conflict { key: "a".into(), current: Some(after.clone()) };
+    assert_eq!(client.execute(&claim), conflict);
+
+    // The client learns of the next restore only with the response.
+    store.restore(empty);
+    store.put("table", "a", b"again");
+    let claim = write_if(RowCondition::Version(after.version), "mine");
+    assert_eq!(client.execute(&claim), TableResult::Unknown);
+    assert!(only_row(&client).version > after.version);
+}
+
+/// Guards against rows of two eras in one snapshot, and against a response from before a restore.
+#[test]
+fn responses_of_an_earlier_era_are_not_used() {
+    let row = r#"{"rows":[{"key":"a","value":"bWluZQ==","ver":7}],"hasMore":false,"ver":9}"#;
+    let with_era = |era: &str| {
+        let head = "HTTP/1.1 200 OK\r\nconnection: close\r\nStore-Era: ";
+        ServerStep::Respond(format!("{head}{era}\r\n\r\n{row}").leak())
+    };
+    let (store, server) =
+        serve(vec![with_era("4"), with_era("3"), with_era("4"), with_era("7"), with_era("x")]);
+    let at_era = |era| {
+        let version = StoreVersion::new(era, 7).to_u64();
+        TableResult::Rows(vec![Row { key: "a".into(), version, value: "mine".into() }])
+    };
+    assert_eq!(store.execute(&read()), at_era(4));
+    assert_eq!(store.execute(&read()), TableResult::Unavailable);
+    assert_eq!(store.execute(&read()), at_era(4));
+    assert_eq!(store.execute(&read()), at_era(7), "restores were missed");
+    assert_eq!(store.execute(&read()), TableResult::Unavailable);
+    server.join().expect("served");
+}
