--- a/crates/sedgepathd/tests/soak.rs
+++ b/crates/sedgepathd/tests/soak.rs
@@ -26,7 +26,7 @@
 use sedgepath_test_support::direct::heartbeat;
 use sedgepath_test_support::link::{Cut, CuttableLink};
 use sedgepath_test_support::packet_filter::ClientCut;
-use sedgepath_test_support::store::{StoreMode, StoreStandIn};
+use sedgepath_test_support::store::{StoreCopy, StoreMode, StoreStandIn};
 use sedgepath_wire::peer_keys::{PEER_KEY_ROW, PeerKeyring, VM_TABLE};
 
 /// The seeds that run by default and in CI.
@@ -38,6 +38,9 @@
 /// The number of faults that are injected for each seed.
 const FAULTS_PER_SEED: usize = 40;
 
+/// One of so many draws copies the store after a fault, and another one restores it.
+const COPY_OR_RESTORE_DRAWS: u32 = 6;
+
 /// The upper bound of the pause between two faults, in milliseconds.
 const MAX_PAUSE_MS: u64 = 300;
 
@@ -70,6 +73,12 @@
     sequence: u64,
     /// How often a process of each upstream has stated that it leaves.
     departures: [u32; 4],
+    /// Draws the store's copies and restores, so that the other faults of a seed stay the same.
+    restores: fastrand::Rng,
+    /// The last copy of the store.
+    copy: Option<StoreCopy>,
+    /// The last state with which each upstream has registered.
+    states: [&'static str; 4],
     faults: Vec<String>,
 }
 
@@ -99,6 +108,9 @@
             version: 1,
             sequence: 1,
             departures: [0; 4],
+            restores: fastrand::Rng::with_seed(!seed),
+            copy: None,
+            states: ["ready"; 4],
             faults: Vec::new(),
         };
         soak.configure();
@@ -121,8 +133,9 @@
         self.site.start_with(number as u8 + 1, DOMAINS[number], link, &arguments)
     }
 
-    fn register(&mut self, number: usize, state: &str) {
+    fn register(&mut self, number: usize, state: &'static str) {
         self.sequence += 1;
+        self.states[number] = state;
         let (upstream, link) = &self.upstreams[number];
         let domain = DOMAINS[number % 3];
         upstream.register_at(link.addr(), &self.store, domain, state, self.sequence);
@@ -182,6 +195,26 @@
         }
     }
 
+    /// Copies the store, or restores it from the last copy, after which its writers write again.
+    fn copy_or_restore(&mut self) {
+        match self.restores.u32(..COPY_OR_RESTORE_DRAWS) {
+            0 => self.copy = Some(self.store.copy()),
+            1 => {
+                let Some(copy) = self.copy.clone() else { return };
+                self.faults.push("restore".into());
+                self.store.restore(copy);
+                if self.restores.bool() {
+                    std::thread::sleep(Duration::from_millis(self.restores.u64(..MAX_PAUSE_MS)));
+                }
+                self.configure();
+                for number in 0..4 {
+                    self.register(number, self.states[number]);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Cuts some VMs off from all upstreams, in one of three ways, or ends such a cut.
     fn cut_vms(&mut self) {
         let cuts = [ClientCut::Silent, ClientCut::Reset, ClientCut::NewConnections];
@@ -361,6 +394,7 @@
         .collect();
     for _ in 0..FAULTS_PER_SEED {
         soak.inject_fault();
+        soak.copy_or_restore();
         std::thread::sleep(Duration::from_millis(soak.random.u64(..MAX_PAUSE_MS)));
         if soak.random.bool() {
             soak.restart_ended_vms();
