Split the merging of rows from the following of tables, and tell the store's era on the metrics

store_feed only reads the store now; replica_updates merges rows of any source and applies them, without importing whoever brings them. No change of behaviour but the gauge sedgepath_store_era.

--- a/crates/sedgepath-core/src/direct/replicas.rs
+++ b/crates/sedgepath-core/src/direct/replicas.rs
@@ -118,6 +118,12 @@
         }
     }
 
+    /// Returns the newest era of the store of which a replica has rows.
+    pub fn era(&self) -> u32 {
+        let eras = Table::ALL.map(|table| self.get(table).position().era());
+        eras.into_iter().max().unwrap_or_default()
+    }
+
     /// Returns whether every replica has received a snapshot.
     pub fn is_complete(&self) -> bool {
         Table::ALL.into_iter().all(|table| self.get(table).is_complete())
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -44,6 +44,7 @@
 pub mod quarantine;
 pub mod quotas;
 pub mod reach_checks;
+pub mod replica_updates;
 pub mod request_body;
 pub mod request_run;
 pub mod response_body;
--- a/crates/sedgepathd/src/direct/clock.rs
+++ b/crates/sedgepathd/src/direct/clock.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rustix::time::{ClockId, clock_gettime};
+use sedgepath_core::direct::crashes::quarantine::Clocks;
 use tokio::time::Instant;
 
 pub use sedgepath_wire::time::unix_ms;
@@ -20,3 +21,8 @@
 pub fn instant_at(at_ms: u64) -> Instant {
     Instant::now() + Duration::from_millis(at_ms.saturating_sub(now_ms()))
 }
+
+/// Returns the current time by both clocks.
+pub fn clocks() -> Clocks {
+    Clocks { now_ms: now_ms(), unix_ms: unix_ms() }
+}
--- a/crates/sedgepathd/src/direct/fetch.rs
+++ b/crates/sedgepathd/src/direct/fetch.rs
@@ -19,7 +19,7 @@
 use super::peer_authentication::RowsExchange;
 use super::shared::SharedState;
 use super::table_server::RowsError;
-use super::{clock, store_feed, table_server};
+use super::{clock, replica_updates, table_server};
 
 /// The first backoff between requests for missing tables at a start, in milliseconds; it doubles
 /// after each.
@@ -150,7 +150,9 @@
             log::debug!("event=rows_fetched table={} from={address}", table.name());
             let was_incomplete = !shared.replicas.borrow().get(table).is_complete();
             let same_domain = shared.steering.borrow().vms().domain_addresses().contains(&address);
-            if store_feed::apply_update(shared, table, update) && (was_incomplete || !same_domain) {
+            if replica_updates::apply_update(shared, table, update)
+                && (was_incomplete || !same_domain)
+            {
                 send_heartbeat(shared).await;
             }
         }
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -48,7 +48,7 @@
     upstreams: IntGaugeVec,
     vms: IntGauge,
     configuration: IntGauge,
-    store_contact: IntGauge,
+    store: StoreGauges,
     upstream_silence: IntGauge,
     cut_off: IntGauge,
     in_flight: IntGauge,
@@ -58,6 +58,34 @@
     limit_parts_computed: IntGauge,
 }
 
+/// What this VM knows of the store.
+#[derive(Debug)]
+struct StoreGauges {
+    contact: IntGauge,
+    era: IntGauge,
+}
+
+impl StoreGauges {
+    fn new() -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            contact: IntGauge::new(
+                "sedgepath_store_contact_ms",
+                "For how long the store has answered this VM; -1 if it doesn't, or isn't asked.",
+            )?,
+            era: IntGauge::new(
+                "sedgepath_store_era",
+                "Era of the newest rows that this VM has; rises when the store is restored.",
+            )?,
+        })
+    }
+
+    fn update(&self, shared: &SharedState, now_ms: u64) {
+        let health = shared.store_call_state.get().health(now_ms);
+        self.contact.set(health.reachable_for_ms().map_or(-1, u64::cast_signed));
+        self.era.set(shared.replicas.borrow().era().into());
+    }
+}
+
 impl Metrics {
     /// Creates and registers all metrics.
     ///
@@ -136,10 +164,7 @@
             )?,
             vms: gauge("sedgepath_vms", "Entry VMs that serve, this one among them.")?,
             configuration: gauge("sedgepath_configuration_version", "Configuration in force.")?,
-            store_contact: gauge(
-                "sedgepath_store_contact_ms",
-                "For how long the store has answered this VM; -1 if it doesn't, or isn't asked.",
-            )?,
+            store: StoreGauges::new()?,
             upstream_silence: gauge(
                 "sedgepath_upstream_silence_ms",
                 "For how long no upstream has responded to this VM or accepted a connection of it.",
@@ -183,7 +208,8 @@
         let gauges = [
             &self.vms,
             &self.configuration,
-            &self.store_contact,
+            &self.store.contact,
+            &self.store.era,
             &self.upstream_silence,
             &self.cut_off,
             &self.in_flight,
@@ -280,14 +306,7 @@
         self.vms.set(to_gauge(steering.vms().serving_vms(now_ms).len()));
         let version = steering.configuration().map_or(0, |in_force| in_force.version);
         self.configuration.set(version.cast_signed());
-        self.store_contact.set(
-            shared
-                .store_call_state
-                .get()
-                .health(clock::now_ms())
-                .reachable_for_ms()
-                .map_or(-1, u64::cast_signed),
-        );
+        self.store.update(shared, now_ms);
         let silence_ms = now_ms.saturating_sub(shared.upstream_contact_at_ms.get());
         self.cut_off.set(i64::from(steering.is_cut_off()));
         self.upstream_silence.set(silence_ms.cast_signed());
--- a/crates/sedgepathd/src/direct/peer_authentication.rs
+++ b/crates/sedgepathd/src/direct/peer_authentication.rs
@@ -7,7 +7,7 @@
 use hyper::Request;
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use sedgepath_adapter::headers::RequestHeaders;
-use sedgepath_core::direct::replicas::{Table, TableUpdate};
+use sedgepath_core::direct::replicas::TableUpdate;
 use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::hash::Map;
 use sedgepath_core::table::{
@@ -38,13 +38,6 @@
 /// As [`MAX_READ_DELAY_MS`], after a restore of the store, when all VMs read the keys.
 const MAX_READ_DELAY_AFTER_RESTORE_MS: u64 = 10_000;
 
-/// Returns the newest era of the store that this VM knows from it or from other VMs.
-fn known_era(shared: &SharedState) -> u32 {
-    let replicas = shared.replicas.borrow();
-    let eras = Table::ALL.map(|table| replicas.get(table).position().era());
-    eras.into_iter().max().unwrap_or_default()
-}
-
 /// Reads the keys again from time to time, and soon after a message with an unknown one, until the
 /// process ends. Does nothing if messages are not authenticated.
 pub async fn follow_keys(shared: Rc<SharedState>) {
@@ -59,7 +52,7 @@
             continue;
         }
         let met_unknown_key = shared.peer_seal.borrow_mut().take_met_unknown_key();
-        let store_restored = known_era(&shared) > shared.peer_keys_era.get();
+        let store_restored = shared.replicas.borrow().era() > shared.peer_keys_era.get();
         if !met_unknown_key && !store_restored && elapsed_ms < KEY_READ_INTERVAL_MS {
             continue;
         }
--- a/crates/sedgepathd/src/direct/quarantine.rs
+++ b/crates/sedgepathd/src/direct/quarantine.rs
@@ -3,54 +3,20 @@
 use std::rc::Rc;
 
 use sedgepath_adapter::rows::store_table_name;
-use sedgepath_core::direct::crashes::quarantine::{Clocks, QuarantineRow, QuarantineWrite};
-use sedgepath_core::direct::replicas::{Table, VersionedRow};
-use sedgepath_core::hash::Digest;
+use sedgepath_core::direct::crashes::quarantine::{QuarantineRow, QuarantineWrite};
+use sedgepath_core::direct::replicas::Table;
 use sedgepath_core::table::{TableRequest, TableResult, Transaction};
 
 use super::in_flight_request::InFlightRequest;
 use super::shared::SharedState;
-use super::{clock, gossip, store_feed};
-
-fn clocks() -> Clocks {
-    Clocks { now_ms: clock::now_ms(), unix_ms: clock::unix_ms() }
-}
-
-/// Applies rows of the quarantine table to the steering state.
-pub fn apply_rows(shared: &SharedState, rows: &[VersionedRow]) {
-    let mut steering = shared.steering.borrow_mut();
-    for row in rows {
-        let Some(fingerprint) = Digest::from_hex(&row.key) else {
-            log::warn!("event=quarantine_unreadable key={:?}", row.key);
-            continue;
-        };
-        let value = match &row.value {
-            None => None,
-            Some(value) => match serde_json::from_slice::<QuarantineRow>(value) {
-                Ok(value) => Some(value),
-                Err(error) => {
-                    let error = error.to_string();
-                    log::warn!("event=quarantine_unreadable key={} error={error:?}", row.key);
-                    None
-                }
-            },
-        };
-        log::info!(
-            "event=quarantine fingerprint={} in_force={} probes={}",
-            row.key,
-            value.is_some(),
-            value.map_or(0, |value| value.probes),
-        );
-        steering.crashes_mut().apply_quarantine_row(fingerprint, row.version, value, clocks());
-    }
-}
+use super::{clock, gossip, replica_updates};
 
 /// Starts writing the rows that are due, unless some are being written.
 pub fn write_due_rows(shared: &Rc<SharedState>) {
     if shared.writing_quarantine.get() {
         return;
     }
-    let writes = shared.steering.borrow_mut().crashes_mut().take_due_writes(clocks());
+    let writes = shared.steering.borrow_mut().crashes_mut().take_due_writes(clock::clocks());
     if writes.is_empty() {
         return;
     }
@@ -69,7 +35,7 @@
 /// confirms the claim, so that one VM sends it.
 pub async fn claim_probe(request: &mut InFlightRequest) {
     let shared = Rc::clone(&request.shared);
-    let claim = shared.steering.borrow().probe_claim(&request.state, clocks());
+    let claim = shared.steering.borrow().probe_claim(&request.state, clock::clocks());
     if claim.is_empty() {
         return;
     }
@@ -93,7 +59,7 @@
 async fn refresh_replica(shared: &Rc<SharedState>) {
     match shared.store.read_table(store_table_name(Table::Quarantine)).await {
         Ok(update) => {
-            if store_feed::apply_update(shared, Table::Quarantine, update) {
+            if replica_updates::apply_update(shared, Table::Quarantine, update) {
                 gossip::announce_quarantine_change(shared).await;
             }
         }
--- a/crates/sedgepathd/src/direct/store_feed.rs
+++ b/crates/sedgepathd/src/direct/store_feed.rs
@@ -1,19 +1,16 @@
-//! Follows the store's tables and applies their rows to the steering state.
+//! Follows the store's tables, while this VM is one of the store's readers.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use sedgepath_adapter::rows::{self, OperatorRowKey, ParsedConfiguration, store_table_name};
+use sedgepath_adapter::rows::store_table_name;
 use sedgepath_adapter::store::StoreError;
-use sedgepath_core::direct::Steering;
-use sedgepath_core::direct::replicas::{Table, TableUpdate, VersionedRow};
-use sedgepath_core::direct::store_version::StoreVersion;
-use sedgepath_core::direct::upstreams::EntryChange;
+use sedgepath_core::direct::replicas::{Table, TableUpdate};
 use sedgepath_core::direct::vms::StoreHealth;
 
+use super::replica_updates::apply_update;
 use super::shared::{SharedState, StoreCallState};
-use super::{clock, gossip, quarantine, restored_store};
+use super::{clock, gossip};
 
 /// How long the store may hold a call open until something changes, in milliseconds. With the
 /// call's timeout it bounds how long a dead connection stays unnoticed: another VM must take over
@@ -199,111 +196,3 @@
     shared.steering.borrow_mut().update_store_health(StoreHealth::Failing, clock::now_ms());
     was_reachable
 }
-
-/// Merges rows of the store or of a peer into a replica, applies the changes to the steering state
-/// and returns whether there were any.
-pub fn apply_update(shared: &SharedState, table: Table, update: TableUpdate) -> bool {
-    let (changes, begins_era) = {
-        let mut replicas = shared.replicas.borrow_mut();
-        let replica = replicas.get_mut(table);
-        let earlier_era = replica.is_complete().then(|| replica.position().era());
-        let changes = replica.merge(update);
-        let begins_era = earlier_era.is_some_and(|era| era != replica.position().era());
-        if begins_era && table == Table::Quarantine {
-            // Claims and removals name the rows' versions, all of which have changed.
-            (replica.changes_since(StoreVersion::default()).rows, begins_era)
-        } else {
-            (changes, begins_era)
-        }
-    };
-    let applied_any = apply_changes(shared, table, &changes);
-    if begins_era {
-        restored_store::begin_era(shared, table);
-    }
-    applied_any || begins_era
-}
-
-/// Applies changes of a replica to the steering state and returns whether there are any.
-pub fn apply_changes(shared: &SharedState, table: Table, changes: &[VersionedRow]) -> bool {
-    match table {
-        Table::Operators => apply_operator_rows(shared, changes),
-        Table::Quarantine => quarantine::apply_rows(shared, changes),
-        Table::Upstreams => {
-            let now_ms = clock::now_ms();
-            let mut steering = shared.steering.borrow_mut();
-            for row in changes {
-                apply_upstream_row(&mut steering, row, now_ms);
-            }
-        }
-    }
-    !changes.is_empty()
-}
-
-fn apply_operator_rows(shared: &SharedState, rows: &[VersionedRow]) {
-    let now_ms = clock::now_ms();
-    let mut steering = shared.steering.borrow_mut();
-    let mut evacuated = steering.evacuated_domains().clone();
-    for row in rows {
-        match OperatorRowKey::parse(&row.key) {
-            OperatorRowKey::Configuration => {
-                let Some(value) = &row.value else { continue };
-                match rows::parse_configuration(value) {
-                    Ok(ParsedConfiguration { configuration, account_errors }) => {
-                        let version = configuration.version;
-                        for error in account_errors {
-                            log::warn!("event=account_unreadable error={:?}", error.to_string());
-                        }
-                        let applied = steering.apply_configuration(Arc::new(configuration));
-                        log::info!("event=configuration version={version} in_force={applied}");
-                    }
-                    Err(error) => {
-                        log::error!("event=configuration_unreadable error={:?}", error.to_string());
-                    }
-                }
-            }
-            OperatorRowKey::Evacuation(domain) => {
-                let evacuating = row.value.is_some();
-                log::info!("event=evacuation domain={domain} emptied={evacuating}");
-                if evacuating {
-                    evacuated.insert(domain.into());
-                } else {
-                    evacuated.remove(domain);
-                }
-            }
-            OperatorRowKey::Unknown => {}
-        }
-    }
-    steering.set_evacuated_domains(evacuated, now_ms);
-    steering.update_quotas(now_ms);
-}
-
-fn apply_upstream_row(steering: &mut Steering, row: &VersionedRow, now_ms: u64) {
-    let Some(value) = &row.value else {
-        log::info!("event=upstream_removed upstream={}", row.key);
-        steering.upstreams_mut().remove(&row.key, now_ms);
-        return;
-    };
-    match rows::parse_upstream(&row.key, value) {
-        Ok(entry) => {
-            let region = steering.region_of(&entry.domain);
-            let change = steering.upstreams_mut().upsert(entry.clone(), &region, now_ms);
-            if change != EntryChange::None {
-                log::info!(
-                    "event=upstream upstream={} service={} domain={} change={change:?} cold_ms={} \
-                     sequence={} born={:?}",
-                    entry.name,
-                    entry.service,
-                    entry.domain,
-                    entry.cold_remaining_ms,
-                    entry.sequence,
-                    entry.started_at_ms,
-                );
-            }
-        }
-        Err(error) => {
-            // An unreadable entry replaces any earlier entry of the upstream.
-            log::warn!("event=entry_unreadable upstream={} error={:?}", row.key, error.to_string());
-            steering.upstreams_mut().remove(&row.key, now_ms);
-        }
-    }
-}
