--- a/crates/sedgepathd/tests/direct_restored_store.rs
+++ b/crates/sedgepathd/tests/direct_restored_store.rs
@@ -8,6 +8,7 @@
 use platform::upstream::UpstreamStandIn;
 use platform::{TestCluster, Vm, caller, configuration, route, wait_for};
 use sedgepath::operations::peer_keys;
+use sedgepath_test_support::link::{Cut, CuttableLink};
 use sedgepath_test_support::store::{StoreCopy, StoreMode, StoreStandIn, StoredRow};
 use sedgepath_wire::peer_keys::{PEER_KEY_ROW, PeerKeyring, VM_TABLE};
 
@@ -26,7 +27,6 @@
 struct Site {
     store: StoreStandIn,
     upstreams: Vec<UpstreamStandIn>,
-    #[expect(dead_code, reason = "holds the settings and logs of the VMs")]
     cluster: TestCluster,
     vms: Vec<Vm>,
 }
@@ -134,6 +134,31 @@
     assert!(elapsed < CHANGE_BOUND, "{elapsed:?}");
 }
 
+/// Guards against changes that are lost if the store is restored again while VMs still follow the first
+/// restore, one of them without the store.
+#[test]
+fn changes_are_in_force_in_time_after_two_restores() {
+    let site = Site::new();
+    let copy = site.store.copy();
+    site.write_on();
+    configure(&site.store, 14, &["reads"]);
+    site.wait_for_version(14);
+    let link = CuttableLink::new(site.store.address).expect("a link");
+    let apart = site.cluster.start_with_store(5, "south-a", link.addr());
+    wait_for("readiness", || apart.is_ready());
+    link.set_cut(Cut::Both);
+
+    site.restore_after_outage(copy.clone());
+    configure(&site.store, 15, &["reads", "first"]);
+    site.restore_after_outage(copy);
+    configure(&site.store, 16, &["reads", "second"]);
+
+    let elapsed = site.time_until("/second/1", 200);
+    assert!(elapsed < CHANGE_BOUND, "{elapsed:?}");
+    wait_for("the change at the VM without the store", || status(&apart, "/second/1") == 200);
+    assert_eq!(status(&apart, "/first/1"), 404);
+}
+
 /// Guards against requests to an upstream that says that it leaves just after a restore.
 #[test]
 fn an_upstream_that_leaves_after_a_restore_gets_no_requests() {
@@ -219,4 +244,6 @@
     assert_eq!(site.upstreams[0].runs().len(), runs_before[0], "it leaves");
     assert_eq!(site.upstreams[1].runs().len(), runs_before[1], "it is gone");
     assert!(site.upstreams[2].runs().len() > runs_before[2]);
+    let late = site.cluster.start_ready(5, "north-a");
+    assert_eq!(status(&late, "/added/1"), 200, "a VM that starts has an older configuration");
 }
