Keep an evacuation that a copy lacks for longer than one that it brings back is held off

One time for both was wrong for each: an evacuation that operators begin anew just before a VM reads the restored store was held off for 5 s, in which it must be in force; one that the copy lacks was ended after 5 s although operators may write it later.

--- a/crates/sedgepath-core/src/direct/crashes/quarantine.rs
+++ b/crates/sedgepath-core/src/direct/crashes/quarantine.rs
@@ -8,7 +8,7 @@
 
 use super::Verdict;
 use crate::direct::fingerprint::RequestFingerprints;
-use crate::direct::replicas::Table;
+use crate::direct::replicas::{OpenDifference, Table};
 use crate::direct::store_version::StoreVersion;
 use crate::hash::{Digest, Map};
 use crate::key::VmKey;
@@ -207,7 +207,7 @@
         now_ms: u64,
     ) {
         let at_ms = now_ms + self.spread(fingerprint, TAKEOVER_SPREAD_MS);
-        let until_ms = now_ms + Table::Quarantine.restore_grace_ms();
+        let until_ms = now_ms + Table::Quarantine.restore_grace_ms(OpenDifference::Missing);
         self.lost.insert(fingerprint, LostChange { expected, row, at_ms, until_ms });
     }
 
--- a/crates/sedgepath-core/src/direct/replicas.rs
+++ b/crates/sedgepath-core/src/direct/replicas.rs
@@ -28,7 +28,7 @@
 
 use super::store_version::StoreVersion;
 
-pub use restore::{LostWrite, RowContents, RowDecoder};
+pub use restore::{LostWrite, OpenDifference, RowContents, RowDecoder};
 pub use table::TableReplica;
 
 /// A replicated table of the store.
--- a/crates/sedgepath-core/src/direct/replicas/restore.rs
+++ b/crates/sedgepath-core/src/direct/replicas/restore.rs
@@ -10,20 +10,46 @@
 use std::fmt::Debug;
 use std::sync::Arc;
 
+use super::table::StoredRow;
 use super::{Table, TableReplica, TableUpdate, VersionedRow};
 use crate::direct::crashes::quarantine::QuarantineRow;
 use crate::direct::store_version::StoreVersion;
 use crate::direct::upstreams::{LAPSED_ENTRY_GRACE_MS, UpstreamEntry};
 use crate::hash::Set;
 
-/// The time in which operators write their rows again, in milliseconds. Too long a time leaves a
-/// failure domain empty that operators have taken back, too short a time sends requests to one that
-/// they have emptied.
-const OPERATORS_GRACE_MS: u64 = 5_000;
+/// The time for which an evacuation that a restored store lacks stays in force, in milliseconds. Ending
+/// it too soon sends requests to a failure domain that operators have emptied; too late leaves room unused.
+const MISSING_EVACUATION_GRACE_MS: u64 = 10_000;
+
+/// The time for which an evacuation that had been taken back isn't begun again, in milliseconds: well
+/// below the time in which an evacuation must be in force, as it may be a new one.
+const REMOVED_EVACUATION_GRACE_MS: u64 = 2_000;
 
 /// The time in which VMs write the quarantine's rows again, in milliseconds: several tries.
 const QUARANTINE_GRACE_MS: u64 = 30_000;
 
+/// A difference between a restored store and what this VM knows that the rows' values don't decide.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum OpenDifference {
+    /// The store lacks a row that this VM knows.
+    Missing,
+    /// The store has a row that this VM knows to have been removed.
+    Removed,
+}
+
+impl OpenDifference {
+    /// Every kind of difference.
+    pub const ALL: [Self; 2] = [Self::Missing, Self::Removed];
+
+    /// Returns the name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Missing => "missing",
+            Self::Removed => "removed",
+        }
+    }
+}
+
 /// What a row's value tells of its order among the values of the same row.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RowContents {
@@ -113,50 +139,48 @@
 }
 
 impl Table {
-    /// Returns the time from a restore until the store's word holds where values tell no order, in
-    /// milliseconds.
-    pub fn restore_grace_ms(self) -> u64 {
-        match self {
-            Self::Operators => OPERATORS_GRACE_MS,
-            Self::Upstreams => LAPSED_ENTRY_GRACE_MS,
-            Self::Quarantine => QUARANTINE_GRACE_MS,
+    /// Returns the time from a restore until the store's word holds on a difference, in milliseconds.
+    pub fn restore_grace_ms(self, difference: OpenDifference) -> u64 {
+        match (self, difference) {
+            (Self::Operators, OpenDifference::Missing) => MISSING_EVACUATION_GRACE_MS,
+            (Self::Operators, OpenDifference::Removed) => REMOVED_EVACUATION_GRACE_MS,
+            (Self::Upstreams, _) => LAPSED_ENTRY_GRACE_MS,
+            (Self::Quarantine, _) => QUARANTINE_GRACE_MS,
         }
     }
 }
 
 impl TableReplica {
-    /// Returns whether differences between this replica and a restored store are left open, until
-    /// [`Self::settle`].
-    pub fn is_unsettled(&self) -> bool {
-        self.unsettled_since.is_some()
-    }
-
     /// Takes the writes that the store has lost, as found when it was restored.
     pub fn take_lost_writes(&mut self) -> Vec<LostWrite> {
         std::mem::take(&mut self.lost_writes)
     }
 
-    /// Takes over the store's word where a difference was left open, and returns the rows that changed
-    /// the replica's contents.
-    pub fn settle(&mut self) -> Vec<VersionedRow> {
-        let Some(restored_at) = self.unsettled_since.take() else {
-            return Vec::new();
+    /// Takes over the store's word on the differences of a kind that were left open, and returns the rows
+    /// that changed the replica's contents.
+    pub fn settle(&mut self, difference: OpenDifference) -> Vec<VersionedRow> {
+        let mut changes = match difference {
+            OpenDifference::Missing => self.missing_rows(),
+            OpenDifference::Removed => std::mem::take(&mut self.held_back),
         };
-        let era = self.position.era();
-        let open = |version: StoreVersion| version.era() < era;
-        let missing = self.rows.iter().filter(|(_, row)| !row.is_removed && open(row.version));
-        let removals = missing.map(|(key, _)| VersionedRow {
-            key: key.clone(),
-            version: restored_at,
-            value: None,
-        });
-        let mut changes: Vec<_> = removals.collect();
-        let held_back = std::mem::take(&mut self.held_back);
-        changes.extend(held_back.into_iter().filter(|row| self.is_held_back(row)));
-        changes.retain(|row| self.store_row(row));
+        changes.retain(|row| self.is_open(row) && self.store_row(row));
         changes
     }
 
+    /// Returns a tombstone for each row that this era's store has never had.
+    fn missing_rows(&self) -> Vec<VersionedRow> {
+        let era = self.position.era();
+        let is_missing = |row: &StoredRow| !row.is_removed && row.version.era() < era;
+        let missing = self.rows.iter().filter(|(_, row)| is_missing(row));
+        missing
+            .map(|(key, _)| VersionedRow {
+                key: key.clone(),
+                version: self.era_began_at,
+                value: None,
+            })
+            .collect()
+    }
+
     /// Merges the first snapshot of an era, and returns the rows that changed the replica's contents.
     pub(super) fn begin_era(&mut self, snapshot: TableUpdate) -> Vec<VersionedRow> {
         let TableUpdate { rows, position, .. } = snapshot;
@@ -168,7 +192,7 @@
         changes.retain(|row| self.apply_restored_row(row));
         self.position = position;
         self.removals_unknown_up_to = position;
-        self.unsettled_since = Some(position);
+        self.era_began_at = position;
         changes
     }
 
--- a/crates/sedgepath-core/src/direct/replicas/table.rs
+++ b/crates/sedgepath-core/src/direct/replicas/table.rs
@@ -38,8 +38,8 @@
     is_complete: bool,
     pub(super) table: Table,
     pub(super) decoder: Rc<dyn RowDecoder>,
-    /// The position of the snapshot with which the current era began, until [`Self::settle`].
-    pub(super) unsettled_since: Option<StoreVersion>,
+    /// The position of the snapshot with which the current era began.
+    pub(super) era_began_at: StoreVersion,
     /// Rows of that snapshot which this VM knows to have been removed.
     pub(super) held_back: Vec<VersionedRow>,
     pub(super) lost_writes: Vec<LostWrite>,
@@ -63,7 +63,7 @@
             is_complete: false,
             table,
             decoder,
-            unsettled_since: None,
+            era_began_at: StoreVersion::default(),
             held_back: Vec::new(),
             lost_writes: Vec::new(),
         }
@@ -135,13 +135,13 @@
         let mut rows: Vec<_> = rows.collect();
         if is_snapshot {
             // The store has these rows; the receiver may know nothing that speaks against them.
-            rows.extend(self.held_back.iter().filter(|row| self.is_held_back(row)).cloned());
+            rows.extend(self.held_back.iter().filter(|row| self.is_open(row)).cloned());
         }
         TableUpdate { rows, position: self.position, is_snapshot }
     }
 
-    /// Returns whether a row that was held back has not been written since.
-    pub(super) fn is_held_back(&self, row: &VersionedRow) -> bool {
+    /// Returns whether the row of a restored store is newer than what this VM has of it.
+    pub(super) fn is_open(&self, row: &VersionedRow) -> bool {
         self.rows.get(&row.key).is_some_and(|stored| stored.version < row.version)
     }
 
--- a/crates/sedgepath-core/src/direct/store_version.rs
+++ b/crates/sedgepath-core/src/direct/store_version.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The bits of a version that hold the store's own counter.
-const COUNTER_BITS: u32 = 44;
+const COUNTER_BITS: u32 = 40;
 
 /// The largest counter, and the mask of its bits.
 const MAX_COUNTER: u64 = (1 << COUNTER_BITS) - 1;
--- a/crates/sedgepathd/src/direct/replica_updates.rs
+++ b/crates/sedgepathd/src/direct/replica_updates.rs
@@ -6,7 +6,9 @@
 use sedgepath_adapter::rows::{self, OperatorRowKey, ParsedConfiguration};
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::crashes::quarantine::QuarantineRow;
-use sedgepath_core::direct::replicas::{LostWrite, Table, TableUpdate, VersionedRow};
+use sedgepath_core::direct::replicas::{
+    LostWrite, OpenDifference, Table, TableUpdate, VersionedRow,
+};
 use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::upstreams::EntryChange;
 use sedgepath_core::hash::Digest;
@@ -164,8 +166,10 @@
         table.name(),
         lost_writes.len(),
     );
-    let settles_at_ms = now_ms + table.restore_grace_ms();
-    shared.settles_at_ms.borrow_mut().insert(table, settles_at_ms);
+    for difference in OpenDifference::ALL {
+        let settles_at_ms = now_ms + table.restore_grace_ms(difference);
+        shared.settles_at_ms.borrow_mut().insert((table, difference), settles_at_ms);
+    }
     shared.store_restored.notify_waiters();
     if table == Table::Quarantine {
         repeat_quarantine_writes(shared, &lost_writes, now_ms);
--- a/crates/sedgepathd/src/direct/restored_store.rs
+++ b/crates/sedgepathd/src/direct/restored_store.rs
@@ -14,9 +14,8 @@
 /// time to write again, until the process ends.
 pub async fn settle_replicas(shared: Rc<SharedState>) {
     loop {
-        let next =
-            shared.settles_at_ms.borrow().iter().map(|(table, at_ms)| (*at_ms, *table)).min();
-        let Some((at_ms, table)) = next else {
+        let next = shared.settles_at_ms.borrow().iter().map(|(open, at_ms)| (*at_ms, *open)).min();
+        let Some((at_ms, (table, difference))) = next else {
             shared.store_restored.notified().await;
             continue;
         };
@@ -26,9 +25,13 @@
             drop(tokio::time::timeout_at(clock::instant_at(at_ms), restored).await);
             continue;
         }
-        shared.settles_at_ms.borrow_mut().remove(&table);
-        let changes = shared.replicas.borrow_mut().get_mut(table).settle();
-        log::info!("event=restore_settled table={} changes={}", table.name(), changes.len());
+        shared.settles_at_ms.borrow_mut().remove(&(table, difference));
+        let changes = shared.replicas.borrow_mut().get_mut(table).settle(difference);
+        let (name, kind) = (table.name(), difference.name());
+        log::info!(
+            "event=restore_settled table={name} difference={kind} changes={}",
+            changes.len()
+        );
         if replica_updates::apply_changes(&shared, table, &changes) {
             gossip::announce_changes(&shared).await;
         }
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -9,7 +9,7 @@
 use sedgepath_adapter::settings::Settings;
 use sedgepath_adapter::store::HttpStore;
 use sedgepath_core::direct::Steering;
-use sedgepath_core::direct::replicas::{RowDecoder, Table, TableReplicas};
+use sedgepath_core::direct::replicas::{OpenDifference, RowDecoder, Table, TableReplicas};
 use sedgepath_core::direct::upstreams::UpstreamKey;
 use sedgepath_core::direct::vms::StoreHealth;
 use sedgepath_core::direct::vms::naming::{LoadMeter, VmResources};
@@ -36,8 +36,8 @@
     pub replicas: RefCell<TableReplicas>,
     /// The client of the store.
     pub store: HttpStore,
-    /// When replicas settle after a restore of the store, in milliseconds.
-    pub settles_at_ms: RefCell<Map<Table, u64>>,
+    /// When replicas take over a restored store's word on what they left open, in milliseconds.
+    pub settles_at_ms: RefCell<Map<(Table, OpenDifference), u64>>,
     /// Wakes the tasks that follow a restore of the store.
     pub store_restored: tokio::sync::Notify,
     /// The result of this VM's own calls of the store.
