Drop a held-back row that a later whole read of a restored store lacks

What operators would see: a failure domain whose evacuation was taken back stays empty until they write it again.

--- a/crates/sedgepath-core/src/direct/replicas/table.rs
+++ b/crates/sedgepath-core/src/direct/replicas/table.rs
@@ -96,6 +96,7 @@
         let mut changes = Vec::new();
         if update.is_snapshot {
             changes.extend(self.removed_by_snapshot(&update));
+            self.drop_held_back(&update);
         }
         changes.extend(update.rows);
         changes.retain(|row| self.apply_row(row));
@@ -165,6 +166,12 @@
             .collect()
     }
 
+    /// Drops the rows held back that a snapshot lacks: they were removed since they were read.
+    fn drop_held_back(&mut self, update: &TableUpdate) {
+        let present: Set<&str> = update.rows.iter().map(|row| &*row.key).collect();
+        self.held_back.retain(|row| row.version > update.position || present.contains(&*row.key));
+    }
+
     /// Stores a row unless it is outdated, and returns whether the replica's contents changed.
     pub(super) fn apply_row(&mut self, row: &VersionedRow) -> bool {
         let stored = self.rows.get(&row.key);
--- a/crates/sedgepath-core/tests/direct_restores.rs
+++ b/crates/sedgepath-core/tests/direct_restores.rs
@@ -178,6 +178,21 @@
     }
 }
 
+/// Guards against a domain that stays empty, since its evacuation was taken back between two whole reads
+/// of a restored store.
+#[test]
+fn a_row_that_a_later_snapshot_lacks_is_no_longer_held_back() {
+    let mut replica = replica();
+    replica.merge(snapshot(1, 4, vec![row(1, "evacuate/a", 4, Some("{}"))]));
+    replica.merge(changes(1, 5, vec![row(1, "evacuate/a", 5, None)]));
+    replica.merge(snapshot(2, 4, vec![row(2, "evacuate/a", 4, Some("{}"))]));
+
+    replica.merge(snapshot(2, 5, vec![]));
+
+    assert_eq!(replica.settle(OpenDifference::Removed), vec![]);
+    assert_eq!(given(&replica), text(&[]));
+}
+
 /// Guards against writes of VMs that are lost with a restore and that nobody repeats.
 #[test]
 fn lost_writes_are_told_once() {
