Answer the first request of each connection that a stopping VM accepts

Cause: when a stopping VM closes callers' connections it shuts each one down at once. A connection on which no request has been read yet is then closed, whether the request is on its way or already in the receive buffer. That holds for connections taken out of the listen queue at that moment too, for which the closing was polled first in half of the cases.

Change: a connection without a request yet is kept for up to a second after the VM has stopped to accept, and ends with the response to its first request. One function for both ways of the daemon.

Not closed: a connection whose handshake the network still carries when the listener is closed.

--- /dev/null
+++ b/crates/sedgepathd/src/caller_connection.rs
@@ -0,0 +1,46 @@
+//! Ends callers' connections in a planned stop.
+
+use std::error::Error;
+use std::time::Duration;
+
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1::Connection;
+use hyper::service::HttpService;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// How long a stopping VM waits for the first request of a connection that it has accepted. The caller
+/// sends it when its link has brought it the acceptance, and can't know of the stop.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_secs(1);
+
+/// Serves a connection until its end. Once `stopping` ends, the connection ends with the response in
+/// progress, or at once if it is idle. One without a request yet ends with the response to its first,
+/// for which it is kept for a limited time. Each request notifies `request_arrived`.
+///
+/// # Errors
+///
+/// Fails if the connection breaks off or what the caller sends isn't valid HTTP.
+pub async fn serve_until_stopped<S, B>(
+    connection: Connection<TokioIo<TcpStream>, S>,
+    request_arrived: &Notify,
+    stopping: impl Future<Output = ()>,
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let closing = async {
+        stopping.await;
+        // The connection is closed in either case.
+        let _elapsed = tokio::time::timeout(FIRST_REQUEST_WAIT, request_arrived.notified()).await;
+    };
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        result = connection.as_mut() => return result,
+        () = closing => connection.as_mut().graceful_shutdown(),
+    }
+    connection.await
+}
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -24,8 +24,9 @@
 use sedgepath_wire::key::SharedKey;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
+use crate::caller_connection::serve_until_stopped;
 use crate::dispatch::end_to_end_headers;
 use crate::driver::NodeHandle;
 use crate::hop::HopClient;
@@ -131,7 +132,9 @@
         // Small responses must not wait for the acknowledgement of earlier ones.
         let _best_effort = stream.set_nodelay(true);
         let limits = self.limits;
-        let service = service_fn(move |request| {
+        let request_arrived = Notify::new();
+        let service = service_fn(|request| {
+            request_arrived.notify_one();
             let callers = Arc::clone(&self);
             async move { Ok::<_, Infallible>(callers.handle_request(request, from.ip()).await) }
         });
@@ -140,14 +143,8 @@
             .header_read_timeout(limits.head_timeout())
             .max_buf_size(limits.head_bytes)
             .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
-        let result = tokio::select! {
-            result = connection.as_mut() => result,
-            () = wait_for_stop(&mut stop) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-        };
+        let stopping = wait_for_stop(&mut stop);
+        let result = serve_until_stopped(connection, &request_arrived, stopping).await;
         if let Err(error) = result {
             log::debug!("event=caller_connection_ended error={:?}", error.to_string());
         }
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -17,6 +17,7 @@
 use sedgepath_core::direct::steering::{IncomingRequest, Rejection};
 use sedgepath_wire::tcp;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
 use super::attempt::RequestHead;
@@ -29,6 +30,7 @@
 use super::responses::{RejectedRequest, reject, status_response};
 use super::shared::{SharedState, StopPhase};
 use super::{quarantine, quotas, request_run};
+use crate::caller_connection::serve_until_stopped;
 
 /// File descriptors reserved for files and for connections to upstreams and to the store.
 const RESERVED_FILE_DESCRIPTORS: usize = 1_200;
@@ -116,7 +118,9 @@
     let limits = shared.steering.borrow().configuration().map(|in_force| in_force.limits);
     let idle_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
+    let request_arrived = Notify::new();
     let service = service_fn(|request| {
+        request_arrived.notify_one();
         let shared = Rc::clone(shared);
         let source = RequestSource::Caller(caller);
         async move { Ok::<_, Infallible>(handle_counted(shared, request, source).await) }
@@ -126,20 +130,11 @@
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(header_bytes.max(MIN_HYPER_BUFFER_BYTES) + MIN_HYPER_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     let mut stop = shared.stop_phase.subscribe();
-    let closing = async {
+    let stopping = async {
         let _sender_lives = stop.wait_for(|phase| *phase >= StopPhase::Closing).await;
     };
-    tokio::select! {
-        result = connection.as_mut() => return log_connection_error(result),
-        () = closing => connection.as_mut().graceful_shutdown(),
-    }
-    log_connection_error(connection.await);
-}
-
-fn log_connection_error(result: Result<(), hyper::Error>) {
-    if let Err(error) = result {
+    if let Err(error) = serve_until_stopped(connection, &request_arrived, stopping).await {
         log::debug!("event=caller_connection_failed error={:?}", error.to_string());
     }
 }
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -129,7 +129,8 @@
     Serving,
     /// Requests are served; each connection ends with its next response.
     Leaving,
-    /// Idle connections are closed, and others after their response.
+    /// Idle connections are closed, others after their response, and those without a request yet after
+    /// their first.
     Closing,
 }
 
--- a/crates/sedgepathd/src/lib.rs
+++ b/crates/sedgepathd/src/lib.rs
@@ -5,6 +5,7 @@
 //! them to the VM that owns the upstream, and [`dispatch`] runs them there. [`direct`] is the other
 //! mode of the daemon, in which each VM sends requests to upstreams itself.
 
+pub mod caller_connection;
 pub mod callers;
 pub mod command;
 pub mod daemon;
--- /dev/null
+++ b/crates/sedgepathd/tests/direct_stop.rs
@@ -0,0 +1,55 @@
+//! Tests of the planned stop of daemons that send to upstreams themselves, against stand-ins of the
+//! users' platform.
+
+mod platform;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use platform::caller::Connection;
+use platform::upstream::UpstreamStandIn;
+use platform::{TestCluster, configure, wait_for};
+use sedgepath_test_support::store::StoreStandIn;
+
+const READ_PATH: &str = "/reads/1";
+
+/// The time between two connections that are opened during the stop.
+const OPENING_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The time from the end of acceptance to the requests: a link's delay and a caller's own.
+const CALLER_DELAY: Duration = Duration::from_millis(200);
+
+/// Guards against connections that a stopping VM accepts and then closes before their first request.
+#[test]
+fn every_connection_that_a_stopping_vm_accepts_is_answered() {
+    let store = StoreStandIn::new().expect("a store");
+    configure(&store, "0000000c", "3000ms");
+    let upstream = UpstreamStandIn::new("u0");
+    upstream.register(&store, "north-a", "ready", 1);
+    let site = TestCluster::new(store.address);
+    let mut vm = site.start_ready(1, "north-a");
+
+    vm.terminate();
+    let mut opened = Vec::new();
+    while let Some(connection) = Connection::new(vm.caller_address) {
+        opened.push(connection);
+        thread::sleep(OPENING_INTERVAL);
+    }
+    thread::sleep(CALLER_DELAY);
+    let unanswered = opened
+        .iter_mut()
+        .enumerate()
+        .filter_map(|(number, connection)| {
+            let response = connection.request("GET", READ_PATH, &format!("a{number}"));
+            let status = response.map(|response| response.status);
+            (status != Some(200)).then_some((number, status))
+        })
+        .collect::<Vec<_>>();
+
+    assert!(opened.len() > 50, "only {} connections were opened", opened.len());
+    assert!(unanswered.is_empty(), "of {}: {unanswered:?}", opened.len());
+    let all_answered_at = Instant::now();
+    wait_for("the end", || vm.exit_status().is_some());
+    assert!(all_answered_at.elapsed() < Duration::from_secs(2));
+    assert!(vm.exit_status().is_some_and(|status| status.success()));
+}
--- a/crates/sedgepathd/tests/stop.rs
+++ b/crates/sedgepathd/tests/stop.rs
@@ -1,6 +1,7 @@
 //! Tests the planned stop of a daemon by SIGTERM.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -26,6 +27,9 @@
 /// The time allowed for the slow requests to reach the upstream.
 const REQUEST_ARRIVAL_TIME: Duration = Duration::from_millis(700);
 
+/// The time between two connections that tell whether a daemon still accepts any.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 const ANSWERED: Outcome = Outcome::Answered { status: 200 };
 
 fn get(path: &str) -> Call {
@@ -89,3 +93,27 @@
 fn stopping_an_owner_aborts_no_request() {
     stop_under_load(OWNER);
 }
+
+/// Guards against a connection that a stopping daemon closes before its first request.
+#[test]
+fn a_connection_opened_before_the_stop_is_answered() {
+    let upstream = UpstreamStandIn::new(UpstreamConfig::new(40)).expect("upstream");
+    let spec = UpstreamSpec::new("b1", "south-a", 40).with_address(upstream.addr());
+    let records = records::one_service("browse", 10_000, &[spec], &["south-a"]);
+    let system = DaemonCluster::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+    let mut system = system.with_daemons(&records, &[("s1", "south-a")]).expect("a daemon");
+    assert!(system.wait_until_all_serve(|entry, _| is_answered(entry, "/ready")));
+    let address = system.caller_addresses()[0];
+    let mut connection = TcpStream::connect(address).expect("a connection");
+    connection.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
+
+    system.daemons[0].as_mut().expect("a daemon").signal(Signal::Term).expect("SIGTERM is sent");
+    while TcpStream::connect(address).is_ok() {
+        thread::sleep(POLL_INTERVAL);
+    }
+    connection.write_all(b"GET /none HTTP/1.1\r\nHost: vm\r\n\r\n").expect("the request is sent");
+    let mut response = String::new();
+    connection.read_to_string(&mut response).expect("a response and the end of the connection");
+
+    assert!(response.starts_with("HTTP/1.1 404 "), "{response:?}");
+}
