Try several other upstreams before a crash is taken for a lost connection

Cause: a connection that is reset by an upstream which then refuses counts as a crash only if another upstream accepts a connection, which tells a crash from a VM that is cut off. One other was asked, drawn among those that haven't failed at this VM. If it had crashed at another VM's request, the crash was told to nobody and the fatal request went on.

Ruled out: reports lost between VMs, the quarantine itself (the log has `outcome=failed`, so no report was made).

Change: one other upstream is tried, and if it doesn't accept, seven more side by side; the first that accepts decides. The drawing of upstreams to check stands once. The stand-in of an upstream that crashes closes its listener before it resets connections, so that the check that a reset causes can't be accepted by a process that has ended.

--- a/crates/sedgepath-core/src/direct/reach.rs
+++ b/crates/sedgepath-core/src/direct/reach.rs
@@ -86,6 +86,11 @@
         self.failed.iter().map(|failed| failed.upstream)
     }
 
+    /// Returns whether a connection to an upstream has failed lately, or since the cut began.
+    pub fn has_failed(&self, upstream: UpstreamKey) -> bool {
+        self.failed_upstreams().any(|failed| failed == upstream)
+    }
+
     /// Records that a request is sent to an upstream.
     pub fn record_send(&mut self, now_ms: u64) {
         self.in_flight += 1;
--- a/crates/sedgepath-core/src/direct/steering/reachability.rs
+++ b/crates/sedgepath-core/src/direct/steering/reachability.rs
@@ -49,29 +49,35 @@
         let Some(count) = self.reach.begin_check(self.upstreams.len(), now_ms) else {
             return Vec::new();
         };
-        let failed: Vec<_> = self.reach.failed_upstreams().collect();
-        let is_untried = |upstream: &(UpstreamKey, &Upstream)| !failed.contains(&upstream.0);
-        let mut candidates: Vec<_> = self.upstreams.iter().filter(is_untried).collect();
-        if candidates.is_empty() {
-            candidates = self.upstreams.iter().collect();
-        }
+        let untried = self.draw(|key| !self.reach.has_failed(key), count, rng);
+        if untried.is_empty() { self.draw(|_| true, count, rng) } else { untried }
+    }
+
+    /// Returns up to `count` upstreams other than `refusing` that have not failed lately.
+    pub fn other_upstreams(
+        &self,
+        refusing: UpstreamKey,
+        count: usize,
+        rng: &mut Rng,
+    ) -> Vec<UpstreamCheck> {
+        self.draw(|key| key != refusing && !self.reach.has_failed(key), count, rng)
+    }
+
+    /// Draws up to `count` of the upstreams that may be checked.
+    fn draw(
+        &self,
+        may_check: impl Fn(UpstreamKey) -> bool,
+        count: usize,
+        rng: &mut Rng,
+    ) -> Vec<UpstreamCheck> {
+        let mut candidates: Vec<_> =
+            self.upstreams.iter().filter(|(key, _)| may_check(*key)).collect();
         candidates.sort_unstable_by_key(|(key, _)| *key);
-        let chosen = rng.choose_multiple(candidates, count);
         let check = |(upstream, known): (_, &Upstream)| UpstreamCheck {
             upstream,
             address: known.entry.address,
         };
-        chosen.into_iter().map(check).collect()
-    }
-
-    /// Returns an upstream other than `refusing` that has not failed lately, if there is one.
-    pub fn another_upstream(&self, refusing: UpstreamKey, rng: &mut Rng) -> Option<UpstreamCheck> {
-        let failed: Vec<_> = self.reach.failed_upstreams().collect();
-        let is_other = |key: &UpstreamKey| *key != refusing && !failed.contains(key);
-        let mut others: Vec<_> = self.upstreams.iter().filter(|(key, _)| is_other(key)).collect();
-        others.sort_unstable_by_key(|(key, _)| *key);
-        let (upstream, known) = rng.choice(others)?;
-        Some(UpstreamCheck { upstream, address: known.entry.address })
+        rng.choose_multiple(candidates, count).into_iter().map(check).collect()
     }
 
     /// Records the end of a check: for each upstream, whether it accepted a connection.
--- a/crates/sedgepath-core/tests/direct_reach.rs
+++ b/crates/sedgepath-core/tests/direct_reach.rs
@@ -104,6 +104,27 @@
     }
 }
 
+// Guards against asking upstreams that are known to fail, or the one in question, whether others accept
+// connections.
+#[test]
+fn upstreams_that_have_failed_are_not_asked_for_comparison() {
+    let mut vm = serving_vm("a1", "north-a", 1, 4);
+    let keys: Vec<_> = vm.upstreams().iter().map(|(key, _)| key).collect();
+    let (refusing, failed) = (keys[0], &keys[1..3]);
+    for key in failed {
+        vm.record_connection(*key, false, 0);
+    }
+    for seed in 0..20 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let others = vm.other_upstreams(refusing, keys.len(), &mut rng);
+        let mut asked: Vec<_> = others.iter().map(|other| other.upstream).collect();
+        asked.sort_unstable();
+        let mut expected = keys[3..].to_vec();
+        expected.sort_unstable();
+        assert_eq!(asked, expected, "each once");
+    }
+}
+
 // Guards against a VM that goes on for seconds before it knows that it is cut off.
 #[test]
 fn failed_connections_show_a_cut_within_a_second() {
--- a/crates/sedgepathd/src/direct/reach_checks.rs
+++ b/crates/sedgepathd/src/direct/reach_checks.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::StreamExt as _;
 use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
 use sedgepath_core::direct::reach::ReachChange;
 use sedgepath_core::direct::steering::UpstreamCheck;
 use sedgepath_core::direct::upstreams::UpstreamKey;
@@ -15,6 +17,10 @@
 /// The longest time between two looks whether a check is due. A failed connection wakes the task.
 const MAX_CHECK_DELAY: Duration = Duration::from_millis(200);
 
+/// The numbers of other upstreams that are tried in turn, each set at once, when one refuses connections.
+/// Mostly the first accepts.
+const WITNESS_COUNTS: [usize; 2] = [1, 7];
+
 /// Checks whether this VM reaches upstreams whenever that is in doubt, until the process ends.
 pub async fn run(shared: Rc<SharedState>) {
     loop {
@@ -57,17 +63,25 @@
     }
 }
 
-/// Returns whether an upstream other than `refusing` accepts a connection.
+/// Returns whether an upstream other than `refusing` accepts a connection. One that doesn't may have
+/// crashed too, so several others are tried.
 pub async fn another_upstream_accepts(shared: &SharedState, refusing: UpstreamKey) -> bool {
-    let check = {
-        let steering = shared.steering.borrow();
-        steering.another_upstream(refusing, &mut fastrand::Rng::new())
-    };
-    let Some(check) = check else { return false };
-    let connected = connects(shared, &check).await;
-    let mut steering = shared.steering.borrow_mut();
-    steering.record_connection(check.upstream, connected, clock::now_ms());
-    connected
+    for count in WITNESS_COUNTS {
+        let witnesses = {
+            let steering = shared.steering.borrow();
+            steering.other_upstreams(refusing, count, &mut fastrand::Rng::new())
+        };
+        let connect = |witness| async move { (witness, connects(shared, &witness).await) };
+        let mut connecting: FuturesUnordered<_> = witnesses.into_iter().map(connect).collect();
+        while let Some((witness, connected)) = connecting.next().await {
+            let mut steering = shared.steering.borrow_mut();
+            steering.record_connection(witness.upstream, connected, clock::now_ms());
+            if connected {
+                return true;
+            }
+        }
+    }
+    false
 }
 
 async fn apply_change(shared: &SharedState, change: ReachChange) {
--- a/crates/sedgepathd/tests/direct_crashes.rs
+++ b/crates/sedgepathd/tests/direct_crashes.rs
@@ -199,3 +199,33 @@
     traffic.run_for(Duration::from_secs(9));
     traffic.assert_bounded();
 }
+
+/// Guards against a crash that isn't told to the other VMs because the upstreams that are asked for
+/// comparison have ended too.
+#[test]
+fn a_crash_is_recognized_while_most_other_upstreams_have_ended() {
+    for round in 0..4 {
+        let service = CrashingService::new(1);
+        // The VM sends nothing to them, so it doesn't know which of them have ended.
+        let others = (0..8).map(|number| UpstreamStandIn::new(&format!("o{number}")));
+        let others: Vec<_> = others.collect();
+        for other in &others {
+            other.register_for("other", &service.store, "north-a");
+        }
+        for other in &others[1..] {
+            other.crash();
+        }
+        let site = TestCluster::new(service.store.address);
+        let vm = site.start_ready(1, "north-a");
+        wait_for("the upstream", || {
+            let answer = caller::request(vm.caller_address, "GET", "/reads/1", "r1");
+            answer.is_some_and(|answer| answer.status == 200)
+        });
+
+        caller::request(vm.caller_address, "GET", FATAL_PATH, "f1");
+
+        wait_for("the outcome", || site.log(1).contains(" outcome="));
+        let log = site.log(1);
+        assert!(log.contains("outcome=crashed"), "round {round}: {log}");
+    }
+}
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -118,12 +118,26 @@
         state: &str,
         sequence: u64,
     ) {
-        let name = self.lock().name.clone();
         let entry = serde_json::json!({
             "address": address.to_string(),
             "info": {"service": "shop", "version": "v1", "zone": domain, "slots": 4},
             "status": {"state": state, "sequence": sequence, "coldRemaining": "0ms"},
         });
+        self.write_entry(store, &entry);
+    }
+
+    /// Writes the upstream's entry as a ready one of a service to the store.
+    pub fn register_for(&self, service: &str, store: &StoreStandIn, domain: &str) {
+        let entry = serde_json::json!({
+            "address": self.address.to_string(),
+            "info": {"service": service, "version": "v1", "zone": domain, "slots": 4},
+            "status": {"state": "ready", "sequence": 1, "coldRemaining": "0ms"},
+        });
+        self.write_entry(store, &entry);
+    }
+
+    fn write_entry(&self, store: &StoreStandIn, entry: &serde_json::Value) {
+        let name = self.lock().name.clone();
         store.put("servers", &name, entry.to_string().as_bytes());
     }
 
@@ -186,19 +200,21 @@
         state.streams.extend(stream.try_clone());
     }
 
-    /// Resets all connections and closes the listener, as the end of the process does.
+    /// Closes the listener and resets all connections, as the end of the process does. Connections that
+    /// are opened once others are reset are refused.
     pub fn crash(&self) {
         let streams = {
             let mut state = self.lock();
             state.crashed = true;
             std::mem::take(&mut state.streams)
         };
+        // The listening thread ends with its next connection.
+        drop(TcpStream::connect(self.address));
+        super::wait_for("the end of the listener", || self.listener.strong_count() == 0);
         for stream in streams {
             // The caller may have disconnected already.
             drop(stream.shutdown(std::net::Shutdown::Both));
         }
-        // The listening thread ends with its next connection.
-        drop(TcpStream::connect(self.address));
     }
 
     /// Changes the upstream's name, as if another one had got the address.
