Model replicas and conditional writes across restores of the store

Both are specifications of their own; no code of the daemon changes.

`store_restore`: two VMs that poll, read whole and take rows from each other, an operator who writes again what a restore has lost.

`conditional_write`: a version that is given out twice meets a condition by chance.

--- a/crates/sedgepath-model/examples/explore.rs
+++ b/crates/sedgepath-model/examples/explore.rs
@@ -5,11 +5,13 @@
 //! test and need a release build.
 
 use sedgepath_model::claim::{self, ClaimModel};
+use sedgepath_model::conditional_write::{self, ConditionalWriteModel};
 use sedgepath_model::configuration::{self, ConfigurationModel};
 use sedgepath_model::quota_lending::{self, QuotaLendingModel};
 use sedgepath_model::retry_budget::{self, RetryBudgetModel};
 use sedgepath_model::search::{Model, Verdict, explore};
 use sedgepath_model::slot_split::{self, SlotSplitModel};
+use sedgepath_model::store_restore::{self, StoreRestoreModel};
 use sedgepath_model::summaries::{self, SummariesModel};
 
 const TRACE_FLAG: &str = "--trace";
@@ -133,6 +135,46 @@
     }
 }
 
+fn report_conditional_writes(trace_wanted: bool) {
+    let name = "cond. write";
+    for restores in 0..=2 {
+        let model = ConditionalWriteModel::new(restores);
+        report(name, &format!("{restores} restores"), &model, trace_wanted);
+    }
+    for safeguard in conditional_write::Safeguard::ALL {
+        let model = ConditionalWriteModel::new(1).without_safeguard(safeguard);
+        report(name, &format!("no {safeguard:?}"), &model, trace_wanted);
+    }
+}
+
+fn report_store_restores(trace_wanted: bool, large_wanted: bool) {
+    let name = "store restore";
+    let sizes = [
+        ("1 write, 1 restart", StoreRestoreModel::new(1).with_restarts(1)),
+        ("1, another row's", StoreRestoreModel::new(1).with_other_writes(1)),
+        ("1, 2 restores", StoreRestoreModel::new(1).with_restores(2)),
+        ("2 writes", StoreRestoreModel::new(2)),
+    ];
+    for (variant, model) in &sizes {
+        report(name, variant, model, trace_wanted);
+    }
+    if large_wanted {
+        let large = [
+            ("2 writes, 1 restart", StoreRestoreModel::new(2).with_restarts(1)),
+            ("2, another row's", StoreRestoreModel::new(2).with_other_writes(1)),
+            ("2, 2 restores", StoreRestoreModel::new(2).with_restores(2)),
+        ];
+        for (variant, model) in &large {
+            report(name, variant, model, trace_wanted);
+        }
+    }
+    for safeguard in store_restore::Safeguard::ALL {
+        let variant = format!("no {safeguard:?}");
+        let model = StoreRestoreModel::smallest_without(safeguard);
+        report(name, &variant, &model, trace_wanted);
+    }
+}
+
 fn report_large_slot_splits(trace_wanted: bool) {
     let sizes = [
         ("3, 3 slots, 1 r., pauses", SlotSplitModel::new(3, 3).with_restarts(1).with_pauses()),
@@ -173,5 +215,7 @@
     report_retry_budgets(trace_wanted);
     report_quota_lending(trace_wanted);
     report_summaries(trace_wanted);
+    report_conditional_writes(trace_wanted);
+    report_store_restores(trace_wanted, has_flag(LARGE_FLAG));
     report_slot_splits(trace_wanted, has_flag(LARGE_FLAG));
 }
--- a/crates/sedgepath-model/src/lib.rs
+++ b/crates/sedgepath-model/src/lib.rs
@@ -13,10 +13,12 @@
 //! with `--trace` it adds the counterexamples.
 
 pub mod claim;
+pub mod conditional_write;
 pub mod configuration;
 pub mod quota_lending;
 pub mod retry_budget;
 pub mod search;
 pub mod slot_split;
+pub mod store_restore;
 pub mod summaries;
 mod variant;
