Move the decisions of reading the store and of fetching rows into the core

The pauses, waits and retries of a reader and the pace of fetches stood among the calls themselves, so that no test on a simulated clock could reach them. `StoreFeed` decides what a reader calls and how long it pauses, `FetchPace` when rows are asked for; the daemon calls and sleeps. Nothing of the behaviour changes: the same constants, the same order.

--- a/crates/sedgepath-core/src/direct/replicas.rs
+++ b/crates/sedgepath-core/src/direct/replicas.rs
@@ -18,7 +18,9 @@
 //! A store that is restored from an older copy begins a new era ([`StoreVersion`]) with a snapshot that
 //! may lack what this replica knows (module `restore`).
 
+mod fetch_pace;
 mod restore;
+mod store_feed;
 mod table;
 
 use std::rc::Rc;
@@ -28,7 +30,9 @@
 
 use super::store_version::StoreVersion;
 
+pub use fetch_pace::{FetchPace, fetch_delay_ms};
 pub use restore::{LostWrite, OpenDifference, RowContents, RowDecoder};
+pub use store_feed::{StoreCall, StoreFeed};
 pub use table::TableReplica;
 
 /// A replicated table of the store.
--- a/crates/sedgepathd/src/direct/fetch.rs
+++ b/crates/sedgepathd/src/direct/fetch.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode, client};
 use hyper_util::rt::TokioIo;
-use sedgepath_core::direct::replicas::{Table, TableUpdate};
+use sedgepath_core::direct::replicas::{Table, TableUpdate, fetch_delay_ms};
 use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_wire::peer_seal::SealError;
 use sedgepath_wire::tcp;
@@ -28,14 +28,6 @@
 /// The longest backoff, in milliseconds, before fetching ends and the tables are left to the store.
 const MAX_FILL_BACKOFF_MS: u64 = 800;
 
-/// How long a VM that reads the store itself waits for newer rows before it asks a peer, in
-/// milliseconds.
-const FETCH_DELAY_MS: u64 = 150;
-
-/// The time after which another VM is asked for the same table, in milliseconds: twice a connection
-/// and a response between the most distant regions.
-const NEXT_PEER_DELAY_MS: u64 = 350;
-
 /// Timeout of connecting, of the response head and of each frame of the body.
 const FETCH_STEP_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -44,10 +36,6 @@
 /// the link full.
 const TOTAL_FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// How long a response in progress keeps other VMs from being asked, in milliseconds; after that,
-/// one with a free link may have the rows.
-const SLOW_FETCH_AFTER_MS: u64 = 1_000;
-
 /// The largest response with rows, in bytes; an uncompressed configuration of several thousand
 /// routes fits.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -77,7 +65,7 @@
         let shared = Rc::clone(shared);
         tokio::task::spawn_local(async move {
             fetch_table(&shared, table, peer_version, address).await;
-            shared.last_fetch_at_ms.borrow_mut().remove(&table);
+            shared.fetch_pace.borrow_mut().end(table);
         });
     }
 }
@@ -108,24 +96,13 @@
     for table in Table::ALL {
         if !shared.replicas.borrow().get(table).is_complete() && try_begin_fetch(shared, table) {
             fetch_table(shared, table, StoreVersion::from_u64(u64::MAX), address).await;
-            shared.last_fetch_at_ms.borrow_mut().remove(&table);
+            shared.fetch_pace.borrow_mut().end(table);
         }
     }
 }
 
-/// Returns whether rows of a table may be requested now, and records the request if so.
-///
-/// A peer may be stopping or unreachable. Waiting for the timeout of one after the other would
-/// exceed the time that a leaving upstream may get requests.
 fn try_begin_fetch(shared: &SharedState, table: Table) -> bool {
-    let now_ms = clock::now_ms();
-    let mut last_fetch_at_ms = shared.last_fetch_at_ms.borrow_mut();
-    let allowed =
-        last_fetch_at_ms.get(&table).is_none_or(|last_ms| now_ms >= last_ms + NEXT_PEER_DELAY_MS);
-    if allowed {
-        last_fetch_at_ms.insert(table, now_ms);
-    }
-    allowed
+    shared.fetch_pace.borrow_mut().try_begin(table, clock::now_ms())
 }
 
 async fn fetch_table(
@@ -134,8 +111,9 @@
     peer_version: StoreVersion,
     address: SocketAddr,
 ) {
-    if shared.store_call_state.get().is_reachable() {
-        tokio::time::sleep(Duration::from_millis(FETCH_DELAY_MS)).await;
+    let delay_ms = fetch_delay_ms(shared.store_call_state.get().is_reachable());
+    if delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     }
     let position = {
         let replicas = shared.replicas.borrow();
@@ -219,10 +197,7 @@
         if let Ok(data) = frame.map_err(|_broken| FetchError::Body)?.into_data() {
             body.extend_from_slice(&data);
         }
-        let now_ms = clock::now_ms();
-        if now_ms < started_at_ms + SLOW_FETCH_AFTER_MS {
-            shared.last_fetch_at_ms.borrow_mut().insert(table, now_ms);
-        }
+        shared.fetch_pace.borrow_mut().record_progress(table, started_at_ms, clock::now_ms());
     }
     exchange.check_response(shared, &head.headers, &body, address)?;
     Ok(table_server::decode_rows(&head.headers, &body)?)
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -9,7 +9,9 @@
 use sedgepath_adapter::settings::Settings;
 use sedgepath_adapter::store::HttpStore;
 use sedgepath_core::direct::Steering;
-use sedgepath_core::direct::replicas::{OpenDifference, RowDecoder, Table, TableReplicas};
+use sedgepath_core::direct::replicas::{
+    FetchPace, OpenDifference, RowDecoder, Table, TableReplicas,
+};
 use sedgepath_core::direct::upstreams::UpstreamKey;
 use sedgepath_core::direct::vms::StoreHealth;
 use sedgepath_core::direct::vms::naming::{LoadMeter, VmResources};
@@ -48,9 +50,8 @@
     pub peer_seal: RefCell<PeerSeal>,
     /// The store's era in which the keys in force were read.
     pub peer_keys_era: Cell<u32>,
-    /// When rows of a table were last requested from a peer, in milliseconds; removed when the
-    /// request ends.
-    pub last_fetch_at_ms: RefCell<Map<Table, u64>>,
+    /// The fetches of rows from other VMs.
+    pub fetch_pace: RefCell<FetchPace>,
     /// Sends rows to other VMs.
     pub table_server: TableServer,
     /// Whether discovery has been tried, with or without success.
@@ -157,7 +158,7 @@
             peer_socket,
             peer_seal: RefCell::new(peer_seal),
             peer_keys_era: Cell::new(0),
-            last_fetch_at_ms: RefCell::default(),
+            fetch_pace: RefCell::default(),
             table_server: TableServer::default(),
             discovery_attempted: Cell::default(),
             settings,
--- a/crates/sedgepathd/src/direct/store_feed.rs
+++ b/crates/sedgepathd/src/direct/store_feed.rs
@@ -5,83 +5,40 @@
 
 use sedgepath_adapter::rows::store_table_name;
 use sedgepath_adapter::store::StoreError;
-use sedgepath_core::direct::replicas::{Table, TableUpdate};
+use sedgepath_core::direct::replicas::{StoreCall, StoreFeed, Table, TableUpdate};
 use sedgepath_core::direct::vms::StoreHealth;
 
 use super::replica_updates::apply_update;
 use super::shared::{SharedState, StoreCallState};
 use super::{clock, gossip};
 
-/// How long the store may hold a call open until something changes, in milliseconds. With the
-/// call's timeout it bounds how long a dead connection stays unnoticed: another VM must take over
-/// reading within the 2.5 s that a leaving upstream may get requests.
-const LONG_POLL_MS: u64 = 1_000;
-
-/// As [`LONG_POLL_MS`], for the quarantine, whose writers tell the other VMs of its changes.
-const QUARANTINE_LONG_POLL_MS: u64 = 10_000;
-
-/// As [`RETRY_PERIOD_MS`], for the quarantine.
-const QUARANTINE_RETRY_PERIOD_MS: u64 = 5_000;
-
-/// The pause after a response with changes, in milliseconds, so that changes in quick succession
-/// cost one call.
-const BATCH_DELAY_MS: u64 = 200;
-
-/// The time from the start of a failed call to the next call, in milliseconds. It is short because
-/// the bounds on leaving upstreams hold again some seconds after the store is back.
-const RETRY_PERIOD_MS: u64 = 600;
-
-/// The minimum pause after a failed call, in milliseconds.
-const MIN_RETRY_PAUSE_MS: u64 = 100;
-
-/// How many times the retry period is doubled while a VM lacks the table.
-const MAX_RETRY_DOUBLINGS: u32 = 2;
-
-/// How often a VM without the table checks whether it should read the store, in milliseconds;
-/// requests may be waiting.
-const START_CHECK_INTERVAL_MS: u64 = 10;
-
-/// How often a VM with the table checks whether it should read the store, in milliseconds.
-const ROLE_CHECK_INTERVAL_MS: u64 = 100;
-
-/// How often a VM checks whether it should read the quarantine, in milliseconds.
-const QUARANTINE_ROLE_CHECK_INTERVAL_MS: u64 = 1_000;
-
 /// Follows a table, while this VM is one of the store's readers, until the process ends.
 pub async fn follow_table(shared: Rc<SharedState>, table: Table) {
-    let mut read_whole = false;
-    let mut history_losses = 0;
-    let mut failures = 0;
-    let start = ReaderStart { at_ms: clock::now_ms(), random_draw: fastrand::f64() };
+    let mut feed = StoreFeed::new(table);
+    let mut rng = fastrand::Rng::new();
+    let start = ReaderStart { at_ms: clock::now_ms(), random_draw: rng.f64() };
     loop {
+        let is_complete = shared.replicas.borrow().get(table).is_complete();
         if !should_read(&shared, table, start) {
             if table == Table::Upstreams {
                 shared.store_call_state.set(StoreCallState::Unknown);
             }
-            let complete = shared.replicas.borrow().get(table).is_complete();
-            let pause_ms = match table {
-                _ if !complete => START_CHECK_INTERVAL_MS,
-                Table::Quarantine => QUARANTINE_ROLE_CHECK_INTERVAL_MS,
-                Table::Operators | Table::Upstreams => ROLE_CHECK_INTERVAL_MS,
-            };
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            pause(feed.role_check_interval_ms(is_complete)).await;
             continue;
         }
         let started_at_ms = clock::now_ms();
-        match read_store(&shared, table, read_whole).await {
+        let call = feed.next_call(is_complete, shared.store_call_state.get().is_reachable());
+        let result = call_store(&shared, table, call).await;
+        let is_complete = shared.replicas.borrow().get(table).is_complete();
+        match result {
             Ok(update) => {
-                if !std::mem::take(&mut read_whole) {
-                    history_losses = 0;
-                }
-                failures = 0;
                 record_store_success(&shared, table, started_at_ms);
-                if apply_update(&shared, table, update) {
+                let has_changes = apply_update(&shared, table, update);
+                if has_changes {
                     gossip::announce_changes(&shared).await;
-                    tokio::time::sleep(Duration::from_millis(BATCH_DELAY_MS)).await;
-                } else if !shared.store_call_state.get().is_reachable() {
-                    // The poll didn't wait for changes, as calls for another table still fail.
-                    tokio::time::sleep(Duration::from_millis(MIN_RETRY_PAUSE_MS)).await;
                 }
+                let reaches_store = shared.store_call_state.get().is_reachable();
+                pause(feed.record_success(has_changes, reaches_store)).await;
             }
             Err(error @ (StoreError::HistoryUnavailable | StoreError::Restored)) => {
                 let (name, era) = (table.name(), shared.store.era());
@@ -89,28 +46,25 @@
                     "event=store_history_lost table={name} era={era} error={:?}",
                     error.to_string()
                 );
-                // The first whole read is made at once. If there is no history after that either, the
-                // next ones wait, as after failures.
-                if history_losses > 0 {
-                    let pause_ms = pause_after_failure_ms(&shared, table, history_losses, 0);
-                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-                }
-                history_losses += 1;
-                read_whole = true;
+                pause(feed.record_history_loss(is_complete, &mut rng)).await;
             }
             Err(error) => {
                 if record_store_failure(&shared, table, &error) {
                     gossip::announce_changes(&shared).await;
                 }
-                failures += 1;
                 let took_ms = clock::now_ms().saturating_sub(started_at_ms);
-                let pause_ms = pause_after_failure_ms(&shared, table, failures, took_ms);
-                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                pause(feed.record_failure(took_ms, is_complete, &mut rng)).await;
             }
         }
     }
 }
 
+async fn pause(pause_ms: u64) {
+    if pause_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
 /// When following a table started, and a random number in `0..1` that spreads the first reads of
 /// VMs.
 #[derive(Debug, Clone, Copy)]
@@ -131,42 +85,19 @@
         && steering.vms().should_read_store_at_start(waited_ms, start.random_draw, now_ms)
 }
 
-/// Returns the pause after a failed call, in milliseconds.
-///
-/// A VM without the table retries less and less often. It gets the table from peers, and many VMs
-/// that start together would otherwise be most of the store's load when it is back.
-fn pause_after_failure_ms(shared: &SharedState, table: Table, failures: u32, took_ms: u64) -> u64 {
-    let complete = shared.replicas.borrow().get(table).is_complete();
-    let doublings = if complete { 0 } else { (failures - 1).min(MAX_RETRY_DOUBLINGS) };
-    let period_ms = match table {
-        Table::Quarantine => QUARANTINE_RETRY_PERIOD_MS,
-        Table::Operators | Table::Upstreams => RETRY_PERIOD_MS << doublings,
-    };
-    let jitter_ms = MIN_RETRY_PAUSE_MS << doublings;
-    period_ms.saturating_sub(took_ms).max(MIN_RETRY_PAUSE_MS) + fastrand::u64(0..jitter_ms)
-}
-
-async fn read_store(
+async fn call_store(
     shared: &SharedState,
     table: Table,
-    read_whole: bool,
+    call: StoreCall,
 ) -> Result<TableUpdate, StoreError> {
     let name = store_table_name(table);
-    let (complete, position) = {
-        let replicas = shared.replicas.borrow();
-        let replica = replicas.get(table);
-        (replica.is_complete(), replica.position())
-    };
-    if read_whole || !complete {
-        return shared.store.read_table(name).await;
+    match call {
+        StoreCall::ReadWhole => shared.store.read_table(name).await,
+        StoreCall::PollChanges { wait_ms } => {
+            let position = shared.replicas.borrow().get(table).position();
+            shared.store.poll_changes(name, position, wait_ms).await
+        }
     }
-    // While the store is unreachable, a long poll would delay noticing that it is back.
-    let wait_ms = match table {
-        _ if !shared.store_call_state.get().is_reachable() => 0,
-        Table::Quarantine => QUARANTINE_LONG_POLL_MS,
-        Table::Operators | Table::Upstreams => LONG_POLL_MS,
-    };
-    shared.store.poll_changes(name, position, wait_ms).await
 }
 
 fn record_store_success(shared: &SharedState, table: Table, since_ms: u64) {
