Play changes of the store on a simulated clock with one fault at a time

`VmNetwork` gets a store: readers poll it by `StoreFeed`, VMs fetch by `FetchPace`, announcements go over the simulated links. The fault falls at any moment from 2.5 s before the write to 0.2 s after, another write up to 0.3 s before, so that readers may pause.

Ruled out as part of it: histograms on the metrics address. A VM is told when it gets a row, not when the store acknowledged it.

--- a/crates/sedgepath-test-support/src/vm_network.rs
+++ b/crates/sedgepath-test-support/src/vm_network.rs
@@ -1,10 +1,11 @@
 //! A simulation of the protocols between entry VMs, on one clock, with network faults: membership,
 //! reports of crashes and of rate limits, and quotas of client accounts.
 //!
-//! Upstreams and the store are not simulated. Datagrams have a latency, may be lost, and are counted
+//! Upstreams are not simulated, and the store only if VMs follow it. Datagrams have a latency, may be lost, and are counted
 //! by their bytes on the wire and by the distance between sender and receiver.
 
 mod quotas;
+mod store;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
@@ -27,6 +28,8 @@
 use crate::direct::{HEARTBEAT_MS, QUOTA_BOUNDS, TIMING};
 
 pub use quotas::{RejectedRequests, SentRequest};
+pub use store::StoreAccess;
+use store::{Follower, SimulatedStore, StoreEvent};
 
 /// The size of a datagram's IP and UDP headers in bytes.
 const IP_UDP_HEADER_BYTES: u64 = 28;
@@ -64,6 +67,7 @@
     waiting: Vec<(AccountKey, Ticket)>,
     /// When they are decided again, in milliseconds.
     decides_at_ms: u64,
+    follower: Option<Follower>,
     boot_at_ms: u64,
     suspended_until_ms: u64,
 }
@@ -76,6 +80,7 @@
     QuotaRound { vm: VmIndex, boot: u64 },
     QuotaDecision { vm: VmIndex },
     Arrival { vm: VmIndex, from: VmIndex, message: Box<PeerMessage> },
+    Store(StoreEvent),
 }
 
 /// VMs and a simulated network between them.
@@ -92,12 +97,17 @@
     last_timestamp_ms: u64,
     cut: Set<(VmIndex, VmIndex)>,
     quotas: Map<AccountKey, Quota>,
+    store: Option<SimulatedStore>,
     /// The requests that were sent, in order.
     pub sent_requests: Vec<SentRequest>,
     /// The requests that were rejected.
     pub rejected_requests: RejectedRequests,
     /// The fraction of datagrams that are lost.
     pub loss_rate: f64,
+    /// The time that a message takes within a region, in milliseconds.
+    pub in_region_ms: u64,
+    /// The time that a message takes between regions, in milliseconds.
+    pub between_regions_ms: u64,
     /// The bytes sent by all VMs, including those of lost datagrams.
     pub sent_bytes: SentBytes,
     /// The bytes sent by each VM.
@@ -118,6 +128,7 @@
             quotas: None,
             waiting: Vec::new(),
             decides_at_ms: 0,
+            follower: None,
             boot_at_ms: 0,
             suspended_until_ms: 0,
         };
@@ -133,9 +144,12 @@
             last_timestamp_ms: 0,
             cut: Set::default(),
             quotas: Map::default(),
+            store: None,
             sent_requests: Vec::new(),
             rejected_requests: RejectedRequests::default(),
             loss_rate: 0.0,
+            in_region_ms: 2,
+            between_regions_ms: 20,
             sent_bytes: SentBytes::default(),
             sent_bytes_by_vm: vec![0; count],
             received_reports_by_vm: vec![0; count],
@@ -240,6 +254,7 @@
             quotas: Some(Quotas::new(table.key(), QUOTA_BOUNDS, regions, boot)),
             waiting: Vec::new(),
             decides_at_ms: 0,
+            follower: None,
             table: Some(table),
             boot_at_ms: boot,
             suspended_until_ms: 0,
@@ -256,6 +271,7 @@
             self.vms[*vm].ledger = None;
             self.vms[*vm].limits = None;
             self.vms[*vm].quotas = None;
+            self.vms[*vm].follower = None;
             self.vms[*vm].waiting.clear();
         }
     }
@@ -400,6 +416,7 @@
             Event::QuotaRound { vm, boot } => self.run_quota_round(vm, boot),
             Event::QuotaDecision { vm } => self.decide_waiting(vm),
             Event::Arrival { vm, from, message } => self.deliver(vm, from, message),
+            Event::Store(event) => self.handle_store_event(event),
         }
     }
 
@@ -413,17 +430,14 @@
         }
         self.last_timestamp_ms += 1;
         let timestamp = HybridTimestamp { time_ms: self.last_timestamp_ms, count: 0 };
+        self.update_replica_state(vm);
         let (now_ms, mut rng) = (self.now_ms, self.rng.fork());
         let Some(table) = &mut self.vms[vm].table else {
             return;
         };
         let messages = table.periodic_messages(timestamp, &mut rng, now_ms);
         let period_ms = table.period_ms();
-        for OutgoingMessage { message, to } in messages {
-            for to in to {
-                self.send(vm, to, message.clone());
-            }
-        }
+        self.send_all(vm, messages);
         self.schedule(now_ms + period_ms, Event::GossipRound { vm, boot });
     }
 
@@ -438,18 +452,27 @@
         }
         let due = reports.take_due(now_ms);
         let next_at_ms = reports.due_at_ms();
-        for OutgoingMessage { message, to } in
-            table.report_messages(due, StoreVersion::default(), &mut rng)
-        {
-            for to in to {
-                self.send(vm, to, message.clone());
-            }
-        }
+        let messages = table.report_messages(due, StoreVersion::default(), &mut rng);
+        self.send_all(vm, messages);
         if let Some(at_ms) = next_at_ms {
             self.schedule(at_ms, Event::ReportRound { vm });
         }
     }
 
+    fn send_all(&mut self, from: VmIndex, messages: Vec<OutgoingMessage>) {
+        for OutgoingMessage { message, to } in messages {
+            for to in to {
+                self.send(from, to, message.clone());
+            }
+        }
+    }
+
+    /// Returns the time that a message takes from one VM to another, in milliseconds.
+    fn latency_ms(&self, from: VmIndex, to: VmIndex) -> u64 {
+        let region = |vm| self.domain(vm) / DOMAINS_PER_REGION;
+        if region(from) == region(to) { self.in_region_ms } else { self.between_regions_ms }
+    }
+
     fn send(&mut self, from: VmIndex, to: SocketAddr, message: PeerMessage) {
         let to = vm_index(to);
         let encoded = postcard::to_stdvec(&message).expect("peer messages are serializable");
@@ -457,7 +480,7 @@
         self.sent_bytes_by_vm[from] += bytes;
         let same_region =
             self.domain(from) / DOMAINS_PER_REGION == self.domain(to) / DOMAINS_PER_REGION;
-        let latency_ms = if same_region { 2 } else { 20 };
+        let latency_ms = self.latency_ms(from, to);
         if self.domain(from) == self.domain(to) {
             self.sent_bytes.in_domain += bytes;
         } else if same_region {
@@ -484,7 +507,7 @@
         }
         let now_ms = self.now_ms;
         let own_domain = self.domain(vm);
-        let mut join_reply = None;
+        let (mut join_reply, mut announced) = (None, None);
         self.last_timestamp_ms += 1;
         let timestamp = HybridTimestamp { time_ms: self.last_timestamp_ms, count: 0 };
         let mut rng = self.rng.fork();
@@ -496,9 +519,12 @@
         let mut has_news = false;
         match *message {
             PeerMessage::Heartbeat(Heartbeat::StateOnly(state)) => {
-                table.record_state(address(from), state, now_ms);
+                if table.record_state(address(from), state, now_ms) {
+                    announced = Some(state.newest_version[0]);
+                }
             }
             PeerMessage::Heartbeat(Heartbeat::Full(heartbeat)) => {
+                announced = Some(heartbeat.state.newest_version[0]);
                 let domain = heartbeat.descriptor.domain.clone();
                 table.record_heartbeat(heartbeat, now_ms);
                 if from / self.per_domain != own_domain {
@@ -506,7 +532,10 @@
                 }
             }
             PeerMessage::Quota(_) => {}
-            PeerMessage::Summary(summary) => table.record_summary(summary, now_ms),
+            PeerMessage::Summary(summary) => {
+                announced = Some(summary.changed_at[0]);
+                table.record_summary(summary, now_ms);
+            }
             PeerMessage::RelayedSummary(summaries) => {
                 for summary in summaries {
                     table.record_relayed_summary(summary, now_ms);
@@ -531,6 +560,9 @@
         if has_news {
             self.schedule(now_ms + REPORT_DELAY_MS, Event::ReportRound { vm });
         }
+        if let Some(announced) = announced {
+            self.hear_version(vm, announced, from);
+        }
         if let Some(join_reply) = join_reply {
             self.send(vm, address(from), join_reply);
         }
