--- a/crates/sedgepath-test-support/src/vm_network.rs
+++ b/crates/sedgepath-test-support/src/vm_network.rs
@@ -1,8 +1,8 @@
 //! A simulation of the protocols between entry VMs, on one clock, with network faults: membership,
 //! reports of crashes and of rate limits, and quotas of client accounts.
 //!
-//! Upstreams are not simulated, and the store only if VMs follow it. Datagrams have a latency, may be lost, and are counted
-//! by their bytes on the wire and by the distance between sender and receiver.
+//! Upstreams are not simulated, and the store only if VMs follow it. Datagrams have a latency, may be
+//! lost, and are counted by their bytes on the wire and by the distance between sender and receiver.
 
 mod quotas;
 mod store;
--- a/crates/sedgepath-test-support/src/vm_network/store.rs
+++ b/crates/sedgepath-test-support/src/vm_network/store.rs
@@ -1,6 +1,6 @@
 //! The store of the simulated VMs, and the way of its changes to all of them.
 //!
-//! The store has one table, of which VMs keep the version only. Readers poll it, VMs that hear of a newer
+//! The store has one table, of which VMs keep the version only. Readers poll it; VMs that hear of a newer
 //! version fetch it from each other.
 
 use sedgepath_core::clock::HybridTimestamp;
@@ -86,7 +86,7 @@
     health: StoreHealth,
     /// The call under way, and when it was sent, in milliseconds.
     call: Option<(u64, u64)>,
-    pub(super) access: StoreAccess,
+    access: StoreAccess,
 }
 
 impl VmNetwork {
