Drop the older half of the tombstones, and only if they outnumber the rows

Cause: a replica kept 4,096 tombstones and dropped all at once. A release of two fifths of 9,993 upstreams passes that, and each VM that lags by a moment then gets the whole table, all of them in the same second.

Change: as many tombstones are kept as there are rows, 4,096 at least; beyond that the older half goes.

--- a/crates/sedgepath-core/src/direct/replicas/table.rs
+++ b/crates/sedgepath-core/src/direct/replicas/table.rs
@@ -8,8 +8,9 @@
 use crate::direct::store_version::StoreVersion;
 use crate::hash::{Map, Set};
 
-/// The most tombstones that a replica keeps; a VM that lacks older removals gets a snapshot.
-const MAX_TOMBSTONES: usize = 4_096;
+/// The number of tombstones that a replica of any size keeps; a VM that lacks older removals gets a
+/// snapshot.
+const MIN_KEPT_TOMBSTONES: usize = 4_096;
 
 #[derive(Debug, Clone)]
 pub(super) struct StoredRow {
@@ -219,13 +220,22 @@
         values.is_some_and(|(stored, offered)| self.is_outdated(&row.key, stored, offered))
     }
 
-    /// Drops all tombstones if there are more than [`MAX_TOMBSTONES`].
+    /// Drops the older half of the tombstones if there are more of them than other rows, and more than
+    /// [`MIN_KEPT_TOMBSTONES`].
+    ///
+    /// The newer half stays, so that VMs that lag by a moment don't all get a snapshot at once while many
+    /// rows are removed.
     fn drop_tombstones(&mut self) {
-        if self.tombstone_count <= MAX_TOMBSTONES {
+        let other_rows = self.rows.len() - self.tombstone_count;
+        if self.tombstone_count <= other_rows.max(MIN_KEPT_TOMBSTONES) {
             return;
         }
-        self.rows.retain(|_, stored| !stored.is_removed);
-        self.tombstone_count = 0;
-        self.removals_unknown_up_to = self.removals_unknown_up_to.max(self.newest_version);
+        let removed = self.rows.values().filter(|stored| stored.is_removed);
+        let mut versions: Vec<_> = removed.map(|stored| stored.version).collect();
+        let middle = versions.len() / 2;
+        let dropped_up_to = *versions.select_nth_unstable(middle).1;
+        self.rows.retain(|_, stored| !stored.is_removed || stored.version > dropped_up_to);
+        self.tombstone_count = self.rows.values().filter(|stored| stored.is_removed).count();
+        self.removals_unknown_up_to = self.removals_unknown_up_to.max(dropped_up_to);
     }
 }
--- a/crates/sedgepath-core/tests/direct_copies.rs
+++ b/crates/sedgepath-core/tests/direct_copies.rs
@@ -95,6 +95,22 @@
     assert!(changes.contains(&row("b2", 9, Some("draining"))), "{changes:?}");
 }
 
+/// Guards against all VMs fetching whole tables at once while most of a large fleet's upstreams are replaced.
+#[test]
+fn a_vm_that_lags_by_some_removals_gets_no_snapshot() {
+    const UPSTREAMS: u64 = 20_000;
+    let key = |number: u64| format!("b{number}");
+    let registered = (1..=UPSTREAMS).map(|number| row(&key(number), number, Some("ready")));
+    let mut replica = TableReplica::default();
+    replica.merge(snapshot(UPSTREAMS, registered.collect()));
+    for version in UPSTREAMS + 1..=2 * UPSTREAMS {
+        let lagging = at(version.saturating_sub(1_000).max(UPSTREAMS));
+        replica.merge(changes(version, vec![row(&key(version - UPSTREAMS), version, None)]));
+        assert!(!replica.requires_snapshot(lagging), "at version {version}");
+    }
+    assert!(replica.requires_snapshot(at(UPSTREAMS)), "tombstones are kept without limit");
+}
+
 /// Guards against incremental updates with unchanged rows, and against ones that may lack removals.
 #[test]
 fn an_incremental_update_holds_only_later_changes() {
