Forget what processes without an entry stated at a doubling number of them

Cause: from 4,096 remembered processes on, each further statement looked through all of them. While all of 10,000 upstreams state that they stop that is 10,000 passes over up to 10,000 processes, on a tenth of a core.

Change: the next pass is due when there are twice as many as remained after the last one. What processes with an entry stated is kept as before, whatever their number.

Result: the existing tests of leaving upstreams and pauses pass. The time was not measured.

--- a/crates/sedgepath-core/src/direct/upstreams/stated.rs
+++ b/crates/sedgepath-core/src/direct/upstreams/stated.rs
@@ -3,8 +3,8 @@
 use crate::direct::upstreams::IncarnationKey;
 use crate::hash::Map;
 
-/// The most processes that are remembered beyond those in the table of upstreams.
-const MAX_REMEMBERED: usize = 4_096;
+/// The number of processes from which on those without an entry are forgotten.
+const MIN_PRUNED: usize = 4_096;
 
 /// What the process of an upstream has stated of itself.
 #[derive(Debug, Clone, Copy, Default)]
@@ -18,9 +18,17 @@
 /// What processes have stated, kept beyond their entries.
 ///
 /// An entry may lapse while the store is unavailable, and come back with the same process.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct StatedByProcess {
     conditions: Map<IncarnationKey, StatedConditions>,
+    /// The number of processes at which those without an entry are forgotten next.
+    pruned_at: usize,
+}
+
+impl Default for StatedByProcess {
+    fn default() -> Self {
+        Self { conditions: Map::default(), pruned_at: MIN_PRUNED }
+    }
 }
 
 impl StatedByProcess {
@@ -29,15 +37,18 @@
         self.conditions.get(&incarnation).copied().unwrap_or_default()
     }
 
-    /// Remembers what a process has stated. If there are too many, forgets processes without an entry.
+    /// Remembers what a process has stated. If there are too many, forgets processes without an entry, and
+    /// does so next when there are twice as many as remain: with each statement it would take as long as
+    /// there are processes while all upstreams of a large fleet state that they stop.
     pub(super) fn set(
         &mut self,
         incarnation: IncarnationKey,
         conditions: StatedConditions,
         has_entry: impl Fn(IncarnationKey) -> bool,
     ) {
-        if self.conditions.len() >= MAX_REMEMBERED && !self.conditions.contains_key(&incarnation) {
+        if self.conditions.len() >= self.pruned_at && !self.conditions.contains_key(&incarnation) {
             self.conditions.retain(|incarnation, _| has_entry(*incarnation));
+            self.pruned_at = (2 * self.conditions.len()).max(MIN_PRUNED);
         }
         self.conditions.insert(incarnation, conditions);
     }
