Find VMs by failure domain, and take the tables from neighbours for as long as they come

At a start each VM read the row of every VM: calls as N times the pages of N rows, rows as N squared (985 x 985 on the whole fleet), and wrote its own into one partition, which takes 300 writes a second. Fetching the tables from neighbours ended after five requests (1.6 s), and after 0.6 to 1.2 s each VM read the store itself, although a domain of 110 VMs hands its tables over three at a time.

A VM's row is in a partition of its failure domain, of which a start reads that one only. Three contacts of each domain publish their addresses for all, read those of the others and introduce themselves to domains that they haven't heard; what they learn is relayed as before. Until a domain is heard a VM assumes that it is as large as its own, so that it doesn't take too much of a shared limit. Tables: the first VM of a domain that is running reads them, says so, and the others ask those that have them for as long as that progresses. Without progress for a second two, then four VMs read, then the next four in turn. A VM that joins is told at once who reads or has the tables.

Ruled out: a higher cap on the wait (a domain twice as large passes it again), order by the rows' versions (after a restart of all each VM would find itself last).

--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -13,6 +13,7 @@
 //! - [`placement`]: the choice of one of a service's upstreams for a request.
 //! - [`admission`]: whether a request may wait for a slot, and when a rejected caller may return.
 //! - [`attempts`]: the state of a request and of its attempts.
+//! - [`bootstrap`]: how a VM that starts gets the tables.
 //! - [`budget`]: the retry budget.
 //! - [`crashes`]: requests that crash the upstreams that run them.
 //! - [`demand`]: the demand for services in a region.
@@ -47,6 +48,7 @@
 pub mod accounts;
 pub mod admission;
 pub mod attempts;
+pub mod bootstrap;
 pub mod budget;
 pub mod crashes;
 pub mod demand;
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -328,7 +328,7 @@
         }
         let object = incoming.object.map(|name| Digest::of(&[name.as_bytes()]).to_u64());
         let service = self.round_robin.next_service(&route, object).service.clone();
-        let vm_count = self.vms.max_known_vm_count();
+        let vm_count = self.vms.max_known_vm_count(now_ms);
         let forwarded = incoming.forwarded;
         let mut arrival = Arrival::default();
         if forwarded.is_none() {
--- a/crates/sedgepath-core/src/direct/steering/reachability.rs
+++ b/crates/sedgepath-core/src/direct/steering/reachability.rs
@@ -167,7 +167,7 @@
             return None;
         }
         let forwarding = self.choose_neighbour(request, random, now_ms)?;
-        let vm_count = self.vms.max_known_vm_count();
+        let vm_count = self.vms.max_known_vm_count(now_ms);
         if !self.budget.try_withdraw(&request.service, vm_count, now_ms) {
             return None;
         }
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -125,7 +125,7 @@
             return reject_or_give_up(rejection.reason, rejection.retry_after_ms, request);
         }
         if request.delivered > 0 {
-            let vm_count = self.vms.max_known_vm_count();
+            let vm_count = self.vms.max_known_vm_count(now_ms);
             if !self.budget.try_withdraw(&request.service, vm_count, now_ms) {
                 let retry_after_ms = if candidate.wait_ms > 0.0 {
                     MIN_BUSY_RETRY_AFTER_MS
@@ -239,7 +239,7 @@
             return None;
         }
         let candidate = self.choose(request, random, now_ms)?;
-        let vm_count = self.vms.max_known_vm_count();
+        let vm_count = self.vms.max_known_vm_count(now_ms);
         if !self.budget.try_withdraw(&request.service, vm_count, now_ms) {
             return None;
         }
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -5,6 +5,7 @@
 //! domains are known from summaries ([`gossip`]). Messages are sent to an address learned from
 //! another VM, but it isn't evidence that a VM is running there.
 
+mod contacts;
 mod counts;
 pub mod gossip;
 mod heartbeat;
@@ -16,21 +17,26 @@
 mod readers;
 mod remote_domains;
 mod report_messages;
+mod start;
 mod summary;
+mod unheard_domains;
 
 use std::net::SocketAddr;
 
 use self::gossip::OutgoingState;
 use self::known_vms::{KnownVms, Locality};
 use self::remote_domains::{RemoteDomains, SummaryChange};
+use self::unheard_domains::UnheardDomains;
 use super::status::{OtherVmStatus, ReportedReach};
 use super::store_version::StoreVersion;
 use crate::hash::Map;
 use crate::key::VmKey;
 
+pub use contacts::{ContactRole, ContactStep};
 pub use heartbeat::{ReportedLoad, StoreHealth, VmDescriptor, VmHeartbeat, VmState, VmTiming};
 pub use load_receivers::MAX_LOAD_RECEIVERS;
 pub use readers::READER_TAKEOVER_INTERVAL_MS;
+pub use start::DomainAtStart;
 pub use summary::{DomainMember, DomainSummary, RelayedSummary, SummaryUpdate};
 
 /// A VM that sends heartbeats to this one.
@@ -70,6 +76,23 @@
         }
     }
 
+    /// Sets the failure domains, each with its region, in which VMs are expected at a start.
+    #[must_use]
+    pub fn with_failure_domains(
+        mut self,
+        region_by_domain: &Map<Box<str>, Box<str>>,
+        now_ms: u64,
+    ) -> Self {
+        let localities = region_by_domain
+            .iter()
+            .map(|(domain, region)| Locality { domain: domain.clone(), region: region.clone() });
+        let assumed_until_ms = now_ms + self.timing.forget_after_ms;
+        let own_domain = &self.own.descriptor.domain;
+        let expected = UnheardDomains::new(own_domain, localities, assumed_until_ms);
+        self.known_vms.set_expected_domains(expected);
+        self
+    }
+
     /// Returns the time between two heartbeats, in milliseconds, which grows with the number of their
     /// receivers.
     pub fn period_ms(&self) -> u64 {
@@ -114,14 +137,12 @@
     /// Adds an address at which a VM may run, in an unknown failure domain.
     pub fn add_address(&mut self, address: SocketAddr, now_ms: u64) {
         self.add_known_address(address, None, now_ms);
-        self.known_vms.update_maxima(now_ms);
     }
 
     /// Adds an address at which a VM of a failure domain and region may run.
     pub fn add_vm(&mut self, address: SocketAddr, domain: &str, region: &str, now_ms: u64) {
         let locality = Locality { domain: domain.into(), region: region.into() };
         self.add_known_address(address, Some(locality), now_ms);
-        self.known_vms.update_maxima(now_ms);
     }
 
     fn add_known_address(&mut self, address: SocketAddr, locality: Option<Locality>, now_ms: u64) {
@@ -145,17 +166,17 @@
         self.known_vms.domain_addresses(&self.own.descriptor.domain).collect()
     }
 
-    /// Records the full heartbeat of another VM.
-    pub fn record_heartbeat(&mut self, heartbeat: VmHeartbeat, now_ms: u64) {
+    /// Records the full heartbeat of another VM, and returns whether the VM has joined with it.
+    pub fn record_heartbeat(&mut self, heartbeat: VmHeartbeat, now_ms: u64) -> bool {
         let VmHeartbeat { descriptor, state, known_addresses } = heartbeat;
         if descriptor.name == self.own.descriptor.name {
-            return;
+            return false;
         }
         let locality = Locality::of(&descriptor);
         for address in known_addresses {
             self.add_known_address(address, Some(locality.clone()), now_ms);
         }
-        self.apply_state(descriptor, state, now_ms);
+        self.apply_state(descriptor, state, now_ms)
     }
 
     /// Records a heartbeat without a descriptor, and returns whether its sender is known.
@@ -174,24 +195,27 @@
         true
     }
 
-    fn apply_state(&mut self, descriptor: VmDescriptor, state: VmState, now_ms: u64) {
+    /// Applies the state of another VM, and returns whether the VM has joined with it.
+    fn apply_state(&mut self, descriptor: VmDescriptor, state: VmState, now_ms: u64) -> bool {
         let forget_at_ms = now_ms + self.timing.forget_after_ms;
         self.known_vms.record_heard(
             descriptor.peer_address,
             &Locality::of(&descriptor),
             forget_at_ms,
+            now_ms,
         );
-        self.known_vms.update_maxima(now_ms);
         let previous = self.peers.get(&descriptor.name);
         if previous.is_some_and(|previous| !self.is_current_state(previous, &state, now_ms)) {
-            return;
+            return false;
         }
-        if previous.is_none_or(|previous| {
+        let has_joined = previous.is_none_or(|previous| {
             previous.state.boot_at_ms != state.boot_at_ms || self.is_silent(previous, now_ms)
-        }) {
+        });
+        if has_joined {
             self.outgoing_state.record_join(now_ms);
         }
         self.peers.insert(descriptor.name.clone(), Peer { descriptor, state, heard_at_ms: now_ms });
+        has_joined
     }
 
     /// Returns whether a state isn't older than the previous one of its VM.
@@ -226,7 +250,7 @@
                     self.remote_domains.renew(sender, (boot_at_ms, stamp), digest, heard_at_ms);
                 if let Some(summary) = renewed {
                     let forget_at_ms = heard_at_ms + self.timing.forget_after_ms;
-                    self.known_vms.record_members(summary, forget_at_ms);
+                    self.known_vms.record_members(summary, forget_at_ms, now_ms);
                 }
             }
         }
@@ -246,10 +270,9 @@
             let address = SocketAddr::new(*ip, self.own.descriptor.peer_address.port());
             self.add_known_address(address, Some(own.clone()), now_ms);
         }
-        self.known_vms.record_members(&summary, heard_at_ms + self.timing.forget_after_ms);
-        let change = self.remote_domains.apply_summary(summary, heard_at_ms, &self.timing, now_ms);
-        self.known_vms.update_maxima(now_ms);
-        change
+        let forget_at_ms = heard_at_ms + self.timing.forget_after_ms;
+        self.known_vms.record_members(&summary, forget_at_ms, now_ms);
+        self.remote_domains.apply_summary(summary, heard_at_ms, &self.timing, now_ms)
     }
 
     /// Returns when this VM's process started, in milliseconds since the Unix epoch.
--- a/crates/sedgepath-core/src/direct/vms/counts.rs
+++ b/crates/sedgepath-core/src/direct/vms/counts.rs
@@ -16,12 +16,14 @@
         1 + self.known_vms.max_heard().max(self.known_vms.count(now_ms))
     }
 
-    /// Returns the largest number of VMs ever known at a time, including this one, heard or not.
+    /// Returns the largest number of VMs ever known at a time, heard or not, including this one and those
+    /// that are assumed in failure domains from which nothing has been heard yet.
     ///
     /// This may count VMs that no longer exist but are still in the store, so it suits limits where a
     /// share that is too small does little harm.
-    pub fn max_known_vm_count(&self) -> usize {
-        1 + self.known_vms.max_heard().max(self.known_vms.max_known())
+    pub fn max_known_vm_count(&self, now_ms: u64) -> usize {
+        let assumed = self.known_vms.count_assumed(|_| true, now_ms);
+        1 + self.known_vms.max_heard().max(self.known_vms.max_known() + assumed)
     }
 
     /// Returns the number of VMs of a region that this one knows of and hasn't forgotten, heard or not,
--- a/crates/sedgepath-core/src/direct/vms/readers.rs
+++ b/crates/sedgepath-core/src/direct/vms/readers.rs
@@ -23,14 +23,6 @@
 /// late in the first interval.
 const TAKEOVER_INTERVALS: usize = 3;
 
-/// The time for which a starting VM waits for the tables from other VMs, in milliseconds per other
-/// VM of its failure domain, since these may be starting too and get the tables one after the other.
-const START_WAIT_PER_VM_MS: u64 = 30;
-
-/// The longest time for which a starting VM waits for the tables, in milliseconds, without the
-/// random part.
-const MAX_START_WAIT_MS: u64 = 600;
-
 /// A VM that may read the store.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct ReaderCandidate<'a> {
@@ -101,26 +93,6 @@
             || self.takes_over(rank - reader_count, 1 + others - reader_count, now_ms)
     }
 
-    /// Returns whether a VM without the tables reads them from the store now.
-    ///
-    /// When all VMs start together, the first of each failure domain reads the tables for the others.
-    /// In case the first one is down, the others read the store themselves after a wait that grows
-    /// with their number and with `draw`, a random number in 0..1.
-    pub fn should_read_store_at_start(&self, waited_ms: u64, draw: f64, now_ms: u64) -> bool {
-        let others = self.known_vms.domain_addresses(&self.own.descriptor.domain).count() as u64;
-        let max_wait_ms = (others * START_WAIT_PER_VM_MS).min(MAX_START_WAIT_MS) as f64;
-        waited_ms as f64 >= max_wait_ms * (1.0 + draw) || self.is_first_of_domain(now_ms)
-    }
-
-    /// Returns whether this VM is the first one of its failure domain that may be running.
-    fn is_first_of_domain(&self, now_ms: u64) -> bool {
-        let own = &self.own.descriptor;
-        let region = self.region_candidates(now_ms);
-        let in_domain =
-            region.candidates.iter().filter(|candidate| *candidate.domain == *own.domain);
-        in_domain.filter(|candidate| candidate.address < own.peer_address).count() == 0
-    }
-
     /// Returns whether it is this VM's turn to try the store, as the VM with index `rank` of the
     /// `vm_count` VMs of its region that aren't readers.
     fn takes_over(&self, rank: usize, vm_count: usize, now_ms: u64) -> bool {
@@ -161,6 +133,9 @@
                 ReaderCandidate { domain: &descriptor.domain, address, store_reachable },
             );
         }
+        let unheard_regions =
+            self.known_vms.unheard_domains().assumed(now_ms).map(|locality| &*locality.region);
+        region.other_regions.extend(unheard_regions.filter(|other| **other != *own.region));
         for (address, locality) in self.known_vms.starting(now_ms) {
             let candidate =
                 ReaderCandidate { domain: &locality.domain, address, store_reachable: false };
--- a/crates/sedgepath-test-support/src/vm_network.rs
+++ b/crates/sedgepath-test-support/src/vm_network.rs
@@ -5,6 +5,7 @@
 //! lost, and are counted by their bytes on the wire and by the distance between sender and receiver.
 
 mod quotas;
+mod start;
 mod store;
 
 use std::cmp::Reverse;
@@ -28,6 +29,8 @@
 use crate::direct::{HEARTBEAT_MS, QUOTA_BOUNDS, TIMING};
 
 pub use quotas::{RejectedRequests, SentRequest};
+use start::{StartEvent, StartingStore, VmStart};
+pub use start::{StoreLoad, TableSize};
 pub use store::StoreAccess;
 use store::{Follower, SimulatedStore, StoreEvent};
 
@@ -68,6 +71,7 @@
     /// When they are decided again, in milliseconds.
     decides_at_ms: u64,
     follower: Option<Follower>,
+    start: Option<VmStart>,
     boot_at_ms: u64,
     suspended_until_ms: u64,
 }
@@ -81,6 +85,7 @@
     QuotaDecision { vm: VmIndex },
     Arrival { vm: VmIndex, from: VmIndex, message: Box<PeerMessage> },
     Store(StoreEvent),
+    Start { vm: VmIndex, boot: u64, event: StartEvent },
 }
 
 /// VMs and a simulated network between them.
@@ -98,6 +103,7 @@
     cut: Set<(VmIndex, VmIndex)>,
     quotas: Map<AccountKey, Quota>,
     store: Option<SimulatedStore>,
+    starting_store: StartingStore,
     /// The requests that were sent, in order.
     pub sent_requests: Vec<SentRequest>,
     /// The requests that were rejected.
@@ -129,6 +135,7 @@
             waiting: Vec::new(),
             decides_at_ms: 0,
             follower: None,
+            start: None,
             boot_at_ms: 0,
             suspended_until_ms: 0,
         };
@@ -145,6 +152,7 @@
             cut: Set::default(),
             quotas: Map::default(),
             store: None,
+            starting_store: StartingStore::default(),
             sent_requests: Vec::new(),
             rejected_requests: RejectedRequests::default(),
             loss_rate: 0.0,
@@ -255,6 +263,7 @@
             waiting: Vec::new(),
             decides_at_ms: 0,
             follower: None,
+            start: None,
             table: Some(table),
             boot_at_ms: boot,
             suspended_until_ms: 0,
@@ -272,6 +281,7 @@
             self.vms[*vm].limits = None;
             self.vms[*vm].quotas = None;
             self.vms[*vm].follower = None;
+            self.vms[*vm].start = None;
             self.vms[*vm].waiting.clear();
         }
     }
@@ -417,6 +427,7 @@
             Event::QuotaDecision { vm } => self.decide_waiting(vm),
             Event::Arrival { vm, from, message } => self.deliver(vm, from, message),
             Event::Store(event) => self.handle_store_event(event),
+            Event::Start { vm, boot, event } => self.handle_start_event(vm, boot, event),
         }
     }
 
@@ -526,9 +537,12 @@
             PeerMessage::Heartbeat(Heartbeat::Full(heartbeat)) => {
                 announced = Some(heartbeat.state.newest_version[0]);
                 let domain = heartbeat.descriptor.domain.clone();
-                table.record_heartbeat(heartbeat, now_ms);
+                let has_joined = table.record_heartbeat(heartbeat, now_ms);
                 if from / self.per_domain != own_domain {
-                    join_reply = Some(table.join_reply(&domain, timestamp, &mut rng, now_ms));
+                    join_reply = Some(vec![table.join_reply(&domain, timestamp, &mut rng, now_ms)]);
+                } else if has_joined && table.introduces_itself(&mut rng) {
+                    let heartbeat = Heartbeat::Full(table.heartbeat(timestamp));
+                    join_reply = Some(vec![PeerMessage::Heartbeat(heartbeat)]);
                 }
             }
             PeerMessage::Quota(_) | PeerMessage::Load(_) => {}
@@ -563,8 +577,8 @@
         if let Some(announced) = announced {
             self.hear_version(vm, announced, from);
         }
-        if let Some(join_reply) = join_reply {
-            self.send(vm, address(from), join_reply);
+        for message in join_reply.into_iter().flatten() {
+            self.send(vm, address(from), message);
         }
     }
 
--- a/crates/sedgepath-test-support/src/vm_network/store.rs
+++ b/crates/sedgepath-test-support/src/vm_network/store.rs
@@ -356,7 +356,7 @@
         }
     }
 
-    fn next_timestamp(&mut self) -> HybridTimestamp {
+    pub(super) fn next_timestamp(&mut self) -> HybridTimestamp {
         self.last_timestamp_ms += 1;
         HybridTimestamp { time_ms: self.last_timestamp_ms, count: 0 }
     }
--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -30,9 +30,11 @@
 //! - [`logging`], [`metrics`], [`capacity_log`]: logs, metrics and status for operators.
 
 pub mod attempt;
+pub mod bootstrap;
 pub mod capacity_log;
 pub mod clock;
 pub mod connection_pool;
+pub mod contacts;
 pub mod control_server;
 pub mod crash_checks;
 pub mod discovery;
--- a/crates/sedgepathd/src/direct/fetch.rs
+++ b/crates/sedgepathd/src/direct/fetch.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use futures_util::future::join_all;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode, client};
 use hyper_util::rt::TokioIo;
@@ -21,13 +22,6 @@
 use super::table_server::RowsError;
 use super::{clock, replica_updates, table_server};
 
-/// The first backoff between requests for missing tables at a start, in milliseconds; it doubles
-/// after each.
-const INITIAL_FILL_BACKOFF_MS: u64 = 50;
-
-/// The longest backoff, in milliseconds, before fetching ends and the tables are left to the store.
-const MAX_FILL_BACKOFF_MS: u64 = 800;
-
 /// Timeout of connecting, of the response head and of each frame of the body.
 const FETCH_STEP_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -40,6 +34,20 @@
 /// routes fits.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// As [`fetch_missing_rows`], but not for tables of which this VM has no copy yet: many VMs without one hear
+/// the same peer at once, and request the tables from several ([`bootstrap`](super::bootstrap)).
+pub fn fetch_changes(
+    shared: &Rc<SharedState>,
+    newest_versions: [StoreVersion; 2],
+    address: SocketAddr,
+) {
+    for (table, peer_version) in Table::REQUIRED.into_iter().zip(newest_versions) {
+        if shared.replicas.borrow().get(table).is_complete() {
+            fetch_newer_rows(shared, table, peer_version, address);
+        }
+    }
+}
+
 /// Fetches the rows that a peer's replicas have and this VM's lack, given the peer's newest version
 /// of each table.
 pub fn fetch_missing_rows(
@@ -70,35 +78,20 @@
     }
 }
 
-/// Asks VMs of the same failure domain for the tables until the replicas are complete or the
-/// backoff exceeds its limit.
-///
-/// A peer that is running provides the tables sooner than the store, and at less cost to it. If all
-/// VMs of a domain start together, the first by address reads the store for the others, so every
-/// other request goes to the lowest address.
-pub async fn fetch_initial_tables(shared: &Rc<SharedState>) {
-    let mut backoff_ms = INITIAL_FILL_BACKOFF_MS;
-    let mut ask_lowest_address = false;
-    while !shared.replicas.borrow().is_complete() && backoff_ms <= MAX_FILL_BACKOFF_MS {
-        let domain_addresses = shared.steering.borrow().vms().domain_addresses();
-        let lowest = domain_addresses.iter().min().copied();
-        let peer = if ask_lowest_address { lowest } else { fastrand::choice(domain_addresses) };
-        if let Some(address) = peer {
-            fetch_missing_tables(shared, address).await;
-        }
-        ask_lowest_address = !ask_lowest_address;
-        tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
-        backoff_ms *= 2;
-    }
+/// Fetches the tables that this VM lacks from a peer, side by side, and returns whether it got one.
+pub async fn fetch_missing_tables(shared: &Rc<SharedState>, address: SocketAddr) -> bool {
+    let got_tables = Table::ALL.map(|table| fetch_missing_table(shared, table, address));
+    join_all(got_tables).await.contains(&true)
 }
 
-async fn fetch_missing_tables(shared: &Rc<SharedState>, address: SocketAddr) {
-    for table in Table::ALL {
-        if !shared.replicas.borrow().get(table).is_complete() && try_begin_fetch(shared, table) {
-            fetch_table(shared, table, StoreVersion::from_u64(u64::MAX), address).await;
-            shared.fetch_pace.borrow_mut().end(table);
-        }
+async fn fetch_missing_table(shared: &Rc<SharedState>, table: Table, address: SocketAddr) -> bool {
+    let is_complete = || shared.replicas.borrow().get(table).is_complete();
+    if is_complete() || !try_begin_fetch(shared, table) {
+        return false;
     }
+    fetch_table(shared, table, StoreVersion::from_u64(u64::MAX), address).await;
+    shared.fetch_pace.borrow_mut().end(table);
+    is_complete()
 }
 
 fn try_begin_fetch(shared: &SharedState, table: Table) -> bool {
@@ -197,7 +190,9 @@
         if let Ok(data) = frame.map_err(|_broken| FetchError::Body)?.into_data() {
             body.extend_from_slice(&data);
         }
-        shared.fetch_pace.borrow_mut().record_progress(table, started_at_ms, clock::now_ms());
+        let now_ms = clock::now_ms();
+        shared.fetch_pace.borrow_mut().record_progress(table, started_at_ms, now_ms);
+        shared.bootstrap.borrow_mut().record_rows(now_ms);
     }
     exchange.check_response(shared, &head.headers, &body, address)?;
     Ok(table_server::decode_rows(&head.headers, &body)?)
--- a/crates/sedgepathd/src/direct/gossip.rs
+++ b/crates/sedgepathd/src/direct/gossip.rs
@@ -10,7 +10,7 @@
 use sedgepath_core::direct::reports::{DueReports, Reports};
 use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, OutgoingMessage, PeerMessage};
-use sedgepath_core::direct::vms::{RelayedSummary, VmHeartbeat};
+use sedgepath_core::direct::vms::{DomainSummary, RelayedSummary, VmHeartbeat};
 use sedgepath_wire::peer_seal::SEAL_BYTES;
 
 use super::shared::SharedState;
@@ -199,14 +199,10 @@
             shared.log_clock.merge(state.stamp);
             let now_ms = clock::now_ms();
             if shared.steering.borrow_mut().vms_mut().record_state(from, state, now_ms) {
-                fetch::fetch_missing_rows(shared, state.newest_version, from);
+                fetch::fetch_changes(shared, state.newest_version, from);
             }
         }
-        PeerMessage::Summary(summary) => {
-            shared.log_clock.merge(summary.stamp);
-            fetch::fetch_missing_rows(shared, summary.changed_at, summary.sender());
-            shared.steering.borrow_mut().vms_mut().record_summary(summary, clock::now_ms());
-        }
+        PeerMessage::Summary(summary) => handle_summary(shared, summary),
         PeerMessage::RelayedSummary(summaries) => {
             let mut steering = shared.steering.borrow_mut();
             for summary in summaries {
@@ -219,6 +215,12 @@
     }
 }
 
+fn handle_summary(shared: &Rc<SharedState>, summary: DomainSummary) {
+    shared.log_clock.merge(summary.stamp);
+    fetch::fetch_missing_rows(shared, summary.changed_at, summary.sender());
+    shared.steering.borrow_mut().vms_mut().record_summary(summary, clock::now_ms());
+}
+
 fn decode(
     shared: &SharedState,
     received: io::Result<(usize, SocketAddr)>,
@@ -246,26 +248,26 @@
 
 async fn handle_heartbeat(shared: &Rc<SharedState>, heartbeat: VmHeartbeat) {
     shared.log_clock.merge(heartbeat.state.stamp);
-    fetch::fetch_missing_rows(
-        shared,
-        heartbeat.state.newest_version,
-        heartbeat.descriptor.peer_address,
-    );
-    let reply = {
+    fetch::fetch_changes(shared, heartbeat.state.newest_version, heartbeat.descriptor.peer_address);
+    let (address, domain) =
+        (heartbeat.descriptor.peer_address, heartbeat.descriptor.domain.clone());
+    let replies = {
         let now_ms = clock::now_ms();
+        let mut rng = fastrand::Rng::new();
         let mut steering = shared.steering.borrow_mut();
-        let (address, domain) =
-            (heartbeat.descriptor.peer_address, heartbeat.descriptor.domain.clone());
-        let other_domain = domain != steering.location().domain;
         steering.record_vm_process(address, heartbeat.state.boot_at_ms);
-        steering.vms_mut().record_heartbeat(heartbeat, now_ms);
-        other_domain.then(|| {
-            let mut rng = fastrand::Rng::new();
+        let has_joined = steering.vms_mut().record_heartbeat(heartbeat, now_ms);
+        if domain != steering.location().domain {
+            let stamp = shared.log_clock.tick();
+            vec![steering.vms().join_reply(&domain, stamp, &mut rng, now_ms)]
+        } else if has_joined && steering.vms().introduces_itself(&mut rng) {
             let stamp = shared.log_clock.tick();
-            (address, steering.vms().join_reply(&domain, stamp, &mut rng, now_ms))
-        })
+            vec![PeerMessage::Heartbeat(Heartbeat::Full(steering.vms_mut().heartbeat(stamp)))]
+        } else {
+            Vec::new()
+        }
     };
-    if let Some((address, reply)) = reply {
+    for reply in replies {
         send_to_all(shared, &reply, &[address]).await;
     }
 }
--- a/crates/sedgepathd/src/direct/peer_authentication.rs
+++ b/crates/sedgepathd/src/direct/peer_authentication.rs
@@ -7,6 +7,7 @@
 use hyper::Request;
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use sedgepath_adapter::headers::RequestHeaders;
+use sedgepath_adapter::store::StoreError;
 use sedgepath_core::direct::replicas::TableUpdate;
 use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::hash::Map;
@@ -59,26 +60,32 @@
         let max_delay_ms =
             if store_restored { MAX_READ_DELAY_AFTER_RESTORE_MS } else { MAX_READ_DELAY_MS };
         tokio::time::sleep(Duration::from_millis(fastrand::u64(0..max_delay_ms))).await;
-        match shared.store.read_table(VM_TABLE).await {
-            Ok(update) => apply_keys(&shared, &update),
-            Err(error) => {
-                log::info!("event=peer_keys_not_read error={:?}", error.to_string());
-            }
+        if let Err(error) = read_keys(&shared).await {
+            log::info!("event=peer_keys_not_read error={:?}", error.to_string());
         }
         read_at_ms = clock::now_ms();
     }
 }
 
-/// Applies the row of keys, of all rows of the table.
+/// Reads the keys and applies them. Does nothing if messages are not authenticated.
+///
+/// # Errors
+///
+/// Fails if the call of the store fails.
+pub async fn read_keys(shared: &Rc<SharedState>) -> Result<(), StoreError> {
+    if shared.peer_seal.borrow().policy() != PeerAuthentication::Off {
+        apply_keys(shared, &shared.store.read_row(VM_TABLE, PEER_KEY_ROW).await?);
+    }
+    Ok(())
+}
+
+/// Applies the row of keys, if the store has it.
 ///
 /// A store that was restored since the keys in force were read may hold older keys, or none. Then the
 /// keys in force stay, and are written again.
-pub fn apply_keys(shared: &Rc<SharedState>, update: &TableUpdate) {
+fn apply_keys(shared: &Rc<SharedState>, update: &TableUpdate) {
     let mut seal = shared.peer_seal.borrow_mut();
-    if seal.policy() == PeerAuthentication::Off {
-        return;
-    }
-    let row = update.rows.iter().find(|row| &*row.key == PEER_KEY_ROW && row.value.is_some());
+    let row = update.rows.iter().find(|row| row.value.is_some());
     let read = row.and_then(|row| row.value.as_deref()).map(PeerKeyring::from_row);
     let keyring = match read {
         None => PeerKeyring::default(),
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -27,9 +27,9 @@
 use super::metrics::Metrics;
 use super::shared::{SharedState, StopPhase, vm_resources};
 use super::{
-    capacity_log, clock, control_server, discovery, entry_queries, forwarding, gossip, ingress,
-    load_gossip, logging, metrics, peer_authentication, quarantine, reach_checks, restored_store,
-    store_feed, table_server,
+    bootstrap, capacity_log, clock, contacts, control_server, discovery, entry_queries, forwarding,
+    gossip, ingress, load_gossip, logging, metrics, peer_authentication, quarantine, reach_checks,
+    restored_store, store_feed, table_server,
 };
 
 /// The interval of heartbeats while there are few VMs, in milliseconds.
@@ -147,6 +147,8 @@
     spawn_local(restored_store::settle_replicas(Rc::clone(&shared)));
     spawn_local(restored_store::keep_own_row(Rc::clone(&shared)));
     spawn_local(discovery::discover_vms(Rc::clone(&shared)));
+    spawn_local(contacts::follow_contacts(Rc::clone(&shared)));
+    spawn_local(bootstrap::fetch_initial_tables(Rc::clone(&shared)));
     spawn_local(peer_authentication::follow_keys(Rc::clone(&shared)));
     spawn_local(gossip::receive(Rc::clone(&shared)));
     spawn_local(control_server::serve(Rc::clone(&shared), peer_listener, handle_peer_request));
@@ -238,10 +240,12 @@
         max_silence_ms: settings.bounds.settled_after_ms + EXTRA_SILENCE_MS,
         forget_after_ms: FORGET_VM_AFTER_MS,
     };
-    let mut vms = VmTable::new(own, timing);
+    let now_ms = clock::now_ms();
+    let mut vms =
+        VmTable::new(own, timing).with_failure_domains(&settings.region_by_domain, now_ms);
     for seed in &settings.seeds {
         // All VMs listen on the same ports.
-        vms.add_address(SocketAddr::new(seed.ip(), peer_address.port()), clock::now_ms());
+        vms.add_address(SocketAddr::new(seed.ip(), peer_address.port()), now_ms);
     }
     Steering::new(location, limits, vms)
 }
@@ -276,7 +280,7 @@
         }
         capacity_log::log_changes(&shared, now_ms);
         quarantine::write_due_rows(&shared);
-        shared.table_server.clear_cache();
+        shared.table_server.expire_cache(now_ms);
         let steering = shared.steering.borrow();
         let is_used = |upstream: &Upstream| !upstream.is_leaving();
         shared.peer_connections.prune(|_| true);
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -9,6 +9,7 @@
 use sedgepath_adapter::settings::Settings;
 use sedgepath_adapter::store::HttpStore;
 use sedgepath_core::direct::Steering;
+use sedgepath_core::direct::bootstrap::Bootstrap;
 use sedgepath_core::direct::replicas::{
     FetchPace, OpenDifference, RowDecoder, Table, TableReplicas,
 };
@@ -27,7 +28,7 @@
 use super::peer_authentication::RecentNonces;
 use super::pipelining::bounds::PipelineBounds;
 use super::response_memory::ResponseMemory;
-use super::table_server::TableServer;
+use super::table_server::{self, TableServer};
 
 /// The state that all tasks of a VM share.
 #[derive(Debug)]
@@ -56,8 +57,10 @@
     pub fetch_pace: RefCell<FetchPace>,
     /// Sends rows to other VMs.
     pub table_server: TableServer,
-    /// Whether discovery has been tried, with or without success.
-    pub discovery_attempted: Cell<bool>,
+    /// This VM's way to its first copy of the tables.
+    pub bootstrap: RefCell<Bootstrap>,
+    /// Whether the rows of the VMs of the failure domain have been read.
+    pub domain_discovered: tokio::sync::watch::Sender<bool>,
     /// The clock that orders log lines across VMs.
     pub log_clock: LogClock,
     /// The counters, gauges and histograms.
@@ -155,6 +158,7 @@
         upstream_connections: ConnectionPool<UpstreamKey>,
     ) -> Rc<Self> {
         let load = LoadMeter::new(vm_resources(&settings));
+        let max_snapshots = table_server::max_snapshots(vm_resources(&settings));
         let response_memory = ResponseMemory::new(memory_bytes(&settings));
         let pipeline_bounds = PipelineBounds::new(memory_bytes(&settings));
         Rc::new(Self {
@@ -169,8 +173,9 @@
             peer_seal: RefCell::new(peer_seal),
             peer_keys_era: Cell::new(0),
             fetch_pace: RefCell::default(),
-            table_server: TableServer::default(),
-            discovery_attempted: Cell::default(),
+            table_server: TableServer::default().with_max_snapshots(max_snapshots),
+            bootstrap: RefCell::new(Bootstrap::new(clock::now_ms())),
+            domain_discovered: tokio::sync::watch::Sender::new(false),
             settings,
             steering: RefCell::new(steering),
             upstream_contact_at_ms: Cell::new(clock::now_ms()),
--- a/crates/sedgepathd/src/direct/table_server.rs
+++ b/crates/sedgepathd/src/direct/table_server.rs
@@ -19,17 +19,29 @@
 use hyper::{Request, Response, StatusCode};
 use sedgepath_core::direct::replicas::{Table, TableReplica, TableReplicas, TableUpdate};
 use sedgepath_core::direct::store_version::StoreVersion;
+use sedgepath_core::direct::vms::naming::VmResources;
 use sedgepath_core::hash::Map;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::attempt::bytes_body;
+use super::clock;
 use super::connection_pool::Body;
 use super::control_server::empty_response;
 use super::peer_authentication::RowsExchange;
 use super::shared::SharedState;
 
-/// The most snapshots that are sent to other VMs at a time.
-const MAX_CONCURRENT_SNAPSHOTS: usize = 3;
+/// The number of snapshots that the smallest VM sends to other VMs at a time.
+const MIN_CONCURRENT_SNAPSHOTS: usize = 3;
+
+/// The number of snapshots that the largest VM sends at a time.
+const MAX_CONCURRENT_SNAPSHOTS: usize = 32;
+
+/// The bandwidth of a VM's link for each snapshot that it sends at a time, in megabits per second.
+const LINK_MBPS_PER_SNAPSHOT: f64 = 6.0;
+
+/// The age up to which an encoded snapshot is sent again, in milliseconds. Its receivers fetch the changes
+/// since then; while upstreams register, each of them would otherwise get a snapshot of its own.
+const MAX_SNAPSHOT_AGE_MS: u64 = 1_000;
 
 /// The content coding of compressed rows (RFC 9110, section 8.4.1).
 const CONTENT_CODING: HeaderValue = HeaderValue::from_static("deflate");
@@ -64,7 +76,8 @@
     let Ok(exchange) = RowsExchange::accept(shared, path, request.headers()) else {
         return empty_response(StatusCode::FORBIDDEN);
     };
-    let mut response = shared.table_server.respond(&shared.replicas.borrow(), table, after);
+    let now_ms = clock::now_ms();
+    let mut response = shared.table_server.respond(&shared.replicas.borrow(), table, after, now_ms);
     if let Some(EncodedBody(bytes)) = response.extensions_mut().remove() {
         exchange.prove_response(shared, response.headers_mut(), &bytes);
     }
@@ -90,6 +103,7 @@
 #[derive(Debug, Clone)]
 struct EncodedRows {
     newest_version: StoreVersion,
+    encoded_at_ms: u64,
     bytes: Bytes,
     compressed: bool,
 }
@@ -99,15 +113,18 @@
 struct EncodedBody(Bytes);
 
 impl EncodedRows {
-    fn new(replica: &TableReplica, after: StoreVersion) -> Result<Self, RowsError> {
-        let (newest_version, plain) =
-            (replica.newest_version(), postcard::to_stdvec(&replica.changes_since(after))?);
-        if plain.len() < MIN_COMPRESSED_BYTES {
-            return Ok(Self { newest_version, bytes: plain.into(), compressed: false });
-        }
-        let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
-        encoder.write_all(&plain)?;
-        Ok(Self { newest_version, bytes: encoder.finish()?.into(), compressed: true })
+    fn new(replica: &TableReplica, after: StoreVersion, now_ms: u64) -> Result<Self, RowsError> {
+        let plain = postcard::to_stdvec(&replica.changes_since(after))?;
+        let compressed = plain.len() >= MIN_COMPRESSED_BYTES;
+        let bytes = if compressed {
+            let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+            encoder.write_all(&plain)?;
+            encoder.finish()?
+        } else {
+            plain
+        };
+        let newest_version = replica.newest_version();
+        Ok(Self { newest_version, encoded_at_ms: now_ms, bytes: bytes.into(), compressed })
     }
 
     fn to_response(&self, permit: Option<OwnedSemaphorePermit>) -> Response<Body> {
@@ -125,24 +142,42 @@
     }
 }
 
+/// What encoded rows contain, besides the table they are of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum EncodedPart {
+    Snapshot,
+    ChangesSince(StoreVersion),
+}
+
+/// Returns the number of snapshots that a VM with these resources sends at a time.
+pub fn max_snapshots(resources: VmResources) -> usize {
+    let by_link = (resources.link_mbps / LINK_MBPS_PER_SNAPSHOT) as usize;
+    by_link.clamp(MIN_CONCURRENT_SNAPSHOTS, MAX_CONCURRENT_SNAPSHOTS)
+}
+
 /// Serves table rows and bounds how many snapshots are sent at a time.
 #[derive(Debug)]
 pub struct TableServer {
     snapshot_permits: Arc<Semaphore>,
-    /// Encoded rows by table and by the version after which they have changed.
-    encoded: RefCell<Map<(Table, StoreVersion), EncodedRows>>,
+    encoded: RefCell<Map<(Table, EncodedPart), EncodedRows>>,
 }
 
 impl Default for TableServer {
     fn default() -> Self {
         Self {
-            snapshot_permits: Arc::new(Semaphore::new(MAX_CONCURRENT_SNAPSHOTS)),
+            snapshot_permits: Arc::new(Semaphore::new(MIN_CONCURRENT_SNAPSHOTS)),
             encoded: RefCell::default(),
         }
     }
 }
 
 impl TableServer {
+    /// Sets the number of snapshots that are sent at a time.
+    #[must_use]
+    pub fn with_max_snapshots(self, max_snapshots: usize) -> Self {
+        Self { snapshot_permits: Arc::new(Semaphore::new(max_snapshots)), ..self }
+    }
+
     /// Responds with the rows of a table that have changed after a version.
     ///
     /// The status is 404 if this VM's replica is incomplete, and 503 if a snapshot is needed and
@@ -152,6 +187,7 @@
         replicas: &TableReplicas,
         table: Table,
         after: StoreVersion,
+        now_ms: u64,
     ) -> Response<Body> {
         let replica = replicas.get(table);
         if !replica.is_complete() {
@@ -164,7 +200,7 @@
                 return empty_response(StatusCode::SERVICE_UNAVAILABLE);
             }
         }
-        match self.encoded_rows(replica, table, after) {
+        match self.encoded_rows(replica, table, after, now_ms) {
             Ok(encoded) => encoded.to_response(permit),
             Err(error) => {
                 log::error!("event=rows_not_written error={:?}", error.to_string());
@@ -174,26 +210,38 @@
     }
 
     /// Returns encoded rows, from the cache if they are current.
+    ///
+    /// A VM without the table gets a recent snapshot too. One that has an older copy doesn't: it may lack
+    /// the removal of an upstream.
     fn encoded_rows(
         &self,
         replica: &TableReplica,
         table: Table,
         after: StoreVersion,
+        now_ms: u64,
     ) -> Result<EncodedRows, RowsError> {
+        let is_snapshot = replica.requires_snapshot(after);
+        let part =
+            if is_snapshot { EncodedPart::Snapshot } else { EncodedPart::ChangesSince(after) };
+        let newest_version = replica.newest_version();
+        let is_usable = |cached: &&EncodedRows| {
+            let is_recent = now_ms < cached.encoded_at_ms + MAX_SNAPSHOT_AGE_MS
+                && cached.newest_version.era() == newest_version.era();
+            cached.newest_version == newest_version || after == StoreVersion::default() && is_recent
+        };
         let mut cache = self.encoded.borrow_mut();
-        let cached = cache.get(&(table, after));
-        if let Some(current) =
-            cached.filter(|cached| cached.newest_version == replica.newest_version())
-        {
-            return Ok(current.clone());
+        if let Some(usable) = cache.get(&(table, part)).filter(is_usable) {
+            return Ok(usable.clone());
         }
-        let encoded = EncodedRows::new(replica, after)?;
-        cache.insert((table, after), encoded.clone());
+        let encoded = EncodedRows::new(replica, after, now_ms)?;
+        cache.insert((table, part), encoded.clone());
         Ok(encoded)
     }
 
-    /// Discards the cached rows.
-    pub fn clear_cache(&self) {
-        self.encoded.borrow_mut().clear();
+    /// Discards cached rows, except for recent snapshots.
+    pub fn expire_cache(&self, now_ms: u64) {
+        self.encoded.borrow_mut().retain(|(_, part), rows| {
+            *part == EncodedPart::Snapshot && now_ms < rows.encoded_at_ms + MAX_SNAPSHOT_AGE_MS
+        });
     }
 }
