Send the summary of a large failure domain in parts

Cause: a summary listed at most 150 VMs and left the others out without a word, so that no other domain named them, told them of crashes or chose them as readers. Already a reply to a joining VM with 150 members exceeds a datagram and is cut off by its receiver. The whole fleet has 120 VMs in a domain, 128 with spares; twice the size has 240.

Change: more than 100 members are sent in parts, each of which is handled, relayed and forgotten by itself. The last parts of a sender end when it names fewer. Domains of up to 100 VMs send the same bytes as before, so that VMs of the version before read them.

Result: all_vms_of_a_domain_of_hundreds_are_known_elsewhere (210 VMs) passes; with the limit of 150 it can't, as 60 VMs are in no summary (by reading, not run).

--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -25,7 +25,7 @@
 
 use self::gossip::OutgoingState;
 use self::known_vms::{KnownVms, Locality};
-use self::remote_domains::{RemoteDomains, SummaryChange};
+use self::remote_domains::{RemoteDomains, Renewal, SummaryChange};
 use self::unheard_domains::UnheardDomains;
 use super::status::{OtherVmStatus, ReportedReach};
 use super::store_version::StoreVersion;
@@ -37,7 +37,7 @@
 pub use load_receivers::MAX_LOAD_RECEIVERS;
 pub use readers::READER_TAKEOVER_INTERVAL_MS;
 pub use start::DomainAtStart;
-pub use summary::{DomainMember, DomainSummary, RelayedSummary, SummaryUpdate};
+pub use summary::{DomainMember, DomainSummary, RelayedSummary, SummaryPart, SummaryUpdate};
 
 /// A VM that sends heartbeats to this one.
 #[derive(Debug)]
@@ -232,9 +232,9 @@
 
     /// Records the summary of another failure domain, received from its sender.
     pub fn record_summary(&mut self, summary: DomainSummary, now_ms: u64) {
-        let sender = summary.sender();
+        let key = (summary.sender(), summary.part.index);
         if let Some(change) = self.apply_summary(summary, now_ms, now_ms) {
-            self.outgoing_state.queue_relay(sender, change, now_ms);
+            self.outgoing_state.queue_relay(key, change, now_ms);
         }
     }
 
@@ -245,17 +245,28 @@
             SummaryUpdate::Changed(summary) => {
                 self.apply_summary(summary, heard_at_ms, now_ms);
             }
+            SummaryUpdate::ChangedPart(part, summary) => {
+                self.apply_summary(summary.with_part(part), heard_at_ms, now_ms);
+            }
             SummaryUpdate::Unchanged { sender, boot_at_ms, stamp, digest } => {
-                let renewed =
-                    self.remote_domains.renew(sender, (boot_at_ms, stamp), digest, heard_at_ms);
-                if let Some(summary) = renewed {
-                    let forget_at_ms = heard_at_ms + self.timing.forget_after_ms;
-                    self.known_vms.record_members(summary, forget_at_ms, now_ms);
-                }
+                let part = SummaryPart::WHOLE;
+                let renewal = Renewal { sender, part, boot_at_ms, stamp, digest };
+                self.renew_summary(renewal, heard_at_ms, now_ms);
+            }
+            SummaryUpdate::UnchangedPart { part, sender, boot_at_ms, stamp, digest } => {
+                let renewal = Renewal { sender, part, boot_at_ms, stamp, digest };
+                self.renew_summary(renewal, heard_at_ms, now_ms);
             }
         }
     }
 
+    fn renew_summary(&mut self, renewal: Renewal, heard_at_ms: u64, now_ms: u64) {
+        if let Some(summary) = self.remote_domains.renew(renewal, heard_at_ms) {
+            let forget_at_ms = heard_at_ms + self.timing.forget_after_ms;
+            self.known_vms.record_members(summary, forget_at_ms, now_ms);
+        }
+    }
+
     fn apply_summary(
         &mut self,
         summary: DomainSummary,
--- a/crates/sedgepath-core/src/direct/vms/gossip.rs
+++ b/crates/sedgepath-core/src/direct/vms/gossip.rs
@@ -20,8 +20,8 @@
 
 use super::heartbeat::{VmDescriptor, VmHeartbeat, VmState};
 use super::known_vms::Locality;
-use super::remote_domains::SummaryChange;
-use super::summary::{DomainMember, DomainSummary, MAX_MEMBERS, RelayedSummary};
+use super::remote_domains::{SummaryChange, SummaryKey};
+use super::summary::{DomainMember, DomainSummary, RelayedSummary, SummaryPart};
 use super::{Peer, VmTable};
 use crate::clock::HybridTimestamp;
 use crate::direct::load_sharing::LoadMessage;
@@ -91,14 +91,24 @@
     Quota(QuotaMessage),
     /// The sender's load at upstreams and the demand of its callers.
     Load(LoadMessage),
+    /// One of several parts of the summary of the sender's failure domain.
+    SummaryPart(SummaryPart, DomainSummary),
 }
 
 impl PeerMessage {
+    fn of_summary(summary: DomainSummary) -> Self {
+        if summary.part == SummaryPart::WHOLE {
+            Self::Summary(summary)
+        } else {
+            Self::SummaryPart(summary.part, summary)
+        }
+    }
+
     /// Returns the name used in metrics.
     pub fn name(&self) -> &'static str {
         match self {
             Self::Heartbeat(_) => "heartbeat",
-            Self::Summary(_) => "summary",
+            Self::Summary(_) | Self::SummaryPart(..) => "summary",
             Self::RelayedSummary(_) => "passed_on",
             Self::Reports(_) => "reports",
             Self::Quota(_) => "quotas",
@@ -127,8 +137,8 @@
     summary_digest: u64,
     /// Until when that summary counts as changed, in milliseconds.
     changed_until_ms: u64,
-    /// The summaries received since the last periodic messages, by sender.
-    pending_relays: Map<SocketAddr, PendingRelay>,
+    /// The summaries received since the last periodic messages, by their source.
+    pending_relays: Map<SummaryKey, PendingRelay>,
     /// Until when all summaries are relayed in full, in milliseconds.
     full_relay_until_ms: u64,
 }
@@ -149,11 +159,11 @@
     }
 
     /// Records a received summary to be relayed.
-    pub(super) fn queue_relay(&mut self, sender: SocketAddr, change: SummaryChange, now_ms: u64) {
+    pub(super) fn queue_relay(&mut self, key: SummaryKey, change: SummaryChange, now_ms: u64) {
         // Only a sender's last summary of a period is relayed, as changed if an earlier one was.
         let changed = change == SummaryChange::Changed
-            || self.pending_relays.get(&sender).is_some_and(|pending| pending.changed);
-        self.pending_relays.insert(sender, PendingRelay { received_at_ms: now_ms, changed });
+            || self.pending_relays.get(&key).is_some_and(|pending| pending.changed);
+        self.pending_relays.insert(key, PendingRelay { received_at_ms: now_ms, changed });
     }
 }
 
@@ -170,14 +180,16 @@
         let relayed = self.relayed_summaries(rng, now_ms);
         let summary = self.domain_summary(stamp, now_ms);
         let digest = summary.digest();
+        let parts = summary.into_parts();
         if digest != self.outgoing_state.summary_digest {
             self.outgoing_state.summary_digest = digest;
             self.outgoing_state.changed_until_ms = now_ms + CHANGED_SUMMARY_MS;
         }
         let domains = self.other_domains();
         let receivers = domains.iter().filter(|to| self.sends_summaries_to(&to.domain, now_ms));
-        outgoing
-            .extend(receivers.map(|to| self.summary_message(&summary, &to.domain, rng, now_ms)));
+        outgoing.extend(
+            receivers.flat_map(|to| self.summary_messages(&parts, &to.domain, rng, now_ms)),
+        );
         if !relayed.is_empty() {
             let message = PeerMessage::RelayedSummary(relayed);
             outgoing.push(OutgoingMessage { message, to: self.domain_addresses() });
@@ -195,11 +207,11 @@
         now_ms: u64,
     ) -> Vec<OutgoingMessage> {
         let mut outgoing = vec![self.full_heartbeat(stamp, now_ms)];
-        let summary = self.domain_summary(stamp, now_ms);
+        let parts = self.domain_summary(stamp, now_ms).into_parts();
         let domains = self.other_domains();
         let region_domains = domains.iter().filter(|to| to.region == self.own.descriptor.region);
         outgoing.extend(
-            region_domains.map(|to| self.summary_message(&summary, &to.domain, rng, now_ms)),
+            region_domains.flat_map(|to| self.summary_messages(&parts, &to.domain, rng, now_ms)),
         );
         outgoing
     }
@@ -213,18 +225,17 @@
         }
     }
 
-    /// Returns the reply to a VM of another failure domain that has joined.
+    /// Returns the messages of the reply to a VM of another failure domain that has joined.
     pub fn join_reply(
         &self,
         domain: &str,
         stamp: HybridTimestamp,
         rng: &mut Rng,
         now_ms: u64,
-    ) -> PeerMessage {
-        let mut summary = self.domain_summary(stamp, now_ms);
-        summary.receiver_domain_vms =
-            self.sample_domain_ips(domain, RECEIVER_VMS_PER_JOIN_REPLY, rng);
-        PeerMessage::Summary(summary)
+    ) -> Vec<PeerMessage> {
+        let parts = self.domain_summary(stamp, now_ms).into_parts();
+        let domain_vms = self.sample_domain_ips(domain, RECEIVER_VMS_PER_JOIN_REPLY, rng);
+        addressed_parts(&parts, domain_vms).collect()
     }
 
     /// Returns this VM's full heartbeat with the next of the known addresses of its failure domain.
@@ -278,7 +289,6 @@
             members.push(member(&peer.descriptor, &peer.state));
         }
         members.sort_unstable_by_key(|member| member.ip);
-        members.truncate(MAX_MEMBERS);
         DomainSummary {
             stamp,
             period_ms: self.period_ms(),
@@ -292,21 +302,22 @@
             changed_at: state.newest_version,
             store_health: store,
             receiver_domain_vms: Vec::new(),
+            part: SummaryPart::WHOLE,
         }
     }
 
-    /// Returns a summary addressed to some VMs of another failure domain.
-    fn summary_message(
+    /// Returns the parts of a summary, addressed to some VMs of another failure domain.
+    fn summary_messages(
         &self,
-        summary: &DomainSummary,
+        parts: &[DomainSummary],
         domain: &str,
         rng: &mut Rng,
         now_ms: u64,
-    ) -> OutgoingMessage {
-        let receiver_domain_vms = self.sample_domain_ips(domain, RECEIVER_VMS_PER_SUMMARY, rng);
-        let message =
-            PeerMessage::Summary(DomainSummary { receiver_domain_vms, ..summary.clone() });
-        OutgoingMessage { message, to: self.summary_receivers(domain, rng, now_ms) }
+    ) -> Vec<OutgoingMessage> {
+        let domain_vms = self.sample_domain_ips(domain, RECEIVER_VMS_PER_SUMMARY, rng);
+        let to = self.summary_receivers(domain, rng, now_ms);
+        let messages = addressed_parts(parts, domain_vms);
+        messages.map(|message| OutgoingMessage { message, to: to.clone() }).collect()
     }
 
     /// Returns whether this VM is one of those that send their failure domain's summaries to another
@@ -359,13 +370,26 @@
     fn relayed_summaries(&mut self, rng: &mut Rng, now_ms: u64) -> Vec<RelayedSummary> {
         let relay_all_in_full = now_ms < self.outgoing_state.full_relay_until_ms;
         let mut relayed = Vec::new();
-        for (sender, pending) in std::mem::take(&mut self.outgoing_state.pending_relays) {
+        for (key, pending) in std::mem::take(&mut self.outgoing_state.pending_relays) {
             let PendingRelay { received_at_ms, changed } = pending;
             let in_full = changed || relay_all_in_full || rng.f64() < FULL_RELAY_SHARE;
             let age_ms = now_ms.saturating_sub(received_at_ms);
-            let update = self.remote_domains.relayed_update(sender, in_full);
+            let update = self.remote_domains.relayed_update(key, in_full);
             relayed.extend(update.map(|update| RelayedSummary { age_ms, update }));
         }
         relayed
     }
 }
+
+/// Returns the messages with the parts of a summary, the first one with VMs of the receiver's failure
+/// domain.
+fn addressed_parts(
+    parts: &[DomainSummary],
+    domain_vms: Vec<IpAddr>,
+) -> impl Iterator<Item = PeerMessage> {
+    let mut domain_vms = Some(domain_vms);
+    parts.iter().map(move |part| {
+        let receiver_domain_vms = domain_vms.take().unwrap_or_default();
+        PeerMessage::of_summary(DomainSummary { receiver_domain_vms, ..part.clone() })
+    })
+}
--- a/crates/sedgepath-core/src/direct/vms/remote_domains.rs
+++ b/crates/sedgepath-core/src/direct/vms/remote_domains.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use super::heartbeat::{StoreHealth, VmDescriptor, VmTiming};
-use super::summary::{DomainMember, DomainSummary, SummaryUpdate};
+use super::summary::{DomainMember, DomainSummary, SummaryPart, SummaryUpdate};
 use crate::clock::HybridTimestamp;
 use crate::hash::{Map, Set};
 
@@ -32,10 +32,23 @@
     heard_at_ms: u64,
 }
 
-/// The last summary from each VM that sends them for another failure domain.
+/// The source of a summary: its sender's address for datagrams, and the index of the part.
+pub(super) type SummaryKey = (SocketAddr, u8);
+
+/// The last summary from each VM that sends them for another failure domain, part by part.
 #[derive(Debug, Default)]
 pub(super) struct RemoteDomains {
-    by_sender: Map<SocketAddr, ReceivedSummary>,
+    by_sender: Map<SummaryKey, ReceivedSummary>,
+}
+
+/// What a sender says of an unchanged summary.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Renewal {
+    pub(super) sender: SocketAddr,
+    pub(super) part: SummaryPart,
+    pub(super) boot_at_ms: u64,
+    pub(super) stamp: HybridTimestamp,
+    pub(super) digest: u64,
 }
 
 impl RemoteDomains {
@@ -48,9 +61,9 @@
         timing: &VmTiming,
         now_ms: u64,
     ) -> Option<SummaryChange> {
-        let (sender, digest) = (summary.sender(), summary.digest());
+        let (sender, part, digest) = (summary.sender(), summary.part, summary.digest());
         let mut unchanged = false;
-        if let Some(received) = self.by_sender.get(&sender) {
+        if let Some(received) = self.by_sender.get(&(sender, part.index)) {
             let last = &received.summary;
             let newer = if summary.boot_at_ms == last.boot_at_ms {
                 summary.stamp > last.stamp
@@ -68,23 +81,20 @@
             .map(|member| RemoteVm { descriptor: summary.descriptor(member), member: *member })
             .collect();
         let received = ReceivedSummary { summary, digest, vms, heard_at_ms };
-        self.by_sender.insert(sender, received);
+        self.by_sender.insert((sender, part.index), received);
+        // The VMs of a part that there is no longer have moved to others, or are gone.
+        self.by_sender.retain(|(from, index), _| *from != sender || *index < part.count);
         Some(if unchanged { SummaryChange::Unchanged } else { SummaryChange::Changed })
     }
 
     /// Updates the time of a sender's last summary, and returns the summary, if the sender reports that
     /// its content is unchanged and the digest matches; otherwise returns `None`.
-    pub(super) fn renew(
-        &mut self,
-        sender: SocketAddr,
-        (boot_at_ms, stamp): (u64, HybridTimestamp),
-        digest: u64,
-        heard_at_ms: u64,
-    ) -> Option<&DomainSummary> {
-        let received = self.by_sender.get_mut(&sender)?;
+    pub(super) fn renew(&mut self, renewal: Renewal, heard_at_ms: u64) -> Option<&DomainSummary> {
+        let Renewal { sender, part, boot_at_ms, stamp, digest } = renewal;
+        let received = self.by_sender.get_mut(&(sender, part.index))?;
         let last = &mut received.summary;
         let newer = boot_at_ms == last.boot_at_ms && stamp > last.stamp;
-        if !newer || digest != received.digest {
+        if !newer || digest != received.digest || part != last.part {
             return None;
         }
         last.store_health =
@@ -94,21 +104,17 @@
         Some(&received.summary)
     }
 
-    /// Returns the last summary of a sender to be relayed, in full or as a digest.
-    pub(super) fn relayed_update(
-        &self,
-        sender: SocketAddr,
-        in_full: bool,
-    ) -> Option<SummaryUpdate> {
-        let ReceivedSummary { summary, digest, .. } = self.by_sender.get(&sender)?;
-        Some(if in_full {
-            SummaryUpdate::Changed(summary.clone())
-        } else {
-            SummaryUpdate::Unchanged {
-                sender,
-                boot_at_ms: summary.boot_at_ms,
-                stamp: summary.stamp,
-                digest: *digest,
+    /// Returns the last summary from a source to be relayed, in full or as a digest.
+    pub(super) fn relayed_update(&self, key: SummaryKey, in_full: bool) -> Option<SummaryUpdate> {
+        let ReceivedSummary { summary, digest, .. } = self.by_sender.get(&key)?;
+        let (sender, part, digest) = (key.0, summary.part, *digest);
+        let (boot_at_ms, stamp) = (summary.boot_at_ms, summary.stamp);
+        Some(match (in_full, part == SummaryPart::WHOLE) {
+            (true, true) => SummaryUpdate::Changed(summary.clone()),
+            (true, false) => SummaryUpdate::ChangedPart(part, summary.clone()),
+            (false, true) => SummaryUpdate::Unchanged { sender, boot_at_ms, stamp, digest },
+            (false, false) => {
+                SummaryUpdate::UnchangedPart { part, sender, boot_at_ms, stamp, digest }
             }
         })
     }
--- a/crates/sedgepath-core/src/direct/vms/summary.rs
+++ b/crates/sedgepath-core/src/direct/vms/summary.rs
@@ -1,4 +1,6 @@
 //! Summaries of a failure domain's VMs, sent to other domains.
+//!
+//! A summary of many VMs is sent in parts, each of which fits in a datagram and is handled by itself.
 
 use std::net::{IpAddr, SocketAddr};
 
@@ -9,8 +11,28 @@
 use crate::direct::store_version::StoreVersion;
 use crate::hash::Digest;
 
-/// The most VMs in a summary, so that it fits in a datagram.
-pub(super) const MAX_MEMBERS: usize = 150;
+/// The most VMs in a part of a summary, so that it fits in a datagram.
+const MAX_MEMBERS_PER_PART: usize = 100;
+
+/// Which part of a failure domain's VMs a summary lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SummaryPart {
+    /// The index of the part, below `count`.
+    pub index: u8,
+    /// The number of parts.
+    pub count: u8,
+}
+
+impl SummaryPart {
+    /// The only part of a summary that fits in a datagram.
+    pub const WHOLE: Self = Self { index: 0, count: 1 };
+}
+
+impl Default for SummaryPart {
+    fn default() -> Self {
+        Self::WHOLE
+    }
+}
 
 /// A VM in a summary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,7 +66,7 @@
     pub caller_port: u16,
     /// The port on which the domain's VMs receive other VMs' datagrams.
     pub peer_port: u16,
-    /// The VMs that the sender hears and that aren't leaving, including itself.
+    /// The VMs that the sender hears and that aren't leaving, including itself, or a part of them.
     pub members: Vec<DomainMember>,
     /// The newest store version in each of the sender's table replicas, in the order of
     /// [`Table::REQUIRED`](crate::direct::replicas::Table::REQUIRED).
@@ -54,9 +76,36 @@
     /// VMs of the receiver's failure domain that the sender knows, so that its VMs find each other
     /// after a long partition or a start without the store.
     pub receiver_domain_vms: Vec<IpAddr>,
+    /// The part that this summary is. Messages name it only if there are several, so that VMs of earlier
+    /// versions read the others.
+    #[serde(skip)]
+    pub part: SummaryPart,
 }
 
 impl DomainSummary {
+    /// Splits the members over as many parts as needed.
+    pub(super) fn into_parts(self) -> Vec<Self> {
+        let count = self.members.len().div_ceil(MAX_MEMBERS_PER_PART).clamp(1, u8::MAX.into());
+        let part = |index: usize| SummaryPart { index: index as u8, count: count as u8 };
+        if count == 1 {
+            return vec![self];
+        }
+        let members = self.members.chunks(MAX_MEMBERS_PER_PART).enumerate();
+        members
+            .map(|(index, members)| Self {
+                members: members.to_vec(),
+                part: part(index),
+                ..self.clone()
+            })
+            .collect()
+    }
+
+    /// Returns this summary as the part that a message names.
+    #[must_use]
+    pub fn with_part(self, part: SummaryPart) -> Self {
+        Self { part, ..self }
+    }
+
     /// Returns the sender's address for datagrams.
     pub fn sender(&self) -> SocketAddr {
         SocketAddr::new(self.sender, self.peer_port)
@@ -121,4 +170,19 @@
         /// A digest of the content; a receiver whose stored digest differs ignores the message.
         digest: u64,
     },
+    /// As `Changed`, for one of several parts.
+    ChangedPart(SummaryPart, DomainSummary),
+    /// As `Unchanged`, for one of several parts.
+    UnchangedPart {
+        /// The part.
+        part: SummaryPart,
+        /// The sender's address for datagrams.
+        sender: SocketAddr,
+        /// When the sender's process started, in milliseconds since the Unix epoch.
+        boot_at_ms: u64,
+        /// The hybrid logical time at which the summary was sent.
+        stamp: HybridTimestamp,
+        /// A digest of the content.
+        digest: u64,
+    },
 }
--- a/crates/sedgepath-core/tests/direct_bootstrap.rs
+++ b/crates/sedgepath-core/tests/direct_bootstrap.rs
@@ -18,6 +18,10 @@
 /// The number of VMs of a failure domain that may read the tables from the store at a time.
 const MAX_READERS_PER_DOMAIN: u64 = 4;
 
+/// The time after which no look-up may name a VM that was killed, in milliseconds: what operators allow a
+/// fleet of this size.
+const MAX_NAMED_DEAD_MS: u64 = 8_000;
+
 /// Tables of as many rows as ten thousand upstreams have, at VMs with slow links.
 const LARGE_TABLES: TableSize = TableSize { rows: 10_000, page_ms: 60, transfer_ms: 500 };
 
@@ -187,6 +191,17 @@
     assert!(took_ms.is_some(), "the domains don't know each other");
 }
 
+/// Guards against VMs that other domains never hear of, since a summary of all VMs exceeds a datagram.
+#[test]
+fn all_vms_of_a_domain_of_hundreds_are_known_elsewhere() {
+    let mut net = VmNetwork::running(2, 210, 9);
+    assert!(all_agree(&net));
+    // Fewer VMs need fewer parts; the former last one names VMs that are gone.
+    net.kill(&(150..210).collect::<Vec<_>>());
+    let took_ms = net.run_until(MAX_START_MS, all_agree).expect("a VM still names silent VMs");
+    assert!(took_ms <= MAX_NAMED_DEAD_MS, "{took_ms} ms");
+}
+
 /// Guards against VMs without the tables that all ask the same other VM.
 #[test]
 fn requests_for_the_tables_go_to_vms_by_their_capacity() {
--- a/crates/sedgepath-core/tests/fuzz_peer_messages.rs
+++ b/crates/sedgepath-core/tests/fuzz_peer_messages.rs
@@ -20,7 +20,7 @@
 use sedgepath_core::direct::upstreams::{IncarnationKey, UpstreamTable};
 use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
 use sedgepath_core::direct::vms::{
-    DomainMember, DomainSummary, RelayedSummary, StoreHealth, SummaryUpdate, VmTable,
+    DomainMember, DomainSummary, RelayedSummary, StoreHealth, SummaryPart, SummaryUpdate, VmTable,
 };
 use sedgepath_core::hash::Digest;
 use sedgepath_test_support::direct::{QUOTA_BOUNDS, heartbeat, upstream_entry, vm_table};
@@ -48,6 +48,7 @@
         changed_at: [1, 2].map(StoreVersion::from_u64),
         store_health: StoreHealth::Reachable { for_ms: 100 },
         receiver_domain_vms: vec![ip(1), ip(2)],
+        part: SummaryPart::WHOLE,
     }
 }
 
@@ -70,12 +71,23 @@
         stamp: HybridTimestamp { time_ms: 6, count: 0 },
         digest: 7,
     };
+    let part = SummaryPart { index: 1, count: 2 };
+    let changed_part = SummaryUpdate::ChangedPart(part, summary());
+    let unchanged_part = SummaryUpdate::UnchangedPart {
+        part,
+        sender: summary().sender(),
+        boot_at_ms: 1,
+        stamp: HybridTimestamp { time_ms: 6, count: 0 },
+        digest: 7,
+    };
     vec![
         PeerMessage::Heartbeat(Heartbeat::Full(heartbeat)),
         PeerMessage::Summary(summary()),
         PeerMessage::RelayedSummary(vec![
             RelayedSummary { age_ms: 10, update: changed },
             RelayedSummary { age_ms: 10, update: unchanged },
+            RelayedSummary { age_ms: 10, update: changed_part },
+            RelayedSummary { age_ms: 10, update: unchanged_part },
         ]),
         PeerMessage::Reports(Reports {
             relay: true,
@@ -98,6 +110,7 @@
             retry_after_ms: 50,
         })),
         PeerMessage::Load(load_message()),
+        PeerMessage::SummaryPart(part, summary()),
     ]
 }
 
@@ -144,6 +157,9 @@
             vm.record_state(([10, 0, 0, 2], 7_000).into(), state, NOW_MS);
         }
         PeerMessage::Summary(summary) => vm.record_summary(summary, NOW_MS),
+        PeerMessage::SummaryPart(part, summary) => {
+            vm.record_summary(summary.with_part(part), NOW_MS);
+        }
         PeerMessage::RelayedSummary(summaries) => {
             for relayed in summaries {
                 vm.record_relayed_summary(relayed, NOW_MS);
@@ -163,7 +179,7 @@
     /// Guards against a datagram that panics the process or leaves look-ups without a result.
     #[test]
     fn corrupted_datagrams_do_not_stop_a_vm(
-        corruptions in prop::collection::vec((0..7_usize, any::<u16>(), any::<u8>()), 1..8),
+        corruptions in prop::collection::vec((0..8_usize, any::<u16>(), any::<u8>()), 1..8),
         later_ms in 0..60_000_u64,
     ) {
         let mut vm = vm_table("a1", "north-a", 1);
--- a/crates/sedgepath-test-support/src/load_fleet.rs
+++ b/crates/sedgepath-test-support/src/load_fleet.rs
@@ -345,6 +345,9 @@
                 vm.vms_mut().record_state(from, state, now_ms);
             }
             PeerMessage::Summary(summary) => vm.vms_mut().record_summary(summary, now_ms),
+            PeerMessage::SummaryPart(part, summary) => {
+                vm.vms_mut().record_summary(summary.with_part(part), now_ms);
+            }
             PeerMessage::RelayedSummary(summaries) => {
                 for summary in summaries {
                     vm.vms_mut().record_relayed_summary(summary, now_ms);
--- a/crates/sedgepath-test-support/src/vm_network.rs
+++ b/crates/sedgepath-test-support/src/vm_network.rs
@@ -539,7 +539,7 @@
                 let domain = heartbeat.descriptor.domain.clone();
                 let has_joined = table.record_heartbeat(heartbeat, now_ms);
                 if from / self.per_domain != own_domain {
-                    join_reply = Some(vec![table.join_reply(&domain, timestamp, &mut rng, now_ms)]);
+                    join_reply = Some(table.join_reply(&domain, timestamp, &mut rng, now_ms));
                 } else if has_joined && table.introduces_itself(&mut rng) {
                     let heartbeat = Heartbeat::Full(table.heartbeat(timestamp));
                     join_reply = Some(vec![PeerMessage::Heartbeat(heartbeat)]);
@@ -550,6 +550,10 @@
                 announced = Some(summary.changed_at[0]);
                 table.record_summary(summary, now_ms);
             }
+            PeerMessage::SummaryPart(part, summary) => {
+                announced = Some(summary.changed_at[0]);
+                table.record_summary(summary.with_part(part), now_ms);
+            }
             PeerMessage::RelayedSummary(summaries) => {
                 for summary in summaries {
                     table.record_relayed_summary(summary, now_ms);
--- a/crates/sedgepathd/src/direct/gossip.rs
+++ b/crates/sedgepathd/src/direct/gossip.rs
@@ -203,6 +203,7 @@
             }
         }
         PeerMessage::Summary(summary) => handle_summary(shared, summary),
+        PeerMessage::SummaryPart(part, summary) => handle_summary(shared, summary.with_part(part)),
         PeerMessage::RelayedSummary(summaries) => {
             let mut steering = shared.steering.borrow_mut();
             for summary in summaries {
@@ -259,7 +260,7 @@
         let has_joined = steering.vms_mut().record_heartbeat(heartbeat, now_ms);
         if domain != steering.location().domain {
             let stamp = shared.log_clock.tick();
-            vec![steering.vms().join_reply(&domain, stamp, &mut rng, now_ms)]
+            steering.vms().join_reply(&domain, stamp, &mut rng, now_ms)
         } else if has_joined && steering.vms().introduces_itself(&mut rng) {
             let stamp = shared.log_clock.tick();
             vec![PeerMessage::Heartbeat(Heartbeat::Full(steering.vms_mut().heartbeat(stamp)))]
