--- a/crates/sedgepath-core/examples/fleet_start.rs
+++ b/crates/sedgepath-core/examples/fleet_start.rs
@@ -13,6 +13,9 @@
 
 const VMS_PER_DOMAIN: [usize; 4] = [11, 33, 110, 222];
 
+/// The VMs in a domain up to which restarts are simulated too; beyond, they take minutes.
+const MAX_RESTARTED_PER_DOMAIN: usize = 110;
+
 const UPSTREAMS_PER_VM: usize = 10;
 
 /// The time of a read of one page from the store, in milliseconds.
@@ -101,6 +104,9 @@
         net.set_table_size(TableSize { rows, page_ms: PAGE_MS, transfer_ms });
         let all: Vec<VmIndex> = (0..vms).collect();
         print_row(vms, "all start", start(&mut net, &all));
+        if per_domain > MAX_RESTARTED_PER_DOMAIN {
+            break;
+        }
 
         let killed: Vec<VmIndex> = all.iter().copied().step_by(KILLED_ONE_OF).collect();
         net.kill(&killed);
--- a/crates/sedgepath-core/src/direct/bootstrap.rs
+++ b/crates/sedgepath-core/src/direct/bootstrap.rs
@@ -42,8 +42,8 @@
     progress_at_ms: u64,
     max_holders: usize,
     max_readers: usize,
-    /// Whether a VM has responded to a request for the tables, with or without rows.
-    has_response: bool,
+    /// Whether a request to another VM has ended, with or without rows.
+    has_asked: bool,
     /// Whether rows have arrived from another VM.
     has_rows: bool,
     next_request_at_ms: u64,
@@ -60,7 +60,7 @@
             progress_at_ms: now_ms,
             max_holders: 0,
             max_readers: 0,
-            has_response: false,
+            has_asked: false,
             has_rows: false,
             next_request_at_ms: now_ms,
             pause_ms: INITIAL_REQUEST_PAUSE_MS,
@@ -83,7 +83,7 @@
 
     /// Records the end of a request for the tables, and whether it brought them.
     pub fn record_response(&mut self, got_tables: bool, rng: &mut Rng, now_ms: u64) {
-        self.has_response = true;
+        self.has_asked = true;
         if got_tables {
             self.progress_at_ms = now_ms;
             self.pause_ms = INITIAL_REQUEST_PAUSE_MS;
@@ -108,7 +108,7 @@
             (domain.others.len() as u64 * UNHEARD_TAKEOVER_MS_PER_VM).min(TAKEOVER_INTERVAL_MS)
         };
         let waited_ms = now_ms.saturating_sub(self.started_at_ms);
-        if !self.has_response
+        if !self.has_asked
             && !self.has_rows
             && waited_ms < interval_ms.min(MAX_FIRST_RESPONSE_WAIT_MS)
         {
--- a/crates/sedgepath-core/src/direct/vms/remote_domains.rs
+++ b/crates/sedgepath-core/src/direct/vms/remote_domains.rs
@@ -33,7 +33,7 @@
 }
 
 /// The source of a summary: its sender's address for datagrams, and the index of the part.
-pub(super) type SummaryKey = (SocketAddr, u8);
+pub(super) type SummaryKey = (SocketAddr, u16);
 
 /// The last summary from each VM that sends them for another failure domain, part by part.
 #[derive(Debug, Default)]
--- a/crates/sedgepath-core/src/direct/vms/summary.rs
+++ b/crates/sedgepath-core/src/direct/vms/summary.rs
@@ -18,9 +18,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SummaryPart {
     /// The index of the part, below `count`.
-    pub index: u8,
+    pub index: u16,
     /// The number of parts.
-    pub count: u8,
+    pub count: u16,
 }
 
 impl SummaryPart {
@@ -85,8 +85,8 @@
 impl DomainSummary {
     /// Splits the members over as many parts as needed.
     pub(super) fn into_parts(self) -> Vec<Self> {
-        let count = self.members.len().div_ceil(MAX_MEMBERS_PER_PART).clamp(1, u8::MAX.into());
-        let part = |index: usize| SummaryPart { index: index as u8, count: count as u8 };
+        let count = self.members.len().div_ceil(MAX_MEMBERS_PER_PART).clamp(1, u16::MAX.into());
+        let part = |index: usize| SummaryPart { index: index as u16, count: count as u16 };
         if count == 1 {
             return vec![self];
         }
--- a/crates/sedgepath-test-support/src/vm_network/start.rs
+++ b/crates/sedgepath-test-support/src/vm_network/start.rs
@@ -83,7 +83,6 @@
     bootstrap: Bootstrap,
     contact: ContactRole,
     is_discovered: bool,
-    has_tables: bool,
     is_reading: bool,
     is_requesting: bool,
     /// The number of VMs to which this one is sending the tables.
@@ -91,6 +90,12 @@
     had_tables_at_ms: Option<u64>,
 }
 
+impl VmStart {
+    fn has_tables(&self) -> bool {
+        self.had_tables_at_ms.is_some()
+    }
+}
+
 /// A step of a VM's start.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum StartEvent {
@@ -130,7 +135,6 @@
                 bootstrap: Bootstrap::new(now_ms),
                 contact: ContactRole::default(),
                 is_discovered: false,
-                has_tables: false,
                 is_reading: false,
                 is_requesting: false,
                 transfers: 0,
@@ -154,7 +158,7 @@
 
     /// Returns whether all VMs that started have the tables.
     pub fn all_have_tables(&self) -> bool {
-        self.vms.iter().filter_map(|vm| vm.start.as_ref()).all(|start| start.has_tables)
+        self.vms.iter().filter_map(|vm| vm.start.as_ref()).all(VmStart::has_tables)
     }
 
     fn schedule_start(&mut self, vm: VmIndex, delay_ms: u64, event: StartEvent) {
@@ -268,7 +272,7 @@
         let super::Vm { table: Some(table), start: Some(start), .. } = &mut self.vms[vm] else {
             return;
         };
-        if start.has_tables || !start.is_discovered {
+        if start.has_tables() || !start.is_discovered {
             return;
         }
         let domain = table.domain_at_start(now_ms);
@@ -298,12 +302,12 @@
         let transfer_ms = self.starting_store.tables.transfer_ms;
         let (delay_ms, brought_tables) = match &mut self.vms[from].start {
             Some(giver) if !is_suspended => {
-                let gives = giver.has_tables && giver.transfers < MAX_TRANSFERS;
-                giver.transfers += usize::from(gives);
-                if gives && let Some(start) = &mut self.vms[vm].start {
+                let has_room = giver.has_tables() && giver.transfers < MAX_TRANSFERS;
+                giver.transfers += usize::from(has_room);
+                if has_room && let Some(start) = &mut self.vms[vm].start {
                     start.bootstrap.record_rows(now_ms);
                 }
-                (if gives { transfer_ms } else { 2 * self.in_region_ms }, gives)
+                (if has_room { transfer_ms } else { 2 * self.in_region_ms }, has_room)
             }
             _ => (REQUEST_TIMEOUT_MS, false),
         };
@@ -335,10 +339,9 @@
 
     fn take_tables(&mut self, vm: VmIndex, health: StoreHealth) {
         let now_ms = self.now_ms;
-        let Some(start) = self.vms[vm].start.as_mut().filter(|start| !start.has_tables) else {
+        let Some(start) = self.vms[vm].start.as_mut().filter(|start| !start.has_tables()) else {
             return;
         };
-        start.has_tables = true;
         start.had_tables_at_ms = Some(now_ms);
         self.table_mut(vm).set_replica_state([StoreVersion::new(1, 100); 2], health);
         self.announce(vm);
--- a/crates/sedgepathd/tests/table_server.rs
+++ b/crates/sedgepathd/tests/table_server.rs
@@ -83,6 +83,29 @@
     );
 }
 
+/// Guards against a VM that goes on using a removed upstream, as it gets a snapshot from before the removal.
+#[test]
+fn a_recent_snapshot_is_sent_again_to_starting_vms_only() {
+    let (mut replicas, server) = (replicas(10), TableServer::default());
+    let rows_for = |replicas: &TableReplicas, after, now_ms| {
+        let response = server.respond(replicas, Table::Upstreams, after, now_ms);
+        let headers = response.headers().clone();
+        let update = table_server::decode_rows(&headers, &body_bytes(response)).expect("a table");
+        assert!(update.is_snapshot);
+        update.rows.len()
+    };
+    assert_eq!(rows_for(&replicas, StoreVersion::default(), 0), 10);
+    let removal = VersionedRow { key: "u0".into(), version: StoreVersion::new(0, 11), value: None };
+    let position = StoreVersion::new(0, 11);
+    let update = TableUpdate { rows: vec![removal], position, is_snapshot: false };
+    replicas.get_mut(Table::Upstreams).merge(update);
+
+    assert_eq!(rows_for(&replicas, StoreVersion::default(), 900), 10, "it was encoded anew");
+    // The snapshot with which this replica began lists no removals before version 10.
+    assert_eq!(rows_for(&replicas, StoreVersion::new(0, 9), 900), 9);
+    assert_eq!(rows_for(&replicas, StoreVersion::default(), 2_000), 9, "the snapshot is too old");
+}
+
 /// Guards against a starting VM that takes an incomplete replica for the whole table.
 #[test]
 fn a_vm_without_the_table_responds_not_found() {
