--- a/crates/sedgepath-core/src/direct/upstreams/stated.rs
+++ b/crates/sedgepath-core/src/direct/upstreams/stated.rs
@@ -37,9 +37,10 @@
         self.conditions.get(&incarnation).copied().unwrap_or_default()
     }
 
-    /// Remembers what a process has stated. If there are too many, forgets processes without an entry, and
-    /// does so next when there are twice as many as remain: with each statement it would take as long as
-    /// there are processes while all upstreams of a large fleet state that they stop.
+    /// Remembers what a process has stated. If there are too many, forgets processes without an entry.
+    ///
+    /// That is next due when there are twice as many as remain. With a pass over all processes for each
+    /// statement a VM would fall behind while all upstreams of a large fleet state that they stop.
     pub(super) fn set(
         &mut self,
         incarnation: IncarnationKey,
