Show by tests of daemons what the start asked of the store before

Cause: the tests of the start call what the code before lacks, so that none of them could be seen failing there.

Change: a VM whose neighbour sends rows slowly reads none from the store; the first VM of a domain is also killed, not only suspended, while it reads.

--- a/crates/sedgepath-core/tests/direct_bootstrap.rs
+++ b/crates/sedgepath-core/tests/direct_bootstrap.rs
@@ -145,18 +145,23 @@
     assert!(started.is_some(), "not all VMs start after the store turns none away any more");
 }
 
-/// Guards against a domain that waits for a first VM which is suspended while it reads the store.
+/// Guards against a domain that waits for a first VM which is suspended or killed while it reads the store.
 #[test]
-fn a_domain_starts_although_its_first_vm_is_suspended() {
-    let mut net = VmNetwork::new(2, 24, 6);
-    net.set_table_size(LARGE_TABLES);
-    let all: Vec<VmIndex> = (0..net.count()).collect();
-    net.start_from_store(&all);
-    net.run_for(500);
-    net.suspend(&[0], 60_000);
-    net.run_for(MAX_START_MS);
-    let without: Vec<_> = all.iter().filter(|vm| net.had_tables_at_ms(**vm).is_none()).collect();
-    assert_eq!(without, [&0]);
+fn a_domain_starts_although_its_first_vm_is_lost_while_it_reads() {
+    let suspend = |net: &mut VmNetwork| net.suspend(&[0], 60_000);
+    let kill = |net: &mut VmNetwork| net.kill(&[0]);
+    for lose_first in [suspend as fn(&mut VmNetwork), kill] {
+        let mut net = VmNetwork::new(2, 24, 6);
+        net.set_table_size(LARGE_TABLES);
+        let all: Vec<VmIndex> = (0..net.count()).collect();
+        net.start_from_store(&all);
+        net.run_for(500);
+        lose_first(&mut net);
+        net.run_for(MAX_START_MS);
+        let without: Vec<_> =
+            all.iter().filter(|vm| net.had_tables_at_ms(**vm).is_none()).collect();
+        assert_eq!(without, [&0]);
+    }
 }
 
 /// Guards against a store that is read by all VMs at once when it responds again.
--- a/crates/sedgepathd/tests/direct_bootstrap.rs
+++ b/crates/sedgepathd/tests/direct_bootstrap.rs
@@ -2,6 +2,7 @@
 
 mod platform;
 
+use platform::slow_peer::{SlowPeer, VERSION_COUNTER};
 use platform::upstream::UpstreamStandIn;
 use platform::{TestCluster, Vm, configure, wait_for};
 use sedgepath_test_support::store::StoreStandIn;
@@ -68,6 +69,32 @@
     }
 }
 
+/// Guards against a VM that gives up on a neighbour whose rows come slowly, and reads the store itself.
+#[test]
+fn a_vm_waits_for_rows_that_come_slowly_from_a_neighbour() {
+    let store = StoreStandIn::new().expect("a store");
+    configure(&store, "0000000c", "3000ms");
+    UpstreamStandIn::new("u0").register(&store, "north-a", "ready", 1);
+    let site = TestCluster::new(store.address);
+    let peer = SlowPeer::new(site.peer_address(1), &store);
+    // The store is not behind the position that the peer tells.
+    for _ in 0..VERSION_COUNTER {
+        store.put("unused", "row", b"");
+    }
+    let address = site.peer_address(1);
+    let row = format!(r#"{{"address":"{address}","domain":"north-a","region":"north"}}"#);
+    store.put_in(VM_TABLE, "north-a", "slow", row.as_bytes());
+    store.put(VM_TABLE, "slow", row.as_bytes());
+
+    let vm = site.start(2, "north-a");
+    wait_for("readiness by slow rows", || {
+        peer.announce_rows(site.peer_address(2));
+        vm.is_ready()
+    });
+    let reads = page_reads(&store);
+    assert!(reads <= MAX_READS_PER_START, "{reads} reads");
+}
+
 /// Guards against failure domains that never hear of each other, since a VM reads the rows of its own only.
 #[test]
 fn failure_domains_find_each_other_by_their_contacts() {
--- a/crates/sedgepathd/tests/platform/slow_peer.rs
+++ b/crates/sedgepathd/tests/platform/slow_peer.rs
@@ -17,7 +17,7 @@
 const CHUNKS: usize = 10;
 
 /// The version of the rows that the peer announces and sends, above those of the store.
-const VERSION_COUNTER: u64 = 1_000;
+pub const VERSION_COUNTER: u64 = 1_000;
 
 /// The pause before each chunk.
 const CHUNK_INTERVAL: Duration = Duration::from_millis(130);
