Let one implementation serve what the start and the demand wrote again

Cause, found by reading the change: a decaying rate of demand beside that of quotas, a weighted choice of neighbours and of holders, the silence after which a VM no longer reads, and the choice of contacts in the daemon and in its simulation each stood twice. A write that the store had no room for began one more task with each failed read.

Change: one of each, the choice of contacts in the core. The task that repeats the write begins once the rows are read.

--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -51,6 +51,7 @@
 pub mod bootstrap;
 pub mod budget;
 pub mod crashes;
+mod decaying_rate;
 pub mod demand;
 pub mod fingerprint;
 pub mod hot_objects;
--- a/crates/sedgepath-core/src/direct/bootstrap.rs
+++ b/crates/sedgepath-core/src/direct/bootstrap.rs
@@ -12,6 +12,7 @@
 use fastrand::Rng;
 
 use super::vms::DomainAtStart;
+use crate::weighted::choose_weighted;
 
 /// The time without progress after which the next VMs read the store, in milliseconds, if a VM that precedes
 /// them is running or the tables are on their way: several pages of a table over a slow link.
@@ -132,7 +133,7 @@
             return None;
         }
         if !domain.holders.is_empty() {
-            return choose_by_capacity(&domain.holders, rng);
+            return choose_weighted(&domain.holders, rng.u64(..));
         }
         // A VM that was restarted alone has not heard the others yet.
         self.asks_first = !self.asks_first;
@@ -159,18 +160,6 @@
     }
 }
 
-fn choose_by_capacity(holders: &[(SocketAddr, u32)], rng: &mut Rng) -> Option<SocketAddr> {
-    let total: u64 = holders.iter().map(|(_, capacity)| u64::from(*capacity).max(1)).sum();
-    let mut draw = rng.u64(0..total.max(1));
-    let chosen = holders.iter().find(|(_, capacity)| {
-        let weight = u64::from(*capacity).max(1);
-        let is_chosen = draw < weight;
-        draw = draw.saturating_sub(weight);
-        is_chosen
-    });
-    chosen.map(|(address, _)| *address)
-}
-
 /// Returns whether a VM reads the store after a number of intervals without progress: at first the first VM,
 /// then twice as many each time up to [`MAX_READERS`], and then as many of the following ones in turn.
 fn is_turn(rank: usize, vm_count: usize, intervals: usize) -> bool {
--- a/crates/sedgepath-core/src/direct/demand.rs
+++ b/crates/sedgepath-core/src/direct/demand.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::decaying_rate::DecayingRate;
 use crate::hash::{Digest, Map};
 
 /// The time constant of a VM's own rates, in milliseconds.
@@ -81,33 +82,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct CallerRequest(pub u64);
 
-/// An exponentially decaying rate of events.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct MovingRate {
-    per_s: f64,
-    updated_at_ms: u64,
-    memory_ms: f64,
-}
-
-impl MovingRate {
-    /// Creates a rate of zero with a time constant in milliseconds.
-    pub(super) fn new(memory_ms: f64, now_ms: u64) -> Self {
-        Self { per_s: 0.0, updated_at_ms: now_ms, memory_ms }
-    }
-
-    /// Records an event.
-    pub(super) fn record(&mut self, now_ms: u64) {
-        self.per_s = self.per_s(now_ms) + 1_000.0 / self.memory_ms;
-        self.updated_at_ms = now_ms;
-    }
-
-    /// Returns the rate per second.
-    pub(super) fn per_s(&self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.updated_at_ms) as f64;
-        self.per_s * (-age_ms / self.memory_ms).exp()
-    }
-}
-
 /// The report of another VM.
 #[derive(Debug)]
 struct Received {
@@ -135,7 +109,7 @@
 /// The demand of this VM's callers, and of the callers of other VMs of its region.
 #[derive(Debug, Default)]
 pub struct DemandTable {
-    own: Map<DemandKey, MovingRate>,
+    own: Map<DemandKey, DecayingRate>,
     received: Map<SocketAddr, Received>,
     rejected: Map<CallerRequest, Rejected>,
 }
@@ -149,7 +123,7 @@
             .map(|(key, rate)| ServiceDemand {
                 service: key.service,
                 large_responses: key.large_responses,
-                requests_per_10_s: (rate.per_s(now_ms) * 10.0).round() as u32,
+                requests_per_10_s: (rate.per_s_at(RATE_MEMORY_MS, now_ms) * 10.0).round() as u32,
             })
             .filter(|demand| demand.requests_per_10_s > 0)
             .collect();
@@ -190,8 +164,7 @@
             rejected.counted_at_ms = now_ms;
         }
         if self.own.len() < MAX_SERVICES || self.own.contains_key(&key) {
-            let rate = self.own.entry(key).or_insert(MovingRate::new(RATE_MEMORY_MS, now_ms));
-            rate.record(now_ms);
+            self.own.entry(key).or_default().record(RATE_MEMORY_MS, now_ms);
         }
         true
     }
@@ -220,7 +193,7 @@
 
     /// Returns the demand of this VM's callers, in requests per second.
     pub fn own_per_s(&self, key: DemandKey, now_ms: u64) -> f64 {
-        self.own.get(&key).map_or(0.0, |rate| rate.per_s(now_ms))
+        self.own.get(&key).map_or(0.0, |rate| rate.per_s_at(RATE_MEMORY_MS, now_ms))
     }
 
     /// Returns the demand of the callers of several VMs in requests per second: this one and those whose
--- a/crates/sedgepath-core/src/direct/hot_objects.rs
+++ b/crates/sedgepath-core/src/direct/hot_objects.rs
@@ -6,7 +6,8 @@
 
 use crate::hash::Map;
 
-use super::demand::{MovingRate, ServiceKey};
+use super::decaying_rate::DecayingRate;
+use super::demand::ServiceKey;
 use super::placement::CANDIDATE_COUNT;
 
 /// The most objects whose rates are tracked. The least requested one gives way to a new one.
@@ -68,9 +69,9 @@
 /// The demand for one object.
 #[derive(Debug)]
 struct TrackedObject {
-    rate: MovingRate,
+    rate: DecayingRate,
     /// The rate taken over from the object that gave way, an upper bound of what wasn't counted.
-    error: MovingRate,
+    error: DecayingRate,
     /// The number of upstreams that the object's demand needs in all; 1 if it isn't hot.
     needed: u32,
     /// The requests in the last complete windows.
@@ -83,7 +84,7 @@
 }
 
 impl TrackedObject {
-    fn new(error: MovingRate, now_ms: u64) -> Self {
+    fn new(error: DecayingRate, now_ms: u64) -> Self {
         Self {
             rate: error,
             error,
@@ -96,7 +97,7 @@
     }
 
     fn record(&mut self, now_ms: u64) {
-        self.rate.record(now_ms);
+        self.rate.record(RATE_MEMORY_MS, now_ms);
         self.roll_windows(now_ms);
         self.window_count += 1;
     }
@@ -121,7 +122,7 @@
 
     /// Returns the rate that was certainly requested, per second.
     fn certain_per_s(&self, now_ms: u64) -> f64 {
-        self.rate.per_s(now_ms) - self.error.per_s(now_ms)
+        self.rate.per_s_at(RATE_MEMORY_MS, now_ms) - self.error.per_s_at(RATE_MEMORY_MS, now_ms)
     }
 
     /// Updates the number of needed upstreams; returns whether it changed.
@@ -203,9 +204,9 @@
 
     /// Starts to track an object, if need be in place of the least requested one.
     fn track(&mut self, key: ObjectKey, now_ms: u64) {
-        let mut error = MovingRate::new(RATE_MEMORY_MS, now_ms);
+        let mut error = DecayingRate::default();
         if self.objects.len() >= MAX_OBJECTS {
-            let rate_of = |tracked: &TrackedObject| tracked.rate.per_s(now_ms);
+            let rate_of = |tracked: &TrackedObject| tracked.rate.per_s_at(RATE_MEMORY_MS, now_ms);
             let least = self
                 .objects
                 .iter()
--- a/crates/sedgepath-core/src/direct/quotas.rs
+++ b/crates/sedgepath-core/src/direct/quotas.rs
@@ -22,7 +22,6 @@
 pub mod holder;
 pub mod lender;
 pub mod lenders;
-mod rate;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/sedgepath-core/src/direct/quotas/holder/holding.rs
+++ b/crates/sedgepath-core/src/direct/quotas/holder/holding.rs
@@ -7,9 +7,9 @@
 
 use super::{Admission, QuotaToken, Ticket};
 use crate::direct::accounts::{AccountKey, Quota};
+use crate::direct::decaying_rate::DecayingRate;
 use crate::direct::quotas::lender::LentTokens;
 use crate::direct::quotas::lenders::{Lender, LenderView};
-use crate::direct::quotas::rate::DecayingRate;
 use crate::direct::quotas::{QuotaBounds, TOKEN_LIFETIME_MS, TokenGrant, TokenRequest};
 
 /// The time after which a lender that hasn't responded is passed over: two of the longest round
--- a/crates/sedgepath-core/src/direct/vms/contacts.rs
+++ b/crates/sedgepath-core/src/direct/vms/contacts.rs
@@ -6,7 +6,12 @@
 //!
 //! There is no election. VMs that disagree on the contacts publish some more addresses.
 
+use std::net::SocketAddr;
+
+use fastrand::Rng;
+
 use super::VmTable;
+use crate::hash::Map;
 
 /// The number of contacts of a failure domain, since some may have failed.
 const CONTACTS_PER_DOMAIN: usize = 3;
@@ -18,6 +23,10 @@
 /// The longest pause between two reads, in milliseconds: a failure domain may have no VM for long.
 const MAX_READ_BACKOFF_MS: u64 = 32_000;
 
+/// The number of contacts of an unheard failure domain to which a VM introduces itself, since one may have
+/// failed.
+const INTRODUCTIONS_PER_DOMAIN: usize = 2;
+
 /// What a VM does as a contact.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ContactStep {
@@ -81,9 +90,21 @@
         !self.known_vms.unheard_domains().localities().is_empty()
     }
 
-    /// Returns whether no VM of a failure domain has been heard since the start.
-    pub fn is_unheard_domain(&self, domain: &str) -> bool {
+    /// Returns the contacts to which this VM introduces itself, given the addresses and failure domains of all:
+    /// random ones of each unheard domain, as some may be gone for good.
+    pub fn choose_introductions<'a>(
+        &self,
+        contacts: impl Iterator<Item = (SocketAddr, &'a str)>,
+        rng: &mut Rng,
+    ) -> Vec<SocketAddr> {
         let unheard = self.known_vms.unheard_domains().localities();
-        unheard.iter().any(|locality| *locality.domain == *domain)
+        let mut by_domain: Map<&str, Vec<SocketAddr>> = Map::default();
+        for (address, domain) in contacts {
+            if unheard.iter().any(|locality| *locality.domain == *domain) {
+                by_domain.entry(domain).or_default().push(address);
+            }
+        }
+        let chosen = by_domain.into_values();
+        chosen.flat_map(|vms| rng.choose_multiple(vms, INTRODUCTIONS_PER_DOMAIN)).collect()
     }
 }
--- a/crates/sedgepath-core/src/direct/vms/neighbours.rs
+++ b/crates/sedgepath-core/src/direct/vms/neighbours.rs
@@ -2,6 +2,7 @@
 
 use super::{VmDescriptor, VmTable};
 use crate::hash::Set;
+use crate::weighted::choose_weighted;
 use std::net::SocketAddr;
 
 /// A VM that serves.
@@ -62,14 +63,8 @@
         } else {
             candidates
         };
-        let total: u64 = nearest.iter().map(|vm| self.free_per_s(vm)).sum();
-        let mut draw = random.checked_rem(total)?;
-        nearest.into_iter().find(|vm| {
-            let free = self.free_per_s(vm);
-            let chosen = draw < free;
-            draw = draw.saturating_sub(free);
-            chosen
-        })
+        let by_free: Vec<_> = nearest.into_iter().map(|vm| (vm, self.free_per_s(vm))).collect();
+        choose_weighted(&by_free, random)
     }
 
     /// Returns the number of typical requests that a VM can serve in a second beyond its load, at least
--- a/crates/sedgepath-core/src/direct/vms/readers.rs
+++ b/crates/sedgepath-core/src/direct/vms/readers.rs
@@ -105,6 +105,14 @@
         steps_since < TAKEOVER_INTERVALS
     }
 
+    /// Returns the VMs heard, and not leaving, within the shorter limit for VMs that may read the store.
+    pub(super) fn reader_peers(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |Peer { state, heard_at_ms, .. }| {
+            let silent_after_ms = self.timing.reader_silent_after_ms(state.period_ms);
+            now_ms < heard_at_ms + silent_after_ms && !state.leaving
+        })
+    }
+
     fn region_candidates(&self, now_ms: u64) -> RegionCandidates<'_> {
         let own = &self.own.descriptor;
         let mut region = RegionCandidates {
@@ -112,17 +120,13 @@
             candidates: Vec::new(),
             other_regions: Set::default(),
         };
-        for peer in self.peers.values() {
-            let Peer { descriptor, state, heard_at_ms } = peer;
-            let silent_after_ms = self.timing.reader_silent_after_ms(state.period_ms);
-            if now_ms < heard_at_ms + silent_after_ms && !state.leaving {
-                let (address, store_reachable) =
-                    (descriptor.peer_address, state.store_health.is_reachable());
-                region.add(
-                    &descriptor.region,
-                    ReaderCandidate { domain: &descriptor.domain, address, store_reachable },
-                );
-            }
+        for Peer { descriptor, state, .. } in self.reader_peers(now_ms) {
+            let (address, store_reachable) =
+                (descriptor.peer_address, state.store_health.is_reachable());
+            region.add(
+                &descriptor.region,
+                ReaderCandidate { domain: &descriptor.domain, address, store_reachable },
+            );
         }
         for RemoteVm { descriptor, member } in
             self.remote_domains.reader_candidates(self.timing, now_ms)
--- a/crates/sedgepath-core/src/direct/vms/start.rs
+++ b/crates/sedgepath-core/src/direct/vms/start.rs
@@ -19,7 +19,7 @@
     /// Whether one of these has been heard.
     pub hears_preceding: bool,
     /// The other VMs that have rows of the tables, with their capacities in requests per second.
-    pub holders: Vec<(SocketAddr, u32)>,
+    pub holders: Vec<(SocketAddr, u64)>,
     /// The number of other VMs that read the store.
     pub readers: usize,
     /// All other VMs that run, or may be starting.
@@ -30,7 +30,9 @@
     /// Returns what this VM knows of its failure domain.
     pub fn domain_at_start(&self, now_ms: u64) -> DomainAtStart {
         let holders = self.live_domain_peers(now_ms).filter(|peer| has_rows(&peer.state));
-        let describe = |peer: &Peer| (peer.descriptor.peer_address, peer.descriptor.capacity_per_s);
+        let describe = |peer: &Peer| {
+            (peer.descriptor.peer_address, u64::from(peer.descriptor.capacity_per_s).max(1))
+        };
         let heard = self.heard_preceding(now_ms);
         let live = self.live_domain_peers(now_ms);
         DomainAtStart {
@@ -58,13 +60,10 @@
     /// Returns the number of VMs heard in this VM's failure domain that precede it: by address, but those
     /// whose calls of the store fail come last.
     fn heard_preceding(&self, now_ms: u64) -> usize {
-        let is_current = |peer: &&Peer| {
-            let silent_after_ms = self.timing.reader_silent_after_ms(peer.state.period_ms);
-            now_ms < peer.heard_at_ms + silent_after_ms
-        };
         let order = |store_health, address| (store_health == StoreHealth::Failing, address);
         let own = order(self.own.state.store_health, self.own.descriptor.peer_address);
-        let heard = self.live_domain_peers(now_ms).filter(is_current);
+        let heard = self.reader_peers(now_ms);
+        let heard = heard.filter(|peer| peer.descriptor.domain == self.own.descriptor.domain);
         let heard = heard.map(|peer| order(peer.state.store_health, peer.descriptor.peer_address));
         heard.filter(|other| *other < own).count()
     }
--- a/crates/sedgepath-core/src/lib.rs
+++ b/crates/sedgepath-core/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod table;
 pub mod timeline;
 pub mod view;
+mod weighted;
--- a/crates/sedgepath-test-support/src/vm_network/start.rs
+++ b/crates/sedgepath-test-support/src/vm_network/start.rs
@@ -2,7 +2,7 @@
 
 use sedgepath_core::direct::bootstrap::Bootstrap;
 use sedgepath_core::direct::store_version::StoreVersion;
-use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
+use sedgepath_core::direct::vms::gossip::{Heartbeat, OutgoingMessage, PeerMessage};
 use sedgepath_core::direct::vms::{ContactRole, ContactStep, StoreHealth};
 use sedgepath_core::hash::{Map, Set};
 
@@ -23,9 +23,6 @@
 /// The timeout of a request to a VM that doesn't respond, in milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 800;
 
-/// The number of contacts of a failure domain to which a VM introduces itself.
-const INTRODUCTIONS_PER_DOMAIN: usize = 2;
-
 /// What VMs have asked of the store.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct StoreLoad {
@@ -248,22 +245,15 @@
     }
 
     fn introduce(&mut self, vm: VmIndex) {
-        let mut by_domain: Map<usize, Vec<VmIndex>> = Map::default();
-        for contact in &self.starting_store.contacts {
-            by_domain.entry(self.domain(*contact)).or_default().push(*contact);
-        }
-        let mut rng = self.rng.fork();
-        let stamp = self.next_timestamp();
-        for contacts in by_domain.into_values() {
-            let domain = self.descriptor(contacts[0]).domain;
-            let table = self.table_mut(vm);
-            if table.is_unheard_domain(&domain) {
-                let heartbeat = Heartbeat::Full(table.heartbeat(stamp));
-                for contact in rng.choose_multiple(contacts, INTRODUCTIONS_PER_DOMAIN) {
-                    self.send(vm, address(contact), PeerMessage::Heartbeat(heartbeat.clone()));
-                }
-            }
-        }
+        let (mut rng, stamp) = (self.rng.fork(), self.next_timestamp());
+        let contacts = self.starting_store.contacts.iter();
+        let contacts: Vec<_> =
+            contacts.map(|contact| (address(*contact), self.descriptor(*contact).domain)).collect();
+        let table = self.table_mut(vm);
+        let contacts = contacts.iter().map(|(address, domain)| (*address, &**domain));
+        let to = table.choose_introductions(contacts, &mut rng);
+        let message = PeerMessage::Heartbeat(Heartbeat::Full(table.heartbeat(stamp)));
+        self.send_all(vm, vec![OutgoingMessage { message, to }]);
     }
 
     fn check_tables(&mut self, vm: VmIndex) {
--- a/crates/sedgepathd/src/direct/contacts.rs
+++ b/crates/sedgepathd/src/direct/contacts.rs
@@ -2,15 +2,12 @@
 //!
 //! The rows are in the default partition of the table of VMs, where VMs of earlier versions keep theirs.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use sedgepath_adapter::store::StoreError;
-use sedgepath_core::direct::replicas::TableUpdate;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
 use sedgepath_core::direct::vms::{ContactRole, ContactStep};
-use sedgepath_core::hash::Map;
 use sedgepath_wire::peer_keys::{PEER_KEY_ROW, VM_TABLE};
 
 use super::discovery::{self, VmRow};
@@ -20,9 +17,6 @@
 /// How often a VM checks whether a call is due, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 250;
 
-/// The number of contacts of a failure domain to which a VM introduces itself, since one may have failed.
-const INTRODUCTIONS_PER_DOMAIN: usize = 2;
-
 /// Publishes this VM as a contact while it is one, and introduces it to unheard failure domains, until the
 /// process ends.
 pub async fn follow_contacts(shared: Rc<SharedState>) {
@@ -58,30 +52,18 @@
 }
 
 async fn introduce_to_contacts(shared: &SharedState) -> Result<(), StoreError> {
-    let contacts = shared.store.read_table(VM_TABLE).await?;
-    let addresses = choose_contacts(shared, contacts);
-    log::info!("event=contacts_read introduced_to={}", addresses.len());
-    let heartbeat = {
-        let stamp = shared.log_clock.tick();
-        shared.steering.borrow_mut().vms_mut().heartbeat(stamp)
+    let mut update = shared.store.read_table(VM_TABLE).await?;
+    update.rows.retain(|row| &*row.key != PEER_KEY_ROW);
+    let rows: Vec<VmRow> = discovery::decode_vm_rows(&update).collect();
+    let (addresses, heartbeat) = {
+        let mut steering = shared.steering.borrow_mut();
+        let vms = steering.vms_mut();
+        let contacts = rows.iter().map(|row| (row.address, &*row.domain));
+        let addresses = vms.choose_introductions(contacts, &mut fastrand::Rng::new());
+        (addresses, vms.heartbeat(shared.log_clock.tick()))
     };
+    log::info!("event=contacts_read introduced_to={}", addresses.len());
     let message = PeerMessage::Heartbeat(Heartbeat::Full(heartbeat));
     gossip::send_to_all(shared, &message, &addresses).await;
     Ok(())
 }
-
-/// Returns the addresses of some contacts of each unheard failure domain, at random, as rows of VMs that
-/// are gone are not removed.
-fn choose_contacts(shared: &SharedState, mut contacts: TableUpdate) -> Vec<SocketAddr> {
-    contacts.rows.retain(|row| &*row.key != PEER_KEY_ROW);
-    let mut by_domain: Map<Box<str>, Vec<SocketAddr>> = Map::default();
-    let steering = shared.steering.borrow();
-    for VmRow { address, domain, .. } in discovery::decode_vm_rows(&contacts) {
-        if steering.vms().is_unheard_domain(&domain) {
-            by_domain.entry(domain).or_default().push(address);
-        }
-    }
-    let mut rng = fastrand::Rng::new();
-    let chosen = by_domain.into_values();
-    chosen.flat_map(|vms| rng.choose_multiple(vms, INTRODUCTIONS_PER_DOMAIN)).collect()
-}
--- a/crates/sedgepathd/src/direct/discovery.rs
+++ b/crates/sedgepathd/src/direct/discovery.rs
@@ -85,15 +85,18 @@
 /// A store that accepts no more writes at the moment doesn't keep the VM from reading.
 async fn publish_and_read_rows(shared: &Rc<SharedState>) -> Result<(), StoreError> {
     let partition = domain_partition(shared);
-    match publish_row(shared, partition).await {
-        Err(StoreError::Rejected(TOO_MANY_REQUESTS | INSUFFICIENT_STORAGE)) => {
-            let shared = Rc::clone(shared);
-            tokio::task::spawn_local(async move { publish_row_with_retries(&shared).await });
-        }
-        result => result?,
+    let published = publish_row(shared, partition).await;
+    let has_room =
+        !matches!(published, Err(StoreError::Rejected(TOO_MANY_REQUESTS | INSUFFICIENT_STORAGE)));
+    if has_room {
+        published?;
     }
     let update = shared.store.read_table(partition).await?;
     peer_authentication::read_keys(shared).await?;
+    if !has_room {
+        let shared = Rc::clone(shared);
+        tokio::task::spawn_local(async move { publish_row_with_retries(&shared).await });
+    }
     let now_ms = clock::now_ms();
     let mut steering = shared.steering.borrow_mut();
     for VmRow { address, domain, region } in decode_vm_rows(&update) {
--- a/crates/sedgepathd/src/direct/table_server.rs
+++ b/crates/sedgepathd/src/direct/table_server.rs
@@ -36,7 +36,8 @@
 /// The number of snapshots that the largest VM sends at a time.
 const MAX_CONCURRENT_SNAPSHOTS: usize = 32;
 
-/// The bandwidth of a VM's link for each snapshot that it sends at a time, in megabits per second.
+/// The bandwidth of a VM's link for each snapshot that it sends at a time, in megabits per second: several
+/// megabytes arrive before a fetch times out.
 const LINK_MBPS_PER_SNAPSHOT: f64 = 6.0;
 
 /// The age up to which an encoded snapshot is sent again, in milliseconds. Its receivers fetch the changes
