--- a/review/rig/src/hidden_removal.rs
+++ b/review/rig/src/hidden_removal.rs
@@ -58,7 +58,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     let next_id = Arc::new(AtomicU64::new(1));
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
-    let clients: Vec<_> = (0..48)
+    let clients: Vec<_> = (0..96)
         .map(|client| {
             let zone = ZONES[client % ZONES.len()].0;
             let (directory, stop, next_id, sent, record) = (
