--- a/review/rig/src/backend.rs
+++ b/review/rig/src/backend.rs
@@ -12,6 +12,9 @@
 use crate::http::{read_body, read_head};
 use crate::record::Record;
 
+/// The length of a download, the largest one of the site files.
+const PACK_BYTES: usize = 540_000;
+
 /// A request that the backend ran, wholly or in part.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -148,7 +151,9 @@
             return Vec::new();
         }
         self.state.runs.lock().expect("unpoisoned")[index].completed = true;
-        let body = format!("done {id}\n");
+        let is_pack = request.line.starts_with("GET /packs/");
+        let length = if is_pack { PACK_BYTES } else { 0 };
+        let body = format!("done {id}\n{}", "x".repeat(length));
         format!(
             "HTTP/1.1 200 OK\r\n{head}X-Sedgepath-Response-Signature: s.{id}\r\n\
              Content-Length: {}\r\n\r\n{body}",
--- a/review/rig/src/fleet.rs
+++ b/review/rig/src/fleet.rs
@@ -26,9 +26,18 @@
 
 /// A configuration with a safe and an unsafe route to one service.
 pub fn configuration(version: u64) -> Value {
-    let route = |name: &str, kind: &str| {
+    configuration_of(version, &[("reads", "safe", "4000ms"), ("charges", "unsafe", "4000ms")])
+}
+
+/// A configuration with a safe route and one for downloads.
+pub fn configuration_with_packs(version: u64) -> Value {
+    configuration_of(version, &[("reads", "safe", "6000ms"), ("packs", "download", "6000ms")])
+}
+
+fn configuration_of(version: u64, routes: &[(&str, &str, &str)]) -> Value {
+    let route = |(name, kind, timeout): &(&str, &str, &str)| {
         json!({
-            "name": name, "prefix": format!("/{name}/"), "kind": kind, "timeout": "4000ms",
+            "name": name, "prefix": format!("/{name}/"), "kind": kind, "timeout": timeout,
             "targetLatency": "600ms", "priority": 1, "service": "shop", "maxAttempts": 2,
             "sticky": false, "homeRegions": [],
         })
@@ -44,7 +53,7 @@
             "idleTimeout": "15000ms",
         },
         "virtualHosts": [
-            {"host": "shop.example", "pathRoutes": [route("reads", "safe"), route("charges", "unsafe")]},
+            {"host": "shop.example", "pathRoutes": routes.iter().map(route).collect::<Vec<_>>()},
         ],
     })
 }
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -6,6 +6,7 @@
 mod hidden_removal;
 mod http;
 mod record;
+mod slow_readers;
 
 use std::path::PathBuf;
 
@@ -19,6 +20,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let broken = match case.as_str() {
         "hidden-removal" => hidden_removal::run(&folder, trouble),
+        "slow-readers" => slow_readers::run(&folder, trouble),
         _ => {
             eprintln!("unknown case {case}");
             std::process::exit(2);
