Log whole reads of tables, and tell versions of replicas in the metrics

`event=table_read` names the table, its source, the version of the newest row and the position; `sedgepath_table_version` has the announced version and the position of each replica.

--- a/crates/sedgepathd/src/direct/fetch.rs
+++ b/crates/sedgepathd/src/direct/fetch.rs
@@ -119,6 +119,9 @@
     match timeout(TOTAL_FETCH_TIMEOUT, request_rows(shared, table, position, address)).await {
         Ok(Ok(update)) => {
             log::debug!("event=rows_fetched table={} from={address}", table.name());
+            if update.is_snapshot {
+                replica_updates::log_snapshot(table, address, &update);
+            }
             let was_incomplete = !shared.replicas.borrow().get(table).is_complete();
             let same_domain = shared.steering.borrow().vms().domain_addresses().contains(&address);
             if replica_updates::apply_update(shared, table, update)
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -14,6 +14,8 @@
 use sedgepath_core::direct::attempts::{
     AttemptOutcome, ForwardOutcome, PlacementDecision, RejectionReason,
 };
+use sedgepath_core::direct::replicas::Table;
+use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::hash::Set;
 
 use super::attempt::bytes_body;
@@ -107,6 +109,7 @@
 struct StoreGauges {
     contact: IntGauge,
     era: IntGauge,
+    table_versions: IntGaugeVec,
 }
 
 impl StoreGauges {
@@ -120,13 +123,31 @@
                 "sedgepath_store_era",
                 "Era of the newest rows that this VM has; rises when the store is restored.",
             )?,
+            table_versions: IntGaugeVec::new(
+                Opts::new(
+                    "sedgepath_table_version",
+                    "Store versions of this VM's replicas, within the era: the one that it announces to others, \
+                     and the position up to which it has all changes.",
+                ),
+                &["table", "version"],
+            )?,
         })
     }
 
     fn update(&self, shared: &SharedState, now_ms: u64) {
         let health = shared.store_call_state.get().health(now_ms);
         self.contact.set(health.reachable_for_ms().map_or(-1, u64::cast_signed));
-        self.era.set(shared.replicas.borrow().era().into());
+        let replicas = shared.replicas.borrow();
+        self.era.set(replicas.era().into());
+        for table in Table::ALL {
+            let replica = replicas.get(table);
+            let set = |name: &str, version: StoreVersion| {
+                let gauge = self.table_versions.with_label_values(&[table.name(), name]);
+                gauge.set(version.counter().cast_signed());
+            };
+            set("announced", replica.newest_version());
+            set("position", replica.position());
+        }
     }
 }
 
@@ -292,6 +313,7 @@
         self.registry.register(Box::new(self.event_loop_delay.clone()))?;
         self.registry.register(Box::new(self.upstreams.clone()))?;
         self.registry.register(Box::new(self.capacity.staying_share.clone()))?;
+        self.registry.register(Box::new(self.store.table_versions.clone()))?;
         let gauges = [
             &self.vms,
             &self.configuration,
--- a/crates/sedgepathd/src/direct/replica_updates.rs
+++ b/crates/sedgepathd/src/direct/replica_updates.rs
@@ -1,6 +1,7 @@
 //! Merges rows of the store or of other VMs into this VM's replicas, and applies what changed to the
 //! steering state.
 
+use std::fmt::Display;
 use std::sync::Arc;
 
 use sedgepath_adapter::rows::{self, OperatorRowKey, ParsedConfiguration};
@@ -39,6 +40,18 @@
     applied_any || begins_era
 }
 
+/// Logs a snapshot of a table, and the versions that tell which removals it may hide.
+pub fn log_snapshot(table: Table, source: impl Display, update: &TableUpdate) {
+    let newest_row = update.rows.iter().map(|row| row.version).max().unwrap_or_default();
+    log::info!(
+        "event=table_read table={} from={source} rows={} newest_row={} position={}",
+        table.name(),
+        update.rows.len(),
+        newest_row.to_u64(),
+        update.position.to_u64(),
+    );
+}
+
 /// Applies changes of a replica to the steering state and returns whether there are any.
 pub fn apply_changes(shared: &SharedState, table: Table, changes: &[VersionedRow]) -> bool {
     match table {
--- a/crates/sedgepathd/src/direct/store_feed.rs
+++ b/crates/sedgepathd/src/direct/store_feed.rs
@@ -10,7 +10,7 @@
 
 use super::replica_updates::apply_update;
 use super::shared::{SharedState, StoreCallState};
-use super::{clock, gossip};
+use super::{clock, gossip, replica_updates};
 
 /// Follows a table, while this VM is one of the store's readers, until the process ends.
 pub async fn follow_table(shared: Rc<SharedState>, table: Table) {
@@ -98,7 +98,11 @@
 ) -> Result<TableUpdate, StoreError> {
     let name = store_table_name(table);
     match call {
-        StoreCall::ReadWhole => shared.store.read_table(name).await,
+        StoreCall::ReadWhole => {
+            let update = shared.store.read_table(name).await?;
+            replica_updates::log_snapshot(table, "store", &update);
+            Ok(update)
+        }
         StoreCall::PollChanges { wait_ms } => {
             let position = shared.replicas.borrow().get(table).position();
             shared.store.poll_changes(name, position, wait_ms).await
