Announce what a VM knows of a table, not the newest row that it holds

VMs fetch rows from a VM that announces a higher version. A VM announced the version of its newest row. A whole table lists no removals, so a VM that had read one from the store announced less than it knew, and the others never asked.

A replica now announces the newest change that it may have, up to the position to which it has all changes. The quarantine stays unannounced while nobody has any rows of it.

Most restarts read a table in which nothing was removed, and all others would now fetch it. A request therefore has a digest of the requester's rows, and the response says that they are unchanged. Weighed and left: asking the store for the changes since the newest row, which its history has often lost; announcing positions, which move with every write.

--- a/crates/sedgepath-core/src/direct/replicas.rs
+++ b/crates/sedgepath-core/src/direct/replicas.rs
@@ -12,6 +12,10 @@
 //!   incremental update keeps this only if its sender knows all removals since the requester's
 //!   position; otherwise the sender must send a snapshot.
 //! - A removed row is kept as a tombstone, so that an older replica can't restore it.
+//! - A replica is announced with the version of the newest change that it may contain, at most its position.
+//!   A VM with a lower announced version may lack that change, and asks for it. A snapshot lists no removals:
+//!   of one read from the store, any version up to its position may be a removal, and one of another VM says
+//!   what that VM announces.
 //!
 //! # Restored stores
 //!
@@ -74,6 +78,23 @@
     pub value: Option<Arc<[u8]>>,
 }
 
+/// What the rows of an update are.
+///
+/// VMs of earlier versions encode and decode the first two kinds as `false` and `true`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum UpdateKind {
+    /// The rows that changed.
+    Changes,
+    /// All rows of the table.
+    Snapshot,
+    /// None: the receiver's rows are those of the table, if their digest still is this one.
+    Unchanged(RowsDigest),
+}
+
+/// A digest of the rows that a replica holds, whatever their order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RowsDigest(pub u64);
+
 /// A snapshot or an incremental update of a table, from the store or from another VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableUpdate {
@@ -81,8 +102,68 @@
     pub rows: Vec<VersionedRow>,
     /// The store version up to which the update contains all changes.
     pub position: StoreVersion,
-    /// Whether the update holds all rows of the table rather than only the changed ones.
-    pub is_snapshot: bool,
+    /// What the rows are.
+    pub kind: UpdateKind,
+    /// The store version of the newest change that the update may contain. It is above the versions of
+    /// all rows if the newest change is a removal that isn't listed.
+    #[serde(skip)]
+    pub newest_version: StoreVersion,
+}
+
+impl TableUpdate {
+    /// Creates an update with the rows that changed up to a position.
+    pub fn new_changes(rows: Vec<VersionedRow>, position: StoreVersion) -> Self {
+        Self::new(rows, position, UpdateKind::Changes)
+    }
+
+    /// Creates an update with all rows of a table.
+    pub fn new_snapshot(rows: Vec<VersionedRow>, position: StoreVersion) -> Self {
+        Self::new(rows, position, UpdateKind::Snapshot)
+    }
+
+    /// Creates an update for a receiver whose rows have a digest and are those of the table.
+    pub fn new_unchanged(rows: RowsDigest, position: StoreVersion) -> Self {
+        Self::new(Vec::new(), position, UpdateKind::Unchanged(rows))
+    }
+
+    fn new(rows: Vec<VersionedRow>, position: StoreVersion, kind: UpdateKind) -> Self {
+        let newest_version = rows.iter().map(|row| row.version).max().unwrap_or_default();
+        Self { rows, position, kind, newest_version }
+    }
+
+    /// Sets that the newest change up to the position may be a removal: a snapshot of the store doesn't list
+    /// those.
+    #[must_use]
+    pub fn with_unlisted_removals(self) -> Self {
+        let newest_version = self.position;
+        self.with_newest_version(newest_version)
+    }
+
+    /// Sets the version of the newest change that the update may contain.
+    #[must_use]
+    pub fn with_newest_version(self, newest_version: StoreVersion) -> Self {
+        Self { newest_version, ..self }
+    }
+
+    /// Returns whether the update holds all rows of the table.
+    pub fn is_snapshot(&self) -> bool {
+        self.kind == UpdateKind::Snapshot
+    }
+}
+
+/// What a VM that requests rows of a table has of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequesterState {
+    /// The store version up to which it has all changes.
+    pub position: StoreVersion,
+    /// The digest of its rows, if it accepts that they are unchanged.
+    pub rows: Option<RowsDigest>,
+}
+
+impl From<StoreVersion> for RequesterState {
+    fn from(position: StoreVersion) -> Self {
+        Self { position, rows: None }
+    }
 }
 
 /// The replicas of all replicated tables.
@@ -133,7 +214,7 @@
         Table::ALL.into_iter().all(|table| self.get(table).is_complete())
     }
 
-    /// Returns the newest version of each required replica, in the order of [`Table::REQUIRED`].
+    /// Returns the announced version of each required replica, in the order of [`Table::REQUIRED`].
     pub fn newest_version(&self) -> [StoreVersion; 2] {
         Table::REQUIRED.map(|table| self.get(table).newest_version())
     }
--- a/crates/sedgepath-core/src/direct/replicas/restore.rs
+++ b/crates/sedgepath-core/src/direct/replicas/restore.rs
@@ -183,13 +183,14 @@
 
     /// Merges the first snapshot of an era, and returns the rows that changed the replica's contents.
     pub(super) fn begin_era(&mut self, snapshot: TableUpdate) -> Vec<VersionedRow> {
-        let TableUpdate { rows, position, .. } = snapshot;
+        let TableUpdate { rows, position, newest_version, .. } = snapshot;
         self.held_back.clear();
         self.lost_writes.clear();
         self.keep_missing_rows(&rows, position);
-        self.newest_version = StoreVersion::new(position.era(), 0);
+        self.newest_version = StoreVersion::new(position.era(), 0).max(newest_version);
         let mut changes = rows;
         changes.retain(|row| self.apply_restored_row(row));
+        self.update_rows_digest();
         self.position = position;
         self.removals_unknown_up_to = position;
         self.era_began_at = position;
--- a/crates/sedgepath-core/src/direct/replicas/table.rs
+++ b/crates/sedgepath-core/src/direct/replicas/table.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use super::restore::{LostWrite, NoDecoder, RowDecoder};
-use super::{Table, TableUpdate, VersionedRow};
+use super::{RequesterState, RowsDigest, Table, TableUpdate, UpdateKind, VersionedRow};
 use crate::direct::store_version::StoreVersion;
-use crate::hash::{Map, Set};
+use crate::hash::{Digest, Map, Set};
 
 /// The number of tombstones that a replica of any size keeps; a VM that lacks older removals gets a
 /// snapshot.
@@ -24,6 +24,14 @@
     fn current_value(&self) -> Option<&Arc<[u8]>> {
         self.value.as_ref().filter(|_| !self.is_removed)
     }
+
+    /// Returns the row's part of the digest of all rows; none if it is removed.
+    fn digest(&self, key: &str) -> u64 {
+        self.current_value().map_or(0, |value| {
+            let version = self.version.to_u64().to_le_bytes();
+            Digest::of(&[key.as_bytes(), &version, value]).to_u64()
+        })
+    }
 }
 
 /// A replica of one table.
@@ -31,7 +39,10 @@
 pub struct TableReplica {
     pub(super) rows: Map<Box<str>, StoredRow>,
     pub(super) position: StoreVersion,
+    /// The version of the newest change that the replica may contain.
     pub(super) newest_version: StoreVersion,
+    /// The sum of the digests of all rows.
+    rows_digest: u64,
     tombstone_count: usize,
     /// The version up to which removals are unknown: their tombstones were dropped, or they precede
     /// the last snapshot.
@@ -59,6 +70,7 @@
             rows: Map::default(),
             position: StoreVersion::default(),
             newest_version: StoreVersion::default(),
+            rows_digest: 0,
             tombstone_count: 0,
             removals_unknown_up_to: StoreVersion::default(),
             is_complete: false,
@@ -80,9 +92,26 @@
         self.position
     }
 
-    /// Returns the store version of the newest change in the replica.
+    /// Returns the version with which the replica is announced: that of the newest change that it may
+    /// contain, and up to which it has all changes.
     pub fn newest_version(&self) -> StoreVersion {
-        self.newest_version
+        // A snapshot of several pages may have rows above its position, and rows that were removed before
+        // these were written.
+        self.newest_version.min(self.position)
+    }
+
+    /// Returns whether the replica has a row, or knows of one that was removed.
+    pub fn has_had_rows(&self) -> bool {
+        !self.rows.is_empty()
+    }
+
+    /// Returns what the replica has, for a request to another VM.
+    ///
+    /// Rows that are held back aren't in the digest, and depend on a snapshot.
+    pub fn requester_state(&self) -> RequesterState {
+        let is_comparable = self.is_complete && self.held_back.is_empty();
+        let rows = is_comparable.then_some(RowsDigest(self.rows_digest));
+        RequesterState { position: self.position, rows }
     }
 
     /// Merges an update and returns the rows that changed the replica's contents.
@@ -91,23 +120,30 @@
     /// doesn't have.
     pub fn merge(&mut self, update: TableUpdate) -> Vec<VersionedRow> {
         if self.is_complete && update.position.era() != self.position.era() {
-            let begins_era = update.is_snapshot && update.position > self.position;
+            let begins_era = update.is_snapshot() && update.position > self.position;
             return if begins_era { self.begin_era(update) } else { Vec::new() };
         }
+        if let UpdateKind::Unchanged(rows) = update.kind
+            && self.requester_state().rows != Some(rows)
+        {
+            // The rows have changed since the request.
+            return Vec::new();
+        }
         let mut changes = Vec::new();
-        if update.is_snapshot {
+        if update.is_snapshot() {
             changes.extend(self.removed_by_snapshot(&update));
             self.drop_held_back(&update);
+            self.is_complete = true;
         }
+        self.newest_version = self.newest_version.max(update.newest_version);
         changes.extend(update.rows);
         changes.retain(|row| self.apply_row(row));
-        self.position = self.position.max(update.position);
-        if update.is_snapshot {
-            // A snapshot doesn't list earlier removals, so an incremental update from this replica
+        if update.kind != UpdateKind::Changes {
+            // Such an update doesn't list earlier removals, so an incremental update from this replica
             // can't either: a VM that still has a removed row would keep it.
             self.removals_unknown_up_to = self.removals_unknown_up_to.max(update.position);
-            self.is_complete = true;
         }
+        self.position = self.position.max(update.position);
         self.drop_tombstones();
         changes
     }
@@ -117,6 +153,28 @@
         version < self.removals_unknown_up_to || version == StoreVersion::default()
     }
 
+    /// Returns the kind of update for a VM that requests rows: the changes that it lacks, or all rows if this
+    /// replica may lack removals among them, unless the VM has the same rows.
+    pub fn update_kind_for(&self, requester: RequesterState) -> UpdateKind {
+        if !self.requires_snapshot(requester.position) {
+            return UpdateKind::Changes;
+        }
+        let same_rows = requester.rows.filter(|rows| {
+            requester.position.era() == self.position.era()
+                && self.requester_state().rows == Some(*rows)
+        });
+        same_rows.map_or(UpdateKind::Snapshot, UpdateKind::Unchanged)
+    }
+
+    /// Returns the update for a VM that requests rows.
+    pub fn update_for(&self, requester: RequesterState) -> TableUpdate {
+        match self.update_kind_for(requester) {
+            UpdateKind::Unchanged(rows) => TableUpdate::new_unchanged(rows, self.position)
+                .with_newest_version(self.newest_version()),
+            UpdateKind::Changes | UpdateKind::Snapshot => self.changes_since(requester.position),
+        }
+    }
+
     /// Returns the changes after a version for a VM that has all changes up to it, or a snapshot if
     /// this replica may lack removals since then.
     pub fn changes_since(&self, version: StoreVersion) -> TableUpdate {
@@ -139,7 +197,8 @@
             // The store has these rows; the receiver may know nothing that speaks against them.
             rows.extend(self.held_back.iter().filter(|row| self.is_open(row)).cloned());
         }
-        TableUpdate { rows, position: self.position, is_snapshot }
+        let kind = if is_snapshot { UpdateKind::Snapshot } else { UpdateKind::Changes };
+        TableUpdate { rows, position: self.position, kind, newest_version: self.newest_version() }
     }
 
     /// Returns whether the row of a restored store is newer than what this VM has of it.
@@ -206,10 +265,19 @@
             value: row.value.clone().or(last_value),
             is_removed: row.value.is_none(),
         };
-        self.rows.insert(row.key.clone(), newer);
+        self.rows_digest = self.rows_digest.wrapping_add(newer.digest(&row.key));
+        if let Some(replaced) = self.rows.insert(row.key.clone(), newer) {
+            self.rows_digest = self.rows_digest.wrapping_sub(replaced.digest(&row.key));
+        }
         changed
     }
 
+    /// Computes the digest of all rows after the versions of some have changed.
+    pub(super) fn update_rows_digest(&mut self) {
+        let digests = self.rows.iter().map(|(key, row)| row.digest(key));
+        self.rows_digest = digests.fold(0, u64::wrapping_add);
+    }
+
     /// Returns whether a row is newer than the stored one. Of one version there may be two values after
     /// a restore, as VMs knew different newest ones.
     fn is_newer(&self, row: &VersionedRow, stored: &StoredRow) -> bool {
--- a/crates/sedgepath-core/tests/direct_copies.rs
+++ b/crates/sedgepath-core/tests/direct_copies.rs
@@ -17,11 +17,11 @@
 }
 
 fn changes(position: u64, rows: Vec<VersionedRow>) -> TableUpdate {
-    TableUpdate { rows, position: at(position), is_snapshot: false }
+    TableUpdate::new_changes(rows, at(position))
 }
 
 fn snapshot(position: u64, rows: Vec<VersionedRow>) -> TableUpdate {
-    TableUpdate { rows, position: at(position), is_snapshot: true }
+    TableUpdate::new_snapshot(rows, at(position))
 }
 
 /// Guards against an older replica restoring the entry of a removed upstream.
@@ -95,6 +95,99 @@
     assert!(changes.contains(&row("b2", 9, Some("draining"))), "{changes:?}");
 }
 
+/// Returns a replica with a whole table as the store has it at a position.
+fn read_whole(position: u64, rows: Vec<VersionedRow>) -> TableReplica {
+    let mut replica = TableReplica::default();
+    replica.merge(snapshot(position, rows).with_unlisted_removals());
+    replica
+}
+
+/// Lets one VM fetch from another what that one announces, and returns what has changed.
+fn fetch(to: &mut TableReplica, from: &TableReplica) -> Vec<VersionedRow> {
+    if from.newest_version() <= to.newest_version() {
+        return Vec::new();
+    }
+    to.merge(from.update_for(to.requester_state()))
+}
+
+/// Guards against a removal that stays unknown because only a VM that read the whole table has seen it.
+#[test]
+fn a_vm_that_read_the_whole_table_announces_what_was_removed_before() {
+    let mut in_touch =
+        read_whole(5, vec![row("b1", 3, Some("ready")), row("b2", 4, Some("ready"))]);
+    let restarted = read_whole(10, vec![row("b1", 3, Some("ready"))]);
+
+    assert_eq!(fetch(&mut in_touch, &restarted), vec![row("b2", 10, None)]);
+}
+
+/// Guards against a removal that stays unknown because the VM that reads the whole table again, after the store
+/// has lost its history, never had the row.
+#[test]
+fn a_vm_that_read_the_whole_table_again_announces_what_was_removed_before() {
+    let mut in_touch = read_whole(5, vec![]);
+    in_touch.merge(changes(7, vec![row("b1", 7, Some("ready"))]));
+    let mut reader = read_whole(5, vec![]);
+    reader.merge(snapshot(10, vec![]).with_unlisted_removals());
+
+    assert_eq!(fetch(&mut in_touch, &reader), vec![row("b1", 10, None)]);
+}
+
+/// Guards against a removal that stays unknown because the VM that saw it has gone, and others have its snapshot.
+#[test]
+fn a_vm_that_got_a_snapshot_from_another_announces_what_that_one_did() {
+    let mut in_touch = read_whole(5, vec![row("b1", 3, Some("ready"))]);
+    let mut reader = read_whole(5, vec![row("b1", 3, Some("ready"))]);
+    reader.merge(changes(9, vec![row("b1", 9, None)]));
+    let mut restarted = TableReplica::default();
+    restarted.merge(reader.update_for(restarted.requester_state()));
+    drop(reader);
+
+    assert_eq!(fetch(&mut in_touch, &restarted), vec![row("b1", 9, None)]);
+}
+
+/// Guards against a removal that stays unknown because a page of the same read shows a later write.
+#[test]
+fn a_snapshot_of_several_pages_is_announced_up_to_its_position_only() {
+    let pages = vec![row("b1", 3, Some("ready")), row("b9", 12, Some("ready"))];
+    let mut reader = read_whole(10, pages);
+    let mut in_touch = TableReplica::default();
+    in_touch.merge(reader.update_for(in_touch.requester_state()));
+    reader.merge(changes(12, vec![row("b1", 11, None), row("b9", 12, Some("ready"))]));
+
+    assert!(fetch(&mut in_touch, &reader).contains(&row("b1", 11, None)));
+}
+
+/// Guards against a whole fleet that fetches a table because one VM has read it, though nothing was removed.
+#[test]
+fn a_vm_with_the_same_rows_gets_none() {
+    let rows = || vec![row("b1", 3, Some("ready")), row("b2", 4, Some("ready"))];
+    let mut in_touch = read_whole(5, rows());
+    let restarted = read_whole(10, rows());
+    let update = restarted.update_for(in_touch.requester_state());
+
+    assert!(update.rows.is_empty() && !update.is_snapshot(), "{update:?}");
+    assert_eq!(in_touch.merge(update), vec![]);
+    assert_eq!(in_touch.newest_version(), restarted.newest_version());
+    assert_eq!(sorted_rows(&in_touch), rows());
+    let mut written_again =
+        read_whole(12, vec![row("b1", 3, Some("ready")), row("b2", 11, Some("ready"))]);
+    assert!(!fetch(&mut in_touch, &written_again).is_empty(), "the versions differ");
+    assert!(fetch(&mut written_again, &in_touch).is_empty());
+}
+
+/// Guards against a row that is kept because it arrived while the VM was told that its rows are the table's.
+#[test]
+fn rows_that_changed_since_the_request_are_not_taken_for_the_tables() {
+    let mut vm = read_whole(5, vec![row("b1", 3, Some("ready"))]);
+    let other = read_whole(12, vec![row("b1", 3, Some("ready"))]);
+    let update = other.update_for(vm.requester_state());
+    vm.merge(changes(8, vec![row("b2", 8, Some("ready"))]));
+
+    assert_eq!(vm.merge(update), vec![]);
+    assert_eq!(vm.position(), at(8));
+    assert_eq!(fetch(&mut vm, &other), vec![row("b2", 12, None)]);
+}
+
 /// Guards against all VMs fetching whole tables at once while most of a large fleet's upstreams are replaced.
 #[test]
 fn a_vm_that_lags_by_some_removals_gets_no_snapshot() {
@@ -118,10 +211,10 @@
     replica.merge(snapshot(5, vec![row("b1", 3, Some("ready")), row("b2", 4, Some("ready"))]));
     replica.merge(changes(8, vec![row("b3", 8, Some("ready"))]));
 
-    assert!(replica.changes_since(at(4)).is_snapshot, "removals up to version 5 are unknown");
+    assert!(replica.changes_since(at(4)).is_snapshot(), "removals up to version 5 are unknown");
     let update = replica.changes_since(at(5));
 
-    assert!(!update.is_snapshot);
+    assert!(!update.is_snapshot());
     assert_eq!(update.rows, vec![row("b3", 8, Some("ready"))]);
     assert_eq!((replica.newest_version(), replica.position()), (at(8), at(8)));
 }
@@ -264,6 +357,62 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, rng_seed: proptest::test_runner::RngSeed::Fixed(23), ..ProptestConfig::default() })]
+
+    /// Guards against replicas that stay different although each VM hears what all others announce, whoever has
+    /// read the whole table and whoever has read changes.
+    #[test]
+    fn vms_that_hear_each_other_have_the_same_rows(events in prop::collection::vec(event(), 1..60)) {
+        let mut history = History::default();
+        let mut replicas: Vec<TableReplica> = (0..4).map(|_| TableReplica::default()).collect();
+        for event in events {
+            let newest = history.rows.len() as u64;
+            match event {
+                ReplicaEvent::Change(key, exists) => history.change(key, exists),
+                ReplicaEvent::RestartEmpty(vm) => replicas[vm] = TableReplica::default(),
+                ReplicaEvent::RestartFromStore(vm) => {
+                    replicas[vm] = read_whole(newest, history.rows_at(newest));
+                }
+                ReplicaEvent::RequestFromStore(vm, true) => {
+                    let update = snapshot(newest, history.rows_at(newest));
+                    replicas[vm].merge(update.with_unlisted_removals());
+                }
+                ReplicaEvent::RestartFromVm(vm, from) if replicas[from].is_complete() => {
+                    let update = replicas[from].update_for(at(0).into());
+                    replicas[vm] = TableReplica::default();
+                    replicas[vm].merge(update);
+                }
+                ReplicaEvent::ReadFromStore(vm) if replicas[vm].is_complete() => {
+                    let position = replicas[vm].position();
+                    replicas[vm].merge(history.changes_after(position.counter()));
+                }
+                ReplicaEvent::ReadFromVm(vm, from) if replicas[from].is_complete() => {
+                    let from = replicas[from].update_for(replicas[vm].requester_state());
+                    replicas[vm].merge(from);
+                }
+                _ => {}
+            }
+        }
+        replicas.retain(TableReplica::is_complete);
+        for _ in 0..replicas.len() {
+            for vm in 0..replicas.len() {
+                for from in 0..replicas.len() {
+                    let announcer = replicas[from].newest_version();
+                    if announcer > replicas[vm].newest_version() {
+                        let update = replicas[from].update_for(replicas[vm].requester_state());
+                        replicas[vm].merge(update);
+                    }
+                }
+            }
+        }
+        let newest = replicas.iter().map(|replica| replica.position().counter()).max();
+        for replica in &replicas {
+            prop_assert_eq!(sorted_rows(replica), history.rows_at(newest.unwrap_or_default()));
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
--- a/crates/sedgepath-core/tests/direct_restores.rs
+++ b/crates/sedgepath-core/tests/direct_restores.rs
@@ -53,7 +53,12 @@
 }
 
 fn update(era: u32, counter: u64, rows: Vec<VersionedRow>, is_snapshot: bool) -> TableUpdate {
-    TableUpdate { rows, position: StoreVersion::new(era, counter), is_snapshot }
+    let position = StoreVersion::new(era, counter);
+    if is_snapshot {
+        TableUpdate::new_snapshot(rows, position)
+    } else {
+        TableUpdate::new_changes(rows, position)
+    }
 }
 
 fn snapshot(era: u32, counter: u64, rows: Vec<VersionedRow>) -> TableUpdate {
--- a/crates/sedgepathd/src/direct/fetch.rs
+++ b/crates/sedgepathd/src/direct/fetch.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode, client};
 use hyper_util::rt::TokioIo;
-use sedgepath_core::direct::replicas::{Table, TableUpdate, fetch_delay_ms};
+use sedgepath_core::direct::replicas::{RequesterState, Table, TableUpdate, fetch_delay_ms};
 use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_wire::peer_seal::SealError;
 use sedgepath_wire::tcp;
@@ -108,18 +108,18 @@
     if delay_ms > 0 {
         tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     }
-    let position = {
+    let own_state = {
         let replicas = shared.replicas.borrow();
         let replica = replicas.get(table);
         if replica.newest_version() >= peer_version {
             return;
         }
-        replica.position()
+        replica.requester_state()
     };
-    match timeout(TOTAL_FETCH_TIMEOUT, request_rows(shared, table, position, address)).await {
+    match timeout(TOTAL_FETCH_TIMEOUT, request_rows(shared, table, own_state, address)).await {
         Ok(Ok(update)) => {
             log::debug!("event=rows_fetched table={} from={address}", table.name());
-            if update.is_snapshot {
+            if update.is_snapshot() {
                 replica_updates::log_snapshot(table, address, &update);
             }
             let was_incomplete = !shared.replicas.borrow().get(table).is_complete();
@@ -164,7 +164,7 @@
 async fn request_rows(
     shared: &SharedState,
     table: Table,
-    after: StoreVersion,
+    own_state: RequesterState,
     address: SocketAddr,
 ) -> Result<TableUpdate, FetchError> {
     let started_at_ms = clock::now_ms();
@@ -173,7 +173,7 @@
     // A connection error is returned by `send_request` or by the body.
     tokio::task::spawn_local(async move { drop(task.await) });
     let mut request = Request::new(Empty::<Bytes>::new());
-    let path = format!("/copies/{}/{}", table.name(), after.to_u64());
+    let path = table_server::rows_path(table, own_state);
     let exchange = RowsExchange::new(&path);
     exchange.prove_request(shared, request.headers_mut());
     if let Ok(uri) = path.parse() {
--- a/crates/sedgepathd/src/direct/gossip.rs
+++ b/crates/sedgepathd/src/direct/gossip.rs
@@ -81,7 +81,7 @@
     }
 }
 
-/// Tells some VMs the version of this VM's replica of the quarantine, if there ever was one.
+/// Tells some VMs the version of this VM's replica of the quarantine, if there is or was one.
 async fn announce_quarantine(shared: &SharedState) {
     let version = quarantine_version(shared);
     if version > StoreVersion::default() {
@@ -103,8 +103,15 @@
     send_messages(shared, messages).await;
 }
 
+/// Returns the announced version of the quarantine, or the default version while nobody has any rows of it.
 fn quarantine_version(shared: &SharedState) -> StoreVersion {
-    shared.replicas.borrow().get(Table::Quarantine).newest_version()
+    let replicas = shared.replicas.borrow();
+    let replica = replicas.get(Table::Quarantine);
+    if replica.has_had_rows() || shared.quarantine_announced.get() {
+        replica.newest_version()
+    } else {
+        StoreVersion::default()
+    }
 }
 
 /// Sends the messages of one period.
@@ -257,6 +264,9 @@
 }
 
 fn handle_reports(shared: &Rc<SharedState>, reports: &Reports, from: SocketAddr) {
+    if reports.quarantine_version > StoreVersion::default() {
+        shared.quarantine_announced.set(true);
+    }
     fetch::fetch_newer_rows(shared, Table::Quarantine, reports.quarantine_version, from);
     let now_ms = clock::now_ms();
     let mut steering = shared.steering.borrow_mut();
--- a/crates/sedgepathd/src/direct/quarantine.rs
+++ b/crates/sedgepathd/src/direct/quarantine.rs
@@ -9,7 +9,7 @@
 
 use super::in_flight_request::InFlightRequest;
 use super::shared::SharedState;
-use super::{clock, gossip, replica_updates};
+use super::{clock, gossip, replica_updates, store_feed};
 
 /// Starts writing the rows that are due, unless some are being written.
 pub fn write_due_rows(shared: &Rc<SharedState>) {
@@ -57,7 +57,7 @@
 
 /// Reads the table, so that this VM and those that it tells have the rows just written.
 async fn refresh_replica(shared: &Rc<SharedState>) {
-    match shared.store.read_table(store_table_name(Table::Quarantine)).await {
+    match store_feed::read_table(shared, Table::Quarantine).await {
         Ok(update) => {
             if replica_updates::apply_update(shared, Table::Quarantine, update) {
                 gossip::announce_quarantine_change(shared).await;
--- a/crates/sedgepathd/src/direct/replica_updates.rs
+++ b/crates/sedgepathd/src/direct/replica_updates.rs
@@ -44,10 +44,11 @@
 pub fn log_snapshot(table: Table, source: impl Display, update: &TableUpdate) {
     let newest_row = update.rows.iter().map(|row| row.version).max().unwrap_or_default();
     log::info!(
-        "event=table_read table={} from={source} rows={} newest_row={} position={}",
+        "event=table_read table={} from={source} rows={} newest_row={} newest={} position={}",
         table.name(),
         update.rows.len(),
         newest_row.to_u64(),
+        update.newest_version.to_u64(),
         update.position.to_u64(),
     );
 }
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -85,6 +85,8 @@
     pub tokens_granted: tokio::sync::Notify,
     /// Whether rows of the quarantine are being written to the store.
     pub writing_quarantine: Cell<bool>,
+    /// Whether another VM has announced rows of the quarantine, or their removal.
+    pub quarantine_announced: Cell<bool>,
     /// The share of its capacity that this VM uses.
     pub load: RefCell<LoadMeter>,
     /// When the next line of a hot object may be logged, in milliseconds.
@@ -189,6 +191,7 @@
             forward_nonces: RefCell::default(),
             tokens_granted: tokio::sync::Notify::new(),
             writing_quarantine: Cell::new(false),
+            quarantine_announced: Cell::new(false),
             next_hot_object_line_at_ms: Cell::new(0),
             in_flight_requests: Cell::new(0),
             response_memory,
--- a/crates/sedgepathd/src/direct/store_feed.rs
+++ b/crates/sedgepathd/src/direct/store_feed.rs
@@ -91,21 +91,27 @@
     }
 }
 
+/// Reads a whole table from the store.
+///
+/// # Errors
+///
+/// Fails if a call fails, or the store is restored meanwhile.
+pub async fn read_table(shared: &SharedState, table: Table) -> Result<TableUpdate, StoreError> {
+    let update = shared.store.read_table(store_table_name(table)).await?.with_unlisted_removals();
+    replica_updates::log_snapshot(table, "store", &update);
+    Ok(update)
+}
+
 async fn call_store(
     shared: &SharedState,
     table: Table,
     call: StoreCall,
 ) -> Result<TableUpdate, StoreError> {
-    let name = store_table_name(table);
     match call {
-        StoreCall::ReadWhole => {
-            let update = shared.store.read_table(name).await?;
-            replica_updates::log_snapshot(table, "store", &update);
-            Ok(update)
-        }
+        StoreCall::ReadWhole => read_table(shared, table).await,
         StoreCall::PollChanges { wait_ms } => {
             let position = shared.replicas.borrow().get(table).position();
-            shared.store.poll_changes(name, position, wait_ms).await
+            shared.store.poll_changes(store_table_name(table), position, wait_ms).await
         }
     }
 }
--- a/crates/sedgepathd/src/direct/table_server.rs
+++ b/crates/sedgepathd/src/direct/table_server.rs
@@ -17,7 +17,10 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use sedgepath_core::direct::replicas::{Table, TableReplica, TableReplicas, TableUpdate};
+use sedgepath_core::direct::replicas::{
+    RequesterState, RowsDigest, Table, TableReplica, TableReplicas, TableUpdate, UpdateKind,
+    VersionedRow,
+};
 use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::vms::naming::VmResources;
 use sedgepath_core::hash::Map;
@@ -53,6 +56,10 @@
 /// The largest accepted table after decompression, in bytes.
 const MAX_DECOMPRESSED_BYTES: u64 = 16 * 1024 * 1024;
 
+/// The key of the tombstone that states the newest version of an update. No row of the store has it, so VMs of
+/// earlier versions store a tombstone without an effect, and announce its version.
+const NEWEST_VERSION_KEY: &str = "";
+
 /// Why rows can't be encoded or decoded. The log contains the `Debug` form.
 #[derive(Debug, thiserror::Error)]
 pub enum RowsError {
@@ -66,19 +73,16 @@
 
 /// Responds to a peer's request for the rows of a table that have changed after a version.
 pub fn handle_rows_request(shared: &SharedState, request: &Request<Incoming>) -> Response<Body> {
-    let mut parts = request.uri().path().trim_start_matches("/copies/").split('/');
-    let name = parts.next().unwrap_or("");
-    let table = Table::ALL.into_iter().find(|table| table.name() == name);
-    let after = parts.next().and_then(|after| after.parse().ok()).map(StoreVersion::from_u64);
-    let Some((table, after)) = table.zip(after) else {
+    let path = request.uri().path();
+    let Some((table, requester)) = parse_rows_path(path) else {
         return empty_response(StatusCode::NOT_FOUND);
     };
-    let path = request.uri().path();
     let Ok(exchange) = RowsExchange::accept(shared, path, request.headers()) else {
         return empty_response(StatusCode::FORBIDDEN);
     };
     let now_ms = clock::now_ms();
-    let mut response = shared.table_server.respond(&shared.replicas.borrow(), table, after, now_ms);
+    let replicas = shared.replicas.borrow();
+    let mut response = shared.table_server.respond(&replicas, table, requester, now_ms);
     if let Some(EncodedBody(bytes)) = response.extensions_mut().remove() {
         exchange.prove_response(shared, response.headers_mut(), &bytes);
     }
@@ -86,6 +90,40 @@
     response
 }
 
+/// Returns the path of a request for the rows of a table.
+pub fn rows_path(table: Table, requester: RequesterState) -> String {
+    let path = format!("/copies/{}/{}", table.name(), requester.position.to_u64());
+    match requester.rows {
+        Some(RowsDigest(rows)) => format!("{path}/{rows:016x}"),
+        None => path,
+    }
+}
+
+/// Parses the path of a request for the rows of a table. VMs of earlier versions leave out the digest.
+fn parse_rows_path(path: &str) -> Option<(Table, RequesterState)> {
+    let mut parts = path.strip_prefix("/copies/")?.split('/');
+    let name = parts.next()?;
+    let table = Table::ALL.into_iter().find(|table| table.name() == name)?;
+    let position = StoreVersion::from_u64(parts.next()?.parse().ok()?);
+    let rows = parts.next().and_then(|digest| u64::from_str_radix(digest, 16).ok());
+    Some((table, RequesterState { position, rows: rows.map(RowsDigest) }))
+}
+
+fn encode_update(mut update: TableUpdate) -> Result<Vec<u8>, RowsError> {
+    let version = update.newest_version;
+    if update.rows.iter().all(|row| row.version < version) {
+        update.rows.push(VersionedRow { key: NEWEST_VERSION_KEY.into(), version, value: None });
+    }
+    Ok(postcard::to_stdvec(&update)?)
+}
+
+fn decode_update(bytes: &[u8]) -> Result<TableUpdate, RowsError> {
+    let mut update: TableUpdate = postcard::from_bytes(bytes)?;
+    let newest_version = update.rows.iter().map(|row| row.version).max().unwrap_or_default();
+    update.rows.retain(|row| &*row.key != NEWEST_VERSION_KEY);
+    Ok(update.with_newest_version(newest_version))
+}
+
 /// Decodes rows from the headers and the body of a peer's response.
 ///
 /// # Errors
@@ -93,11 +131,11 @@
 /// Fails if the rows are corrupt, or exceed the size limit after decompression.
 pub fn decode_rows(headers: &HeaderMap, body: &[u8]) -> Result<TableUpdate, RowsError> {
     if headers.get(CONTENT_ENCODING) != Some(&CONTENT_CODING) {
-        return Ok(postcard::from_bytes(body)?);
+        return decode_update(body);
     }
     let mut rows = Vec::new();
     ZlibDecoder::new(body).take(MAX_DECOMPRESSED_BYTES).read_to_end(&mut rows)?;
-    Ok(postcard::from_bytes(&rows)?)
+    decode_update(&rows)
 }
 
 /// Encoded rows of a replica.
@@ -114,8 +152,12 @@
 struct EncodedBody(Bytes);
 
 impl EncodedRows {
-    fn new(replica: &TableReplica, after: StoreVersion, now_ms: u64) -> Result<Self, RowsError> {
-        let plain = postcard::to_stdvec(&replica.changes_since(after))?;
+    fn new(
+        replica: &TableReplica,
+        requester: RequesterState,
+        now_ms: u64,
+    ) -> Result<Self, RowsError> {
+        let plain = encode_update(replica.update_for(requester))?;
         let compressed = plain.len() >= MIN_COMPRESSED_BYTES;
         let bytes = if compressed {
             let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
@@ -148,6 +190,17 @@
 enum EncodedPart {
     Snapshot,
     ChangesSince(StoreVersion),
+    Unchanged(RowsDigest),
+}
+
+impl EncodedPart {
+    fn of(kind: UpdateKind, requester: RequesterState) -> Self {
+        match kind {
+            UpdateKind::Changes => Self::ChangesSince(requester.position),
+            UpdateKind::Snapshot => Self::Snapshot,
+            UpdateKind::Unchanged(rows) => Self::Unchanged(rows),
+        }
+    }
 }
 
 /// Returns the number of snapshots that a VM with these resources sends at a time.
@@ -179,7 +232,7 @@
         Self { snapshot_permits: Arc::new(Semaphore::new(max_snapshots)), ..self }
     }
 
-    /// Responds with the rows of a table that have changed after a version.
+    /// Responds with the rows of a table that a VM lacks.
     ///
     /// The status is 404 if this VM's replica is incomplete, and 503 if a snapshot is needed and
     /// the limit of concurrent snapshots is reached.
@@ -187,21 +240,23 @@
         &self,
         replicas: &TableReplicas,
         table: Table,
-        after: StoreVersion,
+        requester: impl Into<RequesterState>,
         now_ms: u64,
     ) -> Response<Body> {
+        let requester = requester.into();
         let replica = replicas.get(table);
         if !replica.is_complete() {
             return empty_response(StatusCode::NOT_FOUND);
         }
         let mut permit = None;
-        if replica.requires_snapshot(after) {
+        let part = EncodedPart::of(replica.update_kind_for(requester), requester);
+        if part == EncodedPart::Snapshot {
             permit = Arc::clone(&self.snapshot_permits).try_acquire_owned().ok();
             if permit.is_none() {
                 return empty_response(StatusCode::SERVICE_UNAVAILABLE);
             }
         }
-        match self.encoded_rows(replica, table, after, now_ms) {
+        match self.encoded_rows(replica, (table, part), requester, now_ms) {
             Ok(encoded) => encoded.to_response(permit),
             Err(error) => {
                 log::error!("event=rows_not_written error={:?}", error.to_string());
@@ -217,25 +272,23 @@
     fn encoded_rows(
         &self,
         replica: &TableReplica,
-        table: Table,
-        after: StoreVersion,
+        key: (Table, EncodedPart),
+        requester: RequesterState,
         now_ms: u64,
     ) -> Result<EncodedRows, RowsError> {
-        let is_snapshot = replica.requires_snapshot(after);
-        let part =
-            if is_snapshot { EncodedPart::Snapshot } else { EncodedPart::ChangesSince(after) };
         let newest_version = replica.newest_version();
         let is_usable = |cached: &&EncodedRows| {
             let is_recent = now_ms < cached.encoded_at_ms + MAX_SNAPSHOT_AGE_MS
                 && cached.newest_version.era() == newest_version.era();
-            cached.newest_version == newest_version || after == StoreVersion::default() && is_recent
+            let has_none = requester.position == StoreVersion::default();
+            cached.newest_version == newest_version || has_none && is_recent
         };
         let mut cache = self.encoded.borrow_mut();
-        if let Some(usable) = cache.get(&(table, part)).filter(is_usable) {
+        if let Some(usable) = cache.get(&key).filter(is_usable) {
             return Ok(usable.clone());
         }
-        let encoded = EncodedRows::new(replica, after, now_ms)?;
-        cache.insert((table, part), encoded.clone());
+        let encoded = EncodedRows::new(replica, requester, now_ms)?;
+        cache.insert(key, encoded.clone());
         Ok(encoded)
     }
 
--- a/crates/sedgepathd/tests/platform/slow_peer.rs
+++ b/crates/sedgepathd/tests/platform/slow_peer.rs
@@ -76,7 +76,7 @@
         value: Some(row.value.into()),
     });
     let position = StoreVersion::new(FIRST_ERA, VERSION_COUNTER);
-    let update = TableUpdate { rows: rows.collect(), position, is_snapshot: true };
+    let update = TableUpdate::new_snapshot(rows.collect(), position);
     postcard::to_stdvec(&update).expect("the update encodes")
 }
 
--- a/crates/sedgepathd/tests/table_server.rs
+++ b/crates/sedgepathd/tests/table_server.rs
@@ -22,11 +22,8 @@
             format!("{{\"service\":\"shop\",\"slots\":3,\"number\":{number}}}").into_bytes().into(),
         ),
     };
-    let update = TableUpdate {
-        rows: (0..rows).map(row).collect(),
-        position: StoreVersion::new(0, u64::from(rows)),
-        is_snapshot: true,
-    };
+    let position = StoreVersion::new(0, u64::from(rows));
+    let update = TableUpdate::new_snapshot((0..rows).map(row).collect(), position);
     replicas.get_mut(Table::Upstreams).merge(update);
     replicas
 }
@@ -83,6 +80,40 @@
     );
 }
 
+/// Guards against a removal that a VM doesn't announce, since the snapshot that it got lists none.
+#[test]
+fn a_snapshot_tells_what_its_sender_announces() {
+    let (mut replicas, server) = (replicas(10), TableServer::default());
+    let removal = VersionedRow { key: "u0".into(), version: StoreVersion::new(0, 11), value: None };
+    let update = TableUpdate::new_changes(vec![removal], StoreVersion::new(0, 11));
+    replicas.get_mut(Table::Upstreams).merge(update);
+    let response = server.respond(&replicas, Table::Upstreams, StoreVersion::default(), 0);
+    let headers = response.headers().clone();
+    let update = table_server::decode_rows(&headers, &body_bytes(response)).expect("a table");
+
+    assert_eq!((update.rows.len(), update.newest_version), (9, StoreVersion::new(0, 11)));
+}
+
+/// Guards against VMs with the same rows that wait for permits, and fetch whole tables.
+#[test]
+fn vms_with_the_same_rows_are_told_so_while_all_snapshot_permits_are_held() {
+    let (ahead, server) = (replicas(10), TableServer::default());
+    let mut restarted = TableReplicas::default();
+    let rows = ahead.get(Table::Upstreams).changes_since(StoreVersion::default()).rows;
+    let whole = TableUpdate::new_snapshot(rows, StoreVersion::new(0, 20)).with_unlisted_removals();
+    restarted.get_mut(Table::Upstreams).merge(whole);
+    let _responses: Vec<_> = (0..MAX_CONCURRENT_SNAPSHOTS)
+        .map(|_| server.respond(&restarted, Table::Upstreams, StoreVersion::default(), 0))
+        .collect();
+    let requester = ahead.get(Table::Upstreams).requester_state();
+    let response = server.respond(&restarted, Table::Upstreams, requester, 0);
+    assert_eq!(response.status(), StatusCode::OK);
+    let headers = response.headers().clone();
+    let update = table_server::decode_rows(&headers, &body_bytes(response)).expect("an update");
+
+    assert!(update.rows.is_empty() && !update.is_snapshot(), "{update:?}");
+}
+
 /// Guards against a VM that goes on using a removed upstream, as it gets a snapshot from before the removal.
 #[test]
 fn a_recent_snapshot_is_sent_again_to_starting_vms_only() {
@@ -91,13 +122,13 @@
         let response = server.respond(replicas, Table::Upstreams, after, now_ms);
         let headers = response.headers().clone();
         let update = table_server::decode_rows(&headers, &body_bytes(response)).expect("a table");
-        assert!(update.is_snapshot);
+        assert!(update.is_snapshot());
         update.rows.len()
     };
     assert_eq!(rows_for(&replicas, StoreVersion::default(), 0), 10);
     let removal = VersionedRow { key: "u0".into(), version: StoreVersion::new(0, 11), value: None };
     let position = StoreVersion::new(0, 11);
-    let update = TableUpdate { rows: vec![removal], position, is_snapshot: false };
+    let update = TableUpdate::new_changes(vec![removal], position);
     replicas.get_mut(Table::Upstreams).merge(update);
 
     assert_eq!(rows_for(&replicas, StoreVersion::default(), 900), 10, "it was encoded anew");
@@ -128,8 +159,7 @@
         version: StoreVersion::new(0, 1),
         value: Some(vec![0; 2 * CONTROL_MEMORY_BYTES].into()),
     };
-    let update =
-        TableUpdate { rows: vec![huge], position: StoreVersion::new(0, 1), is_snapshot: true };
+    let update = TableUpdate::new_snapshot(vec![huge], StoreVersion::new(0, 1));
     replicas.get_mut(Table::Upstreams).merge(update);
     let response = server.respond(&replicas, Table::Upstreams, StoreVersion::default(), 0);
     let headers = response.headers().clone();
