--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -303,11 +303,32 @@
     /// The cost by which the upstream was chosen: the expected response time and penalties, in
     /// milliseconds.
     pub expected_ms: u64,
+    /// The view by which the VM shares the upstream's rate, if the upstream is cold.
+    pub cold: Option<ColdView>,
+}
+
+/// How a VM shares the rate of a cold upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdView {
+    /// The requests that this VM has sent within the rate's window, with this one.
+    pub recent: usize,
+    /// The VMs that it hears serve, with itself.
+    pub sending_vms: usize,
+    /// The VMs that it knows of or assumes, with itself.
+    pub known_vms: usize,
+}
+
+impl std::fmt::Display for ColdView {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { recent, sending_vms, known_vms } = self;
+        write!(f, "recent={recent} sending_vms={sending_vms} known_vms={known_vms}")
+    }
 }
 
 impl std::fmt::Display for PlacementDecision {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Self { cause, rank, warm, load_tenths, load_age_ms, pace_percent, expected_ms } = self;
+        let Self { cause, rank, warm, load_tenths, load_age_ms, pace_percent, expected_ms, .. } =
+            self;
         let (whole, tenth) = (load_tenths / 10, load_tenths % 10);
         write!(f, "cause={} rank={rank} warm={warm} load={whole}.{tenth} ", cause.name())?;
         write!(f, "load_age_ms={load_age_ms} ")?;
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -3,7 +3,7 @@
 use super::Steering;
 use crate::direct::admission::{Decision, MIN_BUSY_RETRY_AFTER_MS};
 use crate::direct::attempts::{
-    Attempt, AttemptCause, AttemptOutcome, InFlightAttempt, NextStep, PlacementDecision,
+    Attempt, AttemptCause, AttemptOutcome, ColdView, InFlightAttempt, NextStep, PlacementDecision,
     RejectionReason, RequestState,
 };
 use crate::direct::crashes::Verdict;
@@ -173,6 +173,11 @@
             load_age_ms: upstream.load_age_ms(now_ms),
             pace_percent: candidate.pace.map(|pace| (pace * 100.0).round() as u32),
             expected_ms: candidate.expected_ms as u64,
+            cold: upstream.is_cold(now_ms).then(|| ColdView {
+                recent: 1 + upstream.recent_cold_sends(now_ms),
+                sending_vms: self.vms.sending_vms(now_ms).len(),
+                known_vms: self.vms.sharing_vm_count(now_ms),
+            }),
         };
         self.rate_limits.record_send(upstream.incarnation, now_ms);
         self.reach.record_send(now_ms);
--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -389,8 +389,14 @@
 
     /// Returns whether one more request stays within this VM's share of a cold upstream's rate.
     pub fn has_cold_capacity(&self, max_requests_per_s: f64, now_ms: u64) -> bool {
+        let max_sends = (max_requests_per_s * COLD_RATE_SHARE).floor().max(1.0);
+        (self.recent_cold_sends(now_ms) as f64) < max_sends
+    }
+
+    /// Returns the number of requests that this VM has lately sent to the upstream while it was cold.
+    pub fn recent_cold_sends(&self, now_ms: u64) -> usize {
         let recent = self.cold_sent_at_ms.iter().filter(|at_ms| now_ms < **at_ms + COLD_WINDOW_MS);
-        (recent.count() as f64) < (max_requests_per_s * COLD_RATE_SHARE).floor().max(1.0)
+        recent.count()
     }
 
     /// Updates the end of the cold phase from the remaining time in an entry.
--- a/crates/sedgepathd/src/direct/request_run.rs
+++ b/crates/sedgepathd/src/direct/request_run.rs
@@ -114,6 +114,9 @@
 ) -> Sent {
     match destination {
         Destination::Upstream(attempt) => {
+            if let Some(cold) = attempt.decision.cold {
+                log::info!("event=cold_sending upstream={} {cold}", attempt.name);
+            }
             let result = attempt::send_attempt(shared, deadline_at_ms, &attempt, head, bytes).await;
             Sent::Upstream(attempt, result)
         }
