Let VMs that start together agree on who may send to cold upstreams

One VM may send to a cold upstream: the owner by rendezvous among those that serve. A VM that has just started hears nobody, so each took itself for the owner.

A VM is now joining for two seconds from its discovery, unless it hears all VMs that it knows of sooner. Meanwhile it sends to cold upstreams of its own failure domain only, as the owner among the VMs that run or may be starting there, which it knows by the store before it serves.

The same cause in the rate limits that upstreams state: each VM used seven tenths of the limit. A joining VM takes an equal part among all VMs that it knows of or assumes.

--- a/crates/sedgepath-core/src/direct/rate_limits.rs
+++ b/crates/sedgepath-core/src/direct/rate_limits.rs
@@ -282,6 +282,24 @@
         }
     }
 
+    /// Updates this VM's part of an upstream's limit while it doesn't know which VMs share it, but how many there
+    /// are at the most.
+    pub fn update_equal_part(&mut self, upstream: IncarnationKey, max_vms: usize, now_ms: u64) {
+        if let Some(limit) = self.limits.get_mut(&upstream) {
+            let usable_per_s = limit.per_s * PARTITIONED_USABLE_SHARE;
+            limit.set_part(usable_per_s / max_vms.max(1) as f64, now_ms);
+            self.parts_computed += 1;
+        }
+    }
+
+    /// As [`update_equal_part`](Self::update_equal_part), for all limits.
+    pub fn update_equal_parts(&mut self, max_vms: usize, now_ms: u64) {
+        let upstreams: Vec<_> = self.limits.keys().copied().collect();
+        for upstream in upstreams {
+            self.update_equal_part(upstream, max_vms, now_ms);
+        }
+    }
+
     /// Updates this VM's parts of all limits, for which `vms` returns the VMs that share the limit.
     pub fn update_parts<'a>(
         &mut self,
--- a/crates/sedgepath-core/src/direct/steering/selection.rs
+++ b/crates/sedgepath-core/src/direct/steering/selection.rs
@@ -163,9 +163,10 @@
     /// The rate limit of a cold upstream holds for all VMs together, so only one VM sends to it: one of
     /// its failure domain if any serves, else one of its region, else any one. That VM leaves some of
     /// the rate unused, in case VMs with different views choose two, or the VM restarts within a
-    /// second.
+    /// second. Many that start together and haven't heard each other would each choose themselves.
     fn may_send_to_cold(&self, upstream: &Upstream, serving: &ServingKeys) -> bool {
-        let candidates = serving.nearest_to(&upstream.entry.domain, &upstream.region);
+        let (domain, region) = (&upstream.entry.domain, &upstream.region);
+        let candidates = serving.senders_to_cold(domain, region, &self.location.domain);
         rendezvous::owner(upstream.hash, candidates) == Some(self.vms.key())
     }
 
--- a/crates/sedgepath-core/src/direct/steering/shared_observations.rs
+++ b/crates/sedgepath-core/src/direct/steering/shared_observations.rs
@@ -191,7 +191,10 @@
                 .by_incarnation(upstream)
                 .map_or(&[][..], |upstream| serving.of_region(&upstream.region))
         };
-        self.rate_limits.update_parts(sharing, serving.hears_all, now_ms);
+        match serving.max_vms_while_joining() {
+            Some(max_vms) => self.rate_limits.update_equal_parts(max_vms, now_ms),
+            None => self.rate_limits.update_parts(sharing, serving.hears_all, now_ms),
+        }
         self.serving_keys = Some(serving);
     }
 
@@ -207,6 +210,9 @@
         };
         let vms = &self.vms;
         let serving = self.serving_keys.get_or_insert_with(|| ServingKeys::new(vms, now_ms));
+        if let Some(max_vms) = serving.max_vms_while_joining() {
+            return self.rate_limits.update_equal_part(upstream, max_vms, now_ms);
+        }
         let sharing = serving.of_region(&known.region);
         self.rate_limits.update_part(upstream, sharing, serving.hears_all, now_ms);
     }
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -39,6 +39,10 @@
 pub use start::DomainAtStart;
 pub use summary::{DomainMember, DomainSummary, RelayedSummary, SummaryPart, SummaryUpdate};
 
+/// The time within which a VM that starts hears those that serve, in milliseconds: two heartbeats of a large
+/// failure domain, since summaries of other domains are relayed with the second.
+const JOINING_MS: u64 = 2_000;
+
 /// A VM that sends heartbeats to this one.
 #[derive(Debug)]
 struct Peer {
@@ -58,6 +62,8 @@
     remote_domains: RemoteDomains,
     known_vms: KnownVms,
     outgoing_state: OutgoingState,
+    /// Until when VMs that serve may not have been heard yet, in milliseconds.
+    joining_until_ms: u64,
     /// Since when the store has responded to no VM of the region, in milliseconds.
     store_unreachable_since_ms: Option<u64>,
 }
@@ -72,6 +78,7 @@
             remote_domains: RemoteDomains::default(),
             known_vms: KnownVms::default(),
             outgoing_state: OutgoingState::default(),
+            joining_until_ms: 0,
             store_unreachable_since_ms: None,
         }
     }
@@ -90,9 +97,22 @@
         let own_domain = &self.own.descriptor.domain;
         let expected = UnheardDomains::new(own_domain, localities, assumed_until_ms);
         self.known_vms.set_expected_domains(expected);
+        self.joining_until_ms = now_ms + JOINING_MS;
         self
     }
 
+    /// Records that this VM has read the addresses of those of its failure domain, which it introduces itself
+    /// to from now on.
+    pub fn record_discovery(&mut self, now_ms: u64) {
+        self.joining_until_ms = now_ms + JOINING_MS;
+    }
+
+    /// Returns whether this VM has started so lately that it can't take the VMs that it hears for all that
+    /// serve. It ends sooner if it hears all that it knows of.
+    pub fn is_joining(&self, now_ms: u64) -> bool {
+        now_ms < self.joining_until_ms && !self.hears_all_known(now_ms)
+    }
+
     /// Returns the time between two heartbeats, in milliseconds, which grows with the number of their
     /// receivers.
     pub fn period_ms(&self) -> u64 {
--- a/crates/sedgepath-core/src/direct/vms/counts.rs
+++ b/crates/sedgepath-core/src/direct/vms/counts.rs
@@ -38,8 +38,20 @@
         self.serving_vms(now_ms).len() > self.known_vms.count(now_ms)
     }
 
-    /// Returns the VMs of a region that run or are about to start, with their peer addresses, sorted by
-    /// address. VMs that start together thus agree before they are ready and have heard each other.
+    /// Returns the VMs of this VM's failure domain that run or are about to start, with itself. VMs that start
+    /// together thus agree before they are ready and have heard each other.
+    pub fn running_or_starting_in_domain(&self, now_ms: u64) -> Vec<VmKey> {
+        let running = self.live_domain_peers(now_ms).map(|peer| peer.descriptor.key());
+        let starting = self.known_vms.starting(now_ms);
+        let starting =
+            starting.filter(|(_, locality)| locality.domain == self.own.descriptor.domain);
+        let starting = starting.map(|(address, _)| key_of_address(address));
+        let own = (!self.own.state.leaving).then(|| self.key());
+        running.chain(starting).chain(own).collect()
+    }
+
+    /// As [`running_or_starting_in_domain`](Self::running_or_starting_in_domain) for a region, with their peer
+    /// addresses, sorted by address.
     pub fn running_or_starting_in_region(
         &self,
         region: &str,
--- a/crates/sedgepath-test-support/src/direct.rs
+++ b/crates/sedgepath-test-support/src/direct.rs
@@ -72,19 +72,37 @@
 /// The margin beyond client accounts' quotas in tests.
 pub const QUOTA_BOUNDS: QuotaBounds = QuotaBounds { window_ms: 5_000, overage: 0.1, slack: 20.0 };
 
+fn regions() -> Map<Box<str>, Box<str>> {
+    DOMAINS.iter().map(|(domain, region)| ((*domain).into(), (*region).into())).collect()
+}
+
 /// Returns a VM without a configuration, upstreams or other VMs.
 pub fn vm(name: &str, domain: &str, number: u8) -> Steering {
-    let regions: Map<Box<str>, Box<str>> =
-        DOMAINS.iter().map(|(domain, region)| ((*domain).into(), (*region).into())).collect();
+    vm_with_table(name, domain, vm_table(name, domain, number))
+}
+
+/// Returns a VM as [`vm`] does that has just started, and knows by the store of the VMs of its failure domain
+/// with these numbers.
+pub fn starting_vm(name: &str, domain: &str, number: u8, others: &[u8], now_ms: u64) -> Steering {
+    let mut table = vm_table(name, domain, number).with_failure_domains(&regions(), now_ms);
+    for other in others {
+        let address = heartbeat(name, domain, *other).descriptor.peer_address;
+        table.add_vm(address, domain, region_of(domain), now_ms);
+    }
+    table.record_discovery(now_ms);
+    vm_with_table(name, domain, table)
+}
+
+fn vm_with_table(name: &str, domain: &str, table: VmTable) -> Steering {
     let location = VmLocation {
         name: name.into(),
         domain: domain.into(),
         region: region_of(domain).into(),
-        regions,
+        regions: regions(),
     };
     let budget = RetryBudgetLimits { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
     let limits = OperatorLimits { budget, quotas: QUOTA_BOUNDS };
-    Steering::new(location, limits, vm_table(name, domain, number))
+    Steering::new(location, limits, table)
 }
 
 /// Returns a route of this kind, under the prefix `/reads/`, `/charges/` or `/packs/`.
--- a/crates/sedgepathd/src/direct/discovery.rs
+++ b/crates/sedgepathd/src/direct/discovery.rs
@@ -58,7 +58,9 @@
         log::info!("event=vms_not_found error={:?}", error.to_string());
         backoff_ms = pause(backoff_ms).await;
     }
-    shared.bootstrap.borrow_mut().record_discovery(clock::now_ms());
+    let now_ms = clock::now_ms();
+    shared.bootstrap.borrow_mut().record_discovery(now_ms);
+    shared.steering.borrow_mut().vms_mut().record_discovery(now_ms);
     shared.domain_discovered.send_replace(true);
     gossip::send_periodic_messages(&shared).await;
 }
