--- a/crates/sedgepath-core/tests/direct_joining.rs
+++ b/crates/sedgepath-core/tests/direct_joining.rs
@@ -62,7 +62,7 @@
 
     /// Lets all VMs hear each other, once a period.
     fn exchange_heartbeats(&mut self, now_ms: u64) {
-        if now_ms % HEARTBEAT_MS != 0 {
+        if !now_ms.is_multiple_of(HEARTBEAT_MS) {
             return;
         }
         let heartbeats: Vec<_> = (1_u8..)
@@ -145,7 +145,7 @@
         if now_ms >= 1_000 {
             starting.exchange_heartbeats(now_ms);
         }
-        if now_ms % 250 == 0 {
+        if now_ms.is_multiple_of(250) {
             starting.vms.iter_mut().for_each(|vm| vm.update_rate_limits(now_ms));
         }
         starting.send_all(now_ms, |vm, attempt| {
