Bound what upstreams send without end, in a head or a body

The users' pages say that bytes that are no answer may come without end. A stand-in that sends so showed on the code before: informational responses took the VM's processor time, a caller got 504 after 4.3 s at a deadline of 3 s; a rejection whose body goes on was held until the deadline (503 after 3.0 s), though its head says that it wasn't run; a successful body went on for as long as the caller read (ended by hand after 100 s), and the upstream counted as sound; 60 heads without end took 14 MB. On the owned way, by reading, a rejection's body was collected without a bound.

Cause: time and memory were bounded for responses, not for what arrives before one, or after its beginning was passed on.

A connection fails once 32 kB arrive before a head is complete, on both ways to upstreams. A rejection's body is read only if it is short and arrives within 50 ms. A body that is passed on ends with an error at the deadline, and its end is recorded: an upstream is ejected after four broken ones in a row. A caller that reads slowly doesn't count against the upstream.

--- a/crates/sedgepath-core/src/direct/upstreams.rs
+++ b/crates/sedgepath-core/src/direct/upstreams.rs
@@ -201,6 +201,8 @@
     failure_rate: f64,
     health_updated_at_ms: u64,
     consecutive_failures: u32,
+    /// The consecutive responses whose bodies ended early after their beginning was passed on.
+    consecutive_broken_bodies: u32,
     was_unreachable: bool,
     last_activity_ms: u64,
     warm_objects: Map<u64, u64>,
@@ -228,6 +230,7 @@
             failure_rate: 0.0,
             health_updated_at_ms: now_ms,
             consecutive_failures: 0,
+            consecutive_broken_bodies: 0,
             was_unreachable: false,
             last_activity_ms: now_ms,
             warm_objects: Map::default(),
@@ -362,6 +365,24 @@
         }
     }
 
+    /// Records the end of a body that was passed on before it had arrived completely, and ejects the upstream
+    /// after several consecutive ones that ended early.
+    ///
+    /// Each of these counted as a response when its beginning arrived, often sooner than a whole one.
+    pub fn record_body_end(&mut self, is_whole: bool, now_ms: u64) {
+        if is_whole {
+            self.consecutive_broken_bodies = 0;
+            return;
+        }
+        self.raise_failure_rate(now_ms);
+        self.consecutive_broken_bodies += 1;
+        if self.consecutive_broken_bodies >= EJECTION_FAILURES {
+            self.consecutive_failures =
+                self.consecutive_failures.max(self.consecutive_broken_bodies);
+            self.eject(now_ms);
+        }
+    }
+
     /// Records that a request's deadline passed without a response.
     ///
     /// Timeouts raise the failure rate, so that later requests prefer another upstream. They don't
--- a/crates/sedgepath-core/tests/direct_placing.rs
+++ b/crates/sedgepath-core/tests/direct_placing.rs
@@ -96,6 +96,23 @@
     assert_ne!(first, next);
 }
 
+/// Guards against an upstream that responds soon, and gets most requests, though none of its bodies is whole.
+#[test]
+fn an_upstream_whose_bodies_end_early_in_a_row_is_ejected() {
+    let mut vm = serving_vm("a1", "north-a", 1, 2);
+    let key = vm.upstreams().iter().map(|(key, _)| key).next().expect("an upstream");
+    let mut end_body = |is_whole, now_ms| {
+        let upstream = vm.upstreams_mut().get_mut(key).expect("known");
+        upstream.record_response(None, None, now_ms);
+        upstream.record_body_end(is_whole, now_ms);
+        upstream.ejected_until_ms > now_ms
+    };
+    assert!((0..3).all(|now_ms| !end_body(false, now_ms)), "ejected too early");
+    assert!(!end_body(true, 3), "a whole body doesn't end the row");
+    assert!((4..7).all(|now_ms| !end_body(false, now_ms)), "ejected too early");
+    assert!(end_body(false, 7), "not ejected");
+}
+
 /// Guards against sending requests to an upstream that lost its power and resets no connection.
 #[test]
 fn an_unresponsive_upstream_gets_no_new_requests() {
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::IpAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use super::response_body::{BufferedBody, PartlyBufferedBody, buffer_body};
 use super::shared::SharedState;
 use super::{reach_checks, statements};
+use crate::http_connection::discard_body;
 
 /// Timeout of connecting to an upstream: three of the longest round trips between regions. It is
 /// shorter than the retransmission of a lost packet, which takes a second; another upstream is
@@ -209,41 +211,36 @@
     }
     let (parts, mut incoming) = response.into_parts();
     let deadline = clock::instant_at(deadline_at_ms);
-    let buffered = match headers.kind {
-        ResponseKind::Mismatched => return AttemptResult::without_response(AttemptOutcome::Failed),
-        ResponseKind::Matching | ResponseKind::NotRun | ResponseKind::Misdirected => {
-            match timeout_at(deadline, buffer_body(shared, &mut incoming)).await {
-                Ok(Ok(buffered)) => buffered,
-                Ok(Err(_broken)) if headers.kind == ResponseKind::Matching => {
-                    return AttemptResult::without_response(AttemptOutcome::Failed);
-                }
-                Err(_elapsed) if headers.kind == ResponseKind::Matching => {
-                    return AttemptResult::without_response(AttemptOutcome::TimedOut);
-                }
-                // The head alone proves that the request was not run.
-                Ok(Err(_)) | Err(_) => BufferedBody::Complete(Bytes::new()),
-            }
-        }
-    };
-    let report = headers.load;
     let reusable = ReusableConnection { upstream: attempt.upstream, connection, headers };
-    match (headers.kind, buffered) {
-        (ResponseKind::NotRun, _) => {
-            reusable.release(shared);
-            AttemptResult::without_response(AttemptOutcome::Refused { report })
+    match headers.kind {
+        ResponseKind::Mismatched => return AttemptResult::without_response(AttemptOutcome::Failed),
+        ResponseKind::Misdirected => {
+            return AttemptResult::without_response(AttemptOutcome::Misdirected);
         }
-        (ResponseKind::Misdirected, _) => {
-            AttemptResult::without_response(AttemptOutcome::Misdirected)
+        // The head alone proves that the request was not run.
+        ResponseKind::NotRun => {
+            if discard_body(incoming).await {
+                reusable.release(shared);
+            }
+            let report = headers.load;
+            return AttemptResult::without_response(AttemptOutcome::Refused { report });
         }
-        (_, BufferedBody::Complete(bytes)) => {
+        ResponseKind::Matching => {}
+    }
+    match timeout_at(deadline, buffer_body(shared, &mut incoming)).await {
+        Err(_elapsed) => AttemptResult::without_response(AttemptOutcome::TimedOut),
+        Ok(Err(_broken)) => AttemptResult::without_response(AttemptOutcome::Failed),
+        Ok(Ok(BufferedBody::Complete(bytes))) => {
             reusable.release(shared);
             let outcome = response_outcome(parts.status, headers, bytes.len() as u64);
             let response = Some(build_response(parts, bytes_body(bytes)));
             AttemptResult { outcome, response }
         }
-        (_, BufferedBody::Partial(prefix)) => {
+        Ok(Ok(BufferedBody::Partial(prefix))) => {
             let outcome = response_outcome(parts.status, headers, prefix.len() as u64);
-            let body = PartlyBufferedBody::new(prefix, incoming, reusable.connection);
+            let body =
+                PartlyBufferedBody::new(prefix, incoming, reusable.connection, deadline_at_ms)
+                    .with_upstream(attempt.upstream, Arc::clone(&shared.body_ends));
             let response = Some(build_response(parts, body.boxed()));
             AttemptResult { outcome, response }
         }
--- a/crates/sedgepathd/src/direct/connection_pool.rs
+++ b/crates/sedgepathd/src/direct/connection_pool.rs
@@ -12,12 +12,11 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use sedgepath_core::hash::Map;
 use sedgepath_wire::tcp;
 
 use super::clock;
+use crate::http_connection::HttpConnection;
 
 /// Why a body ended before it was complete.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -26,7 +25,7 @@
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
 
 /// An HTTP/1 connection to an upstream.
-pub type Connection = SendRequest<Body>;
+pub type Connection = HttpConnection<Body>;
 
 /// The keep-alive time of an upstream that states none, in milliseconds.
 const DEFAULT_KEEP_ALIVE_MS: u64 = 8_000;
@@ -86,10 +85,10 @@
         timeout: Duration,
     ) -> std::io::Result<Connection> {
         let stream = tcp::connect_from(self.source, address, timeout).await?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-        let (connection, task) = handshake.map_err(std::io::Error::other)?;
+        let handshake = Connection::handshake(stream).await;
+        let (connection, driver) = handshake.map_err(std::io::Error::other)?;
         tokio::task::spawn_local(async move {
-            if let Err(error) = task.await {
+            if let Err(error) = driver.await {
                 log::debug!("event=upstream_connection_failed error={:?}", error.to_string());
             }
         });
--- a/crates/sedgepathd/src/direct/forwarding.rs
+++ b/crates/sedgepathd/src/direct/forwarding.rs
@@ -207,7 +207,7 @@
         }
         Ok(Ok(BufferedBody::Partial(prefix))) => {
             shared.load.borrow_mut().record_body(prefix.len() as u64, clock::now_ms());
-            PartlyBufferedBody::new(prefix, incoming, connection).boxed()
+            PartlyBufferedBody::new(prefix, incoming, connection, deadline_at_ms).boxed()
         }
         Ok(Err(_broken)) => return ForwardResult::without_response(ForwardOutcome::Failed),
         Err(_elapsed) => return ForwardResult::without_response(ForwardOutcome::TimedOut),
--- a/crates/sedgepathd/src/direct/response_body.rs
+++ b/crates/sedgepathd/src/direct/response_body.rs
@@ -1,12 +1,16 @@
 //! Bodies of upstreams' responses, buffered completely or in part.
 
 use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use sedgepath_core::direct::upstreams::UpstreamKey;
+use tokio::time::Sleep;
 
+use super::clock;
 use super::connection_pool::{Body, BodyError, Connection};
 use super::shared::SharedState;
 
@@ -14,6 +18,14 @@
 /// a truncated one can be replaced by another upstream's.
 pub const MAX_BUFFERED_RESPONSE_BYTES: usize = 1024 * 1024;
 
+/// The time before a deadline from which a caller that leaves has given up at it, in milliseconds: its link
+/// delays its request and its leaving.
+const DEADLINE_MARGIN_MS: u64 = 300;
+
+/// The time without taking bytes after which a caller reads slowly, in milliseconds, so that a late end isn't
+/// the upstream's fault.
+const CALLER_STALL_MS: u64 = 500;
+
 /// What was buffered of a response body.
 #[derive(Debug)]
 pub enum BufferedBody {
@@ -47,25 +59,116 @@
     Ok(BufferedBody::Complete(shared.response_memory.hold(buffer.freeze())))
 }
 
-/// A body whose beginning is buffered and whose rest is passed on as it arrives.
+/// How a body that was passed on before it had arrived completely has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyEnd {
+    /// The upstream that sent the body.
+    pub upstream: UpstreamKey,
+    /// Whether the body was whole; otherwise it ended early by the upstream's fault.
+    pub is_whole: bool,
+}
+
+/// The ends of bodies that the steering state hasn't recorded.
+#[derive(Debug, Default)]
+pub struct BodyEnds(Mutex<Vec<BodyEnd>>);
+
+impl BodyEnds {
+    fn push(&self, end: BodyEnd) {
+        self.lock().push(end);
+    }
+
+    /// Takes all ends.
+    pub fn take(&self) -> Vec<BodyEnd> {
+        std::mem::take(&mut *self.lock())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<BodyEnd>> {
+        // A panic can't leave the list inconsistent.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What a body that is passed on waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyProgress {
+    /// Bytes of the upstream.
+    AwaitsUpstream,
+    /// Its caller, which took the last bytes at a time in milliseconds.
+    AwaitsCaller {
+        since_ms: u64,
+    },
+    Ended,
+}
+
+/// A body whose beginning is buffered and whose rest is passed on as it arrives, until the deadline.
+///
+/// It is only cut then, since its length is unknown. A caller that ends its request at the same deadline is
+/// often sooner.
 #[derive(Debug)]
 pub struct PartlyBufferedBody {
     prefix: Option<Bytes>,
     rest: Incoming,
+    deadline_at_ms: u64,
+    deadline: Pin<Box<Sleep>>,
+    progress: BodyProgress,
+    /// The upstream that sends the body, and where the body's end is recorded.
+    upstream: Option<(UpstreamKey, Arc<BodyEnds>)>,
     /// Dropped with the body, since a connection can't be reused before its response has ended.
     _connection: Connection,
 }
 
 impl PartlyBufferedBody {
-    /// Creates a body from its beginning and the rest, which arrives on a connection.
-    pub fn new(prefix: Bytes, rest: Incoming, connection: Connection) -> Self {
-        Self { prefix: Some(prefix), rest, _connection: connection }
+    /// Creates a body from its beginning and the rest, which arrives on a connection until a deadline in
+    /// milliseconds.
+    pub fn new(prefix: Bytes, rest: Incoming, connection: Connection, deadline_at_ms: u64) -> Self {
+        Self {
+            prefix: Some(prefix),
+            rest,
+            deadline_at_ms,
+            deadline: Box::pin(tokio::time::sleep_until(clock::instant_at(deadline_at_ms))),
+            progress: BodyProgress::AwaitsCaller { since_ms: clock::now_ms() },
+            upstream: None,
+            _connection: connection,
+        }
+    }
+
+    /// Sets the upstream that sends the body, and where the body's end is recorded.
+    #[must_use]
+    pub fn with_upstream(mut self, upstream: UpstreamKey, ends: Arc<BodyEnds>) -> Self {
+        self.upstream = Some((upstream, ends));
+        self
     }
 
     /// Returns the body with its type erased.
     pub fn boxed(self) -> Body {
         self.boxed_unsync()
     }
+
+    fn record_end(&mut self, is_whole: bool) {
+        self.progress = BodyProgress::Ended;
+        if let Some((upstream, ends)) = &self.upstream {
+            ends.push(BodyEnd { upstream: *upstream, is_whole });
+        }
+    }
+
+    /// Returns whether the deadline is so close that the caller has given up at it, and the upstream has had the
+    /// time until then.
+    fn has_failed_by_deadline(&self, now_ms: u64) -> bool {
+        let caller_reads = match self.progress {
+            BodyProgress::Ended => return false,
+            BodyProgress::AwaitsUpstream => true,
+            BodyProgress::AwaitsCaller { since_ms } => now_ms < since_ms + CALLER_STALL_MS,
+        };
+        caller_reads && now_ms + DEADLINE_MARGIN_MS >= self.deadline_at_ms
+    }
+}
+
+impl Drop for PartlyBufferedBody {
+    fn drop(&mut self) {
+        if self.has_failed_by_deadline(clock::now_ms()) {
+            self.record_end(false);
+        }
+    }
 }
 
 impl hyper::body::Body for PartlyBufferedBody {
@@ -76,10 +179,22 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err("the response takes longer than the deadline".into())));
+        }
         if let Some(prefix) = self.prefix.take() {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
-        Pin::new(&mut self.rest).poll_frame(cx).map_err(Into::into)
+        let polled = Pin::new(&mut self.rest).poll_frame(cx);
+        match &polled {
+            Poll::Pending => self.progress = BodyProgress::AwaitsUpstream,
+            Poll::Ready(Some(Ok(_))) => {
+                self.progress = BodyProgress::AwaitsCaller { since_ms: clock::now_ms() };
+            }
+            Poll::Ready(Some(Err(_))) => self.record_end(false),
+            Poll::Ready(None) => self.record_end(true),
+        }
+        polled.map_err(Into::into)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -25,6 +25,7 @@
 use super::connection_pool::{Body, ConnectionPool};
 use super::logging::{LogClock, PendingLines};
 use super::metrics::Metrics;
+use super::response_body::BodyEnd;
 use super::shared::{SharedState, StopPhase, vm_resources};
 use super::{
     bootstrap, capacity_log, clock, contacts, control_server, discovery, entry_queries, forwarding,
@@ -275,6 +276,7 @@
             steering.vms_mut().set_load(shared.load.borrow_mut().percent(now_ms));
             steering.upstreams_mut().remove_lapsed(now_ms)
         };
+        record_body_ends(&shared, now_ms);
         for name in lapsed {
             log::info!("event=upstream_lapsed upstream={name}");
         }
@@ -288,6 +290,19 @@
     }
 }
 
+/// Records how bodies have ended that were passed on before they had arrived completely.
+fn record_body_ends(shared: &SharedState, now_ms: u64) {
+    let mut steering = shared.steering.borrow_mut();
+    for BodyEnd { upstream, is_whole } in shared.body_ends.take() {
+        if let Some(upstream) = steering.upstreams_mut().get_mut(upstream) {
+            if !is_whole {
+                log::info!("event=body_broken upstream={}", upstream.entry.name);
+            }
+            upstream.record_body_end(is_whole, now_ms);
+        }
+    }
+}
+
 async fn wait_for_stop() -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Runtime)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Runtime)?;
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sedgepath_adapter::rows::PlatformRowDecoder;
@@ -27,6 +28,7 @@
 use super::metrics::Metrics;
 use super::peer_authentication::RecentNonces;
 use super::pipelining::bounds::PipelineBounds;
+use super::response_body::BodyEnds;
 use super::response_memory::ResponseMemory;
 use super::table_server::{self, TableServer};
 
@@ -95,6 +97,8 @@
     pub in_flight_requests: Cell<usize>,
     /// The memory that bodies take.
     pub response_memory: ResponseMemory,
+    /// The ends of bodies that were passed on before they had arrived completely.
+    pub body_ends: Arc<BodyEnds>,
     /// What requests that are started before their turn may use.
     pub pipeline_bounds: Rc<PipelineBounds>,
     /// The number of callers' open connections.
@@ -195,6 +199,7 @@
             next_hot_object_line_at_ms: Cell::new(0),
             in_flight_requests: Cell::new(0),
             response_memory,
+            body_ends: Arc::default(),
             pipeline_bounds,
             open_connections: Cell::new(0),
             stop_phase: tokio::sync::watch::Sender::new(StopPhase::Serving),
--- a/crates/sedgepathd/src/dispatch.rs
+++ b/crates/sedgepathd/src/dispatch.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::driver::NodeHandle;
+use crate::http_connection::discard_body;
 use crate::reply::{BodyAborted, BodySender, Reply, UpstreamResponse, body_channel};
 use crate::upstreams::{CallError, Connection, UpstreamCall, UpstreamPool};
 
@@ -281,7 +282,7 @@
 
     /// Reads a short body to its end, so that the connection can be reused.
     async fn drain(&self, call: UpstreamCall, incoming: Incoming, connection: Connection) {
-        if incoming.collect().await.is_ok() {
+        if discard_body(incoming).await {
             self.upstreams.release(call.upstream, connection);
         }
     }
--- /dev/null
+++ b/crates/sedgepathd/src/http_connection.rs
@@ -0,0 +1,175 @@
+//! HTTP/1 connections to upstreams, on which a response's head can't be without end.
+//!
+//! An upstream in trouble may send bytes for as long as the connection is open. A head that grows, or
+//! informational responses one after the other, would take memory and processor time until the request's
+//! deadline.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// The most bytes that an upstream may send before the head of its response is complete.
+const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
+
+/// The largest body that is read only so that its connection can be reused, in bytes.
+const MAX_DISCARDED_BODY_BYTES: usize = 16 * 1024;
+
+/// The longest time for which the rest of such a body is awaited: it mostly arrives with the head.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// The bytes that may be read from a connection.
+#[derive(Debug, Clone)]
+struct ReadAllowance(Arc<AtomicUsize>);
+
+impl ReadAllowance {
+    const UNLIMITED: usize = usize::MAX;
+
+    fn new() -> Self {
+        Self(Arc::new(AtomicUsize::new(Self::UNLIMITED)))
+    }
+
+    fn set(&self, bytes: usize) {
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+
+    fn left(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn take(&self, bytes: usize) {
+        let left = self.left();
+        if left != Self::UNLIMITED {
+            self.set(left.saturating_sub(bytes));
+        }
+    }
+}
+
+/// A stream that fails once its allowance is used up.
+#[derive(Debug)]
+struct BoundedStream {
+    stream: TcpStream,
+    allowance: ReadAllowance,
+}
+
+impl AsyncRead for BoundedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.allowance.left() == 0 {
+            return Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "the response's head is too large",
+            )));
+        }
+        let filled_bytes = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.allowance.take(buf.filled().len() - filled_bytes);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for BoundedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// A connection that sends requests with bodies of one type.
+#[derive(Debug)]
+pub struct HttpConnection<B> {
+    sender: SendRequest<B>,
+    allowance: ReadAllowance,
+}
+
+impl<B> HttpConnection<B>
+where
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    /// Begins to speak HTTP on a stream. The returned future drives the connection until its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the handshake fails.
+    pub async fn handshake(
+        stream: TcpStream,
+    ) -> hyper::Result<(Self, impl Future<Output = hyper::Result<()>> + Send)> {
+        let allowance = ReadAllowance::new();
+        let bounded = BoundedStream { stream, allowance: allowance.clone() };
+        let (sender, driver) = http1::handshake(TokioIo::new(bounded)).await?;
+        Ok((Self { sender, allowance }, driver))
+    }
+
+    /// Sends a request and returns its response, whose body is still to be read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails or the response's head is too large. The error has the request if that
+    /// has certainly not been sent.
+    pub async fn try_send_request(
+        &mut self,
+        request: Request<B>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<B>>> {
+        self.allowance.set(MAX_RESPONSE_HEAD_BYTES);
+        let response = self.sender.try_send_request(request).await;
+        self.allowance.set(ReadAllowance::UNLIMITED);
+        response
+    }
+
+    /// Returns whether a request can be sent now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Returns whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+/// Reads a body that isn't needed to its end if it is short and arrives soon, and returns whether it was read,
+/// so that its connection can be reused.
+pub async fn discard_body(body: Incoming) -> bool {
+    let read = Limited::new(body, MAX_DISCARDED_BODY_BYTES).collect();
+    matches!(timeout(DISCARD_TIMEOUT, read).await, Ok(Ok(_body)))
+}
--- a/crates/sedgepathd/src/lib.rs
+++ b/crates/sedgepathd/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dispatch;
 pub mod driver;
 pub mod hop;
+pub mod http_connection;
 pub mod limits;
 pub mod logging;
 pub mod metrics;
--- a/crates/sedgepathd/src/upstreams.rs
+++ b/crates/sedgepathd/src/upstreams.rs
@@ -10,9 +10,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use sedgepath_core::event::Event;
 use sedgepath_core::hash::Map;
 use sedgepath_core::key::UpstreamKey;
@@ -20,9 +18,10 @@
 use tokio::time::timeout_at;
 
 use crate::driver::NodeHandle;
+use crate::http_connection::HttpConnection;
 
 /// A connection to an upstream.
-pub type Connection = SendRequest<Full<Bytes>>;
+pub type Connection = HttpConnection<Full<Bytes>>;
 
 /// The error of a call that got no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -129,12 +128,12 @@
         let stream = opened.ok().and_then(Result::ok).ok_or(CallError::NotSent)?;
         // Small requests must not wait for the acknowledgement of earlier bytes.
         let _best_effort = stream.set_nodelay(true);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (connection, task) = handshake.ok().ok_or(CallError::NotSent)?;
+        let handshake = Connection::handshake(stream).await;
+        let (connection, driver) = handshake.ok().ok_or(CallError::NotSent)?;
         self.update_open_count(call.upstream, 1);
         let pool = Arc::clone(self);
         tokio::spawn(async move {
-            if let Err(error) = task.await {
+            if let Err(error) = driver.await {
                 log::debug!("event=upstream_connection_failed error={:?}", error.to_string());
             }
             pool.update_open_count(call.upstream, -1);
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -272,6 +272,15 @@
         self.child.wait().expect("wait");
     }
 
+    /// Returns the most memory that the daemon has used, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the daemon's status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
+        kilobytes * 1024
+    }
+
     /// Returns the exit status, if the daemon has ended.
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().expect("wait")
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -33,6 +33,45 @@
     CloseDelimited,
     /// Runs the request and closes the connection after a minute without a response.
     Unresponsive,
+    /// Runs the request and sends bytes until the connection is closed.
+    Endless(EndlessPart),
+}
+
+/// What has no end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndlessPart {
+    /// A field of the response's head.
+    Head,
+    /// The informational responses before the response.
+    InformationalResponses,
+    /// The body of a successful response.
+    Body,
+    /// The body of a response that states that the request was not run, slowly.
+    RejectionBody,
+}
+
+/// The pause between the chunks of a body that is sent slowly.
+const SLOW_CHUNK_INTERVAL: Duration = Duration::from_millis(20);
+
+impl EndlessPart {
+    /// Returns the bytes that come once, after the given head of a successful response, and those that are
+    /// repeated.
+    fn bytes(self, successful_head: &str) -> (String, String) {
+        let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
+        match self {
+            Self::Head => ("HTTP/1.1 200 OK\r\nX-Filler: ".into(), "x".repeat(0x1000)),
+            Self::InformationalResponses => {
+                (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100))
+            }
+            Self::Body => (format!("{successful_head}Transfer-Encoding: chunked\r\n\r\n"), chunk),
+            Self::RejectionBody => (
+                "HTTP/1.1 503 Service Unavailable\r\nX-Sedgepath-Not-Executed: 1\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n"
+                    .into(),
+                "1\r\nx\r\n".into(),
+            ),
+        }
+    }
 }
 
 /// A request that the upstream has received.
@@ -57,6 +96,7 @@
     received: Vec<ReceivedRequest>,
     connections: usize,
     canceled_requests: usize,
+    open_endless_responses: usize,
     /// A part of the request line with which a request crashes the upstream.
     fatal_text: Option<String>,
     /// Header lines that each response begins with.
@@ -86,6 +126,7 @@
             received: Vec::new(),
             connections: 0,
             canceled_requests: 0,
+            open_endless_responses: 0,
             fatal_text: None,
             first_headers: String::new(),
             crashed: false,
@@ -240,6 +281,11 @@
         self.lock().connections
     }
 
+    /// Returns the number of responses without an end whose connections haven't been closed.
+    pub fn open_endless_responses(&self) -> usize {
+        self.lock().open_endless_responses
+    }
+
     /// Returns the number of requests whose connection was closed before the response.
     pub fn canceled_requests(&self) -> usize {
         self.lock().canceled_requests
@@ -267,7 +313,11 @@
         let attempt_id = request.headers.get("x-sedgepath-attempt-id").cloned().unwrap_or_default();
         let expected = request.headers.get("x-sedgepath-expected-instance").cloned();
         let misdirected = expected.is_some_and(|expected| expected != name);
-        request.run = !misdirected && behaviour != Behaviour::Reject;
+        request.run = !misdirected
+            && !matches!(
+                behaviour,
+                Behaviour::Reject | Behaviour::Endless(EndlessPart::RejectionBody)
+            );
         let fatal = {
             let mut state = self.lock();
             let line = &request.line;
@@ -330,7 +380,33 @@
                 self.work(stream, Duration::from_mins(1))?;
                 None
             }
+            Behaviour::Endless(part) => {
+                let successful_head = full_response.split("Content-Length").next().unwrap_or("");
+                let pause = (part == EndlessPart::RejectionBody).then_some(SLOW_CHUNK_INTERVAL);
+                self.send_without_end(
+                    stream,
+                    part.bytes(successful_head),
+                    pause.unwrap_or_default(),
+                )
+            }
+        }
+    }
+
+    /// Sends bytes once and others repeatedly, with a pause before each, until the connection is closed.
+    fn send_without_end(
+        &self,
+        mut stream: &TcpStream,
+        (first, repeated): (String, String),
+        pause: Duration,
+    ) -> Option<()> {
+        self.lock().open_endless_responses += 1;
+        let mut sent = stream.write_all(first.as_bytes());
+        while sent.is_ok() {
+            std::thread::sleep(pause);
+            sent = stream.write_all(repeated.as_bytes());
         }
+        self.lock().open_endless_responses -= 1;
+        None
     }
 
     /// Waits for a time, or until the connection is closed, which is counted.
