Let callers pause in reading for as long as they may be idle

Cause: the user timeout, meant for upstreams and VMs that lose their power, was set for callers too. Linux counts the time for which the peer's window is closed, even if the peer acknowledges each probe. The log has no line of the VM ending the connection, so a limit of memory or a deadline is ruled out.

Callers' connections now take the idle timeout of the configuration.

--- a/crates/sedgepath-wire/src/tcp.rs
+++ b/crates/sedgepath-wire/src/tcp.rs
@@ -15,7 +15,7 @@
 /// The number of unanswered keepalive probes after which a connection has failed.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
-/// The time after which a connection with unacknowledged data fails (`TCP_USER_TIMEOUT`).
+/// The time after which a connection to a server fails that has unacknowledged data.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Opens a connection that fails within about three seconds of its peer becoming unreachable.
@@ -52,17 +52,20 @@
     let stream = timeout(time_limit, connecting)
         .await
         .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
-    detect_dead_peer(&stream)?;
+    detect_dead_peer(&stream, UNACKNOWLEDGED_TIMEOUT)?;
     Ok(stream)
 }
 
-/// Enables keepalive probes and the user timeout on an open connection, and disables Nagle's
-/// algorithm.
+/// Enables keepalive probes and the user timeout (`TCP_USER_TIMEOUT`) on an open connection, and disables
+/// Nagle's algorithm.
+///
+/// A peer that is alive but doesn't read for as long as the user timeout counts as dead, too: Linux doesn't
+/// tell a closed window from a lost peer there.
 ///
 /// # Errors
 ///
 /// Fails if the system rejects a socket option.
-pub fn detect_dead_peer(stream: &TcpStream) -> io::Result<()> {
+pub fn detect_dead_peer(stream: &TcpStream, unacknowledged_timeout: Duration) -> io::Result<()> {
     // Avoids delaying small requests until earlier bytes are acknowledged.
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
@@ -71,5 +74,5 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(MAX_UNANSWERED_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))
 }
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -118,11 +118,12 @@
 }
 
 async fn serve_connection(shared: &Rc<SharedState>, stream: TcpStream, caller: IpAddr) {
-    if tcp::detect_dead_peer(&stream).is_err() {
-        return;
-    }
     let limits = shared.steering.borrow().configuration().map(|in_force| in_force.limits);
     let idle_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
+    // Callers may read slowly, and with pauses.
+    if tcp::detect_dead_peer(&stream, Duration::from_millis(idle_ms)).is_err() {
+        return;
+    }
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
     let request_arrived = Notify::new();
     let buffer_bytes = header_bytes.max(MIN_HYPER_BUFFER_BYTES) + MIN_HYPER_BUFFER_BYTES;
--- a/crates/sedgepathd/tests/direct_pipelining.rs
+++ b/crates/sedgepathd/tests/direct_pipelining.rs
@@ -314,3 +314,28 @@
     assert_eq!(responses[1].status, 431);
     assert_eq!(fixture.received_at("large"), None);
 }
+
+/// The size of a response that doesn't fit into the buffers of a connection whose caller doesn't read.
+const LARGE_RESPONSE_BYTES: usize = 540_000;
+
+/// The pause of a caller that reads slowly: longer than the time after which an upstream that doesn't
+/// acknowledge what it was sent counts as dead.
+const READING_PAUSE: Duration = Duration::from_secs(4);
+
+/// Guards against a caller that pauses in reading and loses the responses to its requests, all of which have run.
+#[test]
+fn a_caller_that_pauses_in_reading_gets_all_responses() {
+    let fixture = Fixture::with_timeout(2, "8000ms", &[]);
+    for upstream in &fixture.upstreams {
+        upstream.set_behaviour(Behaviour::LargeBody(LARGE_RESPONSE_BYTES));
+    }
+    let mut connection = fixture.connect();
+    for number in 0..4 {
+        connection.send("GET", "/reads/1", &format!("s{number}"), 8_000).expect("a request");
+    }
+    std::thread::sleep(READING_PAUSE);
+    for number in 0..4 {
+        let body_bytes = connection.receive().and_then(|response| Some(response.body?.len()));
+        assert_eq!(body_bytes, Some(LARGE_RESPONSE_BYTES), "response {number}");
+    }
+}
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -35,6 +35,8 @@
     Unresponsive,
     /// Runs the request and sends bytes until the connection is closed.
     Endless(EndlessPart),
+    /// Runs the request and responds with a body of this many bytes.
+    LargeBody(usize),
 }
 
 /// What has no end.
@@ -330,7 +332,10 @@
             self.crash();
             return None;
         }
-        let body = format!("{attempt_id} at {name}");
+        let body = match behaviour {
+            Behaviour::LargeBody(bytes) => "x".repeat(bytes),
+            _ => format!("{attempt_id} at {name}"),
+        };
         let full_response = format!(
             "HTTP/1.1 200 OK\r\n{first_headers}X-Sedgepath-Attempt-Id: {attempt_id}\r\n\
              X-Sedgepath-Response-Signature: s.{attempt_id}\r\nX-Sedgepath-Backend-Load: 1,0,4\r\n\
@@ -344,7 +349,9 @@
             return stream.write_all(response.as_bytes()).ok();
         }
         match behaviour {
-            Behaviour::Respond => stream.write_all(full_response.as_bytes()).ok(),
+            Behaviour::Respond | Behaviour::LargeBody(_) => {
+                stream.write_all(full_response.as_bytes()).ok()
+            }
             Behaviour::Reject => {
                 let rejection = format!(
                     "HTTP/1.1 503 Service Unavailable\r\n{first_headers}X-Sedgepath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
