Count a passed-on body as whole when its last frame has arrived

Cause: a body isn't polled again after its last frame, so that the end of a whole one was recorded only where it comes by itself; four broken bodies with whole ones between could count as four in a row, and a whole one near its deadline as broken.

Change: the end is recorded with the last frame, and once.

--- a/crates/sedgepathd/src/direct/response_body.rs
+++ b/crates/sedgepathd/src/direct/response_body.rs
@@ -93,17 +93,19 @@
 enum BodyProgress {
     /// Bytes of the upstream.
     AwaitsUpstream,
-    /// Its caller, which took the last bytes at a time in milliseconds.
+    /// Its caller.
     AwaitsCaller {
+        /// When the caller took the last bytes, in milliseconds.
         since_ms: u64,
     },
+    /// Nothing.
     Ended,
 }
 
 /// A body whose beginning is buffered and whose rest is passed on as it arrives, until the deadline.
 ///
-/// It is only cut then, since its length is unknown. A caller that ends its request at the same deadline is
-/// often sooner.
+/// Nothing tells a body without end from a long one before the deadline. A caller that gives up at the same
+/// deadline may be sooner, as its link delays the request.
 #[derive(Debug)]
 pub struct PartlyBufferedBody {
     prefix: Option<Bytes>,
@@ -145,14 +147,15 @@
     }
 
     fn record_end(&mut self, is_whole: bool) {
-        self.progress = BodyProgress::Ended;
+        if std::mem::replace(&mut self.progress, BodyProgress::Ended) == BodyProgress::Ended {
+            return;
+        }
         if let Some((upstream, ends)) = &self.upstream {
             ends.push(BodyEnd { upstream: *upstream, is_whole });
         }
     }
 
-    /// Returns whether the deadline is so close that the caller has given up at it, and the upstream has had the
-    /// time until then.
+    /// Returns whether the body hasn't ended although the deadline is about to pass, and its caller has read it.
     fn has_failed_by_deadline(&self, now_ms: u64) -> bool {
         let caller_reads = match self.progress {
             BodyProgress::Ended => return false,
@@ -188,11 +191,12 @@
         let polled = Pin::new(&mut self.rest).poll_frame(cx);
         match &polled {
             Poll::Pending => self.progress = BodyProgress::AwaitsUpstream,
-            Poll::Ready(Some(Ok(_))) => {
+            Poll::Ready(Some(Err(_))) => self.record_end(false),
+            // A body isn't polled again after its last frame.
+            Poll::Ready(_) if self.rest.is_end_stream() => self.record_end(true),
+            Poll::Ready(_) => {
                 self.progress = BodyProgress::AwaitsCaller { since_ms: clock::now_ms() };
             }
-            Poll::Ready(Some(Err(_))) => self.record_end(false),
-            Poll::Ready(None) => self.record_end(true),
         }
         polled.map_err(Into::into)
     }
