Bound the time for which callers may leave bytes unread

Cause: the idle timeout became the user timeout of callers' connections as it is.

Change: at least 2.5 s, at most a minute.

--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -61,6 +61,13 @@
 /// The idle timeout of a connection before a configuration is known, in milliseconds.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
 
+/// The shortest time for which a caller may leave bytes unread or unacknowledged, in milliseconds: a lost
+/// packet is sent again meanwhile.
+const MIN_UNREAD_TIMEOUT_MS: u64 = 2_500;
+
+/// The longest such time, in milliseconds; the system accepts no idle timeout of any length.
+const MAX_UNREAD_TIMEOUT_MS: u64 = 60_000;
+
 /// The largest request head before a configuration is known, in bytes.
 const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
 
@@ -121,7 +128,8 @@
     let limits = shared.steering.borrow().configuration().map(|in_force| in_force.limits);
     let idle_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
     // Callers may read slowly, and with pauses.
-    if tcp::detect_dead_peer(&stream, Duration::from_millis(idle_ms)).is_err() {
+    let unread_ms = idle_ms.clamp(MIN_UNREAD_TIMEOUT_MS, MAX_UNREAD_TIMEOUT_MS);
+    if tcp::detect_dead_peer(&stream, Duration::from_millis(unread_ms)).is_err() {
         return;
     }
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
