Let a VM introduce itself after its discovery

One heartbeat in four describes its sender, and VMs that don't know it ignore the others. The first of a process describes it but is sent before the discovery, to nobody but the seeds; the one after the discovery doesn't.

Evidence: the VM's log shows it asking only a VM that is down until its turn at the store, at 240 ms. A scratch build that prints each datagram shows the heartbeat after the discovery with 23 bytes, received by all and answered by none, and the next full one with 61 bytes, answered by all within 6 ms.

A discovery now counts as a join, after which a heartbeat describes its sender.

--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -101,10 +101,11 @@
         self
     }
 
-    /// Records that this VM has read the addresses of those of its failure domain, which it introduces itself
-    /// to from now on.
+    /// Records that this VM has read the addresses of those of its failure domain. Its next heartbeat
+    /// introduces it to them.
     pub fn record_discovery(&mut self, now_ms: u64) {
         self.joining_until_ms = now_ms + JOINING_MS;
+        self.outgoing_state.record_join(now_ms);
     }
 
     /// Returns whether this VM has started so lately that it can't take the VMs that it hears for all that
--- a/crates/sedgepath-core/tests/direct_joining.rs
+++ b/crates/sedgepath-core/tests/direct_joining.rs
@@ -1,10 +1,13 @@
 //! Limits that all VMs share, while VMs that start together haven't heard each other.
 
+use fastrand::Rng;
+use sedgepath_core::clock::HybridTimestamp;
 use sedgepath_core::direct::Steering;
 use sedgepath_core::direct::accounts::AccountKey;
 use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome, NextStep};
 use sedgepath_core::direct::quotas::lenders::{Lender, LenderView};
 use sedgepath_core::direct::statements::{StatedLeaving, StatedPause, StatedRateLimit, Statements};
+use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
 use sedgepath_test_support::direct::{
     COLD_PER_S, DOMAINS, HEARTBEAT_MS, begin_request, heartbeat, starting_vm, with_upstreams,
 };
@@ -172,6 +175,24 @@
     }
 }
 
+/// Guards against a VM that the others of its failure domain ignore, as it sends the heartbeat that introduces it
+/// before it knows them, and one without its description afterwards.
+#[test]
+fn a_vm_introduces_itself_after_its_discovery() {
+    let mut vm = starting_vm("vm1", "north-a", 1, &[2], 0);
+    let heartbeat = |vm: &mut Steering, now_ms| {
+        let stamp = HybridTimestamp { time_ms: now_ms, count: 0 };
+        let sent = vm.vms_mut().periodic_messages(stamp, &mut Rng::with_seed(1), now_ms);
+        sent.into_iter().next().expect("a heartbeat").message
+    };
+    for now_ms in 0..2 {
+        heartbeat(&mut vm, now_ms);
+    }
+    vm.vms_mut().record_discovery(2);
+    let message = heartbeat(&mut vm, 2);
+    assert!(matches!(message, PeerMessage::Heartbeat(Heartbeat::Full(_))), "{message:?}");
+}
+
 /// Guards against VMs that hear nobody yet and each lend out an account's whole quota.
 #[test]
 fn vms_that_start_together_do_not_lend_more_than_a_quota() {
