--- a/crates/sedgepathd/tests/direct_shared_load.rs
+++ b/crates/sedgepathd/tests/direct_shared_load.rs
@@ -3,11 +3,18 @@
 mod platform;
 
 use std::net::UdpSocket;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Instant;
 
-use platform::upstream::UpstreamStandIn;
-use platform::{TestCluster, Vm, caller, configure, wait_for};
+use platform::upstream::{Behaviour, UpstreamStandIn};
+use platform::{TestCluster, Vm, WAIT_TIMEOUT, caller, configure, wait_for};
 use sedgepath_test_support::store::StoreStandIn;
 
+/// The time that the upstream works for a request, in milliseconds: several times the interval of the messages,
+/// so that they tell of requests in flight.
+const WORK_MS: u64 = 300;
+
 fn metrics(vm: &Vm) -> String {
     caller::get(vm.metrics_address, "/metrics").expect("metrics").text()
 }
@@ -31,16 +38,24 @@
     let vms = [1, 2, 3].map(|number| cluster.start(number, "north-a"));
     wait_for("readiness", || vms.iter().all(Vm::is_ready));
 
-    let mut number = 0;
-    wait_for("load of both VMs with requests", || {
-        for vm in &vms[..2] {
-            number += 1;
-            caller::request(vm.caller_address, "GET", "/reads/1", &number.to_string());
+    upstream.set_behaviour(Behaviour::DelayedByMs(WORK_MS));
+    let (loaded, stop) = (&vms[..2], AtomicBool::new(false));
+    let until = Instant::now() + WAIT_TIMEOUT;
+    thread::scope(|scope| {
+        for vm in loaded {
+            scope.spawn(|| {
+                while !stop.load(Ordering::Relaxed) && Instant::now() < until {
+                    caller::request(vm.caller_address, "GET", "/reads/1", "a");
+                }
+            });
         }
-        vms[..2].iter().all(|vm| metric(vm, "sedgepath_shared_load_upstreams") == 1)
+        wait_for("load of both VMs with requests", || {
+            loaded.iter().all(|vm| metric(vm, "sedgepath_shared_load_upstreams") == 1)
+        });
+        stop.store(true, Ordering::Relaxed);
     });
     let sent = |vm| metric(vm, "sedgepath_peer_bytes_total{kind=\"load\"}");
-    assert!(vms[..2].iter().all(|vm| sent(vm) > 0));
+    assert!(loaded.iter().all(|vm| sent(vm) > 0));
     assert_eq!(sent(&vms[2]), 0, "a VM without requests");
 
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
--- a/crates/sedgepathd/tests/direct_stop.rs
+++ b/crates/sedgepathd/tests/direct_stop.rs
@@ -19,6 +19,13 @@
 /// The time from the end of acceptance to the requests: a link's delay and a caller's own.
 const CALLER_DELAY: Duration = Duration::from_millis(200);
 
+/// The requests that are sent at once, within what the upstream takes: the VM waits for first requests for a
+/// second only.
+const BATCH_SIZE: usize = 8;
+
+/// The deadline of the requests, in milliseconds.
+const DEADLINE_MS: u64 = 3_000;
+
 /// Guards against connections that a stopping VM accepts and then closes before their first request.
 #[test]
 fn every_connection_that_a_stopping_vm_accepts_is_answered() {
@@ -36,15 +43,18 @@
         thread::sleep(OPENING_INTERVAL);
     }
     thread::sleep(CALLER_DELAY);
-    let unanswered = opened
-        .iter_mut()
-        .enumerate()
-        .filter_map(|(number, connection)| {
-            let response = connection.request("GET", READ_PATH, &format!("a{number}"));
-            let status = response.map(|response| response.status);
-            (status != Some(200)).then_some((number, status))
-        })
-        .collect::<Vec<_>>();
+    let mut unanswered = Vec::new();
+    for (batch, connections) in opened.chunks_mut(BATCH_SIZE).enumerate() {
+        let first = batch * BATCH_SIZE;
+        for (number, connection) in (first..).zip(&mut *connections) {
+            // A closed connection has no response.
+            let _sent = connection.send("GET", READ_PATH, &format!("a{number}"), DEADLINE_MS);
+        }
+        for (number, connection) in (first..).zip(connections) {
+            let status = connection.receive().map(|response| response.status);
+            unanswered.extend((status != Some(200)).then_some((number, status)));
+        }
+    }
 
     assert!(opened.len() > 50, "only {} connections were opened", opened.len());
     assert!(unanswered.is_empty(), "of {}: {unanswered:?}", opened.len());
