Tell a joining VM from one that hears all it knows of

Cause: `VmTable::is_joining` looked through all known VMs by itself, and the one place that asks it had just done so; the VMs of a domain and those of a region that run or are about to start were gathered by two functions of the same shape.

Change: `is_joining` only compares the time, its caller asks `hears_all_known` once, and both gatherings share one function. No change of behaviour.

--- a/crates/sedgepath-core/src/direct/steering/serving_keys.rs
+++ b/crates/sedgepath-core/src/direct/steering/serving_keys.rs
@@ -39,11 +39,12 @@
             by_region.entry(descriptor.region.clone()).or_default().push(key);
             all.push(key);
         }
-        let joining = vms.is_joining(now_ms).then(|| JoiningView {
+        let hears_all = vms.hears_all_known(now_ms);
+        let joining = (!hears_all && vms.is_joining(now_ms)).then(|| JoiningView {
             domain: vms.running_or_starting_in_domain(now_ms),
             max_vms: vms.sharing_vm_count(now_ms),
         });
-        Self { hears_all: vms.hears_all_known(now_ms), joining, by_domain, by_region, all }
+        Self { hears_all, joining, by_domain, by_region, all }
     }
 
     /// Returns how many VMs there are at the most, while this one is joining and can't tell which of them serve.
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -109,9 +109,9 @@
     }
 
     /// Returns whether this VM has started so lately that it can't take the VMs that it hears for all that
-    /// serve. It ends sooner if it hears all that it knows of.
+    /// serve, unless these are all that it [knows of](Self::hears_all_known).
     pub fn is_joining(&self, now_ms: u64) -> bool {
-        now_ms < self.joining_until_ms && !self.hears_all_known(now_ms)
+        now_ms < self.joining_until_ms
     }
 
     /// Returns the time between two heartbeats, in milliseconds, which grows with the number of their
--- a/crates/sedgepath-core/src/direct/vms/counts.rs
+++ b/crates/sedgepath-core/src/direct/vms/counts.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
+use super::VmTable;
 use super::heartbeat::key_of_address;
-use super::{VmDescriptor, VmTable};
 use crate::key::VmKey;
 
 impl VmTable {
@@ -41,13 +41,9 @@
     /// Returns the VMs of this VM's failure domain that run or are about to start, with itself. VMs that start
     /// together thus agree before they are ready and have heard each other.
     pub fn running_or_starting_in_domain(&self, now_ms: u64) -> Vec<VmKey> {
-        let running = self.live_domain_peers(now_ms).map(|peer| peer.descriptor.key());
-        let starting = self.known_vms.starting(now_ms);
-        let starting =
-            starting.filter(|(_, locality)| locality.domain == self.own.descriptor.domain);
-        let starting = starting.map(|(address, _)| key_of_address(address));
-        let own = (!self.own.state.leaving).then(|| self.key());
-        running.chain(starting).chain(own).collect()
+        let domain = &self.own.descriptor.domain;
+        let vms = self.running_or_starting(|other, _| *other == **domain, now_ms);
+        vms.into_iter().map(|(key, _)| key).collect()
     }
 
     /// As [`running_or_starting_in_domain`](Self::running_or_starting_in_domain) for a region, with their peer
@@ -57,13 +53,23 @@
         region: &str,
         now_ms: u64,
     ) -> Vec<(VmKey, SocketAddr)> {
-        let in_region = |vm: &VmDescriptor| *vm.region == *region;
+        self.running_or_starting(|_, other| *other == *region, now_ms)
+    }
+
+    /// Returns the VMs that run or are about to start and whose failure domain and region match, with their peer
+    /// addresses, sorted by address.
+    fn running_or_starting(
+        &self,
+        matches: impl Fn(&str, &str) -> bool,
+        now_ms: u64,
+    ) -> Vec<(VmKey, SocketAddr)> {
         let heard = self.live_peers(now_ms).map(|peer| &peer.descriptor);
         let listed = self.remote_domains.live_vms(self.timing, now_ms).map(|vm| &vm.descriptor);
         let own = (!self.own.state.leaving).then_some(&self.own.descriptor);
-        let running = heard.chain(listed).chain(own).filter(|vm| in_region(vm));
+        let running = heard.chain(listed).chain(own);
+        let running = running.filter(|vm| matches(&vm.domain, &vm.region));
         let starting = self.known_vms.starting(now_ms);
-        let starting = starting.filter(|(_, locality)| *locality.region == *region);
+        let starting = starting.filter(|(_, locality)| matches(&locality.domain, &locality.region));
         let mut addresses: Vec<_> =
             running.map(|vm| vm.peer_address).chain(starting.map(|(address, _)| address)).collect();
         addresses.sort_unstable();
