Count connections of callers that fail

Cause: neither a line nor a metric told how a caller's connection had ended: hyper takes the failure of an idle connection for its end.

Change: `sedgepath_caller_connections_failed_total` by error.

--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -166,7 +166,7 @@
 ) -> io::Result<Connection> {
     let started_at_ms = clock::now_ms();
     let opened = shared.upstream_connections.open(attempt.address, timeout).await;
-    let result = opened.as_ref().map_or_else(connect_error_name, |_connection| "opened");
+    let result = opened.as_ref().map_or_else(io_error_name, |_connection| "opened");
     shared.metrics.count_connection(result);
     shared.steering.borrow_mut().record_connection(
         attempt.upstream,
@@ -186,8 +186,8 @@
     opened
 }
 
-/// Returns the name for logs and counters of why a connection couldn't be opened.
-pub fn connect_error_name(error: &io::Error) -> &'static str {
+/// Returns the name for logs and counters of why a connection couldn't be opened, or has ended.
+pub fn io_error_name(error: &io::Error) -> &'static str {
     match error.kind() {
         io::ErrorKind::ConnectionRefused => "refused",
         io::ErrorKind::ConnectionReset => "reset",
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -47,6 +47,7 @@
     pace: Histogram,
     pipelined_requests: IntCounterVec,
     connections: IntCounterVec,
+    failed_caller_connections: IntCounterVec,
     forwardings: IntCounterVec,
     rejections: IntCounterVec,
     account_rejections: IntCounterVec,
@@ -184,6 +185,15 @@
     }
 }
 
+fn failed_caller_connections() -> Result<IntCounterVec, prometheus::Error> {
+    let options = Opts::new(
+        "sedgepath_caller_connections_failed_total",
+        "Connections of callers that failed, by how: `timed_out` if a caller didn't read or acknowledge what \
+         it was sent.",
+    );
+    IntCounterVec::new(options, &["error"])
+}
+
 fn pipelined_requests() -> Result<IntCounterVec, prometheus::Error> {
     let options = Opts::new(
         "sedgepath_pipelined_requests_total",
@@ -219,6 +229,7 @@
                 "Connections to upstreams that were opened or could not be, by how that ended.",
                 &["result"],
             )?,
+            failed_caller_connections: failed_caller_connections()?,
             forwardings: counter(
                 "sedgepath_forwardings_total",
                 "Requests forwarded to other VMs while this one reached no upstream, by how that ended.",
@@ -304,6 +315,7 @@
         self.registry.register(Box::new(self.pace.clone()))?;
         self.registry.register(Box::new(self.pipelined_requests.clone()))?;
         self.registry.register(Box::new(self.connections.clone()))?;
+        self.registry.register(Box::new(self.failed_caller_connections.clone()))?;
         self.registry.register(Box::new(self.forwardings.clone()))?;
         self.registry.register(Box::new(self.rejections.clone()))?;
         self.registry.register(Box::new(self.account_rejections.clone()))?;
@@ -360,6 +372,11 @@
         self.connections.with_label_values(&[result]).inc();
     }
 
+    /// Counts a connection of a caller that failed, by the name of the error.
+    pub fn count_failed_caller_connection(&self, error: &str) {
+        self.failed_caller_connections.with_label_values(&[error]).inc();
+    }
+
     /// Counts a request that was forwarded to another VM.
     pub fn count_forwarding(&self, outcome: ForwardOutcome) {
         self.forwardings.with_label_values(&[outcome.name()]).inc();
--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -20,6 +20,7 @@
 use super::early_request::EarlyRequest;
 use super::plain_head;
 use super::request_stream::RequestStream;
+use crate::direct::attempt::io_error_name;
 use crate::direct::clock;
 use crate::direct::connection_pool::Body;
 use crate::direct::forwarding::OwnResponse;
@@ -91,6 +92,11 @@
         })
     }
 
+    /// Counts the failure of the connection.
+    pub(super) fn count_failure(&self, error: &io::Error) {
+        self.shared.metrics.count_failed_caller_connection(io_error_name(error));
+    }
+
     /// Returns whether hyper may get more bytes now. Else a request is in progress, and further bytes
     /// belong to the next one.
     pub(super) fn may_pass(&self) -> bool {
--- a/crates/sedgepathd/src/direct/pipelining/reader.rs
+++ b/crates/sedgepathd/src/direct/pipelining/reader.rs
@@ -46,33 +46,42 @@
             _ => Poll::Pending,
         }
     }
-}
 
-impl AsyncRead for PipelinedStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        if !this.pipeline.may_pass() {
-            let end = this.poll_read_ahead(cx);
+    fn poll_pass(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if !self.pipeline.may_pass() {
+            let end = self.poll_read_ahead(cx);
             if end.is_pending() {
-                this.pipeline.start_early_requests();
+                self.pipeline.start_early_requests();
             }
             return end;
         }
-        if this.pipeline.pass_buffered(buf) {
+        if self.pipeline.pass_buffered(buf) {
             return Poll::Ready(Ok(()));
         }
         let filled = buf.filled().len();
-        ready!(Pin::new(&mut this.socket).poll_read(cx, buf))?;
-        let passed = this.pipeline.pass_directly(&buf.filled()[filled..]);
+        ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
+        let passed = self.pipeline.pass_directly(&buf.filled()[filled..]);
         buf.set_filled(filled + passed);
         Poll::Ready(Ok(()))
     }
 }
 
+impl AsyncRead for PipelinedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let passed = this.poll_pass(cx, buf);
+        if let Poll::Ready(Err(error)) = &passed {
+            // hyper takes the failure of an idle connection for its end.
+            this.pipeline.count_failure(error);
+        }
+        passed
+    }
+}
+
 impl AsyncWrite for PipelinedStream {
     fn poll_write(
         self: Pin<&mut Self>,
--- a/crates/sedgepathd/src/direct/reach_checks.rs
+++ b/crates/sedgepathd/src/direct/reach_checks.rs
@@ -57,7 +57,7 @@
             true
         }
         Err(error) => {
-            shared.metrics.count_connection(super::attempt::connect_error_name(&error));
+            shared.metrics.count_connection(super::attempt::io_error_name(&error));
             false
         }
     }
