Log each request that ends without a response

Cause: nothing told how a request ended whose connection or whose VM's process ended first. The users' record names requests that upstreams ran and callers got no answer to, and no line of the VMs names one of them.

Change: `event=abandoned` for a request that ends without a response, with the reason (`disconnected`, a routine line, or `process_ended`), and the outcome `abandoned` in `sedgepath_requests_total`; `response_cut` for a response that the process's end cuts while it is written; lines for the phases of a stop with what is open; and `sedgepath_caller_connections_closed_total`, by whether bytes of the caller were unread. The tasks are dropped before the last lines are flushed, so that these lines are among them.

--- a/crates/sedgepathd/src/direct/in_flight_request.rs
+++ b/crates/sedgepathd/src/direct/in_flight_request.rs
@@ -7,6 +7,7 @@
 
 use super::clock;
 use super::request_run::Destination;
+use super::responses;
 use super::shared::SharedState;
 
 /// The minimum time between checks whether a request needs a hedge, in milliseconds.
@@ -20,12 +21,19 @@
 pub struct InFlightRequest {
     /// The state that all tasks share.
     pub shared: Rc<SharedState>,
+    /// The caller's attempt id.
+    pub attempt_id: Box<str>,
     /// The request's route, deadline and attempts.
     pub state: RequestState,
+    /// Whether the request has a response.
+    pub is_answered: bool,
 }
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
+        if !self.is_answered {
+            responses::record_abandoned(&self.shared, &self.attempt_id, &self.state);
+        }
         let mut steering = self.shared.steering.borrow_mut();
         steering.cancel_request(&mut self.state, clock::now_ms());
     }
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -270,33 +270,48 @@
     if state.is_forwarded && !has_room_for_forwarded(shared, state.priority()) {
         return reject(shared, &attempt_id, RejectedRequest::Begun(&state), OVERLOADED);
     }
-    let deadline = clock::instant_at(state.deadline_at_ms);
-    let mut request = InFlightRequest { shared: Rc::clone(shared), state };
+    let mut request =
+        InFlightRequest { shared: Rc::clone(shared), attempt_id, state, is_answered: false };
+    let response = serve_request(&mut request, parts, incoming, source.caller()).await;
+    request.is_answered = true;
+    response
+}
+
+/// Reads the body of an accepted request, and sends the request to upstreams.
+async fn serve_request(
+    request: &mut InFlightRequest,
+    parts: http::request::Parts,
+    incoming: Option<Incoming>,
+    caller: IpAddr,
+) -> Response<Body> {
+    let shared = Rc::clone(&request.shared);
+    let shared = &shared;
+    let deadline = clock::instant_at(request.state.deadline_at_ms);
     let max_bytes = max_body_bytes(shared);
     let declared_bytes = incoming.as_ref().map_or(Some(0), |body| body.size_hint().exact());
     let mut body = match timeout_at(deadline, read_body(shared, incoming, max_bytes)).await {
         Ok(Ok(body)) => body,
         Ok(Err(BodyReadError::TooLarge)) => {
-            return status_response(StatusCode::PAYLOAD_TOO_LARGE, &attempt_id);
+            return status_response(StatusCode::PAYLOAD_TOO_LARGE, &request.attempt_id);
         }
         Ok(Err(BodyReadError::Aborted)) => {
-            return status_response(StatusCode::BAD_REQUEST, &attempt_id);
+            return status_response(StatusCode::BAD_REQUEST, &request.attempt_id);
         }
-        Err(_elapsed) => return status_response(StatusCode::REQUEST_TIMEOUT, &attempt_id),
+        Err(_elapsed) => return status_response(StatusCode::REQUEST_TIMEOUT, &request.attempt_id),
     };
     let is_forwarded = request.state.is_forwarded;
-    if !is_forwarded && let Err(rejection) = quotas::wait_for_token(&mut request).await {
+    if !is_forwarded && let Err(rejection) = quotas::wait_for_token(request).await {
         let rejected = RejectedRequest::Begun(&request.state);
-        return reject(shared, &attempt_id, rejected, rejection);
+        return reject(shared, &request.attempt_id, rejected, rejection);
     }
     let account = request.state.account.as_ref().map(|(_, account)| account.name.clone());
     request.state.fingerprints =
-        Some(fingerprints(&parts, source.caller(), account.as_deref(), &body, declared_bytes));
+        Some(fingerprints(&parts, caller, account.as_deref(), &body, declared_bytes));
     if !is_forwarded {
-        quarantine::claim_probe(&mut request).await;
+        quarantine::claim_probe(request).await;
     }
-    let head = RequestHead { parts, attempt_id, account, caller: source.caller() };
-    request_run::run(&mut request, &head, &mut body).await
+    let head = RequestHead { parts, attempt_id: request.attempt_id.clone(), account, caller };
+    request_run::run(request, &head, &mut body).await
 }
 
 fn fingerprints(
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -48,6 +48,7 @@
     pipelined_requests: IntCounterVec,
     connections: IntCounterVec,
     failed_caller_connections: IntCounterVec,
+    closed_caller_connections: IntCounterVec,
     forwardings: IntCounterVec,
     rejections: IntCounterVec,
     account_rejections: IntCounterVec,
@@ -194,6 +195,14 @@
     IntCounterVec::new(options, &["error"])
 }
 
+fn closed_caller_connections() -> Result<IntCounterVec, prometheus::Error> {
+    let options = Opts::new(
+        "sedgepath_caller_connections_closed_total",
+        "Connections of callers that this VM closed, by whether bytes of the caller were unread.",
+    );
+    IntCounterVec::new(options, &["unread"])
+}
+
 fn pipelined_requests() -> Result<IntCounterVec, prometheus::Error> {
     let options = Opts::new(
         "sedgepath_pipelined_requests_total",
@@ -230,6 +239,7 @@
                 &["result"],
             )?,
             failed_caller_connections: failed_caller_connections()?,
+            closed_caller_connections: closed_caller_connections()?,
             forwardings: counter(
                 "sedgepath_forwardings_total",
                 "Requests forwarded to other VMs while this one reached no upstream, by how that ended.",
@@ -316,6 +326,7 @@
         self.registry.register(Box::new(self.pipelined_requests.clone()))?;
         self.registry.register(Box::new(self.connections.clone()))?;
         self.registry.register(Box::new(self.failed_caller_connections.clone()))?;
+        self.registry.register(Box::new(self.closed_caller_connections.clone()))?;
         self.registry.register(Box::new(self.forwardings.clone()))?;
         self.registry.register(Box::new(self.rejections.clone()))?;
         self.registry.register(Box::new(self.account_rejections.clone()))?;
@@ -377,6 +388,12 @@
         self.failed_caller_connections.with_label_values(&[error]).inc();
     }
 
+    /// Counts a connection of a caller that this VM closed, by whether bytes of the caller were unread.
+    pub fn count_closed_caller_connection(&self, has_unread: bool) {
+        let label = if has_unread { "true" } else { "false" };
+        self.closed_caller_connections.with_label_values(&[label]).inc();
+    }
+
     /// Counts a request that was forwarded to another VM.
     pub fn count_forwarding(&self, outcome: ForwardOutcome) {
         self.forwardings.with_label_values(&[outcome.name()]).inc();
--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -59,6 +59,16 @@
     unchecked_target: Option<Target>,
     /// The bytes of this connection that count towards the VM's limit.
     counted_bytes: usize,
+    unwritten: Option<UnwrittenResponse>,
+}
+
+/// A response of which hyper hasn't written the last byte.
+#[derive(Debug)]
+struct UnwrittenResponse {
+    /// The attempt id of its request.
+    attempt_id: Box<str>,
+    /// Whether hyper has the whole response, so that it is written once nothing is left to flush.
+    is_complete: bool,
 }
 
 /// What determines a request's route.
@@ -92,6 +102,19 @@
         })
     }
 
+    /// Records that hyper has no more bytes to write for now.
+    pub(super) fn record_flushed(&self) {
+        let mut state = self.state.borrow_mut();
+        state.unwritten.take_if(|response| response.is_complete);
+    }
+
+    /// Records that hyper has written everything and closes the connection, and whether bytes of the caller
+    /// are unread.
+    pub(super) fn record_close(&self, has_unread: bool) {
+        self.state.borrow_mut().unwritten = None;
+        self.shared.metrics.count_closed_caller_connection(has_unread);
+    }
+
     /// Counts the failure of the connection.
     pub(super) fn count_failure(&self, error: &io::Error) {
         self.shared.metrics.count_failed_caller_connection(io_error_name(error));
@@ -185,6 +208,9 @@
         // Most requests have none behind them, and need no second look-up of their route.
         state.unchecked_target = is_plain.then(|| Target::new(request.headers(), request.uri()));
         let reached = state.stream.record_reached(body_bytes, is_plain);
+        let headers = RequestHeaders::parse(request.headers(), request.uri());
+        state.unwritten =
+            Some(UnwrittenResponse { attempt_id: headers.attempt_id.into(), is_complete: false });
         let early = match state.early.front() {
             Some(early) if Some(early.head_end) == reached.end => state.early.pop_front(),
             // hyper has read other requests than were found.
@@ -277,6 +303,9 @@
     fn end_turn(&self, response: &mut Response<Body>) -> bool {
         let mut state = self.state.borrow_mut();
         state.stream.record_answered();
+        if let Some(unwritten) = &mut state.unwritten {
+            unwritten.is_complete = response.body().size_hint().exact().is_some();
+        }
         if state.early.is_empty() {
             self.nothing_started.notify_one();
             if self.is_stopping() {
@@ -296,7 +325,12 @@
 
 impl Drop for Pipeline {
     fn drop(&mut self) {
-        let counted_bytes = &mut self.state.get_mut().counted_bytes;
-        self.shared.pipeline_bounds.set_read_ahead_bytes(counted_bytes, 0);
+        let state = self.state.get_mut();
+        if self.shared.has_ended()
+            && let Some(UnwrittenResponse { attempt_id, .. }) = &state.unwritten
+        {
+            log::info!("event=response_cut request={attempt_id}");
+        }
+        self.shared.pipeline_bounds.set_read_ahead_bytes(&mut state.counted_bytes, 0);
     }
 }
--- a/crates/sedgepathd/src/direct/pipelining/reader.rs
+++ b/crates/sedgepathd/src/direct/pipelining/reader.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Returns whether the system is known to have received bytes that haven't been read.
+    fn has_unread(&self) -> bool {
+        let ready = self.socket.ready(Interest::READABLE).now_or_never();
+        matches!(ready, Some(Ok(ready)) if ready.is_readable() && !ready.is_read_closed())
+    }
+
     fn poll_pass(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         if !self.pipeline.may_pass() {
             let end = self.poll_read_ahead(cx);
@@ -104,10 +110,15 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().socket).poll_flush(cx)
+        let this = self.get_mut();
+        // hyper flushes the socket once it has written all its bytes.
+        this.pipeline.record_flushed();
+        Pin::new(&mut this.socket).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().socket).poll_shutdown(cx)
+        let this = self.get_mut();
+        this.pipeline.record_close(this.has_unread());
+        Pin::new(&mut this.socket).poll_shutdown(cx)
     }
 }
--- a/crates/sedgepathd/src/direct/responses.rs
+++ b/crates/sedgepathd/src/direct/responses.rs
@@ -155,10 +155,6 @@
     });
     let took_ms = clock::now_ms().saturating_sub(state.arrived_at_ms);
     shared.metrics.record_request("gave_up", took_ms);
-    let last_upstream = state.tried_upstreams.last().and_then(|key| {
-        let steering = shared.steering.borrow();
-        steering.upstreams().get(*key).map(|upstream| upstream.entry.name.clone())
-    });
     log::info!(
         "event=gave_up request={attempt_id} reason={reason} status={} account={} route={} service={} \
          upstream={} sendings={} runs={} took_ms={took_ms} configuration={} fingerprint={}",
@@ -166,7 +162,7 @@
         state.account_name(),
         state.route.name,
         state.service,
-        last_upstream.as_deref().unwrap_or("gone"),
+        last_upstream_name(shared, state),
         state.delivered,
         state.possible_runs,
         state.version,
@@ -175,6 +171,40 @@
     response
 }
 
+/// Returns the name of the upstream that a request was sent to last, for logs.
+fn last_upstream_name(shared: &SharedState, state: &RequestState) -> Box<str> {
+    let steering = shared.steering.borrow();
+    match state.tried_upstreams.last() {
+        None => "none".into(),
+        Some(key) => steering
+            .upstreams()
+            .get(*key)
+            .map_or_else(|| "gone".into(), |upstream| upstream.entry.name.clone()),
+    }
+}
+
+/// Counts and logs a request that ends without a response: its connection has ended, or the VM's process
+/// does.
+pub fn record_abandoned(shared: &SharedState, attempt_id: &str, state: &RequestState) {
+    let took_ms = clock::now_ms().saturating_sub(state.arrived_at_ms);
+    shared.metrics.record_request("abandoned", took_ms);
+    let process_ends = shared.has_ended();
+    // Callers may leave in large numbers.
+    let target = if process_ends { module_path!() } else { logging::ROUTINE_TARGET };
+    log::info!(
+        target: target,
+        "event=abandoned request={attempt_id} reason={} account={} route={} service={} upstream={} \
+         sendings={} in_flight={} took_ms={took_ms}",
+        if process_ends { "process_ended" } else { "disconnected" },
+        state.account_name(),
+        state.route.name,
+        state.service,
+        last_upstream_name(shared, state),
+        state.delivered,
+        state.in_flight.len(),
+    );
+}
+
 /// Logs an attempt that brought no usable response.
 pub fn log_failed_attempt(
     attempt_id: &str,
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -23,7 +23,7 @@
 use crate::start::StartError;
 
 use super::connection_pool::{Body, ConnectionPool};
-use super::logging::{LogClock, PendingLines};
+use super::logging::LogClock;
 use super::metrics::Metrics;
 use super::response_body::BodyEnd;
 use super::shared::{SharedState, StopPhase, vm_resources};
@@ -87,13 +87,17 @@
         .enable_all()
         .build()
         .map_err(StartError::Runtime)?;
-    LocalSet::new().block_on(&runtime, run_vm(settings, log_clock, pending_lines, options))
+    let tasks = LocalSet::new();
+    let result = tasks.block_on(&runtime, run_vm(settings, log_clock, options));
+    // Ends the requests in flight, which log it.
+    drop(tasks);
+    runtime.block_on(pending_lines.flush());
+    result
 }
 
 async fn run_vm(
     settings: Settings,
     log_clock: LogClock,
-    pending_lines: PendingLines,
     options: Options,
 ) -> Result<(), StartError> {
     let caller_address =
@@ -169,7 +173,7 @@
     wait_for_stop().await?;
     let deadline_at_ms =
         clock::now_ms() + shared.settings.bounds.shutdown_grace_ms - STOP_MARGIN_MS;
-    log::info!("event=stopping requests={}", shared.in_flight_requests.get());
+    log_stop_phase(&shared, "stopping");
     shared.steering.borrow_mut().vms_mut().begin_leaving();
     shared.stop_phase.send_replace(StopPhase::Leaving);
     for _ in 0..3 {
@@ -178,6 +182,7 @@
     }
     tokio::time::sleep(Duration::from_millis(ACCEPT_WHILE_LEAVING_MS)).await;
     shared.stop_phase.send_replace(StopPhase::Closing);
+    log_stop_phase(&shared, "closing_connections");
     let accepting = tokio::time::timeout_at(clock::instant_at(deadline_at_ms), accepting);
     if accepting.await.is_err() {
         log::warn!("event=still_accepting");
@@ -188,10 +193,19 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     log::info!("event=stopped requests={}", shared.in_flight_requests.get());
-    pending_lines.flush().await;
+    shared.stop_phase.send_replace(StopPhase::Ended);
     Ok(())
 }
 
+/// Logs what is still open when a phase of the planned stop begins.
+fn log_stop_phase(shared: &SharedState, event: &str) {
+    log::info!(
+        "event={event} requests={} connections={}",
+        shared.in_flight_requests.get(),
+        shared.open_connections.get(),
+    );
+}
+
 /// Responds to another VM: with rows, or to a request that it forwards.
 async fn handle_peer_request(
     shared: Rc<SharedState>,
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -150,6 +150,8 @@
     /// Idle connections are closed, others after their response, and those without a request yet after
     /// their first.
     Closing,
+    /// The process ends.
+    Ended,
 }
 
 impl SharedState {
@@ -234,6 +236,11 @@
 const START_CHECK_INTERVAL_MS: u64 = 10;
 
 impl SharedState {
+    /// Returns whether the process ends.
+    pub fn has_ended(&self) -> bool {
+        *self.stop_phase.borrow() == StopPhase::Ended
+    }
+
     /// Waits until requests can be served, or [`MAX_START_WAIT_MS`] have passed.
     ///
     /// After a restart of all VMs callers return at once. If rejected, they would retry later than
--- a/crates/sedgepathd/tests/direct_stop.rs
+++ b/crates/sedgepathd/tests/direct_stop.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use platform::caller::Connection;
-use platform::upstream::UpstreamStandIn;
-use platform::{TestCluster, configure, wait_for};
+use platform::upstream::{Behaviour, EndlessPart, UpstreamStandIn};
+use platform::{TestCluster, Vm, configure, wait_for};
 use sedgepath_test_support::store::StoreStandIn;
 
 const READ_PATH: &str = "/reads/1";
@@ -63,3 +63,47 @@
     assert!(all_answered_at.elapsed() < Duration::from_secs(2));
     assert!(vm.exit_status().is_some_and(|status| status.success()));
 }
+
+/// One VM and its upstreams.
+struct Fixture {
+    upstreams: Vec<UpstreamStandIn>,
+    vm: Vm,
+    site: TestCluster,
+    _store: StoreStandIn,
+}
+
+impl Fixture {
+    fn new(timeout: &str, behaviour: Behaviour) -> Self {
+        let store = StoreStandIn::new().expect("a store");
+        configure(&store, "0000000c", timeout);
+        let upstreams: Vec<_> =
+            (0..8).map(|number| UpstreamStandIn::new(&format!("u{number}"))).collect();
+        for upstream in &upstreams {
+            upstream.set_behaviour(behaviour);
+            upstream.register(&store, "north-a", "ready", 1);
+        }
+        let site = TestCluster::new(store.address);
+        let vm = site.start_ready(1, "north-a");
+        Self { upstreams, vm, site, _store: store }
+    }
+
+    fn runs(&self) -> usize {
+        self.upstreams.iter().map(|upstream| upstream.runs().len()).sum()
+    }
+}
+
+/// Guards against a response that a stop cuts in its body without a log line.
+#[test]
+fn a_response_that_a_stop_cuts_has_its_log_line() {
+    let mut fixture = Fixture::new("12000ms", Behaviour::Endless(EndlessPart::Body));
+    let mut connection = Connection::new(fixture.vm.caller_address).expect("a connection");
+    connection.send("GET", READ_PATH, "endless", 12_000).expect("a request");
+    wait_for("the run", || fixture.runs() == 1);
+
+    fixture.vm.terminate();
+    let body = connection.receive().map(|response| response.body);
+    wait_for("the end", || fixture.vm.exit_status().is_some());
+
+    assert_eq!(body, Some(None));
+    assert!(fixture.site.log(1).contains("event=response_cut request=endless"));
+}
