Add failing tests of requests that a planned stop cuts

Each fails on this code, with real daemons and without delays:

The VM closes the connection behind its last response, a further request arrives, and the system resets the connection and discards what it hasn't sent.

--- a/crates/sedgepathd/tests/direct_stop.rs
+++ b/crates/sedgepathd/tests/direct_stop.rs
@@ -64,6 +64,18 @@
     assert!(vm.exit_status().is_some_and(|status| status.success()));
 }
 
+/// The time between two connections of callers with a long charge.
+const CHARGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time from the end of acceptance to the charges: the VM still waits for first requests.
+const LATE_CALLER_DELAY: Duration = Duration::from_millis(700);
+
+/// The work of a charge, in milliseconds: longer than a stopping VM lasts after its last first request.
+const CHARGE_WORK_MS: u64 = 2_400;
+
+/// The deadline of a charge, in milliseconds.
+const CHARGE_DEADLINE_MS: u64 = 4_000;
+
 /// One VM and its upstreams.
 struct Fixture {
     upstreams: Vec<UpstreamStandIn>,
@@ -92,6 +104,61 @@
     }
 }
 
+/// Guards against charges that a stopping VM sends to upstreams and whose responses its end cuts, and against
+/// the rejection of one that ends in time.
+#[test]
+fn a_stopping_vm_sends_no_charge_that_it_cannot_finish() {
+    let fixture = Fixture::new("4000ms", Behaviour::DelayedByTarget);
+    let path = format!("/charges/1?{CHARGE_WORK_MS}");
+
+    fixture.vm.terminate();
+    let mut early = Connection::new(fixture.vm.caller_address).expect("a connection");
+    early.send("POST", &path, "early", CHARGE_DEADLINE_MS).expect("a request");
+    let mut opened = Vec::new();
+    while let Some(connection) = Connection::new(fixture.vm.caller_address) {
+        opened.push(connection);
+        thread::sleep(CHARGE_INTERVAL);
+    }
+    assert_eq!(early.receive().map(|response| response.status), Some(200));
+    thread::sleep(LATE_CALLER_DELAY);
+    for (number, connection) in opened.iter_mut().enumerate() {
+        connection
+            .send("POST", &path, &format!("c{number}"), CHARGE_DEADLINE_MS)
+            .expect("the VM waits for first requests");
+    }
+    let statuses: Vec<_> = opened
+        .iter_mut()
+        .map(|connection| connection.receive().map(|response| response.status))
+        .collect();
+
+    assert!(opened.len() > 10, "only {} connections were opened", opened.len());
+    assert!(
+        statuses.iter().all(|status| matches!(status, Some(200 | 503))),
+        "{statuses:?} for {} runs",
+        fixture.runs()
+    );
+    let served = statuses.iter().filter(|status| **status == Some(200)).count();
+    assert_eq!(1 + served, fixture.runs());
+}
+
+/// Guards against a charge that ends with a stop without a trace of how.
+#[test]
+fn a_charge_that_a_stop_ends_has_its_log_line() {
+    let mut fixture = Fixture::new("12000ms", Behaviour::DelayedByTarget);
+    let mut connection = Connection::new(fixture.vm.caller_address).expect("a connection");
+    connection.send("POST", "/charges/1?10000", "long", 12_000).expect("a request");
+    wait_for("the run", || fixture.runs() == 1);
+
+    fixture.vm.terminate();
+    let status = connection.receive().map(|response| response.status);
+    wait_for("the end", || fixture.vm.exit_status().is_some());
+
+    assert_eq!(status, Some(502));
+    let log = fixture.site.log(1);
+    let line = log.lines().find(|line| line.contains("request=long"));
+    assert!(line.is_some_and(|line| line.contains("event=gave_up request=long reason=stopping")));
+}
+
 /// Guards against a response that a stop cuts in its body without a log line.
 #[test]
 fn a_response_that_a_stop_cuts_has_its_log_line() {
@@ -107,3 +174,50 @@
     assert_eq!(body, Some(None));
     assert!(fixture.site.log(1).contains("event=response_cut request=endless"));
 }
+
+/// The size of a response that doesn't fit into the buffers of a connection whose caller pauses in reading.
+const LARGE_RESPONSE_BYTES: usize = 400_000;
+
+/// The receive buffer of a caller that pauses in reading, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+
+/// The pause of a caller before it reads a response.
+const READING_PAUSE: Duration = Duration::from_millis(300);
+
+/// Guards against a stop that closes a connection with unread requests, so that the system resets it and
+/// discards the rest of the response before them.
+#[test]
+fn a_stop_cuts_no_response_with_requests_behind_it() {
+    let fixture = Fixture::new("4000ms", Behaviour::LargeBody(LARGE_RESPONSE_BYTES));
+    let mut callers: Vec<_> = (0..8)
+        .map(|number| {
+            let address = fixture.vm.caller_address;
+            thread::spawn(move || charge_ahead_until_closed(address, number))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    fixture.vm.terminate();
+    let whole: usize = callers.drain(..).map(|caller| caller.join().expect("a caller")).sum();
+    assert_eq!(whole, fixture.runs());
+}
+
+/// Sends charges, two ahead of the response that is read, until the VM closes the connection. Returns how
+/// many were served.
+fn charge_ahead_until_closed(address: std::net::SocketAddr, caller: usize) -> usize {
+    let mut connection =
+        Connection::with_receive_buffer(address, RECEIVE_BUFFER_BYTES).expect("a connection");
+    let send = |connection: &mut Connection, number: usize| {
+        // The VM may have closed the connection.
+        let _sent = connection.send("POST", "/charges/1", &format!("p{caller}-{number}"), 4_000);
+    };
+    send(&mut connection, 0);
+    send(&mut connection, 1);
+    let mut served = 0;
+    for number in 2.. {
+        send(&mut connection, number);
+        thread::sleep(READING_PAUSE);
+        let Some(response) = connection.receive() else { break };
+        served += usize::from(response.status == 200 && response.body.is_some());
+    }
+    served
+}
--- a/crates/sedgepathd/tests/platform/caller.rs
+++ b/crates/sedgepathd/tests/platform/caller.rs
@@ -6,6 +6,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
+
 use super::upstream::{read_chunks, read_fields};
 
 /// A response.
@@ -36,7 +38,19 @@
 impl Connection {
     /// Connects to an address; `None` if it can't.
     pub fn new(address: SocketAddr) -> Option<Self> {
-        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()?;
+        Self::from_stream(TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()?)
+    }
+
+    /// Connects to an address with a receive buffer of a size in bytes, so that most of a large response
+    /// stays at its sender until it is read.
+    pub fn with_receive_buffer(address: SocketAddr, bytes: usize) -> Option<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).ok()?;
+        socket.set_recv_buffer_size(bytes).ok()?;
+        socket.connect_timeout(&address.into(), Duration::from_secs(2)).ok()?;
+        Self::from_stream(socket.into())
+    }
+
+    fn from_stream(stream: TcpStream) -> Option<Self> {
         stream.set_read_timeout(Some(Duration::from_secs(15))).ok()?;
         let reader = BufReader::new(stream.try_clone().ok()?);
         Some(Self { stream, reader })
