Let a stopping VM send only what ends before its process does

What callers saw: a request that isn't idempotent, read by a VM that was being stopped and run by an upstream, ended with a closed connection; the caller can neither repeat it nor tell whether it ran.

Cause: a stopping VM accepted connections for 3 s, waited up to a second for the first request of each, and sent every request on whatever its deadline, but its process ends 5.85 s after SIGTERM (grace 6 s). Class: work is accepted that its holder may not be able to finish.

Change: `PlannedStop` holds the times of a stop, and each step of a request asks it. A request that is not idempotent is sent only if its deadline lies before the time by which all is answered; an idempotent one also if twice its expected time fits. Others are rejected at once as not run (503, `reason=stopping`), also those that waited when the stop began and those that another VM forwards, which then asks a third one. 0.5 s before the grace ends, what is still in flight gets a response of the VM itself: 503 if nothing was sent, else 502 with `gave_up reason=stopping`.

This works because the rule is by deadline: an upstream can't take longer than that without a response of the VM.

--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -57,6 +57,7 @@
 pub mod hot_objects;
 pub mod load_sharing;
 pub mod placement;
+pub mod planned_stop;
 pub mod quotas;
 pub mod rate_limits;
 pub mod reach;
--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -110,6 +110,8 @@
     UpstreamsPaused,
     /// This VM reaches no upstream, and no other VM that does has served the request.
     CutOff,
+    /// This VM's process ends before the request is certain, or expected, to have a response.
+    Stopping,
 }
 
 impl AttemptOutcome {
@@ -149,6 +151,7 @@
             Self::RateLimited => "upstream_limits",
             Self::UpstreamsPaused => "upstream_pauses",
             Self::CutOff => "cut_off",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -166,10 +169,11 @@
                 | Self::Unauthenticated
                 | Self::Overloaded
                 | Self::CutOff
+                | Self::Stopping
         )
     }
 
-    const ALL: [Self; 16] = [
+    const ALL: [Self; 17] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::Unauthenticated,
@@ -186,6 +190,7 @@
         Self::RateLimited,
         Self::UpstreamsPaused,
         Self::CutOff,
+        Self::Stopping,
     ];
 }
 
--- /dev/null
+++ b/crates/sedgepath-core/src/direct/planned_stop.rs
@@ -0,0 +1,60 @@
+//! What a VM still begins once it has been asked to stop.
+//!
+//! The end of the process cuts whatever is in flight, and a non-idempotent request that was cut can't be
+//! repeated: its caller never learns whether it ran. So a stopping VM sends on only what ends before its
+//! process does. It rejects the rest, which didn't run and can go to another VM.
+
+use super::attempts::RequestState;
+
+/// How long a stopping VM accepts connections, in milliseconds: callers may use the addresses of a look-up
+/// for 3 s, and other VMs name this one until they have heard of its stop.
+const ACCEPT_MS: u64 = 3_100;
+
+/// How long before the end of the grace period the process ends, in milliseconds.
+const EXIT_MARGIN_MS: u64 = 150;
+
+/// The time for writing the last responses before the process ends, in milliseconds.
+const WRITE_MARGIN_MS: u64 = 350;
+
+/// The multiple of its expected time that an idempotent request must have left.
+const EXPECTED_TIME_FACTOR: u64 = 2;
+
+/// The times of a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlannedStop {
+    /// Until when connections are accepted, in milliseconds.
+    pub accepts_until_ms: u64,
+    /// When the requests in flight are ended by responses of this VM, in milliseconds.
+    pub answered_by_ms: u64,
+    /// When the process ends at the latest, in milliseconds.
+    pub ends_at_ms: u64,
+}
+
+impl PlannedStop {
+    /// Creates the times of a stop that begins now and whose process is killed after a grace period in
+    /// milliseconds.
+    pub fn new(now_ms: u64, grace_ms: u64) -> Self {
+        let ends_at_ms = now_ms + grace_ms.saturating_sub(EXIT_MARGIN_MS);
+        let answered_by_ms = ends_at_ms.saturating_sub(WRITE_MARGIN_MS).max(now_ms);
+        let accepts_until_ms = answered_by_ms.min(now_ms + ACCEPT_MS);
+        Self { accepts_until_ms, answered_by_ms, ends_at_ms }
+    }
+
+    /// Returns whether a request may be sent somewhere: it has its response in time whatever its upstream does,
+    /// or its caller may repeat it.
+    pub fn allows(self, request: &RequestState) -> bool {
+        self.has_time_until_deadline(request) || request.route.kind.may_retry()
+    }
+
+    /// Returns whether a request that is expected to take a time in milliseconds may be sent now.
+    pub fn allows_sending(self, request: &RequestState, expected_ms: u64, now_ms: u64) -> bool {
+        let needed_ms = expected_ms.saturating_mul(EXPECTED_TIME_FACTOR);
+        let is_expected_in_time = now_ms.saturating_add(needed_ms) <= self.answered_by_ms;
+        self.has_time_until_deadline(request)
+            || (request.route.kind.may_retry() && is_expected_in_time)
+    }
+
+    fn has_time_until_deadline(self, request: &RequestState) -> bool {
+        request.deadline_at_ms <= self.answered_by_ms
+    }
+}
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -27,6 +27,7 @@
 use super::crashes::CrashLedger;
 use super::load_sharing::LoadSharing;
 use super::placement::{PlacementWeights, ServiceTimes};
+use super::planned_stop::PlannedStop;
 use super::quotas::{QuotaBounds, Quotas};
 use super::rate_limits::RateLimits;
 use super::reach::UpstreamReach;
@@ -170,6 +171,8 @@
     quotas: Quotas,
     load_sharing: LoadSharing,
     capacity: CapacityState,
+    /// The times of the planned stop, once it has begun.
+    planned_stop: Option<PlannedStop>,
 }
 
 impl Steering {
@@ -199,6 +202,7 @@
             quotas: Quotas::new(vms.key(), limits.quotas, regions, vms.key().0 ^ vms.boot_at_ms()),
             load_sharing: LoadSharing::new(vms.boot_at_ms()),
             capacity: CapacityState::default(),
+            planned_stop: None,
             other_region_rtt_ms: INITIAL_OTHER_REGION_RTT_MS,
             vms,
             reach: UpstreamReach::default(),
@@ -216,6 +220,12 @@
         self
     }
 
+    /// Begins a planned stop: other VMs are told, and only requests that end in time are sent from now on.
+    pub fn begin_stop(&mut self, stop: PlannedStop) {
+        self.planned_stop = Some(stop);
+        self.vms.begin_leaving();
+    }
+
     /// Returns the VM's name, failure domain and region.
     pub fn location(&self) -> &VmLocation {
         &self.location
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -80,6 +80,9 @@
                 request,
             );
         }
+        if self.planned_stop.is_some_and(|stop| !stop.allows(request)) {
+            return reject_or_give_up(RejectionReason::Stopping, 0, request);
+        }
         if let Some(rejection) = request.neighbour_rejection {
             return reject_or_give_up(rejection.reason, rejection.retry_after_ms, request);
         }
@@ -118,6 +121,12 @@
             let (reason, retry_after_ms) = self.no_upstream(request, random, now_ms);
             return reject_or_give_up(reason, retry_after_ms, request);
         };
+        if self
+            .planned_stop
+            .is_some_and(|stop| !stop.allows_sending(request, candidate.expected_ms as u64, now_ms))
+        {
+            return reject_or_give_up(RejectionReason::Stopping, 0, request);
+        }
         let config = self.config.admission;
         if let Decision::Reject(rejection) =
             self.admission.decide(request, &candidate, config, now_ms)
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -52,6 +52,9 @@
 const EXPIRED: Rejection =
     Rejection { reason: RejectionReason::DeadlineExceeded, retry_after_ms: 0 };
 
+/// The rejection of a request that hasn't been sent when a planned stop ends the requests in flight.
+const STOPPING: Rejection = Rejection { reason: RejectionReason::Stopping, retry_after_ms: 0 };
+
 /// The share of its capacity up to which a VM serves requests that others forward.
 const MAX_UTILIZATION_FORWARDED: f64 = 0.7;
 
@@ -277,7 +280,7 @@
     response
 }
 
-/// Reads the body of an accepted request, and sends the request to upstreams.
+/// Prepares an accepted request and sends it to upstreams.
 async fn serve_request(
     request: &mut InFlightRequest,
     parts: http::request::Parts,
@@ -285,24 +288,52 @@
     caller: IpAddr,
 ) -> Response<Body> {
     let shared = Rc::clone(&request.shared);
-    let shared = &shared;
+    let prepared = tokio::select! {
+        biased;
+        prepared = prepare_request(request, parts, incoming, caller) => Some(prepared),
+        () = shared.reach_stop_phase(StopPhase::Answering) => None,
+    };
+    match prepared {
+        Some(Ok((head, mut body))) => request_run::run(request, &head, &mut body).await,
+        Some(Err(response)) => response,
+        None => {
+            request.return_quota_token();
+            let rejected = RejectedRequest::Begun(&request.state);
+            reject(&shared, &request.attempt_id, rejected, STOPPING)
+        }
+    }
+}
+
+/// Reads the body of a request and waits until its account may send it. Nothing is sent meanwhile.
+///
+/// # Errors
+///
+/// Returns the response if the request can't be sent.
+async fn prepare_request(
+    request: &mut InFlightRequest,
+    parts: http::request::Parts,
+    incoming: Option<Incoming>,
+    caller: IpAddr,
+) -> Result<(RequestHead, RequestBody), Response<Body>> {
+    let shared = Rc::clone(&request.shared);
+    let attempt_id = request.attempt_id.clone();
     let deadline = clock::instant_at(request.state.deadline_at_ms);
-    let max_bytes = max_body_bytes(shared);
     let declared_bytes = incoming.as_ref().map_or(Some(0), |body| body.size_hint().exact());
-    let mut body = match timeout_at(deadline, read_body(shared, incoming, max_bytes)).await {
+    let reading = read_body(&shared, incoming, max_body_bytes(&shared));
+    let body = match timeout_at(deadline, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(BodyReadError::TooLarge)) => {
-            return status_response(StatusCode::PAYLOAD_TOO_LARGE, &request.attempt_id);
+            return Err(status_response(StatusCode::PAYLOAD_TOO_LARGE, &attempt_id));
         }
         Ok(Err(BodyReadError::Aborted)) => {
-            return status_response(StatusCode::BAD_REQUEST, &request.attempt_id);
+            return Err(status_response(StatusCode::BAD_REQUEST, &attempt_id));
         }
-        Err(_elapsed) => return status_response(StatusCode::REQUEST_TIMEOUT, &request.attempt_id),
+        Err(_elapsed) => return Err(status_response(StatusCode::REQUEST_TIMEOUT, &attempt_id)),
     };
     let is_forwarded = request.state.is_forwarded;
     if !is_forwarded && let Err(rejection) = quotas::wait_for_token(request).await {
         let rejected = RejectedRequest::Begun(&request.state);
-        return reject(shared, &request.attempt_id, rejected, rejection);
+        return Err(reject(&shared, &attempt_id, rejected, rejection));
     }
     let account = request.state.account.as_ref().map(|(_, account)| account.name.clone());
     request.state.fingerprints =
@@ -310,8 +341,7 @@
     if !is_forwarded {
         quarantine::claim_probe(request).await;
     }
-    let head = RequestHead { parts, attempt_id: request.attempt_id.clone(), account, caller };
-    request_run::run(request, &head, &mut body).await
+    Ok((RequestHead { parts, attempt_id, account, caller }, body))
 }
 
 fn fingerprints(
--- a/crates/sedgepathd/src/direct/request_run.rs
+++ b/crates/sedgepathd/src/direct/request_run.rs
@@ -6,7 +6,7 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::Response;
 use sedgepath_core::direct::attempts::{
-    Attempt, AttemptOutcome, ForwardOutcome, Forwarding, NextStep,
+    Attempt, AttemptOutcome, ForwardOutcome, Forwarding, NextStep, RejectionReason,
 };
 use sedgepath_core::direct::steering::Rejection;
 
@@ -19,7 +19,7 @@
 use super::responses::{
     RejectedRequest, give_up, log_failed_attempt, record_forwarded, record_success, reject,
 };
-use super::shared::SharedState;
+use super::shared::{SharedState, StopPhase};
 
 /// Where a request is sent.
 #[derive(Debug, Clone)]
@@ -49,6 +49,7 @@
     let mut in_flight = FuturesUnordered::new();
     let mut last_response: Option<Response<Body>> = None;
     let mut hedge = None;
+    let mut stop = std::pin::pin!(shared.reach_stop_phase(StopPhase::Answering));
     loop {
         let destination = match hedge.take() {
             Some(destination) => destination,
@@ -74,12 +75,17 @@
         in_flight.push(send(shared, deadline_at_ms, destination, head, bytes));
         while !in_flight.is_empty() {
             let sent = tokio::select! {
+                biased;
                 Some(ended) = in_flight.next() => ended,
                 destination = request.wait_for_hedge(), if !body.is_spent() => {
                     log_hedge(&head.attempt_id, &request.state.service, &destination);
                     hedge = Some(destination);
                     break;
                 }
+                () = &mut stop => {
+                    let (reason, state) = (RejectionReason::Stopping.name(), &request.state);
+                    return give_up(shared, &head.attempt_id, state, reason, last_response);
+                }
             };
             let response = match sent {
                 Sent::Upstream(attempt, result) => end_attempt(request, head, &attempt, result),
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, Response};
 use sedgepath_adapter::settings::{Settings, SettingsError};
 use sedgepath_core::direct::budget::RetryBudgetLimits;
+use sedgepath_core::direct::planned_stop::PlannedStop;
 use sedgepath_core::direct::quotas::QuotaBounds;
 use sedgepath_core::direct::replicas::Table;
 use sedgepath_core::direct::steering::SteeringConfig;
@@ -18,7 +19,8 @@
 use sedgepath_wire::peer_seal::{PeerAuthentication, PeerSeal};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::timeout_at;
 
 use crate::start::StartError;
 
@@ -47,13 +49,14 @@
 /// than the window of the retry budget, in which its retries still count.
 const FORGET_VM_AFTER_MS: u64 = 20_000;
 
-/// How long a stopping VM accepts new connections, in milliseconds: callers may use the addresses
-/// of a look-up for this long.
-const ACCEPT_WHILE_LEAVING_MS: u64 = 3_000;
+/// How often a stopping VM tells the others, since datagrams may be lost.
+const ANNOUNCEMENTS: usize = 3;
 
-/// How long before the end of the grace period a stopping VM ends the remaining requests, in
-/// milliseconds.
-const STOP_MARGIN_MS: u64 = 150;
+/// The time between two such announcements.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How often a stopping VM checks whether it has finished.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How often expired state is removed, in milliseconds.
 const MAINTENANCE_INTERVAL_MS: u64 = 250;
@@ -171,30 +174,47 @@
     }
 
     wait_for_stop().await?;
-    let deadline_at_ms =
-        clock::now_ms() + shared.settings.bounds.shutdown_grace_ms - STOP_MARGIN_MS;
-    log_stop_phase(&shared, "stopping");
-    shared.steering.borrow_mut().vms_mut().begin_leaving();
+    stop(&shared, accepting).await;
+    log::info!("event=stopped requests={}", shared.in_flight_requests.get());
+    shared.stop_phase.send_replace(StopPhase::Ended);
+    Ok(())
+}
+
+/// Carries out a planned stop, up to the end of the process. `accepting` ends when all connections that
+/// were established are accepted.
+async fn stop(shared: &SharedState, accepting: JoinHandle<()>) {
+    let stop = PlannedStop::new(clock::now_ms(), shared.settings.bounds.shutdown_grace_ms);
+    log_stop_phase(shared, "stopping");
+    shared.steering.borrow_mut().begin_stop(stop);
     shared.stop_phase.send_replace(StopPhase::Leaving);
-    for _ in 0..3 {
-        gossip::announce_changes(&shared).await;
-        tokio::time::sleep(Duration::from_millis(20)).await;
+    for _ in 0..ANNOUNCEMENTS {
+        gossip::announce_changes(shared).await;
+        tokio::time::sleep(ANNOUNCEMENT_INTERVAL).await;
     }
-    tokio::time::sleep(Duration::from_millis(ACCEPT_WHILE_LEAVING_MS)).await;
+    tokio::time::sleep_until(clock::instant_at(stop.accepts_until_ms)).await;
     shared.stop_phase.send_replace(StopPhase::Closing);
-    log_stop_phase(&shared, "closing_connections");
-    let accepting = tokio::time::timeout_at(clock::instant_at(deadline_at_ms), accepting);
+    log_stop_phase(shared, "closing_connections");
+    let accepting = timeout_at(clock::instant_at(stop.answered_by_ms), accepting);
     if accepting.await.is_err() {
         log::warn!("event=still_accepting");
     }
-    while clock::now_ms() < deadline_at_ms
-        && (shared.in_flight_requests.get() > 0 || shared.open_connections.get() > 0)
-    {
-        tokio::time::sleep(Duration::from_millis(20)).await;
+    wait_until_idle(shared, stop.answered_by_ms).await;
+    if !is_idle(shared) {
+        log_stop_phase(shared, "ending_requests");
+        shared.stop_phase.send_replace(StopPhase::Answering);
+        wait_until_idle(shared, stop.ends_at_ms).await;
     }
-    log::info!("event=stopped requests={}", shared.in_flight_requests.get());
-    shared.stop_phase.send_replace(StopPhase::Ended);
-    Ok(())
+}
+
+/// Waits until no request is in flight and no connection open, at most until a time in milliseconds.
+async fn wait_until_idle(shared: &SharedState, until_ms: u64) {
+    while clock::now_ms() < until_ms && !is_idle(shared) {
+        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+    }
+}
+
+fn is_idle(shared: &SharedState) -> bool {
+    shared.in_flight_requests.get() == 0 && shared.open_connections.get() == 0
 }
 
 /// Logs what is still open when a phase of the planned stop begins.
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -150,6 +150,8 @@
     /// Idle connections are closed, others after their response, and those without a request yet after
     /// their first.
     Closing,
+    /// Requests in flight are ended by responses of this VM.
+    Answering,
     /// The process ends.
     Ended,
 }
@@ -236,6 +238,13 @@
 const START_CHECK_INTERVAL_MS: u64 = 10;
 
 impl SharedState {
+    /// Waits until a planned stop has reached a phase.
+    pub async fn reach_stop_phase(&self, phase: StopPhase) {
+        let mut phases = self.stop_phase.subscribe();
+        // The sender lives as long as the state.
+        let _reached = phases.wait_for(|current| *current >= phase).await;
+    }
+
     /// Returns whether the process ends.
     pub fn has_ended(&self) -> bool {
         *self.stop_phase.borrow() == StopPhase::Ended
