Keep a closed connection until its caller has the last response

What callers saw: the end of a response was missing, from the first responses of a planned stop on, when further requests were sent behind it.

Cause: the VM closed the connection behind its last response. The system resets a connection that is closed with bytes unread, or that gets bytes afterwards, and discards what it still has to send (RFC 9112, section 9.6). Class: a connection is closed before its other side has all.

Change: `LingeringClose` closes the sending side only, and keeps the connection until the caller closes it: for 1 s at the most if nothing arrives, for 5 s if something does. Further requests stay unread, so that callers may take them for unprocessed; the rest of a body that came after an early response is discarded, as its sender may not read before it has sent all. `sedgepath_caller_connections_closed_total` tells how a connection that the VM closed ended.

--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -28,7 +28,7 @@
 use super::in_flight_request::InFlightRequest;
 use super::pipelining::pipeline::Pipeline;
 use super::pipelining::reader::PipelinedStream;
-use super::request_body::{BodyReadError, RequestBody, read_body};
+use super::request_body::{BodyRead, BodyReadError, RequestBody, read_body};
 use super::responses::{RejectedRequest, reject, status_response};
 use super::shared::{SharedState, StopPhase};
 use super::{quarantine, quotas, request_run};
@@ -288,13 +288,20 @@
     caller: IpAddr,
 ) -> Response<Body> {
     let shared = Rc::clone(&request.shared);
+    let has_known_length = incoming.as_ref().is_none_or(|body| body.size_hint().exact().is_some());
     let prepared = tokio::select! {
         biased;
         prepared = prepare_request(request, parts, incoming, caller) => Some(prepared),
         () = shared.reach_stop_phase(StopPhase::Answering) => None,
     };
     match prepared {
-        Some(Ok((head, mut body))) => request_run::run(request, &head, &mut body).await,
+        Some(Ok((head, mut body))) => {
+            let mut response = request_run::run(request, &head, &mut body).await;
+            if !has_known_length && matches!(body, RequestBody::Buffered(_)) {
+                response.extensions_mut().insert(BodyRead);
+            }
+            response
+        }
         Some(Err(response)) => response,
         None => {
             request.return_quota_token();
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -23,6 +23,7 @@
 use super::connection_pool::Body;
 use super::control_server::empty_response;
 use super::shared::SharedState;
+use crate::lingering_close::LingerEnd;
 
 /// Upper bounds of the latency buckets, in seconds; they cover latency targets and deadlines.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0];
@@ -198,9 +199,10 @@
 fn closed_caller_connections() -> Result<IntCounterVec, prometheus::Error> {
     let options = Opts::new(
         "sedgepath_caller_connections_closed_total",
-        "Connections of callers that this VM closed, by whether bytes of the caller were unread.",
+        "Connections of callers that this VM closed, by what ended them: the caller (`peer`), or a time limit \
+         without bytes of the caller (`time_limit`) or with some (`late_bytes`).",
     );
-    IntCounterVec::new(options, &["unread"])
+    IntCounterVec::new(options, &["end"])
 }
 
 fn pipelined_requests() -> Result<IntCounterVec, prometheus::Error> {
@@ -388,10 +390,9 @@
         self.failed_caller_connections.with_label_values(&[error]).inc();
     }
 
-    /// Counts a connection of a caller that this VM closed, by whether bytes of the caller were unread.
-    pub fn count_closed_caller_connection(&self, has_unread: bool) {
-        let label = if has_unread { "true" } else { "false" };
-        self.closed_caller_connections.with_label_values(&[label]).inc();
+    /// Counts a connection of a caller that this VM closed.
+    pub fn count_closed_caller_connection(&self, end: LingerEnd) {
+        self.closed_caller_connections.with_label_values(&[end.name()]).inc();
     }
 
     /// Counts a request that was forwarded to another VM.
--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -25,8 +25,10 @@
 use crate::direct::connection_pool::Body;
 use crate::direct::forwarding::OwnResponse;
 use crate::direct::ingress::{self, RequestArrival, RequestSource};
+use crate::direct::request_body::BodyRead;
 use crate::direct::responses::status_response;
 use crate::direct::shared::{SharedState, StopPhase};
+use crate::lingering_close::{LateBytes, LingerEnd};
 
 /// The bytes that are read ahead at once.
 const READ_AHEAD_CHUNK_BYTES: usize = 2 * 1024;
@@ -108,11 +110,18 @@
         state.unwritten.take_if(|response| response.is_complete);
     }
 
-    /// Records that hyper has written everything and closes the connection, and whether bytes of the caller
-    /// are unread.
-    pub(super) fn record_close(&self, has_unread: bool) {
-        self.state.borrow_mut().unwritten = None;
-        self.shared.metrics.count_closed_caller_connection(has_unread);
+    /// Records that hyper has written everything and closes the connection. Returns what becomes of bytes that
+    /// the caller still sends.
+    pub(super) fn begin_close(&self) -> LateBytes {
+        let mut state = self.state.borrow_mut();
+        state.unwritten = None;
+        // Callers may take further requests for unprocessed only as long as those are unread.
+        if state.stream.is_within_body() { LateBytes::Discard } else { LateBytes::LeaveUnread }
+    }
+
+    /// Counts a connection that this VM has closed.
+    pub(super) fn count_close(&self, end: LingerEnd) {
+        self.shared.metrics.count_closed_caller_connection(end);
     }
 
     /// Counts the failure of the connection.
@@ -303,6 +312,9 @@
     fn end_turn(&self, response: &mut Response<Body>) -> bool {
         let mut state = self.state.borrow_mut();
         state.stream.record_answered();
+        if response.extensions().get::<BodyRead>().is_some() {
+            state.stream.record_body_read();
+        }
         if let Some(unwritten) = &mut state.unwritten {
             unwritten.is_complete = response.body().size_hint().exact().is_some();
         }
--- a/crates/sedgepathd/src/direct/pipelining/reader.rs
+++ b/crates/sedgepathd/src/direct/pipelining/reader.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
-use futures_util::FutureExt;
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use super::pipeline::Pipeline;
+use crate::lingering_close::{LingeringClose, is_read_closed};
 
 /// A caller's connection. Reading passes the bytes on unchanged, up to the end of one request at a time.
 ///
@@ -19,12 +19,14 @@
 pub struct PipelinedStream {
     socket: TcpStream,
     pipeline: Rc<Pipeline>,
+    /// Set once the sending side is closed.
+    close: Option<LingeringClose>,
 }
 
 impl PipelinedStream {
     /// Creates a connection whose requests belong to a pipeline.
     pub fn new(socket: TcpStream, pipeline: Rc<Pipeline>) -> Self {
-        Self { socket, pipeline }
+        Self { socket, pipeline, close: None }
     }
 
     /// Reads ahead until the connection's end, which is ready; else stays pending.
@@ -41,16 +43,7 @@
             }
         }
         // Beyond the bounds the end is noticed without reading the bytes before it, when hyper polls.
-        match self.socket.ready(Interest::READABLE).now_or_never() {
-            Some(Ok(ready)) if ready.is_read_closed() => Poll::Ready(Ok(())),
-            _ => Poll::Pending,
-        }
-    }
-
-    /// Returns whether the system is known to have received bytes that haven't been read.
-    fn has_unread(&self) -> bool {
-        let ready = self.socket.ready(Interest::READABLE).now_or_never();
-        matches!(ready, Some(Ok(ready)) if ready.is_readable() && !ready.is_read_closed())
+        if is_read_closed(&self.socket) { Poll::Ready(Ok(())) } else { Poll::Pending }
     }
 
     fn poll_pass(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
@@ -117,8 +110,9 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        this.pipeline.record_close(this.has_unread());
-        Pin::new(&mut this.socket).poll_shutdown(cx)
+        let Self { socket, pipeline, close } = self.get_mut();
+        let closed = LingeringClose::poll_shutdown(close, socket, cx, || pipeline.begin_close());
+        pipeline.count_close(ready!(closed)?);
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/sedgepathd/src/direct/pipelining/request_stream.rs
+++ b/crates/sedgepathd/src/direct/pipelining/request_stream.rs
@@ -87,6 +87,8 @@
     head_arrived_at_ms: Option<u64>,
     /// Whether a request is in progress.
     is_busy: bool,
+    /// Whether the body of the request in progress, or of the last one, is known to have been read to its end.
+    is_body_read: bool,
     /// Whether requests behind the one in progress may be started.
     allows_search: bool,
     search: Search,
@@ -101,6 +103,7 @@
             position: Position::Head(HeadEndSearch::default()),
             head_arrived_at_ms: None,
             is_busy: false,
+            is_body_read: false,
             allows_search: false,
             search: Search::default(),
         }
@@ -200,6 +203,7 @@
             Some(left) => Position::Body { left },
         };
         self.is_busy = true;
+        self.is_body_read = false;
         self.allows_search = plain && matches!(self.position, Position::Head(_));
         if self.search.head_start < self.passed {
             self.search = Search::starting_at(self.passed);
@@ -221,6 +225,20 @@
         self.allows_search = false;
     }
 
+    /// Records that the body of the request in progress, of unknown length, was read to its end.
+    pub fn record_body_read(&mut self) {
+        self.is_body_read = true;
+    }
+
+    /// Returns whether the next bytes may belong to the body of a request that has its response.
+    pub fn is_within_body(&self) -> bool {
+        match self.position {
+            Position::Head(_) | Position::BehindHead => false,
+            Position::Body { .. } => true,
+            Position::Unknown => !self.is_body_read,
+        }
+    }
+
     /// Returns the next head behind the request in progress that hasn't been returned yet. `None` if it
     /// is incomplete, not plain, or `may_start` rejects it.
     pub fn next_plain_head(
--- a/crates/sedgepathd/src/direct/request_body.rs
+++ b/crates/sedgepathd/src/direct/request_body.rs
@@ -13,6 +13,10 @@
 /// Request bodies up to this size are buffered completely, so that they can be sent again.
 const MAX_BUFFERED_BODY_BYTES: usize = 256 * 1024;
 
+/// An extension of responses to requests whose body, of unknown length, was read to its end.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyRead;
+
 /// The body of a request to be sent.
 #[derive(Debug)]
 pub enum RequestBody {
--- a/crates/sedgepathd/src/lib.rs
+++ b/crates/sedgepathd/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hop;
 pub mod http_connection;
 pub mod limits;
+pub mod lingering_close;
 pub mod logging;
 pub mod metrics;
 pub mod operators;
--- /dev/null
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -0,0 +1,201 @@
+//! Closes connections without losing the end of the last response.
+//!
+//! The system resets a connection that is closed while received bytes are unread, or that receives bytes
+//! after it was closed, and then discards what the other side hasn't received of the response (RFC 9112,
+//! section 9.6). So only the sending side is closed first; the rest follows when the other side has closed
+//! the connection, or after a time limit.
+
+use std::io::{self, IoSlice};
+use std::ops::ControlFlow;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// How long a connection is kept on which nothing arrives after its sending side was closed: the other side
+/// reads the response and closes the connection.
+const MIN_LINGER: Duration = Duration::from_secs(1);
+
+/// How long a connection is kept at the most once bytes have arrived on it, so that closing it would reset it.
+const MAX_LINGER: Duration = Duration::from_secs(5);
+
+/// The bytes that are discarded at once.
+const DISCARD_CHUNK_BYTES: usize = 4 * 1024;
+
+/// What becomes of bytes that the other side still sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LateBytes {
+    /// They are read and discarded: the rest of a body, whose sender may not read before it has sent all.
+    Discard,
+    /// They stay unread: further requests, which were never processed.
+    LeaveUnread,
+}
+
+/// Why a connection is closed completely.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LingerEnd {
+    /// The other side has closed it, or it has failed.
+    Peer,
+    /// The time limit has passed, and nothing has arrived.
+    TimeLimit,
+    /// The time limit has passed, and bytes have arrived: what the other side hasn't received may be lost.
+    LateBytes,
+}
+
+impl LingerEnd {
+    /// Returns the name for counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Peer => "peer",
+            Self::TimeLimit => "time_limit",
+            Self::LateBytes => "late_bytes",
+        }
+    }
+}
+
+/// A connection whose sending side is closed.
+#[derive(Debug)]
+pub struct LingeringClose {
+    late_bytes: LateBytes,
+    has_arrived: bool,
+    /// The time limit once bytes have arrived.
+    last_limit: Instant,
+    limit: Pin<Box<Sleep>>,
+}
+
+impl LingeringClose {
+    /// Closes the sending side of a connection unless `state` says that it is closed already, and polls why
+    /// the rest can be closed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the sending side can't be closed.
+    pub fn poll_shutdown(
+        state: &mut Option<Self>,
+        socket: &mut TcpStream,
+        cx: &mut Context<'_>,
+        late_bytes: impl FnOnce() -> LateBytes,
+    ) -> Poll<io::Result<LingerEnd>> {
+        if state.is_none() {
+            ready!(Pin::new(&mut *socket).poll_shutdown(cx))?;
+        }
+        let close = state.get_or_insert_with(|| Self::new(late_bytes()));
+        close.poll_closable(socket, cx).map(Ok)
+    }
+
+    fn new(late_bytes: LateBytes) -> Self {
+        let now = Instant::now();
+        Self {
+            late_bytes,
+            has_arrived: false,
+            last_limit: now + MAX_LINGER,
+            limit: Box::pin(sleep_until(now + MIN_LINGER)),
+        }
+    }
+
+    fn poll_closable(&mut self, socket: &TcpStream, cx: &mut Context<'_>) -> Poll<LingerEnd> {
+        while let Poll::Ready(ready) = socket.poll_read_ready(cx) {
+            if ready.is_err() || self.handle_late_bytes(socket).is_break() {
+                return Poll::Ready(LingerEnd::Peer);
+            }
+        }
+        ready!(self.limit.as_mut().poll(cx));
+        Poll::Ready(if self.has_arrived { LingerEnd::LateBytes } else { LingerEnd::TimeLimit })
+    }
+
+    /// Handles what has arrived; breaks at the connection's end.
+    fn handle_late_bytes(&mut self, socket: &TcpStream) -> ControlFlow<()> {
+        let has_arrived = match self.late_bytes {
+            LateBytes::Discard => match socket.try_read(&mut [0; DISCARD_CHUNK_BYTES]) {
+                Ok(1..) => true,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => false,
+                Ok(0) | Err(_) => return ControlFlow::Break(()),
+            },
+            LateBytes::LeaveUnread => {
+                if is_read_closed(socket) {
+                    return ControlFlow::Break(());
+                }
+                await_next_event(socket);
+                true
+            }
+        };
+        if has_arrived && !self.has_arrived {
+            self.has_arrived = true;
+            self.limit.as_mut().reset(self.last_limit);
+        }
+        ControlFlow::Continue(())
+    }
+}
+
+/// Returns whether the other side is known to have closed its sending side, also if bytes before that are
+/// unread.
+pub fn is_read_closed(socket: &TcpStream) -> bool {
+    let ready = socket.ready(Interest::READABLE).now_or_never();
+    matches!(ready, Some(Ok(ready)) if ready.is_read_closed())
+}
+
+/// Makes a socket with unread bytes ready again only when it receives more, or the other side closes it.
+fn await_next_event(socket: &TcpStream) {
+    let _would_block = socket
+        .try_io(Interest::READABLE, || Err::<(), _>(io::Error::from(io::ErrorKind::WouldBlock)));
+}
+
+/// A connection that lingers when it is shut down, and discards what the other side sends meanwhile.
+#[derive(Debug)]
+pub struct LingeringStream {
+    socket: TcpStream,
+    close: Option<LingeringClose>,
+}
+
+impl LingeringStream {
+    /// Creates a connection from an open socket.
+    pub fn new(socket: TcpStream) -> Self {
+        Self { socket, close: None }
+    }
+}
+
+impl AsyncRead for LingeringStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for LingeringStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Self { socket, close } = &mut *self;
+        let closed = LingeringClose::poll_shutdown(close, socket, cx, || LateBytes::Discard);
+        closed.map_ok(|_end| ())
+    }
+}
