--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -37,6 +37,13 @@
     Endless(EndlessPart),
     /// Runs the request and responds with a body of this many bytes.
     LargeBody(usize),
+    /// Runs the request and sends a body evenly over a time.
+    SlowBody {
+        /// The size of the body, in bytes.
+        bytes: usize,
+        /// The time from the head to the body's end, in milliseconds.
+        over_ms: u64,
+    },
 }
 
 /// What has no end.
@@ -52,6 +59,9 @@
     RejectionBody,
 }
 
+/// The parts in which a slow body is sent.
+const SLOW_BODY_PARTS: u32 = 50;
+
 /// The pause between the chunks of a body that is sent slowly.
 const SLOW_CHUNK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -333,7 +343,7 @@
             return None;
         }
         let body = match behaviour {
-            Behaviour::LargeBody(bytes) => "x".repeat(bytes),
+            Behaviour::LargeBody(bytes) | Behaviour::SlowBody { bytes, .. } => "x".repeat(bytes),
             _ => format!("{attempt_id} at {name}"),
         };
         let full_response = format!(
@@ -352,6 +362,14 @@
             Behaviour::Respond | Behaviour::LargeBody(_) => {
                 stream.write_all(full_response.as_bytes()).ok()
             }
+            Behaviour::SlowBody { over_ms, .. } => {
+                let part_bytes = full_response.len().div_ceil(SLOW_BODY_PARTS as usize);
+                for part in full_response.as_bytes().chunks(part_bytes) {
+                    stream.write_all(part).ok()?;
+                    std::thread::sleep(Duration::from_millis(over_ms) / SLOW_BODY_PARTS);
+                }
+                Some(())
+            }
             Behaviour::Reject => {
                 let rejection = format!(
                     "HTTP/1.1 503 Service Unavailable\r\n{first_headers}X-Sedgepath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
