Keep the lines of a planned stop out of the budgets for lines

Change: a log target of its own that no budget limits; there are at most as many such lines as requests in flight.

--- a/crates/sedgepathd/src/direct/logging.rs
+++ b/crates/sedgepathd/src/direct/logging.rs
@@ -3,8 +3,8 @@
 //! Each line begins with `at=`, a timestamp of the hybrid logical clock that VMs exchange in their
 //! heartbeats, so that lines of all VMs merge in one order although their clocks differ.
 //!
-//! Two budgets bound the lines of each second: one for routine outcomes, one for everything else. A
-//! separate thread writes, so that requests never wait for standard output. Dropped lines are
+//! Two budgets bound the lines of each second: one for routine outcomes, one for everything else but the lines
+//! of a planned stop. A separate thread writes, so that requests never wait for standard output. Dropped lines are
 //! counted and the counts are logged.
 
 use std::io::Write;
@@ -20,6 +20,10 @@
 /// The log target of routine outcomes, which are sampled under load.
 pub const ROUTINE_TARGET: &str = "calm";
 
+/// The log target of a planned stop and of the requests that it ends, whose lines no budget limits. The most
+/// requests in flight do.
+pub const STOP_TARGET: &str = "stop";
+
 /// The most lines of routine outcomes a second.
 const MAX_ROUTINE_LINES_PER_S: u64 = 20;
 
@@ -131,9 +135,8 @@
         .level(log::LevelFilter::Warn)
         .level_for("sedgepathd", log::LevelFilter::Info)
         .level_for(ROUTINE_TARGET, log::LevelFilter::Info)
-        .filter(move |metadata| {
-            within_budget(&budgets, &filter_dropped, metadata.target() == ROUTINE_TARGET)
-        })
+        .level_for(STOP_TARGET, log::LevelFilter::Info)
+        .filter(move |metadata| within_budget(&budgets, &filter_dropped, metadata.target()))
         .format(move |out, message, record| {
             let HybridTimestamp { time_ms, count } = format_clock.tick();
             let level = record.level().as_str().to_ascii_lowercase();
@@ -149,13 +152,15 @@
     Ok((log_clock, pending))
 }
 
-fn within_budget(budgets: &Mutex<Budgets>, dropped: &DroppedLines, routine: bool) -> bool {
+fn within_budget(budgets: &Mutex<Budgets>, dropped: &DroppedLines, target: &str) -> bool {
     let now_ms = clock::now_ms();
     let mut budgets = budgets.lock().unwrap_or_else(PoisonError::into_inner);
-    let (allowed, counter) = if routine {
-        (budgets.routine.try_take(MAX_ROUTINE_LINES_PER_S, now_ms), &dropped.routine)
-    } else {
-        (budgets.priority.try_take(MAX_PRIORITY_LINES_PER_S, now_ms), &dropped.priority)
+    let (allowed, counter) = match target {
+        STOP_TARGET => return true,
+        ROUTINE_TARGET => {
+            (budgets.routine.try_take(MAX_ROUTINE_LINES_PER_S, now_ms), &dropped.routine)
+        }
+        _ => (budgets.priority.try_take(MAX_PRIORITY_LINES_PER_S, now_ms), &dropped.priority),
     };
     if !allowed {
         counter.fetch_add(1, Ordering::Relaxed);
--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -25,6 +25,7 @@
 use crate::direct::connection_pool::Body;
 use crate::direct::forwarding::OwnResponse;
 use crate::direct::ingress::{self, RequestArrival, RequestSource};
+use crate::direct::logging::STOP_TARGET;
 use crate::direct::request_body::BodyRead;
 use crate::direct::responses::status_response;
 use crate::direct::shared::{SharedState, StopPhase};
@@ -341,7 +342,7 @@
         if self.shared.has_ended()
             && let Some(UnwrittenResponse { attempt_id, .. }) = &state.unwritten
         {
-            log::info!("event=response_cut request={attempt_id}");
+            log::info!(target: STOP_TARGET, "event=response_cut request={attempt_id}");
         }
         self.shared.pipeline_bounds.set_read_ahead_bytes(&mut state.counted_bytes, 0);
     }
--- a/crates/sedgepathd/src/direct/responses.rs
+++ b/crates/sedgepathd/src/direct/responses.rs
@@ -125,7 +125,9 @@
     if account != NO_ACCOUNT {
         shared.metrics.count_account_rejection(account);
     }
+    let ends_by_stop = rejection.reason == RejectionReason::Stopping;
     log::info!(
+        target: if ends_by_stop { logging::STOP_TARGET } else { module_path!() },
         "event=refused request={attempt_id} status={} reason={} account={account} service={service} \
          sendings={delivered} took_ms={took_ms} retry_after_ms={} configuration={version} \
          fingerprint={}",
@@ -155,7 +157,9 @@
     });
     let took_ms = clock::now_ms().saturating_sub(state.arrived_at_ms);
     shared.metrics.record_request("gave_up", took_ms);
+    let ends_by_stop = reason == RejectionReason::Stopping.name();
     log::info!(
+        target: if ends_by_stop { logging::STOP_TARGET } else { module_path!() },
         "event=gave_up request={attempt_id} reason={reason} status={} account={} route={} service={} \
          upstream={} sendings={} runs={} took_ms={took_ms} configuration={} fingerprint={}",
         response.status().as_u16(),
@@ -190,7 +194,7 @@
     shared.metrics.record_request("abandoned", took_ms);
     let process_ends = shared.has_ended();
     // Callers may leave in large numbers.
-    let target = if process_ends { module_path!() } else { logging::ROUTINE_TARGET };
+    let target = if process_ends { logging::STOP_TARGET } else { logging::ROUTINE_TARGET };
     log::info!(
         target: target,
         "event=abandoned request={attempt_id} reason={} account={} route={} service={} upstream={} \
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -175,7 +175,8 @@
 
     wait_for_stop().await?;
     stop(&shared, accepting).await;
-    log::info!("event=stopped requests={}", shared.in_flight_requests.get());
+    let requests = shared.in_flight_requests.get();
+    log::info!(target: logging::STOP_TARGET, "event=stopped requests={requests}");
     shared.stop_phase.send_replace(StopPhase::Ended);
     Ok(())
 }
@@ -220,6 +221,7 @@
 /// Logs what is still open when a phase of the planned stop begins.
 fn log_stop_phase(shared: &SharedState, event: &str) {
     log::info!(
+        target: logging::STOP_TARGET,
         "event={event} requests={} connections={}",
         shared.in_flight_requests.get(),
         shared.open_connections.get(),
