Let connections linger after errors, and those of other VMs

What callers saw: a caller that sends a long body or head was reset while it sent, by the VM's 400 or 431. A VM that forwards a request got a reset in place of the other VM's early rejection, took the request for one that may have run, and answered 502 for 503.

Cause: hyper shuts a connection down only if it ends without an error; an error drops it with bytes unread. Connections of other VMs, of look-ups and of metrics were closed without lingering.

Change: a connection that ended with an error is shut down as others are, and what follows a head that hyper doesn't accept is discarded. The control server's connections linger, too.

--- a/crates/sedgepathd/src/caller_connection.rs
+++ b/crates/sedgepathd/src/caller_connection.rs
@@ -1,6 +1,8 @@
 //! Ends callers' connections in a planned stop.
 
 use std::error::Error;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
@@ -27,7 +29,7 @@
 ) -> hyper::Result<()>
 where
     I: Read + Write + Unpin,
-    S: HttpService<Incoming, ResBody = B>,
+    S: HttpService<Incoming, ResBody = B> + Unpin,
     S::Error: Into<Box<dyn Error + Send + Sync>>,
     B: Body + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -37,10 +39,21 @@
         // The connection is closed in either case.
         let _elapsed = tokio::time::timeout(FIRST_REQUEST_WAIT, request_arrived.notified()).await;
     };
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        result = connection.as_mut() => return result,
-        () = closing => connection.as_mut().graceful_shutdown(),
+    let mut connection = connection;
+    let ended = tokio::select! {
+        result = &mut connection => Some(result),
+        () = closing => None,
+    };
+    let result = if let Some(result) = ended {
+        result
+    } else {
+        Pin::new(&mut connection).graceful_shutdown();
+        (&mut connection).await
+    };
+    if result.is_err() {
+        // hyper may have sent a response, but shuts the connection down only if it ends without an error.
+        let mut io = connection.into_parts().io;
+        let _best_effort = poll_fn(|cx| Pin::new(&mut io).poll_shutdown(cx)).await;
     }
-    connection.await
+    result
 }
--- a/crates/sedgepathd/src/direct/control_server.rs
+++ b/crates/sedgepathd/src/direct/control_server.rs
@@ -16,6 +16,7 @@
 use super::attempt::bytes_body;
 use super::connection_pool::Body;
 use super::shared::SharedState;
+use crate::lingering_close::LingeringStream;
 
 /// Timeout of an idle connection and of receiving a request's head.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -51,7 +52,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     if let Err(error) = connection.await {
         log::debug!("event=question_connection_failed error={:?}", error.to_string());
     }
--- a/crates/sedgepathd/src/direct/pipelining/head_end.rs
+++ b/crates/sedgepathd/src/direct/pipelining/head_end.rs
@@ -36,6 +36,11 @@
         None
     }
 
+    /// Returns whether a part of the head has been searched, beside empty lines before it.
+    pub fn has_begun(&self) -> bool {
+        self.has_request_line || self.line == Line::Text
+    }
+
     fn extend_line(&mut self, bytes: &[u8]) {
         self.line = match (self.line, bytes) {
             (line, []) => line,
--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -117,7 +117,7 @@
         let mut state = self.state.borrow_mut();
         state.unwritten = None;
         // Callers may take further requests for unprocessed only as long as those are unread.
-        if state.stream.is_within_body() { LateBytes::Discard } else { LateBytes::LeaveUnread }
+        if state.stream.is_within_request() { LateBytes::Discard } else { LateBytes::LeaveUnread }
     }
 
     /// Counts a connection that this VM has closed.
--- a/crates/sedgepathd/src/direct/pipelining/request_stream.rs
+++ b/crates/sedgepathd/src/direct/pipelining/request_stream.rs
@@ -230,11 +230,12 @@
         self.is_body_read = true;
     }
 
-    /// Returns whether the next bytes may belong to the body of a request that has its response.
-    pub fn is_within_body(&self) -> bool {
+    /// Returns whether the next bytes may belong to a request of which hyper has got a part: one that has its
+    /// response before its body has arrived, or whose head hyper doesn't accept.
+    pub fn is_within_request(&self) -> bool {
         match self.position {
-            Position::Head(_) | Position::BehindHead => false,
-            Position::Body { .. } => true,
+            Position::Head(head_end) => head_end.has_begun(),
+            Position::BehindHead | Position::Body { .. } => true,
             Position::Unknown => !self.is_body_read,
         }
     }
