Let a stopping VM wait for its responses to other VMs

What callers saw: a large response that came by way of another VM was cut when that VM was stopped, 3.07 s after SIGTERM, and no VM logged it.

Cause: a forwarded request counts as in flight until its response is ready, and only callers' connections are waited for, so the process ended while the body was being sent.

Change: each response to another VM is counted until its body has been passed on, and the stop waits for it, within its limit.

--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::{Body as _, Incoming};
@@ -29,6 +30,7 @@
 use super::pipelining::pipeline::Pipeline;
 use super::pipelining::reader::PipelinedStream;
 use super::request_body::{BodyRead, BodyReadError, RequestBody, read_body};
+use super::response_body::CountedBody;
 use super::responses::{RejectedRequest, reject, status_response};
 use super::shared::{SharedState, StopPhase};
 use super::{quarantine, quotas, request_run};
@@ -208,7 +210,8 @@
     if *shared.stop_phase.borrow() >= StopPhase::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    let count = Arc::clone(&shared.forwarded_responses);
+    response.map(|body| CountedBody::new(body, count).boxed())
 }
 
 /// Handles a request and counts it as in flight until its response is ready.
--- a/crates/sedgepathd/src/direct/response_body.rs
+++ b/crates/sedgepathd/src/direct/response_body.rs
@@ -209,3 +209,43 @@
         SizeHint::default()
     }
 }
+
+/// A body that is counted until it has been passed on.
+#[derive(Debug)]
+pub struct CountedBody {
+    body: Body,
+    /// One reference more while the body exists.
+    _count: Arc<()>,
+}
+
+impl CountedBody {
+    /// Creates a body that is counted by the references to `count`.
+    pub fn new(body: Body, count: Arc<()>) -> Self {
+        Self { body, _count: count }
+    }
+
+    /// Returns the body with its type erased.
+    pub fn boxed(self) -> Body {
+        self.boxed_unsync()
+    }
+}
+
+impl hyper::body::Body for CountedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -200,7 +200,7 @@
         log::warn!("event=still_accepting");
     }
     wait_until_idle(shared, stop.answered_by_ms).await;
-    if !is_idle(shared) {
+    if !shared.is_idle() {
         log_stop_phase(shared, "ending_requests");
         shared.stop_phase.send_replace(StopPhase::Answering);
         wait_until_idle(shared, stop.ends_at_ms).await;
@@ -209,15 +209,11 @@
 
 /// Waits until no request is in flight and no connection open, at most until a time in milliseconds.
 async fn wait_until_idle(shared: &SharedState, until_ms: u64) {
-    while clock::now_ms() < until_ms && !is_idle(shared) {
+    while clock::now_ms() < until_ms && !shared.is_idle() {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
     }
 }
 
-fn is_idle(shared: &SharedState) -> bool {
-    shared.in_flight_requests.get() == 0 && shared.open_connections.get() == 0
-}
-
 /// Logs what is still open when a phase of the planned stop begins.
 fn log_stop_phase(shared: &SharedState, event: &str) {
     log::info!(
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -103,6 +103,8 @@
     pub pipeline_bounds: Rc<PipelineBounds>,
     /// The number of callers' open connections.
     pub open_connections: Cell<usize>,
+    /// Held by each response to another VM until it is written.
+    pub forwarded_responses: Arc<()>,
     /// The phase of a planned stop, which callers' connections watch.
     pub stop_phase: tokio::sync::watch::Sender<StopPhase>,
 }
@@ -206,6 +208,7 @@
             body_ends: Arc::default(),
             pipeline_bounds,
             open_connections: Cell::new(0),
+            forwarded_responses: Arc::default(),
             stop_phase: tokio::sync::watch::Sender::new(StopPhase::Serving),
         })
     }
@@ -245,6 +248,13 @@
         let _reached = phases.wait_for(|current| *current >= phase).await;
     }
 
+    /// Returns whether no request is in flight, no response is being written, and no caller's connection open.
+    pub fn is_idle(&self) -> bool {
+        self.in_flight_requests.get() == 0
+            && self.open_connections.get() == 0
+            && Arc::strong_count(&self.forwarded_responses) == 1
+    }
+
     /// Returns whether the process ends.
     pub fn has_ended(&self) -> bool {
         *self.stop_phase.borrow() == StopPhase::Ended
