Begin no hedge that a planned stop would cut

Cause: hedges weren't asked whether they end before the stop.

Change: a hedge is begun only under the condition for first attempts.

--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -121,10 +121,7 @@
             let (reason, retry_after_ms) = self.no_upstream(request, random, now_ms);
             return reject_or_give_up(reason, retry_after_ms, request);
         };
-        if self
-            .planned_stop
-            .is_some_and(|stop| !stop.allows_sending(request, candidate.expected_ms as u64, now_ms))
-        {
+        if self.is_too_late_for(request, &candidate, now_ms) {
             return reject_or_give_up(RejectionReason::Stopping, 0, request);
         }
         let config = self.config.admission;
@@ -154,6 +151,12 @@
         self.start_attempt(request, candidate, now_ms)
     }
 
+    /// Returns whether a planned stop may end before a request that is sent now has its response.
+    fn is_too_late_for(&self, request: &RequestState, candidate: &Candidate, now_ms: u64) -> bool {
+        let expected_ms = candidate.expected_ms as u64;
+        self.planned_stop.is_some_and(|stop| !stop.allows_sending(request, expected_ms, now_ms))
+    }
+
     /// Returns whether a request has failed to connect to so many upstreams, for so long, that it isn't held
     /// any longer. Refused connections cost no time, unlike those that get no answer.
     fn has_tried_to_connect_enough(&self, request: &RequestState, now_ms: u64) -> bool {
@@ -253,6 +256,9 @@
             return None;
         }
         let candidate = self.choose(request, random, now_ms)?;
+        if self.is_too_late_for(request, &candidate, now_ms) {
+            return None;
+        }
         let vm_count = self.vms.max_known_vm_count(now_ms);
         if !self.budget.try_withdraw(&request.service, vm_count, now_ms) {
             return None;
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -31,6 +31,7 @@
 use crate::driver::NodeHandle;
 use crate::hop::HopClient;
 use crate::limits::Limits;
+use crate::lingering_close::LingeringStream;
 use crate::metrics::Metrics;
 use crate::reply::{Reply, UpstreamResponse};
 
@@ -142,7 +143,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(limits.head_timeout())
             .max_buf_size(limits.head_bytes)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
         let stopping = wait_for_stop(&mut stop);
         let result = serve_until_stopped(connection, &request_arrived, stopping).await;
         if let Err(error) = result {
