Show that the owned way resets connections with bytes unread

Cause: after the last response of a connection, hyper ends the sending side and the socket is dropped. If bytes of the caller are unread, or arrive afterwards, the system resets the connection: what the caller hasn't received is dropped, and a caller that still sends gets an error.

One sends a body, a head or garbage in three parts and reads afterwards (413 with a length and in chunks, 408, 431, 400); the other has two requests behind one with `Connection: close` whose response is 1 MB.

--- a/crates/sedgepathd/tests/callers.rs
+++ b/crates/sedgepathd/tests/callers.rs
@@ -1,9 +1,10 @@
 //! Tests the HTTP interface for callers over real connections.
 
 use std::fs;
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
+use std::thread;
 use std::time::Duration;
 
 use sedgepath_test_support::caller::{Call, CallFailure, Caller, Outcome};
@@ -212,3 +213,87 @@
     assert_eq!(reply.outcome, Outcome::Answered { status: 206 });
     assert_eq!(reply.length, 2500);
 }
+
+/// The size of what a caller sends in vain; it exceeds the buffers of a connection on which nothing is
+/// read.
+const LONG_BYTES: usize = 8 * 1024 * 1024;
+
+/// The time that a caller takes after the first part of what it sends, in which the daemon responds.
+const FIRST_PAUSE: Duration = Duration::from_millis(600);
+
+/// The time that a caller takes after each further part.
+const NEXT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Sends the parts of a request one after the other and reads afterwards. Returns the response, and how
+/// each part was sent and the response was read.
+fn send_parts(callers: SocketAddr, parts: &[&[u8]]) -> (Vec<u8>, Vec<io::Result<()>>) {
+    let mut stream = TcpStream::connect(callers).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a timeout");
+    stream.set_write_timeout(Some(Duration::from_secs(5))).expect("a timeout");
+    let mut results = Vec::new();
+    for (index, part) in parts.iter().enumerate() {
+        results.push(stream.write_all(part));
+        thread::sleep(if index == 0 { FIRST_PAUSE } else { NEXT_PAUSE });
+    }
+    let mut response = Vec::new();
+    results.push(stream.read_to_end(&mut response).map(|_bytes| ()));
+    (response, results)
+}
+
+/// Returns the kinds of the errors among the results.
+fn error_kinds(results: Vec<io::Result<()>>) -> Vec<io::ErrorKind> {
+    results.into_iter().filter_map(Result::err).map(|error| error.kind()).collect()
+}
+
+/// Guards against an early response that is lost because the daemon closes the connection while the
+/// caller, which reads afterwards, still sends.
+#[test]
+fn an_early_response_reaches_a_caller_that_sends_all_before_it_reads() {
+    let system = TestSystem::new();
+    let long = "x".repeat(LONG_BYTES);
+    let too_long = &long[..64 * 1024];
+    let body_bytes = too_long.len() + long.len();
+    let post = "POST /v1/call/browse/x HTTP/1.1\r\nhost: x\r\n";
+    let cases = [
+        ("413", format!("{post}content-length: {body_bytes}\r\n\r\n{too_long}"), &*long),
+        (
+            "413",
+            format!("{post}transfer-encoding: chunked\r\n\r\n{body_bytes:x}\r\n{too_long}"),
+            &*long,
+        ),
+        ("408", format!("{post}content-length: 900\r\n\r\nshort"), "rest"),
+        ("431", format!("{post}x: {too_long}"), &*long),
+        ("400", "nonsense\r\n\r\n".to_owned(), &*long),
+    ];
+    let mut seen = Vec::new();
+    for (expected_status, first, rest) in &cases {
+        let (half, other_half) = rest.as_bytes().split_at(rest.len() / 2);
+        let (response, results) = send_parts(system.callers, &[first.as_bytes(), half, other_half]);
+        let status_line = format!("HTTP/1.1 {expected_status} ");
+        let has_status = response.starts_with(status_line.as_bytes());
+        seen.push((*expected_status, has_status, error_kinds(results)));
+    }
+    let expected: Vec<_> = cases.iter().map(|(status, _, _)| (*status, true, Vec::new())).collect();
+    assert_eq!(seen, expected);
+}
+
+/// The size of a response that fits into the daemon's send buffer and not into the caller's receive
+/// buffer.
+const UNREAD_RESPONSE_BYTES: usize = 1_000_000;
+
+/// Guards against a large response of which the caller gets only a part, because the daemon closes the
+/// connection while later bytes of the caller are unread.
+#[test]
+fn the_last_response_of_a_connection_arrives_whole_with_bytes_behind_its_request() {
+    let system = TestSystem::new();
+    let request = |field: &str| {
+        let target = format!("/v1/call/browse/large/{UNREAD_RESPONSE_BYTES}");
+        format!("GET {target} HTTP/1.1\r\nhost: x\r\n{field}\r\n")
+    };
+    let (last, behind) = (request("connection: close\r\n"), request(""));
+    let parts = [last.as_bytes(), behind.as_bytes(), behind.as_bytes()];
+    let (response, results) = send_parts(system.callers, &parts);
+    let head_bytes = response.windows(4).position(|bytes| bytes == b"\r\n\r\n").map(|at| at + 4);
+    let body_bytes = head_bytes.map(|head_bytes| response.len() - head_bytes);
+    assert_eq!((body_bytes, error_kinds(results)), (Some(UNREAD_RESPONSE_BYTES), Vec::new()));
+}
--- a/crates/sedgepathd/tests/stop.rs
+++ b/crates/sedgepathd/tests/stop.rs
@@ -1,6 +1,6 @@
 //! Tests the planned stop of a daemon by SIGTERM.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::thread;
@@ -117,3 +117,129 @@
 
     assert!(response.starts_with("HTTP/1.1 404 "), "{response:?}");
 }
+
+/// The time from the signal to a request, shortly before a stopping daemon rejects new ones.
+const LATE_REQUEST_TIME: Duration = Duration::from_secs(7);
+
+/// The time that a request takes at its upstream: longer than the stop lasts without it.
+const LONG_WORK_MS: u64 = 6_000;
+
+/// One daemon and its upstream, on which a stop is tested.
+struct OneDaemon {
+    upstream: UpstreamStandIn,
+    system: DaemonCluster,
+    address: SocketAddr,
+}
+
+impl OneDaemon {
+    fn new() -> Self {
+        let upstream = UpstreamStandIn::new(UpstreamConfig::new(40)).expect("upstream");
+        let spec = UpstreamSpec::new("b1", "south-a", 40).with_address(upstream.addr());
+        let records = records::one_service("browse", 20_000, &[spec], &["south-a"]);
+        let system =
+            DaemonCluster::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+        let system = system.with_daemons(&records, &[("s1", "south-a")]).expect("a daemon");
+        assert!(system.wait_until_all_serve(|entry, _| is_answered(entry, "/ready")));
+        let address = system.caller_addresses()[0];
+        Self { upstream, system, address }
+    }
+
+    fn connect(&self) -> TcpStream {
+        let connection = TcpStream::connect(self.address).expect("a connection");
+        connection.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+        connection
+    }
+
+    fn signal(&mut self) {
+        self.system.daemons[0].as_mut().expect("a daemon").signal(Signal::Term).expect("SIGTERM");
+    }
+
+    fn wait_until_it_accepts_no_connection(&self) {
+        while TcpStream::connect(self.address).is_ok() {
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    fn has_run(&self, path: &str) -> bool {
+        self.upstream.runs().iter().any(|run| run.request.ends_with(path))
+    }
+}
+
+/// Returns a request for a path of the service.
+fn raw_get(path: &str) -> Vec<u8> {
+    format!("GET /v1/call/browse{path} HTTP/1.1\r\nHost: vm\r\nsedgepath-timeout-ms: 15000\r\n\r\n")
+        .into_bytes()
+}
+
+/// Reads to the end of the connection and returns the response's head, the length of its body, and the
+/// error that ended the connection.
+fn read_response(connection: &mut TcpStream) -> (String, usize, Option<ErrorKind>) {
+    let mut response = Vec::new();
+    let error = connection.read_to_end(&mut response).err().map(|error| error.kind());
+    let head_end = response.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    let head_bytes = head_end.map_or(response.len(), |at| at + 4);
+    let head = String::from_utf8_lossy(&response[..head_bytes]).into_owned();
+    (head, response.len() - head_bytes, error)
+}
+
+/// Guards against a request that is cut because its upstream works for longer than the stop lasts.
+#[test]
+fn a_request_late_in_the_stop_is_answered_though_its_upstream_works_for_long() {
+    let mut daemon = OneDaemon::new();
+    daemon.upstream.set_behaviour(Behaviour::DelayResponse { delay_ms: LONG_WORK_MS });
+    let mut connection = daemon.connect();
+
+    daemon.signal();
+    thread::sleep(LATE_REQUEST_TIME);
+    connection.write_all(&raw_get("/late")).expect("the request is sent");
+    let (head, _, error) = read_response(&mut connection);
+
+    assert!(daemon.has_run("/late"));
+    assert!(head.starts_with("HTTP/1.1 200 ") && error.is_none(), "{head} {error:?}");
+}
+
+/// Guards against a request that runs at an upstream and whose caller is told that it was not run,
+/// because a second signal ends the daemon at once.
+#[test]
+fn a_second_signal_tells_no_caller_that_a_running_request_was_not_run() {
+    let mut daemon = OneDaemon::new();
+    daemon.upstream.set_behaviour(Behaviour::DelayResponse { delay_ms: LONG_WORK_MS });
+    let mut connection = daemon.connect();
+
+    connection.write_all(&raw_get("/running")).expect("the request is sent");
+    while !daemon.has_run("/running") {
+        thread::sleep(POLL_INTERVAL);
+    }
+    daemon.signal();
+    thread::sleep(POLL_INTERVAL);
+    daemon.signal();
+    let (head, _, _) = read_response(&mut connection);
+
+    assert!(!head.contains("sedgepath-outcome: not_run"), "{head}");
+}
+
+/// The size of a response that fits into the daemon's send buffer and not into the caller's receive
+/// buffer.
+const UNREAD_RESPONSE_BYTES: usize = 1_000_000;
+
+/// Guards against a response of which the caller gets only a part, because the next request reaches the
+/// connection after the stop has closed it.
+#[test]
+fn a_response_arrives_whole_though_a_request_crosses_the_end_of_its_connection() {
+    let mut daemon = OneDaemon::new();
+    let mut connection = daemon.connect();
+
+    daemon.signal();
+    thread::sleep(LATE_REQUEST_TIME);
+    let path = format!("/large/{UNREAD_RESPONSE_BYTES}");
+    connection.write_all(&raw_get(&path)).expect("the request is sent");
+    daemon.wait_until_it_accepts_no_connection();
+    thread::sleep(POLL_INTERVAL);
+    // The caller can't know of the end before it has read the response.
+    let _sent = connection.write_all(&raw_get("/next"));
+    thread::sleep(POLL_INTERVAL);
+    let (head, body_bytes, error) = read_response(&mut connection);
+
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    assert_eq!((body_bytes, error), (UNREAD_RESPONSE_BYTES, None));
+}
