Show that a second signal answers running requests as not run

Cause: a second SIGTERM ends the node at once. The tasks of requests in flight find their channel closed and conclude `RequestResult::Stopping`, which becomes 503 with the outcome `not_run`, also if an upstream runs the request. The caller may send such a request once more.

--- a/crates/sedgepathd/tests/stop.rs
+++ b/crates/sedgepathd/tests/stop.rs
@@ -198,6 +198,26 @@
     assert!(head.starts_with("HTTP/1.1 200 ") && error.is_none(), "{head} {error:?}");
 }
 
+/// Guards against a request that runs at an upstream and whose caller is told that it was not run,
+/// because a second signal ends the daemon at once.
+#[test]
+fn a_second_signal_tells_no_caller_that_a_running_request_was_not_run() {
+    let mut daemon = OneDaemon::new();
+    daemon.upstream.set_behaviour(Behaviour::DelayResponse { delay_ms: LONG_WORK_MS });
+    let mut connection = daemon.connect();
+
+    connection.write_all(&raw_get("/running")).expect("the request is sent");
+    while !daemon.has_run("/running") {
+        thread::sleep(POLL_INTERVAL);
+    }
+    daemon.signal();
+    thread::sleep(POLL_INTERVAL);
+    daemon.signal();
+    let (head, _, _) = read_response(&mut connection);
+
+    assert!(!head.contains("sedgepath-outcome: not_run"), "{head}");
+}
+
 /// The size of a response that fits into the daemon's send buffer and not into the caller's receive
 /// buffer.
 const UNREAD_RESPONSE_BYTES: usize = 1_000_000;
