Judge by the slowest response whether a read ends before the stop

What callers saw: reads sent late in a stop got 502 when it ended the requests in flight, since twice the expected time was left, but some took longer.

Cause: the expected time is a mean; the rule for idempotent requests didn't know how long responses may take.

Change: the slowest response of each service in the last 10 to 20 s is kept, and an idempotent request is sent only if 1.25 times that time is left as well; the same before a forward and a hedge at another VM. Charges go by their deadlines as before.

--- a/crates/sedgepath-core/src/direct/planned_stop.rs
+++ b/crates/sedgepath-core/src/direct/planned_stop.rs
@@ -19,6 +19,9 @@
 /// The multiple of its expected time that an idempotent request must have left.
 const EXPECTED_TIME_FACTOR: u64 = 2;
 
+/// The same for the time of the service's slowest response lately, in percent.
+const SLOWEST_TIME_PERCENT: u64 = 125;
+
 /// The times of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlannedStop {
@@ -46,9 +49,18 @@
         self.has_time_until_deadline(request) || request.route.kind.may_retry()
     }
 
-    /// Returns whether a request that is expected to take a time in milliseconds may be sent now.
-    pub fn allows_sending(self, request: &RequestState, expected_ms: u64, now_ms: u64) -> bool {
-        let needed_ms = expected_ms.saturating_mul(EXPECTED_TIME_FACTOR);
+    /// Returns whether a request may be sent now that is expected to take a time in milliseconds, and whose
+    /// service's slowest response took another.
+    pub fn allows_sending(
+        self,
+        request: &RequestState,
+        expected_ms: u64,
+        slowest_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let needed_ms = expected_ms
+            .saturating_mul(EXPECTED_TIME_FACTOR)
+            .max(slowest_ms.saturating_mul(SLOWEST_TIME_PERCENT) / 100);
         let is_expected_in_time = now_ms.saturating_add(needed_ms) <= self.answered_by_ms;
         self.has_time_until_deadline(request)
             || (request.route.kind.may_retry() && is_expected_in_time)
--- a/crates/sedgepath-core/src/direct/steering/learning.rs
+++ b/crates/sedgepath-core/src/direct/steering/learning.rs
@@ -42,6 +42,9 @@
                 | AttemptOutcome::Misdirected
         );
         self.reach.record_end(responded, now_ms);
+        if matches!(outcome, AttemptOutcome::Answered { .. } | AttemptOutcome::TimedOut) {
+            self.record_response_time(request, attempt.sent_at_ms, now_ms);
+        }
         if matches!(outcome, AttemptOutcome::Answered { .. }) {
             self.admission.record_served(&request.service, now_ms);
         }
@@ -85,6 +88,17 @@
         }
     }
 
+    /// Records the time since a request was sent, in milliseconds, as that of a response.
+    pub(super) fn record_response_time(
+        &mut self,
+        request: &RequestState,
+        sent_at_ms: u64,
+        now_ms: u64,
+    ) {
+        let slowest = self.slowest_responses.entry(request.service.clone()).or_default();
+        slowest.record(now_ms.saturating_sub(sent_at_ms), now_ms);
+    }
+
     /// Records the response size of a successful attempt, and its time if it found a free slot.
     fn record_time_and_size(
         &mut self,
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -121,7 +121,7 @@
             let (reason, retry_after_ms) = self.no_upstream(request, random, now_ms);
             return reject_or_give_up(reason, retry_after_ms, request);
         };
-        if self.is_too_late_for(request, &candidate, now_ms) {
+        if self.is_too_late_to_send(request, candidate.expected_ms, now_ms) {
             return reject_or_give_up(RejectionReason::Stopping, 0, request);
         }
         let config = self.config.admission;
@@ -151,10 +151,18 @@
         self.start_attempt(request, candidate, now_ms)
     }
 
-    /// Returns whether a planned stop may end before a request that is sent now has its response.
-    fn is_too_late_for(&self, request: &RequestState, candidate: &Candidate, now_ms: u64) -> bool {
-        let expected_ms = candidate.expected_ms as u64;
-        self.planned_stop.is_some_and(|stop| !stop.allows_sending(request, expected_ms, now_ms))
+    /// Returns whether a planned stop may end before a request has its response that is sent now and expected to
+    /// take a time in milliseconds.
+    pub(super) fn is_too_late_to_send(
+        &self,
+        request: &RequestState,
+        expected_ms: f64,
+        now_ms: u64,
+    ) -> bool {
+        let Some(stop) = self.planned_stop else { return false };
+        let slowest = self.slowest_responses.get(&request.service);
+        let slowest_ms = slowest.map_or(0, |slowest| slowest.longest_ms(now_ms));
+        !stop.allows_sending(request, expected_ms as u64, slowest_ms, now_ms)
     }
 
     /// Returns whether a request has failed to connect to so many upstreams, for so long, that it isn't held
@@ -256,7 +264,7 @@
             return None;
         }
         let candidate = self.choose(request, random, now_ms)?;
-        if self.is_too_late_for(request, &candidate, now_ms) {
+        if self.is_too_late_to_send(request, candidate.expected_ms, now_ms) {
             return None;
         }
         let vm_count = self.vms.max_known_vm_count(now_ms);
--- a/crates/sedgepath-core/tests/direct_planned_stop.rs
+++ b/crates/sedgepath-core/tests/direct_planned_stop.rs
@@ -74,6 +74,24 @@
     assert_eq!(first_step(&mut vm, "/reads/1", stop.answered_by_ms - 1), REJECTED);
 }
 
+/// Guards against reads that are sent late because most responses are fast, although some take longer than the
+/// stop lasts.
+#[test]
+fn a_read_is_not_sent_if_the_slowest_response_took_longer_than_is_left() {
+    let mut vm = serving_vm("a1", "north-a", 1, 2);
+    let mut slow = begin_request(&mut vm, "/reads/1", "x", 0);
+    let NextStep::Send(attempt) = vm.next_step(&mut slow, 1, 0) else {
+        panic!("an upstream should be free");
+    };
+    let answered = AttemptOutcome::Answered { failed: false, report: None, body_bytes: 100 };
+    vm.record_outcome(&mut slow, attempt.upstream, answered, 2_500);
+    let stop = PlannedStop::new(2_500, GRACE_MS);
+    vm.begin_stop(stop);
+    assert_eq!(first_step(&mut vm, "/reads/1", stop.accepts_until_ms), REJECTED);
+    let next = first_step(&mut vm, "/reads/1", 2_501);
+    assert!(matches!(next, NextStep::Send(_)), "{next:?}");
+}
+
 /// Guards against a decision at the arrival of a request that is sent only after the stop has begun.
 #[test]
 fn a_charge_that_waits_when_the_stop_begins_is_not_sent_late() {
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -48,6 +48,17 @@
     },
 }
 
+impl Behaviour {
+    /// Returns the body of a successful response, of which `text` tells who sent it.
+    fn body(self, targeted: TargetedResponse, text: &str) -> String {
+        match self {
+            Self::LargeBody(bytes) | Self::SlowBody { bytes, .. } => "x".repeat(bytes),
+            Self::ByTarget => format!("{text} {}", "x".repeat(targeted.min_body_bytes)),
+            _ => text.into(),
+        }
+    }
+}
+
 /// What has no end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndlessPart {
@@ -371,13 +382,7 @@
             self.crash();
             return None;
         }
-        let body = match behaviour {
-            Behaviour::LargeBody(bytes) | Behaviour::SlowBody { bytes, .. } => "x".repeat(bytes),
-            Behaviour::ByTarget => {
-                format!("{attempt_id} at {name} {}", "x".repeat(targeted.min_body_bytes))
-            }
-            _ => format!("{attempt_id} at {name}"),
-        };
+        let body = behaviour.body(targeted, &format!("{attempt_id} at {name}"));
         let full_response = format!(
             "HTTP/1.1 200 OK\r\n{first_headers}X-Sedgepath-Attempt-Id: {attempt_id}\r\n\
              X-Sedgepath-Response-Signature: s.{attempt_id}\r\nX-Sedgepath-Backend-Load: 1,0,4\r\n\
