Keep a connection with a large response for slower callers

What callers saw: a caller that read its last response more than a second after the VM had ended its side, and sent a further request first, still lost the end of the response.

Cause: the connection was closed completely after a second without bytes, although the system might still have most of the response to send.

Change: that limit holds only if no response of the connection was larger than 8 KiB, which the caller's system receives without its reading; else it is five seconds.

--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -29,7 +29,10 @@
 use crate::direct::request_body::BodyRead;
 use crate::direct::responses::status_response;
 use crate::direct::shared::{SharedState, StopPhase};
-use crate::lingering_close::{LateBytes, LingerEnd};
+use crate::lingering_close::{LateBytes, LingerEnd, LingeringClose};
+
+/// The largest response that a caller's system receives although its caller doesn't read, in bytes.
+const MAX_SMALL_RESPONSE_BYTES: u64 = 8 * 1024;
 
 /// The bytes that are read ahead at once.
 const READ_AHEAD_CHUNK_BYTES: usize = 2 * 1024;
@@ -63,6 +66,8 @@
     /// The bytes of this connection that count towards the VM's limit.
     counted_bytes: usize,
     unwritten: Option<UnwrittenResponse>,
+    /// Whether a response may not have been received as its caller hasn't read it.
+    has_large_response: bool,
 }
 
 /// A response of which hyper hasn't written the last byte.
@@ -111,13 +116,19 @@
         state.unwritten.take_if(|response| response.is_complete);
     }
 
-    /// Records that hyper has written everything and closes the connection. Returns what becomes of bytes that
-    /// the caller still sends.
-    pub(super) fn begin_close(&self) -> LateBytes {
+    /// Records that hyper has written everything and closes the connection, and begins to wait until the caller
+    /// has it.
+    pub(super) fn begin_close(&self) -> LingeringClose {
         let mut state = self.state.borrow_mut();
         state.unwritten = None;
         // Callers may take further requests for unprocessed only as long as those are unread.
-        if state.stream.is_within_request() { LateBytes::Discard } else { LateBytes::LeaveUnread }
+        let late_bytes = if state.stream.is_within_request() {
+            LateBytes::Discard
+        } else {
+            LateBytes::LeaveUnread
+        };
+        let close = LingeringClose::new(late_bytes);
+        if state.has_large_response { close } else { close.with_received_response() }
     }
 
     /// Counts a connection that this VM has closed.
@@ -313,6 +324,8 @@
     fn end_turn(&self, response: &mut Response<Body>) -> bool {
         let mut state = self.state.borrow_mut();
         state.stream.record_answered();
+        let max_bytes = response.body().size_hint().upper();
+        state.has_large_response |= max_bytes.is_none_or(|bytes| bytes > MAX_SMALL_RESPONSE_BYTES);
         if response.extensions().get::<BodyRead>().is_some() {
             state.stream.record_body_read();
         }
--- a/crates/sedgepathd/src/lingering_close.rs
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -16,13 +16,12 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-/// How long a connection is kept on which nothing arrives after its sending side was closed: the other side
-/// reads the response and closes the connection.
-const MIN_LINGER: Duration = Duration::from_secs(1);
-
-/// How long a connection is kept at the most once bytes have arrived on it, so that closing it would reset it.
+/// How long a connection is kept at the most after its sending side was closed.
 const MAX_LINGER: Duration = Duration::from_secs(5);
 
+/// The same while nothing arrives, if the other side's system has certainly received the last response.
+const MIN_LINGER: Duration = Duration::from_secs(1);
+
 /// The bytes that are discarded at once.
 const DISCARD_CHUNK_BYTES: usize = 4 * 1024;
 
@@ -68,8 +67,22 @@
 }
 
 impl LingeringClose {
-    /// Closes the sending side of a connection unless `state` says that it is closed already, and polls why
-    /// the rest can be closed.
+    /// Creates the state of a connection whose sending side has just been closed.
+    pub fn new(late_bytes: LateBytes) -> Self {
+        let last_limit = Instant::now() + MAX_LINGER;
+        let limit = Box::pin(sleep_until(last_limit));
+        Self { late_bytes, has_arrived: false, last_limit, limit }
+    }
+
+    /// Shortens the time limit until bytes arrive, for a connection whose last response is certainly received.
+    #[must_use]
+    pub fn with_received_response(mut self) -> Self {
+        self.limit = Box::pin(sleep_until(Instant::now() + MIN_LINGER));
+        self
+    }
+
+    /// Closes the sending side of a connection, which begins its state unless that exists, and polls why the
+    /// rest can be closed.
     ///
     /// # Errors
     ///
@@ -78,25 +91,15 @@
         state: &mut Option<Self>,
         socket: &mut TcpStream,
         cx: &mut Context<'_>,
-        late_bytes: impl FnOnce() -> LateBytes,
+        begin: impl FnOnce() -> Self,
     ) -> Poll<io::Result<LingerEnd>> {
         if state.is_none() {
             ready!(Pin::new(&mut *socket).poll_shutdown(cx))?;
         }
-        let close = state.get_or_insert_with(|| Self::new(late_bytes()));
+        let close = state.get_or_insert_with(begin);
         close.poll_closable(socket, cx).map(Ok)
     }
 
-    fn new(late_bytes: LateBytes) -> Self {
-        let now = Instant::now();
-        Self {
-            late_bytes,
-            has_arrived: false,
-            last_limit: now + MAX_LINGER,
-            limit: Box::pin(sleep_until(now + MIN_LINGER)),
-        }
-    }
-
     fn poll_closable(&mut self, socket: &TcpStream, cx: &mut Context<'_>) -> Poll<LingerEnd> {
         while let Poll::Ready(ready) = socket.poll_read_ready(cx) {
             if ready.is_err() || self.handle_late_bytes(socket).is_break() {
@@ -195,7 +198,8 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let Self { socket, close } = &mut *self;
-        let closed = LingeringClose::poll_shutdown(close, socket, cx, || LateBytes::Discard);
+        let begin = || LingeringClose::new(LateBytes::Discard);
+        let closed = LingeringClose::poll_shutdown(close, socket, cx, begin);
         closed.map_ok(|_end| ())
     }
 }
--- a/crates/sedgepathd/tests/direct_stop.rs
+++ b/crates/sedgepathd/tests/direct_stop.rs
@@ -181,8 +181,8 @@
 /// The receive buffer of a caller that pauses in reading, in bytes.
 const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 
-/// The pause of a caller before it reads a response.
-const READING_PAUSE: Duration = Duration::from_millis(300);
+/// The pauses of callers before they read a response.
+const READING_PAUSES: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(1_400)];
 
 /// Guards against a stop that closes a connection with unread requests, so that the system resets it and
 /// discards the rest of the response before them.
@@ -192,7 +192,8 @@
     let mut callers: Vec<_> = (0..8)
         .map(|number| {
             let address = fixture.vm.caller_address;
-            thread::spawn(move || charge_ahead_until_closed(address, number))
+            let pause = READING_PAUSES[number % READING_PAUSES.len()];
+            thread::spawn(move || charge_ahead_until_closed(address, number, pause))
         })
         .collect();
     thread::sleep(Duration::from_secs(1));
@@ -203,7 +204,11 @@
 
 /// Sends charges, two ahead of the response that is read, until the VM closes the connection. Returns how
 /// many were served.
-fn charge_ahead_until_closed(address: std::net::SocketAddr, caller: usize) -> usize {
+fn charge_ahead_until_closed(
+    address: std::net::SocketAddr,
+    caller: usize,
+    pause: Duration,
+) -> usize {
     let mut connection =
         Connection::with_receive_buffer(address, RECEIVE_BUFFER_BYTES).expect("a connection");
     let send = |connection: &mut Connection, number: usize| {
@@ -215,7 +220,7 @@
     let mut served = 0;
     for number in 2.. {
         send(&mut connection, number);
-        thread::sleep(READING_PAUSE);
+        thread::sleep(pause);
         let Some(response) = connection.receive() else { break };
         served += usize::from(response.status == 200 && response.body.is_some());
     }
