Answer what a stopping VM has read, and read no more than that

What callers saw: of two charges that were sent one behind the other, the second was read by the VM before or during its stop and got no answer, so that its caller couldn't know that it hadn't run, nor repeat it.

Cause: a VM reads ahead to notice the end of a connection, and a stopping one closed the connection with the response to the request in progress, whatever it had read behind it. Class: work is accepted that its holder doesn't finish.

Change: a connection ends with the response to the last request that was started or read, and idle connections are closed only when nothing is left. While the VM stops it reads no further than to the end of a head or a body, by looking at the bytes first, so that what it doesn't answer stays unread.

Evidence: `a_charge_that_was_read_before_the_stop_is_answered` failed in two of two runs (200 with close, then nothing) and passes, as `direct_closing`, `direct_pipelining` and `direct_stop` do (17, 13 and 6 tests, one run).

--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -156,7 +156,7 @@
     let mut stop = shared.stop_phase.subscribe();
     let stopping = async {
         let _sender_lives = stop.wait_for(|phase| *phase >= StopPhase::Closing).await;
-        pipeline.wait_until_nothing_started().await;
+        pipeline.wait_until_nothing_begun().await;
     };
     if let Err(error) = serve_until_stopped(connection, &request_arrived, stopping).await {
         log::debug!("event=caller_connection_failed error={:?}", error.to_string());
--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -53,8 +53,8 @@
     caller: IpAddr,
     max_read_ahead_bytes: usize,
     state: RefCell<PipelineState>,
-    /// Notified when a response is ready and no request behind it has been started.
-    nothing_started: Notify,
+    /// Notified when no request behind the one in progress has been started or read.
+    nothing_begun: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -70,6 +70,13 @@
     has_large_response: bool,
 }
 
+impl PipelineState {
+    /// Returns whether no request behind the one in progress has been started, or read from the socket.
+    fn has_nothing_begun(&self) -> bool {
+        self.early.is_empty() && self.stream.buffered_bytes() == 0
+    }
+}
+
 /// A response of which hyper hasn't written the last byte.
 #[derive(Debug)]
 struct UnwrittenResponse {
@@ -106,7 +113,7 @@
             caller,
             max_read_ahead_bytes,
             state: RefCell::default(),
-            nothing_started: Notify::new(),
+            nothing_begun: Notify::new(),
         })
     }
 
@@ -155,6 +162,9 @@
         }
         buf.put_slice(&state.stream.take(buf.remaining()));
         self.count_buffered(&mut state);
+        if state.has_nothing_begun() {
+            self.nothing_begun.notify_one();
+        }
         true
     }
 
@@ -168,8 +178,17 @@
         length
     }
 
-    /// Returns whether more bytes may be read ahead: at least a chunk on each connection.
-    pub(super) fn has_room(&self) -> bool {
+    /// Returns how many of the next bytes hyper may get.
+    pub(super) fn passable_bytes(&self, bytes: &[u8]) -> usize {
+        self.state.borrow().stream.passable_bytes(bytes)
+    }
+
+    /// Returns whether more bytes may be read ahead: at least a chunk on each connection, none while the VM
+    /// stops.
+    pub(super) fn may_read_ahead(&self) -> bool {
+        if self.is_stopping() {
+            return false;
+        }
         let buffered_bytes = self.state.borrow().stream.buffered_bytes();
         let is_within_bounds = || {
             buffered_bytes < self.max_read_ahead_bytes
@@ -216,7 +235,7 @@
         }
     }
 
-    fn is_stopping(&self) -> bool {
+    pub(super) fn is_stopping(&self) -> bool {
         *self.shared.stop_phase.borrow() >= StopPhase::Leaving
     }
 
@@ -320,7 +339,7 @@
     }
 
     /// Lets hyper read the next request. While the VM stops, the connection ends with the response to
-    /// the last request that was started. Returns whether bytes are buffered.
+    /// the last request that was started or read. Returns whether bytes are buffered.
     fn end_turn(&self, response: &mut Response<Body>) -> bool {
         let mut state = self.state.borrow_mut();
         state.stream.record_answered();
@@ -332,8 +351,8 @@
         if let Some(unwritten) = &mut state.unwritten {
             unwritten.is_complete = response.body().size_hint().exact().is_some();
         }
-        if state.early.is_empty() {
-            self.nothing_started.notify_one();
+        if state.has_nothing_begun() {
+            self.nothing_begun.notify_one();
             if self.is_stopping() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -341,10 +360,10 @@
         state.stream.buffered_bytes() > 0
     }
 
-    /// Waits until no request behind the one in progress has been started.
-    pub async fn wait_until_nothing_started(&self) {
-        while !self.state.borrow().early.is_empty() {
-            self.nothing_started.notified().await;
+    /// Waits until no request behind the one in progress has been started or read.
+    pub async fn wait_until_nothing_begun(&self) {
+        while !self.state.borrow().has_nothing_begun() {
+            self.nothing_begun.notified().await;
         }
     }
 }
--- a/crates/sedgepathd/src/direct/pipelining/reader.rs
+++ b/crates/sedgepathd/src/direct/pipelining/reader.rs
@@ -11,6 +11,9 @@
 use super::pipeline::Pipeline;
 use crate::lingering_close::{LingeringClose, is_read_closed};
 
+/// The bytes that a stopping VM looks at before it reads them.
+const PEEK_BYTES: usize = 4 * 1024;
+
 /// A caller's connection. Reading passes the bytes on unchanged, up to the end of one request at a time.
 ///
 /// hyper reads also while a request is in progress, to notice that the caller has closed the connection.
@@ -31,7 +34,7 @@
 
     /// Reads ahead until the connection's end, which is ready; else stays pending.
     fn poll_read_ahead(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        while self.pipeline.has_room() {
+        while self.pipeline.may_read_ahead() {
             if self.socket.poll_read_ready(cx)?.is_pending() {
                 return Poll::Pending;
             }
@@ -42,7 +45,9 @@
                 Err(error) => return Poll::Ready(Err(error)),
             }
         }
-        // Beyond the bounds the end is noticed without reading the bytes before it, when hyper polls.
+        // Else the end is noticed without reading the bytes before it: at once if there are none, or when hyper
+        // polls.
+        ready!(self.socket.poll_read_ready(cx))?;
         if is_read_closed(&self.socket) { Poll::Ready(Ok(())) } else { Poll::Pending }
     }
 
@@ -57,12 +62,34 @@
         if self.pipeline.pass_buffered(buf) {
             return Poll::Ready(Ok(()));
         }
+        if self.pipeline.is_stopping() {
+            return self.poll_pass_request(cx, buf);
+        }
         let filled = buf.filled().len();
         ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
         let passed = self.pipeline.pass_directly(&buf.filled()[filled..]);
         buf.set_filled(filled + passed);
         Poll::Ready(Ok(()))
     }
+
+    /// Reads no further than to the end of a head or of a body, so that a request that isn't answered stays
+    /// unread.
+    fn poll_pass_request(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut chunk = [0; PEEK_BYTES];
+        let max_bytes = buf.remaining().min(PEEK_BYTES);
+        let mut peeked = ReadBuf::new(&mut chunk[..max_bytes]);
+        ready!(self.socket.poll_peek(cx, &mut peeked))?;
+        let length = self.pipeline.passable_bytes(peeked.filled());
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(length));
+        ready!(Pin::new(&mut self.socket).poll_read(cx, &mut part))?;
+        let passed = self.pipeline.pass_directly(part.filled());
+        buf.advance(passed);
+        Poll::Ready(Ok(()))
+    }
 }
 
 impl AsyncRead for PipelinedStream {
--- a/crates/sedgepathd/src/direct/pipelining/request_stream.rs
+++ b/crates/sedgepathd/src/direct/pipelining/request_stream.rs
@@ -121,6 +121,15 @@
         !(self.is_busy && matches!(self.position, Position::Head(_)))
     }
 
+    /// Returns how many of the next bytes hyper may get, without moving the position.
+    pub fn passable_bytes(&self, bytes: &[u8]) -> usize {
+        match self.position {
+            Position::Head(mut head_end) => head_end.find_in(bytes).unwrap_or(bytes.len()),
+            Position::Body { left } => usize::try_from(left).unwrap_or(usize::MAX).min(bytes.len()),
+            Position::BehindHead | Position::Unknown => bytes.len(),
+        }
+    }
+
     /// Returns how many bytes of a chunk hyper may get, which was read while nothing was buffered, and
     /// buffers the others.
     pub fn pass_directly(&mut self, chunk: &[u8], now_ms: u64) -> usize {
--- a/crates/sedgepathd/src/lingering_close.rs
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -6,7 +6,6 @@
 //! the connection, or after a time limit.
 
 use std::io::{self, IoSlice};
-use std::ops::ControlFlow;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -100,37 +99,47 @@
         close.poll_closable(socket, cx).map(Ok)
     }
 
-    fn poll_closable(&mut self, socket: &TcpStream, cx: &mut Context<'_>) -> Poll<LingerEnd> {
-        while let Poll::Ready(ready) = socket.poll_read_ready(cx) {
-            if ready.is_err() || self.handle_late_bytes(socket).is_break() {
-                return Poll::Ready(LingerEnd::Peer);
+    fn poll_closable(&mut self, socket: &mut TcpStream, cx: &mut Context<'_>) -> Poll<LingerEnd> {
+        loop {
+            match self.poll_late_bytes(socket, cx) {
+                Poll::Ready(Ok(1..)) => self.record_arrival(),
+                Poll::Ready(Ok(0) | Err(_)) => return Poll::Ready(LingerEnd::Peer),
+                Poll::Pending => break,
             }
         }
         ready!(self.limit.as_mut().poll(cx));
         Poll::Ready(if self.has_arrived { LingerEnd::LateBytes } else { LingerEnd::TimeLimit })
     }
 
-    /// Handles what has arrived; breaks at the connection's end.
-    fn handle_late_bytes(&mut self, socket: &TcpStream) -> ControlFlow<()> {
-        let has_arrived = match self.late_bytes {
-            LateBytes::Discard => match socket.try_read(&mut [0; DISCARD_CHUNK_BYTES]) {
-                Ok(1..) => true,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => false,
-                Ok(0) | Err(_) => return ControlFlow::Break(()),
-            },
+    /// Polls for bytes, and returns their number; 0 at the end of the connection.
+    fn poll_late_bytes(
+        &self,
+        socket: &mut TcpStream,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        let mut chunk = [0; DISCARD_CHUNK_BYTES];
+        let mut buf = ReadBuf::new(&mut chunk);
+        match self.late_bytes {
+            LateBytes::Discard => {
+                ready!(Pin::new(socket).poll_read(cx, &mut buf))?;
+                Poll::Ready(Ok(buf.filled().len()))
+            }
             LateBytes::LeaveUnread => {
+                let length = ready!(socket.poll_peek(cx, &mut buf))?;
                 if is_read_closed(socket) {
-                    return ControlFlow::Break(());
+                    return Poll::Ready(Ok(0));
                 }
                 await_next_event(socket);
-                true
+                Poll::Ready(Ok(length))
             }
-        };
-        if has_arrived && !self.has_arrived {
+        }
+    }
+
+    fn record_arrival(&mut self) {
+        if !self.has_arrived {
             self.has_arrived = true;
             self.limit.as_mut().reset(self.last_limit);
         }
-        ControlFlow::Continue(())
     }
 }
 
--- a/crates/sedgepathd/tests/direct_stop.rs
+++ b/crates/sedgepathd/tests/direct_stop.rs
@@ -141,6 +141,28 @@
     assert_eq!(1 + served, fixture.runs());
 }
 
+/// Guards against a charge that a VM has read behind another one before its stop and doesn't answer: its caller
+/// can't know that it didn't run.
+#[test]
+fn a_charge_that_was_read_before_the_stop_is_answered() {
+    let fixture = Fixture::new("4000ms", Behaviour::DelayedByTarget);
+    let mut connection = Connection::new(fixture.vm.caller_address).expect("a connection");
+    connection.send("POST", "/charges/1?1500", "first", CHARGE_DEADLINE_MS).expect("a request");
+    connection.send("POST", "/charges/1?100", "behind", CHARGE_DEADLINE_MS).expect("a request");
+    wait_for("the first run", || fixture.runs() == 1);
+    thread::sleep(CALLER_DELAY);
+
+    fixture.vm.terminate();
+    let mut receive = || {
+        let response = connection.receive()?;
+        Some((response.status, response.headers.contains_key("connection")))
+    };
+
+    assert_eq!([receive(), receive()], [Some((200, false)), Some((200, true))]);
+    assert_eq!(receive(), None);
+    assert_eq!(fixture.runs(), 2);
+}
+
 /// Guards against a charge that ends with a stop without a trace of how.
 #[test]
 fn a_charge_that_a_stop_ends_has_its_log_line() {
