Tell callers that a request may run when its node ends

What callers saw: 503 with `sedgepath-outcome: not_run` for a request that an upstream was running, when a second SIGTERM ended its VM at once. A caller may send such a request once more.

Cause: the task of a request took the end of its node for a proof that the request wasn't run, whether or not an attempt had been started. The same was said to a peer that had forwarded a request to its ticket's home, and of a task that had failed.

Change: once an attempt was started the outcome is *unknown* (504). Otherwise the rule for other outcomes holds: *not run* without a key or ticket, or for attempt 1. Both now carry the time to retry after.

That a task begins no attempt after its node's end follows from the code, as only the node's actions begin one. The answers to peers and of a failed task have no test of their own.

--- a/crates/sedgepath-core/src/deduplication.rs
+++ b/crates/sedgepath-core/src/deduplication.rs
@@ -272,6 +272,18 @@
     }
 }
 
+/// Returns the outcome of a request whose node has ended before it started an attempt.
+///
+/// Without a key or ticket no other attempt belongs to the request, so it was certainly not run.
+pub fn node_ended(head: &RequestHead) -> Outcome {
+    match head.deduplication {
+        Deduplication::Repeatable => not_run(RejectionReason::NotReady),
+        Deduplication::Key(_) | Deduplication::Ticket(_) => {
+            unsettled(head.attempt, RejectionReason::NotReady)
+        }
+    }
+}
+
 fn conclude(request: RequestKey, outcome: Outcome, out: &mut Outbox) {
     out.push(Action::Conclude { request, outcome });
 }
--- a/crates/sedgepath-core/tests/claims.rs
+++ b/crates/sedgepath-core/tests/claims.rs
@@ -6,6 +6,7 @@
 
 use once_callers::{kill_nodes_in_turn, pause_two_nodes, run_actions};
 use once_support::{Verdict, assert_holds, bed, evaluate, head, settle};
+use sedgepath_core::deduplication;
 use sedgepath_core::hash::Digest;
 use sedgepath_core::request::{Deduplication, Outcome};
 use sedgepath_test_support::bed::{CallResult, TestBed};
@@ -301,3 +302,17 @@
     let commits = bed.table_commits - commits_before;
     assert!(commits <= 40, "{commits} transactions");
 }
+
+/// Guards against a caller that is told *not run* by a node that has ended, although an earlier attempt
+/// may have run.
+#[test]
+fn a_node_that_ends_says_not_run_only_of_first_attempts() {
+    let bed = bed(15);
+    let is_not_run = |key, attempt| {
+        matches!(deduplication::node_ended(&head(&bed, key, attempt)), Outcome::NotRun { .. })
+    };
+    assert!(is_not_run(key(0), 1));
+    assert!(!is_not_run(key(0), 0));
+    assert!(!is_not_run(key(0), 2));
+    assert!(is_not_run(Deduplication::Repeatable, 0));
+}
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -313,9 +313,6 @@
                 append_headers(&mut response, &fields);
                 response
             }
-            RequestResult::Stopping => {
-                rejection_response(StatusCode::SERVICE_UNAVAILABLE, "not_ready")
-            }
         }
     }
 
--- a/crates/sedgepathd/src/callers/request_task.rs
+++ b/crates/sedgepathd/src/callers/request_task.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use sedgepath_core::deduplication;
 use sedgepath_core::event::{Action, Event};
 use sedgepath_core::key::RequestKey;
 use sedgepath_core::request::{Deduplication, HopFailure, Outcome, RequestHead};
@@ -16,9 +17,12 @@
 use crate::hop::{HopRequest, HopTarget};
 use crate::reply::{Reply, UpstreamResponse};
 
-/// The delay before a retry that is suggested to a caller whose response body was aborted, in
-/// milliseconds.
-const ABORTED_RESPONSE_RETRY_AFTER_MS: u64 = 500;
+/// The delay before a retry that is suggested to a caller whose request may have run, in milliseconds.
+const UNKNOWN_RETRY_AFTER_MS: u64 = 500;
+
+/// The outcome of a request that may have run.
+const UNKNOWN: RequestResult =
+    RequestResult::Outcome(Outcome::Unknown { retry_after_ms: UNKNOWN_RETRY_AFTER_MS });
 
 /// The result of processing a request.
 pub(super) enum RequestResult {
@@ -42,8 +46,6 @@
         /// The body.
         body: Bytes,
     },
-    /// The process is stopping, and the node processes no more requests.
-    Stopping,
 }
 
 /// A request in flight, with its attempts and their replies.
@@ -58,6 +60,7 @@
     attempt_replies: mpsc::UnboundedReceiver<(u32, Reply)>,
     attempt_tasks: HashMap<u32, JoinHandle<()>>,
     responses: HashMap<u32, Box<UpstreamResponse>>,
+    has_started_attempt: bool,
     outcome_decided: bool,
 }
 
@@ -93,6 +96,7 @@
             attempt_replies,
             attempt_tasks: HashMap::new(),
             responses: HashMap::new(),
+            has_started_attempt: false,
             outcome_decided: false,
         }
     }
@@ -105,7 +109,10 @@
         if self.head.deduplication == Deduplication::Repeatable {
             return self.run().await;
         }
-        tokio::spawn(self.run()).await.unwrap_or(RequestResult::Stopping)
+        tokio::spawn(self.run()).await.unwrap_or_else(|error| {
+            log::error!("event=request_task_failed error={:?}", error.to_string());
+            UNKNOWN
+        })
     }
 
     async fn run(mut self) -> RequestResult {
@@ -122,7 +129,7 @@
                         return RequestResult::Outcome(outcome);
                     }
                     Some(action) => self.handle_action(action),
-                    None => return RequestResult::Stopping,
+                    None => return self.node_ended_result(),
                 },
                 Some((attempt, reply)) = self.attempt_replies.recv() => {
                     // Dropping `self` reports the request as disconnected, so the node forgets it.
@@ -135,6 +142,14 @@
         }
     }
 
+    /// Returns the result of a request whose node has ended. An attempt that was started may run.
+    fn node_ended_result(&self) -> RequestResult {
+        if self.has_started_attempt {
+            return UNKNOWN;
+        }
+        RequestResult::Outcome(deduplication::node_ended(&self.head))
+    }
+
     async fn finish_with_response(mut self, response: UpstreamResponse) -> RequestResult {
         self.outcome_decided = true;
         let request = self.request;
@@ -153,9 +168,7 @@
             }
             Collected::Aborted => {
                 self.callers.handle.send_event(relay_ended(false, None));
-                RequestResult::Outcome(Outcome::Unknown {
-                    retry_after_ms: ABORTED_RESPONSE_RETRY_AFTER_MS,
-                })
+                UNKNOWN
             }
         }
     }
@@ -192,6 +205,7 @@
     }
 
     fn start_attempt(&mut self, attempt: u32, target: HopTarget, operation: PeerOperation) {
+        self.has_started_attempt = true;
         let callers = &self.callers;
         let id =
             ExchangeId { ingress: callers.vm, boot: callers.boot, request: self.request, attempt };
