Let a stopping owner wait for its responses to other VMs

What callers saw: a large response that came by way of another VM was cut when the upstream's owner was stopped.

Cause: a call counts as in flight until its body has been read from the upstream. The end of the process waited for callers' connections only, so that what was still being sent to a peer was lost.

Change: a peer's request is counted until the last byte of its reply is written, and the stop waits for it, within the limit for callers.

--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -22,6 +22,7 @@
 use signal_hook::iterator::Signals;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
 
 use crate::callers::CallerServer;
 use crate::datagrams;
@@ -30,6 +31,7 @@
 use crate::hop::HopClient;
 use crate::logging;
 use crate::metrics::{self, Metrics};
+use crate::open_count::OpenCount;
 use crate::operators::{self, OperatorServer};
 use crate::peers::PeerServer;
 use crate::settings::Settings;
@@ -39,8 +41,8 @@
 use crate::ticket_handover;
 use crate::upstreams::UpstreamPool;
 
-/// The maximum time that callers have to read the rest of their responses at a planned stop.
-const CALLER_DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
+/// The maximum time that callers and peers have to read the rest of their responses at a planned stop.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Runs the daemon until SIGTERM or SIGINT has stopped it.
 ///
@@ -107,6 +109,7 @@
         SharedKey::new(&settings.secret, "tickets"),
     );
     let peers = PeerServer::new(frame_key, runner, Arc::clone(&callers), metrics);
+    let peer_requests = peers.open_requests();
 
     let call_key = signed_call::derive_call_key(&settings.secret);
     let operator_keys = settings.operator_keys.iter().map(|key| &**key);
@@ -144,12 +147,10 @@
         log::error!("event=node_thread_panicked");
     }
     stopping.store(true, Ordering::Relaxed);
-    // The node has finished all requests, but callers may not have read the last bytes yet.
+    // The node has finished all requests, but callers and peers may not have read the last bytes yet.
     let _receiver_gone = stop_callers.send(true);
     runtime.block_on(async {
-        if tokio::time::timeout(CALLER_DRAIN_TIMEOUT, caller_server_task).await.is_err() {
-            log::warn!("event=caller_connections_cut");
-        }
+        drain(caller_server_task, &peer_requests).await;
         if store.remove(store::VM_TABLE, &settings.name).await.is_err() {
             log::warn!("event=vm_still_listed");
         }
@@ -157,6 +158,14 @@
     Ok(())
 }
 
+/// Waits for a limited time until callers and peers have got their responses.
+async fn drain(caller_server_task: JoinHandle<()>, peer_requests: &OpenCount) {
+    let drained = async { tokio::join!(caller_server_task, peer_requests.wait_until_none()) };
+    if tokio::time::timeout(DRAIN_TIMEOUT, drained).await.is_err() {
+        log::warn!("event=connections_cut peer_requests={}", peer_requests.get());
+    }
+}
+
 /// Resolves the address of the store from its URL, `http://HOST:PORT`.
 fn resolve_store_address(url: &str) -> Result<SocketAddr, StartError> {
     let failed = |source| StartError::StoreAddress { url: url.into(), source };
--- a/crates/sedgepathd/src/lib.rs
+++ b/crates/sedgepathd/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod lingering_close;
 pub mod logging;
 pub mod metrics;
+pub mod open_count;
 pub mod operators;
 pub mod peers;
 pub mod reply;
--- a/crates/sedgepathd/src/peers.rs
+++ b/crates/sedgepathd/src/peers.rs
@@ -15,6 +15,7 @@
 use crate::callers::CallerServer;
 use crate::dispatch::DispatchRunner;
 use crate::metrics::Metrics;
+use crate::open_count::OpenCount;
 use crate::reply::{Reply, UpstreamResponse};
 use crate::ticket_handover;
 
@@ -34,6 +35,7 @@
     exchanges: DispatchRunner,
     callers: Arc<CallerServer>,
     metrics: Arc<Metrics>,
+    open_requests: OpenCount,
 }
 
 impl PeerServer {
@@ -44,7 +46,12 @@
         callers: Arc<CallerServer>,
         metrics: Arc<Metrics>,
     ) -> Arc<Self> {
-        Arc::new(Self { key, exchanges, callers, metrics })
+        Arc::new(Self { key, exchanges, callers, metrics, open_requests: OpenCount::new() })
+    }
+
+    /// Returns the count of peers' requests whose replies aren't completely written.
+    pub fn open_requests(&self) -> OpenCount {
+        self.open_requests.clone()
     }
 
     /// Accepts connections until the process ends.
@@ -78,6 +85,7 @@
                 return Err(FrameError::UnexpectedFrame);
             };
             let body = with_timeout(receive_body(&mut stream, &head)).await?;
+            let _open = self.open_requests.open();
             self.handle_request(&mut stream, id, purpose, head, body).await?;
         }
     }
--- a/crates/sedgepathd/tests/stop.rs
+++ b/crates/sedgepathd/tests/stop.rs
@@ -243,3 +243,52 @@
     assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
     assert_eq!((body_bytes, error), (UNREAD_RESPONSE_BYTES, None));
 }
+
+/// The size of a response that doesn't fit into the buffers between a daemon and a caller by way of
+/// another daemon.
+const FORWARDED_RESPONSE_BYTES: usize = 20_000_000;
+
+/// The bytes that a slow caller reads at once.
+const SLOW_READ_BYTES: usize = 50_000;
+
+/// The time between two reads of a slow caller.
+const SLOW_READ_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Reads slowly to the end of the connection or the expected number of bytes; returns the bytes read.
+fn read_slowly(connection: &mut TcpStream, expected_bytes: usize) -> usize {
+    let mut chunk = vec![0; SLOW_READ_BYTES];
+    let mut total_bytes = 0;
+    while total_bytes < expected_bytes {
+        let Ok(bytes @ 1..) = connection.read(&mut chunk) else { break };
+        total_bytes += bytes;
+        thread::sleep(SLOW_READ_INTERVAL);
+    }
+    total_bytes
+}
+
+/// Guards against a response to another daemon that is cut by the end of the process, because only the
+/// responses to callers are waited for.
+#[test]
+fn a_response_that_a_stopping_owner_sends_to_an_ingress_is_whole() {
+    let upstream = UpstreamStandIn::new(UpstreamConfig::new(40)).expect("upstream");
+    let spec = UpstreamSpec::new("b1", "south-a", 40).with_address(upstream.addr());
+    let records = records::one_service("browse", 10_000, &[spec], &["south-a"]);
+    let system = DaemonCluster::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+    let system = system.with_settings("timing: {look_up_valid_ms: 100}\n");
+    let system = system.with_daemons(&records, &[("n1", "north-a"), ("s1", "south-a")]);
+    let mut system = system.expect("daemons");
+    assert!(system.wait_until_all_serve(|entry, _| is_answered(entry, "/ready")));
+    let mut connection =
+        TcpStream::connect(system.caller_addresses()[INGRESS]).expect("connection");
+    connection.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+
+    let request = format!(
+        "GET /v1/call/browse/large/{FORWARDED_RESPONSE_BYTES} HTTP/1.1\r\nHost: vm\r\n\r\n"
+    );
+    connection.write_all(request.as_bytes()).expect("the request is sent");
+    connection.peek(&mut [0]).expect("a response");
+    system.daemons[OWNER].as_mut().expect("a daemon").signal(Signal::Term).expect("SIGTERM");
+    let read_bytes = read_slowly(&mut connection, FORWARDED_RESPONSE_BYTES);
+
+    assert!(read_bytes >= FORWARDED_RESPONSE_BYTES, "{read_bytes}");
+}
