Name the requests that the end of a node cuts off

Cause: no line named a request whose node ended before it had an outcome.

The line has no bound on its number but that of connections. The counts at each phase of the stop are still to be added.

--- a/crates/sedgepathd/src/callers/request_task.rs
+++ b/crates/sedgepathd/src/callers/request_task.rs
@@ -12,8 +12,8 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
-use super::CallerServer;
 use super::collect::{Collected, collect};
+use super::{CallerServer, REQUEST_ID_HEADER};
 use crate::hop::{HopRequest, HopTarget};
 use crate::reply::{Reply, UpstreamResponse};
 
@@ -60,7 +60,8 @@
     attempt_replies: mpsc::UnboundedReceiver<(u32, Reply)>,
     attempt_tasks: HashMap<u32, JoinHandle<()>>,
     responses: HashMap<u32, Box<UpstreamResponse>>,
-    has_started_attempt: bool,
+    attempt_count: u32,
+    arrived_at_ms: u64,
     outcome_decided: bool,
 }
 
@@ -83,6 +84,7 @@
         http: HttpRequestHead,
         body: Bytes,
     ) -> Self {
+        let arrived_at_ms = callers.handle.clock().now_ms();
         let (request, actions) = callers.handle.start_request(head.clone());
         let (attempt_sender, attempt_replies) = mpsc::unbounded_channel();
         Self {
@@ -96,7 +98,8 @@
             attempt_replies,
             attempt_tasks: HashMap::new(),
             responses: HashMap::new(),
-            has_started_attempt: false,
+            attempt_count: 0,
+            arrived_at_ms,
             outcome_decided: false,
         }
     }
@@ -144,12 +147,25 @@
 
     /// Returns the result of a request whose node has ended. An attempt that was started may run.
     fn node_ended_result(&self) -> RequestResult {
-        if self.has_started_attempt {
+        self.log_abandoned();
+        if self.attempt_count > 0 {
             return UNKNOWN;
         }
         RequestResult::Outcome(deduplication::node_ended(&self.head))
     }
 
+    fn log_abandoned(&self) {
+        let id = self.http.fields.iter().find(|(name, _)| &**name == REQUEST_ID_HEADER);
+        let id = id.map_or_else(|| "none".into(), |(_, id)| String::from_utf8_lossy(id));
+        let now_ms = self.callers.handle.clock().now_ms();
+        log::info!(
+            "event=abandoned request={id:?} reason=process_ended service={:?} sendings={} took_ms={}",
+            self.head.service,
+            self.attempt_count,
+            now_ms.saturating_sub(self.arrived_at_ms),
+        );
+    }
+
     async fn finish_with_response(mut self, response: UpstreamResponse) -> RequestResult {
         self.outcome_decided = true;
         let request = self.request;
@@ -205,7 +221,7 @@
     }
 
     fn start_attempt(&mut self, attempt: u32, target: HopTarget, operation: PeerOperation) {
-        self.has_started_attempt = true;
+        self.attempt_count += 1;
         let callers = &self.callers;
         let id =
             ExchangeId { ingress: callers.vm, boot: callers.boot, request: self.request, attempt };
