Wait for a cut by the whole line of its metric

Cause: the tests' wait for a VM to notice that it is cut off looked for `sedgepath_cut_off 1` anywhere in the metrics; the metric's help text begins with the same words, so that the wait always ended at once.

Change: the whole line has to match.

--- a/crates/sedgepathd/tests/direct_cuts.rs
+++ b/crates/sedgepathd/tests/direct_cuts.rs
@@ -93,6 +93,12 @@
     caller::get(vm.metrics_address, "/metrics").map_or_else(String::new, |page| page.text())
 }
 
+/// Returns whether a VM has noticed that it reaches no upstream.
+fn is_cut_off(vm: &Vm) -> bool {
+    // The metric's help text contains its name and a number, too.
+    metrics(vm).lines().any(|line| line == "sedgepath_cut_off 1")
+}
+
 /// Sends first tries on new connections, every second one not idempotent, one each 20 ms; returns how
 /// many were served.
 fn served_first_tries(address: SocketAddr, name: &str, count: usize) -> usize {
@@ -163,7 +169,7 @@
         let vm = &site.vms[usize::from(*number) - 1];
         let address = vm.caller_address;
         let traffic = std::thread::spawn(move || served_first_tries(address, "notice", 20));
-        wait_for("noticing the cut", || metrics(vm).contains("sedgepath_cut_off 1"));
+        wait_for("noticing the cut", || is_cut_off(vm));
         traffic.join().expect("callers");
     }
 }
@@ -430,7 +436,7 @@
     wait_for("noticing the cut", || {
         number += 1;
         drop(caller::request(address, "GET", "/open/1", &format!("open-{number}")));
-        metrics(&site.vms[0]).contains("sedgepath_cut_off 1")
+        is_cut_off(&site.vms[0])
     });
     let during = served_within_quota(address, "during");
     // Half as many would be served if both VMs took the quota.
--- a/crates/sedgepathd/tests/stop_under_load.rs
+++ b/crates/sedgepathd/tests/stop_under_load.rs
@@ -282,7 +282,7 @@
     wait_for("noticing the cut", || {
         // Requests on the way show the cut.
         let _response = caller::request(vm.caller_address, "GET", "/reads/1?0,0", "notice");
-        metrics(vm).contains("sedgepath_cut_off 1")
+        metrics(vm).lines().any(|line| line == "sedgepath_cut_off 1")
     });
 }
 
