Shut down connections of other VMs that ended with an error

Cause: hyper shuts down only connections that end without an error, and the control server dropped the others.

Change: the control server does what callers' connections do after an error; the shutdown is a function of its own.

--- a/crates/sedgepathd/src/caller_connection.rs
+++ b/crates/sedgepathd/src/caller_connection.rs
@@ -23,7 +23,7 @@
 ///
 /// Fails if the connection breaks off or what the caller sends isn't valid HTTP.
 pub async fn serve_until_stopped<I, S, B>(
-    connection: Connection<I, S>,
+    mut connection: Connection<I, S>,
     request_arrived: &Notify,
     stopping: impl Future<Output = ()>,
 ) -> hyper::Result<()>
@@ -39,7 +39,6 @@
         // The connection is closed in either case.
         let _elapsed = tokio::time::timeout(FIRST_REQUEST_WAIT, request_arrived.notified()).await;
     };
-    let mut connection = connection;
     let ended = tokio::select! {
         result = &mut connection => Some(result),
         () = closing => None,
@@ -51,9 +50,14 @@
         (&mut connection).await
     };
     if result.is_err() {
-        // hyper may have sent a response, but shuts the connection down only if it ends without an error.
-        let mut io = connection.into_parts().io;
-        let _best_effort = poll_fn(|cx| Pin::new(&mut io).poll_shutdown(cx)).await;
+        shut_down(connection.into_parts().io).await;
     }
     result
 }
+
+/// Shuts a connection down that ended with an error: hyper may have sent a response to what it didn't accept,
+/// but shuts down only connections that end without an error.
+pub async fn shut_down(mut io: impl Write + Unpin) {
+    // The connection may have failed.
+    let _best_effort = poll_fn(|cx| Pin::new(&mut io).poll_shutdown(cx)).await;
+}
--- a/crates/sedgepathd/src/direct/control_server.rs
+++ b/crates/sedgepathd/src/direct/control_server.rs
@@ -16,6 +16,7 @@
 use super::attempt::bytes_body;
 use super::connection_pool::Body;
 use super::shared::SharedState;
+use crate::caller_connection::shut_down;
 use crate::lingering_close::LingeringStream;
 
 /// Timeout of an idle connection and of receiving a request's head.
@@ -49,12 +50,13 @@
         let response = handler(Rc::clone(shared), request);
         async move { Ok::<_, Infallible>(response.await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
-    if let Err(error) = connection.await {
+    if let Err(error) = (&mut connection).await {
         log::debug!("event=question_connection_failed error={:?}", error.to_string());
+        shut_down(connection.into_parts().io).await;
     }
 }
 
