Count responses to other VMs as peers' requests are counted

Change: `OpenCount`, which the owned way has for requests of peers, replaces a counter made of references. No change of behaviour.

--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::{Body as _, Incoming};
@@ -210,8 +209,7 @@
     if *shared.stop_phase.borrow() >= StopPhase::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    let count = Arc::clone(&shared.forwarded_responses);
-    response.map(|body| CountedBody::new(body, count).boxed())
+    response.map(|body| CountedBody::new(body, shared.forwarded_responses.open()).boxed())
 }
 
 /// Handles a request and counts it as in flight until its response is ready.
--- a/crates/sedgepathd/src/direct/response_body.rs
+++ b/crates/sedgepathd/src/direct/response_body.rs
@@ -14,6 +14,7 @@
 use super::clock;
 use super::connection_pool::{Body, BodyError, Connection};
 use super::shared::SharedState;
+use crate::open_count::OpenGuard;
 
 /// Responses up to this size are buffered completely before the caller gets the first byte, so that
 /// a truncated one can be replaced by another upstream's.
@@ -217,14 +218,13 @@
 #[derive(Debug)]
 pub struct CountedBody {
     body: Body,
-    /// One reference more while the body exists.
-    _count: Arc<()>,
+    _guard: OpenGuard,
 }
 
 impl CountedBody {
-    /// Creates a body that is counted by the references to `count`.
-    pub fn new(body: Body, count: Arc<()>) -> Self {
-        Self { body, _count: count }
+    /// Creates a body that a guard counts.
+    pub fn new(body: Body, guard: OpenGuard) -> Self {
+        Self { body, _guard: guard }
     }
 
     /// Returns the body with its type erased.
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -31,6 +31,7 @@
 use super::response_body::BodyEnds;
 use super::response_memory::ResponseMemory;
 use super::table_server::{self, TableServer};
+use crate::open_count::OpenCount;
 
 /// The state that all tasks of a VM share.
 #[derive(Debug)]
@@ -103,8 +104,8 @@
     pub pipeline_bounds: Rc<PipelineBounds>,
     /// The number of callers' open connections.
     pub open_connections: Cell<usize>,
-    /// Held by each response to another VM until its body has been passed on.
-    pub forwarded_responses: Arc<()>,
+    /// The responses to other VMs whose bodies haven't been passed on.
+    pub forwarded_responses: OpenCount,
     /// The phase of a planned stop, which callers' connections watch.
     pub stop_phase: tokio::sync::watch::Sender<StopPhase>,
 }
@@ -208,7 +209,7 @@
             body_ends: Arc::default(),
             pipeline_bounds,
             open_connections: Cell::new(0),
-            forwarded_responses: Arc::default(),
+            forwarded_responses: OpenCount::new(),
             stop_phase: tokio::sync::watch::Sender::new(StopPhase::Serving),
         })
     }
@@ -252,7 +253,7 @@
     pub fn is_idle(&self) -> bool {
         self.in_flight_requests.get() == 0
             && self.open_connections.get() == 0
-            && Arc::strong_count(&self.forwarded_responses) == 1
+            && self.forwarded_responses.get() == 0
     }
 
     /// Returns whether the process ends.
