Name and explain what a newcomer to the change stumbled on

Change, after a read-through of the whole diff: names of phases, times and waits say what they are; `response_cut` is noted of requests that have a response only, and the headers are parsed once; a request whose early start isn't used is `canceled`, not `disconnected`; the owned way logs `gave_up reason=process_ended` for requests that do get a response; its drain lasts longer than connections linger; a `STOP_SEEDS` that can't be read fails. The pages say where reading behind a chunked body, the closing of other connections and the slowest response differ.

--- a/crates/sedgepath-core/src/deduplication.rs
+++ b/crates/sedgepath-core/src/deduplication.rs
@@ -272,7 +272,7 @@
     }
 }
 
-/// Returns the outcome of a request whose node has ended before it started an attempt.
+/// Returns the outcome of a request of which this node had started no attempt when it ended.
 ///
 /// Without a key or ticket no other attempt belongs to the request, so it was certainly not run.
 pub fn node_ended(head: &RequestHead) -> Outcome {
--- a/crates/sedgepath-core/src/direct/planned_stop.rs
+++ b/crates/sedgepath-core/src/direct/planned_stop.rs
@@ -10,16 +10,16 @@
 /// for 3 s, and other VMs name this one until they have heard of its stop.
 const ACCEPT_MS: u64 = 3_100;
 
-/// How long before the end of the grace period the process ends, in milliseconds.
+/// How long before the end of the grace period the process ends at the latest, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 150;
 
-/// The time for writing the last responses before the process ends, in milliseconds.
+/// The time for writing those responses, in milliseconds.
 const WRITE_MARGIN_MS: u64 = 350;
 
 /// The multiple of its expected time that an idempotent request must have left.
 const EXPECTED_TIME_FACTOR: u64 = 2;
 
-/// The same for the time of the service's slowest response lately, in percent.
+/// The share of the service's slowest recent response time that such a request must have left, in percent.
 const SLOWEST_TIME_PERCENT: u64 = 125;
 
 /// The times of a planned stop.
@@ -27,8 +27,8 @@
 pub struct PlannedStop {
     /// Until when connections are accepted, in milliseconds.
     pub accepts_until_ms: u64,
-    /// When the requests in flight are ended by responses of this VM, in milliseconds.
-    pub answered_by_ms: u64,
+    /// When the requests still in flight are ended by responses of this VM, in milliseconds.
+    pub requests_end_at_ms: u64,
     /// When the process ends at the latest, in milliseconds.
     pub ends_at_ms: u64,
 }
@@ -38,20 +38,20 @@
     /// milliseconds.
     pub fn new(now_ms: u64, grace_ms: u64) -> Self {
         let ends_at_ms = now_ms + grace_ms.saturating_sub(EXIT_MARGIN_MS);
-        let answered_by_ms = ends_at_ms.saturating_sub(WRITE_MARGIN_MS).max(now_ms);
-        let accepts_until_ms = answered_by_ms.min(now_ms + ACCEPT_MS);
-        Self { accepts_until_ms, answered_by_ms, ends_at_ms }
+        let requests_end_at_ms = ends_at_ms.saturating_sub(WRITE_MARGIN_MS).max(now_ms);
+        let accepts_until_ms = requests_end_at_ms.min(now_ms + ACCEPT_MS);
+        Self { accepts_until_ms, requests_end_at_ms, ends_at_ms }
     }
 
-    /// Returns whether a request may be sent somewhere: it has its response in time whatever its upstream does,
-    /// or its caller may repeat it.
-    pub fn allows(self, request: &RequestState) -> bool {
+    /// Returns whether a request may be sent at all: it has its response in time whatever its upstream does, or
+    /// its caller may repeat it.
+    pub fn may_ever_send(self, request: &RequestState) -> bool {
         self.has_time_until_deadline(request) || request.route.kind.may_retry()
     }
 
-    /// Returns whether a request may be sent now that is expected to take a time in milliseconds, and whose
-    /// service's slowest response took another.
-    pub fn allows_sending(
+    /// Returns whether a request may be sent now. `expected_ms` is the time that it is expected to take,
+    /// `slowest_ms` that of its service's slowest recent response.
+    pub fn may_send_now(
         self,
         request: &RequestState,
         expected_ms: u64,
@@ -61,12 +61,12 @@
         let needed_ms = expected_ms
             .saturating_mul(EXPECTED_TIME_FACTOR)
             .max(slowest_ms.saturating_mul(SLOWEST_TIME_PERCENT) / 100);
-        let is_expected_in_time = now_ms.saturating_add(needed_ms) <= self.answered_by_ms;
+        let is_expected_in_time = now_ms.saturating_add(needed_ms) <= self.requests_end_at_ms;
         self.has_time_until_deadline(request)
             || (request.route.kind.may_retry() && is_expected_in_time)
     }
 
     fn has_time_until_deadline(self, request: &RequestState) -> bool {
-        request.deadline_at_ms <= self.answered_by_ms
+        request.deadline_at_ms <= self.requests_end_at_ms
     }
 }
--- a/crates/sedgepath-core/src/direct/steering/learning.rs
+++ b/crates/sedgepath-core/src/direct/steering/learning.rs
@@ -89,9 +89,10 @@
         }
     }
 
-    /// Records the time since a request of a service was sent, in milliseconds, as that of a response.
-    pub(super) fn record_response_time(&mut self, service: &str, sent_at_ms: u64, now_ms: u64) {
-        let took_ms = now_ms.saturating_sub(sent_at_ms);
+    /// Records the time since a moment, in milliseconds, as that of a response of a service.
+    pub(super) fn record_response_time(&mut self, service: &str, since_ms: u64, now_ms: u64) {
+        let took_ms = now_ms.saturating_sub(since_ms);
+        // Avoids copying the name for each response.
         if let Some(slowest) = self.slowest_responses.get_mut(service) {
             slowest.record(took_ms, now_ms);
             return;
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -80,7 +80,7 @@
                 request,
             );
         }
-        if self.planned_stop.is_some_and(|stop| !stop.allows(request)) {
+        if self.planned_stop.is_some_and(|stop| !stop.may_ever_send(request)) {
             return reject_or_give_up(RejectionReason::Stopping, 0, request);
         }
         if let Some(rejection) = request.neighbour_rejection {
@@ -151,8 +151,8 @@
         self.start_attempt(request, candidate, now_ms)
     }
 
-    /// Returns whether a planned stop may end before a request has its response that is sent now and expected to
-    /// take a time in milliseconds.
+    /// Returns whether a planned stop may end before a request that is sent now, and is expected to take
+    /// `expected_ms`, has its response.
     pub(super) fn is_too_late_to_send(
         &self,
         request: &RequestState,
@@ -162,7 +162,7 @@
         let Some(stop) = self.planned_stop else { return false };
         let slowest = self.slowest_responses.get(&request.service);
         let slowest_ms = slowest.map_or(0, |slowest| slowest.longest_ms(now_ms));
-        !stop.allows_sending(request, expected_ms as u64, slowest_ms, now_ms)
+        !stop.may_send_now(request, expected_ms as u64, slowest_ms, now_ms)
     }
 
     /// Returns whether a request has failed to connect to so many upstreams, for so long, that it isn't held
--- a/crates/sedgepath-core/src/direct/vms.rs
+++ b/crates/sedgepath-core/src/direct/vms.rs
@@ -108,8 +108,8 @@
         self.outgoing_state.record_join(now_ms);
     }
 
-    /// Returns whether this VM has started so lately that it can't take the VMs that it hears for all that
-    /// serve, unless these are all that it [knows of](Self::hears_all_known).
+    /// Returns whether this VM has started so lately that it may not have heard all VMs that serve. That it
+    /// [hears all known ones](Self::hears_all_known) can end this sooner, which callers check first.
     pub fn is_joining(&self, now_ms: u64) -> bool {
         now_ms < self.joining_until_ms
     }
--- a/crates/sedgepath-core/tests/direct_planned_stop.rs
+++ b/crates/sedgepath-core/tests/direct_planned_stop.rs
@@ -44,8 +44,8 @@
     for grace_ms in [0, 100, 400, 1_000, 3_000, 6_000, 10_000, 600_000] {
         let stop = PlannedStop::new(1_000, grace_ms);
         assert!(1_000 <= stop.accepts_until_ms, "{stop:?}");
-        assert!(stop.accepts_until_ms <= stop.answered_by_ms, "{stop:?}");
-        assert!(stop.answered_by_ms <= stop.ends_at_ms, "{stop:?}");
+        assert!(stop.accepts_until_ms <= stop.requests_end_at_ms, "{stop:?}");
+        assert!(stop.requests_end_at_ms <= stop.ends_at_ms, "{stop:?}");
         assert!(stop.ends_at_ms <= 1_000 + grace_ms, "{stop:?}");
     }
 }
@@ -54,7 +54,7 @@
 #[test]
 fn a_charge_is_sent_only_if_its_deadline_is_in_time() {
     let (mut vm, stop) = stopping_vm();
-    let last_ms = stop.answered_by_ms - TIME_LIMIT_MS;
+    let last_ms = stop.requests_end_at_ms - TIME_LIMIT_MS;
     for now_ms in [0, last_ms] {
         let next = first_step(&mut vm, "/charges/1", now_ms);
         assert!(matches!(next, NextStep::Send(_)), "at {now_ms}: {next:?}");
@@ -71,7 +71,7 @@
     let (mut vm, stop) = stopping_vm();
     let next = first_step(&mut vm, "/reads/1", stop.accepts_until_ms);
     assert!(matches!(next, NextStep::Send(_)), "{next:?}");
-    assert_eq!(first_step(&mut vm, "/reads/1", stop.answered_by_ms - 1), REJECTED);
+    assert_eq!(first_step(&mut vm, "/reads/1", stop.requests_end_at_ms - 1), REJECTED);
 }
 
 /// Guards against reads that are sent late because most responses are fast, although some take longer than the
@@ -113,7 +113,7 @@
     let stop = PlannedStop::new(0, 2_000);
     vm.begin_stop(stop);
     vm.record_outcome(&mut request, attempt.upstream, AttemptOutcome::Failed, 1_400);
-    let next = vm.next_step(&mut request, 1, stop.answered_by_ms);
+    let next = vm.next_step(&mut request, 1, stop.requests_end_at_ms);
     assert_eq!(next, NextStep::GiveUp { reason: RejectionReason::Stopping });
 }
 
--- a/crates/sedgepathd/src/callers/request_task.rs
+++ b/crates/sedgepathd/src/callers/request_task.rs
@@ -147,19 +147,19 @@
 
     /// Returns the result of a request whose node has ended. An attempt that was started may run.
     fn node_ended_result(&self) -> RequestResult {
-        self.log_abandoned();
+        self.log_given_up();
         if self.attempt_count > 0 {
             return UNKNOWN;
         }
         RequestResult::Outcome(deduplication::node_ended(&self.head))
     }
 
-    fn log_abandoned(&self) {
+    fn log_given_up(&self) {
         let id = self.http.fields.iter().find(|(name, _)| &**name == REQUEST_ID_HEADER);
         let id = id.map_or_else(|| "none".into(), |(_, id)| String::from_utf8_lossy(id));
         let now_ms = self.callers.handle.clock().now_ms();
         log::info!(
-            "event=abandoned request={id:?} reason=process_ended service={:?} sendings={} took_ms={}",
+            "event=gave_up request={id:?} reason=process_ended service={:?} sendings={} took_ms={}",
             self.head.service,
             self.attempt_count,
             now_ms.saturating_sub(self.arrived_at_ms),
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::dispatch::DispatchRunner;
 use crate::driver::{self, Clock, DriverOutputs};
 use crate::hop::HopClient;
+use crate::lingering_close::MAX_LINGER;
 use crate::logging;
 use crate::metrics::{self, Metrics};
 use crate::open_count::OpenCount;
@@ -41,8 +42,9 @@
 use crate::ticket_handover;
 use crate::upstreams::UpstreamPool;
 
-/// The maximum time that callers and peers have to read the rest of their responses at a planned stop.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
+/// The maximum time that callers and peers have to read the rest of their responses at a planned stop; longer
+/// than connections linger.
+const DRAIN_TIMEOUT: Duration = MAX_LINGER.saturating_add(Duration::from_secs(1));
 
 /// Runs the daemon until SIGTERM or SIGINT has stopped it.
 ///
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -152,10 +152,9 @@
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
-    let mut stop = shared.stop_phase.subscribe();
     let stopping = async {
-        let _sender_lives = stop.wait_for(|phase| *phase >= StopPhase::Closing).await;
-        pipeline.wait_until_nothing_begun().await;
+        shared.wait_for_stop_phase(StopPhase::Closing).await;
+        pipeline.wait_until_drained().await;
     };
     if let Err(error) = serve_until_stopped(connection, &request_arrived, stopping).await {
         log::debug!("event=caller_connection_failed error={:?}", error.to_string());
@@ -293,7 +292,7 @@
     let prepared = tokio::select! {
         biased;
         prepared = prepare_request(request, parts, incoming, caller) => Some(prepared),
-        () = shared.reach_stop_phase(StopPhase::Answering) => None,
+        () = shared.wait_for_stop_phase(StopPhase::EndingRequests) => None,
     };
     match prepared {
         Some(Ok((head, mut body))) => {
--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -31,7 +31,7 @@
 use crate::direct::shared::{SharedState, StopPhase};
 use crate::lingering_close::{LateBytes, LingerEnd, LingeringClose};
 
-/// The largest response that a caller's system receives although its caller doesn't read, in bytes.
+/// The largest response that is taken to fit into the receive buffer of a caller that doesn't read, in bytes.
 const MAX_SMALL_RESPONSE_BYTES: u64 = 8 * 1024;
 
 /// The bytes that are read ahead at once.
@@ -53,8 +53,8 @@
     caller: IpAddr,
     max_read_ahead_bytes: usize,
     state: RefCell<PipelineState>,
-    /// Notified when no request behind the one in progress has been started or read.
-    nothing_begun: Notify,
+    /// Notified when no request behind the one in progress is started or buffered.
+    drained: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -71,8 +71,8 @@
 }
 
 impl PipelineState {
-    /// Returns whether no request behind the one in progress has been started, or read from the socket.
-    fn has_nothing_begun(&self) -> bool {
+    /// Returns whether no request behind the one in progress is started or buffered.
+    fn is_drained(&self) -> bool {
         self.early.is_empty() && self.stream.buffered_bytes() == 0
     }
 }
@@ -82,7 +82,8 @@
 struct UnwrittenResponse {
     /// The attempt id of its request.
     attempt_id: Box<str>,
-    /// Whether hyper has the whole response, so that it is written once nothing is left to flush.
+    /// Whether the body has a known length, so that hyper has it whole and has written it once nothing is left
+    /// to flush.
     is_complete: bool,
 }
 
@@ -113,7 +114,7 @@
             caller,
             max_read_ahead_bytes,
             state: RefCell::default(),
-            nothing_begun: Notify::new(),
+            drained: Notify::new(),
         })
     }
 
@@ -135,7 +136,7 @@
             LateBytes::LeaveUnread
         };
         let close = LingeringClose::new(late_bytes);
-        if state.has_large_response { close } else { close.with_received_response() }
+        if state.has_large_response { close } else { close.with_short_limit() }
     }
 
     /// Counts a connection that this VM has closed.
@@ -162,8 +163,8 @@
         }
         buf.put_slice(&state.stream.take(buf.remaining()));
         self.count_buffered(&mut state);
-        if state.has_nothing_begun() {
-            self.nothing_begun.notify_one();
+        if state.is_drained() {
+            self.drained.notify_one();
         }
         true
     }
@@ -235,6 +236,7 @@
         }
     }
 
+    /// Returns whether the VM has begun a planned stop.
     pub(super) fn is_stopping(&self) -> bool {
         *self.shared.stop_phase.borrow() >= StopPhase::Leaving
     }
@@ -248,9 +250,6 @@
         // Most requests have none behind them, and need no second look-up of their route.
         state.unchecked_target = is_plain.then(|| Target::new(request.headers(), request.uri()));
         let reached = state.stream.record_reached(body_bytes, is_plain);
-        let headers = RequestHeaders::parse(request.headers(), request.uri());
-        state.unwritten =
-            Some(UnwrittenResponse { attempt_id: headers.attempt_id.into(), is_complete: false });
         let early = match state.early.front() {
             Some(early) if Some(early.head_end) == reached.end => state.early.pop_front(),
             // hyper has read other requests than were found.
@@ -271,6 +270,7 @@
     /// Responds to the request whose turn it is.
     pub async fn respond(&self, turn: Turn, request: Request<Incoming>) -> Response<Body> {
         let (head, incoming) = request.into_parts();
+        let attempt_id = RequestHeaders::parse(&head.headers, &head.uri).attempt_id.into();
         let arrival = RequestArrival {
             source: RequestSource::Caller(self.caller),
             at_ms: turn.arrived_at_ms,
@@ -282,7 +282,7 @@
             },
             None => ingress::handle_arrived(&self.shared, head, Some(incoming), arrival).await,
         };
-        if self.end_turn(&mut response) {
+        if self.end_turn(attempt_id, &mut response) {
             // Reading was pending while the request was in progress, and no event of the socket follows.
             poll_fn(|cx| {
                 cx.waker().wake_by_ref();
@@ -340,7 +340,7 @@
 
     /// Lets hyper read the next request. While the VM stops, the connection ends with the response to
     /// the last request that was started or read. Returns whether bytes are buffered.
-    fn end_turn(&self, response: &mut Response<Body>) -> bool {
+    fn end_turn(&self, attempt_id: Box<str>, response: &mut Response<Body>) -> bool {
         let mut state = self.state.borrow_mut();
         state.stream.record_answered();
         let max_bytes = response.body().size_hint().upper();
@@ -348,11 +348,12 @@
         if response.extensions().get::<BodyRead>().is_some() {
             state.stream.record_body_read();
         }
-        if let Some(unwritten) = &mut state.unwritten {
-            unwritten.is_complete = response.body().size_hint().exact().is_some();
-        }
-        if state.has_nothing_begun() {
-            self.nothing_begun.notify_one();
+        state.unwritten = Some(UnwrittenResponse {
+            attempt_id,
+            is_complete: response.body().size_hint().exact().is_some(),
+        });
+        if state.is_drained() {
+            self.drained.notify_one();
             if self.is_stopping() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -360,10 +361,10 @@
         state.stream.buffered_bytes() > 0
     }
 
-    /// Waits until no request behind the one in progress has been started or read.
-    pub async fn wait_until_nothing_begun(&self) {
-        while !self.state.borrow().has_nothing_begun() {
-            self.nothing_begun.notified().await;
+    /// Waits until no request behind the one in progress is started or buffered.
+    pub async fn wait_until_drained(&self) {
+        while !self.state.borrow().is_drained() {
+            self.drained.notified().await;
         }
     }
 }
@@ -371,7 +372,7 @@
 impl Drop for Pipeline {
     fn drop(&mut self) {
         let state = self.state.get_mut();
-        if self.shared.has_ended()
+        if self.shared.is_process_ending()
             && let Some(UnwrittenResponse { attempt_id, .. }) = &state.unwritten
         {
             log::info!(target: STOP_TARGET, "event=response_cut request={attempt_id}");
--- a/crates/sedgepathd/src/direct/request_run.rs
+++ b/crates/sedgepathd/src/direct/request_run.rs
@@ -49,7 +49,7 @@
     let mut in_flight = FuturesUnordered::new();
     let mut last_response: Option<Response<Body>> = None;
     let mut hedge = None;
-    let mut stop = std::pin::pin!(shared.reach_stop_phase(StopPhase::Answering));
+    let mut stop = std::pin::pin!(shared.wait_for_stop_phase(StopPhase::EndingRequests));
     loop {
         let destination = match hedge.take() {
             Some(destination) => destination,
--- a/crates/sedgepathd/src/direct/responses.rs
+++ b/crates/sedgepathd/src/direct/responses.rs
@@ -63,6 +63,11 @@
     }
 }
 
+/// Returns the log target of a request that ends for a reason.
+fn log_target(reason: &str) -> &'static str {
+    if reason == RejectionReason::Stopping.name() { logging::STOP_TARGET } else { module_path!() }
+}
+
 /// The name in logs of a request without a client account.
 const NO_ACCOUNT: &str = "none";
 
@@ -125,9 +130,8 @@
     if account != NO_ACCOUNT {
         shared.metrics.count_account_rejection(account);
     }
-    let ends_by_stop = rejection.reason == RejectionReason::Stopping;
     log::info!(
-        target: if ends_by_stop { logging::STOP_TARGET } else { module_path!() },
+        target: log_target(rejection.reason.name()),
         "event=refused request={attempt_id} status={} reason={} account={account} service={service} \
          sendings={delivered} took_ms={took_ms} retry_after_ms={} configuration={version} \
          fingerprint={}",
@@ -157,9 +161,8 @@
     });
     let took_ms = clock::now_ms().saturating_sub(state.arrived_at_ms);
     shared.metrics.record_request("gave_up", took_ms);
-    let ends_by_stop = reason == RejectionReason::Stopping.name();
     log::info!(
-        target: if ends_by_stop { logging::STOP_TARGET } else { module_path!() },
+        target: log_target(reason),
         "event=gave_up request={attempt_id} reason={reason} status={} account={} route={} service={} \
          upstream={} sendings={} runs={} took_ms={took_ms} configuration={} fingerprint={}",
         response.status().as_u16(),
@@ -187,19 +190,19 @@
     }
 }
 
-/// Counts and logs a request that ends without a response: its connection has ended, or the VM's process
-/// does.
+/// Counts and logs a request that ends without a response: its connection has ended, its early start isn't
+/// used, or the VM's process ends.
 pub fn record_abandoned(shared: &SharedState, attempt_id: &str, state: &RequestState) {
     let took_ms = clock::now_ms().saturating_sub(state.arrived_at_ms);
     shared.metrics.record_request("abandoned", took_ms);
-    let process_ends = shared.has_ended();
+    let process_ends = shared.is_process_ending();
     // Callers may leave in large numbers.
     let target = if process_ends { logging::STOP_TARGET } else { logging::ROUTINE_TARGET };
     log::info!(
         target: target,
         "event=abandoned request={attempt_id} reason={} account={} route={} service={} upstream={} \
          sendings={} in_flight={} took_ms={took_ms}",
-        if process_ends { "process_ended" } else { "disconnected" },
+        if process_ends { "process_ended" } else { "canceled" },
         state.account_name(),
         state.route.name,
         state.service,
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -49,8 +49,8 @@
 /// than the window of the retry budget, in which its retries still count.
 const FORGET_VM_AFTER_MS: u64 = 20_000;
 
-/// How often a stopping VM tells the others, since datagrams may be lost.
-const ANNOUNCEMENTS: usize = 3;
+/// How many times a stopping VM announces its stop to others, since datagrams may be lost.
+const ANNOUNCEMENT_COUNT: usize = 3;
 
 /// The time between two such announcements.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(20);
@@ -188,29 +188,29 @@
     log_stop_phase(shared, "stopping");
     shared.steering.borrow_mut().begin_stop(stop);
     shared.stop_phase.send_replace(StopPhase::Leaving);
-    for _ in 0..ANNOUNCEMENTS {
+    for _ in 0..ANNOUNCEMENT_COUNT {
         gossip::announce_changes(shared).await;
         tokio::time::sleep(ANNOUNCEMENT_INTERVAL).await;
     }
     tokio::time::sleep_until(clock::instant_at(stop.accepts_until_ms)).await;
     shared.stop_phase.send_replace(StopPhase::Closing);
     log_stop_phase(shared, "closing_connections");
-    let accepting = timeout_at(clock::instant_at(stop.answered_by_ms), accepting);
+    let accepting = timeout_at(clock::instant_at(stop.requests_end_at_ms), accepting);
     if accepting.await.is_err() {
         log::warn!("event=still_accepting");
     }
-    wait_until_idle(shared, stop.answered_by_ms).await;
+    wait_until_idle(shared, stop.requests_end_at_ms).await;
     if !shared.is_idle() {
         log_stop_phase(shared, "ending_requests");
-        shared.stop_phase.send_replace(StopPhase::Answering);
+        shared.stop_phase.send_replace(StopPhase::EndingRequests);
         wait_until_idle(shared, stop.ends_at_ms).await;
     }
 }
 
-/// Waits until no request is in flight and no connection open, at most until a time in milliseconds.
+/// Waits until the VM is idle or a time in milliseconds has passed; at least for one check, so that requests
+/// can get their responses.
 async fn wait_until_idle(shared: &SharedState, until_ms: u64) {
     while !shared.is_idle() {
-        // Also after the time has passed, so that requests can get their responses.
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
         if clock::now_ms() >= until_ms {
             return;
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -153,8 +153,8 @@
     /// Idle connections are closed, others after their response, and those without a request yet after
     /// their first.
     Closing,
-    /// Requests in flight are ended by responses of this VM.
-    Answering,
+    /// Requests in flight are ended by responses of this VM itself.
+    EndingRequests,
     /// The process ends.
     Ended,
 }
@@ -243,13 +243,14 @@
 
 impl SharedState {
     /// Waits until a planned stop has reached a phase.
-    pub async fn reach_stop_phase(&self, phase: StopPhase) {
+    pub async fn wait_for_stop_phase(&self, phase: StopPhase) {
         let mut phases = self.stop_phase.subscribe();
         // The sender lives as long as the state.
         let _reached = phases.wait_for(|current| *current >= phase).await;
     }
 
-    /// Returns whether no request is in flight, no response is being written, and no caller's connection open.
+    /// Returns whether no request is in flight, no caller's connection is open, and no response to another VM is
+    /// being passed on.
     pub fn is_idle(&self) -> bool {
         self.in_flight_requests.get() == 0
             && self.open_connections.get() == 0
@@ -257,7 +258,7 @@
     }
 
     /// Returns whether the process ends.
-    pub fn has_ended(&self) -> bool {
+    pub fn is_process_ending(&self) -> bool {
         *self.stop_phase.borrow() == StopPhase::Ended
     }
 
--- a/crates/sedgepathd/src/lingering_close.rs
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -16,9 +16,9 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 /// How long a connection is kept at the most after its sending side was closed.
-const MAX_LINGER: Duration = Duration::from_secs(5);
+pub const MAX_LINGER: Duration = Duration::from_secs(5);
 
-/// The same while nothing arrives, if the other side's system has certainly received the last response.
+/// The same while nothing arrives, if the unread responses fit into the other side's receive buffer.
 const MIN_LINGER: Duration = Duration::from_secs(1);
 
 /// The bytes that are discarded at once.
@@ -73,9 +73,9 @@
         Self { late_bytes, has_arrived: false, last_limit, limit }
     }
 
-    /// Shortens the time limit until bytes arrive, for a connection whose last response is certainly received.
+    /// Shortens the time limit to [`MIN_LINGER`] until bytes arrive.
     #[must_use]
-    pub fn with_received_response(mut self) -> Self {
+    pub fn with_short_limit(mut self) -> Self {
         self.limit = Box::pin(sleep_until(Instant::now() + MIN_LINGER));
         self
     }
--- a/crates/sedgepathd/tests/direct_closing.rs
+++ b/crates/sedgepathd/tests/direct_closing.rs
@@ -269,7 +269,7 @@
     });
 }
 
-fn early_responses_are_whole(response_bytes: usize, after: AfterResponse) {
+fn assert_early_responses_whole(response_bytes: usize, after: AfterResponse) {
     let early = EarlyUpstream::new(response_bytes, after);
     let site = Site::with_upstream(UpstreamStandIn::new("u0"), early.address);
     let body = (Framing::Length, STREAMED_BODY_BYTES, BLOCK_PAUSE);
@@ -279,19 +279,19 @@
 /// Guards against a response that is cut because the upstream sends it before it has read the body.
 #[test]
 fn a_response_that_an_upstream_sends_before_it_reads_the_body_is_whole() {
-    early_responses_are_whole(LARGE_RESPONSE_BYTES, AfterResponse::KeepOpen);
+    assert_early_responses_whole(LARGE_RESPONSE_BYTES, AfterResponse::KeepOpen);
 }
 
 /// Guards against a response that is cut because the upstream closes its connection within the body.
 #[test]
 fn a_response_of_an_upstream_that_closes_before_it_reads_the_body_is_whole() {
-    early_responses_are_whole(BUFFERED_RESPONSE_BYTES, AfterResponse::Close);
+    assert_early_responses_whole(BUFFERED_RESPONSE_BYTES, AfterResponse::Close);
 }
 
 /// Guards against the same for a response that is passed on as it arrives.
 #[test]
 fn a_large_response_of_an_upstream_that_closes_before_it_reads_the_body_is_whole() {
-    early_responses_are_whole(LARGE_RESPONSE_BYTES, AfterResponse::Close);
+    assert_early_responses_whole(LARGE_RESPONSE_BYTES, AfterResponse::Close);
 }
 
 /// VMs of which the first is cut off from the upstream, so that another one serves its requests.
--- a/crates/sedgepathd/tests/stop.rs
+++ b/crates/sedgepathd/tests/stop.rs
@@ -217,7 +217,7 @@
 
     assert!(!head.contains("sedgepath-outcome: not_run"), "{head}");
     let log = daemon.system.daemons[0].as_ref().expect("a daemon").output().expect("its output");
-    assert!(log.contains("event=abandoned request=\"none\" reason=process_ended"), "{log}");
+    assert!(log.contains("event=gave_up request=\"none\" reason=process_ended"), "{log}");
 }
 
 /// The size of a response that fits into the daemon's send buffer and not into the caller's receive
--- a/crates/sedgepathd/tests/stop_under_load.rs
+++ b/crates/sedgepathd/tests/stop_under_load.rs
@@ -423,9 +423,9 @@
 /// Guards against requests that upstreams run, and whose callers get no whole response as VMs stop.
 #[test]
 fn stops_in_series_lose_no_request_that_has_run() {
-    let seeds = std::env::var("STOP_SEEDS").ok().and_then(|text| {
-        let (from, to) = text.split_once("..")?;
-        Some(from.parse().ok()?..to.parse().ok()?)
+    let seeds = std::env::var("STOP_SEEDS").ok().map(|text| {
+        let (from, to) = text.split_once("..").expect("STOP_SEEDS is FROM..TO");
+        from.parse().expect("a number")..to.parse().expect("a number")
     });
     let failures: Vec<_> = seeds.unwrap_or(CI_SEEDS).flat_map(run_seed).collect();
     assert!(failures.is_empty(), "{} violated guarantees", failures.len());
