--- a/crates/sedgepathd/src/lingering_close.rs
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -73,7 +73,7 @@
         Self { late_bytes, has_arrived: false, last_limit, limit }
     }
 
-    /// Shortens the time limit to [`MIN_LINGER`] until bytes arrive.
+    /// Shortens the time limit until bytes arrive, for a connection with small responses only.
     #[must_use]
     pub fn with_short_limit(mut self) -> Self {
         self.limit = Box::pin(sleep_until(Instant::now() + MIN_LINGER));
