Notice at once that a caller has left a stopping VM

What was seen: a request whose caller leaves while its VM stops went on at its upstream for 1.19 s, until the VM closed connections.

Cause: a stopping VM reads exactly to a request's end, after which the socket stays marked as readable, so that waiting for readiness returned at once and nothing woke the reader.

Change: it looks at the next byte instead, which waits if there is none.

--- a/crates/sedgepathd/src/direct/pipelining/reader.rs
+++ b/crates/sedgepathd/src/direct/pipelining/reader.rs
@@ -46,9 +46,12 @@
             }
         }
         // Else the end is noticed without reading the bytes before it: at once if there are none, or when hyper
-        // polls.
-        ready!(self.socket.poll_read_ready(cx))?;
-        if is_read_closed(&self.socket) { Poll::Ready(Ok(())) } else { Poll::Pending }
+        // polls. Readiness alone doesn't tell: it stays set after a read up to the last byte.
+        let length = ready!(self.socket.poll_peek(cx, &mut ReadBuf::new(&mut [0])))?;
+        if length == 0 || is_read_closed(&self.socket) {
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Pending
     }
 
     fn poll_pass(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
--- a/crates/sedgepathd/tests/direct_stop.rs
+++ b/crates/sedgepathd/tests/direct_stop.rs
@@ -163,6 +163,25 @@
     assert_eq!(fixture.runs(), 2);
 }
 
+/// Guards against a request that keeps running although its caller has left a stopping VM.
+#[test]
+fn a_caller_that_leaves_a_stopping_vm_cancels_its_request() {
+    let fixture = Fixture::new("4000ms", Behaviour::DelayedByTarget);
+    fixture.vm.terminate();
+    wait_for("an end of readiness", || !fixture.vm.is_ready());
+    let mut connection = Connection::new(fixture.vm.caller_address).expect("a connection");
+    connection.send("GET", "/reads/1?2000", "left", CHARGE_DEADLINE_MS).expect("a request");
+    wait_for("the run", || fixture.runs() == 1);
+
+    drop(connection);
+
+    let left_at = Instant::now();
+    let canceled =
+        || fixture.upstreams.iter().map(UpstreamStandIn::canceled_requests).sum::<usize>();
+    wait_for("the cancellation", || canceled() == 1);
+    assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
+}
+
 /// Guards against a charge that ends with a stop without a trace of how.
 #[test]
 fn a_charge_that_a_stop_ends_has_its_log_line() {
