Count responses to other VMs until they are written

What callers saw: a response of 4.0 to 4.5 MB that came by way of another VM was cut when that VM was stopped while this one didn't read for a time.

Cause: a response to another VM counted until hyper had taken its body, not until hyper had written it, so that the process ended with the last part in its memory.

Change: the guard that counts a response stays with its connection until hyper flushes the socket, which it does once it has written everything.

Evidence: `a_response_that_another_vm_reads_late_is_whole` (3.5 to 4.75 MB, the reading VM suspended for 3.7 s) had the three sizes from 4.0 MB on cut in three of three runs, and passes, in three of three. `direct_closing`, `direct_cuts` and `direct_peer_keys` passed once.

--- a/crates/sedgepathd/src/direct/control_server.rs
+++ b/crates/sedgepathd/src/direct/control_server.rs
@@ -18,6 +18,7 @@
 use super::shared::SharedState;
 use crate::caller_connection::shut_down;
 use crate::lingering_close::LingeringStream;
+use crate::open_count::UnwrittenResponses;
 
 /// Timeout of an idle connection and of receiving a request's head.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -46,14 +47,19 @@
     H: Fn(Rc<SharedState>, Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
-    let service = service_fn(|request: Request<Incoming>| {
+    let unwritten = UnwrittenResponses::default();
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(unwritten.clone());
         let response = handler(Rc::clone(shared), request);
         async move { Ok::<_, Infallible>(response.await) }
     });
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
-        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
+        .serve_connection(
+            TokioIo::new(LingeringStream::new(stream).with_unwritten(unwritten.clone())),
+            service,
+        );
     if let Err(error) = (&mut connection).await {
         log::debug!("event=question_connection_failed error={:?}", error.to_string());
         shut_down(connection.into_parts().io).await;
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -34,6 +34,7 @@
 use super::shared::{SharedState, StopPhase};
 use super::{quarantine, quotas, request_run};
 use crate::caller_connection::serve_until_stopped;
+use crate::open_count::UnwrittenResponses;
 
 /// File descriptors reserved for files and for connections to upstreams and to the store.
 const RESERVED_FILE_DESCRIPTORS: usize = 1_200;
@@ -203,12 +204,14 @@
     forwarded: ForwardedHead,
 ) -> Response<Body> {
     let arrival = RequestArrival { source: RequestSource::Vm(forwarded), at_ms: clock::now_ms() };
-    let (parts, incoming) = request.into_parts();
+    let (mut parts, incoming) = request.into_parts();
+    let unwritten = parts.extensions.remove::<UnwrittenResponses>().unwrap_or_default();
     let mut response = handle_arrived(&shared, parts, Some(incoming), arrival).await;
     if *shared.stop_phase.borrow() >= StopPhase::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response.map(|body| CountedBody::new(body, shared.forwarded_responses.open()).boxed())
+    let guard = shared.forwarded_responses.open();
+    response.map(|body| CountedBody::new(body, guard, unwritten).boxed())
 }
 
 /// Handles a request and counts it as in flight until its response is ready.
--- a/crates/sedgepathd/src/direct/response_body.rs
+++ b/crates/sedgepathd/src/direct/response_body.rs
@@ -14,7 +14,7 @@
 use super::clock;
 use super::connection_pool::{Body, BodyError, Connection};
 use super::shared::SharedState;
-use crate::open_count::OpenGuard;
+use crate::open_count::{OpenGuard, UnwrittenResponses};
 
 /// Responses up to this size are buffered completely before the caller gets the first byte, so that
 /// a truncated one can be replaced by another upstream's.
@@ -214,17 +214,19 @@
     }
 }
 
-/// A body that is counted until it has been passed on.
+/// A body that is counted until it is written to its connection.
 #[derive(Debug)]
 pub struct CountedBody {
     body: Body,
-    _guard: OpenGuard,
+    /// `None` once the body has been taken.
+    guard: Option<OpenGuard>,
+    unwritten: UnwrittenResponses,
 }
 
 impl CountedBody {
-    /// Creates a body that a guard counts.
-    pub fn new(body: Body, guard: OpenGuard) -> Self {
-        Self { body, _guard: guard }
+    /// Creates a body that a guard counts, of a connection with these unwritten responses.
+    pub fn new(body: Body, guard: OpenGuard, unwritten: UnwrittenResponses) -> Self {
+        Self { body, guard: Some(guard), unwritten }
     }
 
     /// Returns the body with its type erased.
@@ -233,6 +235,14 @@
     }
 }
 
+impl Drop for CountedBody {
+    fn drop(&mut self) {
+        if let Some(guard) = self.guard.take() {
+            self.unwritten.push(guard);
+        }
+    }
+}
+
 impl hyper::body::Body for CountedBody {
     type Data = Bytes;
     type Error = BodyError;
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -104,7 +104,7 @@
     pub pipeline_bounds: Rc<PipelineBounds>,
     /// The number of callers' open connections.
     pub open_connections: Cell<usize>,
-    /// The responses to other VMs whose bodies haven't been passed on.
+    /// The responses to other VMs that aren't written.
     pub forwarded_responses: OpenCount,
     /// The phase of a planned stop, which callers' connections watch.
     pub stop_phase: tokio::sync::watch::Sender<StopPhase>,
@@ -250,7 +250,7 @@
     }
 
     /// Returns whether no request is in flight, no caller's connection is open, and no response to another VM is
-    /// being passed on.
+    /// unwritten.
     pub fn is_idle(&self) -> bool {
         self.in_flight_requests.get() == 0
             && self.open_connections.get() == 0
--- a/crates/sedgepathd/src/lingering_close.rs
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use crate::open_count::UnwrittenResponses;
+
 /// How long a connection is kept at the most after its sending side was closed.
 pub const MAX_LINGER: Duration = Duration::from_secs(5);
 
@@ -161,12 +163,20 @@
 pub struct LingeringStream {
     socket: TcpStream,
     close: Option<LingeringClose>,
+    unwritten: UnwrittenResponses,
 }
 
 impl LingeringStream {
     /// Creates a connection from an open socket.
     pub fn new(socket: TcpStream) -> Self {
-        Self { socket, close: None }
+        Self { socket, close: None, unwritten: UnwrittenResponses::default() }
+    }
+
+    /// Sets the responses that are cleared when hyper has written all its bytes.
+    #[must_use]
+    pub fn with_unwritten(mut self, unwritten: UnwrittenResponses) -> Self {
+        self.unwritten = unwritten;
+        self
     }
 }
 
@@ -202,11 +212,13 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes the socket once it has written all its bytes.
+        self.unwritten.clear();
         Pin::new(&mut self.socket).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Self { socket, close } = &mut *self;
+        let Self { socket, close, .. } = &mut *self;
         let begin = || LingeringClose::new(LateBytes::Discard);
         let closed = LingeringClose::poll_shutdown(close, socket, cx, begin);
         closed.map_ok(|_end| ())
--- a/crates/sedgepathd/src/open_count.rs
+++ b/crates/sedgepathd/src/open_count.rs
@@ -1,5 +1,7 @@
 //! Counts what is still open, for a planned stop that waits for its end.
 
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
 use tokio::sync::watch;
 
 /// A count of things that are open.
@@ -49,3 +51,24 @@
         self.count.send_modify(|count| *count -= 1);
     }
 }
+
+/// The guards of the responses of a connection whose bodies have been taken and aren't written yet.
+#[derive(Debug, Clone, Default)]
+pub struct UnwrittenResponses(Arc<Mutex<Vec<OpenGuard>>>);
+
+impl UnwrittenResponses {
+    /// Keeps a guard until all that has been taken is written.
+    pub fn push(&self, guard: OpenGuard) {
+        self.lock().push(guard);
+    }
+
+    /// Drops all guards, as all that has been taken is written.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<OpenGuard>> {
+        // A panic can't leave the list inconsistent.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/sedgepathd/tests/direct_closing.rs
+++ b/crates/sedgepathd/tests/direct_closing.rs
@@ -378,6 +378,36 @@
     assert_eq!((response.status, body_bytes), (200, Some(LARGE_RESPONSE_BYTES)), "{}", site.logs());
 }
 
+/// The time for which a VM is suspended: longer than another VM waits for connections when it stops.
+const SUSPENSION: Duration = Duration::from_millis(3_700);
+
+/// Guards against a response whose end a stopping VM holds in memory while another VM doesn't read it. Which
+/// size leaves only the end there depends on the system's buffers.
+#[test]
+fn a_response_that_another_vm_reads_late_is_whole() {
+    let sizes = (14..=19).map(|quarters| quarters * 250_000);
+    let readers: Vec<_> = sizes.map(|bytes| thread::spawn(move || read_late(bytes))).collect();
+    let results: Vec<_> = readers.into_iter().map(|it| it.join().expect("a reader")).collect();
+    assert!(results.iter().all(|(_, is_whole)| *is_whole), "{results:?}");
+}
+
+/// Requests a response of a size in bytes by way of a VM that stops, and suspends the one that reads it.
+fn read_late(bytes: usize) -> (usize, bool) {
+    let site = ForwardingSite::new(2);
+    site.upstream.set_behaviour(Behaviour::ByTarget);
+    let path = format!("/reads/1?300,{bytes}");
+    let response = thread::scope(|scope| {
+        let caller = scope.spawn(|| site.request("GET", &path, "late"));
+        wait_for("the run", || site.has_run("late"));
+        site.vms[0].signal("-STOP");
+        site.vms[1].terminate();
+        thread::sleep(SUSPENSION);
+        site.vms[0].signal("-CONT");
+        caller.join().expect("a caller")
+    });
+    (bytes, response.is_some_and(|response| response.status == 200 && response.body.is_some()))
+}
+
 /// Guards against a forwarded request that is cut while its upstream works.
 #[test]
 fn a_forwarded_request_that_runs_long_is_completed_by_a_vm_that_stops() {
