Ask once whether a planned stop leaves time for a request

Cause: a first check at the top of a request's step did again what the check before each sending, hedge and forward does.

Change: it is gone. A charge that is too late is rejected as before, but after an upstream was chosen, so that one without an upstream gets that reason instead.

--- a/crates/sedgepath-core/src/direct/planned_stop.rs
+++ b/crates/sedgepath-core/src/direct/planned_stop.rs
@@ -43,13 +43,8 @@
         Self { accepts_until_ms, requests_end_at_ms, ends_at_ms }
     }
 
-    /// Returns whether a request may be sent at all: it has its response in time whatever its upstream does, or
-    /// its caller may repeat it.
-    pub fn may_ever_send(self, request: &RequestState) -> bool {
-        self.has_time_until_deadline(request) || request.route.kind.may_retry()
-    }
-
-    /// Returns whether a request may be sent now. `expected_ms` is the time that it is expected to take,
+    /// Returns whether a request may be sent now: its deadline is in time, whatever its upstream does, or its
+    /// caller may repeat it and it is expected in time. `expected_ms` is the time that it is expected to take,
     /// `slowest_ms` that of its service's slowest recent response.
     pub fn may_send_now(
         self,
@@ -62,11 +57,7 @@
             .saturating_mul(EXPECTED_TIME_FACTOR)
             .max(slowest_ms.saturating_mul(SLOWEST_TIME_PERCENT) / 100);
         let is_expected_in_time = now_ms.saturating_add(needed_ms) <= self.requests_end_at_ms;
-        self.has_time_until_deadline(request)
-            || (request.route.kind.may_retry() && is_expected_in_time)
-    }
-
-    fn has_time_until_deadline(self, request: &RequestState) -> bool {
         request.deadline_at_ms <= self.requests_end_at_ms
+            || (request.route.kind.may_retry() && is_expected_in_time)
     }
 }
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -80,9 +80,6 @@
                 request,
             );
         }
-        if self.planned_stop.is_some_and(|stop| !stop.may_ever_send(request)) {
-            return reject_or_give_up(RejectionReason::Stopping, 0, request);
-        }
         if let Some(rejection) = request.neighbour_rejection {
             return reject_or_give_up(rejection.reason, rejection.retry_after_ms, request);
         }
