Compare the quota of a cut VM from the same start

Cause: `a_forwarded_request_takes_its_quota_once_and_keeps_its_account` failed twice in six runs of its file (14 served before, 18 during, where 17.5 are allowed). It measured a quota that had just begun against one that had filled up while the test waited for the cut to be noticed; until lately that wait ended at once, since it matched the metric's help text.

Change: both measurements begin with an unused quota. The metrics of a VM and whether it is cut off are read in one place for three test files.

--- a/crates/sedgepathd/tests/direct_closing.rs
+++ b/crates/sedgepathd/tests/direct_closing.rs
@@ -79,7 +79,7 @@
         let cluster = TestCluster::new(store.address);
         let vm = cluster.start_ready(1, "north-a");
         let known = "sedgepath_upstreams{state=\"known\"} 1";
-        wait_for("knowing the upstream", || metrics(&vm).contains(known));
+        wait_for("knowing the upstream", || vm.metrics().contains(known));
         Self { vm, cluster, upstream, _store: store }
     }
 
@@ -137,10 +137,6 @@
     }
 }
 
-fn metrics(vm: &Vm) -> String {
-    caller::get(vm.metrics_address, "/metrics").map_or_else(String::new, |page| page.text())
-}
-
 /// Returns the head of a POST request.
 fn post_head(path: &str, attempt_id: &str, lines: &str) -> String {
     format!(
@@ -324,7 +320,7 @@
         let known = format!("sedgepath_vms {vm_count}");
         for vm in &vms {
             wait_for("readiness", || vm.is_ready());
-            wait_for("knowing the other VMs", || metrics(vm).contains(&known));
+            wait_for("knowing the other VMs", || vm.metrics().contains(&known));
         }
         let site = Self { store, upstream, cluster, vms };
         site.upstream.cut_from(&[site.cluster.ipv4(1)], ClientCut::Reset);
@@ -332,8 +328,7 @@
         wait_for("noticing the cut", || {
             number += 1;
             site.request("GET", "/reads/1", &format!("cut-{number}"));
-            // The metric's help text contains its name and a number, too.
-            metrics(&site.vms[0]).lines().any(|line| line == "sedgepath_cut_off 1")
+            site.vms[0].is_cut_off()
         });
         site
     }
@@ -473,7 +468,7 @@
     other.cut_from(&[site.cluster.ipv4(1)], ClientCut::Reset);
     let known = "sedgepath_upstreams{state=\"known\"} 2";
     for vm in &site.vms {
-        wait_for("knowing the other upstream", || metrics(vm).contains(known));
+        wait_for("knowing the other upstream", || vm.metrics().contains(known));
     }
     site.upstream.crash();
     assert_large_requests_answered(&site, MANY_CONNECTIONS, Duration::ZERO, 503);
--- a/crates/sedgepathd/tests/direct_cuts.rs
+++ b/crates/sedgepathd/tests/direct_cuts.rs
@@ -55,7 +55,7 @@
         }
         let count = format!("sedgepath_vms {}", vms.len());
         for vm in &vms {
-            wait_for("knowing the other VMs", || metrics(vm).contains(&count));
+            wait_for("knowing the other VMs", || vm.metrics().contains(&count));
         }
         Self { store, upstreams, cluster, vms }
     }
@@ -89,16 +89,6 @@
     }
 }
 
-fn metrics(vm: &Vm) -> String {
-    caller::get(vm.metrics_address, "/metrics").map_or_else(String::new, |page| page.text())
-}
-
-/// Returns whether a VM has noticed that it reaches no upstream.
-fn is_cut_off(vm: &Vm) -> bool {
-    // The metric's help text contains its name and a number, too.
-    metrics(vm).lines().any(|line| line == "sedgepath_cut_off 1")
-}
-
 /// Sends first tries on new connections, every second one not idempotent, one each 20 ms; returns how
 /// many were served.
 fn served_first_tries(address: SocketAddr, name: &str, count: usize) -> usize {
@@ -169,7 +159,7 @@
         let vm = &site.vms[usize::from(*number) - 1];
         let address = vm.caller_address;
         let traffic = std::thread::spawn(move || served_first_tries(address, "notice", 20));
-        wait_for("noticing the cut", || is_cut_off(vm));
+        wait_for("noticing the cut", || vm.is_cut_off());
         traffic.join().expect("callers");
     }
 }
@@ -191,7 +181,7 @@
 }
 
 fn forwardings(vm: &Vm) -> u64 {
-    let text = metrics(vm);
+    let text = vm.metrics();
     let lines = text.lines().filter(|line| line.starts_with("sedgepath_forwardings_total"));
     lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
 }
@@ -208,7 +198,7 @@
         }
         site.end_cuts();
         for vm in &site.vms {
-            wait_for("the end of the cut", || metrics(vm).contains("sedgepath_cut_off 0"));
+            wait_for("the end of the cut", || vm.metrics().contains("sedgepath_cut_off 0"));
         }
     }
 }
@@ -375,7 +365,7 @@
             request.join().expect("a caller");
         }
         site.end_cuts();
-        wait_for("the end of the cut", || metrics(&site.vms[0]).contains("sedgepath_cut_off 0"));
+        wait_for("the end of the cut", || site.vms[0].metrics().contains("sedgepath_cut_off 0"));
         let other = site.vms[1].caller_address;
         let response = caller::request(other, "GET", "/reads/same", &format!("other-{round}"));
         assert_eq!(response.expect("a response").status, 200, "{}", site.cluster.log(2));
@@ -395,7 +385,7 @@
         cut_off(&site, &[1], cut);
         site.end_cuts();
         let ended_at = Instant::now();
-        wait_for("the end of the cut", || metrics(vm).contains("sedgepath_cut_off 0"));
+        wait_for("the end of the cut", || vm.metrics().contains("sedgepath_cut_off 0"));
         assert!(ended_at.elapsed() < Duration::from_secs(2), "{cut:?}: {:?}", ended_at.elapsed());
         let before = forwardings(vm);
         assert_eq!(served_first_tries(vm.caller_address, "healed", 40), 40);
@@ -403,8 +393,12 @@
     }
 }
 
-/// Sends more requests of an account than its quota allows; returns how many are served.
+/// The time in which an unused quota has filled up again.
+const QUOTA_REFILL_TIME: Duration = Duration::from_secs(2);
+
+/// Sends more requests of an account than its quota allows, which has been unused; returns how many are served.
 fn served_within_quota(address: SocketAddr, name: &str) -> usize {
+    std::thread::sleep(QUOTA_REFILL_TIME);
     let statuses = (0..100).map(|number| {
         std::thread::sleep(Duration::from_millis(25));
         let mut connection = Connection::new(address).expect("a connection");
@@ -426,7 +420,7 @@
     site.store.put("op", "config", configuration.as_bytes());
     for vm in &site.vms {
         let in_force = "sedgepath_configuration_version 20";
-        wait_for("the configuration", || metrics(vm).contains(in_force));
+        wait_for("the configuration", || vm.metrics().contains(in_force));
     }
     let address = site.vms[0].caller_address;
     let before = served_within_quota(address, "before");
@@ -436,7 +430,7 @@
     wait_for("noticing the cut", || {
         number += 1;
         drop(caller::request(address, "GET", "/open/1", &format!("open-{number}")));
-        is_cut_off(&site.vms[0])
+        site.vms[0].is_cut_off()
     });
     let during = served_within_quota(address, "during");
     // Half as many would be served if both VMs took the quota.
@@ -461,7 +455,7 @@
     wait_for("the end of the VM", || stopped.exit_status().is_some());
     let started = site.cluster.start_at_own_address(1, "north-a", &[]);
     wait_for("readiness", || started.is_ready());
-    wait_for("knowing the other VM", || metrics(&started).contains("sedgepath_vms 2"));
+    wait_for("knowing the other VM", || started.metrics().contains("sedgepath_vms 2"));
     served_first_tries(started.caller_address, "noticing", 20);
     assert_eq!(served_first_tries(started.caller_address, "started", 40), 40);
 }
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -255,6 +255,17 @@
             .is_some_and(|response| response.status == 200)
     }
 
+    /// Returns the metrics; empty if they can't be read.
+    pub fn metrics(&self) -> String {
+        caller::get(self.metrics_address, "/metrics").map_or_else(String::new, |page| page.text())
+    }
+
+    /// Returns whether the VM has noticed that it reaches no upstream.
+    pub fn is_cut_off(&self) -> bool {
+        // The metric's help text contains its name and a number, too.
+        self.metrics().lines().any(|line| line == "sedgepath_cut_off 1")
+    }
+
     /// Sends SIGTERM, which begins a planned stop.
     pub fn terminate(&self) {
         self.signal("-TERM");
--- a/crates/sedgepathd/tests/stop_under_load.rs
+++ b/crates/sedgepathd/tests/stop_under_load.rs
@@ -104,7 +104,7 @@
         }
         let expected = format!("sedgepath_vms {}", vms.len());
         for vm in &vms {
-            wait_for("knowing the other VMs", || metrics(vm).contains(&expected));
+            wait_for("knowing the other VMs", || vm.metrics().contains(&expected));
         }
         let links = vms
             .iter()
@@ -282,14 +282,10 @@
     wait_for("noticing the cut", || {
         // Requests on the way show the cut.
         let _response = caller::request(vm.caller_address, "GET", "/reads/1?0,0", "notice");
-        metrics(vm).lines().any(|line| line == "sedgepath_cut_off 1")
+        vm.is_cut_off()
     });
 }
 
-fn metrics(vm: &Vm) -> String {
-    caller::get(vm.metrics_address, "/metrics").map_or_else(String::new, |page| page.text())
-}
-
 /// Returns the milliseconds from one moment to another, which may be earlier.
 fn signed_ms(from: Instant, to: Instant) -> i64 {
     let ms = |duration: Duration| duration.as_millis() as i64;
@@ -447,7 +443,7 @@
     let vms = [1, 2].map(|number| site.start_at_own_address(number, DOMAINS[0], &[]));
     for vm in &vms {
         wait_for("readiness", || vm.is_ready());
-        wait_for("knowing the other VM", || metrics(vm).contains("sedgepath_vms 2"));
+        wait_for("knowing the other VM", || vm.metrics().contains("sedgepath_vms 2"));
     }
     cut_off(&vms[0], std::slice::from_ref(&upstream), site.ipv4(1), ClientCut::Reset);
 
