Let callers of the soak pause before sending and reading

Cause: a planned stop lost requests of callers that connect first and send later, and of callers that send ahead of the responses they read. All six callers of the soak send at once and read at once, so that no connection of theirs is in either state when a VM stops.

Change: two callers send the only request of a connection up to 900 ms after its opening, and two keep one or two requests ahead of the response that they read, after pauses of up to 400 ms. Such a response belongs to the oldest unanswered attempt of its connection; the attempts behind a connection that ends count as without a response. The six callers and the generators of faults draw as before. A further check holds for all callers: a response that carries an attempt id carries that of its attempt, so that rejections are matched too, not just served responses.

Limits: upstreams of the soak work for 400 ms at most and their responses are small, and the soak doesn't ask whether each request that ran got a whole response.

--- a/crates/sedgepathd/tests/soak.rs
+++ b/crates/sedgepathd/tests/soak.rs
@@ -1,6 +1,7 @@
 //! Randomized fault injection into VMs in `--direct` mode, their upstreams, links and store. Upstreams
 //! state that they leave, or ask for pauses, and some VMs are cut off from all of them. With some seeds messages between VMs are authenticated,
-//! the key is replaced and an intruder sends messages.
+//! the key is replaced and an intruder sends messages. Some callers pause before the first request of a
+//! connection, and some send ahead of the responses that they read.
 //!
 //! The checks: no non-idempotent request runs twice, none runs that was reported as not run, no
 //! response reaches another request, and after the faults every VM serves requests and a draining
@@ -11,11 +12,12 @@
 
 mod platform;
 
-use std::collections::BTreeMap;
-use std::net::UdpSocket;
-use std::ops::Range;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{SocketAddr, UdpSocket};
+use std::ops::{Range, RangeInclusive};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use platform::caller::{Connection, Response};
@@ -48,6 +50,28 @@
 /// region.
 const MAX_LINK_DELAY_MS: u64 = 150;
 
+/// The upper bound of the time from the opening of a connection to a late first request, in milliseconds.
+const MAX_FIRST_PAUSE_MS: u64 = 900;
+
+/// The upper bound of the pause before a response is read behind which requests wait, in milliseconds.
+const MAX_READ_PAUSE_MS: u64 = 400;
+
+/// How many requests are sent ahead of the response that is read.
+const REQUESTS_AHEAD: RangeInclusive<usize> = 1..=2;
+
+/// The callers that send each request as soon as they can, by number.
+const PROMPT_CALLERS: Range<usize> = 0..6;
+
+/// The callers that pause, and how; their numbers follow those of [`PROMPT_CALLERS`].
+const PAUSING_CALLERS: [CallerKind; 4] =
+    [CallerKind::LateFirst, CallerKind::LateFirst, CallerKind::Ahead, CallerKind::Ahead];
+
+/// The time that callers allow for a request, in milliseconds.
+const DEADLINE_MS: u64 = 1_500;
+
+/// The pause of a caller that can't connect, in milliseconds.
+const REFUSED_PAUSE_MS: u64 = 20;
+
 /// The policies of authentication between VMs, by seed.
 const POLICIES: [&str; 4] = ["off", "off", "require", "sign"];
 
@@ -349,7 +373,7 @@
 
 /// Sends requests on persistent connections until `stop` is set; each attempt has a unique id.
 fn send_requests(
-    addresses: &[std::net::SocketAddr],
+    addresses: &[SocketAddr],
     caller: usize,
     stop: &AtomicBool,
     responses: &Responses,
@@ -366,13 +390,11 @@
         let address = addresses[random.usize(..addresses.len())];
         let idle = connection.take();
         let Some(mut open) = idle.or_else(|| Connection::new(address)) else {
-            std::thread::sleep(Duration::from_millis(20));
+            std::thread::sleep(Duration::from_millis(REFUSED_PAUSE_MS));
             continue;
         };
-        let answer = open.send(method, path, &attempt, 1_500).and_then(|()| open.receive());
-        let closes =
-            |answer: &Response| answer.headers.get("connection").is_some_and(|v| v == "close");
-        if answer.as_ref().is_some_and(|answer| answer.body.is_some() && !closes(answer)) {
+        let answer = open.send(method, path, &attempt, DEADLINE_MS).and_then(|()| open.receive());
+        if answer.as_ref().is_some_and(keeps_open) {
             connection = Some(open);
         }
         responses.lock().expect("responses").insert(attempt, answer);
@@ -380,18 +402,130 @@
     }
 }
 
+/// Returns whether the connection can be used again after a response.
+fn keeps_open(answer: &Response) -> bool {
+    let closes = answer.headers.get("connection").is_some_and(|value| value == "close");
+    answer.body.is_some() && !closes
+}
+
+/// How a caller pauses.
+#[derive(Debug, Clone, Copy)]
+enum CallerKind {
+    /// Between the opening of a connection and its only request.
+    LateFirst,
+    /// Before it reads each response, with requests sent ahead of it.
+    Ahead,
+}
+
+/// A caller that pauses, so that VMs stop while it has a connection without a request, or unread responses.
+#[derive(Debug)]
+struct PausingCaller {
+    number: usize,
+    sent: usize,
+    random: fastrand::Rng,
+    addresses: Vec<SocketAddr>,
+    stop: Arc<AtomicBool>,
+    responses: Responses,
+}
+
+impl PausingCaller {
+    /// Sends requests until the test's end.
+    fn run(mut self, kind: CallerKind) {
+        while !self.is_over() {
+            let address = self.addresses[self.random.usize(..self.addresses.len())];
+            let Some(connection) = Connection::new(address) else {
+                std::thread::sleep(Duration::from_millis(REFUSED_PAUSE_MS));
+                continue;
+            };
+            match kind {
+                CallerKind::LateFirst => self.send_late(connection),
+                CallerKind::Ahead => self.send_ahead(connection),
+            }
+        }
+    }
+
+    fn send_late(&mut self, mut connection: Connection) {
+        self.pause(MAX_FIRST_PAUSE_MS);
+        let attempt = self.send(&mut connection);
+        self.record(attempt, connection.receive());
+    }
+
+    /// Sends requests ahead until the connection or the test ends, and reads what it waits for.
+    fn send_ahead(&mut self, mut connection: Connection) {
+        let mut unanswered = VecDeque::new();
+        loop {
+            let ahead = self.random.usize(REQUESTS_AHEAD);
+            while !self.is_over() && unanswered.len() <= ahead {
+                unanswered.push_back(self.send(&mut connection));
+            }
+            let Some(oldest) = unanswered.pop_front() else { return };
+            self.pause(MAX_READ_PAUSE_MS);
+            let answer = connection.receive();
+            let goes_on = answer.as_ref().is_some_and(keeps_open);
+            self.record(oldest, answer);
+            if !goes_on {
+                break;
+            }
+        }
+        for attempt in unanswered {
+            self.record(attempt, None);
+        }
+    }
+
+    /// Sends a request and returns its attempt id; if it can't be written, reading shows it.
+    fn send(&mut self, connection: &mut Connection) -> String {
+        let attempt = format!("c{}-{}", self.number, self.sent);
+        self.sent += 1;
+        let is_charge = self.random.bool();
+        let (method, path) = if is_charge { ("POST", "/charges/1") } else { ("GET", "/reads/1") };
+        let _written = connection.send(method, path, &attempt, DEADLINE_MS);
+        attempt
+    }
+
+    fn record(&self, attempt: String, answer: Option<Response>) {
+        self.responses.lock().expect("responses").insert(attempt, answer);
+    }
+
+    fn pause(&mut self, max_ms: u64) {
+        std::thread::sleep(Duration::from_millis(self.random.u64(..=max_ms)));
+    }
+
+    fn is_over(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+}
+
+/// Starts all callers, which send requests until `stop` is set.
+fn start_callers(
+    addresses: &[SocketAddr],
+    stop: &Arc<AtomicBool>,
+    responses: &Responses,
+) -> Vec<JoinHandle<()>> {
+    let prompt = PROMPT_CALLERS.map(|caller| {
+        let (stop, responses) = (Arc::clone(stop), Arc::clone(responses));
+        let addresses = addresses.to_vec();
+        std::thread::spawn(move || send_requests(&addresses, caller, &stop, &responses))
+    });
+    let pausing = (PROMPT_CALLERS.end..).zip(PAUSING_CALLERS).map(|(number, kind)| {
+        let caller = PausingCaller {
+            number,
+            sent: 0,
+            random: fastrand::Rng::with_seed(number as u64),
+            addresses: addresses.to_vec(),
+            stop: Arc::clone(stop),
+            responses: Arc::clone(responses),
+        };
+        std::thread::spawn(move || caller.run(kind))
+    });
+    prompt.chain(pausing).collect()
+}
+
 fn run_seed(seed: u64) {
     let mut soak = Soak::new(seed);
     let addresses: Vec<_> = soak.vms.iter().flatten().map(|vm| vm.caller_address).collect();
     let stop = Arc::new(AtomicBool::new(false));
     let responses: Responses = Arc::default();
-    let callers: Vec<_> = (0..6)
-        .map(|caller| {
-            let (stop, responses) = (Arc::clone(&stop), Arc::clone(&responses));
-            let addresses = addresses.clone();
-            std::thread::spawn(move || send_requests(&addresses, caller, &stop, &responses))
-        })
-        .collect();
+    let callers = start_callers(&addresses, &stop, &responses);
     for _ in 0..FAULTS_PER_SEED {
         soak.inject_fault();
         soak.copy_or_restore();
@@ -418,7 +552,7 @@
 fn find_failures(
     soak: &Soak,
     responses: &BTreeMap<String, Option<Response>>,
-    addresses: &[std::net::SocketAddr],
+    addresses: &[SocketAddr],
 ) -> Vec<String> {
     let mut failures = Vec::new();
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
@@ -442,6 +576,9 @@
     let mut served = 0;
     for (attempt, answer) in responses {
         let Some(answer) = answer else { continue };
+        if let Some(id) = answer.headers.get("x-sedgepath-attempt-id").filter(|id| *id != attempt) {
+            failures.push(format!("{attempt} got the response {} to {id}", answer.status));
+        }
         if answer.status == 200 && answer.body.is_some() {
             served += 1;
             if !answer.text().starts_with(&format!("{attempt} at u")) {
@@ -463,7 +600,7 @@
 
 /// Returns a description of every guarantee that is violated once the faults are over: all VMs
 /// serve requests, and a draining upstream receives none.
-fn find_failures_after_faults(soak: &Soak, addresses: &[std::net::SocketAddr]) -> Vec<String> {
+fn find_failures_after_faults(soak: &Soak, addresses: &[SocketAddr]) -> Vec<String> {
     let (draining, link) = &soak.upstreams[0];
     // Gives upstreams that were ejected, cold or lapsed time to be used again.
     std::thread::sleep(Duration::from_secs(4));
