Log a response that the end of the process cuts in the owned way

Cause: a response body that a planned stop cut left no line. The body was dropped with the runtime, exactly as if its caller had disconnected, so the log couldn't name what the end of the process had cut.

Change: the daemon records the end of the process and then drops the runtime. A relayed body that is dropped before it is whole from then on logs `event=response_cut request="ID"`; standard error isn't buffered, and the runtime's drop waits for its workers, so that the line is written before the process exits.

Not covered: the last bytes of a body that are already in the connection's write buffer, and bodies that aren't relayed (a stored response, the response of a request's home).

Measured: the new test logs `response_cut` for the caller that doesn't read, and no line for the one that leaves and the one that reads; it passed in 3 of 3 runs. Without the record of the end it fails with no line, and with the record always set it fails with a second line, for the caller that left. A first form of the test sent one SIGTERM: the process hadn't ended a minute later, as the node waits without a limit for a caller that doesn't read; the test sends two.

--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -7,6 +7,7 @@
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -74,6 +75,7 @@
     metrics: Arc<Metrics>,
     limits: Limits,
     ticket_key: SharedKey,
+    process_ending: AtomicBool,
 }
 
 impl CallerServer {
@@ -88,7 +90,8 @@
         ticket_key: SharedKey,
     ) -> Arc<Self> {
         let vm = VmKey::of(&name);
-        Arc::new(Self { name, vm, boot, handle, hops, metrics, limits, ticket_key })
+        let process_ending = AtomicBool::new(false);
+        Arc::new(Self { name, vm, boot, handle, hops, metrics, limits, ticket_key, process_ending })
     }
 
     /// Returns the handle to the node.
@@ -96,6 +99,16 @@
         &self.handle
     }
 
+    /// Records that the process ends: a response that isn't whole from now on is cut by this end, not by its
+    /// caller.
+    pub fn begin_process_end(&self) {
+        self.process_ending.store(true, Ordering::Relaxed);
+    }
+
+    fn is_process_ending(&self) -> bool {
+        self.process_ending.load(Ordering::Relaxed)
+    }
+
     /// Accepts connections until `stop` becomes true, then waits until the open connections have
     /// finished their requests.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
@@ -288,7 +301,7 @@
             forwarded_by: Some(from),
         };
         match RequestTask::new(Arc::clone(self), head, http, body).serve().await {
-            RequestResult::Response { response, request, end_reported } => {
+            RequestResult::Response { response, request, end_reported, .. } => {
                 if !end_reported {
                     let event = Event::RelayEnded { request, whole: true, stored: None };
                     self.handle.send_event(event);
@@ -299,10 +312,10 @@
         }
     }
 
-    fn build_response(&self, result: RequestResult) -> Response<ResponseBody> {
+    fn build_response(self: &Arc<Self>, result: RequestResult) -> Response<ResponseBody> {
         match result {
-            RequestResult::Response { response, request, end_reported } => {
-                self.relay_response(*response, request, end_reported)
+            RequestResult::Response { response, request, id, end_reported } => {
+                self.relay_response(*response, request, id, end_reported)
             }
             RequestResult::Outcome(outcome) => {
                 outcome_response(&outcome, self.handle.clock().now_ms())
@@ -317,9 +330,10 @@
     }
 
     fn relay_response(
-        &self,
+        self: &Arc<Self>,
         upstream_response: UpstreamResponse,
         request: RequestKey,
+        id: Box<str>,
         end_reported: bool,
     ) -> Response<ResponseBody> {
         let status =
@@ -327,9 +341,11 @@
         let body = RelayBody {
             chunks: upstream_response.body,
             remaining_bytes: upstream_response.http.body_bytes,
-            handle: self.handle.clone(),
+            callers: Arc::clone(self),
             request,
+            id,
             end_reported,
+            ended: false,
         };
         let mut response = Response::new(UnsyncBoxBody::new(body));
         *response.status_mut() = status;
--- a/crates/sedgepathd/src/callers/relay.rs
+++ b/crates/sedgepathd/src/callers/relay.rs
@@ -1,6 +1,7 @@
 //! Streams a response body to the caller and reports to the node how the relay ended.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -8,23 +9,27 @@
 use sedgepath_core::event::Event;
 use sedgepath_core::key::RequestKey;
 
-use crate::driver::NodeHandle;
+use super::CallerServer;
 use crate::reply::{BodyAborted, BodyReceiver};
 
 /// A response body that is streamed to the caller; it reports its end to the node once.
 pub(super) struct RelayBody {
     pub(super) chunks: BodyReceiver,
     pub(super) remaining_bytes: Option<u64>,
-    pub(super) handle: NodeHandle,
+    pub(super) callers: Arc<CallerServer>,
     pub(super) request: RequestKey,
+    /// The request's identifier for the log.
+    pub(super) id: Box<str>,
     pub(super) end_reported: bool,
+    /// Whether the end of the whole body was reached.
+    pub(super) ended: bool,
 }
 
 impl RelayBody {
     fn report_end(&mut self, whole: bool) {
         if !std::mem::replace(&mut self.end_reported, true) {
             let event = Event::RelayEnded { request: self.request, whole, stored: None };
-            self.handle.send_event(event);
+            self.callers.handle.send_event(event);
         }
     }
 }
@@ -32,8 +37,11 @@
 impl Drop for RelayBody {
     fn drop(&mut self) {
         // hyper drops a body of declared length once that length is sent, without polling for its
-        // end. A body dropped earlier means that the caller has disconnected.
-        let whole = self.remaining_bytes == Some(0);
+        // end. A body dropped earlier means that the caller has disconnected or the process ends.
+        let whole = self.ended || self.remaining_bytes == Some(0);
+        if !whole && self.callers.is_process_ending() {
+            log::info!("event=response_cut request={:?}", self.id);
+        }
         self.report_end(whole);
     }
 }
@@ -64,6 +72,7 @@
                 Some(Err(BodyAborted))
             }
             None => {
+                self.ended = true;
                 self.report_end(true);
                 None
             }
--- a/crates/sedgepathd/src/callers/request_task.rs
+++ b/crates/sedgepathd/src/callers/request_task.rs
@@ -32,6 +32,8 @@
         response: Box<UpstreamResponse>,
         /// The request that the response belongs to.
         request: RequestKey,
+        /// The request's identifier for the log.
+        id: Box<str>,
         /// Whether the node has already been told that the relay ended.
         end_reported: bool,
     },
@@ -154,9 +156,14 @@
         RequestResult::Outcome(deduplication::node_ended(&self.head))
     }
 
-    fn log_given_up(&self) {
+    /// Returns the caller's identifier of the request for the log, `none` if it has none.
+    fn id(&self) -> Box<str> {
         let id = self.http.fields.iter().find(|(name, _)| &**name == REQUEST_ID_HEADER);
-        let id = id.map_or_else(|| "none".into(), |(_, id)| String::from_utf8_lossy(id));
+        id.map_or_else(|| "none".into(), |(_, id)| String::from_utf8_lossy(id).into())
+    }
+
+    fn log_given_up(&self) {
+        let id = self.id();
         let now_ms = self.callers.handle.clock().now_ms();
         log::info!(
             "event=gave_up request={id:?} reason=process_ended service={:?} sendings={} took_ms={}",
@@ -169,18 +176,19 @@
     async fn finish_with_response(mut self, response: UpstreamResponse) -> RequestResult {
         self.outcome_decided = true;
         let request = self.request;
+        let id = self.id();
         if self.head.deduplication == Deduplication::Repeatable {
             let response = Box::new(response);
-            return RequestResult::Response { response, request, end_reported: false };
+            return RequestResult::Response { response, request, id, end_reported: false };
         }
         let relay_ended = |whole, stored| Event::RelayEnded { request, whole, stored };
         match collect(response, &*self.http.method == "HEAD").await {
             Collected::Complete(response, stored) => {
                 self.callers.handle.send_event(relay_ended(true, Some(stored)));
-                RequestResult::Response { response, request, end_reported: true }
+                RequestResult::Response { response, request, id, end_reported: true }
             }
             Collected::TooLarge(response) => {
-                RequestResult::Response { response, request, end_reported: false }
+                RequestResult::Response { response, request, id, end_reported: false }
             }
             Collected::Aborted => {
                 self.callers.handle.send_event(relay_ended(false, None));
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -27,7 +27,7 @@
 use crate::callers::CallerServer;
 use crate::datagrams;
 use crate::dispatch::DispatchRunner;
-use crate::driver::{self, Clock, DriverOutputs};
+use crate::driver::{self, Clock, DriverOutputs, NodeHandle};
 use crate::hop::HopClient;
 use crate::lingering_close::MAX_LINGER;
 use crate::logging;
@@ -131,7 +131,8 @@
             .map_err(StartError::listen_failed("operators", settings.operators))?;
         let operator_server = server
             .start(OperatorServer::new(handle.clone(), Arc::clone(&table), verifier).into_rpc());
-        let caller_server_task = tokio::spawn(callers.serve(callers_listener, callers_stop));
+        let caller_server_task =
+            tokio::spawn(Arc::clone(&callers).serve(callers_listener, callers_stop));
         tokio::spawn(peers.serve(peers_listener));
         tokio::spawn(operators::run_fetches(fetch_jobs, call_key, handle.clone()));
         tokio::spawn(ticket_handover::run_ticket_handovers(handovers, hops, handle.clone(), boot));
@@ -139,12 +140,7 @@
         Ok::<_, StartError>(caller_server_task)
     })?;
 
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(StartError::Runtime)?;
-    std::thread::spawn(move || {
-        for _signal in signals.forever() {
-            handle.send_event(Event::StopRequested);
-        }
-    });
+    stop_on_signals(handle).map_err(StartError::Runtime)?;
     if node_thread.join().is_err() {
         log::error!("event=node_thread_panicked");
     }
@@ -157,6 +153,20 @@
             log::warn!("event=vm_still_listed");
         }
     });
+    callers.begin_process_end();
+    // Drops the tasks, and with them the responses that are cut, which log it.
+    drop(runtime);
+    Ok(())
+}
+
+/// Asks the node to stop at each SIGTERM and SIGINT.
+fn stop_on_signals(handle: NodeHandle) -> io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    std::thread::spawn(move || {
+        for _signal in signals.forever() {
+            handle.send_event(Event::StopRequested);
+        }
+    });
     Ok(())
 }
 
--- a/crates/sedgepathd/tests/stop.rs
+++ b/crates/sedgepathd/tests/stop.rs
@@ -294,3 +294,51 @@
 
     assert!(read_bytes >= FORWARDED_RESPONSE_BYTES, "{read_bytes}");
 }
+
+/// Sends a request whose response is larger than the buffers between the daemon and the caller, and waits
+/// until it begins.
+fn begin_large_response(connection: &mut TcpStream, request_id: &str) {
+    let request = format!(
+        "GET /v1/call/browse/large/{FORWARDED_RESPONSE_BYTES} HTTP/1.1\r\nHost: vm\r\n\
+         sedgepath-request-id: {request_id}\r\n\r\n"
+    );
+    connection.write_all(request.as_bytes()).expect("the request is sent");
+    connection.peek(&mut [0]).expect("a response");
+}
+
+/// Waits until the process of a daemon has ended, and returns its log.
+fn wait_for_end(system: &mut DaemonCluster, daemon_index: usize) -> Box<str> {
+    let daemon = system.daemons[daemon_index].as_mut().expect("the daemon is running");
+    let exit_status = daemon
+        .wait_until(Instant::now() + Duration::from_mins(1))
+        .expect("the process can be waited for");
+    assert!(exit_status.is_some_and(|status| status.success()), "{exit_status:?}");
+    daemon.output().expect("its output")
+}
+
+/// Guards against a response that the end of the process cuts and no line of the log names, and against
+/// such a line for a response whose caller has left or has it whole.
+#[test]
+fn a_response_that_the_end_of_the_process_cuts_is_logged() {
+    let mut daemon = OneDaemon::new();
+    let mut unread = daemon.connect();
+    let mut left = daemon.connect();
+    let mut read = daemon.connect();
+
+    begin_large_response(&mut unread, "unread");
+    begin_large_response(&mut left, "left");
+    begin_large_response(&mut read, "read");
+    daemon.signal();
+    thread::sleep(POLL_INTERVAL);
+    // The second signal ends the node, which waits for callers that don't read.
+    daemon.signal();
+    drop(left);
+    let whole = read.read_to_end(&mut Vec::new()).is_ok();
+    let log = wait_for_end(&mut daemon.system, 0);
+
+    let cut: Vec<_> = log.lines().filter(|line| line.contains("event=response_cut")).collect();
+    assert_eq!(cut, ["level=info event=response_cut request=\"unread\""], "{log}");
+    assert!(whole);
+    let (_, body_bytes, _) = read_response(&mut unread);
+    assert!(body_bytes < FORWARDED_RESPONSE_BYTES, "{body_bytes}");
+}
