Log what a planned stop of the owned way waits for and cuts

Cause: after its node has ended, a daemon waits up to 6 s for callers and peers without a line, and `connections_cut` counted the requests of peers only, so a stop that cut callers' connections read `connections_cut peer_requests=0`.

Change: `event=draining connections=N peer_requests=N` when the node has ended, and `connections=N` in `connections_cut` too. The server for callers counts its open connections with `OpenCount` and waits for that count instead of for all permits.

--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -34,6 +34,7 @@
 use crate::limits::Limits;
 use crate::lingering_close::LingeringStream;
 use crate::metrics::Metrics;
+use crate::open_count::OpenCount;
 use crate::reply::{Reply, UpstreamResponse};
 
 mod collect;
@@ -76,6 +77,7 @@
     limits: Limits,
     ticket_key: SharedKey,
     process_ending: AtomicBool,
+    open_connections: OpenCount,
 }
 
 impl CallerServer {
@@ -90,8 +92,18 @@
         ticket_key: SharedKey,
     ) -> Arc<Self> {
         let vm = VmKey::of(&name);
-        let process_ending = AtomicBool::new(false);
-        Arc::new(Self { name, vm, boot, handle, hops, metrics, limits, ticket_key, process_ending })
+        Arc::new(Self {
+            name,
+            vm,
+            boot,
+            handle,
+            hops,
+            metrics,
+            limits,
+            ticket_key,
+            process_ending: AtomicBool::new(false),
+            open_connections: OpenCount::new(),
+        })
     }
 
     /// Returns the handle to the node.
@@ -99,6 +111,11 @@
         &self.handle
     }
 
+    /// Returns the count of callers' open connections.
+    pub fn open_connections(&self) -> OpenCount {
+        self.open_connections.clone()
+    }
+
     /// Records that the process ends: a response that isn't whole from now on is cut by this end, not by its
     /// caller.
     pub fn begin_process_end(&self) {
@@ -112,8 +129,7 @@
     /// Accepts connections until `stop` becomes true, then waits until the open connections have
     /// finished their requests.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-        let max_connections = self.limits.connections;
-        let permits = Arc::new(Semaphore::new(max_connections));
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
         loop {
             let accepted = async {
                 let permit = Arc::clone(&permits).acquire_owned().await.ok()?;
@@ -126,15 +142,14 @@
             let Some((permit, (stream, from))) = accepted else { continue };
             let callers = Arc::clone(&self);
             let stop = stop.clone();
+            let open = self.open_connections.open();
             tokio::spawn(async move {
                 callers.serve_connection(stream, from, stop).await;
-                drop(permit);
+                drop((open, permit));
             });
         }
         drop(listener);
-        // All permits are available once the last connection has ended.
-        let _closed =
-            permits.acquire_many(u32::try_from(max_connections).unwrap_or(u32::MAX)).await;
+        self.open_connections.wait_until_none().await;
     }
 
     async fn serve_connection(
--- a/crates/sedgepathd/src/daemon.rs
+++ b/crates/sedgepathd/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Starts the daemon's components and runs them until a planned stop.
 
+use std::fmt::{self, Display, Formatter};
 use std::io;
 use std::net::{SocketAddr, ToSocketAddrs, UdpSocket};
 use std::sync::Arc;
@@ -46,6 +47,20 @@
 /// than connections linger.
 const DRAIN_TIMEOUT: Duration = MAX_LINGER.saturating_add(Duration::from_secs(1));
 
+/// What a planned stop waits for once the node has ended.
+#[derive(Debug)]
+struct StillOpen {
+    connections: OpenCount,
+    peer_requests: OpenCount,
+}
+
+impl Display for StillOpen {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let (connections, peer_requests) = (self.connections.get(), self.peer_requests.get());
+        write!(f, "connections={connections} peer_requests={peer_requests}")
+    }
+}
+
 /// Runs the daemon until SIGTERM or SIGINT has stopped it.
 ///
 /// # Errors
@@ -111,7 +126,8 @@
         SharedKey::new(&settings.secret, "tickets"),
     );
     let peers = PeerServer::new(frame_key, runner, Arc::clone(&callers), metrics);
-    let peer_requests = peers.open_requests();
+    let open =
+        StillOpen { connections: callers.open_connections(), peer_requests: peers.open_requests() };
 
     let call_key = signed_call::derive_call_key(&settings.secret);
     let operator_keys = settings.operator_keys.iter().map(|key| &**key);
@@ -146,9 +162,10 @@
     }
     stopping.store(true, Ordering::Relaxed);
     // The node has finished all requests, but callers and peers may not have read the last bytes yet.
+    log::info!("event=draining {open}");
     let _receiver_gone = stop_callers.send(true);
     runtime.block_on(async {
-        drain(caller_server_task, &peer_requests).await;
+        drain(caller_server_task, &open).await;
         if store.remove(store::VM_TABLE, &settings.name).await.is_err() {
             log::warn!("event=vm_still_listed");
         }
@@ -171,10 +188,10 @@
 }
 
 /// Waits for a limited time until callers and peers have got their responses.
-async fn drain(caller_server_task: JoinHandle<()>, peer_requests: &OpenCount) {
-    let drained = async { tokio::join!(caller_server_task, peer_requests.wait_until_none()) };
+async fn drain(caller_server_task: JoinHandle<()>, open: &StillOpen) {
+    let drained = async { tokio::join!(caller_server_task, open.peer_requests.wait_until_none()) };
     if tokio::time::timeout(DRAIN_TIMEOUT, drained).await.is_err() {
-        log::warn!("event=connections_cut peer_requests={}", peer_requests.get());
+        log::warn!("event=connections_cut {open}");
     }
 }
 
--- a/crates/sedgepathd/tests/stop.rs
+++ b/crates/sedgepathd/tests/stop.rs
@@ -342,3 +342,46 @@
     let (_, body_bytes, _) = read_response(&mut unread);
     assert!(body_bytes < FORWARDED_RESPONSE_BYTES, "{body_bytes}");
 }
+
+/// Returns the lines of a log with one of the events.
+fn lines_of<'a>(log: &'a str, events: &[&str]) -> Vec<&'a str> {
+    let has_event = |line: &&str| line.split(' ').any(|field| events.contains(&field));
+    log.lines().filter(has_event).collect()
+}
+
+/// Guards against a stop whose log doesn't tell what it waits for and what it cuts.
+#[test]
+fn the_log_of_a_stop_counts_what_is_open() {
+    let upstream = UpstreamStandIn::new(UpstreamConfig::new(40)).expect("upstream");
+    let spec = UpstreamSpec::new("b1", "south-a", 40).with_address(upstream.addr());
+    let records = records::one_service("browse", 10_000, &[spec], &["south-a"]);
+    let system = DaemonCluster::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+    let system = system.with_daemons(&records, &[("n1", "north-a"), ("s1", "south-a")]);
+    let mut system = system.expect("daemons");
+    assert!(system.wait_until_all_serve(|entry, _| is_answered(entry, "/ready")));
+    let connect =
+        |index: usize| TcpStream::connect(system.caller_addresses()[index]).expect("a connection");
+    let (mut by_ingress, mut by_owner, mut read) =
+        (connect(INGRESS), connect(OWNER), connect(OWNER));
+
+    begin_large_response(&mut by_ingress, "by-ingress");
+    begin_large_response(&mut by_owner, "by-owner");
+    begin_large_response(&mut read, "read");
+    let daemon = system.daemons[OWNER].as_mut().expect("a daemon");
+    daemon.signal(Signal::Term).expect("SIGTERM is sent");
+    thread::sleep(POLL_INTERVAL);
+    // The second signal ends the node, which waits for callers that don't read.
+    daemon.signal(Signal::Term).expect("SIGTERM is sent");
+    read.read_to_end(&mut Vec::new()).expect("a response and the end of the connection");
+    drop(read);
+    let log = wait_for_end(&mut system, OWNER);
+
+    assert_eq!(
+        lines_of(&log, &["event=draining", "event=connections_cut"]),
+        [
+            "level=info event=draining connections=2 peer_requests=1",
+            "level=warn event=connections_cut connections=1 peer_requests=1",
+        ],
+        "{log}"
+    );
+}
