--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -7,6 +7,7 @@
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -33,6 +34,7 @@
 use crate::limits::Limits;
 use crate::lingering_close::LingeringStream;
 use crate::metrics::Metrics;
+use crate::open_count::OpenCount;
 use crate::reply::{Reply, UpstreamResponse};
 
 mod collect;
@@ -74,6 +76,8 @@
     metrics: Arc<Metrics>,
     limits: Limits,
     ticket_key: SharedKey,
+    process_ending: AtomicBool,
+    open_connections: OpenCount,
 }
 
 impl CallerServer {
@@ -88,7 +92,18 @@
         ticket_key: SharedKey,
     ) -> Arc<Self> {
         let vm = VmKey::of(&name);
-        Arc::new(Self { name, vm, boot, handle, hops, metrics, limits, ticket_key })
+        Arc::new(Self {
+            name,
+            vm,
+            boot,
+            handle,
+            hops,
+            metrics,
+            limits,
+            ticket_key,
+            process_ending: AtomicBool::new(false),
+            open_connections: OpenCount::new(),
+        })
     }
 
     /// Returns the handle to the node.
@@ -96,11 +111,25 @@
         &self.handle
     }
 
+    /// Returns the count of callers' open connections.
+    pub fn open_connections(&self) -> OpenCount {
+        self.open_connections.clone()
+    }
+
+    /// Records that the process ends: a response that isn't whole from now on is cut by this end, not by its
+    /// caller.
+    pub fn begin_process_end(&self) {
+        self.process_ending.store(true, Ordering::Relaxed);
+    }
+
+    fn is_process_ending(&self) -> bool {
+        self.process_ending.load(Ordering::Relaxed)
+    }
+
     /// Accepts connections until `stop` becomes true, then waits until the open connections have
     /// finished their requests.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-        let max_connections = self.limits.connections;
-        let permits = Arc::new(Semaphore::new(max_connections));
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
         loop {
             let accepted = async {
                 let permit = Arc::clone(&permits).acquire_owned().await.ok()?;
@@ -113,15 +142,14 @@
             let Some((permit, (stream, from))) = accepted else { continue };
             let callers = Arc::clone(&self);
             let stop = stop.clone();
+            let open = self.open_connections.open();
             tokio::spawn(async move {
                 callers.serve_connection(stream, from, stop).await;
-                drop(permit);
+                drop((open, permit));
             });
         }
         drop(listener);
-        // All permits are available once the last connection has ended.
-        let _closed =
-            permits.acquire_many(u32::try_from(max_connections).unwrap_or(u32::MAX)).await;
+        self.open_connections.wait_until_none().await;
     }
 
     async fn serve_connection(
@@ -288,7 +316,7 @@
             forwarded_by: Some(from),
         };
         match RequestTask::new(Arc::clone(self), head, http, body).serve().await {
-            RequestResult::Response { response, request, end_reported } => {
+            RequestResult::Response { response, request, end_reported, .. } => {
                 if !end_reported {
                     let event = Event::RelayEnded { request, whole: true, stored: None };
                     self.handle.send_event(event);
@@ -299,10 +327,10 @@
         }
     }
 
-    fn build_response(&self, result: RequestResult) -> Response<ResponseBody> {
+    fn build_response(self: &Arc<Self>, result: RequestResult) -> Response<ResponseBody> {
         match result {
-            RequestResult::Response { response, request, end_reported } => {
-                self.relay_response(*response, request, end_reported)
+            RequestResult::Response { response, request, id, end_reported } => {
+                self.relay_response(*response, request, id, end_reported)
             }
             RequestResult::Outcome(outcome) => {
                 outcome_response(&outcome, self.handle.clock().now_ms())
@@ -317,9 +345,10 @@
     }
 
     fn relay_response(
-        &self,
+        self: &Arc<Self>,
         upstream_response: UpstreamResponse,
         request: RequestKey,
+        id: Box<str>,
         end_reported: bool,
     ) -> Response<ResponseBody> {
         let status =
@@ -327,9 +356,11 @@
         let body = RelayBody {
             chunks: upstream_response.body,
             remaining_bytes: upstream_response.http.body_bytes,
-            handle: self.handle.clone(),
+            callers: Arc::clone(self),
             request,
+            id,
             end_reported,
+            ended: false,
         };
         let mut response = Response::new(UnsyncBoxBody::new(body));
         *response.status_mut() = status;
