Send a request in a planned stop only if its deadline is in time

What callers saw: a VM under SIGTERM answered reads that an upstream was running with 502 (`gave_up reason=stopping`), 5.5 s after SIGTERM with a grace of 6 s.

Cause: a charge was sent only if its deadline lay before the end of requests, but a read also if twice its expected time, and 1.25 times the slowest recent response, did. An expectation is no bound: as soon as work became slower during the stop, reads ended so.

Change: one rule for all kinds, asked before anything else is decided, also before forwards: the deadline, or the route's timeout if that is sooner, lies before the end of requests. The rest is rejected at once as not run. A hedge of a request in flight may still go by its expected time: its caller waits for this VM in any case. The slowest response of a service has no use left and goes.

Tests: `a_read_is_sent_while_it_is_expected_in_time` and `a_read_is_not_sent_if_the_slowest_response_took_longer_than_is_left` asserted the rule that was the fault. `a_request_is_sent_only_if_its_deadline_is_in_time` holds reads to the bound of charges and both to being sent while it is kept; it and `a_read_is_not_sent_by_its_expected_time` failed before.

--- a/crates/sedgepath-core/src/direct.rs
+++ b/crates/sedgepath-core/src/direct.rs
@@ -66,7 +66,6 @@
 pub mod reports;
 pub mod routing;
 pub mod sender_limits;
-mod slowest_response;
 pub mod statements;
 pub mod status;
 pub mod steering;
--- a/crates/sedgepath-core/src/direct/planned_stop.rs
+++ b/crates/sedgepath-core/src/direct/planned_stop.rs
@@ -1,11 +1,9 @@
 //! What a VM still begins once it has been asked to stop.
 //!
-//! The end of the process cuts whatever is in flight, and a non-idempotent request that was cut can't be
-//! repeated: its caller never learns whether it ran. So a stopping VM sends on only what ends before its
-//! process does. It rejects the rest, which didn't run and can go to another VM.
-
-use super::attempts::RequestState;
-
+//! The end of the process cuts whatever is in flight. A non-idempotent request that was cut can't be
+//! repeated, since its caller never learns whether it ran, and an idempotent one has kept its caller waiting
+//! for nothing. So a stopping VM sends only what ends before its process does, whatever its upstream does, and
+//! rejects the rest at once: it didn't run and can go to another VM. An expected time is no such bound.
 /// How long a stopping VM accepts connections, in milliseconds: callers may use the addresses of a look-up
 /// for 3 s, and other VMs name this one until they have heard of its stop.
 const ACCEPT_MS: u64 = 3_100;
@@ -16,12 +14,6 @@
 /// The time for writing those responses, in milliseconds.
 const WRITE_MARGIN_MS: u64 = 350;
 
-/// The multiple of its expected time that an idempotent request must have left.
-const EXPECTED_TIME_FACTOR: u64 = 2;
-
-/// The share of the service's slowest recent response time that such a request must have left, in percent.
-const SLOWEST_TIME_PERCENT: u64 = 125;
-
 /// The times of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlannedStop {
@@ -43,21 +35,16 @@
         Self { accepts_until_ms, requests_end_at_ms, ends_at_ms }
     }
 
-    /// Returns whether a request may be sent now: its deadline is in time, whatever its upstream does, or its
-    /// caller may repeat it and it is expected in time. `expected_ms` is the time that it is expected to take,
-    /// `slowest_ms` that of its service's slowest recent response.
-    pub fn may_send_now(
-        self,
-        request: &RequestState,
-        expected_ms: u64,
-        slowest_ms: u64,
-        now_ms: u64,
-    ) -> bool {
-        let needed_ms = expected_ms
-            .saturating_mul(EXPECTED_TIME_FACTOR)
-            .max(slowest_ms.saturating_mul(SLOWEST_TIME_PERCENT) / 100);
-        let is_expected_in_time = now_ms.saturating_add(needed_ms) <= self.requests_end_at_ms;
-        request.deadline_at_ms <= self.requests_end_at_ms
-            || (request.route.kind.may_retry() && is_expected_in_time)
+    /// Returns whether a request with a deadline in milliseconds ends in time, whatever its upstream does.
+    pub fn is_in_time(self, deadline_at_ms: u64) -> bool {
+        deadline_at_ms <= self.requests_end_at_ms
+    }
+
+    /// Returns whether a hedge that is expected to take a time in milliseconds may be sent.
+    ///
+    /// The request is in flight, so that its caller waits for this VM in any case: a hedge that takes longer
+    /// than expected costs the caller nothing.
+    pub fn may_hedge(self, expected_ms: u64, now_ms: u64) -> bool {
+        now_ms.saturating_add(expected_ms) <= self.requests_end_at_ms
     }
 }
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -34,7 +34,6 @@
 use super::reports::ReportQueue;
 use super::routing::{Configuration, ServiceSettings, WeightedRoundRobin};
 use super::sender_limits::SenderLimits;
-use super::slowest_response::SlowestResponse;
 use super::upstreams::UpstreamTable;
 use super::vms::VmTable;
 
@@ -157,8 +156,6 @@
     /// The limit on the callers that are told to retry immediately.
     immediate_retries: RetryBudget,
     service_times: Map<Box<str>, ServiceTimes>,
-    /// The slowest response of each service.
-    slowest_responses: Map<Box<str>, SlowestResponse>,
     response_bytes: Map<Box<str>, f64>,
     admission: Admission,
     other_region_rtt_ms: f64,
@@ -195,7 +192,6 @@
             immediate_retries: RetryBudget::new(immediate_retries, &location.name),
             location,
             service_times: Map::default(),
-            slowest_responses: Map::default(),
             response_bytes: Map::default(),
             admission: Admission::default(),
             crashes: CrashLedger::new(vms.key()),
--- a/crates/sedgepath-core/src/direct/steering/learning.rs
+++ b/crates/sedgepath-core/src/direct/steering/learning.rs
@@ -2,7 +2,6 @@
 
 use super::{SAMPLE_WEIGHT, Steering};
 use crate::direct::attempts::{AttemptCause, AttemptOutcome, InFlightAttempt, RequestState};
-use crate::direct::slowest_response::SlowestResponse;
 use crate::direct::upstreams::{LoadReport, RunPace, UpstreamKey};
 
 impl Steering {
@@ -43,9 +42,6 @@
                 | AttemptOutcome::Misdirected
         );
         self.reach.record_end(responded, now_ms);
-        if matches!(outcome, AttemptOutcome::Answered { .. } | AttemptOutcome::TimedOut) {
-            self.record_response_time(&request.service, attempt.sent_at_ms, now_ms);
-        }
         if matches!(outcome, AttemptOutcome::Answered { .. }) {
             self.admission.record_served(&request.service, now_ms);
         }
@@ -89,34 +85,6 @@
         }
     }
 
-    /// Records the time since a moment, in milliseconds, as that of a response of a service.
-    pub(super) fn record_response_time(&mut self, service: &str, since_ms: u64, now_ms: u64) {
-        let took_ms = now_ms.saturating_sub(since_ms);
-        // Avoids copying the name for each response.
-        if let Some(slowest) = self.slowest_responses.get_mut(service) {
-            slowest.record(took_ms, now_ms);
-            return;
-        }
-        let mut slowest = SlowestResponse::default();
-        slowest.record(took_ms, now_ms);
-        self.slowest_responses.insert(service.into(), slowest);
-    }
-
-    /// Records how a body has ended that was passed on before it had arrived completely, and when its request
-    /// was sent, in milliseconds.
-    pub fn record_body_end(
-        &mut self,
-        key: UpstreamKey,
-        sent_at_ms: u64,
-        is_whole: bool,
-        now_ms: u64,
-    ) {
-        let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        upstream.record_body_end(is_whole, now_ms);
-        let service = upstream.entry.service.clone();
-        self.record_response_time(&service, sent_at_ms, now_ms);
-    }
-
     /// Records the response size of a successful attempt, and its time if it found a free slot.
     fn record_time_and_size(
         &mut self,
--- a/crates/sedgepath-core/src/direct/steering/reachability.rs
+++ b/crates/sedgepath-core/src/direct/steering/reachability.rs
@@ -6,7 +6,7 @@
 
 use super::Steering;
 use crate::direct::attempts::{
-    ForwardOutcome, ForwardedRequest, Forwarding, NextStep, RejectionReason, RequestState,
+    ForwardedRequest, Forwarding, NextStep, RejectionReason, RequestState,
 };
 use crate::direct::reach::ReachChange;
 use crate::direct::upstreams::{Upstream, UpstreamKey};
@@ -130,10 +130,7 @@
         random: u64,
         now_ms: u64,
     ) -> Option<Forwarding> {
-        let expected_ms = self.expected_work_ms(request);
-        if request.asked_vms.len() >= MAX_ASKED_VMS
-            || self.is_too_late_to_send(request, expected_ms, now_ms)
-        {
+        if request.asked_vms.len() >= MAX_ASKED_VMS {
             return None;
         }
         let account_homes =
@@ -161,19 +158,6 @@
         self.service_times.get(&request.service).copied().unwrap_or_default().work_ms(false)
     }
 
-    /// Records how the forwarding of a request to another VM ended.
-    pub fn record_forwarding_end(
-        &mut self,
-        request: &mut RequestState,
-        outcome: ForwardOutcome,
-        now_ms: u64,
-    ) {
-        request.record_forward_outcome(outcome);
-        if matches!(outcome, ForwardOutcome::Answered | ForwardOutcome::TimedOut) {
-            self.record_response_time(&request.service, request.arrived_at_ms, now_ms);
-        }
-    }
-
     /// Forwards a request whose upstream may have been cut off while it had it, if the request may run
     /// twice.
     pub fn hedge_by_neighbour(
@@ -183,7 +167,10 @@
         now_ms: u64,
     ) -> Option<Forwarding> {
         let may_forward = self.is_cut_off() && !request.is_forwarded;
-        if !may_forward || !self.may_hedge(request, now_ms) {
+        if !may_forward
+            || !self.may_hedge(request, now_ms)
+            || !self.stop_allows_hedge(self.expected_work_ms(request), now_ms)
+        {
             return None;
         }
         let forwarding = self.choose_neighbour(request, random, now_ms)?;
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -90,6 +90,9 @@
                 request,
             );
         }
+        if self.planned_stop.is_some_and(|stop| !stop.is_in_time(request.deadline_at_ms)) {
+            return reject_or_give_up(RejectionReason::Stopping, 0, request);
+        }
         match self.step_when_cut_off(request, random, now_ms) {
             Some(NextStep::Forward(forwarding)) => {
                 request.record_forwarding(forwarding);
@@ -118,9 +121,6 @@
             let (reason, retry_after_ms) = self.no_upstream(request, random, now_ms);
             return reject_or_give_up(reason, retry_after_ms, request);
         };
-        if self.is_too_late_to_send(request, candidate.expected_ms, now_ms) {
-            return reject_or_give_up(RejectionReason::Stopping, 0, request);
-        }
         let config = self.config.admission;
         if let Decision::Reject(rejection) =
             self.admission.decide(request, &candidate, config, now_ms)
@@ -148,20 +148,6 @@
         self.start_attempt(request, candidate, now_ms)
     }
 
-    /// Returns whether a planned stop may end before a request that is sent now, and is expected to take
-    /// `expected_ms`, has its response.
-    pub(super) fn is_too_late_to_send(
-        &self,
-        request: &RequestState,
-        expected_ms: f64,
-        now_ms: u64,
-    ) -> bool {
-        let Some(stop) = self.planned_stop else { return false };
-        let slowest = self.slowest_responses.get(&request.service);
-        let slowest_ms = slowest.map_or(0, |slowest| slowest.longest_ms(now_ms));
-        !stop.may_send_now(request, expected_ms as u64, slowest_ms, now_ms)
-    }
-
     /// Returns whether a request has failed to connect to so many upstreams, for so long, that it isn't held
     /// any longer. Refused connections cost no time, unlike those that get no answer.
     fn has_tried_to_connect_enough(&self, request: &RequestState, now_ms: u64) -> bool {
@@ -261,7 +247,7 @@
             return None;
         }
         let candidate = self.choose(request, random, now_ms)?;
-        if self.is_too_late_to_send(request, candidate.expected_ms, now_ms) {
+        if !self.stop_allows_hedge(candidate.expected_ms, now_ms) {
             return None;
         }
         let vm_count = self.vms.max_known_vm_count(now_ms);
@@ -280,6 +266,11 @@
         self.verdict(request, now_ms).allows_hedging() && self.is_still_authorized(request)
     }
 
+    /// Returns whether a planned stop, if any, leaves the time that a hedge is expected to take.
+    pub(super) fn stop_allows_hedge(&self, expected_ms: f64, now_ms: u64) -> bool {
+        self.planned_stop.is_none_or(|stop| stop.may_hedge(expected_ms as u64, now_ms))
+    }
+
     /// Cancels all attempts in flight after the caller disconnected or got its response.
     pub fn cancel_request(&mut self, request: &mut RequestState, now_ms: u64) {
         while let Some(attempt) = request.in_flight.last() {
--- a/crates/sedgepath-core/tests/direct_planned_stop.rs
+++ b/crates/sedgepath-core/tests/direct_planned_stop.rs
@@ -50,46 +50,53 @@
     }
 }
 
-/// Guards against charges that the end of the process cuts, and against rejecting those that it can't cut.
+/// Guards against requests that the end of a stop ends while an upstream works on them, and against rejecting
+/// those that it can't end.
 #[test]
-fn a_charge_is_sent_only_if_its_deadline_is_in_time() {
+fn a_request_is_sent_only_if_its_deadline_is_in_time() {
     let (mut vm, stop) = stopping_vm();
     let last_ms = stop.requests_end_at_ms - TIME_LIMIT_MS;
-    for now_ms in [0, last_ms] {
-        let next = first_step(&mut vm, "/charges/1", now_ms);
-        assert!(matches!(next, NextStep::Send(_)), "at {now_ms}: {next:?}");
+    for path in ["/charges/1", "/reads/1"] {
+        for now_ms in [0, last_ms] {
+            let next = first_step(&mut vm, path, now_ms);
+            assert!(matches!(next, NextStep::Send(_)), "{path} at {now_ms}: {next:?}");
+        }
+        for now_ms in [last_ms + 1, stop.accepts_until_ms, stop.ends_at_ms - 1] {
+            assert_eq!(first_step(&mut vm, path, now_ms), REJECTED, "{path} at {now_ms}");
+        }
     }
-    for now_ms in [last_ms + 1, stop.ends_at_ms - 1] {
-        assert_eq!(first_step(&mut vm, "/charges/1", now_ms), REJECTED, "at {now_ms}");
-    }
-}
-
-/// Guards against a stop that rejects all reads although most take a fraction of their time limit, and against
-/// one that sends them up to its end.
-#[test]
-fn a_read_is_sent_while_it_is_expected_in_time() {
-    let (mut vm, stop) = stopping_vm();
-    let next = first_step(&mut vm, "/reads/1", stop.accepts_until_ms);
-    assert!(matches!(next, NextStep::Send(_)), "{next:?}");
-    assert_eq!(first_step(&mut vm, "/reads/1", stop.requests_end_at_ms - 1), REJECTED);
 }
 
-/// Guards against reads that are sent late because most responses are fast, although some take longer than the
-/// stop lasts.
+/// Guards against reads that a stop ends since they take longer than they, or any lately, were expected to.
 #[test]
-fn a_read_is_not_sent_if_the_slowest_response_took_longer_than_is_left() {
+fn a_read_is_not_sent_by_its_expected_time() {
     let mut vm = serving_vm("a1", "north-a", 1, 2);
-    let mut slow = begin_request(&mut vm, "/reads/1", "x", 0);
-    let NextStep::Send(attempt) = vm.next_step(&mut slow, 1, 0) else {
+    let mut fast = begin_request(&mut vm, "/reads/1", "x", 0);
+    let NextStep::Send(attempt) = vm.next_step(&mut fast, 1, 0) else {
         panic!("an upstream should be free");
     };
     let answered = AttemptOutcome::Answered { failed: false, report: None, body_bytes: 100 };
-    vm.record_outcome(&mut slow, attempt.upstream, answered, 2_500);
-    let stop = PlannedStop::new(2_500, GRACE_MS);
+    vm.record_outcome(&mut fast, attempt.upstream, answered, 20);
+    let stop = PlannedStop::new(20, GRACE_MS);
     vm.begin_stop(stop);
-    assert_eq!(first_step(&mut vm, "/reads/1", stop.accepts_until_ms), REJECTED);
-    let next = first_step(&mut vm, "/reads/1", 2_501);
-    assert!(matches!(next, NextStep::Send(_)), "{next:?}");
+    let late_ms = stop.requests_end_at_ms - TIME_LIMIT_MS + 1;
+    assert_eq!(first_step(&mut vm, "/reads/1", late_ms), REJECTED);
+}
+
+/// Guards against a stop that leaves a read, sent before it, to an upstream that has become silent.
+#[test]
+fn a_read_in_flight_is_hedged_while_that_is_expected_in_time() {
+    for (grace_ms, is_hedged) in [(GRACE_MS, true), (2_000, false)] {
+        let mut vm = vm_with_retry_budget("a1", "north-a", 1, 2);
+        let mut request = begin_request(&mut vm, "/reads/1", "x", 0);
+        let first = vm.next_step(&mut request, 1, 0);
+        assert!(matches!(first, NextStep::Send(_)), "{first:?}");
+        let overdue_at_ms = vm.hedge_at_ms(&request).expect("a hedge");
+        let stop = PlannedStop::new(0, grace_ms);
+        vm.begin_stop(stop);
+        let hedge = vm.hedge(&mut request, 1, overdue_at_ms);
+        assert_eq!(hedge.is_some(), is_hedged, "at {overdue_at_ms}, {stop:?}: {hedge:?}");
+    }
 }
 
 /// Guards against a decision at the arrival of a request that is sent only after the stop has begun.
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -240,7 +240,7 @@
             let outcome = response_outcome(parts.status, headers, prefix.len() as u64);
             let body =
                 PartlyBufferedBody::new(prefix, incoming, reusable.connection, deadline_at_ms)
-                    .with_attempt(attempt, Arc::clone(&shared.body_ends));
+                    .with_upstream(attempt.upstream, Arc::clone(&shared.body_ends));
             let response = Some(build_response(parts, body.boxed()));
             AttemptResult { outcome, response }
         }
--- a/crates/sedgepathd/src/direct/in_flight_request.rs
+++ b/crates/sedgepathd/src/direct/in_flight_request.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use sedgepath_core::direct::attempts::{AttemptOutcome, ForwardOutcome, NextStep, RequestState};
+use sedgepath_core::direct::attempts::{AttemptOutcome, NextStep, RequestState};
 use sedgepath_core::direct::upstreams::UpstreamKey;
 
 use super::clock;
@@ -49,12 +49,6 @@
         }
     }
 
-    /// Records how the forwarding to another VM ended.
-    pub fn record_forwarding_end(&mut self, outcome: ForwardOutcome) {
-        let mut steering = self.shared.steering.borrow_mut();
-        steering.record_forwarding_end(&mut self.state, outcome, clock::now_ms());
-    }
-
     /// Returns the request's token of its account's quota, since it was not run.
     pub fn return_quota_token(&mut self) {
         let mut steering = self.shared.steering.borrow_mut();
--- a/crates/sedgepathd/src/direct/request_run.rs
+++ b/crates/sedgepathd/src/direct/request_run.rs
@@ -163,7 +163,7 @@
     head: &RequestHead,
     result: ForwardResult,
 ) -> Ended {
-    request.record_forwarding_end(result.outcome);
+    request.state.record_forward_outcome(result.outcome);
     match (result.outcome, result.response) {
         (_, Some((response, is_from_upstream))) => {
             record_forwarded(&request.shared, &head.attempt_id, &request.state, is_from_upstream);
--- a/crates/sedgepathd/src/direct/response_body.rs
+++ b/crates/sedgepathd/src/direct/response_body.rs
@@ -7,7 +7,6 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
-use sedgepath_core::direct::attempts::Attempt;
 use sedgepath_core::direct::upstreams::UpstreamKey;
 use tokio::time::Sleep;
 
@@ -66,8 +65,6 @@
 pub struct BodyEnd {
     /// The upstream that sent the body.
     pub upstream: UpstreamKey,
-    /// When its request was sent, in milliseconds.
-    pub sent_at_ms: u64,
     /// Whether the body was whole; otherwise it ended early by the upstream's fault.
     pub is_whole: bool,
 }
@@ -117,8 +114,8 @@
     deadline_at_ms: u64,
     deadline: Pin<Box<Sleep>>,
     progress: BodyProgress,
-    /// The attempt whose response the body belongs to, and where the body's end is recorded.
-    attempt: Option<(UpstreamKey, u64, Arc<BodyEnds>)>,
+    /// The upstream that sends the body, and where the body's end is recorded.
+    upstream: Option<(UpstreamKey, Arc<BodyEnds>)>,
     /// Dropped with the body, since a connection can't be reused before its response has ended.
     _connection: Connection,
 }
@@ -133,15 +130,15 @@
             deadline_at_ms,
             deadline: Box::pin(tokio::time::sleep_until(clock::instant_at(deadline_at_ms))),
             progress: BodyProgress::AwaitsCaller { since_ms: clock::now_ms() },
-            attempt: None,
+            upstream: None,
             _connection: connection,
         }
     }
 
-    /// Sets the attempt whose response the body belongs to, and where the body's end is recorded.
+    /// Sets the upstream that sends the body, and where the body's end is recorded.
     #[must_use]
-    pub fn with_attempt(mut self, attempt: &Attempt, ends: Arc<BodyEnds>) -> Self {
-        self.attempt = Some((attempt.upstream, attempt.sent_at_ms, ends));
+    pub fn with_upstream(mut self, upstream: UpstreamKey, ends: Arc<BodyEnds>) -> Self {
+        self.upstream = Some((upstream, ends));
         self
     }
 
@@ -154,8 +151,8 @@
         if std::mem::replace(&mut self.progress, BodyProgress::Ended) == BodyProgress::Ended {
             return;
         }
-        if let Some((upstream, sent_at_ms, ends)) = &self.attempt {
-            ends.push(BodyEnd { upstream: *upstream, sent_at_ms: *sent_at_ms, is_whole });
+        if let Some((upstream, ends)) = &self.upstream {
+            ends.push(BodyEnd { upstream: *upstream, is_whole });
         }
     }
 
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -329,11 +329,12 @@
 /// Records how bodies have ended that were passed on before they had arrived completely.
 fn record_body_ends(shared: &SharedState, now_ms: u64) {
     let mut steering = shared.steering.borrow_mut();
-    for BodyEnd { upstream, sent_at_ms, is_whole } in shared.body_ends.take() {
-        if !is_whole && let Some(upstream) = steering.upstreams().get(upstream) {
+    for BodyEnd { upstream, is_whole } in shared.body_ends.take() {
+        let Some(upstream) = steering.upstreams_mut().get_mut(upstream) else { continue };
+        if !is_whole {
             log::info!("event=body_broken upstream={}", upstream.entry.name);
         }
-        steering.record_body_end(upstream, sent_at_ms, is_whole, now_ms);
+        upstream.record_body_end(is_whole, now_ms);
     }
 }
 
