Tell what was in flight when a VM itself ends a request

Four causes of a response of the VM's own, while an upstream was at work, looked alike in logs and metrics: the end of a stop, the deadline, another VM's response that was passed on, and a repeat.

`gave_up` now has the sendings without an end (`in_flight`), the time since the last one (`sent_ms_ago`), the time left (`left_ms`) and, while the VM stops, the time since SIGTERM (`stopping_ms`). For a forwarded request it names the other VM, its reason and what it had in flight, which that VM tells in a header of its own: an older VM ignores it, and passes it on to the caller in the same response. `sedgepath_requests_ended_in_flight_total` counts such requests by reason. No decision changes.

The lines and counts are taken before the sendings are canceled. Lines of a request that a stop ends at another VM have no budget, as those at the VM that stops.

--- a/crates/sedgepathd/src/direct.rs
+++ b/crates/sedgepathd/src/direct.rs
@@ -41,6 +41,7 @@
 pub mod entry_queries;
 pub mod fetch;
 pub mod forwarding;
+pub mod give_up;
 pub mod gossip;
 pub mod in_flight_request;
 pub mod ingress;
--- a/crates/sedgepathd/src/direct/forwarding.rs
+++ b/crates/sedgepathd/src/direct/forwarding.rs
@@ -5,7 +5,7 @@
 //! its own callers, but never forwards it again. With its response it tells whether the request has run:
 //! only its own word proves that it has not.
 
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
 use super::attempt::{CONNECT_TIMEOUT, RequestHead, build_response, bytes_body};
 use super::clock;
 use super::connection_pool::{Body, Connection};
+use super::give_up::GivenUp;
 use super::ingress;
 use super::peer_authentication::ForwardExchange;
 use super::response_body::{BufferedBody, PartlyBufferedBody, buffer_body};
@@ -33,6 +34,9 @@
 /// The header with what the other VM tells of its response.
 const OUTCOME_HEADER: HeaderName = HeaderName::from_static("sedgepath-forward-outcome");
 
+/// The header with how the other VM has given the request up.
+const GIVEN_UP_HEADER: HeaderName = HeaderName::from_static("sedgepath-forward-given-up");
+
 /// The outcome of a response that came from an upstream.
 const FROM_UPSTREAM: &str = "upstream";
 
@@ -50,8 +54,26 @@
 pub enum OwnResponse {
     /// The request didn't run.
     Rejected(Rejection),
-    /// The request may have run.
-    GivenUp,
+    /// The request may have run; tells how it was given up if it was sent.
+    GivenUp(Option<GivenUp>),
+}
+
+/// Who made the response to a forwarded request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Responder {
+    /// An upstream.
+    Upstream,
+    /// The other VM itself, with how it has given the request up if it tells.
+    Vm(Option<GivenUp>),
+}
+
+/// Where the response to a forwarded request came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Forwarded {
+    /// The other VM's address for messages between VMs.
+    pub peer_address: SocketAddr,
+    /// Who made the response.
+    pub responder: Responder,
 }
 
 /// How a forwarding ended.
@@ -59,8 +81,8 @@
 pub struct ForwardResult {
     /// The outcome, as the request records it.
     pub outcome: ForwardOutcome,
-    /// The response to pass on, and whether an upstream made it.
-    pub response: Option<(Response<Body>, bool)>,
+    /// The response to pass on, and where it came from.
+    pub response: Option<(Response<Body>, Forwarded)>,
 }
 
 impl ForwardResult {
@@ -184,16 +206,18 @@
     let (mut parts, mut incoming) = response.into_parts();
     let outcome = parts.headers.remove(OUTCOME_HEADER);
     let outcome = outcome.as_ref().and_then(|value| value.to_str().ok()).unwrap_or_default();
-    let is_from_upstream = match outcome.split_once(' ') {
-        None if outcome == FROM_UPSTREAM => true,
-        None if outcome == FROM_VM => false,
+    let given_up = parts.headers.remove(GIVEN_UP_HEADER);
+    let given_up = given_up.as_ref().and_then(|value| GivenUp::parse(value.to_str().ok()?));
+    let responder = match outcome.split_once(' ') {
+        None if outcome == FROM_UPSTREAM => Responder::Upstream,
+        None if outcome == FROM_VM => Responder::Vm(given_up),
         Some((NOT_RUN, rejection)) => {
             let rejection = parse_rejection(rejection);
             return ForwardResult::without_response(ForwardOutcome::NotRun { rejection });
         }
         _ => return ForwardResult::without_response(ForwardOutcome::Failed),
     };
-    if is_from_upstream && parsed.kind != ResponseKind::Matching {
+    if responder == Responder::Upstream && parsed.kind != ResponseKind::Matching {
         return ForwardResult::without_response(ForwardOutcome::Failed);
     }
     let deadline = clock::instant_at(deadline_at_ms);
@@ -214,7 +238,10 @@
     };
     ForwardResult {
         outcome: ForwardOutcome::Answered,
-        response: Some((build_response(parts, body), is_from_upstream)),
+        response: Some((
+            build_response(parts, body),
+            Forwarded { peer_address: forwarding.peer_address, responder },
+        )),
     }
 }
 
@@ -234,7 +261,7 @@
     let Some(forwarded) = forwarded.filter(|_| accepted) else {
         let mut response = Response::new(bytes_body(Bytes::new()));
         *response.status_mut() = StatusCode::FORBIDDEN;
-        set_outcome(&mut response, &format!("{NOT_RUN} {NOT_ACCEPTED} 0"));
+        set_header(&mut response, OUTCOME_HEADER, &format!("{NOT_RUN} {NOT_ACCEPTED} 0"));
         return response;
     };
     let mut response = ingress::handle_forwarded(shared, request, forwarded).await;
@@ -242,16 +269,21 @@
         Some(OwnResponse::Rejected(Rejection { reason, retry_after_ms })) => {
             format!("{NOT_RUN} {} {retry_after_ms}", reason.name())
         }
-        Some(OwnResponse::GivenUp) => FROM_VM.into(),
+        Some(OwnResponse::GivenUp(given_up)) => {
+            if let Some(given_up) = given_up {
+                set_header(&mut response, GIVEN_UP_HEADER, &given_up.to_text());
+            }
+            FROM_VM.into()
+        }
         None => FROM_UPSTREAM.into(),
     };
-    set_outcome(&mut response, &outcome);
+    set_header(&mut response, OUTCOME_HEADER, &outcome);
     response
 }
 
-fn set_outcome(response: &mut Response<Body>, outcome: &str) {
-    if let Ok(value) = HeaderValue::from_str(outcome) {
-        response.headers_mut().insert(OUTCOME_HEADER, value);
+fn set_header(response: &mut Response<Body>, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        response.headers_mut().insert(name, value);
     }
 }
 
--- a/crates/sedgepathd/src/direct/in_flight_request.rs
+++ b/crates/sedgepathd/src/direct/in_flight_request.rs
@@ -25,6 +25,8 @@
     pub attempt_id: Box<str>,
     /// The request's route, deadline and attempts.
     pub state: RequestState,
+    /// When the request was sent last, to an upstream or another VM, in milliseconds.
+    pub last_sent_at_ms: Option<u64>,
     /// Whether the request has a response.
     pub is_answered: bool,
 }
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -276,8 +276,13 @@
     if state.is_forwarded && !has_room_for_forwarded(shared, state.priority()) {
         return reject(shared, &attempt_id, RejectedRequest::Begun(&state), OVERLOADED);
     }
-    let mut request =
-        InFlightRequest { shared: Rc::clone(shared), attempt_id, state, is_answered: false };
+    let mut request = InFlightRequest {
+        shared: Rc::clone(shared),
+        attempt_id,
+        state,
+        last_sent_at_ms: None,
+        is_answered: false,
+    };
     let response = serve_request(&mut request, parts, incoming, source.caller()).await;
     request.is_answered = true;
     response
--- a/crates/sedgepathd/src/direct/metrics.rs
+++ b/crates/sedgepathd/src/direct/metrics.rs
@@ -52,6 +52,7 @@
     closed_caller_connections: IntCounterVec,
     forwardings: IntCounterVec,
     rejections: IntCounterVec,
+    requests_ended_in_flight: IntCounterVec,
     account_rejections: IntCounterVec,
     named_accounts: RefCell<Set<Box<str>>>,
     peer_bytes: IntCounterVec,
@@ -205,6 +206,14 @@
     IntCounterVec::new(options, &["end"])
 }
 
+fn requests_ended_in_flight() -> Result<IntCounterVec, prometheus::Error> {
+    let options = Opts::new(
+        "sedgepath_requests_ended_in_flight_total",
+        "Requests that were given up while an upstream was, or may have been, at work, by reason.",
+    );
+    IntCounterVec::new(options, &["reason"])
+}
+
 fn pipelined_requests() -> Result<IntCounterVec, prometheus::Error> {
     let options = Opts::new(
         "sedgepath_pipelined_requests_total",
@@ -252,6 +261,7 @@
                 "Requests answered as not run, by reason.",
                 &["reason"],
             )?,
+            requests_ended_in_flight: requests_ended_in_flight()?,
             account_rejections: counter(
                 "sedgepath_account_refusals_total",
                 "Requests of client accounts answered as not run, by account; `(others)` are those \
@@ -331,6 +341,7 @@
         self.registry.register(Box::new(self.closed_caller_connections.clone()))?;
         self.registry.register(Box::new(self.forwardings.clone()))?;
         self.registry.register(Box::new(self.rejections.clone()))?;
+        self.registry.register(Box::new(self.requests_ended_in_flight.clone()))?;
         self.registry.register(Box::new(self.account_rejections.clone()))?;
         self.registry.register(Box::new(self.peer_bytes.clone()))?;
         self.registry.register(Box::new(self.rejected_peer_messages.clone()))?;
@@ -405,6 +416,11 @@
         self.rejections.with_label_values(&[reason.name()]).inc();
     }
 
+    /// Counts a request that was given up while an upstream was, or may have been, at work.
+    pub fn count_request_ended_in_flight(&self, reason: &str) {
+        self.requests_ended_in_flight.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a request of a client account that the VM rejected without running it.
     pub fn count_account_rejection(&self, account: &str) {
         let mut named = self.named_accounts.borrow_mut();
--- a/crates/sedgepathd/src/direct/request_run.rs
+++ b/crates/sedgepathd/src/direct/request_run.rs
@@ -6,7 +6,7 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::Response;
 use sedgepath_core::direct::attempts::{
-    Attempt, AttemptOutcome, ForwardOutcome, Forwarding, NextStep, RejectionReason,
+    Attempt, AttemptOutcome, ForwardOutcome, Forwarding, NextStep,
 };
 use sedgepath_core::direct::steering::Rejection;
 
@@ -14,11 +14,10 @@
 use super::clock;
 use super::connection_pool::Body;
 use super::forwarding::{self, ForwardResult};
+use super::give_up::{GiveUpReason, give_up, record_forwarded};
 use super::in_flight_request::InFlightRequest;
 use super::request_body::RequestBody;
-use super::responses::{
-    RejectedRequest, give_up, log_failed_attempt, record_forwarded, record_success, reject,
-};
+use super::responses::{RejectedRequest, log_failed_attempt, record_success, reject};
 use super::shared::{SharedState, StopPhase};
 
 /// Where a request is sent.
@@ -63,15 +62,15 @@
                     return reject(shared, &head.attempt_id, rejected, rejection);
                 }
                 NextStep::GiveUp { reason } => {
-                    let (reason, state) = (reason.name(), &request.state);
-                    return give_up(shared, &head.attempt_id, state, reason, last_response);
+                    let reason = GiveUpReason::NotSentAgain(reason);
+                    return give_up(request, reason, last_response);
                 }
             },
         };
         let Some(bytes) = body.take() else {
-            let (reason, state) = ("body_was_streamed", &request.state);
-            return give_up(shared, &head.attempt_id, state, reason, last_response);
+            return give_up(request, GiveUpReason::BodyWasStreamed, last_response);
         };
+        request.last_sent_at_ms = Some(clock::now_ms());
         in_flight.push(send(shared, deadline_at_ms, destination, head, bytes));
         while !in_flight.is_empty() {
             let sent = tokio::select! {
@@ -82,21 +81,15 @@
                     hedge = Some(destination);
                     break;
                 }
-                () = &mut stop => {
-                    let (reason, state) = (RejectionReason::Stopping.name(), &request.state);
-                    return give_up(shared, &head.attempt_id, state, reason, last_response);
-                }
+                () = &mut stop => return give_up(request, GiveUpReason::STOPPING, last_response),
             };
             let response = match sent {
                 Sent::Upstream(attempt, result) => end_attempt(request, head, &attempt, result),
-                Sent::Vm(result) => end_forwarding(request, head, result),
+                Sent::Vm(result) => end_forwarding(request, result),
             };
             match response {
                 Ended::Answered(response) => return response,
-                Ended::TimedOut => {
-                    let (reason, state) = ("timed_out", &request.state);
-                    return give_up(shared, &head.attempt_id, state, reason, last_response);
-                }
+                Ended::TimedOut => return give_up(request, GiveUpReason::TimedOut, last_response),
                 Ended::Failed(response) => last_response = response.or(last_response),
             }
         }
@@ -158,15 +151,11 @@
     }
 }
 
-fn end_forwarding(
-    request: &mut InFlightRequest,
-    head: &RequestHead,
-    result: ForwardResult,
-) -> Ended {
+fn end_forwarding(request: &mut InFlightRequest, result: ForwardResult) -> Ended {
     request.record_forwarding_end(result.outcome);
     match (result.outcome, result.response) {
-        (_, Some((response, is_from_upstream))) => {
-            record_forwarded(&request.shared, &head.attempt_id, &request.state, is_from_upstream);
+        (_, Some((response, forwarded))) => {
+            record_forwarded(request, response.status(), forwarded);
             Ended::Answered(response)
         }
         (ForwardOutcome::TimedOut, None) => Ended::TimedOut,
--- a/crates/sedgepathd/src/direct/responses.rs
+++ b/crates/sedgepathd/src/direct/responses.rs
@@ -14,7 +14,7 @@
 /// Returns a response of this VM, without a body, that carries the attempt id.
 pub fn status_response(status: StatusCode, attempt_id: &str) -> Response<Body> {
     let mut response = empty_response(status);
-    response.extensions_mut().insert(OwnResponse::GivenUp);
+    response.extensions_mut().insert(OwnResponse::GivenUp(None));
     headers::set_attempt_id(response.headers_mut(), attempt_id);
     response
 }
@@ -42,27 +42,6 @@
     );
 }
 
-/// Counts a request whose response another VM has sent.
-pub fn record_forwarded(
-    shared: &SharedState,
-    attempt_id: &str,
-    state: &RequestState,
-    is_from_upstream: bool,
-) {
-    let took_ms = clock::now_ms().saturating_sub(state.arrived_at_ms);
-    shared.metrics.record_request(if is_from_upstream { "answered" } else { "gave_up" }, took_ms);
-    if !is_from_upstream {
-        log::info!(
-            "event=gave_up request={attempt_id} reason=neighbour_gave_up account={} route={} \
-             service={} took_ms={took_ms} configuration={}",
-            state.account_name(),
-            state.route.name,
-            state.service,
-            state.version,
-        );
-    }
-}
-
 /// Returns the log target of a request that ends for a reason.
 fn log_target(reason: &str) -> &'static str {
     if reason == RejectionReason::Stopping.name() { logging::STOP_TARGET } else { module_path!() }
@@ -143,43 +122,8 @@
     response
 }
 
-/// Counts and logs a request that was given up and returns its response: the last one of an
-/// upstream, else 504 or 502, which say that the request may have run.
-pub fn give_up(
-    shared: &SharedState,
-    attempt_id: &str,
-    state: &RequestState,
-    reason: &str,
-    last_response: Option<Response<Body>>,
-) -> Response<Body> {
-    let response = last_response.unwrap_or_else(|| {
-        let timed_out = reason == "timed_out";
-        status_response(
-            if timed_out { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY },
-            attempt_id,
-        )
-    });
-    let took_ms = clock::now_ms().saturating_sub(state.arrived_at_ms);
-    shared.metrics.record_request("gave_up", took_ms);
-    log::info!(
-        target: log_target(reason),
-        "event=gave_up request={attempt_id} reason={reason} status={} account={} route={} service={} \
-         upstream={} sendings={} runs={} took_ms={took_ms} configuration={} fingerprint={}",
-        response.status().as_u16(),
-        state.account_name(),
-        state.route.name,
-        state.service,
-        last_upstream_name(shared, state),
-        state.delivered,
-        state.possible_runs,
-        state.version,
-        state.fingerprint_text(),
-    );
-    response
-}
-
 /// Returns the name of the upstream that a request was sent to last, for logs.
-fn last_upstream_name(shared: &SharedState, state: &RequestState) -> Box<str> {
+pub fn last_upstream_name(shared: &SharedState, state: &RequestState) -> Box<str> {
     let steering = shared.steering.borrow();
     match state.tried_upstreams.last() {
         None => "none".into(),
--- a/crates/sedgepathd/src/direct/run.rs
+++ b/crates/sedgepathd/src/direct/run.rs
@@ -184,7 +184,9 @@
 /// Carries out a planned stop, up to the end of the process. `accepting` ends when all connections that
 /// were established are accepted.
 async fn stop(shared: &SharedState, accepting: JoinHandle<()>) {
-    let stop = PlannedStop::new(clock::now_ms(), shared.settings.bounds.shutdown_grace_ms);
+    let now_ms = clock::now_ms();
+    shared.stop_began_at_ms.set(Some(now_ms));
+    let stop = PlannedStop::new(now_ms, shared.settings.bounds.shutdown_grace_ms);
     log_stop_phase(shared, "stopping");
     shared.steering.borrow_mut().begin_stop(stop);
     shared.stop_phase.send_replace(StopPhase::Leaving);
--- a/crates/sedgepathd/src/direct/shared.rs
+++ b/crates/sedgepathd/src/direct/shared.rs
@@ -106,6 +106,8 @@
     pub open_connections: Cell<usize>,
     /// The responses to other VMs that aren't written.
     pub forwarded_responses: OpenCount,
+    /// When a planned stop began, in milliseconds.
+    pub stop_began_at_ms: Cell<Option<u64>>,
     /// The phase of a planned stop, which callers' connections watch.
     pub stop_phase: tokio::sync::watch::Sender<StopPhase>,
 }
@@ -210,6 +212,7 @@
             pipeline_bounds,
             open_connections: Cell::new(0),
             forwarded_responses: OpenCount::new(),
+            stop_began_at_ms: Cell::default(),
             stop_phase: tokio::sync::watch::Sender::new(StopPhase::Serving),
         })
     }
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -18,11 +18,14 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
+use sedgepath_test_support::packet_filter::ClientCut;
 use sedgepath_test_support::port::{free_ports, spawn};
 use sedgepath_test_support::store::StoreStandIn;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
+use self::upstream::UpstreamStandIn;
+
 /// The longest that a test waits for a condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -42,6 +45,18 @@
     }
 }
 
+/// Cuts a VM off from all upstreams, and waits until it knows.
+pub fn cut_off(vm: &Vm, upstreams: &[UpstreamStandIn], ip: Ipv4Addr, cut: ClientCut) {
+    for upstream in upstreams {
+        upstream.cut_from(&[ip], cut);
+    }
+    wait_for("noticing the cut", || {
+        // Requests on the way show the cut.
+        let _response = caller::request(vm.caller_address, "GET", "/reads/1?0,0", "notice");
+        vm.is_cut_off()
+    });
+}
+
 /// Returns a route named like its path prefix.
 pub fn route(name: &str, kind: &str, timeout: &str) -> Value {
     json!({
--- a/crates/sedgepathd/tests/stop_under_load.rs
+++ b/crates/sedgepathd/tests/stop_under_load.rs
@@ -13,7 +13,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::IpAddr;
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -23,7 +23,7 @@
 use platform::caller::Connection;
 use platform::stop_callers::{Attempt, Caller, CallerKind, End, SharedByCallers};
 use platform::upstream::{Behaviour, ReceivedRequest, UpstreamStandIn};
-use platform::{TestCluster, Vm, caller, configure, wait_for};
+use platform::{TestCluster, Vm, configure, cut_off, wait_for};
 use sedgepath_test_support::link::CuttableLink;
 use sedgepath_test_support::packet_filter::ClientCut;
 use sedgepath_test_support::store::StoreStandIn;
@@ -274,18 +274,6 @@
     }
 }
 
-/// Cuts a VM off from all upstreams, and waits until it knows.
-fn cut_off(vm: &Vm, upstreams: &[UpstreamStandIn], ip: Ipv4Addr, cut: ClientCut) {
-    for upstream in upstreams {
-        upstream.cut_from(&[ip], cut);
-    }
-    wait_for("noticing the cut", || {
-        // Requests on the way show the cut.
-        let _response = caller::request(vm.caller_address, "GET", "/reads/1?0,0", "notice");
-        vm.is_cut_off()
-    });
-}
-
 /// Returns the milliseconds from one moment to another, which may be earlier.
 fn signed_ms(from: Instant, to: Instant) -> i64 {
     let ms = |duration: Duration| duration.as_millis() as i64;
