Keep a request whose upstream is at work when another VM gives it up

What callers saw: a VM that can open no new connections to upstreams, but still has a read at one, also sends it to another VM. If that VM gave the read up, its 502 went to the caller at once, although the first upstream was at work and its response could still arrive.

Cause: any response of another VM ended the request, also one that says only that this VM has given up. Between two upstreams a failure doesn't: the request waits for the sending that is left.

Change: such a response is a failed sending (`sending_failed outcome=neighbour_gave_up`) while an upstream still has the request.

--- a/crates/sedgepathd/src/direct/give_up.rs
+++ b/crates/sedgepathd/src/direct/give_up.rs
@@ -181,3 +181,19 @@
         state.version,
     );
 }
+
+/// Logs that another VM has given a request up which an upstream still has.
+pub fn log_failed_forwarding(request: &InFlightRequest, forwarded: Forwarded) {
+    let reason = match forwarded.responder {
+        Responder::Vm(Some(given_up)) => given_up.reason.name(),
+        Responder::Vm(None) | Responder::Upstream => "unknown",
+    };
+    log::info!(
+        "event=sending_failed request={} to={} service={} outcome={GIVEN_UP_BY_NEIGHBOUR} \
+         neighbour_reason={reason} fingerprint={}",
+        request.attempt_id,
+        forwarded.peer_address,
+        request.state.service,
+        request.state.fingerprint_text(),
+    );
+}
--- a/crates/sedgepathd/src/direct/request_run.rs
+++ b/crates/sedgepathd/src/direct/request_run.rs
@@ -13,8 +13,8 @@
 use super::attempt::{self, AttemptResult, RequestHead};
 use super::clock;
 use super::connection_pool::Body;
-use super::forwarding::{self, ForwardResult};
-use super::give_up::{GiveUpReason, give_up, record_forwarded};
+use super::forwarding::{self, ForwardResult, Responder};
+use super::give_up::{GiveUpReason, give_up, log_failed_forwarding, record_forwarded};
 use super::in_flight_request::InFlightRequest;
 use super::request_body::RequestBody;
 use super::responses::{RejectedRequest, log_failed_attempt, record_success, reject};
@@ -154,6 +154,14 @@
 fn end_forwarding(request: &mut InFlightRequest, result: ForwardResult) -> Ended {
     request.record_forwarding_end(result.outcome);
     match (result.outcome, result.response) {
+        // An upstream still has the request, and may respond.
+        (_, Some((_response, forwarded)))
+            if forwarded.responder != Responder::Upstream
+                && !request.state.in_flight.is_empty() =>
+        {
+            log_failed_forwarding(request, forwarded);
+            Ended::Failed(None)
+        }
         (_, Some((response, forwarded))) => {
             record_forwarded(request, response.status(), forwarded);
             Ended::Answered(response)
--- a/crates/sedgepathd/tests/direct_give_ups.rs
+++ b/crates/sedgepathd/tests/direct_give_ups.rs
@@ -147,3 +147,20 @@
     assert!(fixture.counts_one_ended_in_flight(1, "neighbour_gave_up"));
     assert_eq!(fixture.give_up_line(2, "forwarded").text("reason"), Some("stopping"));
 }
+
+/// Guards against another VM's give-up that ends a request while the upstream of its first sending is at work.
+#[test]
+fn a_neighbour_that_gives_up_does_not_end_a_request_that_an_upstream_has() {
+    let fixture = Fixture::new(2);
+    let mut connection = Connection::new(fixture.vms[0].caller_address).expect("a connection");
+    connection.send("GET", "/reads/1?2500", "kept", TIME_LIMIT_MS).expect("a request");
+    wait_for("the run", || !fixture.upstream.runs().is_empty());
+
+    fixture.upstream.set_behaviour(Behaviour::CloseWithoutResponse);
+    let upstream = std::slice::from_ref(&fixture.upstream);
+    cut_off(&fixture.vms[0], upstream, fixture.site.ipv4(1), ClientCut::NewConnections);
+    let status = connection.receive().map(|response| response.status);
+
+    assert_eq!(fixture.give_up_line(2, "kept").text("reason"), Some("no_retry"));
+    assert_eq!(status, Some(200));
+}
