Let an upstream work before it reads a request's body

What callers saw: a charge (or read) with a body larger than the upstream's receive buffer got 502 about 2.8 s after it was sent, long before its deadline of 8 s, while its upstream was at work and hadn't read the body yet. This holds at any time, not only in a stop, and between the two VMs of a forwarded request.

Cause: connections to upstreams and other VMs have TCP_USER_TIMEOUT 2.5 s. Linux counts the time for which the peer's window is closed, even if the peer acknowledges each probe, so a live upstream that doesn't read was taken for lost.

Change: before a request is sent, the time is set for its body: 2.5 s up to 16 KiB, which fit into a receive buffer, else what is left until the deadline. A lost upstream is noticed later by such requests only; an idempotent one whose body is in memory is hedged as before.

--- a/crates/sedgepath-wire/src/tcp.rs
+++ b/crates/sedgepath-wire/src/tcp.rs
@@ -16,7 +16,7 @@
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
 /// The time after which a connection to a server fails that has unacknowledged data.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Opens a connection that fails within about three seconds of its peer becoming unreachable.
 ///
@@ -56,6 +56,16 @@
     Ok(stream)
 }
 
+/// Sets the time after which a connection fails that has unacknowledged data; the system takes up to 24 days.
+///
+/// # Errors
+///
+/// Fails if the system rejects the socket option.
+pub fn set_unacknowledged_timeout(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
+    let longest = Duration::from_millis(i32::MAX as u64);
+    SockRef::from(stream).set_tcp_user_timeout(Some(timeout.min(longest)))
+}
+
 /// Enables keepalive probes and the user timeout (`TCP_USER_TIMEOUT`) on an open connection, and disables
 /// Nagle's algorithm.
 ///
--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout_at;
 
 use super::clock;
-use super::connection_pool::{Body, Connection};
+use super::connection_pool::{Body, Connection, unacknowledged_timeout};
 use super::response_body::{BufferedBody, PartlyBufferedBody, buffer_body};
 use super::shared::SharedState;
 use super::{reach_checks, statements};
@@ -120,6 +120,7 @@
             head.account.as_deref(),
             left_ms,
         );
+        connection.set_unacknowledged_timeout(unacknowledged_timeout(request.body(), left_ms));
         match timeout_at(deadline, connection.try_send_request(request)).await {
             Ok(Ok(response)) => {
                 return receive_response(
--- a/crates/sedgepathd/src/direct/connection_pool.rs
+++ b/crates/sedgepathd/src/direct/connection_pool.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Body as _;
 use sedgepath_core::hash::Map;
 use sedgepath_wire::tcp;
 
@@ -34,6 +35,20 @@
 /// covers network delay and late timers.
 const KEEP_ALIVE_MARGIN_MS: u64 = 1_500;
 
+/// The largest request body that the receive buffers of a server take although it reads nothing, in bytes.
+const MAX_SMALL_BODY_BYTES: u64 = 16 * 1024;
+
+/// Returns how long what is sent of a request may stay unacknowledged.
+///
+/// Bytes of a larger body stay so while the server works before it reads them, which the system doesn't tell
+/// from a lost server. Such a request waits for as long as its deadline allows.
+pub fn unacknowledged_timeout(body: &Body, left_ms: u64) -> Duration {
+    if body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_SMALL_BODY_BYTES) {
+        return tcp::UNACKNOWLEDGED_TIMEOUT;
+    }
+    tcp::UNACKNOWLEDGED_TIMEOUT.max(Duration::from_millis(left_ms))
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
--- a/crates/sedgepathd/src/direct/forwarding.rs
+++ b/crates/sedgepathd/src/direct/forwarding.rs
@@ -21,7 +21,7 @@
 
 use super::attempt::{CONNECT_TIMEOUT, RequestHead, build_response, bytes_body};
 use super::clock;
-use super::connection_pool::{Body, Connection};
+use super::connection_pool::{Body, Connection, unacknowledged_timeout};
 use super::ingress;
 use super::peer_authentication::ForwardExchange;
 use super::response_body::{BufferedBody, PartlyBufferedBody, buffer_body};
@@ -150,6 +150,7 @@
             request.headers_mut().insert(FORWARDED_HEADER, value);
         }
         ForwardExchange::new(address, &forwarded).prove_request(shared, &mut request);
+        connection.set_unacknowledged_timeout(unacknowledged_timeout(request.body(), left_ms));
         match timeout_at(deadline, connection.try_send_request(request)).await {
             Ok(Ok(response)) => {
                 return receive_response(
--- a/crates/sedgepathd/src/http_connection.rs
+++ b/crates/sedgepathd/src/http_connection.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use sedgepath_wire::tcp;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -57,11 +58,36 @@
     }
 }
 
+/// The time for which bytes may stay unacknowledged, to be set before the next ones are sent.
+#[derive(Debug, Default, Clone)]
+struct NextTimeout(Arc<AtomicU64>);
+
+impl NextTimeout {
+    const UNCHANGED: u64 = 0;
+
+    fn set(&self, timeout: Duration) {
+        self.0.store(timeout.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    fn take(&self) -> Option<Duration> {
+        let timeout_ms = self.0.swap(Self::UNCHANGED, Ordering::Relaxed);
+        (timeout_ms != Self::UNCHANGED).then(|| Duration::from_millis(timeout_ms))
+    }
+}
+
 /// A stream that fails once its allowance is used up.
 #[derive(Debug)]
 struct BoundedStream {
     stream: TcpStream,
     allowance: ReadAllowance,
+    next_timeout: NextTimeout,
+}
+
+impl BoundedStream {
+    fn apply_timeout(&self) -> io::Result<()> {
+        let timeout = self.next_timeout.take();
+        timeout.map_or(Ok(()), |timeout| tcp::set_unacknowledged_timeout(&self.stream, timeout))
+    }
 }
 
 impl AsyncRead for BoundedStream {
@@ -89,6 +115,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.apply_timeout()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -105,6 +132,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_timeout()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -118,6 +146,7 @@
 pub struct HttpConnection<B> {
     sender: SendRequest<B>,
     allowance: ReadAllowance,
+    next_timeout: NextTimeout,
 }
 
 impl<B> HttpConnection<B>
@@ -135,9 +164,19 @@
         stream: TcpStream,
     ) -> hyper::Result<(Self, impl Future<Output = hyper::Result<()>> + Send)> {
         let allowance = ReadAllowance::new();
-        let bounded = BoundedStream { stream, allowance: allowance.clone() };
+        let next_timeout = NextTimeout::default();
+        let bounded = BoundedStream {
+            stream,
+            allowance: allowance.clone(),
+            next_timeout: next_timeout.clone(),
+        };
         let (sender, driver) = http1::handshake(TokioIo::new(bounded)).await?;
-        Ok((Self { sender, allowance }, driver))
+        Ok((Self { sender, allowance, next_timeout }, driver))
+    }
+
+    /// Sets for how long what is sent from now on may stay unacknowledged.
+    pub fn set_unacknowledged_timeout(&self, timeout: Duration) {
+        self.next_timeout.set(timeout);
     }
 
     /// Sends a request and returns its response, whose body is still to be read.
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod early_upstream;
+pub mod late_reader;
 pub mod slow_peer;
 pub mod stop_callers;
 pub mod upstream;
