Reset a caller's connection if a body that ends with it fails

An HTTP/1.0 caller takes the end of its connection for the end of a body without a length. When the upstream broke such a body off, the VM closed the connection in order, and the caller took what it had for the whole body. Now the connection is reset. HTTP/1.1 callers miss the last chunk and linger as before.

--- a/crates/sedgepathd/src/caller_connection.rs
+++ b/crates/sedgepathd/src/caller_connection.rs
@@ -3,6 +3,7 @@
 use std::error::Error;
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
@@ -11,13 +12,17 @@
 use hyper::service::HttpService;
 use tokio::sync::Notify;
 
+use crate::lingering_close::AbortiveClose;
+
 /// How long a stopping VM waits for the first request of a connection that it has accepted. The caller
 /// sends it when its link has brought it the acceptance, and can't know of the stop.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_secs(1);
 
 /// Serves a connection until its end. Once `stopping` ends, the connection ends with the response in
 /// progress, or at once if it is idle. One without a request yet ends with the response to its first,
-/// for which it is kept for a limited time. Each request notifies `request_arrived`.
+/// for which it is kept for a limited time. Each request notifies `request_arrived`, and sets whether it is
+/// `without_chunks`, from a caller that takes the end of the connection for the end of a body without a length.
+/// If such a body fails, the connection is reset.
 ///
 /// # Errors
 ///
@@ -25,10 +30,11 @@
 pub async fn serve_until_stopped<I, S, B>(
     mut connection: Connection<I, S>,
     request_arrived: &Notify,
+    without_chunks: &AtomicBool,
     stopping: impl Future<Output = ()>,
 ) -> hyper::Result<()>
 where
-    I: Read + Write + Unpin,
+    I: Read + Write + Unpin + AbortiveClose,
     S: HttpService<Incoming, ResBody = B> + Unpin,
     S::Error: Into<Box<dyn Error + Send + Sync>>,
     B: Body + 'static,
@@ -49,8 +55,13 @@
         Pin::new(&mut connection).graceful_shutdown();
         (&mut connection).await
     };
-    if result.is_err() {
-        shut_down(connection.into_parts().io).await;
+    if let Err(error) = &result {
+        let io = connection.into_parts().io;
+        if error.is_user() && without_chunks.load(Ordering::Relaxed) {
+            io.reset_on_drop();
+        } else {
+            shut_down(io).await;
+        }
     }
     result
 }
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgepath_core::event::{Event, LookUp, LookUpError};
 use sedgepath_core::hash::Digest;
@@ -162,8 +162,10 @@
         let _best_effort = stream.set_nodelay(true);
         let limits = self.limits;
         let request_arrived = Notify::new();
-        let service = service_fn(|request| {
+        let without_chunks = AtomicBool::new(false);
+        let service = service_fn(|request: Request<Incoming>| {
             request_arrived.notify_one();
+            without_chunks.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
             let callers = Arc::clone(&self);
             async move { Ok::<_, Infallible>(callers.handle_request(request, from.ip()).await) }
         });
@@ -173,7 +175,8 @@
             .max_buf_size(limits.head_bytes)
             .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
         let stopping = wait_for_stop(&mut stop);
-        let result = serve_until_stopped(connection, &request_arrived, stopping).await;
+        let result =
+            serve_until_stopped(connection, &request_arrived, &without_chunks, stopping).await;
         if let Err(error) = result {
             log::debug!("event=caller_connection_ended error={:?}", error.to_string());
         }
--- a/crates/sedgepathd/src/direct/pipelining/reader.rs
+++ b/crates/sedgepathd/src/direct/pipelining/reader.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 use super::pipeline::Pipeline;
-use crate::lingering_close::{LingeringClose, is_read_closed};
+use crate::lingering_close::{AbortiveClose, LingeringClose, is_read_closed};
 
 /// The bytes that a stopping VM looks at before it reads them.
 const PEEK_BYTES: usize = 4 * 1024;
@@ -95,6 +95,12 @@
     }
 }
 
+impl AbortiveClose for PipelinedStream {
+    fn reset_on_drop(&self) {
+        self.socket.reset_on_drop();
+    }
+}
+
 impl AsyncRead for PipelinedStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/sedgepathd/src/lingering_close.rs
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -26,6 +27,25 @@
 /// The bytes that are discarded at once.
 const DISCARD_CHUNK_BYTES: usize = 4 * 1024;
 
+/// A connection that can be ended with a reset, which no caller takes for the end of a response.
+pub trait AbortiveClose {
+    /// Makes the connection end with a reset when it is dropped.
+    fn reset_on_drop(&self);
+}
+
+impl AbortiveClose for TcpStream {
+    fn reset_on_drop(&self) {
+        // The system refuses the option only if the connection has failed.
+        drop(self.set_zero_linger());
+    }
+}
+
+impl<T: AbortiveClose> AbortiveClose for TokioIo<T> {
+    fn reset_on_drop(&self) {
+        self.inner().reset_on_drop();
+    }
+}
+
 /// What becomes of bytes that the other side still sends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LateBytes {
@@ -180,6 +200,12 @@
     }
 }
 
+impl AbortiveClose for LingeringStream {
+    fn reset_on_drop(&self) {
+        self.socket.reset_on_drop();
+    }
+}
+
 impl AsyncRead for LingeringStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the stand-ins")]
 
 pub mod caller;
+pub mod cutting_upstream;
 pub mod early_upstream;
 pub mod slow_peer;
 pub mod stop_callers;
