Take a response with both a length and a coding for failed

With Transfer-Encoding, hyper ignores Content-Length. For a coding other than chunked the end of the connection then ends the body: an upstream that stated 11 bytes and closed right after its head gave the caller a 200 with an empty body, framed as whole. Both ways now treat such a response as broken.

Only the direct way has a test of it.

--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -19,7 +19,7 @@
 use super::response_body::{BufferedBody, PartlyBufferedBody, buffer_body};
 use super::shared::SharedState;
 use super::{reach_checks, statements};
-use crate::http_connection::discard_body;
+use crate::http_connection::{discard_body, has_contradictory_framing};
 
 /// Timeout of connecting to an upstream: three of the longest round trips between regions. It is
 /// shorter than the retransmission of a lost packet, which takes a second; another upstream is
@@ -225,6 +225,9 @@
             let report = headers.load;
             return AttemptResult::without_response(AttemptOutcome::Refused { report });
         }
+        ResponseKind::Matching if has_contradictory_framing(&parts.headers) => {
+            return AttemptResult::without_response(AttemptOutcome::Failed);
+        }
         ResponseKind::Matching => {}
     }
     match timeout_at(deadline, buffer_body(shared, &mut incoming)).await {
--- a/crates/sedgepathd/src/dispatch.rs
+++ b/crates/sedgepathd/src/dispatch.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::driver::NodeHandle;
-use crate::http_connection::discard_body;
+use crate::http_connection::{discard_body, has_contradictory_framing};
 use crate::reply::{BodyAborted, BodySender, Reply, UpstreamResponse, body_channel};
 use crate::upstreams::{CallError, Connection, UpstreamCall, UpstreamPool};
 
@@ -347,6 +347,9 @@
 /// A body that ends with its connection looks the same complete and truncated; the caller would
 /// take a truncated one as complete.
 fn is_framed(status: StatusCode, headers: &HeaderMap, incoming: &Incoming) -> bool {
+    if has_contradictory_framing(headers) {
+        return false;
+    }
     incoming.is_end_stream()
         || headers.contains_key(CONTENT_LENGTH)
         || headers.contains_key(TRANSFER_ENCODING)
--- a/crates/sedgepathd/src/http_connection.rs
+++ b/crates/sedgepathd/src/http_connection.rs
@@ -12,9 +12,11 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
+use hyper::HeaderMap;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -167,6 +169,12 @@
     }
 }
 
+/// Returns whether a response states both a length and a coding, so that its end isn't certain (RFC 9112,
+/// section 6.3).
+pub fn has_contradictory_framing(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Reads a body that isn't needed to its end if it is short and arrives soon, and returns whether it was read,
 /// so that its connection can be reused.
 pub async fn discard_body(body: Incoming) -> bool {
--- a/crates/sedgepathd/tests/truncated_responses.rs
+++ b/crates/sedgepathd/tests/truncated_responses.rs
@@ -73,6 +73,13 @@
             chunks,
             text,
         ),
+        shape(
+            "length_and_other_coding",
+            Invalid,
+            &format!("{ok}Content-Length: 11|Transfer-Encoding: x|"),
+            text,
+            text,
+        ),
     ];
     let mut informational =
         shape("informational", Framed, &format!("{ok}Content-Length: 11|"), text, text);
