Show reads that a stopping VM sends and can't finish

Callers of reads that a VM takes late in its planned stop get 502 from it while an upstream is at work on them: the VM sends a read whose deadline lies beyond the end of requests if reads have been fast lately, and ends it with a response of its own when this one is slower.

--- a/crates/sedgepathd/tests/direct_stop.rs
+++ b/crates/sedgepathd/tests/direct_stop.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use platform::caller::Connection;
-use platform::upstream::{Behaviour, EndlessPart, UpstreamStandIn};
+use platform::upstream::{Behaviour, EndlessPart, ReceivedRequest, UpstreamStandIn};
 use platform::{TestCluster, Vm, configure, wait_for};
 use sedgepath_test_support::store::StoreStandIn;
 
@@ -102,6 +102,14 @@
     fn runs(&self) -> usize {
         self.upstreams.iter().map(|upstream| upstream.runs().len()).sum()
     }
+
+    fn runs_of(&self, attempt_id: &str) -> usize {
+        let is_of = |run: &ReceivedRequest| {
+            run.headers.get("x-sedgepath-attempt-id").is_some_and(|id| id == attempt_id)
+        };
+        let runs = self.upstreams.iter().flat_map(UpstreamStandIn::runs);
+        runs.filter(is_of).count()
+    }
 }
 
 /// Guards against charges that a stopping VM sends to upstreams and whose responses its end cuts, and against
@@ -141,6 +149,90 @@
     assert_eq!(1 + served, fixture.runs());
 }
 
+/// The time between two connections of callers with a read: few enough for the upstreams' limits.
+const READ_INTERVAL: Duration = Duration::from_millis(150);
+
+/// The work of a read before the stop, in milliseconds.
+const USUAL_READ_WORK_MS: u64 = 200;
+
+/// The work of a slow read, in milliseconds: longer than requests may last that are sent once connections are
+/// no longer accepted.
+const SLOW_READ_WORK_MS: u64 = 2_600;
+
+/// The deadline of a slow read, in milliseconds: beyond the end of requests, if it is sent as late.
+const SLOW_READ_DEADLINE_MS: u64 = 4_000;
+
+/// The deadline of a read whose deadline is in time even then, in milliseconds.
+const SHORT_READ_DEADLINE_MS: u64 = 1_500;
+
+/// Guards against reads that a stopping VM sends to upstreams because they are usually fast and answers with
+/// a response of its own, and against the rejection of one whose deadline is in time.
+#[test]
+fn a_stopping_vm_sends_no_read_that_it_cannot_finish() {
+    let fixture = Fixture::new("6000ms", Behaviour::DelayedByTarget);
+    let usual_path = format!("/reads/1?{USUAL_READ_WORK_MS}");
+    let slow_path = format!("/reads/1?{SLOW_READ_WORK_MS}");
+    let mut before = Connection::new(fixture.vm.caller_address).expect("a connection");
+    for number in 0..10 {
+        let response = before.request("GET", &usual_path, &format!("b{number}"));
+        assert_eq!(response.map(|response| response.status), Some(200));
+    }
+
+    fixture.vm.terminate();
+    let begun_at = Instant::now();
+    let mut early = Connection::new(fixture.vm.caller_address).expect("a connection");
+    early.send("GET", &usual_path, "early", SLOW_READ_DEADLINE_MS).expect("a request");
+    let mut opened = Vec::new();
+    while let Some(connection) = Connection::new(fixture.vm.caller_address) {
+        opened.push(connection);
+        thread::sleep(READ_INTERVAL);
+    }
+    assert_eq!(early.receive().map(|response| response.status), Some(200));
+    thread::sleep(CALLER_DELAY);
+    let sent_at_ms = begun_at.elapsed().as_millis();
+    let is_slow = |number: usize| number.is_multiple_of(2);
+    for (number, connection) in opened.iter_mut().enumerate() {
+        let (path, deadline_ms) = if is_slow(number) {
+            (&slow_path, SLOW_READ_DEADLINE_MS)
+        } else {
+            (&usual_path, SHORT_READ_DEADLINE_MS)
+        };
+        connection
+            .send("GET", path, &format!("r{number}"), deadline_ms)
+            .expect("the VM waits for first requests");
+    }
+    let ends: Vec<_> = opened
+        .iter_mut()
+        .map(|connection| {
+            let response = connection.receive();
+            (response, begun_at.elapsed().as_millis())
+        })
+        .collect();
+
+    assert!(opened.len() > 10, "only {} connections were opened", opened.len());
+    let mut wrong = Vec::new();
+    for (number, (response, ended_at_ms)) in ends.iter().enumerate() {
+        let id = format!("r{number}");
+        let status = response.as_ref().map(|response| response.status);
+        let is_whole = response
+            .as_ref()
+            .is_some_and(|response| response.text().starts_with(&format!("{id} at u")));
+        let runs = fixture.runs_of(&id);
+        let is_right = match status {
+            Some(200) => is_whole && runs > 0,
+            Some(503) => is_slow(number) && runs == 0,
+            _ => false,
+        };
+        wrong.extend((!is_right).then_some((id, status, runs, ended_at_ms)));
+    }
+    assert!(
+        wrong.is_empty(),
+        "{} of {} reads, sent {sent_at_ms} ms after SIGTERM (id, status, runs, end in ms after SIGTERM): {wrong:?}",
+        wrong.len(),
+        opened.len(),
+    );
+}
+
 /// Guards against a charge that a VM has read behind another one before its stop and doesn't answer: its caller
 /// can't know that it didn't run.
 #[test]
