--- a/crates/sedgepathd/src/http_connection.rs
+++ b/crates/sedgepathd/src/http_connection.rs
@@ -60,20 +60,21 @@
     }
 }
 
-/// The time for which bytes may stay unacknowledged, to be set before the next ones are sent.
-#[derive(Debug, Default, Clone)]
-struct NextTimeout(Arc<AtomicU64>);
+/// The time for which bytes may stay unacknowledged that are sent from now on.
+#[derive(Debug, Clone)]
+struct UnacknowledgedTimeout(Arc<AtomicU64>);
 
-impl NextTimeout {
-    const UNCHANGED: u64 = 0;
+impl UnacknowledgedTimeout {
+    fn new(timeout: Duration) -> Self {
+        Self(Arc::new(AtomicU64::new(timeout.as_millis() as u64)))
+    }
 
     fn set(&self, timeout: Duration) {
         self.0.store(timeout.as_millis() as u64, Ordering::Relaxed);
     }
 
-    fn take(&self) -> Option<Duration> {
-        let timeout_ms = self.0.swap(Self::UNCHANGED, Ordering::Relaxed);
-        (timeout_ms != Self::UNCHANGED).then(|| Duration::from_millis(timeout_ms))
+    fn get(&self) -> Duration {
+        Duration::from_millis(self.0.load(Ordering::Relaxed))
     }
 }
 
@@ -82,13 +83,19 @@
 struct BoundedStream {
     stream: TcpStream,
     allowance: ReadAllowance,
-    next_timeout: NextTimeout,
+    unacknowledged_timeout: UnacknowledgedTimeout,
+    /// The time that is in effect on the stream.
+    applied_timeout: Duration,
 }
 
 impl BoundedStream {
-    fn apply_timeout(&self) -> io::Result<()> {
-        let timeout = self.next_timeout.take();
-        timeout.map_or(Ok(()), |timeout| tcp::set_unacknowledged_timeout(&self.stream, timeout))
+    fn apply_timeout(&mut self) -> io::Result<()> {
+        let timeout = self.unacknowledged_timeout.get();
+        if timeout != self.applied_timeout {
+            tcp::set_unacknowledged_timeout(&self.stream, timeout)?;
+            self.applied_timeout = timeout;
+        }
+        Ok(())
     }
 }
 
@@ -148,7 +155,7 @@
 pub struct HttpConnection<B> {
     sender: SendRequest<B>,
     allowance: ReadAllowance,
-    next_timeout: NextTimeout,
+    unacknowledged_timeout: UnacknowledgedTimeout,
 }
 
 impl<B> HttpConnection<B>
@@ -166,19 +173,22 @@
         stream: TcpStream,
     ) -> hyper::Result<(Self, impl Future<Output = hyper::Result<()>> + Send)> {
         let allowance = ReadAllowance::new();
-        let next_timeout = NextTimeout::default();
+        let applied_timeout = tcp::UNACKNOWLEDGED_TIMEOUT;
+        let unacknowledged_timeout = UnacknowledgedTimeout::new(applied_timeout);
         let bounded = BoundedStream {
             stream,
             allowance: allowance.clone(),
-            next_timeout: next_timeout.clone(),
+            unacknowledged_timeout: unacknowledged_timeout.clone(),
+            applied_timeout,
         };
         let (sender, driver) = http1::handshake(TokioIo::new(bounded)).await?;
-        Ok((Self { sender, allowance, next_timeout }, driver))
+        Ok((Self { sender, allowance, unacknowledged_timeout }, driver))
     }
 
-    /// Sets for how long what is sent from now on may stay unacknowledged.
+    /// Sets for how long what is sent from now on may stay unacknowledged. On a connection that
+    /// [`tcp::connect`] has opened, it is [`tcp::UNACKNOWLEDGED_TIMEOUT`] before.
     pub fn set_unacknowledged_timeout(&self, timeout: Duration) {
-        self.next_timeout.set(timeout);
+        self.unacknowledged_timeout.set(timeout);
     }
 
     /// Sends a request and returns its response, whose body is still to be read.
