Send responses of HTTP/1.0 upstreams with the framing of HTTP/1.1

What callers saw: a 200 whose large body had been cut by the deadline and looked whole.

Cause: the response to a caller kept the version of the upstream's. An HTTP/1.0 response without a length, over 1 MiB, so that it is passed on as it arrives, ended with the connection also for HTTP/1.1 callers, and an early end closed it in order.

Change: responses are HTTP/1.1, so that a body without a length is sent in chunks; hyper ends it with the connection only for HTTP/1.0 callers, whose connection is reset if it fails. A response with both a length and a coding is refused only if it has a body: HEAD, 204 and 304 have a certain end.

Measured: `a_large_response_of_an_http_1_0_upstream_that_stalls_looks_whole_to_no_caller` failed before (HTTP/1.1 caller: 200, whole) and passes; the other two tests of the file pass.

--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode, http};
+use hyper::body::{Body as _, Incoming};
+use hyper::{Request, Response, StatusCode, Version, http};
 use sedgepath_adapter::headers::{self, ResponseHeaders, ResponseKind};
 use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome};
 use sedgepath_core::direct::upstreams::UpstreamKey;
@@ -226,7 +226,9 @@
             let report = headers.load;
             return AttemptResult::without_response(AttemptOutcome::Refused { report });
         }
-        ResponseKind::Matching if has_contradictory_framing(&parts.headers) => {
+        ResponseKind::Matching
+            if has_contradictory_framing(&parts.headers) && !incoming.is_end_stream() =>
+        {
             return AttemptResult::without_response(AttemptOutcome::Failed);
         }
         ResponseKind::Matching => {}
@@ -261,6 +263,8 @@
 
 /// Returns a response of an upstream, or of another VM, for the caller.
 pub fn build_response(mut parts: http::response::Parts, body: Body) -> Response<Body> {
+    // A body without a length is sent in chunks, as the end of the connection doesn't tell a whole one.
+    parts.version = Version::HTTP_11;
     headers::remove_hop_by_hop_headers(&mut parts.headers);
     Response::from_parts(parts, body)
 }
--- a/crates/sedgepathd/src/dispatch.rs
+++ b/crates/sedgepathd/src/dispatch.rs
@@ -347,11 +347,13 @@
 /// A body that ends with its connection looks the same complete and truncated; the caller would
 /// take a truncated one as complete.
 fn is_framed(status: StatusCode, headers: &HeaderMap, incoming: &Incoming) -> bool {
+    if incoming.is_end_stream() {
+        return true;
+    }
     if has_contradictory_framing(headers) {
         return false;
     }
-    incoming.is_end_stream()
-        || headers.contains_key(CONTENT_LENGTH)
+    headers.contains_key(CONTENT_LENGTH)
         || headers.contains_key(TRANSFER_ENCODING)
         || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
--- a/crates/sedgepathd/tests/truncated_responses.rs
+++ b/crates/sedgepathd/tests/truncated_responses.rs
@@ -269,3 +269,23 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// Guards against a large response of an HTTP/1.0 upstream that the deadline ends, and whose end looks to its
+/// caller like that of the body.
+#[test]
+fn a_large_response_of_an_http_1_0_upstream_that_stalls_looks_whole_to_no_caller() {
+    let head = "HTTP/1.0 200 OK\r\nX-Sedgepath-Response-Signature: s\r\n\r\n";
+    let mut response = head.as_bytes().to_vec();
+    response.resize(1_300_000, b'x');
+    let length = response.len();
+    let store = StoreStandIn::new().expect("a store");
+    configure(&store, "0000000c", "3000ms");
+    let _upstream = CuttingUpstream::new(Arc::new(vec![response]), &store);
+    let cluster = TestCluster::new(store.address);
+    let vm = cluster.start_ready(1, "north-a");
+    for (id, version) in ["HTTP/1.1", "HTTP/1.0"].into_iter().enumerate() {
+        let seen =
+            call(vm.caller_address, &format!("GET /reads/0/{length}/stall"), version, 1 + id);
+        assert_eq!((seen.status, seen.whole_body.is_some()), (200, false), "{version}");
+    }
+}
