Count no sending of a spent body as in flight, and reword what a reviewer stumbled on

A request whose body can't be sent again was logged with a sending in flight that never began, and counted in `sedgepath_requests_ended_in_flight_total`. The line of a request that another VM gives up because of its stop has no budget either when an upstream still has the request. Doc comments say what they left open.

--- a/crates/sedgepath-core/src/direct/planned_stop.rs
+++ b/crates/sedgepath-core/src/direct/planned_stop.rs
@@ -1,9 +1,10 @@
-//! What a VM still begins once it has been asked to stop.
+//! Which requests a VM still sends once it has been asked to stop.
 //!
 //! The end of the process cuts whatever is in flight. A non-idempotent request that was cut can't be
 //! repeated, since its caller never learns whether it ran, and an idempotent one has kept its caller waiting
 //! for nothing. So a stopping VM sends only what ends before its process does, whatever its upstream does, and
 //! rejects the rest at once: it didn't run and can go to another VM. An expected time is no such bound.
+
 /// How long a stopping VM accepts connections, in milliseconds: callers may use the addresses of a look-up
 /// for 3 s, and other VMs name this one until they have heard of its stop.
 const ACCEPT_MS: u64 = 3_100;
@@ -11,7 +12,7 @@
 /// How long before the end of the grace period the process ends at the latest, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 150;
 
-/// The time for writing those responses, in milliseconds.
+/// The time for writing the responses to the requests that the stop ends, in milliseconds.
 const WRITE_MARGIN_MS: u64 = 350;
 
 /// The times of a planned stop.
--- a/crates/sedgepath-wire/src/tcp.rs
+++ b/crates/sedgepath-wire/src/tcp.rs
@@ -56,7 +56,8 @@
     Ok(stream)
 }
 
-/// Sets the time after which a connection fails that has unacknowledged data; the system takes up to 24 days.
+/// Sets how long sent data may stay unacknowledged before the connection fails, at most `i32::MAX` ms. Keepalive
+/// probes fail after this time as well.
 ///
 /// # Errors
 ///
--- a/crates/sedgepathd/src/caller_connection.rs
+++ b/crates/sedgepathd/src/caller_connection.rs
@@ -20,9 +20,9 @@
 
 /// Serves a connection until its end. Once `stopping` ends, the connection ends with the response in
 /// progress, or at once if it is idle. One without a request yet ends with the response to its first,
-/// for which it is kept for a limited time. Each request notifies `request_arrived`, and sets whether it is
-/// `without_chunks`, from a caller that takes the end of the connection for the end of a body without a length.
-/// If such a body fails, the connection is reset.
+/// for which it is kept for a limited time. Each request notifies `request_arrived` and sets `is_http_1_0`. To
+/// such a caller, a body without a length ends with the connection; if the body fails, the connection is reset
+/// so that it doesn't look whole.
 ///
 /// # Errors
 ///
@@ -30,7 +30,7 @@
 pub async fn serve_until_stopped<I, S, B>(
     mut connection: Connection<I, S>,
     request_arrived: &Notify,
-    without_chunks: &AtomicBool,
+    is_http_1_0: &AtomicBool,
     stopping: impl Future<Output = ()>,
 ) -> hyper::Result<()>
 where
@@ -57,7 +57,7 @@
     };
     if let Err(error) = &result {
         let io = connection.into_parts().io;
-        if error.is_user() && without_chunks.load(Ordering::Relaxed) {
+        if error.is_user() && is_http_1_0.load(Ordering::Relaxed) {
             io.reset_on_drop();
         } else {
             shut_down(io).await;
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -162,10 +162,10 @@
         let _best_effort = stream.set_nodelay(true);
         let limits = self.limits;
         let request_arrived = Notify::new();
-        let without_chunks = AtomicBool::new(false);
+        let is_http_1_0 = AtomicBool::new(false);
         let service = service_fn(|request: Request<Incoming>| {
             request_arrived.notify_one();
-            without_chunks.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
+            is_http_1_0.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
             let callers = Arc::clone(&self);
             async move { Ok::<_, Infallible>(callers.handle_request(request, from.ip()).await) }
         });
@@ -176,7 +176,7 @@
             .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
         let stopping = wait_for_stop(&mut stop);
         let result =
-            serve_until_stopped(connection, &request_arrived, &without_chunks, stopping).await;
+            serve_until_stopped(connection, &request_arrived, &is_http_1_0, stopping).await;
         if let Err(error) = result {
             log::debug!("event=caller_connection_ended error={:?}", error.to_string());
         }
--- a/crates/sedgepathd/src/direct/connection_pool.rs
+++ b/crates/sedgepathd/src/direct/connection_pool.rs
@@ -35,7 +35,7 @@
 /// covers network delay and late timers.
 const KEEP_ALIVE_MARGIN_MS: u64 = 1_500;
 
-/// The largest request body that the receive buffers of a server take although it reads nothing, in bytes.
+/// The largest request body that fits into the receive buffer of a server that reads nothing, in bytes.
 const MAX_SMALL_BODY_BYTES: u64 = 16 * 1024;
 
 /// Returns how long what is sent of a request may stay unacknowledged.
--- a/crates/sedgepathd/src/direct/give_up.rs
+++ b/crates/sedgepathd/src/direct/give_up.rs
@@ -21,7 +21,7 @@
 }
 
 impl GiveUpReason {
-    /// The requests in flight end before a planned stop does.
+    /// A planned stop ends the requests that are still in flight, or sends them no more.
     pub const STOPPING: Self = Self::NotSentAgain(RejectionReason::Stopping);
 
     /// Returns the name for logs, counters and other VMs.
@@ -46,7 +46,7 @@
 pub struct GivenUp {
     /// The reason.
     pub reason: GiveUpReason,
-    /// The number of sendings without an end, which are broken off.
+    /// The number of sendings still in flight, which the VM breaks off.
     pub in_flight: u32,
 }
 
@@ -64,7 +64,7 @@
     }
 }
 
-/// The times of a request that is given up, and its sendings without an end, for logs.
+/// What the log says of a request that is given up: its times, and its sendings in flight.
 #[derive(Debug)]
 struct Progress {
     took_ms: u64,
@@ -75,11 +75,10 @@
 }
 
 impl Progress {
-    /// `timed_out` is the number of sendings whose end at the deadline is recorded.
-    fn of(request: &InFlightRequest, timed_out: u32) -> Self {
+    /// Returns the progress of a request with a number of sendings in flight.
+    fn of(request: &InFlightRequest, in_flight: u32) -> Self {
         let now_ms = clock::now_ms();
         let state = &request.state;
-        let in_flight = state.in_flight.len() as u32 + state.forwardings_in_flight + timed_out;
         let since = |at_ms: u64| now_ms.saturating_sub(at_ms);
         Self {
             took_ms: since(state.arrived_at_ms),
@@ -91,6 +90,18 @@
     }
 }
 
+/// Returns how many sendings of a request that is given up for a reason are in flight.
+fn sendings_in_flight(request: &InFlightRequest, reason: GiveUpReason) -> u32 {
+    let recorded = request.state.in_flight.len() as u32 + request.state.forwardings_in_flight;
+    match reason {
+        // The deadline has just ended one, which is recorded.
+        GiveUpReason::TimedOut => recorded + 1,
+        // The last one is recorded, but couldn't begin.
+        GiveUpReason::BodyWasStreamed => recorded.saturating_sub(1),
+        GiveUpReason::NotSentAgain(_) => recorded,
+    }
+}
+
 impl std::fmt::Display for Progress {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "took_ms={} in_flight={}", self.took_ms, self.in_flight)?;
@@ -118,7 +129,7 @@
     last_response: Option<Response<Body>>,
 ) -> Response<Body> {
     let (shared, state, attempt_id) = (&request.shared, &request.state, &request.attempt_id);
-    let progress = Progress::of(request, u32::from(reason == GiveUpReason::TimedOut));
+    let progress = Progress::of(request, sendings_in_flight(request, reason));
     let response = last_response.unwrap_or_else(|| {
         let status = match reason {
             GiveUpReason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -157,7 +168,8 @@
 /// Counts a request whose response another VM has sent, and logs it if that VM has given it up.
 pub fn record_forwarded(request: &InFlightRequest, status: StatusCode, forwarded: Forwarded) {
     let (shared, state, attempt_id) = (&request.shared, &request.state, &request.attempt_id);
-    let progress = Progress::of(request, 0);
+    let in_flight = state.in_flight.len() as u32 + state.forwardings_in_flight;
+    let progress = Progress::of(request, in_flight);
     let Responder::Vm(given_up) = forwarded.responder else {
         shared.metrics.record_request("answered", progress.took_ms);
         return;
@@ -182,18 +194,20 @@
     );
 }
 
-/// Logs that another VM has given a request up which an upstream still has.
+/// Logs that another VM has given up a request that an upstream of this VM still has.
 pub fn log_failed_forwarding(request: &InFlightRequest, forwarded: Forwarded) {
     let reason = match forwarded.responder {
-        Responder::Vm(Some(given_up)) => given_up.reason.name(),
-        Responder::Vm(None) | Responder::Upstream => "unknown",
+        Responder::Vm(given_up) => given_up.map(|given_up| given_up.reason),
+        Responder::Upstream => None,
     };
     log::info!(
+        target: reason.map_or(module_path!(), log_target),
         "event=sending_failed request={} to={} service={} outcome={GIVEN_UP_BY_NEIGHBOUR} \
-         neighbour_reason={reason} fingerprint={}",
+         neighbour_reason={} fingerprint={}",
         request.attempt_id,
         forwarded.peer_address,
         request.state.service,
+        reason.map_or("unknown", GiveUpReason::name),
         request.state.fingerprint_text(),
     );
 }
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -140,12 +140,12 @@
     }
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
     let request_arrived = Notify::new();
-    let without_chunks = AtomicBool::new(false);
+    let is_http_1_0 = AtomicBool::new(false);
     let buffer_bytes = header_bytes.max(MIN_HYPER_BUFFER_BYTES) + MIN_HYPER_BUFFER_BYTES;
     let pipeline = Pipeline::new(shared, caller, buffer_bytes);
     let service = service_fn(|request: Request<Incoming>| {
         request_arrived.notify_one();
-        without_chunks.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
+        is_http_1_0.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let turn = pipeline.begin_turn(&request);
         let pipeline = Rc::clone(&pipeline);
         async move { Ok::<_, Infallible>(pipeline.respond(turn, request).await) }
@@ -161,7 +161,7 @@
         pipeline.wait_until_drained().await;
     };
     if let Err(error) =
-        serve_until_stopped(connection, &request_arrived, &without_chunks, stopping).await
+        serve_until_stopped(connection, &request_arrived, &is_http_1_0, stopping).await
     {
         log::debug!("event=caller_connection_failed error={:?}", error.to_string());
     }
--- a/crates/sedgepathd/src/http_connection.rs
+++ b/crates/sedgepathd/src/http_connection.rs
@@ -60,7 +60,7 @@
     }
 }
 
-/// The time for which bytes may stay unacknowledged that are sent from now on.
+/// How long bytes that are sent from now on may stay unacknowledged, shared with the stream of a connection.
 #[derive(Debug, Clone)]
 struct UnacknowledgedTimeout(Arc<AtomicU64>);
 
@@ -84,7 +84,7 @@
     stream: TcpStream,
     allowance: ReadAllowance,
     unacknowledged_timeout: UnacknowledgedTimeout,
-    /// The time that is in effect on the stream.
+    /// The timeout that is set on the socket.
     applied_timeout: Duration,
 }
 
@@ -185,8 +185,8 @@
         Ok((Self { sender, allowance, unacknowledged_timeout }, driver))
     }
 
-    /// Sets for how long what is sent from now on may stay unacknowledged. On a connection that
-    /// [`tcp::connect`] has opened, it is [`tcp::UNACKNOWLEDGED_TIMEOUT`] before.
+    /// Sets how long bytes that are sent from now on may stay unacknowledged. The stream must come from
+    /// [`tcp::connect`], which sets [`tcp::UNACKNOWLEDGED_TIMEOUT`].
     pub fn set_unacknowledged_timeout(&self, timeout: Duration) {
         self.unacknowledged_timeout.set(timeout);
     }
--- a/crates/sedgepathd/tests/direct_late_readers.rs
+++ b/crates/sedgepathd/tests/direct_late_readers.rs
@@ -19,7 +19,7 @@
 /// A body that is sent on as it arrives, and exceeds the system's buffers on the way, in bytes.
 const STREAMED_BODY_BYTES: usize = 24_000_000;
 
-/// VMs of which the first ones may not reach the upstream, which reads late.
+/// VMs, and an upstream that reads late and that some of them don't reach.
 struct Site {
     _store: StoreStandIn,
     cluster: TestCluster,
