Test planned stops while the work of reads grows

The load test couldn't show it, since its requests take up to 2.5 s all the time, so that a VM had always seen a slow response before it stopped.

A second scenario of stop_under_load: 60 upstreams of one slot; callers that connect, pause for 0 to 600 ms and send one read of 350 to 650 ms of work, and of 2 to 4 s from a moment after the first SIGTERM on. Two VMs stop at once, one of which forwards; the others follow. Each read that ran has to get a whole response unless its time limit has passed, and none that ran may be reported as not run. Reads of both phases have to be served.

The checks of one attempt moved to `Attempt::faults`. An attempt that reaches its time limit is printed only if its upstream's work was shorter.

--- a/crates/sedgepathd/tests/platform/stop_callers.rs
+++ b/crates/sedgepathd/tests/platform/stop_callers.rs
@@ -19,6 +19,12 @@
 /// The same of callers that send ahead, whose requests wait for one another.
 const PIPELINED_WORK_MS: Range<u64> = 10..300;
 
+/// The same of reads whose work grows, before it does.
+const SHORT_WORK_MS: Range<u64> = 350..650;
+
+/// The same after it has grown.
+const GROWN_WORK_MS: Range<u64> = 2_000..4_000;
+
 /// The range of the sizes of small responses, in bytes.
 const SMALL_BYTES: Range<u64> = 50..500;
 
@@ -34,9 +40,15 @@
 /// The range of deadlines, in milliseconds.
 const DEADLINES_MS: Range<u64> = 3_000..4_000;
 
+/// The same of reads whose work grows.
+const GROWING_DEADLINES_MS: Range<u64> = 6_000..12_000;
+
 /// The longest time from the opening of a connection to its first request, in milliseconds.
 const MAX_FIRST_PAUSE_MS: u64 = 900;
 
+/// The same of reads whose work grows.
+const MAX_PAUSE_BEFORE_GROWING_MS: u64 = 600;
+
 /// How long before its deadline a response may be taken for one that the deadline ended.
 const DEADLINE_TOLERANCE: Duration = Duration::from_millis(20);
 
@@ -49,6 +61,9 @@
 /// The same at a VM that stops.
 const OPENING_INTERVAL_AT_STOP: Duration = Duration::from_millis(30);
 
+/// The time between two connections that are opened for [`CallerKind::Growing`].
+const GROWING_OPENING_INTERVAL: Duration = Duration::from_millis(90);
+
 /// How often a caller repeats a rejected request.
 const MAX_REPEATS: usize = 2;
 
@@ -71,6 +86,9 @@
     Delayed,
     /// One request at a time, with large responses that take a time to send.
     Streamed,
+    /// One read each on new connections, after pauses; the connections are opened at regular times. The work
+    /// grows at a moment that all callers share.
+    Growing,
     /// A repeat of a rejected request at another VM.
     Repeat,
 }
@@ -106,6 +124,19 @@
     }
 }
 
+/// A guarantee to callers that is violated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptFault {
+    /// An attempt got the response to another one.
+    ForeignResponse,
+    /// An attempt that isn't idempotent ran twice.
+    RanTwice,
+    /// An attempt ran and was reported as not run.
+    RanButRejected,
+    /// An attempt ran and ended before its time limit without an upstream's whole response.
+    Lost,
+}
+
 /// One attempt of a caller.
 #[derive(Debug, Clone)]
 pub struct Attempt {
@@ -125,6 +156,8 @@
     pub sending_ms: u64,
     /// The time that the caller allows, in milliseconds.
     pub deadline_ms: u64,
+    /// The same, or the timeout of its route if that is shorter.
+    pub time_limit_ms: u64,
     /// When its first byte was written.
     pub begun_at: Instant,
     /// When its last byte was written.
@@ -147,10 +180,36 @@
         )
     }
 
-    /// Returns whether the attempt lasted until its deadline.
-    pub fn was_ended_by_deadline(&self) -> bool {
+    /// Returns whether the attempt lasted until its time limit.
+    pub fn was_ended_by_time_limit(&self) -> bool {
         let waited = self.ended_at.duration_since(self.begun_at) + DEADLINE_TOLERANCE;
-        waited >= Duration::from_millis(self.deadline_ms)
+        waited >= Duration::from_millis(self.time_limit_ms)
+    }
+
+    /// Returns whether the upstream's work alone takes longer than the time limit.
+    pub fn is_longer_than_time_limit(&self) -> bool {
+        self.work_ms + self.sending_ms >= self.time_limit_ms
+    }
+
+    /// Returns whether its work was drawn after work had grown.
+    pub fn has_grown_work(&self) -> bool {
+        self.work_ms >= GROWN_WORK_MS.start
+    }
+
+    /// Returns the guarantees that it shows to be violated, if upstreams ran it so many times.
+    pub fn faults(&self, run_count: usize) -> Vec<AttemptFault> {
+        let has_run = run_count > 0;
+        let is_rejected = self.end.is_rejection();
+        let is_reported = self.is_charge || self.kind == CallerKind::Growing;
+        let is_lost =
+            has_run && !self.end.is_served() && !is_rejected && !self.was_ended_by_time_limit();
+        let faults = [
+            (self.end == End::Foreign, AttemptFault::ForeignResponse),
+            (self.is_charge && run_count > 1, AttemptFault::RanTwice),
+            (is_reported && has_run && is_rejected, AttemptFault::RanButRejected),
+            (is_lost, AttemptFault::Lost),
+        ];
+        faults.into_iter().filter_map(|(is_seen, fault)| is_seen.then_some(fault)).collect()
     }
 }
 
@@ -180,6 +239,10 @@
     pub addresses: Vec<SocketAddr>,
     /// Which of them stop.
     pub stopping: Vec<AtomicBool>,
+    /// The timeout of all routes, in milliseconds.
+    pub route_timeout_ms: u64,
+    /// Whether the work of [`CallerKind::Growing`] has grown.
+    pub has_work_grown: AtomicBool,
     /// Whether callers are to end.
     pub is_over: AtomicBool,
     /// The attempts that have ended.
@@ -187,10 +250,16 @@
 }
 
 impl SharedByCallers {
-    /// Creates the state of callers of VMs at these addresses.
-    pub fn new(addresses: Vec<SocketAddr>) -> Self {
-        let stopping = addresses.iter().map(|_| AtomicBool::new(false)).collect();
-        Self { addresses, stopping, is_over: AtomicBool::new(false), attempts: Mutex::default() }
+    /// Creates the state of callers of VMs at these addresses, with a timeout of all routes in milliseconds.
+    pub fn new(addresses: Vec<SocketAddr>, route_timeout_ms: u64) -> Self {
+        Self {
+            stopping: addresses.iter().map(|_| AtomicBool::new(false)).collect(),
+            addresses,
+            route_timeout_ms,
+            has_work_grown: AtomicBool::new(false),
+            is_over: AtomicBool::new(false),
+            attempts: Mutex::default(),
+        }
     }
 
     fn is_over(&self) -> bool {
@@ -205,7 +274,7 @@
 impl Caller {
     /// Sends requests until the test's end.
     pub fn run(mut self) {
-        if self.kind == CallerKind::LateFirst {
+        if matches!(self.kind, CallerKind::LateFirst | CallerKind::Growing) {
             return self.open_until_stopped();
         }
         while !self.shared.is_over() {
@@ -229,10 +298,10 @@
                     return;
                 }
                 let is_stopping = self.shared.is_stopping(self.vm);
-                thread::sleep(if is_stopping {
-                    OPENING_INTERVAL_AT_STOP
-                } else {
-                    OPENING_INTERVAL
+                thread::sleep(match self.kind {
+                    CallerKind::Growing => GROWING_OPENING_INTERVAL,
+                    _ if is_stopping => OPENING_INTERVAL_AT_STOP,
+                    _ => OPENING_INTERVAL,
                 });
                 if let Some(connection) = Connection::new(self.address) {
                     let name = format!("{}-{number}", self.name);
@@ -248,7 +317,11 @@
         let now = Instant::now();
         let is_large = self.random.u8(..8) == 0;
         let is_long = self.random.bool();
+        let is_growing = self.kind == CallerKind::Growing;
+        let has_work_grown = self.shared.has_work_grown.load(Ordering::Relaxed);
         let (work_ms, bytes) = match self.kind {
+            CallerKind::Growing if has_work_grown => (GROWN_WORK_MS, SMALL_BYTES),
+            CallerKind::Growing => (SHORT_WORK_MS, SMALL_BYTES),
             CallerKind::Pipelined => (PIPELINED_WORK_MS, LARGE_BYTES),
             CallerKind::Streamed => (PIPELINED_WORK_MS, STREAMED_BYTES),
             CallerKind::LateFirst if is_long => (LONG_WORK_MS, SMALL_BYTES),
@@ -256,20 +329,27 @@
             _ => (WORK_MS, SMALL_BYTES),
         };
         let is_streamed = self.kind == CallerKind::Streamed;
-        Attempt {
+        let mut attempt = Attempt {
             id: format!("{}-{}", self.name, self.sent),
             kind: self.kind,
             vm: self.vm,
-            is_charge: self.has_body() || self.random.u8(..3) > 0,
+            is_charge: !is_growing && (self.has_body() || self.random.u8(..3) > 0),
             work_ms: self.random.u64(work_ms),
             response_bytes: self.random.u64(bytes),
             sending_ms: if is_streamed { self.random.u64(STREAMING_MS) } else { 0 },
-            deadline_ms: self.random.u64(DEADLINES_MS),
+            deadline_ms: self.random.u64(if is_growing {
+                GROWING_DEADLINES_MS
+            } else {
+                DEADLINES_MS
+            }),
+            time_limit_ms: 0,
             begun_at: now,
             sent_at: now,
             ended_at: now,
             end: End::Closed,
-        }
+        };
+        attempt.time_limit_ms = attempt.deadline_ms.min(self.shared.route_timeout_ms);
+        attempt
     }
 
     fn has_body(&self) -> bool {
@@ -281,7 +361,10 @@
     }
 
     fn send_after_pause(&mut self, mut connection: Connection) {
-        self.pause(0..MAX_FIRST_PAUSE_MS);
+        self.pause(match self.kind {
+            CallerKind::Growing => 0..MAX_PAUSE_BEFORE_GROWING_MS,
+            _ => 0..MAX_FIRST_PAUSE_MS,
+        });
         let attempt = self.draw();
         self.exchange(&mut connection, attempt);
     }
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -152,6 +152,8 @@
     /// Header lines that each response begins with.
     first_headers: String,
     crashed: bool,
+    /// How many requests it states that it serves at a time.
+    slots: u32,
     streams: Vec<TcpStream>,
 }
 
@@ -180,6 +182,7 @@
             fatal_text: None,
             first_headers: String::new(),
             crashed: false,
+            slots: 4,
             streams: Vec::new(),
         };
         let state = Arc::new(Mutex::new(state));
@@ -214,7 +217,7 @@
     ) {
         let entry = serde_json::json!({
             "address": address.to_string(),
-            "info": {"service": "shop", "version": "v1", "zone": domain, "slots": 4},
+            "info": {"service": "shop", "version": "v1", "zone": domain, "slots": self.lock().slots},
             "status": {"state": state, "sequence": sequence, "coldRemaining": "0ms"},
         });
         self.write_entry(store, &entry);
@@ -224,7 +227,7 @@
     pub fn register_for(&self, service: &str, store: &StoreStandIn, domain: &str) {
         let entry = serde_json::json!({
             "address": self.address.to_string(),
-            "info": {"service": service, "version": "v1", "zone": domain, "slots": 4},
+            "info": {"service": service, "version": "v1", "zone": domain, "slots": self.lock().slots},
             "status": {"state": "ready", "sequence": 1, "coldRemaining": "0ms"},
         });
         self.write_entry(store, &entry);
@@ -240,6 +243,11 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Sets how many requests the upstream states that it serves at a time.
+    pub fn set_slots(&self, slots: u32) {
+        self.lock().slots = slots;
+    }
+
     /// Sets header lines, each with its line end, that each response begins with.
     pub fn set_first_headers(&self, lines: &str) {
         self.lock().first_headers = lines.into();
@@ -354,9 +362,9 @@
 
     /// Responds to a request; `None` if the connection is to be closed.
     fn respond(&self, mut stream: &TcpStream, mut request: ReceivedRequest) -> Option<()> {
-        let (name, behaviour, first_headers) = {
+        let (name, behaviour, first_headers, slots) = {
             let state = self.lock();
-            (state.name.clone(), state.behaviour, state.first_headers.clone())
+            (state.name.clone(), state.behaviour, state.first_headers.clone(), state.slots)
         };
         let target = request.line.split(' ').nth(1).unwrap_or_default();
         let target_delay_ms = target.rsplit('?').next().and_then(|text| text.parse().ok());
@@ -385,7 +393,7 @@
         let body = behaviour.body(targeted, &format!("{attempt_id} at {name}"));
         let full_response = format!(
             "HTTP/1.1 200 OK\r\n{first_headers}X-Sedgepath-Attempt-Id: {attempt_id}\r\n\
-             X-Sedgepath-Response-Signature: s.{attempt_id}\r\nX-Sedgepath-Backend-Load: 1,0,4\r\n\
+             X-Sedgepath-Response-Signature: s.{attempt_id}\r\nX-Sedgepath-Backend-Load: 1,0,{slots}\r\n\
              Content-Length: {}\r\n\r\n{body}",
             body.len()
         );
