Let the soak stop VMs while the work of reads grows

The soak sent requests that are answered at once, so that its stops could show no request that outlasts one. After its faults it now stops two VMs at once, one of which is cut off and forwards, with the callers of stop_under_load whose work grows, and route timeouts of 3, 6 and 12 s by seed. Each read that runs has to get a whole response unless its time limit has passed; reads of short and of grown work have to be served. During the faults no read may run that was reported as not run, which was checked of charges alone.

--- a/crates/sedgepathd/tests/platform/stop_callers.rs
+++ b/crates/sedgepathd/tests/platform/stop_callers.rs
@@ -5,7 +5,7 @@
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use super::caller::Connection;
@@ -270,6 +270,26 @@
     }
 }
 
+/// Starts a caller of kind [`CallerKind::Growing`] for each VM.
+pub fn start_growing(
+    shared: &Arc<SharedByCallers>,
+    random: &mut fastrand::Rng,
+) -> Vec<JoinHandle<()>> {
+    let start = |(vm, address): (u8, &SocketAddr)| {
+        let caller = Caller {
+            kind: CallerKind::Growing,
+            name: format!("Growing-{vm}"),
+            vm,
+            address: *address,
+            random: random.fork(),
+            sent: 0,
+            shared: Arc::clone(shared),
+        };
+        thread::spawn(move || caller.run())
+    };
+    (1..).zip(&shared.addresses).map(start).collect()
+}
+
 impl Caller {
     /// Sends requests until the test's end.
     pub fn run(mut self) {
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -498,6 +498,18 @@
     }
 }
 
+/// Returns the runs of each attempt, by attempt id.
+pub fn runs_by_attempt<'a>(
+    upstreams: impl IntoIterator<Item = &'a UpstreamStandIn>,
+) -> BTreeMap<String, Vec<ReceivedRequest>> {
+    let mut runs: BTreeMap<String, Vec<ReceivedRequest>> = BTreeMap::new();
+    for run in upstreams.into_iter().flat_map(UpstreamStandIn::runs) {
+        let id = run.headers.get("x-sedgepath-attempt-id").cloned().unwrap_or_default();
+        runs.entry(id).or_default().push(run);
+    }
+    runs
+}
+
 /// Sends a response in equal parts over a time, or at once if it is zero.
 fn send_in_parts(mut stream: &TcpStream, response: &[u8], time: Duration) -> Option<()> {
     if time.is_zero() {
--- a/crates/sedgepathd/tests/soak.rs
+++ b/crates/sedgepathd/tests/soak.rs
@@ -5,7 +5,8 @@
 //!
 //! The checks: no non-idempotent request runs twice, none runs that was reported as not run, no
 //! response reaches another request, and after the faults every VM serves requests and a draining
-//! upstream receives none.
+//! upstream receives none. At last two VMs stop at once while the work of reads grows: each read that runs
+//! gets a whole response, unless its time limit ends it.
 //!
 //! The seed determines the faults, but not how the processes interleave. CI runs [`CI_SEEDS`];
 //! `SOAK_SEEDS=FROM..TO cargo test -p sedgepathd --test soak -- --nocapture` runs other seeds.
@@ -18,10 +19,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform::caller::{Connection, Response};
-use platform::upstream::{Behaviour, UpstreamStandIn};
+use platform::stop_callers::{SharedByCallers, start_growing};
+use platform::upstream::{Behaviour, ReceivedRequest, UpstreamStandIn, runs_by_attempt};
 use platform::{TestCluster, Vm, wait_for};
 use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::direct::vms::gossip::{Heartbeat, PeerMessage};
@@ -75,6 +77,21 @@
 /// The policies of authentication between VMs, by seed.
 const POLICIES: [&str; 4] = ["off", "off", "require", "sign"];
 
+/// The timeouts of the routes as VMs stop at last, by seed, in milliseconds.
+const LAST_TIMEOUTS_MS: [u64; 3] = [3_000, 6_000, 12_000];
+
+/// The time that callers have before these stops.
+const TIME_BEFORE_STOPS: Duration = Duration::from_secs(1);
+
+/// The range of the time from the first of these stops to the second one, in milliseconds.
+const STOP_INTERVAL_MS: Range<u64> = 100..700;
+
+/// The range of the time from the second one to the growth of work, in milliseconds.
+const GROWTH_MS: Range<u64> = 300..1_500;
+
+/// The requests that each upstream serves at a time then, so that those that run longer leave room.
+const SLOTS_AT_STOPS: u32 = 40;
+
 const DOMAINS: [&str; 3] = ["north-a", "north-b", "south-a"];
 
 /// The response to each attempt, by attempt id; none if no response arrived.
@@ -369,6 +386,82 @@
         });
         self.vms = vms;
     }
+
+    /// Prepares upstreams and routes for reads whose work grows, and cuts a VM off from all upstreams.
+    fn prepare_stops(&mut self, timeout_ms: u64, cut_vm: u8) {
+        // The checks after the faults registered with the next number.
+        self.sequence += 1;
+        for number in 0..4 {
+            self.upstreams[number].0.set_behaviour(Behaviour::ByTarget);
+            self.upstreams[number].0.set_slots(SLOTS_AT_STOPS);
+            self.register(number, "ready");
+        }
+        self.version += 1;
+        let version = format!("{:08x}", self.version);
+        platform::configure(&self.store, &version, &format!("{timeout_ms}ms"));
+        let in_force = format!("sedgepath_configuration_version {}\n", self.version);
+        for vm in self.vms.iter().flatten() {
+            wait_for("the configuration", || vm.metrics().contains(&in_force));
+        }
+        let cuts = [ClientCut::Silent, ClientCut::Reset];
+        let cut = cuts[self.random.usize(..cuts.len())];
+        for (_, link) in &self.upstreams {
+            link.cut_from(&[self.site.ipv4(cut_vm)], cut).expect("packet filters");
+        }
+    }
+
+    /// Stops two VMs at once, one of which forwards its requests, while the work of reads grows, and returns
+    /// a description of every violated guarantee.
+    fn stop_while_work_grows(&mut self, seed: u64, addresses: &[SocketAddr]) -> Vec<String> {
+        let timeout_ms = LAST_TIMEOUTS_MS[seed as usize % LAST_TIMEOUTS_MS.len()];
+        let mut order = [0, 1, 2];
+        self.random.shuffle(&mut order);
+        let cut = order[self.random.usize(..2)];
+        self.prepare_stops(timeout_ms, cut as u8 + 1);
+        let shared = Arc::new(SharedByCallers::new(addresses.to_vec(), timeout_ms));
+        let callers = start_growing(&shared, &mut self.random);
+        std::thread::sleep(TIME_BEFORE_STOPS);
+        let begun_at = Instant::now();
+        self.signal(order[0], "-TERM");
+        std::thread::sleep(Duration::from_millis(self.random.u64(STOP_INTERVAL_MS)));
+        self.signal(order[1], "-TERM");
+        std::thread::sleep(Duration::from_millis(self.random.u64(GROWTH_MS)));
+        shared.has_work_grown.store(true, Ordering::Relaxed);
+        for number in &order[..2] {
+            let vm = self.vms[*number].as_mut().expect("a VM");
+            wait_for("the end of the process", || vm.exit_status().is_some());
+        }
+        shared.is_over.store(true, Ordering::Relaxed);
+        for caller in callers {
+            caller.join().expect("a caller");
+        }
+        self.find_failures_at_stops(&shared, begun_at)
+    }
+
+    fn find_failures_at_stops(&self, shared: &SharedByCallers, begun_at: Instant) -> Vec<String> {
+        let runs = runs_by_attempt(self.upstreams.iter().map(|(upstream, _)| upstream));
+        let attempts = shared.attempts.lock().expect("attempts");
+        let mut failures = Vec::new();
+        for attempt in attempts.iter() {
+            let faults = attempt.faults(runs.get(&attempt.id).map_or(0, Vec::len));
+            let since = |at: Instant| at.saturating_duration_since(begun_at).as_millis();
+            let (sent, ended) = (since(attempt.sent_at), since(attempt.ended_at));
+            failures.extend(faults.into_iter().map(|fault| {
+                format!("{fault:?}, sent {sent} and ended {ended} ms after SIGTERM: {attempt:?}")
+            }));
+        }
+        let served = |is_grown: bool| {
+            let served = attempts.iter().filter(|attempt| attempt.end.is_served());
+            served.filter(|attempt| attempt.has_grown_work() == is_grown).count()
+        };
+        let (short, grown) = (served(false), served(true));
+        if short == 0 || grown == 0 {
+            failures.push(format!("reads served at stops: {short} short, {grown} of grown work"));
+        }
+        let total = attempts.len();
+        eprintln!("reads_at_stops={total} short_served={short} grown_served={grown}");
+        failures
+    }
 }
 
 /// Sends requests on persistent connections until `stop` is set; each attempt has a unique id.
@@ -539,7 +632,8 @@
     for caller in callers {
         caller.join().expect("a caller");
     }
-    let failures = find_failures(&soak, &responses.lock().expect("responses"), &addresses);
+    let mut failures = find_failures(&soak, &responses.lock().expect("responses"), &addresses);
+    failures.extend(soak.stop_while_work_grows(seed, &addresses));
     if !failures.is_empty() {
         for number in 1..=3 {
             eprintln!("--- vm{number}\n{}", soak.site.log(number));
@@ -555,18 +649,12 @@
     addresses: &[SocketAddr],
 ) -> Vec<String> {
     let mut failures = Vec::new();
-    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
-    for (upstream, _) in &soak.upstreams {
-        for run in upstream.runs() {
-            let attempt = run.headers.get("x-sedgepath-attempt-id").cloned().unwrap_or_default();
-            if run.line.starts_with("POST") {
-                *runs.entry(attempt).or_default() += 1;
-            }
-        }
-    }
-    for (attempt, count) in &runs {
-        if *count > 1 {
-            failures.push(format!("{attempt} ran {count} times"));
+    let runs = runs_by_attempt(soak.upstreams.iter().map(|(upstream, _)| upstream));
+    let is_charge = |run: &ReceivedRequest| run.line.starts_with("POST");
+    let charges_run = runs.values().filter(|runs| is_charge(&runs[0])).count();
+    for (attempt, runs) in &runs {
+        if is_charge(&runs[0]) && runs.len() > 1 {
+            failures.push(format!("{attempt} ran {} times", runs.len()));
         }
         let answer = responses.get(attempt).and_then(Option::as_ref);
         if answer.is_some_and(|answer| matches!(answer.status, 408 | 421 | 429 | 503)) {
@@ -594,7 +682,7 @@
         failures.push("no request was served".into());
     }
     failures.extend(find_failures_after_faults(soak, addresses));
-    eprintln!("attempts={} served={served} charges_run={}", responses.len(), runs.len());
+    eprintln!("attempts={} served={served} charges_run={charges_run}", responses.len());
     failures
 }
 
--- a/crates/sedgepathd/tests/stop_under_load.rs
+++ b/crates/sedgepathd/tests/stop_under_load.rs
@@ -23,7 +23,7 @@
 
 use platform::caller::Connection;
 use platform::stop_callers::{Attempt, AttemptFault, Caller, CallerKind, End, SharedByCallers};
-use platform::upstream::{Behaviour, ReceivedRequest, UpstreamStandIn};
+use platform::upstream::{Behaviour, ReceivedRequest, UpstreamStandIn, runs_by_attempt};
 use platform::{TestCluster, Vm, configure, cut_off, wait_for};
 use sedgepath_test_support::link::CuttableLink;
 use sedgepath_test_support::packet_filter::ClientCut;
@@ -270,16 +270,6 @@
         }
     }
 
-    /// Returns the runs of each attempt.
-    fn runs(&self) -> BTreeMap<String, Vec<ReceivedRequest>> {
-        let mut runs: BTreeMap<String, Vec<ReceivedRequest>> = BTreeMap::new();
-        for run in self.upstreams.iter().flat_map(UpstreamStandIn::runs) {
-            let id = run.headers.get("x-sedgepath-attempt-id").cloned().unwrap_or_default();
-            runs.entry(id).or_default().push(run);
-        }
-        runs
-    }
-
     /// Returns the stop of a VM that had begun last at a moment.
     fn stop_before(&self, vm: u8, at: Instant) -> Option<Stop> {
         self.stops.iter().copied().rfind(|stop| stop.vm == vm && stop.begun_at <= at)
@@ -405,7 +395,7 @@
 /// Returns a description of every violated guarantee, and prints the counts by kind of caller.
 fn find_failures(scenario: &Scenario, seed: u64) -> Vec<String> {
     let attempts = scenario.callers.attempts.lock().expect("attempts");
-    let runs = scenario.runs();
+    let runs = runs_by_attempt(&scenario.upstreams);
     let mut failures = Vec::new();
     let mut table: BTreeMap<(CallerKind, bool), Counts> = BTreeMap::new();
     for attempt in attempts.iter() {
