Test early ends on kept, pipelined and forwarded connections, and of large bodies

The test of responses that end early knew one request a connection, callers of HTTP/1.1, eleven shapes and one VM. Now each byte of a response is cut, by FIN and by a reset, also

- for HEAD, 204, 304 and two equal lengths (5,732 responses of 16 shapes in all),
- for callers of HTTP/1.0 (1,776 responses),
- with another request behind it on the caller's connection, whose response must arrive whole (1,044),
- by way of another VM (1,044),

Bytes behind a whole response must not be taken for another request's: 185 cuts of a second response.

The caller that judges raw bytes and the checks move to files of their own. The checks keep their bounds, and gain two: a success with another status than the upstream's, and a large response that isn't passed on. The test of a stalling HTTP/1.0 upstream also has an HTTP/1.1 upstream without a length.

--- a/crates/sedgepathd/tests/platform/mod.rs
+++ b/crates/sedgepathd/tests/platform/mod.rs
@@ -8,9 +8,11 @@
 pub mod caller;
 pub mod cutting_upstream;
 pub mod early_upstream;
+pub mod judging_caller;
 pub mod late_reader;
 pub mod slow_peer;
 pub mod stop_callers;
+pub mod truncation;
 pub mod upstream;
 
 use std::fs;
--- /dev/null
+++ b/crates/sedgepathd/tests/truncated_large_responses.rs
@@ -0,0 +1,63 @@
+//! Large responses that end early, after their caller has got the beginning.
+
+mod platform;
+
+use std::thread;
+use std::time::Duration;
+
+use platform::judging_caller::{Caller, Seen};
+use platform::truncation::{Path, Trial, common_shapes, large_shapes};
+
+const ROUTE_TIMEOUT: &str = "3000ms";
+
+const VERSIONS: [&str; 2] = ["HTTP/1.1", "HTTP/1.0"];
+
+/// The time in which a response's beginning reaches its caller.
+const PASSING_ON: Duration = Duration::from_secs(1);
+
+/// Sends each request by callers of each version at the same time, and interferes after a while.
+fn send_at_once(
+    caller: Caller,
+    requests: &[String],
+    interfere: impl FnOnce(),
+) -> Vec<(String, Seen)> {
+    thread::scope(|scope| {
+        let calls: Vec<_> = requests
+            .iter()
+            .flat_map(|request| VERSIONS.map(|version| (request, version)))
+            .map(|(request, version)| {
+                let caller = Caller { version, ..caller };
+                scope.spawn(move || (format!("{version} {request}"), caller.send(request)))
+            })
+            .collect();
+        thread::sleep(PASSING_ON);
+        interfere();
+        calls.into_iter().map(|call| call.join().expect("a caller")).collect()
+    })
+}
+
+/// Guards against a large response whose early end looks to its caller like that of the body.
+#[test]
+fn no_large_response_that_ends_early_looks_whole() {
+    for version in VERSIONS {
+        let mut trial = Trial::new(large_shapes(), Path::Direct, ROUTE_TIMEOUT);
+        trial.has_large_bodies = true;
+        trial.caller.version = version;
+        trial.check(|shape| [0, 1, 5, 7, 100_000].map(|end| shape.response.len() - end).to_vec());
+    }
+}
+
+/// Guards against a large response without a length that the deadline ends, and whose end looks to its caller like
+/// that of the body.
+#[test]
+fn no_large_response_that_stalls_looks_whole() {
+    let mut http_1_0 = large_shapes().remove(2);
+    http_1_0.response.splice(..8, *b"HTTP/1.0");
+    let shapes = vec![common_shapes().remove(0), large_shapes().remove(2), http_1_0];
+    let trial = Trial::new(shapes, Path::Direct, ROUTE_TIMEOUT);
+    let requests = [1, 2]
+        .map(|number| format!("GET /reads/{number}/{}/stall", trial.shapes[number].response.len()));
+    for (request, seen) in send_at_once(trial.caller, &requests, || {}) {
+        assert_eq!((seen.status, seen.whole_body.is_some()), (200, false), "{request}");
+    }
+}
