Send requests of HTTP/1.0 callers to upstreams and other VMs as HTTP/1.1

What callers saw: a caller of HTTP/1.0 whose VM had forwarded its read to another VM got 1,299,999 of 1,300,000 bytes and FIN when the other VM was killed: a whole 200 of a body that wasn't.

Cause: a request kept its caller's version on all hops. The other VM, and upstreams, then respond as to HTTP/1.0: a body without a length isn't sent in chunks but ends with the connection, and the end of a process looks like the body's end. A proxy sends its own version (RFC 9110, section 2.5).

Change: the head of a request to be sent has HTTP/1.1, and a `Host` field, which HTTP/1.1 requires, from the target if it had none.

The owned way is as before.

--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
+use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode, Version, http};
 use sedgepath_adapter::headers::{self, ResponseHeaders, ResponseKind};
 use sedgepath_core::direct::attempts::{Attempt, AttemptOutcome};
@@ -39,6 +40,27 @@
     pub caller: IpAddr,
 }
 
+impl RequestHead {
+    /// Creates the head of a request. It has this VM's version of HTTP, whichever its caller's is: a body
+    /// without a length in the response to HTTP/1.0 may end with the connection, which doesn't tell a whole one.
+    pub fn new(
+        mut parts: http::request::Parts,
+        attempt_id: Box<str>,
+        account: Option<Box<str>>,
+        caller: IpAddr,
+    ) -> Self {
+        if parts.version < Version::HTTP_11
+            && !parts.headers.contains_key(HOST)
+            && let Some(host) = parts.uri.authority()
+            && let Ok(host) = HeaderValue::from_str(host.as_str())
+        {
+            parts.headers.insert(HOST, host);
+        }
+        parts.version = Version::HTTP_11;
+        Self { parts, attempt_id, account, caller }
+    }
+}
+
 /// Returns a body of bytes in memory.
 pub fn bytes_body(bytes: Bytes) -> Body {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -361,7 +361,8 @@
     if !is_forwarded {
         quarantine::claim_probe(request).await;
     }
-    Ok((RequestHead { parts, attempt_id, account, caller }, body))
+    let head = RequestHead::new(parts, attempt_id, account, caller);
+    Ok((head, body))
 }
 
 fn fingerprints(
--- a/crates/sedgepathd/tests/direct.rs
+++ b/crates/sedgepathd/tests/direct.rs
@@ -70,6 +70,23 @@
     assert_eq!(fixture.upstreams[0].connections(), 1, "the connection was not kept");
 }
 
+/// Guards against requests with their caller's version of HTTP, to which upstreams respond with bodies that end with
+/// the connection.
+#[test]
+fn requests_of_http_1_0_callers_reach_upstreams_as_http_1_1() {
+    let fixture = Fixture::new(1);
+    let mut connection = Connection::new(fixture.vm.caller_address).expect("a connection");
+
+    let request = "GET http://shop.example/reads/1 HTTP/1.0\r\nX-Sedgepath-Attempt-Id: a\r\n\r\n";
+    connection.write(request.as_bytes()).expect("a write");
+    let response = connection.receive().expect("a response");
+
+    assert_eq!((response.status, response.text()), (200, "a at u0".into()));
+    let runs = fixture.upstreams[0].runs();
+    assert!(runs[0].line.ends_with(" HTTP/1.1"), "{}", runs[0].line);
+    assert_eq!(runs[0].headers["host"], "shop.example");
+}
+
 /// Guards against bodies that are changed: with a length, chunked, or larger than the buffer.
 #[test]
 fn bodies_reach_the_upstream_unchanged() {
--- a/crates/sedgepathd/tests/platform/cutting_upstream.rs
+++ b/crates/sedgepathd/tests/platform/cutting_upstream.rs
@@ -39,6 +39,8 @@
     pub total: usize,
     /// The runs that weren't the first of their connection.
     pub on_kept_connections: usize,
+    /// The runs whose request came with HTTP/1.0.
+    pub as_http_1_0: usize,
 }
 
 /// An upstream that responds to `/ROUTE/SHAPE/CUT/END` with the first `CUT` bytes of a shape, and runs until the
@@ -108,12 +110,8 @@
             return None;
         }
         read_fields(&mut reader)?;
-        let request = line.rsplit_once(' ')?.0;
-        record_run(
-            &mut runs.lock().unwrap_or_else(PoisonError::into_inner),
-            request,
-            earlier_requests,
-        );
+        let (request, version) = line.trim_end().rsplit_once(' ')?;
+        record_run(runs, request, version, earlier_requests);
         let mut parts = request.rsplit('/');
         let end = parts.next()?;
         let cut: usize = parts.next()?.parse().ok()?;
@@ -138,10 +136,17 @@
     None
 }
 
-fn record_run(runs: &mut BTreeMap<String, Runs>, request: &str, earlier_requests: usize) {
+fn record_run(
+    runs: &Mutex<BTreeMap<String, Runs>>,
+    request: &str,
+    version: &str,
+    earlier_requests: usize,
+) {
+    let mut runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
     let runs = runs.entry(request.into()).or_default();
     runs.total += 1;
     runs.on_kept_connections += usize::from(earlier_requests > 0);
+    runs.as_http_1_0 += usize::from(version == "HTTP/1.0");
 }
 
 fn end_response(mut stream: &TcpStream, end: &str, is_large: bool) -> Option<()> {
--- a/crates/sedgepathd/tests/platform/truncation.rs
+++ b/crates/sedgepathd/tests/platform/truncation.rs
@@ -320,6 +320,7 @@
         let is_passed_on = self.has_large_bodies && case.end == "fin";
         let checks = [
             ("wrongly whole", is_wrong),
+            ("sent as HTTP/1.0", runs.as_http_1_0 > 0),
             ("not passed on", is_passed_on && !has_status),
             ("another success", is_success && !has_status),
             ("run twice", case.request.starts_with("POST") && runs.total > 1),
--- a/crates/sedgepathd/tests/truncated_large_responses.rs
+++ b/crates/sedgepathd/tests/truncated_large_responses.rs
@@ -61,3 +61,32 @@
         assert_eq!((seen.status, seen.whole_body.is_some()), (200, false), "{request}");
     }
 }
+
+/// Guards against a response that the end of another VM, which had got the request, cuts and that looks whole, and
+/// against a charge that is reported as not run or runs again.
+#[test]
+fn no_response_of_a_vm_that_is_killed_looks_whole() {
+    let shapes: Vec<_> = [common_shapes(), large_shapes()].concat();
+    let mut trial = Trial::new(shapes, Path::ByAnotherVm, ROUTE_TIMEOUT);
+    let requests: Vec<_> = (0..trial.shapes.len())
+        .flat_map(|number| {
+            let cut = trial.shapes[number].response.len() - 8;
+            ["GET /reads", "POST /charges"].map(|method| format!("{method}/{number}/{cut}/stall"))
+        })
+        .collect();
+    let other_vm = trial.vms.pop().expect("a VM");
+    let seen = send_at_once(trial.caller, &requests, || other_vm.kill());
+    let mut passed_on = 0;
+    for (request, seen) in &seen {
+        println!("{request}: {seen:?}");
+        passed_on += usize::from(seen.status == 200);
+        let looks_whole = seen.status == 200 && seen.whole_body.is_some();
+        assert!(!looks_whole, "{request}: {seen:?}");
+        let is_not_run = matches!(seen.status, 408 | 421 | 429 | 503);
+        assert!(!(request.contains("POST") && is_not_run), "{request}: {seen:?}");
+    }
+    assert_eq!(passed_on, seen.len() / 2, "{seen:#?}");
+    for request in requests.iter().filter(|request| request.starts_with("POST")) {
+        assert_eq!(trial.upstream.runs(request).total, VERSIONS.len(), "{request}");
+    }
+}
