Reset connections whose body, ended by the connection, is cut by the end of the process

What callers saw: a caller of HTTP/1.0 that was receiving a body without a length when its VM's process ended got FIN: a whole 200 of the part that had been sent (1,641,000 bytes at the end of a planned stop, 1,349,000 at SIGKILL, of a body that the upstream hadn't ended).

Cause: the system closes the sockets of a process that ends with FIN, and for such a caller the connection's end is the body's. Only the failure of the body reset the connection.

Change: while a body is sent that ends with its caller's connection, the socket ends with a reset (`pipelining::close_delimited`); the option is cleared when the whole body is written, before the connection is shut down. So no code has to run at the end of the process. Bodies with a length, and those to callers of HTTP/1.1, are as before. A caller that has closed its sending side during such a body gets a reset, too.

Whole bodies still end with FIN (`no_large_response_that_ends_early_looks_whole`, 120 responses).

--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 
 use super::bounds::{MAX_IN_FLIGHT_REQUESTS, MAX_STARTED_PER_CONNECTION};
+use super::close_delimited::UnfinishedBody;
 use super::early_request::EarlyRequest;
 use super::plain_head;
 use super::request_stream::RequestStream;
@@ -55,6 +56,7 @@
     state: RefCell<PipelineState>,
     /// Notified when no request behind the one in progress is started or buffered.
     drained: Notify,
+    unfinished_body: UnfinishedBody,
 }
 
 #[derive(Debug, Default)]
@@ -115,9 +117,15 @@
             max_read_ahead_bytes,
             state: RefCell::default(),
             drained: Notify::new(),
+            unfinished_body: UnfinishedBody::default(),
         })
     }
 
+    /// Returns whether the connection's end would look like that of a body which isn't whole.
+    pub(super) fn has_unfinished_body(&self) -> bool {
+        self.unfinished_body.exists()
+    }
+
     /// Records that hyper has no more bytes to write for now.
     pub(super) fn record_flushed(&self) {
         let mut state = self.state.borrow_mut();
@@ -270,6 +278,7 @@
     /// Responds to the request whose turn it is.
     pub async fn respond(&self, turn: Turn, request: Request<Incoming>) -> Response<Body> {
         let (head, incoming) = request.into_parts();
+        let version = head.version;
         let attempt_id = RequestHeaders::parse(&head.headers, &head.uri).attempt_id.into();
         let arrival = RequestArrival {
             source: RequestSource::Caller(self.caller),
@@ -290,7 +299,7 @@
             })
             .await;
         }
-        response
+        self.unfinished_body.follow(response, version)
     }
 
     /// Handles a request again whose early start can't be used.
--- a/crates/sedgepathd/src/direct/pipelining/reader.rs
+++ b/crates/sedgepathd/src/direct/pipelining/reader.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 use super::pipeline::Pipeline;
-use crate::lingering_close::{AbortiveClose, LingeringClose, is_read_closed};
+use crate::lingering_close::{AbortiveClose, LingeringClose, is_read_closed, undo_reset_on_drop};
 
 /// The bytes that a stopping VM looks at before it reads them.
 const PEEK_BYTES: usize = 4 * 1024;
@@ -24,12 +24,22 @@
     pipeline: Rc<Pipeline>,
     /// Set once the sending side is closed.
     close: Option<LingeringClose>,
+    /// Whether the connection ends with a reset if it is dropped, or if the process ends.
+    is_reset_on_drop: bool,
 }
 
 impl PipelinedStream {
     /// Creates a connection whose requests belong to a pipeline.
     pub fn new(socket: TcpStream, pipeline: Rc<Pipeline>) -> Self {
-        Self { socket, pipeline, close: None }
+        Self { socket, pipeline, close: None, is_reset_on_drop: false }
+    }
+
+    /// Prepares the socket for the end of the process while a body is sent that ends with the connection.
+    fn before_write(&mut self) {
+        if !self.is_reset_on_drop && self.pipeline.has_unfinished_body() {
+            self.socket.reset_on_drop();
+            self.is_reset_on_drop = true;
+        }
     }
 
     /// Reads ahead until the connection's end, which is ready; else stays pending.
@@ -123,7 +133,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().socket).poll_write(cx, buf)
+        let this = self.get_mut();
+        this.before_write();
+        Pin::new(&mut this.socket).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -131,7 +143,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().socket).poll_write_vectored(cx, bufs)
+        let this = self.get_mut();
+        this.before_write();
+        Pin::new(&mut this.socket).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -146,7 +160,14 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Self { socket, pipeline, close } = self.get_mut();
+        let Self { socket, pipeline, close, is_reset_on_drop } = self.get_mut();
+        if *is_reset_on_drop {
+            if pipeline.has_unfinished_body() {
+                return Poll::Ready(Ok(()));
+            }
+            undo_reset_on_drop(socket)?;
+            *is_reset_on_drop = false;
+        }
         let closed = LingeringClose::poll_shutdown(close, socket, cx, || pipeline.begin_close());
         pipeline.count_close(ready!(closed)?);
         Poll::Ready(Ok(()))
--- a/crates/sedgepathd/src/lingering_close.rs
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -12,6 +12,7 @@
 
 use futures_util::FutureExt;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -29,10 +30,19 @@
 
 /// A connection that can be ended with a reset, which no caller takes for the end of a response.
 pub trait AbortiveClose {
-    /// Makes the connection end with a reset when it is dropped.
+    /// Makes the connection end with a reset when it is dropped, or when the process ends.
     fn reset_on_drop(&self);
 }
 
+/// Makes a connection end without a reset again.
+///
+/// # Errors
+///
+/// Fails if the connection has failed.
+pub fn undo_reset_on_drop(socket: &TcpStream) -> io::Result<()> {
+    SockRef::from(socket).set_linger(None)
+}
+
 impl AbortiveClose for TcpStream {
     fn reset_on_drop(&self) {
         // The system refuses the option only if the connection has failed.
--- a/crates/sedgepathd/tests/truncated_large_responses.rs
+++ b/crates/sedgepathd/tests/truncated_large_responses.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use platform::judging_caller::{Caller, Seen};
-use platform::truncation::{Path, Trial, common_shapes, large_shapes};
+use platform::truncation::{Framing, Path, Shape, Trial, common_shapes, large_shapes};
 
 const ROUTE_TIMEOUT: &str = "3000ms";
 
@@ -90,3 +90,31 @@
         assert_eq!(trial.upstream.runs(request).total, VERSIONS.len(), "{request}");
     }
 }
+
+/// Guards against a body without a length that the end of the VM's process cuts, and whose end looks to its caller
+/// like that of the body.
+#[test]
+fn no_response_that_the_end_of_its_process_cuts_looks_whole() {
+    for signal in ["-TERM", "-KILL"] {
+        let mut chunked = large_shapes().remove(1);
+        // The first chunk has no end.
+        let head = "HTTP/1.1 200 OK|Transfer-Encoding: chunked|";
+        let sent = [b"7fffffff\r\n".as_slice(), &chunked.body].concat();
+        chunked = Shape::new("endless_chunk", Framing::Invalid, head, sent, chunked.body);
+        let shapes = vec![common_shapes().remove(0), large_shapes().remove(2), chunked];
+        let mut trial = Trial::new(shapes, Path::Direct, "30s");
+        trial.caller.deadline_ms = 20_000;
+        let requests = [1, 2].map(|number| {
+            format!("GET /reads/{number}/{}/endless", trial.shapes[number].response.len())
+        });
+        for (request, seen) in send_at_once(trial.caller, &requests, || trial.vms[0].signal(signal))
+        {
+            println!("{signal} {request}: {seen:?}");
+            assert_eq!(
+                (seen.status, seen.whole_body.is_some()),
+                (200, false),
+                "{signal} {request}"
+            );
+        }
+    }
+}
