Close the connection of a rejection whose end isn't certain

What callers saw: after an upstream's *not run* response with both `Content-Length` and `Transfer-Encoding`, a read got a 200 that belonged to no request of its own: the rest of that response by its length.

Cause: the body was discarded up to the last chunk and the connection released for reuse. A response that states both may end elsewhere for its sender (RFC 9112, section 6.3). Successful responses of this kind have failed for that reason already.

Change: such a connection is closed. The rejection itself counts as before, since its head proves it.

--- a/crates/sedgepathd/src/direct/attempt.rs
+++ b/crates/sedgepathd/src/direct/attempt.rs
@@ -235,6 +235,7 @@
     let (parts, mut incoming) = response.into_parts();
     let deadline = clock::instant_at(deadline_at_ms);
     let reusable = ReusableConnection { upstream: attempt.upstream, connection, headers };
+    let is_contradictory = has_contradictory_framing(&parts.headers);
     match headers.kind {
         ResponseKind::Mismatched => return AttemptResult::without_response(AttemptOutcome::Failed),
         ResponseKind::Misdirected => {
@@ -242,15 +243,13 @@
         }
         // The head alone proves that the request was not run.
         ResponseKind::NotRun => {
-            if discard_body(incoming).await {
+            if !is_contradictory && discard_body(incoming).await {
                 reusable.release(shared);
             }
             let report = headers.load;
             return AttemptResult::without_response(AttemptOutcome::Refused { report });
         }
-        ResponseKind::Matching
-            if has_contradictory_framing(&parts.headers) && !incoming.is_end_stream() =>
-        {
+        ResponseKind::Matching if is_contradictory && !incoming.is_end_stream() => {
             return AttemptResult::without_response(AttemptOutcome::Failed);
         }
         ResponseKind::Matching => {}
--- a/crates/sedgepathd/tests/platform/cutting_upstream.rs
+++ b/crates/sedgepathd/tests/platform/cutting_upstream.rs
@@ -46,9 +46,10 @@
 /// An upstream that responds to `/ROUTE/SHAPE/CUT/END` with the first `CUT` bytes of a shape, and runs until the
 /// test's process ends.
 ///
-/// `END` is `fin` or `rst`, after a while with `stall`; `endless`, with which the body goes on. Others keep the
-/// connection, and send the whole shape: `keep`, `left` and `late`. The first `CUT` bytes of a shape with its text
-/// in upper case come behind it with `left`, and before the connection's next response with `late`.
+/// `END` is `fin` or `rst`; `stall`, a late `fin`; `endless`, with which the body goes on. Others send the whole
+/// shape and keep the connection: `keep`; `left`, with which the first `CUT` bytes of the shape with its text in upper
+/// case come behind it; and `late`, with which the first shape with its text in upper case comes before the
+/// connection's next response.
 #[derive(Debug)]
 pub struct CuttingUpstream {
     runs: Arc<Mutex<BTreeMap<String, Runs>>>,
@@ -125,7 +126,7 @@
             "left" => stream.write_all(&[shape, &shouted(shape)[..cut]].concat()).ok()?,
             "late" => {
                 stream.write_all(shape).ok()?;
-                late = shouted(shape)[..cut].to_vec();
+                late = shouted(&shapes[0]);
             }
             _ => {
                 stream.write_all(&shape[..cut]).ok()?;
--- a/crates/sedgepathd/tests/truncated_responses.rs
+++ b/crates/sedgepathd/tests/truncated_responses.rs
@@ -104,3 +104,30 @@
     }
     assert!(wrong.is_empty(), "{} wrong: {:#?}", wrong.len(), &wrong[..wrong.len().min(12)]);
 }
+
+/// Guards against a response that says that its request didn't run, whose end isn't certain, and whose connection
+/// another request then gets with the rest of it.
+#[test]
+fn a_rejection_with_a_contradictory_length_is_the_last_response_of_its_connection() {
+    let mut shapes = common_shapes();
+    let chunks = "0\r\n\r\n";
+    let length = chunks.len() + shapes[0].response.len();
+    let head = format!(
+        "HTTP/1.1 503 Service Unavailable|X-Sedgepath-Not-Executed: 1|Content-Length: {length}|\
+         Transfer-Encoding: chunked|"
+    );
+    shapes.push(Shape::new("rejection", Framing::Invalid, &head, chunks, ""));
+    let trial = Trial::new(shapes, Path::Direct, ROUTE_TIMEOUT);
+    let mut wrong = Vec::new();
+    for _ in 0..60 {
+        let seen = trial.caller.send("GET /reads/3/0/late");
+        wrong.extend((seen.status != 503).then_some(seen));
+    }
+    for _ in 0..120 {
+        let seen = trial.caller.send(&trial.whole_request("keep"));
+        if (seen.status, seen.whole_body.as_deref()) != (200, Some(b"hello world")) {
+            wrong.push(seen);
+        }
+    }
+    assert!(wrong.is_empty(), "{} wrong: {:#?}", wrong.len(), &wrong[..wrong.len().min(12)]);
+}
