Take only the chunked coding for the framing of an owned upstream's body

What callers saw: if an upstream of the owned way sent `Transfer-Encoding: x` and its connection ended in the body, they got a 200 with the part as a whole body, and repeats with the same key got the stored part.

Cause: the owner took any transfer coding for framing. A body ends with its connection unless its last coding is chunked (RFC 9112, section 6.3), and then a part can't be told from the whole.

Change: only a last coding chunked is framing. Other responses count as lost, like those without a length.

The test ends responses of eight shapes after each of their bytes, by FIN and reset, for reads, charges and both with a key, at the owner and through another VM, on new and on kept connections: 9,040 responses.

--- a/crates/sedgepath-test-support/src/lib.rs
+++ b/crates/sedgepath-test-support/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bed;
 pub mod caller;
 pub mod content;
+pub mod cut_responses;
 pub mod daemon;
 pub mod direct;
 pub mod fleet;
--- a/crates/sedgepathd/src/dispatch.rs
+++ b/crates/sedgepathd/src/dispatch.rs
@@ -354,10 +354,19 @@
         return false;
     }
     headers.contains_key(CONTENT_LENGTH)
-        || headers.contains_key(TRANSFER_ENCODING)
+        || is_chunked(headers)
         || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
+/// Returns whether the last coding of a body is chunked; with another one, the body ends with its connection (RFC
+/// 9112, section 6.3).
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last_field = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = last_field.and_then(|value| value.to_str().ok());
+    let last_coding = codings.and_then(|codings| codings.rsplit(',').next());
+    last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 fn parse_report(headers: &HeaderMap, made_at_ms: u64) -> Option<UpstreamReport> {
     let number = |name: &str| headers.get(name)?.to_str().ok()?.parse().ok();
     let in_flight = number("sedgepath-in-flight");
