Test cuts of the store's and other VMs' rows after each byte

Only single early ends of the store's responses were tested. The client of both ways now gets responses that end after each of their bytes, by FIN and reset, with a length, chunked, with none, with another coding, and with a length beside that: whole tables, later pages, single rows on a kept connection, changes, and commits that are confirmed, in conflict or rejected. None is taken for whole unless it was whole: an update's JSON tells its own end.

Rows of other VMs, plain and compressed, decode from no shorter body to another table.

--- a/crates/sedgepathd/tests/store_responses.rs
+++ b/crates/sedgepathd/tests/store_responses.rs
@@ -6,10 +6,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 
+use sedgepath_adapter::store::HttpStore;
+use sedgepath_core::direct::replicas::TableUpdate;
 use sedgepath_core::direct::store_version::StoreVersion;
 use sedgepath_core::table::{
     Row, RowChange, RowCondition, RowWrite, TableRequest, TableResult, TableService, Transaction,
 };
+use sedgepath_test_support::packet_filter::reset_on_drop;
 use sedgepath_test_support::store::{BlockingTableClient, StoreStandIn};
 
 /// What the test server does with a connection after it has read the request.
@@ -250,3 +253,169 @@
     assert_eq!(store.execute(&read()), TableResult::Unavailable);
     server.join().expect("served");
 }
+
+/// A page of two rows that says that no more follow, and one after which more follow.
+const LAST_PAGE: &str = concat!(
+    r#"{"rows":[{"key":"a","value":"bWluZQ==","ver":7},{"key":"b","value":"bWluZQ==","ver":8}],"#,
+    r#""hasMore":false,"ver":9}"#
+);
+const FIRST_PAGE: &str =
+    r#"{"rows":[{"key":"0","value":"bWluZQ==","ver":6}],"hasMore":true,"ver":9}"#;
+
+/// How the end of a response's body is told.
+const FRAMINGS: [&str; 5] =
+    ["length", "chunked", "none", "other_coding", "length_and_other_coding"];
+
+/// Returns a response with a body that is framed in one of the ways.
+fn framed(status: &str, body: &str, framing: &str) -> Vec<u8> {
+    let length = body.len();
+    let (head, tail) = body.split_at(length / 2);
+    let fields = match framing {
+        "length" => format!("content-length: {length}\r\n"),
+        "chunked" => "transfer-encoding: chunked\r\n".into(),
+        "other_coding" => "transfer-encoding: x\r\n".into(),
+        "length_and_other_coding" => {
+            format!("content-length: {length}\r\ntransfer-encoding: x\r\n")
+        }
+        _ => String::new(),
+    };
+    let body = if framing == "chunked" {
+        let (first, second) = (head.len(), tail.len());
+        format!("{first:x}\r\n{head}\r\n{second:x}\r\n{tail}\r\n0\r\n\r\n")
+    } else {
+        body.into()
+    };
+    format!("HTTP/1.1 {status}\r\n{fields}\r\n{body}").into_bytes()
+}
+
+/// Runs `call` with a client whose store sends whole responses to the first requests of the only connection, and
+/// then the first bytes of a last one.
+fn with_cut<T>(
+    whole_before: &[Vec<u8>],
+    cut: &[u8],
+    is_reset: bool,
+    call: impl FnOnce(SocketAddr) -> T,
+) -> T {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::scope(|scope| {
+        scope.spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            for response in whole_before {
+                read_request(&mut stream);
+                stream.write_all(response).expect("written");
+            }
+            read_request(&mut stream);
+            stream.write_all(cut).expect("written");
+            if is_reset {
+                reset_on_drop(&stream).expect("a reset");
+            }
+        });
+        call(address)
+    })
+}
+
+/// Every cut of a response, and whether its connection is reset.
+fn cuts(response: &[u8]) -> impl Iterator<Item = (usize, bool)> {
+    (0..=response.len()).flat_map(|cut| [(cut, false), (cut, true)])
+}
+
+/// A read of rows by the client, as the tables' readers do it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RowsRead {
+    Table,
+    LaterPage,
+    Row,
+    Changes,
+}
+
+impl RowsRead {
+    fn run(self, address: SocketAddr) -> Option<TableUpdate> {
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let store = HttpStore::new(address);
+        runtime.block_on(async {
+            match self {
+                Self::Table | Self::LaterPage => store.read_table("table").await.ok(),
+                Self::Row => {
+                    // The connection that the next call uses.
+                    store.read_table("table").await.expect("a whole response");
+                    store.read_row("table", "a").await.ok()
+                }
+                Self::Changes => {
+                    store.poll_changes("table", StoreVersion::new(0, 5), 100).await.ok()
+                }
+            }
+        })
+    }
+}
+
+/// Guards against a response of the store that ends early and is taken for whole: an empty table, a shorter list of
+/// rows, or no changes.
+#[test]
+fn no_rows_that_end_early_are_taken_for_whole() {
+    let (mut count, mut wholes, mut wrong) = (0, 0, Vec::new());
+    for read in [RowsRead::Table, RowsRead::LaterPage, RowsRead::Row, RowsRead::Changes] {
+        for framing in FRAMINGS {
+            let before = match read {
+                RowsRead::Table | RowsRead::Changes => Vec::new(),
+                RowsRead::LaterPage => vec![framed("200 OK", FIRST_PAGE, "length")],
+                RowsRead::Row => vec![framed("200 OK", LAST_PAGE, "length")],
+            };
+            let response = framed("200 OK", LAST_PAGE, framing);
+            let whole = with_cut(&before, &response, false, |address| read.run(address));
+            let rows = whole.as_ref().map(|update| update.rows.len());
+            let expected = match read {
+                RowsRead::LaterPage => 3,
+                RowsRead::Table | RowsRead::Row | RowsRead::Changes => 2,
+            };
+            if rows != Some(expected) {
+                wrong.push(format!("{read:?} {framing} whole: {rows:?} rows"));
+            }
+            for (cut, is_reset) in cuts(&response) {
+                let seen =
+                    with_cut(&before, &response[..cut], is_reset, |address| read.run(address));
+                count += 1;
+                wholes += usize::from(seen.is_some());
+                if seen.is_some() && (cut < response.len() || seen != whole) {
+                    wrong.push(format!("{read:?} {framing} cut {cut} reset {is_reset}: {seen:?}"));
+                }
+            }
+        }
+    }
+    println!("{count} responses, {wholes} taken for whole");
+    assert!(wrong.is_empty(), "{} of {count}: {:#?}", wrong.len(), &wrong[..wrong.len().min(12)]);
+}
+
+/// Guards against a commit whose response ends early and that counts as applied, or as certainly not applied.
+#[test]
+fn a_commit_whose_response_ends_early_is_unknown() {
+    let conflict = r#"{"rows":[{"key":"a","value":"b3RoZXJz","ver":7}],"ver":9}"#;
+    let (mut count, mut wholes, mut wrong) = (0, 0, Vec::new());
+    for (status, body) in [
+        ("200 OK", r#"{"ver":9}"#),
+        ("412 Precondition Failed", conflict),
+        ("503 Busy", r#"{"error":"busy"}"#),
+    ] {
+        for framing in FRAMINGS {
+            let response = framed(status, body, framing);
+            let head_end = response.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+            let head_bytes = head_end.expect("a head") + 4;
+            let write = write_if(RowCondition::Absent, "mine");
+            let commit = |address| client(address).execute(&write);
+            let whole = with_cut(&[], &response, false, commit);
+            for (cut, is_reset) in cuts(&response) {
+                let seen = with_cut(&[], &response[..cut], is_reset, commit);
+                count += 1;
+                wholes += usize::from(seen != TableResult::Unknown);
+                // A rejection's status alone proves that nothing was written.
+                let is_proved = cut == response.len() || status == "503 Busy" && cut >= head_bytes;
+                if seen != TableResult::Unknown && (!is_proved || seen != whole) {
+                    wrong.push(format!("{status} {framing} cut {cut} reset {is_reset}: {seen:?}"));
+                }
+            }
+        }
+    }
+    println!("{count} responses, {wholes} with a known result");
+    assert!(wrong.is_empty(), "{} of {count}: {:#?}", wrong.len(), &wrong[..wrong.len().min(12)]);
+}
--- a/crates/sedgepathd/tests/table_server.rs
+++ b/crates/sedgepathd/tests/table_server.rs
@@ -166,3 +166,22 @@
     table_server::decode_rows(&headers, &body_bytes(response))
         .expect_err("decoded without a size limit");
 }
+
+/// Guards against rows of another VM whose body ends early and that decode to a shorter table.
+#[test]
+fn no_rows_of_a_peer_that_end_early_decode() {
+    for rows in [0, 1, 10, 60] {
+        let (replicas, server) = (replicas(rows), TableServer::default());
+        let response = server.respond(&replicas, Table::Upstreams, StoreVersion::default(), 0);
+        let headers = response.headers().clone();
+        let body = body_bytes(response);
+        let whole = table_server::decode_rows(&headers, &body).expect("a table");
+        assert_eq!(whole.rows.len(), rows as usize);
+        for cut in 0..body.len() {
+            let decoded = table_server::decode_rows(&headers, &body[..cut]);
+            // The checksum of compressed rows may be missing, the rows may not.
+            let is_sound = decoded.as_ref().map_or(true, |update| *update == whole);
+            assert!(is_sound, "{cut} of {} bytes of {rows} rows: {decoded:?}", body.len());
+        }
+    }
+}
