Give up early reads that a stop ends, with their log line

What callers see: reads that were pipelined, ran early and whose responses didn't fit into memory got 502 from a stopping VM, and the log said 'refused' of a request that had run.

Cause: a request that is handled again after its early start was a new one for the VM. Its rejection was made, counted and logged as not run, and only then replaced by 502.

Change: the request's state holds that it was started early, so that the VM gives it up where it would reject it, with the line gave_up, at its arrival, before its sending and at the end of requests.

--- a/crates/sedgepath-core/src/direct/attempts.rs
+++ b/crates/sedgepath-core/src/direct/attempts.rs
@@ -377,6 +377,8 @@
     pub delivered: u32,
     /// The number of finished attempts that may have run.
     pub possible_runs: u32,
+    /// Whether this VM started the request before its turn, without a response that it can use.
+    pub was_started_early: bool,
     /// The cause that the next attempt would have.
     pub cause: AttemptCause,
     /// The attempts that haven't ended.
@@ -433,6 +435,17 @@
         self
     }
 
+    /// Returns the state of a request that this VM may have started before.
+    pub fn with_early_start(mut self, was_started_early: bool) -> Self {
+        self.was_started_early = was_started_early;
+        self
+    }
+
+    /// Returns whether the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs > 0 || self.was_started_early
+    }
+
     /// Returns the request's fingerprints for logs.
     pub fn fingerprint_text(&self) -> String {
         self.fingerprints.map_or_else(|| "none".into(), |fingerprints| fingerprints.to_string())
--- a/crates/sedgepath-core/src/direct/steering.rs
+++ b/crates/sedgepath-core/src/direct/steering.rs
@@ -368,6 +368,7 @@
             tried_upstreams: Vec::new(),
             delivered: forwarded.map_or(0, |forwarded| forwarded.delivered),
             possible_runs: forwarded.map_or(0, |forwarded| forwarded.possible_runs),
+            was_started_early: false,
             cause: AttemptCause::First,
             in_flight: Vec::new(),
             unreachable: 0,
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -52,7 +52,7 @@
 
     fn decide_step(&mut self, request: &mut RequestState, random: u64, now_ms: u64) -> NextStep {
         let reject_or_give_up = |reason, retry_after_ms, request: &RequestState| {
-            if request.possible_runs > 0 {
+            if request.may_have_run() {
                 return NextStep::GiveUp { reason };
             }
             NextStep::Reject { reason, retry_after_ms }
--- a/crates/sedgepathd/src/direct/give_up.rs
+++ b/crates/sedgepathd/src/direct/give_up.rs
@@ -1,12 +1,12 @@
 //! Requests that a VM gives up after they were sent: their responses, log lines and counts.
 
 use hyper::{Response, StatusCode};
-use sedgepath_core::direct::attempts::RejectionReason;
+use sedgepath_core::direct::attempts::{Rejection, RejectionReason};
 
 use super::connection_pool::Body;
 use super::forwarding::{Forwarded, OwnResponse, Responder};
 use super::in_flight_request::InFlightRequest;
-use super::responses::{last_upstream_name, status_response};
+use super::responses::{RejectedRequest, last_upstream_name, reject, status_response};
 use super::{clock, logging};
 
 /// Why a VM gives a request up.
@@ -162,6 +162,16 @@
     response
 }
 
+/// Ends a request that wasn't sent since it arrived: it is rejected, or given up if its early start may have
+/// run.
+pub fn end_unsent(request: &InFlightRequest, rejection: Rejection) -> Response<Body> {
+    if request.state.was_started_early {
+        return give_up(request, GiveUpReason::NotSentAgain(rejection.reason), None);
+    }
+    let rejected = RejectedRequest::Begun(&request.state);
+    reject(&request.shared, &request.attempt_id, rejected, rejection)
+}
+
 /// The reason, for logs and counters, of a request that another VM has given up.
 const GIVEN_UP_BY_NEIGHBOUR: &str = "neighbour_gave_up";
 
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Response, StatusCode, Version, http};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgepath_adapter::headers::RequestHeaders;
-use sedgepath_core::direct::attempts::{ForwardedRequest, RejectionReason};
+use sedgepath_core::direct::attempts::{ForwardedRequest, RejectionReason, RequestState};
 use sedgepath_core::direct::fingerprint::{RequestFingerprints, RequestIdentity};
 use sedgepath_core::direct::steering::{IncomingRequest, Rejection};
 use sedgepath_wire::tcp;
@@ -26,6 +26,7 @@
 use super::connection_pool::Body;
 use super::control_server::ACCEPT_PAUSE;
 use super::forwarding::ForwardedHead;
+use super::give_up::end_unsent;
 use super::in_flight_request::InFlightRequest;
 use super::pipelining::pipeline::Pipeline;
 use super::pipelining::reader::PipelinedStream;
@@ -199,6 +200,8 @@
     pub source: RequestSource,
     /// When its head was complete, in milliseconds. Its time limit counts from then.
     pub at_ms: u64,
+    /// Whether it was started before its turn, without a response that can be used.
+    pub was_started_early: bool,
 }
 
 /// Handles a request that another VM has forwarded. While this VM stops, the connection ends with the
@@ -208,7 +211,11 @@
     request: Request<Incoming>,
     forwarded: ForwardedHead,
 ) -> Response<Body> {
-    let arrival = RequestArrival { source: RequestSource::Vm(forwarded), at_ms: clock::now_ms() };
+    let arrival = RequestArrival {
+        source: RequestSource::Vm(forwarded),
+        at_ms: clock::now_ms(),
+        was_started_early: false,
+    };
     let (mut parts, incoming) = request.into_parts();
     let unwritten = parts.extensions.remove::<UnwrittenResponses>().unwrap_or_default();
     let mut response = handle_arrived(&shared, parts, Some(incoming), arrival).await;
@@ -247,7 +254,7 @@
     incoming: Option<Incoming>,
     arrival: RequestArrival,
 ) -> Response<Body> {
-    let RequestArrival { source, at_ms: arrived_at_ms } = arrival;
+    let RequestArrival { source, at_ms: arrived_at_ms, was_started_early } = arrival;
     let now_ms = clock::now_ms();
     shared.load.borrow_mut().record_request(now_ms);
     let headers = RequestHeaders::parse(&parts.headers, &parts.uri);
@@ -267,7 +274,7 @@
     shared.wait_for_start().await;
     let result = shared.steering.borrow_mut().begin_request(incoming_request, now_ms);
     let state = match result {
-        Ok(state) => state.with_arrival(arrived_at_ms),
+        Ok(state) => state.with_arrival(arrived_at_ms).with_early_start(was_started_early),
         Err(rejection) => {
             let account = shared.steering.borrow().account_name(incoming_request.credential);
             let request =
@@ -275,12 +282,6 @@
             return reject(shared, &attempt_id, request, rejection);
         }
     };
-    if state.deadline_at_ms <= now_ms {
-        return reject(shared, &attempt_id, RejectedRequest::Begun(&state), EXPIRED);
-    }
-    if state.is_forwarded && !has_room_for_forwarded(shared, state.priority()) {
-        return reject(shared, &attempt_id, RejectedRequest::Begun(&state), OVERLOADED);
-    }
     let mut request = InFlightRequest {
         shared: Rc::clone(shared),
         attempt_id,
@@ -288,11 +289,27 @@
         last_sent_at_ms: None,
         is_answered: false,
     };
-    let response = serve_request(&mut request, parts, incoming, source.caller()).await;
+    let response = match rejection_on_arrival(&request.state, shared, now_ms) {
+        Some(rejection) => end_unsent(&request, rejection),
+        None => serve_request(&mut request, parts, incoming, source.caller()).await,
+    };
     request.is_answered = true;
     response
 }
 
+/// Returns why a request is rejected before its body is read, if it is.
+fn rejection_on_arrival(
+    state: &RequestState,
+    shared: &SharedState,
+    now_ms: u64,
+) -> Option<Rejection> {
+    if state.deadline_at_ms <= now_ms {
+        return Some(EXPIRED);
+    }
+    let has_room = !state.is_forwarded || has_room_for_forwarded(shared, state.priority());
+    (!has_room).then_some(OVERLOADED)
+}
+
 /// Prepares an accepted request and sends it to upstreams.
 async fn serve_request(
     request: &mut InFlightRequest,
@@ -318,8 +335,7 @@
         Some(Err(response)) => response,
         None => {
             request.return_quota_token();
-            let rejected = RejectedRequest::Begun(&request.state);
-            reject(&shared, &request.attempt_id, rejected, STOPPING)
+            end_unsent(request, STOPPING)
         }
     }
 }
@@ -352,8 +368,7 @@
     };
     let is_forwarded = request.state.is_forwarded;
     if !is_forwarded && let Err(rejection) = quotas::wait_for_token(request).await {
-        let rejected = RejectedRequest::Begun(&request.state);
-        return Err(reject(&shared, &attempt_id, rejected, rejection));
+        return Err(end_unsent(request, rejection));
     }
     let account = request.state.account.as_ref().map(|(_, account)| account.name.clone());
     request.state.fingerprints =
--- a/crates/sedgepathd/src/direct/pipelining/early_request.rs
+++ b/crates/sedgepathd/src/direct/pipelining/early_request.rs
@@ -41,8 +41,11 @@
     ) -> Self {
         let head = found.parts.clone();
         let shared = Rc::clone(shared);
-        let arrival =
-            RequestArrival { source: RequestSource::Caller(caller), at_ms: found.arrived_at_ms };
+        let arrival = RequestArrival {
+            source: RequestSource::Caller(caller),
+            at_ms: found.arrived_at_ms,
+            was_started_early: false,
+        };
         let task = tokio::task::spawn_local(async move {
             let response = ingress::handle_arrived(&shared, found.parts, None, arrival).await;
             let held_bytes = response.body().size_hint().upper();
--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -274,6 +274,7 @@
         let arrival = RequestArrival {
             source: RequestSource::Caller(self.caller),
             at_ms: turn.arrived_at_ms,
+            was_started_early: false,
         };
         let mut response = match turn.early {
             Some(early) => match self.finish_early(early, &head).await {
@@ -309,6 +310,7 @@
         if !Target::new(&head.headers, &head.uri).allows_early_start(&self.shared) {
             return status_response(StatusCode::BAD_GATEWAY, &attempt_id);
         }
+        let arrival = RequestArrival { was_started_early: true, ..arrival };
         let response = ingress::handle_arrived(&self.shared, head, Some(incoming), arrival).await;
         match response.extensions().get() {
             Some(OwnResponse::Rejected(_)) => status_response(StatusCode::BAD_GATEWAY, &attempt_id),
--- a/crates/sedgepathd/tests/direct_pipelining.rs
+++ b/crates/sedgepathd/tests/direct_pipelining.rs
@@ -19,7 +19,7 @@
 struct Fixture {
     upstreams: Vec<UpstreamStandIn>,
     vm: Vm,
-    _site: TestCluster,
+    site: TestCluster,
     _store: StoreStandIn,
 }
 
@@ -40,7 +40,7 @@
         let site = TestCluster::new(store.address);
         let vm = site.start_with(1, "north-a", store.address, arguments);
         wait_for("readiness", || vm.is_ready());
-        Self { upstreams, vm, _site: site, _store: store }
+        Self { upstreams, vm, site, _store: store }
     }
 
     fn connect(&self) -> Connection {
@@ -243,6 +243,58 @@
     assert!(fixture.vm.exit_status().is_some_and(|status| status.success()));
 }
 
+/// The size of responses of which the VM can't hold those of [`HOLDING_CONNECTIONS`] until their turn, in bytes.
+const HELD_RESPONSE_BYTES: usize = 900_000;
+
+/// The connections with as many requests as are started early.
+const HOLDING_CONNECTIONS: usize = 3;
+
+/// The requests of such a connection behind its first one.
+const REQUESTS_BEHIND: usize = 16;
+
+/// Guards against a read that was started early, whose response doesn't fit into memory, and that a stop then
+/// ends as not run or without a log line.
+#[test]
+fn a_stop_ends_no_early_request_as_not_run_or_without_its_log_line() {
+    let fixture = Fixture::with_timeout(12, "8000ms", &[]);
+    for upstream in &fixture.upstreams {
+        upstream.set_behaviour(Behaviour::ByTarget);
+    }
+    let mut connections: Vec<_> = (0..HOLDING_CONNECTIONS).map(|_| fixture.connect()).collect();
+    for (number, connection) in connections.iter_mut().enumerate() {
+        let mut requests = head("GET", &format!("first{number}"), 2_500, "");
+        for behind in 0..REQUESTS_BEHIND {
+            let request = head("GET", &format!("m{number}-{behind}"), 300, "");
+            requests += &request.replace("?300", &format!("?300,{HELD_RESPONSE_BYTES}"));
+        }
+        connection.write(requests.as_bytes()).expect("written");
+    }
+    let count = HOLDING_CONNECTIONS * (1 + REQUESTS_BEHIND);
+    wait_for("the requests", || fixture.received() == count);
+    fixture.vm.terminate();
+
+    let mut ends = Vec::new();
+    for (number, connection) in connections.iter_mut().enumerate() {
+        assert_eq!(receive(connection, 0).status, 200);
+        for behind in 0..REQUESTS_BEHIND {
+            let response = receive(connection, 1 + behind);
+            let body_bytes = response.body.as_ref().map(Vec::len);
+            let is_whole = body_bytes.is_some_and(|bytes| bytes >= HELD_RESPONSE_BYTES);
+            ends.push((format!("m{number}-{behind}"), response.status, is_whole));
+        }
+    }
+
+    assert!(fixture.pipelined_requests("repeated") > 0);
+    let log = fixture.site.log(1);
+    let is_right = |id: &str, status: u16, is_whole: bool| match status {
+        200 => is_whole,
+        502 => log.contains(&format!("event=gave_up request={id} reason=stopping status=502 ")),
+        _ => false,
+    };
+    ends.retain(|(id, status, is_whole)| !is_right(id, *status, *is_whole));
+    assert!(ends.is_empty(), "{} of {count}: {ends:?}", ends.len());
+}
+
 /// Guards against requests that a stopping VM starts before their turn and then doesn't answer.
 #[test]
 fn a_stopping_vm_starts_no_request_early() {
