Tell the VM that forwards a request that it did not run at a stopping VM

What callers see: 502 although a third VM could serve their request. A VM that is cut off asks another one with a read that may have run; if that one stops (or is cut off), it gave the request up.

Cause: the runs that the asking VM tells count as those of the asked one, so that it said 'may have run' of a request that it never sent.

Change: a forwarded request that this VM hasn't sent is answered 'not run here' where the reason is of one VM. The asking VM keeps its own count of possible runs, so that its caller isn't told 'not run'.

--- a/crates/sedgepathd/src/direct/request_run.rs
+++ b/crates/sedgepathd/src/direct/request_run.rs
@@ -61,6 +61,16 @@
                     let rejected = RejectedRequest::Begun(&request.state);
                     return reject(shared, &head.attempt_id, rejected, rejection);
                 }
+                // What other VMs have sent is theirs to tell.
+                NextStep::GiveUp { reason }
+                    if request.state.is_forwarded
+                        && request.last_sent_at_ms.is_none()
+                        && reason.is_of_one_vm() =>
+                {
+                    let rejection = Rejection { reason, retry_after_ms: 0 };
+                    let rejected = RejectedRequest::Begun(&request.state);
+                    return reject(shared, &head.attempt_id, rejected, rejection);
+                }
                 NextStep::GiveUp { reason } => {
                     let reason = GiveUpReason::NotSentAgain(reason);
                     return give_up(request, reason, last_response);
--- a/crates/sedgepathd/tests/direct_give_ups.rs
+++ b/crates/sedgepathd/tests/direct_give_ups.rs
@@ -164,3 +164,24 @@
     assert_eq!(fixture.give_up_line(2, "kept").text("reason"), Some("no_retry"));
     assert_eq!(status, Some(200));
 }
+
+/// Guards against a stopping VM that gives a request up for another VM, which may have run it but which this one
+/// hasn't sent: no third VM is asked then.
+#[test]
+fn a_stopping_vm_gives_up_no_forwarded_request_that_it_has_not_sent() {
+    let fixture = Fixture::new(1);
+    let mut peer = Connection::new(fixture.site.peer_address(1)).expect("a connection");
+    fixture.vms[0].terminate();
+    wait_for("an end of readiness", || !fixture.vms[0].is_ready());
+
+    let head = format!(
+        "GET /reads/1?0,0 HTTP/1.1\r\nHost: shop.example\r\nX-Sedgepath-Attempt-Id: twice\r\n\
+         X-Sedgepath-Deadline-Ms: {TIME_LIMIT_MS}\r\nSedgepath-Forwarded: 127.0.0.1 1 1 0\r\n\r\n"
+    );
+    peer.write(head.as_bytes()).expect("written");
+    let response = peer.receive().expect("a response");
+
+    let outcome = response.headers.get("sedgepath-forward-outcome").map(String::as_str);
+    assert_eq!(outcome, Some("not_run stopping 0"), "{response:?}");
+    assert!(fixture.upstream.received().is_empty());
+}
