Reject what a stop can't finish when it arrives

What callers see: a stopping VM knew when a request arrived that it wouldn't send it, but rejected it only after its body: a caller that sent its body slowly had 503 after 5.5 s instead of at once. A token of its account's quota and a claim of a probe could be taken for it meanwhile.

Cause: the stop was asked only at the moment of sending.

Change: it is asked before the body is read, too. The connection lingers and discards the rest, as after other early rejections. The question at the moment of sending stays, as a stop may begin in between.

That no token is taken and no probe claimed follows from the order in the code; no run shows it.

--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -90,7 +90,7 @@
                 request,
             );
         }
-        if self.planned_stop.is_some_and(|stop| !stop.is_in_time(request.deadline_at_ms)) {
+        if self.is_too_late_for_stop(request) {
             return reject_or_give_up(RejectionReason::Stopping, 0, request);
         }
         match self.step_when_cut_off(request, random, now_ms) {
@@ -148,6 +148,21 @@
         self.start_attempt(request, candidate, now_ms)
     }
 
+    /// Returns whether a planned stop may end before a request, which is then not sent.
+    fn is_too_late_for_stop(&self, request: &RequestState) -> bool {
+        self.planned_stop.is_some_and(|stop| !stop.is_in_time(request.deadline_at_ms))
+    }
+
+    /// Returns whether a request that has arrived is to be rejected, since a planned stop may end before it, and
+    /// records the rejection.
+    pub fn stop_rejects(&mut self, request: &RequestState, now_ms: u64) -> bool {
+        let rejects = self.is_too_late_for_stop(request);
+        if rejects {
+            self.record_rejected_demand(request, now_ms);
+        }
+        rejects
+    }
+
     /// Returns whether a request has failed to connect to so many upstreams, for so long, that it isn't held
     /// any longer. Refused connections cost no time, unlike those that get no answer.
     fn has_tried_to_connect_enough(&self, request: &RequestState, now_ms: u64) -> bool {
--- a/crates/sedgepath-core/tests/direct_reach.rs
+++ b/crates/sedgepath-core/tests/direct_reach.rs
@@ -352,6 +352,28 @@
     assert_eq!(vm.next_step(&mut request, 7, 0), expected);
 }
 
+/// Guards against an untrue rejection of a read that an upstream may have run, after other VMs have said that it
+/// didn't run there.
+#[test]
+fn a_read_that_may_have_run_asks_further_vms_and_is_given_up() {
+    let mut vm = vm_with_retry_budget("a1", "north-a", 1, 4);
+    hear(&mut vm, "a2", "north-a", 2, false);
+    hear(&mut vm, "a3", "north-a", 3, false);
+    let mut request = begin_request(&mut vm, "/reads/1", "7", 0);
+    let NextStep::Send(attempt) = vm.next_step(&mut request, 7, 0) else { panic!("not sent") };
+    cut_off(&mut vm, 0);
+    vm.record_outcome(&mut request, attempt.upstream, AttemptOutcome::Failed, 10);
+    let mut asked = Vec::new();
+    let last = loop {
+        let step = vm.next_step(&mut request, asked.len() as u64, 20);
+        let Some(address) = forwarded_to(&step) else { break step };
+        asked.push(address);
+        request.record_forward_outcome(ForwardOutcome::NotRun { rejection: None });
+    };
+    assert_eq!(asked.len(), 2, "{asked:?}");
+    assert!(matches!(last, NextStep::GiveUp { .. }), "{last:?}");
+}
+
 // Guards against retries that both VMs pay for, and against more runs than the route allows.
 #[test]
 fn the_attempts_and_the_budget_of_a_forwarded_request_are_counted_once() {
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -56,7 +56,8 @@
 const EXPIRED: Rejection =
     Rejection { reason: RejectionReason::DeadlineExceeded, retry_after_ms: 0 };
 
-/// The rejection of a request that hasn't been sent when a planned stop ends the requests in flight.
+/// The rejection of a request that arrives too late for a planned stop, or hasn't been sent when that ends the
+/// requests in flight.
 const STOPPING: Rejection = Rejection { reason: RejectionReason::Stopping, retry_after_ms: 0 };
 
 /// The share of its capacity up to which a VM serves requests that others forward.
@@ -306,6 +307,9 @@
     if state.deadline_at_ms <= now_ms {
         return Some(EXPIRED);
     }
+    if shared.steering.borrow_mut().stop_rejects(state, now_ms) {
+        return Some(STOPPING);
+    }
     let has_room = !state.is_forwarded || has_room_for_forwarded(shared, state.priority());
     (!has_room).then_some(OVERLOADED)
 }
--- a/crates/sedgepathd/tests/direct_stop.rs
+++ b/crates/sedgepathd/tests/direct_stop.rs
@@ -233,6 +233,33 @@
     );
 }
 
+/// The time within which a VM rejects what it can't finish, whatever is still to arrive.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
+/// Guards against a request that can't be in time and is rejected only once its body has arrived.
+#[test]
+fn a_stopping_vm_waits_for_no_body_of_a_request_that_it_cannot_finish() {
+    let fixture = Fixture::new("6000ms", Behaviour::Respond);
+    fixture.vm.terminate();
+    wait_for("an end of readiness", || !fixture.vm.is_ready());
+    let mut connection = Connection::new(fixture.vm.caller_address).expect("a connection");
+    let head = "POST /charges/1 HTTP/1.1\r\nHost: shop.example\r\nX-Sedgepath-Attempt-Id: slow\r\n\
+                X-Sedgepath-Deadline-Ms: 6000\r\nContent-Length: 100\r\n\r\nbeginning";
+    let sent_at = Instant::now();
+    connection.write(head.as_bytes()).expect("written");
+
+    let status = connection.receive().map(|response| response.status);
+
+    let took = sent_at.elapsed();
+    assert_eq!(status, Some(503), "after {took:?}");
+    assert!(took < AT_ONCE, "{took:?}");
+    // The rest is discarded, so that no caller loses the response while it writes.
+    assert!(connection.write(&[b'x'; 91]).is_some());
+    let line = "event=refused request=slow status=503 reason=stopping";
+    wait_for("the line", || fixture.site.log(1).contains(line));
+    assert_eq!(fixture.runs(), 0);
+}
+
 /// Guards against a charge that a VM has read behind another one before its stop and doesn't answer: its caller
 /// can't know that it didn't run.
 #[test]
