End requests of a short grace period no sooner than in its last eighth

What callers see: with a grace period under 3 s, a request from before SIGTERM that was at work before the last sixth of the grace got 502; with one under half a second, at once.

Cause: the margins for writing responses and for the end of the process were fixed, 350 and 150 ms, however short the grace.

Change: together they take at most an eighth of the grace, in the same ratio, which leaves a part of the last sixth for late timers. Nothing changes from 4 s on.

Not run: real processes with a short grace.

--- a/crates/sedgepath-core/src/direct/planned_stop.rs
+++ b/crates/sedgepath-core/src/direct/planned_stop.rs
@@ -15,6 +15,10 @@
 /// The time for writing the responses to the requests that the stop ends, in milliseconds.
 const WRITE_MARGIN_MS: u64 = 350;
 
+/// The divisor of a grace period that gives the most that both margins take of it: what is at work in its last
+/// sixth may be ended, and the rest of that covers late timers.
+const MARGIN_DIVISOR: u64 = 8;
+
 /// The times of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlannedStop {
@@ -30,8 +34,10 @@
     /// Creates the times of a stop that begins now and whose process is killed after a grace period in
     /// milliseconds.
     pub fn new(now_ms: u64, grace_ms: u64) -> Self {
-        let ends_at_ms = now_ms + grace_ms.saturating_sub(EXIT_MARGIN_MS);
-        let requests_end_at_ms = ends_at_ms.saturating_sub(WRITE_MARGIN_MS).max(now_ms);
+        let margin_ms = (grace_ms / MARGIN_DIVISOR).min(EXIT_MARGIN_MS + WRITE_MARGIN_MS);
+        let exit_margin_ms = margin_ms * EXIT_MARGIN_MS / (EXIT_MARGIN_MS + WRITE_MARGIN_MS);
+        let ends_at_ms = now_ms + grace_ms - exit_margin_ms;
+        let requests_end_at_ms = now_ms + grace_ms - margin_ms;
         let accepts_until_ms = requests_end_at_ms.min(now_ms + ACCEPT_MS);
         Self { accepts_until_ms, requests_end_at_ms, ends_at_ms }
     }
