--- a/crates/sedgepathd/src/direct/give_up.rs
+++ b/crates/sedgepathd/src/direct/give_up.rs
@@ -3,13 +3,13 @@
 use std::fmt;
 
 use hyper::{Response, StatusCode};
-use sedgepath_core::direct::attempts::RejectionReason;
+use sedgepath_core::direct::attempts::{Rejection, RejectionReason};
 
 use super::clock;
 use super::connection_pool::Body;
 use super::forwarding::{Forwarded, OwnResponse, Responder};
 use super::in_flight_request::InFlightRequest;
-use super::responses::{last_upstream_name, log_target, status_response};
+use super::responses::{RejectedRequest, last_upstream_name, log_target, reject, status_response};
 
 /// The reason, for logs and counters, of a request that another VM has given up.
 const GIVEN_UP_BY_NEIGHBOUR: &str = "neighbour_gave_up";
@@ -169,6 +169,16 @@
     response
 }
 
+/// Ends a request that wasn't sent since it arrived: it is rejected, or given up if its early start may have
+/// run.
+pub fn end_unsent(request: &InFlightRequest, rejection: Rejection) -> Response<Body> {
+    if request.state.was_started_early {
+        return give_up(request, GiveUpReason::NotSentAgain(rejection.reason), None);
+    }
+    let rejected = RejectedRequest::Begun(&request.state);
+    reject(&request.shared, &request.attempt_id, rejected, rejection)
+}
+
 /// Counts a request whose response another VM has sent, and logs it if that VM has given it up.
 pub fn record_forwarded(request: &InFlightRequest, status: StatusCode, forwarded: Forwarded) {
     let (shared, state, attempt_id) = (&request.shared, &request.state, &request.attempt_id);
