Repeat a read from before a stop whose sending failed, if that is in time

What callers see: a read in flight at SIGTERM whose time limit ends later than the stop's end of requests got 502 as soon as its upstream was lost, though another upstream could serve it; a hedge of the same read went out.

Cause: repeats were asked for their deadline like first sendings.

Change: a repeat of an idempotent request that arrived before the stop, that this VM has sent and that may have run, goes under the condition of hedges: expected before the end of requests. 502 is the only other end for its caller, who has waited for this VM and has few repeats of its own. What arrives after SIGTERM, or hasn't run, is never taken on an expectation: it is rejected as not run and served elsewhere. If the expectation errs, the 502 comes at the end of requests instead of at once.

--- a/crates/sedgepath-core/src/direct/planned_stop.rs
+++ b/crates/sedgepath-core/src/direct/planned_stop.rs
@@ -22,6 +22,8 @@
 /// The times of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlannedStop {
+    /// When the stop began, in milliseconds.
+    pub began_at_ms: u64,
     /// Until when connections are accepted, in milliseconds.
     pub accepts_until_ms: u64,
     /// When the requests still in flight are ended by responses of this VM, in milliseconds.
@@ -39,7 +41,7 @@
         let ends_at_ms = now_ms + grace_ms - exit_margin_ms;
         let requests_end_at_ms = now_ms + grace_ms - margin_ms;
         let accepts_until_ms = requests_end_at_ms.min(now_ms + ACCEPT_MS);
-        Self { accepts_until_ms, requests_end_at_ms, ends_at_ms }
+        Self { began_at_ms: now_ms, accepts_until_ms, requests_end_at_ms, ends_at_ms }
     }
 
     /// Returns whether a request with a deadline in milliseconds ends in time, whatever its upstream does.
@@ -47,11 +49,12 @@
         deadline_at_ms <= self.requests_end_at_ms
     }
 
-    /// Returns whether a hedge that is expected to take a time in milliseconds may be sent.
+    /// Returns whether a request that has been sent may be sent again, if that is expected to take a time in
+    /// milliseconds: a hedge, or a repeat of a request from before the stop.
     ///
-    /// The request is in flight, so that its caller waits for this VM in any case: a hedge that takes longer
-    /// than expected costs the caller nothing.
-    pub fn may_hedge(self, expected_ms: u64, now_ms: u64) -> bool {
+    /// The caller has waited for this VM, which has no other end for it than 502. A sending that takes longer than
+    /// expected leads to no worse one.
+    pub fn may_send_again(self, expected_ms: u64, now_ms: u64) -> bool {
         now_ms.saturating_add(expected_ms) <= self.requests_end_at_ms
     }
 }
--- a/crates/sedgepath-core/src/direct/steering/reachability.rs
+++ b/crates/sedgepath-core/src/direct/steering/reachability.rs
@@ -154,7 +154,7 @@
         })
     }
 
-    fn expected_work_ms(&self, request: &RequestState) -> f64 {
+    pub(super) fn expected_work_ms(&self, request: &RequestState) -> f64 {
         self.service_times.get(&request.service).copied().unwrap_or_default().work_ms(false)
     }
 
@@ -169,7 +169,7 @@
         let may_forward = self.is_cut_off() && !request.is_forwarded;
         if !may_forward
             || !self.may_hedge(request, now_ms)
-            || !self.stop_allows_hedge(self.expected_work_ms(request), now_ms)
+            || !self.stop_allows_sending_again(self.expected_work_ms(request), now_ms)
         {
             return None;
         }
--- a/crates/sedgepath-core/src/direct/steering/steps.rs
+++ b/crates/sedgepath-core/src/direct/steering/steps.rs
@@ -90,7 +90,10 @@
                 request,
             );
         }
-        if self.is_too_late_for_stop(request) {
+        let is_in_time = !self.is_too_late_for_stop(request);
+        let may_be_late = self.stop_allows_repeat(request)
+            && self.stop_allows_sending_again(self.expected_work_ms(request), now_ms);
+        if !is_in_time && !may_be_late {
             return reject_or_give_up(RejectionReason::Stopping, 0, request);
         }
         match self.step_when_cut_off(request, random, now_ms) {
@@ -121,6 +124,9 @@
             let (reason, retry_after_ms) = self.no_upstream(request, random, now_ms);
             return reject_or_give_up(reason, retry_after_ms, request);
         };
+        if !is_in_time && !self.stop_allows_sending_again(candidate.expected_ms, now_ms) {
+            return reject_or_give_up(RejectionReason::Stopping, 0, request);
+        }
         let config = self.config.admission;
         if let Decision::Reject(rejection) =
             self.admission.decide(request, &candidate, config, now_ms)
@@ -153,10 +159,22 @@
         self.planned_stop.is_some_and(|stop| !stop.is_in_time(request.deadline_at_ms))
     }
 
+    /// Returns whether a request may be repeated although a planned stop may end before it: an idempotent one from
+    /// before the stop that this VM has sent and that may have run. Others can be served by another VM.
+    fn stop_allows_repeat(&self, request: &RequestState) -> bool {
+        let was_sent = request.was_started_early
+            || !request.tried_upstreams.is_empty()
+            || !request.asked_vms.is_empty();
+        self.planned_stop.is_some_and(|stop| request.arrived_at_ms < stop.began_at_ms)
+            && was_sent
+            && request.may_have_run()
+            && request.route.kind.may_retry()
+    }
+
     /// Returns whether a request that has arrived is to be rejected, since a planned stop may end before it, and
     /// records the rejection.
     pub fn stop_rejects(&mut self, request: &RequestState, now_ms: u64) -> bool {
-        let rejects = self.is_too_late_for_stop(request);
+        let rejects = self.is_too_late_for_stop(request) && !self.stop_allows_repeat(request);
         if rejects {
             self.record_rejected_demand(request, now_ms);
         }
@@ -262,7 +280,7 @@
             return None;
         }
         let candidate = self.choose(request, random, now_ms)?;
-        if !self.stop_allows_hedge(candidate.expected_ms, now_ms) {
+        if !self.stop_allows_sending_again(candidate.expected_ms, now_ms) {
             return None;
         }
         let vm_count = self.vms.max_known_vm_count(now_ms);
@@ -281,9 +299,9 @@
         self.verdict(request, now_ms).allows_hedging() && self.is_still_authorized(request)
     }
 
-    /// Returns whether a planned stop, if any, leaves the time that a hedge is expected to take.
-    pub(super) fn stop_allows_hedge(&self, expected_ms: f64, now_ms: u64) -> bool {
-        self.planned_stop.is_none_or(|stop| stop.may_hedge(expected_ms as u64, now_ms))
+    /// Returns whether a planned stop, if any, leaves the time that a hedge or repeat is expected to take.
+    pub(super) fn stop_allows_sending_again(&self, expected_ms: f64, now_ms: u64) -> bool {
+        self.planned_stop.is_none_or(|stop| stop.may_send_again(expected_ms as u64, now_ms))
     }
 
     /// Cancels all attempts in flight after the caller disconnected or got its response.
--- a/crates/sedgepath-core/tests/direct_planned_stop.rs
+++ b/crates/sedgepath-core/tests/direct_planned_stop.rs
@@ -99,6 +99,38 @@
     }
 }
 
+/// Guards against 502 for a read that was in flight at SIGTERM, whose sending has failed and which a repeat would
+/// serve in time, and against repeats of what arrives later or can't be in time.
+#[test]
+fn a_read_from_before_a_stop_is_repeated_while_that_is_expected_in_time() {
+    let grace_ms = 2_000;
+    let stop = PlannedStop::new(100, grace_ms);
+    let given_up = NextStep::GiveUp { reason: RejectionReason::Stopping };
+    for (failed_at_ms, is_repeated) in [(200, true), (stop.requests_end_at_ms - 1, false)] {
+        let mut vm = vm_with_retry_budget("a1", "north-a", 1, 2);
+        let mut request = begin_request(&mut vm, "/reads/1", "x", 0);
+        let NextStep::Send(attempt) = vm.next_step(&mut request, 1, 0) else {
+            panic!("an upstream should be free");
+        };
+        vm.begin_stop(stop);
+        vm.record_outcome(&mut request, attempt.upstream, AttemptOutcome::Failed, failed_at_ms);
+        let next = vm.next_step(&mut request, 1, failed_at_ms);
+        assert_eq!(matches!(next, NextStep::Send(_)), is_repeated, "at {failed_at_ms}: {next:?}");
+        assert!(is_repeated || next == given_up, "{next:?}");
+    }
+    for arrived_at_ms in [0, 101] {
+        let mut vm = vm_with_retry_budget("a1", "north-a", 1, 2);
+        vm.begin_stop(stop);
+        let mut request = begin_request(&mut vm, "/reads/1", "x", 200)
+            .with_arrival(arrived_at_ms)
+            .with_early_start(true);
+        let next = vm.next_step(&mut request, 1, 200);
+        let is_repeated = arrived_at_ms == 0;
+        assert_eq!(matches!(next, NextStep::Send(_)), is_repeated, "{arrived_at_ms}: {next:?}");
+        assert!(is_repeated || next == given_up, "{next:?}");
+    }
+}
+
 /// Guards against short grace periods most of which pass without requests, and against an end of requests so
 /// late that their responses are cut.
 #[test]
--- a/crates/sedgepathd/tests/direct_stop.rs
+++ b/crates/sedgepathd/tests/direct_stop.rs
@@ -104,14 +104,15 @@
     }
 
     fn runs_of(&self, attempt_id: &str) -> usize {
-        let is_of = |run: &ReceivedRequest| {
-            run.headers.get("x-sedgepath-attempt-id").is_some_and(|id| id == attempt_id)
-        };
         let runs = self.upstreams.iter().flat_map(UpstreamStandIn::runs);
-        runs.filter(is_of).count()
+        runs.filter(|run| is_of(run, attempt_id)).count()
     }
 }
 
+fn is_of(run: &ReceivedRequest, attempt_id: &str) -> bool {
+    run.headers.get("x-sedgepath-attempt-id").is_some_and(|id| id == attempt_id)
+}
+
 /// Guards against charges that a stopping VM sends to upstreams and whose responses its end cuts, and against
 /// the rejection of one that ends in time.
 #[test]
@@ -233,6 +234,33 @@
     );
 }
 
+/// Guards against 502 for a read in flight at SIGTERM whose upstream is lost, although another one can serve it in
+/// time.
+#[test]
+fn a_stopping_vm_repeats_a_read_from_before_the_stop_whose_upstream_is_lost() {
+    let fixture = Fixture::new("8000ms", Behaviour::DelayedByTarget);
+    let mut connection = Connection::new(fixture.vm.caller_address).expect("a connection");
+    // They earn the budget for repeats.
+    for number in 0..30 {
+        let response = connection.request("GET", "/reads/1?0", &format!("b{number}"));
+        assert_eq!(response.map(|response| response.status), Some(200));
+    }
+    connection.send("GET", "/reads/1?7000", "lost", 8_000).expect("a request");
+    wait_for("the run", || fixture.runs_of("lost") == 1);
+    fixture.vm.terminate();
+    wait_for("an end of readiness", || !fixture.vm.is_ready());
+
+    for upstream in &fixture.upstreams {
+        upstream.set_behaviour(Behaviour::Respond);
+    }
+    let has_it = |upstream: &&UpstreamStandIn| upstream.runs().iter().any(|run| is_of(run, "lost"));
+    fixture.upstreams.iter().find(has_it).expect("an upstream").crash();
+
+    let status = connection.receive().map(|response| response.status);
+    assert_eq!(status, Some(200), "{}", fixture.site.log(1));
+    assert_eq!(fixture.runs_of("lost"), 2);
+}
+
 /// The time within which a VM rejects what it can't finish, whatever is still to arrive.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
