Test that a request which only connects is not run at a stop

Suspected: the end of requests gives up what only connects, and says that it may have run. Not so: a connection takes at most 250 ms, and after SIGTERM the next step of such a request is its rejection as not run; only with a grace of under 0.3 s could the end of requests come first.

Measured: a read that connects to a silent upstream at SIGTERM gets 503 within a second, refused reason=stopping; one run, code unchanged. direct_give_ups: 6 of 6.

--- a/crates/sedgepathd/tests/direct_give_ups.rs
+++ b/crates/sedgepathd/tests/direct_give_ups.rs
@@ -2,6 +2,8 @@
 
 mod platform;
 
+use std::time::{Duration, Instant};
+
 use platform::caller::Connection;
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{TestCluster, Vm, configure, cut_off, wait_for};
@@ -185,3 +187,26 @@
     assert_eq!(outcome, Some("not_run stopping 0"), "{response:?}");
     assert!(fixture.upstream.received().is_empty());
 }
+
+/// Guards against a request that only connects when a stop begins and that the stop ends as if it might have run.
+#[test]
+fn a_request_that_connects_when_a_stop_begins_is_rejected_as_not_run() {
+    let fixture = Fixture::new(1);
+    fixture.upstream.cut_from(&[fixture.site.ipv4(1)], ClientCut::NewConnections);
+    let mut connection = Connection::new(fixture.vms[0].caller_address).expect("a connection");
+    connection.send("GET", "/reads/1?0,0", "connects", TIME_LIMIT_MS).expect("a request");
+    wait_for("the first connection", || {
+        fixture.vms[0].metrics().contains("sedgepath_requests_in_flight 1")
+            || fixture.site.log(1).contains("event=connection_failed")
+    });
+
+    fixture.vms[0].terminate();
+    let since = Instant::now();
+    let status = connection.receive().map(|response| response.status);
+
+    assert_eq!(status, Some(503));
+    assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
+    let line = "event=refused request=connects status=503 reason=stopping";
+    wait_for("the line", || fixture.site.log(1).contains(line));
+    assert!(fixture.upstream.received().is_empty());
+}
