Notice a lost server of an idle connection as soon after a large body

What callers see: after a request with a body over 16 KiB its connection stayed in the pool with the user timeout of that request, which also decides when keepalive gives up. A server lost meanwhile was noticed up to the request's time limit later, and the next request was sent to it.

Cause: the timeout is applied only when bytes are written, so the next request was the first to shorten it.

Change: a connection that goes back to the pool, and isn't still sending a body, has the usual 2.5 s again; the connection's task is woken to apply it. While a response is awaited the longer time stays, as the system doesn't tell whether all bytes of the body are acknowledged.

--- a/crates/sedgepathd/src/direct/connection_pool.rs
+++ b/crates/sedgepathd/src/direct/connection_pool.rs
@@ -115,6 +115,7 @@
         if connection.is_closed() {
             return;
         }
+        connection.record_idle();
         let usable_ms =
             keep_alive_ms.unwrap_or(DEFAULT_KEEP_ALIVE_MS).saturating_sub(KEEP_ALIVE_MARGIN_MS);
         let expires_at_ms = clock::now_ms() + usable_ms;
--- a/crates/sedgepathd/src/http_connection.rs
+++ b/crates/sedgepathd/src/http_connection.rs
@@ -11,6 +11,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use futures_util::task::AtomicWaker;
 use http_body_util::{BodyExt, Limited};
 use hyper::HeaderMap;
 use hyper::body::{Body, Incoming};
@@ -62,19 +63,27 @@
 
 /// How long bytes that are sent from now on may stay unacknowledged, shared with the stream of a connection.
 #[derive(Debug, Clone)]
-struct UnacknowledgedTimeout(Arc<AtomicU64>);
+struct UnacknowledgedTimeout {
+    timeout_ms: Arc<AtomicU64>,
+    /// Wakes the connection's task to apply the timeout.
+    reader: Arc<AtomicWaker>,
+}
 
 impl UnacknowledgedTimeout {
     fn new(timeout: Duration) -> Self {
-        Self(Arc::new(AtomicU64::new(timeout.as_millis() as u64)))
+        let timeout_ms = Arc::new(AtomicU64::new(timeout.as_millis() as u64));
+        Self { timeout_ms, reader: Arc::default() }
     }
 
     fn set(&self, timeout: Duration) {
-        self.0.store(timeout.as_millis() as u64, Ordering::Relaxed);
+        let timeout_ms = timeout.as_millis() as u64;
+        if self.timeout_ms.swap(timeout_ms, Ordering::Relaxed) != timeout_ms {
+            self.reader.wake();
+        }
     }
 
     fn get(&self) -> Duration {
-        Duration::from_millis(self.0.load(Ordering::Relaxed))
+        Duration::from_millis(self.timeout_ms.load(Ordering::Relaxed))
     }
 }
 
@@ -111,6 +120,8 @@
                 "the response's head is too large",
             )));
         }
+        self.unacknowledged_timeout.reader.register(cx.waker());
+        self.apply_timeout()?;
         let filled_bytes = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         self.allowance.take(buf.filled().len() - filled_bytes);
@@ -191,6 +202,14 @@
         self.unacknowledged_timeout.set(timeout);
     }
 
+    /// Records that the response to the last request has been read, so that a lost server is noticed soon again,
+    /// unless the request's body is still being sent.
+    pub fn record_idle(&self) {
+        if self.is_ready() {
+            self.unacknowledged_timeout.set(tcp::UNACKNOWLEDGED_TIMEOUT);
+        }
+    }
+
     /// Sends a request and returns its response, whose body is still to be read.
     ///
     /// # Errors
