Test callers that half-close and large forwarded responses that end early

A caller of HTTP/1.0 that closes its sending side while it receives a body without a length saw FIN in its midst, and with it a whole 200 (1,349,000 bytes of a body without an end): hyper takes the close for the caller's leaving, and the connection was shut down.

--- a/crates/sedgepathd/tests/platform/judging_caller.rs
+++ b/crates/sedgepathd/tests/platform/judging_caller.rs
@@ -2,8 +2,10 @@
 
 use std::fmt;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
 
 use super::{Vm, WAIT_TIMEOUT};
 
@@ -89,18 +91,25 @@
     pub address: SocketAddr,
     pub version: &'static str,
     pub deadline_ms: u64,
+    /// When it closes its sending side, after its requests.
+    pub closes_after: Option<Duration>,
 }
 
 impl Caller {
     /// Creates a caller of HTTP/1.1.
     pub fn new(vm: &Vm) -> Self {
-        Self { address: vm.caller_address, version: "HTTP/1.1", deadline_ms: 3_000 }
+        Self {
+            address: vm.caller_address,
+            version: "HTTP/1.1",
+            deadline_ms: 3_000,
+            closes_after: None,
+        }
     }
 
     /// Sends requests, each a method and a target, and judges their responses.
     pub fn send_all(self, requests: &[String]) -> Vec<Seen> {
         static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
-        let Self { address, version, deadline_ms } = self;
+        let Self { address, version, deadline_ms, closes_after } = self;
         let mut stream = TcpStream::connect(address).expect("a connection");
         stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a timeout");
         let mut heads = Vec::new();
@@ -115,6 +124,14 @@
             ));
         }
         stream.write_all(heads.concat().as_bytes()).expect("a write");
+        if let Some(time) = closes_after {
+            let stream = stream.try_clone().expect("a copy");
+            thread::spawn(move || {
+                thread::sleep(time);
+                // The VM may have closed the connection.
+                drop(stream.shutdown(Shutdown::Write));
+            });
+        }
         let mut raw = Vec::new();
         let ended_by_fin = stream.read_to_end(&mut raw).is_ok();
         judge(&raw, ended_by_fin, requests)
--- a/crates/sedgepathd/tests/truncated_large_responses.rs
+++ b/crates/sedgepathd/tests/truncated_large_responses.rs
@@ -36,17 +36,27 @@
     })
 }
 
-/// Guards against a large response whose early end looks to its caller like that of the body.
-#[test]
-fn no_large_response_that_ends_early_looks_whole() {
+fn check_large_responses(path: Path) {
     for version in VERSIONS {
-        let mut trial = Trial::new(large_shapes(), Path::Direct, ROUTE_TIMEOUT);
+        let mut trial = Trial::new(large_shapes(), path, ROUTE_TIMEOUT);
         trial.has_large_bodies = true;
         trial.caller.version = version;
         trial.check(|shape| [0, 1, 5, 7, 100_000].map(|end| shape.response.len() - end).to_vec());
     }
 }
 
+/// Guards against a large response whose early end looks to its caller like that of the body.
+#[test]
+fn no_large_response_that_ends_early_looks_whole() {
+    check_large_responses(Path::Direct);
+}
+
+/// Guards against the same when another VM passes the response on.
+#[test]
+fn no_large_forwarded_response_that_ends_early_looks_whole() {
+    check_large_responses(Path::ByAnotherVm);
+}
+
 /// Guards against a large response without a length that the deadline ends, and whose end looks to its caller like
 /// that of the body.
 #[test]
@@ -91,22 +101,28 @@
     }
 }
 
+/// Starts an upstream with bodies without a length and without an end, and returns requests for them.
+fn endless_bodies() -> (Trial, [String; 2]) {
+    let mut chunked = large_shapes().remove(1);
+    // The first chunk has no end.
+    let head = "HTTP/1.1 200 OK|Transfer-Encoding: chunked|";
+    let sent = [b"7fffffff\r\n".as_slice(), &chunked.body].concat();
+    chunked = Shape::new("endless_chunk", Framing::Invalid, head, sent, chunked.body);
+    let shapes = vec![common_shapes().remove(0), large_shapes().remove(2), chunked];
+    let mut trial = Trial::new(shapes, Path::Direct, "30s");
+    trial.caller.deadline_ms = 20_000;
+    let requests = [1, 2].map(|number| {
+        format!("GET /reads/{number}/{}/endless", trial.shapes[number].response.len())
+    });
+    (trial, requests)
+}
+
 /// Guards against a body without a length that the end of the VM's process cuts, and whose end looks to its caller
 /// like that of the body.
 #[test]
 fn no_response_that_the_end_of_its_process_cuts_looks_whole() {
     for signal in ["-TERM", "-KILL"] {
-        let mut chunked = large_shapes().remove(1);
-        // The first chunk has no end.
-        let head = "HTTP/1.1 200 OK|Transfer-Encoding: chunked|";
-        let sent = [b"7fffffff\r\n".as_slice(), &chunked.body].concat();
-        chunked = Shape::new("endless_chunk", Framing::Invalid, head, sent, chunked.body);
-        let shapes = vec![common_shapes().remove(0), large_shapes().remove(2), chunked];
-        let mut trial = Trial::new(shapes, Path::Direct, "30s");
-        trial.caller.deadline_ms = 20_000;
-        let requests = [1, 2].map(|number| {
-            format!("GET /reads/{number}/{}/endless", trial.shapes[number].response.len())
-        });
+        let (trial, requests) = endless_bodies();
         for (request, seen) in send_at_once(trial.caller, &requests, || trial.vms[0].signal(signal))
         {
             println!("{signal} {request}: {seen:?}");
@@ -118,3 +134,15 @@
         }
     }
 }
+
+/// Guards against a body that is given up when its caller closes its sending side, and whose end looks to the caller
+/// like that of the body.
+#[test]
+fn no_response_to_a_caller_that_half_closes_looks_whole() {
+    let (mut trial, requests) = endless_bodies();
+    trial.caller.closes_after = Some(PASSING_ON);
+    for (request, seen) in send_at_once(trial.caller, &requests, || {}) {
+        println!("{request}: {seen:?}");
+        assert_eq!((seen.status, seen.whole_body.is_some()), (200, false), "{request}");
+    }
+}
