Reset connections whose end would end a body that the end of the process cuts

What callers saw: a VM of the owned way ends in a limited time after its second signal. A caller of HTTP/1.0 that was receiving a body without a length then got the end of its connection in order, which is that of the body: it took the part for the whole.

Cause: the end of the process drops its connections, and a dropped socket is closed in order.

Change: a caller's connection whose end is the end of a body is reset when it is dropped, unless it was shut down after the body. Connections with a length, with chunks or without a response end as before.

--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Version};
@@ -163,17 +163,25 @@
         let limits = self.limits;
         let request_arrived = Notify::new();
         let is_http_1_0 = AtomicBool::new(false);
+        let ends_body = Arc::new(AtomicBool::new(false));
         let service = service_fn(|request: Request<Incoming>| {
             request_arrived.notify_one();
-            is_http_1_0.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
-            let callers = Arc::clone(&self);
-            async move { Ok::<_, Infallible>(callers.handle_request(request, from.ip()).await) }
+            let has_no_chunks = request.version() < Version::HTTP_11;
+            is_http_1_0.store(has_no_chunks, Ordering::Relaxed);
+            let (callers, ends_body) = (Arc::clone(&self), Arc::clone(&ends_body));
+            async move {
+                let response = callers.handle_request(request, from.ip()).await;
+                let has_length = response.body().size_hint().exact().is_some();
+                ends_body.store(has_no_chunks && !has_length, Ordering::Relaxed);
+                Ok::<_, Infallible>(response)
+            }
         });
+        let stream = LingeringStream::new(stream).with_end_of_body(Arc::clone(&ends_body));
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.head_timeout())
             .max_buf_size(limits.head_bytes)
-            .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
+            .serve_connection(TokioIo::new(stream), service);
         let stopping = wait_for_stop(&mut stop);
         let result =
             serve_until_stopped(connection, &request_arrived, &is_http_1_0, stopping).await;
--- a/crates/sedgepathd/src/lingering_close.rs
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -7,6 +7,8 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -184,12 +186,30 @@
     socket: TcpStream,
     close: Option<LingeringClose>,
     unwritten: UnwrittenResponses,
+    ends_body: Arc<AtomicBool>,
+}
+
+impl Drop for LingeringStream {
+    fn drop(&mut self) {
+        if self.close.is_none() && self.ends_body.load(Ordering::Relaxed) {
+            self.socket.reset_on_drop();
+        }
+    }
 }
 
 impl LingeringStream {
     /// Creates a connection from an open socket.
     pub fn new(socket: TcpStream) -> Self {
-        Self { socket, close: None, unwritten: UnwrittenResponses::default() }
+        let (unwritten, ends_body) = (UnwrittenResponses::default(), Arc::default());
+        Self { socket, close: None, unwritten, ends_body }
+    }
+
+    /// Sets whether the end of the connection is the end of a response's body. Such a connection is reset unless it is
+    /// shut down.
+    #[must_use]
+    pub fn with_end_of_body(mut self, ends_body: Arc<AtomicBool>) -> Self {
+        self.ends_body = ends_body;
+        self
     }
 
     /// Sets the responses that are cleared when hyper has written all its bytes.
--- a/crates/sedgepathd/tests/owned_truncated_responses.rs
+++ b/crates/sedgepathd/tests/owned_truncated_responses.rs
@@ -1,11 +1,14 @@
 //! Responses of upstreams that end after each of their bytes, at callers of VMs that own upstreams.
 
-use std::net::SocketAddr;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
+use std::time::Duration;
 
 use sedgepath_test_support::cut_responses::{ConnectionEnd, CuttingServer, RawResponse};
+use sedgepath_test_support::daemon::Signal;
 use sedgepath_test_support::records::{self, UpstreamSpec};
 use sedgepath_test_support::system::DaemonCluster;
 
@@ -79,7 +82,7 @@
     }
 }
 
-/// Two VMs, the second of which owns the upstreams.
+/// An upstream and two VMs, the second of which owns it.
 struct TestSystem {
     upstream: CuttingServer,
     _cluster: DaemonCluster,
@@ -88,28 +91,32 @@
 
 impl TestSystem {
     fn new(shapes: Vec<Vec<u8>>) -> Self {
-        let whole_bytes = shapes[0].len();
+        let warm = format!("/0/{}/kept/warm", shapes[0].len());
         let upstream = CuttingServer::new(shapes).expect("an upstream");
-        let specs: Vec<_> = (0..UPSTREAMS)
-            .map(|number| {
-                let name = format!("u{number}");
-                UpstreamSpec::new(&name, "south-a", SLOTS).with_address(upstream.address)
-            })
-            .collect();
-        let records = records::one_service("browse", 3_000, &specs, &["south-a"]);
-        let cluster = DaemonCluster::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd")))
-            .expect("a store")
-            .with_daemons(&records, &[("n1", "north-a"), ("s1", "south-a")])
-            .expect("daemons");
-        let warm = format!("/0/{whole_bytes}/kept/warm");
-        let get = KINDS[0];
-        let serves = |entry, _| call(entry, "HTTP/1.1", get, &warm, "").status == 200;
-        assert!(cluster.wait_until_all_serve(serves), "a daemon serves no requests");
+        let cluster = start_cluster(upstream.address, &warm);
         let entries = cluster.caller_addresses();
         Self { upstream, _cluster: cluster, entries }
     }
 }
 
+/// Starts the VMs of an upstream and waits until both serve a target.
+fn start_cluster(upstream: SocketAddr, ready_target: &str) -> DaemonCluster {
+    let specs: Vec<_> = (0..UPSTREAMS)
+        .map(|number| {
+            let name = format!("u{number}");
+            UpstreamSpec::new(&name, "south-a", SLOTS).with_address(upstream)
+        })
+        .collect();
+    let records = records::one_service("browse", 3_000, &specs, &["south-a"]);
+    let cluster = DaemonCluster::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd")))
+        .expect("a store")
+        .with_daemons(&records, &[("n1", "north-a"), ("s1", "south-a")])
+        .expect("daemons");
+    let serves = |entry, _| call(entry, "HTTP/1.1", KINDS[0], ready_target, "").status == 200;
+    assert!(cluster.wait_until_all_serve(serves), "a daemon serves no requests");
+    cluster
+}
+
 fn call(entry: SocketAddr, version: &str, kind: Kind, target: &str, fields: &str) -> RawResponse {
     let method = kind.method;
     let request = format!(
@@ -290,3 +297,74 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// The time between two chunks of an endless body.
+const CHUNK_INTERVAL: Duration = Duration::from_millis(1);
+
+/// The callers of endless bodies, by version and VM.
+const ENDLESS_CALLERS: usize = 20;
+
+/// The time for which endless bodies are sent before the process ends.
+const ENDLESS_TIME: Duration = Duration::from_millis(500);
+
+/// Starts an upstream that responds to `/endless` with chunks until its connection ends, and to all else at once.
+fn start_endless_upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || drop(serve_endless(stream)));
+        }
+    });
+    address
+}
+
+fn serve_endless(mut stream: TcpStream) -> io::Result<()> {
+    let mut request = vec![0; 8 * 1024];
+    let length = stream.read(&mut request)?;
+    if !String::from_utf8_lossy(&request[..length]).contains(" /endless ") {
+        return stream
+            .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    loop {
+        stream.write_all(b"5\r\nhello\r\n")?;
+        thread::sleep(CHUNK_INTERVAL);
+    }
+}
+
+/// Ends the process of a VM while bodies pass through it, and returns how many looked whole to callers of each of
+/// the versions.
+fn whole_bodies_at_the_end_of_the_process(version: &str) -> usize {
+    let mut cluster = start_cluster(start_endless_upstream(), "/ready");
+    let owner = cluster.caller_addresses()[1];
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..ENDLESS_CALLERS)
+            .map(|_| scope.spawn(move || call(owner, version, KINDS[0], "/endless", "")))
+            .collect();
+        thread::sleep(ENDLESS_TIME);
+        let daemon = cluster.daemons[1].as_mut().expect("a daemon");
+        // The second signal ends the process in a limited time.
+        daemon.signal(Signal::Term).expect("SIGTERM is sent");
+        thread::sleep(CHUNK_INTERVAL * 20);
+        daemon.signal(Signal::Term).expect("SIGTERM is sent");
+        let seen = callers.into_iter().map(|caller| caller.join().expect("a caller"));
+        let seen: Vec<_> = seen.collect();
+        assert!(seen.iter().all(|response| response.status == 200), "{seen:?}");
+        seen.iter().filter(|response| response.whole_body.is_some()).count()
+    })
+}
+
+/// Guards against a body that the end of the process cuts and that looks whole to a caller: its chunks end as if it
+/// were complete.
+#[test]
+fn a_chunked_body_that_the_end_of_the_process_cuts_looks_whole_to_no_caller() {
+    assert_eq!(whole_bodies_at_the_end_of_the_process("HTTP/1.1"), 0);
+}
+
+/// Guards against a body that the end of the process cuts and that looks whole to an HTTP/1.0 caller, for which the
+/// end of the connection is that of the body.
+#[test]
+fn a_body_that_the_end_of_the_process_cuts_looks_whole_to_no_http_1_0_caller() {
+    assert_eq!(whole_bodies_at_the_end_of_the_process("HTTP/1.0"), 0);
+}
