--- a/crates/sedgepathd/tests/owned_truncated_responses.rs
+++ b/crates/sedgepathd/tests/owned_truncated_responses.rs
@@ -3,6 +3,7 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -308,18 +309,22 @@
 const ENDLESS_TIME: Duration = Duration::from_millis(500);
 
 /// Starts an upstream that responds to `/endless` with chunks until its connection ends, and to all else at once.
-fn start_endless_upstream() -> SocketAddr {
+/// Returns its address and the number of endless responses.
+fn start_endless_upstream() -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
+    let begun = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&begun);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            thread::spawn(move || drop(serve_endless(stream)));
+            let counted = Arc::clone(&counted);
+            thread::spawn(move || drop(serve_endless(stream, &counted)));
         }
     });
-    address
+    (address, begun)
 }
 
-fn serve_endless(mut stream: TcpStream) -> io::Result<()> {
+fn serve_endless(mut stream: TcpStream, begun: &AtomicUsize) -> io::Result<()> {
     let mut request = vec![0; 8 * 1024];
     let length = stream.read(&mut request)?;
     if !String::from_utf8_lossy(&request[..length]).contains(" /endless ") {
@@ -327,21 +332,26 @@
             .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     }
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    begun.fetch_add(1, Ordering::Relaxed);
     loop {
         stream.write_all(b"5\r\nhello\r\n")?;
         thread::sleep(CHUNK_INTERVAL);
     }
 }
 
-/// Ends the process of a VM while bodies pass through it, and returns how many looked whole to callers of each of
-/// the versions.
+/// Ends the process of a VM while bodies pass through it, and returns how many looked whole to the callers, which
+/// speak this version.
 fn whole_bodies_at_the_end_of_the_process(version: &str) -> usize {
-    let mut cluster = start_cluster(start_endless_upstream(), "/ready");
+    let (upstream, begun) = start_endless_upstream();
+    let mut cluster = start_cluster(upstream, "/ready");
     let owner = cluster.caller_addresses()[1];
     thread::scope(|scope| {
         let callers: Vec<_> = (0..ENDLESS_CALLERS)
             .map(|_| scope.spawn(move || call(owner, version, KINDS[0], "/endless", "")))
             .collect();
+        while begun.load(Ordering::Relaxed) < ENDLESS_CALLERS {
+            thread::sleep(CHUNK_INTERVAL);
+        }
         thread::sleep(ENDLESS_TIME);
         let daemon = cluster.daemons[1].as_mut().expect("a daemon");
         // The second signal ends the process in a limited time.
