Take a body of the owned way for whole only if its sender finished it

What callers can see: at the end of the process its tasks are dropped one after the other on two threads. If the task that receives an upstream's body is dropped first, the caller's connection took the end of the channel for that of the body, and could send the last chunk of a part, or a collected part with its length.

Cause: a dropped sender was taken for a whole body; only explicit failures aborted it.

Change: the sender finishes a whole body; a body without that is aborted, whatever ended its sender.

Before: a_body_whose_sender_is_dropped_looks_whole_to_no_receiver failed (the body ended without an error). After: passes, with the tests of callers, keys, paths, stops and early ends of the owned way.

--- a/crates/sedgepathd/src/callers/collect.rs
+++ b/crates/sedgepathd/src/callers/collect.rs
@@ -52,8 +52,9 @@
     let (sender, receiver) = body_channel();
     if !bytes.is_empty() {
         // Can't fail: the channel is empty and its receiver is still held.
-        let _sent = sender.try_send(Ok(bytes));
+        let _sent = sender.try_send(bytes);
     }
+    sender.finish();
     receiver
 }
 
@@ -63,11 +64,13 @@
     tokio::spawn(async move {
         let mut next_chunk = Some(Ok(first));
         while let Some(chunk) = next_chunk {
+            let Ok(chunk) = chunk else { return };
             if sender.send(chunk).await.is_err() {
                 return;
             }
             next_chunk = rest.recv().await;
         }
+        sender.finish();
     });
     receiver
 }
--- a/crates/sedgepathd/src/dispatch.rs
+++ b/crates/sedgepathd/src/dispatch.rs
@@ -17,7 +17,7 @@
 
 use crate::driver::NodeHandle;
 use crate::http_connection::{discard_body, has_contradictory_framing};
-use crate::reply::{BodyAborted, BodySender, Reply, UpstreamResponse, body_channel};
+use crate::reply::{BodySender, Reply, UpstreamResponse, body_channel};
 use crate::upstreams::{CallError, Connection, UpstreamCall, UpstreamPool};
 
 /// The header by which an upstream states that it did not start a request.
@@ -275,8 +275,8 @@
             self.upstreams.release(call.upstream, connection);
         }
         self.report_outcome(if complete { CallOutcome::Completed } else { CallOutcome::Lost });
-        if !complete {
-            let _canceled = sender.send(Err(BodyAborted)).await;
+        if complete {
+            sender.finish();
         }
     }
 
@@ -300,7 +300,7 @@
         let Some(frame) = frame else { return true };
         let Ok(frame) = frame else { return false };
         let Ok(data) = frame.into_data() else { continue };
-        if !matches!(timeout(STALL_TIMEOUT, sender.send(Ok(data))).await, Ok(Ok(()))) {
+        if !matches!(timeout(STALL_TIMEOUT, sender.send(data)).await, Ok(Ok(()))) {
             return false;
         }
     }
--- a/crates/sedgepathd/src/hop.rs
+++ b/crates/sedgepathd/src/hop.rs
@@ -16,7 +16,7 @@
 use crate::dispatch::DispatchRunner;
 use crate::driver::Clock;
 use crate::metrics::Metrics;
-use crate::reply::{BodyAborted, BodySender, Reply, UpstreamResponse, body_channel};
+use crate::reply::{BodySender, Reply, UpstreamResponse, body_channel};
 
 /// The most idle connections that are kept to a peer.
 const MAX_IDLE_PER_PEER: usize = 32;
@@ -168,17 +168,18 @@
                 received = stream.receive() => received,
                 () = sender.closed() => return,
             };
-            let part = match received {
-                Ok(Frame::BodyChunk(bytes)) => Ok(bytes.into()),
+            match received {
+                Ok(Frame::BodyChunk(bytes)) => {
+                    if sender.send(bytes.into()).await.is_err() {
+                        return;
+                    }
+                }
                 Ok(Frame::BodyEnd) => {
+                    sender.finish();
                     self.release(address, stream);
                     return;
                 }
-                _ => Err(BodyAborted),
-            };
-            let aborted = part.is_err();
-            if sender.send(part).await.is_err() || aborted {
-                return;
+                _ => return,
             }
         }
     }
--- a/crates/sedgepathd/src/reply.rs
+++ b/crates/sedgepathd/src/reply.rs
@@ -1,5 +1,10 @@
 //! Replies to dispatched requests, and the channels that stream their bodies.
 
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
+
 use bytes::Bytes;
 use sedgepath_core::request::{AnswerHead, Rejection};
 use sedgepath_wire::frame::{HeaderField, HttpResponseHead};
@@ -13,18 +18,83 @@
 #[error("the body was aborted before its end")]
 pub struct BodyAborted;
 
+/// The receiver of a body has stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the body's receiver has stopped")]
+pub struct ReceiverStopped;
+
 /// The receiving half of [`body_channel`].
-///
-/// The channel closes after the last chunk of a complete body. An aborted body ends with an error,
-/// so that a truncated body is never taken for a complete one.
-pub type BodyReceiver = mpsc::Receiver<Result<Bytes, BodyAborted>>;
+#[derive(Debug)]
+pub struct BodyReceiver {
+    chunks: mpsc::Receiver<Bytes>,
+    is_whole: Arc<AtomicBool>,
+    has_ended: bool,
+}
+
+impl BodyReceiver {
+    /// Receives the next chunk; `None` after the last one of a whole body. A body whose sender is dropped without
+    /// having finished it ends with an error, so that a truncated body is never taken for a whole one.
+    pub async fn recv(&mut self) -> Option<Result<Bytes, BodyAborted>> {
+        poll_fn(|cx| self.poll_recv(cx)).await
+    }
+
+    /// Polls for the next chunk, as [`Self::recv`] returns it.
+    pub fn poll_recv(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyAborted>>> {
+        let chunk = ready!(self.chunks.poll_recv(cx));
+        Poll::Ready(chunk.map(Ok).or_else(|| self.end()))
+    }
+
+    /// Returns the error of a body that ends before it is whole, once.
+    fn end(&mut self) -> Option<Result<Bytes, BodyAborted>> {
+        let had_ended = std::mem::replace(&mut self.has_ended, true);
+        let is_aborted = !had_ended && !self.is_whole.load(Ordering::Acquire);
+        is_aborted.then_some(Err(BodyAborted))
+    }
+}
+
+/// The sending half of [`body_channel`]; dropping it aborts the body.
+#[derive(Debug)]
+pub struct BodySender {
+    chunks: mpsc::Sender<Bytes>,
+    is_whole: Arc<AtomicBool>,
+}
 
-/// The sending half of [`body_channel`].
-pub type BodySender = mpsc::Sender<Result<Bytes, BodyAborted>>;
+impl BodySender {
+    /// Sends a chunk once the receiver has room for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the receiver was dropped.
+    pub async fn send(&self, chunk: Bytes) -> Result<(), ReceiverStopped> {
+        self.chunks.send(chunk).await.map_err(|_chunk| ReceiverStopped)
+    }
+
+    /// Sends a chunk if the receiver has room for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the receiver was dropped or has no room.
+    pub fn try_send(&self, chunk: Bytes) -> Result<(), ReceiverStopped> {
+        self.chunks.try_send(chunk).map_err(|_chunk| ReceiverStopped)
+    }
+
+    /// Waits until the receiver is dropped.
+    pub async fn closed(&self) {
+        self.chunks.closed().await;
+    }
+
+    /// Ends a body that is whole.
+    pub fn finish(self) {
+        self.is_whole.store(true, Ordering::Release);
+    }
+}
 
 /// Creates the channel that streams a body's chunks.
 pub fn body_channel() -> (BodySender, BodyReceiver) {
-    mpsc::channel(MAX_BUFFERED_CHUNKS)
+    let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let is_whole = Arc::new(AtomicBool::new(false));
+    let body_sender = BodySender { chunks: sender, is_whole: Arc::clone(&is_whole) };
+    (body_sender, BodyReceiver { chunks: receiver, is_whole, has_ended: false })
 }
 
 /// An upstream's response, whose body is streamed to the caller.
