Log the requests that the end of an owner's process ends

What operators saw: an owner's second signal ends its process; the replies to other VMs that it cuts were only counted, and an ingress that then tells a caller that its request may have run logged nothing: no line named these requests.

Change: the owner logs `response_cut` for a reply to a peer that the process's end cuts, and an ingress logs `gave_up reason=response_lost` for a request that was sent and whose outcome is unknown.

Before: dispatched_requests_that_the_end_of_an_owner_ends_are_logged failed, no line for the cut response. After: both requests have their line; the tests of stops, callers, keys and faults pass. In its first form the test expected the line of the request at work at the owner; the ingress gives that one up before, since it suspects an owner whose node has ended, so that its line is the ingress's.

--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -21,7 +21,7 @@
 use sedgepath_core::hash::Digest;
 use sedgepath_core::key::{BootId, RequestKey, VmKey};
 use sedgepath_core::request::RequestHead;
-use sedgepath_wire::frame::{HomeRequest, HttpRequestHead};
+use sedgepath_wire::frame::{HeaderField, HomeRequest, HttpRequestHead};
 use sedgepath_wire::key::SharedKey;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
@@ -122,7 +122,8 @@
         self.process_ending.store(true, Ordering::Relaxed);
     }
 
-    fn is_process_ending(&self) -> bool {
+    /// Returns whether the end of the process has begun.
+    pub fn is_process_ending(&self) -> bool {
         self.process_ending.load(Ordering::Relaxed)
     }
 
@@ -385,6 +386,12 @@
     }
 }
 
+/// Returns the caller's identifier of a request for the log, `none` if it has none.
+pub fn request_id(fields: &[HeaderField]) -> Box<str> {
+    let id = fields.iter().find(|(name, _)| &**name == REQUEST_ID_HEADER);
+    id.map_or_else(|| "none".into(), |(_, id)| String::from_utf8_lossy(id).into())
+}
+
 /// Waits until a planned stop begins.
 async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
     // An error means that the sender was dropped, which happens only when the daemon ends.
--- a/crates/sedgepathd/src/callers/request_task.rs
+++ b/crates/sedgepathd/src/callers/request_task.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 
 use super::collect::{Collected, collect};
-use super::{CallerServer, REQUEST_ID_HEADER};
+use super::{CallerServer, request_id};
 use crate::hop::{HopRequest, HopTarget};
 use crate::reply::{Reply, UpstreamResponse};
 
@@ -131,6 +131,9 @@
                     }
                     Some(Action::Conclude { outcome, .. }) => {
                         self.outcome_decided = true;
+                        if self.attempt_count > 0 && matches!(outcome, Outcome::Unknown { .. }) {
+                            self.log_given_up("response_lost");
+                        }
                         return RequestResult::Outcome(outcome);
                     }
                     Some(action) => self.handle_action(action),
@@ -149,24 +152,22 @@
 
     /// Returns the result of a request whose node has ended. An attempt that was started may run.
     fn node_ended_result(&self) -> RequestResult {
-        self.log_given_up();
+        self.log_given_up("process_ended");
         if self.attempt_count > 0 {
             return UNKNOWN;
         }
         RequestResult::Outcome(deduplication::node_ended(&self.head))
     }
 
-    /// Returns the caller's identifier of the request for the log, `none` if it has none.
     fn id(&self) -> Box<str> {
-        let id = self.http.fields.iter().find(|(name, _)| &**name == REQUEST_ID_HEADER);
-        id.map_or_else(|| "none".into(), |(_, id)| String::from_utf8_lossy(id).into())
+        request_id(&self.http.fields)
     }
 
-    fn log_given_up(&self) {
+    fn log_given_up(&self, reason: &str) {
         let id = self.id();
         let now_ms = self.callers.handle.clock().now_ms();
         log::info!(
-            "event=gave_up request={id:?} reason=process_ended service={:?} sendings={} took_ms={}",
+            "event=gave_up request={id:?} reason={reason} service={:?} sendings={} took_ms={}",
             self.head.service,
             self.attempt_count,
             now_ms.saturating_sub(self.arrived_at_ms),
--- a/crates/sedgepathd/src/peers.rs
+++ b/crates/sedgepathd/src/peers.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
-use crate::callers::CallerServer;
+use crate::callers::{CallerServer, request_id};
 use crate::dispatch::DispatchRunner;
 use crate::metrics::Metrics;
 use crate::open_count::OpenCount;
@@ -38,6 +38,28 @@
     open_requests: OpenCount,
 }
 
+/// A request of a peer whose reply isn't completely written; it logs that the end of the process cuts the reply.
+struct UnwrittenReply {
+    callers: Arc<CallerServer>,
+    /// The request's identifier for the log.
+    id: Box<str>,
+    is_written: bool,
+}
+
+impl UnwrittenReply {
+    fn new(callers: &Arc<CallerServer>, head: &HttpRequestHead) -> Self {
+        Self { callers: Arc::clone(callers), id: request_id(&head.fields), is_written: false }
+    }
+}
+
+impl Drop for UnwrittenReply {
+    fn drop(&mut self) {
+        if !self.is_written && self.callers.is_process_ending() {
+            log::info!("event=response_cut request={:?}", self.id);
+        }
+    }
+}
+
 impl PeerServer {
     /// Creates a server that verifies handshakes with `key`.
     pub fn new(
@@ -86,7 +108,9 @@
             };
             let body = with_timeout(receive_body(&mut stream, &head)).await?;
             let _open = self.open_requests.open();
+            let mut unwritten = UnwrittenReply::new(&self.callers, &head);
             self.handle_request(&mut stream, id, purpose, head, body).await?;
+            unwritten.is_written = true;
         }
     }
 
--- a/crates/sedgepathd/tests/stop.rs
+++ b/crates/sedgepathd/tests/stop.rs
@@ -387,6 +387,44 @@
     );
 }
 
+/// Guards against requests that the end of an owner's process ends, in their response or at work, and that no line of
+/// the owner's or of the ingress's log names.
+#[test]
+fn dispatched_requests_that_the_end_of_an_owner_ends_are_logged() {
+    const LONGER_THAN_THE_DRAIN_MS: u64 = 9_000;
+    let upstream = UpstreamStandIn::new(UpstreamConfig::new(40)).expect("upstream");
+    let spec = UpstreamSpec::new("b1", "south-a", 40).with_address(upstream.addr());
+    let records = records::one_service("browse", 20_000, &[spec], &["south-a"]);
+    let system = DaemonCluster::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+    let system = system.with_daemons(&records, &[("n1", "north-a"), ("s1", "south-a")]);
+    let mut system = system.expect("daemons");
+    assert!(system.wait_until_all_serve(|entry, _| is_answered(entry, "/ready")));
+    let connect = || TcpStream::connect(system.caller_addresses()[INGRESS]).expect("a connection");
+    let (mut unread, mut at_work) = (connect(), connect());
+
+    begin_large_response(&mut unread, "unread");
+    upstream.set_behaviour(Behaviour::DelayResponse { delay_ms: LONGER_THAN_THE_DRAIN_MS });
+    let request = "POST /v1/call/browse/at-work HTTP/1.1\r\nHost: vm\r\nContent-Length: 0\r\n\
+                   sedgepath-timeout-ms: 15000\r\nsedgepath-request-id: at-work\r\n\r\n";
+    at_work.write_all(request.as_bytes()).expect("the request is sent");
+    while !upstream.runs().iter().any(|run| run.request.ends_with("/at-work")) {
+        thread::sleep(POLL_INTERVAL);
+    }
+    let daemon = system.daemons[OWNER].as_mut().expect("a daemon");
+    daemon.signal(Signal::Term).expect("SIGTERM is sent");
+    thread::sleep(POLL_INTERVAL);
+    daemon.signal(Signal::Term).expect("SIGTERM is sent");
+    let log = wait_for_end(&mut system, OWNER);
+    at_work.peek(&mut [0]).expect("a response");
+
+    let cut = lines_of(&log, &["event=response_cut"]);
+    assert_eq!(cut, ["level=info event=response_cut request=\"unread\""], "{log}");
+    let log = system.daemons[INGRESS].as_ref().expect("a daemon").output().expect("its output");
+    let given_up = lines_of(&log, &["event=gave_up"]);
+    let expected = "level=info event=gave_up request=\"at-work\" reason=response_lost ";
+    assert!(matches!(*given_up, [line] if line.starts_with(expected)), "{log}");
+}
+
 /// The time that each request takes at its upstream while two daemons stop.
 const SIDE_BY_SIDE_WORK_MS: u64 = 4_000;
 
