End bodies that end with their connection alike in both ways

Three mechanisms reset a caller's connection whose body isn't whole: a flag of the caller's version that was asked when a connection failed, one beside it in the owned way, and the socket option of the direct way, which alone holds when the process is killed. The last one serves both ways now (`close_delimited`), and the others go.

--- a/crates/sedgepathd/src/caller_connection.rs
+++ b/crates/sedgepathd/src/caller_connection.rs
@@ -3,7 +3,6 @@
 use std::error::Error;
 use std::future::poll_fn;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
@@ -12,17 +11,13 @@
 use hyper::service::HttpService;
 use tokio::sync::Notify;
 
-use crate::lingering_close::AbortiveClose;
-
 /// How long a stopping VM waits for the first request of a connection that it has accepted. The caller
 /// sends it when its link has brought it the acceptance, and can't know of the stop.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_secs(1);
 
 /// Serves a connection until its end. Once `stopping` ends, the connection ends with the response in
 /// progress, or at once if it is idle. One without a request yet ends with the response to its first,
-/// for which it is kept for a limited time. Each request notifies `request_arrived` and sets `is_http_1_0`. To
-/// such a caller, a body without a length ends with the connection; if the body fails, the connection is reset
-/// so that it doesn't look whole.
+/// for which it is kept for a limited time. Each request notifies `request_arrived`.
 ///
 /// # Errors
 ///
@@ -30,11 +25,10 @@
 pub async fn serve_until_stopped<I, S, B>(
     mut connection: Connection<I, S>,
     request_arrived: &Notify,
-    is_http_1_0: &AtomicBool,
     stopping: impl Future<Output = ()>,
 ) -> hyper::Result<()>
 where
-    I: Read + Write + Unpin + AbortiveClose,
+    I: Read + Write + Unpin,
     S: HttpService<Incoming, ResBody = B> + Unpin,
     S::Error: Into<Box<dyn Error + Send + Sync>>,
     B: Body + 'static,
@@ -55,13 +49,8 @@
         Pin::new(&mut connection).graceful_shutdown();
         (&mut connection).await
     };
-    if let Err(error) = &result {
-        let io = connection.into_parts().io;
-        if error.is_user() && is_http_1_0.load(Ordering::Relaxed) {
-            io.reset_on_drop();
-        } else {
-            shut_down(io).await;
-        }
+    if result.is_err() {
+        shut_down(connection.into_parts().io).await;
     }
     result
 }
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -12,10 +12,10 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Version};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgepath_core::event::{Event, LookUp, LookUpError};
 use sedgepath_core::hash::Digest;
@@ -28,6 +28,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::caller_connection::serve_until_stopped;
+use crate::close_delimited::UnfinishedBody;
 use crate::dispatch::end_to_end_headers;
 use crate::driver::NodeHandle;
 use crate::hop::HopClient;
@@ -163,29 +164,24 @@
         let _best_effort = stream.set_nodelay(true);
         let limits = self.limits;
         let request_arrived = Notify::new();
-        let is_http_1_0 = AtomicBool::new(false);
-        let ends_body = Arc::new(AtomicBool::new(false));
+        let unfinished_body = UnfinishedBody::default();
         let service = service_fn(|request: Request<Incoming>| {
             request_arrived.notify_one();
-            let has_no_chunks = request.version() < Version::HTTP_11;
-            is_http_1_0.store(has_no_chunks, Ordering::Relaxed);
-            let (callers, ends_body) = (Arc::clone(&self), Arc::clone(&ends_body));
+            let version = request.version();
+            let (callers, unfinished_body) = (Arc::clone(&self), unfinished_body.clone());
             async move {
                 let response = callers.handle_request(request, from.ip()).await;
-                let has_length = response.body().size_hint().exact().is_some();
-                ends_body.store(has_no_chunks && !has_length, Ordering::Relaxed);
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(unfinished_body.follow(response, version))
             }
         });
-        let stream = LingeringStream::new(stream).with_end_of_body(Arc::clone(&ends_body));
+        let stream = LingeringStream::new(stream).with_unfinished_body(unfinished_body.clone());
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.head_timeout())
             .max_buf_size(limits.head_bytes)
             .serve_connection(TokioIo::new(stream), service);
         let stopping = wait_for_stop(&mut stop);
-        let result =
-            serve_until_stopped(connection, &request_arrived, &is_http_1_0, stopping).await;
+        let result = serve_until_stopped(connection, &request_arrived, stopping).await;
         if let Err(error) = result {
             log::debug!("event=caller_connection_ended error={:?}", error.to_string());
         }
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -3,14 +3,13 @@
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, Version, http};
+use hyper::{Request, Response, StatusCode, http};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgepath_adapter::headers::RequestHeaders;
 use sedgepath_core::direct::attempts::{ForwardedRequest, RejectionReason, RequestState};
@@ -142,12 +141,10 @@
     }
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
     let request_arrived = Notify::new();
-    let is_http_1_0 = AtomicBool::new(false);
     let buffer_bytes = header_bytes.max(MIN_HYPER_BUFFER_BYTES) + MIN_HYPER_BUFFER_BYTES;
     let pipeline = Pipeline::new(shared, caller, buffer_bytes);
-    let service = service_fn(|request: Request<Incoming>| {
+    let service = service_fn(|request| {
         request_arrived.notify_one();
-        is_http_1_0.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let turn = pipeline.begin_turn(&request);
         let pipeline = Rc::clone(&pipeline);
         async move { Ok::<_, Infallible>(pipeline.respond(turn, request).await) }
@@ -162,9 +159,7 @@
         shared.wait_for_stop_phase(StopPhase::Closing).await;
         pipeline.wait_until_drained().await;
     };
-    if let Err(error) =
-        serve_until_stopped(connection, &request_arrived, &is_http_1_0, stopping).await
-    {
+    if let Err(error) = serve_until_stopped(connection, &request_arrived, stopping).await {
         log::debug!("event=caller_connection_failed error={:?}", error.to_string());
     }
 }
--- a/crates/sedgepathd/src/direct/pipelining.rs
+++ b/crates/sedgepathd/src/direct/pipelining.rs
@@ -10,10 +10,8 @@
 //! - [`request_stream`]: the bytes of a connection, split at requests.
 //! - [`early_request`]: a request that was started before its turn.
 //! - [`bounds`]: what early requests may use of the VM.
-//! - [`close_delimited`]: bodies that end with their connection.
 
 pub mod bounds;
-pub mod close_delimited;
 pub mod early_request;
 pub mod head_end;
 pub mod pipeline;
--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -17,10 +17,10 @@
 use tokio::sync::Notify;
 
 use super::bounds::{MAX_IN_FLIGHT_REQUESTS, MAX_STARTED_PER_CONNECTION};
-use super::close_delimited::UnfinishedBody;
 use super::early_request::EarlyRequest;
 use super::plain_head;
 use super::request_stream::RequestStream;
+use crate::close_delimited::UnfinishedBody;
 use crate::direct::attempt::io_error_name;
 use crate::direct::clock;
 use crate::direct::connection_pool::Body;
@@ -121,9 +121,9 @@
         })
     }
 
-    /// Returns whether the connection's end would look like that of a body which isn't whole.
-    pub(super) fn has_unfinished_body(&self) -> bool {
-        self.unfinished_body.exists()
+    /// Returns whether the connection has a body that ends with it and isn't whole.
+    pub(super) fn unfinished_body(&self) -> UnfinishedBody {
+        self.unfinished_body.clone()
     }
 
     /// Records that hyper has no more bytes to write for now.
--- a/crates/sedgepathd/src/direct/pipelining/reader.rs
+++ b/crates/sedgepathd/src/direct/pipelining/reader.rs
@@ -9,7 +9,8 @@
 use tokio::net::TcpStream;
 
 use super::pipeline::Pipeline;
-use crate::lingering_close::{AbortiveClose, LingeringClose, is_read_closed, undo_reset_on_drop};
+use crate::close_delimited::ResetUnlessWhole;
+use crate::lingering_close::{LingeringClose, is_read_closed};
 
 /// The bytes that a stopping VM looks at before it reads them.
 const PEEK_BYTES: usize = 4 * 1024;
@@ -24,22 +25,14 @@
     pipeline: Rc<Pipeline>,
     /// Set once the sending side is closed.
     close: Option<LingeringClose>,
-    /// Whether the connection ends with a reset if it is dropped, or if the process ends.
-    is_reset_on_drop: bool,
+    reset: ResetUnlessWhole,
 }
 
 impl PipelinedStream {
     /// Creates a connection whose requests belong to a pipeline.
     pub fn new(socket: TcpStream, pipeline: Rc<Pipeline>) -> Self {
-        Self { socket, pipeline, close: None, is_reset_on_drop: false }
-    }
-
-    /// Prepares the socket for the end of the process while a body is sent that ends with the connection.
-    fn before_write(&mut self) {
-        if !self.is_reset_on_drop && self.pipeline.has_unfinished_body() {
-            self.socket.reset_on_drop();
-            self.is_reset_on_drop = true;
-        }
+        let reset = ResetUnlessWhole::new(pipeline.unfinished_body());
+        Self { socket, pipeline, close: None, reset }
     }
 
     /// Reads ahead until the connection's end, which is ready; else stays pending.
@@ -105,12 +98,6 @@
     }
 }
 
-impl AbortiveClose for PipelinedStream {
-    fn reset_on_drop(&self) {
-        self.socket.reset_on_drop();
-    }
-}
-
 impl AsyncRead for PipelinedStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -134,7 +121,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.before_write();
+        this.reset.before_write(&this.socket);
         Pin::new(&mut this.socket).poll_write(cx, buf)
     }
 
@@ -144,7 +131,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.before_write();
+        this.reset.before_write(&this.socket);
         Pin::new(&mut this.socket).poll_write_vectored(cx, bufs)
     }
 
@@ -160,13 +147,9 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Self { socket, pipeline, close, is_reset_on_drop } = self.get_mut();
-        if *is_reset_on_drop {
-            if pipeline.has_unfinished_body() {
-                return Poll::Ready(Ok(()));
-            }
-            undo_reset_on_drop(socket)?;
-            *is_reset_on_drop = false;
+        let Self { socket, pipeline, close, reset } = self.get_mut();
+        if !reset.allows_shutdown(socket)? {
+            return Poll::Ready(Ok(()));
         }
         let closed = LingeringClose::poll_shutdown(close, socket, cx, || pipeline.begin_close());
         pipeline.count_close(ready!(closed)?);
--- a/crates/sedgepathd/src/lib.rs
+++ b/crates/sedgepathd/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller_connection;
 pub mod callers;
+pub mod close_delimited;
 pub mod command;
 pub mod daemon;
 pub mod datagrams;
--- a/crates/sedgepathd/src/lingering_close.rs
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -7,18 +7,15 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use crate::close_delimited::{ResetUnlessWhole, UnfinishedBody};
 use crate::open_count::UnwrittenResponses;
 
 /// How long a connection is kept at the most after its sending side was closed.
@@ -30,34 +27,6 @@
 /// The bytes that are discarded at once.
 const DISCARD_CHUNK_BYTES: usize = 4 * 1024;
 
-/// A connection that can be ended with a reset, which no caller takes for the end of a response.
-pub trait AbortiveClose {
-    /// Makes the connection end with a reset when it is dropped, or when the process ends.
-    fn reset_on_drop(&self);
-}
-
-/// Makes a connection end without a reset again.
-///
-/// # Errors
-///
-/// Fails if the connection has failed.
-pub fn undo_reset_on_drop(socket: &TcpStream) -> io::Result<()> {
-    SockRef::from(socket).set_linger(None)
-}
-
-impl AbortiveClose for TcpStream {
-    fn reset_on_drop(&self) {
-        // The system refuses the option only if the connection has failed.
-        drop(self.set_zero_linger());
-    }
-}
-
-impl<T: AbortiveClose> AbortiveClose for TokioIo<T> {
-    fn reset_on_drop(&self) {
-        self.inner().reset_on_drop();
-    }
-}
-
 /// What becomes of bytes that the other side still sends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LateBytes {
@@ -196,29 +165,20 @@
     socket: TcpStream,
     close: Option<LingeringClose>,
     unwritten: UnwrittenResponses,
-    ends_body: Arc<AtomicBool>,
-}
-
-impl Drop for LingeringStream {
-    fn drop(&mut self) {
-        if self.close.is_none() && self.ends_body.load(Ordering::Relaxed) {
-            self.socket.reset_on_drop();
-        }
-    }
+    reset: ResetUnlessWhole,
 }
 
 impl LingeringStream {
     /// Creates a connection from an open socket.
     pub fn new(socket: TcpStream) -> Self {
-        let (unwritten, ends_body) = (UnwrittenResponses::default(), Arc::default());
-        Self { socket, close: None, unwritten, ends_body }
+        let (unwritten, reset) = (UnwrittenResponses::default(), ResetUnlessWhole::default());
+        Self { socket, close: None, unwritten, reset }
     }
 
-    /// Sets whether the end of the connection is the end of a response's body. Such a connection is reset unless it is
-    /// shut down.
+    /// Sets the body that ends with the connection, which is reset while the body isn't whole.
     #[must_use]
-    pub fn with_end_of_body(mut self, ends_body: Arc<AtomicBool>) -> Self {
-        self.ends_body = ends_body;
+    pub fn with_unfinished_body(mut self, body: UnfinishedBody) -> Self {
+        self.reset = ResetUnlessWhole::new(body);
         self
     }
 
@@ -230,12 +190,6 @@
     }
 }
 
-impl AbortiveClose for LingeringStream {
-    fn reset_on_drop(&self) {
-        self.socket.reset_on_drop();
-    }
-}
-
 impl AsyncRead for LingeringStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -252,7 +206,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, buf)
+        let this = &mut *self;
+        this.reset.before_write(&this.socket);
+        Pin::new(&mut this.socket).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -260,7 +216,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
+        let this = &mut *self;
+        this.reset.before_write(&this.socket);
+        Pin::new(&mut this.socket).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -274,7 +232,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Self { socket, close, .. } = &mut *self;
+        let Self { socket, close, reset, .. } = &mut *self;
+        if !reset.allows_shutdown(socket)? {
+            return Poll::Ready(Ok(()));
+        }
         let begin = || LingeringClose::new(LateBytes::Discard);
         let closed = LingeringClose::poll_shutdown(close, socket, cx, begin);
         closed.map_ok(|_end| ())
