--- a/crates/sedgepath-core/tests/direct_planned_stop.rs
+++ b/crates/sedgepath-core/tests/direct_planned_stop.rs
@@ -86,7 +86,7 @@
 /// Guards against a stop that leaves a read, sent before it, to an upstream that has become silent.
 #[test]
 fn a_read_in_flight_is_hedged_while_that_is_expected_in_time() {
-    for (grace_ms, is_hedged) in [(GRACE_MS, true), (2_000, false)] {
+    for (grace_ms, is_hedged) in [(GRACE_MS, true), (1_714, false)] {
         let mut vm = vm_with_retry_budget("a1", "north-a", 1, 2);
         let mut request = begin_request(&mut vm, "/reads/1", "x", 0);
         let first = vm.next_step(&mut request, 1, 0);
@@ -99,6 +99,56 @@
     }
 }
 
+/// Guards against 502 for a read that was in flight at SIGTERM, whose sending has failed and which a repeat would
+/// serve in time, and against repeats of what arrives later or can't be in time.
+#[test]
+fn a_read_from_before_a_stop_is_repeated_while_that_is_expected_in_time() {
+    let grace_ms = 2_000;
+    let stop = PlannedStop::new(100, grace_ms);
+    let given_up = NextStep::GiveUp { reason: RejectionReason::Stopping };
+    for (failed_at_ms, is_repeated) in [(200, true), (stop.requests_end_at_ms - 1, false)] {
+        let mut vm = vm_with_retry_budget("a1", "north-a", 1, 2);
+        let mut request = begin_request(&mut vm, "/reads/1", "x", 0);
+        let NextStep::Send(attempt) = vm.next_step(&mut request, 1, 0) else {
+            panic!("an upstream should be free");
+        };
+        vm.begin_stop(stop);
+        vm.record_outcome(&mut request, attempt.upstream, AttemptOutcome::Failed, failed_at_ms);
+        let next = vm.next_step(&mut request, 1, failed_at_ms);
+        assert_eq!(matches!(next, NextStep::Send(_)), is_repeated, "at {failed_at_ms}: {next:?}");
+        assert!(is_repeated || next == given_up, "{next:?}");
+    }
+    for arrived_at_ms in [0, 101] {
+        let mut vm = vm_with_retry_budget("a1", "north-a", 1, 2);
+        vm.begin_stop(stop);
+        let mut request = begin_request(&mut vm, "/reads/1", "x", 200)
+            .with_arrival(arrived_at_ms)
+            .with_early_start(true);
+        let next = vm.next_step(&mut request, 1, 200);
+        let is_repeated = arrived_at_ms == 0;
+        assert_eq!(matches!(next, NextStep::Send(_)), is_repeated, "{arrived_at_ms}: {next:?}");
+        assert!(is_repeated || next == given_up, "{next:?}");
+    }
+}
+
+/// Guards against short grace periods most of which pass without requests, and against an end of requests so
+/// late that their responses are cut.
+#[test]
+fn the_margins_of_a_stop_are_a_share_of_a_short_grace() {
+    for grace_ms in [100, 200, 500, 1_000, 2_000, 2_999, 3_000, 4_000, 6_000, 60_000, 600_000] {
+        let stop = PlannedStop::new(1_000, grace_ms);
+        let margin_ms = 1_000 + grace_ms - stop.requests_end_at_ms;
+        let exit_margin_ms = 1_000 + grace_ms - stop.ends_at_ms;
+        // What is at work in the last sixth may be ended.
+        assert!(margin_ms * 6 < grace_ms, "{grace_ms}: {stop:?}");
+        assert!(margin_ms * 12 >= grace_ms.min(6_000), "{grace_ms}: {stop:?}");
+        assert!(exit_margin_ms * 40 >= grace_ms.min(6_000), "{grace_ms}: {stop:?}");
+        assert!(stop.requests_end_at_ms < stop.ends_at_ms, "{grace_ms}: {stop:?}");
+    }
+    let stop = PlannedStop::new(0, 6_000);
+    assert_eq!((stop.requests_end_at_ms, stop.ends_at_ms), (5_500, 5_850));
+}
+
 /// Guards against a decision at the arrival of a request that is sent only after the stop has begun.
 #[test]
 fn a_charge_that_waits_when_the_stop_begins_is_not_sent_late() {
--- a/crates/sedgepathd/src/callers.rs
+++ b/crates/sedgepathd/src/callers.rs
@@ -15,19 +15,20 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Version};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgepath_core::event::{Event, LookUp, LookUpError};
 use sedgepath_core::hash::Digest;
 use sedgepath_core::key::{BootId, RequestKey, VmKey};
 use sedgepath_core::request::RequestHead;
-use sedgepath_wire::frame::{HomeRequest, HttpRequestHead};
+use sedgepath_wire::frame::{HeaderField, HomeRequest, HttpRequestHead};
 use sedgepath_wire::key::SharedKey;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::caller_connection::serve_until_stopped;
+use crate::close_delimited::UnfinishedBody;
 use crate::dispatch::end_to_end_headers;
 use crate::driver::NodeHandle;
 use crate::hop::HopClient;
@@ -122,7 +123,8 @@
         self.process_ending.store(true, Ordering::Relaxed);
     }
 
-    fn is_process_ending(&self) -> bool {
+    /// Returns whether the end of the process has begun.
+    pub fn is_process_ending(&self) -> bool {
         self.process_ending.load(Ordering::Relaxed)
     }
 
@@ -162,21 +164,24 @@
         let _best_effort = stream.set_nodelay(true);
         let limits = self.limits;
         let request_arrived = Notify::new();
-        let is_http_1_0 = AtomicBool::new(false);
+        let unfinished_body = UnfinishedBody::default();
         let service = service_fn(|request: Request<Incoming>| {
             request_arrived.notify_one();
-            is_http_1_0.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
-            let callers = Arc::clone(&self);
-            async move { Ok::<_, Infallible>(callers.handle_request(request, from.ip()).await) }
+            let version = request.version();
+            let (callers, unfinished_body) = (Arc::clone(&self), unfinished_body.clone());
+            async move {
+                let response = callers.handle_request(request, from.ip()).await;
+                Ok::<_, Infallible>(unfinished_body.follow(response, version))
+            }
         });
+        let stream = LingeringStream::new(stream).with_unfinished_body(unfinished_body.clone());
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.head_timeout())
             .max_buf_size(limits.head_bytes)
-            .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
+            .serve_connection(TokioIo::new(stream), service);
         let stopping = wait_for_stop(&mut stop);
-        let result =
-            serve_until_stopped(connection, &request_arrived, &is_http_1_0, stopping).await;
+        let result = serve_until_stopped(connection, &request_arrived, stopping).await;
         if let Err(error) = result {
             log::debug!("event=caller_connection_ended error={:?}", error.to_string());
         }
@@ -377,6 +382,12 @@
     }
 }
 
+/// Returns the caller's identifier of a request for the log, `none` if it has none.
+pub fn request_id(fields: &[HeaderField]) -> Box<str> {
+    let id = fields.iter().find(|(name, _)| &**name == REQUEST_ID_HEADER);
+    id.map_or_else(|| "none".into(), |(_, id)| String::from_utf8_lossy(id).into())
+}
+
 /// Waits until a planned stop begins.
 async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
     // An error means that the sender was dropped, which happens only when the daemon ends.
--- a/crates/sedgepathd/src/direct/ingress.rs
+++ b/crates/sedgepathd/src/direct/ingress.rs
@@ -3,17 +3,16 @@
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, Version, http};
+use hyper::{Request, Response, StatusCode, http};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgepath_adapter::headers::RequestHeaders;
-use sedgepath_core::direct::attempts::{ForwardedRequest, RejectionReason};
+use sedgepath_core::direct::attempts::{ForwardedRequest, RejectionReason, RequestState};
 use sedgepath_core::direct::fingerprint::{RequestFingerprints, RequestIdentity};
 use sedgepath_core::direct::steering::{IncomingRequest, Rejection};
 use sedgepath_wire::tcp;
@@ -26,6 +25,7 @@
 use super::connection_pool::Body;
 use super::control_server::ACCEPT_PAUSE;
 use super::forwarding::ForwardedHead;
+use super::give_up::end_unsent;
 use super::in_flight_request::InFlightRequest;
 use super::pipelining::pipeline::Pipeline;
 use super::pipelining::reader::PipelinedStream;
@@ -55,7 +55,8 @@
 const EXPIRED: Rejection =
     Rejection { reason: RejectionReason::DeadlineExceeded, retry_after_ms: 0 };
 
-/// The rejection of a request that hasn't been sent when a planned stop ends the requests in flight.
+/// The rejection of a request that arrives too late for a planned stop, or hasn't been sent when that ends the
+/// requests in flight.
 const STOPPING: Rejection = Rejection { reason: RejectionReason::Stopping, retry_after_ms: 0 };
 
 /// The share of its capacity up to which a VM serves requests that others forward.
@@ -140,12 +141,10 @@
     }
     let header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
     let request_arrived = Notify::new();
-    let is_http_1_0 = AtomicBool::new(false);
     let buffer_bytes = header_bytes.max(MIN_HYPER_BUFFER_BYTES) + MIN_HYPER_BUFFER_BYTES;
     let pipeline = Pipeline::new(shared, caller, buffer_bytes);
-    let service = service_fn(|request: Request<Incoming>| {
+    let service = service_fn(|request| {
         request_arrived.notify_one();
-        is_http_1_0.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let turn = pipeline.begin_turn(&request);
         let pipeline = Rc::clone(&pipeline);
         async move { Ok::<_, Infallible>(pipeline.respond(turn, request).await) }
@@ -160,9 +159,7 @@
         shared.wait_for_stop_phase(StopPhase::Closing).await;
         pipeline.wait_until_drained().await;
     };
-    if let Err(error) =
-        serve_until_stopped(connection, &request_arrived, &is_http_1_0, stopping).await
-    {
+    if let Err(error) = serve_until_stopped(connection, &request_arrived, stopping).await {
         log::debug!("event=caller_connection_failed error={:?}", error.to_string());
     }
 }
@@ -199,6 +196,8 @@
     pub source: RequestSource,
     /// When its head was complete, in milliseconds. Its time limit counts from then.
     pub at_ms: u64,
+    /// Whether it was started before its turn, without a response that can be used.
+    pub was_started_early: bool,
 }
 
 /// Handles a request that another VM has forwarded. While this VM stops, the connection ends with the
@@ -208,7 +207,11 @@
     request: Request<Incoming>,
     forwarded: ForwardedHead,
 ) -> Response<Body> {
-    let arrival = RequestArrival { source: RequestSource::Vm(forwarded), at_ms: clock::now_ms() };
+    let arrival = RequestArrival {
+        source: RequestSource::Vm(forwarded),
+        at_ms: clock::now_ms(),
+        was_started_early: false,
+    };
     let (mut parts, incoming) = request.into_parts();
     let unwritten = parts.extensions.remove::<UnwrittenResponses>().unwrap_or_default();
     let mut response = handle_arrived(&shared, parts, Some(incoming), arrival).await;
@@ -247,7 +250,7 @@
     incoming: Option<Incoming>,
     arrival: RequestArrival,
 ) -> Response<Body> {
-    let RequestArrival { source, at_ms: arrived_at_ms } = arrival;
+    let RequestArrival { source, at_ms: arrived_at_ms, was_started_early } = arrival;
     let now_ms = clock::now_ms();
     shared.load.borrow_mut().record_request(now_ms);
     let headers = RequestHeaders::parse(&parts.headers, &parts.uri);
@@ -267,7 +270,7 @@
     shared.wait_for_start().await;
     let result = shared.steering.borrow_mut().begin_request(incoming_request, now_ms);
     let state = match result {
-        Ok(state) => state.with_arrival(arrived_at_ms),
+        Ok(state) => state.with_arrival(arrived_at_ms).with_early_start(was_started_early),
         Err(rejection) => {
             let account = shared.steering.borrow().account_name(incoming_request.credential);
             let request =
@@ -275,12 +278,6 @@
             return reject(shared, &attempt_id, request, rejection);
         }
     };
-    if state.deadline_at_ms <= now_ms {
-        return reject(shared, &attempt_id, RejectedRequest::Begun(&state), EXPIRED);
-    }
-    if state.is_forwarded && !has_room_for_forwarded(shared, state.priority()) {
-        return reject(shared, &attempt_id, RejectedRequest::Begun(&state), OVERLOADED);
-    }
     let mut request = InFlightRequest {
         shared: Rc::clone(shared),
         attempt_id,
@@ -288,11 +285,30 @@
         last_sent_at_ms: None,
         is_answered: false,
     };
-    let response = serve_request(&mut request, parts, incoming, source.caller()).await;
+    let response = match rejection_on_arrival(&request.state, shared, now_ms) {
+        Some(rejection) => end_unsent(&request, rejection),
+        None => serve_request(&mut request, parts, incoming, source.caller()).await,
+    };
     request.is_answered = true;
     response
 }
 
+/// Returns why a request is rejected before its body is read, if it is.
+fn rejection_on_arrival(
+    state: &RequestState,
+    shared: &SharedState,
+    now_ms: u64,
+) -> Option<Rejection> {
+    if state.deadline_at_ms <= now_ms {
+        return Some(EXPIRED);
+    }
+    if shared.steering.borrow_mut().stop_rejects(state, now_ms) {
+        return Some(STOPPING);
+    }
+    let has_room = !state.is_forwarded || has_room_for_forwarded(shared, state.priority());
+    (!has_room).then_some(OVERLOADED)
+}
+
 /// Prepares an accepted request and sends it to upstreams.
 async fn serve_request(
     request: &mut InFlightRequest,
@@ -318,8 +334,7 @@
         Some(Err(response)) => response,
         None => {
             request.return_quota_token();
-            let rejected = RejectedRequest::Begun(&request.state);
-            reject(&shared, &request.attempt_id, rejected, STOPPING)
+            end_unsent(request, STOPPING)
         }
     }
 }
@@ -352,8 +367,7 @@
     };
     let is_forwarded = request.state.is_forwarded;
     if !is_forwarded && let Err(rejection) = quotas::wait_for_token(request).await {
-        let rejected = RejectedRequest::Begun(&request.state);
-        return Err(reject(&shared, &attempt_id, rejected, rejection));
+        return Err(end_unsent(request, rejection));
     }
     let account = request.state.account.as_ref().map(|(_, account)| account.name.clone());
     request.state.fingerprints =
@@ -361,7 +375,8 @@
     if !is_forwarded {
         quarantine::claim_probe(request).await;
     }
-    Ok((RequestHead { parts, attempt_id, account, caller }, body))
+    let head = RequestHead::new(parts, attempt_id, account, caller);
+    Ok((head, body))
 }
 
 fn fingerprints(
--- a/crates/sedgepathd/src/direct/pipelining/pipeline.rs
+++ b/crates/sedgepathd/src/direct/pipelining/pipeline.rs
@@ -20,6 +20,7 @@
 use super::early_request::EarlyRequest;
 use super::plain_head;
 use super::request_stream::RequestStream;
+use crate::close_delimited::UnfinishedBody;
 use crate::direct::attempt::io_error_name;
 use crate::direct::clock;
 use crate::direct::connection_pool::Body;
@@ -55,6 +56,7 @@
     state: RefCell<PipelineState>,
     /// Notified when no request behind the one in progress is started or buffered.
     drained: Notify,
+    unfinished_body: UnfinishedBody,
 }
 
 #[derive(Debug, Default)]
@@ -115,9 +117,15 @@
             max_read_ahead_bytes,
             state: RefCell::default(),
             drained: Notify::new(),
+            unfinished_body: UnfinishedBody::default(),
         })
     }
 
+    /// Returns whether the connection has a body that ends with it and isn't whole.
+    pub(super) fn unfinished_body(&self) -> UnfinishedBody {
+        self.unfinished_body.clone()
+    }
+
     /// Records that hyper has no more bytes to write for now.
     pub(super) fn record_flushed(&self) {
         let mut state = self.state.borrow_mut();
@@ -270,10 +278,12 @@
     /// Responds to the request whose turn it is.
     pub async fn respond(&self, turn: Turn, request: Request<Incoming>) -> Response<Body> {
         let (head, incoming) = request.into_parts();
+        let version = head.version;
         let attempt_id = RequestHeaders::parse(&head.headers, &head.uri).attempt_id.into();
         let arrival = RequestArrival {
             source: RequestSource::Caller(self.caller),
             at_ms: turn.arrived_at_ms,
+            was_started_early: false,
         };
         let mut response = match turn.early {
             Some(early) => match self.finish_early(early, &head).await {
@@ -290,7 +300,7 @@
             })
             .await;
         }
-        response
+        self.unfinished_body.follow(response, version)
     }
 
     /// Handles a request again whose early start can't be used.
@@ -309,6 +319,7 @@
         if !Target::new(&head.headers, &head.uri).allows_early_start(&self.shared) {
             return status_response(StatusCode::BAD_GATEWAY, &attempt_id);
         }
+        let arrival = RequestArrival { was_started_early: true, ..arrival };
         let response = ingress::handle_arrived(&self.shared, head, Some(incoming), arrival).await;
         match response.extensions().get() {
             Some(OwnResponse::Rejected(_)) => status_response(StatusCode::BAD_GATEWAY, &attempt_id),
--- a/crates/sedgepathd/src/direct/pipelining/reader.rs
+++ b/crates/sedgepathd/src/direct/pipelining/reader.rs
@@ -9,7 +9,8 @@
 use tokio::net::TcpStream;
 
 use super::pipeline::Pipeline;
-use crate::lingering_close::{AbortiveClose, LingeringClose, is_read_closed};
+use crate::close_delimited::ResetUnlessWhole;
+use crate::lingering_close::{LingeringClose, is_read_closed};
 
 /// The bytes that a stopping VM looks at before it reads them.
 const PEEK_BYTES: usize = 4 * 1024;
@@ -24,12 +25,14 @@
     pipeline: Rc<Pipeline>,
     /// Set once the sending side is closed.
     close: Option<LingeringClose>,
+    reset: ResetUnlessWhole,
 }
 
 impl PipelinedStream {
     /// Creates a connection whose requests belong to a pipeline.
     pub fn new(socket: TcpStream, pipeline: Rc<Pipeline>) -> Self {
-        Self { socket, pipeline, close: None }
+        let reset = ResetUnlessWhole::new(pipeline.unfinished_body());
+        Self { socket, pipeline, close: None, reset }
     }
 
     /// Reads ahead until the connection's end, which is ready; else stays pending.
@@ -95,12 +98,6 @@
     }
 }
 
-impl AbortiveClose for PipelinedStream {
-    fn reset_on_drop(&self) {
-        self.socket.reset_on_drop();
-    }
-}
-
 impl AsyncRead for PipelinedStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -123,7 +120,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().socket).poll_write(cx, buf)
+        let this = self.get_mut();
+        this.reset.before_write(&this.socket);
+        Pin::new(&mut this.socket).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -131,7 +130,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().socket).poll_write_vectored(cx, bufs)
+        let this = self.get_mut();
+        this.reset.before_write(&this.socket);
+        Pin::new(&mut this.socket).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -146,7 +147,10 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Self { socket, pipeline, close } = self.get_mut();
+        let Self { socket, pipeline, close, reset } = self.get_mut();
+        if !reset.allows_shutdown(socket)? {
+            return Poll::Ready(Ok(()));
+        }
         let closed = LingeringClose::poll_shutdown(close, socket, cx, || pipeline.begin_close());
         pipeline.count_close(ready!(closed)?);
         Poll::Ready(Ok(()))
--- a/crates/sedgepathd/src/dispatch.rs
+++ b/crates/sedgepathd/src/dispatch.rs
@@ -17,7 +17,7 @@
 
 use crate::driver::NodeHandle;
 use crate::http_connection::{discard_body, has_contradictory_framing};
-use crate::reply::{BodyAborted, BodySender, Reply, UpstreamResponse, body_channel};
+use crate::reply::{BodySender, Reply, UpstreamResponse, body_channel};
 use crate::upstreams::{CallError, Connection, UpstreamCall, UpstreamPool};
 
 /// The header by which an upstream states that it did not start a request.
@@ -275,8 +275,8 @@
             self.upstreams.release(call.upstream, connection);
         }
         self.report_outcome(if complete { CallOutcome::Completed } else { CallOutcome::Lost });
-        if !complete {
-            let _canceled = sender.send(Err(BodyAborted)).await;
+        if complete {
+            sender.finish();
         }
     }
 
@@ -300,7 +300,7 @@
         let Some(frame) = frame else { return true };
         let Ok(frame) = frame else { return false };
         let Ok(data) = frame.into_data() else { continue };
-        if !matches!(timeout(STALL_TIMEOUT, sender.send(Ok(data))).await, Ok(Ok(()))) {
+        if !matches!(timeout(STALL_TIMEOUT, sender.send(data)).await, Ok(Ok(()))) {
             return false;
         }
     }
@@ -354,10 +354,19 @@
         return false;
     }
     headers.contains_key(CONTENT_LENGTH)
-        || headers.contains_key(TRANSFER_ENCODING)
+        || is_chunked(headers)
         || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
+/// Returns whether the last coding of a body is chunked; with another one, the body ends with its connection (RFC
+/// 9112, section 6.3).
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last_field = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = last_field.and_then(|value| value.to_str().ok());
+    let last_coding = codings.and_then(|codings| codings.rsplit(',').next());
+    last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 fn parse_report(headers: &HeaderMap, made_at_ms: u64) -> Option<UpstreamReport> {
     let number = |name: &str| headers.get(name)?.to_str().ok()?.parse().ok();
     let in_flight = number("sedgepath-in-flight");
--- a/crates/sedgepathd/src/lingering_close.rs
+++ b/crates/sedgepathd/src/lingering_close.rs
@@ -11,11 +11,11 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use crate::close_delimited::{ResetUnlessWhole, UnfinishedBody};
 use crate::open_count::UnwrittenResponses;
 
 /// How long a connection is kept at the most after its sending side was closed.
@@ -27,25 +27,6 @@
 /// The bytes that are discarded at once.
 const DISCARD_CHUNK_BYTES: usize = 4 * 1024;
 
-/// A connection that can be ended with a reset, which no caller takes for the end of a response.
-pub trait AbortiveClose {
-    /// Makes the connection end with a reset when it is dropped.
-    fn reset_on_drop(&self);
-}
-
-impl AbortiveClose for TcpStream {
-    fn reset_on_drop(&self) {
-        // The system refuses the option only if the connection has failed.
-        drop(self.set_zero_linger());
-    }
-}
-
-impl<T: AbortiveClose> AbortiveClose for TokioIo<T> {
-    fn reset_on_drop(&self) {
-        self.inner().reset_on_drop();
-    }
-}
-
 /// What becomes of bytes that the other side still sends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LateBytes {
@@ -184,12 +165,21 @@
     socket: TcpStream,
     close: Option<LingeringClose>,
     unwritten: UnwrittenResponses,
+    reset: ResetUnlessWhole,
 }
 
 impl LingeringStream {
     /// Creates a connection from an open socket.
     pub fn new(socket: TcpStream) -> Self {
-        Self { socket, close: None, unwritten: UnwrittenResponses::default() }
+        let (unwritten, reset) = (UnwrittenResponses::default(), ResetUnlessWhole::default());
+        Self { socket, close: None, unwritten, reset }
+    }
+
+    /// Sets the body that ends with the connection, which is reset while the body isn't whole.
+    #[must_use]
+    pub fn with_unfinished_body(mut self, body: UnfinishedBody) -> Self {
+        self.reset = ResetUnlessWhole::new(body);
+        self
     }
 
     /// Sets the responses that are cleared when hyper has written all its bytes.
@@ -200,12 +190,6 @@
     }
 }
 
-impl AbortiveClose for LingeringStream {
-    fn reset_on_drop(&self) {
-        self.socket.reset_on_drop();
-    }
-}
-
 impl AsyncRead for LingeringStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -222,7 +206,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, buf)
+        let this = &mut *self;
+        this.reset.before_write(&this.socket);
+        Pin::new(&mut this.socket).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -230,7 +216,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
+        let this = &mut *self;
+        this.reset.before_write(&this.socket);
+        Pin::new(&mut this.socket).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -244,7 +232,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Self { socket, close, .. } = &mut *self;
+        let Self { socket, close, reset, .. } = &mut *self;
+        if !reset.allows_shutdown(socket)? {
+            return Poll::Ready(Ok(()));
+        }
         let begin = || LingeringClose::new(LateBytes::Discard);
         let closed = LingeringClose::poll_shutdown(close, socket, cx, begin);
         closed.map_ok(|_end| ())
--- a/crates/sedgepathd/tests/direct_give_ups.rs
+++ b/crates/sedgepathd/tests/direct_give_ups.rs
@@ -2,6 +2,8 @@
 
 mod platform;
 
+use std::time::{Duration, Instant};
+
 use platform::caller::Connection;
 use platform::upstream::{Behaviour, UpstreamStandIn};
 use platform::{TestCluster, Vm, configure, cut_off, wait_for};
@@ -164,3 +166,47 @@
     assert_eq!(fixture.give_up_line(2, "kept").text("reason"), Some("no_retry"));
     assert_eq!(status, Some(200));
 }
+
+/// Guards against a stopping VM that gives a request up for another VM, which may have run it but which this one
+/// hasn't sent: no third VM is asked then.
+#[test]
+fn a_stopping_vm_gives_up_no_forwarded_request_that_it_has_not_sent() {
+    let fixture = Fixture::new(1);
+    let mut peer = Connection::new(fixture.site.peer_address(1)).expect("a connection");
+    fixture.vms[0].terminate();
+    wait_for("an end of readiness", || !fixture.vms[0].is_ready());
+
+    let head = format!(
+        "GET /reads/1?0,0 HTTP/1.1\r\nHost: shop.example\r\nX-Sedgepath-Attempt-Id: twice\r\n\
+         X-Sedgepath-Deadline-Ms: {TIME_LIMIT_MS}\r\nSedgepath-Forwarded: 127.0.0.1 1 1 0\r\n\r\n"
+    );
+    peer.write(head.as_bytes()).expect("written");
+    let response = peer.receive().expect("a response");
+
+    let outcome = response.headers.get("sedgepath-forward-outcome").map(String::as_str);
+    assert_eq!(outcome, Some("not_run stopping 0"), "{response:?}");
+    assert!(fixture.upstream.received().is_empty());
+}
+
+/// Guards against a request that only connects when a stop begins and that the stop ends as if it might have run.
+#[test]
+fn a_request_that_connects_when_a_stop_begins_is_rejected_as_not_run() {
+    let fixture = Fixture::new(1);
+    fixture.upstream.cut_from(&[fixture.site.ipv4(1)], ClientCut::NewConnections);
+    let mut connection = Connection::new(fixture.vms[0].caller_address).expect("a connection");
+    connection.send("GET", "/reads/1?0,0", "connects", TIME_LIMIT_MS).expect("a request");
+    wait_for("the first connection", || {
+        fixture.vms[0].metrics().contains("sedgepath_requests_in_flight 1")
+            || fixture.site.log(1).contains("event=connection_failed")
+    });
+
+    fixture.vms[0].terminate();
+    let since = Instant::now();
+    let status = connection.receive().map(|response| response.status);
+
+    assert_eq!(status, Some(503));
+    assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
+    let line = "event=refused request=connects status=503 reason=stopping";
+    wait_for("the line", || fixture.site.log(1).contains(line));
+    assert!(fixture.upstream.received().is_empty());
+}
--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -152,6 +152,8 @@
     /// Header lines that each response begins with.
     first_headers: String,
     crashed: bool,
+    /// How many requests it states that it serves at a time.
+    slots: u32,
     streams: Vec<TcpStream>,
 }
 
@@ -180,6 +182,7 @@
             fatal_text: None,
             first_headers: String::new(),
             crashed: false,
+            slots: 4,
             streams: Vec::new(),
         };
         let state = Arc::new(Mutex::new(state));
@@ -214,7 +217,7 @@
     ) {
         let entry = serde_json::json!({
             "address": address.to_string(),
-            "info": {"service": "shop", "version": "v1", "zone": domain, "slots": 4},
+            "info": {"service": "shop", "version": "v1", "zone": domain, "slots": self.lock().slots},
             "status": {"state": state, "sequence": sequence, "coldRemaining": "0ms"},
         });
         self.write_entry(store, &entry);
@@ -224,7 +227,7 @@
     pub fn register_for(&self, service: &str, store: &StoreStandIn, domain: &str) {
         let entry = serde_json::json!({
             "address": self.address.to_string(),
-            "info": {"service": service, "version": "v1", "zone": domain, "slots": 4},
+            "info": {"service": service, "version": "v1", "zone": domain, "slots": self.lock().slots},
             "status": {"state": "ready", "sequence": 1, "coldRemaining": "0ms"},
         });
         self.write_entry(store, &entry);
@@ -240,6 +243,11 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Sets how many requests the upstream states that it serves at a time.
+    pub fn set_slots(&self, slots: u32) {
+        self.lock().slots = slots;
+    }
+
     /// Sets header lines, each with its line end, that each response begins with.
     pub fn set_first_headers(&self, lines: &str) {
         self.lock().first_headers = lines.into();
@@ -354,9 +362,9 @@
 
     /// Responds to a request; `None` if the connection is to be closed.
     fn respond(&self, mut stream: &TcpStream, mut request: ReceivedRequest) -> Option<()> {
-        let (name, behaviour, first_headers) = {
+        let (name, behaviour, first_headers, slots) = {
             let state = self.lock();
-            (state.name.clone(), state.behaviour, state.first_headers.clone())
+            (state.name.clone(), state.behaviour, state.first_headers.clone(), state.slots)
         };
         let target = request.line.split(' ').nth(1).unwrap_or_default();
         let target_delay_ms = target.rsplit('?').next().and_then(|text| text.parse().ok());
@@ -385,7 +393,7 @@
         let body = behaviour.body(targeted, &format!("{attempt_id} at {name}"));
         let full_response = format!(
             "HTTP/1.1 200 OK\r\n{first_headers}X-Sedgepath-Attempt-Id: {attempt_id}\r\n\
-             X-Sedgepath-Response-Signature: s.{attempt_id}\r\nX-Sedgepath-Backend-Load: 1,0,4\r\n\
+             X-Sedgepath-Response-Signature: s.{attempt_id}\r\nX-Sedgepath-Backend-Load: 1,0,{slots}\r\n\
              Content-Length: {}\r\n\r\n{body}",
             body.len()
         );
@@ -490,6 +498,18 @@
     }
 }
 
+/// Returns the runs of each attempt, by attempt id.
+pub fn runs_by_attempt<'a>(
+    upstreams: impl IntoIterator<Item = &'a UpstreamStandIn>,
+) -> BTreeMap<String, Vec<ReceivedRequest>> {
+    let mut runs: BTreeMap<String, Vec<ReceivedRequest>> = BTreeMap::new();
+    for run in upstreams.into_iter().flat_map(UpstreamStandIn::runs) {
+        let id = run.headers.get("x-sedgepath-attempt-id").cloned().unwrap_or_default();
+        runs.entry(id).or_default().push(run);
+    }
+    runs
+}
+
 /// Sends a response in equal parts over a time, or at once if it is zero.
 fn send_in_parts(mut stream: &TcpStream, response: &[u8], time: Duration) -> Option<()> {
     if time.is_zero() {
@@ -503,11 +523,7 @@
 }
 
 fn read_request(reader: &mut impl BufRead) -> Option<ReceivedRequest> {
-    let mut line = String::new();
-    if reader.read_line(&mut line).ok()? == 0 {
-        return None;
-    }
-    let fields = read_fields(reader)?;
+    let (line, fields) = read_head(reader)?;
     let body = if fields.contains_key("transfer-encoding") {
         read_chunks(reader)?
     } else {
@@ -526,6 +542,15 @@
     })
 }
 
+/// Reads the request line and the headers of a request; `None` if the connection has ended.
+pub(super) fn read_head(reader: &mut impl BufRead) -> Option<(String, BTreeMap<String, String>)> {
+    let mut line = String::new();
+    if reader.read_line(&mut line).ok()? == 0 {
+        return None;
+    }
+    Some((line, read_fields(reader)?))
+}
+
 /// Reads headers up to the empty line.
 pub(super) fn read_fields(reader: &mut impl BufRead) -> Option<BTreeMap<String, String>> {
     let mut fields = BTreeMap::new();
