Keep others from the port of a crashed upstream stand-in

Seen: `a_caller_whose_large_request_is_rejected_reads_the_rejection` failed once in a run of ten test files, and in 2 of 39 runs of its file, three at a time: the last of 20 callers got 200 or 404 for 503. The log has `event=served upstream=u0` for it, 5.5 s after the crash, with connections refused until then: something answered at the crashed upstream's address.

Cause, by these logs: the port of a crashed stand-in was free again, and the system gives it to the next test that binds port 0.

Change: a crashed stand-in keeps a socket on its port that doesn't listen, so that connections are refused.

--- a/crates/sedgepathd/tests/platform/upstream.rs
+++ b/crates/sedgepathd/tests/platform/upstream.rs
@@ -10,6 +10,7 @@
     ClientCut, accept_packets, drop_packets_from, is_from, reset_on_drop,
 };
 use sedgepath_test_support::store::StoreStandIn;
+use socket2::{Domain, Socket, Type};
 
 /// What the upstream does with requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -152,6 +153,8 @@
     /// Header lines that each response begins with.
     first_headers: String,
     crashed: bool,
+    /// Keeps others from the port of a crashed upstream, which still refuses connections.
+    reserved_port: Option<Socket>,
     streams: Vec<TcpStream>,
 }
 
@@ -180,6 +183,7 @@
             fatal_text: None,
             first_headers: String::new(),
             crashed: false,
+            reserved_port: None,
             streams: Vec::new(),
         };
         let state = Arc::new(Mutex::new(state));
@@ -305,6 +309,10 @@
         // The listening thread ends with its next connection.
         drop(TcpStream::connect(self.address));
         super::wait_for("the end of the listener", || self.listener.strong_count() == 0);
+        let reserved = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        reserved.set_reuse_address(true).expect("the option");
+        reserved.bind(&self.address.into()).expect("the port");
+        self.lock().reserved_port = Some(reserved);
         for stream in streams {
             // The caller may have disconnected already.
             drop(stream.shutdown(std::net::Shutdown::Both));
