--- a/crates/sedgepathd/tests/stop.rs
+++ b/crates/sedgepathd/tests/stop.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use sedgepath_test_support::caller::{Call, Caller, Outcome};
+use sedgepath_test_support::cut_responses::RawResponse;
 use sedgepath_test_support::daemon::Signal;
 use sedgepath_test_support::records::{self, UpstreamSpec};
 use sedgepath_test_support::system::DaemonCluster;
@@ -385,3 +386,117 @@
         "{log}"
     );
 }
+
+/// The time that each request takes at its upstream while two daemons stop.
+const SIDE_BY_SIDE_WORK_MS: u64 = 4_000;
+
+/// The time between two requests to daemons that stop side by side.
+const SIDE_BY_SIDE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The requests that are sent before the signal, of all.
+const SENT_BEFORE_STOP: usize = 30;
+
+/// The requests that are sent, the last ones after the daemons reject new work.
+const SENT_SIDE_BY_SIDE: usize = 240;
+
+/// A request to a daemon that stops, and its response; none if its connection was refused.
+struct SideBySideRequest {
+    line: String,
+    has_key: bool,
+    response: Option<RawResponse>,
+}
+
+/// Sends a request: every third one a read, a charge and a charge with a key, each to both daemons.
+fn send_side_by_side(entries: &[SocketAddr], number: usize) -> SideBySideRequest {
+    let (method, has_key) = [("GET", false), ("POST", false), ("POST", true)][number / 2 % 3];
+    let key = if has_key { format!("idempotency-key: k{number}\r\n") } else { String::new() };
+    let request = format!(
+        "{method} /v1/call/browse/work/{number} HTTP/1.1\r\nHost: vm\r\nsedgepath-key: porch-key\r\n\
+         sedgepath-timeout-ms: 15000\r\nsedgepath-attempt: 1\r\n{key}Connection: close\r\n\
+         Content-Length: 0\r\n\r\n"
+    );
+    let response = RawResponse::read(entries[number % 2], request.as_bytes()).ok();
+    SideBySideRequest { line: format!("{method} /work/{number}"), has_key, response }
+}
+
+/// Stops an ingress and an owner side by side, beside further daemons that own the rest, while requests are sent to
+/// both. Checks that each request that ran has its upstream's response, and each other one is rejected as not run.
+fn stop_side_by_side(daemons: &[(&str, &str)]) {
+    let upstreams: Vec<_> =
+        (0..4).map(|_| UpstreamStandIn::new(UpstreamConfig::new(60)).expect("upstream")).collect();
+    let spec = |(number, upstream): (usize, &UpstreamStandIn)| {
+        UpstreamSpec::new(&format!("b{number}"), "south-a", 60).with_address(upstream.addr())
+    };
+    let specs: Vec<_> = upstreams.iter().enumerate().map(spec).collect();
+    let records = records::one_service("browse", 20_000, &specs, &["south-a"]);
+    let system = DaemonCluster::new(Path::new(env!("CARGO_BIN_EXE_sedgepathd"))).expect("platform");
+    let mut system = system.with_daemons(&records, daemons).expect("daemons");
+    assert!(system.wait_until_all_serve(|entry, _| is_answered(entry, "/ready")));
+    for upstream in &upstreams {
+        upstream.set_behaviour(Behaviour::DelayResponse { delay_ms: SIDE_BY_SIDE_WORK_MS });
+    }
+    let entries = system.caller_addresses();
+
+    let requests: Vec<_> = thread::scope(|scope| {
+        let mut callers = Vec::new();
+        for number in 0..SENT_SIDE_BY_SIDE {
+            if number == SENT_BEFORE_STOP {
+                for index in [INGRESS, OWNER] {
+                    let daemon = system.daemons[index].as_mut().expect("a daemon");
+                    daemon.signal(Signal::Term).expect("SIGTERM is sent");
+                }
+            }
+            let entries = &entries;
+            callers.push(scope.spawn(move || send_side_by_side(entries, number)));
+            thread::sleep(SIDE_BY_SIDE_INTERVAL);
+        }
+        callers.into_iter().map(|caller| caller.join().expect("a caller")).collect()
+    });
+    let logs = [wait_for_end(&mut system, INGRESS), wait_for_end(&mut system, OWNER)];
+
+    let runs: Vec<_> = upstreams.iter().flat_map(UpstreamStandIn::runs).collect();
+    let mut counts = [0; 3];
+    let mut violations = Vec::new();
+    for SideBySideRequest { line, has_key, response } in &requests {
+        let run_count = runs.iter().filter(|run| *run.request == **line).count();
+        let status = response.as_ref().map(|response| response.status);
+        let is_whole = response.as_ref().is_some_and(|response| response.whole_body.is_some());
+        let is_sound = match status {
+            Some(200) => is_whole && (run_count == 1 || (line.starts_with("GET") && run_count > 1)),
+            Some(503) => is_whole && run_count == 0,
+            // A connection that isn't accepted.
+            None => run_count == 0,
+            _ => false,
+        };
+        let index = [Some(200), Some(503), None].iter().position(|expected| *expected == status);
+        if let Some(index) = index {
+            counts[index] += 1;
+        }
+        if !is_sound {
+            let head = response.as_ref().map(|response| &response.head);
+            violations.push(format!("{line} key {has_key}: {run_count} runs, {status:?} {head:?}"));
+        }
+    }
+    println!("{} requests: served, rejected, refused {counts:?}", requests.len());
+    assert!(violations.is_empty(), "{counts:?}, {}: {violations:#?}", violations.len());
+    assert!(counts[0] >= SENT_BEFORE_STOP, "{counts:?}");
+    for log in logs {
+        for ended in ["event=gave_up", "event=response_cut", "event=connections_cut"] {
+            assert!(!log.contains(ended), "{log}");
+        }
+    }
+}
+
+/// Guards against reads and charges at work that end without their upstream's response when the ingress that
+/// accepted them and the only owner stop at once.
+#[test]
+fn stopping_an_ingress_and_the_only_owner_at_once_ends_no_request() {
+    stop_side_by_side(&[("n1", "north-a"), ("s1", "south-a")]);
+}
+
+/// Guards against reads and charges that run twice or end without their upstream's response while another owner takes
+/// over.
+#[test]
+fn stopping_an_ingress_and_one_of_two_owners_at_once_ends_no_request() {
+    stop_side_by_side(&[("n1", "north-a"), ("s1", "south-a"), ("s2", "south-a")]);
+}
