--- a/review/rig-2/src/backend.rs
+++ b/review/rig-2/src/backend.rs
@@ -1,8 +1,9 @@
 //! A stand-in of backends.
 
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -45,6 +46,8 @@
 
 /// A request that a backend has run.
 pub struct Run {
+    /// When it arrived.
+    pub at: Instant,
     pub attempt_id: String,
     pub method: String,
     pub body_bytes: usize,
@@ -60,6 +63,8 @@
     /// How long it pauses before it reads a body.
     pub read_pause: Duration,
     answer: Answer,
+    streams: Mutex<Vec<TcpStream>>,
+    has_ended: AtomicBool,
 }
 
 impl Backend {
@@ -72,22 +77,58 @@
         read_pause: Duration,
         answer: Answer,
     ) -> io::Result<Arc<Self>> {
-        let listener = TcpListener::bind((ip, 0))?;
+        let backend = Self::listen(address_of(ip)?, id, read_pause, answer)?;
+        store.put("servers", id, &entry(backend.address, service));
+        Ok(backend)
+    }
+
+    /// Starts a backend without registering it.
+    pub fn listen(
+        address: SocketAddr,
+        id: &str,
+        read_pause: Duration,
+        answer: Answer,
+    ) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(address)?;
         http::set_small_window(listener.as_raw_fd());
         let address = listener.local_addr()?;
-        let runs = Mutex::default();
-        let backend = Arc::new(Self { id: id.into(), address, runs, read_pause, answer });
-        let serving = Arc::clone(&backend);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let backend = Arc::clone(&serving);
-                thread::spawn(move || backend.serve(stream));
-            }
+        let backend = Arc::new(Self {
+            id: id.into(),
+            address,
+            runs: Mutex::default(),
+            read_pause,
+            answer,
+            streams: Mutex::default(),
+            has_ended: AtomicBool::new(false),
         });
-        store.put("servers", id, &entry(address, service));
+        let serving = Arc::clone(&backend);
+        thread::spawn(move || serving.accept(&listener));
         Ok(backend)
     }
 
+    fn accept(self: &Arc<Self>, listener: &TcpListener) {
+        for stream in listener.incoming().flatten() {
+            if self.has_ended.load(Ordering::SeqCst) {
+                return;
+            }
+            if let Ok(copy) = stream.try_clone() {
+                self.streams.lock().unwrap().push(copy);
+            }
+            let backend = Arc::clone(self);
+            thread::spawn(move || backend.serve(stream));
+        }
+    }
+
+    /// Ends the backend as the end of its process does.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::SeqCst);
+        // Wakes the accepting thread, which closes the listener.
+        drop(TcpStream::connect(self.address));
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         // It cuts off a response that remains unread for some seconds.
@@ -112,12 +153,16 @@
             return writer.write_all(head.as_bytes());
         }
         self.runs.lock().unwrap().push(Run {
+            at: Instant::now(),
             attempt_id: id.into(),
             method: request.method.clone(),
             body_bytes: request.body.len(),
             headers: request.headers.clone(),
         });
         let (status, body) = (self.answer)(request);
+        if self.has_ended.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         let head = format!(
             "HTTP/1.1 {status} X\r\nX-Sedgepath-Attempt-Id: {id}\r\n\
              X-Sedgepath-Response-Signature: {}.{id}\r\nContent-Length: {}\r\n\
@@ -134,6 +179,10 @@
     }
 }
 
+fn address_of(ip: &str) -> io::Result<SocketAddr> {
+    format!("{ip}:0").parse().map_err(io::Error::other)
+}
+
 fn entry(address: SocketAddr, service: &str) -> Value {
     json!({
         "address": address.to_string(),
--- a/review/rig-2/src/cases.rs
+++ b/review/rig-2/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod chunked_get;
+mod leaving;
 mod slow_readers;
 
 use std::io;
@@ -15,6 +16,8 @@
     match case {
         "slow-readers" => slow_readers::run(&record, has_trouble),
         "chunked-get" => chunked_get::run(&record, has_trouble),
+        "late-heartbeat" => leaving::late_heartbeat(&record, has_trouble),
+        "clock-behind" => leaving::clock_behind(&record, has_trouble),
         _ => Err(io::Error::other("there is no such case")),
     }
 }
