--- a/review/rig-2/src/cases/slow_readers.rs
+++ b/review/rig-2/src/cases/slow_readers.rs
@@ -15,11 +15,11 @@
 use crate::store::Store;
 
 const BACKENDS: usize = 16;
-const READERS: usize = 260;
+const READERS: usize = 340;
 const RESPONSE_BYTES: usize = 3 * 1024 * 1024;
 const WORK: Duration = Duration::from_millis(50);
 /// The time over which the clients begin.
-const START_SPREAD: Duration = Duration::from_millis(5_000);
+const START_SPREAD: Duration = Duration::from_millis(6_500);
 const DEADLINE_MS: u64 = 8_000;
 /// How long the case lasts.
 const LENGTH: Duration = Duration::from_secs(12);
