--- a/review/rig-2/src/cases/leaving.rs
+++ b/review/rig-2/src/cases/leaving.rs
@@ -133,6 +133,12 @@
         }
         let ends = self.ends.lock().unwrap();
         let runs = backend.runs.lock().unwrap();
+        for (id, end) in ends.iter() {
+            record.line(&format!("POST {id}: {end}"));
+        }
+        for run in runs.iter() {
+            record.line(&format!("the leaving backend ran {} {}", run.method, run.attempt_id));
+        }
         let late: Vec<_> = runs.iter().filter(|run| run.at > acknowledged_at + DRAIN).collect();
         for run in &late {
             let late_by = run.at - acknowledged_at;
--- a/review/rig-2/src/cases/slow_readers.rs
+++ b/review/rig-2/src/cases/slow_readers.rs
@@ -35,6 +35,8 @@
     cut: AtomicU32,
     refused: AtomicU32,
     other: AtomicU32,
+    /// Each download with its end, for the record.
+    ends: Mutex<Vec<String>>,
 }
 
 /// What the callers with kept connections saw.
@@ -43,6 +45,8 @@
     /// The attempts whose connection ended without an answer, on a connection that had had answers.
     unanswered: Mutex<Vec<String>>,
     answered: AtomicU32,
+    /// Each request with its end, for the record.
+    ends: Mutex<Vec<String>>,
 }
 
 pub fn run(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
@@ -119,6 +123,14 @@
             .iter()
             .any(|backend| backend.runs.lock().unwrap().iter().any(|run| run.attempt_id == *id))
     };
+    for end in counts.ends.lock().unwrap().iter().chain(kept.ends.lock().unwrap().iter()) {
+        record.line(end);
+    }
+    for backend in &backends {
+        for run in backend.runs.lock().unwrap().iter() {
+            record.line(&format!("{} ran {} {}", backend.id, run.method, run.attempt_id));
+        }
+    }
     let unanswered = kept.unanswered.lock().unwrap();
     let lost: Vec<&String> = unanswered.iter().filter(|id| was_passed_on(id)).collect();
     for id in &lost {
@@ -149,6 +161,11 @@
         );
         let answer =
             stream.write_all(request.as_bytes()).and_then(|()| http::read_response(&mut reader));
+        let end = match &answer {
+            Ok(response) => response.status.to_string(),
+            Err(error) => format!("no answer ({error})"),
+        };
+        kept.ends.lock().unwrap().push(format!("POST {id}: {end}"));
         if answer.is_err() {
             if answers > 0 {
                 kept.unanswered.lock().unwrap().push(id);
@@ -179,10 +196,12 @@
     let mut line = String::new();
     if reader.read_line(&mut line).unwrap_or(0) == 0 {
         counts.other.fetch_add(1, Ordering::Relaxed);
+        counts.ends.lock().unwrap().push(format!("GET {number:016x}: no answer"));
         return Ok(());
     }
     if !line.starts_with("HTTP/1.1 200") {
         counts.refused.fetch_add(1, Ordering::Relaxed);
+        counts.ends.lock().unwrap().push(format!("GET {number:016x}: {}", line.trim_end()));
         return Ok(());
     }
     while line != "\r\n" {
@@ -200,6 +219,7 @@
             thread::sleep(Duration::from_millis(50));
         }
     }
+    counts.ends.lock().unwrap().push(format!("GET {number:016x}: 200, {read_bytes} bytes read"));
     let counter = if read_bytes == RESPONSE_BYTES { &counts.whole } else { &counts.cut };
     counter.fetch_add(1, Ordering::Relaxed);
     Ok(())
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -28,10 +28,11 @@
         return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    match cases::run(case, folder, has_trouble) {
-        Ok(Verdict::Broken) => ExitCode::from(1),
-        Ok(Verdict::Held) => ExitCode::from(0),
-        Err(error) => {
+    match std::panic::catch_unwind(|| cases::run(case, folder, has_trouble)) {
+        Ok(Ok(Verdict::Broken)) => ExitCode::from(1),
+        Ok(Ok(Verdict::Held)) => ExitCode::from(0),
+        Err(_panic) => ExitCode::from(2),
+        Ok(Err(error)) => {
             eprintln!("the case couldn't run: {error}");
             ExitCode::from(2)
         }
